--- /dev/null
+++ b/heathwell/logic.py
@@ -0,0 +1,547 @@
+"""Every decision of heathwell; its settings, events and actions are in heathwell/interface.py.
+
+The ordinary path is Batch Sampling on own counts (Li, Ramamoorthy, Srikant): of a shard's holders
+the one with the fewest of this aggregator's own parts out serves the part, the parts are ranked by
+that count, only the needed n are sent, a late one gets an unsent part beside it, and the query is
+answered once n are in. Each departure below says when it acts; docs/design.md lists them all.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from math import exp
+
+from heathwell import interface as hw
+from heathwell.state import Attempt, Bar, Part, Query, Server
+
+LATE_SHARE = 0.5  # the design's mark: a part is late after half the aim that was left at its send
+EVERY = -1  # key of an ejection that holds for all classes, beside those of one class
+PACE_GAIN = 0.15  # weight of one answer in a server's latency average: about seven answers
+RATE_GAIN = 0.02  # weight of one answer in the fleet's average: slow, as it is the yardstick
+PACE_FADE = 4.0  # aims until an unused server's average is mostly forgotten, so it is tried again
+OUTLIER = 2.5  # a server this many times slower than usual is charged one part for each multiple
+CHARGE_FADE = 1.0  # aims over which the charge of a cancelled or failed attempt fades by 1/e
+ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
+BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
+BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
+COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
+COLD_SPAN = 10.0  # tip-over times over which the warm servers' usual intake is averaged
+ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time: first and longest wait to ask again
+RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
+
+
+class Aggregator:
+    """Decides for one aggregator; `handle` is the only door."""
+
+    def __init__(self, settings: hw.Settings, seed: int) -> None:
+        self.cfg = settings
+        self.random = random.Random(seed)
+        self.now = 0
+        self.began: int | None = None
+        self.actions: list[hw.Action] = []
+        self.servers: dict[str, Server] = {}
+        self.cells: dict[int, list[Server]] = {}
+        self.queries: dict[str, Query] = {}
+        self.jobs: dict[int, Query] = {}
+        self.parts: dict[str, Part] = {}
+        self.strays: dict[tuple[str, int], Attempt] = {}
+        self.due: list[tuple[int, int, str, object]] = []
+        self.ticket = 0
+        self.armed: int | None = None
+        self.aim = min(c.aim_us for c in settings.classes)
+        self.rate = [0.0] * len(settings.classes)
+        self.last_ok = -1
+        self.taken: deque[int] = deque()
+        self.further: deque[int] = deque()
+        self.intake = 0.0
+        self.intake_at = 0
+        self.ask_wait = int(settings.must_ask_us * ASK_FIRST)
+        self.asked_at: int | None = None
+        self.said: dict[str, int] = {}
+
+    def handle(self, now: int, events: list[hw.Event]) -> list[hw.Action]:
+        """Take one batch of events and return the actions, both in order."""
+        self.now, self.actions = now, []
+        if self.began is None:
+            self.began = self.intake_at = now
+        started: dict[str, Query] = {}
+        for event in events:
+            match event:
+                case hw.AttemptEnded():
+                    self._ended(event)
+                case hw.PartArrived():
+                    query = self._part(event)
+                    if query:
+                        started[query.id] = query
+                case hw.QueryArrived():
+                    self._query(event)
+                case hw.FleetNews():
+                    self._fleet(event)
+                case hw.ProbeEnded():
+                    self._probed(event)
+                case hw.QueryExpired():
+                    if event.id in self.queries:
+                        self._forget(self.queries[event.id])
+                case hw.TimerFired():
+                    self.armed = None
+        for query in started.values():
+            if query.id in self.queries:
+                self._open(query)
+        while self.due and self.due[0][0] <= now:
+            _, _, what, subject = heapq.heappop(self.due)
+            self._wake(what, subject)
+        if self.due and (self.armed is None or self.due[0][0] < self.armed):
+            self.armed = max(self.due[0][0], now + 1)
+            self.actions.append(hw.SetTimer(self.armed, "due"))
+        return self.actions
+
+    def _later(self, at: int, what: str, subject: object) -> None:
+        self.ticket += 1
+        heapq.heappush(self.due, (at, self.ticket, what, subject))
+
+    def _wake(self, what: str, subject: object) -> None:
+        match subject:
+            case Query() if subject.id in self.queries:
+                self._overdue(subject, what)
+            case Part() if subject.query.id in self.queries:
+                subject.waiting = False
+                if not subject.done:
+                    self._place(subject)
+            case Attempt() if subject.outcome is None:
+                self._late(subject)
+            case Server():
+                self._half_open(subject)
+            case None:
+                self._ask()
+
+    def _log(self, about: str, text: str) -> None:
+        """One line for the operators, at most one a topic in ten aims."""
+        if self.now - self.said.get(about, -self.now - 1) >= 10 * self.aim or about not in self.said:
+            self.said[about] = self.now
+            self.actions.append(hw.Log(text))
+
+    # Fleet view
+
+    def _fleet(self, news: hw.FleetNews) -> None:
+        if news.kind == hw.FAILED:
+            # Guards the drain rule: without news we must keep asking; jitter keeps the callers apart.
+            self.ask_wait = min(self.ask_wait * 2, int(self.cfg.must_ask_us * ASK_MOST))
+            self._later(self.now + int(self.ask_wait * self.random.uniform(0.5, 1.0)), "ask", None)
+            self._log("discovery", "discovery: call failed or subscription broke, asking again")
+            return
+        if news.kind == hw.FULL:
+            listed = {entry.node for entry in news.servers}
+            for server in self.servers.values():
+                server.live = server.live and server.node in listed
+        for entry in news.servers:
+            self._listed(entry)
+        self.cells = {}
+        for server in self.servers.values():
+            self.cells.setdefault(server.cell, []).append(server)
+        if not news.asked and self.cfg.ask_mode:
+            self._ask()
+        elif news.asked:
+            self.ask_wait = int(self.cfg.must_ask_us * ASK_FIRST)
+
+    def _listed(self, entry: hw.ServerEntry) -> None:
+        server = self.servers.get(entry.node)
+        if server is None:
+            if entry.state != hw.LIVE:
+                return
+            server = Server(entry.node, entry.cell, entry.zone, entry.rating, entry.since_us)
+            self.servers[entry.node] = server
+        elif entry.since_us and entry.since_us != server.since:
+            # A new process: what was known of the old one is void, and it is cold.
+            server.since, server.cold_from = entry.since_us, None
+            server.errors, server.bars, server.pace, server.charge = {}, {}, 1.0, 0.0
+        if entry.state in (hw.LIVE, hw.DRAINING, hw.GONE):
+            server.live = entry.state == hw.LIVE
+        server.cell, server.zone, server.rating = entry.cell, entry.zone, entry.rating
+
+    def _ask(self) -> None:
+        self.actions.append(hw.Watch())
+
+    # Admission
+
+    def _query(self, event: hw.QueryArrived) -> None:
+        spec = self.cfg.classes[event.klass]
+        self._count(self.taken, self.now)
+        aim = spec.aim_us + int(spec.aim_stretch * (event.hint_us or 0))
+        query = Query(event.id, event.job, event.klass, event.tenant, self.now,
+                      min(self.now + aim, event.deadline_us), event.deadline_us, event.parts)
+        self.queries[event.id] = self.jobs[event.job] = query
+        self._later(event.deadline_us - self.cfg.tick_us, "deadline", query)
+        if query.aim_at < event.deadline_us - self.cfg.tick_us:
+            self._later(query.aim_at + 1, "aim", query)
+
+    def _part(self, event: hw.PartArrived) -> Query | None:
+        self._count(self.taken, self.now)
+        query = self.jobs.get(event.job)
+        if query is None:
+            return None
+        part = Part(event.id, query, event.shard, event.weight, event.hint_us, event.key, query.step)
+        self.parts[event.id] = part
+        query.parts.append(part)
+        return query
+
+    def _open(self, query: Query) -> None:
+        """Rank the step's parts by their replica's count and send the n needed, one by one."""
+        waiting = [p for p in query.parts if p.step == query.step and not p.tries and not p.waiting]
+        need = self._need(query)
+        ranked = sorted(waiting, key=self._rank)
+        sent = 0.0
+        for part in ranked:
+            if sent >= need - 1e-6:
+                break
+            self._place(part)
+            sent += part.weight
+
+    def _need(self, query: Query) -> float:
+        return self.cfg.classes[query.klass].need if query.step == 1 else 1.0
+
+    def _rank(self, part: Part) -> tuple[float, float]:
+        server = self._pick(part)
+        return (self._load(server), self.random.random()) if server else (1e9, self.random.random())
+
+    # Replica choice
+
+    def _pick(self, part: Part) -> Server | None:
+        """The usable holder with the fewest own parts out; ties by `_tie`."""
+        busy = {a.server.node for a in part.tries if a.outcome is None}
+        failed = {a.server.node for a in part.tries}
+        holders = []
+        for step in range(self.cfg.width):
+            holders += self.cells.get((part.shard + step) % self.cfg.cells, [])
+        klass = part.query.klass
+        open_to = [s for s in holders if s.live and s.node not in busy and self._cold_room(s)]
+        # Ejected servers are left out, as are those that this part has tried; but when nobody else
+        # holds the shard, a doubtful server is better than none.
+        good = [s for s in open_to if self._usable(s, klass)]
+        fresh = [s for s in good if s.node not in failed]
+        pool = fresh or good or open_to
+        if not pool:
+            return None
+        least = min(self._load(s) for s in pool)
+        return min((s for s in pool if self._load(s) == least), key=self._tie)
+
+    def _load(self, server: Server) -> int:
+        """Own calls out, and on top the charges: the exceptions that act on the count itself."""
+        return len(server.calls) + int(self._charge(server) + 0.5) + self._outlier(server)
+
+    def _tie(self, server: Server) -> tuple[float, float]:
+        trial = any(bar.trial for bar in server.bars.values())
+        return (0.0 if trial else self._pace(server), self.random.random())
+
+    def _charge(self, server: Server) -> float:
+        """What cancelled and failed attempts may still cost: such a server only looks idle."""
+        return server.charge * exp((server.charge_at - self.now) / (CHARGE_FADE * self.aim))
+
+    def _add_charge(self, server: Server) -> None:
+        server.charge, server.charge_at = self._charge(server) + 1.0, self.now
+
+    def _pace(self, server: Server) -> float:
+        """Recent latency against the fleet's usual (1.0), drifting back to it when unused."""
+        return 1.0 + (server.pace - 1.0) * exp((server.pace_at - self.now) / (PACE_FADE * self.aim))
+
+    def _outlier(self, server: Server) -> int:
+        pace = self._pace(server)
+        return int(pace / OUTLIER)
+
+    # Sending, spares and retries
+
+    def _place(self, part: Part) -> bool:
+        """Send the part to the design's replica, or try again shortly when no holder may be sent to."""
+        if self.now >= part.query.deadline - self.cfg.tick_us:
+            return False
+        if part.tries and not self._may_resend(part):
+            return False
+        server = self._pick(part)
+        if server is None:
+            if not part.waiting:
+                part.waiting = True
+                wait = int(RETRY_WAIT * self.cfg.classes[part.query.klass].aim_us)
+                self._later(self.now + max(wait, self.cfg.tick_us), "wait", part)
+            return False
+        self._send(part, server)
+        return True
+
+    def _may_resend(self, part: Part) -> bool:
+        """The rules on a further attempt: limits, the class's effects, and the attempt budget."""
+        spec = self.cfg.classes[part.query.klass]
+        if len(part.tries) >= self.cfg.max_attempts:
+            return False
+        out = [a for a in part.tries if a.outcome is None]
+        if out and (not self.cfg.second_copies or spec.repeat == hw.UNSAFE):
+            return False
+        risky = [a.sent for a in part.tries if a.outcome not in hw.NEVER_RAN]
+        if risky and spec.repeat == hw.UNSAFE:
+            return False
+        if risky and spec.repeat == hw.KEYED and self.now > min(risky) + spec.dedup_us:
+            return False
+        return self._budget_left()
+
+    def _budget_left(self) -> bool:
+        if not self.cfg.counted_over_us:
+            return True
+        edge = self.now - self.cfg.counted_over_us
+        while self.further and self.further[0] < edge:
+            self.further.popleft()
+        while self.taken and self.taken[0] <= edge:
+            self.taken.popleft()
+        return len(self.further) + 1 <= self.cfg.free_resends + self.cfg.further_ratio * len(self.taken)
+
+    def _count(self, when: deque[int], now: int) -> None:
+        if self.cfg.counted_over_us:
+            when.append(now)
+
+    def _send(self, part: Part, server: Server) -> None:
+        if part.tries:
+            self._count(self.further, self.now)
+        if server.call_at != self.now or server.call_room < 1:
+            self.ticket += 1
+            server.call_at, server.call_id, server.call_room = self.now, self.ticket, self.cfg.parts_a_call
+        server.call_room -= 1
+        server.calls[server.call_id] = server.calls.get(server.call_id, 0) + 1
+        attempt = Attempt(part, len(part.tries), server, self.now, server.call_id)
+        part.tries.append(attempt)
+        server.out[part.id, attempt.seq] = self.strays[part.id, attempt.seq] = attempt
+        self._note_send(server)
+        self.actions.append(hw.Send(part.id, server.node))
+        left = max(part.query.aim_at - self.now, self.cfg.tick_us)
+        self._later(self.now + max(int(left * LATE_SHARE), self.cfg.tick_us), "late", attempt)
+
+    def _late(self, attempt: Attempt) -> None:
+        """At the half-aim mark: an unsent sibling steps in, else a copy, else cancel and resend."""
+        attempt.late = True
+        self._silent(attempt)
+        part, query = attempt.part, attempt.part.query
+        if part.done or query.id not in self.queries or part.step != query.step:
+            return
+        if self._spare(query):
+            return
+        spec = self.cfg.classes[query.klass]
+        others = self._pick(part)
+        if others is None or others is attempt.server:
+            return
+        if self.cfg.second_copies and spec.repeat != hw.UNSAFE:
+            self._place(part)
+        elif self.cfg.cancelling and spec.repeat != hw.UNSAFE and attempt is part.tries[-1]:
+            if len(part.tries) >= self.cfg.max_attempts or not self._budget_left():
+                return
+            risky = [a.sent for a in part.tries if a.outcome not in hw.NEVER_RAN]
+            if spec.repeat == hw.KEYED and self.now + self.cfg.tick_us > min(risky) + spec.dedup_us:
+                return
+            self._cancel(attempt)
+            self._place(part)
+
+    def _spare(self, query: Query) -> bool:
+        """Send the unsent part whose replica has the smallest count; k minus n a query at most."""
+        unsent = [p for p in query.parts if p.step == query.step and not p.tries]
+        if not unsent or query.step != 1:
+            return False
+        return self._place(min(unsent, key=self._rank))
+
+    def _cancel(self, attempt: Attempt) -> None:
+        """Stop waiting; the server may still work at it, so the count turns into a fading charge."""
+        attempt.outcome = hw.CANCELLED
+        self._clear(attempt)
+        self._add_charge(attempt.server)
+        self.actions.append(hw.Cancel(attempt.part.id, attempt.seq))
+
+    def _clear(self, attempt: Attempt) -> None:
+        server = attempt.server
+        if server.out.pop((attempt.part.id, attempt.seq), None) is None:
+            return
+        server.calls[attempt.call] -= 1
+        if not server.calls[attempt.call]:
+            del server.calls[attempt.call]
+
+    # Outcomes
+
+    def _ended(self, event: hw.AttemptEnded) -> None:
+        attempt = self.strays.pop((event.id, event.seq), None)
+        if attempt is None:
+            return
+        if attempt.outcome is None:
+            attempt.outcome = event.outcome
+        self._clear(attempt)
+        part = attempt.part
+        query = part.query
+        if event.outcome == hw.OK:
+            self._answered(attempt, event)
+            if query.id in self.queries and not part.done and part.step == query.step:
+                part.done = True
+                self._settle(query)
+            return
+        self._judge(attempt, event.outcome)
+        if query.id not in self.queries or part.done or part.step != query.step:
+            return
+        if event.outcome == hw.CANCELLED or any(a.outcome is None for a in part.tries):
+            return
+        # A part that errors is replaced: by itself where the class allows, else by an unsent sibling.
+        if not self._place(part) and not part.waiting:
+            self._spare(query)
+
+    def _settle(self, query: Query) -> None:
+        """Answer once n are in; the first answer of two brings the second step's parts."""
+        got = sum(p.weight for p in query.parts if p.step == query.step and p.done)
+        if got < self._need(query) - 1e-6:
+            return
+        self.actions.append(hw.Answer(query.id, True))
+        if query.step == 1 and self.cfg.classes[query.klass].fetch:
+            query.step = 2
+        else:
+            self._forget(query)
+
+    def _forget(self, query: Query) -> None:
+        """The query has ended; what is still out stays counted until its outcome comes."""
+        self.queries.pop(query.id, None)
+        self.jobs.pop(query.job, None)
+        for part in query.parts:
+            self.parts.pop(part.id, None)
+
+    # Health
+
+    def _usable(self, server: Server, klass: int) -> bool:
+        for key in (EVERY, klass):
+            bar = server.bars.get(key)
+            if bar and not (bar.trial and all(a.sent < bar.since + bar.span for a in server.out.values())):
+                return False
+        return True
+
+    def _bar(self, server: Server, key: int, why: str) -> None:
+        """Eject, for longer each time in a row; a trial opens when the time is up."""
+        old = server.bars.get(key)
+        if old and not old.trial:
+            return
+        span = int(min(2 * old.span, BAR_MOST * self.aim) if old else BAR_SPAN * self.aim)
+        server.bars[key] = Bar(self.now, span)
+        self._later(self.now + span, "trial", server)
+        self._log("eject " + server.node, f"server {server.node} ejected: {why}")
+
+    def _half_open(self, server: Server) -> None:
+        for key, bar in server.bars.items():
+            if not bar.trial and self.now >= bar.since + bar.span:
+                if key == EVERY and self.cfg.probing and server.live:
+                    self.actions.append(hw.Probe(server.node))
+                else:
+                    bar.trial = True
+
+    def _probed(self, event: hw.ProbeEnded) -> None:
+        server = self.servers.get(event.node)
+        bar = server.bars.get(EVERY) if server else None
+        if server is None or bar is None or bar.trial:
+            return
+        bar.trial = True
+        if event.outcome != hw.OK:
+            self._bar(server, EVERY, "no answer to a probe")
+
+    def _silent(self, attempt: Attempt) -> None:
+        """Eject a server that has answered nothing since this late send while others have."""
+        server = attempt.server
+        if server.last_ok < attempt.sent <= self.last_ok:
+            self._bar(server, EVERY, "silent while others answer")
+
+    def _judge(self, attempt: Attempt, outcome: str) -> None:
+        server, klass = attempt.server, attempt.part.query.klass
+        if outcome in (hw.CANCELLED, hw.NEVER_SENT, hw.TIMED_OUT):
+            return
+        self._add_charge(server)
+        if outcome in (hw.UNREACHABLE, hw.BROKEN):
+            self._bar(server, EVERY, "no connection")
+            return
+        key = klass if outcome == hw.ERROR else EVERY
+        server.errors[key] = server.errors.get(key, 0) + 1
+        if server.errors[key] >= ERRORS_TO_BAR:
+            self._bar(server, key, "errors in a row")
+
+    def _answered(self, attempt: Attempt, event: hw.AttemptEnded) -> None:
+        """An answer: it readmits the server and tells its pace against the fleet's usual."""
+        server, klass = attempt.server, attempt.part.query.klass
+        server.last_ok = self.last_ok = self.now
+        for key in (EVERY, klass):
+            server.errors.pop(key, None)
+            bar = server.bars.get(key)
+            if bar and attempt.sent >= bar.since:
+                del server.bars[key]
+                if key == EVERY:
+                    # Back from silence: it may have restarted unlisted, so it is treated as cold.
+                    server.cold_from = self.now
+                    self._log("back " + server.node, f"server {server.node} readmitted")
+        took = event.elapsed_us / (attempt.part.hint or 1)
+        usual = self.rate[klass]
+        ratio = min(took / usual, 20.0) if usual else 1.0
+        server.pace = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN
+        server.pace_at = self.now
+        self.rate[klass] = usual + (min(took, 3 * usual) - usual) * RATE_GAIN if usual else took
+
+    # Cold ramp
+
+    def _warmth(self, server: Server) -> float:
+        """The share of its capacity that a server has at least, by the settings' ramp."""
+        since = max(server.since or -1, server.cold_from or -1)
+        if since < 0 or not self.cfg.warm_within_us:
+            return 1.0
+        age = (self.now - since) / self.cfg.warm_within_us
+        return min(1.0, self.cfg.start_capacity + (1 - self.cfg.start_capacity) * max(age, 0.0))
+
+    def _usual(self) -> float:
+        """Parts a microsecond that one warm server takes from this aggregator, averaged."""
+        span = COLD_SPAN * self.cfg.tip_after_us
+        faded = self.intake * exp((self.intake_at - self.now) / span)
+        lived = min(self.now - (self.began or 0), span * 3) / span
+        total = faded / (span * (1 - exp(-lived))) if lived > 0 else 0.0
+        return total / max(1, sum(s.live for s in self.servers.values()))
+
+    def _note_send(self, server: Server) -> None:
+        span = COLD_SPAN * max(self.cfg.tip_after_us, 1)
+        self.intake = self.intake * exp((self.intake_at - self.now) / span) + 1.0
+        self.intake_at = self.now
+        if self._warmth(server) < 1:
+            server.sends.append(self.now)
+
+    def _cold_room(self, server: Server) -> bool:
+        """Whether a cold server may be sent one more part: our share of its ramp in each window."""
+        warmth, window = self._warmth(server), self.cfg.tip_after_us
+        if warmth >= 1 or not window or not self.cfg.fall_multiple:
+            server.sends.clear()
+            return True
+        room = COLD_SHARE * self.cfg.fall_multiple * warmth * self._usual() * window * server.rating
+        if room < 1:
+            window = int(window / max(room, 0.01))
+        while server.sends and server.sends[0] <= self.now - window:
+            server.sends.popleft()
+        return len(server.sends) + 1 <= max(room, 1.0)
+
+    # Answer or give up
+
+    def _overdue(self, query: Query, what: str) -> None:
+        spec = self.cfg.classes[query.klass]
+        if what == "aim" and spec.late_worth > 0:
+            return
+        got = sum(p.weight for p in query.parts if p.step == query.step and p.done)
+        if query.step == 1 and got >= spec.min_share - 1e-6 and spec.min_share < spec.need:
+            self.actions.append(hw.Answer(query.id, False))
+            if not spec.fetch:
+                self._forget(query)
+                return
+        self._give_up(query)
+
+    def _give_up(self, query: Query) -> None:
+        """End the query at once: refused where a repeat is known to be harmless, else failed."""
+        spec = self.cfg.classes[query.klass]
+        ran = any(a.outcome not in hw.NEVER_RAN for p in query.parts for a in p.tries)
+        if spec.repeat == hw.UNSAFE and ran:
+            self.actions.append(hw.Fail(query.id))
+        else:
+            self.actions.append(hw.Refuse(query.id, self._advice(query)))
+        self._forget(query)
+
+    def _advice(self, query: Query) -> int:
+        """When to come back: after about one aim, spread so that the retries don't come at once."""
+        if not self.cfg.advise:
+            return 0
+        aim = self.cfg.classes[query.klass].aim_us
+        return min(int(aim * self.random.uniform(0.5, 1.0)), self.cfg.max_advice_us)
--- /dev/null
+++ b/heathwell/state.py
@@ -0,0 +1,91 @@
+"""Plain records that :mod:`heathwell.logic` keeps; they decide nothing."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Query:
+    """A query that still owes its client a final answer."""
+
+    id: str
+    job: int
+    klass: int
+    tenant: int
+    start: int
+    aim_at: int
+    deadline: int
+    expected: int
+    parts: list[Part] = field(default_factory=list)
+    step: int = 1
+    whole: bool = True
+    spares: int = 0
+
+
+@dataclass(slots=True)
+class Part:
+    """One part; ``risk_at`` is the first send that may have run, if any."""
+
+    id: str
+    query: Query
+    shard: int
+    weight: float
+    hint: int | None
+    key: int | None
+    step: int
+    tries: list[Attempt] = field(default_factory=list)
+    done: bool = False
+    waiting: bool = False
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send of a part; ``outcome`` is None while it is out."""
+
+    part: Part
+    seq: int
+    server: Server
+    sent: int
+    call: int
+    outcome: str | None = None
+    late: bool = False
+
+
+@dataclass(slots=True)
+class Server:
+    """What this aggregator knows of one server from the list and from its own traffic."""
+
+    node: str
+    cell: int
+    zone: int
+    rating: float
+    since: int | None
+    live: bool = True
+    out: dict[tuple[str, int], Attempt] = field(default_factory=dict)
+    calls: dict[int, int] = field(default_factory=dict)
+    call_at: int = -1
+    call_id: int = -1
+    call_room: int = 0
+    charge: float = 0.0
+    charge_at: int = 0
+    pace: float = 1.0
+    pace_at: int = 0
+    busy: float = 0.0
+    busy_at: int = 0
+    last_ok: int = -1
+    errors: dict[int, int] = field(default_factory=dict)
+    bars: dict[int, Bar] = field(default_factory=dict)
+    cold_from: int | None = None
+    sends: deque[int] = field(default_factory=deque)
+    keys: dict[tuple[int, int], int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Bar:
+    """An ejection, of a server or of one class at it; half open once ``trial`` is set."""
+
+    since: int
+    span: int
+    trial: bool = False
