--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -23,6 +23,10 @@
 PACE_FADE = 4.0  # aims until an unused server's average is mostly forgotten, so it is tried again
 OUTLIER = 2.5  # a server this many times slower than usual is charged one part for each multiple
 CHARGE_FADE = 1.0  # aims over which the charge of a cancelled or failed attempt fades by 1/e
+SILENT_TIMES = 4.0  # usual latencies without any answer before a late part speaks against its server
+SILENT_PARTS = 2  # parts that must be stuck: a single one may have met a pause or be heavy itself
+BAR_SHARE = 0.4  # most of the fleet ejected for silence at once: more is overload, not sick servers
+COLD_SILENCE = 3.0  # aims of silence after which a server is taken to have restarted unlisted
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
@@ -57,6 +61,7 @@
         self.further: deque[int] = deque()
         self.intake = 0.0
         self.intake_at = 0
+        self.usual = 0.0
         self.ask_wait = int(settings.must_ask_us * ASK_FIRST)
         self.asked_at: int | None = None
         self.said: dict[str, int] = {}
@@ -109,6 +114,8 @@
                 subject.waiting = False
                 if not subject.done:
                     self._place(subject)
+            case Attempt() if subject.outcome is None and what == "silent":
+                self._silent(subject)
             case Attempt() if subject.outcome is None:
                 self._late(subject)
             case Server():
@@ -441,8 +448,15 @@
     def _silent(self, attempt: Attempt) -> None:
         """Eject a server that has answered nothing since this late send while others have."""
         server = attempt.server
-        if server.last_ok < attempt.sent <= self.last_ok:
-            self._bar(server, EVERY, "silent while others answer")
+        usual = self.rate[attempt.part.query.klass] * (attempt.part.hint or 1)
+        if self.now - attempt.sent < SILENT_TIMES * usual:
+            self._later(int(attempt.sent + SILENT_TIMES * usual) + 1, "silent", attempt)
+            return
+        stuck = sum(a.sent > server.last_ok for a in server.out.values())
+        out = sum(EVERY in s.bars for s in self.servers.values() if s.live)
+        if server.last_ok < attempt.sent <= self.last_ok and stuck >= SILENT_PARTS:
+            if out < BAR_SHARE * sum(s.live for s in self.servers.values()):
+                self._bar(server, EVERY, "silent while others answer")
 
     def _judge(self, attempt: Attempt, outcome: str) -> None:
         server, klass = attempt.server, attempt.part.query.klass
@@ -460,7 +474,11 @@
     def _answered(self, attempt: Attempt, event: hw.AttemptEnded) -> None:
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
         server, klass = attempt.server, attempt.part.query.klass
+        gap = self.now - server.last_ok
         server.last_ok = self.last_ok = self.now
+        span = COLD_SPAN * max(self.cfg.tip_after_us, 1)
+        self.intake = self.intake * exp((self.intake_at - self.now) / span) + 1.0
+        self.intake_at = self.now
         for key in (EVERY, klass):
             server.errors.pop(key, None)
             bar = server.bars.get(key)
@@ -468,7 +486,8 @@
                 del server.bars[key]
                 if key == EVERY:
                     # Back from silence: it may have restarted unlisted, so it is treated as cold.
-                    server.cold_from = self.now
+                    if gap > COLD_SILENCE * self.aim:
+                        server.cold_from = self.now
                     self._log("back " + server.node, f"server {server.node} readmitted")
         took = event.elapsed_us / (attempt.part.hint or 1)
         usual = self.rate[klass]
@@ -488,17 +507,18 @@
         return min(1.0, self.cfg.start_capacity + (1 - self.cfg.start_capacity) * max(age, 0.0))
 
     def _usual(self) -> float:
-        """Parts a microsecond that one warm server takes from this aggregator, averaged."""
+        """Parts a microsecond answered by one server of rating 1, averaged: answers, since what a
+        full server turns away says nothing of its capacity; the best so far fades only slowly, as
+        a fleet that stalls has not lost its capacity."""
         span = COLD_SPAN * self.cfg.tip_after_us
-        faded = self.intake * exp((self.intake_at - self.now) / span)
         lived = min(self.now - (self.began or 0), span * 3) / span
-        total = faded / (span * (1 - exp(-lived))) if lived > 0 else 0.0
-        return total / max(1, sum(s.live for s in self.servers.values()))
+        rating = sum(s.rating for s in self.servers.values() if s.live)
+        if lived > 0 and rating:
+            now = self.intake * exp((self.intake_at - self.now) / span) / (span * (1 - exp(-lived)))
+            self.usual = max(now / rating, self.usual)
+        return self.usual
 
     def _note_send(self, server: Server) -> None:
-        span = COLD_SPAN * max(self.cfg.tip_after_us, 1)
-        self.intake = self.intake * exp((self.intake_at - self.now) / span) + 1.0
-        self.intake_at = self.now
         if self._warmth(server) < 1:
             server.sends.append(self.now)
 
