Own budget on further attempts, a tenth of the firsts

Cause: at load, late parts were cancelled and resent or copied by the dozen, and the extra work kept the fleet overloaded. Also guards against any cause of many late parts; may hurt when over a tenth of parts need a resend.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -27,6 +27,8 @@
 SILENT_PARTS = 2  # parts that must be stuck: a single one may have met a pause or be heavy itself
 BAR_SHARE = 0.4  # most of the fleet ejected for silence at once: more is overload, not sick servers
 COLD_SILENCE = 3.0  # aims of silence after which a server is taken to have restarted unlisted
+FURTHER_SHARE = 0.1  # further attempts earned by each part's first: room for the odd sick server
+FURTHER_MOST = 10.0  # earned attempts kept: enough for one server's parts when it stops
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
@@ -62,6 +64,7 @@
         self.intake = 0.0
         self.intake_at = 0
         self.usual = 0.0
+        self.tokens = FURTHER_MOST
         self.ask_wait = int(settings.must_ask_us * ASK_FIRST)
         self.asked_at: int | None = None
         self.said: dict[str, int] = {}
@@ -290,6 +293,10 @@
         return self._budget_left()
 
     def _budget_left(self) -> bool:
+        """The stated attempt budget, and our own that always holds: further attempts are for the odd
+        sick server; when many parts need them the fleet is overloaded and they feed the overload."""
+        if self.tokens < 1:
+            return False
         if not self.cfg.counted_over_us:
             return True
         edge = self.now - self.cfg.counted_over_us
@@ -305,7 +312,10 @@
 
     def _send(self, part: Part, server: Server) -> None:
         if part.tries:
+            self.tokens -= 1
             self._count(self.further, self.now)
+        else:
+            self.tokens = min(self.tokens + FURTHER_SHARE, FURTHER_MOST)
         if server.call_at != self.now or server.call_room < 1:
             self.ticket += 1
             server.call_at, server.call_id, server.call_room = self.now, self.ticket, self.cfg.parts_a_call
