--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -29,6 +29,10 @@
 COLD_SILENCE = 3.0  # aims of silence after which a server is taken to have restarted unlisted
 FURTHER_SHARE = 0.1  # further attempts earned by each part's first: room for the odd sick server
 FURTHER_MOST = 10.0  # earned attempts kept: enough for one server's parts when it stops
+FLOW_SPAN = 2.0  # aims over which the rate of answers is averaged
+FLOW_LEAST = 0.2  # share of the best rate seen below which a stall is not believed: it would shed all
+SHED_FROM, SHED_ALL = 0.3, 0.6  # shares of the aim left: a part's time at which the least, and all, is shed
+WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
@@ -64,6 +68,9 @@
         self.intake = 0.0
         self.intake_at = 0
         self.usual = 0.0
+        self.flow = self.flow_best = 0.0
+        self.flow_at = 0
+        self.worths: deque[float] = deque(maxlen=WORTHS)
         self.tokens = FURTHER_MOST
         self.ask_wait = int(settings.must_ask_us * ASK_FIRST)
         self.asked_at: int | None = None
@@ -198,6 +205,9 @@
 
     def _open(self, query: Query) -> None:
         """Rank the step's parts by their replica's count and send the n needed, one by one."""
+        if query.step == 1 and self._shed(query):
+            self._give_up(query)
+            return
         waiting = [p for p in query.parts if p.step == query.step and not p.tries and not p.waiting]
         need = self._need(query)
         ranked = sorted(waiting, key=self._rank)
@@ -208,6 +218,27 @@
             self._place(part)
             sent += part.weight
 
+    def _shed(self, query: Query) -> bool:
+        """Load shedding: by Little's law the parts out over the rate of answers is the time a part takes
+        now; a query that can't meet its aim in that time is refused at once, the least worth first."""
+        spec = self.cfg.classes[query.klass]
+        density = spec.worth * self._share_worth(query)
+        if not self.cfg.by_work:
+            density /= max(1, query.expected) * max(self.rate[query.klass], 1e-9)
+        below = sum(d < density for d in self.worths) / max(1, len(self.worths))
+        self.worths.append(density)
+        out = sum(len(s.out) for s in self.servers.values() if s.live and EVERY not in s.bars)
+        speed = self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim)) / (FLOW_SPAN * self.aim)
+        speed = max(speed, FLOW_LEAST * self.flow_best)
+        steps = 2 if spec.fetch else 1
+        if not speed or out < len(self.servers):
+            return False
+        took = steps * out / speed
+        return took > (SHED_FROM + (SHED_ALL - SHED_FROM) * below) * (query.aim_at - self.now)
+
+    def _share_worth(self, query: Query) -> float:
+        return 1.0
+
     def _need(self, query: Query) -> float:
         return self.cfg.classes[query.klass].need if query.step == 1 else 1.0
 
@@ -485,6 +516,10 @@
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
         server, klass = attempt.server, attempt.part.query.klass
         gap = self.now - server.last_ok
+        self.flow = self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim)) + 1.0
+        self.flow_at = self.now
+        if self.began is not None and self.now > self.began + 3 * FLOW_SPAN * self.aim:
+            self.flow_best = max(self.flow_best, self.flow / (FLOW_SPAN * self.aim))
         server.last_ok = self.last_ok = self.now
         span = COLD_SPAN * max(self.cfg.tip_after_us, 1)
         self.intake = self.intake * exp((self.intake_at - self.now) / span) + 1.0
