--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -37,7 +37,6 @@
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
-COLD_SPAN = 10.0  # tip-over times over which the warm servers' usual intake is averaged
 ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time: first and longest wait to ask again
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
 
@@ -65,9 +64,6 @@
         self.last_ok = -1
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
-        self.intake = 0.0
-        self.intake_at = 0
-        self.usual = 0.0
         self.flow = self.flow_best = 0.0
         self.flow_at = 0
         self.worths: deque[float] = deque(maxlen=WORTHS)
@@ -80,7 +76,7 @@
         """Take one batch of events and return the actions, both in order."""
         self.now, self.actions = now, []
         if self.began is None:
-            self.began = self.intake_at = now
+            self.began = now
         started: dict[str, Query] = {}
         for event in events:
             match event:
@@ -227,9 +223,9 @@
             density /= max(1, query.expected) * max(self.rate[query.klass], 1e-9)
         below = sum(d < density for d in self.worths) / max(1, len(self.worths))
         self.worths.append(density)
-        out = sum(len(s.out) for s in self.servers.values() if s.live and EVERY not in s.bars)
-        speed = self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim)) / (FLOW_SPAN * self.aim)
-        speed = max(speed, FLOW_LEAST * self.flow_best)
+        known = [s for s in self.servers.values() if s.live and EVERY not in s.bars]
+        out = sum(len(s.out) + self._charge(s) for s in known)
+        speed = max(self._flow(), FLOW_LEAST * self.flow_best)
         steps = 2 if spec.fetch else 1
         if not speed or out < len(self.servers):
             return False
@@ -516,14 +512,11 @@
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
         server, klass = attempt.server, attempt.part.query.klass
         gap = self.now - server.last_ok
-        self.flow = self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim)) + 1.0
-        self.flow_at = self.now
-        if self.began is not None and self.now > self.began + 3 * FLOW_SPAN * self.aim:
-            self.flow_best = max(self.flow_best, self.flow / (FLOW_SPAN * self.aim))
         server.last_ok = self.last_ok = self.now
-        span = COLD_SPAN * max(self.cfg.tip_after_us, 1)
-        self.intake = self.intake * exp((self.intake_at - self.now) / span) + 1.0
-        self.intake_at = self.now
+        self.flow = 1.0 + self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim))
+        self.flow_at = self.now
+        if self.now > (self.began or 0) + FLOW_SPAN * self.aim:
+            self.flow_best = max(self.flow_best, self._flow())
         for key in (EVERY, klass):
             server.errors.pop(key, None)
             bar = server.bars.get(key)
@@ -551,17 +544,11 @@
         age = (self.now - since) / self.cfg.warm_within_us
         return min(1.0, self.cfg.start_capacity + (1 - self.cfg.start_capacity) * max(age, 0.0))
 
-    def _usual(self) -> float:
-        """Parts a microsecond answered by one server of rating 1, averaged: answers, since what a
-        full server turns away says nothing of its capacity; the best so far fades only slowly, as
-        a fleet that stalls has not lost its capacity."""
-        span = COLD_SPAN * self.cfg.tip_after_us
-        lived = min(self.now - (self.began or 0), span * 3) / span
-        rating = sum(s.rating for s in self.servers.values() if s.live)
-        if lived > 0 and rating:
-            now = self.intake * exp((self.intake_at - self.now) / span) / (span * (1 - exp(-lived)))
-            self.usual = max(now / rating, self.usual)
-        return self.usual
+    def _flow(self) -> float:
+        """Parts a microsecond answered lately; answers, as what is turned away shows no capacity."""
+        span = FLOW_SPAN * self.aim
+        lived = max(self.now - (self.began or 0), self.cfg.tick_us) / span
+        return self.flow * exp((self.flow_at - self.now) / span) / (span * (1 - exp(-lived)))
 
     def _note_send(self, server: Server) -> None:
         if self._warmth(server) < 1:
@@ -573,7 +560,9 @@
         if warmth >= 1 or not window or not self.cfg.fall_multiple:
             server.sends.clear()
             return True
-        room = COLD_SHARE * self.cfg.fall_multiple * warmth * self._usual() * window * server.rating
+        rating = sum(s.rating for s in self.servers.values() if s.live)
+        usual = max(self.flow_best, self._flow()) * server.rating / max(rating, 1e-9)
+        room = COLD_SHARE * self.cfg.fall_multiple * warmth * usual * window
         if room < 1:
             window = int(window / max(room, 0.01))
         while server.sends and server.sends[0] <= self.now - window:
