--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -230,7 +230,8 @@
         if not speed or out < len(self.servers):
             return False
         took = steps * out / speed
-        return took > (SHED_FROM + (SHED_ALL - SHED_FROM) * below) * (query.aim_at - self.now)
+        share = SHED_FROM + (SHED_ALL - SHED_FROM) * below
+        return took > share * min(query.aim_at - self.now, self.aim * steps)
 
     def _share_worth(self, query: Query) -> float:
         return 1.0
