--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -32,6 +32,7 @@
 FLOW_SPAN = 2.0  # aims over which the rate of answers is averaged
 FLOW_LEAST = 0.5  # share of the best rate seen below which a stall is not believed: it would shed all
 SHED_FROM, SHED_ALL = 0.45, 0.7  # shares of the aim left: a part's time at which the least, and all, is shed
+CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
@@ -60,6 +61,7 @@
         self.ticket = 0
         self.armed: int | None = None
         self.aim = min(c.aim_us for c in settings.classes)
+        self.longest = [0] * len(settings.classes)
         self.rate = [0.0] * len(settings.classes)
         self.last_ok = -1
         self.taken: deque[int] = deque()
@@ -182,11 +184,18 @@
         spec = self.cfg.classes[event.klass]
         self._count(self.taken, self.now)
         aim = spec.aim_us + int(spec.aim_stretch * (event.hint_us or 0))
-        query = Query(event.id, event.job, event.klass, event.tenant, self.now,
-                      min(self.now + aim, event.deadline_us), event.deadline_us, event.parts)
+        left = event.deadline_us - self.now
+        self.longest[event.klass] = max(self.longest[event.klass], left)
+        # A try shorter than others of its class is a client's retry cut by the end of its patience,
+        # which tells when the client first asked and so when its aim is due.
+        aim_at = min(self.now + aim, event.deadline_us)
+        if left < CUT_TRY * self.longest[event.klass]:
+            aim_at = min(aim_at, event.deadline_us - spec.limit_us + aim)
+        query = Query(event.id, event.job, event.klass, event.tenant, self.now, aim_at,
+                      event.deadline_us, event.parts)
         self.queries[event.id] = self.jobs[event.job] = query
         self._later(event.deadline_us - self.cfg.tick_us, "deadline", query)
-        if query.aim_at < event.deadline_us - self.cfg.tick_us:
+        if self.now < query.aim_at < event.deadline_us - self.cfg.tick_us:
             self._later(query.aim_at + 1, "aim", query)
 
     def _part(self, event: hw.PartArrived) -> Query | None:
@@ -219,6 +228,7 @@
         now; a query that can't meet its aim in that time is refused at once, the least worth first."""
         spec = self.cfg.classes[query.klass]
         density = spec.worth * self._share_worth(query)
+        density *= 1.0 if query.aim_at > self.now else spec.late_worth
         if not self.cfg.by_work:
             density /= max(1, query.expected) * max(self.rate[query.klass], 1e-9)
         below = sum(d < density for d in self.worths) / max(1, len(self.worths))
@@ -354,8 +364,8 @@
         server.out[part.id, attempt.seq] = self.strays[part.id, attempt.seq] = attempt
         self._note_send(server)
         self.actions.append(hw.Send(part.id, server.node))
-        left = max(part.query.aim_at - self.now, self.cfg.tick_us)
-        self._later(self.now + max(int(left * LATE_SHARE), self.cfg.tick_us), "late", attempt)
+        left = max(part.query.aim_at - self.now, self.cfg.classes[part.query.klass].aim_us // 2)
+        self._later(self.now + int(left * LATE_SHARE), "late", attempt)
 
     def _late(self, attempt: Attempt) -> None:
         """At the half-aim mark: an unsent sibling steps in, else a copy, else cancel and resend."""
