Ties lean to the own zone

Cause: ties are the common case (most own counts are 0 or 1) and random ties cross zones two times in three, which is paid for. May hurt where a zone is much busier than the rest.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -32,6 +32,7 @@
 FLOW_SPAN = 2.0  # aims over which the rate of answers is averaged
 FLOW_LEAST = 0.5  # share of the best rate seen below which a stall is not believed: it would shed all
 SHED_FROM, SHED_ALL = 0.45, 0.7  # shares of the aim left: a part's time at which the least, and all, is shed
+ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
@@ -280,7 +281,8 @@
 
     def _tie(self, server: Server) -> tuple[float, float]:
         trial = any(bar.trial for bar in server.bars.values())
-        return (0.0 if trial else self._pace(server), self.random.random())
+        away = 0.0 if server.zone == self.cfg.zone else ZONE_TIE
+        return (0.0 if trial else self._pace(server) + away, self.random.random())
 
     def _charge(self, server: Server) -> float:
         """What cancelled and failed attempts may still cost: such a server only looks idle."""
