--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -33,6 +33,8 @@
 FLOW_LEAST = 0.5  # share of the best rate seen below which a stall is not believed: it would shed all
 SHED_FROM, SHED_ALL = 0.45, 0.7  # shares of the aim left: a part's time at which the least, and all, is shed
 ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
+REPORT_TIE, REPORT_MOST = 0.5, 4.0  # weight in a tie of a report over the mean, and its cap
+REPORT_FADE = 1.0  # aims over which a load report fades
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
@@ -62,6 +64,7 @@
         self.ticket = 0
         self.armed: int | None = None
         self.aim = min(c.aim_us for c in settings.classes)
+        self.report_mean = 0.0
         self.longest = [0] * len(settings.classes)
         self.rate = [0.0] * len(settings.classes)
         self.last_ok = -1
@@ -282,7 +285,14 @@
     def _tie(self, server: Server) -> tuple[float, float]:
         trial = any(bar.trial for bar in server.bars.values())
         away = 0.0 if server.zone == self.cfg.zone else ZONE_TIE
-        return (0.0 if trial else self._pace(server) + away, self.random.random())
+        return (0.0 if trial else self._pace(server) + away + self._reported(server), self.random.random())
+
+    def _reported(self, server: Server) -> float:
+        """How far the latest load report lies over the fleet's mean; it fades, as reports run late."""
+        if not self.report_mean:
+            return 0.0
+        over = min(server.busy / self.report_mean, REPORT_MOST) - 1.0
+        return REPORT_TIE * over * exp((server.busy_at - self.now) / (REPORT_FADE * self.aim))
 
     def _charge(self, server: Server) -> float:
         """What cancelled and failed attempts may still cost: such a server only looks idle."""
@@ -540,6 +550,10 @@
                     if gap > COLD_SILENCE * self.aim:
                         server.cold_from = self.now
                     self._log("back " + server.node, f"server {server.node} readmitted")
+        load = event.active if event.active is not None else event.busy
+        if load is not None:
+            self.report_mean += (load - self.report_mean) * RATE_GAIN if self.report_mean else load
+            server.busy, server.busy_at = load, self.now
         took = event.elapsed_us / (attempt.part.hint or 1)
         usual = self.rate[klass]
         ratio = min(took / usual, 20.0) if usual else 1.0
