A server counts as restarted unlisted only if its probe or connection failed too

Cause: overloaded servers ejected for silence came back under the cold budget for the whole warm-up, and the rest were overloaded in turn.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -33,8 +33,7 @@
 FLOW_LEAST = 0.5  # share of the best rate seen below which a stall is not believed: it would shed all
 SHED_FROM, SHED_ALL = 0.45, 0.7  # shares of the aim left: a part's time at which the least, and all, is shed
 ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
-REPORT_TIE, REPORT_MOST = 0.5, 4.0  # weight in a tie of a report over the mean, and its cap
-REPORT_FADE = 1.0  # aims over which a load report fades
+NO_CONNECTION, NO_PROBE = "no connection", "no answer to a probe"
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
@@ -64,7 +63,6 @@
         self.ticket = 0
         self.armed: int | None = None
         self.aim = min(c.aim_us for c in settings.classes)
-        self.report_mean = 0.0
         self.longest = [0] * len(settings.classes)
         self.rate = [0.0] * len(settings.classes)
         self.last_ok = -1
@@ -285,14 +283,7 @@
     def _tie(self, server: Server) -> tuple[float, float]:
         trial = any(bar.trial for bar in server.bars.values())
         away = 0.0 if server.zone == self.cfg.zone else ZONE_TIE
-        return (0.0 if trial else self._pace(server) + away + self._reported(server), self.random.random())
-
-    def _reported(self, server: Server) -> float:
-        """How far the latest load report lies over the fleet's mean; it fades, as reports run late."""
-        if not self.report_mean:
-            return 0.0
-        over = min(server.busy / self.report_mean, REPORT_MOST) - 1.0
-        return REPORT_TIE * over * exp((server.busy_at - self.now) / (REPORT_FADE * self.aim))
+        return (0.0 if trial else self._pace(server) + away, self.random.random())
 
     def _charge(self, server: Server) -> float:
         """What cancelled and failed attempts may still cost: such a server only looks idle."""
@@ -484,7 +475,8 @@
         if old and not old.trial:
             return
         span = int(min(2 * old.span, BAR_MOST * self.aim) if old else BAR_SPAN * self.aim)
-        server.bars[key] = Bar(self.now, span)
+        dead = bool(old and old.dead) or why in (NO_CONNECTION, NO_PROBE) or not self.cfg.probing
+        server.bars[key] = Bar(self.now, span, dead=dead)
         self._later(self.now + span, "trial", server)
         self._log("eject " + server.node, f"server {server.node} ejected: {why}")
 
@@ -503,7 +495,7 @@
             return
         bar.trial = True
         if event.outcome != hw.OK:
-            self._bar(server, EVERY, "no answer to a probe")
+            self._bar(server, EVERY, NO_PROBE)
 
     def _silent(self, attempt: Attempt) -> None:
         """Eject a server that has answered nothing since this late send while others have."""
@@ -524,7 +516,7 @@
             return
         self._add_charge(server)
         if outcome in (hw.UNREACHABLE, hw.BROKEN):
-            self._bar(server, EVERY, "no connection")
+            self._bar(server, EVERY, NO_CONNECTION)
             return
         key = klass if outcome == hw.ERROR else EVERY
         server.errors[key] = server.errors.get(key, 0) + 1
@@ -547,13 +539,9 @@
                 del server.bars[key]
                 if key == EVERY:
                     # Back from silence: it may have restarted unlisted, so it is treated as cold.
-                    if gap > COLD_SILENCE * self.aim:
+                    if bar.dead and gap > COLD_SILENCE * self.aim:
                         server.cold_from = self.now
                     self._log("back " + server.node, f"server {server.node} readmitted")
-        load = event.active if event.active is not None else event.busy
-        if load is not None:
-            self.report_mean += (load - self.report_mean) * RATE_GAIN if self.report_mean else load
-            server.busy, server.busy_at = load, self.now
         took = event.elapsed_us / (attempt.part.hint or 1)
         usual = self.rate[klass]
         ratio = min(took / usual, 20.0) if usual else 1.0
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -89,3 +89,4 @@
     since: int
     span: int
     trial: bool = False
+    dead: bool = False
