Tenants over their share shed first; partial answers before the aim; discovery asked again

Also the property test met classes with both a low floor and a second step (a partial first answer now goes on to the second step and is never marked whole).

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -63,6 +63,7 @@
         self.ticket = 0
         self.armed: int | None = None
         self.aim = min(c.aim_us for c in settings.classes)
+        self.tenants = [(0.0, 0)] * len(settings.tenants)
         self.longest = [0] * len(settings.classes)
         self.rate = [0.0] * len(settings.classes)
         self.last_ok = -1
@@ -130,7 +131,7 @@
                 self._late(subject)
             case Server():
                 self._half_open(subject)
-            case None:
+            case None if what == "ask" or self._unheard():
                 self._ask()
 
     def _log(self, about: str, text: str) -> None:
@@ -144,6 +145,7 @@
     def _fleet(self, news: hw.FleetNews) -> None:
         if news.kind == hw.FAILED:
             # Guards the drain rule: without news we must keep asking; jitter keeps the callers apart.
+            self.asked_at = None
             self.ask_wait = min(self.ask_wait * 2, int(self.cfg.must_ask_us * ASK_MOST))
             self._later(self.now + int(self.ask_wait * self.random.uniform(0.5, 1.0)), "ask", None)
             self._log("discovery", "discovery: call failed or subscription broke, asking again")
@@ -160,6 +162,7 @@
         if not news.asked and self.cfg.ask_mode:
             self._ask()
         elif news.asked:
+            self.asked_at = None
             self.ask_wait = int(self.cfg.must_ask_us * ASK_FIRST)
 
     def _listed(self, entry: hw.ServerEntry) -> None:
@@ -178,7 +181,13 @@
         server.cell, server.zone, server.rating = entry.cell, entry.zone, entry.rating
 
     def _ask(self) -> None:
+        """Subscribe, and look again later in case no word comes back at all."""
+        self.asked_at = self.now
         self.actions.append(hw.Watch())
+        self._later(self.now + int(self.cfg.must_ask_us * ASK_MOST), "answer?", None)
+
+    def _unheard(self) -> bool:
+        return self.asked_at is not None and self.now >= self.asked_at + int(self.cfg.must_ask_us * ASK_MOST)
 
     # Admission
 
@@ -194,11 +203,11 @@
         if left < CUT_TRY * self.longest[event.klass]:
             aim_at = min(aim_at, event.deadline_us - spec.limit_us + aim)
         query = Query(event.id, event.job, event.klass, event.tenant, self.now, aim_at,
-                      event.deadline_us, event.parts)
+                      event.deadline_us, spec.need * (event.hint_us or event.parts) + spec.fetch)
         self.queries[event.id] = self.jobs[event.job] = query
         self._later(event.deadline_us - self.cfg.tick_us, "deadline", query)
-        if self.now < query.aim_at < event.deadline_us - self.cfg.tick_us:
-            self._later(query.aim_at + 1, "aim", query)
+        if self.now + self.cfg.tick_us < query.aim_at < event.deadline_us:
+            self._later(query.aim_at - self.cfg.tick_us, "aim", query)
 
     def _part(self, event: hw.PartArrived) -> Query | None:
         self._count(self.taken, self.now)
@@ -232,7 +241,7 @@
         density = spec.worth * self._share_worth(query)
         density *= 1.0 if query.aim_at > self.now else spec.late_worth
         if not self.cfg.by_work:
-            density /= max(1, query.expected) * max(self.rate[query.klass], 1e-9)
+            density /= max(query.work * self.rate[query.klass], 1e-9)
         below = sum(d < density for d in self.worths) / max(1, len(self.worths))
         self.worths.append(density)
         known = [s for s in self.servers.values() if s.live and EVERY not in s.bars]
@@ -246,7 +255,15 @@
         return took > share * min(query.aim_at - self.now, self.aim * steps)
 
     def _share_worth(self, query: Query) -> float:
-        return 1.0
+        """Over its share a tenant's queries are worth little: so many of them as lie over it."""
+        if query.tenant >= len(self.tenants) or not self.cfg.tenants[query.tenant].quota_rps:
+            return 1.0
+        count, at = self.tenants[query.tenant]
+        span = FLOW_SPAN * self.aim
+        count = count * exp((at - self.now) / span) + 1.0
+        self.tenants[query.tenant] = count, self.now
+        quota = self.cfg.tenants[query.tenant].quota_rps / 1e6 / self.cfg.siblings * span
+        return self.cfg.over_share_worth if self.random.random() * count > quota else 1.0
 
     def _need(self, query: Query) -> float:
         return self.cfg.classes[query.klass].need if query.step == 1 else 1.0
@@ -372,7 +389,6 @@
 
     def _late(self, attempt: Attempt) -> None:
         """At the half-aim mark: an unsent sibling steps in, else a copy, else cancel and resend."""
-        attempt.late = True
         self._silent(attempt)
         part, query = attempt.part, attempt.part.query
         if part.done or query.id not in self.queries or part.step != query.step:
@@ -447,7 +463,10 @@
         got = sum(p.weight for p in query.parts if p.step == query.step and p.done)
         if got < self._need(query) - 1e-6:
             return
-        self.actions.append(hw.Answer(query.id, True))
+        self._answer(query)
+
+    def _answer(self, query: Query) -> None:
+        self.actions.append(hw.Answer(query.id, query.whole))
         if query.step == 1 and self.cfg.classes[query.klass].fetch:
             query.step = 2
         else:
@@ -591,16 +610,18 @@
     # Answer or give up
 
     def _overdue(self, query: Query, what: str) -> None:
+        """At the aim or the deadline: a part of the answer where that is allowed and worth more than
+        waiting, else nothing more is waited for unless a late answer still has worth."""
         spec = self.cfg.classes[query.klass]
-        if what == "aim" and spec.late_worth > 0:
-            return
         got = sum(p.weight for p in query.parts if p.step == query.step and p.done)
-        if query.step == 1 and got >= spec.min_share - 1e-6 and spec.min_share < spec.need:
-            self.actions.append(hw.Answer(query.id, False))
-            if not spec.fetch:
-                self._forget(query)
-                return
-        self._give_up(query)
+        enough = spec.min_share < spec.need and got >= spec.min_share - 1e-6
+        if what == "aim" and spec.late_worth > (spec.partial_worth * got / spec.need if enough else 0.0):
+            return
+        if enough:
+            query.whole = False
+            self._answer(query)
+        else:
+            self._give_up(query)
 
     def _give_up(self, query: Query) -> None:
         """End the query at once: refused where a repeat is known to be harmless, else failed."""
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -17,16 +17,15 @@
     start: int
     aim_at: int
     deadline: int
-    expected: int
+    work: float
     parts: list[Part] = field(default_factory=list)
     step: int = 1
     whole: bool = True
-    spares: int = 0
 
 
 @dataclass(slots=True)
 class Part:
-    """One part; ``risk_at`` is the first send that may have run, if any."""
+    """One part; ``waiting`` while no holder may be sent to."""
 
     id: str
     query: Query
@@ -50,7 +49,6 @@
     sent: int
     call: int
     outcome: str | None = None
-    late: bool = False
 
 
 @dataclass(slots=True)
@@ -72,14 +70,11 @@
     charge_at: int = 0
     pace: float = 1.0
     pace_at: int = 0
-    busy: float = 0.0
-    busy_at: int = 0
     last_ok: int = -1
     errors: dict[int, int] = field(default_factory=dict)
     bars: dict[int, Bar] = field(default_factory=dict)
     cold_from: int | None = None
     sends: deque[int] = field(default_factory=deque)
-    keys: dict[tuple[int, int], int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,6 +26,7 @@
             hw.ClassSpec("keyed", AIM, 2 * AIM, repeat=hw.KEYED, dedup_us=700_000),
             hw.ClassSpec("unsafe", AIM, 2 * AIM, repeat=hw.UNSAFE),
             hw.ClassSpec("partial", AIM, 2 * AIM, need=1.0, min_share=0.5, partial_worth=0.9),
+            hw.ClassSpec("both", AIM, 2 * AIM, need=0.8, min_share=0.4, fetch=2, partial_worth=0.9),
         ),
         "shards": 6, "cells": 6, "width": 3, "tick_us": 5000, "max_attempts": 3,
         "fall_multiple": 2.0, "tip_after_us": 1_000_000, "start_capacity": 0.2,
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -15,7 +15,7 @@
 STATES = [hw.LIVE, hw.LIVE, hw.DRAINING, hw.GONE, "unheard-of"]
 
 STEP = st.one_of(
-    st.tuples(st.just("query"), st.integers(0, 5), st.lists(st.integers(0, 5), min_size=1, max_size=5),
+    st.tuples(st.just("query"), st.integers(0, 6), st.lists(st.integers(0, 5), min_size=1, max_size=5),
               st.integers(30_000, 2 * AIM)),
     st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from(OUTCOMES)),
     st.tuples(st.just("fleet"), st.integers(0, 5), st.sampled_from(STATES), st.booleans()),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -222,3 +222,43 @@
     d = drive(servers=1, cells=1, width=1, shards=1, parts_a_call=4)
     d.query(1, [0, 0, 0, 0])
     assert d.agg._load(d.agg.servers["s0"]) == 1
+
+
+def test_partial_first_step_goes_on_and_is_never_marked_whole(drive):
+    d = drive()
+    sends = of(d.query(6, [0, 1, 2, 3]), hw.Send)
+    d.end(sends[0])
+    d.end(sends[1])
+    assert of(d.wait(AIM), hw.Answer) == [hw.Answer("q1", False)]
+    more = of(d.step(5000, hw.PartArrived("q1/a", 1, 0, 0.5), hw.PartArrived("q1/b", 1, 1, 0.5)), hw.Send)
+    d.end(more[0])
+    assert of(d.end(more[1]), hw.Answer) == [hw.Answer("q1", False)]
+
+
+def test_unanswered_call_to_discovery_is_made_again(drive):
+    d = drive(ask_mode=True, must_ask_us=10 * AIM)
+    assert len(of(d.wait(5 * AIM), hw.Watch)) == 1
+    d.step(5000, hw.FleetNews(hw.UPDATE))
+    assert of(d.wait(20 * AIM), hw.Watch) == []
+
+
+def test_tenant_over_its_share_is_shed_first(drive):
+    d = drive(tenants=(hw.Tenant("in", 1000.0), hw.Tenant("over", 1.0)), over_share_worth=0.1, by_work=True)
+    refused = {0: 0, 1: 0}
+    waiting = []
+    for turn in range(400):
+        actions = d.query(0, [turn % 6], tenant=turn % 2)
+        refused[turn % 2] += len(of(actions, hw.Refuse))
+        waiting += of(actions, hw.Send)
+        if turn % 4 == 3 and waiting:
+            d.end(waiting.pop(0), took=400_000)
+    assert refused[1] > 2 * refused[0]
+
+
+def test_a_cut_retry_counts_its_aim_from_the_first_try(drive):
+    d = drive()
+    d.query(1, [0], limit=2 * AIM)
+    d.query(1, [1], limit=AIM + AIM // 2)
+    d.query(1, [2], limit=AIM // 2)
+    aims = [q.aim_at - q.start for q in d.agg.queries.values()]
+    assert aims == [AIM, AIM // 2, -AIM // 2]
