--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -226,11 +226,10 @@
             return
         waiting = [p for p in query.parts if p.step == query.step and not p.tries and not p.waiting]
         need = self._need(query)
-        ranked = sorted(waiting, key=self._rank)
         sent = 0.0
-        for part in ranked:
-            if sent >= need - 1e-6:
-                break
+        while waiting and sent < need - 1e-6:
+            part = min(waiting, key=self._rank)
+            waiting.remove(part)
             self._place(part)
             sent += part.weight
 
