--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -35,6 +35,8 @@
 ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
 NO_CONNECTION, NO_PROBE = "no connection", "no answer to a probe"
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
+HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
+HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
@@ -249,7 +251,11 @@
         steps = 2 if spec.fetch else 1
         if not speed or out < len(self.servers):
             return False
-        took = steps * out / speed
+        # A shard whose holders are all slow and busy holds its query up, however idle the rest are.
+        picks = [(p, self._pick(p)) for p in query.parts] if spec.need >= 1 else []
+        hot = [self._pace(s) * self.rate[query.klass] * (p.hint or 1) for p, s in picks
+               if s and self._load(s) >= HOT_COUNT]
+        took = steps * max(out / speed, HOT_SHARE * max(hot, default=0.0))
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * below
         return took > share * min(query.aim_at - self.now, self.aim * steps)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -262,3 +262,17 @@
     d.query(1, [2], limit=AIM // 2)
     aims = [q.aim_at - q.start for q in d.agg.queries.values()]
     assert aims == [AIM, AIM // 2, -AIM // 2]
+
+
+def test_query_for_a_shard_with_slow_busy_holders_is_refused_while_others_go_on(drive):
+    """Guards against queries that one hot shard holds up (a crash or drain took its neighbours)."""
+    d = drive()
+    d.step(0, hw.FleetNews(hw.UPDATE, tuple(entry(i, state=hw.GONE) for i in (1, 2))))
+    warm_up(d, shards=[3], rounds=40)
+    for _ in range(15):
+        for send in of(d.query(1, [0]), hw.Send):
+            d.end(send, took=900_000)
+    d.query(1, [0])
+    d.query(1, [0])
+    assert len(of(d.query(1, [0, 3]), hw.Refuse)) == 1
+    assert len(of(d.query(1, [3]), hw.Send)) == 1
