--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -478,14 +478,11 @@
             self._forget(query)
 
     def _forget(self, query: Query) -> None:
-        """The query has ended; what is still out is called off, as the server may not have begun it."""
+        """The query has ended; what is still out stays counted until its outcome comes."""
         self.queries.pop(query.id, None)
         self.jobs.pop(query.job, None)
         for part in query.parts:
             self.parts.pop(part.id, None)
-            for attempt in part.tries:
-                if attempt.outcome is None and self.cfg.cancelling:
-                    self._cancel(attempt)
 
     # Health
 
