--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -41,7 +41,7 @@
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
-COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
+COLD_SHARE = 0.8  # part of the cold budget used: the rest is for what this aggregator misjudges
 ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time: first and longest wait to ask again
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
 
