--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -251,11 +251,13 @@
         steps = 2 if spec.fetch else 1
         if not speed or out < len(self.servers):
             return False
+        picks = [(p, self._pick(p)) for p in query.parts]
+        loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for _, s in picks)
+        loads = loads[:max(1, int(len(loads) * spec.need + 0.999))]
         # A shard whose holders are all slow and busy holds its query up, however idle the rest are.
-        picks = [(p, self._pick(p)) for p in query.parts] if spec.need >= 1 else []
         hot = [self._pace(s) * self.rate[query.klass] * (p.hint or 1) for p, s in picks
-               if s and self._load(s) >= HOT_COUNT]
-        took = steps * max(out / speed, HOT_SHARE * max(hot, default=0.0))
+               if spec.need >= 1 and s and self._load(s) >= HOT_COUNT]
+        took = steps * max(sum(loads) / len(loads) * len(known) / speed, HOT_SHARE * max(hot, default=0.0))
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * below
         return took > share * min(query.aim_at - self.now, self.aim * steps)
 
