--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -41,7 +41,7 @@
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
-COLD_SHARE = 0.8  # part of the cold budget used: the rest is for what this aggregator misjudges
+COLD_SHARE = 0.7  # part of the cold budget used: the rest is for what this aggregator misjudges
 ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time: first and longest wait to ask again
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
 
@@ -66,6 +66,7 @@
         self.armed: int | None = None
         self.aim = min(c.aim_us for c in settings.classes)
         self.tenants = [(0.0, 0)] * len(settings.tenants)
+        self.cost_mean = 0.0
         self.longest = [0] * len(settings.classes)
         self.rate = [0.0] * len(settings.classes)
         self.last_ok = -1
@@ -289,7 +290,7 @@
         for step in range(self.cfg.width):
             holders += self.cells.get((part.shard + step) % self.cfg.cells, [])
         klass = part.query.klass
-        open_to = [s for s in holders if s.live and s.node not in busy and self._cold_room(s)]
+        open_to = [s for s in holders if s.live and s.node not in busy and self._cold_room(s, part)]
         # Ejected servers are left out, as are those that this part has tried; but when nobody else
         # holds the shard, a doubtful server is better than none.
         good = [s for s in open_to if self._usable(s, klass)]
@@ -389,7 +390,8 @@
         attempt = Attempt(part, len(part.tries), server, self.now, server.call_id)
         part.tries.append(attempt)
         server.out[part.id, attempt.seq] = self.strays[part.id, attempt.seq] = attempt
-        self._note_send(server)
+        if self._warmth(server) < 1:
+            server.sends.append((self.now, self._cost(part)))
         self.actions.append(hw.Send(part.id, server.node))
         left = max(part.query.aim_at - self.now, self.cfg.classes[part.query.klass].aim_us // 2)
         self._later(self.now + int(left * LATE_SHARE), "late", attempt)
@@ -501,7 +503,9 @@
         if old and not old.trial:
             return
         span = int(min(2 * old.span, BAR_MOST * self.aim) if old else BAR_SPAN * self.aim)
-        dead = bool(old and old.dead) or why in (NO_CONNECTION, NO_PROBE) or not self.cfg.probing
+        dead = why if why in (NO_CONNECTION, NO_PROBE) or not self.cfg.probing else old.dead if old else ""
+        if old and old.dead == NO_CONNECTION:
+            dead = old.dead
         server.bars[key] = Bar(self.now, span, dead=dead)
         self._later(self.now + span, "trial", server)
         self._log("eject " + server.node, f"server {server.node} ejected: {why}")
@@ -569,12 +573,14 @@
                 del server.bars[key]
                 if key == EVERY:
                     # Back from silence: it may have restarted unlisted, so it is treated as cold.
-                    if bar.dead and gap > COLD_SILENCE * self.aim:
+                    if bar.dead == NO_CONNECTION or (bar.dead and gap > COLD_SILENCE * self.aim):
                         server.cold_from = self.now
                     self._log("back " + server.node, f"server {server.node} readmitted")
         took = event.elapsed_us / (attempt.part.hint or 1)
         usual = self.rate[klass]
         ratio = min(took / usual, 20.0) if usual else 1.0
+        cost = (usual or took) * (attempt.part.hint or 1)
+        self.cost_mean += (cost - self.cost_mean) * RATE_GAIN if self.cost_mean else cost
         server.pace = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN
         server.pace_at = self.now
         self.rate[klass] = usual + (min(took, 3 * usual) - usual) * RATE_GAIN if usual else took
@@ -583,6 +589,8 @@
 
     def _warmth(self, server: Server) -> float:
         """The share of its capacity that a server has at least, by the settings' ramp."""
+        if EVERY in server.bars and server.bars[EVERY].dead:
+            return self.cfg.start_capacity  # it may be starting this moment
         since = max(server.since or -1, server.cold_from or -1)
         if since < 0 or not self.cfg.warm_within_us:
             return 1.0
@@ -595,11 +603,12 @@
         lived = max(self.now - (self.began or 0), self.cfg.tick_us) / span
         return self.flow * exp((self.flow_at - self.now) / span) / (span * (1 - exp(-lived)))
 
-    def _note_send(self, server: Server) -> None:
-        if self._warmth(server) < 1:
-            server.sends.append(self.now)
+    def _cost(self, part: Part) -> float:
+        """A part's usual latency over that of the mean part: the cold budget counts work, not parts."""
+        cost = self.rate[part.query.klass] * (part.hint or 1)
+        return max(cost / self.cost_mean, 1.0) if self.cost_mean and cost else 1.0
 
-    def _cold_room(self, server: Server) -> bool:
+    def _cold_room(self, server: Server, part: Part) -> bool:
         """Whether a cold server may be sent one more part: our share of its ramp in each window."""
         warmth, window = self._warmth(server), self.cfg.tip_after_us
         if warmth >= 1 or not window or not self.cfg.fall_multiple:
@@ -610,9 +619,10 @@
         room = COLD_SHARE * self.cfg.fall_multiple * warmth * usual * window
         if room < 1:
             window = int(window / max(room, 0.01))
-        while server.sends and server.sends[0] <= self.now - window:
+        while server.sends and server.sends[0][0] <= self.now - window:
             server.sends.popleft()
-        return len(server.sends) + 1 <= max(room, 1.0)
+        spent = sum(cost for _, cost in server.sends)
+        return not spent or spent + self._cost(part) <= room
 
     # Answer or give up
 
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -74,7 +74,7 @@
     errors: dict[int, int] = field(default_factory=dict)
     bars: dict[int, Bar] = field(default_factory=dict)
     cold_from: int | None = None
-    sends: deque[int] = field(default_factory=deque)
+    sends: deque[tuple[int, float]] = field(default_factory=deque)
 
 
 @dataclass(slots=True)
@@ -84,4 +84,4 @@
     since: int
     span: int
     trial: bool = False
-    dead: bool = False
+    dead: str = ""
