--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -72,7 +72,7 @@
         self.last_ok = -1
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
-        self.flow = self.flow_best = 0.0
+        self.flow = self.flow_best = self.flow_rating = 0.0
         self.flow_at = 0
         self.worths: deque[float] = deque(maxlen=WORTHS)
         self.tokens = FURTHER_MOST
@@ -565,7 +565,9 @@
         self.flow = 1.0 + self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim))
         self.flow_at = self.now
         if self.now > (self.began or 0) + FLOW_SPAN * self.aim:
-            self.flow_best = max(self.flow_best, self._flow())
+            # Kept with the fleet that did it: servers lost since must not make the others look larger.
+            if self._flow() > self.flow_best:
+                self.flow_best, self.flow_rating = self._flow(), self._rating()
         for key in (EVERY, klass):
             server.errors.pop(key, None)
             bar = server.bars.get(key)
@@ -603,6 +605,9 @@
         lived = max(self.now - (self.began or 0), self.cfg.tick_us) / span
         return self.flow * exp((self.flow_at - self.now) / span) / (span * (1 - exp(-lived)))
 
+    def _rating(self) -> float:
+        return sum(s.rating for s in self.servers.values() if s.live)
+
     def _cost(self, part: Part) -> float:
         """A part's usual latency over that of the mean part: the cold budget counts work, not parts."""
         cost = self.rate[part.query.klass] * (part.hint or 1)
@@ -614,8 +619,8 @@
         if warmth >= 1 or not window or not self.cfg.fall_multiple:
             server.sends.clear()
             return True
-        rating = sum(s.rating for s in self.servers.values() if s.live)
-        usual = max(self.flow_best, self._flow()) * server.rating / max(rating, 1e-9)
+        fleet = max(self.flow_rating or self._rating(), 1e-9)
+        usual = server.rating * (self.flow_best or self._flow()) / fleet
         room = COLD_SHARE * self.cfg.fall_multiple * warmth * usual * window
         if room < 1:
             window = int(window / max(room, 0.01))
