--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -37,6 +37,7 @@
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
 HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
 HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
+PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
@@ -67,6 +68,7 @@
         self.aim = min(c.aim_us for c in settings.classes)
         self.tenants = [(0.0, 0)] * len(settings.tenants)
         self.cost_mean = 0.0
+        self.patience = 1.0
         self.longest = [0] * len(settings.classes)
         self.rate = [0.0] * len(settings.classes)
         self.last_ok = -1
@@ -101,8 +103,7 @@
                 case hw.ProbeEnded():
                     self._probed(event)
                 case hw.QueryExpired():
-                    if event.id in self.queries:
-                        self._forget(self.queries[event.id])
+                    self._left(event)
                 case hw.TimerFired():
                     self.armed = None
         for query in started.values():
@@ -260,7 +261,7 @@
                if spec.need >= 1 and s and self._load(s) >= HOT_COUNT]
         took = steps * max(sum(loads) / len(loads) * len(known) / speed, HOT_SHARE * max(hot, default=0.0))
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * below
-        return took > share * min(query.aim_at - self.now, self.aim * steps)
+        return took > share * min(query.aim_at - self.now, self.aim * steps) * self.patience
 
     def _share_worth(self, query: Query) -> float:
         """Over its share a tenant's queries are worth little: so many of them as lie over it."""
@@ -475,6 +476,7 @@
         self._answer(query)
 
     def _answer(self, query: Query) -> None:
+        self.patience += (1.0 - self.patience) * PATIENCE_GAIN / 2
         self.actions.append(hw.Answer(query.id, query.whole))
         if query.step == 1 and self.cfg.classes[query.klass].fetch:
             query.step = 2
@@ -645,6 +647,19 @@
         else:
             self._give_up(query)
 
+    def _left(self, event: hw.QueryExpired) -> None:
+        """The client left, perhaps long before its deadline: nobody waits for what is out, and if
+        others are as impatient only quick answers are worth starting on."""
+        query = self.queries.get(event.id)
+        if query is None:
+            return
+        stayed = (self.now - query.start) / self.cfg.classes[query.klass].aim_us
+        self.patience += (min(stayed, self.patience) - self.patience) * PATIENCE_GAIN
+        for attempt in [a for part in query.parts for a in part.tries if a.outcome is None]:
+            if self.cfg.cancelling:
+                self._cancel(attempt)
+        self._forget(query)
+
     def _give_up(self, query: Query) -> None:
         """End the query at once: refused where a repeat is known to be harmless, else failed."""
         spec = self.cfg.classes[query.klass]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -291,3 +291,13 @@
         d.query(1, [shard])
     assert len(of(d.query(1, [0, 3]), hw.Refuse)) == 1
     assert len(of(d.query(1, [3]), hw.Send)) == 1
+
+
+def test_parts_of_a_client_that_left_are_called_off_and_patience_is_learnt(drive):
+    """Guards against work for clients that leave long before the deadline they stated."""
+    d = drive(cancelling=True)
+    sends = of(d.query(1, [0, 1]), hw.Send)
+    d.step(200_000)
+    seen = d.step(5000, hw.QueryExpired("q1"))
+    assert {c.id for c in of(seen, hw.Cancel)} == {s.id for s in sends}
+    assert d.agg.patience < 1.0
