--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -60,7 +60,6 @@
         self.cells: dict[int, list[Server]] = {}
         self.queries: dict[str, Query] = {}
         self.jobs: dict[int, Query] = {}
-        self.parts: dict[str, Part] = {}
         self.strays: dict[tuple[str, int], Attempt] = {}
         self.due: list[tuple[int, int, str, object]] = []
         self.ticket = 0
@@ -218,8 +217,7 @@
         query = self.jobs.get(event.job)
         if query is None:
             return None
-        part = Part(event.id, query, event.shard, event.weight, event.hint_us, event.key, query.step)
-        self.parts[event.id] = part
+        part = Part(event.id, query, event.shard, event.weight, event.hint_us, query.step)
         query.parts.append(part)
         return query
 
@@ -465,8 +463,17 @@
         if event.outcome == hw.CANCELLED or any(a.outcome is None for a in part.tries):
             return
         # A part that errors is replaced: by itself where the class allows, else by an unsent sibling.
-        if not self._place(part) and not part.waiting:
-            self._spare(query)
+        if not self._place(part) and not part.waiting and not self._spare(query):
+            self._doomed(query)
+
+    def _doomed(self, query: Query) -> None:
+        """End a query at once when what is in, out, waiting or unsent can't make an answer any more."""
+        spec = self.cfg.classes[query.klass]
+        floor = min(spec.min_share, spec.need) if query.step == 1 or spec.min_share < spec.need else 1.0
+        reach = sum(p.weight for p in query.parts if p.step == query.step and (
+            p.done or p.waiting or not p.tries or any(a.outcome is None for a in p.tries)))
+        if reach < floor - 1e-6:
+            self._give_up(query)
 
     def _settle(self, query: Query) -> None:
         """Answer once n are in; the first answer of two brings the second step's parts."""
@@ -487,8 +494,6 @@
         """The query has ended; what is still out stays counted until its outcome comes."""
         self.queries.pop(query.id, None)
         self.jobs.pop(query.job, None)
-        for part in query.parts:
-            self.parts.pop(part.id, None)
 
     # Health
 
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -32,7 +32,6 @@
     shard: int
     weight: float
     hint: int | None
-    key: int | None
     step: int
     tries: list[Attempt] = field(default_factory=list)
     done: bool = False
