--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -38,6 +38,7 @@
 HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
 HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
 PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
+WARM_SIGN, WARM_PARTS = 0.5, 8  # warmth shown by a pace of one, lightly loaded as it is, and after how many
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
@@ -177,7 +178,7 @@
             self.servers[entry.node] = server
         elif entry.since_us and entry.since_us != server.since:
             # A new process: what was known of the old one is void, and it is cold.
-            server.since, server.cold_from = entry.since_us, None
+            server.since, server.cold_from, server.cold_seen = entry.since_us, None, 0
             server.errors, server.bars, server.pace, server.charge = {}, {}, 1.0, 0.0
         if entry.state in (hw.LIVE, hw.DRAINING, hw.GONE):
             server.live = entry.state == hw.LIVE
@@ -583,7 +584,7 @@
                 if key == EVERY:
                     # Back from silence: it may have restarted unlisted, so it is treated as cold.
                     if bar.dead == NO_CONNECTION or (bar.dead and gap > COLD_SILENCE * self.aim):
-                        server.cold_from = self.now
+                        server.cold_from, server.cold_seen, server.pace = self.now, 0, 1.0
                     self._log("back " + server.node, f"server {server.node} readmitted")
         took = event.elapsed_us / (attempt.part.hint or 1)
         usual = self.rate[klass]
@@ -592,6 +593,7 @@
         self.cost_mean += (cost - self.cost_mean) * RATE_GAIN if self.cost_mean else cost
         server.pace = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN
         server.pace_at = self.now
+        server.cold_seen += 1
         self.rate[klass] = usual + (min(took, 3 * usual) - usual) * RATE_GAIN if usual else took
 
     # Cold ramp
@@ -604,7 +606,10 @@
         if since < 0 or not self.cfg.warm_within_us:
             return 1.0
         age = (self.now - since) / self.cfg.warm_within_us
-        return min(1.0, self.cfg.start_capacity + (1 - self.cfg.start_capacity) * max(age, 0.0))
+        ramp = self.cfg.start_capacity + (1 - self.cfg.start_capacity) * max(age, 0.0)
+        # Most warm up sooner than guaranteed: one that answers a run of parts quickly has shown it.
+        seen = WARM_SIGN / max(server.pace, WARM_SIGN) if server.cold_seen >= WARM_PARTS else 0.0
+        return min(1.0, max(ramp, seen))
 
     def _flow(self) -> float:
         """Parts a microsecond answered lately; answers, as what is turned away shows no capacity."""
