--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -38,7 +38,6 @@
 HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
 HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
 PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
-WARM_SIGN, WARM_PARTS = 0.5, 8  # warmth shown by a pace of one, lightly loaded as it is, and after how many
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
@@ -178,7 +177,7 @@
             self.servers[entry.node] = server
         elif entry.since_us and entry.since_us != server.since:
             # A new process: what was known of the old one is void, and it is cold.
-            server.since, server.cold_from, server.cold_seen = entry.since_us, None, 0
+            server.since, server.cold_from = entry.since_us, None
             server.errors, server.bars, server.pace, server.charge = {}, {}, 1.0, 0.0
         if entry.state in (hw.LIVE, hw.DRAINING, hw.GONE):
             server.live = entry.state == hw.LIVE
@@ -253,7 +252,7 @@
         if not speed or out < len(self.servers):
             return False
         picks = [(p, self._pick(p)) for p in query.parts]
-        loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for _, s in picks)
+        loads = sorted(HOT_COUNT if s is None else len(s.out) + self._charge(s) for _, s in picks)
         loads = loads[:max(1, int(len(loads) * spec.need + 0.999))]
         # A shard whose holders are all slow and busy holds its query up, however idle the rest are.
         hot = [self._pace(s) * self.rate[query.klass] * (p.hint or 1) for p, s in picks
@@ -584,7 +583,7 @@
                 if key == EVERY:
                     # Back from silence: it may have restarted unlisted, so it is treated as cold.
                     if bar.dead == NO_CONNECTION or (bar.dead and gap > COLD_SILENCE * self.aim):
-                        server.cold_from, server.cold_seen, server.pace = self.now, 0, 1.0
+                        server.cold_from = self.now
                     self._log("back " + server.node, f"server {server.node} readmitted")
         took = event.elapsed_us / (attempt.part.hint or 1)
         usual = self.rate[klass]
@@ -593,7 +592,6 @@
         self.cost_mean += (cost - self.cost_mean) * RATE_GAIN if self.cost_mean else cost
         server.pace = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN
         server.pace_at = self.now
-        server.cold_seen += 1
         self.rate[klass] = usual + (min(took, 3 * usual) - usual) * RATE_GAIN if usual else took
 
     # Cold ramp
@@ -606,10 +604,7 @@
         if since < 0 or not self.cfg.warm_within_us:
             return 1.0
         age = (self.now - since) / self.cfg.warm_within_us
-        ramp = self.cfg.start_capacity + (1 - self.cfg.start_capacity) * max(age, 0.0)
-        # Most warm up sooner than guaranteed: one that answers a run of parts quickly has shown it.
-        seen = WARM_SIGN / max(server.pace, WARM_SIGN) if server.cold_seen >= WARM_PARTS else 0.0
-        return min(1.0, max(ramp, seen))
+        return min(1.0, self.cfg.start_capacity + (1 - self.cfg.start_capacity) * max(age, 0.0))
 
     def _flow(self) -> float:
         """Parts a microsecond answered lately; answers, as what is turned away shows no capacity."""
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -73,7 +73,6 @@
     errors: dict[int, int] = field(default_factory=dict)
     bars: dict[int, Bar] = field(default_factory=dict)
     cold_from: int | None = None
-    cold_seen: int = 0
     sends: deque[tuple[int, float]] = field(default_factory=deque)
 
 
