--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -252,7 +252,7 @@
         if not speed or out < len(self.servers):
             return False
         picks = [(p, self._pick(p)) for p in query.parts]
-        loads = sorted(HOT_COUNT if s is None else len(s.out) + self._charge(s) for _, s in picks)
+        loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for _, s in picks)
         loads = loads[:max(1, int(len(loads) * spec.need + 0.999))]
         # A shard whose holders are all slow and busy holds its query up, however idle the rest are.
         hot = [self._pace(s) * self.rate[query.klass] * (p.hint or 1) for p, s in picks
