--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -40,8 +40,6 @@
 PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
-MISS_GAIN = 0.15  # weight of one part, late or not, in a server's share of late parts
-MISS_MOST, MISS_TIMES = 0.35, 2.5  # share of late parts, and times the fleet's mean, that eject
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.7  # part of the cold budget used: the rest is for what this aggregator misjudges
@@ -181,7 +179,6 @@
             # A new process: what was known of the old one is void, and it is cold.
             server.since, server.cold_from = entry.since_us, None
             server.errors, server.bars, server.pace, server.charge = {}, {}, 1.0, 0.0
-            server.miss = 0.0
         if entry.state in (hw.LIVE, hw.DRAINING, hw.GONE):
             server.live = entry.state == hw.LIVE
         server.cell, server.zone, server.rating = entry.cell, entry.zone, entry.rating
@@ -401,7 +398,6 @@
     def _late(self, attempt: Attempt) -> None:
         """At the half-aim mark: an unsent sibling steps in, else a copy, else cancel and resend."""
         self._silent(attempt)
-        self._missed(attempt)
         part, query = attempt.part, attempt.part.query
         if part.done or query.id not in self.queries or part.step != query.step:
             return
@@ -513,10 +509,7 @@
         old = server.bars.get(key)
         if old and not old.trial:
             return
-        # A server ejected again soon after its return has not recovered: its backoff goes on.
-        again = old is not None or self.now - server.back_at < BAR_MOST * self.aim
-        span = int(min(2 * server.span, BAR_MOST * self.aim) if again else BAR_SPAN * self.aim)
-        server.span = span
+        span = int(min(2 * old.span, BAR_MOST * self.aim) if old else BAR_SPAN * self.aim)
         dead = why if why in (NO_CONNECTION, NO_PROBE) or not self.cfg.probing else old.dead if old else ""
         if old and old.dead == NO_CONNECTION:
             dead = old.dead
@@ -556,16 +549,6 @@
             if out < BAR_SHARE * sum(s.live for s in self.servers.values()):
                 self._bar(server, EVERY, "silent while others answer")
 
-    def _missed(self, attempt: Attempt) -> None:
-        """Eject a server that answers some parts and leaves far more late than the others do."""
-        server, attempt.late = attempt.server, True
-        server.miss += (1.0 - server.miss) * MISS_GAIN
-        known = [s for s in self.servers.values() if s.live]
-        usual = sum(s.miss for s in known) / max(1, len(known))
-        out = sum(EVERY in s.bars for s in known)
-        if server.miss > max(MISS_MOST, MISS_TIMES * usual) and out < BAR_SHARE * len(known):
-            self._bar(server, EVERY, "leaves parts unanswered")
-
     def _judge(self, attempt: Attempt, outcome: str) -> None:
         server, klass = attempt.server, attempt.part.query.klass
         if outcome == hw.TIMED_OUT:
@@ -585,8 +568,6 @@
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
         server, klass = attempt.server, attempt.part.query.klass
         gap = self.now - server.last_ok
-        if not attempt.late:
-            server.miss *= 1.0 - MISS_GAIN
         server.last_ok = self.last_ok = self.now
         self.flow = 1.0 + self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim))
         self.flow_at = self.now
@@ -599,7 +580,6 @@
             bar = server.bars.get(key)
             if bar and attempt.sent >= bar.since:
                 del server.bars[key]
-                server.back_at = self.now
                 if key == EVERY:
                     # Back from silence: it may have restarted unlisted, so it is treated as cold.
                     if bar.dead == NO_CONNECTION or (bar.dead and gap > COLD_SILENCE * self.aim):
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -48,7 +48,6 @@
     sent: int
     call: int
     outcome: str | None = None
-    late: bool = False
 
 
 @dataclass(slots=True)
@@ -71,9 +70,6 @@
     pace: float = 1.0
     pace_at: int = 0
     last_ok: int = -1
-    miss: float = 0.0
-    span: int = 0
-    back_at: int = -(10**15)
     errors: dict[int, int] = field(default_factory=dict)
     bars: dict[int, Bar] = field(default_factory=dict)
     cold_from: int | None = None
