Cancel and resend only from a server that is silent or has answered later parts

Also meets hot shards and pauses; may hurt when a server loses a part but answers nothing sent later.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -44,6 +44,7 @@
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.7  # part of the cold budget used: the rest is for what this aggregator misjudges
 ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time: first and longest wait to ask again
+RECHECK = 0.1  # aims before a late part on a server that answers in turn is looked at again
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
 
 
@@ -412,6 +413,12 @@
         elif self.cfg.cancelling and spec.repeat != hw.UNSAFE and attempt is part.tries[-1]:
             if len(part.tries) >= self.cfg.max_attempts or not self._budget_left():
                 return
+            # A server that answers in turn will come to this part: calling it off loses its place and
+            # pays twice. One that is silent, or has answered what was sent later, may have lost it.
+            server = attempt.server
+            if server.last_ok > attempt.sent and server.last_sent <= attempt.sent:
+                self._later(self.now + int(RECHECK * spec.aim_us), "late", attempt)
+                return
             risky = [a.sent for a in part.tries if a.outcome not in hw.NEVER_RAN]
             if spec.repeat == hw.KEYED and self.now + self.cfg.tick_us > min(risky) + spec.dedup_us:
                 return
@@ -568,6 +575,7 @@
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
         server, klass = attempt.server, attempt.part.query.klass
         gap = self.now - server.last_ok
+        server.last_sent = max(server.last_sent, attempt.sent)
         server.last_ok = self.last_ok = self.now
         self.flow = 1.0 + self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim))
         self.flow_at = self.now
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -70,6 +70,7 @@
     pace: float = 1.0
     pace_at: int = 0
     last_ok: int = -1
+    last_sent: int = -1
     errors: dict[int, int] = field(default_factory=dict)
     bars: dict[int, Bar] = field(default_factory=dict)
     cold_from: int | None = None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -301,3 +301,16 @@
     seen = d.step(5000, hw.QueryExpired("q1"))
     assert {c.id for c in of(seen, hw.Cancel)} == {s.id for s in sends}
     assert d.agg.patience < 1.0
+
+
+def test_late_part_keeps_its_place_on_a_server_that_answers_in_turn(drive):
+    """Guards against paying twice for a part in a long queue; a server that lost it is still left."""
+    for overtaken in (False, True):
+        d = drive(cancelling=True, servers=6)
+        early = of(d.query(1, [0, 0, 0]), hw.Send)
+        late = next(s for s in of(d.query(1, [0, 0, 0]), hw.Send) if s.node == early[0].node)
+        mine, other = (early[0], late) if overtaken else (late, early[0])
+        seen = d.wait(AIM // 4)
+        seen += d.end(other, took=AIM // 4)
+        seen += d.wait(AIM // 4 + 20_000)
+        assert (mine.id in {c.id for c in of(seen, hw.Cancel)}) == overtaken
