--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -408,17 +408,17 @@
         others = self._pick(part)
         if others is None or others is attempt.server:
             return
-        # A server that answers in turn will come to this part: calling it off loses its place and
-        # pays twice. One that is silent, or has answered what was sent later, may have lost it.
-        server = attempt.server
-        if server.last_ok > attempt.sent and server.last_sent <= attempt.sent:
-            self._later(self.now + int(RECHECK * spec.aim_us), "late", attempt)
-            return
         if self.cfg.second_copies and spec.repeat != hw.UNSAFE:
             self._place(part)
         elif self.cfg.cancelling and spec.repeat != hw.UNSAFE and attempt is part.tries[-1]:
             if len(part.tries) >= self.cfg.max_attempts or not self._budget_left():
                 return
+            # A server that answers in turn will come to this part: calling it off loses its place and
+            # pays twice. One that is silent, or has answered what was sent later, may have lost it.
+            server = attempt.server
+            if server.last_ok > attempt.sent and server.last_sent <= attempt.sent:
+                self._later(self.now + int(RECHECK * spec.aim_us), "late", attempt)
+                return
             risky = [a.sent for a in part.tries if a.outcome not in hw.NEVER_RAN]
             if spec.repeat == hw.KEYED and self.now + self.cfg.tick_us > min(risky) + spec.dedup_us:
                 return
