--- a/heathwell/benchlink.py
+++ b/heathwell/benchlink.py
@@ -94,6 +94,9 @@
     family = need(setup, "specifics", where)
     limits = need(setup, "ceilings", where)
     rules = need(setup, "invariants", where)
+    for name, table in (("specifics", family), ("ceilings", limits), ("invariants", rules)):
+        if not isinstance(table, dict):
+            raise WireError(f"setup: field '{name}' is not an object")
     needs = family.get("class-need") or []
     floors = family.get("min-share") or []
     partial = family.get("incomplete-worth") or []
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -84,6 +84,8 @@
     ('{"time-us":1,"inbox":[{"event_type":"fleet","who":1,"form":"replace","index":1,"table":7}]}', "table"),
     ('{"time-us":1,"inbox":[{"event_type":"new-instance","who":1,"nonce64":1,"setup":{}}]}', "specifics"),
     ('{"time-us":1,"inbox":[7]}', "object"),
+    ('{"time-us":1,"inbox":[{"event_type":"new-instance","who":1,"nonce64":1,"setup":'
+     '{"specifics":3,"ceilings":{},"invariants":{}}}]}', "specifics"),
 ])
 def test_bad_input_is_a_plain_message_that_names_the_field(line, word):
     done = pipe([line])
