Cold servers: credit that grows with our share of the ramp, its start drawn by chance

The window of sends is replaced by a credit that starts at a random share of a part. Also catches: releases and mass restarts on large fleets. May hurt: a broker that restarted and sees little waits for its first credit.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -42,7 +42,8 @@
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
-COLD_SHARE = 0.7  # part of the cold budget used: the rest is for what this aggregator misjudges
+COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
+COLD_BURST = 0.4  # of a window's budget: the most that may be saved up and sent at once
 ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time: first and longest wait to ask again
 RECHECK = 0.1  # aims before a late part on a server that answers in turn is looked at again
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
@@ -178,7 +179,7 @@
             self.servers[entry.node] = server
         elif entry.since_us and entry.since_us != server.since:
             # A new process: what was known of the old one is void, and it is cold.
-            server.since, server.cold_from = entry.since_us, None
+            server.since, server.cold_from, server.credit = entry.since_us, None, None
             server.errors, server.bars, server.pace, server.charge = {}, {}, 1.0, 0.0
         if entry.state in (hw.LIVE, hw.DRAINING, hw.GONE):
             server.live = entry.state == hw.LIVE
@@ -290,7 +291,7 @@
         for step in range(self.cfg.width):
             holders += self.cells.get((part.shard + step) % self.cfg.cells, [])
         klass = part.query.klass
-        open_to = [s for s in holders if s.live and s.node not in busy and self._cold_room(s, part)]
+        open_to = [s for s in holders if s.live and s.node not in busy and self._cold_room(s)]
         # Ejected servers are left out, as are those that this part has tried; but when nobody else
         # holds the shard, a doubtful server is better than none.
         good = [s for s in open_to if self._usable(s, klass)]
@@ -390,8 +391,8 @@
         attempt = Attempt(part, len(part.tries), server, self.now, server.call_id)
         part.tries.append(attempt)
         server.out[part.id, attempt.seq] = self.strays[part.id, attempt.seq] = attempt
-        if self._warmth(server) < 1:
-            server.sends.append((self.now, self._cost(part)))
+        if server.credit is not None:
+            server.credit -= self._cost(part)
         self.actions.append(hw.Send(part.id, server.node))
         left = max(part.query.aim_at - self.now, self.cfg.classes[part.query.klass].aim_us // 2)
         self._later(self.now + int(left * LATE_SHARE), "late", attempt)
@@ -628,21 +629,23 @@
         cost = self.rate[part.query.klass] * (part.hint or 1)
         return max(cost / self.cost_mean, 1.0) if self.cost_mean and cost else 1.0
 
-    def _cold_room(self, server: Server, part: Part) -> bool:
-        """Whether a cold server may be sent one more part: our share of its ramp in each window."""
-        warmth, window = self._warmth(server), self.cfg.tip_after_us
-        if warmth >= 1 or not window or not self.cfg.fall_multiple:
-            server.sends.clear()
+    def _cold_room(self, server: Server) -> bool:
+        """Whether a cold server may be sent one more part: credit grows by our share of its ramp. The first
+        credit is drawn by chance, so that many brokers that each owe it less than a part don't all send it
+        one at once (a release on a large fleet); a part spends its cost, even beyond the credit."""
+        warmth = self._warmth(server)
+        if warmth >= 1 or not self.cfg.tip_after_us or not self.cfg.fall_multiple:
+            server.credit = None
             return True
         fleet = max(self.flow_rating or self._rating(), 1e-9)
         usual = server.rating * (self.flow_best or self._flow()) / fleet
-        room = COLD_SHARE * self.cfg.fall_multiple * warmth * usual * window
-        if room < 1:
-            window = int(window / max(room, 0.01))
-        while server.sends and server.sends[0][0] <= self.now - window:
-            server.sends.popleft()
-        spent = sum(cost for _, cost in server.sends)
-        return not spent or spent + self._cost(part) <= room
+        rate = COLD_SHARE * self.cfg.fall_multiple * warmth * usual
+        if server.credit is None:
+            server.credit, server.credit_at = self.random.random(), self.now
+        most = max(1.0, COLD_BURST * rate * self.cfg.tip_after_us)
+        server.credit = min(server.credit + rate * (self.now - server.credit_at), most)
+        server.credit_at = self.now
+        return server.credit >= 1.0
 
     # Answer or give up
 
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 
 
@@ -74,7 +73,8 @@
     errors: dict[int, int] = field(default_factory=dict)
     bars: dict[int, Bar] = field(default_factory=dict)
     cold_from: int | None = None
-    sends: deque[tuple[int, float]] = field(default_factory=deque)
+    credit: float | None = None
+    credit_at: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -98,12 +98,23 @@
         warm_up(d)
         d.step(0, hw.FleetNews(hw.UPDATE, tuple(entry(i, state=hw.GONE) for i in gone)))
         d.step(0, hw.FleetNews(hw.UPDATE, (entry(0, since_us=d.now - 10_000),)))
-        for _ in range(4):
-            d.query(1, [0] * 3)
-        rooms.append(len(d.agg.servers["s0"].sends))
+        sends = [s for _ in range(4) for s in of(d.query(1, [0] * 3), hw.Send)]
+        rooms.append(sum(s.node == "s0" for s in sends))
     assert rooms[1] <= rooms[0] + 1 <= 3
 
 
+def test_many_small_brokers_do_not_all_send_a_fresh_server_its_first_part(drive):
+    """Guards a server new on the list: each broker owes it far less than a part, together they owe it few."""
+    firsts = 0
+    for seed in range(40):
+        d = drive(seed=seed)
+        warm_up(d, rounds=2)
+        d.wait(2 * AIM)
+        d.step(0, hw.FleetNews(hw.UPDATE, (entry(0, since_us=d.now - 10_000), entry(1, since_us=d.now - 10_000))))
+        firsts += sum(s.node != "s2" for _ in range(3) for s in of(d.query(1, [0]), hw.Send))
+    assert firsts <= 30
+
+
 def test_whole_and_partial_answers_are_honest(drive):
     d = drive()
     sends = of(d.query(5, [0, 1, 2]), hw.Send)
