--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -19,6 +19,7 @@
 LATE_SHARE = 0.5  # the design's mark: a part is late after half the aim that was left at its send
 EVERY = -1  # key of an ejection that holds for all classes, beside those of one class
 PACE_GAIN = 0.15  # weight of one answer in a server's latency average: about seven answers
+HINT_TRUST = 0.5  # of a hint's distance from the mean hint: hints are rough
 RATE_GAIN = 0.02  # weight of one answer in the fleet's average: slow, as it is the yardstick
 PACE_FADE = 4.0  # aims until an unused server's average is mostly forgotten, so it is tried again
 OUTLIER = 2.5  # a server this many times slower than usual is charged one part for each multiple
@@ -35,6 +36,9 @@
 ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
 NO_CONNECTION, NO_PROBE = "no connection", "no answer to a probe"
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
+SLOWEST = 1.2  # a query's slowest part against the median part
+RECENT_SPAN = 2.0  # aims over which latencies are recent: a jam that has cleared must not shed for long
+RECENT_LEAST = 10  # usual latencies put beside those seen: one or two heavy queries are no overload
 HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
 HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
 PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
@@ -71,13 +75,16 @@
         self.cost_mean = 0.0
         self.patience = 1.0
         self.longest = [0] * len(settings.classes)
-        self.rate = [0.0] * len(settings.classes)
+        self.mean_took = [0.0] * len(settings.classes)
+        self.mean_hint = [0.0] * len(settings.classes)
+        self.counted = [0] * len(settings.classes)
         self.last_ok = -1
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
         self.flow = self.flow_best = self.flow_rating = 0.0
         self.flow_at = 0
         self.worths: deque[float] = deque(maxlen=WORTHS)
+        self.recent: deque[tuple[int, float]] = deque()
         self.tokens = FURTHER_MOST
         self.ask_wait = int(settings.must_ask_us * ASK_FIRST)
         self.asked_at: int | None = None
@@ -208,7 +215,7 @@
         if left < CUT_TRY * self.longest[event.klass]:
             aim_at = min(aim_at, event.deadline_us - spec.limit_us + aim)
         query = Query(event.id, event.job, event.klass, event.tenant, self.now, aim_at,
-                      event.deadline_us, spec.need * (event.hint_us or event.parts) + spec.fetch)
+                      event.deadline_us, spec.need * event.parts + spec.fetch)
         self.queries[event.id] = self.jobs[event.job] = query
         self._later(event.deadline_us - self.cfg.tick_us, "deadline", query)
         if self.now + self.cfg.tick_us < query.aim_at < event.deadline_us:
@@ -238,30 +245,61 @@
             sent += part.weight
 
     def _shed(self, query: Query) -> bool:
-        """Load shedding: by Little's law the parts out over the rate of answers is the time a part takes
-        now; a query that can't meet its aim in that time is refused at once, the least worth first."""
+        """Load shedding: a query that can't meet its aim at the pace of now is refused at once, the least
+        worth for its work first."""
+        steps = 2 if self.cfg.classes[query.klass].fetch else 1
+        share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
+        took = steps * max(self._queue_time(query), self._recent_time(query))
+        return took > share * min(query.aim_at - self.now, self.aim * steps) * self.patience
+
+    def _worth_rank(self, query: Query) -> float:
+        """The share of the latest queries that are worth less for their work."""
         spec = self.cfg.classes[query.klass]
         density = spec.worth * self._share_worth(query)
         density *= 1.0 if query.aim_at > self.now else spec.late_worth
         if not self.cfg.by_work:
-            density /= max(query.work * self.rate[query.klass], 1e-9)
+            density /= max(query.work * self.mean_took[query.klass], 1e-9)
         below = sum(d < density for d in self.worths) / max(1, len(self.worths))
         self.worths.append(density)
+        return below
+
+    def _queue_time(self, query: Query) -> float:
+        """By Little's law the parts out at the query's picks over the rate of answers; it tells only
+        where a server usually holds several parts of ours."""
+        spec = self.cfg.classes[query.klass]
         known = [s for s in self.servers.values() if s.live and EVERY not in s.bars]
         out = sum(len(s.out) + self._charge(s) for s in known)
         speed = max(self._flow(), FLOW_LEAST * self.flow_best)
-        steps = 2 if spec.fetch else 1
         if not speed or out < len(self.servers):
-            return False
+            return 0.0
         picks = [(p, self._pick(p)) for p in query.parts]
         loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for _, s in picks)
         loads = loads[:max(1, int(len(loads) * spec.need + 0.999))]
         # A shard whose holders are all slow and busy holds its query up, however idle the rest are.
-        hot = [self._pace(s) * self.rate[query.klass] * (p.hint or 1) for p, s in picks
+        hot = [self._pace(s) * self._usual(p) for p, s in picks
                if spec.need >= 1 and s and self._load(s) >= HOT_COUNT]
-        took = steps * max(sum(loads) / len(loads) * len(known) / speed, HOT_SHARE * max(hot, default=0.0))
-        share = SHED_FROM + (SHED_ALL - SHED_FROM) * below
-        return took > share * min(query.aim_at - self.now, self.aim * steps) * self.patience
+        return max(sum(loads) / len(loads) * len(known) / speed, HOT_SHARE * max(hot, default=0.0))
+
+    def _recent_time(self, query: Query) -> float:
+        """What the query's slowest part takes by the median of late attempts, those out counting by their
+        age: tells overload to a broker that sees little of each server, unmoved by a few sick ones."""
+        while self.recent and self.recent[0][0] < self.now - RECENT_SPAN * self.aim:
+            self.recent.popleft()
+        seen = [1.0] * RECENT_LEAST + [ratio for _, ratio in self.recent]
+        seen += [self._ratio(a, self.now - a.sent) for a in self.strays.values() if a.outcome is None]
+        return SLOWEST * sorted(seen)[len(seen) // 2] * self.mean_took[query.klass]
+
+    def _ratio(self, attempt: Attempt, took: float) -> float:
+        """A latency against the usual one."""
+        usual = self._usual(attempt.part)
+        return took / usual if usual else 1.0
+
+    def _usual(self, part: Part) -> float:
+        """The usual latency of the part's class, leaning to its hint of work: hints are rough, and a rate
+        per hinted work would be ruled by the few that say far too little."""
+        mean = self.mean_hint[part.query.klass]
+        lean = HINT_TRUST * (part.hint / mean - 1) if part.hint and mean else 0.0
+        return self.mean_took[part.query.klass] * (1 + lean)
 
     def _share_worth(self, query: Query) -> float:
         """Over its share a tenant's queries are worth little: so many of them as lie over it."""
@@ -545,7 +583,7 @@
     def _silent(self, attempt: Attempt) -> None:
         """Eject a server that has answered nothing since this late send while others have."""
         server = attempt.server
-        usual = self.rate[attempt.part.query.klass] * (attempt.part.hint or 1)
+        usual = self._usual(attempt.part)
         if attempt.outcome is None and self.now - attempt.sent < SILENT_TIMES * usual:
             self._later(int(attempt.sent + SILENT_TIMES * usual) + 1, "silent", attempt)
             return
@@ -567,6 +605,8 @@
         if outcome in (hw.UNREACHABLE, hw.BROKEN):
             self._bar(server, EVERY, NO_CONNECTION)
             return
+        if outcome == hw.FULL_UP:  # had it waited for its turn it would have taken about the aim
+            self.recent.append((self.now, self._ratio(attempt, self.aim)))
         key = klass if outcome == hw.ERROR else EVERY
         server.errors[key] = server.errors.get(key, 0) + 1
         if server.errors[key] >= ERRORS_TO_BAR:
@@ -594,14 +634,18 @@
                     if bar.dead == NO_CONNECTION or (bar.dead and gap > COLD_SILENCE * self.aim):
                         server.cold_from = self.now
                     self._log("back " + server.node, f"server {server.node} readmitted")
-        took = event.elapsed_us / (attempt.part.hint or 1)
-        usual = self.rate[klass]
+        self.recent.append((self.now, self._ratio(attempt, event.elapsed_us)))
+        took, usual = event.elapsed_us, self._usual(attempt.part)
         ratio = min(took / usual, 20.0) if usual else 1.0
-        cost = (usual or took) * (attempt.part.hint or 1)
+        cost = usual or took
         self.cost_mean += (cost - self.cost_mean) * RATE_GAIN if self.cost_mean else cost
         server.pace = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN
         server.pace_at = self.now
-        self.rate[klass] = usual + (min(took, 3 * usual) - usual) * RATE_GAIN if usual else took
+        # The first few answers weigh evenly: a broker that sees little must not keep its first one for long.
+        self.counted[klass] += 1
+        gain = max(RATE_GAIN, 1 / self.counted[klass])
+        self.mean_took[klass] += (min(took, 3 * usual or took) - self.mean_took[klass]) * gain
+        self.mean_hint[klass] += ((attempt.part.hint or 0) - self.mean_hint[klass]) * gain
 
     # Cold ramp
 
@@ -626,7 +670,7 @@
 
     def _cost(self, part: Part) -> float:
         """A part's usual latency over that of the mean part: the cold budget counts work, not parts."""
-        cost = self.rate[part.query.klass] * (part.hint or 1)
+        cost = self._usual(part)
         return max(cost / self.cost_mean, 1.0) if self.cost_mean and cost else 1.0
 
     def _cold_room(self, server: Server) -> bool:
