--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -77,7 +77,7 @@
         self.longest = [0] * len(settings.classes)
         self.mean_took = [0.0] * len(settings.classes)
         self.mean_hint = [0.0] * len(settings.classes)
-        self.counted = [0] * len(settings.classes)
+        self.counted, self.hinted = [0] * len(settings.classes), [0] * len(settings.classes)
         self.last_ok = -1
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
@@ -228,6 +228,9 @@
             return None
         part = Part(event.id, query, event.shard, event.weight, event.hint_us, query.step)
         query.parts.append(part)
+        self.hinted[query.klass] += 1
+        gain = max(RATE_GAIN, 1 / self.hinted[query.klass])
+        self.mean_hint[query.klass] += ((event.hint_us or 0) - self.mean_hint[query.klass]) * gain
         return query
 
     def _open(self, query: Query) -> None:
@@ -287,7 +290,8 @@
             self.recent.popleft()
         seen = [1.0] * RECENT_LEAST + [ratio for _, ratio in self.recent]
         seen += [self._ratio(a, self.now - a.sent) for a in self.strays.values() if a.outcome is None]
-        return SLOWEST * sorted(seen)[len(seen) // 2] * self.mean_took[query.klass]
+        usual = sum(self._usual(part) for part in query.parts) / len(query.parts)
+        return SLOWEST * sorted(seen)[len(seen) // 2] * usual
 
     def _ratio(self, attempt: Attempt, took: float) -> float:
         """A latency against the usual one."""
@@ -645,7 +649,6 @@
         self.counted[klass] += 1
         gain = max(RATE_GAIN, 1 / self.counted[klass])
         self.mean_took[klass] += (min(took, 3 * usual or took) - self.mean_took[klass]) * gain
-        self.mean_hint[klass] += ((attempt.part.hint or 0) - self.mean_hint[klass]) * gain
 
     # Cold ramp
 
