--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -36,9 +36,9 @@
 ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
 NO_CONNECTION, NO_PROBE = "no connection", "no answer to a probe"
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
-SLOWEST = 1.2  # a query's slowest part against the median part
+SLOWEST = 0.7  # rank among recent latencies at most: the rest may be sick servers, not overload
 RECENT_SPAN = 2.0  # aims over which latencies are recent: a jam that has cleared must not shed for long
-RECENT_LEAST = 10  # usual latencies put beside those seen: one or two heavy queries are no overload
+RECENT_LEAST = 10  # quick answers supposed beside those seen: few latencies prove no overload, none clear it
 HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
 HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
 PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
@@ -284,14 +284,15 @@
         return max(sum(loads) / len(loads) * len(known) / speed, HOT_SHARE * max(hot, default=0.0))
 
     def _recent_time(self, query: Query) -> float:
-        """What the query's slowest part takes by the median of late attempts, those out counting by their
+        """What the query's slowest needed part takes by the latencies of late, those out counting by their
         age: tells overload to a broker that sees little of each server, unmoved by a few sick ones."""
         while self.recent and self.recent[0][0] < self.now - RECENT_SPAN * self.aim:
             self.recent.popleft()
-        seen = [1.0] * RECENT_LEAST + [ratio for _, ratio in self.recent]
+        seen = [0.0] * RECENT_LEAST + [ratio for _, ratio in self.recent]
         seen += [self._ratio(a, self.now - a.sent) for a in self.strays.values() if a.outcome is None]
-        usual = sum(self._usual(part) for part in query.parts) / len(query.parts)
-        return SLOWEST * sorted(seen)[len(seen) // 2] * usual
+        need = self.cfg.classes[query.klass].need * len(query.parts) / (len(query.parts) + 1)
+        seen.sort()
+        return seen[int(len(seen) * min(need, SLOWEST))] * self.mean_took[query.klass]
 
     def _ratio(self, attempt: Attempt, took: float) -> float:
         """A latency against the usual one."""
