--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -37,7 +37,7 @@
 NO_CONNECTION, NO_PROBE = "no connection", "no answer to a probe"
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
 SLOWEST = 0.7  # rank among recent latencies at most: the rest may be sick servers, not overload
-RECENT_SPAN = 2.0  # aims over which latencies are recent: a jam that has cleared must not shed for long
+RECENT_SPAN = 1.0  # aims over which latencies are recent: a jam that has cleared must not shed for long
 RECENT_LEAST = 10  # quick answers supposed beside those seen: few latencies prove no overload, none clear it
 HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
 HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
@@ -292,7 +292,8 @@
         seen += [self._ratio(a, self.now - a.sent) for a in self.strays.values() if a.outcome is None]
         need = self.cfg.classes[query.klass].need * len(query.parts) / (len(query.parts) + 1)
         seen.sort()
-        return seen[int(len(seen) * min(need, SLOWEST))] * self.mean_took[query.klass]
+        usual = sum(self._usual(part) for part in query.parts) / len(query.parts)
+        return seen[int(len(seen) * min(need, SLOWEST))] * usual
 
     def _ratio(self, attempt: Attempt, took: float) -> float:
         """A latency against the usual one."""
