--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -44,6 +44,8 @@
 PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
+DEATHS = 2  # broken connections without an answer from which a query is given up: one is a chance crash
+WARY = 5.0  # aims after a lost connection in which one part of a query goes first
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
@@ -72,7 +74,7 @@
         self.armed: int | None = None
         self.aim = min(c.aim_us for c in settings.classes)
         self.tenants = [(0.0, 0)] * len(settings.tenants)
-        self.cost_mean = 0.0
+        self.death_at: int | None = None
         self.patience = 1.0
         self.longest = [0] * len(settings.classes)
         self.mean_took = [0.0] * len(settings.classes)
@@ -235,12 +237,15 @@
 
     def _open(self, query: Query) -> None:
         """Rank the step's parts by their replica's count and send the n needed, one by one."""
-        if query.step == 1 and self._shed(query):
+        if not query.answered and self._shed(query):
             self._give_up(query)
             return
         waiting = [p for p in query.parts if p.step == query.step and not p.tries and not p.waiting]
-        need = self._need(query)
-        sent = 0.0
+        # While servers die one part goes first and the others once it is answered: a query that brings
+        # servers down then costs one of them, not as many as it has parts.
+        wary = self.death_at is not None and self.now < self.death_at + WARY * self.aim
+        need = self._need(query) if query.step > 1 or query.answered or not wary else 1e-5
+        sent = sum(p.weight for p in query.parts if p.step == query.step and p.tries)
         while waiting and sent < need - 1e-6:
             part = min(waiting, key=self._rank)
             waiting.remove(part)
@@ -436,7 +441,7 @@
         part.tries.append(attempt)
         server.out[part.id, attempt.seq] = self.strays[part.id, attempt.seq] = attempt
         if server.credit is not None:
-            server.credit -= self._cost(part)
+            server.credit -= 1.0
         self.actions.append(hw.Send(part.id, server.node))
         left = max(part.query.aim_at - self.now, self.cfg.classes[part.query.klass].aim_us // 2)
         self._later(self.now + int(left * LATE_SHARE), "late", attempt)
@@ -447,7 +452,7 @@
         part, query = attempt.part, attempt.part.query
         if part.done or query.id not in self.queries or part.step != query.step:
             return
-        if self._spare(query):
+        if self._deadly(query) or self._spare(query):
             return
         spec = self.cfg.classes[query.klass]
         others = self._pick(part)
@@ -508,16 +513,40 @@
             if query.id in self.queries and not part.done and part.step == query.step:
                 part.done = True
                 self._settle(query)
+                if query.id in self.queries and not query.answered:
+                    query.answered = True
+                    self._go_on(query)
             return
         self._judge(attempt, event.outcome)
         if query.id not in self.queries or part.done or part.step != query.step:
             return
         if event.outcome == hw.CANCELLED or any(a.outcome is None for a in part.tries):
             return
+        if self._deadly(query):
+            return
         # A part that errors is replaced: by itself where the class allows, else by an unsent sibling.
         if not self._place(part) and not part.waiting and not self._spare(query):
             self._doomed(query)
 
+    def _deadly(self, query: Query) -> bool:
+        """A query that broke a connection before any part of it was answered may bring down each server
+        that begins it: it waits for a part that is out, is tried once more, and then given up. A lost
+        server is told from it by the answers of the query's other parts."""
+        tries = [a for p in query.parts for a in p.tries]
+        broke = sum(a.outcome == hw.BROKEN for a in tries)
+        if query.answered or not broke or (broke < DEATHS and all(a.outcome is not None for a in tries)):
+            return False
+        if all(a.outcome is not None for a in tries):
+            self._give_up(query)
+        return True
+
+    def _go_on(self, query: Query) -> None:
+        """The first answer clears the query: parts held back or broken meanwhile are sent."""
+        for part in query.parts:
+            if part.tries and not (part.done or part.waiting or any(a.outcome is None for a in part.tries)):
+                self._place(part)
+        self._open(query)
+
     def _doomed(self, query: Query) -> None:
         """End a query at once when what is in, out, waiting or unsent can't make an answer any more."""
         spec = self.cfg.classes[query.klass]
@@ -609,6 +638,7 @@
             return
         self._add_charge(server)
         if outcome in (hw.UNREACHABLE, hw.BROKEN):
+            self.death_at = self.now
             self._bar(server, EVERY, NO_CONNECTION)
             return
         if outcome == hw.FULL_UP:  # had it waited for its turn it would have taken about the aim
@@ -643,8 +673,6 @@
         self.recent.append((self.now, self._ratio(attempt, event.elapsed_us)))
         took, usual = event.elapsed_us, self._usual(attempt.part)
         ratio = min(took / usual, 20.0) if usual else 1.0
-        cost = usual or took
-        self.cost_mean += (cost - self.cost_mean) * RATE_GAIN if self.cost_mean else cost
         server.pace = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN
         server.pace_at = self.now
         # The first few answers weigh evenly: a broker that sees little must not keep its first one for long.
@@ -673,15 +701,10 @@
     def _rating(self) -> float:
         return sum(s.rating for s in self.servers.values() if s.live)
 
-    def _cost(self, part: Part) -> float:
-        """A part's usual latency over that of the mean part: the cold budget counts work, not parts."""
-        cost = self._usual(part)
-        return max(cost / self.cost_mean, 1.0) if self.cost_mean and cost else 1.0
-
     def _cold_room(self, server: Server) -> bool:
         """Whether a cold server may be sent one more part: credit grows by our share of its ramp. The first
         credit is drawn by chance, so that many brokers that each owe it less than a part don't all send it
-        one at once (a release on a large fleet); a part spends its cost, even beyond the credit."""
+        one at once (a release on a large fleet)."""
         warmth = self._warmth(server)
         if warmth >= 1 or not self.cfg.tip_after_us or not self.cfg.fall_multiple:
             server.credit = None
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -20,6 +20,7 @@
     parts: list[Part] = field(default_factory=list)
     step: int = 1
     whole: bool = True
+    answered: bool = False
 
 
 @dataclass(slots=True)
