--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -247,7 +247,7 @@
         need = self._need(query) if query.step > 1 or query.answered or not wary else 1e-5
         sent = sum(p.weight for p in query.parts if p.step == query.step and p.tries)
         while waiting and sent < need - 1e-6:
-            part = min(waiting, key=self._rank)
+            part = min(waiting, key=self._scout if need < 1e-4 else self._rank)
             waiting.remove(part)
             self._place(part)
             sent += part.weight
@@ -258,7 +258,8 @@
         steps = 2 if self.cfg.classes[query.klass].fetch else 1
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
         took = steps * max(self._queue_time(query), self._recent_time(query))
-        return took > share * min(query.aim_at - self.now, self.aim * steps) * self.patience
+        left = max(query.aim_at - self.now, 0)
+        return took > share * min(left, self.aim * steps) * self.patience
 
     def _worth_rank(self, query: Query) -> float:
         """The share of the latest queries that are worth less for their work."""
@@ -330,6 +331,11 @@
         server = self._pick(part)
         return (self._load(server), self.random.random()) if server else (1e9, self.random.random())
 
+    def _scout(self, part: Part) -> int:
+        """The part that goes first alone: the one whose replica was last seen to answer."""
+        server = self._pick(part)
+        return -server.last_ok if server else 1
+
     # Replica choice
 
     def _pick(self, part: Part) -> Server | None:
