--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -36,11 +36,9 @@
 ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
 NO_CONNECTION, NO_PROBE = "no connection", "no answer to a probe"
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
-SLOWEST = 0.7  # rank among recent latencies at most: the rest may be sick servers, not overload
+SLOWEST = 0.55  # rank among recent latencies at most: the rest may be sick servers, not overload
 RECENT_SPAN = 1.0  # aims over which latencies are recent: a jam that has cleared must not shed for long
-RECENT_LEAST = 10  # quick answers supposed beside those seen: few latencies prove no overload, none clear it
-HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
-HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
+RECENT_LEAST = 4  # quick answers supposed beside those seen: few latencies prove no overload, none clear it
 PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
@@ -61,7 +59,7 @@
     def __init__(self, settings: hw.Settings, seed: int) -> None:
         self.cfg = settings
         self.random = random.Random(seed)
-        self.now = 0
+        self.now = self.ticket = self.flow_at = 0
         self.began: int | None = None
         self.actions: list[hw.Action] = []
         self.servers: dict[str, Server] = {}
@@ -70,25 +68,21 @@
         self.jobs: dict[int, Query] = {}
         self.strays: dict[tuple[str, int], Attempt] = {}
         self.due: list[tuple[int, int, str, object]] = []
-        self.ticket = 0
         self.armed: int | None = None
         self.aim = min(c.aim_us for c in settings.classes)
         self.tenants = [(0.0, 0)] * len(settings.tenants)
         self.death_at: int | None = None
         self.patience = 1.0
-        self.longest = [0] * len(settings.classes)
-        self.mean_took = [0.0] * len(settings.classes)
-        self.mean_hint = [0.0] * len(settings.classes)
-        self.counted, self.hinted = [0] * len(settings.classes), [0] * len(settings.classes)
+        self.mean_took, self.mean_hint = ([0.0] * len(settings.classes) for _ in range(2))
+        self.longest, self.counted, self.hinted = ([0] * len(settings.classes) for _ in range(3))
         self.last_ok = -1
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
         self.flow = self.flow_best = self.flow_rating = 0.0
-        self.flow_at = 0
         self.worths: deque[float] = deque(maxlen=WORTHS)
         self.recent: deque[tuple[int, float]] = deque()
         self.tokens = FURTHER_MOST
-        self.ask_wait = int(settings.must_ask_us * ASK_FIRST)
+        self.ask_wait, self.ask_most = (int(settings.must_ask_us * share) for share in (ASK_FIRST, ASK_MOST))
         self.asked_at: int | None = None
         self.said: dict[str, int] = {}
 
@@ -145,7 +139,7 @@
                 self._late(subject)
             case Server():
                 self._half_open(subject)
-            case None if what == "ask" or self._unheard():
+            case None if what == "ask" or self.now >= (self.asked_at or self.now) + self.ask_most:
                 self._ask()
 
     def _log(self, about: str, text: str) -> None:
@@ -160,7 +154,7 @@
         if news.kind == hw.FAILED:
             # Guards the drain rule: without news we must keep asking; jitter keeps the callers apart.
             self.asked_at = None
-            self.ask_wait = min(self.ask_wait * 2, int(self.cfg.must_ask_us * ASK_MOST))
+            self.ask_wait = min(self.ask_wait * 2, self.ask_most)
             self._later(self.now + int(self.ask_wait * self.random.uniform(0.5, 1.0)), "ask", None)
             self._log("discovery", "discovery: call failed or subscription broke, asking again")
             return
@@ -198,10 +192,7 @@
         """Subscribe, and look again later in case no word comes back at all."""
         self.asked_at = self.now
         self.actions.append(hw.Watch())
-        self._later(self.now + int(self.cfg.must_ask_us * ASK_MOST), "answer?", None)
-
-    def _unheard(self) -> bool:
-        return self.asked_at is not None and self.now >= self.asked_at + int(self.cfg.must_ask_us * ASK_MOST)
+        self._later(self.now + self.ask_most, "answer?", None)
 
     # Admission
 
@@ -211,8 +202,7 @@
         aim = spec.aim_us + int(spec.aim_stretch * (event.hint_us or 0))
         left = event.deadline_us - self.now
         self.longest[event.klass] = max(self.longest[event.klass], left)
-        # A try shorter than others of its class is a client's retry cut by the end of its patience,
-        # which tells when the client first asked and so when its aim is due.
+        # A try shorter than others of its class is a cut retry: its end tells when the client first asked.
         aim_at = min(self.now + aim, event.deadline_us)
         if left < CUT_TRY * self.longest[event.klass]:
             aim_at = min(aim_at, event.deadline_us - spec.limit_us + aim)
@@ -241,8 +231,7 @@
             self._give_up(query)
             return
         waiting = [p for p in query.parts if p.step == query.step and not p.tries and not p.waiting]
-        # While servers die one part goes first and the others once it is answered: a query that brings
-        # servers down then costs one of them, not as many as it has parts.
+        # While servers die one part goes first, the others once it is answered: a deadly query costs one.
         wary = self.death_at is not None and self.now < self.death_at + WARY * self.aim
         need = self._need(query) if query.step > 1 or query.answered or not wary else 1e-5
         sent = sum(p.weight for p in query.parts if p.step == query.step and p.tries)
@@ -253,8 +242,7 @@
             sent += part.weight
 
     def _shed(self, query: Query) -> bool:
-        """Load shedding: a query that can't meet its aim at the pace of now is refused at once, the least
-        worth for its work first."""
+        """Load shedding: refuse at once what can't meet its aim at the pace of now, the least worth first."""
         steps = 2 if self.cfg.classes[query.klass].fetch else 1
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
         took = steps * max(self._queue_time(query), self._recent_time(query))
@@ -273,25 +261,19 @@
         return below
 
     def _queue_time(self, query: Query) -> float:
-        """By Little's law the parts out at the query's picks over the rate of answers; it tells only
-        where a server usually holds several parts of ours."""
-        spec = self.cfg.classes[query.klass]
+        """Little's law, the parts out over the rate of answers, where servers hold several parts of ours."""
         known = [s for s in self.servers.values() if s.live and EVERY not in s.bars]
-        out = sum(len(s.out) + self._charge(s) for s in known)
         speed = max(self._flow(), FLOW_LEAST * self.flow_best)
-        if not speed or out < len(self.servers):
+        if not speed or sum(len(s.out) + self._charge(s) for s in known) < len(self.servers):
             return 0.0
-        picks = [(p, self._pick(p)) for p in query.parts]
-        loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for _, s in picks)
-        loads = loads[:max(1, int(len(loads) * spec.need + 0.999))]
-        # A shard whose holders are all slow and busy holds its query up, however idle the rest are.
-        hot = [self._pace(s) * self._usual(p) for p, s in picks
-               if spec.need >= 1 and s and self._load(s) >= HOT_COUNT]
-        return max(sum(loads) / len(loads) * len(known) / speed, HOT_SHARE * max(hot, default=0.0))
+        picks = [self._pick(part) for part in query.parts]
+        loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for s in picks)
+        loads = loads[:max(1, int(len(loads) * self.cfg.classes[query.klass].need + 0.999))]
+        return sum(loads) / len(loads) * len(known) / speed
 
     def _recent_time(self, query: Query) -> float:
-        """What the query's slowest needed part takes by the latencies of late, those out counting by their
-        age: tells overload to a broker that sees little of each server, unmoved by a few sick ones."""
+        """What the slowest needed part takes by the latencies of late, those out counting by their age: tells
+        overload to a broker that sees little of each server, unmoved by a few sick ones."""
         while self.recent and self.recent[0][0] < self.now - RECENT_SPAN * self.aim:
             self.recent.popleft()
         seen = [0.0] * RECENT_LEAST + [ratio for _, ratio in self.recent]
@@ -302,13 +284,11 @@
         return seen[int(len(seen) * min(need, SLOWEST))] * usual
 
     def _ratio(self, attempt: Attempt, took: float) -> float:
-        """A latency against the usual one."""
         usual = self._usual(attempt.part)
         return took / usual if usual else 1.0
 
     def _usual(self, part: Part) -> float:
-        """The usual latency of the part's class, leaning to its hint of work: hints are rough, and a rate
-        per hinted work would be ruled by the few that say far too little."""
+        """The usual latency of the class, leaning to the hint: hints are rough, some wild."""
         mean = self.mean_hint[part.query.klass]
         lean = HINT_TRUST * (part.hint / mean - 1) if part.hint and mean else 0.0
         return self.mean_took[part.query.klass] * (1 + lean)
@@ -342,24 +322,18 @@
         """The usable holder with the fewest own parts out; ties by `_tie`."""
         busy = {a.server.node for a in part.tries if a.outcome is None}
         failed = {a.server.node for a in part.tries}
-        holders = []
-        for step in range(self.cfg.width):
-            holders += self.cells.get((part.shard + step) % self.cfg.cells, [])
-        klass = part.query.klass
+        cells = ((part.shard + step) % self.cfg.cells for step in range(self.cfg.width))
+        holders = [server for cell in cells for server in self.cells.get(cell, [])]
         open_to = [s for s in holders if s.live and s.node not in busy and self._cold_room(s)]
-        # Ejected servers are left out, as are those that this part has tried; but when nobody else
-        # holds the shard, a doubtful server is better than none.
-        good = [s for s in open_to if self._usable(s, klass)]
+        # Ejected servers and those this part has tried are left out, unless nobody else holds the shard.
+        good = [s for s in open_to if self._usable(s, part.query.klass)]
         fresh = [s for s in good if s.node not in failed]
         pool = fresh or good or open_to
-        if not pool:
-            return None
-        least = min(self._load(s) for s in pool)
-        return min((s for s in pool if self._load(s) == least), key=self._tie)
+        return min(pool, key=lambda server: (self._load(server), *self._tie(server)), default=None)
 
     def _load(self, server: Server) -> int:
         """Own calls out, and on top the charges: the exceptions that act on the count itself."""
-        return len(server.calls) + int(self._charge(server) + 0.5) + self._outlier(server)
+        return len(server.calls) + int(self._charge(server) + 0.5) + int(self._pace(server) / OUTLIER)
 
     def _tie(self, server: Server) -> tuple[float, float]:
         trial = any(bar.trial for bar in server.bars.values())
@@ -377,17 +351,11 @@
         """Recent latency against the fleet's usual (1.0), drifting back to it when unused."""
         return 1.0 + (server.pace - 1.0) * exp((server.pace_at - self.now) / (PACE_FADE * self.aim))
 
-    def _outlier(self, server: Server) -> int:
-        pace = self._pace(server)
-        return int(pace / OUTLIER)
-
     # Sending, spares and retries
 
     def _place(self, part: Part) -> bool:
         """Send the part to the design's replica, or try again shortly when no holder may be sent to."""
-        if self.now >= part.query.deadline - self.cfg.tick_us:
-            return False
-        if part.tries and not self._may_resend(part):
+        if self.now >= part.query.deadline - self.cfg.tick_us or (part.tries and not self._may_resend(part)):
             return False
         server = self._pick(part)
         if server is None:
@@ -408,25 +376,20 @@
         if out and (not self.cfg.second_copies or spec.repeat == hw.UNSAFE):
             return False
         risky = [a.sent for a in part.tries if a.outcome not in hw.NEVER_RAN]
-        if risky and spec.repeat == hw.UNSAFE:
-            return False
-        if risky and spec.repeat == hw.KEYED and self.now > min(risky) + spec.dedup_us:
+        window = {hw.SAFE: self.now, hw.KEYED: spec.dedup_us, hw.UNSAFE: -1}[spec.repeat]
+        if risky and self.now > min(risky) + window:
             return False
         return self._budget_left()
 
     def _budget_left(self) -> bool:
-        """The stated attempt budget, and our own that always holds: further attempts are for the odd
-        sick server; when many parts need them the fleet is overloaded and they feed the overload."""
-        if self.tokens < 1:
-            return False
-        if not self.cfg.counted_over_us:
-            return True
+        """The stated budget, and our own: when many parts need further attempts these feed an overload."""
         edge = self.now - self.cfg.counted_over_us
         while self.further and self.further[0] < edge:
             self.further.popleft()
         while self.taken and self.taken[0] <= edge:
             self.taken.popleft()
-        return len(self.further) + 1 <= self.cfg.free_resends + self.cfg.further_ratio * len(self.taken)
+        most = self.cfg.free_resends + self.cfg.further_ratio * len(self.taken)
+        return self.tokens >= 1 and (not self.cfg.counted_over_us or len(self.further) + 1 <= most)
 
     def _count(self, when: deque[int], now: int) -> None:
         if self.cfg.counted_over_us:
@@ -461,16 +424,14 @@
         if self._deadly(query) or self._spare(query):
             return
         spec = self.cfg.classes[query.klass]
-        others = self._pick(part)
-        if others is None or others is attempt.server:
+        if self._pick(part) in (None, attempt.server):
             return
         if self.cfg.second_copies and spec.repeat != hw.UNSAFE:
             self._place(part)
         elif self.cfg.cancelling and spec.repeat != hw.UNSAFE and attempt is part.tries[-1]:
             if len(part.tries) >= self.cfg.max_attempts or not self._budget_left():
                 return
-            # A server that answers in turn will come to this part: calling it off loses its place and
-            # pays twice. One that is silent, or has answered what was sent later, may have lost it.
+            # A server that answers in turn will come to this part: calling it off would pay twice.
             server = attempt.server
             if server.last_ok > attempt.sent and server.last_sent <= attempt.sent:
                 self._later(self.now + int(RECHECK * spec.aim_us), "late", attempt)
@@ -535,9 +496,9 @@
             self._doomed(query)
 
     def _deadly(self, query: Query) -> bool:
-        """A query that broke a connection before any part of it was answered may bring down each server
-        that begins it: it waits for a part that is out, is tried once more, and then given up. A lost
-        server is told from it by the answers of the query's other parts."""
+        """A query that broke a connection and was answered by nobody may bring down each server that begins
+        it: it waits for its parts still out, is tried once more, and then given up. Of a lost server's
+        queries other parts are answered."""
         tries = [a for p in query.parts for a in p.tries]
         broke = sum(a.outcome == hw.BROKEN for a in tries)
         if query.answered or not broke or (broke < DEATHS and all(a.outcome is not None for a in tries)):
@@ -564,10 +525,8 @@
 
     def _settle(self, query: Query) -> None:
         """Answer once n are in; the first answer of two brings the second step's parts."""
-        got = sum(p.weight for p in query.parts if p.step == query.step and p.done)
-        if got < self._need(query) - 1e-6:
-            return
-        self._answer(query)
+        if sum(p.weight for p in query.parts if p.step == query.step and p.done) >= self._need(query) - 1e-6:
+            self._answer(query)
 
     def _answer(self, query: Query) -> None:
         self.patience += (1.0 - self.patience) * PATIENCE_GAIN / 2
@@ -632,9 +591,9 @@
         timed_out = attempt.outcome == hw.TIMED_OUT
         stuck = SILENT_PARTS if timed_out else sum(a.sent > server.last_ok for a in server.out.values())
         out = sum(EVERY in s.bars for s in self.servers.values() if s.live)
-        if server.last_ok < attempt.sent <= self.last_ok and stuck >= SILENT_PARTS:
-            if out < BAR_SHARE * sum(s.live for s in self.servers.values()):
-                self._bar(server, EVERY, "silent while others answer")
+        most = BAR_SHARE * sum(s.live for s in self.servers.values())
+        if server.last_ok < attempt.sent <= self.last_ok and stuck >= SILENT_PARTS and out < most:
+            self._bar(server, EVERY, "silent while others answer")
 
     def _judge(self, attempt: Attempt, outcome: str) -> None:
         server, klass = attempt.server, attempt.part.query.klass
@@ -662,10 +621,9 @@
         server.last_ok = self.last_ok = self.now
         self.flow = 1.0 + self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim))
         self.flow_at = self.now
-        if self.now > (self.began or 0) + FLOW_SPAN * self.aim:
+        if self.now > (self.began or 0) + FLOW_SPAN * self.aim and self._flow() > self.flow_best:
             # Kept with the fleet that did it: servers lost since must not make the others look larger.
-            if self._flow() > self.flow_best:
-                self.flow_best, self.flow_rating = self._flow(), self._rating()
+            self.flow_best, self.flow_rating = self._flow(), self._rating()
         for key in (EVERY, klass):
             server.errors.pop(key, None)
             bar = server.bars.get(key)
@@ -681,7 +639,6 @@
         ratio = min(took / usual, 20.0) if usual else 1.0
         server.pace = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN
         server.pace_at = self.now
-        # The first few answers weigh evenly: a broker that sees little must not keep its first one for long.
         self.counted[klass] += 1
         gain = max(RATE_GAIN, 1 / self.counted[klass])
         self.mean_took[klass] += (min(took, 3 * usual or took) - self.mean_took[klass]) * gain
@@ -708,9 +665,8 @@
         return sum(s.rating for s in self.servers.values() if s.live)
 
     def _cold_room(self, server: Server) -> bool:
-        """Whether a cold server may be sent one more part: credit grows by our share of its ramp. The first
-        credit is drawn by chance, so that many brokers that each owe it less than a part don't all send it
-        one at once (a release on a large fleet)."""
+        """Whether a cold server may be sent one more part: credit grows by our share of its ramp; the first
+        is drawn, so that many brokers that each owe it less than a part don't all send one at once."""
         warmth = self._warmth(server)
         if warmth >= 1 or not self.cfg.tip_after_us or not self.cfg.fall_multiple:
             server.credit = None
@@ -728,8 +684,7 @@
     # Answer or give up
 
     def _overdue(self, query: Query, what: str) -> None:
-        """At the aim or the deadline: a part of the answer where that is allowed and worth more than
-        waiting, else nothing more is waited for unless a late answer still has worth."""
+        """At the aim or deadline: a partial answer if allowed and worth more than waiting, else the end."""
         spec = self.cfg.classes[query.klass]
         got = sum(p.weight for p in query.parts if p.step == query.step and p.done)
         enough = spec.min_share < spec.need and got >= spec.min_share - 1e-6
@@ -742,8 +697,8 @@
             self._give_up(query)
 
     def _left(self, event: hw.QueryExpired) -> None:
-        """The client left, perhaps long before its deadline: nobody waits for what is out, and if
-        others are as impatient only quick answers are worth starting on."""
+        """The client left: nobody waits for what is out; if others leave early, only quick answers are worth
+        starting on."""
         query = self.queries.get(event.id)
         if query is None:
             return
@@ -761,12 +716,7 @@
         if spec.repeat == hw.UNSAFE and ran:
             self.actions.append(hw.Fail(query.id))
         else:
-            self.actions.append(hw.Refuse(query.id, self._advice(query)))
+            # Come back after about one aim, spread so that the retries don't come at once.
+            after = min(int(spec.aim_us * self.random.uniform(0.5, 1.0)), self.cfg.max_advice_us)
+            self.actions.append(hw.Refuse(query.id, after if self.cfg.advise else 0))
         self._forget(query)
-
-    def _advice(self, query: Query) -> int:
-        """When to come back: after about one aim, spread so that the retries don't come at once."""
-        if not self.cfg.advise:
-            return 0
-        aim = self.cfg.classes[query.klass].aim_us
-        return min(int(aim * self.random.uniform(0.5, 1.0)), self.cfg.max_advice_us)
