--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -245,7 +245,7 @@
         """Load shedding: refuse at once what can't meet its aim at the pace of now, the least worth first."""
         steps = 2 if self.cfg.classes[query.klass].fetch else 1
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
-        took = steps * max(self._queue_time(query), self._recent_time(query))
+        took = steps * (self._queue_time(query) or self._recent_time(query))
         left = max(query.aim_at - self.now, 0)
         return took > share * min(left, self.aim * steps) * self.patience
 
