--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -19,7 +19,7 @@
 LATE_SHARE = 0.5  # the design's mark: a part is late after half the aim that was left at its send
 EVERY = -1  # key of an ejection that holds for all classes, beside those of one class
 PACE_GAIN = 0.15  # weight of one answer in a server's latency average: about seven answers
-HINT_TRUST = 0.5  # of a hint's distance from the mean hint: hints are rough
+HINT_TRUST = 0.2  # of a hint's distance from the mean hint: hints are rough
 RATE_GAIN = 0.02  # weight of one answer in the fleet's average: slow, as it is the yardstick
 PACE_FADE = 4.0  # aims until an unused server's average is mostly forgotten, so it is tried again
 OUTLIER = 2.5  # a server this many times slower than usual is charged one part for each multiple
