Recent latencies decide only where counts tell nothing

Cause: a broker that counts many parts also shed by latencies. Now the number of its parts answered in an aim against the number of servers tells which applies.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -245,9 +245,9 @@
         """Load shedding: refuse at once what can't meet its aim at the pace of now, the least worth first."""
         steps = 2 if self.cfg.classes[query.klass].fetch else 1
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
-        took = steps * (self._queue_time(query) or self._recent_time(query))
-        left = max(query.aim_at - self.now, 0)
-        return took > share * min(left, self.aim * steps) * self.patience
+        few = self.flow_best * self.aim < len(self.servers)  # of our parts, so that counts tell nothing
+        took = steps * (self._recent_time(query) if few else self._queue_time(query))
+        return took > share * min(max(query.aim_at - self.now, 0), self.aim * steps) * self.patience
 
     def _worth_rank(self, query: Query) -> float:
         """The share of the latest queries that are worth less for their work."""
