--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -245,7 +245,7 @@
         """Load shedding: refuse at once what can't meet its aim at the pace of now, the least worth first."""
         steps = 2 if self.cfg.classes[query.klass].fetch else 1
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
-        few = self.flow_best * self.aim < len(self.servers)  # of our parts, so that counts tell nothing
+        few = max(self._flow(), self.flow_best) * self.aim < len(self.servers)  # counts tell nothing then
         took = steps * (self._recent_time(query) if few else self._queue_time(query))
         return took > share * min(max(query.aim_at - self.now, 0), self.aim * steps) * self.patience
 
