--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -36,9 +36,10 @@
 ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
 NO_CONNECTION, NO_PROBE = "no connection", "no answer to a probe"
 CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
-SLOWEST = 0.55  # rank among recent latencies at most: the rest may be sick servers, not overload
+COUNTS_TELL = 2.0  # parts answered a server and aim, under which own counts are nearly always 0
+SLOWEST = 0.7  # rank among recent latencies at most: the rest may be sick servers, not overload
 RECENT_SPAN = 1.0  # aims over which latencies are recent: a jam that has cleared must not shed for long
-RECENT_LEAST = 4  # quick answers supposed beside those seen: few latencies prove no overload, none clear it
+RECENT_LEAST = 10  # quick answers supposed beside those seen: few latencies prove no overload, none clear it
 PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
@@ -245,7 +246,7 @@
         """Load shedding: refuse at once what can't meet its aim at the pace of now, the least worth first."""
         steps = 2 if self.cfg.classes[query.klass].fetch else 1
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
-        few = max(self._flow(), self.flow_best) * self.aim < len(self.servers)  # counts tell nothing then
+        few = max(self._flow(), self.flow_best) * self.aim < COUNTS_TELL * len(self.servers)
         took = steps * (self._recent_time(query) if few else self._queue_time(query))
         return took > share * min(max(query.aim_at - self.now, 0), self.aim * steps) * self.patience
 
