--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -609,10 +609,10 @@
             return
         if outcome == hw.FULL_UP:  # had it waited for its turn it would have taken about the aim
             self.recent.append((self.now, self._ratio(attempt, self.aim)))
-        key = klass if outcome == hw.ERROR else EVERY
-        server.errors[key] = server.errors.get(key, 0) + 1
-        if server.errors[key] >= ERRORS_TO_BAR:
-            self._bar(server, key, "errors in a row")
+            return
+        server.errors[klass] = server.errors.get(klass, 0) + 1
+        if server.errors[klass] >= ERRORS_TO_BAR:
+            self._bar(server, klass, "errors in a row")
 
     def _answered(self, attempt: Attempt, event: hw.AttemptEnded) -> None:
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
