--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -20,7 +20,6 @@
 EVERY = -1  # key of an ejection that holds for all classes, beside those of one class
 PACE_GAIN = 0.15  # weight of one answer in a server's latency average: about seven answers
 HINT_TRUST = 0.2  # of a hint's distance from the mean hint: hints are rough
-ZONE_GAIN = 0.05  # weight of one answer in its zone's: twenty answers, seen soon over all its servers
 RATE_GAIN = 0.02  # weight of one answer in the fleet's average: slow, as it is the yardstick
 PACE_FADE = 4.0  # aims until an unused server's average is mostly forgotten, so it is tried again
 OUTLIER = 2.5  # a server this many times slower than usual is charged one part for each multiple
@@ -86,7 +85,6 @@
         self.tokens = FURTHER_MOST
         self.ask_wait, self.ask_most = (int(settings.must_ask_us * share) for share in (ASK_FIRST, ASK_MOST))
         self.asked_at: int | None = None
-        self.zones: dict[int, tuple[float, int]] = {}
         self.said: dict[str, int] = {}
 
     def handle(self, now: int, events: list[hw.Event]) -> list[hw.Action]:
@@ -350,23 +348,9 @@
     def _add_charge(self, server: Server) -> None:
         server.charge, server.charge_at = self._charge(server) + 1.0, self.now
 
-    def _fade(self, at: int) -> float:
-        return exp((at - self.now) / (PACE_FADE * self.aim))
-
     def _pace(self, server: Server) -> float:
-        """Recent latency against the fleet's usual (1.0), drifting back to that of its zone when unused: a
-        broker sees little of each server, but a slow way to a zone shows at all of them."""
-        pace, at = self.zones.get(server.zone, (1.0, 0))
-        zone = 1.0 + (pace - 1.0) * self._fade(at)
-        return zone + (server.pace - zone) * self._fade(server.pace_at)
-
-    def _note(self, attempt: Attempt, took: int) -> None:
-        """A latency, or the age of a part that is late, tells its server's pace and its zone's."""
-        server, ratio = attempt.server, min(self._ratio(attempt, took), 20.0)
-        server.pace, server.pace_at = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN, self.now
-        pace, at = self.zones.get(server.zone, (1.0, 0))
-        pace = 1.0 + (pace - 1.0) * self._fade(at)
-        self.zones[server.zone] = pace + (ratio - pace) * ZONE_GAIN, self.now
+        """Recent latency against the fleet's usual (1.0), drifting back to it when unused."""
+        return 1.0 + (server.pace - 1.0) * exp((server.pace_at - self.now) / (PACE_FADE * self.aim))
 
     # Sending, spares and retries
 
@@ -435,7 +419,6 @@
     def _late(self, attempt: Attempt) -> None:
         """At the half-aim mark: an unsent sibling steps in, else a copy, else cancel and resend."""
         self._silent(attempt)
-        self._note(attempt, self.now - attempt.sent)
         part, query = attempt.part, attempt.part.query
         if part.done or query.id not in self.queries or part.step != query.step:
             return
@@ -488,8 +471,7 @@
         attempt = self.strays.pop((event.id, event.seq), None)
         if attempt is None:
             return
-        if attempt.outcome is None:
-            attempt.outcome = event.outcome
+        attempt.outcome = attempt.outcome or event.outcome
         self._clear(attempt)
         part = attempt.part
         query = part.query
@@ -626,10 +608,10 @@
             return
         if outcome == hw.FULL_UP:  # had it waited for its turn it would have taken about the aim
             self.recent.append((self.now, self._ratio(attempt, self.aim)))
-        key = klass if outcome == hw.ERROR else EVERY
-        server.errors[key] = server.errors.get(key, 0) + 1
-        if server.errors[key] >= ERRORS_TO_BAR:
-            self._bar(server, key, "errors in a row")
+            return
+        server.errors[klass] = server.errors.get(klass, 0) + 1
+        if server.errors[klass] >= ERRORS_TO_BAR:
+            self._bar(server, klass, "errors in a row")
 
     def _answered(self, attempt: Attempt, event: hw.AttemptEnded) -> None:
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
@@ -654,7 +636,9 @@
                     self._log("back " + server.node, f"server {server.node} readmitted")
         self.recent.append((self.now, self._ratio(attempt, event.elapsed_us)))
         took, usual = event.elapsed_us, self._usual(attempt.part)
-        self._note(attempt, took)
+        ratio = min(took / usual, 20.0) if usual else 1.0
+        server.pace = self._pace(server) * (1 - PACE_GAIN) + ratio * PACE_GAIN
+        server.pace_at = self.now
         self.counted[klass] += 1
         gain = max(RATE_GAIN, 1 / self.counted[klass])
         self.mean_took[klass] += (min(took, 3 * usual or took) - self.mean_took[klass]) * gain
