--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -40,7 +40,8 @@
 SLOWEST = 0.7  # rank among recent latencies at most: the rest may be sick servers, not overload
 RECENT_SPAN = 1.0  # aims over which latencies are recent: a jam that has cleared must not shed for long
 RECENT_LEAST = 10  # quick answers supposed beside those seen: few latencies prove no overload, none clear it
-PATIENCE_GAIN = 0.1  # weight of one client that left early in how long, in aims, clients stay
+HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
+HOT_SHARE = 0.7  # of its latency: an average answer took so long, this part may be luckier
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 DEATHS = 2  # broken connections without an answer from which a query is given up: one is a chance crash
@@ -73,7 +74,6 @@
         self.aim = min(c.aim_us for c in settings.classes)
         self.tenants = [(0.0, 0)] * len(settings.tenants)
         self.death_at: int | None = None
-        self.patience = 1.0
         self.mean_took, self.mean_hint = ([0.0] * len(settings.classes) for _ in range(2))
         self.longest, self.counted, self.hinted = ([0] * len(settings.classes) for _ in range(3))
         self.last_ok = -1
@@ -248,7 +248,7 @@
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
         few = max(self._flow(), self.flow_best) * self.aim < COUNTS_TELL * len(self.servers)
         took = steps * (self._recent_time(query) if few else self._queue_time(query))
-        return took > share * min(max(query.aim_at - self.now, 0), self.aim * steps) * self.patience
+        return took > share * min(max(query.aim_at - self.now, 0), self.aim * steps)
 
     def _worth_rank(self, query: Query) -> float:
         """The share of the latest queries that are worth less for their work."""
@@ -267,10 +267,14 @@
         speed = max(self._flow(), FLOW_LEAST * self.flow_best)
         if not speed or sum(len(s.out) + self._charge(s) for s in known) < len(self.servers):
             return 0.0
-        picks = [self._pick(part) for part in query.parts]
-        loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for s in picks)
-        loads = loads[:max(1, int(len(loads) * self.cfg.classes[query.klass].need + 0.999))]
-        return sum(loads) / len(loads) * len(known) / speed
+        need = self.cfg.classes[query.klass].need
+        picks = [(part, self._pick(part)) for part in query.parts]
+        loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for _, s in picks)
+        loads = loads[:max(1, int(len(loads) * need + 0.999))]
+        # A shard whose holders are all slow and busy holds its query up, however idle the rest are.
+        slow = [(p, s) for p, s in picks if need >= 1 and s and self._load(s) >= HOT_COUNT]
+        hot = [self._pace(s) * self._usual(p) for p, s in slow]
+        return max(sum(loads) / len(loads) * len(known) / speed, HOT_SHARE * max(hot, default=0.0))
 
     def _recent_time(self, query: Query) -> float:
         """What the slowest needed part takes by the latencies of late, those out counting by their age: tells
@@ -529,7 +533,6 @@
             self._answer(query)
 
     def _answer(self, query: Query) -> None:
-        self.patience += (1.0 - self.patience) * PATIENCE_GAIN / 2
         self.actions.append(hw.Answer(query.id, query.whole))
         if query.step == 1 and self.cfg.classes[query.klass].fetch:
             query.step = 2
@@ -697,13 +700,10 @@
             self._give_up(query)
 
     def _left(self, event: hw.QueryExpired) -> None:
-        """The client left: nobody waits for what is out; if others leave early, only quick answers are worth
-        starting on."""
+        """The client left: nobody waits for what is out."""
         query = self.queries.get(event.id)
         if query is None:
             return
-        stayed = (self.now - query.start) / self.cfg.classes[query.klass].aim_us
-        self.patience += (min(stayed, self.patience) - self.patience) * PATIENCE_GAIN
         for attempt in [a for part in query.parts for a in part.tries if a.outcome is None]:
             if self.cfg.cancelling:
                 self._cancel(attempt)
