--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -11,6 +11,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 
+from heathwell.lab import sockets
 from heathwell.lab.regional import LARGE, TROUBLES, VARIANTS, RegionalDay, compare, sent_by_second
 
 
@@ -34,10 +35,44 @@
     return 1 if verdict.breaches else 0
 
 
+def on_sockets(rate: float) -> int:
+    """Fleets of processes, a variant after another: what each trouble did to the service, one table."""
+    runs = [sockets.play(variant, rate, print) for variant in sockets.VARIANTS]
+    kinds = ("on time", "late", "partial", "refused", "failed", "lost", "broken", "no broker")
+    print("trouble | class | span | variant | " + " | ".join(kinds) + " | at home on time")
+    for trouble, *_ in sockets.TROUBLES:
+        for klass in ("price-search", "day-report", "sale-record"):
+            for span in sockets.SPANS:
+                for run in runs:
+                    service: sockets.Service = run["services"][trouble]
+                    counts = service.counts.get((klass, span, False), {})
+                    shares = " | ".join(f"{service.share(klass, span, kind):.1%}" for kind in kinds)
+                    home = sum(service.counts.get((klass, span, True), {}).values())
+                    print(f"{trouble} | {klass} | {span} | {run['variant']} ({sum(counts.values())}) | {shares} | "
+                          f"{service.share(klass, span, 'on time', True):.1%} of {home}")
+        for run in runs:
+            service = run["services"][trouble]
+            waits = sorted(service.refused_after)
+            print(f"  {trouble}, {run['variant']}: steady after {service.steady_after} s; refusals after "
+                  f"{waits[len(waits) // 2] if waits else 0:.1%} of the aim (half of {len(waits)})")
+    bad = 0
+    for run in runs:
+        verdict = run["verdict"]
+        bad += len(verdict.breaches)
+        print(f"{run['variant']}: rules broken {len(verdict.breaches)}, {verdict.counts}, nearest to a cold host's "
+              f"fall {verdict.coldest:.2f}, {run['off_schedule']} of {run['asked']} off schedule, "
+              f"logs in {run['folder']}")
+        for breach in verdict.breaches[:5]:
+            print("   ", breach)
+    return 1 if bad else 0
+
+
 def main() -> int:
-    """Print a table a trouble, and a line of JSON; with ``--large`` the users' size alone."""
+    """A table a trouble and a line of JSON; ``--large``: the users' size alone; ``--sockets [RATE]``: processes."""
     if "--large" in sys.argv:
         return large()
+    if "--sockets" in sys.argv:
+        return on_sockets(float(sys.argv[-1]) if sys.argv[-1][0].isdigit() else 30.0)
     with ProcessPoolExecutor(max(1, min(len(TROUBLES), (os.cpu_count() or 2) - 1))) as pool:
         results = list(pool.map(compare, TROUBLES))
     bad = 0
--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -38,10 +38,11 @@
 from heathwell.freshness import Freshness, Policy, SourceClock, Watermark, make_token
 from heathwell.kernel import Event, Loop, Net, Timer
 from heathwell.logic import Aggregator
-from heathwell.regions import Regions
+from heathwell.regions import ClientDrain, Regions, Way, answerable
 from heathwell.settings import Market
 
 LOOK_US = 25_000  # how often the links are looked at again
+MOST = 0.5  # of the shards within reach; a broker with less says that it is cut off
 Calls = dict[str, list[list[frames.Ask]]]
 
 
@@ -133,8 +134,10 @@
             self.regions = Regions(
                 self._zone_region[zone], [region.name for region in market.across.regions],
                 min(spec.aim_us for spec in self.settings.classes), seed ^ 0x11A5,
-                prefer=across.prefer_home, cross_most=across.cross_most, judge=across.decide)
+                prefer=across.prefer_home, cross_most=across.cross_most, judge=across.decide,
+                budget=across.cross_budget, ways=self._ways(self._zone_region[zone]))
             loop.call_at(loop.now() + LOOK_US, self._look_at_links)
+        self.client_drain = ClientDrain(across.let_go, seed ^ 0xD12A)
         self.counts: Counter[tuple[str, ...]] = Counter()
         self.on_final: Callable[[QueryState, Reply, int], None] | None = None
         self.module_ns = 0
@@ -279,10 +282,32 @@
             self.events("link", region=region, state=state, why=why)
             self.log("warning", "link to region", region=region, state=state, why=why)
 
+    def _ways(self, home: str) -> dict[str, Way]:
+        return {(set(link.between) - {home}).pop(): Way(2 * link.delay, link.cost)
+                for link in self.market.across.links if home in link.between}
+
+    def _within(self, far_too: bool = True) -> list[bool]:
+        """Of each shard, whether it has a live holder that may be sent to."""
+        shut = self._held_back[1] if far_too else self._held_back[1] | self._far
+        return [any(node not in shut for node in self._holders(shard)) for shard in range(self.market.fleet.shards)]
+
     def reach(self) -> float:
         """The share of shards with a live holder that may be sent to."""
-        shut, shards = self._held_back[1], range(self.market.fleet.shards)
-        return sum(any(node not in shut for node in self._holders(shard)) for shard in shards) / len(shards)
+        within = self._within()
+        return sum(within) / len(within)
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether links that are down keep most shards out of reach."""
+        return bool(self._held_back[1]) and self.reach() < MOST
+
+    def served(self, klass: int) -> float:
+        """The share of a class's queries that can be answered now, its keys being placed evenly."""
+        spec, within = self.market.classes[klass], self._within(self.market.classes[klass].across != "never")
+        spans = [{"search": space.parts, "report": space.report_parts}.get(space.shape, 1)
+                 for space in self.market.keys if space.klass == spec.name]
+        floor = self.settings.classes[klass].min_share
+        return sum(answerable(within, span, floor) for span in spans) / len(spans) if spans else 1.0
 
     def _add_parts(self, query: QueryState, plans: tuple[PartPlan, ...], work: int,
                    cut_off: tuple[PartPlan, ...] = ()) -> None:
--- a/heathwell/codec/memcached.py
+++ b/heathwell/codec/memcached.py
@@ -100,6 +100,11 @@
         """Bytes held for an unfinished line."""
         return len(self._buffer)
 
+    @property
+    def midway(self) -> bool:
+        """Whether a command has begun and not ended."""
+        return bool(self._buffer) or self._skipping or self._block is not None
+
     def feed(self, data: bytes) -> Iterator[Command]:
         """Commands completed by these bytes, in order."""
         self._buffer += data
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -9,7 +9,7 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-from heathwell.broker.driver import Broker, QueryState
+from heathwell.broker.driver import MOST, Broker, QueryState
 from heathwell.broker.records import Reply
 from heathwell.codec.http import Request, Response, ServerSide
 from heathwell.fronts.memcached import MemcachedFront
@@ -91,6 +91,13 @@
                 crossed.add_metric((way.region, "first"), way.crossed - way.further)
                 crossed.add_metric((way.region, "further"), way.further)
             yield crossed
+            shares = GaugeMetricFamily("heathwell_answerable", "Share of a class's queries that can be answered now",
+                                       labels=("class",))
+            for index, spec in enumerate(broker.settings.classes):
+                shares.add_metric((spec.name,), broker.served(index))
+            yield shares
+            yield CounterMetricFamily("heathwell_clients_let_go", "Idle clients closed while cut off",
+                                      value=broker.client_drain.let_go)
         late = sum(link.late for link in broker.links.values())
         yield CounterMetricFamily("heathwell_late_results", "Results after their attempt's end", value=late)
 
@@ -114,6 +121,8 @@
 
     def answer(self, request: Request) -> Response:
         """The page of a request."""
+        if request.path == "/healthz" and request.query:
+            return self._class_health(request.query)
         if request.path == "/explain":
             return self._explain(request.query)
         page = self.pages.get(request.path)
@@ -127,10 +136,22 @@
         broker = self.broker
         live = sum(server.live for server in broker.module.servers.values())
         word = "stopping" if broker.stopping else "no hosts" if not live else "ok"
-        if word == "ok" and broker.regions is not None and broker.reach() < 0.5:
+        if word == "ok" and broker.cut_off:
             word = "cut off from most shards"
         return Response(200 if word == "ok" else 503, f"{word}\n".encode())
 
+    def _class_health(self, query: str) -> Response:
+        """``/healthz?class=NAME``: whether most of that class's queries can be answered now."""
+        wanted = dict(parse_qsl(query)).get("class", "")
+        names = [spec.name for spec in self.broker.settings.classes]
+        if wanted not in names:
+            return Response(404, f"no class '{wanted}'; there are {', '.join(names)}\n".encode())
+        if self.broker.stopping:
+            return Response(503, b"stopping\n")
+        share = self.broker.served(names.index(wanted))
+        return Response(200 if share >= MOST else 503,
+                        f"{share:.0%} of {wanted} queries can be answered\n".encode())
+
     def _metrics(self) -> Response:
         return Response(200, generate_latest(self.figures.registry), PROMETHEUS)
 
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -25,6 +25,7 @@
 from heathwell.kernel import Coro, Event, Overrun, Stream, StreamBroken
 
 # Above the bits that pymemcache and libmemcached give a meaning of their own.
+DRAIN_LOOK_US = 250_000
 PARTIAL, REFUSED, LOST, STALE = 1 << 16, 1 << 17, 1 << 18, 1 << 19
 _json = msgspec.json.Encoder()
 
@@ -48,6 +49,8 @@
         self.started = broker.loop.now()
         self.connections: dict[Connection, None] = {}
         self.total = self.gets = self.cut_slow = self.bad = self.refused_writes = 0
+        if broker.client_drain.over:
+            broker.loop.call_at(self.started + DRAIN_LOOK_US, self._let_go)
 
     def serve(self, stream: Stream) -> Coro[None]:
         """One connection, from its first byte to its last."""
@@ -63,6 +66,21 @@
             self.connections.pop(connection, None)
             connection.gone()
 
+    def _let_go(self) -> None:
+        """Idle clients of a broker that is cut off are closed as the decider draws them."""
+        broker, now = self.broker, self.broker.loop.now()
+        if broker.dead:
+            return
+        broker.loop.call_at(now + DRAIN_LOOK_US, self._let_go)
+        broker.client_drain.look(now, broker.cut_off)
+        if not broker.client_drain.cut:
+            return
+        known = {connection.number: connection for connection in self.connections}
+        for number in broker.client_drain.due(now, (
+                (c.number, c.since) for c in self.connections if c.idle)):
+            self.log("debug", "client let go while cut off", client=known[number].stream.peer)
+            known[number].stream.close()
+
     def stats(self) -> dict[str, object]:
         """Figures for the ``stats`` command."""
         broker = self.broker
@@ -81,6 +99,7 @@
 
     def __init__(self, front: MemcachedFront, stream: Stream) -> None:
         self.front, self.stream = front, stream
+        self.number, self.since = front.total, front.broker.loop.now()
         limits = front.broker.market.limits
         self.parser = mc.Requests(limits.line, limits.keys_a_get)
         self.most = limits.pipelined
@@ -108,6 +127,11 @@
             yield from self._wait_room()
         yield from self._flush_out()
 
+    @property
+    def idle(self) -> bool:
+        """Nothing is asked, nothing is half said either way."""
+        return not self.slots and not self.stream.unsent and not self.parser.midway
+
     def _pause(self) -> Coro[None]:
         """Backpressure: read on only while few commands are at work and the client takes its replies."""
         while len(self.slots) >= self.most and not self.stream.closed:
--- a/heathwell/lab/clients.py
+++ b/heathwell/lab/clients.py
@@ -39,6 +39,8 @@
     klass: str
     kind: str
     took: float
+    key: str = ""
+    broker: str = ""
 
 
 def arrivals(load: Load, market: Market, seed: int, begin: float, end: float,
@@ -169,7 +171,8 @@
         if kind == "answered":
             kind = "partial" if any(not v["whole"] for v in seen.values.values()) else (
                 "on time" if took <= spec.aim / 1e6 else "late")
-        self.crowd.outcomes.append(Outcome(arrival.at, arrival.klass, kind, took))
+        self.crowd.outcomes.append(Outcome(
+            arrival.at, arrival.klass, kind, took, arrival.keys[0], self._broker))
 
     def _connect(self) -> bool:
         if self._client is not None and self._client.sock is not None:
--- a/heathwell/lab/regional.py
+++ b/heathwell/lab/regional.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -12,10 +13,12 @@
 from heathwell.kernel import Coro, sleep
 from heathwell.lab.simulated import SimulatedDay
 from heathwell.settings import Market, loads
+from heathwell.standins.relay import lost_wait
 
 BEFORE, TROUBLE, AFTER = 10.0, 15.0, 20.0
+LOSS = 0.05  # share of packets
 HOME_WAY_US, FAR_WAY_US = 300, 3_000
-TROUBLES = ("100 ms", "400 ms", "one way", "cut", "flap", "region lost")
+TROUBLES = ("100 ms", "400 ms", "loss", "one way", "cut", "flap", "region lost")
 VARIANTS = {
     "decider": "(across (region hki (zones hki-1 hki-2)) (region espoo (zones espoo-1 espoo-2)))",
     "off": "(across (decide no) (region hki (zones hki-1 hki-2)) (region espoo (zones espoo-1 espoo-2)))",
@@ -103,6 +106,12 @@
             self.ways = lambda a, b: self._plain_way(a, b) + (extra if self._plain_way(a, b) == FAR_WAY_US else 0)
             yield from sleep(self.loop, span)
             self.ways = self._plain_way
+        elif self.trouble_name == "loss":
+            draws = random.Random(self.seed)
+            self.ways = lambda a, b: (way := self._plain_way(a, b)) + (
+                lost_wait(1, LOSS, draws) if way == FAR_WAY_US else 0)
+            yield from sleep(self.loop, span)
+            self.ways = self._plain_way
         elif self.trouble_name == "one way":
             self._cut(away=False)  # what hki asks arrives, the answers don't
             yield from sleep(self.loop, span)
--- a/heathwell/lab/script.py
+++ b/heathwell/lab/script.py
@@ -15,11 +15,11 @@
 HOST_TROUBLES = ("stall", "slow", "silent", "midreply", "lose", "refuse", "failclass", "reset", "drain",
                  "lag", "stuck", "back", "lie")
 NEED_A_FIGURE = ("slow", "burst", "lose", "discovery-late", "poison", "lag", "back", "lie", "link-delay", "link-rate",
-                 "link-flap")
+                 "link-loss", "link-flap")
 Kind = Literal["stall", "slow", "silent", "midreply", "lose", "refuse", "failclass", "reset", "drain", "crash",
                "zone-loss", "discovery-down", "discovery-late", "burst", "poison", "kill-broker",
-               "lag", "stuck", "back", "lie", "link-delay", "link-rate", "link-cut", "link-oneway", "link-flap",
-               "link-reset", "link-refuse"]
+               "lag", "stuck", "back", "lie", "link-delay", "link-rate", "link-loss", "link-cut", "link-oneway",
+               "link-flap", "link-reset", "link-refuse"]
 
 
 class Mix(Record):
@@ -48,7 +48,7 @@
     kind: Annotated[Kind, Meta(description="what", extra={"positional": True})]
     to: Annotated[list[str], _say("hosts (leaf3), brokers (b1) or a zone's name")] = []
     span: Annotated[int, _time("for how long, or until it is back")] = 0
-    value: Annotated[float, Meta(description="factor of slow and burst, share of lose, seconds of late, "
+    value: Annotated[float, Meta(description="factor of slow and burst, share of lose and link-loss, seconds of late, "
                                              "queries of poison")] = 0.0
     klass: Annotated[str, _say("class that failclass fails")] = field(name="class", default="")
 
--- a/heathwell/regions/__init__.py
+++ b/heathwell/regions/__init__.py
@@ -1,5 +1,7 @@
 """One service across regions: is it the link or a host, which holders a part may go to, and how to come back."""
 
-from heathwell.regions.links import DOWN, HALF, OPEN, SLOW, LinkState, Regions
+from heathwell.regions.clients import ClientDrain
+from heathwell.regions.links import DOWN, HALF, OPEN, SLOW, LinkState, Regions, Way
+from heathwell.regions.reach import answerable
 
-__all__ = ["DOWN", "HALF", "OPEN", "SLOW", "LinkState", "Regions"]
+__all__ = ["DOWN", "HALF", "OPEN", "SLOW", "ClientDrain", "LinkState", "Regions", "Way", "answerable"]
--- a/heathwell/regions/links.py
+++ b/heathwell/regions/links.py
@@ -41,6 +41,14 @@
 GAIN = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class Way:
+    """What settings say of the way to a region: its usual delay there and back (us), and a crossing part's cost."""
+
+    round_us: int = 0
+    cost: float = 1.0
+
+
 @dataclass(slots=True)
 class _Host:
     region: str
@@ -65,6 +73,7 @@
     quick: deque[int] = field(default_factory=lambda: deque(maxlen=QUICK_KEPT))
     crossed: int = 0
     further: int = 0
+    way: Way = field(default_factory=Way)
     heard: dict[str, int] = field(default_factory=dict)
     probes: dict[str, int] = field(default_factory=dict)
     quick_probes: int = 0
@@ -73,20 +82,24 @@
 
 class Regions:
     """One broker's links. ``regions`` names each host's region; ``cross_most`` bounds further attempts that cross in
-    a second (0: no bound), so that retries in two regions can't multiply."""
+    a second (0: no bound), so that retries in two regions can't multiply; ``budget`` is the cost of all that may cross
+    in a second before far hosts are avoided (0: no bound)."""
 
     def __init__(self, home: str, names: list[str], shortest_aim_us: int, seed: int, *, prefer: bool = True,
-                 cross_most: int = 0, judge: bool = True) -> None:
+                 cross_most: int = 0, judge: bool = True, budget: float = 0.0,
+                 ways: Mapping[str, Way] | None = None) -> None:
         self.home, self.aim, self.prefer, self.cross_most = home, shortest_aim_us, prefer, cross_most
-        self.judge = judge
+        self.judge, self.budget = judge, budget
         self.random = random.Random(seed)
-        self.links = {name: LinkState(name) for name in names if name != home}
+        self.links = {name: LinkState(name, way=(ways or {}).get(name, Way())) for name in names if name != home}
         self.hosts: dict[str, _Host] = {}
         self.home_took = 0.0
         self.home_ok = -1
         self._home_quick: deque[int] = deque(maxlen=QUICK_KEPT)
         self._order: dict[str, float] = {}
         self._further: deque[int] = deque()
+        self._spent: deque[tuple[int, float]] = deque()
+        self.spent = 0.0
         self._news: list[tuple[str, str, str]] = []
 
     def listed(self, regions: Mapping[str, str]) -> None:
@@ -108,6 +121,9 @@
         link = self.links.get(host.region)
         if link is not None:
             link.crossed += 1
+            if self.budget:
+                self._spent.append((now, link.way.cost))
+                self.spent += link.way.cost
             if key[1] > 0:
                 link.further += 1
                 self._further.append(now)
@@ -157,7 +173,8 @@
         if ok:
             host.last_ok = now
             if link.state == SLOW and asked is not None:
-                link.quick_probes = link.quick_probes + 1 if now - asked < FAST_SHARE * self.aim else 0
+                quick = now - asked < FAST_SHARE * self.aim + link.way.round_us
+                link.quick_probes = link.quick_probes + 1 if quick else 0
                 if link.quick_probes >= QUICK_PROBES:
                     link.quick.clear()
                     self._to(now, link, OPEN, f"{QUICK_PROBES} probes in a row back within {FAST_SHARE:g} of an aim")
@@ -203,7 +220,7 @@
 
     def _bad_together(self, now: int, far: list[tuple[str, _Host]], link: LinkState) -> str:
         """Why the link must be down, or nothing. What was seen before its last change speaks of the last trouble."""
-        limit = min(max(SILENT_TIMES * self.home_took, SILENT_LEAST_US), SILENT_MOST_US)
+        limit = min(max(SILENT_TIMES * self.home_took, SILENT_LEAST_US), SILENT_MOST_US) + link.way.round_us
         if link.state == SLOW:
             # Its answers are known to take long, and a flapping link's longer than that.
             flaps = len(link.falls) == FLAPS and now - link.falls[0] < 2 * FLAP_US
@@ -236,7 +253,7 @@
         """A slow link makes all its answers late: judged by the quickest, as hosts differ."""
         if len(link.quick) < QUICK_KEPT // 2 or len(self._home_quick) < QUICK_KEPT // 2:
             return
-        extra = _low(link.quick) - _low(self._home_quick)
+        extra = _low(link.quick) - _low(self._home_quick) - link.way.round_us
         if link.state == OPEN and extra > SLOW_SHARE * self.aim:
             self._to(now, link, SLOW, f"its quickest answers take {extra // 1000} ms longer than home's")
         elif link.state == SLOW and extra < FAST_SHARE * self.aim:
@@ -261,7 +278,10 @@
         """Hosts to avoid, and hosts that are shut."""
         while self._further and self._further[0] <= now - 1_000_000:
             self._further.popleft()
-        spent = bool(self.cross_most) and len(self._further) >= self.cross_most
+        while self._spent and self._spent[0][0] <= now - 1_000_000:
+            self.spent -= self._spent.popleft()[1]
+        spent = (bool(self.cross_most) and len(self._further) >= self.cross_most
+                 or bool(self.budget) and self.spent >= self.budget)
         avoid, shut = set(), set()
         for node, host in self.hosts.items():
             link = self.links.get(host.region)
--- a/heathwell/settings/schema.py
+++ b/heathwell/settings/schema.py
@@ -167,13 +167,26 @@
     zones: Annotated[list[str], _say("zones that stand in it")]
 
 
+class RegionLink(Record):
+    """The way between two regions."""
+
+    between: Annotated[list[str], _say("the two regions")]
+    delay: Annotated[int, _time("its usual delay one way: only what comes on top makes it slow")] = 0
+    cost: Annotated[float, Meta(ge=0, description="what a part that crosses takes from cross-budget")] = 1.0
+
+
 class Across(Record):
     """Several regions served as one. Without regions nothing here acts."""
 
     decide: Annotated[bool, _say("judge the links between regions, and shut or avoid what lies behind them")] = True
     prefer_home: Annotated[bool, _say("use hosts of other regions only where home has none to send to")] = False
     cross_most: Annotated[int, _count("further attempts that cross in a second and broker; 0: no bound")] = 0
+    cross_budget: Annotated[float, Meta(ge=0, description="cost of crossing parts a second and broker, beyond which "
+                                                          "they go there only where home has none; 0: no bound")] = 0.0
+    let_go: Annotated[int, _time("a broker cut off from most shards closes idle clients over so long; 0: keeps "
+                                 "them")] = 0
     regions: Annotated[list[Region], _each("region", "the regions")] = []
+    links: Annotated[list[RegionLink], _each("link", "ways between them, where there is something to say")] = []
 
 
 class Broker(Record):
@@ -294,6 +307,18 @@
     for index, spec in enumerate(market.classes):
         if spec.across != "any" and not market.across.regions:
             yield f"class[{index}].across", "needs (across (region ...) ...)"
+    names = [region.name for region in market.across.regions]
+    seen: set[frozenset[str]] = set()
+    for index, link in enumerate(market.across.links):
+        path, pair = f"across.link[{index}].between", frozenset(link.between)
+        for name in link.between:
+            if name not in names:
+                yield path, f"no region '{name}'; there are {', '.join(names)}"
+        if len(link.between) != 2 or len(pair) != 2:
+            yield path, "names two regions"
+        elif pair in seen:
+            yield path, "the link is given twice"
+        seen.add(pair)
     if market.across.regions and placed < set(market.fleet.zones):
         yield "across", f"zones in no region: {', '.join(sorted(set(market.fleet.zones) - placed))}"
 
--- a/heathwell/standins/relay.py
+++ b/heathwell/standins/relay.py
@@ -15,10 +15,25 @@
 from heathwell.codec import frames
 from heathwell.kernel import ConnectFailed, Coro, Event, Listener, Loop, Net, Stream, StreamBroken, sleep
 
-TROUBLES = ("delay", "rate", "cut", "oneway", "refuse", "reset", "flap", "heal")
+TROUBLES = ("delay", "rate", "loss", "cut", "oneway", "refuse", "reset", "flap", "heal")
 CHUNK = 16_384
 HELD_MOST = 1 << 20  # bytes on their way in one direction, then reading waits
 LOOK_US = 5_000
+SEGMENT = 1_448  # bytes a packet carries
+RESEND_US, RESEND_MOST_US = 200_000, 60_000_000  # Linux' least time to a resend, doubled for each loss in a row
+CONNECT_RESEND_US = 1_000_000  # a lost SYN or its answer (RFC 6298)
+
+
+def lost_wait(size: int, loss: float, draws: random.Random, first: int = RESEND_US) -> int:
+    """What losses add to the way of so many bytes (us): TCP hides a lost packet behind the time to its resend.
+
+    The worse of TCP's two ways: short messages have no packets behind them whose acknowledgements would call for the
+    lost one sooner. One wait for all packets of a write, as they are resent together.
+    """
+    waited, wait = 0, first
+    while any(draws.random() < loss for _ in range(-(-size // SEGMENT))) and waited < RESEND_MOST_US:
+        waited, wait, size = waited + wait, wait * 2, 1
+    return waited
 
 
 @dataclass(slots=True)
@@ -28,6 +43,7 @@
     delay_us: int = 0
     jitter: float = 0.1
     rate: float = 0.0  # bytes a second; 0: no limit
+    loss: float = 0.0  # share of packets
     cut_until: int = 0
 
 
@@ -61,12 +77,12 @@
         if kind == "heal":
             self.out, self.back = Condition(), Condition()
             self.refuse_until = self.flap_until = 0
-        elif kind in ("delay", "rate"):
+        elif kind in ("delay", "rate", "loss"):
             for way in (self.out, self.back):
                 if kind == "delay":
                     way.delay_us = int(control.value * 1e6)
                 else:
-                    way.rate = control.value
+                    setattr(way, kind, control.value)
             self.loop.call_at(until, self._plain, kind)
         elif kind == "cut":
             self.out.cut_until = self.back.cut_until = self.refuse_until = until
@@ -88,7 +104,7 @@
             if kind == "delay":
                 way.delay_us = 0
             else:
-                way.rate = 0.0
+                setattr(way, kind, 0.0)
 
     def _flap(self, period: int, cut: bool) -> None:
         now = self.loop.now()
@@ -117,6 +133,11 @@
             yield from sleep(self.loop, LOOK_US)
             if near.closed:
                 return
+        lost = lost_wait(1, self.out.loss, self.random, CONNECT_RESEND_US)
+        if lost:
+            yield from sleep(self.loop, lost)
+            if near.closed:
+                return
         try:
             far = yield from self.net.connect(target, 1_000_000)
         except ConnectFailed:
@@ -143,6 +164,8 @@
             while data := (yield from source.read(CHUNK)):
                 condition, now = way(), self.loop.now()
                 wait = condition.delay_us * (1 + self.random.uniform(-condition.jitter, condition.jitter))
+                if condition.loss:
+                    wait += lost_wait(len(data), condition.loss, self.random)
                 if condition.rate:
                     wait += len(data) / condition.rate * 1e6
                     last += int(len(data) / condition.rate * 1e6)
