Storms: repeats recognised, advice from a calendar, gradual start; cold hosts get a first share

Cause or need: after an outage all clients ask at once, those who ignore advice most; a broker that started beside cold hosts sent them nothing until they were warm, as its credit for them rested on answers seen.

--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -39,11 +39,13 @@
 from heathwell.coverage import Cover
 from heathwell.eventlog import EventLog, NoEvents
 from heathwell.freshness import Freshness, Policy, SourceClock, Watermark, make_token
-from heathwell.kernel import Event, Loop, Net, Timer
+from heathwell.kernel import Event, Listener, Loop, Net, Timer
 from heathwell.logic import Aggregator
 from heathwell.merge import Malformed, Row
 from heathwell.regions import ClientDrain, Regions, Way, answerable
 from heathwell.settings import Market
+from heathwell.storms import Limits, Storms
+from heathwell.storms.decider import TICK_US
 from heathwell.vectors.wire import read_answer
 
 LOOK_US = 25_000  # how often the links are looked at again
@@ -87,6 +89,7 @@
     cut_off: tuple[PartPlan, ...] = ()
     queued: bool = False
     woken: bool = False
+    who: str = ""
 
 
 class Handle:
@@ -152,6 +155,13 @@
         if fronts.queue_target:
             window = Window(fronts.queue_target, 2.0 * fronts.queue_target * market.fleet.cells / siblings)
             self.gate = FairGate({"memcached": fronts.memcached, "vector": fronts.vector}, window, seed ^ 0xFA1E)
+        self.storms: Storms | None = None
+        if market.storms.on:
+            said = market.storms
+            self.storms = Storms(Limits(said.useful, said.repeat, said.accepts, said.first_accepts,
+                                        float(said.first_rate)), loop.now(), seed ^ 0x570)
+            self._most_hosts = 1
+            loop.call_at(loop.now() + TICK_US, self._look_for_storms)
         self.points_seen: dict[str, dict[int, int]] = {}  # sizes of shards, by collection, as hosts told them
         self._gate_look: Timer | None = None
         self.client_drain = ClientDrain(across.let_go, seed ^ 0xD12A)
@@ -171,11 +181,11 @@
 
     # The front's side
 
-    def ask(self, key: str, on_reply: OnReply, request: str = "") -> Handle | None:
+    def ask(self, key: str, on_reply: OnReply, request: str = "", client: str = "") -> Handle | None:
         """Take a query; its one reply comes by ``on_reply``, never before this returns.
 
         A key that asks for nothing is a miss, and what can't be held is refused at the door with advice;
-        neither reaches the module. Returns None in those cases.
+        neither reaches the module. Returns None in those cases. ``client`` is the client's address.
         """
         plan = self.keys.plan(key)
         if plan is None:
@@ -184,26 +194,34 @@
         if plan.wrong:
             self.loop.call_soon(on_reply, Reply(FAILED, why=plan.wrong))
             return None
-        return self.begin(plan, on_reply, request)
+        return self.begin(plan, on_reply, request, client)
 
-    def begin(self, plan: Plan, on_reply: OnReply, request: str = "") -> Handle | None:
+    def begin(self, plan: Plan, on_reply: OnReply, request: str = "", client: str = "") -> Handle | None:
         """Take a query by its plan; as :meth:`ask`."""
         key, spec = plan.key, self.settings.classes[plan.klass]
+        who = f"{client}|{plan.subject}"
+        if self.storms is not None:
+            verdict = self.storms.asked(self.loop.now(), who, key, self._cost(plan))
+            self.counts["asked as", verdict.kind] += 1
+            if not verdict.admit:
+                self._refuse_at_door(spec, key, request, on_reply, "storm", verdict.after_us)
+                return None
         cap = self.settings.open_cap
         if self.stopping or (cap and self.held + 1 + len(plan.parts) > cap):
-            self._refuse_at_door(spec, key, request, on_reply, "stopping" if self.stopping else "full")
+            self._refuse_at_door(spec, key, request, on_reply, "stopping" if self.stopping else "full",
+                                 self._advice(plan, who))
             return None
         cut_off = self._cut_off(plan)
         if cut_off and 1 - sum(part.weight for part in cut_off) < spec.min_share - 1e-6:
             # Nothing to come can make an answer of it: refused at once, not at its deadline.
-            self._refuse_at_door(spec, key, request, on_reply, "cut off")
+            self._refuse_at_door(spec, key, request, on_reply, "cut off", self._advice(plan, who))
             return None
         now = self.loop.now()
         self.jobs += 1
         limit = min(spec.limit_us, plan.search.limit_us or spec.limit_us) if plan.search else spec.limit_us
         query = QueryState(f"{self.name}.{self.jobs}", self.jobs, plan, now,
                            now + max(limit - self.market.limits.transit, self.market.limits.tick), on_reply,
-                           cut_off=cut_off)
+                           cut_off=cut_off, who=who)
         self.queries[query.id] = query
         query.timer = self.loop.call_at(query.deadline, self._deadline, query)
         self.events("take", q=query.id, req=request, key=key, klass=spec.name, parts=len(plan.parts),
@@ -224,11 +242,10 @@
         verdict = GO
         if self.gate is not None:
             spec, now, front = self._spec(query), self.loop.now(), query.plan.front
-            need = max(1, int(len(query.plan.parts) * spec.need + 0.999))
             patience = int(self.market.fronts.patience * min(spec.aim_us, query.deadline - now))
             if query.plan.search is not None and query.plan.search.patience_us:
                 patience = min(query.plan.search.patience_us, (query.deadline - now) // 2)
-            verdict = self.gate.offer(now, front, query.id, float(self._work(query) * need), patience)
+            verdict = self.gate.offer(now, front, query.id, self._cost(query.plan), patience)
         if verdict == GO:
             self._enter(query)
         elif verdict == WAIT:
@@ -244,6 +261,7 @@
         most = min(spec.aim_us, self.settings.max_advice_us or spec.aim_us)
         after = self.gate.advice(self.loop.now(), query.plan.front, most) if self.gate is not None else most
         query.queued = False
+        after = self._advice(query.plan, query.who, after)
         self._reply(query, Reply(REFUSED, query.id, spec.name, after_us=after, why="crowded"))
 
     def _enter(self, query: QueryState) -> None:
@@ -275,10 +293,45 @@
             self._gate_look.cancel()
         self._gate_look = self.loop.call_at(max(at, now + 1000), self._look_at_gate) if at is not None else None
 
-    def _refuse_at_door(self, spec: hw.ClassSpec, key: str, request: str, on_reply: OnReply, why: str) -> None:
+    def _cost(self, plan: Plan) -> float:
+        """What a query is taken to cost its hosts in all (us)."""
+        work = plan.search.work if plan.search is not None else self.market.classes[plan.klass].work
+        return float(work * max(1, int(len(plan.parts) * self.settings.classes[plan.klass].need + 0.999)))
+
+    def _advice(self, plan: Plan, who: str, else_us: int = -1) -> int:
+        """When a client that is refused may come back (us): by the storm decider's calendar, or after about an aim."""
+        if self.storms is not None:
+            return self.storms.advise(self.loop.now(), who, plan.key, self._cost(plan))
+        if else_us >= 0:
+            return else_us
+        aim = self.settings.classes[plan.klass].aim_us
+        return int(min(aim, self.settings.max_advice_us) * self.random.uniform(0.5, 1.0))
+
+    def pace(self, listener: Listener) -> None:
+        """Let the storm decider say when clients' connections are taken."""
+        storms = self.storms
+        if storms is not None:
+            listener.pace = lambda: storms.accept_wait(self.loop.now())
+            listener.on_accept = storms.accepted
+
+    def _look_for_storms(self) -> None:
+        """Let the storm decider look again."""
+        if self.dead or self.storms is None:
+            return
+        now = self.loop.now()
+        self.loop.call_at(now + TICK_US, self._look_for_storms)
+        live = [server for server in self.module.servers.values() if server.live]
+        self._most_hosts = max(self._most_hosts, len(live))
+        warm = sum(self.module.warmth(server) for server in live) / self._most_hosts
+        for state, why in self.storms.tick(now, warm):
+            self.counts["storm", state] += 1
+            self.events("storm", state=state, why=why)
+            self.log("warning" if state == "storm" else "info", "storm decider", state=state, why=why)
+
+    def _refuse_at_door(self, spec: hw.ClassSpec, key: str, request: str, on_reply: OnReply, why: str,
+                        after: int) -> None:
         """Refuse with advice what never reaches the module."""
         self.counts["door", spec.name, why] += 1
-        after = int(min(spec.aim_us, self.settings.max_advice_us) * self.random.uniform(0.5, 1.0))
         self.events("door", req=request, key=key, klass=spec.name, why=why)
         self.loop.call_soon(on_reply, Reply(REFUSED, klass=spec.name, after_us=after, why=why))
 
@@ -735,6 +788,8 @@
     def _end_without(self, query_id: str, kind: str, after: int) -> None:
         query = self.queries.get(query_id)
         if query is not None:
+            if kind == REFUSED and after:
+                after = self._advice(query.plan, query.who, after)
             self._reply(query, Reply(kind, query_id, self._spec(query).name, after_us=after))
 
     def _spec(self, query: QueryState) -> hw.ClassSpec:
@@ -804,6 +859,9 @@
         spec = self._spec(query)
         aim = "in aim" if took <= spec.aim_us else "late"
         kind = "partial" if reply.kind == ANSWERED and not reply.whole else reply.kind
+        if self.storms is not None:
+            self.storms.ended(self.loop.now(), self._cost(query.plan), reply.kind in (ANSWERED, MISS),
+                              took <= spec.aim_us)
         self.counts["final", spec.name, kind, aim] += 1
         if self.events.on:  # the lists are a cost that only a log pays for
             self.events("final", q=query.id, kind=reply.kind, whole=reply.whole, got=reply.coverage.got,
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -148,6 +148,7 @@
         admin = AdminFront(served, front)
         door = net.listen(listen or market.broker.listen, front.serve, "client", market.limits.clients)
         admin_door = net.listen(market.broker.admin, admin.serve, "admin", 100)
+        served.pace(door)
         searches: dict[str, str] = {}
         vector_door: Listener | None = None
         if market.vector.listen:
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -32,6 +32,8 @@
     "link": ("heathwell_link_changes", "Changes of a link's state", ("region", "state")),
     "link probe": ("heathwell_link_probes", "Probes over links that are down", ()),
     "overdue": ("heathwell_overdue", "Queries that the deadline ended: a fault", ()),
+    "storm": ("heathwell_storm_changes", "Changes of the storm decider's state", ("state",)),
+    "asked as": ("heathwell_asked_as", "Queries by what kind of ask the storm decider takes them for", ("kind",)),
     "crowded": ("heathwell_crowded", "Queries refused as their front's turn would come too late", ("front", "class")),
     "malformed": ("heathwell_malformed", "Answers with rows that no sound host gives", ("class",)),
     "moot": ("heathwell_moot", "Parts not waited for, as they could not change the answer", ("class",)),
@@ -101,6 +103,9 @@
             yield shares
             yield CounterMetricFamily("heathwell_clients_let_go", "Idle clients closed while cut off",
                                       value=broker.client_drain.let_go)
+        if broker.storms is not None:
+            yield GaugeMetricFamily("heathwell_storm_rate", "Work let in a second while not calm (s); 0 while calm",
+                                    value=0.0 if broker.storms.state == "calm" else broker.storms.rate / 1e6)
         if broker.gate is not None:
             lanes = GaugeMetricFamily("heathwell_front_work_seconds", "Work of a front: out at hosts, waiting",
                                       labels=("front", "where"))
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -209,7 +209,8 @@
                 slot.left -= 1
                 if not slot.left:
                     self._finish(slot)
-            slot.handles.append(broker.ask(key.decode("utf-8", "replace"), done, request))
+            slot.handles.append(broker.ask(key.decode("utf-8", "replace"), done, request,
+                                           self.stream.peer.rpartition(":")[0]))
 
     def _finish(self, slot: Slot) -> None:
         command, replies = slot.command, [reply for reply in slot.replies if reply is not None]
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -283,7 +283,8 @@
             room = min(self.limits.chunks_at_once, 1 + len(replies) // SLOW_START)
             if begun < len(chunks) and begun - len(replies) < room:
                 plan = self._plan(spec, [searches[n] for n in chunks[begun]], timeout, batch)
-                handle = broker.begin(plan, done(begun), name if len(chunks) == 1 else f"{name}/{begun}")
+                handle = broker.begin(plan, done(begun), name if len(chunks) == 1 else f"{name}/{begun}",
+                                      self.stream.peer.rpartition(":")[0])
                 begun += 1
                 if handle is not None:
                     self._handles.append(handle)
--- a/heathwell/kernel/net.py
+++ b/heathwell/kernel/net.py
@@ -189,7 +189,10 @@
 
     def __init__(self, address: str, handler: Handler, name: str, most: int) -> None:
         self.address, self.handler, self.name, self.most = address, handler, name, most
-        self.open = self.accepted = self.turned_away = self.backed_off = 0
+        self.open = self.accepted = self.turned_away = self.backed_off = self.paced = 0
+        # How long to leave the next connection waiting (us), and what to tell when one is taken.
+        self.pace: Callable[[], int] | None = None
+        self.on_accept: Callable[[], None] | None = None
 
     def serve(self, stream: Stream) -> Coro[None]:
         """Serve one connection; its loss ends it like its end."""
--- a/heathwell/kernel/sockets.py
+++ b/heathwell/kernel/sockets.py
@@ -179,13 +179,24 @@
         super().__init__(f"{host}:{port}", handler, name, most)
         self._net, self._sock = net, sock
         self._wait = BACK_OFF_US
-        self._closed = False
+        self._closed = self._pausing = False
         net.poller.register(sock.fileno(), lambda _mask: self._accept())
 
+    def _go_on(self) -> None:
+        self._pausing = False
+        self._accept()
+
     def _accept(self) -> None:
         for _ in range(ACCEPTS_IN_A_ROW):
             if self._closed:
                 return
+            if self.pace is not None and (wait := self.pace()):
+                # Left in the kernel's queue, where it costs nothing yet; the timer looks again.
+                self.paced += 1
+                if not self._pausing:
+                    self._pausing = True
+                    self._net.loop.call_at(self._net.loop.now() + wait, self._go_on)
+                return
             try:
                 sock, peer = self._sock.accept()
             except BlockingIOError:
@@ -205,6 +216,8 @@
                 continue
             self.accepted += 1
             self.open += 1
+            if self.on_accept is not None:
+                self.on_accept()
             stream = SocketStream(self._net.loop, self._net.poller, sock, f"{peer[0]}:{peer[1]}")
             stream.watch()
             self._net.loop.spawn(self.serve(stream), f"{self.name} {stream.peer}")
--- a/heathwell/kernel/virtual.py
+++ b/heathwell/kernel/virtual.py
@@ -166,6 +166,14 @@
         listener = self.listeners.get(address)
         if listener is None:
             raise ConnectFailed("ECONNREFUSED")
+        until = self.loop.now() + timeout_us
+        while listener.pace is not None and (wait := listener.pace()):
+            listener.paced += 1
+            if self.loop.now() + wait > until:
+                raise ConnectFailed("no connection in time")
+            yield from sleep(self.loop, wait)
+        if listener.on_accept is not None:
+            listener.on_accept()
         if listener.open >= listener.most:
             listener.turned_away += 1
             raise ConnectFailed("ECONNRESET")
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -38,6 +38,7 @@
             net.listen(market.broker.admin, self.admin.serve, f"admin of {self.name}"),
         ]
         self.address, self.admin_address = (listener.address for listener in self.listeners)
+        self.broker.pace(self.listeners[0])
         self.vector: VectorFront | None = None
         self.vector_address = ""
         if market.vector.listen:
--- /dev/null
+++ b/heathwell/lab/stormday.py
@@ -0,0 +1,153 @@
+"""An outage and the storm after it, on virtual time: many clients, some of whom heed advice, some of whom don't."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from heathwell.kernel import ConnectFailed, Coro, Stream, StreamBroken, sleep
+from heathwell.lab.simulated import SETTLE_US, SimulatedDay, _read_values
+from heathwell.settings import Market, loads
+
+HEEDS, IGNORES, FIXED = "heeds", "ignores", "fixed"
+AGAIN_US = {IGNORES: 100_000, FIXED: 500_000}  # pause of those who don't heed advice
+USEFUL_US = 8_000_000  # after that a client has given its request up
+LAST_US = 4_000_000  # after the last request may have begun: its answer
+STORMS = "(storms (on yes) (first-rate 4s) (first-accepts 100) (accepts 2000))"
+MARKET = """
+(class price-search (aim 1s) (limit 2s) (worth 2) (late-worth 30%) (need 75%) (work 40ms))
+(class sale-record (aim 750ms) (limit 1500ms) (repeat keyed) (dedup 750ms) (late-worth 10%) (work 30ms))
+(keys sale (class sale-record) (shape record))
+(keys price (class price-search) (shape search) (parts 8))
+(fleet (shards 32) (cells 16) (width 2) (zones hki-1 hki-2 espoo-1) (leaves 16) (brokers 3))
+(rules (drain-grace 1s) (fall-multiple 2.5) (fall-after 1s) (start-capacity 18%) (warm-within 17s))
+(limits (attempts 4) (open-cap 2000) (by-work yes) (max-advice 500ms))
+(leaf (slots 3) (queue 24))
+(discovery (notice 300ms) (silent-notice 2s))
+"""
+
+
+@dataclass(slots=True)
+class Request:
+    """One request with all its tries; times in microseconds from the day's zero."""
+
+    at: int
+    klass: str
+    policy: str
+    ended: str = "given up"
+    took: int = 0
+    tries: int = 0
+
+
+@dataclass(slots=True)
+class Storm:
+    """Figures of a day."""
+
+    requests: list[Request] = field(default_factory=list)
+    outage_from: int = 0
+    outage_until: int = 0
+
+    def service(self, since: int, until: int, policy: str = "") -> tuple[float, float, int]:
+        """Shares on time and answered at all, and how many, of requests that arose between two times."""
+        rows = [r for r in self.requests if since <= r.at < until and (not policy or r.policy == policy)]
+        asked = max(1, len(rows))
+        return (sum(r.ended == "on time" for r in rows) / asked,
+                sum(r.ended in ("on time", "late", "partial") for r in rows) / asked, len(rows))
+
+    def steady_after(self) -> float | None:
+        """Seconds from the outage's end until three in a row are within 10 points of the time before it."""
+        usual, _, _ = self.service(self.outage_from - 8_000_000, self.outage_from)
+        last = max((r.at for r in self.requests), default=0)
+        for second in range(max(0, (last - self.outage_until) // 1_000_000 - 3)):
+            begin = self.outage_until + second * 1_000_000
+            if self.service(begin, begin + 3_000_000)[0] >= usual - 0.1:
+                return float(second)
+        return None
+
+
+class StormDay(SimulatedDay):
+    """``clients`` think for ``think`` seconds between requests; the outage takes hosts and brokers together."""
+
+    def __init__(self, variant: str, seed: int = 1, *, clients: int = 600, think: float = 12.0, outage: float = 20.0,
+                 ignoring: float = 0.33, before: float = 12.0, after: float = 40.0, text: str = MARKET,
+                 burst: float = 1.0) -> None:
+        market: Market = loads(text + (STORMS if variant == "damped" else ""))
+        super().__init__(market, seed, seconds=before + outage + after, rate=1.0, trouble_rate=0.0, poison=0.0)
+        self.variant, self.clients, self.think, self.outage = variant, clients, think, outage
+        self.ignoring, self.before, self.burst = ignoring, before, burst
+        self.storm = Storm()
+
+    def _main(self) -> Coro[None]:
+        yield from sleep(self.loop, SETTLE_US)
+        zero = self.loop.now()
+        self.storm.outage_from = zero + int(self.before * 1e6)
+        self.storm.outage_until = self.storm.outage_from + int(self.outage * 1e6)
+        if self.outage:
+            self.loop.spawn(self._lost(), "outage")
+        draws = random.Random(self.seed + 3)
+        until = zero + int(self.seconds * 1e6)
+        tasks = []
+        for number in range(self.clients):
+            policy = IGNORES if draws.random() < self.ignoring else FIXED if self.variant == "fixed backoff" else HEEDS
+            tasks.append(self.loop.spawn(
+                self._client(number, policy, random.Random(self.seed * 100_000 + number), until), "client"))
+        yield from sleep(self.loop, until - self.loop.now() + USEFUL_US + LAST_US)
+
+    def _lost(self) -> Coro[None]:
+        yield from sleep(self.loop, self.storm.outage_from - self.loop.now())
+        for broker in self.fleet.brokers:
+            broker.kill()
+        for leaf in self.fleet.leaves:
+            leaf.crash()
+        yield from sleep(self.loop, int(self.outage * 1e6))
+        for leaf in self.fleet.leaves:  # back cold, all at once
+            leaf.start()
+        for number in range(len(self.fleet.brokers)):
+            self.fleet.restart_broker(number)
+
+    def _client(self, number: int, policy: str, draws: random.Random, until: int) -> Coro[None]:
+        stream: Stream | None = None
+        while self.loop.now() < until:
+            pause = draws.expovariate(1 / self.think)
+            if self.burst != 1.0 and self.storm.outage_from <= self.loop.now() < self.storm.outage_until:
+                pause /= self.burst  # a festival: everybody asks more often
+            yield from sleep(self.loop, int(pause * 1e6))
+            key = draws.choice([f"price:t{draws.randrange(60)}", f"sale:t{number}:{draws.randrange(9000)}"])
+            plan = self.fleet.brokers[0].broker.keys.plan(key)
+            assert plan is not None
+            spec = self.market.classes[plan.klass]
+            request = Request(self.loop.now(), spec.name, policy)
+            self.storm.requests.append(request)
+            stream = yield from self._ask(request, stream, number, key, spec, draws)
+
+    def _ask(self, request: Request, stream: Stream | None, number: int, key: str, spec: Any,
+             draws: random.Random) -> Coro[Stream | None]:
+        """One request until it is answered or of no use any more; returns the connection for the next."""
+        while self.loop.now() - request.at < USEFUL_US:
+            request.tries += 1
+            pause = draws.randrange(100_000, 300_000)
+            try:
+                if stream is None or stream.closed:
+                    where = self.fleet.brokers[(number + request.tries) % len(self.fleet.brokers)].address
+                    stream = yield from self.net.connect(where, 1_000_000, f"c{number}")
+                stream.write(f"get {key}\r\n".encode())
+                values = yield from _read_values(stream)
+            except (ConnectFailed, StreamBroken):
+                stream = None
+                yield from sleep(self.loop, pause)
+                continue
+            body = values[0][2] if values else {"whole": True, "coverage": {}}
+            if "coverage" in body:
+                request.took = self.loop.now() - request.at
+                request.ended = ("partial" if not body["whole"] else
+                                 "on time" if request.took <= spec.aim else "late")
+                return stream
+            advised = int(str(body.get("retry_after_ms", 0))) * 1000
+            yield from sleep(self.loop, AGAIN_US.get(request.policy, advised) or pause)
+        return stream
+
+    def states(self) -> list[tuple[float, str, str]]:
+        """Changes of the brokers' storm deciders, in seconds from the outage's end."""
+        return [((e["t"] - self.storm.outage_until) / 1e6, e["who"], e["state"])
+                for e in self.events if e["ev"] == "storm"]
--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -757,7 +757,7 @@
 
     # Cold ramp
 
-    def _warmth(self, server: Server) -> float:
+    def warmth(self, server: Server) -> float:
         """The share of its capacity that a server has at least, by the settings' ramp."""
         if EVERY in server.bars and server.bars[EVERY].dead:
             return self.cfg.start_capacity  # it may be starting this moment
@@ -776,15 +776,21 @@
     def _rating(self) -> float:
         return sum(s.rating for s in self.servers.values() if s.live)
 
+    def _least_rate(self, server: Server) -> float:
+        """Our share of what any server does, one part after another by the hints: who starts beside cold
+        servers has seen no answers, and without sending would see none until they are warm."""
+        hints = [hint for hint in self.mean_hint if hint]
+        return server.rating * len(hints) / (sum(hints) * self.cfg.siblings) if hints else 0.0
+
     def _cold_room(self, server: Server) -> bool:
         """Whether a cold server may be sent one more part: credit grows by our share of its ramp; the first
         is drawn, so that many brokers that each owe it less than a part don't all send one at once."""
-        warmth = self._warmth(server)
+        warmth = self.warmth(server)
         if warmth >= 1 or not self.cfg.tip_after_us or not self.cfg.fall_multiple:
             server.credit = None
             return True
         fleet = max(self.flow_rating or self._rating(), 1e-9)
-        usual = server.rating * (self.flow_best or self._flow()) / fleet
+        usual = max(server.rating * (self.flow_best or self._flow()) / fleet, self._least_rate(server))
         rate = COLD_SHARE * self.cfg.fall_multiple * warmth * usual
         if server.credit is None:
             server.credit, server.credit_at = self.random.random(), self.now
--- a/heathwell/settings/schema.py
+++ b/heathwell/settings/schema.py
@@ -117,6 +117,17 @@
     vector: Annotated[float, Meta(gt=0, description="weight of the vector front")] = 1.0
 
 
+class Storms(Record):
+    """Retry and reconnect storms."""
+
+    on: Annotated[bool, _say("recognise and damp them, and advise from a calendar of what hosts can take")] = False
+    useful: Annotated[int, _time("advice later than this is no use to a client", 200_000)] = 8_000_000
+    repeat: Annotated[int, _time("the same question of the same client within this is a repeat", 1000)] = 3_000_000
+    accepts: Annotated[float, Meta(ge=0, description="connects taken in a second; 0: no bound")] = 0.0
+    first_accepts: Annotated[float, Meta(ge=0, description="the same just after the start, growing; 0: no bound")] = 0.0
+    first_rate: Annotated[int, _time("work let in a second just after the start, growing; 0: no bound")] = 0
+
+
 class Rules(Record):
     """The figures of the rules."""
 
@@ -265,6 +276,7 @@
     collections: Annotated[list[Collection], _each("collection", "the collections of the vector front")] = []
     vector: Annotated[Vector, _say("the vector front")] = field(default_factory=Vector)
     fronts: Annotated[Fronts, _say("sharing between fronts")] = field(default_factory=Fronts)
+    storms: Annotated[Storms, _say("storms of retries and connects")] = field(default_factory=Storms)
     rules: Annotated[Rules, _say("figures of the rules")] = field(default_factory=Rules)
     limits: Annotated[Limits, _say("what a broker may do and hold")] = field(default_factory=Limits)
     discovery: Annotated[Discovery, _say("the host list")] = field(default_factory=Discovery)
--- /dev/null
+++ b/heathwell/storms/__init__.py
@@ -0,0 +1,7 @@
+"""Retry and reconnect storms: seen early, damped at the broker, told to clients. Pure."""
+
+from heathwell.storms.advice import Calendar
+from heathwell.storms.decider import BUILDING, CALM, DRAINING, STORM, Limits, Storms, Verdict
+from heathwell.storms.sketch import Recent, Sketch
+
+__all__ = ["BUILDING", "CALM", "DRAINING", "STORM", "Calendar", "Limits", "Recent", "Sketch", "Storms", "Verdict"]
