--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -18,7 +18,7 @@
 from heathwell.cli import logs
 from heathwell.eventlog import EventLog, FileEvents, NoEvents
 from heathwell.fronts.admin import AdminFront
-from heathwell.fronts.memcached import MemcachedFront
+from heathwell.fronts.memcached import SPARE, MemcachedFront
 from heathwell.fronts.vector import VectorFront
 from heathwell.kernel import Coro, Event, Listener, Loop, Net, sleep, socket_loop
 from heathwell.settings import Market, SettingsError, load
@@ -146,7 +146,7 @@
                         source=source, siblings=max(1, market.fleet.brokers), events=process.events, log=process.log)
         front = MemcachedFront(served, process.log)
         admin = AdminFront(served, front)
-        door = net.listen(listen or market.broker.listen, front.serve, "client", market.limits.clients)
+        door = net.listen(listen or market.broker.listen, front.serve, "client", market.limits.clients + SPARE)
         admin_door = net.listen(market.broker.admin, admin.serve, "admin", 100)
         served.pace(door)
         searches: dict[str, str] = {}
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -23,9 +23,11 @@
 from heathwell.codec import memcached as mc
 from heathwell.coverage import encode
 from heathwell.kernel import Coro, Event, Overrun, Stream, StreamBroken
+from heathwell.storms import Doors
 
 # Above the bits that pymemcache and libmemcached give a meaning of their own.
 DRAIN_LOOK_US = 250_000
+SPARE = 64  # connections over the limit that are still looked at, to be turned away by the front's own rules
 PARTIAL, REFUSED, LOST, STALE = 1 << 16, 1 << 17, 1 << 18, 1 << 19
 _json = msgspec.json.Encoder()
 
@@ -48,6 +50,9 @@
         self.broker, self.log = broker, log
         self.started = broker.loop.now()
         self.connections: dict[Connection, None] = {}
+        self.numbers: dict[int, Connection] = {}
+        limits = broker.market.limits
+        self.doors = Doors(limits.clients, limits.clients_an_address)
         self.total = self.gets = self.cut_slow = self.bad = self.refused_writes = 0
         if broker.client_drain.over:
             broker.loop.call_at(self.started + DRAIN_LOOK_US, self._let_go)
@@ -56,6 +61,15 @@
         """One connection, from its first byte to its last."""
         self.total += 1
         connection = Connection(self, stream)
+        stays, victim = self.doors.opened(connection.number, stream.peer.rpartition(":")[0],
+                                          lambda number: self.numbers[number].idle)
+        if not stays:
+            stream.write(mc.server_error("heathwell too many connections"))
+            return
+        self.numbers[connection.number] = connection
+        if victim is not None:
+            self.log("info", "client closed for another", client=self.numbers[victim].stream.peer)
+            self.numbers[victim].stream.close()
         self.connections[connection] = None
         try:
             yield from connection.run()
@@ -64,6 +78,8 @@
             self.log("info", "client cut off", client=stream.peer, why=str(problem))
         finally:
             self.connections.pop(connection, None)
+            self.numbers.pop(connection.number, None)
+            self.doors.closed(connection.number)
             connection.gone()
 
     def _let_go(self) -> None:
@@ -89,7 +105,8 @@
             "curr_connections": len(self.connections), "total_connections": self.total, "cmd_get": self.gets,
             "queries_held": sum(q.on_reply is not None for q in broker.queries.values()),
             "hosts_known": len(broker.module.servers), "bad_commands": self.bad,
-            "clients_cut_slow": self.cut_slow, "writes_refused": self.refused_writes,
+            "clients_cut_slow": self.cut_slow, "clients_refused": self.doors.refused,
+            "clients_closed_for_others": self.doors.closed_for, "writes_refused": self.refused_writes,
             "stopping": int(broker.stopping),
         }
 
@@ -198,6 +215,7 @@
 
     def _ask(self, slot: Slot, keys: tuple[bytes, ...]) -> None:
         broker = self.front.broker
+        self.front.doors.used(self.number)
         self.front.gets += len(keys)
         self.asked += 1
         request = f"{self.stream.peer}#{self.asked}"
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -8,7 +8,7 @@
 from heathwell.broker.driver import Broker
 from heathwell.eventlog import EventLog, ListEvents, NoEvents
 from heathwell.fronts.admin import AdminFront
-from heathwell.fronts.memcached import MemcachedFront
+from heathwell.fronts.memcached import SPARE, MemcachedFront
 from heathwell.fronts.vector import VectorFront
 from heathwell.kernel import Listener, Loop, Net
 from heathwell.settings import Market
@@ -34,7 +34,7 @@
         self.front = MemcachedFront(self.broker, fleet.log)
         self.admin = AdminFront(self.broker, self.front)
         self.listeners: list[Listener] = [
-            net.listen(address, self.front.serve, f"client of {self.name}", market.limits.clients),
+            net.listen(address, self.front.serve, f"client of {self.name}", market.limits.clients + SPARE),
             net.listen(market.broker.admin, self.admin.serve, f"admin of {self.name}"),
         ]
         self.address, self.admin_address = (listener.address for listener in self.listeners)
--- a/heathwell/lab/stormday.py
+++ b/heathwell/lab/stormday.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
-from heathwell.kernel import ConnectFailed, Coro, Stream, StreamBroken, sleep
+from heathwell.broker.keyspace import KeySpaces
+from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, sleep
 from heathwell.lab.simulated import SETTLE_US, SimulatedDay, _read_values
 from heathwell.settings import Market, loads
 
@@ -66,55 +68,35 @@
         return None
 
 
-class StormDay(SimulatedDay):
-    """``clients`` think for ``think`` seconds between requests; the outage takes hosts and brokers together."""
+class Crowd:
+    """Clients on a loop, in memory or on sockets: each thinks, asks, and asks again by its policy.
 
-    def __init__(self, variant: str, seed: int = 1, *, clients: int = 600, think: float = 12.0, outage: float = 20.0,
-                 ignoring: float = 0.33, before: float = 12.0, after: float = 40.0, text: str = MARKET,
-                 burst: float = 1.0) -> None:
-        market: Market = loads(text + (STORMS if variant == "damped" else ""))
-        super().__init__(market, seed, seconds=before + outage + after, rate=1.0, trouble_rate=0.0, poison=0.0)
-        self.variant, self.clients, self.think, self.outage = variant, clients, think, outage
-        self.ignoring, self.before, self.burst = ignoring, before, burst
-        self.storm = Storm()
+    ``addresses`` are the brokers' at the moment; ``rush`` is what thinking is divided by at the moment.
+    """
 
-    def _main(self) -> Coro[None]:
-        yield from sleep(self.loop, SETTLE_US)
-        zero = self.loop.now()
-        self.storm.outage_from = zero + int(self.before * 1e6)
-        self.storm.outage_until = self.storm.outage_from + int(self.outage * 1e6)
-        if self.outage:
-            self.loop.spawn(self._lost(), "outage")
-        draws = random.Random(self.seed + 3)
-        until = zero + int(self.seconds * 1e6)
-        tasks = []
-        for number in range(self.clients):
-            policy = IGNORES if draws.random() < self.ignoring else FIXED if self.variant == "fixed backoff" else HEEDS
-            tasks.append(self.loop.spawn(
-                self._client(number, policy, random.Random(self.seed * 100_000 + number), until), "client"))
-        yield from sleep(self.loop, until - self.loop.now() + USEFUL_US + LAST_US)
+    def __init__(self, loop: Loop, net_of: Callable[[int], Net], addresses: Callable[[], list[str]], market: Market,
+                 storm: Storm, *, think: float, ignoring: float, seed: int, fixed: bool = False,
+                 rush: Callable[[], float] = lambda: 1.0) -> None:
+        self.loop, self.net_of, self.addresses, self.market, self.storm = loop, net_of, addresses, market, storm
+        self.think, self.seed, self.rush = think, seed, rush
+        self.keys = KeySpaces(market)
+        self.ignoring, self.fixed = ignoring, fixed
+        self._draws = random.Random(seed + 3)
 
-    def _lost(self) -> Coro[None]:
-        yield from sleep(self.loop, self.storm.outage_from - self.loop.now())
-        for broker in self.fleet.brokers:
-            broker.kill()
-        for leaf in self.fleet.leaves:
-            leaf.crash()
-        yield from sleep(self.loop, int(self.outage * 1e6))
-        for leaf in self.fleet.leaves:  # back cold, all at once
-            leaf.start()
-        for number in range(len(self.fleet.brokers)):
-            self.fleet.restart_broker(number)
+    def start(self, clients: int, until: int) -> None:
+        """Begin; each asks for the last time before that time of the loop."""
+        for number in range(clients):
+            policy = (IGNORES if self._draws.random() < self.ignoring else FIXED if self.fixed else HEEDS)
+            self.loop.spawn(self._client(number, policy, random.Random(self.seed * 100_000 + number), until), "client")
 
     def _client(self, number: int, policy: str, draws: random.Random, until: int) -> Coro[None]:
         stream: Stream | None = None
         while self.loop.now() < until:
-            pause = draws.expovariate(1 / self.think)
-            if self.burst != 1.0 and self.storm.outage_from <= self.loop.now() < self.storm.outage_until:
-                pause /= self.burst  # a festival: everybody asks more often
-            yield from sleep(self.loop, int(pause * 1e6))
+            yield from sleep(self.loop, int(draws.expovariate(self.rush() / self.think) * 1e6))
+            if self.loop.now() >= until:
+                return
             key = draws.choice([f"price:t{draws.randrange(60)}", f"sale:t{number}:{draws.randrange(9000)}"])
-            plan = self.fleet.brokers[0].broker.keys.plan(key)
+            plan = self.keys.plan(key)
             assert plan is not None
             spec = self.market.classes[plan.klass]
             request = Request(self.loop.now(), spec.name, policy)
@@ -129,8 +111,9 @@
             pause = draws.randrange(100_000, 300_000)
             try:
                 if stream is None or stream.closed:
-                    where = self.fleet.brokers[(number + request.tries) % len(self.fleet.brokers)].address
-                    stream = yield from self.net.connect(where, 1_000_000, f"c{number}")
+                    where = self.addresses()
+                    stream = yield from self.net_of(number).connect(
+                        where[(number + request.tries) % len(where)], 1_000_000)
                 stream.write(f"get {key}\r\n".encode())
                 values = yield from _read_values(stream)
             except (ConnectFailed, StreamBroken):
@@ -147,6 +130,50 @@
             yield from sleep(self.loop, AGAIN_US.get(request.policy, advised) or pause)
         return stream
 
+
+class StormDay(SimulatedDay):
+    """``clients`` think for ``think`` seconds between requests; the outage takes hosts and brokers together."""
+
+    def __init__(self, variant: str, seed: int = 1, *, clients: int = 600, think: float = 12.0, outage: float = 20.0,
+                 ignoring: float = 0.33, before: float = 12.0, after: float = 40.0, text: str = MARKET,
+                 burst: float = 1.0) -> None:
+        market: Market = loads(text + (STORMS if variant == "damped" else ""))
+        super().__init__(market, seed, seconds=before + outage + after, rate=1.0, trouble_rate=0.0, poison=0.0)
+        self.variant, self.clients, self.think, self.outage = variant, clients, think, outage
+        self.ignoring, self.before, self.burst = ignoring, before, burst
+        self.storm = Storm()
+
+    def _main(self) -> Coro[None]:
+        yield from sleep(self.loop, SETTLE_US)
+        zero = self.loop.now()
+        self.storm.outage_from = zero + int(self.before * 1e6)
+        self.storm.outage_until = self.storm.outage_from + int(self.outage * 1e6)
+        if self.outage:
+            self.loop.spawn(self._lost(), "outage")
+        until = zero + int(self.seconds * 1e6)
+        crowd = Crowd(self.loop, lambda number: self.net.at(f"c{number}"),
+                      lambda: [broker.address for broker in self.fleet.brokers], self.market, self.storm,
+                      think=self.think, ignoring=self.ignoring, seed=self.seed,
+                      fixed=self.variant == "fixed backoff", rush=self._rush)
+        crowd.start(self.clients, until)
+        yield from sleep(self.loop, until - self.loop.now() + USEFUL_US + LAST_US)
+
+    def _lost(self) -> Coro[None]:
+        yield from sleep(self.loop, self.storm.outage_from - self.loop.now())
+        for broker in self.fleet.brokers:
+            broker.kill()
+        for leaf in self.fleet.leaves:
+            leaf.crash()
+        yield from sleep(self.loop, int(self.outage * 1e6))
+        for leaf in self.fleet.leaves:  # back cold, all at once
+            leaf.start()
+        for number in range(len(self.fleet.brokers)):
+            self.fleet.restart_broker(number)
+
+    def _rush(self) -> float:
+        """A festival: everybody asks more often for a while."""
+        return self.burst if self.storm.outage_from <= self.loop.now() < self.storm.outage_until else 1.0
+
     def states(self) -> list[tuple[float, str, str]]:
         """Changes of the brokers' storm deciders, in seconds from the outage's end."""
         return [((e["t"] - self.storm.outage_until) / 1e6, e["who"], e["state"])
--- a/heathwell/settings/schema.py
+++ b/heathwell/settings/schema.py
@@ -162,6 +162,7 @@
     probe_timeout: Annotated[int, _time("how long a probe may take", 1000)] = 250_000
     idle_close: Annotated[int, _time("idle connections to hosts close after this", 1000)] = 30_000_000
     clients: Annotated[int, _count("client connections at once", 1)] = 12_000
+    clients_an_address: Annotated[int, _count("client connections of one address at once; 0: no limit")] = 0
     pipelined: Annotated[int, _count("requests of one connection at work at once", 1)] = 64
     keys_a_get: Annotated[int, _count("keys in one get", 1)] = 200
     line: Annotated[int, _size("longest request line")] = 65_536
--- a/heathwell/storms/__init__.py
+++ b/heathwell/storms/__init__.py
@@ -2,6 +2,8 @@
 
 from heathwell.storms.advice import Calendar
 from heathwell.storms.decider import BUILDING, CALM, DRAINING, STORM, Limits, Storms, Verdict
+from heathwell.storms.doors import Doors
 from heathwell.storms.sketch import Recent, Sketch
 
-__all__ = ["BUILDING", "CALM", "DRAINING", "STORM", "Calendar", "Limits", "Recent", "Sketch", "Storms", "Verdict"]
+__all__ = ["BUILDING", "CALM", "DRAINING", "STORM", "Calendar", "Doors", "Limits", "Recent", "Sketch", "Storms",
+           "Verdict"]
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -12,9 +12,11 @@
 from heathwell.heed import Heedful
 from heathwell.kernel import ConnectFailed, sleep, socket_loop, virtual_loop
 from heathwell.lab.stormday import HEEDS, IGNORES, StormDay
-from heathwell.storms import BUILDING, CALM, DRAINING, STORM, Calendar, Limits, Recent, Sketch, Storms
+from heathwell.storms import BUILDING, CALM, DRAINING, STORM, Calendar, Doors, Limits, Recent, Sketch, Storms
 from heathwell.storms.sketch import hashed
 
+from .fleet import MARKET, World
+
 
 @given(st.lists(st.tuples(st.integers(0, 30), st.integers(0, 3_000_000)), max_size=200))
 def test_the_sketch_never_tells_less_than_was_counted(asks):
@@ -273,3 +275,39 @@
     assert answer.kind == "partial" and 0.05 <= waits[0] <= 0.15 and waits[1] <= 0.3
     assert asked(None)[0].kind == "miss" and asked({"whole": False, "failed": True})[0].kind == "failed"
     assert asked(*[OSError("gone")] * 40)[0].kind == "lost"
+
+
+def test_one_address_takes_its_own_connections_and_idle_ones_make_room():
+    doors = Doors(6, most_an_address=4)
+    busy = {0}
+    for number in range(4):
+        assert doors.opened(number, "greedy", lambda n: n not in busy) == (True, None)
+    assert doors.opened(4, "greedy", lambda n: True) == (False, None)
+    assert doors.opened(5, "a", lambda n: True) == (True, None) and doors.opened(6, "b", lambda n: True) == (True, None)
+    doors.used(1)
+    assert doors.opened(7, "c", lambda n: n not in busy) == (True, 2)  # the longest idle of who holds the most
+    assert doors.opened(8, "d", lambda n: False) == (False, None)  # all are at work
+    assert doors.opened(9, "d", lambda n: n not in busy) == (True, 3)
+    assert doors.opened(10, "e", lambda n: n not in busy) == (True, 1)
+    assert doors.opened(11, "f", lambda n: True) == (False, None)  # nobody holds clearly more
+    for number in (0, 5, 6, 7, 9, 10, 99):
+        doors.closed(number)
+    assert not doors.of and not doors.address and (doors.refused, doors.closed_for) == (3, 3)
+
+
+def test_clients_over_their_limit_are_told_and_idle_ones_closed():
+    world = World(text=MARKET.replace("(limits", "(limits (clients 3)"))
+
+    def main():
+        clients = []
+        for _ in range(3):
+            clients.append((yield from world.client()))
+        values, _ = yield from clients[0].get("sale:t1:5")
+        assert values
+        over = yield from world.client()
+        line = yield from over.line()
+        assert line == b"SERVER_ERROR heathwell too many connections"
+        assert (yield from over.stream.read()) == b""
+        yield from clients[1].get("sale:t1:6")
+        assert world.fleet.brokers[0].front.stats()["clients_refused"] == 1
+    world.run(main())
