--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -49,6 +49,7 @@
 from heathwell.vectors.wire import read_answer
 
 LOOK_US = 25_000  # how often the links are looked at again
+NO_TIME = 0.5  # of a class's usual time for a part: with less left no answer comes
 MOST = 0.5  # of the shards within reach; a broker with less says that it is cut off
 Calls = dict[str, list[list[frames.Ask]]]
 
@@ -211,6 +212,11 @@
             self._refuse_at_door(spec, key, request, on_reply, "stopping" if self.stopping else "full",
                                  self._advice(plan, who))
             return None
+        left = (plan.search.limit_us or spec.limit_us) if plan.search is not None else spec.limit_us
+        if left < spec.limit_us and left - self.market.limits.transit < NO_TIME * self.module.mean_took[plan.klass]:
+            # A client that stated less time than even a quick answer takes: refused before it costs anything.
+            self._refuse_at_door(spec, key, request, on_reply, "no time", self._advice(plan, who))
+            return None
         cut_off = self._cut_off(plan)
         if cut_off and 1 - sum(part.weight for part in cut_off) < spec.min_share - 1e-6:
             # Nothing to come can make an answer of it: refused at once, not at its deadline.
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -153,7 +153,8 @@
         vector_door: Listener | None = None
         if market.vector.listen:
             vector_door = net.listen(market.vector.listen, VectorFront(served, process.log).serve, "searcher",
-                                     market.limits.clients)
+                                     market.limits.clients + SPARE)
+            served.pace(vector_door)
             searches = {"vector": vector_door.address}
         process.ready(address=door.address, admin=admin_door.address, zone=zone, **searches)
         process.log("info", "serving", address=door.address, admin=admin_door.address)
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -23,6 +23,7 @@
 from heathwell.kernel import Coro, Event, Overrun, Stream, StreamBroken, sleep
 from heathwell.merge import Merged, TopK
 from heathwell.settings.schema import Collection
+from heathwell.storms import Doors
 from heathwell.vectors.wire import OP
 
 HELD_MOST = 1 << 18  # bytes read ahead of a request that is at work
@@ -38,6 +39,10 @@
     def __init__(self, broker: Broker, log: Callable[..., None]) -> None:
         self.broker, self.log = broker, log
         self.connections: set[Connection] = set()
+        self.numbers: dict[int, Connection] = {}
+        limits = broker.market.limits
+        self.doors = Doors(limits.clients, limits.clients_an_address)
+        self.total = 0
         self.collections = {spec.name: spec for spec in broker.market.collections}
         classes = {spec.name: index for index, spec in enumerate(broker.market.classes)}
         self.classes = {spec.name: (classes[spec.klass], classes[spec.batch_class or spec.klass])
@@ -56,7 +61,18 @@
 
     def serve(self, stream: Stream) -> Coro[None]:
         """One connection, from its first byte to its last."""
-        connection = Connection(self, stream)
+        self.total += 1
+        connection = Connection(self, stream, self.total)
+        stays, victim = self.doors.opened(connection.number, stream.peer.rpartition(":")[0],
+                                          lambda number: self.numbers[number].idle)
+        if not stays:
+            connection.side.closing = True
+            stream.write(connection.side.respond(api.failed(api.ApiError(
+                503, "Service unavailable: too many connections", self.broker.settings.max_advice_us), 0)))
+            return
+        if victim is not None:
+            self.numbers[victim].stream.close()
+        self.numbers[connection.number] = connection
         self.connections.add(connection)
         try:
             yield from connection.run()
@@ -64,6 +80,8 @@
             self.log("info", "client cut off", client=stream.peer, why=str(problem))
         finally:
             self.connections.discard(connection)
+            self.numbers.pop(connection.number, None)
+            self.doors.closed(connection.number)
             connection.gone()
 
     def shards(self, spec: Collection) -> list[int]:
@@ -75,7 +93,8 @@
 class Connection:
     """One client: requests in turn, its end noticed while one is at work."""
 
-    def __init__(self, front: VectorFront, stream: Stream) -> None:
+    def __init__(self, front: VectorFront, stream: Stream, number: int) -> None:
+        self.number = number
         self.front, self.stream, self.loop = front, stream, front.broker.loop
         self.limits = front.broker.market.vector
         self.side = ServerSide(self.limits.body, self.limits.head)
@@ -90,6 +109,11 @@
         self._filled, self._room, self._done = Event(), Event(), Event()
         self._handles: list[Handle] = []
 
+    @property
+    def idle(self) -> bool:
+        """Nothing is asked, and no request has begun."""
+        return not self._busy and not self._chunks and not self.side.midway
+
     def run(self) -> Coro[None]:
         """Serve until either side ends it."""
         self.stream.on_close = self.gone
@@ -117,6 +141,7 @@
             whole = api.failed(api.ApiError(whole.status, whole.body.decode().strip()), 0)
         else:
             self._busy = True
+            self.front.doors.used(self.number)
             self.front.requests += 1
             whole = yield from self._answer(whole)
             self._busy = False
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -44,7 +44,8 @@
         if market.vector.listen:
             self.vector = VectorFront(self.broker, fleet.log)
             self.listeners.append(net.listen(market.vector.listen, self.vector.serve, f"searcher of {self.name}",
-                                             market.limits.clients))
+                                             market.limits.clients + SPARE))
+            self.broker.pace(self.listeners[-1])
             self.vector_address = self.listeners[-1].address
 
     def kill(self) -> None:
--- a/heathwell/lab/stormday.py
+++ b/heathwell/lab/stormday.py
@@ -132,15 +132,19 @@
 
 
 class StormDay(SimulatedDay):
-    """``clients`` think for ``think`` seconds between requests; the outage takes hosts and brokers together."""
+    """``clients`` think for ``think`` seconds between requests; the outage takes hosts and brokers together.
+
+    ``killed_after`` it by so many seconds one broker is killed once more; ``addresses``: clients share so many.
+    """
 
     def __init__(self, variant: str, seed: int = 1, *, clients: int = 600, think: float = 12.0, outage: float = 20.0,
                  ignoring: float = 0.33, before: float = 12.0, after: float = 40.0, text: str = MARKET,
-                 burst: float = 1.0) -> None:
+                 burst: float = 1.0, killed_after: float = 0.0, addresses: int = 0) -> None:
         market: Market = loads(text + (STORMS if variant == "damped" else ""))
         super().__init__(market, seed, seconds=before + outage + after, rate=1.0, trouble_rate=0.0, poison=0.0)
         self.variant, self.clients, self.think, self.outage = variant, clients, think, outage
         self.ignoring, self.before, self.burst = ignoring, before, burst
+        self.killed_after, self.addresses = killed_after, addresses
         self.storm = Storm()
 
     def _main(self) -> Coro[None]:
@@ -151,7 +155,7 @@
         if self.outage:
             self.loop.spawn(self._lost(), "outage")
         until = zero + int(self.seconds * 1e6)
-        crowd = Crowd(self.loop, lambda number: self.net.at(f"c{number}"),
+        crowd = Crowd(self.loop, lambda number: self.net.at(f"c{number % (self.addresses or self.clients)}"),
                       lambda: [broker.address for broker in self.fleet.brokers], self.market, self.storm,
                       think=self.think, ignoring=self.ignoring, seed=self.seed,
                       fixed=self.variant == "fixed backoff", rush=self._rush)
@@ -169,6 +173,9 @@
             leaf.start()
         for number in range(len(self.fleet.brokers)):
             self.fleet.restart_broker(number)
+        if self.killed_after:
+            yield from sleep(self.loop, int(self.killed_after * 1e6))
+            self.fleet.restart_broker(0)  # its clients all land on the next
 
     def _rush(self) -> float:
         """A festival: everybody asks more often for a while."""
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -225,8 +225,9 @@
     loop.shutdown()
 
 
-def test_after_an_outage_of_everything_service_is_back_and_every_rule_kept():
-    day = StormDay("damped", 2, clients=240, think=8.0, outage=10.0, before=8.0, after=14.0)
+@pytest.mark.parametrize("more", [{}, {"killed_after": 2.0, "addresses": 3}])
+def test_after_an_outage_of_everything_service_is_back_and_every_rule_kept(more):
+    day = StormDay("damped", 2, clients=240, think=8.0, outage=10.0, before=8.0, after=14.0, **more)
     day.run()
     verdict = day.verdict()
     assert verdict.kept, "\n".join(map(str, verdict.breaches[:5]))
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -403,6 +403,31 @@
         assert len(answered) > 0.9 * len(replies) > 5
 
 
+def test_a_search_without_time_is_refused_before_it_costs_anything():
+    with running(MARKET.replace("(work 2ms))\n(collection far", "(work 80ms))\n(collection far")) as one:
+        url, query = f"{one.base}/collections/prices/points/query", {"query": vector(1, 16)}
+        for _ in range(3):
+            assert httpx.post(url, json=query).status_code == 200
+        arrived = sum(event["ev"] == "arrive" for event in one.events)
+        got = httpx.post(url, json=query, headers={"x-heathwell-timeout-ms": "30"})
+        assert got.status_code == 503 and "no time" in got.json()["status"]["error"]
+        assert sum(event["ev"] == "arrive" for event in one.events) == arrived
+        assert httpx.post(url + "?timeout=1", json=query).status_code == 200
+
+
+def test_http_clients_over_their_limit_are_told():
+    with running(MARKET.replace("(vector (listen", "(limits (clients-an-address 2))\n(vector (listen")) as one:
+        host, port = one.broker.vector_address.split(":")
+        kept = [socket.create_connection((host, int(port)), 5) for _ in range(2)]
+        time.sleep(0.1)
+        got = raw_exchange(one, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        assert b"HTTP/1.1 503" in got and b"too many connections" in got
+        kept.pop().close()
+        time.sleep(0.1)
+        assert b"HTTP/1.1 200" in raw_exchange(one, b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        kept.pop().close()
+
+
 PAYLOADS = st.lists(st.fixed_dictionaries({}, optional={
     "a": st.one_of(st.none(), st.booleans(), st.integers(0, 3), st.sampled_from("xy"),
                    st.lists(st.integers(0, 3), max_size=2)),
