--- a/heathwell/regions/links.py
+++ b/heathwell/regions/links.py
@@ -297,6 +297,7 @@
     def _to(self, now: int, link: LinkState, state: str, evidence: str) -> None:
         self._news.append((link.region, state, evidence))
         link.state, link.since, link.evidence, link.quick_probes = state, now, evidence, 0
+        link.quick.clear()  # what was quick before says nothing of the way as it is now
         if state == SLOW:
             link.trial_at = now + self._drawn(TRIAL_MOST_US)
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -73,6 +73,24 @@
     assert "silent" in bench.link.evidence
 
 
+def test_what_was_quick_before_does_not_open_a_link_gone_silent():
+    bench = Bench()
+    for _ in range(20):
+        bench.wait(50)
+        for node in FAR:
+            bench.end(bench.ask(node))
+    bench.wait(25)
+    for node in FAR[:4]:
+        bench.ask(node)
+    states = set()
+    for _ in range(70):
+        bench.wait(25)
+        states.add(bench.link.state)
+        if SLOW in states:
+            assert bench.link.state != OPEN
+    assert bench.link.state == DOWN
+
+
 def test_everybody_silent_is_no_link():
     bench = Bench()
     for node in FAR[:4] + HOME[:4]:
