--- a/heathwell/storms/decider.py
+++ b/heathwell/storms/decider.py
@@ -36,6 +36,7 @@
 HEADROOM = 1.2  # over what hosts were seen to answer: else the rate could never be found to be higher
 GROW = 1.25  # a tick, while draining and what is let in is answered in its aim
 GOOD_SHARE = 0.9
+RATE_MOST = 4.0  # times what is known that the rate grows to while all goes well
 FLOOR = 0.25  # of what is known, or of the rate at the start, below which the rate does not fall
 CAPACITY_KEPT = 0.999  # a tick: what was once answered is believed for minutes
 FIRST_TRIES_LEAVE, EARLY_LEAVE = 0.3, 0.8  # share of the budget that must be left for them to be let in
@@ -182,7 +183,7 @@
         self.capacity = max(self.capacity * CAPACITY_KEPT, answered / max(room, 0.05) if room > 0.5 else 0.0)
         connects = sum(t.connects for t in window) / seconds
         self._judge(now, window, connects)
-        self._pace(window, answered)
+        self._pace(window)
         if self._accepts:
             self._accepts = min(self._accepts * GROW, self.limits.accepts or self._accepts * GROW)
         if self.state == CALM:
@@ -217,16 +218,15 @@
         elif self.state == DRAINING and self._low >= CALM_TICKS and refused <= REFUSED_TELLS * max(asks, 1):
             self._to(now, CALM, text)
 
-    def _pace(self, window: list[_Tick], answered: float) -> None:
+    def _pace(self, window: list[_Tick]) -> None:
         """While not calm: the rate grows while what is let in is answered in its aim, and follows what hosts do."""
         if self.state not in (STORM, DRAINING):
             return
         ended, good = sum(t.ended for t in window), sum(t.good for t in window)
         known = self.capacity * self.room * HEADROOM
         if ended and good >= GOOD_SHARE * ended:
-            used = answered >= 0.5 * self.rate  # else nothing is shown by it
-            self.rate *= GROW if used or self.state == DRAINING else 1.0
-            self.rate = min(self.rate, max(known, self.limits.first_rate) * (4.0 if self.state == DRAINING else 1.0))
+            # In a storm too: held to what was answered so far, it would itself keep the storm's refusals going.
+            self.rate = min(self.rate * GROW, max(known, self.limits.first_rate) * RATE_MOST)
         elif ended and good < 0.5 * ended:
             # Never to nothing: without answers there would be nothing to grow by again.
             self.rate = max(self.rate * 0.8, max(known, self.limits.first_rate) * FLOOR)
