Vectors: the index is usearch's, which needs no compiling

Cause or need: hnswlib has no wheel and takes 45 s to compile on a fresh machine. Change: the same graph (HNSW) by usearch; recall is measured and told as before. Result: tests/test_vectors.py.

--- a/heathwell/vectors/shard.py
+++ b/heathwell/vectors/shard.py
@@ -8,14 +8,15 @@
 from collections.abc import Sequence
 from typing import Any
 
-import hnswlib
 import numpy as np
 from numpy.typing import NDArray
+from usearch.index import Index
 
 from heathwell.vectors.masks import Columns, mask_of
 from heathwell.vectors.wire import COSINE, DOT, EUCLID, EXACT, HNSW, Hit, SearchAnswer, SearchAsk, Want
 
 Floats = NDArray[np.float32]
+EXPANSION = 64  # candidates that a search of the index keeps at the least
 SAMPLE = 64  # own points by which an index's recall is measured
 RECALL_AT = 10
 MOST_LEFT_OUT = 0.5  # filtered share up to which the index is asked; with more, the exact way reads less
@@ -46,10 +47,9 @@
 
     def _build(self, seed: int) -> None:
         size = self.vectors.shape[1]
-        self._index = hnswlib.Index("l2" if self.distance == EUCLID else "ip", size)
-        self._index.init_index(len(self.ids), M=16, ef_construction=100, random_seed=seed)
-        self._index.add_items(self.vectors, np.arange(len(self.ids)), num_threads=1)
-        self._index.set_ef(64)
+        self._index = Index(ndim=size, metric="l2sq" if self.distance == EUCLID else "ip", dtype="f32",
+                            connectivity=16, expansion_add=100, expansion_search=EXPANSION)
+        self._index.add(np.arange(len(self.ids)), self.vectors, threads=1)
         self.recall = self._measure(seed)
 
     def _measure(self, seed: int) -> float:
@@ -59,7 +59,7 @@
         queries = self.vectors[rows] + draws.normal(0, 0.05, (len(rows), self.vectors.shape[1])).astype(np.float32)
         wanted = min(RECALL_AT, len(self.ids))
         exact = np.argsort(-self._scores(queries), axis=1)[:, :wanted]
-        found, _ = self._index.knn_query(queries, wanted, num_threads=1)
+        found = self._index.search(queries, wanted, threads=1).keys
         return float(np.mean([len(set(a) & set(b)) / wanted for a, b in zip(exact, found, strict=True)]))
 
     def __len__(self) -> int:
@@ -138,9 +138,8 @@
     def _by_index(self, query: Floats, want: Want, mask: Any) -> list[Hit]:
         share = 1.0 if mask is None else max(float(mask.mean()), 1e-3)
         count = min(len(self.ids), int(want.limit / share * 1.2) + 1)
-        self._index.set_ef(max(want.ef, 64, count))
-        found, _ = self._index.knn_query(query[None, :], count, num_threads=1)
-        rows = found[0].astype(np.int64)
+        self._index.expansion_search = max(want.ef, EXPANSION, count)
+        rows = np.asarray(self._index.search(query, count, threads=1).keys, np.int64)
         return self._hits(query, rows if mask is None else rows[mask[rows]], want)
 
     def _hits(self, query: Floats, rows: NDArray[np.int64], want: Want) -> list[Hit]:
