Broker, fronts: one cost of a part, one limit of a query, no state kept twice

Cause or need: reading the whole change again: the cost of a part and a search's limit were worked out in two places each, the vector front kept its connections in a set beside the table by number, and three fields were written and never read. Change: Broker._work serves both cost and hint; a query's limit is found once; the vector front's table by number is its only one and its look shares the memcached front's interval; the storm decider's and the fair gate's dead fields are gone. Behaviour is as before.

--- a/heathwell/admission/fair.py
+++ b/heathwell/admission/fair.py
@@ -26,7 +26,6 @@
     front: str
     cost: float
     patience_until: int
-    start: float = 0.0
     out: bool = False
     gone_at: int = 0
 
@@ -41,7 +40,6 @@
     out: float = 0.0
     waiting: float = 0.0
     refused: int = 0
-    waited: int = 0
 
 
 class FairGate:
@@ -77,7 +75,6 @@
         heapq.heappush(lane.ends, (entry.patience_until, ident))
         lane.count += 1
         lane.waiting += cost
-        lane.waited += 1
         return WAIT
 
     def _share(self, lane: _Front) -> float:
@@ -93,9 +90,8 @@
 
     def _go(self, now: int, entry: _Entry, lane: _Front) -> None:
         entry.gone_at = now
-        entry.start = max(self.virtual, lane.finish)
-        lane.finish = entry.start + entry.cost / lane.weight
-        self.virtual = max(self.virtual, entry.start)
+        self.virtual = max(self.virtual, lane.finish)
+        lane.finish = self.virtual + entry.cost / lane.weight
         entry.out = True
         lane.out += entry.cost
         self.out += entry.cost
--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -212,8 +212,9 @@
             self._refuse_at_door(spec, key, request, on_reply, "stopping" if self.stopping else "full",
                                  self._advice(plan, who))
             return None
-        left = (plan.search.limit_us or spec.limit_us) if plan.search is not None else spec.limit_us
-        if left < spec.limit_us and left - self.market.limits.transit < NO_TIME * self.module.mean_took[plan.klass]:
+        stated = plan.search.limit_us if plan.search is not None else 0
+        limit = min(spec.limit_us, stated or spec.limit_us)
+        if limit < spec.limit_us and limit - self.market.limits.transit < NO_TIME * self.module.mean_took[plan.klass]:
             # A client that stated less time than even a quick answer takes: refused before it costs anything.
             self._refuse_at_door(spec, key, request, on_reply, "no time", self._advice(plan, who))
             return None
@@ -224,7 +225,6 @@
             return None
         now = self.loop.now()
         self.jobs += 1
-        limit = min(spec.limit_us, plan.search.limit_us or spec.limit_us) if plan.search else spec.limit_us
         query = QueryState(f"{self.name}.{self.jobs}", self.jobs, plan, now,
                            now + max(limit - self.market.limits.transit, self.market.limits.tick), on_reply,
                            cut_off=cut_off, who=who)
@@ -238,10 +238,9 @@
         self._by_turn(query)
         return Handle(self, query.id)
 
-    def _work(self, query: QueryState) -> int:
+    def _work(self, plan: Plan) -> int:
         """What a part is taken to cost its host (us)."""
-        search = query.plan.search
-        return search.work if search is not None else self.market.classes[query.plan.klass].work
+        return plan.search.work if plan.search is not None else self.market.classes[plan.klass].work
 
     def _by_turn(self, query: QueryState) -> None:
         """Hand a new query to the module, at once or when its front's turn comes."""
@@ -272,7 +271,7 @@
 
     def _enter(self, query: QueryState) -> None:
         """Into the module."""
-        work, plan = self._work(query), query.plan
+        work, plan = self._work(query.plan), query.plan
         query.queued = False
         self._push(hw.QueryArrived(query.id, query.job, plan.klass, query.deadline, len(plan.parts),
                                    hint_us=work * len(plan.parts)))
@@ -301,8 +300,7 @@
 
     def _cost(self, plan: Plan) -> float:
         """What a query is taken to cost its hosts in all (us)."""
-        work = plan.search.work if plan.search is not None else self.market.classes[plan.klass].work
-        return float(work * max(1, int(len(plan.parts) * self.settings.classes[plan.klass].need + 0.999)))
+        return float(self._work(plan) * max(1, int(len(plan.parts) * self.settings.classes[plan.klass].need + 0.999)))
 
     def _advice(self, plan: Plan, who: str, else_us: int = -1) -> int:
         """When a client that is refused may come back (us): by the storm decider's calendar, or after about an aim."""
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -20,6 +20,7 @@
 from heathwell.broker.records import ANSWERED, REFUSED, PartPlan, Plan, Reply, SearchPlan
 from heathwell.codec.http import Request, Response, ServerSide
 from heathwell.fronts import vector_api as api
+from heathwell.fronts.memcached import DRAIN_LOOK_US
 from heathwell.kernel import Coro, Event, Overrun, Stream, StreamBroken, sleep
 from heathwell.merge import Merged, TopK
 from heathwell.settings.schema import Collection
@@ -38,7 +39,6 @@
 
     def __init__(self, broker: Broker, log: Callable[..., None]) -> None:
         self.broker, self.log = broker, log
-        self.connections: set[Connection] = set()
         self.numbers: dict[int, Connection] = {}
         limits = broker.market.limits
         self.doors = Doors(limits.clients, limits.clients_an_address)
@@ -49,14 +49,14 @@
                         for spec in broker.market.collections}
         self.requests = self.errors = self.slow = self.left = self.searches = 0
         if broker.client_drain.over:
-            broker.loop.call_at(broker.loop.now() + 250_000, self._let_go)
+            broker.loop.call_at(broker.loop.now() + DRAIN_LOOK_US, self._let_go)
 
     def _let_go(self) -> None:
         """While the broker is cut off answers close their connections: clients find another."""
         if not self.broker.dead:
-            self.broker.loop.call_at(self.broker.loop.now() + 250_000, self._let_go)
+            self.broker.loop.call_at(self.broker.loop.now() + DRAIN_LOOK_US, self._let_go)
             closing = self.broker.client_drain.cut
-            for connection in self.connections:
+            for connection in self.numbers.values():
                 connection.last = closing and connection.since < self.broker.client_drain.cut_since
 
     def serve(self, stream: Stream) -> Coro[None]:
@@ -73,13 +73,11 @@
         if victim is not None:
             self.numbers[victim].stream.close()
         self.numbers[connection.number] = connection
-        self.connections.add(connection)
         try:
             yield from connection.run()
         except Overrun as problem:
             self.log("info", "client cut off", client=stream.peer, why=str(problem))
         finally:
-            self.connections.discard(connection)
             self.numbers.pop(connection.number, None)
             self.doors.closed(connection.number)
             connection.gone()
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -56,7 +56,7 @@
         for connection in list(self.front.connections):
             connection.slots.clear()
             connection.stream.abort()
-        for searcher in list(self.vector.connections) if self.vector is not None else ():
+        for searcher in list(self.vector.numbers.values()) if self.vector is not None else ():
             searcher.stream.abort()
 
 
--- a/heathwell/storms/decider.py
+++ b/heathwell/storms/decider.py
@@ -98,7 +98,6 @@
         self._accept_tokens = limits.first_accepts * 0.25
         self._accept_at = self._refilled = now
         self._ticks: deque[_Tick] = deque([_Tick()], WINDOW_TICKS)
-        self._tick_at = now
         self._sure = self._low = 0
         self._news: list[tuple[str, str]] = []
 
