--- a/heathwell/benchlink.py
+++ b/heathwell/benchlink.py
@@ -14,10 +14,19 @@
 
 from heathwell import interface as hw
 from heathwell.logic import Aggregator
+from heathwell.startsettings import (
+    WireError,
+    coded,
+    need,
+    number,
+    rows,
+    settings_from,
+    share,
+    text,
+)
 
 STATES = {"live": hw.LIVE, "quiescing": hw.DRAINING, "dead": hw.GONE}
 FORMS = {"update": hw.UPDATE, "replace": hw.FULL, "restored": hw.FULL, "unavailable": hw.FAILED}
-REPEATS = {"read_like": hw.SAFE, "idempotency_key": hw.KEYED, "non_idempotent": hw.UNSAFE}
 OUTCOMES = {
     "success": hw.OK,
     "failure": hw.ERROR,
@@ -31,132 +40,6 @@
 UNUSED = ("peer-data", "first-byte")
 
 
-class WireError(Exception):
-    """Input that is not what the wire promises; the text is for a person."""
-
-
-def need(message: Any, field: str, where: str) -> Any:
-    """The field's value, or a complaint that names it."""
-    if not isinstance(message, dict):
-        raise WireError(f"{where}: an object is expected")
-    if field not in message:
-        raise WireError(f"{where}: field '{field}' is missing")
-    return message[field]
-
-
-def number(message: Any, field: str, where: str) -> int:
-    """A field that must be a number, as an integer."""
-    value = need(message, field, where)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise WireError(f"{where}: field '{field}' is not a number")
-    return int(value)
-
-
-def share(message: Any, field: str, where: str) -> float:
-    """A field that must be a number, as a float."""
-    value = need(message, field, where)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise WireError(f"{where}: field '{field}' is not a number")
-    return float(value)
-
-
-def text(message: Any, field: str, where: str) -> str:
-    """A field that must be text."""
-    value = need(message, field, where)
-    if not isinstance(value, str):
-        raise WireError(f"{where}: field '{field}' is not text")
-    return value
-
-
-def coded(message: Any, field: str, where: str, codes: dict[str, str]) -> str:
-    """A field that must hold one of the wire's words."""
-    word = text(message, field, where)
-    if word not in codes:
-        raise WireError(f"{where}: field '{field}' has the unknown value {word!r}")
-    return codes[word]
-
-
-def rows(message: Any, field: str, where: str) -> list[Any]:
-    """A field that must be an array."""
-    value = need(message, field, where)
-    if not isinstance(value, list):
-        raise WireError(f"{where}: field '{field}' is not an array")
-    return value
-
-
-def _at(values: list[Any], index: int, default: float) -> float:
-    return float(values[index]) if index < len(values) else default
-
-
-def settings_from(setup: Any) -> hw.Settings:
-    """The start settings of an instance from the wire's ``setup``."""
-    where = "setup"
-    family = need(setup, "specifics", where)
-    limits = need(setup, "ceilings", where)
-    rules = need(setup, "invariants", where)
-    clients = setup.get("clients") or {}
-    tables = {"specifics": family, "ceilings": limits, "invariants": rules, "clients": clients}
-    for name, table in tables.items():
-        if not isinstance(table, dict):
-            raise WireError(f"setup: field '{name}' is not an object")
-    needs = family.get("class-need") or []
-    floors = family.get("min-share") or []
-    partial = family.get("incomplete-worth") or []
-    fetch = family.get("class-fetch") or []
-    classes = []
-    for index, entry in enumerate(rows(setup, "classes", where)):
-        at = f"classes[{index}]"
-        classes.append(hw.ClassSpec(
-            name=str(entry.get("name", index)),
-            aim_us=number(entry, "objective-us", at),
-            limit_us=number(entry, "hard-limit-us", at),
-            repeat=coded(entry, "idempotency", at, REPEATS),
-            dedup_us=int(entry.get("dedup-window-us") or 0),
-            worth=float(entry.get("worth", 1.0)),
-            late_worth=float(entry.get("late-value") or 0.0),
-            partial_worth=_at(partial, index, 0.0),
-            need=_at(needs, index, 1.0),
-            min_share=_at(floors, index, 1.0),
-            fetch=int(_at(fetch, index, 0.0)),
-            aim_stretch=float(entry.get("aim-stretch") or 0.0),
-        ))
-    return hw.Settings(
-        classes=tuple(classes),
-        shards=number(family, "shards", "specifics"),
-        cells=number(family, "places", "specifics"),
-        width=number(family, "width", "specifics"),
-        siblings=int(setup.get("siblings") or 1),
-        zone=int(setup.get("az") or 0),
-        tick_us=int(setup.get("tick-us") or 1000),
-        max_attempts=number(limits, "max-attempts", "ceilings"),
-        open_cap=int(limits.get("open-cap") or 0),
-        second_copies=bool(limits.get("second-copies")),
-        cancelling=bool(limits.get("cancelling")),
-        probing=bool(limits.get("probing")),
-        advise=bool(limits.get("retry-after")),
-        max_advice_us=int(limits.get("max-retry-after-us") or 0),
-        ask_mode=setup.get("registry-mode") == "ask",
-        must_ask_us=int(rules.get("must-ask-in-us") or 0),
-        parts_a_call=int(family.get("parts-a-call") or 1),
-        marks_retry=bool(clients.get("marks-retry")),
-        drain_grace_us=int(rules.get("drain-grace-us") or 0),
-        fall_multiple=float(rules.get("fall-multiple") or 0.0),
-        tip_after_us=int(rules.get("tip-after-us") or 0),
-        start_capacity=float(rules.get("start-capacity") or 1.0),
-        warm_within_us=int(rules.get("warm-within-us") or 0),
-        free_resends=int(rules.get("free-resends") or 0),
-        further_ratio=float(rules.get("further-ratio") or 0.0),
-        counted_over_us=int(rules.get("counted-over-us") or 0),
-        warm_keys=bool(family.get("warm-keys")),
-        by_work=setup.get("value-by") == "work",
-        over_share_worth=float(setup.get("over-share-worth", 1.0)),
-        tenants=tuple(
-            hw.Tenant(str(entry.get("name", "")), float(entry.get("quota-rps") or 0.0))
-            for entry in setup.get("accounts") or []
-        ),
-    )
-
-
 def entry_from(line: Any) -> hw.ServerEntry:
     """One line of a wire list; a state the wire does not know is passed on as it is."""
     where = "members-list"
--- a/heathwell/broker/hosts.py
+++ b/heathwell/broker/hosts.py
@@ -58,6 +58,11 @@
         self._idle_since = 0
         self._idle_timer: Timer | None = None
 
+    @property
+    def up(self) -> bool:
+        """Whether the connection stands."""
+        return self.stream is not None
+
     def send(self, parts: list[frames.Ask]) -> None:
         """Send attempts in one call; each will end once."""
         for ask in parts:
--- /dev/null
+++ b/heathwell/broker/replies.py
@@ -0,0 +1,65 @@
+"""What fronts get back from the broker: the one final word on a query."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from heathwell.coverage import Cover
+
+ANSWERED, REFUSED, FAILED, MISS = "answered", "refused", "failed", "miss"
+
+
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """Which parts an answer rests on; weights are shares of the first step.
+
+    ``missing`` names the shards that are not in it; ``moot`` counts those that could not have changed it; ``items``
+    counts the second step's parts; ``cover`` is the same as sets of shards, to be merged with others'.
+    """
+
+    asked: int = 0
+    got: int = 0
+    weight: float = 0.0
+    need: float = 1.0
+    floor: float = 1.0
+    missing: tuple[int, ...] = ()
+    items_asked: int = 0
+    items_got: int = 0
+    moot: int = 0
+    cover: Cover = field(default_factory=Cover)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The one final word on a query. ``after_us`` is advice when to come back, 0 for none."""
+
+    kind: str
+    query: str = ""
+    klass: str = ""
+    whole: bool = False
+    coverage: Coverage = field(default_factory=Coverage)
+    body: dict[str, Any] = field(default_factory=dict)
+    after_us: int = 0
+    why: str = ""
+    age: Age | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Age:
+    """How old an answer's data is: the greatest age it can have (None: unknown), against what was wanted.
+
+    ``consistent`` is false where item detail is older than the totals it belongs to, ``behind`` names shards whose
+    data is older than what the client's token says it has seen; ``at_us`` is the broker's time that the age is of.
+    """
+
+    bound_us: int | None = None
+    stale: bool = False
+    consistent: bool = True
+    behind: tuple[int, ...] = ()
+    token: str = ""
+    at_us: int = 0
+
+
+OnReply = Callable[[Reply], None]
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -14,7 +14,7 @@
 
 import click
 
-from heathwell.broker.driver import Broker
+from heathwell.broker.market import Broker
 from heathwell.cli import logs
 from heathwell.eventlog import EventLog, FileEvents, NoEvents
 from heathwell.fronts.admin import AdminFront
--- a/heathwell/codec/http.py
+++ b/heathwell/codec/http.py
@@ -14,6 +14,10 @@
 BODY_MOST, HEAD_MOST = 1 << 20, 65_536
 
 
+class HttpError(Exception):
+    """A response that can't be read, or an end where none may be."""
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A whole request."""
@@ -96,6 +100,12 @@
 
     def _begun(self, head: h11.Request) -> Iterator[Response]:
         self._head, self._body = head, bytearray()
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            # Two who read such a request may see its end in two places: nothing behind its head is read.
+            self.closing = True
+            yield Response(400, b"both Content-Length and Transfer-Encoding\n")
+            return
         if len(head.target) + sum(len(name) + len(text) + 4 for name, text in head.headers) > self._head_most:
             self.closing = True
             yield Response(431, f"request line and headers longer than {self._head_most} bytes\n".encode())
@@ -139,3 +149,49 @@
         elif self._connection.our_state is h11.DONE and self._connection.their_state is h11.DONE:
             self._connection.start_next_cycle()
         return out
+
+
+class ClientSide:
+    """One connection to a server: a request out, its response back, one at a time."""
+
+    def __init__(self, host: str, body_most: int = BODY_MOST, head_most: int = HEAD_MOST) -> None:
+        self._connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_most)
+        self._host, self._body_most = host, body_most
+        self._status = 0
+        self._body = bytearray()
+
+    def get(self, target: str) -> bytes:
+        """The bytes of a GET; raises :class:`HttpError` where the connection can't be used for one."""
+        try:
+            out = self._connection.send(h11.Request(method="GET", target=target, headers=[("Host", self._host)]))
+            return (out or b"") + (self._connection.send(h11.EndOfMessage()) or b"")
+        except h11.LocalProtocolError as problem:
+            raise HttpError(str(problem)) from None
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may follow."""
+        return self._connection.our_state is h11.IDLE
+
+    def feed(self, data: bytes) -> Response | None:
+        """The response once it is whole (b"" is the server's end); raises :class:`HttpError`."""
+        try:
+            self._connection.receive_data(data)
+            while True:
+                event = self._connection.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return None
+                if isinstance(event, h11.ConnectionClosed):
+                    raise HttpError("the server closed")
+                if isinstance(event, h11.Response):
+                    self._status, self._body = event.status_code, bytearray()
+                elif isinstance(event, h11.Data):
+                    self._body += event.data
+                    if len(self._body) > self._body_most:
+                        raise HttpError(f"a body longer than {self._body_most} bytes")
+                elif isinstance(event, h11.EndOfMessage):
+                    if self._connection.our_state is h11.DONE and self._connection.their_state is h11.DONE:
+                        self._connection.start_next_cycle()
+                    return Response(self._status, bytes(self._body))
+        except h11.ProtocolError as problem:
+            raise HttpError(str(problem)) from None
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -9,8 +9,8 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-from heathwell.broker.driver import MOST, Broker, QueryState
-from heathwell.broker.records import Reply
+from heathwell.broker.market import MOST, Broker, MarketQuery
+from heathwell.broker.replies import Reply
 from heathwell.codec.http import Request, Response, ServerSide
 from heathwell.fronts.memcached import MemcachedFront
 from heathwell.kernel import Coro, Stream
@@ -61,7 +61,7 @@
                           for spec in broker.settings.classes}
         broker.on_final = self.final
 
-    def final(self, _query: QueryState, reply: Reply, took_us: int) -> None:
+    def final(self, _query: MarketQuery, reply: Reply, took_us: int) -> None:
         """One final answer."""
         took, weight = self._children[reply.klass]
         took.observe(took_us / 1e6)
@@ -86,7 +86,7 @@
             ("heathwell_hosts_ejected", "Hosts ejected", sum(bool(s.bars) for s in servers)),
             ("heathwell_clients", "Client connections", len(self.front.connections)),
             ("heathwell_host_connections", "Connections to hosts",
-             sum(link.stream is not None for link in broker.links.values())),
+             sum(link.up for link in broker.links.values())),
             ("heathwell_module_seconds", "Time spent in the module", broker.module_ns / 1e9),
         ):
             yield GaugeMetricFamily(name, text, value=figure)
@@ -189,7 +189,7 @@
                 "for_ms": max(0, bar.since + bar.span - now) // 1000, "trial": bar.trial, "dead": bar.dead}
                 for key, bar in server.bars.items()},
             "last_ok_ms": (now - server.last_ok) // 1000 if server.last_ok >= 0 else None,
-            "connected": (link := broker.links.get(server.node)) is not None and link.stream is not None,
+            "connected": (link := broker.links.get(server.node)) is not None and link.up,
         } for server in broker.module.servers.values()]
         links = [] if broker.regions is None else [
             {"region": link.region, "state": link.state, "for_ms": (now - link.since) // 1000 if link.since else None,
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -18,8 +18,9 @@
 import msgspec
 
 from heathwell import __version__
-from heathwell.broker.driver import Broker, Handle
-from heathwell.broker.records import ANSWERED, FAILED, MISS, Age, Reply
+from heathwell.broker.driver import Handle
+from heathwell.broker.market import Broker
+from heathwell.broker.replies import ANSWERED, FAILED, MISS, Age, Reply
 from heathwell.codec import memcached as mc
 from heathwell.coverage import encode
 from heathwell.kernel import Coro, Event, Overrun, Stream, StreamBroken
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -15,9 +15,11 @@
 
 from heathwell import __version__
 from heathwell.admission.cost import cut_batch, search_figures
-from heathwell.broker.driver import Broker, Handle
+from heathwell.broker.driver import Handle
 from heathwell.broker.keyspace import place, rows_of
-from heathwell.broker.records import ANSWERED, REFUSED, PartPlan, Plan, Reply, SearchPlan
+from heathwell.broker.market import Broker
+from heathwell.broker.records import PartPlan, Plan, SearchPlan
+from heathwell.broker.replies import ANSWERED, REFUSED, Reply
 from heathwell.codec.http import Request, Response, ServerSide
 from heathwell.fronts import vector_api as api
 from heathwell.fronts.memcached import DRAIN_LOOK_US
--- a/heathwell/fronts/vector_api.py
+++ b/heathwell/fronts/vector_api.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from heathwell.broker.records import Reply
+from heathwell.broker.replies import Reply
 from heathwell.codec.http import Request, Response
 from heathwell.fronts.memcached import age_words
 from heathwell.merge import Merged
--- /dev/null
+++ b/heathwell/gateway/broker.py
@@ -0,0 +1,138 @@
+"""The broker of the platform: the driver between checked requests, nodes and discovery."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from heathwell import interface as hw
+from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState
+from heathwell.broker.replies import ANSWERED, REFUSED, OnReply, Reply
+from heathwell.codec import nodeframes as nf
+from heathwell.eventlog import EventLog
+from heathwell.gateway.config import Config
+from heathwell.gateway.discovery import Discovery
+from heathwell.gateway.nodes import NodeAsk, NodeLink, Room
+from heathwell.gateway.requests import Wanted, WantedPart
+from heathwell.gateway.targets import Targets, news_of
+from heathwell.kernel import Loop, Net
+
+MARGIN_US = 8_000  # of a client's time: the way here and back, and what the loop may be late by
+SECOND = ".fetch"
+
+
+@dataclass(slots=True)
+class PlatformPart(PartState):
+    """A part with its score, by which a second step's shards are chosen."""
+
+    score: float = 0.0
+
+
+@dataclass(slots=True)
+class PlatformQuery(QueryState[PlatformPart]):
+    """A query as its client asked for it; ``answered`` and ``whole`` are the first step's, once it has ended."""
+
+    wanted: Wanted = Wanted("", 0, 0, "", False, b"", ())
+    answered: tuple[int, ...] = ()
+    whole: bool | None = None
+
+
+class PlatformBroker(Driver[PlatformQuery]):
+    """One broker on the platform. ``unix_us`` tells Unix time; it is read once, starts of nodes are counted from it."""
+
+    links: dict[str, NodeLink]  # type: ignore[assignment]
+
+    def __init__(self, loop: Loop, net: Net, config: Config, *, log: Callable[..., None],
+                 events: EventLog | None = None, unix_us: Callable[[], int] = lambda: time.time_ns() // 1000) -> None:
+        super().__init__(loop, config.settings, config.seed, name=config.name, events=events, log=log)
+        self.net, self.config = net, config
+        self.room = Room(config.node_sockets)
+        self.addresses: dict[str, str] = {}
+        self._unix_offset = unix_us() - loop.now()
+        self._note(config.known)
+        self.watch = Discovery(loop, net, config.discovery, self.told, log)
+        self.begin_service(self.watch, self._news(config.known, asked=False).servers)
+
+    def begin(self, wanted: Wanted, on_reply: OnReply, arrived_us: int) -> Handle | None:
+        """Take a checked request that arrived then; its one reply comes by ``on_reply``, never before this returns.
+
+        What can't be held is refused at the door and never reaches the module; None is returned then.
+        """
+        spec = self.settings.classes[wanted.klass]
+        if self.full(len(wanted.parts)):
+            self.counts["door", spec.name, "full"] += 1
+            after = min(spec.aim_us, self.settings.max_advice_us) if self.settings.advise else 0
+            self.loop.call_soon(on_reply, Reply(REFUSED, klass=spec.name, after_us=after, why="full"))
+            return None
+        self.jobs += 1
+        deadline = max(arrived_us + wanted.wait_us - MARGIN_US, arrived_us + self.settings.tick_us)
+        query = PlatformQuery(wanted.id, self.jobs, wanted.klass, arrived_us, deadline, on_reply, wanted=wanted)
+        self.events("take", q=query.id, req=query.id, klass=spec.name, parts=len(wanted.parts),
+                    deadline=deadline - arrived_us, shards=[part.shard for part in wanted.parts])
+        handle = self.admit(query)
+        hints = [part.hint_us for part in wanted.parts if part.hint_us is not None]
+        self.enter(query, ((PlatformPart(f"{query.id}.{part.shard}", part, 1), part.hint_us)
+                           for part in wanted.parts), len(wanted.parts), sum(hints) if hints else None, wanted.retry)
+        return handle
+
+    def told(self, targets: Targets | None) -> None:
+        """Discovery's answer, None for a failure."""
+        if targets is None:
+            self.news(hw.FleetNews(hw.FAILED))
+            return
+        self._note(targets)
+        self.news(self._news(targets))
+        for node, link in list(self.links.items()):
+            if node not in self.addresses:
+                link.leave()
+                if not link.connections:
+                    del self.links[node]
+
+    def _news(self, targets: Targets, asked: bool = True) -> hw.FleetNews:
+        return news_of(targets, self.config.zones, self.settings.cells, self._unix_offset, asked)
+
+    def _note(self, targets: Targets) -> None:
+        """Where each listed node is met."""
+        if targets.all:
+            self.addresses = {}
+        for target in targets.targets:
+            if target.state == "removed":
+                self.addresses.pop(target.uid, None)
+            else:
+                self.addresses[target.uid] = target.endpoint
+                if target.uid in self.links:
+                    self.links[target.uid].move(target.endpoint)
+
+    # What the driver asks for.
+
+    def new_link(self, node: str) -> NodeLink:
+        """The link to a node where it is listed now."""
+        return NodeLink(self.loop, self.net, node, self.addresses.get(node, ""), self, self.config.connections,
+                        self.room, self.log)
+
+    def ask_for(self, query: PlatformQuery, part: PlatformPart, seq: int, left_us: int) -> NodeAsk:
+        """A part's line and text."""
+        second = part.step == 2
+        return NodeAsk(part.id, seq, nf.part_call(
+            part.id, part.plan.shard, max(1, left_us // 1000), query.wanted.text, key=query.wanted.key,
+            answered=query.answered if second else (), whole=query.whole if second else None))
+
+    def kept(self, query: PlatformQuery, part: PlatformPart, key: Key, result: Any) -> None:
+        """Its score chooses among the shards of a second step."""
+        part.score = result.score
+
+    def second_step(self, query: PlatformQuery, whole: bool) -> Iterator[tuple[PlatformPart, int | None]]:
+        """Parts at the shards of the highest scores among those in."""
+        answered = [part for part in query.parts.values() if part.data is not None]
+        query.answered, query.whole = tuple(sorted(part.plan.shard for part in answered)), whole
+        best = sorted(answered, key=lambda part: -part.score)[:self._spec(query).fetch]
+        for part in best:
+            yield (PlatformPart(part.id + SECOND, WantedPart(part.plan.shard, 1 / len(best), None), 2), None)
+
+    def merged(self, query: PlatformQuery, whole: bool) -> Reply:
+        """The values of the last step's parts that are in, as nodes gave them."""
+        rows = [{"id": part.plan.shard, "data": part.data.decode("ascii")} for part in query.parts.values()
+                if part.step == query.step and part.data is not None]
+        return Reply(ANSWERED, query.id, self._spec(query).name, whole, body={"exact": whole, "rows": rows})
--- /dev/null
+++ b/heathwell/gateway/discovery.py
@@ -0,0 +1,97 @@
+"""The platform's discovery over HTTP: the whole list, then a watch that goes on, call after call.
+
+The module says when to ask; from then on each answer is told to it, until a call fails. That is told too, and the
+module decides when to ask again. The only time-outs are a call's own, so that a silent connection is noticed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from heathwell.codec.http import ClientSide, HttpError
+from heathwell.gateway.targets import Targets, TargetsError
+from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task
+
+HOLD_US = 1_500_000  # of a watch: a lost connection is noticed so much later at the most, and its answer's time
+CALL_US = 1_500_000  # for a call beyond what it may wait
+CONNECT_US = 500_000
+LIST = "/api/targets"
+LIST_MOST = 1 << 20
+
+
+class Discovery:
+    """Watches the list at one address, which may move."""
+
+    def __init__(self, loop: Loop, net: Net, address: str, news: Callable[[Targets | None], None],
+                 log: Callable[..., None]) -> None:
+        self.loop, self.net, self.address, self.news, self.log = loop, net, address, news, log
+        self.calls = self.failures = 0
+        self.rev = 0
+        self._task: Task | None = None
+        self._stream: Stream | None = None
+
+    def start(self) -> None:
+        """Nothing: the module asks."""
+
+    def ask(self) -> None:
+        """Begin to watch, if no watch is on."""
+        if self._task is None or self._task.done:
+            self._task = self.loop.spawn(self._watch(self.address), "discovery")
+
+    def move(self, address: str) -> None:
+        """Go on at another address, at once and from the whole list."""
+        self.address = address
+        self.close()
+        self.ask()
+
+    def close(self) -> None:
+        """Ask no more."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def _watch(self, address: str) -> Coro[None]:
+        stream: Stream | None = None
+        try:
+            stream = yield from self.net.connect(address, CONNECT_US)
+            side = ClientSide(address, LIST_MOST)
+            wait, target = 0, LIST
+            while True:
+                if not side.reusable:
+                    stream.close()
+                    stream = yield from self.net.connect(address, CONNECT_US)
+                    side = ClientSide(address, LIST_MOST)
+                targets = yield from self._call(stream, side, target, wait + CALL_US)
+                if not targets.all and targets.rev < self.rev:
+                    target, wait = LIST, 0  # changes of a list that is older than ours: only a whole one says more
+                    continue
+                self.rev = targets.rev
+                self.news(targets)
+                target, wait = f"{LIST}?from={self.rev}&hold_ms={HOLD_US // 1000}", HOLD_US
+        except (ConnectFailed, StreamBroken, HttpError, TargetsError) as problem:
+            self.failures += 1
+            self._task = None
+            self.log("info", "discovery: call failed or watch broken", why=str(problem))
+            self.news(None)
+        finally:
+            if stream is not None:
+                stream.abort()
+
+    def _call(self, stream: Stream, side: ClientSide, target: str, within_us: int) -> Coro[Targets]:
+        """One call; raises what ends a watch."""
+        self.calls += 1
+        stream.write(side.get(target))
+        limit = self.loop.call_at(self.loop.now() + within_us, stream.abort)
+        try:
+            while True:
+                data = yield from stream.read()
+                response = side.feed(data)
+                if response is None:
+                    continue
+                if response.status != 200:
+                    raise HttpError(f"status {response.status}")
+                return Targets.of(response.body)
+        finally:
+            limit.cancel()
+
+
--- /dev/null
+++ b/heathwell/gateway/nodes.py
@@ -0,0 +1,399 @@
+"""Connections to the platform's nodes: parts as frames, and every attempt's end told as what it was.
+
+An id on the wire is the part's, not the attempt's. So an id goes over a connection once: an attempt at a node that was
+sent the same part before goes over another connection, and what is heard on one can only be of the attempt it carried.
+What is given up stays known there until its answer comes or its time is long over, and is then counted and dropped.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from heathwell import interface as hw
+from heathwell.broker.driver import Key
+from heathwell.codec import nodeframes as nf
+from heathwell.gateway.config import Connections
+from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, Timer
+
+OUTCOMES = {nf.SERVED: hw.OK, nf.ERROR: hw.ERROR, nf.TURNED_AWAY: hw.FULL_UP}
+CLOSE_EARLY = 0.8  # of the idle time after which nodes close: ours goes first, so that no part crosses its end
+PROBE_US = 250_000
+SUSPECT_US = 1_000_000  # of silence with something waiting, after which a connection is not trusted with more
+KNOWN_US = 60_000_000  # how long an id that was given up or answered is known on its connection
+KNOWN_MOST = 4096  # ids so known a connection; with more the oldest goes
+CONNECTIONS_A_NODE = 4
+
+
+@dataclass(frozen=True, slots=True)
+class NodeAsk:
+    """One attempt: ``line`` is its line and text in a call."""
+
+    id: str
+    seq: int
+    line: bytes
+
+
+class Owner(Protocol):
+    """Who is told how attempts and probes end."""
+
+    def attempt_ended(self, node: str, key: Key, outcome: str, result: Any) -> None:
+        """One outcome an attempt."""
+
+    def probe_ended(self, node: str, outcome: str) -> None:
+        """One outcome a probe."""
+
+    def late_result(self, node: str) -> None:
+        """An answer to an attempt whose end was told already."""
+
+
+class Room:
+    """The descriptors that nodes may take, all links together; the longest idle connection makes room for a new one."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.open = 0
+        self.refused = 0
+        self.idle: OrderedDict[Connection, None] = OrderedDict()
+
+    def take(self) -> bool:
+        """A place for one more connection; false where all are at work."""
+        if self.open >= self.most and self.idle:
+            next(iter(self.idle)).close()
+        if self.open >= self.most:
+            self.refused += 1
+            return False
+        self.open += 1
+        return True
+
+
+@dataclass(slots=True)
+class Sent:
+    """An attempt on a connection; ``ends`` is where its frame ends in the stream, None: not written."""
+
+    key: Key
+    ends: int | None = None
+
+
+class Connection:
+    """One connection of a link, from its connect to its end."""
+
+    def __init__(self, link: NodeLink) -> None:
+        self.link, self.loop = link, link.loop
+        self.address = link.address
+        self.out: dict[str, Sent] = {}
+        self.known: OrderedDict[str, int] = OrderedDict()  # ids given up or answered here, and when
+        self.retired = False
+        self.stream: Stream | None = None
+        self._incoming = nf.Incoming()
+        self._waiting: list[list[NodeAsk]] = []
+        self._probes: deque[int] = deque()  # numbers of probes in the order sent; answers come in it
+        self._unsent_probes: list[int] = []
+        self._waits_since: int | None = None
+        self._idle_timer: Timer | None = None
+        self._idle_since = self.loop.now()
+        self._ended = hw.UNREACHABLE
+        self._over = False
+        self._task: Task = self.loop.spawn(self._run(), f"node {link.node}")
+
+    # What the link asks for.
+
+    def takes(self, part: str) -> bool:
+        """Whether this part may go here: its id is fresh, and there is room."""
+        return (not self.retired and part not in self.out and part not in self.known
+                and len(self.out) < self.link.limits.streams)
+
+    @property
+    def silent(self) -> bool:
+        """Something was asked long ago, and nothing at all was heard since, though it may have been given up."""
+        return self._waits_since is not None and self.loop.now() - self._waits_since > SUSPECT_US
+
+    @property
+    def busy(self) -> bool:
+        """Whether anybody still waits for something here."""
+        return bool(self.out) or any(self.link.waits_for(n) for n in [*self._probes, *self._unsent_probes])
+
+    def send(self, parts: list[NodeAsk]) -> None:
+        """Send a call."""
+        self.link.room.idle.pop(self, None)
+        for ask in parts:
+            self.out[ask.id] = Sent((ask.id, ask.seq))
+        if self.stream is None:
+            self._waiting.append(parts)
+        else:
+            self._write_call(parts)
+
+    def give_up(self, part: str) -> None:
+        """The end of an attempt was told by the owner: stop waiting for it."""
+        sent = self.out.pop(part)
+        if sent.ends is None:
+            for parts in self._waiting:
+                parts[:] = [ask for ask in parts if ask.id != part]
+        else:
+            self._know(part)
+            self._write(nf.frame(nf.GIVE_UP, part.encode()))
+        self._rest()
+
+    def probe(self, number: int) -> None:
+        """Ask for a sign of life."""
+        self.link.room.idle.pop(self, None)
+        if self.stream is None:
+            self._unsent_probes.append(number)
+        else:
+            self._ask_probe(number)
+
+    def close(self) -> None:
+        """Let go; what is out ends as broken."""
+        self._task.cancel()
+        self._finish()
+
+    # Its life.
+
+    def _run(self) -> Coro[None]:
+        try:
+            self.stream = yield from self.link.net.connect(self.address, self.link.limits.connect_us)
+            self._ended = hw.BROKEN
+            waiting, self._waiting = self._waiting, []
+            for parts in waiting:
+                if parts:
+                    self._write_call(parts)
+            probes, self._unsent_probes = self._unsent_probes, []
+            for number in probes:
+                self._ask_probe(number)
+            self._rest()
+            while data := (yield from self.stream.read()):
+                self._heard(data)
+        except ConnectFailed as problem:
+            self.link.note("no connection", str(problem))
+        except StreamBroken as problem:
+            if self.out:
+                self.link.note("connection lost", str(problem))
+        except nf.FrameError as problem:
+            # The part has run, and the connection is of no further use to those that wait behind it.
+            self.link.spoilt += 1
+            if self.out:
+                self.link.note("spoilt answer", str(problem))
+            self._ended = hw.ERROR
+        finally:
+            self._finish()
+
+    def _heard(self, data: bytes) -> None:
+        for message in self._incoming.feed(data):
+            match message:
+                case nf.PartAnswer():
+                    self._answered(message)
+                case nf.ProbeAnswer(ok=ok):
+                    if not self._probes:
+                        raise nf.FrameError("an answer to no probe")
+                    self.link.probe_over(self._probes.popleft(), hw.OK if ok else hw.ERROR)
+                case nf.Unusable(words=words):
+                    self.link.note("a frame could not be used", words)
+                    raise StreamBroken("the node could not use a frame")
+        if self._incoming.left and not self.out and not self._probes:
+            raise nf.FrameError("bytes that belong to nothing")
+        self._waits_since = self.loop.now() if self.out or self._probes else None
+        self._rest()
+
+    def _answered(self, message: nf.PartAnswer) -> None:
+        sent = self.out.pop(message.id, None)
+        if sent is not None:
+            self._know(message.id)
+            self.link.ended(sent.key, OUTCOMES[message.end], message)
+        elif message.id in self.known:
+            self.link.late += 1  # its end was told already, or this is a second copy: nothing comes of it
+            self.link.owner.late_result(self.link.node)
+        else:
+            raise nf.FrameError(f"an answer of unknown id {message.id[:64]!r}")
+
+    def _write_call(self, parts: list[NodeAsk]) -> None:
+        assert self.stream is not None
+        data = nf.call([ask.line for ask in parts])
+        ends = self.stream.queued + len(data)
+        for ask in parts:
+            if ask.id in self.out:
+                self.out[ask.id].ends = ends
+        self._wait()
+        self._write(data)
+
+    def _ask_probe(self, number: int) -> None:
+        self._probes.append(number)
+        self._wait()
+        self._write(nf.frame(nf.PROBE))
+
+    def _write(self, data: bytes) -> None:
+        try:
+            if self.stream is not None:
+                self.stream.write(data)
+        except StreamBroken:
+            pass  # the reading side sees the same and tells the ends
+
+    def _wait(self) -> None:
+        if self._waits_since is None:
+            self._waits_since = self.loop.now()
+
+    def _know(self, part: str) -> None:
+        now = self.loop.now()
+        self.known[part] = now
+        while self.known and (len(self.known) > KNOWN_MOST or next(iter(self.known.values())) < now - KNOWN_US):
+            self.known.popitem(last=False)
+
+    def _rest(self) -> None:
+        """Look whether nothing waits any more: then the idle time runs, or a retired connection ends."""
+        if self._over or self.stream is None or self.busy:
+            return
+        if self.retired:
+            self.close()
+            return
+        now = self._idle_since = self.loop.now()
+        self.link.room.idle[self] = None
+        self.link.room.idle.move_to_end(self)
+        if self._idle_timer is None:
+            self._idle_timer = self.loop.call_at(now + self._idle_us, self._idle)
+
+    @property
+    def _idle_us(self) -> int:
+        return int(self.link.limits.idle_us * CLOSE_EARLY)
+
+    def _idle(self) -> None:
+        self._idle_timer = None
+        if self._over or self.busy:
+            return
+        left = self._idle_since + self._idle_us - self.loop.now()
+        if left > 0:
+            self._idle_timer = self.loop.call_at(self.loop.now() + left, self._idle)
+        else:
+            self.close()
+
+    def _finish(self) -> None:
+        """The connection is gone: what had not been written whole provably never ran, the rest may have."""
+        if self._over:
+            return
+        self._over = True
+        self.link.room.open -= 1
+        self.link.room.idle.pop(self, None)
+        self.link.connections.remove(self)
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        stream, out, self.out = self.stream, self.out, {}
+        written = stream.sent if stream is not None else 0
+        if stream is not None:
+            stream.abort() if out else stream.close()
+        for sent in out.values():
+            never = sent.ends is None or sent.ends > written
+            self.link.ended(sent.key, hw.UNREACHABLE if never else self._ended, None)
+        for number in [*self._probes, *self._unsent_probes]:
+            self.link.probe_over(number, self._ended)
+
+
+class NodeLink:
+    """One broker's way to one node, by as many connections as its parts need."""
+
+    def __init__(self, loop: Loop, net: Net, node: str, address: str, owner: Owner, limits: Connections, room: Room,
+                 log: Callable[..., None]) -> None:
+        self.loop, self.net, self.node, self.address, self.owner = loop, net, node, address, owner
+        self.limits, self.room, self.log = limits, room, log
+        self.connections: list[Connection] = []
+        self.out: dict[Key, Connection] = {}
+        self.late = self.spoilt = self.connects = 0
+        self._probes: dict[int, Timer] = {}
+        self._probe_no = 0
+
+    @property
+    def up(self) -> bool:
+        """Whether a connection stands."""
+        return any(connection.stream is not None for connection in self.connections)
+
+    @property
+    def busy(self) -> bool:
+        """Whether anything waits for the node."""
+        return bool(self.out or self._probes)
+
+    def waits_for(self, probe: int) -> bool:
+        """Whether a probe has not ended yet."""
+        return probe in self._probes
+
+    def move(self, address: str) -> None:
+        """The node is met at another address from now on; what is out where it was goes on."""
+        if address != self.address:
+            self.address = address
+            self._retire(self.connections)
+
+    def send(self, parts: list[NodeAsk]) -> None:
+        """Send attempts in one call; each will end once."""
+        if not parts:
+            return
+        connection = self._for([ask.id for ask in parts])
+        if connection is None:
+            for ask in parts:
+                self.loop.call_soon(self.owner.attempt_ended, self.node, (ask.id, ask.seq), hw.UNREACHABLE, None)
+            return
+        for ask in parts:
+            self.out[ask.id, ask.seq] = connection
+        connection.send(parts)
+
+    def forget(self, key: Key) -> bool:
+        """Stop waiting for an attempt whose end the owner has told by itself; true if it was out."""
+        connection = self.out.pop(key, None)
+        if connection is None:
+            return False
+        connection.give_up(key[0])
+        return True
+
+    def probe(self) -> None:
+        """Ask for a sign of life; ends once. A connection that has fallen silent can't give one for its node."""
+        self._probe_no += 1
+        number = self._probe_no
+        self._probes[number] = self.loop.call_at(self.loop.now() + PROBE_US, self.probe_over, number, hw.TIMED_OUT)
+        connection = self._for([])
+        if connection is None:
+            self.loop.call_soon(self.probe_over, number, hw.UNREACHABLE)
+        else:
+            connection.probe(number)
+
+    def close(self) -> None:
+        """Let go of all connections; what is out ends as broken."""
+        for connection in list(self.connections):
+            connection.close()
+
+    def ended(self, key: Key, outcome: str, result: nf.PartAnswer | None) -> None:
+        """A connection's word on an attempt."""
+        if self.out.pop(key, None) is not None:
+            self.owner.attempt_ended(self.node, key, outcome, result)
+
+    def probe_over(self, number: int, outcome: str) -> None:
+        """A probe's end, the first that is told of it."""
+        timer = self._probes.pop(number, None)
+        if timer is not None:
+            timer.cancel()
+            self.owner.probe_ended(self.node, outcome)
+
+    def note(self, what: str, why: str) -> None:
+        """A line for the operators."""
+        self.log("info", what, node=self.node, why=why, out=len(self.out))
+
+    def _for(self, parts: list[str]) -> Connection | None:
+        """A connection that may carry these parts, a new one where none may; None where there is no room for it."""
+        self._retire([connection for connection in self.connections if connection.silent])
+        for connection in self.connections:
+            if all(connection.takes(part) for part in parts) and not connection.retired:
+                return connection
+        if len(self.connections) < CONNECTIONS_A_NODE and self.room.take():
+            self.connects += 1
+            connection = Connection(self)
+            self.connections.append(connection)
+            return connection
+        # Over the number that a connection carries at once parts wait there unread, but wait they can.
+        fresh = [c for c in self.connections if not any(part in c.out or part in c.known for part in parts)]
+        return min(fresh, key=lambda c: len(c.out), default=None)
+
+    def _retire(self, connections: list[Connection]) -> None:
+        for connection in list(connections):
+            connection.retired = True
+            if not connection.out:
+                connection.close()
+
+    def leave(self) -> None:
+        """The node is not listed any more: what is out may end, nothing is kept open beyond it."""
+        self._retire(self.connections)
--- /dev/null
+++ b/heathwell/gateway/process.py
@@ -0,0 +1,148 @@
+"""One broker as the platform starts it: configuration, signals, and an orderly end."""
+
+from __future__ import annotations
+
+import gc
+import os
+import resource
+import signal
+import sys
+import traceback
+from collections.abc import Mapping
+from typing import Any
+
+from heathwell.gateway.broker import PlatformBroker
+from heathwell.gateway.config import Config, ConfigError, load
+from heathwell.gateway.front import Front
+from heathwell.kernel import Listener, socket_loop
+
+GC_AFTER = 20_000  # objects made before the collector looks at the young ones
+TAKE_US = 600_000  # after SIGTERM, for which clients still arrive
+END_LOOK_US = 20_000
+LINES_A_SECOND = 20
+
+
+class Log:
+    """Lines on standard error, a bounded number a second."""
+
+    def __init__(self, name: str, clock: Any) -> None:
+        self._name, self._clock = name, clock
+        self._second = self._lines = self._dropped = 0
+
+    def __call__(self, level: str, event: str, **fields: Any) -> None:
+        """One line; debug lines are not written."""
+        if level == "debug":
+            return
+        now = self._clock.now()
+        if now // 1_000_000 != self._second:
+            dropped, self._dropped = self._dropped, 0
+            self._second, self._lines = now // 1_000_000, 0
+            if dropped:
+                self._write(f"{now / 1e6:.3f} {self._name} warning log lines dropped={dropped}")
+        self._lines += 1
+        if self._lines > LINES_A_SECOND:
+            self._dropped += 1
+            return
+        words = "".join(f" {name}={str(value)[:200]!r}" for name, value in fields.items())
+        self._write(f"{now / 1e6:.3f} {self._name} {level} {event}{words}")
+
+    @staticmethod
+    def _write(line: str) -> None:
+        sys.stderr.write(line + "\n")
+
+
+class Process:
+    """The running broker."""
+
+    def __init__(self, config: Config, environment: Mapping[str, str]) -> None:
+        self.config, self.environment = config, environment
+        self.loop, self.net, self.poller = socket_loop()
+        self.log = Log(config.name, self.loop.clock)
+        self.loop.on_error = self._error
+        self.broker = PlatformBroker(self.loop, self.net, config, log=self.log)
+        self.front = Front(self.broker, config.client_sockets, self.log)
+        self.listener: Listener | None = None
+        self._ending_at: int | None = None
+
+    def run(self, pending: list[int]) -> int:
+        """Serve until SIGTERM has been carried out; ``pending`` are signals that came before."""
+        calls = {signal.SIGTERM: self.terminate, signal.SIGINT: self.terminate, signal.SIGHUP: self.reload}
+        for number, call in calls.items():
+            self.poller.on_signal(number, call)
+        self.listener = self.net.listen(self.config.listen, self.front.serve, "client", self.config.client_sockets + 8)
+        for earlier in pending:
+            calls[signal.Signals(earlier)]()
+        # Records of a query refer to each other, so the collector is needed, but not every few queries.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_AFTER, 20, 20)
+        self.log("info", "ready", listen=self.listener.address, pid=os.getpid(), sockets=self.config.sockets)
+        self.loop.run()
+        return 0
+
+    def terminate(self) -> None:
+        """Clients still come for a while and are served; then what is held is finished. A second call is nothing."""
+        if self._ending_at is not None:
+            return
+        self.log("info", "terminating", held=self.broker.held)
+        self._ending_at = self.loop.now()
+        self.front.drain()
+        self.loop.call_at(self._ending_at + TAKE_US, self._take_no_more)
+
+    def _take_no_more(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+        self.broker.stop()
+        self._look_for_end()
+
+    def _look_for_end(self) -> None:
+        """Idle clients are let go; the end is when no client waits for anything."""
+        self.front.let_go()
+        longest = max(spec.limit_us for spec in self.config.settings.classes)
+        over = self.loop.now() - (self._ending_at or 0) > TAKE_US + longest
+        if over or not (self.front.clients or any(q.on_reply for q in self.broker.queries.values())):
+            self.log("info", "ended", open=len(self.front.clients))
+            self.broker.close()
+            self.loop.stop()
+        else:
+            self.loop.call_at(self.loop.now() + END_LOOK_US, self._look_for_end)
+
+    def reload(self) -> None:
+        """Read the configuration anew, whole; where it is sound, discovery is met where it says."""
+        try:
+            config = load(self.environment)
+        except ConfigError as problem:
+            self.log("error", "configuration refused, the old one stays", why=str(problem))
+            return
+        moved = config.discovery != self.config.discovery
+        self.log("info", "configuration read", discovery=config.discovery, moved=moved)
+        self.config = config
+        if moved:
+            self.broker.watch.move(config.discovery)
+
+    def _error(self, task: str, error: BaseException) -> None:
+        self.log("error", "task ended by an error", task=task,
+                 why="".join(traceback.format_exception(error))[-600:])
+
+
+def raise_limit(sockets: int) -> None:
+    """Let this process open as many descriptors as it was told, where its soft limit is lower."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = sockets if hard == resource.RLIM_INFINITY else min(sockets, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
+def main(pending: list[int]) -> int:
+    """Exit code 0 after SIGTERM, 2 for a configuration that can't be used, 3 for an address that can't be had."""
+    try:
+        config = load(os.environ)
+    except ConfigError as problem:
+        print(f"heathwell: {problem}", file=sys.stderr)
+        return 2
+    raise_limit(config.sockets)
+    try:
+        return Process(config, os.environ).run(pending)
+    except OSError as problem:
+        print(f"heathwell: listen: {config.listen}: {problem}", file=sys.stderr)
+        return 3
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from heathwell.broker.driver import Broker
+from heathwell.broker.market import Broker
 from heathwell.eventlog import EventLog, ListEvents, NoEvents
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -12,7 +12,7 @@
 
 from heathwell.audit import judge, judge_ages
 from heathwell.audit.reader import from_lines
-from heathwell.broker.driver import Broker
+from heathwell.broker.market import Broker
 from heathwell.codec import frames
 from heathwell.coverage import Cover, CoverError, decode, encode
 from heathwell.freshness import Freshness, Policy, SourceClock, TokenError, Watermark, make_token, read_token
