--- a/heathwell/startsettings.py
+++ b/heathwell/startsettings.py
@@ -1,4 +1,4 @@
-"""The start settings from the platform's object, as the bench's wire and a broker's configuration both hold it.
+"""The start settings from the platform's object, which the bench's wire and a broker's configuration hold.
 
 Standard library only, as the bench adapter uses it.
 """
