Node links: a broken connection is its node's loss only when no new one comes up

Checked: processor (0.33 of a core at most), descriptors (102 of 384), discovery (two calls) are not it. The lines: gateway/nodes.py _finish told BROKEN for each, and by logic.py _answered a server back from "no connection" is cold for 17 s, so nearly all nodes were held to their cold budgets. Change: what was out on a connection that broke ends once a new connection's connect tells: up, the attempt failed and may have run (error); refused or not there, broken. A connect that is reset itself is made once more.

--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -3,6 +3,10 @@
 An id on the wire is the part's, not the attempt's. So an id goes over a connection once: an attempt at a node that was
 sent the same part before goes over another connection, and what is heard on one can only be of the attempt it carried.
 What is given up stays known there until its answer comes or its time is long over, and is then counted and dropped.
+
+A connection that breaks is no word on its node: a process that died refuses the next one, a machine that is lost does
+not answer it. So the end of what was out is told once a new connection came up (the attempt failed, it may have run)
+or did not (it broke with its node).
 """
 
 from __future__ import annotations
@@ -89,6 +93,7 @@
         self.stream: Stream | None = None
         self._incoming = nf.Incoming()
         self._waiting: list[list[NodeAsk]] = []
+        self.bereft: dict[str, Key] = {}  # attempts of a connection that broke, whose end this one's connect tells
         self._probes: deque[int] = deque()  # numbers of probes in the order sent; answers come in it
         self._unsent_probes: list[int] = []
         self._waits_since: int | None = None
@@ -127,6 +132,8 @@
 
     def give_up(self, part: str) -> None:
         """The end of an attempt was told by the owner: stop waiting for it."""
+        if self.bereft.pop(part, None) is not None:
+            return
         sent = self.out.pop(part)
         if sent.ends is None:
             for parts in self._waiting:
@@ -153,8 +160,11 @@
 
     def _run(self) -> Coro[None]:
         try:
-            self.stream = yield from self.link.net.connect(self.address, self.link.limits.connect_us)
+            self.stream = yield from self._connect()
             self._ended = hw.BROKEN
+            bereft, self.bereft = self.bereft, {}
+            for key in bereft.values():
+                self.link.ended(key, hw.ERROR, None)
             waiting, self._waiting = self._waiting, []
             for parts in waiting:
                 if parts:
@@ -179,6 +189,14 @@
         finally:
             self._finish()
 
+    def _connect(self) -> Coro[Stream]:
+        try:
+            return (yield from self.link.net.connect(self.address, self.link.limits.connect_us))
+        except ConnectFailed as problem:
+            if not problem.reset:
+                raise
+        return (yield from self.link.net.connect(self.address, self.link.limits.connect_us))
+
     def _heard(self, data: bytes) -> None:
         for message in self._incoming.feed(data):
             match message:
@@ -280,10 +298,19 @@
         written = stream.sent if stream is not None else 0
         if stream is not None:
             stream.abort() if out else stream.close()
+        for key in self.bereft.values():
+            self.link.ended(key, hw.BROKEN, None)
+        never = [sent for sent in out.values() if sent.ends is None or sent.ends > written]
+        for sent in never:
+            self.link.ended(sent.key, hw.UNREACHABLE, None)
+            del out[sent.key[0]]
+        probes = [*self._probes, *self._unsent_probes]
+        if self._ended == hw.BROKEN and not self.link.closing:
+            self.link.broke([sent.key for sent in out.values()], [n for n in probes if self.link.waits_for(n)])
+            return
         for sent in out.values():
-            never = sent.ends is None or sent.ends > written
-            self.link.ended(sent.key, hw.UNREACHABLE if never else self._ended, None)
-        for number in [*self._probes, *self._unsent_probes]:
+            self.link.ended(sent.key, self._ended, None)
+        for number in probes:
             self.link.probe_over(number, self._ended)
 
 
@@ -296,7 +323,8 @@
         self.limits, self.room, self.log = limits, room, log
         self.connections: list[Connection] = []
         self.out: dict[Key, Connection] = {}
-        self.late = self.spoilt = self.connects = 0
+        self.late = self.spoilt = self.connects = self.breaks = 0
+        self.closing = False
         self._probes: dict[int, Timer] = {}
         self._probe_no = 0
 
@@ -354,6 +382,7 @@
 
     def close(self) -> None:
         """Let go of all connections; what is out ends as broken."""
+        self.closing = True
         for connection in list(self.connections):
             connection.close()
 
@@ -362,6 +391,24 @@
         if self.out.pop(key, None) is not None:
             self.owner.attempt_ended(self.node, key, outcome, result)
 
+    def broke(self, keys: list[Key], probes: list[int]) -> None:
+        """A connection broke with these out: a new one's connect tells whether its node is lost as well."""
+        if not keys and not probes:
+            return
+        self.breaks += 1
+        connection = self._new()
+        if connection is None:
+            for key in keys:
+                self.ended(key, hw.BROKEN, None)
+            for number in probes:
+                self.probe_over(number, hw.BROKEN)
+            return
+        for key in keys:
+            self.out[key] = connection
+            connection.bereft[key[0]] = key
+        for number in probes:
+            connection.probe(number)
+
     def probe_over(self, number: int, outcome: str) -> None:
         """A probe's end, the first that is told of it."""
         timer = self._probes.pop(number, None)
@@ -379,15 +426,21 @@
         for connection in self.connections:
             if all(connection.takes(part) for part in parts) and not connection.retired:
                 return connection
-        if len(self.connections) < CONNECTIONS_A_NODE and self.room.take():
-            self.connects += 1
-            connection = Connection(self)
-            self.connections.append(connection)
-            return connection
+        new = self._new()
+        if new is not None:
+            return new
         # Over the number that a connection carries at once parts wait there unread, but wait they can.
         fresh = [c for c in self.connections if not any(part in c.out or part in c.known for part in parts)]
         return min(fresh, key=lambda c: len(c.out), default=None)
 
+    def _new(self) -> Connection | None:
+        if len(self.connections) >= CONNECTIONS_A_NODE or not self.room.take():
+            return None
+        self.connects += 1
+        connection = Connection(self)
+        self.connections.append(connection)
+        return connection
+
     def _retire(self, connections: list[Connection]) -> None:
         for connection in list(connections):
             connection.retired = True
--- a/heathwell/kernel/net.py
+++ b/heathwell/kernel/net.py
@@ -27,6 +27,11 @@
 class ConnectFailed(Exception):
     """No connection was established; the text says why."""
 
+    @property
+    def reset(self) -> bool:
+        """Whether the other side was there and ended it: nothing is known of the next one."""
+        return str(self) == "ECONNRESET"
+
 
 class Stream(ABC):
     """A two-way stream of bytes with bounded buffers.
