Module: a cut retry is told by its class's usual try; node links take one part a time where nodes close

Probe of the requests: first tries state 746 of 1000 ms, but a client's last try may state all that is left (995); logic.py _query took the longest ever seen (`longest`) as the measure, so one early refusal made every first try look like a cut retry, which was refused, and came back with all its time again. Ruled out: door, open cap, charges, ejections (0 to 2 of 12). Change: the usual try is the commonest of the latest 64, in parts of the class's limit.

--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -353,9 +353,10 @@
         query.timer = None
         if query.on_reply is not None and not query.queued and not query.woken:
             # After a stall of the loop the module's own timer, a tick earlier, comes in the same turn: it goes first.
+            # By a timer of the next turn: what is called soon would still run in this one, before its batch is handled.
             query.woken = True
             self._push(hw.TimerFired("due"))
-            self.loop.call_soon(self._deadline, query)
+            query.timer = self.loop.call_at(self.loop.now() + 1, self._deadline, query)
             return
         for key, node in list(query.out.items()):
             del query.out[key]
--- a/heathwell/codec/http.py
+++ b/heathwell/codec/http.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 import h11
@@ -160,11 +160,16 @@
         self._status = 0
         self._body = bytearray()
 
-    def get(self, target: str) -> bytes:
-        """The bytes of a GET; raises :class:`HttpError` where the connection can't be used for one."""
+    def request(self, method: str, target: str, headers: Iterable[tuple[str, str]] = (), body: bytes = b"") -> bytes:
+        """The bytes of a request; raises :class:`HttpError` where the connection can't be used for one."""
+        head = [("Host", self._host), *headers]
+        if body:
+            head.append(("Content-Length", str(len(body))))
         try:
-            out = self._connection.send(h11.Request(method="GET", target=target, headers=[("Host", self._host)]))
-            return (out or b"") + (self._connection.send(h11.EndOfMessage()) or b"")
+            out = self._connection.send(h11.Request(method=method, target=target, headers=head)) or b""
+            if body:
+                out += self._connection.send(h11.Data(data=body)) or b""
+            return out + (self._connection.send(h11.EndOfMessage()) or b"")
         except h11.LocalProtocolError as problem:
             raise HttpError(str(problem)) from None
 
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -69,7 +69,7 @@
         self.jobs += 1
         deadline = max(arrived_us + wanted.wait_us - MARGIN_US, arrived_us + self.settings.tick_us)
         query = PlatformQuery(wanted.id, self.jobs, wanted.klass, arrived_us, deadline, on_reply, wanted=wanted)
-        self.events("take", q=query.id, req=query.id, klass=spec.name, parts=len(wanted.parts),
+        self.events("take", q=query.id, req=query.id, key="", klass=spec.name, parts=len(wanted.parts),
                     deadline=deadline - arrived_us, shards=[part.shard for part in wanted.parts])
         handle = self.admit(query)
         hints = [part.hint_us for part in wanted.parts if part.hint_us is not None]
@@ -136,3 +136,10 @@
         rows = [{"id": part.plan.shard, "data": part.data.decode("ascii")} for part in query.parts.values()
                 if part.step == query.step and part.data is not None]
         return Reply(ANSWERED, query.id, self._spec(query).name, whole, body={"exact": whole, "rows": rows})
+
+    def final(self, query: PlatformQuery, reply: Reply, took_us: int) -> None:
+        """The event log hears of it."""
+        if self.events.on:  # the lists are a cost that only a log pays for
+            used = {part.id: part.seq for part in query.parts.values() if part.data is not None}
+            self.events("final", q=query.id, kind=reply.kind, whole=reply.whole, after=reply.after_us, took=took_us,
+                        parts=list(used), used=used)
--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -80,7 +80,7 @@
     def _call(self, stream: Stream, side: ClientSide, target: str, within_us: int) -> Coro[Targets]:
         """One call; raises what ends a watch."""
         self.calls += 1
-        stream.write(side.get(target))
+        stream.write(side.request("GET", target))
         limit = self.loop.call_at(self.loop.now() + within_us, stream.abort)
         try:
             while True:
--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -7,6 +7,9 @@
 A connection that breaks is no word on its node: a process that died refuses the next one, a machine that is lost does
 not answer it. So the end of what was out is told once a new connection came up (the attempt failed, it may have run)
 or did not (it broke with its node).
+
+A node that closes right after an answer takes what else is out on that connection with it. While it does so each
+connection carries one part, and is used again only once it has outlived its answer.
 """
 
 from __future__ import annotations
@@ -29,6 +32,10 @@
 KNOWN_US = 60_000_000  # how long an id that was given up or answered is known on its connection
 KNOWN_MOST = 4096  # ids so known a connection; with more the oldest goes
 CONNECTIONS_A_NODE = 4
+SINGLE_AFTER = 3  # connections in a row that a node closed right after an answer, from which each carries one part
+SINGLE_ANSWERS = 2  # answers of a connection up to which it counts as one of those: others close by chance
+SINGLE_CONNECTIONS = 16
+SOON_US = 50_000  # after an answer: an end within it is the node's way to close, what outlives it is kept
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,22 +101,30 @@
         self._incoming = nf.Incoming()
         self._waiting: list[list[NodeAsk]] = []
         self.bereft: dict[str, Key] = {}  # attempts of a connection that broke, whose end this one's connect tells
+        self.answered_at: int | None = None
+        self.answers = 0
         self._probes: deque[int] = deque()  # numbers of probes in the order sent; answers come in it
         self._unsent_probes: list[int] = []
         self._waits_since: int | None = None
         self._idle_timer: Timer | None = None
         self._idle_since = self.loop.now()
         self._ended = hw.UNREACHABLE
-        self._over = False
+        self._over = self._ours = False
         self._task: Task = self.loop.spawn(self._run(), f"node {link.node}")
 
     # What the link asks for.
 
     def takes(self, part: str) -> bool:
         """Whether this part may go here: its id is fresh, and there is room."""
+        if self.link.single and (self.out or self._just_answered):
+            return False
         return (not self.retired and part not in self.out and part not in self.known
                 and len(self.out) < self.link.limits.streams)
 
+    @property
+    def _just_answered(self) -> bool:
+        return self.answered_at is not None and self.loop.now() - self.answered_at < SOON_US
+
     @property
     def silent(self) -> bool:
         """Something was asked long ago, and nothing at all was heard since, though it may have been given up."""
@@ -153,6 +168,7 @@
 
     def close(self) -> None:
         """Let go; what is out ends as broken."""
+        self._ours = True
         self._task.cancel()
         self._finish()
 
@@ -198,6 +214,8 @@
         return (yield from self.link.net.connect(self.address, self.link.limits.connect_us))
 
     def _heard(self, data: bytes) -> None:
+        if self.answered_at is not None and not self._just_answered:
+            self.link.closes = 0  # it outlived an answer
         for message in self._incoming.feed(data):
             match message:
                 case nf.PartAnswer():
@@ -216,6 +234,8 @@
 
     def _answered(self, message: nf.PartAnswer) -> None:
         sent = self.out.pop(message.id, None)
+        self.answered_at = self.loop.now()
+        self.answers += 1
         if sent is not None:
             self._know(message.id)
             self.link.ended(sent.key, OUTCOMES[message.end], message)
@@ -294,6 +314,10 @@
         self.link.connections.remove(self)
         if self._idle_timer is not None:
             self._idle_timer.cancel()
+        if self._ended == hw.BROKEN and not self._ours and self.answered_at is not None:
+            self.link.ended_soon += self._just_answered
+            at_once = self._just_answered and self.answers <= SINGLE_ANSWERS
+            self.link.closes = self.link.closes + 1 if at_once else 0
         stream, out, self.out = self.stream, self.out, {}
         written = stream.sent if stream is not None else 0
         if stream is not None:
@@ -324,6 +348,8 @@
         self.connections: list[Connection] = []
         self.out: dict[Key, Connection] = {}
         self.late = self.spoilt = self.connects = self.breaks = 0
+        self.ended_soon = 0  # connections that the node ended right after an answer
+        self.closes = 0  # connections in a row that the node closed right after an answer
         self.closing = False
         self._probes: dict[int, Timer] = {}
         self._probe_no = 0
@@ -333,6 +359,11 @@
         """Whether a connection stands."""
         return any(connection.stream is not None for connection in self.connections)
 
+    @property
+    def single(self) -> bool:
+        """Whether each connection carries one part now."""
+        return self.closes >= SINGLE_AFTER
+
     @property
     def busy(self) -> bool:
         """Whether anything waits for the node."""
@@ -434,7 +465,8 @@
         return min(fresh, key=lambda c: len(c.out), default=None)
 
     def _new(self) -> Connection | None:
-        if len(self.connections) >= CONNECTIONS_A_NODE or not self.room.take():
+        most = SINGLE_CONNECTIONS if self.single else CONNECTIONS_A_NODE
+        if len(self.connections) >= most or not self.room.take():
             return None
         self.connects += 1
         connection = Connection(self)
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -14,6 +14,7 @@
 from heathwell.gateway.broker import PlatformBroker
 from heathwell.gateway.config import Config, ConfigError, load
 from heathwell.gateway.front import Front
+from heathwell.gateway.trace import Trace
 from heathwell.kernel import Listener, socket_loop
 
 GC_AFTER = 20_000  # objects made before the collector looks at the young ones
@@ -63,6 +64,8 @@
         self.front = Front(self.broker, config.client_sockets, self.log)
         self.listener: Listener | None = None
         self._ending_at: int | None = None
+        if environment.get("HEATHWELL_TRACE"):
+            Trace(self.broker, self.front)
 
     def run(self, pending: list[int]) -> int:
         """Serve until SIGTERM has been carried out; ``pending`` are signals that came before."""
--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -10,7 +10,7 @@
 
 import heapq
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterator
 from math import exp, log
 
@@ -38,7 +38,8 @@
 ZONE_TIE = 0.3  # of the usual latency: how much slower an equal holder in our zone may be than one outside
 NO_CONNECTION, NO_PROBE = "no connection", "no answer to a probe"
 SECOND_STEP = 2.0  # usual latencies that a second step takes: the slowest of a few parts, not an average one
-CUT_TRY = 0.95  # share of its class's longest try under which a try is taken to be a cut retry
+CUT_TRY = 0.95  # share of its class's usual try under which a try is taken to be a cut retry
+TRIES = 64  # latest tries of a class, and parts of its limit, by which the usual one is told
 ANEW_PARTS = 12  # parts up to which all are ranked anew before each pick: keeping groups saves little there
 COUNTS_TELL = 2.0  # parts answered a server and aim, under which own counts are nearly always 0
 SLOWEST = 0.7  # rank among recent latencies at most: the rest may be sick servers, not overload
@@ -79,7 +80,8 @@
         self.tenants = [(0.0, 0)] * len(settings.tenants)
         self.death_at: int | None = None
         self.mean_took, self.mean_hint = ([0.0] * len(settings.classes) for _ in range(2))
-        self.longest, self.counted, self.hinted = ([0] * len(settings.classes) for _ in range(3))
+        self.counted, self.hinted = ([0] * len(settings.classes) for _ in range(2))
+        self.tries: list[deque[int]] = [deque(maxlen=TRIES) for _ in settings.classes]
         self.last_ok = -1
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
@@ -231,10 +233,13 @@
         self._count(self.taken, self.now)
         aim = spec.aim_us + int(spec.aim_stretch * (event.hint_us or 0))
         left = event.deadline_us - self.now
-        self.longest[event.klass] = max(self.longest[event.klass], left)
-        # A try shorter than others of its class is a cut retry: its end tells when the client first asked.
+        # A try shorter than most of its class is a cut retry: its end tells when the client first asked. First
+        # tries are alike, and not always the longest: a client's last try may have all the time that is left.
+        tries = self.tries[event.klass]
+        tries.append(TRIES * left // spec.limit_us)
+        usual = Counter(tries).most_common(1)[0][0] * spec.limit_us / TRIES
         aim_at = min(self.now + aim, event.deadline_us)
-        if left < CUT_TRY * self.longest[event.klass] and (event.retry or not self.cfg.marks_retry):
+        if left < CUT_TRY * usual and (event.retry or not self.cfg.marks_retry):
             aim_at = min(aim_at, event.deadline_us - spec.limit_us + aim)
         query = Query(event.id, event.job, event.klass, event.tenant, self.now, aim_at,
                       event.deadline_us, spec.need * event.parts + spec.fetch)
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,237 @@
+"""The platform's way in and out, on virtual time against the stand-ins."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+from heathwell import interface as hw
+from heathwell.codec import nodeframes as nf
+from heathwell.gateway.nodes import SINGLE_AFTER, NodeAsk
+from heathwell.kernel import StreamBroken, sleep
+from heathwell.standins.platform import answer, value_of
+
+from .conftest import Driver, make_settings, of
+from .platform import UNIX_US, Platform
+
+
+def ask(world, *args, **more):
+    def main():
+        response = yield from world.client().ask(*args, **more)
+        return response
+    response = world.run(main())
+    return response.status, json.loads(response.body) if response.status == 200 else response.body
+
+
+def test_a_query_is_answered_from_the_nodes_values():
+    world = Platform()
+    status, body = ask(world, "q1", "price-search", [0, 1, 2, 3])
+    assert status == 200 and body["exact"] and len(body["rows"]) == 3  # any three of four make it whole
+    assert {row["id"]: row["data"] for row in body["rows"]} == {
+        row["id"]: value_of(row["id"], b"c41e77d0").decode() for row in body["rows"]}
+    parts = [part for node in world.nodes for part in node.parts]
+    assert len(parts) == 3 and all(part.text == b"c41e77d0" and int(part.items["d"]) <= 600 for part in parts)
+    assert all(part.shard % 6 in {(node.cell - n) % 6 for n in range(3)} for node in world.nodes for part in node.parts)
+    assert world.verdict().kept
+
+
+def test_a_second_step_goes_to_the_highest_scores_and_names_what_was_in():
+    world = Platform()
+    status, body = ask(world, "q2", "day-report", [4, 5, 6, 7])
+    scores = {shard: int(value_of(shard, b"c41e77d0"), 16) % 1000 for shard in (4, 5, 6, 7)}
+    best = sorted(scores, key=lambda shard: -scores[shard])[:2]
+    assert status == 200 and body["exact"] and sorted(row["id"] for row in body["rows"]) == sorted(best)
+    assert all(row["data"].encode() == value_of(row["id"], b"c41e77d0", ".fetch") for row in body["rows"])
+    seconds = [part for node in world.nodes for part in node.parts if part.id.endswith(".fetch")]
+    assert [part.items["from"] for part in seconds] == ["4+5+6+7"] * 2
+    assert {part.items["whole"] for part in seconds} == {"1"}
+    assert world.verdict().kept
+
+
+def test_a_keyed_part_carries_its_key():
+    world = Platform()
+    status, _ = ask(world, "q3", "sale-record", [3], key="5c0f6e1a2b3d4c59")
+    assert status == 200
+    (part,) = [part for node in world.nodes for part in node.parts]
+    assert part.items["k"] == "5c0f6e1a2b3d4c59" and part.id == "q3.3"
+
+
+def test_a_connection_that_breaks_does_not_eject_its_node():
+    world = Platform()
+
+    def breaks(node, stream, part):
+        node.behave = None
+        stream.abort()
+    for node in world.nodes:
+        node.behave = breaks
+    status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
+    assert status == 200
+    assert world.broker.counts["attempt", "price-search", hw.ERROR] >= 3  # it may have run; the node is there
+    assert not world.broker.counts["attempt", "price-search", hw.BROKEN]
+    assert all(server.cold_from is None and "no connection" not in [bar.dead for bar in server.bars.values()]
+               for server in world.broker.module.servers.values())
+
+
+def test_a_node_that_dies_is_told_as_lost():
+    world = Platform()
+    victims = []
+
+    def dies(node, stream, part):
+        victims.append(node.uid)
+        node.kill()
+        for other in world.nodes:
+            other.behave = None
+    for node in world.nodes:
+        node.behave = dies
+    status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
+    assert status == 200 and world.broker.counts["attempt", "price-search", hw.BROKEN] >= 1
+    assert world.broker.module.servers[victims[0]].bars
+
+
+def test_what_had_not_left_when_a_connection_broke_never_ran():
+    world = Platform()
+    for node in world.nodes:
+        node.kill()  # new connections are refused
+    status, _ = ask(world, "q1", "sale-record", [3], key="k1")
+    assert status == 503
+    assert set(world.broker.counts) & {("attempt", "sale-record", hw.UNREACHABLE)}
+    assert not world.broker.counts["attempt", "sale-record", hw.BROKEN]
+
+
+def test_a_node_that_closes_after_each_answer_gets_one_part_a_connection():
+    world = Platform()
+
+    def closes(node, stream, part):
+        node.served(part)
+        stream.write(answer(part))
+        stream.close()
+    for node in world.nodes:
+        node.behave = closes
+
+    def main():
+        for n in range(30):
+            client = world.client()
+            first = world.loop.spawn(client.ask(f"a{n}", "price-search", [0, 1, 2, 3]), "a")
+            second = world.loop.spawn(world.client().ask(f"b{n}", "price-search", [0, 1, 2, 3]), "b")
+            yield from first.join()
+            yield from second.join()
+    world.run(main())
+    links = [link for link in world.broker.links.values() if link.connects > SINGLE_AFTER]
+    assert links and all(link.single for link in links)
+    before = sum(link.breaks for link in links)
+
+    def more():
+        tasks = [world.loop.spawn(world.client().ask(f"c{n}", "price-search", [0, 1, 2, 3]), "c") for n in range(12)]
+        for task in tasks:
+            yield from task.join()
+    world.run(more())
+    assert sum(link.breaks for link in links) == before  # no answer's close took another part with it
+
+    def keeps():
+        for node in world.nodes:
+            node.behave = None
+        for n in range(8):
+            yield from world.client().ask(f"d{n}", "price-search", [0, 1, 2, 3])
+            yield from sleep(world.loop, 100_000)
+    world.run(keeps())
+    assert not any(link.single for link in links if link.up)
+
+
+def test_an_answer_to_what_was_given_up_is_not_taken_for_a_later_attempt():
+    world = Platform()
+    link_of = world.broker._link
+    world.wait(0.1)
+    node = world.nodes[3]
+    ended = []
+    link = link_of("s3")
+    world.broker.attempt_ended = lambda node, key, outcome, result: ended.append((key, outcome))
+    late = []
+    node.behave = lambda node, stream, part: late.append((stream, part))
+    line = nf.part_call("q1.3", 3, 100, b"x")
+    link.send([NodeAsk("q1.3", 0, line)])
+    world.wait(0.05)
+    assert link.forget(("q1.3", 0))
+    link.send([NodeAsk("q1.3", 1, line)])
+    world.wait(0.05)
+    assert len(late) == 2 and late[0][0] is not late[1][0]  # another connection: an id goes over one once
+    stream, part = late[0]
+    stream.write(answer(part, 503))  # of the first, which was given up
+    world.wait(0.01)
+    assert not ended and link.late == 1
+    stream, part = late[1]
+    stream.write(answer(part))
+    world.wait(0.01)
+    assert ended == [(("q1.3", 1), hw.OK)]
+    assert node.given_up == ["q1.3"]
+
+
+def test_a_silent_connection_is_not_trusted_with_a_probe():
+    world = Platform()
+    ask(world, "q1", "price-search", [0, 1, 2, 3])
+    uid, link = next((uid, link) for uid, link in world.broker.links.items() if link.up)
+    node = next(node for node in world.nodes if node.uid == uid)
+    world.net.cut(uid, "broker")
+    link.probe()
+    world.wait(2.0)
+    assert world.broker.counts["probe", hw.TIMED_OUT] == 1
+    world.net.heal(uid, "broker")
+    node.silent = False
+    held = list(node.streams)
+    link.probe()
+    world.wait(0.2)
+    assert world.broker.counts["probe", hw.OK] == 1
+    assert any(stream not in held for stream in node.streams)
+
+
+def test_a_stall_of_the_loop_past_the_deadline_lets_the_module_answer_first():
+    world = Platform()
+    for node in world.nodes:
+        node.silent = True
+
+    def main():
+        task = world.loop.spawn(world.client().ask("q1", "price-search", [0, 1, 2, 3], wait_ms=300), "q")
+        yield from sleep(world.loop, 200_000)
+        world.loop.clock.advance(world.loop.now() + 300_000)  # nothing ran for so long
+        return (yield from task.join())
+    response = world.run(main())
+    assert response.status == 503  # the module's refusal, not the driver's own end
+    assert not any("overdue" in line for line in world.lines)
+
+
+def test_starts_of_nodes_are_moved_to_the_brokers_clock():
+    world = Platform()
+    assert world.registry is not None
+    began = world.loop.now()
+    world.registry.put({**world.nodes[2].entry, "boot_ms": UNIX_US // 1000 + 5000})
+    world.wait(0.5)
+    assert world.broker.module.servers["s2"].since == began + 5_000_000
+    assert world.broker.module.servers["s1"].since is None
+
+
+def test_a_last_try_with_all_the_time_left_does_not_make_first_tries_look_cut():
+    d = Driver(make_settings())
+    for _ in range(20):
+        (send,) = of(d.query(0, [0], limit=1_500_000), hw.Send)
+        d.end(send)
+    d.query(0, [0], limit=1_990_000)  # a client's last try may have more time than its first
+    query = d.agg.queries[f"q{d.jobs + 1 - 1}"]
+    assert query.aim_at == d.now + 1_000_000
+    d.query(0, [1], limit=1_500_000)
+    assert d.agg.queries[f"q{d.jobs}"].aim_at == d.now + 1_000_000
+    d.query(0, [2], limit=700_000)  # a retry that is cut short still tells when its client first asked
+    assert d.agg.queries[f"q{d.jobs}"].aim_at == d.now - 300_000
+
+
+def test_a_client_that_closes_has_left():
+    world = Platform()
+
+    def main():
+        client = world.client()
+        task = world.loop.spawn(client.ask("q1", "price-search", [0, 1, 2, 3]), "q")
+        yield from sleep(world.loop, 10_000)
+        client.stream.close()
+        with contextlib.suppress(StreamBroken):
+            yield from task.join()
+        yield from sleep(world.loop, 50_000)
+    world.run(main())
+    assert world.broker.counts["left", "price-search"] == 1 and not world.broker.queries
