--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -29,8 +29,9 @@
 CLOSE_EARLY = 0.8  # of the idle time after which nodes close: ours goes first, so that no part crosses its end
 PROBE_US = 250_000
 SUSPECT_US = 1_000_000  # of silence with something waiting, after which a connection is not trusted with more
-KNOWN_US = 60_000_000  # how long an id that was given up or answered is known on its connection
-KNOWN_MOST = 4096  # ids so known a connection; with more the oldest goes
+GIVEN_UP_US = 60_000_000  # how long an id that was given up is known on its connection: a node may hang for long
+ANSWERED_US = 1_000_000  # how long one that was answered is: a second copy comes just behind the first
+KNOWN_MOST = 1024  # ids so known a connection and kind; with more the oldest goes
 CONNECTIONS_A_NODE = 4
 SINGLE_AFTER = 3  # connections in a row that a node closed right after an answer, from which each carries one part
 SINGLE_ANSWERS = 2  # answers of a connection up to which it counts as one of those: others close by chance
@@ -80,6 +81,23 @@
         return True
 
 
+class Recent:
+    """Ids of a while, the latest ``KNOWN_MOST`` at most."""
+
+    def __init__(self, span_us: int) -> None:
+        self._span = span_us
+        self._at: OrderedDict[str, int] = OrderedDict()
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._at
+
+    def note(self, name: str, now: int) -> None:
+        """An id of now; those whose while is over are forgotten."""
+        self._at[name] = now
+        while len(self._at) > KNOWN_MOST or next(iter(self._at.values())) < now - self._span:
+            self._at.popitem(last=False)
+
+
 @dataclass(slots=True)
 class Sent:
     """An attempt on a connection; ``ends`` is where its frame ends in the stream, None: not written."""
@@ -95,7 +113,8 @@
         self.link, self.loop = link, link.loop
         self.address = link.address
         self.out: dict[str, Sent] = {}
-        self.known: OrderedDict[str, int] = OrderedDict()  # ids given up or answered here, and when
+        self.given_up = Recent(GIVEN_UP_US)
+        self.answered = Recent(ANSWERED_US)
         self.retired = False
         self.stream: Stream | None = None
         self._incoming = nf.Incoming()
@@ -118,8 +137,11 @@
         """Whether this part may go here: its id is fresh, and there is room."""
         if self.link.single and (self.out or self._just_answered):
             return False
-        return (not self.retired and part not in self.out and part not in self.known
-                and len(self.out) < self.link.limits.streams)
+        return not self.retired and self.fresh(part) and len(self.out) < self.link.limits.streams
+
+    def fresh(self, part: str) -> bool:
+        """Whether what is heard of this id here could be of no other attempt."""
+        return part not in self.out and part not in self.given_up and part not in self.answered
 
     @property
     def _just_answered(self) -> bool:
@@ -154,7 +176,7 @@
             for parts in self._waiting:
                 parts[:] = [ask for ask in parts if ask.id != part]
         else:
-            self._know(part)
+            self.given_up.note(part, self.loop.now())
             self._write(nf.frame(nf.GIVE_UP, part.encode()))
         self._rest()
 
@@ -237,9 +259,9 @@
         self.answered_at = self.loop.now()
         self.answers += 1
         if sent is not None:
-            self._know(message.id)
+            self.answered.note(message.id, self.loop.now())
             self.link.ended(sent.key, OUTCOMES[message.end], message)
-        elif message.id in self.known:
+        elif message.id in self.given_up or message.id in self.answered:
             self.link.late += 1  # its end was told already, or this is a second copy: nothing comes of it
             self.link.owner.late_result(self.link.node)
         else:
@@ -271,12 +293,6 @@
         if self._waits_since is None:
             self._waits_since = self.loop.now()
 
-    def _know(self, part: str) -> None:
-        now = self.loop.now()
-        self.known[part] = now
-        while self.known and (len(self.known) > KNOWN_MOST or next(iter(self.known.values())) < now - KNOWN_US):
-            self.known.popitem(last=False)
-
     def _rest(self) -> None:
         """Look whether nothing waits any more: then the idle time runs, or a retired connection ends."""
         if self._over or self.stream is None or self.busy:
@@ -461,7 +477,7 @@
         if new is not None:
             return new
         # Over the number that a connection carries at once parts wait there unread, but wait they can.
-        fresh = [c for c in self.connections if not any(part in c.out or part in c.known for part in parts)]
+        fresh = [c for c in self.connections if all(c.fresh(part) for part in parts)]
         return min(fresh, key=lambda c: len(c.out), default=None)
 
     def _new(self) -> Connection | None:
--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -57,6 +57,8 @@
 COLD_BURST = 0.4  # of a window's budget: the most that may be saved up and sent at once
 ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time: first and longest wait to ask again
 RECHECK = 0.1  # aims before a late part on a server that answers in turn is looked at again
+KEPT = 20  # aims that a server is known after it left the list, where it would be warm before
+TOPICS = 64  # topics of lines for the operators from which old ones are forgotten
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
 
 
@@ -177,6 +179,8 @@
     def _log(self, about: str, text: str) -> None:
         """One line for the operators, at most one a topic in ten aims."""
         if self.now - self.said.get(about, -self.now - 1) >= 10 * self.aim or about not in self.said:
+            if len(self.said) >= TOPICS:
+                self.said = {old: at for old, at in self.said.items() if self.now - at < 10 * self.aim}
             self.said[about] = self.now
             self.actions.append(hw.Log(text))
 
@@ -193,9 +197,14 @@
         if news.kind == hw.FULL:
             listed = {entry.node for entry in news.servers}
             for server in self.servers.values():
-                server.live = server.live and server.node in listed
+                if server.node not in listed:
+                    server.live, server.gone = False, server.gone or self.now
         for entry in news.servers:
             self._listed(entry)
+        # Who left is known until it would be warm again and its parts have ended: then nothing hangs on it.
+        for server in [s for s in self.servers.values() if s.gone is not None and not s.out
+                       and self.now > s.gone + max(self.cfg.warm_within_us, KEPT * self.aim)]:
+            del self.servers[server.node]
         self.cells = {}
         for server in self.servers.values():
             self.cells.setdefault(server.cell, []).append(server)
@@ -218,6 +227,7 @@
             server.errors, server.bars, server.pace, server.charge = {}, {}, 1.0, 0.0
         if entry.state in (hw.LIVE, hw.DRAINING, hw.GONE):
             server.live = entry.state == hw.LIVE
+            server.gone = (server.gone or self.now) if entry.state == hw.GONE else None
         server.cell, server.zone, server.rating = entry.cell, entry.zone, entry.rating
 
     def _ask(self) -> None:
@@ -233,8 +243,8 @@
         self._count(self.taken, self.now)
         aim = spec.aim_us + int(spec.aim_stretch * (event.hint_us or 0))
         left = event.deadline_us - self.now
-        # A try shorter than most of its class is a cut retry: its end tells when the client first asked. First
-        # tries are alike, and not always the longest: a client's last try may have all the time that is left.
+        # A try shorter than most of its class is a cut retry: its end tells when the client first asked.
+        # First tries are alike, and not always the longest: a last try may have all the time that is left.
         tries = self.tries[event.klass]
         tries.append(TRIES * left // spec.limit_us)
         usual = Counter(tries).most_common(1)[0][0] * spec.limit_us / TRIES
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -65,6 +65,7 @@
     rating: float
     since: int | None
     live: bool = True
+    gone: int | None = None
     avoid: set[int] = field(default_factory=set)
     shut: set[int] = field(default_factory=set)
     out: dict[tuple[str, int], Attempt] = field(default_factory=dict)
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -131,3 +131,8 @@
             "fall_after": rules.tip_after_us, "free_resends": 0, "further_ratio": 0, "counted_over": 0,
             "second_copies": False, "attempts": rules.max_attempts, "open_cap": rules.open_cap, "source_offset": None,
         }
+
+
+def settings_of() -> Any:
+    """The start settings that the tests use."""
+    return read(config_of()).settings
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -235,3 +235,46 @@
         yield from sleep(world.loop, 50_000)
     world.run(main())
     assert world.broker.counts["left", "price-search"] == 1 and not world.broker.queries
+
+
+def test_what_is_kept_stands_still_while_thousands_of_nodes_and_clients_come_and_go():
+    world = Platform()
+    assert world.registry is not None
+    sizes = []
+
+    def main():
+        nodes = list(world.nodes)
+        for n in range(2000):
+            old, cell = nodes[n % 6], n % 6
+            world.registry.put({**old.entry, "state": "removed"})
+            nodes[cell] = world.node(1000 + n, cell)
+            world.registry.put({**nodes[cell].entry, "boot_ms": 1 + n})
+            yield from sleep(world.loop, 100_000)
+            old.kill()
+            client = world.client(f"c{n}")
+            response = yield from client.ask(f"q{n}", "price-search", [(n + k) % 12 for k in range(4)])
+            assert response.status in (200, 503)
+            client.stream.close()
+            world.events.clear()
+            world.lines.clear()
+            if n in (500, 1999):
+                broker, module = world.broker, world.broker.module
+                sizes.append([len(kept) for kept in (
+                    module.servers, module.said, module.due, module.strays, broker.links, broker.addresses,
+                    broker.queries, broker.parts, broker._sent_at, broker.counts, world.front.clients,
+                    world.loop.tasks, world.loop._timers)])
+    world.run(main())
+    early, late = sizes
+    assert all(after <= before + 20 for before, after in zip(early, late, strict=True)), sizes
+    assert late[0] < 120 and late[4] < 30
+
+
+def test_a_server_that_left_is_forgotten_only_once_it_would_be_warm(drive):
+    d = drive()
+    d.step(0, hw.FleetNews(hw.UPDATE, (hw.ServerEntry("s1", 1, hw.GONE),)))
+    d.step(5_000_000, hw.FleetNews(hw.UPDATE, ()))
+    assert "s1" in d.agg.servers and not d.agg.servers["s1"].live
+    d.step(16_000_000, hw.FleetNews(hw.UPDATE, ()))
+    assert "s1" not in d.agg.servers
+    d.step(0, hw.FleetNews(hw.UPDATE, (hw.ServerEntry("s1", 1, since_us=d.now),)))
+    assert d.agg.warmth(d.agg.servers["s1"]) < 1.0
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,193 @@
+"""The broker's process: its start, signals and how little it holds, on loopback with ports that the kernel chooses."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from heathwell.gateway.config import ConfigError, read
+from heathwell.kernel import sleep, socket_loop
+from heathwell.standins.platform import Client, Node, Registry
+
+from .platform import CELLS, config_of
+
+ROOT = Path(__file__).resolve().parent.parent
+HEAVY = ("numpy", "usearch", "lark", "click", "structlog", "prometheus_client", "hdrh", "pymemcache", "xxhash",
+         "heathwell.lab", "heathwell.standins", "heathwell.vectors", "heathwell.storms", "heathwell.fronts",
+         "heathwell.settings", "heathwell.merge", "heathwell.regions", "heathwell.freshness", "heathwell.broker.market")
+
+
+def without(field):
+    table = json.loads(config_of())
+    del table[field]
+    return json.dumps(table).encode()
+
+
+def settings(**changes):
+    table = json.loads(config_of())
+    table["settings"].update(changes)
+    return json.dumps(table).encode()
+
+
+@pytest.mark.parametrize(("data", "word"), [
+    (b"{", "JSON"), (b"[]", "object"), (without("name"), "name"), (without("listen"), "listen"),
+    (without("discovery"), "discovery"), (without("seed"), "seed"), (without("limits"), "limits"),
+    (without("settings"), "settings"), (config_of(listen="nowhere"), "listen"), (config_of(seed="xyz"), "seed"),
+    (config_of(discovery="a:99999"), "discovery"), (config_of(limits={"sockets": 5}), "limits.sockets"),
+    (config_of(limits={"sockets": "many"}), "limits.sockets"), (config_of(known={"rev": 1}), "known"),
+    (settings(classes=[]), "classes"), (settings(zones="a"), "zones"), (settings(specifics=None), "specifics"),
+    (settings(ceilings={"max-attempts": 3, "conn-idle-us": "x"}), "conn-idle-us"),
+])
+def test_what_is_wrong_in_the_configuration_is_named(data, word):
+    with pytest.raises(ConfigError, match=re.escape(word)):
+        read(data)
+
+
+def start(environment):
+    return subprocess.run([sys.executable, "-m", "heathwell.gateway"], cwd=ROOT, env=environment, text=True,
+                          capture_output=True, timeout=30, check=False)
+
+
+def test_a_start_that_cant_be_is_exit_code_2_and_one_line(tmp_path):
+    base = {"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1"}
+    path = tmp_path / "config.json"
+    path.write_bytes(without("discovery"))
+    for environment, word in (
+            (base, "GW_CONFIG"), ({**base, "GW_CONFIG": str(tmp_path / "none")}, "GW_CONFIG"),
+            ({**base, "GW_CONFIG": str(path)}, "discovery")):
+        done = start(environment)
+        assert done.returncode == 2 and word in done.stderr and done.stderr.count("\n") == 1
+    path.write_bytes(config_of())
+    done = start({**base, "GW_CONFIG": str(path), "GW_NAME": "other"})
+    assert done.returncode == 2 and "GW_NAME" in done.stderr
+
+
+def test_the_start_imports_nothing_heavy():
+    code = "import sys, heathwell.gateway.process; print('\\n'.join(sys.modules))"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=30,
+                          check=True)
+    loaded = set(done.stdout.split())
+    assert not [name for name in loaded if name.startswith(HEAVY)]
+
+
+class Running:
+    """The process, its stand-ins in this one's loop."""
+
+    def __init__(self, folder: Path, registry: bool = True) -> None:
+        self.loop, self.net, _ = socket_loop()
+        self.nodes = [Node(self.loop, self.net, "127.0.0.1:0", f"s{n}", n) for n in range(CELLS)]
+        self.registries = [Registry(self.loop, self.net, "127.0.0.1:0", self.nodes) for _ in range(2)]
+        self.path, self.lines = folder / "config.json", folder / "log"
+        self.write(self.registries[0].address if registry else "127.0.0.1:1")
+        with self.lines.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "heathwell.gateway"], cwd=ROOT, stderr=log,
+                env={"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1", "GW_CONFIG": str(self.path)})
+        self.address = ""
+        self.run(self._ready())
+
+    def write(self, discovery: str) -> None:
+        known = {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}
+        self.path.write_bytes(config_of(listen="127.0.0.1:0", discovery=discovery, known=known))
+
+    def _ready(self):
+        yield from self.says("ready")
+        found = re.search(r"listen='([^']+)'", self.lines.read_text())
+        assert found
+        self.address = found[1]
+
+    def says(self, word: str):
+        while word not in self.lines.read_text():
+            assert self.process.poll() is None, self.lines.read_text()
+            yield from sleep(self.loop, 20_000)
+
+    def ended(self):
+        while self.process.poll() is None:
+            yield from sleep(self.loop, 20_000)
+        return self.process.returncode
+
+    def client(self) -> Client:
+        return Client(self.loop, self.net, self.address)
+
+    def run(self, gen):
+        return self.loop.run(self.loop.spawn(gen, "main"))
+
+    def close(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.loop.shutdown()
+
+
+@pytest.fixture
+def running(tmp_path):
+    worlds = []
+
+    def build(**more):
+        worlds.append(Running(tmp_path, **more))
+        return worlds[-1]
+    yield build
+    for world in worlds:
+        world.close()
+
+
+def test_it_serves_with_discovery_down_in_one_thread_and_few_descriptors(running):
+    world = running(registry=False)
+
+    def main():
+        response = yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])
+        return response.status
+    assert world.run(main()) == 200
+    pid = world.process.pid
+    assert "Threads:\t1\n" in Path(f"/proc/{pid}/status").read_text()
+    assert len(os.listdir(f"/proc/{pid}/fd")) < 24
+
+
+def test_sigterm_serves_who_still_comes_and_finishes_a_second_step_that_is_out(running):
+    world = running()
+    for node in world.nodes:
+        node.work_us = 200_000
+
+    def main():
+        yield from world.says("ready")
+        client, late = world.client(), world.client()
+        first = world.loop.spawn(client.ask("q1", "day-report", [0, 1, 2, 3]), "first")
+        while not any(part.id.endswith(".fetch") for node in world.nodes for part in node.parts):
+            yield from sleep(world.loop, 5_000)
+        world.process.send_signal(signal.SIGTERM)
+        world.process.send_signal(signal.SIGTERM)
+        yield from world.says("terminating")
+        second = yield from late.ask("q2", "price-search", [0, 1, 2, 3])
+        one = yield from first.join()
+        code = yield from world.ended()
+        return one.status, second.status, code
+    assert world.run(main()) == (200, 200, 0)
+
+
+def test_sighup_moves_discovery_and_refuses_a_broken_file(running):
+    world = running()
+
+    def main():
+        client = world.client()
+        while not world.registries[0].calls:
+            yield from sleep(world.loop, 5_000)
+        world.path.write_bytes(b'{"name": "n1"')
+        world.process.send_signal(signal.SIGHUP)
+        yield from world.says("refused")
+        one = yield from client.ask("q1", "price-search", [0, 1, 2, 3])
+        assert not world.registries[1].calls
+        world.write(world.registries[1].address)
+        world.process.send_signal(signal.SIGHUP)
+        while not world.registries[1].calls:
+            yield from sleep(world.loop, 5_000)
+        two = yield from client.ask("q2", "price-search", [0, 1, 2, 3])
+        return one.status, two.status
+    assert world.run(main()) == (200, 200)
+    assert world.process.poll() is None
