Node links tell a silent connection from its node; nothing leaves after a final answer

Trace: 8 to 12 of 12 nodes believed cold, 5 probes a second timed out, 75 to 195 attempts a second cancelled, while the nodes answered all that came over other connections (65 connections fell silent; no node was in trouble). The lines: gateway/nodes.py kept using a connection for a second without a byte, and probed over it, so the module took connections for nodes. The broken rule: a send waits for its connection to come up, its query is answered meanwhile, and then it was written (driver.py _closed did not look at what still waits). Change: a connection without a byte for four usual answer times gets nothing more, and a probe never goes over one; once a part sent later over another connection is answered, what is out on the silent one is given up (it may have run). A query's end withdraws what has not left (never sent), in both ways out.

--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -76,6 +76,9 @@
     def forget(self, key: Key) -> bool:
         """Stop waiting for an attempt whose end the owner has told by itself; true if it was out."""
 
+    def withdraw(self, key: Key) -> bool:
+        """Take back an attempt of which nothing has left yet; true if it was, and nothing of it will leave."""
+
     def probe(self) -> None:
         """Ask for a sign of life; ends once."""
 
@@ -395,7 +398,9 @@
             self.events.flush()  # type: ignore[attr-defined]  # what is about to leave is on record first
         for node, batches in calls.items():
             for parts in batches:
-                self._link(node).send(parts)
+                wanted = [ask for ask in parts if self._still_wanted(node, (ask.id, ask.seq))]
+                if wanted:
+                    self._link(node).send(wanted)
         replies, self._replies = self._replies, []
         for on_reply, reply in replies:
             try:
@@ -403,6 +408,15 @@
             except Exception as problem:
                 self.loop.report(f"reply to {reply.query}", problem)
 
+    def _still_wanted(self, node: str, key: Key) -> bool:
+        """Whether a send's query is not over by what was decided after it, in the same batch."""
+        query = self.parts.get(key[0])
+        if query is not None and query.on_reply is not None:
+            return True
+        if query is not None and query.out.pop(key, None) is not None:
+            self._ended(query, key, node, hw.NEVER_SENT, None)
+        return False
+
     # What the module decided.
 
     def _carry_out(self, action: hw.Action, calls: Calls) -> None:
@@ -517,6 +531,11 @@
         """The query holds no place any more; its attempts may still be out."""
         self.held -= 1 + len(query.parts)
         self.query_closed(query)
+        # What still waits for its connection must not leave any more: the query has its final answer.
+        for key, node in list(query.out.items()):
+            if self._link(node).withdraw(key):
+                del query.out[key]
+                self._ended(query, key, node, hw.NEVER_SENT, None)
         self._let_go(query)
 
     def _let_go(self, query: Q) -> None:
--- a/heathwell/broker/hosts.py
+++ b/heathwell/broker/hosts.py
@@ -86,6 +86,10 @@
         self._rest()
         return True
 
+    def withdraw(self, key: Key) -> bool:
+        """Take back an attempt that is not written yet."""
+        return key in self.out and self.out[key].starts is None and self.forget(key)
+
     def probe(self) -> None:
         """Ask for a sign of life; ends once."""
         self._probe_no += 1
--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -28,7 +28,9 @@
 OUTCOMES = {nf.SERVED: hw.OK, nf.ERROR: hw.ERROR, nf.TURNED_AWAY: hw.FULL_UP}
 CLOSE_EARLY = 0.8  # of the idle time after which nodes close: ours goes first, so that no part crosses its end
 PROBE_US = 250_000
-SUSPECT_US = 1_000_000  # of silence with something waiting, after which a connection is not trusted with more
+SUSPECT_TIMES = 4  # usual times to an answer without a byte, after which a connection is not trusted with more
+SUSPECT_LEAST_US, SUSPECT_MOST_US = 40_000, 1_000_000
+USUAL_GAIN = 0.1  # weight of one answer in a node's usual time
 GIVEN_UP_US = 60_000_000  # how long an id that was given up is known on its connection: a node may hang for long
 ANSWERED_US = 1_000_000  # how long one that was answered is: a second copy comes just behind the first
 KNOWN_MOST = 1024  # ids so known a connection and kind; with more the oldest goes
@@ -103,6 +105,7 @@
     """An attempt on a connection; ``ends`` is where its frame ends in the stream, None: not written."""
 
     key: Key
+    at: int
     ends: int | None = None
 
 
@@ -150,7 +153,14 @@
     @property
     def silent(self) -> bool:
         """Something was asked long ago, and nothing at all was heard since, though it may have been given up."""
-        return self._waits_since is not None and self.loop.now() - self._waits_since > SUSPECT_US
+        return self._waits_since is not None and self.loop.now() - self._waits_since > self.link.suspect_us
+
+    def outlived(self, sent_at: int) -> None:
+        """What was sent later over another connection was answered: if this one is silent it is lost, its node is not.
+        Nobody waits for what is out here any more; it may have run."""
+        if self.silent and self._waits_since is not None and self._waits_since < sent_at:
+            self._ended = hw.TIMED_OUT
+            self.close()
 
     @property
     def busy(self) -> bool:
@@ -161,7 +171,7 @@
         """Send a call."""
         self.link.room.idle.pop(self, None)
         for ask in parts:
-            self.out[ask.id] = Sent((ask.id, ask.seq))
+            self.out[ask.id] = Sent((ask.id, ask.seq), self.loop.now())
         if self.stream is None:
             self._waiting.append(parts)
         else:
@@ -180,6 +190,10 @@
             self._write(nf.frame(nf.GIVE_UP, part.encode()))
         self._rest()
 
+    def holds_back(self, part: str) -> bool:
+        """Whether nothing of this part has been written here."""
+        return part in self.out and self.out[part].ends is None
+
     def probe(self, number: int) -> None:
         """Ask for a sign of life."""
         self.link.room.idle.pop(self, None)
@@ -261,6 +275,7 @@
         if sent is not None:
             self.answered.note(message.id, self.loop.now())
             self.link.ended(sent.key, OUTCOMES[message.end], message)
+            self.link.heard(self, sent.at)
         elif message.id in self.given_up or message.id in self.answered:
             self.link.late += 1  # its end was told already, or this is a second copy: nothing comes of it
             self.link.owner.late_result(self.link.node)
@@ -367,6 +382,7 @@
         self.ended_soon = 0  # connections that the node ended right after an answer
         self.closes = 0  # connections in a row that the node closed right after an answer
         self.closing = False
+        self._usual = float(SUSPECT_LEAST_US)
         self._probes: dict[int, Timer] = {}
         self._probe_no = 0
 
@@ -385,6 +401,18 @@
         """Whether anything waits for the node."""
         return bool(self.out or self._probes)
 
+    @property
+    def suspect_us(self) -> int:
+        """Silence from which a connection is not trusted."""
+        return int(min(max(SUSPECT_TIMES * self._usual, SUSPECT_LEAST_US), SUSPECT_MOST_US))
+
+    def heard(self, connection: Connection, sent_at: int) -> None:
+        """An answer came to what was sent then."""
+        self._usual += (self.loop.now() - sent_at - self._usual) * USUAL_GAIN
+        for other in list(self.connections):
+            if other is not connection:
+                other.outlived(sent_at)
+
     def waits_for(self, probe: int) -> bool:
         """Whether a probe has not ended yet."""
         return probe in self._probes
@@ -416,6 +444,11 @@
         connection.give_up(key[0])
         return True
 
+    def withdraw(self, key: Key) -> bool:
+        """Take back an attempt that waits for its connection; of one that lost its connection nothing is to leave."""
+        connection = self.out.get(key)
+        return connection is not None and connection.holds_back(key[0]) and self.forget(key)
+
     def probe(self) -> None:
         """Ask for a sign of life; ends once. A connection that has fallen silent can't give one for its node."""
         self._probe_no += 1
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -183,6 +183,51 @@
     assert any(stream not in held for stream in node.streams)
 
 
+def test_a_connection_that_falls_silent_is_told_from_its_node():
+    world = Platform()
+    ask(world, "q0", "price-search", list(range(12)))
+    dead = {stream for node in world.nodes for stream in node.streams}
+
+    def mute(node, stream, part):
+        if stream not in dead:
+            node.served(part)
+            stream.write(answer(part))
+    for node in world.nodes:
+        node.behave = mute
+
+    def main():
+        statuses = []
+        for n in range(60):
+            response = yield from world.client().ask(f"q{n + 1}", "price-search", [0, 1, 2, 3])
+            statuses.append(response.status)
+            yield from sleep(world.loop, 20_000)
+        return statuses
+    statuses = world.run(main())
+    module = world.broker.module
+    assert statuses.count(200) >= 58 and statuses[20:] == [200] * 40
+    assert all(module.warmth(server) == 1.0 for server in module.servers.values())
+    assert world.broker.counts["attempt", "price-search", hw.TIMED_OUT] >= 1
+    assert not world.broker.counts["probe", hw.TIMED_OUT]
+    assert world.verdict().kept
+
+
+def test_nothing_leaves_for_a_query_that_has_its_answer_while_it_waits_for_its_connection():
+    world = Platform()
+    for node in world.nodes:
+        node.silent = True
+    slow = world.net.delay
+    world.net.delay = lambda a, b: 60_000 if "broker" in (a, b) and "s" in (a[0], b[0]) else slow(a, b)
+
+    def main():
+        response = yield from world.client().ask("q1", "price-search", [0, 1, 2, 3], wait_ms=120)
+        yield from sleep(world.loop, 1_000_000)
+        return response.status
+    assert world.run(main()) == 503
+    assert not any(node.parts for node in world.nodes)
+    assert world.broker.counts["attempt", "price-search", hw.NEVER_SENT] >= 3
+    assert not world.broker.parts and not any(server.out for server in world.broker.module.servers.values())
+
+
 def test_a_stall_of_the_loop_past_the_deadline_lets_the_module_answer_first():
     world = Platform()
     for node in world.nodes:
