--- a/heathwell/cli/__init__.py
+++ b/heathwell/cli/__init__.py
@@ -9,6 +9,7 @@
 from heathwell.cli.badday import badday, replay
 from heathwell.cli.fleet import fleet
 from heathwell.cli.inspect import audit, check, schema
+from heathwell.cli.platform import platform
 from heathwell.cli.serve import broker, discovery, leaf, relay, source
 
 
@@ -24,5 +25,5 @@
     """
 
 
-for command in (broker, leaf, discovery, source, relay, fleet, check, schema, audit, badday, replay):
+for command in (broker, leaf, discovery, source, relay, fleet, platform, check, schema, audit, badday, replay):
     main.add_command(command)
--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -5,7 +5,7 @@
 What is given up stays known there until its answer comes or its time is long over, and is then counted and dropped.
 
 A connection that breaks is no word on its node: a process that died refuses the next one, a machine that is lost does
-not answer it. So the end of what was out is told once a new connection came up (the attempt failed, it may have run)
+not answer it. So the end of what was out is told once a new connection came up (the attempt is lost, it may have run)
 or did not (it broke with its node).
 
 A node that closes right after an answer takes what else is out on that connection with it. While it does so each
@@ -216,7 +216,7 @@
             self._ended = hw.BROKEN
             bereft, self.bereft = self.bereft, {}
             for key in bereft.values():
-                self.link.ended(key, hw.ERROR, None)
+                self.link.ended(key, hw.LOST, None)
             waiting, self._waiting = self._waiting, []
             for parts in waiting:
                 if parts:
--- a/heathwell/interface.py
+++ b/heathwell/interface.py
@@ -21,6 +21,7 @@
 # How an attempt or a probe ended.
 OK, ERROR, FULL_UP, TIMED_OUT = "ok", "error", "full_up", "timed_out"
 UNREACHABLE, BROKEN, CANCELLED, NEVER_SENT = "unreachable", "broken", "cancelled", "never_sent"
+LOST = "lost"  # its connection broke and its server is there: it may have run, and says little of the server
 
 # Ends that prove that the server never ran the part.
 NEVER_RAN = (FULL_UP, UNREACHABLE, NEVER_SENT)
--- /dev/null
+++ b/heathwell/lab/platform.py
@@ -0,0 +1,109 @@
+"""The platform on loopback: stand-in nodes and discovery in this loop, one broker in a process of its own."""
+
+from __future__ import annotations
+
+import copy
+import json
+import os
+import re
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from heathwell.kernel import Coro, Loop, sleep, socket_loop
+from heathwell.standins.platform import Client, Node, Registry
+
+CELLS = 6
+ROOT = Path(__file__).resolve().parent.parent.parent
+SETUP: dict[str, Any] = {
+    "az": 0, "zones": ["a", "b"], "siblings": 1, "tick-us": 5000, "registry-mode": "ask", "value-by": "work",
+    "classes": [
+        {"name": "price-search", "objective-us": 250_000, "hard-limit-us": 600_000, "idempotency": "read_like",
+         "worth": 2.0, "late-value": 0.3, "dedup-window-us": 5_000_000},
+        {"name": "day-report", "objective-us": 300_000, "hard-limit-us": 900_000, "idempotency": "read_like",
+         "worth": 1.0, "late-value": 0.1, "dedup-window-us": 5_000_000},
+        {"name": "sale-record", "objective-us": 200_000, "hard-limit-us": 500_000, "idempotency": "idempotency_key",
+         "worth": 1.0, "late-value": 0.1, "dedup-window-us": 200_000}],
+    "ceilings": {"cancelling": True, "conn-idle-us": 3_000_000, "connect-timeout-us": 250_000, "max-attempts": 4,
+                 "max-retry-after-us": 500_000, "open-cap": 400, "probing": True, "retry-after": True,
+                 "second-copies": False, "streams-per-conn": 8},
+    "invariants": {"drain-grace-us": 1_000_000, "fall-multiple": 2.5, "must-ask-in-us": 10_000_000,
+                   "start-capacity": 0.18, "tip-after-us": 1_000_000, "warm-within-us": 4_000_000},
+    "specifics": {"class-fetch": [0, 2, 0], "class-need": [0.75, 1.0, 1.0], "min-share": [0.75, 1.0, 1.0],
+                  "incomplete-worth": [0.9, 0.9, 0.9], "parts-a-call": 1, "places": CELLS, "shards": 12,
+                  "warm-keys": True, "width": 3},
+    "clients": {"marks-retry": False},
+}
+
+
+class PlatformError(Exception):
+    """The broker did not start, or does not answer."""
+
+
+def config_of(**changes: Any) -> bytes:
+    """A configuration file's bytes."""
+    table: dict[str, Any] = {
+        "name": "n1", "listen": "broker:7070", "discovery": "registry:8500", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 0.4, "memory_mb": 96, "sockets": 256}, "known": {"rev": 0, "all": True, "targets": []},
+        "settings": copy.deepcopy(SETUP)}
+    table.update(changes)
+    return json.dumps(table).encode()
+
+
+class PlatformFleet:
+    """A broker's process with its stand-ins; the configuration and the log are files in ``folder``."""
+
+    def __init__(self, folder: Path, registry: bool = True) -> None:
+        self.loop: Loop
+        self.loop, self.net, _ = socket_loop()
+        self.nodes = [Node(self.loop, self.net, "127.0.0.1:0", f"s{n}", n) for n in range(CELLS)]
+        self.registries = [Registry(self.loop, self.net, "127.0.0.1:0", self.nodes) for _ in range(2)]
+        self.path, self.lines = folder / "config.json", folder / "log"
+        self.write(self.registries[0].address if registry else "127.0.0.1:1")
+        with self.lines.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "heathwell.gateway"], cwd=ROOT, stderr=log,
+                env={"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1", "GW_CONFIG": str(self.path)})
+        self.address = ""
+        self.run(self._ready())
+
+    def write(self, discovery: str) -> None:
+        """The configuration, with discovery met there."""
+        known = {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}
+        self.path.write_bytes(config_of(listen="127.0.0.1:0", discovery=discovery, known=known))
+
+    def _ready(self) -> Coro[None]:
+        yield from self.says("ready")
+        found = re.search(r"listen='([^']+)'", self.lines.read_text())
+        if found is None:
+            raise PlatformError("the broker names no address")
+        self.address = found[1]
+
+    def says(self, word: str) -> Coro[None]:
+        """Wait until the broker's log holds a word."""
+        while word not in self.lines.read_text():
+            if self.process.poll() is not None:
+                raise PlatformError(self.lines.read_text())
+            yield from sleep(self.loop, 20_000)
+
+    def ended(self) -> Coro[int]:
+        """Wait for the broker's end; its exit code."""
+        while (code := self.process.poll()) is None:
+            yield from sleep(self.loop, 20_000)
+        return code
+
+    def client(self) -> Client:
+        """A client of the broker."""
+        return Client(self.loop, self.net, self.address)
+
+    def run(self, gen: Coro[Any]) -> Any:
+        """Run a coroutine to its end."""
+        return self.loop.run(self.loop.spawn(gen, "main"))
+
+    def close(self) -> None:
+        """End what runs."""
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.loop.shutdown()
--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -51,6 +51,7 @@
 ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
 DEATHS = 2  # broken connections without an answer from which a query is given up: one is a chance crash
 WARY = 5.0  # aims after a lost connection in which one part of a query goes first
+LOST_COST = 4.0  # usual latencies that a part lost with its connection counts for in its server's pace
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
@@ -491,17 +492,18 @@
         window = {hw.SAFE: self.now, hw.KEYED: spec.dedup_us, hw.UNSAFE: -1}[spec.repeat]
         if risky and self.now > min(risky) + window:
             return False
-        return self._budget_left()
+        return self._budget_left(bool(part.tries) and part.tries[-1].outcome == hw.LOST)
 
-    def _budget_left(self) -> bool:
-        """The stated budget, and our own: when many parts need further attempts these feed an overload."""
+    def _budget_left(self, lost: bool = False) -> bool:
+        """The stated budget, and our own: when many parts need further attempts these feed an overload.
+        What was lost with its connection was not late, so our own is not for it."""
         edge = self.now - self.cfg.counted_over_us
         while self.further and self.further[0] < edge:
             self.further.popleft()
         while self.taken and self.taken[0] <= edge:
             self.taken.popleft()
         most = self.cfg.free_resends + self.cfg.further_ratio * len(self.taken)
-        return self.tokens >= 1 and (not self.cfg.counted_over_us or len(self.further) + 1 <= most)
+        return (lost or self.tokens >= 1) and (not self.cfg.counted_over_us or len(self.further) + 1 <= most)
 
     def _count(self, when: deque[int], now: int) -> None:
         if self.cfg.counted_over_us:
@@ -509,7 +511,7 @@
 
     def _send(self, part: Part, server: Server) -> None:
         if part.tries:
-            self.tokens -= 1
+            self.tokens -= part.tries[-1].outcome != hw.LOST
             self._count(self.further, self.now)
         else:
             self.tokens = min(self.tokens + FURTHER_SHARE, FURTHER_MOST)
@@ -723,7 +725,10 @@
         server, klass = attempt.server, attempt.part.query.klass
         if outcome == hw.TIMED_OUT:
             self._silent(attempt)
-        if outcome in (hw.CANCELLED, hw.NEVER_SENT, hw.TIMED_OUT):
+        if outcome == hw.LOST:  # no load, no error of the server's: only less of a pick among equals
+            server.pace = self._pace(server) * (1 - PACE_GAIN) + LOST_COST * PACE_GAIN
+            server.pace_at = self.now
+        if outcome in (hw.CANCELLED, hw.NEVER_SENT, hw.TIMED_OUT, hw.LOST):
             return
         self._add_charge(server)
         if outcome in (hw.UNREACHABLE, hw.BROKEN):
--- /dev/null
+++ b/tests/test_gateway_days.py
@@ -0,0 +1,324 @@
+"""Hard cases of nodes and discovery through the whole gateway, and a bad day that the auditor judges; virtual time."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heathwell import interface as hw
+from heathwell.codec import nodeframes as nf
+from heathwell.codec.http import Request, ServerSide
+from heathwell.gateway.nodes import NodeAsk
+from heathwell.kernel import StreamBroken, sleep
+from heathwell.standins.platform import answer, value_of
+
+from .platform import Platform
+
+
+def spoils(data):
+    """A node that answers like this once, and well from then on."""
+    def behave(node, stream, part):
+        node.behave = None
+        stream.write(data(part) if callable(data) else data)
+    return behave
+
+
+def sound(part, **more):
+    return answer(part, **more)
+
+
+@pytest.mark.parametrize("data", [
+    b"\x00noise" * 9, lambda part: nf.frame(b"Q", f"{part.id} 200 5 -\n0123456789abcdef".encode()),
+    lambda part: nf.frame(nf.ANSWER, f"{part.id} 201 5 -\n0123456789abcdef".encode()),
+    lambda part: nf.frame(nf.ANSWER, b"nobody.7 200 5 -\n0123456789abcdef"),
+    lambda part: nf.frame(nf.ANSWER, f"{part.id} 200 5 -".encode() + b"a" * 900),
+    lambda part: nf.frame(nf.ANSWER, f"{part.id} 200 5 -\nnot what nodes give".encode()),
+    lambda part: b"\xb2\xd0\x5e\x00" + f"O{part.id} 200 5 -\n".encode() + b"a" * 60_000,
+    lambda part: b"\0\0\0\0",
+])
+def test_a_spoilt_answer_is_a_failed_attempt_and_the_client_is_served_elsewhere(data):
+    world = Platform()
+    for node in world.nodes:
+        node.behave = spoils(data)
+
+    def main():
+        return (yield from world.client().ask("q1", "price-search", [0, 1, 2, 3]))
+    response = world.run(main())
+    rows = json.loads(response.body)["rows"]
+    assert response.status == 200
+    assert all(row["data"].encode() == value_of(row["id"], b"c41e77d0") for row in rows)
+    ended = {key[2] for key in world.broker.counts if key[0] == "attempt"}
+    assert hw.ERROR in ended and hw.BROKEN not in ended
+    assert sum(link.spoilt for link in world.broker.links.values()) >= 3
+
+
+@pytest.mark.parametrize("behind", [b"\xde\xad", b"noise that is longer than a length", None])
+def test_what_rides_behind_a_good_answer_costs_it_nothing(behind):
+    world = Platform()
+
+    def rides(node, stream, part):
+        stream.write(answer(part) + (answer(part) if behind is None else behind))
+    for node in world.nodes:
+        node.behave = rides
+
+    def main():
+        for n in range(6):
+            response = yield from world.client().ask(f"q{n}", "price-search", [0, 1, 2, 3])
+            assert response.status == 200
+            yield from sleep(world.loop, 50_000)
+    world.run(main())
+    assert set(key[2] for key in world.broker.counts if key[0] == "attempt") == {hw.OK}
+    assert not any(server.bars for server in world.broker.module.servers.values())
+
+
+def test_an_answer_in_single_bytes_is_whole_and_one_that_stops_short_is_replaced():
+    world = Platform()
+
+    def drips(node, stream, part):
+        def run():
+            for byte in answer(part):
+                stream.write(bytes([byte]))
+                yield from sleep(world.loop, 500)
+        world.loop.spawn(run(), "drips")
+    for node in world.nodes:
+        node.behave = drips
+
+    def main(name):
+        return (yield from world.client().ask(name, "price-search", [0, 1, 2, 3]))
+    assert world.run(main("q1")).status == 200
+    for node in world.nodes:
+        node.behave = lambda node, stream, part: stream.write(answer(part)[:9])
+    world.nodes[1].behave = world.nodes[3].behave = world.nodes[5].behave = None
+    assert world.run(main("q2")).status == 200
+
+
+def test_what_was_not_written_whole_never_ran_and_the_rest_may_have():
+    world = Platform()
+    node, ended = world.nodes[3], {}
+    world.broker.attempt_ended = lambda node, key, outcome, result: ended.update({key[0]: outcome})
+    link = world.broker._link("s3")
+    world.net.cut("broker", "s3")  # opens once healed; what is written then fills the way
+
+    def main():
+        world.net.heal("broker", "s3")
+        link.send([NodeAsk("q.1", 0, nf.part_call("q.1", 3, 100, b"x"))])
+        yield from sleep(world.loop, 50_000)
+        world.net.cut("broker", "s3")  # the carrier takes a window's worth and no more
+        for n in range(2, 16):
+            link.send([NodeAsk(f"q.{n}", 0, nf.part_call(f"q.{n}", 3, 100, b"x" * 32_000))])
+        yield from sleep(world.loop, 1_000)
+        for stream in list(node.streams):
+            stream.abort()
+        yield from sleep(world.loop, 500_000)
+    node.silent = True
+    world.run(main())
+    assert ended["q.1"] in (hw.LOST, hw.BROKEN)
+    assert set(ended.values()) >= {hw.UNREACHABLE} and len(ended) == 15
+
+
+def test_a_drain_told_while_a_send_waits_for_its_connection_keeps_the_grace():
+    world = Platform()
+    slow, world.way_us = world.net.delay, 80_000
+    world.net.delay = lambda a, b: 80_000 if "broker" in (a, b) and "s" in (a[0], b[0]) else slow(a, b)
+    assert world.registry is not None
+
+    def main():
+        task = world.loop.spawn(world.client().ask("q1", "day-report", [0, 1, 2, 3], wait_ms=900), "q")
+        yield from sleep(world.loop, 30_000)
+        for node in world.nodes[:3]:
+            node.draining = True
+            world.registry.put(node.entry)
+        yield from task.join()
+        yield from sleep(world.loop, 2_000_000)
+        told = {node.uid: len(node.parts) for node in world.nodes[:3]}
+        for n in range(6):
+            yield from world.client().ask(f"r{n}", "price-search", [0, 1, 2, 3])
+        return told
+    told = world.run(main())
+    assert told == {node.uid: len(node.parts) for node in world.nodes[:3]}  # nothing new after the word
+    assert world.verdict().kept
+
+
+def test_a_cold_node_is_fed_slowly():
+    world = Platform()
+    assert world.registry is not None
+    world.wait(0.2)
+    world.registry.put({**world.nodes[0].entry, "boot_ms": 1_700_000_000_000 + 100})
+    world.wait(0.2)
+
+    def main():
+        tasks = []
+        for n in range(120):
+            shards = [(n + k) % 12 for k in range(4)]
+            tasks.append(world.loop.spawn(world.client().ask(f"q{n}", "price-search", shards, hint=40_000), "q"))
+            yield from sleep(world.loop, 10_000)
+        for task in tasks:
+            yield from task.join()
+    world.run(main())
+    cold, *warm = (len(node.parts) for node in world.nodes)
+    assert 0 < cold < sum(warm) / len(warm) / 1.5 and world.verdict().kept
+
+
+def test_discovery_may_be_down_at_the_start_stale_later_and_silent():
+    world = Platform()
+    registry = world.registry
+    assert registry is not None
+    registry.down = True
+
+    def main():
+        response = yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])
+        assert response.status == 200  # from the list as it was last known
+        yield from sleep(world.loop, 1_000_000)
+        assert world.broker.counts["news", hw.FAILED] >= 1
+        registry.down = False
+        yield from sleep(world.loop, 5_000_000)
+        assert world.broker.counts["news", hw.FULL] >= 1
+        failures = world.broker.watch.failures
+        registry.silent = True
+        yield from sleep(world.loop, 3_500_000)
+        assert world.broker.watch.failures > failures  # noticed within a hold and a call's time
+        registry.silent = False
+        world.nodes[2].draining = True
+        registry.put(world.nodes[2].entry)
+        yield from sleep(world.loop, 6_000_000)
+    world.run(main())
+    assert not world.broker.module.servers["s2"].live
+
+
+def test_a_watch_goes_on_from_the_version_it_had_and_takes_changes_only():
+    world = Platform()
+    registry = world.registry
+    assert registry is not None
+    world.wait(0.5)
+    registry.put({**world.nodes[4].entry, "state": "draining"})
+    world.wait(3.5)
+    assert registry.calls[0] == "" and all("from=" in call for call in registry.calls[1:])
+    assert "from=2" in registry.calls[-1] and world.broker.counts["news", hw.FULL] == 1
+    assert not world.broker.module.servers["s4"].live and world.broker.module.servers["s3"].live
+
+
+def test_changes_of_an_older_list_lead_to_a_whole_one():
+    world = Platform()
+    registry = world.registry
+    assert registry is not None
+    registry.rev = 50
+    world.wait(0.5)
+    registry.rev = 7  # discovery came back with what it had before
+    registry.entries = {uid: (7, entry) for uid, (_, entry) in registry.entries.items()}
+    registry.wake()
+    world.wait(3.0)
+    assert registry.calls.count("") >= 2 or world.broker.watch.rev == 7
+
+
+def test_a_node_that_moves_is_met_at_its_new_address():
+    world = Platform()
+    assert world.registry is not None
+
+    def main(name):
+        return (yield from world.client().ask(name, "sale-record", [3], key="k"))
+    assert world.run(main("q1")).status == 200
+    for number, old in enumerate(list(world.nodes)):
+        moved = world.nodes[number] = world.node(100 + number, number)
+        world.registry.put({**moved.entry, "uid": old.uid})
+        old.kill()
+    world.wait(0.3)
+    assert world.run(main("q2")).status == 200
+    assert any(node.parts for node in world.nodes) and len(world.broker.module.servers) == 6
+
+
+@given(st.data())
+def test_a_request_cut_anywhere_is_the_same_request(data):
+    body = b'{"parts":[{"id":1,"w":1.0}],"expr":"c4"}'
+    stream = (b"POST /price-search?key=7f HTTP/1.1\r\nHost: b\r\nReq-Id: q1\r\nContent-Length: %d\r\n\r\n" % len(body)
+              + body)
+    side, got = ServerSide(), []
+    while stream:
+        cut = data.draw(st.integers(1, len(stream)))
+        got += side.feed(stream[:cut])
+        stream = stream[cut:]
+    (request,) = got
+    assert isinstance(request, Request) and request.body == body and request.query == "key=7f"
+    assert request.headers["req-id"] == "q1"
+
+
+@given(st.binary(max_size=400))
+def test_noise_from_a_client_is_no_request(data):
+    side = ServerSide(4096, 4096)
+    for whole in side.feed(data + b"\r\n\r\n"):
+        assert not isinstance(whole, Request) or whole.path
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_bad_day_keeps_every_rule(seed):
+    """Breaks, silences, spoilt answers, errors, refusals, deaths and returns, drains and clients that leave."""
+    world = Platform(seed=seed)
+    draw = random.Random(seed)
+    registry = world.registry
+    assert registry is not None
+    dead: set = set()
+
+    def behave(node, stream, part):
+        fate = draw.random()
+        if fate < 0.03:
+            stream.abort()
+        elif fate < 0.05:
+            dead.add(stream)
+        elif fate < 0.07:
+            stream.write(b"\x00\x00\x00\x09Ogarbage!")
+        elif fate < 0.10:
+            node.served(part, "error")
+            stream.write(answer(part, 500))
+        elif fate < 0.13:
+            node.served(part, "full")
+            stream.write(answer(part, 503))
+        elif stream not in dead:
+            node.served(part)
+            stream.write(answer(part))
+            if fate > 0.95:
+                stream.close()
+    for node in world.nodes:
+        node.behave = behave
+    told = []
+
+    def one(n):
+        kind, shards, key = [("price-search", [0, 1, 2, 3], ""), ("day-report", [4, 5, 6], ""),
+                             ("sale-record", [n % 12], f"k{n}")][n % 3]
+        client = world.client(f"c{n}")
+        if n % 17 == 0:
+            task = world.loop.spawn(client.ask(f"q{n}", kind, shards, key=key), "leaves")
+            yield from sleep(world.loop, 15_000)
+            client.stream.abort()
+            with contextlib.suppress(StreamBroken):  # it may have been refused before
+                yield from task.join()
+            return
+        response = yield from client.ask(f"q{n}", kind, shards, key=key)
+        told.append(response.status)
+        client.stream.close()
+
+    def main():
+        tasks = []
+        for n in range(300):
+            tasks.append(world.loop.spawn(one(n), f"q{n}"))
+            yield from sleep(world.loop, draw.randrange(10_000, 40_000))
+            if n == 100:
+                world.nodes[1].draining = True
+                registry.put(world.nodes[1].entry)
+            if n == 150:
+                world.nodes[4].kill()
+            if n == 200:
+                world.net.cut("s2", "broker")
+            if n == 240:
+                world.net.heal("s2", "broker")
+        for task in tasks:
+            yield from task.join()
+        yield from sleep(world.loop, 1_500_000)
+    world.run(main())
+    verdict = world.verdict()
+    assert verdict.kept, [str(breach) for breach in verdict.breaches[:5]]
+    assert verdict.counts["queries"] == 300 and told.count(200) > 230
+    assert not world.broker.queries and not world.broker.parts and not world.broker._sent_at
