--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -73,7 +73,7 @@
         host, port = split_address(value)
     except ValueError as problem:
         raise ConfigError(f"{field}: {problem}") from None
-    if not host or (field == "discovery" and not port):
+    if not host or (field != "listen" and not port):
         raise ConfigError(f"{field}: address {value!r} is not host:port")
     return value
 
@@ -123,7 +123,8 @@
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration that the environment names; raises :class:`ConfigError`, of a file that can't be read too.
 
-    The other variables must agree with the file, as two that tell apart leave open which one is meant.
+    Name and address must agree with the file, as two that tell apart leave open which one is meant. Discovery may have
+    moved since the variable was set: it must be an address, and the file's is used.
     """
     path = environment.get("GW_CONFIG")
     if not path:
@@ -138,4 +139,6 @@
         said = environment.get(variable)
         if said is not None and said != value:
             raise ConfigError(f"{variable}: {said!r}, but the file says {value!r}")
+    if "GW_DISCOVERY" in environment:
+        _address(environment, "GW_DISCOVERY")
     return config
