Front: who floods behind a request that was taken is answered before more is read

Change: reading stops until the answer is out, then goes on; what follows is judged as any request. Test on virtual time.

--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -16,7 +16,7 @@
 from heathwell.codec.http import Request, Response, ServerSide
 from heathwell.gateway.broker import PlatformBroker
 from heathwell.gateway.requests import BadRequest, Checker
-from heathwell.kernel import Coro, Overrun, Stream, StreamBroken
+from heathwell.kernel import Coro, Event, Overrun, Stream, StreamBroken
 
 HEAD_MOST, BODY_MOST = 16_384, 65_536
 WHOLE_US = 2_500_000  # for a request to come whole; for a connection's first from its connect on
@@ -118,6 +118,7 @@
         self.busy = self.erred = False
         self._arrived = self.since
         self._ahead = 0
+        self._answered = Event()
         front.resting[self] = None
 
     @property
@@ -145,9 +146,9 @@
                 self._advance()
                 continue
             self._ahead += len(data)
-            if self._ahead > AHEAD_MOST:
-                self.front.counts["ahead"] += 1
-                return  # who sends without end while a request is at work has left it
+            while self.busy and self._ahead > AHEAD_MOST:  # its request was taken: it is answered before more is read
+                self._answered.clear()
+                yield from self._answered.wait()
         while not self.stream.closed:  # what more it sends is left where it is, until its time is up
             yield self._park
 
@@ -214,6 +215,7 @@
         if side is None or self.stream.closed:
             return
         self.busy = False
+        self._answered.set()
         side.closing = side.closing or self.front.draining
         try:
             self.stream.write(side.respond(response))
@@ -251,6 +253,7 @@
 
     def gone(self) -> None:
         """The connection is lost: nobody waits for what is asked."""
+        self._answered.set()
         handle, self.handle = self.handle, None
         if handle is not None:
             handle.leave()
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -191,3 +191,12 @@
     assert got.count(b"HTTP/1.1 200") == 3
     value = value_of(1, b"c41e77d0")
     assert got.count(value) <= 3 and world.front.counts["requests"] == 3
+
+
+def test_who_floods_behind_a_request_that_was_taken_is_answered_first():
+    world = Platform()
+    for node in world.nodes:
+        node.work_us = 60_000
+    got, ended = told(world, [whole(b"q1"), b"x" * 65_536, b"x" * 65_536, b"x" * 65_536])
+    assert got.count(b"HTTP/1.1 200") == 1 and got.count(b"HTTP/1.1 4") == 1 and ended is not None
+    assert not world.broker.counts["left", "price-search"]
