Gateway: one idle time for both kinds of link, one set-up of the collector, dead code out

Cause: a second read of the whole change. The idle timer, the swallowed write and the collector's set-up stood twice (broker/hosts.py and gateway/nodes.py; cli/serve.py and gateway/process.py); Front.at_work, NodeLink.busy, Discovery._stream, Room.refused, the PartPlan protocol and a frame letter were used by nobody; a client was forgotten in two places; the end of a process looked for open queries whose clients it had looked at already. The trace added up links that live, so its figures fell below 0 when one was forgotten. Change: broker/idle.py, kernel/collector.py, Stream.offer; the trace keeps the figures of links that are gone; the log of a spoilt answer names its part, which was worked out and read by a test alone. No decision, bound or answer changes.

--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -25,18 +25,6 @@
 Key = tuple[str, int]
 
 
-class PartPlan(Protocol):
-    """One part of a query as its front planned it."""
-
-    @property
-    def shard(self) -> int:
-        """Its shard."""
-
-    @property
-    def weight(self) -> float:
-        """Its share of its step."""
-
-
 class Ask(Protocol):
     """What a link is handed for one attempt."""
 
@@ -101,7 +89,7 @@
 
 @dataclass(slots=True)
 class PartState:
-    """A part of an open query; ``data`` once its answer is in."""
+    """A part of an open query: its ``plan`` has ``shard`` and ``weight``; ``data`` once its answer is in."""
 
     id: str
     plan: Any
--- a/heathwell/broker/hosts.py
+++ b/heathwell/broker/hosts.py
@@ -8,6 +8,7 @@
 
 from heathwell import interface as hw
 from heathwell import wire
+from heathwell.broker.idle import IdleTime
 from heathwell.codec import frames
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, Timer
 
@@ -47,7 +48,7 @@
     def __init__(self, loop: Loop, net: Net, node: str, name: str, owner: Owner, *, connect_timeout: int,
                  probe_timeout: int, idle_close: int, log: Callable[..., None]) -> None:
         self.loop, self.net, self.node, self.name, self.owner, self.log = loop, net, node, name, owner, log
-        self.connect_timeout, self.probe_timeout, self.idle_close = connect_timeout, probe_timeout, idle_close
+        self.connect_timeout, self.probe_timeout = connect_timeout, probe_timeout
         self.out: dict[Key, Sent] = {}
         self.stream: Stream | None = None
         self.connects = self.late = 0
@@ -55,8 +56,8 @@
         self._task: Task | None = None
         self._probes: dict[int, Timer] = {}
         self._probe_no = 0
-        self._idle_since = 0
-        self._idle_timer: Timer | None = None
+        self._idle = IdleTime(loop, idle_close, lambda: self.stream is None or bool(self.out or self._probes),
+                              self.close)
 
     @property
     def up(self) -> bool:
@@ -83,7 +84,7 @@
                 parts[:] = [ask for ask in parts if (ask.id, ask.seq) != key]
         elif self.stream is not None:
             self._write(frames.encode(frames.CancelPart(*key)))
-        self._rest()
+        self._idle.rests()
         return True
 
     def withdraw(self, key: Key) -> bool:
@@ -125,7 +126,7 @@
             for parts in waiting:
                 if parts:
                     self._write_call(parts)
-            self._rest()
+            self._idle.rests()
             yield from wire.listen(stream, self._heard)
             if self.out:
                 raise StreamBroken("the host closed with attempts out")
@@ -146,7 +147,7 @@
                 else:
                     outcome = OUTCOMES.get(message.outcome, hw.ERROR)
                     self.owner.attempt_ended(self.node, key, outcome, message)
-                self._rest()
+                self._idle.rests()
             case frames.Bound(id=part, seq=seq, best=best):
                 if (part, seq) in self.out:
                     self.owner.bound(self.node, (part, seq), best)
@@ -166,11 +167,8 @@
         self._write(frames.encode(frames.Call(parts)))
 
     def _write(self, data: bytes) -> None:
-        try:
-            if self.stream is not None:
-                self.stream.write(data)
-        except StreamBroken:
-            pass  # the reading side sees the same and tells the ends
+        if self.stream is not None:
+            self.stream.offer(data)  # the reading side tells the ends of a broken one
 
     def _lost(self, stream: Stream | None, ended: str) -> None:
         """The connection is gone: what had not left provably never ran, the rest may have."""
@@ -190,20 +188,4 @@
         if timer is not None:
             timer.cancel()
             self.owner.probe_ended(self.node, outcome)
-            self._rest()
-
-    def _rest(self) -> None:
-        """Nothing is out: the idle time runs, by one timer that looks again rather than one a part."""
-        self._idle_since = self.loop.now()
-        if self._idle_timer is None and not self.out and self.stream is not None:
-            self._idle_timer = self.loop.call_at(self._idle_since + self.idle_close, self._idle)
-
-    def _idle(self) -> None:
-        self._idle_timer = None
-        if self.stream is None or self.out or self._probes:
-            return
-        left = self._idle_since + self.idle_close - self.loop.now()
-        if left > 0:
-            self._idle_timer = self.loop.call_at(self.loop.now() + left, self._idle)
-        else:
-            self.close()
+            self._idle.rests()
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import json
 import os
 import signal
@@ -20,15 +19,13 @@
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
 from heathwell.fronts.vector import VectorFront
-from heathwell.kernel import Coro, Event, Listener, Loop, Net, sleep, socket_loop
+from heathwell.kernel import Coro, Event, Listener, Loop, Net, calm_collector, sleep, socket_loop
 from heathwell.settings import Market, SettingsError, load
 from heathwell.standins.discovery import Discovery
 from heathwell.standins.leaf import Leaf
 from heathwell.standins.relay import Relay, RoutedNet
 from heathwell.standins.source import Source
 
-GC_AFTER = 20_000  # objects made before the collector looks at the young ones
-
 
 @contextmanager
 def exit_codes(*wrong: type[Exception]) -> Iterator[None]:
@@ -105,10 +102,7 @@
 
     def run(self, main: Callable[[], Coro[None]]) -> None:
         """Run until the main coroutine ends; an address that can't be had is exit code 3."""
-        # Records of a query refer to each other, so the collector is needed, but not every few queries.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(GC_AFTER, 20, 20)
+        calm_collector()
         try:
             self.loop.run(self.loop.spawn(main(), "main"))
         except OSError as problem:
--- a/heathwell/codec/nodeframes.py
+++ b/heathwell/codec/nodeframes.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-CALL, GIVE_UP, PROBE, LOAD, ANSWER, UNUSABLE = b"D", b"K", b"I", b"U", b"O", b"Z"
+CALL, GIVE_UP, PROBE, ANSWER, UNUSABLE = b"D", b"K", b"I", b"O", b"Z"
 FRAME_MOST = 16_384  # of what nodes send: a line and one value; a longer one is spoilt
 LINE_MOST = 512
 SERVED, ERROR, TURNED_AWAY = 200, 500, 503
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -50,6 +51,7 @@
         self.net, self.config = net, config
         self.room = Room(config.node_sockets)
         self.addresses: dict[str, str] = {}
+        self.passed: Counter[str] = Counter()  # figures of links that are gone
         self._unix_offset = unix_us() - loop.now()
         self._note(config.known)
         self.watch = Discovery(loop, net, config.discovery, self.told, log)
@@ -88,6 +90,7 @@
             if node not in self.addresses:
                 link.leave()
                 if not link.connections:
+                    self.passed.update(link.figures())
                     del self.links[node]
 
     def _news(self, targets: Targets, asked: bool = True) -> hw.FleetNews:
--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -28,7 +28,6 @@
         self.calls = self.failures = 0
         self.rev = 0
         self._task: Task | None = None
-        self._stream: Stream | None = None
 
     def start(self) -> None:
         """Nothing: the module asks."""
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -57,9 +57,7 @@
             self.counts["cut off"] += 1
             self.log("info", "client cut off", why=str(problem))
         finally:
-            self.clients.pop(client, None)
-            self.resting.pop(client, None)
-            self.begun.pop(client, None)
+            self._forget(client)
             client.gone()
 
     def drain(self) -> None:
@@ -71,25 +69,19 @@
         for client in list(self.resting):
             client.stream.close()
 
-    @property
-    def at_work(self) -> int:
-        """Connections with a request, begun or whole, or an answer on its way."""
-        return len(self.clients) - len(self.resting)
-
     def _make_room(self) -> bool:
         for clients in (self.resting, self.begun):
             if clients:
                 victim = next(iter(clients))
                 self.counts["closed for another"] += 1
-                self._end(victim)
+                self._forget(victim)
+                victim.stream.close()
                 return True
         return False
 
-    def _end(self, client: Client) -> None:
+    def _forget(self, client: Client) -> None:
         self.clients.pop(client, None)
-        self.resting.pop(client, None)
-        self.begun.pop(client, None)
-        client.stream.close()
+        client.leave_orders()
 
     def _look(self) -> None:
         """One timer for all connections."""
@@ -168,7 +160,7 @@
         if isinstance(whole, Response):
             self.fail(whole)
         elif whole is not None:
-            self._leave_orders()
+            self.leave_orders()
             self.busy = True
             self._take(whole)
         elif side.closing:
@@ -179,7 +171,8 @@
                 self.since = self._arrived
             self.front.begun[self] = None
 
-    def _leave_orders(self) -> None:
+    def leave_orders(self) -> None:
+        """Neither resting nor begun any more."""
         self.front.resting.pop(self, None)
         self.front.begun.pop(self, None)
 
@@ -239,7 +232,7 @@
         """Answer with an error, then close once it is read: nothing more is taken from this connection."""
         if self.erred or self.stream.closed or self.side is None:
             return
-        self._leave_orders()
+        self.leave_orders()
         self.front.counts["errors"] += 1
         self.erred, self.busy = True, False
         self.side.closing = True
--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -21,6 +21,7 @@
 
 from heathwell import interface as hw
 from heathwell.broker.driver import Key
+from heathwell.broker.idle import IdleTime
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.config import Connections
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, Timer
@@ -69,7 +70,6 @@
     def __init__(self, most: int) -> None:
         self.most = most
         self.open = 0
-        self.refused = 0
         self.idle: OrderedDict[Connection, None] = OrderedDict()
 
     def take(self) -> bool:
@@ -77,7 +77,6 @@
         if self.open >= self.most and self.idle:
             next(iter(self.idle)).close()
         if self.open >= self.most:
-            self.refused += 1
             return False
         self.open += 1
         return True
@@ -128,8 +127,7 @@
         self._probes: deque[int] = deque()  # numbers of probes in the order sent; answers come in it
         self._unsent_probes: list[int] = []
         self._waits_since: int | None = None
-        self._idle_timer: Timer | None = None
-        self._idle_since = self.loop.now()
+        self._idle = IdleTime(self.loop, int(link.limits.idle_us * CLOSE_EARLY), lambda: self.busy, self.close)
         self._ended = hw.UNREACHABLE
         self._over = self._ours = False
         self._task: Task = self.loop.spawn(self._run(), f"node {link.node}")
@@ -236,7 +234,7 @@
             # The part has run, and the connection is of no further use to those that wait behind it.
             self.link.spoilt += 1
             if self.out:
-                self.link.note("spoilt answer", str(problem))
+                self.link.note("spoilt answer", f"{problem.part or 'of no part'}: {problem}")
             self._ended = hw.ERROR
         finally:
             self._finish()
@@ -298,11 +296,8 @@
         self._write(nf.frame(nf.PROBE))
 
     def _write(self, data: bytes) -> None:
-        try:
-            if self.stream is not None:
-                self.stream.write(data)
-        except StreamBroken:
-            pass  # the reading side sees the same and tells the ends
+        if self.stream is not None:
+            self.stream.offer(data)  # the reading side tells the ends of a broken one
 
     def _wait(self) -> None:
         if self._waits_since is None:
@@ -315,25 +310,9 @@
         if self.retired:
             self.close()
             return
-        now = self._idle_since = self.loop.now()
         self.link.room.idle[self] = None
         self.link.room.idle.move_to_end(self)
-        if self._idle_timer is None:
-            self._idle_timer = self.loop.call_at(now + self._idle_us, self._idle)
-
-    @property
-    def _idle_us(self) -> int:
-        return int(self.link.limits.idle_us * CLOSE_EARLY)
-
-    def _idle(self) -> None:
-        self._idle_timer = None
-        if self._over or self.busy:
-            return
-        left = self._idle_since + self._idle_us - self.loop.now()
-        if left > 0:
-            self._idle_timer = self.loop.call_at(self.loop.now() + left, self._idle)
-        else:
-            self.close()
+        self._idle.rests()
 
     def _finish(self) -> None:
         """The connection is gone: what had not been written whole provably never ran, the rest may have."""
@@ -343,8 +322,7 @@
         self.link.room.open -= 1
         self.link.room.idle.pop(self, None)
         self.link.connections.remove(self)
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
+        self._idle.cancel()
         if self._ended == hw.BROKEN and not self._ours and self.answered_at is not None:
             self.link.ended_soon += self._just_answered
             at_once = self._just_answered and self.answers <= SINGLE_ANSWERS
@@ -386,6 +364,10 @@
         self._probes: dict[int, Timer] = {}
         self._probe_no = 0
 
+    def figures(self) -> dict[str, int]:
+        """What has passed here so far."""
+        return {name: getattr(self, name) for name in ("connects", "breaks", "late", "spoilt", "ended_soon")}
+
     @property
     def up(self) -> bool:
         """Whether a connection stands."""
@@ -396,11 +378,6 @@
         """Whether each connection carries one part now."""
         return self.closes >= SINGLE_AFTER
 
-    @property
-    def busy(self) -> bool:
-        """Whether anything waits for the node."""
-        return bool(self.out or self._probes)
-
     @property
     def suspect_us(self) -> int:
         """Silence from which a connection is not trusted."""
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import os
 import resource
 import signal
@@ -15,9 +14,8 @@
 from heathwell.gateway.config import Config, ConfigError, load
 from heathwell.gateway.front import Front
 from heathwell.gateway.trace import Trace
-from heathwell.kernel import Listener, socket_loop
+from heathwell.kernel import Listener, calm_collector, socket_loop
 
-GC_AFTER = 20_000  # objects made before the collector looks at the young ones
 TAKE_US = 600_000  # after SIGTERM, for which clients still arrive
 END_LOOK_US = 20_000
 LINES_A_SECOND = 20
@@ -75,10 +73,7 @@
         self.listener = self.net.listen(self.config.listen, self.front.serve, "client", self.config.client_sockets + 8)
         for earlier in pending:
             calls[signal.Signals(earlier)]()
-        # Records of a query refer to each other, so the collector is needed, but not every few queries.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(GC_AFTER, 20, 20)
+        calm_collector()
         self.log("info", "ready", listen=self.listener.address, pid=os.getpid(), sockets=self.config.sockets)
         self.loop.run()
         return 0
@@ -103,7 +98,7 @@
         self.front.let_go()
         longest = max(spec.limit_us for spec in self.config.settings.classes)
         over = self.loop.now() - (self._ending_at or 0) > TAKE_US + longest
-        if over or not (self.front.clients or any(q.on_reply for q in self.broker.queries.values())):
+        if over or not self.front.clients:  # an open query has its client among them
             self.log("info", "ended", open=len(self.front.clients))
             self.broker.close()
             self.loop.stop()
--- a/heathwell/gateway/trace.py
+++ b/heathwell/gateway/trace.py
@@ -25,10 +25,9 @@
         self._look()
 
     def _facts(self) -> Counter[str]:
-        facts: Counter[str] = Counter()
+        facts = Counter(self.broker.passed)
         for link in self.broker.links.values():
-            for name in ("connects", "breaks", "late", "spoilt", "ended_soon"):
-                facts[name] += getattr(link, name)
+            facts.update(link.figures())
         for kind, figure in self.broker.counts.items():
             if kind[0] == "final":
                 facts[f"{kind[2]} {kind[3]}"] += figure
--- a/heathwell/kernel/__init__.py
+++ b/heathwell/kernel/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from heathwell.kernel.clock import MonotonicClock, VirtualClock
+from heathwell.kernel.collector import calm_collector
 from heathwell.kernel.loop import Cancelled, Coro, Event, Loop, Stalled, Task, Timer, sleep
 from heathwell.kernel.net import ConnectFailed, Listener, Net, Overrun, Stream, StreamBroken
 from heathwell.kernel.sockets import EpollPoller, SocketNet, socket_loop
@@ -15,5 +16,5 @@
 __all__ = [
     "Cancelled", "ConnectFailed", "Coro", "EpollPoller", "Event", "HostNet", "Listener", "Loop", "MonotonicClock",
     "Net", "Overrun", "SocketNet", "Stalled", "Stream", "StreamBroken", "Task", "Timer",
-    "VirtualClock", "VirtualNet", "VirtualPoller", "Worker", "sleep", "socket_loop", "virtual_loop",
+    "VirtualClock", "VirtualNet", "VirtualPoller", "Worker", "calm_collector", "sleep", "socket_loop", "virtual_loop",
 ]
--- a/heathwell/kernel/net.py
+++ b/heathwell/kernel/net.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
@@ -105,6 +106,11 @@
             self._chunks.append(data)
         self._flush()
 
+    def offer(self, data: bytes) -> None:
+        """As :meth:`write`, for those whose reader hears of a loss: on a broken stream it does nothing."""
+        with contextlib.suppress(StreamBroken):
+            self.write(data)
+
     def drain(self) -> Coro[None]:
         """Wait until what is queued is under the high-water mark."""
         while self.unsent > self.high_water and not self.closed:
