Links: an idle time that is over holds on to nothing, so connections go without the collector

Cause: broker/idle.py IdleTime and its connection referred to each other (`busy` and `close` were handed in and kept), so each of the thousands of connections that nodes close waited for a collector that runs every 20,000 objects. Ruled out: service (in time as before), descriptors, processor. Change: its end lets go of both.

--- a/heathwell/broker/idle.py
+++ b/heathwell/broker/idle.py
@@ -22,10 +22,11 @@
             self._timer = self._loop.call_at(self._since + self._span, self._look)
 
     def cancel(self) -> None:
-        """The connection is gone."""
+        """The connection is gone: nothing of it is held on to, so that it goes without the collector."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        self._busy, self._close = _always, _nothing
 
     def _look(self) -> None:
         self._timer = None
@@ -36,3 +37,11 @@
             self._timer = self._loop.call_at(self._loop.now() + left, self._look)
         else:
             self._close()
+
+
+def _always() -> bool:
+    return True
+
+
+def _nothing() -> None:
+    """Nobody is left to be closed."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import gc
 import json
+import weakref
 
 from heathwell import interface as hw
 from heathwell.codec import nodeframes as nf
@@ -346,3 +348,26 @@
     assert not of(d.end(send, hw.LOST, after=750_000), hw.Send)
     (send,) = of(d.query(4, [0]), hw.Send)
     assert not of(d.end(send, hw.LOST, after=1000), hw.Send)  # an unsafe one may have run
+
+
+def test_connections_of_both_sides_go_without_the_collector():
+    world, seen = Platform(), []
+
+    def main():
+        for n in range(20):
+            client = world.client(f"c{n}")
+            yield from client.ask(f"q{n}", "price-search", [0, 1, 2, 3])
+            connections = [c for link in world.broker.links.values() for c in link.connections]
+            seen.extend(weakref.ref(thing) for thing in (*connections, *world.front.clients))
+            client.stream.close()
+            for node in world.nodes:  # each query meets new connections
+                for stream in list(node.streams):
+                    stream.abort()
+            yield from sleep(world.loop, 20_000)
+    gc.disable()
+    try:
+        world.run(main())
+        alive = [ref() for ref in seen if ref() is not None]
+    finally:
+        gc.enable()
+    assert len(seen) >= 60 and not alive
