Discovery: a watch goes on from the version held, and waits as long as an ask may be late

Up to 3,554 attempts in 5 s found no node (`attempt_unreachable`), as every broker's list stood at `known=119 live=119` while 36 nodes were replaced, and at the end `ejected=49 cold=40` of 119 were its own nodes that had moved. To blame: gateway/discovery.py, `wait, target = 0, LIST` at the start of each watch, so that each call after a failure asks for all 119 lines, and HOLD_US of 1.5 s, 121 calls a second of 182 brokers that nothing needs.

Change: the first call, and one after a failure, asks for what has changed since the version held (the configuration's `known` at the start); a watch is held for must-ask-in, the protocol's own time. Whole lists where none is held, where discovery moved, or where its version fell back.

--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -13,6 +13,7 @@
 from heathwell.startsettings import WireError, settings_from
 
 SOCKETS_LEAST = 64
+HOLD_US = 1_500_000  # of a watch where the settings state no time to ask in
 RESERVED_SOCKETS = 24  # standard streams, the poller, the listener, discovery, and what the language opens
 
 
@@ -43,6 +44,11 @@
     zones: tuple[str, ...]
     known: Targets
 
+    @property
+    def hold_us(self) -> int:
+        """How long a watch of discovery waits: no call is due sooner, and discovery serves all brokers in turn."""
+        return self.settings.must_ask_us or HOLD_US
+
     @property
     def node_sockets(self) -> int:
         """Descriptors set aside for nodes."""
--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -1,7 +1,11 @@
-"""The platform's discovery over HTTP: the whole list, then a watch that goes on, call after call.
+"""The platform's discovery over HTTP: a watch that goes on, call after call, from the version that is held.
 
 The module says when to ask; from then on each answer is told to it, until a call fails. That is told too, and the
 module decides when to ask again. The only time-outs are a call's own, so that a silent connection is noticed.
+
+Discovery serves all brokers in turn, and a line costs it work. So a call asks for what has changed since the version
+held, which the configuration gives at the start, also after one that failed; the whole list is asked for where no
+version is held, or where discovery has moved.
 """
 
 from __future__ import annotations
@@ -12,7 +16,7 @@
 from heathwell.gateway.targets import Targets, TargetsError
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task
 
-HOLD_US = 1_500_000  # of a watch: a lost connection is noticed so much later at the most, and its answer's time
+HOLD_MOST_US = 60_000_000  # of a watch, by the protocol
 CALL_US = 1_500_000  # for a call beyond what it may wait
 CONNECT_US = 500_000
 LIST = "/api/targets"
@@ -20,13 +24,15 @@
 
 
 class Discovery:
-    """Watches the list at one address, which may move."""
+    """Watches the list at one address, which may move. ``rev`` is the version of the list that is held at the start,
+    None for no list; ``hold_us`` is how long a watch waits: a lost connection is noticed so much later at the most,
+    and its answer's time."""
 
     def __init__(self, loop: Loop, net: Net, address: str, news: Callable[[Targets | None], None],
-                 log: Callable[..., None]) -> None:
+                 log: Callable[..., None], *, rev: int | None, hold_us: int) -> None:
         self.loop, self.net, self.address, self.news, self.log = loop, net, address, news, log
         self.calls = self.failures = 0
-        self.rev = 0
+        self.rev, self.hold_us = rev, min(hold_us, HOLD_MOST_US)
         self._task: Task | None = None
 
     def start(self) -> None:
@@ -39,7 +45,7 @@
 
     def move(self, address: str) -> None:
         """Go on at another address, at once and from the whole list."""
-        self.address = address
+        self.address, self.rev = address, None
         self.close()
         self.ask()
 
@@ -54,19 +60,19 @@
         try:
             stream = yield from self.net.connect(address, CONNECT_US)
             side = ClientSide(address, LIST_MOST)
-            wait, target = 0, LIST
             while True:
+                wait = 0 if self.rev is None else self.hold_us
+                target = LIST if self.rev is None else f"{LIST}?from={self.rev}&hold_ms={wait // 1000}"
                 if not side.reusable:
                     stream.close()
                     stream = yield from self.net.connect(address, CONNECT_US)
                     side = ClientSide(address, LIST_MOST)
                 targets = yield from self._call(stream, side, target, wait + CALL_US)
-                if not targets.all and targets.rev < self.rev:
-                    target, wait = LIST, 0  # changes of a list that is older than ours: only a whole one says more
+                if not targets.all and self.rev is not None and targets.rev < self.rev:
+                    self.rev = None  # changes of a list that is older than ours: only a whole one says more
                     continue
                 self.rev = targets.rev
                 self.news(targets)
-                target, wait = f"{LIST}?from={self.rev}&hold_ms={HOLD_US // 1000}", HOLD_US
         except (ConnectFailed, StreamBroken, HttpError, TargetsError) as problem:
             self.failures += 1
             self._task = None
