Module: what a server did is known until it is met again; one that turns all away is ejected

Each broker met each node about every 4 s (119 nodes, 30 answers a second), an aim is 0.29 s. Checked and ruled out: links (a full answer takes 1.7 to 2.9 ms), the list (all 18 were `up`), cold ramps (`w1.00`). To blame in logic.py: `_judge` gives a part that is turned away a charge of one and nothing else; and every memory is counted in aims (PACE_FADE 4, CHARGE_FADE 1, BAR_MOST 8), so a broker of 182 has forgotten a sick node when it next meets it.

Change: two parts in a row that are turned away eject, while under 0.4 of the fleet is ejected; pace, charge and ejection hold for three mean times between two visits where that is longer than their aims. A broker that meets servers often is as it was (test). The mean time between visits is servers over the rate of answers, both known to the module.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -48,10 +48,11 @@
 RECENT_LEAST = 10  # quick answers supposed beside those seen: few latencies prove no overload, none clear it
 HOT_COUNT = 2  # own parts out at a shard's best holder from which its latency is believed
 WORTHS = 100  # latest queries by which a query's worth per work is ranked
-ERRORS_TO_BAR = 2  # errors in a row in one class: one is chance, two are a symptom
+ERRORS_TO_BAR = 2  # errors in a row in one class, or parts turned away: one is chance, two are a symptom
 DEATHS = 2  # broken connections without an answer from which a query is given up: one is a chance crash
 WARY = 5.0  # aims after a lost connection in which one part of a query goes first
 LOST_COST = 4.0  # usual latencies that a part lost with its connection counts for in its server's pace
+VISITS = 3.0  # mean times between two of our parts at one server that what it did is known for at least
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
@@ -69,6 +70,7 @@
     def __init__(self, settings: hw.Settings, seed: int) -> None:
         self.cfg = settings
         self.random = random.Random(seed)
+        self.revisit = 0.0
         self.now = self.ticket = self.flow_at = 0
         self.began: int | None = None
         self.actions: list[hw.Action] = []
@@ -455,14 +457,19 @@
 
     def _charge(self, server: Server) -> float:
         """What cancelled and failed attempts may still cost: such a server only looks idle."""
-        return server.charge * exp((server.charge_at - self.now) / (CHARGE_FADE * self.aim))
+        return server.charge * exp((server.charge_at - self.now) / self._known(CHARGE_FADE))
 
     def _add_charge(self, server: Server) -> None:
         server.charge, server.charge_at = self._charge(server) + 1.0, self.now
 
     def _pace(self, server: Server) -> float:
         """Recent latency against the fleet's usual (1.0), drifting back to it when unused."""
-        return 1.0 + (server.pace - 1.0) * exp((server.pace_at - self.now) / (PACE_FADE * self.aim))
+        return 1.0 + (server.pace - 1.0) * exp((server.pace_at - self.now) / self._known(PACE_FADE))
+
+    def _known(self, aims: float) -> float:
+        """How long what a server did is held for or against it (us): these aims, or until it is met again
+        where that is later."""
+        return max(aims * self.aim, self.revisit)
 
     # Sending, spares and retries
 
@@ -681,7 +688,7 @@
         old = server.bars.get(key)
         if old and not old.trial:
             return
-        span = int(min(2 * old.span, BAR_MOST * self.aim) if old else BAR_SPAN * self.aim)
+        span = int(min(2 * old.span, self._known(BAR_MOST)) if old else self._known(BAR_SPAN))
         dead = why if why in (NO_CONNECTION, NO_PROBE) or not self.cfg.probing else old.dead if old else ""
         if old and old.dead == NO_CONNECTION:
             dead = old.dead
@@ -716,11 +723,14 @@
         # At low traffic the stuck part's own count keeps a second one away: a time-out says it alone.
         timed_out = attempt.outcome == hw.TIMED_OUT
         stuck = SILENT_PARTS if timed_out else sum(a.sent > server.last_ok for a in server.out.values())
-        out = sum(EVERY in s.bars for s in self.servers.values() if s.live)
-        most = BAR_SHARE * sum(s.live for s in self.servers.values())
-        if server.last_ok < attempt.sent <= self.last_ok and stuck >= SILENT_PARTS and out < most:
+        if server.last_ok < attempt.sent <= self.last_ok and stuck >= SILENT_PARTS and self._may_bar():
             self._bar(server, EVERY, "silent while others answer")
 
+    def _may_bar(self) -> bool:
+        """Whether enough others are left: most of them silent or full is overload, not sick servers."""
+        live = [server for server in self.servers.values() if server.live]
+        return sum(EVERY in server.bars for server in live) < BAR_SHARE * len(live)
+
     def _judge(self, attempt: Attempt, outcome: str) -> None:
         server, klass = attempt.server, attempt.part.query.klass
         if outcome == hw.TIMED_OUT:
@@ -737,6 +747,9 @@
             return
         if outcome == hw.FULL_UP:  # had it waited for its turn it would have taken about the aim
             self._remember(attempt, self.aim)
+            server.errors[EVERY] = server.errors.get(EVERY, 0) + 1
+            if server.errors[EVERY] >= ERRORS_TO_BAR and self._may_bar():
+                self._bar(server, EVERY, "turns away all that comes")
             return
         server.errors[klass] = server.errors.get(klass, 0) + 1
         if server.errors[klass] >= ERRORS_TO_BAR:
@@ -766,7 +779,10 @@
         self._remember(attempt, event.elapsed_us)
         took, usual = event.elapsed_us, self._usual(attempt.part)
         ratio = min(took / usual, 20.0) if usual else 1.0
-        # A broker that seldom meets any server has but the last answer or two of each to go by.
+        # A broker that seldom meets any server has but the last answer or two of each to go by, and by then
+        # an aim is long over: one of many brokers would find each sick server anew at every visit.
+        rate = max(self._flow(), self.flow_best)
+        self.revisit = min(VISITS * len(self.servers) / rate, self.cfg.warm_within_us or KEPT * self.aim)
         pause = min(len(self.servers) / self._flow(), self.now - server.pace_at)
         gain = max(PACE_GAIN, PACE_MOST * (1 - exp(-2 * pause / (PACE_FADE * self.aim))))
         server.pace = self._pace(server) * (1 - gain) + ratio * gain
--- a/heathwell/standins/platform.py
+++ b/heathwell/standins/platform.py
@@ -133,10 +133,15 @@
 
 
 class Registry:
-    """Discovery: one list, watches that wait; ``down`` ends them, and answers 503."""
+    """Discovery: one list, watches that wait; ``down`` ends them, and answers 503. A call and each line of its answer
+    take ``line_us`` of one worker, who serves them in turn: what would wait for ``PATIENCE_US`` is answered 503."""
 
-    def __init__(self, loop: Loop, net: Net, address: str, nodes: list[Node]) -> None:
-        self.loop, self.rev, self.down, self.silent = loop, 1, False, False
+    PATIENCE_US = 1_000_000
+
+    def __init__(self, loop: Loop, net: Net, address: str, nodes: list[Node], *, line_us: int = 0) -> None:
+        self.loop, self.rev, self.down, self.silent, self.line_us = loop, 1, False, False, line_us
+        self.turned_away = 0
+        self._free_at = 0
         self.calls: list[str] = []
         self.entries = {node.uid: (1, node.entry) for node in nodes}
         self._waiting: set[Event] = set()
@@ -181,6 +186,13 @@
         targets = [entry for rev, entry in self.entries.values()
                    if rev > since and (since >= 0 or entry["state"] != "removed")]
         body = {"rev": self.rev, "all": since < 0, "targets": targets}
+        if self.line_us:
+            begin = max(self._free_at, self.loop.now())
+            if begin - self.loop.now() > self.PATIENCE_US:
+                self.turned_away += 1
+                return Response(503, b"busy\n")
+            self._free_at = begin + self.line_us * (1 + len(targets))
+            yield from sleep(self.loop, self._free_at - self.loop.now())
         return Response(200, msgspec.json.encode(body), "application/json")
 
 
--- /dev/null
+++ b/tests/test_seldom.py
@@ -0,0 +1,80 @@
+"""One of many brokers meets each server seldom: what it saw there must hold until it is met again."""
+
+from heathwell import interface as hw
+
+from .conftest import AIM, Driver, make_settings, of
+
+SERVERS = 60
+
+
+def seldom() -> Driver:
+    """A broker of 60 servers that sees about four answers an aim, after a while of calm."""
+    d = Driver(make_settings(shards=SERVERS, cells=SERVERS, warm_within_us=60_000_000))
+    for n in range(40):
+        for send in of(d.query(1, [n % SERVERS], after=AIM // 4), hw.Send):
+            d.end(send)
+    return d
+
+
+def sent_to(d: Driver, shard: int, after: int) -> str:
+    """The server that a part of this shard goes to, which answers at once."""
+    (send,) = of(d.query(1, [shard], after=after), hw.Send)
+    d.end(send)
+    return send.node
+
+
+def turned_away(d: Driver, node: str, times: int) -> list[str]:
+    """Parts that this server turns away; others take them. The lines for the operators that came of it."""
+    lines: list[str] = []
+    while times:
+        for send in of(d.query(1, [int(node[1:])], after=10_000), hw.Send):
+            full = send.node == node
+            times -= full
+            told = d.end(send, hw.FULL_UP if full else hw.OK)
+            lines += [line.text for line in of(told, hw.Log)]
+            for again in of(told, hw.Send):
+                d.end(again, seq=1)
+    return lines
+
+
+def test_a_server_that_turns_all_away_is_ejected_until_it_would_be_met_again():
+    d = seldom()
+    assert turned_away(d, "s7", 2) == ["server s7 ejected: turns away all that comes"]
+    for after in (10_000, AIM, AIM, AIM, AIM):  # an aim was the whole of it
+        assert sent_to(d, 7, after) != "s7"
+
+
+def test_one_that_is_full_once_is_not_ejected_and_an_answer_between_counts():
+    d = seldom()
+    for _ in range(3):
+        turned_away(d, "s7", 1)
+        d.agg.servers["s7"].charge = 0.0
+        while sent_to(d, 7, AIM) != "s7":
+            pass
+    assert not d.agg.servers["s7"].bars
+
+
+def test_where_most_turn_away_it_is_overload_and_no_more_are_ejected():
+    d = seldom()
+    for n in range(0, SERVERS, 2):
+        turned_away(d, f"s{n}", 2)
+    ejected = [server for server in d.agg.servers.values() if server.bars]
+    assert len(ejected) == 0.4 * SERVERS
+
+
+def test_a_slow_answer_is_known_at_the_next_visit():
+    d = seldom()
+    while (send := of(d.query(1, [7], after=10_000), hw.Send)[0]).node != "s7":
+        d.end(send)
+    d.end(send, took=8 * AIM // 10)
+    d.wait(16 * AIM)  # such a broker meets it about every 15
+    assert d.agg._pace(d.agg.servers["s7"]) > 2
+    assert "s7" not in {sent_to(d, 7, 5_000) for _ in range(6)}
+
+
+def test_a_broker_that_meets_servers_often_forgets_as_ever():
+    d = Driver(make_settings())
+    for n in range(400):
+        for send in of(d.query(1, [n % 6], after=5_000), hw.Send):
+            d.end(send)
+    assert d.agg._known(1.0) == AIM
