Module: a part that met nobody is sent elsewhere beyond the own budget of further attempts

Ruled out: the stated budget (none on this site), holders (two of three were up), connects (0.8 to 1.1 ms to the refusal). To blame: logic.py, `_budget_left(... outcome == hw.LOST)`: an attempt that met nobody was no load, and yet its replacement is counted among those that feed an overload.

Change: after LOST, UNREACHABLE and NEVER_SENT a further attempt is not of the own budget; after a full or late one it is.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -61,6 +61,7 @@
 RECHECK = 0.1  # aims before a late part on a server that answers in turn is looked at again
 KEPT = 20  # aims that a server is known after it left the list, where it would be warm before
 TOPICS = 64  # topics of lines for the operators from which old ones are forgotten
+FREE = (hw.LOST, hw.UNREACHABLE, hw.NEVER_SENT)  # ends after which a further attempt is not of our own budget
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
 
 
@@ -499,18 +500,18 @@
         window = {hw.SAFE: self.now, hw.KEYED: spec.dedup_us, hw.UNSAFE: -1}[spec.repeat]
         if risky and self.now > min(risky) + window:
             return False
-        return self._budget_left(bool(part.tries) and part.tries[-1].outcome == hw.LOST)
+        return self._budget_left(bool(part.tries) and part.tries[-1].outcome in FREE)
 
-    def _budget_left(self, lost: bool = False) -> bool:
-        """The stated budget, and our own: when many parts need further attempts these feed an overload.
-        What was lost with its connection was not late, so our own is not for it."""
+    def _budget_left(self, free: bool = False) -> bool:
+        """The stated budget, and our own: when many parts need further attempts these feed an overload. What
+        was lost with its connection was not late, and what met nobody is no load: our own is not for these."""
         edge = self.now - self.cfg.counted_over_us
         while self.further and self.further[0] < edge:
             self.further.popleft()
         while self.taken and self.taken[0] <= edge:
             self.taken.popleft()
         most = self.cfg.free_resends + self.cfg.further_ratio * len(self.taken)
-        return (lost or self.tokens >= 1) and (not self.cfg.counted_over_us or len(self.further) + 1 <= most)
+        return (free or self.tokens >= 1) and (not self.cfg.counted_over_us or len(self.further) + 1 <= most)
 
     def _count(self, when: deque[int], now: int) -> None:
         if self.cfg.counted_over_us:
@@ -518,7 +519,7 @@
 
     def _send(self, part: Part, server: Server) -> None:
         if part.tries:
-            self.tokens -= part.tries[-1].outcome != hw.LOST
+            self.tokens -= part.tries[-1].outcome not in FREE
             self._count(self.further, self.now)
         else:
             self.tokens = min(self.tokens + FURTHER_SHARE, FURTHER_MOST)
--- a/tests/test_seldom.py
+++ b/tests/test_seldom.py
@@ -78,3 +78,16 @@
         for send in of(d.query(1, [n % 6], after=5_000), hw.Send):
             d.end(send)
     assert d.agg._known(1.0) == AIM
+
+
+def spend(d: Driver) -> None:
+    """Use up the broker's own budget of further attempts."""
+    d.agg.tokens = 0.0
+
+
+def test_a_part_that_met_nobody_is_sent_elsewhere_beyond_the_own_budget():
+    d = seldom()
+    spend(d)
+    (send,) = of(d.query(1, [7]), hw.Send)
+    (again,) = of(d.end(send, hw.UNREACHABLE), hw.Send)
+    assert again.node != send.node and d.agg.tokens >= 0
