Module: a part out of the own budget waits for it while its query can meet the aim

To blame in logic.py: `_ended` gives the query up where `_place` says no for want of budget, `_late` returns without a further look for the same reason, and a waiting part that can't be placed any more is left to the deadline (`_wake`).

Change: where only the own budget keeps a part back and its answer could come within the aim it waits and asks again; the rate of further attempts is as it was. A late one is looked at again. A waiting part that can't be sent ends its query at once.

--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -169,8 +169,8 @@
                 self._overdue(subject, what)
             case Part() if subject.query.id in self.queries:
                 subject.waiting = False
-                if not subject.done:
-                    self._place(subject)
+                if not (subject.done or self._place(subject) or subject.waiting or self._saves(subject)):
+                    self._doomed(subject.query)
             case Attempt() if subject.outcome is None and what == "silent":
                 self._silent(subject)
             case Attempt() if subject.outcome is None:
@@ -488,7 +488,7 @@
         self._send(part, server)
         return True
 
-    def _may_resend(self, part: Part) -> bool:
+    def _may_resend(self, part: Part, saved: bool = False) -> bool:
         """The rules on a further attempt: limits, the class's effects, and the attempt budget."""
         spec = self.cfg.classes[part.query.klass]
         if len(part.tries) >= self.cfg.max_attempts:
@@ -500,11 +500,11 @@
         window = {hw.SAFE: self.now, hw.KEYED: spec.dedup_us, hw.UNSAFE: -1}[spec.repeat]
         if risky and self.now > min(risky) + window:
             return False
-        return self._budget_left(bool(part.tries) and part.tries[-1].outcome in FREE)
+        return self._budget_left(saved or bool(part.tries) and part.tries[-1].outcome in FREE)
 
     def _budget_left(self, free: bool = False) -> bool:
         """The stated budget, and our own: when many parts need further attempts these feed an overload. What
-        was lost with its connection was not late, and what met nobody is no load: our own is not for these."""
+        was lost with its connection was not late, what met nobody is no load: our own is not for these."""
         edge = self.now - self.cfg.counted_over_us
         while self.further and self.further[0] < edge:
             self.further.popleft()
@@ -551,7 +551,10 @@
         if self.cfg.second_copies and spec.repeat != hw.UNSAFE:
             self._place(part)
         elif self.cfg.cancelling and spec.repeat != hw.UNSAFE and attempt is part.tries[-1]:
-            if len(part.tries) >= self.cfg.max_attempts or not self._budget_left():
+            if len(part.tries) >= self.cfg.max_attempts:
+                return
+            if not self._budget_left():
+                self._later(self.now + int(RECHECK * spec.aim_us), "late", attempt)
                 return
             # A server that answers in turn will come to this part: calling it off would pay twice.
             server = attempt.server
@@ -614,9 +617,21 @@
         if event.outcome == hw.BROKEN and not query.answered and self._spare(query):
             return
         # A part that errors is replaced: by itself where the class allows, else by an unsent sibling.
-        if not self._place(part) and not part.waiting and not self._spare(query):
+        if not self._place(part) and not part.waiting and not self._spare(query) and not self._saves(part):
             self._doomed(query)
 
+    def _saves(self, part: Part) -> bool:
+        """Whether only our own budget keeps the part from a further attempt, and it may earn one while the
+        aim can be met: given up now, its client would ask for all parts anew."""
+        wait = int(RETRY_WAIT * self.cfg.classes[part.query.klass].aim_us)
+        if self.tokens >= 1 or not self._may_resend(part, saved=True):
+            return False
+        if self.now + wait + self._usual(part) > part.query.aim_at:
+            return False
+        part.waiting = True
+        self._later(self.now + wait, "wait", part)
+        return True
+
     def _part_in(self, part: Part) -> bool:
         """The part's weight counts, once; true if it did now."""
         query = part.query
--- a/tests/test_seldom.py
+++ b/tests/test_seldom.py
@@ -91,3 +91,24 @@
     (send,) = of(d.query(1, [7]), hw.Send)
     (again,) = of(d.end(send, hw.UNREACHABLE), hw.Send)
     assert again.node != send.node and d.agg.tokens >= 0
+
+
+def test_a_part_out_of_budget_waits_for_it_while_its_query_can_meet_the_aim():
+    """Given up at once its client would ask for all parts anew."""
+    d = seldom()
+    spend(d)
+    sends = of(d.query(1, [7, 17, 27]), hw.Send)
+    seen = d.end(sends[0], hw.FULL_UP)
+    assert not of(seen, hw.Refuse) and not of(seen, hw.Send)
+    d.agg.tokens = 1.0  # earned by the first parts of others
+    again = of(d.wait(AIM // 10), hw.Send)
+    assert [a.id for a in again] == [sends[0].id]
+
+
+def test_a_part_out_of_budget_is_given_up_where_the_aim_is_out_of_reach():
+    d = seldom()
+    spend(d)
+    sends = of(d.query(1, [7, 17, 27]), hw.Send)
+    d.wait(int(0.92 * AIM))
+    spend(d)
+    assert of(d.end(sends[0], hw.FULL_UP), hw.Refuse)
