Tests: a broker at work is one thread of one process and makes no call that the platform refuses

Change: tests/test_deploy.py starts the broker under an audit hook that refuses those calls, serves queries, SIGHUP and SIGTERM, looks at its threads, children and maps, and at the processor time of an idle second; a planted call is found.

--- a/heathwell/lab/platform.py
+++ b/heathwell/lab/platform.py
@@ -52,9 +52,11 @@
 
 
 class PlatformFleet:
-    """A broker's process with its stand-ins; the configuration and the log are files in ``folder``."""
+    """A broker's process with its stand-ins; the configuration and the log are files in ``folder``. ``program`` are the
+    interpreter's arguments, for a test that watches what the broker calls."""
 
-    def __init__(self, folder: Path, registry: bool = True) -> None:
+    def __init__(self, folder: Path, registry: bool = True,
+                 program: tuple[str, ...] = ("-m", "heathwell.gateway")) -> None:
         self.loop: Loop
         self.loop, self.net, _ = socket_loop()
         self.nodes = [Node(self.loop, self.net, "127.0.0.1:0", f"s{n}", n) for n in range(CELLS)]
@@ -63,7 +65,7 @@
         self.write(self.registries[0].address if registry else "127.0.0.1:1")
         with self.lines.open("wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "heathwell.gateway"], cwd=ROOT, stderr=log,
+                [sys.executable, *program], cwd=ROOT, stderr=log,
                 env={"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1", "GW_CONFIG": str(self.path)})
         self.address = ""
         self.run(self._ready())
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,87 @@
+"""What the platform asks of `build` and `run`: one process by exec, linked dynamically, that makes no refused call."""
+
+import re
+import shlex
+import signal
+import time
+import tomllib
+from pathlib import Path
+
+from heathwell.kernel import sleep
+from heathwell.lab.platform import PlatformFleet
+
+ROOT = Path(__file__).resolve().parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+# Run before the broker: what the platform refuses is written down and raised. Fork, sendfile and splice have no audit
+# event of their own, so they are put out of the way by name.
+WATCHED = """
+import os, socket, sys, threading
+def refused(name):
+    def call(*_args, **_kwargs):
+        sys.stderr.write(f"refused call {name}\\n")
+        raise OSError(38, name)
+    return call
+for name in ("fork", "forkpty", "posix_spawn", "posix_spawnp", "sendfile", "splice", "system"):
+    setattr(os, name, refused(name))
+socket.socket.sendfile = refused("socket.sendfile")
+threading.Thread.start = refused("a thread")
+def look(event, args):
+    if event in ("subprocess.Popen", "os.fork", "os.exec", "os.posix_spawn", "os.system"):
+        refused(event)()
+    if event in ("socket.bind", "socket.connect") and args[0].family not in (socket.AF_INET, socket.AF_UNSPEC):
+        refused(f"{event} of family {args[0].family}")()
+sys.addaudithook(look)
+import runpy
+sys.argv[:] = ["heathwell.gateway"]
+runpy.run_module("heathwell.gateway", run_name="__main__")
+"""
+
+
+def test_run_ends_by_exec_in_the_interpreter_that_build_leaves_compiled():
+    words = shlex.split(DEPLOY["run"])
+    assert words == ["exec", ".venv/bin/python", "-m", "heathwell.gateway"]
+    assert re.search(r"\.venv/bin/python -m compileall -q heathwell\b", DEPLOY["build"])
+    assert all((ROOT / path).exists() for path in DEPLOY["policy"] + DEPLOY["node"]) and not DEPLOY["packages"]
+
+
+def test_a_broker_at_work_is_one_thread_of_one_process_and_makes_no_refused_call(tmp_path):
+    fleet = PlatformFleet(tmp_path, program=("-c", WATCHED))
+    try:
+        pid = fleet.process.pid
+
+        def main():
+            for n in range(12):
+                kind, shards = [("price-search", [0, 1, 2, 3]), ("day-report", [4, 5, 6])][n % 2]
+                response = yield from fleet.client().ask(f"q{n}", kind, shards)
+                assert response.status == 200
+            fleet.process.send_signal(signal.SIGHUP)
+            yield from sleep(fleet.loop, 100_000)
+        fleet.run(main())
+        task = Path(f"/proc/{pid}/task")
+        assert [entry.name for entry in task.iterdir()] == [str(pid)]
+        assert (task / str(pid) / "children").read_text() == ""
+        assert "libc.so" in Path(f"/proc/{pid}/maps").read_text()
+        spent = _cpu(pid)
+        time.sleep(1.0)
+        assert _cpu(pid) - spent <= 20  # of 100 ticks: nothing spins where nothing is asked
+        fleet.process.send_signal(signal.SIGTERM)
+        assert fleet.run(fleet.ended()) == 0
+        assert "refused call" not in fleet.lines.read_text()
+    finally:
+        fleet.close()
+
+
+def _cpu(pid: int) -> int:
+    """Clock ticks that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return int(fields[11]) + int(fields[12])
+
+
+def test_the_watch_over_refused_calls_finds_one(tmp_path):
+    planted = WATCHED.replace("import runpy\n", "import runpy, subprocess\ntry: subprocess.run(['true'])\n"
+                              "except OSError: pass\n")
+    fleet = PlatformFleet(tmp_path, program=("-c", planted))
+    try:
+        assert "refused call" in fleet.lines.read_text()
+    finally:
+        fleet.close()
