--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 STAMP := .venv/installed-dev.txt
 
-.PHONY: run platform test setup badday bench clean
+.PHONY: run platform test test-fleet setup badday bench clean
 
 run: setup
 	$(PY) -m heathwell fleet up --config examples/market.sx --ready-file .venv/demo.json --demo
@@ -15,6 +15,9 @@
 	$(PY) -m mypy
 	$(PY) -m pytest -q
 
+test-fleet: setup
+	$(PY) -m pytest -q -m fleet
+
 badday: setup
 	$(PY) -m heathwell badday examples/badday.sx
 
--- /dev/null
+++ b/heathwell/budgets/keeper.py
@@ -0,0 +1,121 @@
+"""One run of one keeper: its roll of brokers, its votes, the fractions that it owns, and their books. Pure: messages
+and the clock are handed in, messages to send come out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from heathwell.budgets.giver import Ask, Giver, Grant
+from heathwell.budgets.lease import Lease
+from heathwell.budgets.owner import Claim, Claimant, Vote, Voter
+from heathwell.budgets.spec import Budget
+from heathwell.membership import ALIVE, Report, Roll, Timing, Word
+from heathwell.membership.roll import Changed
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """One budget in a renewal: the demand, and by which grant the broker goes of each fraction (fraction, owner,
+    number)."""
+
+    budget: str
+    demand: int
+    goes_by: tuple[tuple[int, str, int], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """A broker to a keeper, ``asked_us`` by its own clock."""
+
+    report: Report
+    asked_us: int
+    needs: tuple[Need, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Renewed:
+    """The answer, of the fractions that this keeper owns."""
+
+    word: Word
+    incarnation: int
+    asked_us: int
+    run: str
+    grants: tuple[Grant, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """The leases of a fleet: brokers' grants, and keepers' promises, which must outlast them."""
+
+    grant: Lease = field(default_factory=Lease)
+    promise: Lease = field(default_factory=lambda: Lease(6_000_000))
+    patience_us: int = 2_000_000
+    roll: Timing = field(default_factory=Timing)
+
+
+class Keeper:
+    """``number`` is its home fraction; ``run`` names this run and no other, ever."""
+
+    def __init__(self, number: int, run: str, keepers: int, budgets: tuple[Budget, ...], now: int,
+                 times: Times | None = None) -> None:
+        self.number, self.run, self.keepers = number, run, keepers
+        self.times = times or Times()
+        self.budgets = {budget.name: budget for budget in budgets}
+        self.roll = Roll(run, self.times.roll)
+        self.voter = Voter(str(number), now, self.times.promise)
+        self.claimant = Claimant(run, number, keepers, keepers, self.times.promise, now, self.times.patience_us)
+        self.books: dict[tuple[str, int], Giver] = {}
+
+    def tick(self, now: int) -> tuple[list[Claim], list[Changed]]:
+        """Now and then, some times a lease: claims for all voters (this one's own has been counted), and what silence
+        has changed."""
+        claims = self.claimant.wanted(now)
+        for claim in claims:
+            self.claimant.voted(self.voter.asked(now, claim))
+        return claims, self.roll.look(now)
+
+    def claimed(self, now: int, keeper: int, claim: Claim) -> Vote:
+        """Another keeper's claim."""
+        self.claimant.home_heard(now, keeper)
+        return self.voter.asked(now, claim)
+
+    def voted(self, now: int, keeper: int, vote: Vote) -> None:
+        """Another keeper's vote."""
+        self.claimant.home_heard(now, keeper)
+        self.claimant.voted(vote)
+
+    def owned(self, now: int) -> list[int]:
+        """The fractions that this run owns now."""
+        return [number for number in range(self.keepers) if self.claimant.owned_until(number) > now]
+
+    def renew(self, now: int, renew: Renew) -> tuple[Renewed, list[Changed]]:
+        """A broker's renewal: its grants of every fraction owned here. Only one that is known to hear us gets any, as
+        what is given to one that does not is lost for a lease."""
+        said = renew.report
+        word, changes = self.roll.report(now, said)
+        grants: list[Grant] = []
+        member = f"{said.name}#{said.incarnation}"
+        for fraction in self.owned(now) if word.state == ALIVE or said.leaves else ():
+            until = self.claimant.owned_until(fraction)
+            for need in renew.needs:
+                budget = self.budgets.get(need.budget)
+                if budget is None:
+                    continue
+                key = need.budget, fraction
+                if key not in self.books:
+                    self.books[key] = Giver(budget, fraction, self.run, self.times.grant)
+                goes_by = max((number for of, owner, number in need.goes_by if (of, owner) == (fraction, self.run)),
+                              default=0)
+                ask = Ask(member, need.demand, renew.asked_us, goes_by, said.leaves)
+                grants.append(self.books[key].asked(now, ask, until))
+        return Renewed(word, said.incarnation, renew.asked_us, self.run, tuple(grants)), changes
+
+    def resize(self, budget: Budget) -> None:
+        """Another whole of a budget. What is set aside can't change while brokers run that go by it."""
+        old = self.budgets[budget.name]
+        if (budget.kind, budget.aside, budget.most, budget.fractions) != (old.kind, old.aside, old.most, old.fractions):
+            raise ValueError(f"budget {budget.name}: only the whole, the floor and the times may change while it runs")
+        self.budgets[budget.name] = budget
+        for (name, _), book in self.books.items():
+            if name == budget.name:
+                book.resize(budget)
--- /dev/null
+++ b/tests/test_check.py
@@ -0,0 +1,62 @@
+"""The lease explored whole in small worlds, and planted bugs found in them."""
+
+import pytest
+
+from heathwell.budgets import Giver, Grant, Holder, Voter
+from heathwell.check import explore
+from heathwell.check.leases import LeaseWorld
+
+
+class FromTheAnswer(Holder):
+    """Counts its lease from when the answer came."""
+
+    def granted(self, now: int, grant: Grant) -> bool:
+        return super().granted(now, Grant(grant.budget, grant.fraction, grant.owner, grant.number, grant.amount, now,
+                                          grant.length_us))
+
+
+class NoWait(Voter):
+    """Votes at once after a restart."""
+
+    def __init__(self, name, now, lease):
+        super().__init__(name, now, lease)
+        self.silent_until = now
+
+
+class TwiceBack(Giver):
+    """Counts what is given back on top of what its book shows free."""
+
+    extra = 0
+
+    def asked(self, now, ask, owned_until):
+        if ask.lets_go and ask.member in self.given:
+            self.extra += self.given[ask.member].charge(now)
+        return super().asked(now, ask, owned_until)
+
+    def _room(self, now, member):
+        return super()._room(now, member) + self.extra
+
+
+LENDS = {"claims": False, "owned": True, "restarts": 0, "promise_us": 8}
+RESTARTS = {"owned": True, "held": True, "restarts": 2, "flying": 1}
+TURNS = {"asks": False, "flying": 2, "restarts": 1, "owned": True, "promise_us": 3}
+
+
+@pytest.mark.parametrize(("world", "depth"), [
+    (LENDS, 6), (RESTARTS, 5), (TURNS, 6),
+    *(pytest.param(world, depth, marks=pytest.mark.fleet) for world, depth in ((LENDS, 9), (RESTARTS, 8), (TURNS, 9)))])
+def test_all_interleavings_keep_to_the_one_unit(world, depth):
+    found = explore(LeaseWorld(**world), depth, 60)
+    assert found.whole and not found.breach, str(found)
+    assert found.states > 300
+
+
+@pytest.mark.fleet
+@pytest.mark.parametrize(("bug", "world", "depth", "word"), [
+    ({"holder": FromTheAnswer}, LENDS, 9, "may be held"),
+    ({"voter": NoWait}, RESTARTS, 9, "may be held"),
+    ({"giver": TwiceBack}, {**LENDS, "flying": 1}, 12, "may be held"),
+])
+def test_a_planted_bug_is_found_with_its_story(bug, world, depth, word):
+    found = explore(LeaseWorld(**{**world, **bug}), depth, 60)
+    assert word in found.breach and len(found.story) >= 5, str(found)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HEAVY = ("numpy", "usearch", "lark", "click", "structlog", "prometheus_client", "hdrh", "pymemcache", "xxhash",
          "heathwell.lab", "heathwell.standins", "heathwell.vectors", "heathwell.storms", "heathwell.fronts",
+         "heathwell.membership", "heathwell.budgets", "heathwell.control", "heathwell.check",
          "heathwell.settings", "heathwell.merge", "heathwell.regions", "heathwell.freshness", "heathwell.broker.market")
 
 
