--- a/Makefile
+++ b/Makefile
@@ -13,10 +13,10 @@
 test: setup
 	$(PY) -m ruff check .
 	$(PY) -m mypy
-	$(PY) -m pytest -q
+	$(PY) -m pytest -q -n 6
 
 test-fleet: setup
-	$(PY) -m pytest -q -m fleet
+	$(PY) -m pytest -q -n 6 -m fleet
 
 badday: setup
 	$(PY) -m heathwell badday examples/badday.sx
