--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -1,4 +1,4 @@
-"""Seeded days of keepers and brokers under random faults on virtual time: `python benchmarks/budgets.py [DAYS] [FIRST]`.
+"""Seeded days of keepers and brokers under random faults, virtual time: `python benchmarks/budgets.py [DAYS] [FIRST]`.
 
 Exit code 1 if more than the whole of a budget was held or used at any instant of any day.
 """
