--- a/heathwell/budgets/owner.py
+++ b/heathwell/budgets/owner.py
@@ -57,7 +57,6 @@
 
     until: dict[str, int] = field(default_factory=dict)
     others_at: int | None = None
-    other: str = ""
 
 
 class Claimant:
@@ -94,7 +93,6 @@
             votes.until[vote.voter] = max(votes.until.get(vote.voter, until), until)
         elif vote.owner:
             votes.others_at = max(votes.others_at or 0, vote.asked_us)
-            votes.other = vote.owner
 
     def owned_until(self, number: int) -> int:
         """Until when (our clock) a majority's promise for a fraction lasts; 0: there is none."""
--- a/heathwell/lab/budgetday.py
+++ b/heathwell/lab/budgetday.py
@@ -252,15 +252,16 @@
 
     def _spend(self, name: str) -> None:
         self.used[name, self.now // 1_000_000] += 1
-        whole = next(budget for budget in self.budgets if budget.name == name)
-        for other in self.bucket:
-            most = next(budget for budget in self.budgets if budget.name == other)
-            self.bucket[other] = min(self.bucket[other] + most.whole * (self.now - self._bucket_at) / 1e6,
+        budgets = {budget.name: budget for budget in self.budgets}
+        for other, saved in self.bucket.items():
+            most = budgets[other]
+            self.bucket[other] = min(saved + most.whole * (self.now - self._bucket_at) / 1e6,
                                      most.whole * most.window_us / 1e6)
         self._bucket_at = self.now
         self.bucket[name] -= 1_000
         if self.bucket[name] < -1e-6:
-            self.breaches.append(f"{self.now / 1e6:.3f} s: more of {name} was used than {whole.whole / 1000} a second")
+            most_a_second = budgets[name].whole / 1000
+            self.breaches.append(f"{self.now / 1e6:.3f} s: more of {name} was used than {most_a_second} a second")
 
     def _units(self, machine: Machine) -> int:
         shares: Shares = machine.program
--- a/heathwell/membership/__init__.py
+++ b/heathwell/membership/__init__.py
@@ -2,7 +2,6 @@
 itself taken for dead, is a new incarnation, and what an old one held is not its own."""
 
 from heathwell.membership.member import Lived, Self
-from heathwell.membership.roll import ALIVE as ALIVE
-from heathwell.membership.roll import DEAD, JOINING, LEFT, SUSPECT, Entry, Report, Roll, Timing, Word
+from heathwell.membership.roll import ALIVE, DEAD, JOINING, LEFT, SUSPECT, Entry, Report, Roll, Timing, Word
 
 __all__ = ["ALIVE", "DEAD", "JOINING", "LEFT", "SUSPECT", "Entry", "Lived", "Report", "Roll", "Self", "Timing", "Word"]
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,11 +1,14 @@
 """Budgets among brokers: division, the lease's arithmetic, books, holders, and days of random faults judged from
 outside."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from heathwell.budgets import COUNT, RATE, Ask, Budget, Claim, Giver, Grant, Holder, Lease, Voter, Wish, divide
+from heathwell.budgets.keeper import Keeper
 from heathwell.lab.budgetday import BUDGETS, BudgetDay, random_faults
 
 S = 1_000_000
@@ -187,6 +190,21 @@
     assert day.messages > 1_000
 
 
+class Generous(Keeper):
+    """Gives twice what its book says."""
+
+    def renew(self, now, renew):
+        answer, changes = super().renew(now, renew)
+        return replace(answer, grants=tuple(replace(grant, amount=2 * grant.amount) for grant in answer.grants)), changes
+
+
+def test_the_auditor_finds_what_is_held_and_used_beyond_the_whole():
+    day = BudgetDay(1, brokers=24, keeper=Generous)
+    day.until(14_000_000)
+    told = " ".join(day.breaches)
+    assert "may be held" in told and "are held" in told and "was used" in told
+
+
 def test_with_demand_above_the_whole_nine_tenths_of_it_are_in_use():
     day = BudgetDay(3, brokers=24)
     day.until(14_000_000)
