--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -195,7 +195,8 @@
 
     def renew(self, now, renew):
         answer, changes = super().renew(now, renew)
-        return replace(answer, grants=tuple(replace(grant, amount=2 * grant.amount) for grant in answer.grants)), changes
+        twice = tuple(replace(grant, amount=2 * grant.amount) for grant in answer.grants)
+        return replace(answer, grants=twice), changes
 
 
 def test_the_auditor_finds_what_is_held_and_used_beyond_the_whole():
