Pushed lists are watched; parts that wait are taken back when their node leaves

The brokers' logs show no call to discovery at all. Cause: gateway/discovery.py start() did nothing and logic.py _fleet asks only in ask mode; after a failure ask_wait was 0 where no time to ask is stated. Ruled out: reading of the list (the same lists are read where asked). Now the watch starts by itself where lists are pushed, and a failure is repaired within a share of the drain grace.

Lines: gateway/nodes.py _run (waiting written without a look), send (queued in the stream), move and leave (withdrew connections only). Now a call is handed to the stream only while the socket takes it, and what waits is taken back, provably unsent, and placed anew.

An established connection that breaks is no word on its node: what was not written is never sent. Accounts of the settings are known by Req-Owner.

--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -181,6 +181,7 @@
         self.links: dict[str, Link] = {}
         self.held = self.jobs = 0
         self.stopping = self.dead = False
+        self.until: int | None = None  # when the process ends, once that is known (clock time, us)
         self.idle = Event()
         self.counts: Counter[tuple[str, ...]] = Counter()
         self.on_final: Callable[[Q, Reply, int], None] | None = None
@@ -274,6 +275,8 @@
     def admit(self, query: Q) -> Handle:
         """Take a query: it holds its place from now until its last attempt has ended."""
         self.queries[query.id] = query
+        if self.until is not None:
+            query.deadline = min(query.deadline, self.until)
         query.of = self.era
         self.era.open += 1
         query.timer = self.loop.call_at(query.deadline, self._deadline, query)
@@ -281,11 +284,11 @@
         return Handle(self, query.id)
 
     def enter(self, query: Q, parts: Iterable[tuple[Any, int | None]], count: int, hint_us: int | None,
-              retry: bool = False) -> None:
+              retry: bool = False, tenant: int = 0) -> None:
         """Tell the module of a query and of its parts, each with its hint."""
         query.queued = False
         self._push(hw.QueryArrived(query.id, query.job, query.klass, query.deadline, count, hint_us=hint_us,
-                                   retry=retry), query.era)
+                                   retry=retry, tenant=tenant), query.era)
         self.add_parts(query, parts)
 
     def add_parts(self, query: Q, parts: Iterable[tuple[Any, int | None]]) -> None:
@@ -329,6 +332,17 @@
         self.stopping = True
         self._check_idle()
 
+    def ends_at(self, until_us: int) -> None:
+        """The process will be ended then: what is held, and what still comes, has its final answer before."""
+        self.until = until_us
+        for query in self.queries.values():
+            if query.deadline > until_us:
+                query.deadline = until_us
+                if query.timer is not None:
+                    query.timer.cancel()
+                    query.timer = self.loop.call_at(until_us, self._deadline, query)
+        self._push(hw.Ending(until_us))
+
     def kill(self) -> None:
         """What a SIGKILL leaves: nothing more is decided or sent (for fleets within one process)."""
         self.dead = True
@@ -372,6 +386,8 @@
             if self.usable(query, part, node, key, result):
                 part.data, part.node, part.seq = result.data, node, key[1]
                 self.kept(query, part, key, result)
+                if part.attempts > 1:  # a further attempt that still waits for its connection is of no use now
+                    self._withdraw(query, key[0])
             else:
                 # Told to the module as an error of that host: it asks elsewhere where its own rules allow.
                 outcome = hw.ERROR
@@ -590,12 +606,15 @@
         """The query holds no place any more; its attempts may still be out."""
         self.held -= 1 + len(query.parts)
         self.query_closed(query)
-        # What still waits for its connection must not leave any more: the query has its final answer.
+        self._withdraw(query)  # nothing leaves for a query that has its final answer, or lost its client
+        self._let_go(query)
+
+    def _withdraw(self, query: Q, part: str | None = None) -> None:
+        """Take back what still waits for its connection, of one part or of all."""
         for key, node in list(query.out.items()):
-            if self._link(node).withdraw(key):
+            if (part is None or key[0] == part) and self._link(node).withdraw(key):
                 del query.out[key]
                 self._ended(query, key, node, hw.NEVER_SENT, None)
-        self._let_go(query)
 
     def _let_go(self, query: Q) -> None:
         if query.on_reply is None and not query.out and query.id in self.queries:
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -17,7 +17,7 @@
 from heathwell.gateway.discovery import Discovery
 from heathwell.gateway.nodes import NodeAsk, NodeLink, Room
 from heathwell.gateway.requests import Wanted, WantedPart
-from heathwell.gateway.targets import Targets, news_of
+from heathwell.gateway.targets import Targets, news_of, state_of
 from heathwell.kernel import Loop, Net
 
 MARGIN_US = 8_000  # of a client's time: the way here and back, and what the loop may be late by
@@ -55,6 +55,8 @@
         self._unix_offset = unix_us() - loop.now()
         self._note(config.known)
         self.watch = Discovery(loop, net, config.discovery, self.told, log, hold_us=config.hold_us, seed=config.seed,
+                               pushed=not config.settings.ask_mode,
+                               grace_us=config.settings.drain_grace_us,
                                rev=config.known.rev if config.known.all and config.known.targets else None)
         self.begin_service(self.watch, self._news(config.known, asked=False).servers)
 
@@ -77,7 +79,8 @@
         handle = self.admit(query)
         hints = [part.hint_us for part in wanted.parts if part.hint_us is not None]
         self.enter(query, ((PlatformPart(f"{query.id}.{part.shard}", part, 1), part.hint_us)
-                           for part in wanted.parts), len(wanted.parts), sum(hints) if hints else None, wanted.retry)
+                           for part in wanted.parts), len(wanted.parts), sum(hints) if hints else None, wanted.retry,
+                   wanted.tenant)
         return handle
 
     def told(self, targets: Targets | None) -> None:
@@ -87,12 +90,18 @@
             return
         self._note(targets)
         self.news(self._news(targets))
+        # What waits for a connection is taken back after the news, so that it is placed anew by the list of now.
+        leaving = {target.uid for target in targets.targets if state_of(target) != hw.LIVE}
         for node, link in list(self.links.items()):
             if node not in self.addresses:
                 link.leave()
                 if not link.connections:
                     self.passed.update(link.figures())
                     del self.links[node]
+                continue
+            link.move(self.addresses[node])
+            if node in leaving:
+                link.take_back()
 
     def _news(self, targets: Targets, asked: bool = True) -> hw.FleetNews:
         return news_of(targets, self.config.zones, self.settings.cells, self._unix_offset, asked)
@@ -106,8 +115,6 @@
                 self.addresses.pop(target.uid, None)
             else:
                 self.addresses[target.uid] = target.endpoint
-                if target.uid in self.links:
-                    self.links[target.uid].move(target.endpoint)
 
     # What the driver asks for.
 
--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -28,7 +28,6 @@
 
 OUTCOMES = {nf.SERVED: hw.OK, nf.ERROR: hw.ERROR, nf.TURNED_AWAY: hw.FULL_UP}
 CLOSE_EARLY = 0.8  # of the idle time after which nodes close: ours goes first, so that no part crosses its end
-PROBE_US = 250_000
 SUSPECT_TIMES = 4  # usual times to an answer without a byte, after which a connection is not trusted with more
 SUSPECT_LEAST_US, SUSPECT_MOST_US = 40_000, 1_000_000
 USUAL_GAIN = 0.1  # weight of one answer in a node's usual time
@@ -120,7 +119,7 @@
         self.retired = False
         self.stream: Stream | None = None
         self._incoming = nf.Incoming()
-        self._waiting: list[list[NodeAsk]] = []
+        self._waiting: deque[list[NodeAsk]] = deque()  # calls of which nothing has left
         self.bereft: dict[str, Key] = {}  # attempts of a connection that broke, whose end this one's connect tells
         self.answered_at: int | None = None
         self.answers = 0
@@ -129,7 +128,7 @@
         self._waits_since: int | None = None
         self._idle = IdleTime(self.loop, int(link.limits.idle_us * CLOSE_EARLY), lambda: self.busy, self.close)
         self._ended = hw.UNREACHABLE
-        self._over = self._ours = False
+        self._over = self._ours = self._handing = False
         self._task: Task = self.loop.spawn(self._run(), f"node {link.node}")
 
     # What the link asks for.
@@ -170,10 +169,8 @@
         self.link.room.idle.pop(self, None)
         for ask in parts:
             self.out[ask.id] = Sent((ask.id, ask.seq), self.loop.now())
-        if self.stream is None:
-            self._waiting.append(parts)
-        else:
-            self._write_call(parts)
+        self._waiting.append(parts)
+        self._hand_on()
 
     def give_up(self, part: str) -> None:
         """The end of an attempt was told by the owner: stop waiting for it."""
@@ -186,6 +183,11 @@
         else:
             self.given_up.note(part, self.loop.now())
             self._write(nf.frame(nf.GIVE_UP, part.encode()))
+            if self.stream is not None and not self.stream.closed and self.stream.unsent:
+                # Behind a full socket it is not given up yet, and the owner may send it elsewhere at once.
+                self.link.note("given up by its end", "the node reads nothing")
+                self.close()
+                return
         self._rest()
 
     def holds_back(self, part: str) -> bool:
@@ -215,10 +217,8 @@
             bereft, self.bereft = self.bereft, {}
             for key in bereft.values():
                 self.link.ended(key, hw.LOST, None)
-            waiting, self._waiting = self._waiting, []
-            for parts in waiting:
-                if parts:
-                    self._write_call(parts)
+            self.stream.on_flushed = self._hand_on
+            self._hand_on()
             probes, self._unsent_probes = self._unsent_probes, []
             for number in probes:
                 self._ask_probe(number)
@@ -280,15 +280,23 @@
         else:
             raise nf.FrameError(f"an answer of unknown id {message.id[:64]!r}")
 
-    def _write_call(self, parts: list[NodeAsk]) -> None:
-        assert self.stream is not None
-        data = nf.call([ask.line for ask in parts])
-        ends = self.stream.queued + len(data)
-        for ask in parts:
-            if ask.id in self.out:
-                self.out[ask.id].ends = ends
-        self._wait()
-        self._write(data)
+    def _hand_on(self) -> None:
+        """Write calls while the socket takes them: one that waits here has provably not left, and may be taken back."""
+        stream = self.stream
+        if stream is None or self._handing:  # the socket tells that it has taken a call while that is written
+            return
+        self._handing = True
+        while self._waiting and not (stream.closed or stream.unsent):
+            parts = self._waiting.popleft()
+            if not parts:
+                continue
+            data = nf.call([ask.line for ask in parts])
+            for ask in parts:
+                if ask.id in self.out:
+                    self.out[ask.id].ends = stream.queued + len(data)
+            self._wait()
+            self._write(data)
+        self._handing = False
 
     def _ask_probe(self, number: int) -> None:
         self._probes.append(number)
@@ -330,12 +338,14 @@
         stream, out, self.out = self.stream, self.out, {}
         written = stream.sent if stream is not None else 0
         if stream is not None:
-            stream.abort() if out else stream.close()
+            stream.abort() if out or stream.unsent else stream.close()
         for key in self.bereft.values():
             self.link.ended(key, hw.BROKEN, None)
         never = [sent for sent in out.values() if sent.ends is None or sent.ends > written]
+        # A connection that stood is no word on its node: only one that never came up tells that it can't be met.
+        outcome = hw.UNREACHABLE if stream is None and not self._ours else hw.NEVER_SENT
         for sent in never:
-            self.link.ended(sent.key, hw.UNREACHABLE, None)
+            self.link.ended(sent.key, outcome, None)
             del out[sent.key[0]]
         probes = [*self._probes, *self._unsent_probes]
         if self._ended == hw.BROKEN and not self.link.closing:
@@ -399,6 +409,7 @@
         if address != self.address:
             self.address = address
             self._retire(self.connections)
+            self.take_back()
 
     def send(self, parts: list[NodeAsk]) -> None:
         """Send attempts in one call; each will end once."""
@@ -426,11 +437,20 @@
         connection = self.out.get(key)
         return connection is not None and connection.holds_back(key[0]) and self.forget(key)
 
+    def take_back(self) -> None:
+        """The node wants nothing new, or is met elsewhere: of what has not left for it nothing will."""
+        for key, connection in list(self.out.items()):
+            if connection.holds_back(key[0]):
+                del self.out[key]
+                connection.give_up(key[0])
+                self.owner.attempt_ended(self.node, key, hw.NEVER_SENT, None)
+
     def probe(self) -> None:
         """Ask for a sign of life; ends once. A connection that has fallen silent can't give one for its node."""
         self._probe_no += 1
         number = self._probe_no
-        self._probes[number] = self.loop.call_at(self.loop.now() + PROBE_US, self.probe_over, number, hw.TIMED_OUT)
+        until = self.loop.now() + self.limits.connect_us
+        self._probes[number] = self.loop.call_at(until, self.probe_over, number, hw.TIMED_OUT)
         connection = self._for([])
         if connection is None:
             self.loop.call_soon(self.probe_over, number, hw.UNREACHABLE)
@@ -507,4 +527,5 @@
 
     def leave(self) -> None:
         """The node is not listed any more: what is out may end, nothing is kept open beyond it."""
+        self.take_back()
         self._retire(self.connections)
--- a/heathwell/gateway/requests.py
+++ b/heathwell/gateway/requests.py
@@ -54,7 +54,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
-    """A checked request. ``wait_us`` is how long the client waits from when it sent it."""
+    """A checked request. ``wait_us`` is how long the client waits from when it sent it; ``tenant`` is its owner's place
+    among the settings' accounts, their number for one that is not among them."""
 
     id: str
     klass: int
@@ -63,6 +64,7 @@
     retry: bool
     text: bytes
     parts: tuple[WantedPart, ...]
+    tenant: int = 0
 
 
 class Checker:
@@ -71,6 +73,7 @@
     def __init__(self, settings: hw.Settings) -> None:
         self._settings = settings
         self._classes = {spec.name: index for index, spec in enumerate(settings.classes)}
+        self._tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
 
     def check(self, request: Request) -> Wanted:
         """The query that a request asks for; raises :class:`BadRequest`."""
@@ -95,7 +98,7 @@
         if spec.repeat == hw.KEYED and not KEY.fullmatch(key):
             raise BadRequest("Idempotency-Key: missing, or not of 1 to 128 printable characters without ','")
         return Wanted(name, klass, wait, key if spec.repeat == hw.KEYED else "", headers.get("req-retry") == "1",
-                      *self._body(request.body))
+                      *self._body(request.body), self._tenants.get(headers.get("req-owner", ""), len(self._tenants)))
 
     def _body(self, data: bytes) -> tuple[bytes, tuple[WantedPart, ...]]:
         try:
--- a/heathwell/interface.py
+++ b/heathwell/interface.py
@@ -231,8 +231,15 @@
     id: str
 
 
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """This aggregator's process ends then (clock time, us): queries with more time have only that."""
+
+    until_us: int
+
+
 Event = (FleetNews | QueryArrived | PartArrived | AttemptEnded | ProbeEnded | Held | Room | Moot
-         | TimerFired | QueryExpired)
+         | TimerFired | QueryExpired | Ending)
 
 
 # Actions
--- a/heathwell/kernel/net.py
+++ b/heathwell/kernel/net.py
@@ -53,6 +53,10 @@
         self._row = 0
         self._linger_at = 0
         self.on_close: Callable[[], None] | None = None
+        self.on_flushed: Callable[[], None] | None = None  # all that was queued has left
+        self.on_hangup: Callable[[], None] | None = None
+        self.hung_up = False  # the other side has ended or is gone, though what it sent may be unread
+        self._unread: deque[bytes] = deque()
 
     # What a carrier provides.
 
@@ -84,7 +88,7 @@
         while True:
             if self.closed:
                 raise StreamBroken("closed")
-            data = self._receive(size)
+            data = self._unread.popleft() if self._unread else self._receive(size)
             if data is not None:
                 self._row += 1
                 if self._row >= READS_IN_A_ROW:
@@ -138,6 +142,22 @@
         else:
             self._shut(reset=False)
 
+    def close_if_quiet(self) -> bool:
+        """Close a connection at rest, unless the other side has sent something that nobody has read yet; its reader
+        gets that. True once it is closed, or its end has come."""
+        if self.closed:
+            return True
+        try:
+            data = self._look()
+        except StreamBroken:
+            return True
+        if data:
+            self._unread.append(data)
+            self._readable()
+            return False
+        self.close()
+        return True
+
     def abort(self) -> None:
         """Reset the connection at once."""
         if not self.closed:
@@ -145,6 +165,17 @@
 
     # Shared by the carriers.
 
+    def _look(self) -> bytes | None:
+        """As :meth:`_receive`, also where the carrier has told of nothing."""
+        return self._receive(READ_SIZE)
+
+    def _ended_there(self) -> None:
+        """The other side has ended, or is gone."""
+        if not self.hung_up:
+            self.hung_up = True
+            if self.on_hangup is not None:
+                self.on_hangup()
+
     def _flushed(self) -> None:
         """To be called when bytes have gone out."""
         if self._ending and not self.unsent and not self._eof_sent and not self.closed:
@@ -157,6 +188,8 @@
             drainers, self._drainers = self._drainers, []
             for task in drainers:
                 task.wake()
+        if self.on_flushed is not None and not self.unsent and not self.closed:
+            self.on_flushed()
 
     def _readable(self) -> None:
         reader, self._reader = self._reader, None
@@ -176,6 +209,7 @@
         if self.on_close is not None:
             hook, self.on_close = self.on_close, None
             hook()
+        self.on_flushed = self.on_hangup = None
 
     def _park_reader(self, task: Task) -> Abort:
         if self._reader is not None:
--- a/heathwell/kernel/sockets.py
+++ b/heathwell/kernel/sockets.py
@@ -12,10 +12,11 @@
 
 from heathwell.kernel.clock import Clock, MonotonicClock
 from heathwell.kernel.loop import Abort, Coro, Loop, Task
-from heathwell.kernel.net import ConnectFailed, Handler, Listener, Stream, StreamBroken, split_address
+from heathwell.kernel.net import READ_SIZE, ConnectFailed, Handler, Listener, Stream, StreamBroken, split_address
 
 WATCH = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
 READ_MASK = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+END_MASK = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 WRITE_MASK = select.EPOLLOUT | select.EPOLLHUP | select.EPOLLERR
 OUT_OF_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 BACK_OFF_US, BACK_OFF_MOST_US = 20_000, 1_000_000
@@ -122,6 +123,8 @@
                 self._flush()
         if mask & READ_MASK:
             self._can_read = True
+            if mask & END_MASK and not self.closed:
+                self._ended_there()
             self._readable()
 
     def _receive(self, size: int) -> bytes | None:
@@ -136,6 +139,10 @@
             self._shut(reset=False)
             raise StreamBroken(str(problem)) from None
 
+    def _look(self) -> bytes | None:
+        self._can_read = True
+        return self._receive(READ_SIZE)
+
     def _flush(self) -> None:
         while self._chunks and self._can_write:
             if len(self._chunks) > 1:
--- a/heathwell/kernel/virtual.py
+++ b/heathwell/kernel/virtual.py
@@ -95,6 +95,8 @@
             self.inbox.unread.append(data)
         else:
             self.inbox.ended = True
+        if (reset or not data) and not self.closed:
+            self._ended_there()
         self._readable()
 
 
--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -57,7 +57,7 @@
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
 COLD_BURST = 0.4  # of a window's budget: the most that may be saved up and sent at once
-ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time: first and longest wait to ask again
+ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time, or grace: first and longest wait to ask again
 RECHECK = 0.1  # aims before a late part on a server that answers in turn is looked at again
 KEPT = 20  # aims that a server is known after it left the list, where it would be warm before
 TOPICS = 64  # topics of lines for the operators from which old ones are forgotten
@@ -95,7 +95,10 @@
         self.worths: deque[float] = deque(maxlen=WORTHS)
         self.recent: deque[tuple[int, float]] = deque()
         self.tokens = FURTHER_MOST
-        self.ask_wait, self.ask_most = (int(settings.must_ask_us * share) for share in (ASK_FIRST, ASK_MOST))
+        # Pushed changes count as told at once: what a broken watch costs comes off the grace.
+        within = settings.must_ask_us if settings.ask_mode else settings.drain_grace_us
+        self.ask_first, self.ask_most = (max(int(within * share), settings.tick_us) for share in (ASK_FIRST, ASK_MOST))
+        self.ask_wait = self.ask_first
         self.asked_at: int | None = None
         self.said: dict[str, int] = {}
         self.room: int | None = None
@@ -123,6 +126,8 @@
                     self._probed(event)
                 case hw.QueryExpired():
                     self._left(event)
+                case hw.Ending():
+                    self._curtail(event.until_us)
                 case hw.Held():
                     self._held(event)
                 case hw.Room():
@@ -220,7 +225,7 @@
             self._ask()
         elif news.asked:
             self.asked_at = None
-            self.ask_wait = int(self.cfg.must_ask_us * ASK_FIRST)
+            self.ask_wait = self.ask_first
 
     def _listed(self, entry: hw.ServerEntry) -> None:
         server = self.servers.get(entry.node)
@@ -915,6 +920,13 @@
                 self._cancel(attempt)
         self._forget(query)
 
+    def _curtail(self, until_us: int) -> None:
+        """This aggregator ends then: a query with more time has only that."""
+        for query in self.queries.values():
+            if query.deadline > until_us:
+                query.deadline, query.aim_at = until_us, min(query.aim_at, until_us)
+                self._later(until_us - self.cfg.tick_us, "deadline", query)
+
     def _give_up(self, query: Query) -> None:
         """End the query at once: refused where a repeat is known to be harmless, else failed."""
         spec = self.cfg.classes[query.klass]
