--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -8,6 +8,7 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable
+from itertools import islice
 
 import msgspec
 
@@ -22,6 +23,8 @@
 WHOLE_US = 2_500_000  # for a request to come whole; for a connection's first from its connect on
 SILENT_US = 2_100_000  # of a connection that never asked
 IDLE_US = 8_000_000  # of one that has been answered
+VICTIMS_MOST = 8  # of those at rest that are looked at for one that makes room
+NEW_US = 200_000  # of one that never asked, while the process ends: its first request is on its way
 LINGER_US = 800_000  # between an error and the close, so that the error is read first
 LOOK_US = 200_000
 DISCARD_MOST = 131_072  # read after an error and thrown away
@@ -69,18 +72,21 @@
         self.draining = True
 
     def let_go(self) -> None:
-        """Close the connections that ask for nothing."""
+        """Close the connections that ask for nothing; one whose request comes in this very moment is served."""
+        now = self.loop.now()
         for client in list(self.resting):
-            client.stream.close()
+            if client.side is not None or now - client.since >= NEW_US:
+                client.stream.close_if_quiet()
 
     def _make_room(self) -> bool:
-        for clients in (self.resting, self.begun):
-            if clients:
-                victim = next(iter(clients))
-                self.counts["closed for another"] += 1
-                self._forget(victim)
-                victim.stream.close()
-                return True
+        for victim in [*islice(self.resting, VICTIMS_MOST), *islice(self.begun, 1)]:
+            at_rest = victim in self.resting and not victim.erred
+            if at_rest and not victim.stream.close_if_quiet():
+                continue  # its next request is here
+            self.counts["closed for another"] += 1
+            self._forget(victim)
+            victim.stream.close()
+            return True
         return False
 
     def rests(self, client: Client) -> None:
@@ -88,9 +94,9 @@
         self.resting[client] = self.kept[client] = None
         if len(self.kept) > self.kept_most:
             victim = next(iter(self.kept))
-            self.counts["let go"] += 1
-            self._forget(victim)
-            victim.stream.close()
+            if victim.stream.close_if_quiet():
+                self.counts["let go"] += 1
+                self._forget(victim)
 
     def _forget(self, client: Client) -> None:
         self.clients.pop(client, None)
@@ -108,7 +114,7 @@
                 client.fail(Response(408, b"the request was not whole in time\n"))
         for client in list(self.resting):
             if now - client.since >= client.patience:
-                client.stream.close()
+                client.stream.close() if client.erred else client.stream.close_if_quiet()
 
 
 class Client:
@@ -124,6 +130,7 @@
         self._arrived = self.since
         self._ahead = 0
         self._answered = Event()
+        stream.on_hangup = self._answered.set  # also behind what is not read
         front.resting[self] = None
 
     @property
@@ -143,6 +150,8 @@
             if self.erred:
                 discarded += len(data)
                 continue
+            if self.stream.hung_up:  # it has left, whatever it sent: nothing more is taken from it
+                return
             self._arrived = self.loop.now()
             if self.side is None:
                 self.side = ServerSide(BODY_MOST, HEAD_MOST)
@@ -151,7 +160,10 @@
                 self._advance()
                 continue
             self._ahead += len(data)
-            while self.busy and self._ahead > AHEAD_MOST:  # its request was taken: it is answered before more is read
+            # Its request was taken and is answered before more is read; but that it has left is seen meanwhile.
+            while self.busy and self._ahead > AHEAD_MOST:
+                if self.stream.hung_up:
+                    return
                 self._answered.clear()
                 yield from self._answered.wait()
         while not self.stream.closed:  # what more it sends is left where it is, until its time is up
@@ -238,7 +250,7 @@
 
     def _go_on(self) -> None:
         """What was read ahead may be the next request."""
-        if not (self.busy or self.erred or self.stream.closed):
+        if not (self.busy or self.erred or self.stream.closed or self.stream.hung_up):
             self._advance()
 
     def fail(self, response: Response) -> None:
