The end comes before SIGKILL whatever a class's time; SIGHUP leaves all but discovery

At the listener's close the end was looked for before tasks of connections just accepted had begun. SIGHUP replaced the configuration for the end's own reckoning while the rest kept the old one; a file that says more than a new discovery is named in the log.

--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -13,6 +13,7 @@
 from heathwell.startsettings import WireError, settings_from
 
 SOCKETS_LEAST = 64
+NEVER_US = 1 << 53
 HOLD_US = 1_500_000  # of a watch where the settings state no time to ask in
 RESERVED_SOCKETS = 24  # standard streams, the poller, the listener, discovery, and what the language opens
 
@@ -89,8 +90,10 @@
     return value
 
 
-def _whole(table: Mapping[str, Any], field: str, within: str, least: int, default: int | None = None) -> int:
-    value = table.get(field, default)
+def _whole(table: Mapping[str, Any], field: str, within: str, least: int) -> int:
+    value = table.get(field)
+    if value is None and least == 0:
+        return 0
     if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= 1 << 53:
         raise ConfigError(f"{within}.{field}: a number of at least {least} is expected")
     return int(value)
@@ -125,9 +128,11 @@
     return Config(
         name=_word(table, "name"), listen=_address(table, "listen"), discovery=_address(table, "discovery"),
         seed=number, sockets=_whole(limits, "sockets", "limits", SOCKETS_LEAST), settings=settings,
-        connections=Connections(_whole(ceilings, "streams-per-conn", within, 1, 100),
-                                _whole(ceilings, "conn-idle-us", within, 1, 30_000_000),
-                                _whole(ceilings, "connect-timeout-us", within, 1, 250_000)),
+        # Where none is stated: a part a connection, no end of idle ones, no wait beyond what any client waits.
+        connections=Connections(_whole(ceilings, "streams-per-conn", within, 0) or 1,
+                                _whole(ceilings, "conn-idle-us", within, 0) or NEVER_US,
+                                _whole(ceilings, "connect-timeout-us", within, 0)
+                                or min(spec.limit_us for spec in settings.classes)),
         zones=tuple(zones), known=known)
 
 
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import os
 import resource
 import signal
@@ -18,6 +19,9 @@
 
 TAKE_US = 600_000  # after SIGTERM, for which clients still arrive
 END_LOOK_US = 20_000
+# The page's: no SIGKILL sooner than the longest deadline, counted as this where it is longer, and so long after it.
+KILL_LONGEST_US, KILL_AFTER_US = 3_000_000, 700_000
+END_MARGIN_US = 100_000  # of that time: answers leave, and the process ends by itself
 LINES_A_SECOND = 20
 
 
@@ -62,6 +66,7 @@
         self.front = Front(self.broker, config.client_sockets, config.kept_clients, self.log)
         self.listener: Listener | None = None
         self._ending_at: int | None = None
+        self._end_by = 0
         if environment.get("HEATHWELL_TRACE"):
             Trace(self.broker, self.front)
 
@@ -74,7 +79,9 @@
         for earlier in pending:
             calls[signal.Signals(earlier)]()
         calm_collector()
-        self.log("info", "ready", listen=self.listener.address, pid=os.getpid(), sockets=self.config.sockets)
+        self.log("info", "ready", listen=self.listener.address, pid=os.getpid(), sockets=self.config.sockets,
+                 lists="asked" if self.config.settings.ask_mode else "pushed", watch_us=self.broker.watch.hold_us,
+                 grace_us=self.config.settings.drain_grace_us)
         self.loop.run()
         return 0
 
@@ -84,21 +91,23 @@
             return
         self.log("info", "terminating", held=self.broker.held)
         self._ending_at = self.loop.now()
+        longest = max(spec.limit_us for spec in self.config.settings.classes)
+        self._end_by = self._ending_at + min(longest, KILL_LONGEST_US) + KILL_AFTER_US - END_MARGIN_US
         self.front.drain()
+        self.broker.ends_at(self._end_by - END_MARGIN_US)
         self.loop.call_at(self._ending_at + TAKE_US, self._take_no_more)
 
     def _take_no_more(self) -> None:
         if self.listener is not None:
             self.listener.close()
         self.broker.stop()
-        self._look_for_end()
+        # What connected in the last moment is served first: its task has not begun yet.
+        self.loop.call_at(self.loop.now() + END_LOOK_US, self._look_for_end)
 
     def _look_for_end(self) -> None:
         """Idle clients are let go; the end is when no client waits for anything."""
         self.front.let_go()
-        longest = max(spec.limit_us for spec in self.config.settings.classes)
-        over = self.loop.now() - (self._ending_at or 0) > TAKE_US + longest
-        if over or not self.front.clients:  # an open query has its client among them
+        if self.loop.now() >= self._end_by or not self.front.clients:  # an open query has its client among them
             self.log("info", "ended", open=len(self.front.clients))
             self.broker.close()
             self.loop.stop()
@@ -113,8 +122,13 @@
             self.log("error", "configuration refused, the old one stays", why=str(problem))
             return
         moved = config.discovery != self.config.discovery
-        self.log("info", "configuration read", discovery=config.discovery, moved=moved)
-        self.config = config
+        # All else stays as it was at the start, in every part of the program, also where the file says otherwise.
+        kept = dataclasses.replace(self.config, discovery=config.discovery, known=config.known)
+        later = [field.name for field in dataclasses.fields(config)
+                 if getattr(config, field.name) != getattr(kept, field.name) and field.name != "seed"]
+        self.log("info", "configuration read", discovery=config.discovery, moved=moved,
+                 **({"from_the_next_start": ",".join(later)} if later else {}))
+        self.config = dataclasses.replace(self.config, discovery=config.discovery)
         if moved:
             self.broker.watch.move(config.discovery)
 
--- /dev/null
+++ b/tests/crossings.py
@@ -0,0 +1,185 @@
+"""Crossings over loopback sockets: a broker, its front and scripted peers in one loop, so that order is forced.
+
+A peer waits for a named point of the broker (``until``) before its next byte; connects of the broker wait at a gate.
+Nothing sleeps for a time, ports are the kernel's, and what is judged is what nodes and clients saw.
+"""
+
+from __future__ import annotations
+
+import copy
+import json
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+from heathwell.gateway.broker import PlatformBroker
+from heathwell.gateway.config import read
+from heathwell.gateway.front import Front
+from heathwell.kernel import ConnectFailed, Coro, Event, Stream, sleep, socket_loop
+from heathwell.lab.platform import CELLS, SETUP, config_of
+from heathwell.standins.platform import Client, Node, Registry
+
+TURNS_MOST = 20_000  # of the loop, for a point that never comes: some seconds
+CUSTOMERS: dict[str, dict[str, Any]] = {
+    "asked": {},
+    "asked, short grace, calls of many parts, copies": {
+        "classes": [
+            {"name": "range-search", "objective-us": 500_000, "hard-limit-us": 4_000_000,
+             "idempotency": "read_like", "worth": 2.0, "late-value": 0.1, "dedup-window-us": 5_000_000},
+            {"name": "hut-nights", "objective-us": 300_000, "hard-limit-us": 900_000, "idempotency": "read_like",
+             "worth": 1.0, "late-value": 0.3, "dedup-window-us": 5_000_000}],
+        "ceilings": {"second-copies": True, "conn-idle-us": 1_500_000, "connect-timeout-us": 400_000},
+        "invariants": {"drain-grace-us": 250_000},
+        "specifics": {"class-fetch": [0, 0], "class-need": [1.0, 1.0], "min-share": [1.0, 0.7],
+                      "incomplete-worth": [0.9, 0.8], "parts-a-call": 8}},
+    "pushed, unsafe, no cancels, tenants": {
+        "registry-mode": "push",
+        "accounts": [{"name": "valley", "quota-rps": 20.0, "share": 0.6},
+                     {"name": "harbour", "quota-rps": 10.0, "share": 0.4}],
+        "classes": [
+            {"name": "visit-note", "objective-us": 200_000, "hard-limit-us": 400_000, "idempotency": "non_idempotent",
+             "worth": 1.0, "late-value": 0.1, "dedup-window-us": 0},
+            {"name": "ward-list", "objective-us": 900_000, "hard-limit-us": 3_500_000,
+             "idempotency": "idempotency_key", "worth": 1.0, "late-value": 0.1, "dedup-window-us": 900_000}],
+        "ceilings": {"cancelling": False, "probing": False, "retry-after": False, "max-attempts": 2},
+        "invariants": {"drain-grace-us": 600_000, "must-ask-in-us": 0},
+        "specifics": {"class-fetch": [0, 0], "class-need": [1.0, 1.0], "min-share": [1.0, 1.0],
+                      "incomplete-worth": [0.9, 0.9]}},
+}
+
+
+def customer(name: str, **specifics: Any) -> dict[str, Any]:
+    """A customer's settings object; keys of a table that it does not name are the common ones."""
+    setup: dict[str, Any] = copy.deepcopy(SETUP)
+    for key, value in CUSTOMERS[name].items():
+        setup[key] = {**setup[key], **value} if isinstance(value, dict) else value
+    setup["specifics"].update(specifics)
+    return setup
+
+
+class Gate:
+    """The broker's net: a connect to a shut address waits, and fails with what is set for it, once each."""
+
+    def __init__(self, net: Any) -> None:
+        self.net = net
+        self.shut: dict[str, Event] = {}
+        self.fails: dict[str, list[str]] = {}
+        self.asked: list[str] = []
+        self.small: set[str] = set()
+
+    def connect(self, address: str, timeout_us: int) -> Coro[Stream]:
+        """As the net's, once the gate is open."""
+        self.asked.append(address)
+        if self.fails.get(address):
+            raise ConnectFailed(self.fails[address].pop(0))
+        if address in self.shut:
+            yield from self.shut[address].wait()
+        stream = yield from self.net.connect(address, timeout_us)
+        if address in self.small:
+            stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return stream
+
+    def hold(self, address: str) -> None:
+        """Connects wait from now on."""
+        self.shut[address] = Event()
+
+    def open(self, address: str) -> None:
+        """Those that wait go on."""
+        self.shut.pop(address).set()
+
+
+class World:
+    """Nodes, one a cell, discovery, one broker; over sockets of the loopback."""
+
+    def __init__(self, name: str = "asked", *, width: int = 1, registry: bool = True, **changes: Any) -> None:
+        self.loop, self.net, self.poller = socket_loop()
+        self.errors: list[tuple[str, BaseException]] = []
+        self.loop.on_error = lambda task, error: self.errors.append((task, error))
+        self.gate = Gate(self.net)
+        self.nodes = [Node(self.loop, self.net, "127.0.0.1:0", f"s{n}", n, work_us=1) for n in range(CELLS)]
+        self.registry = Registry(self.loop, self.net, "127.0.0.1:0", self.nodes)
+        self.setup = customer(name, width=width)
+        self.config = read(config_of(**{
+            "listen": "127.0.0.1:0", "discovery": self.registry.address if registry else "127.0.0.1:1",
+            "settings": self.setup,
+            "known": {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}, **changes}))
+        self.lines: list[str] = []
+        self.broker = PlatformBroker(self.loop, self.gate, self.config, log=self.log)
+        self.front = Front(self.broker, self.config.client_sockets, self.config.kept_clients, self.log)
+        self.listener = self.net.listen("127.0.0.1:0", self.front.serve, "client")
+        self.kinds = [entry["name"] for entry in self.setup["classes"]]
+
+    def log(self, level: str, event: str, **fields: Any) -> None:
+        self.lines.append(f"{level} {event} {fields}")
+
+    def client(self) -> Client:
+        return Client(self.loop, self.net, self.listener.address)
+
+    def ask(self, name: str, shard: int, kind: int = 0, client: Client | None = None, **more: Any) -> Any:
+        """A query of one part on its way, as a task. Its deadline is a minute: the class's own limit holds."""
+        return self.loop.spawn(self._asked(name, shard, kind, client or self.client(), more), name)
+
+    def _asked(self, name: str, shard: int, kind: int, client: Client, more: dict[str, Any]) -> Coro[Any]:
+        key = "5c0f6e1a2b3d4c59" if self.setup["classes"][kind]["idempotency"] == "idempotency_key" else ""
+        return (yield from client.ask(name, self.kinds[kind], [shard], wait_ms=60_000, key=key, **more))
+
+    def request(self, name: str, shard: int, kind: int = 0) -> bytes:
+        """A request's bytes."""
+        body = json.dumps({"parts": [{"id": shard, "w": 1.0}], "expr": "c41e77d0"}).encode()
+        return (f"POST /{self.kinds[kind]} HTTP/1.1\r\nHost: b\r\nReq-Id: {name}\r\nReq-Kind: {self.kinds[kind]}\r\n"
+                f"Req-Deadline: 60000m\r\nIdempotency-Key: k1\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+
+    def raw(self) -> socket.socket:
+        """A client's bare socket, connected."""
+        host, port = self.listener.address.split(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.setblocking(False)
+        return sock
+
+    def until(self, point: Callable[[], Any], what: str = "") -> Coro[None]:
+        """Go on turning until the broker has reached a point."""
+        for _ in range(TURNS_MOST):
+            if point():
+                return
+            yield from sleep(self.loop, 200)
+        raise AssertionError(f"never reached: {what or point}; {self.lines[-5:]}")
+
+    def run(self, gen: Coro[Any]) -> Any:
+        try:
+            result = self.loop.run(self.loop.spawn(gen, "main"))
+            assert not self.errors, self.errors
+            return result
+        finally:
+            self.broker.kill()
+            self.loop.shutdown()
+
+    def put(self, node: Node, how: str) -> None:
+        """The list's word on a node."""
+        if how == "draining":
+            self.registry.put({**node.entry, "state": "draining"})
+        elif how == "gone":
+            self.registry.put({**node.entry, "state": "removed"})
+        else:
+            self.registry.put({**node.entry, "endpoint": how})
+
+    def knows(self, node: Node, how: str) -> Callable[[], bool]:
+        """Whether the broker has that word."""
+        if how in ("draining", "gone"):
+            servers = self.broker.module.servers
+            return lambda: node.uid in servers and not servers[node.uid].live
+        return lambda: self.broker.addresses[node.uid] == how
+
+    def out(self, name: str) -> Callable[[], bool]:
+        """Whether a query's part is with its link."""
+        return lambda: any(key[0].startswith(f"{name}.") for link in self.broker.links.values() for key in link.out)
+
+
+def reset(sock: socket.socket) -> None:
+    """Close a bare socket by a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+LEAVES: dict[str, Callable[[socket.socket], None]] = {
+    "close": lambda sock: sock.close(), "half-close": lambda sock: sock.shutdown(socket.SHUT_WR), "reset": reset}
