Crossings on processes: signals at each point of start, watch, query and end

Need: the users' rare moments on real processes of run, with clients that go on sending on what stays open.

--- a/heathwell/lab/platform.py
+++ b/heathwell/lab/platform.py
@@ -53,14 +53,15 @@
 
 class PlatformFleet:
     """A broker's process with its stand-ins; the configuration and the log are files in ``folder``. ``program`` are the
-    interpreter's arguments, for a test that watches what the broker calls."""
+    interpreter's arguments, for a test that watches what the broker calls; ``settings`` the platform's object."""
 
-    def __init__(self, folder: Path, registry: bool = True,
-                 program: tuple[str, ...] = ("-m", "heathwell.gateway")) -> None:
+    def __init__(self, folder: Path, registry: bool = True, program: tuple[str, ...] = ("-m", "heathwell.gateway"),
+                 settings: dict[str, Any] | None = None, ready: bool = True) -> None:
         self.loop: Loop
         self.loop, self.net, _ = socket_loop()
         self.nodes = [Node(self.loop, self.net, "127.0.0.1:0", f"s{n}", n) for n in range(CELLS)]
         self.registries = [Registry(self.loop, self.net, "127.0.0.1:0", self.nodes) for _ in range(2)]
+        self.settings = settings or SETUP
         self.path, self.lines = folder / "config.json", folder / "log"
         self.write(self.registries[0].address if registry else "127.0.0.1:1")
         with self.lines.open("wb") as log:
@@ -68,12 +69,14 @@
                 [sys.executable, *program], cwd=ROOT, stderr=log,
                 env={"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1", "GW_CONFIG": str(self.path)})
         self.address = ""
-        self.run(self._ready())
+        if ready:
+            self.run(self._ready())
 
     def write(self, discovery: str) -> None:
         """The configuration, with discovery met there."""
         known = {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}
-        self.path.write_bytes(config_of(listen="127.0.0.1:0", discovery=discovery, known=known))
+        self.path.write_bytes(config_of(listen="127.0.0.1:0", discovery=discovery, known=known,
+                                        settings=copy.deepcopy(self.settings)))
 
     def _ready(self) -> Coro[None]:
         yield from self.says("ready")
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -108,7 +108,8 @@
             } for spec in rules.classes},
             "drain_grace": rules.drain_grace_us, "fall_multiple": rules.fall_multiple,
             "fall_after": rules.tip_after_us, "free_resends": 0, "further_ratio": 0, "counted_over": 0,
-            "second_copies": False, "attempts": rules.max_attempts, "open_cap": rules.open_cap, "source_offset": None,
+            "second_copies": rules.second_copies, "attempts": rules.max_attempts,
+            "open_cap": rules.open_cap, "source_offset": None,
         }
 
 
--- /dev/null
+++ b/tests/test_crossings_processes.py
@@ -0,0 +1,239 @@
+"""Signals at each point of a broker's life, on processes of `run`; what clients and nodes saw is judged."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+
+import pytest
+
+from heathwell.gateway.config import read
+from heathwell.gateway.process import Process
+from heathwell.kernel import ConnectFailed, StreamBroken, sleep
+from heathwell.lab.platform import PlatformFleet, config_of
+
+from .crossings import CUSTOMERS, customer
+
+# Signals itself once the configuration is read, before there is a listener or a loop.
+BEFORE_THE_LOOP = """
+import os, runpy, signal, sys
+import heathwell.gateway.process as process
+real = process.load
+def load(environment):
+    process.load = real
+    config = real(environment)
+    for number in {numbers}:
+        os.kill(os.getpid(), number)
+    return config
+process.load = load
+sys.argv = ["heathwell.gateway"]
+runpy.run_module("heathwell.gateway", run_name="__main__")
+"""
+
+
+@pytest.fixture
+def running(tmp_path):
+    worlds = []
+
+    def build(**more):
+        worlds.append(PlatformFleet(tmp_path, **more))
+        for node in worlds[-1].nodes:
+            node.work_us = 1
+        return worlds[-1]
+    yield build
+    for world in worlds:
+        world.close()
+
+
+def one_part(world, name, kind, client=None):
+    key = "k1" if kind["idempotency"] == "idempotency_key" else ""
+    return (client or world.client()).ask(name, kind["name"], [3], wait_ms=60_000, key=key)
+
+
+def until(world, point):
+    while not point():
+        yield from sleep(world.loop, 2_000)
+
+
+@pytest.mark.parametrize("numbers", [
+    [signal.SIGTERM], [signal.SIGTERM, signal.SIGTERM], [signal.SIGHUP, signal.SIGTERM],
+    [signal.SIGTERM, signal.SIGHUP]])
+def test_signals_between_the_configuration_and_the_listener_are_carried_out(running, numbers):
+    code = BEFORE_THE_LOOP.format(numbers=[int(number) for number in numbers])
+    world = running(program=("-c", code), ready=False)
+    assert world.run(world.ended()) == 0
+    assert "ended" in world.lines.read_text() and "Traceback" not in world.lines.read_text()
+
+
+def test_a_hangup_before_the_listener_is_carried_out_and_it_serves(running):
+    world = running(program=("-c", BEFORE_THE_LOOP.format(numbers=[int(signal.SIGHUP)])))
+
+    def main():
+        yield from world.says("configuration read")
+        return (yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])).status
+    assert world.run(main()) == 200
+
+
+@pytest.mark.parametrize("name", CUSTOMERS)
+def test_at_sigterm_what_hangs_is_answered_and_the_process_ends_by_itself(running, name):
+    """All nodes hang; one customer's longest class has 4 s, more than the 3.7 s after which SIGKILL may come."""
+    setup = customer(name)
+    world = running(settings=setup)
+    for node in world.nodes:
+        node.silent = True
+
+    def main():
+        tasks = [world.loop.spawn(one_part(world, f"q{n}", kind), "q") for n, kind in enumerate(setup["classes"])]
+        yield from until(world, lambda: sum(len(node.parts) for node in world.nodes) >= len(tasks))
+        world.process.send_signal(signal.SIGTERM)
+        yield from world.says("terminating")
+        tasks += [world.loop.spawn(one_part(world, f"r{n}", kind), "r") for n, kind in enumerate(setup["classes"])]
+        statuses = []
+        for task in tasks:
+            statuses.append((yield from task.join()).status)
+        return statuses, (yield from world.ended())
+    statuses, code = world.run(main())
+    wanted = [500 if kind["idempotency"] == "non_idempotent" else 503 for kind in setup["classes"]]
+    assert (statuses, code) == (wanted * 2, 0)
+    assert "open='0'" in world.lines.read_text() and "overdue" not in world.lines.read_text()
+
+
+def test_a_request_half_read_when_the_listener_closes_is_finished_and_answered(running):
+    world = running()
+    body = json.dumps({"parts": [{"id": 3, "w": 1.0}], "expr": "c41e77d0"}).encode()
+    request = (f"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: q1\r\nReq-Kind: price-search\r\n"
+               f"Req-Deadline: 500m\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+
+    def main():
+        stream = yield from world.net.connect(world.address, 1_000_000)
+        stream.write(request[:50])
+        assert (yield from world.client().ask("q0", "price-search", [3])).status == 200  # the half is read by now
+        world.process.send_signal(signal.SIGTERM)
+        while True:
+            try:
+                other = yield from world.net.connect(world.address, 1_000_000)
+            except ConnectFailed:
+                break
+            other.close()
+            yield from sleep(world.loop, 5_000)
+        stream.write(request[50:])
+        data = b""
+        while more := (yield from stream.read()):
+            data += more
+        return data, (yield from world.ended())
+    data, code = world.run(main())
+    assert data.startswith(b"HTTP/1.1 200") and code == 0
+
+
+@pytest.mark.parametrize("name", CUSTOMERS)
+def test_clients_that_go_on_sending_at_the_end_lose_nothing_that_was_sent_on(running, name):
+    """Five clients send one request after another on what stays open, and connect anew while that can be, up to the
+    end: whatever any node saw was answered to its client."""
+    setup = customer(name)
+    world = running(settings=setup)
+    kind = setup["classes"][0]
+    answered, crossed = set(), set()
+
+    def goes_on(c):
+        client, n = world.client(), 0
+        while True:
+            n += 1
+            query = f"c{c}-{n}"
+            try:
+                response = yield from one_part(world, query, kind, client)
+            except StreamBroken:
+                crossed.add(query)
+                client = world.client()
+                continue
+            except ConnectFailed:
+                return
+            answered.add(query)
+            if not client.side.reusable:  # the answer said that it closes
+                client = world.client()
+            assert response.status in (200, 503)
+            yield from sleep(world.loop, 3_000)
+
+    def main():
+        tasks = [world.loop.spawn(goes_on(c), "client") for c in range(5)]
+        yield from until(world, lambda: len(answered) > 20)
+        world.process.send_signal(signal.SIGTERM)
+        for task in tasks:
+            yield from task.join()
+        return (yield from world.ended())
+    assert world.run(main()) == 0
+    seen = {part.id.partition(".")[0] for node in world.nodes for part in node.parts}
+    assert len(seen) > 20 and not (seen - answered), (seen - answered, crossed)
+
+
+@pytest.mark.parametrize("point", ["connecting", "half an answer", "twice", "while it ends"])
+def test_sighup_at_any_point_of_the_watch_moves_it_and_ends_nothing(running, point):
+    world = running(registry=False)
+    heard = []
+
+    def serve(stream):
+        heard.append((yield from stream.read()))
+        if point == "half an answer":
+            stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n{\"rev\": 9, ")
+        yield from stream.read()
+
+    def main():
+        old = world.net.listen("127.0.0.1:0", serve, "old")
+        world.write(old.address)
+        world.process.send_signal(signal.SIGHUP)
+        if point != "connecting":
+            yield from until(world, lambda: heard)
+        world.write(world.registries[1].address)
+        if point == "while it ends":
+            world.process.send_signal(signal.SIGTERM)
+            yield from world.says("terminating")
+        world.process.send_signal(signal.SIGHUP)
+        if point == "twice":
+            world.process.send_signal(signal.SIGHUP)
+        yield from until(world, lambda: world.registries[1].calls)
+        status = (yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])).status
+        if point != "while it ends":
+            assert world.process.poll() is None
+            world.process.send_signal(signal.SIGTERM)
+        return status, (yield from world.ended())
+    assert world.run(main()) == (200, 0)
+
+
+def test_sighup_leaves_all_but_discovery_as_it_was_at_the_start_and_says_what_waits(running):
+    world = running()
+    other = {**world.settings["classes"][0], "name": "other", "hard-limit-us": 9_000_000}
+    setup = {**world.settings, "classes": [other]}
+
+    def main():
+        world.path.write_bytes(config_of(listen="127.0.0.1:0", discovery=world.registries[1].address, settings={
+            **setup, "specifics": {**setup["specifics"], "class-fetch": [0], "class-need": [1.0], "min-share": [1.0],
+                                   "incomplete-worth": [0.9]}}))
+        world.process.send_signal(signal.SIGHUP)
+        yield from until(world, lambda: world.registries[1].calls)
+        yield from world.says("from_the_next_start='settings'")
+        one = yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])
+        other = yield from world.client().ask("q2", "other", [0])
+        return one.status, other.status
+    assert world.run(main()) == (200, 404)
+
+
+def test_what_waits_in_the_backlog_when_the_listener_closes_is_served_before_the_end():
+    """In one process, driven turn by turn, as the kernel's queue is filled between two lines: connected and asked, and
+    the broker has accepted nothing of it yet. Its end was looked for before their tasks had begun."""
+    config = read(config_of(listen="127.0.0.1:0", discovery="127.0.0.1:1"))
+    process = Process(config, {})
+    process.listener = process.net.listen(config.listen, process.front.serve, "client", 64)
+    process.loop.turn()
+    process.terminate()
+    host, port = process.listener.address.split(":")
+    socks = [socket.create_connection((host, int(port))) for _ in range(3)]
+    body = json.dumps({"parts": [{"id": 3, "w": 1.0}], "expr": "c41e77d0"}).encode()
+    for n, sock in enumerate(socks):
+        sock.send((f"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: q{n}\r\nReq-Kind: price-search\r\n"
+                   f"Req-Deadline: 50m\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+    process._take_no_more()
+    process.loop.run()
+    for sock in socks:
+        assert sock.recv(4096).startswith(b"HTTP/1.1 503")  # no list is known: refused, and told
+        sock.close()
+    process.poller.close()
