--- a/heathwell/lab/platform.py
+++ b/heathwell/lab/platform.py
@@ -15,6 +15,7 @@
 from heathwell.standins.platform import Client, Node, Registry
 
 CELLS = 6
+LOOKS_MOST = 3_000  # at the log, fifty a second, for a word
 ROOT = Path(__file__).resolve().parent.parent.parent
 SETUP: dict[str, Any] = {
     "az": 0, "zones": ["a", "b"], "siblings": 1, "tick-us": 5000, "registry-mode": "ask", "value-by": "work",
@@ -86,11 +87,14 @@
         self.address = found[1]
 
     def says(self, word: str) -> Coro[None]:
-        """Wait until the broker's log holds a word."""
-        while word not in self.lines.read_text():
+        """Wait until the broker's log holds a word; raises :class:`PlatformError` where it ends, or never says it."""
+        for _ in range(LOOKS_MOST):
+            if word in self.lines.read_text():
+                return
             if self.process.poll() is not None:
-                raise PlatformError(self.lines.read_text())
+                break
             yield from sleep(self.loop, 20_000)
+        raise PlatformError(f"{word!r} was not said: {self.lines.read_text()}")
 
     def ended(self) -> Coro[int]:
         """Wait for the broker's end; its exit code."""
--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -57,7 +57,7 @@
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
 COLD_BURST = 0.4  # of a window's budget: the most that may be saved up and sent at once
-ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time, or grace: first and longest wait to ask again
+ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time (pushed: the grace): waits to ask again
 RECHECK = 0.1  # aims before a late part on a server that answers in turn is looked at again
 KEPT = 20  # aims that a server is known after it left the list, where it would be warm before
 TOPICS = 64  # topics of lines for the operators from which old ones are forgotten
@@ -97,7 +97,8 @@
         self.tokens = FURTHER_MOST
         # Pushed changes count as told at once: what a broken watch costs comes off the grace.
         within = settings.must_ask_us if settings.ask_mode else settings.drain_grace_us
-        self.ask_first, self.ask_most = (max(int(within * share), settings.tick_us) for share in (ASK_FIRST, ASK_MOST))
+        asks = (max(int(within * share), settings.tick_us) for share in (ASK_FIRST, ASK_MOST))
+        self.ask_first, self.ask_most = asks
         self.ask_wait = self.ask_first
         self.asked_at: int | None = None
         self.said: dict[str, int] = {}
