Crossings: clients that leave between two steps and between attempts, forced over sockets

Change: six cases; the answer that would bring the second step or the repeat is held until the broker has seen the end (close, half-close, reset). Right already: with the guard in Driver.left taken out (no expiry told, the reply kept) they fail, with it they pass.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,7 @@
 from heathwell.gateway.discovery import longest_wait
 from heathwell.gateway.nodes import NodeAsk
 from heathwell.kernel import Event, StreamBroken, sleep
-from heathwell.standins.platform import Node, read_call
+from heathwell.standins.platform import Node, answer, read_call
 
 from .crossings import CUSTOMERS, LEAVES, World, customer
 from .platform import Platform
@@ -160,6 +160,33 @@
     assert not [part for part in seen if part.startswith("q1")]
 
 
+@pytest.mark.parametrize("leaves", LEAVES)
+@pytest.mark.parametrize("between", ["steps", "attempts"])
+def test_no_second_step_and_no_repeat_leaves_for_a_client_that_left_before_it(leaves, between):
+    """The answer that would bring it is held until the broker has seen the client's end."""
+    world = World(width=3)
+    fetches = world.setup["specifics"]["class-fetch"]
+    kind = next(n for n, fetch in enumerate(fetches) if bool(fetch) == (between == "steps"))
+    held = []
+
+    def main():
+        for node in world.nodes:
+            node.behave = lambda node, stream, part: held.append((node, stream, part))
+        sock = world.raw()
+        sock.send(world.request("q1", SHARD, kind))
+        yield from world.until(lambda: held)
+        LEAVES[leaves](sock)
+        yield from world.until(lambda: world.broker.counts["left", world.kinds[kind]])
+        (node, stream, part), = held
+        for each in world.nodes:
+            each.behave = None
+        if not stream.closed:
+            stream.write(answer(part, 200 if between == "steps" else 500))
+        return (yield from world.ask("q2", SHARD).join()).status
+    assert world.run(main()) == 200
+    assert [part.id for node in world.nodes for part in node.parts if part.id.startswith("q1")] == ["q1.3"]
+
+
 @pytest.mark.parametrize("leaves", ["close", "reset"])
 def test_a_client_that_left_is_noticed_behind_more_than_is_read_ahead(leaves):
     """Bad clients send hundreds of requests at once and go: what they sent filled the bound of what is read ahead, the
