Zones: capacity learned from answers, drills, idle clients of a left zone, classes that come back

Capacity: the most a zone answered in its usual time, and beyond that how much slower its answers are than idle ones (M/M/2; at most four times what it does now); zone-bears goes before it. Where the others can't bear all, the classes worth most that fit leave whole, else a share. heathwell zone drill ZONE leaves, stays away, returns and tells attempts and losses by stage; called off at once where more than usual is lost elsewhere; a signal half way says return first. Brokers of a left zone close idle clients over zone-let-go (10 s), as cut-off ones do. Found while testing: a class that had left alone came back with the whole zone cut to its first step (tests/test_evacuation.py fails without); a zone left by an operator stayed 'leaving' for good, as pinned zones were not looked at.

--- a/heathwell/broker/market.py
+++ b/heathwell/broker/market.py
@@ -135,7 +135,8 @@
             loop.call_at(loop.now() + TICK_US, self._look_for_storms)
         self.points_seen: dict[str, dict[int, int]] = {}  # sizes of shards, by collection, as hosts told them
         self._gate_look: Timer | None = None
-        self.client_drain = ClientDrain(across.let_go, seed ^ 0xD12A)
+        leaving = market.fleet.zone_let_go if self.sight is not None else 0
+        self.client_drain = ClientDrain(across.let_go or leaving, seed ^ 0xD12A)
         self.begin_service(DiscoveryClient(loop, net, discovery, name, market.discovery.timeout,
                                            not market.discovery.ask, self.news, self.log), roster)
 
@@ -456,6 +457,11 @@
         within = self._within()
         return sum(within) / len(within)
 
+    @property
+    def sends_away(self) -> bool:
+        """Whether idle clients had better find another broker: this one is cut off, or the fleet leaves its zone."""
+        return self.sight is not None and self.sight.left() or bool(self.market.across.let_go) and self.cut_off
+
     @property
     def cut_off(self) -> bool:
         """Whether links that are down keep most shards out of reach."""
--- a/heathwell/broker/zonesight.py
+++ b/heathwell/broker/zonesight.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from heathwell import interface as hw
-from heathwell.evacuation import LEAVING, LEFT, Decision, Evidence, Summary
+from heathwell.evacuation import LEAVING, LEFT, PROBE, Decision, Evidence, Summary
 from heathwell.evacuation.evidence import BAD, GOOD, LATE
 
 if TYPE_CHECKING:
@@ -20,7 +20,6 @@
 
 LOOK_US = 500_000
 PROBED = 0.3  # chance of a broker to probe one host of a zone that is left, each look
-PROBE = "probe"  # what probes are told as, beside classes
 HOWS = {hw.OK: GOOD, hw.CANCELLED: LATE, hw.TIMED_OUT: BAD, hw.FULL_UP: BAD, hw.ERROR: BAD, hw.BROKEN: BAD,
         hw.UNREACHABLE: BAD}
 
@@ -43,7 +42,8 @@
         server = self.broker.module.servers.get(node)
         if how is not None and server is not None:
             how = LATE if how == GOOD and took_us > aim_us else how
-            self.evidence.ended(self.broker.loop.now(), self.names[server.zone], klass, how)
+            self.evidence.ended(self.broker.loop.now(), self.names[server.zone], klass, how,
+                                took_us if outcome == hw.OK else 0)
 
     def probed(self, node: str, outcome: str) -> None:
         """A probe has ended."""
@@ -73,7 +73,7 @@
                 continue  # its own clients are served by what is here
             klasses = [-1] if not word.only else [n for n, spec in enumerate(self.broker.settings.classes)
                                                   if spec.name in word.only]
-            if not word.only and self._draw(name) < word.share:
+            if self._draw(name) < word.share:
                 continue
             for klass in klasses:
                 held.setdefault(klass, set()).update(self._hosts(name))
--- a/heathwell/cli/control.py
+++ b/heathwell/cli/control.py
@@ -22,12 +22,15 @@
 from heathwell.codec import frames
 from heathwell.control.figures import KeeperPages
 from heathwell.control.keeper import KeeperServer
+from heathwell.control.messages import rows_in
 from heathwell.control.wiring import budgets_of, lease_budget, times_of
-from heathwell.control.zones import ZoneDesk
+from heathwell.control.zones import desk_of
+from heathwell.evacuation import SERVED, Drill
 from heathwell.kernel import Coro
 from heathwell.settings import Market, SettingsError, load
 
 ANSWER_SECONDS = 3.0
+LOOK_SECONDS = 2.0  # between two looks of a drill: what brokers say is of so long
 A = TypeVar("A")
 
 
@@ -56,7 +59,7 @@
         server = KeeperServer(loop, process.net, decider,
                               {other: address for other, address in enumerate(where) if other != number},
                               seed=number + 1, log=process.log, events=process.events,
-                              zones=ZoneDesk(fleet.zones, bears=fleet.zone_bears) if fleet.evacuate else None,
+                              zones=desk_of(process.market) if fleet.evacuate else None,
                               fleet=fleet.called)
 
         def reread() -> None:
@@ -215,17 +218,22 @@
     """Zones that the fleet has left or leaves, and an operator's word on them."""
 
 
+def _ask_zones(addresses: list[str], order: frames.Order) -> tuple[dict[str, frames.Zones | str], list[frames.Zones]]:
+    """What each keeper says to a word on a zone, or why nothing; and of these who decides."""
+    told: dict[str, frames.Zones | str] = {}
+    for address in addresses:
+        try:
+            told[address] = ask(address, order, frames.Zones)
+        except (OSError, ValueError, frames.FrameError) as problem:
+            told[address] = str(problem)
+    return told, [answer for answer in told.values() if isinstance(answer, frames.Zones) and answer.decides]
+
+
 def _zone_word(word: str, text: str) -> click.Command:
     def command(config: str, keepers: str, as_json: bool, **more: str) -> None:
         addresses = _where(config, keepers)[1]
         order = frames.Order(word, getpass.getuser(), more.get("why", ""), more.get("zone", ""))
-        told: dict[str, frames.Zones | str] = {}
-        for address in addresses:
-            try:
-                told[address] = ask(address, order, frames.Zones)
-            except (OSError, ValueError, frames.FrameError) as problem:
-                told[address] = str(problem)
-        deciding = [answer for answer in told.values() if isinstance(answer, frames.Zones) and answer.decides]
+        told, deciding = _ask_zones(addresses, order)
         if as_json:
             click.echo(json.dumps({address: msgspec.to_builtins(answer) for address, answer in told.items()}, indent=1))
         for answer in deciding:
@@ -252,3 +260,60 @@
                      ("return", "Come back to ZONE, in steps."), ("pin", "Leave ZONE as it is until unpin."),
                      ("unpin", "Let ZONE be decided again.")):
     zone.add_command(_zone_word(_word, _text))
+
+
+@zone.command()
+@click.argument("zone")
+@click.option("--seconds", default=20.0, show_default=True, help="How long to stay away.")
+@click.option("--most", default=0.05, show_default=True, help="Share lost elsewhere beyond the usual, from which the "
+                                                              "drill is called off.")
+@click.option("--why", default="a drill", show_default=True, help="For the log.")
+@_options
+def drill(config: str, keepers: str, as_json: bool, zone: str, seconds: float, most: float, why: str) -> None:
+    """Leave a healthy ZONE and come back to it, and report what that cost. Exit 1 where it was called off.
+
+    Ended half way by a signal, it says return before it goes.
+    """
+    addresses = _where(config, keepers)[1]
+
+    def say(word: str) -> frames.Zones:
+        deciding = _ask_zones(addresses, frames.Order(word, getpass.getuser(), why, zone))[1]
+        if not deciding:
+            raise click.ClickException("no keeper decides at this moment: the last decision stands")
+        if deciding[0].text:
+            raise click.ClickException(deciding[0].text)
+        return deciding[0]
+
+    def clock() -> int:
+        return time.monotonic_ns() // 1000
+
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    view = say("status")
+    state = view.states.get(zone)
+    if state is None:
+        raise click.ClickException(f"no zone '{zone}'; there are {', '.join(sorted(view.states))}")
+    if state != SERVED:
+        raise click.ClickException(f"{zone} is {state}: a drill leaves a zone that is served")
+    course, began, before = Drill(zone, clock(), int(seconds * 1e6), most), clock(), ""
+    away = False
+    try:
+        while course.stage != "over":
+            word = course.look(clock(), view.states[zone].partition(",")[0], rows_in(view.seen))
+            if word:
+                say(word)
+                away = word == "leave"
+            if course.stage != before and not as_json:
+                click.echo(f"{(clock() - began) / 1e6:6.1f} s  {course.stage}")
+            before = course.stage
+            time.sleep(LOOK_SECONDS)
+            view = say("status")
+    finally:
+        if away:
+            say("return")
+    rows = course.report()
+    click.echo(json.dumps({"zone": zone, "called_off": course.why, "stages": rows}, indent=1) if as_json
+               else _table([{key: value for key, value in row.items() if key != "lost_by_class"} for row in rows]))
+    if course.why:
+        click.echo(f"called off: {course.why}", err=True)
+        sys.exit(1)
+
--- a/heathwell/codec/frames.py
+++ b/heathwell/codec/frames.py
@@ -187,6 +187,7 @@
     good: int = 0
     late: int = 0
     bad: int = 0
+    took_ms: int = 0
 
 
 class ZoneWord(msgspec.Struct, omit_defaults=True):
@@ -384,6 +385,7 @@
     text: str = ""
     decision: ZoneDecision | None = None
     states: dict[str, str] = {}
+    seen: list[ZoneSeen] = []
 
 
 class Course(Message, tag="course"):
--- a/heathwell/control/messages.py
+++ b/heathwell/control/messages.py
@@ -69,15 +69,24 @@
 
 def seen_out(summary: Summary) -> list[frames.ZoneSeen]:
     """A broker's word on zones to the wire."""
-    return [frames.ZoneSeen(zone, klass, seen.good, seen.late, seen.bad)
-            for (zone, klass), seen in list(summary.seen.items())[:SEEN_MOST]]
+    return rows_out(summary.seen)
+
+
+def rows_out(seen: dict[tuple[str, str], Seen]) -> list[frames.ZoneSeen]:
+    """What was seen, by zone and class, to the wire."""
+    return [frames.ZoneSeen(zone, klass, some.good, some.late, some.bad, some.took_ms)
+            for (zone, klass), some in list(seen.items())[:SEEN_MOST]]
+
+
+def rows_in(rows: list[frames.ZoneSeen]) -> dict[tuple[str, str], Seen]:
+    """What was seen, by zone and class, from the wire."""
+    return {(row.zone, row.klass): Seen(max(0, row.good), max(0, row.late), max(0, row.bad), max(0, row.took_ms))
+            for row in rows[:SEEN_MOST]}
 
 
 def seen_in(message: frames.Renew) -> Summary:
     """A broker's word on zones from the wire."""
-    return Summary(message.name, message.zone, {
-        (row.zone, row.klass): Seen(max(0, row.good), max(0, row.late), max(0, row.bad))
-        for row in message.seen[:SEEN_MOST]}, message.cut_off)
+    return Summary(message.name, message.zone, rows_in(message.seen), message.cut_off)
 
 
 def decision_out(decision: Decision) -> frames.ZoneDecision | None:
--- a/heathwell/control/zones.py
+++ b/heathwell/control/zones.py
@@ -8,17 +8,29 @@
 
 from heathwell.codec import frames
 from heathwell.control import messages
-from heathwell.evacuation import Decider, Decision, Figures, Summary
+from heathwell.evacuation import PROBE, Capacity, Decider, Decision, Figures, Seen, Summary
+from heathwell.settings import Market
 
 HEAR_US = 2_500_000  # before it begins to decide: brokers renew more often
 LOADED_US = 2_000_000  # over which what brokers saw is summed
 
 
+def desk_of(market: Market) -> ZoneDesk:
+    """The desk that a fleet's settings ask for."""
+    return ZoneDesk(market.fleet.zones, bears=market.fleet.zone_bears,
+                    worth={spec.name: spec.worth for spec in market.classes})
+
+
 class ZoneDesk:
-    """``bears`` are parts a second that one zone's hosts bear, 0 for not known."""
+    """``bears`` are parts a second that one zone's hosts bear, 0 for what their answers tell; ``worth`` is that of a
+    part, by class. ``decides`` makes the decider (for the laboratory's others)."""
 
-    def __init__(self, zones: list[str], figures: Figures | None = None, bears: int = 0) -> None:
+    def __init__(self, zones: list[str], figures: Figures | None = None, bears: int = 0,
+                 worth: dict[str, float] | None = None, decides: type[Decider] = Decider) -> None:
         self.names, self.figures, self.bears = zones, figures or Figures(), bears
+        self.worth, self.decides = worth or {}, decides
+        self.capacity = Capacity(LOADED_US)
+        self._learned_at = 0
         self.decision = Decision(0, 0)
         self.decider: Decider | None = None
         self._since: int | None = None
@@ -46,20 +58,33 @@
         if self.decider is None:
             if now - self._since < HEAR_US:
                 return []
-            self.decider = Decider(self.names, self.figures, self.decision.term + 1, now, self.decision)
+            self.decider = self.decides(self.names, self.figures, self.decision.term + 1, now, self.decision)
+            self.decider.worth = self.worth
             for at, word in self._words.values():
                 self.decider.heard(at, word)
-        if self.bears:
-            load = dict.fromkeys(self.names, 0.0)
-            for _, word in self._words.values():
-                for (zone, _), seen in word.seen.items():
-                    if zone in load:
-                        load[zone] += seen.total * 1e6 / LOADED_US
-            self.decider.loads(load, dict.fromkeys(self.names, float(self.bears)))
+        seen = self.seen()
+        rates = {key: some.total * 1e6 / LOADED_US for key, some in seen.items() if key[1] != PROBE}
+        if now - self._learned_at >= LOADED_US:
+            self._learned_at = now
+            for name in self.names:
+                self.capacity.saw(now, name, {klass: some for (zone, klass), some in seen.items()
+                                              if zone == name and klass != PROBE})
+        self.decider.loads(
+            {name: sum(rate for (zone, _), rate in rates.items() if zone == name) for name in self.names},
+            {name: float(self.bears) or self.capacity.bears(now, name) for name in self.names}, rates)
         told = self.decider.look(now)
         self.told(self.decider.decision)
         return told
 
+    def seen(self) -> dict[tuple[str, str], Seen]:
+        """What all brokers together saw lately, by zone and class."""
+        sums: dict[tuple[str, str], Seen] = {}
+        for _, word in self._words.values():
+            for key, some in word.seen.items():
+                if key[0] in self.names:
+                    sums[key] = sums.get(key, Seen()) + some
+        return sums
+
     def order(self, now: int, order: frames.Order) -> frames.Zones:
         """An operator's word."""
         text = ""
@@ -72,4 +97,5 @@
         states = {} if self.decider is None else {
             name: zone.state + (f", pinned by {zone.pinned}" if zone.pinned else "")
             for name, zone in self.decider.zones.items()}
-        return frames.Zones(self.decider is not None, text, messages.decision_out(self.decision), states)
+        return frames.Zones(self.decider is not None, text, messages.decision_out(self.decision), states,
+                            messages.rows_out(self.seen()))
--- a/heathwell/evacuation/__init__.py
+++ b/heathwell/evacuation/__init__.py
@@ -3,6 +3,7 @@
 Each broker sums up what it saw of each zone; the deciding keeper weighs these, and one numbered decision goes to all.
 """
 
+from heathwell.evacuation.capacity import Capacity
 from heathwell.evacuation.decider import (
     DOUBTED,
     LEAVING,
@@ -15,7 +16,8 @@
     Figures,
     ZoneWord,
 )
-from heathwell.evacuation.evidence import Evidence, Seen, Summary
+from heathwell.evacuation.drill import Drill
+from heathwell.evacuation.evidence import PROBE, Evidence, Seen, Summary
 
-__all__ = ["DOUBTED", "LEAVING", "LEFT", "RETURNING", "SERVED", "STEPS", "Decider", "Decision", "Evidence", "Figures",
-           "Seen", "Summary", "ZoneWord"]
+__all__ = ["DOUBTED", "LEAVING", "LEFT", "PROBE", "RETURNING", "SERVED", "STEPS", "Capacity", "Decider", "Decision",
+           "Drill", "Evidence", "Figures", "Seen", "Summary", "ZoneWord"]
--- a/heathwell/evacuation/decider.py
+++ b/heathwell/evacuation/decider.py
@@ -95,8 +95,10 @@
         self.figures, self.term, self.number = figures, term, 0
         self.zones = {zone: _Zone(since_us=now, stay_us=figures.stay_us) for zone in zones}
         self.words: dict[str, tuple[int, Summary]] = {}
-        self.load: dict[str, float] = {}  # parts a second that a zone's hosts answer, and the most they did
+        self.load: dict[str, float] = {}  # parts a second that a zone's hosts answer, and the most they bear
         self.capacity: dict[str, float] = {}
+        self.by_class: dict[tuple[str, str], float] = {}  # of the load, by zone and class
+        self.worth: dict[str, float] = {}  # of a part, by class; none: all alike
         for name, word in (standing.zones if standing is not None else {}).items():
             if name in self.zones:
                 zone = self.zones[name]
@@ -111,9 +113,10 @@
         """A broker's word; the last one counts, while it is fresh."""
         self.words[summary.broker] = now, summary
 
-    def loads(self, load: dict[str, float], capacity: dict[str, float]) -> None:
-        """By zone, parts a second answered now and the most that its hosts bear, from their answers."""
-        self.load, self.capacity = load, capacity
+    def loads(self, load: dict[str, float], capacity: dict[str, float],
+              by_class: dict[tuple[str, str], float] | None = None) -> None:
+        """By zone, parts a second asked now and the most that its hosts bear; the former by class too, where known."""
+        self.load, self.capacity, self.by_class = load, capacity, by_class or {}
 
     def order(self, now: int, zone: str, word: str, who: str, why: str) -> str:
         """An operator's: leave, return, pin (it stays as it is until unpin), unpin. What is wrong, or nothing."""
@@ -145,7 +148,7 @@
         self.words = {broker: (at, word) for broker, (at, word) in self.words.items() if at > fresh}
         told = []
         for name, zone in self.zones.items():
-            if not zone.pinned:
+            if not zone.pinned or zone.state == LEAVING:  # what an operator began is finished, too
                 before = zone.state, zone.step
                 self._look_at(now, name, zone)
                 if (zone.state, zone.step) != before:
@@ -167,11 +170,13 @@
         if after is None:
             return
         if after == LEAVING:
+            if event == "leave":
+                zone.only = ()
             flaps = now - zone.left_us < self.figures.calm_us
             zone.stay_us = min(2 * zone.stay_us, self.figures.stay_most_us) if flaps else self.figures.stay_us
             zone.left_us = now
         if after == RETURNING and zone.state != RETURNING:
-            zone.step, zone.share, zone.only = 0, STEPS[0], ()
+            zone.step, zone.share = 0, STEPS[0]  # where classes alone have left, they alone come back
         if after == SERVED:
             zone.share, zone.only = 1.0, ()
         if after == LEFT and zone.state == RETURNING:
@@ -202,7 +207,7 @@
                 self._step(now, name, zone, age)
 
     def _step(self, now: int, name: str, zone: _Zone, age: int) -> None:
-        seen = self._from_outside(name)[0]
+        seen = sum((self._from_outside(name, klass)[0] for klass in zone.only or (None,)), Seen())
         # Few attempts say little: what is lost must be beyond what chance brings.
         chance = 1.5 * math.sqrt(seen.loss * (1 - seen.loss) / seen.total) if seen.total else 0.0
         if seen.total >= self.figures.least and seen.loss - chance > 1 - self.figures.probes:
@@ -281,6 +286,19 @@
             return 0.0, (), f"the others bear {capacity:.0f} parts a second, {load:.0f} are asked"
         mine = max(self.load.get(name, 0.0), load - room, 1e-9)
         stays = min(1.0, (load - room) / mine)
+        leave = self._worth_most(name, room - (load - mine))
+        if leave:
+            return 0.0, leave, f"{', '.join(leave)} alone: the others bear {capacity:.0f} parts a second of {load:.0f}"
         if stays >= 0.95:
             return 1.0, (), f"the others bear {capacity:.0f} parts a second of {load:.0f}"
         return stays, (), f"{stays:.0%} stays: the others bear {capacity:.0f} parts a second of {load:.0f}"
+
+    def _worth_most(self, name: str, spare: float) -> tuple[str, ...]:
+        """The classes that the others can take over whole, by their worth; nothing where that is not known."""
+        mine = {klass: rate for (zone, klass), rate in self.by_class.items() if zone == name and klass in self.worth}
+        taken: list[str] = []
+        for klass in sorted(mine, key=lambda klass: (-self.worth[klass], klass)):
+            if mine[klass] <= spare:
+                taken.append(klass)
+                spare -= mine[klass]
+        return tuple(sorted(taken)) if len(taken) < len(mine) else ()
--- a/heathwell/evacuation/evidence.py
+++ b/heathwell/evacuation/evidence.py
@@ -7,7 +7,8 @@
 
 SPAN_US, SPANS = 500_000, 4  # what is said is of the last two seconds
 CLASSES_MOST, ZONES_MOST = 32, 64
-GOOD, LATE, BAD = "good", "late", "bad"
+PROBE = "probe"  # what probes are told as, beside classes
+GOOD, LATE, BAD, TOOK = "good", "late", "bad", "took"
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +19,7 @@
     good: int = 0
     late: int = 0
     bad: int = 0
+    took_ms: int = 0  # of those answered, summed
 
     @property
     def total(self) -> int:
@@ -25,7 +27,8 @@
         return self.good + self.late + self.bad
 
     def __add__(self, other: Seen) -> Seen:
-        return Seen(self.good + other.good, self.late + other.late, self.bad + other.bad)
+        return Seen(self.good + other.good, self.late + other.late, self.bad + other.bad,
+                    self.took_ms + other.took_ms)
 
     @property
     def loss(self) -> float:
@@ -54,15 +57,17 @@
         self.broker, self.zone = broker, zone
         self._spans: deque[tuple[int, dict[tuple[str, str], dict[str, int]]]] = deque(maxlen=SPANS)
 
-    def ended(self, now: int, zone: str, klass: str, how: str) -> None:
-        """An attempt at a zone's host ended, or is late by now: ``good``, ``late`` or ``bad``."""
+    def ended(self, now: int, zone: str, klass: str, how: str, took_us: int = 0) -> None:
+        """An attempt at a zone's host ended, or is late by now: ``good``, ``late`` or ``bad``; it took so long."""
         span = now // SPAN_US
         if not self._spans or self._spans[-1][0] != span:
             self._spans.append((span, {}))
         sums = self._spans[-1][1]
         if (zone, klass) not in sums and len(sums) >= CLASSES_MOST * ZONES_MOST:
             return
-        sums.setdefault((zone, klass), defaultdict(int))[how] += 1
+        row = sums.setdefault((zone, klass), defaultdict(int))
+        row[how] += 1
+        row[TOOK] += took_us
 
     def summary(self, now: int) -> Summary:
         """What it saw in the last spans."""
@@ -70,7 +75,8 @@
         for span, sums in self._spans:
             if span > first:
                 for key, hows in sums.items():
-                    seen[key] = seen.get(key, Seen()) + Seen(hows.get(GOOD, 0), hows.get(LATE, 0), hows.get(BAD, 0))
+                    seen[key] = seen.get(key, Seen()) + Seen(
+                        hows.get(GOOD, 0), hows.get(LATE, 0), hows.get(BAD, 0), hows.get(TOOK, 0) // 1000)
         zones = defaultdict[str, Seen](Seen)
         for (zone, _), some in seen.items():
             zones[zone] = zones[zone] + some
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -103,7 +103,7 @@
             for index, spec in enumerate(broker.settings.classes):
                 shares.add_metric((spec.name,), broker.served(index))
             yield shares
-            yield CounterMetricFamily("heathwell_clients_let_go", "Idle clients closed while cut off",
+            yield CounterMetricFamily("heathwell_clients_let_go", "Idle clients closed while cut off or in a left zone",
                                       value=broker.client_drain.let_go)
         if broker.spending is not None:
             shares = GaugeMetricFamily("heathwell_budget_share", "What may be used of the fleet's budget: units, of a "
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -84,18 +84,18 @@
             connection.gone()
 
     def _let_go(self) -> None:
-        """Idle clients of a broker that is cut off are closed as the decider draws them."""
+        """Idle clients of a broker that is cut off, or whose zone is left, are closed as the decider draws them."""
         broker, now = self.broker, self.broker.loop.now()
         if broker.dead:
             return
         broker.loop.call_at(now + DRAIN_LOOK_US, self._let_go)
-        broker.client_drain.look(now, broker.cut_off)
+        broker.client_drain.look(now, broker.sends_away)
         if not broker.client_drain.cut:
             return
         known = {connection.number: connection for connection in self.connections}
         for number in broker.client_drain.due(now, (
                 (c.number, c.since) for c in self.connections if c.idle)):
-            self.log("debug", "client let go while cut off", client=known[number].stream.peer)
+            self.log("debug", "client let go", client=known[number].stream.peer)
             known[number].stream.close()
 
     def hand_over(self) -> int:
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -10,6 +10,7 @@
 from heathwell.control.agent import FleetAgent
 from heathwell.control.keeper import KeeperServer
 from heathwell.control.wiring import budgets_of, times_of
+from heathwell.control.zones import ZoneDesk, desk_of
 from heathwell.eventlog import EventLog, ListEvents, NoEvents
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
@@ -32,7 +33,8 @@
         self.server = KeeperServer(
             loop, fleet.net_of(self.name), decider,
             {n: where for n, where in enumerate(fleet.keeper_addresses) if n != number}, seed=fleet.seed * 50 + number,
-            log=fleet.log, events=fleet.events(self.name, "keeper"))
+            log=fleet.log, events=fleet.events(self.name, "keeper"),
+            zones=fleet.desk(fleet.market) if spec.evacuate else None)
         self.server.start(address)
 
     def kill(self) -> None:
@@ -102,12 +104,14 @@
 
 class LocalFleet:
     """The fleet of a settings file. With ``into`` every process notes its events in that list; without ``keep`` the
-    keepers that settings name don't run."""
+    keepers that settings name don't run; ``desk`` makes their part in leaving zones."""
 
     def __init__(self, loop: Loop, net_of: NetOf, market: Market, seed: int = 1, *,
                  into: list[dict[str, Any]] | None = None, log: Callable[..., None] | None = None,
-                 host_of: Callable[[str], str] | None = None, keep: bool = True) -> None:
+                 host_of: Callable[[str], str] | None = None, keep: bool = True,
+                 desk: Callable[[Market], ZoneDesk] = desk_of) -> None:
         self.loop, self.net_of, self.market, self.seed = loop, net_of, market, seed
+        self.desk = desk
         self.into, self.log = into, log or (lambda *_args, **_fields: None)
         host = host_of or (lambda _name: "127.0.0.1")
         self.host_of = host
--- a/heathwell/lab/simulated.py
+++ b/heathwell/lab/simulated.py
@@ -4,12 +4,13 @@
 
 import json
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from heathwell.audit import AgeVerdict, Verdict, judge, judge_ages
 from heathwell.audit.reader import from_lines
 from heathwell.codec import frames
+from heathwell.control.zones import ZoneDesk, desk_of
 from heathwell.kernel import ConnectFailed, Coro, HostNet, Stream, StreamBroken, sleep, virtual_loop
 from heathwell.lab.figures import run_figures
 from heathwell.lab.fleet import LocalFleet
@@ -31,7 +32,8 @@
 
     def __init__(self, market: Market, seed: int, *, seconds: float = 25.0, rate: float = 30.0,
                  troubles: Sequence[tuple[str, float, float]] = HOST_TROUBLES, trouble_rate: float = 1.2,
-                 poison: float = 0.01, crashes: bool = True, tokens: bool = False, keep: bool = True) -> None:
+                 poison: float = 0.01, crashes: bool = True, tokens: bool = False, keep: bool = True,
+                 desk: Callable[[Market], ZoneDesk] = desk_of) -> None:
         self.market, self.seed, self.seconds, self.rate = market, seed, seconds, rate
         self.troubles, self.trouble_rate, self.poison = troubles, trouble_rate, poison
         self.crashes, self.tokens = crashes, tokens
@@ -41,7 +43,7 @@
         self.events: list[dict[str, Any]] = []
         self.note("run", figures=run_figures(market))
         self.fleet = LocalFleet(self.loop, self._net_of, market, seed, into=self.events,
-                                host_of=lambda name: name, keep=keep)
+                                host_of=lambda name: name, keep=keep, desk=desk)
         self.known_tokens: dict[str, str] = {}
         self.outcomes: dict[str, dict[str, int]] = {}
         for leaf in self.fleet.leaves:
--- a/heathwell/settings/schema.py
+++ b/heathwell/settings/schema.py
@@ -207,8 +207,10 @@
     dead: Annotated[int, _time("silence after which it is taken for dead", 200_000)] = 5_000_000
     drift: Annotated[float, _share("how much faster or slower a clock may run")] = 0.03
     evacuate: Annotated[bool, _say("leave a zone that fails, and come back to it, as a fleet")] = False
-    zone_bears: Annotated[int, _count("parts a second that the hosts of one zone bear; 0: not known, a sick zone is "
-                                      "left whole")] = 0
+    zone_bears: Annotated[int, _count("parts a second that the hosts of one zone bear; 0: what their answers "
+                                      "tell")] = 0
+    zone_let_go: Annotated[int, _time("brokers of a zone that is left close idle clients over so long; 0: keep "
+                                      "them")] = 10_000_000
     budgets: Annotated[list[FleetBudget], _each("budget", "budgets of the whole fleet")] = []
 
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -11,10 +11,13 @@
     RETURNING,
     SERVED,
     STEPS,
+    Capacity,
     Decider,
     Decision,
+    Drill,
     Evidence,
     Figures,
+    Seen,
     ZoneWord,
 )
 from heathwell.evacuation.decider import TABLE
@@ -179,6 +182,119 @@
     assert "not left" in none.decider.zones["b"].why
 
 
+def test_a_class_that_left_alone_comes_back_alone_and_in_steps():
+    """Coming back it took the other class, which was well, down to the first step with it."""
+    world = World()
+    world.loss = lambda source, target, klass: 1.0 if (target, klass) == ("b", "report") else 0.02
+    world.run(8)
+    world.loss = lambda *_: 0.02
+    world.run(60)
+    words = [decision.zones["b"] for _, decision in world.history if "b" in decision.zones]
+    assert {word.only for word in words} == {("report",)} and world.state("b") == SERVED
+    shares = [word.share for word in words]
+    assert shares == sorted(shares) and set(STEPS) <= set(shares)
+
+
+def test_where_not_all_can_be_borne_the_classes_worth_most_leave_whole():
+    world = World()
+    world.decider.worth = {"price": 2.0, "report": 1.0}
+    world.load = dict.fromkeys(ZONES, 75.0)  # 225 of which the others may be used for 180: 30 of the zone's 75
+    world.decider.loads = lambda load, capacity, plain=world.decider.loads: plain(
+        load, capacity, {("b", "price"): 25.0, ("b", "report"): 50.0})
+    world.loss = dead("b")
+    world.run(8)
+    word = world.decider.decision.zones["b"]
+    assert word.only == ("price",) and "price alone" in word.why
+    dear = World()
+    dear.decider.worth = {"price": 2.0, "report": 1.0}
+    dear.load = dict.fromkeys(ZONES, 75.0)
+    dear.decider.loads = lambda load, capacity, plain=dear.decider.loads: plain(
+        load, capacity, {("b", "price"): 37.0, ("b", "report"): 38.0})  # neither fits whole: a share of all
+    dear.loss = dead("b")
+    dear.run(8)
+    word = dear.decider.decision.zones["b"]
+    assert not word.only and 0.3 < word.share < 0.9
+
+
+# Capacity.
+
+def two_cores(rate, most, idle_ms=100.0, seconds=2):
+    """What two servers with one queue show at a rate (M/M/2)."""
+    used = min(rate / most, 0.98)
+    count = int(rate * seconds)
+    return {"price": Seen(good=count, took_ms=int(count * idle_ms / (1 - used ** 2)))}
+
+
+def test_capacity_is_told_by_answers_that_grow_slower_and_kept_while_a_zone_is_lost():
+    learned, now = Capacity(2 * S), 0
+    for rate in (10, 20, 40, 60, 80):  # of 100
+        now += 2 * S
+        learned.saw(now, "a", two_cores(rate, 100))
+        assert learned.bears(now, "a") >= rate
+        if rate >= 40:
+            assert 75 <= learned.bears(now, "a") <= 160, rate
+    assert 90 <= learned.bears(now, "a") <= 110  # near its end it is known well
+    learned.saw(now + 2 * S, "a", {"price": Seen(bad=100)})
+    assert 50 <= learned.bears(now + 2 * S, "a") <= 80  # what it was seen to bear in its usual time
+    assert learned.bears(now, "b") == 0.0
+
+
+def test_an_idle_zone_is_not_taken_to_bear_without_end():
+    learned = Capacity(2 * S)
+    learned.saw(2 * S, "a", two_cores(20, 10_000))
+    assert learned.bears(2 * S, "a") <= 4 * 20
+    learned.saw(4 * S, "a", {"price": Seen(good=3, took_ms=300)})  # a handful tells nothing
+    assert learned.bears(4 * S, "a") > 0
+
+
+# Drills.
+
+class Drilled:
+    """A drill over the fleet of figures."""
+
+    def __init__(self, seconds=10, most=0.05):
+        self.world = World().run(4)
+        self.drill = Drill("b", self.world.now, seconds * S, most)
+        self.words = []
+
+    def run(self, until="over", looks=120):
+        world = self.world
+        for _ in range(looks):
+            if self.drill.stage == until:
+                return self
+            seen: dict[tuple[str, str], Seen] = {}
+            for broker in world.brokers.values():
+                for key, some in broker.summary(world.now).seen.items():
+                    seen[key] = seen.get(key, Seen()) + some
+            word = self.drill.look(world.now, world.state("b"), seen)
+            if word:
+                self.words.append(word)
+                assert world.decider.order(world.now, "b", word, "ann", "a drill") == ""
+            world.run(2)
+        return self
+
+
+def test_a_drill_leaves_and_returns_and_tells_what_it_cost():
+    drilled = Drilled().run()
+    assert drilled.words == ["leave", "return"] and drilled.world.state("b") == SERVED and not drilled.drill.why
+    rows = {row["stage"]: row for row in drilled.drill.report()}
+    assert list(rows) == ["before", "leaving", "away", "returning", "after"]
+    assert 10 <= rows["away"]["seconds"] <= 14
+    assert rows["away"]["there_a_second"] < rows["before"]["there_a_second"] / 5
+    assert all(row["lost_elsewhere"] < 0.1 and set(row["lost_by_class"]) == {"price", "report"}
+               for row in rows.values() if row["seconds"] > 1)
+
+
+def test_a_drill_that_costs_too_much_elsewhere_is_called_off_and_comes_back():
+    drilled = Drilled(seconds=60)
+    world = drilled.world
+    world.loss = lambda source, target, klass: 0.3 if target != "b" and world.shares("b") < 0.5 else 0.02
+    drilled.run()
+    assert drilled.words == ["leave", "return"] and "more than usual" in drilled.drill.why
+    away = sum(row["seconds"] for row in drilled.drill.report() if row["stage"] in ("leaving", "away"))
+    assert away < 20 and world.state("b") == SERVED
+
+
 def test_of_two_sick_zones_one_is_left_and_never_the_last():
     world = World()
     world.loss = lambda source, target, klass: 1.0 if target in ("b", "c") else 0.02
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -1,12 +1,23 @@
 """Leaving a zone over processes: brokers, hosts and keepers of three zones, with faults between; judged from logs."""
 
+import json
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import urllib.error
+import urllib.request
 from pathlib import Path
 
 import pytest
 
 from heathwell.audit import judge_budgets
 from heathwell.lab.badday import Day
+from heathwell.lab.processes import ProcessFleet
 from heathwell.lab.script import load_script
+from heathwell.settings import load
 
 ROOT = Path(__file__).resolve().parent.parent
 MARKET = (ROOT / "examples/market-fleet.sx").read_text()
@@ -83,15 +94,20 @@
 QUICK = ("a zone's hosts killed and back cold",)
 
 
-@pytest.mark.parametrize("name", [pytest.param(name, marks=[] if name in QUICK else pytest.mark.fleet)
-                                  for name in CASES])
-def test_a_zone_is_left_and_come_back_to_as_it_should(name, tmp_path):
-    steps, seconds, shows = CASES[name]
+def write_market(path):
     text = MARKET
     for old, new in SWAPS:
         assert old in text
         text = text.replace(old, new)
-    (tmp_path / "market.sx").write_text(text)
+    path.write_text(text)
+    return path
+
+
+@pytest.mark.parametrize("name", [pytest.param(name, marks=[] if name in QUICK else pytest.mark.fleet)
+                                  for name in CASES])
+def test_a_zone_is_left_and_come_back_to_as_it_should(name, tmp_path):
+    steps, seconds, shows = CASES[name]
+    write_market(tmp_path / "market.sx")
     (tmp_path / "day.sx").write_text(
         f'(market "market.sx") (seconds {seconds}) (seed 3) (wires yes)\n'
         f"(load (rate 36) (clients 64) (mix price (share 3)) (mix report) (mix sale (share 2)))\n{steps}\n")
@@ -103,3 +119,115 @@
     for show in shows:
         found = show(day.logged)
         assert found is None or found
+
+
+class Asker(threading.Thread):
+    """A client of one broker that asks one thing after another, until told to stop."""
+
+    def __init__(self, address):
+        super().__init__(daemon=True)
+        self.address, self.stop, self.told = address, threading.Event(), 0
+
+    def run(self):
+        host, port = self.address.rsplit(":", 1)
+        with socket.create_connection((host, int(port)), 30) as sock:
+            while not self.stop.wait(0.05):
+                sock.sendall(b"get price:t%d\r\n" % (self.told % 40))
+                data = b""
+                while not data.endswith(b"END\r\n"):
+                    more = sock.recv(65_536)
+                    if not more:
+                        return
+                    data += more
+                self.told += 1
+
+
+@pytest.fixture
+def running(tmp_path):
+    path = write_market(tmp_path / "market.sx")
+    ports = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+    keepers = " ".join(f'"127.0.0.1:{port.getsockname()[1]}"' for port in ports)
+    for port in ports:
+        port.close()
+    path.write_text(re.sub(r"\(keepers [^)]*\)", f"(keepers {keepers})", path.read_text()))
+    config = str(path)
+    fleet = ProcessFleet(config, load(config))
+    askers = []
+    try:
+        fleet.up()
+        askers = [Asker(member.address) for member in fleet.of("broker")]
+        for asker in askers:
+            asker.start()
+        yield fleet, [sys.executable, "-m", "heathwell", "zone"], [
+            "--config", config, "--keepers", ",".join(member.address for member in fleet.of("keeper"))]
+    finally:
+        for asker in askers:
+            asker.stop.set()
+        fleet.down()
+
+
+def resting(address):
+    """A client that was answered once and asks for nothing more."""
+    host, port = address.rsplit(":", 1)
+    sock = socket.create_connection((host, int(port)), 60)
+    sock.sendall(b"version\r\n")
+    assert sock.recv(64).startswith(b"VERSION")
+    return sock
+
+
+def health(member):
+    try:
+        return urllib.request.urlopen(f"http://{member.ready['admin']}/healthz", timeout=30).read()
+    except urllib.error.HTTPError as problem:
+        return problem.read()
+
+
+def decides(command, where):
+    """Wait until a keeper decides: brokers are heard first."""
+    for _ in range(60):
+        if subprocess.run([*command, "status", *where], cwd=ROOT, capture_output=True, check=False).returncode == 0:
+            return
+    raise AssertionError("no keeper decides")
+
+
+@pytest.mark.fleet
+def test_a_drill_leaves_a_zone_lets_its_idle_clients_go_and_tells_what_it_cost(running):
+    """Processes of nine hosts, six brokers and three keepers, asked all the while."""
+    fleet, command, where = running
+    decides(command, where)
+    there = [member for member in fleet.of("broker") if member.zone == 1]
+    socks = [resting(member.address) for member in there for _ in range(4)]
+    others = [resting(member.address) for member in fleet.of("broker") if member.zone != 1]
+    drill = subprocess.Popen([*command, "drill", "hki-2", "--seconds", "14", "--json", *where], cwd=ROOT,
+                             stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    assert [sock.recv(64) for sock in socks] == [b""] * len(socks)  # let go, within the ten seconds of the settings
+    assert {health(member) for member in there} == {b"the fleet leaves this zone\n"}
+    assert {health(member) for member in fleet.of("broker") if member.zone != 1} == {b"ok\n"}
+    resting(there[0].address).close()  # who comes is served
+    out, err = drill.communicate(timeout=300)
+    assert drill.returncode == 0, (out, err)
+    rows = {row["stage"]: row for row in json.loads(out)["stages"]}
+    assert list(rows) == ["before", "leaving", "away", "returning", "after"]
+    assert rows["away"]["there_a_second"] < rows["before"]["there_a_second"] / 2
+    for sock in others:
+        sock.sendall(b"version\r\n")
+        assert sock.recv(64).startswith(b"VERSION")
+    assert {health(member) for member in there} == {b"ok\n"}
+
+
+@pytest.mark.fleet
+def test_a_drill_that_is_ended_half_way_comes_back_before_it_goes(running):
+    fleet, command, where = running
+    decides(command, where)
+    drill = subprocess.Popen([*command, "drill", "hki-2", "--seconds", "600", *where], cwd=ROOT,
+                             stdout=subprocess.PIPE, text=True)
+    for line in drill.stdout:
+        if "away" in line:
+            break
+    drill.send_signal(signal.SIGTERM)
+    assert drill.wait(60) == 143
+    for _ in range(120):
+        status = subprocess.run([*command, "status", *where], cwd=ROOT, capture_output=True, text=True, check=False)
+        if "hki-2: served" in status.stdout:
+            return
+    raise AssertionError(status.stdout)
