--- a/heathwell/evacuation/decider.py
+++ b/heathwell/evacuation/decider.py
@@ -11,7 +11,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from heathwell.evacuation.evidence import Seen, Summary
+from heathwell.evacuation.evidence import PROBE, Seen, Summary
 
 SERVED, DOUBTED, LEAVING, LEFT, RETURNING = "served", "doubted", "leaving", "left", "returning"
 
@@ -276,10 +276,11 @@
             return 1.0, (), "no other zone is served"
         if not capacity:
             return 0.0, (), "the others' capacity is not known"
-        sick_classes = sorted({klass for _, word in self.words.values() for (zone, klass) in word.seen if zone == name
-                               and self.sick(name, klass)[0]})
-        all_classes = {klass for _, word in self.words.values() for (zone, klass) in word.seen if zone == name}
-        if sick_classes and set(sick_classes) < all_classes:
+        # A class of which too little is seen is neither sick nor well: it goes with the zone.
+        told = {klass for _, word in self.words.values() for (zone, klass) in word.seen if zone == name
+                and klass != PROBE and self._from_outside(name, klass)[0].total >= self.figures.least}
+        sick_classes = sorted(klass for klass in told if self.sick(name, klass)[0])
+        if sick_classes and set(sick_classes) < told:
             return 0.0, tuple(sick_classes), f"only {', '.join(sick_classes)} is sick there"
         room = self.figures.room * capacity
         if load <= room:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -182,6 +182,18 @@
     assert "not left" in none.decider.zones["b"].why
 
 
+def test_a_class_of_which_little_is_seen_goes_with_its_zone():
+    """A zone killed whole kept a class that hardly anybody had asked there, and probes were taken for a class."""
+    world = World()
+    world.loss = dead("b")
+    for n in range(3):
+        world.brokers[f"b{n}"].ended(world.now + 4 * S, "b", "rare", "bad")
+    for broker in world.brokers.values():
+        broker.ended(world.now + 4 * S, "b", "probe", "good")
+    world.run(6)
+    assert world.state("b") in (LEAVING, LEFT) and world.decider.decision.zones["b"].only == ()
+
+
 def test_a_class_that_left_alone_comes_back_alone_and_in_steps():
     """Coming back it took the other class, which was well, down to the first step with it."""
     world = World()
