Zones: of three two may be gone; load is what was asked before the trouble; doubt stays without attempts

Two zones' hosts killed over processes: nothing was left. Tests in tests/test_evacuation.py fail without each.

--- a/heathwell/control/zones.py
+++ b/heathwell/control/zones.py
@@ -8,7 +8,7 @@
 
 from heathwell.codec import frames
 from heathwell.control import messages
-from heathwell.evacuation import PROBE, Capacity, Decider, Decision, Figures, Seen, Summary
+from heathwell.evacuation import PROBE, Capacity, Decider, Decision, Figures, Load, Seen, Summary
 from heathwell.settings import Market
 
 HEAR_US = 2_500_000  # before it begins to decide: brokers renew more often
@@ -29,7 +29,7 @@
                  worth: dict[str, float] | None = None, decides: type[Decider] = Decider) -> None:
         self.names, self.figures, self.bears = zones, figures or Figures(), bears
         self.worth, self.decides = worth or {}, decides
-        self.capacity = Capacity(LOADED_US)
+        self.capacity, self.load = Capacity(LOADED_US), Load(LOADED_US)
         self._learned_at = 0
         self.decision = Decision(0, 0)
         self.decider: Decider | None = None
@@ -63,7 +63,7 @@
             for at, word in self._words.values():
                 self.decider.heard(at, word)
         seen = self.seen()
-        rates = {key: some.total * 1e6 / LOADED_US for key, some in seen.items() if key[1] != PROBE}
+        rates = self.load.now({key: some for key, some in seen.items() if key[1] != PROBE})
         if now - self._learned_at >= LOADED_US:
             self._learned_at = now
             for name in self.names:
--- a/heathwell/evacuation/__init__.py
+++ b/heathwell/evacuation/__init__.py
@@ -3,7 +3,7 @@
 Each broker sums up what it saw of each zone; the deciding keeper weighs these, and one numbered decision goes to all.
 """
 
-from heathwell.evacuation.capacity import Capacity
+from heathwell.evacuation.capacity import Capacity, Load
 from heathwell.evacuation.decider import (
     DOUBTED,
     LEAVING,
@@ -20,4 +20,4 @@
 from heathwell.evacuation.evidence import PROBE, Evidence, Seen, Summary
 
 __all__ = ["DOUBTED", "LEAVING", "LEFT", "PROBE", "RETURNING", "SERVED", "STEPS", "Capacity", "Decider", "Decision",
-           "Drill", "Evidence", "Figures", "Seen", "Summary", "ZoneWord"]
+           "Drill", "Evidence", "Figures", "Load", "Seen", "Summary", "ZoneWord"]
--- a/heathwell/evacuation/capacity.py
+++ b/heathwell/evacuation/capacity.py
@@ -72,3 +72,24 @@
         if state is None:
             return 0.0
         return max(self._most(now, state), state.rate / max(state.used, 1 / BEYOND))
+
+
+class Load:
+    """Parts a second that are asked of each zone. Attempts are no measure of it in trouble: one part is tried again and
+    again. So it is what is answered while every zone is sound, and that from before while one is not."""
+
+    def __init__(self, span_us: int) -> None:
+        self._span = span_us
+        self._usual: dict[tuple[str, str], float] = {}
+
+    def now(self, seen: dict[tuple[str, str], Seen]) -> dict[tuple[str, str], float]:
+        """By zone and class, from what all brokers together saw in the last span."""
+        zones: dict[str, Seen] = {}
+        for (zone, _), some in seen.items():
+            zones[zone] = zones.get(zone, Seen()) + some
+        answered = {key: (some.good + some.late) * 1e6 / self._span for key, some in seen.items()}
+        if all(some.loss <= SOUND for some in zones.values()) or not self._usual:
+            self._usual = answered
+            return answered
+        more = max(1.0, sum(answered.values()) / max(sum(self._usual.values()), 1e-9))
+        return {key: rate * more for key, rate in self._usual.items()}
--- a/heathwell/evacuation/decider.py
+++ b/heathwell/evacuation/decider.py
@@ -227,34 +227,37 @@
     # The evidence, weighed.
 
     def _from_outside(self, name: str, klass: str | None = None) -> tuple[Seen, dict[str, Seen]]:
-        """What brokers of other zones that are not cut off saw of it, in all and by their zone."""
+        """What brokers of other zones saw of it, in all and by their zone."""
         by_zone: dict[str, Seen] = defaultdict(Seen)
-        for _, word in self.words.values():
-            if word.zone == name or word.cut_off:
-                continue
-            for (zone, of), seen in word.seen.items():
-                if zone == name and klass in (None, of):
-                    by_zone[word.zone] = by_zone[word.zone] + seen
+        for word, seen in self._witnesses(name, klass):
+            by_zone[word.zone] = by_zone[word.zone] + seen
         return sum(by_zone.values(), Seen()), dict(by_zone)
 
+    def _witnesses(self, name: str, klass: str | None = None) -> list[tuple[Summary, Seen]]:
+        """The words that count on a zone: of brokers of other zones. One that takes itself for cut off is heard only
+        where those that don't see the same: of three zones two may be gone, and nobody is cut off."""
+        words = [(word, sum((some for (zone, of), some in word.seen.items() if zone == name and klass in (None, of)),
+                            Seen())) for _, word in self.words.values() if word.zone != name]
+        sound = [(word, seen) for word, seen in words if not word.cut_off]
+        return words if sum((seen for _, seen in sound), Seen()).loss >= self.figures.sick else sound
+
     def sick(self, name: str, klass: str | None = None) -> tuple[bool, str]:
         """Whether the other zones agree that it is sick, and on what evidence."""
         seen, by_zone = self._from_outside(name, klass)
-        if seen.total < self.figures.least:
+        # Once doubted, a zone is not well for want of attempts: its hosts are ejected, and few go there any more.
+        least = self.figures.least if self.zones[name].state == SERVED else 1
+        if seen.total < least:
             return False, f"{seen.total} attempts tell too little"
         # Brokers can lie, or share a sick way: both their weight and the zones must agree. What one says that it saw is
         # its own word as well, so that it counts for no more than the median of them, however loud it is.
-        mine = {broker: sum((some for (zone, of), some in word.seen.items() if zone == name and klass in (None, of)),
-                            Seen())
-                for broker, (_, word) in self.words.items() if word.zone != name and not word.cut_off}
-        most = median_low([some.total for some in mine.values() if some.total] or [0])
+        words = self._witnesses(name, klass)
+        most = median_low([some.total for _, some in words if some.total])
         weights: dict[str, list[int]] = defaultdict(lambda: [0, 0])
-        for broker, some in mine.items():
-            row = weights[self.words[broker][1].zone]
-            row[0] += min(some.total, most)
-            row[1] += min(some.total, most) * (some.loss >= self.figures.sick)
+        for word, some in words:
+            weights[word.zone][0] += min(some.total, most)
+            weights[word.zone][1] += min(some.total, most) * (some.loss >= self.figures.sick)
         weight, against = (sum(row[n] for row in weights.values()) for n in (0, 1))
-        zones = [zone for zone, some in by_zone.items() if some.total >= self.figures.least // 2]
+        zones = [zone for zone, some in by_zone.items() if some.total >= max(1, least // 2)]
         say = [zone for zone in zones if weights[zone][1] >= self.figures.agree * weights[zone][0]]
         agreed = against >= self.figures.agree * weight and len(say) == len(zones) > 0
         if not agreed and say:
@@ -273,7 +276,8 @@
     def _how_much(self, name: str) -> tuple[float, tuple[str, ...], str]:
         """What is left there: the share that goes on, or the classes that leave, and why. Nobody is left without a
         holder: what only this zone holds goes on being asked there by those who decide for a query."""
-        rest = [other for other, zone in self.zones.items() if other != name and zone.state in (SERVED, DOUBTED)]
+        rest = [other for other, zone in self.zones.items() if other != name and zone.state in (SERVED, DOUBTED)
+                and not self.sick(other)[0]]
         capacity = sum(self.capacity.get(other, 0.0) for other in rest)
         load = sum(self.load.get(other, 0.0) for other in self.zones)
         if not rest:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -17,6 +17,7 @@
     Drill,
     Evidence,
     Figures,
+    Load,
     Seen,
     ZoneWord,
 )
@@ -270,6 +271,40 @@
     assert learned.bears(4 * S, "a") > 0
 
 
+def test_of_three_zones_two_may_be_gone_and_nobody_cut_off():
+    """Brokers of the third see nothing of any other zone, and take themselves for cut off; those of the two don't, and
+    see the same. Hosts are ejected, so that attempts there get few: a doubted zone is not well for want of them."""
+    world = World()
+    world.loss = lambda source, target, klass: 1.0 if target in ("b", "c") and source != target else 0.02
+    plain = world.shares
+    started = world.now + 2 * S
+    world.shares = lambda zone: plain(zone) if zone == "a" or world.now < started else 0.05
+    world.run(2)
+    assert world.brokers["b0"].summary(world.now).cut_off and not world.brokers["b1"].summary(world.now).cut_off
+    world.run(6)
+    assert world.state("b") in (LEAVING, LEFT) and world.state("c") in (LEAVING, LEFT) and world.state("a") == SERVED
+
+
+def test_load_is_what_was_asked_before_the_trouble_not_the_attempts_in_it():
+    """Parts of lost zones are tried again and again: three times the load was seen, and nothing could be left."""
+    load = Load(2 * S)
+    usual = {(zone, "price"): Seen(good=100) for zone in ZONES}
+    assert load.now(usual) == dict.fromkeys(usual, 50.0)
+    trouble = {("a", "price"): Seen(good=180), ("b", "price"): Seen(bad=400), ("c", "price"): Seen(bad=400)}
+    assert sum(load.now(trouble).values()) == 150.0
+    assert sum(load.now({("a", "price"): Seen(good=600), ("b", "price"): Seen(bad=400)}).values()) == 300.0  # it grew
+    assert load.now(usual) == dict.fromkeys(usual, 50.0)
+
+
+def test_a_zone_that_is_sick_itself_bears_nothing_of_another_that_is():
+    world = World()
+    world.capacity = {"a": 80.0, "b": 100.0, "c": 100.0}  # one zone bears 72 of the 90 that are asked
+    world.loss = lambda source, target, klass: 1.0 if target in ("b", "c") else 0.02
+    world.run(12)
+    words = world.decider.decision.zones
+    assert world.state("a") == SERVED and all(0 < words[zone].share < 1 for zone in words) and words
+
+
 # Drills.
 
 class Drilled:
