--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -1,6 +1,7 @@
-"""Leaving a zone as a fleet against three other ways: `.venv/bin/python benchmarks/zones.py [SEEDS [SIZE [JOBS]]]`.
+"""Leaving a zone as a fleet against three other ways: `benchmarks/zones.py [SEEDS [SIZE [JOBS [KINDS [VARIANTS]]]]]`.
 
-Days of each kind on virtual time, simulated hosts; SIZE is `small` (18 brokers, 18 hosts) or `large` (89 and 82).
+Days of each kind on virtual time, simulated hosts; SIZE is `tiny` (6 brokers, 9 hosts), `small` (18 and 18)
+or `large` (89 and 82); KINDS, with commas, are all where none are named; VARIANTS likewise.
 Prints a row a kind and variant, over the seeds: service of all classes, that of the worst five seconds, seconds to
 leave and to come back, how far apart brokers went by a decision, leavings of other zones, falls and rules. Exit 1 where
 a rule is broken, a cold host is pushed over, or a healthy or busy day leaves a zone.
@@ -18,7 +19,8 @@
 
 from heathwell.lab.zoneday import CALM, KINDS, VARIANTS, play
 
-SIZES: dict[str, dict[str, Any]] = {"small": {"brokers": 18, "hosts": 18, "rate": 40.0},
+SIZES: dict[str, dict[str, Any]] = {"tiny": {"brokers": 6, "hosts": 9, "rate": 20.0},
+                                    "small": {"brokers": 18, "hosts": 18, "rate": 40.0},
                                     "large": {"brokers": 89, "hosts": 82, "rate": 180.0}}
 
 
@@ -28,9 +30,9 @@
     return f"{min(times):g} to {max(times):g} ({len(times)})" if times else "-"
 
 
-def main(seeds: int, size: str, jobs: int) -> int:
+def main(seeds: int, size: str, jobs: int, kinds: tuple[str, ...], variants: tuple[str, ...]) -> int:
     """The table, and each day's figures as JSON lines on standard error."""
-    cases = list(product((*KINDS, *CALM), VARIANTS, range(1, seeds + 1)))
+    cases = list(product(kinds, variants, range(1, seeds + 1)))
     days: dict[tuple[str, str], list[dict[str, Any]]] = {}
     with ProcessPoolExecutor(jobs) as pool:
         futures = {pool.submit(play, variant, kind, seed, **SIZES[size]): (kind, variant)
@@ -42,7 +44,7 @@
     bad = 0
     print("| kind | variant | all | worst 5 s | left after s (days) | back after s (days) | apart s | other zones left"
           " | times left | fell | rules |\n|" + " --- |" * 11)
-    for kind, variant in product((*KINDS, *CALM), VARIANTS):
+    for kind, variant in product(kinds, variants):
         rows = days[kind, variant]
         others = sum(bool(row["others_left"]) for row in rows)
         fell, broken = sum(row["fell"] for row in rows), sum(row["broken"] for row in rows)
@@ -57,6 +59,7 @@
 
 
 if __name__ == "__main__":
-    words = sys.argv[1:]
-    sys.exit(main(int(words[0]) if words else 1, words[1] if len(words) > 1 else "small",
-                  int(words[2]) if len(words) > 2 else max(1, (os.cpu_count() or 2) - 1)))
+    words = [*sys.argv[1:], *("", "", "", "", "")][:5]
+    sys.exit(main(int(words[0] or 1), words[1] or "small", int(words[2] or max(1, (os.cpu_count() or 2) - 1)),
+                  tuple(words[3].split(",")) if words[3] else (*KINDS, *CALM),
+                  tuple(words[4].split(",")) if words[4] else VARIANTS))
