--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -52,7 +52,7 @@
 DEATHS = 2  # broken connections without an answer from which a query is given up: one is a chance crash
 WARY = 5.0  # aims after a lost connection in which one part of a query goes first
 LOST_COST = 4.0  # usual latencies that a part lost with its connection counts for in its server's pace
-VISITS = 3.0  # mean times between two of our parts at one server that what it did is known for at least
+VISITS = 3.0  # times between two of our parts at one server, if over an aim, that what it did is known for
 BAR_SPAN = 1.0  # aims of the first ejection; doubled while trials fail
 BAR_MOST = 8.0  # aims: the longest ejection, so that a recovered server is back soon
 COLD_SHARE = 0.6  # part of the cold budget used: the rest is for what this aggregator misjudges
@@ -839,8 +839,8 @@
         ratio = min(took / usual, 20.0) if usual else 1.0
         # A broker that seldom meets any server has but the last answer or two of each to go by, and by then
         # an aim is long over: one of many brokers would find each sick server anew at every visit.
-        rate = max(self._flow(), self.flow_best)
-        self.revisit = min(VISITS * len(self.servers) / rate, self.cfg.warm_within_us or KEPT * self.aim)
+        gap = len(self.servers) / max(self._flow(), self.flow_best)
+        self.revisit = min(VISITS * gap, self.cfg.warm_within_us or KEPT * self.aim) if gap > self.aim else 0
         pause = min(len(self.servers) / self._flow(), self.now - server.pace_at)
         gain = max(PACE_GAIN, PACE_MOST * (1 - exp(-2 * pause / (PACE_FADE * self.aim))))
         server.pace = self._pace(server) * (1 - gain) + ratio * gain
