--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -840,7 +840,7 @@
         # A broker that seldom meets any server has but the last answer or two of each to go by, and by then
         # an aim is long over: one of many brokers would find each sick server anew at every visit.
         way = len(self.servers) / max(self._flow(), self.flow_best)
-        self.revisit = min(VISITS * way, self.cfg.warm_within_us or KEPT * self.aim) if way > self.aim else 0.0
+        self.revisit = min(VISITS * way, self.cfg.warm_within_us or KEPT * self.aim) if way > self.aim else 0
         pause = min(len(self.servers) / self._flow(), self.now - server.pace_at)
         gain = max(PACE_GAIN, PACE_MOST * (1 - exp(-2 * pause / (PACE_FADE * self.aim))))
         server.pace = self._pace(server) * (1 - gain) + ratio * gain
