--- a/heathwell/lab/zoneday.py
+++ b/heathwell/lab/zoneday.py
@@ -19,6 +19,7 @@
 from heathwell.evacuation import LEFT, SERVED, Decider
 from heathwell.kernel import Coro, sleep
 from heathwell.lab.simulated import SimulatedDay
+from heathwell.lab.worthday import MARKET
 from heathwell.settings import Market, loads
 from heathwell.standins.leaf import Leaf
 
@@ -32,18 +33,7 @@
 SETTLE, BEFORE, TROUBLE, AFTER = 9.0, 6.0, 12.0, 33.0  # seconds; keepers decide from the third on
 WINDOW = 5.0
 LOST, FOR_US, WELL_US = 0.5, 2_000_000, 5_000_000  # of the fixed check
-MARKET = """
-(class price-search (aim 1s) (limit 2s) (worth 2) (late-worth 30%) (need 75%) (work 40ms))
-(class day-report (aim 1200ms) (limit 3s) (late-worth 10%) (fetch 5) (fetch-work 50%) (work 30ms))
-(class sale-record (aim 750ms) (limit 1500ms) (repeat keyed) (dedup 750ms) (late-worth 10%) (work 30ms))
-(keys sale (class sale-record) (shape record))
-(keys price (class price-search) (shape search) (parts 8))
-(keys report (class day-report) (shape report) (report-parts 4))
-(rules (drain-grace 1s) (fall-multiple 2.5) (fall-after 1s) (start-capacity 18%) (warm-within 17s))
-(limits (attempts 4) (open-cap 800) (by-work yes))
-(discovery (notice 300ms) (silent-notice 2s))
-(leaf (slots 1) (queue 12))
-"""
+HOSTS = "(leaf (slots 1) (queue 12))\n"
 
 
 class FixedCheck(Decider):
@@ -79,7 +69,7 @@
     if variant in KEPT:
         fleet += f' (keepers "k0:7100" "k1:7101" "k2:7102") (most {brokers}) (evacuate yes)'
     across = "".join(f"(region r{zone} (zones {zone}))" for zone in ZONES) if variant in ("itself", "fleet") else ""
-    return loads(MARKET + f"(fleet {fleet})" + (f"(across {across})" if across else ""))
+    return loads(MARKET + HOSTS + f"(fleet {fleet})" + (f"(across {across})" if across else ""))
 
 
 class ZoneDay(SimulatedDay):
@@ -187,7 +177,6 @@
         """Service by class and five seconds from the trouble's beginning on, decisions, falls and rules."""
         verdict = self.verdict()
         service: dict[str, dict[int, float]] = defaultdict(dict)
-        worst = 1.0
         windows: dict[int, list[int]] = defaultdict(lambda: [0, 0])
         for (klass, window), counts in sorted(self.ends.items()):
             asked, good = sum(counts.values()), counts.get("on time", 0)
