Module: decaying sums, timers, windows and buckets leave for heathwell/datastructures

Change: datastructures/ holds decaying sum and average, running mean, timer queue, rate-limited topics, sliding windows, token bucket, recent rank and ranking by groups; every figure is handed in. Tests name the new fields; no assertion is changed.

--- a/heathwell/broker/market.py
+++ b/heathwell/broker/market.py
@@ -221,7 +221,8 @@
             return None
         stated = plan.search.limit_us if plan.search is not None else 0
         limit = min(spec.limit_us, stated or spec.limit_us)
-        if limit < spec.limit_us and limit - self.market.limits.transit < NO_TIME * self.module.mean_took[plan.klass]:
+        least = NO_TIME * self.module.mean_took[plan.klass].value
+        if limit < spec.limit_us and limit - self.market.limits.transit < least:
             # A client that stated less time than even a quick answer takes: refused before it costs anything.
             self._refuse_at_door(spec, key, request, on_reply, "no time", self._advice(plan, who), who)
             return None
--- /dev/null
+++ b/heathwell/datastructures/timer_queue.py
@@ -0,0 +1,38 @@
+"""Timers in the order of their instants, first set first out among equals."""
+
+from __future__ import annotations
+
+import heapq
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class TimerQueue(Generic[T]):
+    """A priority queue of what is due when; setting and taking one costs O(log n)."""
+
+    __slots__ = ("_heap", "_serial")
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[int, int, T]] = []
+        self._serial = 0
+
+    def __len__(self) -> int:
+        """Items that are set."""
+        return len(self._heap)
+
+    def schedule(self, at_us: int, item: T) -> None:
+        """Make an item due at an instant."""
+        self._serial += 1
+        heapq.heappush(self._heap, (at_us, self._serial, item))
+
+    @property
+    def next_at_us(self) -> int | None:
+        """When the first item is due; None where there is none."""
+        return self._heap[0][0] if self._heap else None
+
+    def pop_due(self, now_us: int) -> T | None:
+        """Take the first item that is due by now; None where there is none."""
+        if self._heap and self._heap[0][0] <= now_us:
+            return heapq.heappop(self._heap)[2]
+        return None
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -201,7 +201,7 @@
         broker, now = self.broker, self.broker.loop.now()
         hosts = [{
             "node": server.node, "cell": server.cell, "zone": server.zone, "live": server.live,
-            "out": len(server.out), "pace": round(server.pace, 3),
+            "out": len(server.out), "pace": round(server.pace.value, 3),
             "ejected": {"all" if key < 0 else broker.settings.classes[key].name: {
                 "for_ms": max(0, bar.since + bar.span - now) // 1000, "trial": bar.trial, "dead": bar.dead}
                 for key, bar in server.bars.items()},
--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -8,14 +8,25 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter, deque
 from collections.abc import Iterator
 from math import exp, log
 
 from heathwell import interface as hw
-from heathwell.state import Attempt, Bar, Part, Query, Server
+from heathwell.datastructures import (
+    DecayingSum,
+    GroupRank,
+    RateLimitedTopics,
+    RecentRank,
+    RunningMean,
+    SlidingWindowCounter,
+    SlidingWindowSamples,
+    TimerQueue,
+    TokenBucket,
+    drain_by_rank,
+)
+from heathwell.state import Attempt, Bar, Due, Part, Query, Server
 
 LATE_SHARE = 0.5  # the design's mark: a part is late after half the aim that was left at its send
 EVERY = -1  # key of an ejection that holds for all classes, beside those of one class
@@ -60,6 +71,7 @@
 ASK_FIRST, ASK_MOST = 0.1, 0.45  # shares of the must-ask time (pushed: the grace): waits to ask again
 RECHECK = 0.1  # aims before a late part on a server that answers in turn is looked at again
 KEPT = 20  # aims that a server is known after it left the list, where it would be warm before
+LOG_EVERY = 10  # aims between two lines of one topic for the operators
 TOPICS = 64  # topics of lines for the operators from which old ones are forgotten
 FREE = (hw.LOST, hw.UNREACHABLE, hw.NEVER_SENT)  # ends after which a further attempt is not of our own budget
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
@@ -72,7 +84,7 @@
         self.cfg = settings
         self.random = random.Random(seed)
         self.revisit = 0.0
-        self.now = self.ticket = self.flow_at = 0
+        self.now = self.last_call = 0
         self.began: int | None = None
         self.actions: list[hw.Action] = []
         self.servers: dict[str, Server] = {}
@@ -80,28 +92,29 @@
         self.queries: dict[str, Query] = {}
         self.jobs: dict[int, Query] = {}
         self.strays: dict[tuple[str, int], Attempt] = {}
-        self.due: list[tuple[int, int, str, object]] = []
+        self.due: TimerQueue[Due] = TimerQueue()
         self.armed: int | None = None
         self.aim = min(c.aim_us for c in settings.classes)
-        self.tenants = [(0.0, 0)] * len(settings.tenants)
+        self.tenants = [DecayingSum() for _ in settings.tenants]
         self.death_at: int | None = None
-        self.mean_took, self.mean_hint = ([0.0] * len(settings.classes) for _ in range(2))
-        self.counted, self.hinted = ([0] * len(settings.classes) for _ in range(2))
+        self.mean_took = [RunningMean() for _ in settings.classes]
+        self.mean_hint = [RunningMean() for _ in settings.classes]
         self.tries: list[deque[int]] = [deque(maxlen=TRIES) for _ in settings.classes]
         self.last_ok = -1
-        self.taken: deque[int] = deque()
-        self.further: deque[int] = deque()
-        self.flow = self.flow_best = self.flow_rating = 0.0
-        self.worths: deque[float] = deque(maxlen=WORTHS)
-        self.recent: deque[tuple[int, float]] = deque()
-        self.tokens = FURTHER_MOST
+        self.taken = SlidingWindowCounter(settings.counted_over_us, includes_edge=False)
+        self.further = SlidingWindowCounter(settings.counted_over_us, includes_edge=True)
+        self.flow = DecayingSum()
+        self.flow_best = self.flow_rating = 0.0
+        self.worths = RecentRank(WORTHS)
+        self.recent = SlidingWindowSamples(RECENT_SPAN * self.aim)
+        self.budget = TokenBucket(FURTHER_MOST)
         # Pushed changes count as told at once: what a broken watch costs comes off the grace.
         within = settings.must_ask_us if settings.ask_mode else settings.drain_grace_us
         asks = (max(int(within * share), settings.tick_us) for share in (ASK_FIRST, ASK_MOST))
         self.ask_first, self.ask_most = asks
         self.ask_wait = self.ask_first
         self.asked_at: int | None = None
-        self.said: dict[str, int] = {}
+        self.topics = RateLimitedTopics(LOG_EVERY * self.aim, TOPICS)
         self.room: int | None = None
         self.cold_room: dict[str, int] | None = None
 
@@ -142,11 +155,11 @@
         for query in started.values():
             if query.id in self.queries:
                 self._open(query)
-        while self.due and self.due[0][0] <= now:
-            _, _, what, subject = heapq.heappop(self.due)
-            self._wake(what, subject)
-        if self.due and (self.armed is None or self.due[0][0] < self.armed):
-            self.armed = max(self.due[0][0], now + 1)
+        while due := self.due.pop_due(now):
+            self._wake(due.what, due.subject)
+        next_at = self.due.next_at_us
+        if next_at is not None and (self.armed is None or next_at < self.armed):
+            self.armed = max(next_at, now + 1)
             self.actions.append(hw.SetTimer(self.armed, "due"))
         return self.actions
 
@@ -158,9 +171,8 @@
                 (held.add if server.node in nodes else held.discard)(event.klass)
         for query in list(self.queries.values()) if event.shut else ():
             told = {EVERY, query.klass}
-            lost = [part for part in query.parts if not (part.done or part.lost) and part.step == query.step
-                    and (holders := [s for s in self._holders(part) if s.live])
-                    and all(s.shut & told for s in holders)]
+            pending = [p for p in query.parts if not (p.done or p.lost) and p.step == query.step]
+            lost = [part for part in pending if self._shut_off(part, told)]
             for part in lost:
                 part.lost = True
                 query.given -= part.weight if query.step == 1 else 0.0
@@ -169,9 +181,13 @@
             if lost and query.id in self.queries and query.got > 0:
                 self._settle(query)
 
+    def _shut_off(self, part: Part, told: set[int]) -> bool:
+        """Whether a part has live holders and all of them are shut."""
+        live = [server for server in self._holders(part) if server.live]
+        return bool(live) and all(server.shut & told for server in live)
+
     def _later(self, at: int, what: str, subject: object) -> None:
-        self.ticket += 1
-        heapq.heappush(self.due, (at, self.ticket, what, subject))
+        self.due.schedule(at, Due(what, subject))
 
     def _wake(self, what: str, subject: object) -> None:
         match subject:
@@ -192,10 +208,7 @@
 
     def _log(self, about: str, text: str) -> None:
         """One line for the operators, at most one a topic in ten aims."""
-        if self.now - self.said.get(about, -self.now - 1) >= 10 * self.aim or about not in self.said:
-            if len(self.said) >= TOPICS:
-                self.said = {old: at for old, at in self.said.items() if self.now - at < 10 * self.aim}
-            self.said[about] = self.now
+        if self.topics.admit(about, self.now):
             self.actions.append(hw.Log(text))
 
     # Fleet view
@@ -216,9 +229,11 @@
         for entry in news.servers:
             self._listed(entry)
         # Who left is known until it would be warm again and its parts have ended: then nothing hangs on it.
-        for server in [s for s in self.servers.values() if s.gone is not None and not s.out
-                       and self.now > s.gone + max(self.cfg.warm_within_us, KEPT * self.aim)]:
-            del self.servers[server.node]
+        kept_after = self.now - max(self.cfg.warm_within_us, KEPT * self.aim)
+        left = [s for s in self.servers.values() if s.gone is not None and not s.out]
+        for server in left:
+            if server.gone is not None and server.gone < kept_after:
+                del self.servers[server.node]
         self.cells = {}
         for server in self.servers.values():
             self.cells.setdefault(server.cell, []).append(server)
@@ -238,7 +253,8 @@
         elif entry.since_us and entry.since_us != server.since:
             # A new process: what was known of the old one is void, and it is cold.
             server.since, server.cold_from, server.credit = entry.since_us, None, None
-            server.errors, server.bars, server.pace, server.charge = {}, {}, 1.0, 0.0
+            server.errors, server.bars, server.charge.value = {}, {}, 0.0
+            server.pace.reset()
         if entry.state in (hw.LIVE, hw.DRAINING, hw.GONE):
             server.live = entry.state == hw.LIVE
             server.gone = (server.gone or self.now) if entry.state == hw.GONE else None
@@ -254,7 +270,7 @@
 
     def _query(self, event: hw.QueryArrived) -> None:
         spec = self.cfg.classes[event.klass]
-        self._count(self.taken, self.now)
+        self.taken.add(self.now)
         aim = spec.aim_us + int(spec.aim_stretch * (event.hint_us or 0))
         left = event.deadline_us - self.now
         # A try shorter than most of its class is a cut retry: its end tells when the client first asked.
@@ -272,20 +288,18 @@
         if self.now + self.cfg.tick_us < query.aim_at < event.deadline_us:
             self._later(query.aim_at - self.cfg.tick_us, "aim", query)
         if spec.fetch and spec.min_share < spec.need:
-            second = min(SECOND_STEP * self.mean_took[event.klass] or spec.aim_us / 4, spec.aim_us / 2)
+            second = min(SECOND_STEP * self.mean_took[event.klass].value or spec.aim_us / 4, spec.aim_us / 2)
             self._later(query.aim_at - self.cfg.tick_us - int(second), "cut", query)
 
     def _part(self, event: hw.PartArrived) -> Query | None:
-        self._count(self.taken, self.now)
+        self.taken.add(self.now)
         query = self.jobs.get(event.job)
         if query is None:
             return None
         part = Part(event.id, query, event.shard, event.weight, event.hint_us, query.step)
         query.parts.append(part)
         query.given += event.weight if query.step == 1 else 0.0
-        self.hinted[query.klass] += 1
-        gain = max(RATE_GAIN, 1 / self.hinted[query.klass])
-        self.mean_hint[query.klass] += ((event.hint_us or 0) - self.mean_hint[query.klass]) * gain
+        self.mean_hint[query.klass].add(event.hint_us or 0, RATE_GAIN)
         return query
 
     def _open(self, query: Query) -> None:
@@ -317,24 +331,15 @@
         groups: dict[int, list[Part]] = {}
         for part in parts:
             groups.setdefault(part.shard % self.cfg.cells, []).append(part)
-        heap = [self._group_rank(cell, group) for cell, group in groups.items()]
-        heapq.heapify(heap)
-        while heap:
-            _, cell, server, out = heap[0]
-            if server and len(server.out) != out:
-                heapq.heapreplace(heap, self._group_rank(cell, groups[cell]))
-                continue
-            yield groups[cell].pop(self.random.randrange(len(groups[cell])) if len(groups[cell]) > 1 else 0)
-            if not groups[cell]:
-                heapq.heappop(heap)
-
-    def _group_rank(self, cell: int, group: list[Part]) -> tuple[tuple[float, ...], int, Server | None, int]:
-        """A group's entry: its pick's rank, the tie the least of a draw a part, and the count it rests on."""
+        yield from drain_by_rank(groups, self._group_rank, _count_stands, self.random)
+
+    def _group_rank(self, group: list[Part]) -> GroupRank[tuple[Server, int] | None]:
+        """A group's rank: its pick's, the tie the least of a draw a part; it rests on that server's count."""
         server = self._pick(group[0])
         if server is None:
-            return (1e9, 0, 0), cell, None, 0
+            return GroupRank((1e9, 0, 0), None)
         tie = 1 - self.random.random() ** (1 / len(group))
-        return (self._load(server), self._tie(server)[1], tie), cell, server, len(server.out)
+        return GroupRank((self._load(server), self._tie(server)[1], tie), (server, len(server.out)))
 
     def _shed(self, query: Query) -> bool:
         """Load shedding: refuse at once what can't meet its aim at the pace of now, the least worth first."""
@@ -354,10 +359,8 @@
         density = spec.worth * self._share_worth(query)
         density *= 1.0 if query.aim_at > self.now else spec.late_worth
         if not self.cfg.by_work:
-            density /= max(query.work * self.mean_took[query.klass], 1e-9)
-        below = sum(d < density for d in self.worths) / max(1, len(self.worths))
-        self.worths.append(density)
-        return below
+            density /= max(query.work * self.mean_took[query.klass].value, 1e-9)
+        return self.worths.rank(density)
 
     def _queue_time(self, query: Query) -> float:
         """Little's law, the parts out over the rate of answers, where servers hold several parts of ours."""
@@ -377,15 +380,15 @@
             return 0.0
         picks = [(part, self._pick(part)) for part in query.parts]
         edge = self.now - PACE_FADE * self.aim  # else a jam's yardstick would refuse all, unseen to be over
-        slow = [self._pace(s) * self._usual(p) for p, s in picks if s and self._load(s) >= least
-                and s.pace_at > edge]
+        busy = [(p, s) for p, s in picks if s and self._load(s) >= least and s.pace.updated_at_us > edge]
+        slow = [self._pace(s) * self._usual(p) for p, s in busy]
         return max(slow, default=0.0)
 
     def _recent_time(self, query: Query) -> float:
         """What the slowest needed part takes by the latencies of late, those out counting by their age: tells
         overload to a broker that sees little of each server, unmoved by a few sick ones."""
         edge = self.now - RECENT_SPAN * self.aim
-        seen = [0.0] * RECENT_LEAST + [ratio for sent, ratio in self.recent if sent > edge]
+        seen = [0.0] * RECENT_LEAST + self.recent.since(edge)
         out = [a for a in self.strays.values() if a.outcome is None and a.sent > edge]
         seen += [self._ratio(a, self.now - a.sent) for a in out]
         need = self.cfg.classes[query.klass].need * len(query.parts) / (len(query.parts) + 1)
@@ -395,9 +398,7 @@
 
     def _remember(self, attempt: Attempt, took: float) -> None:
         """Keep a latency while its part counts as recent; shedding by counts never looks at them."""
-        while self.recent and self.recent[0][0] < self.now - RECENT_SPAN * self.aim:
-            self.recent.popleft()
-        self.recent.append((attempt.sent, self._ratio(attempt, took)))
+        self.recent.add(self.now, attempt.sent, self._ratio(attempt, took))
 
     def _ratio(self, attempt: Attempt, took: float) -> float:
         usual = self._usual(attempt.part)
@@ -405,20 +406,19 @@
 
     def _usual(self, part: Part) -> float:
         """The usual latency of the class, leaning to the hint: hints are rough, some wild."""
-        mean = self.mean_hint[part.query.klass]
+        mean = self.mean_hint[part.query.klass].value
         lean = HINT_TRUST * (part.hint / mean - 1) if part.hint and mean else 0.0
-        return self.mean_took[part.query.klass] * (1 + lean)
+        return self.mean_took[part.query.klass].value * (1 + lean)
 
     def _share_worth(self, query: Query) -> float:
         """Over its share a tenant's queries are worth little: so many of them as lie over it."""
         if query.tenant >= len(self.tenants) or not self.cfg.tenants[query.tenant].quota_rps:
             return 1.0
-        count, at = self.tenants[query.tenant]
         span = FLOW_SPAN * self.aim
-        count = count * exp((at - self.now) / span) + 1.0
-        self.tenants[query.tenant] = count, self.now
+        count = self.tenants[query.tenant]
+        count.add(self.now, 1.0, span)
         quota = self.cfg.tenants[query.tenant].quota_rps / 1e6 / self.cfg.siblings * span
-        return self.cfg.over_share_worth if self.random.random() * count > quota else 1.0
+        return self.cfg.over_share_worth if self.random.random() * count.value > quota else 1.0
 
     def _need(self, query: Query) -> float:
         spec = self.cfg.classes[query.klass]
@@ -439,11 +439,11 @@
 
     def _pick(self, part: Part) -> Server | None:
         """The usable holder with the fewest own parts out; ties by `_tie`."""
-        busy = {a.server.node for a in part.tries if a.outcome is None}
+        busy = {a.server.node for a in part.in_flight()}
         failed = {a.server.node for a in part.tries}
         told = {EVERY, part.query.klass}
-        open_to = [s for s in self._holders(part) if s.live and not s.shut & told and s.node not in busy
-                   and self._cold_room(s)]
+        allowed = [s for s in self._holders(part) if s.live and not s.shut & told]
+        open_to = [s for s in allowed if s.node not in busy and self._cold_room(s)]
         # Ejected servers and those this part has tried are left out, unless nobody else holds the shard.
         good = [s for s in open_to if self._usable(s, part.query.klass)]
         # Holders to be avoided (across a slow link, say) serve where no other can.
@@ -468,14 +468,14 @@
 
     def _charge(self, server: Server) -> float:
         """What cancelled and failed attempts may still cost: such a server only looks idle."""
-        return server.charge * exp((server.charge_at - self.now) / self._known(CHARGE_FADE))
+        return server.charge.at(self.now, self._known(CHARGE_FADE))
 
     def _add_charge(self, server: Server) -> None:
-        server.charge, server.charge_at = self._charge(server) + 1.0, self.now
+        server.charge.add(self.now, 1.0, self._known(CHARGE_FADE))
 
     def _pace(self, server: Server) -> float:
         """Recent latency against the fleet's usual (1.0), drifting back to it when unused."""
-        return 1.0 + (server.pace - 1.0) * exp((server.pace_at - self.now) / self._known(PACE_FADE))
+        return server.pace.at(self.now, self._known(PACE_FADE))
 
     def _known(self, aims: float) -> float:
         """How long what a server did is held for or against it (us): these aims, or until it is met again
@@ -505,8 +505,7 @@
         spec = self.cfg.classes[part.query.klass]
         if len(part.tries) >= self.cfg.max_attempts:
             return False
-        out = [a for a in part.tries if a.outcome is None]
-        if out and (not self.cfg.second_copies or spec.repeat == hw.UNSAFE):
+        if part.in_flight() and (not self.cfg.second_copies or spec.repeat == hw.UNSAFE):
             return False
         if self.now > self._repeat_until(part):
             return False
@@ -531,18 +530,9 @@
         """The stated budget, and our own: when many parts need further attempts these feed an overload. What
         was lost with its connection was not late, what met nobody is no load: our own is not for these. It is
         a guess at what all may do, and so stands back where that is told."""
-        edge = self.now - self.cfg.counted_over_us
-        while self.further and self.further[0] < edge:
-            self.further.popleft()
-        while self.taken and self.taken[0] <= edge:
-            self.taken.popleft()
-        most = self.cfg.free_resends + self.cfg.further_ratio * len(self.taken)
-        own = free or self.tokens >= 1 or self.room is not None
-        return own and (not self.cfg.counted_over_us or len(self.further) + 1 <= most)
-
-    def _count(self, when: deque[int], now: int) -> None:
-        if self.cfg.counted_over_us:
-            when.append(now)
+        most = self.cfg.free_resends + self.cfg.further_ratio * self.taken.count(self.now)
+        own = free or self.budget.has_token() or self.room is not None
+        return own and (not self.cfg.counted_over_us or self.further.count(self.now) + 1 <= most)
 
     def _send(self, part: Part, server: Server) -> None:
         further, cold = bool(part.tries) or part.spare, self.cold_room is not None and self.warmth(server) < 1
@@ -552,13 +542,14 @@
         if cold and self.cold_room:
             self.cold_room[server.node] -= 1
         if part.tries:
-            self.tokens -= part.tries[-1].outcome not in FREE
-            self._count(self.further, self.now)
+            if part.tries[-1].outcome not in FREE:
+                self.budget.spend()
+            self.further.add(self.now)
         else:
-            self.tokens = min(self.tokens + FURTHER_SHARE, FURTHER_MOST)
+            self.budget.earn(FURTHER_SHARE)
         if server.call_at != self.now or server.call_room < 1:
-            self.ticket += 1
-            server.call_at, server.call_id, server.call_room = self.now, self.ticket, self.cfg.parts_a_call
+            self.last_call += 1
+            server.call_at, server.call_id, server.call_room = self.now, self.last_call, self.cfg.parts_a_call
         server.call_room -= 1
         server.calls[server.call_id] = server.calls.get(server.call_id, 0) + 1
         attempt = Attempt(part, len(part.tries), server, self.now, server.call_id)
@@ -650,7 +641,7 @@
         self._judge(attempt, event.outcome)
         if query.id not in self.queries or part.done or part.step != query.step:
             return
-        if event.outcome == hw.CANCELLED or any(a.outcome is None for a in part.tries):
+        if event.outcome == hw.CANCELLED or part.in_flight():
             return
         if self._deadly(query):
             return
@@ -665,7 +656,7 @@
         """Whether only our own budget keeps the part from a further attempt, and it may earn one while the
         aim can be met: given up now, its client would ask for all parts anew."""
         wait = int(RETRY_WAIT * self.cfg.classes[part.query.klass].aim_us)
-        enough = self.tokens >= 1 if self.room is None else self.room >= 1
+        enough = self.budget.has_token() if self.room is None else self.room >= 1
         if enough or not self._may_resend(part, saved=True):
             return False
         if self.now + wait + self._usual(part) > part.query.aim_at:
@@ -700,7 +691,7 @@
     def _go_on(self, query: Query) -> None:
         """The first answer clears the query: parts held back or broken meanwhile are sent."""
         for part in query.parts:
-            if part.tries and not (part.done or part.waiting or any(a.outcome is None for a in part.tries)):
+            if part.tries and not (part.done or part.waiting or part.in_flight()):
                 self._place(part)
         self._open(query)
 
@@ -708,8 +699,7 @@
         """End a query at once when what is in, out, waiting or unsent can't make an answer any more."""
         spec = self.cfg.classes[query.klass]
         floor = min(spec.min_share, spec.need) if query.step == 1 or spec.min_share < spec.need else 1.0
-        reach = sum(p.weight for p in query.parts if p.step == query.step and (p.done or not p.lost and (
-            p.waiting or not p.tries or any(a.outcome is None for a in p.tries))))
+        reach = sum(p.weight for p in query.parts if p.step == query.step and p.can_contribute())
         if reach < floor - 1e-6:
             self._give_up(query)
 
@@ -794,8 +784,7 @@
         if outcome == hw.TIMED_OUT:
             self._silent(attempt)
         if outcome == hw.LOST:  # no load, no error of the server's: only less of a pick among equals
-            server.pace = self._pace(server) * (1 - PACE_GAIN) + LOST_COST * PACE_GAIN
-            server.pace_at = self.now
+            server.pace.add(self.now, LOST_COST, PACE_GAIN, self._known(PACE_FADE))
         if outcome in (hw.CANCELLED, hw.NEVER_SENT, hw.TIMED_OUT, hw.LOST):
             return
         self._add_charge(server)
@@ -819,8 +808,7 @@
         gap = self.now - server.last_ok
         server.last_sent = max(server.last_sent, attempt.sent)
         server.last_ok = self.last_ok = self.now
-        self.flow = 1.0 + self.flow * exp((self.flow_at - self.now) / (FLOW_SPAN * self.aim))
-        self.flow_at = self.now
+        self.flow.add(self.now, 1.0, FLOW_SPAN * self.aim)
         if self.now > (self.began or 0) + FLOW_SPAN * self.aim and self._flow() > self.flow_best:
             # Kept with the fleet that did it: servers lost since must not make the others look larger.
             self.flow_best, self.flow_rating = self._flow(), self._rating()
@@ -841,13 +829,10 @@
         # an aim is long over: one of many brokers would find each sick server anew at every visit.
         way = len(self.servers) / max(self._flow(), self.flow_best)
         self.revisit = min(VISITS * way, self.cfg.warm_within_us or KEPT * self.aim) if way > self.aim else 0
-        pause = min(len(self.servers) / self._flow(), self.now - server.pace_at)
+        pause = min(len(self.servers) / self._flow(), self.now - server.pace.updated_at_us)
         gain = max(PACE_GAIN, PACE_MOST * (1 - exp(-2 * pause / (PACE_FADE * self.aim))))
-        server.pace = self._pace(server) * (1 - gain) + ratio * gain
-        server.pace_at = self.now
-        self.counted[klass] += 1
-        gain = max(RATE_GAIN, 1 / self.counted[klass])
-        self.mean_took[klass] += (min(took, 3 * usual or took) - self.mean_took[klass]) * gain
+        server.pace.add(self.now, ratio, gain, self._known(PACE_FADE))
+        self.mean_took[klass].add(min(took, 3 * usual or took), RATE_GAIN)
 
     # Cold ramp
 
@@ -865,7 +850,7 @@
         """Parts a microsecond answered lately; answers, as what is turned away shows no capacity."""
         span = FLOW_SPAN * self.aim
         lived = max(self.now - (self.began or 0), self.cfg.tick_us) / span
-        return self.flow * exp((self.flow_at - self.now) / span) / (span * (1 - exp(-lived)))
+        return self.flow.at(self.now, span) / (span * (1 - exp(-lived)))
 
     def _rating(self) -> float:
         return sum(s.rating for s in self.servers.values() if s.live)
@@ -873,7 +858,7 @@
     def _least_rate(self, server: Server) -> float:
         """Our share of what any server does, one part after another by the hints: who starts beside cold
         servers has seen no answers, and without sending would see none until they are warm."""
-        hints = [hint for hint in self.mean_hint if hint]
+        hints = [mean.value for mean in self.mean_hint if mean.value]
         return server.rating * len(hints) / (sum(hints) * self.cfg.siblings) if hints else 0.0
 
     def _cold_room(self, server: Server) -> bool:
@@ -906,8 +891,8 @@
             self._settle(query)
             return
         got = query.got
-        enough = spec.min_share < spec.need and got >= spec.min_share - 1e-6 and (
-            query.step > 1 or not spec.fetch)
+        last_step = query.step > 1 or not spec.fetch
+        enough = spec.min_share < spec.need and got >= spec.min_share - 1e-6 and last_step
         if what == "aim" and spec.late_worth > (spec.partial_worth * got / spec.need if enough else 0.0):
             return
         if enough:
@@ -921,7 +906,7 @@
         query = self.queries.get(event.id)
         if query is None:
             return
-        for attempt in [a for part in query.parts for a in part.tries if a.outcome is None]:
+        for attempt in [a for part in query.parts for a in part.in_flight()]:
             if self.cfg.cancelling:
                 self._cancel(attempt)
         self._forget(query)
@@ -944,3 +929,8 @@
             after = int(min(spec.aim_us, self.cfg.max_advice_us) * self.random.uniform(0.5, 1.0))
             self.actions.append(hw.Refuse(query.id, after if self.cfg.advise else 0))
         self._forget(query)
+
+
+def _count_stands(basis: tuple[Server, int] | None) -> bool:
+    """Whether the count that a group's rank rests on is still the server's."""
+    return basis is None or len(basis[0].out) == basis[1]
--- a/heathwell/state.py
+++ b/heathwell/state.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from heathwell.datastructures import DecayingAverage, DecayingSum
 
 
 @dataclass(slots=True)
@@ -44,6 +47,14 @@
     waiting: bool = False
     spare: bool = False
 
+    def in_flight(self) -> list[Attempt]:
+        """Attempts that have had no outcome."""
+        return [attempt for attempt in self.tries if attempt.outcome is None]
+
+    def can_contribute(self) -> bool:
+        """Whether its answer is in or may still come."""
+        return self.done or (not self.lost and (self.waiting or not self.tries or bool(self.in_flight())))
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -75,10 +86,8 @@
     call_at: int = -1
     call_id: int = -1
     call_room: int = 0
-    charge: float = 0.0
-    charge_at: int = 0
-    pace: float = 1.0
-    pace_at: int = 0
+    charge: DecayingSum = field(default_factory=DecayingSum)
+    pace: DecayingAverage = field(default_factory=lambda: DecayingAverage(1.0))
     last_ok: int = -1
     last_sent: int = -1
     errors: dict[int, int] = field(default_factory=dict)
@@ -96,3 +105,10 @@
     span: int
     trial: bool = False
     dead: str = ""
+
+
+class Due(NamedTuple):
+    """What a timer is set for."""
+
+    what: str
+    subject: object
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -36,8 +36,8 @@
     agg.handle(1000, [hw.FleetNews(hw.FULL, servers_listed(servers), False)])
     draws = random.Random(seed)
     for server in agg.servers.values():
-        server.pace, server.pace_at = draws.uniform(0.4, 2.4), 2000
-        server.charge, server.charge_at = draws.choice((0.0, 0.0, 1.0, 2.0)), 2000
+        server.pace.value, server.pace.updated_at_us = draws.uniform(0.4, 2.4), 2000
+        server.charge.value, server.charge.updated_at_us = draws.choice((0.0, 0.0, 1.0, 2.0)), 2000
     return agg
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -305,7 +305,7 @@
             if n in (500, 1999):
                 broker, module = world.broker, world.broker.module
                 sizes.append([len(kept) for kept in (
-                    module.servers, module.said, module.due, module.strays, broker.links, broker.addresses,
+                    module.servers, module.topics, module.due, module.strays, broker.links, broker.addresses,
                     broker.queries, broker.parts, broker._sent_at, broker.counts, world.front.clients,
                     world.loop.tasks, world.loop._timers)])
     world.run(main())
@@ -334,8 +334,8 @@
             again = of(d.end(send, hw.LOST, after=1000, took=10_000), hw.Send)
             assert len(again) == 1 and again[0].node != send.node  # outside of the own budget, at another holder
             d.end(again[0], after=1000, seq=1)
-    assert not any(server.bars or server.charge for server in d.agg.servers.values())
-    assert d.agg.tokens >= 1
+    assert not any(server.bars or server.charge.value for server in d.agg.servers.values())
+    assert d.agg.budget.tokens >= 1
 
 
 def test_a_keyed_part_that_was_lost_is_sent_again_within_its_window_only(drive):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -233,13 +233,13 @@
     d = drive(fall_multiple=0.0)
     warm_up(d)
     server = d.agg.servers["s0"]
-    server.pace, server.pace_at = 8.0, d.now  # as after a run of slow answers
+    server.pace.value, server.pace.updated_at_us = 8.0, d.now  # as after a run of slow answers
     warm_up(d, shards=(3, 4, 5))
     d.query(1, [1], after=0), d.query(1, [1], after=0)  # its neighbours are busy now
     before = d.agg._pace(server)
     send = next(s for _ in range(9) for s in of(d.query(1, [0], after=0), hw.Send) if s.node == "s0")
     d.end(send, after=20_000, took=20_000)
-    assert server.pace - 1 > 0.8 * (before - 1) > 1
+    assert server.pace.value - 1 > 0.8 * (before - 1) > 1
 
 
 def test_a_query_past_its_time_and_a_batch_after_a_stall_end_once(drive):
@@ -461,7 +461,7 @@
         sends = of(d.step(5000, hw.QueryArrived(name, d.jobs, 1, d.now + 2 * AIM, 1),
                           hw.PartArrived(name + "/0", d.jobs, job % 6, 1.0, hint_us=hint)), hw.Send)
         d.end(sends[0], after=100_000, took=100_000)
-    assert 90_000 <= d.agg.mean_took[1] <= 110_000
+    assert 90_000 <= d.agg.mean_took[1].value <= 110_000
 
 
 def test_deadly_query_is_held_then_given_up_and_an_answer_clears_it(drive):
--- a/tests/test_seldom.py
+++ b/tests/test_seldom.py
@@ -48,7 +48,7 @@
     d = seldom()
     for _ in range(3):
         turned_away(d, "s7", 1)
-        d.agg.servers["s7"].charge = 0.0
+        d.agg.servers["s7"].charge.value = 0.0
         while sent_to(d, 7, AIM) != "s7":
             pass
     assert not d.agg.servers["s7"].bars
@@ -82,7 +82,7 @@
 
 def spend(d: Driver) -> None:
     """Use up the broker's own budget of further attempts."""
-    d.agg.tokens = 0.0
+    d.agg.budget.tokens = 0.0
 
 
 def test_a_part_that_met_nobody_is_sent_elsewhere_beyond_the_own_budget():
@@ -90,7 +90,7 @@
     spend(d)
     (send,) = of(d.query(1, [7]), hw.Send)
     (again,) = of(d.end(send, hw.UNREACHABLE), hw.Send)
-    assert again.node != send.node and d.agg.tokens >= 0
+    assert again.node != send.node and d.agg.budget.tokens >= 0
 
 
 def test_a_part_out_of_budget_waits_for_it_while_its_query_can_meet_the_aim():
@@ -100,7 +100,7 @@
     sends = of(d.query(1, [7, 17, 27]), hw.Send)
     seen = d.end(sends[0], hw.FULL_UP)
     assert not of(seen, hw.Refuse) and not of(seen, hw.Send)
-    d.agg.tokens = 1.0  # earned by the first parts of others
+    d.agg.budget.tokens = 1.0  # earned by the first parts of others
     again = of(d.wait(AIM // 10), hw.Send)
     assert [a.id for a in again] == [sends[0].id]
 
