--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -1,4 +1,5 @@
-"""Seeded days of keepers and brokers under random faults, virtual time: `python benchmarks/budgets.py [DAYS] [FIRST]`.
+"""Seeded days of keepers and brokers under random faults, virtual time: `python benchmarks/budgets.py [DAYS]
+[FIRST]`.
 
 Exit code 1 if more than the whole of a budget was held or used at any instant of any day.
 """
@@ -28,8 +29,11 @@
             if breaches:
                 broken += 1
                 print(f"seed {seed}: {breaches[0]} (and {len(breaches) - 1} more)")
-    print(f"{days} days from seed {first}: {broken} with an overshoot; {messages} messages, {deaths} brokers found "
-          "themselves dead")
+    print(
+        f"{days} days from seed {first}: {broken} with an overshoot; {messages} messages, {deaths} "
+        f"brokers found "
+        "themselves dead"
+    )
     return 1 if broken else 0
 
 
--- a/benchmarks/costs.py
+++ b/benchmarks/costs.py
@@ -109,6 +109,7 @@
     shard = 0
     for number in range(1000):  # a trader whose shard the first host holds
         import zlib  # noqa: PLC0415
+
         shard = zlib.crc32(f"t{number}".encode()) % 500
         if shard % 10 in (0, 9, 8):
             trader = f"t{number}"
@@ -137,7 +138,11 @@
     lines = [Line(member.address) for _ in range(window)]
     for line in lines:
         line.get(f"{key}:warm")
-    cpu, module, began = cpu_seconds(member.ready["pid"]), module_seconds(member.ready["admin"]), time.monotonic()
+    cpu, module, began = (
+        cpu_seconds(member.ready["pid"]),
+        module_seconds(member.ready["admin"]),
+        time.monotonic(),
+    )
     refused = 0
     for _ in range(count // window):
         for number, line in enumerate(lines):
@@ -149,9 +154,14 @@
     for line in lines:
         line.sock.close()
     done = count // window * window
-    return {"queries": done, "refused": refused, "broker CPU, us a query": round(cpu / done * 1e6, 1),
-            "module, us a query": round(module / done * 1e6, 1), "ratio": round(cpu / module, 2),
-            "queries a second": round(done / took, 1)}
+    return {
+        "queries": done,
+        "refused": refused,
+        "broker CPU, us a query": round(cpu / done * 1e6, 1),
+        "module, us a query": round(module / done * 1e6, 1),
+        "ratio": round(cpu / module, 2),
+        "queries a second": round(done / took, 1),
+    }
 
 
 def throughput(fleet: ProcessFleet, key: str, seconds: float, lines_count: int = 16, deep: int = 8) -> float:
@@ -200,7 +210,8 @@
             fleet.up()
             time.sleep(1.0)
             result = {
-                "machine": f"{os.cpu_count()} processors, {platform.machine()}, Python {platform.python_version()}",
+                "machine": f"{os.cpu_count()} processors, {platform.machine()}, Python "
+                "{platform.python_version()}",
                 "latency of a one-part get": latency(fleet, 300 if quick else 5000),
                 "6 parts": cost(fleet, "six", 160 if quick else 2000),
                 "40 parts": cost(fleet, "forty", 80 if quick else 600),
--- a/benchmarks/freshness.py
+++ b/benchmarks/freshness.py
@@ -1,7 +1,8 @@
-"""Stated ages against the truth over at least 20,000 answers, what each policy costs, and the processor's share.
+"""Stated ages against the truth over at least 20,000 answers, what each policy costs, and the processor's
+share.
 
-Virtual time, simulated hosts: `.venv/bin/python benchmarks/freshness.py [ANSWERS]`. Exit 1 when an answer states an
-age younger than the truth, or a rule is broken.
+Virtual time, simulated hosts: `.venv/bin/python benchmarks/freshness.py [ANSWERS]`. Exit 1 when an answer
+states an age younger than the truth, or a rule is broken.
 """
 
 from __future__ import annotations
@@ -46,15 +47,30 @@
 def one(name: str, seed: int) -> dict[str, Any]:
     """A day under a policy."""
     on, wish = POLICIES[name]
-    day = SimulatedDay(loads(TEXT.format(on=on, wish=wish)), seed, seconds=SECONDS, tokens=True,
-                       troubles=HOST_TROUBLES + LAG_TROUBLES * 3).run()
+    day = SimulatedDay(
+        loads(TEXT.format(on=on, wish=wish)),
+        seed,
+        seconds=SECONDS,
+        tokens=True,
+        troubles=HOST_TROUBLES + LAG_TROUBLES * 3,
+    ).run()
     verdict = day.verdict()
-    out: dict[str, Any] = {"policy": name, "seed": seed, "rules": [str(b) for b in verdict.breaches],
-                           "outcomes": day.outcomes, "judged": 0}
+    out: dict[str, Any] = {
+        "policy": name,
+        "seed": seed,
+        "rules": [str(b) for b in verdict.breaches],
+        "outcomes": day.outcomes,
+        "judged": 0,
+    }
     if name != "off":
         ages = day.ages()
-        out |= {"judged": ages.judged, "unknown": ages.unknown, "excess": ages.excess,
-                "young": [str(b) for b in ages.breaches], "true": ages.true_ages}
+        out |= {
+            "judged": ages.judged,
+            "unknown": ages.unknown,
+            "excess": ages.excess,
+            "young": [str(b) for b in ages.breaches],
+            "true": ages.true_ages,
+        }
     return out
 
 
@@ -72,7 +88,9 @@
                 fleet.up()
             time.sleep(1.0)
             for _ in range(rounds):
-                with_ages, without = (costs.cost(fleet, "six", 1600)["broker CPU, us a query"] for fleet in fleets)
+                with_ages, without = (
+                    costs.cost(fleet, "six", 1600)["broker CPU, us a query"] for fleet in fleets
+                )
                 ratios.append(with_ages / without)
         finally:
             for fleet in fleets:
@@ -102,8 +120,10 @@
             for klass, outcomes in row["outcomes"].items():
                 for kind, count in outcomes.items():
                     counts.setdefault(klass, {})[kind] = counts.setdefault(klass, {}).get(kind, 0) + count
-        shares = {klass: {kind: f"{count / sum(outcomes.values()):.1%}" for kind, count in sorted(outcomes.items())}
-                  for klass, outcomes in sorted(counts.items())}
+        shares = {
+            klass: {kind: f"{count / sum(outcomes.values()):.1%}" for kind, count in sorted(outcomes.items())}
+            for klass, outcomes in sorted(counts.items())
+        }
         young = sum(len(row.get("young", ())) for row in mine)
         broken = sum(len(row["rules"]) for row in mine)
         bad += young + broken
@@ -111,16 +131,25 @@
         if name != "off":
             excess = [value for row in mine for value in row["excess"]]
             true = [value for row in mine for value in row["true"]]
-            summary[name] |= {"answers": len(true), "unknown age": sum(row["unknown"] for row in mine),
-                              "bound over truth, us": {"p50": at(excess, 0.5), "p99": at(excess, 0.99),
-                                                       "most": max(excess)},
-                              "true age, ms": {"p50": at(true, 0.5) // 1000, "p99": at(true, 0.99) // 1000}}
+            summary[name] |= {
+                "answers": len(true),
+                "unknown age": sum(row["unknown"] for row in mine),
+                "bound over truth, us": {
+                    "p50": at(excess, 0.5),
+                    "p99": at(excess, 0.99),
+                    "most": max(excess),
+                },
+                "true age, ms": {"p50": at(true, 0.5) // 1000, "p99": at(true, 0.99) // 1000},
+            }
         for row in mine:
             for line in [*row["rules"], *row.get("young", ())][:3]:
                 print(f"{name}, seed {row['seed']}: {line}")
     ratios = quiet_cost(7)
     summary["broker CPU a six-part query, on over off"] = {
-        "median": round(ratios[len(ratios) // 2], 3), "least": round(ratios[0], 3), "most": round(ratios[-1], 3)}
+        "median": round(ratios[len(ratios) // 2], 3),
+        "least": round(ratios[0], 3),
+        "most": round(ratios[-1], 3),
+    }
     for key, value in summary.items():
         print(f"{key}: {value}")
     print(json.dumps(summary))
--- a/benchmarks/keepercost.py
+++ b/benchmarks/keepercost.py
@@ -1,7 +1,7 @@
 """What 200 brokers cost a keeper: `.venv/bin/python benchmarks/keepercost.py [BROKERS] [SECONDS]`.
 
-Three keeper processes; the agents of all brokers in this process, each with a demand for every budget and for some
-hosts. Prints each keeper's share of a core; exit 1 when one is over 5 %.
+Three keeper processes; the agents of all brokers in this process, each with a demand for every budget and for
+some hosts. Prints each keeper's share of a core; exit 1 when one is over 5 %.
 """
 
 from __future__ import annotations
@@ -25,7 +25,8 @@
 MARKET = """
 (class one (aim 1s) (limit 2s))
 (keys sale (class one) (shape record))
-(fleet (shards 8) (cells 4) (width 2) (zones a b c) (keepers "127.0.0.1:1" "127.0.0.1:2" "127.0.0.1:3") (most {most})
+(fleet (shards 8) (cells 4) (width 2) (zones a b c) (keepers "127.0.0.1:1" "127.0.0.1:2" "127.0.0.1:3")
+(most {most})
   (budget further (whole 200) (aside 20%) (burst {burst}s)) (budget cold (whole 40) (aside 0))
   (budget connections (whole {connections})))
 (log (level warning))
@@ -48,9 +49,28 @@
     keepers = []
     for number, name in enumerate(names):
         where = ",".join(wires.door(name, other) for other in names)
-        keepers.append(subprocess.Popen(
-            [sys.executable, "-m", "heathwell", "keeper", "--config", config, "--name", name, "--number", str(number),
-             "--keepers", where, "--listen", "127.0.0.1:0"], stdout=subprocess.PIPE, text=True))
+        keepers.append(
+            subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "heathwell",
+                    "keeper",
+                    "--config",
+                    config,
+                    "--name",
+                    name,
+                    "--number",
+                    str(number),
+                    "--keepers",
+                    where,
+                    "--listen",
+                    "127.0.0.1:0",
+                ],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+        )
     addresses = []
     for name, process in zip(names, keepers, strict=True):
         assert process.stdout is not None
@@ -72,8 +92,17 @@
     def run() -> Coro[tuple[list[float], int]]:
         for number in range(brokers):
             member = Self(f"b{number}", time.time_ns() // 1000, loop.now(), timing=times.roll)
-            agent = FleetAgent(loop, net, member, budgets_of(market.fleet), tuple(addresses),
-                               renew_us=market.fleet.renew, times=times, seed=number, log=lambda *_a, **_k: None)
+            agent = FleetAgent(
+                loop,
+                net,
+                member,
+                budgets_of(market.fleet),
+                tuple(addresses),
+                renew_us=market.fleet.renew,
+                times=times,
+                seed=number,
+                log=lambda *_a, **_k: None,
+            )
             agents.append(agent)
             hosts = [f"10.0.0.{draws.randrange(82)}:7070" for _ in range(HOSTS_WANTED)]
             loop.spawn(use(agent, hosts), "use")
@@ -83,6 +112,7 @@
         yield from sleep(loop, int(seconds * 1e6))
         used = [(cpu(process.pid) - old) / seconds for process, old in zip(keepers, before, strict=True)]
         return used, sum(agent.shares.holders["further"].passed for agent in agents) - passed
+
     try:
         used, passed = loop.run(loop.spawn(run(), "run"))
     finally:
@@ -91,11 +121,17 @@
             process.wait(10)
         wires.close()
     needs = sum(len(agent.shares.holders) for agent in agents) / brokers
-    print(f"{brokers} brokers, a renewal each {market.fleet.renew / 1e6:g} s of {needs:.1f} budgets each: "
-          + ", ".join(f"{name} {share:.1%}" for name, share in zip(names, used, strict=True))
-          + f" of a core; {passed / seconds:.0f} further attempts a second of 200 used")
+    print(
+        f"{brokers} brokers, a renewal each {market.fleet.renew / 1e6:g} s of {needs:.1f} budgets each: "
+        + ", ".join(f"{name} {share:.1%}" for name, share in zip(names, used, strict=True))
+        + f" of a core; {passed / seconds:.0f} further attempts a second of 200 used"
+    )
     return 1 if max(used) > 0.05 else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]) if len(sys.argv) > 1 else 200, float(sys.argv[2]) if len(sys.argv) > 2 else 10.0))
+    sys.exit(
+        main(
+            int(sys.argv[1]) if len(sys.argv) > 1 else 200, float(sys.argv[2]) if len(sys.argv) > 2 else 10.0
+        )
+    )
--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -28,8 +28,12 @@
     for (klass, where, home), span in sorted(day.spans.items()):
         if not home:
             print(klass, ("before", "during", "after")[where], {n: getattr(span, n) for n in span.__slots__})
-    print(f"rules broken {len(verdict.breaches)}, nearest to a cold host's fall {verdict.coldest:.2f}, steady after "
-          f"{day.steady_after()} s, most connections a host {open_most}, {took:.0f} s of processor for 45 simulated")
+    print(
+        f"rules broken {len(verdict.breaches)}, nearest to a cold host's fall "
+        f"{verdict.coldest:.2f}, steady after "
+        f"{day.steady_after()} s, most connections a host {open_most}, {took:.0f} s of processor "
+        f"for 45 simulated"
+    )
     for breach in verdict.breaches[:5]:
         print(breach)
     return 1 if verdict.breaches else 0
@@ -48,27 +52,37 @@
                     counts = service.counts.get((klass, span, False), {})
                     shares = " | ".join(f"{service.share(klass, span, kind):.1%}" for kind in kinds)
                     home = sum(service.counts.get((klass, span, True), {}).values())
-                    print(f"{trouble} | {klass} | {span} | {run['variant']} ({sum(counts.values())}) | {shares} | "
-                          f"{service.share(klass, span, 'on time', True):.1%} of {home}")
+                    print(
+                        f"{trouble} | {klass} | {span} | {run['variant']} ({sum(counts.values())}) "
+                        f"| {shares} | "
+                        f"{service.share(klass, span, 'on time', True):.1%} of {home}"
+                    )
         for run in runs:
             service = run["services"][trouble]
             waits = sorted(service.refused_after)
-            print(f"  {trouble}, {run['variant']}: steady after {service.steady_after} s; refusals after "
-                  f"{waits[len(waits) // 2] if waits else 0:.1%} of the aim (half of {len(waits)})")
+            print(
+                f"  {trouble}, {run['variant']}: steady after {service.steady_after} s; refusals after "
+                f"{waits[len(waits) // 2] if waits else 0:.1%} of the aim (half of {len(waits)})"
+            )
     bad = 0
     for run in runs:
         verdict = run["verdict"]
         bad += len(verdict.breaches)
-        print(f"{run['variant']}: rules broken {len(verdict.breaches)}, {verdict.counts}, nearest to a cold host's "
-              f"fall {verdict.coldest:.2f}, {run['off_schedule']} of {run['asked']} off schedule, "
-              f"logs in {run['folder']}")
+        print(
+            f"{run['variant']}: rules broken {len(verdict.breaches)}, {verdict.counts}, nearest to "
+            f"a cold host's "
+            f"fall {verdict.coldest:.2f}, {run['off_schedule']} of {run['asked']} off schedule, "
+            f"logs in {run['folder']}"
+        )
         for breach in verdict.breaches[:5]:
             print("   ", breach)
     return 1 if bad else 0
 
 
 def main() -> int:
-    """A table a trouble and a line of JSON; ``--large``: the users' size alone; ``--sockets [RATE]``: processes."""
+    """A table a trouble and a line of JSON; ``--large``: the users' size alone; ``--sockets [RATE]``:
+    processes.
+    """
     if "--large" in sys.argv:
         return large()
     if "--sockets" in sys.argv:
@@ -80,14 +94,18 @@
         for variant in VARIANTS:
             got = result[variant]
             bad += got["broken"]
-            print(f"{result['trouble']}, {variant}: rules broken {got['broken']}, nearest to a cold host's fall "
-                  f"{got['coldest']}, steady after {got['steady after, s']} s")
+            print(
+                f"{result['trouble']}, {variant}: rules broken {got['broken']}, nearest to a cold "
+                f"host's fall "
+                f"{got['coldest']}, steady after {got['steady after, s']} s"
+            )
             for line in got["rules"]:
                 print("   ", line)
             for name, span in got["service"].items():
                 asked = span["asked"]
-                shares = ", ".join(f"{kind} {count / asked:.1%}" for kind, count in span.items()
-                                   if kind != "asked" and count)
+                shares = ", ".join(
+                    f"{kind} {count / asked:.1%}" for kind, count in span.items() if kind != "asked" and count
+                )
                 print(f"    {name:<28} {asked:>5}: {shares}")
             for change in got["links"][:4]:
                 print("    link:", change)
--- a/benchmarks/releases.py
+++ b/benchmarks/releases.py
@@ -1,7 +1,9 @@
-"""A thousand releases good and as many bad over brokers of figures: `.venv/bin/python benchmarks/releases.py [EACH]`.
+"""A thousand releases good and as many bad over brokers of figures: `.venv/bin/python benchmarks/releases.py
+[EACH]`.
 
-89 brokers in nine zones, 130 queries a second, on virtual time: the real judge and course, what brokers did is drawn.
-Four policies over the same seeds. Exit 1 when the judged one stopped over one good release in a hundred.
+89 brokers in nine zones, 130 queries a second, on virtual time: the real judge and course, what brokers did
+is drawn. Four policies over the same seeds. Exit 1 when the judged one stopped over one good release in a
+hundred.
 """
 
 from __future__ import annotations
@@ -25,16 +27,23 @@
             kinds = [DEFECTS[n % len(DEFECTS)] for n in range(count)]
             bad = list(pool.map(play, range(100_000, 100_000 + count), kinds, repeat(policy), chunksize=8))
             shares[policy] = sum(outcome.stopped for outcome in good) / count
-            print(f"{policy}: {count} good, {shares[policy]:.2%} stopped or held, {mean(good, 'seconds'):.0f} s each; "
-                  f"{count} bad, {sum(o.stopped for o in bad) / count:.1%} stopped, {mean(bad, 'lost'):.2f} "
-                  "broker-minutes of worth lost each", flush=True)
+            print(
+                f"{policy}: {count} good, {shares[policy]:.2%} stopped or held, "
+                f"{mean(good, 'seconds'):.0f} s each; "
+                f"{count} bad, {sum(o.stopped for o in bad) / count:.1%} stopped, {mean(bad, 'lost'):.2f} "
+                "broker-minutes of worth lost each",
+                flush=True,
+            )
             for why, number in Counter(o.why[:60] for o in good if o.stopped).most_common(3):
                 print(f"    good, stopped: {number} x {why}")
             for defect in DEFECTS:
                 some = [outcome for outcome in bad if outcome.defect == defect]
                 stages = Counter(outcome.stage for outcome in some if outcome.stopped)
-                print(f"    {defect}: {sum(o.stopped for o in some)} of {len(some)} stopped, at stage "
-                      f"{dict(sorted(stages.items()))}, {mean(some, 'lost'):.2f} broker-minutes lost", flush=True)
+                print(
+                    f"    {defect}: {sum(o.stopped for o in some)} of {len(some)} stopped, at stage "
+                    f"{dict(sorted(stages.items()))}, {mean(some, 'lost'):.2f} broker-minutes lost",
+                    flush=True,
+                )
     return 1 if shares["judged"] > 0.01 else 0
 
 
--- a/benchmarks/rollingload.py
+++ b/benchmarks/rollingload.py
@@ -1,6 +1,8 @@
-"""A good rollout under load, as clients see it before, during and after: `.venv/bin/python benchmarks/rollingload.py`.
+"""A good rollout under load, as clients see it before, during and after: `.venv/bin/python
+benchmarks/rollingload.py`.
 
-Six brokers in three machines, 40 queries a second. Exit 1 when a connect was refused, a query lost or a rule broken.
+Six brokers in three machines, 40 queries a second. Exit 1 when a connect was refused, a query lost or a rule
+broken.
 """
 
 from __future__ import annotations
@@ -42,13 +44,19 @@
         took = sorted(outcome.took for outcome in some if outcome.kind in ("on time", "late", "partial"))
         p99[name] = took[int(len(took) * 0.99)]
         kinds = Counter(outcome.kind for outcome in some)
-        print(f"{name}: {len(some)} requests in {last - first:.0f} s, p50 {took[len(took) // 2] * 1e3:.0f} ms, p99 "
-              f"{p99[name] * 1e3:.0f} ms, " + ", ".join(f"{kind} {count}" for kind, count in kinds.items()))
+        print(
+            f"{name}: {len(some)} requests in {last - first:.0f} s, p50 "
+            f"{took[len(took) // 2] * 1e3:.0f} ms, p99 "
+            f"{p99[name] * 1e3:.0f} ms, " + ", ".join(f"{kind} {count}" for kind, count in kinds.items())
+        )
     verdict = judge(read_logs([fleet.events]))
     hurt = sum(outcome.kind in HURT for outcome in outcomes)
-    print(f"the change is {change.record.get('state')} after {change.seconds:.0f} s; p99 during over before "
-          f"{p99['during'] / p99['before']:.2f}, after over before {p99['after'] / p99['before']:.2f}; {hurt} lost or "
-          f"refused a connect; {len(verdict.breaches)} rules broken")
+    print(
+        f"the change is {change.record.get('state')} after {change.seconds:.0f} s; p99 during over before "
+        f"{p99['during'] / p99['before']:.2f}, after over before "
+        f"{p99['after'] / p99['before']:.2f}; {hurt} lost or "
+        f"refused a connect; {len(verdict.breaches)} rules broken"
+    )
     return 1 if hurt or verdict.breaches else 0
 
 
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -1,7 +1,8 @@
-"""Releases good and planted bad over fleets of processes: `.venv/bin/python benchmarks/rollouts.py [EACH] [AT_ONCE]`.
+"""Releases good and planted bad over fleets of processes: `.venv/bin/python benchmarks/rollouts.py [EACH]
+[AT_ONCE]`.
 
-EACH good and EACH bad ones, defects in turn, a fleet of four brokers a row of releases. Exit 1 when a bad one got
-through or a good one was stopped or held.
+EACH good and EACH bad ones, defects in turn, a fleet of four brokers a row of releases. Exit 1 when a bad one
+got through or a good one was stopped or held.
 """
 
 from __future__ import annotations
@@ -22,7 +23,9 @@
 
 
 def row(defects: list[str]) -> list[Row]:
-    """Releases of one fleet, one after another: what each was, how it ended, at which stage, after how long, why."""
+    """Releases of one fleet, one after another: what each was, how it ended, at which stage, after how long,
+    why.
+    """
     folder = Path(tempfile.mkdtemp(prefix="heathwell-"))
     write_market(MARKET, folder / "market.sx")
     out: list[Row] = []
@@ -39,8 +42,17 @@
                 why = [row[2] for row in record.get("history", []) if row[1] in ("undoing", "held")]
                 out.append((defect, record.get("state", "?"), stage, change.seconds, "; ".join(why)))
                 if record.get("state") == "done":  # the next one begins from the old version again
-                    back = fleet.change(f"back{number}", program=fleet.old, state=f"back{number}", old=f"v{number + 2}",
-                                        old_program=tree, stages="100%", bake="1s", most="2s", prove="none")
+                    back = fleet.change(
+                        f"back{number}",
+                        program=fleet.old,
+                        state=f"back{number}",
+                        old=f"v{number + 2}",
+                        old_program=tree,
+                        stages="100%",
+                        bake="1s",
+                        most="2s",
+                        prove="none",
+                    )
                     if back.code:
                         raise RuntimeError(f"the way back failed: {back.output[-300:]}")
                     fleet.began = f"back{number}"
@@ -56,13 +68,16 @@
     """Play them, and print a table by defect."""
     names = list(DEFECTS)
     wanted = ["" if n % 2 else names[n // 2 % len(names)] for n in range(2 * each)]
-    rows = [wanted[n:n + A_FLEET] for n in range(0, len(wanted), A_FLEET)]
+    rows = [wanted[n : n + A_FLEET] for n in range(0, len(wanted), A_FLEET)]
     began, seen = time.monotonic(), list[Row]()
     with ProcessPoolExecutor(at_once, max_tasks_per_child=1) as pool:
         for part in pool.map(row, rows):
             seen += part
             for defect, state, stage, seconds, why in part:
-                print(f"{defect or 'good'}: {state} at stage {stage} after {seconds:.0f} s: {why[:140]}", flush=True)
+                print(
+                    f"{defect or 'good'}: {state} at stage {stage} after {seconds:.0f} s: {why[:140]}",
+                    flush=True,
+                )
     by: dict[str, list[Row]] = defaultdict(list)
     for one in seen:
         by[one[0] or "good"].append(one)
@@ -72,12 +87,15 @@
         wrong = sum(state != ("done" if name == "good" else "undone") for state in ended)
         bad += wrong
         stages = sorted({one[2] for one in some})
-        print(f"{name}: {len(some)}, {ended.count('done')} done, {ended.count('undone')} undone; stages {stages}; "
-              f"{sum(one[3] for one in some) / len(some):.0f} s each; {wrong} wrong")
+        print(
+            f"{name}: {len(some)}, {ended.count('done')} done, {ended.count('undone')} undone; "
+            f"stages {stages}; "
+            f"{sum(one[3] for one in some) / len(some):.0f} s each; {wrong} wrong"
+        )
     print(f"{len(seen)} releases in {time.monotonic() - began:.0f} s, {bad} not as they should")
     return 1 if bad else 0
 
 
 if __name__ == "__main__":
     numbers = [int(word) for word in sys.argv[1:]]
-    sys.exit(main(*(numbers + [60, 4][len(numbers):])))
+    sys.exit(main(*(numbers + [60, 4][len(numbers) :])))
--- a/benchmarks/settingschanges.py
+++ b/benchmarks/settingschanges.py
@@ -1,7 +1,8 @@
-"""Random changes of settings under load, a third faulty: `.venv/bin/python benchmarks/settingschanges.py [COUNT]`.
+"""Random changes of settings under load, a third faulty: `.venv/bin/python benchmarks/settingschanges.py
+[COUNT]`.
 
-One fleet of four brokers. Exit 1 when a faulty one got through, a good one did not, a rule was broken, or a query was
-not decided under one version from its start to its answer.
+One fleet of four brokers. Exit 1 when a faulty one got through, a good one did not, a rule was broken, or a
+query was not decided under one version from its start to its answer.
 """
 
 from __future__ import annotations
@@ -18,21 +19,29 @@
 from heathwell.lab.rolling import RollingFleet, write_market
 
 MARKET = Path(__file__).resolve().parent.parent / "examples/market-fleet.sx"
-# Faults of settings: what is replaced by what. Those that are well formed and harmful are judged by what they do.
+# Faults of settings: what is replaced by what. Those that are well formed and harmful are judged by what they
+# do.
 FAULTS = {
-    "not closed": (r"\(limits", "(limits ("), "unknown key": (r"\(attempts ", "(attemps "),
-    "no host holds it": (r"\(shards 24\)", "(shards 48)"), "dropped keys": (r"\(keys sale .*\)", ""),
+    "not closed": (r"\(limits", "(limits ("),
+    "unknown key": (r"\(attempts ", "(attemps "),
+    "no host holds it": (r"\(shards 24\)", "(shards 48)"),
+    "dropped keys": (r"\(keys sale .*\)", ""),
     "other nature": (r"\(repeat keyed\) \(dedup 750ms\)", "(repeat unsafe)"),
-    "far": (r"\(limit 2s\)", "(limit 30s)"), "a cap for nobody": (r"\(open-cap \d+\)", "(open-cap 4)"),
+    "far": (r"\(limit 2s\)", "(limit 30s)"),
+    "a cap for nobody": (r"\(open-cap \d+\)", "(open-cap 4)"),
     "harmful": (r"\(open-cap \d+\)", "(open-cap 10)"),
 }
 
 
 def good(text: str, draws: random.Random) -> str:
     """Another sound file: figures that may change under load."""
-    for pattern, low, high, unit in ((r"\(open-cap \d+\)", 500, 900, ""), (r"\(attempts \d+\)", 3, 5, ""),
-                                     (r"\(max-advice \d+ms\)", 300, 700, "ms"), (r"\(worth \d+\)", 1, 4, "")):
-        key = pattern[2:pattern.index(" ")]
+    for pattern, low, high, unit in (
+        (r"\(open-cap \d+\)", 500, 900, ""),
+        (r"\(attempts \d+\)", 3, 5, ""),
+        (r"\(max-advice \d+ms\)", 300, 700, "ms"),
+        (r"\(worth \d+\)", 1, 4, ""),
+    ):
+        key = pattern[2 : pattern.index(" ")]
         text = re.sub(pattern, f"({key} {draws.randint(low, high)}{unit})", text)
     return text
 
@@ -40,8 +49,11 @@
 def mixed(events: list[Event]) -> list[str]:
     """Queries that were not decided under one version."""
     taken = {event["q"]: event["ver"] for event in events if event.ev == "take"}
-    return [f"{event['q']}: taken under {taken[event['q']]}, answered under {event['ver']}" for event in events
-            if event.ev == "final" and event["q"] in taken and taken[event["q"]] != event["ver"]]
+    return [
+        f"{event['q']}: taken under {taken[event['q']]}, answered under {event['ver']}"
+        for event in events
+        if event.ev == "final" and event["q"] in taken and taken[event["q"]] != event["ver"]
+    ]
 
 
 def main(count: int, seed: int) -> int:
@@ -61,17 +73,28 @@
                 raise ValueError(f"change {number}, {kind}: nothing was changed")
             path = fleet.folder / f"s{number}.sx"
             path.write_text(wanted)
-            change = fleet.change(f"s{number}", settings=path, state=f"change{number}", old=last,
-                                  old_settings=fleet.config, stages="50%,100%", bake="5s", most="20s", prove="50%",
-                                  undo_held=True)
+            change = fleet.change(
+                f"s{number}",
+                settings=path,
+                state=f"change{number}",
+                old=last,
+                old_settings=fleet.config,
+                stages="50%,100%",
+                bake="5s",
+                most="20s",
+                prove="50%",
+                undo_held=True,
+            )
             state = change.record.get("state", "refused")
             ends[f"{kind}: {state}"] += 1
             if state == "done":
                 last, current, fleet.config = f"s{number}", wanted, path
             if (state == "done") == faulty:
                 wrong += 1
-                print(f"change {number}, {kind}: {state}: {change.record.get('why')} {change.output[-200:]}",
-                      flush=True)
+                print(
+                    f"change {number}, {kind}: {state}: {change.record.get('why')} {change.output[-200:]}",
+                    flush=True,
+                )
         same = fleet.wait_for(last)
         runs = max(running.run for running in fleet.runs().values())
         time.sleep(1)
@@ -80,9 +103,13 @@
     verdict, torn = judge(events), mixed(events)
     for name, number in sorted(ends.items()):
         print(f"{name}: {number}")
-    print(f"{count} changes in {time.monotonic() - began:.0f} s: {wrong} not as they should; ends on the last good "
-          f"one: {same}; processes started a broker: {runs}; {verdict.counts['queries']} queries, {len(torn)} under "
-          f"two versions, {len(verdict.breaches)} rules broken")
+    print(
+        f"{count} changes in {time.monotonic() - began:.0f} s: {wrong} not as they should; ends on "
+        f"the last good "
+        f"one: {same}; processes started a broker: {runs}; {verdict.counts['queries']} queries, "
+        f"{len(torn)} under "
+        f"two versions, {len(verdict.breaches)} rules broken"
+    )
     for line in [*torn[:3], *map(str, verdict.breaches[:3])]:
         print(line)
     return 1 if wrong or torn or verdict.breaches or not same else 0
@@ -90,4 +117,4 @@
 
 if __name__ == "__main__":
     numbers = [int(word) for word in sys.argv[1:]]
-    sys.exit(main(*(numbers + [100, 1][len(numbers):])))
+    sys.exit(main(*(numbers + [100, 1][len(numbers) :])))
--- a/benchmarks/vectors.py
+++ b/benchmarks/vectors.py
@@ -1,6 +1,8 @@
-"""The vector front on sockets: `.venv/bin/python benchmarks/vectors.py [merge] [recall] [slow] [core] [fronts]`.
+"""The vector front on sockets: `.venv/bin/python benchmarks/vectors.py [merge] [recall] [slow] [core]
+[fronts]`.
 
-Processes on loopback, simulated work at the hosts, clients on threads. Without words all parts run (four minutes).
+Processes on loopback, simulated work at the hosts, clients on threads. Without words all parts run (four
+minutes).
 """
 
 from __future__ import annotations
@@ -34,7 +36,8 @@
 SHARDS = 24
 MARKET = """
 (class price-search (aim 1s) (limit 2s) (worth 2) (late-worth 30%) (need 75%) (work 15ms))
-(class sale-record (aim 750ms) (limit 1500ms) (worth 2) (repeat keyed) (dedup 750ms) (late-worth 10%) (work 10ms))
+(class sale-record (aim 750ms) (limit 1500ms) (worth 2) (repeat keyed) (dedup 750ms) (late-worth 10%)
+(work 10ms))
 (class alike {alike})
 (keys sale (class sale-record) (shape record))
 (keys price (class price-search) (shape search) (parts 8))
@@ -59,8 +62,15 @@
     words: dict[str, Any] = field(default_factory=dict)
 
 
-def market_text(alike: str, *, work: str = "5ms", spread: str = "100%", fronts: str = "", brokers: int = 1,
-                noise: str = "30%") -> str:
+def market_text(
+    alike: str,
+    *,
+    work: str = "5ms",
+    spread: str = "100%",
+    fronts: str = "",
+    brokers: int = 1,
+    noise: str = "30%",
+) -> str:
     """Settings of one run."""
     return MARKET.format(alike=alike, work=work, spread=spread, fronts=fronts, brokers=brokers, noise=noise)
 
@@ -85,8 +95,12 @@
     """One search; a lost connection is status 0."""
     began = time.monotonic()
     try:
-        link.request("POST", "/collections/goods/points/query", msgspec.json.encode({"query": vector, "limit": limit}),
-                     {"content-type": "application/json"})
+        link.request(
+            "POST",
+            "/collections/goods/points/query",
+            msgspec.json.encode({"query": vector, "limit": limit}),
+            {"content-type": "application/json"},
+        )
         got = link.getresponse()
         body = msgspec.json.decode(got.read())
     except (OSError, HTTPException):
@@ -98,8 +112,9 @@
     return Asked(took, 200, [p["id"] for p in body["result"]["points"]], body["heathwell"])
 
 
-def load(address: str, rate: float, seconds: float, threads: int = 48, seed: int = 1,
-         size: int = 32) -> list[tuple[list[float], Asked]]:
+def load(
+    address: str, rate: float, seconds: float, threads: int = 48, seed: int = 1, size: int = 32
+) -> list[tuple[list[float], Asked]]:
     """Searches arriving at a rate whether or not answers come; latency counts from the scheduled arrival."""
     draws = random.Random(seed)
     due, at = [], 0.0
@@ -121,6 +136,7 @@
             asked.took = time.monotonic() - zero - one[0]
             with lock:
                 out.append((one[1], asked))
+
     crowd = [threading.Thread(target=work, daemon=True) for _ in range(threads)]
     for thread in crowd:
         thread.start()
@@ -139,28 +155,40 @@
         query = np.asarray(vector, np.float32).astype(np.float64)
         scores = vectors @ query
         return [int(ids[row]) for row in np.lexsort((ids, -scores))[:10]]
+
     return nearest
 
 
 def shares(values: list[float]) -> str:
     """Median and 99th of some seconds, as milliseconds."""
     ordered = sorted(values)
-    return f"p50 {ordered[len(ordered) // 2] * 1000:.0f} ms, p99 {ordered[int(len(ordered) * 0.99)] * 1000:.0f} ms"
+    p50 = ordered[len(ordered) // 2]
+    p99 = ordered[int(len(ordered) * 0.99)]
+    return f"p50 {p50 * 1000:.0f} ms, p99 {p99 * 1000:.0f} ms"
 
 
 def recall() -> None:
     """Recall at ten against the share of parts in."""
-    print("recall@10 against the share of parts in (24 shards, points evenly spread; the estimate is the reply's own)")
+    print(
+        "recall@10 against the share of parts in (24 shards, points evenly spread; the estimate is "
+        "the reply's own)"
+    )
     for need in (50, 62.5, 75, 87.5, 100):
-        with fleet_of(market_text(f"(aim 500ms) (limit 3s) (need {need}%)", spread="300%")) as (fleet, market):
+        with fleet_of(market_text(f"(aim 500ms) (limit 3s) (need {need}%)", spread="300%")) as (
+            fleet,
+            market,
+        ):
             nearest = truth(market)
             done = load(fleet.of("broker")[0].ready["vector"], 40, 6)
             good = [(vector, one) for vector, one in done if one.status == 200]
             hits = [len(set(one.ids) & set(nearest(vector))) / 10 for vector, one in good]
             said = [one.words["recall"] for _, one in good]
             parts = [one.words["parts"][0] / one.words["parts"][1] for _, one in good]
-            print(f"  need {need:5.1f}%: parts in {statistics.mean(parts):.3f}, recall {statistics.mean(hits):.3f}, "
-                  f"estimated {statistics.mean(said):.3f}, {len(good)} of {len(done)} answered")
+            print(
+                f"  need {need:5.1f}%: parts in {statistics.mean(parts):.3f}, recall "
+                f"{statistics.mean(hits):.3f}, "
+                f"estimated {statistics.mean(said):.3f}, {len(good)} of {len(done)} answered"
+            )
 
 
 def troubled(fleet: ProcessFleet, until: threading.Event, seed: int = 4) -> None:
@@ -176,7 +204,8 @@
     variants = {
         "wait for all": "(aim 20s) (limit 20s) (need 100%)",
         "n of k": "(aim 20s) (limit 20s) (need 75%)",
-        "n of k + spare": "(aim 200ms) (limit 20s) (need 75%)"}
+        "n of k + spare": "(aim 200ms) (limit 20s) (need 75%)",
+    }
     print("latency with three of 24 hosts 60 times slower, others each second; 25 searches/s, n/k 75 %")
     for name, alike in variants.items():
         with fleet_of(market_text(alike, spread="300%")) as (fleet, market):
@@ -189,25 +218,38 @@
             good = [(vector, one) for vector, one in done if one.status == 200]
             hits = statistics.mean(len(set(one.ids) & set(nearest(vector))) / 10 for vector, one in good)
             whole = sum(one.words["whole"] for _, one in good) / len(good)
-            print(f"  {name:<15}: {shares([one.took for _, one in good])}, recall {hits:.3f}, "
-                  f"{len(good)} of {len(done)} answered, whole {whole:.1%}")
+            print(
+                f"  {name:<15}: {shares([one.took for _, one in good])}, recall {hits:.3f}, "
+                f"{len(good)} of {len(done)} answered, whole {whole:.1%}"
+            )
 
 
 def fronts() -> None:
-    """Memcached service beside none, one and three times the searches that the hosts can do, shared and not."""
+    """Memcached service beside none, one and three times the searches that the hosts can do, shared
+    and not.
+    """
     alike = "(aim 800ms) (limit 2s) (need 75%) (floor 50%)"
     capacity = 24 * 4 / (24 * 0.75 * 0.020)  # slots over the work of a search
     print(f"memcached service beside searches; the hosts can do about {capacity:.0f} searches/s")
-    for label, text in (("shared by weight", "(fronts (queue-target 30ms) (memcached 2) (vector 1))"),
-                        ("not shared", "")):
+    for label, text in (
+        ("shared by weight", "(fronts (queue-target 30ms) (memcached 2) (vector 1))"),
+        ("not shared", ""),
+    ):
         for times in (0, 1, 3):
             with fleet_of(market_text(alike, work="20ms", fronts=text, brokers=2)) as (fleet, market):
                 brokers = fleet.of("broker")
                 where = [(m.name, m.address, "") for m in brokers]
-                crowd = Clients(Load(40.0, clients=60, retries=0, mix=[Mix("price", 0.5), Mix("sale", 0.5)]), market,
-                                partial(list, where), None)
-                threads = [threading.Thread(target=load, args=(m.ready["vector"], times * capacity / 2, 10, 160, n))
-                           for n, m in enumerate(brokers) if times]
+                crowd = Clients(
+                    Load(40.0, clients=60, retries=0, mix=[Mix("price", 0.5), Mix("sale", 0.5)]),
+                    market,
+                    partial(list, where),
+                    None,
+                )
+                threads = [
+                    threading.Thread(target=load, args=(m.ready["vector"], times * capacity / 2, 10, 160, n))
+                    for n, m in enumerate(brokers)
+                    if times
+                ]
                 zero = crowd.start()
                 for thread in threads:
                     thread.start()
@@ -221,12 +263,16 @@
                 ended: dict[str, float] = {}
                 for one in rows:
                     ended[one.kind] = ended.get(one.kind, 0.0) + 1 / len(rows)
-                told = ", ".join(f"{kind} {share:.1%}" for kind, share in sorted(ended.items(), key=lambda e: -e[1]))
+                told = ", ".join(
+                    f"{kind} {share:.1%}" for kind, share in sorted(ended.items(), key=lambda e: -e[1])
+                )
                 print(f"  {label:<16} {times}x: {told}; {shares([one.took for one in rows])}")
 
 
 def core() -> None:
-    """Searches a second that one broker's processor does: hosts that take no time, as many clients as it serves."""
+    """Searches a second that one broker's processor does: hosts that take no time, as many clients as it
+    serves.
+    """
     print("throughput of one broker core (24 parts a search, 18 needed)")
     for batch in (1, 40):
         with fleet_of(market_text("(aim 2s) (limit 5s) (need 75%)", work="1us", noise="0%")) as (fleet, _):
@@ -237,15 +283,20 @@
             body = msgspec.json.encode({"searches": wishes} if batch > 1 else wishes[0])
             done: list[int] = []
             before = _processor(broker.process.pid)
-            crowd = [threading.Thread(target=_hammer, args=(broker.ready["vector"], path, body, 6.0, done))
-                     for _ in range(6)]
+            crowd = [
+                threading.Thread(target=_hammer, args=(broker.ready["vector"], path, body, 6.0, done))
+                for _ in range(6)
+            ]
             for thread in crowd:
                 thread.start()
             for thread in crowd:
                 thread.join()
             used, searches = _processor(broker.process.pid) - before, max(1, sum(done) * batch)
-            print(f"  batch of {batch:>2}: {searches / 6:.0f} searches/s, {used / searches * 1e6:.0f} us of its "
-                  f"processor a search: {searches / max(used, 1e-9):.0f} a core and second")
+            print(
+                f"  batch of {batch:>2}: {searches / 6:.0f} searches/s, {used / searches * 1e6:.0f} "
+                f"us of its "
+                f"processor a search: {searches / max(used, 1e-9):.0f} a core and second"
+            )
 
 
 def _hammer(address: str, path: str, body: bytes, seconds: float, done: list[int]) -> None:
@@ -272,8 +323,10 @@
     print("merge of ten rows a part")
     first = 0.0
     for parts in (6, 25, 100, 500):
-        lists = [sorted((Row(n * 1000 + m, draws.random()) for m in range(10)), key=lambda r: -r.score)
-                 for n in range(parts)]
+        lists = [
+            sorted((Row(n * 1000 + m, draws.random()) for m in range(10)), key=lambda r: -r.score)
+            for n in range(parts)
+        ]
         best = min(_merged(lists) for _ in range(7)) / parts * 1e6
         first = first or best
         print(f"  {parts:>3} parts: {best:.1f} us a part, {best / first:.2f} of that at 6")
@@ -291,7 +344,13 @@
     return (time.thread_time() - began) / 5
 
 
-PARTS: dict[str, Callable[[], None]] = {"merge": merge, "recall": recall, "slow": slow, "core": core, "fronts": fronts}
+PARTS: dict[str, Callable[[], None]] = {
+    "merge": merge,
+    "recall": recall,
+    "slow": slow,
+    "core": core,
+    "fronts": fronts,
+}
 
 if __name__ == "__main__":
     for word in sys.argv[1:] or PARTS:
--- a/benchmarks/worth.py
+++ b/benchmarks/worth.py
@@ -1,7 +1,8 @@
-"""Budgets lent by keepers against lone brokers and an equal fixed split: `.venv/bin/python benchmarks/worth.py [SEED]`.
+"""Budgets lent by keepers against lone brokers and an equal fixed split: `.venv/bin/python
+benchmarks/worth.py [SEED]`.
 
-89 brokers, 82 hosts, three regions on virtual time, simulated hosts; with more words only those variants. Exit 1 when
-a rule is broken or a budget overshot.
+89 brokers, 82 hosts, three regions on virtual time, simulated hosts; with more words only those variants.
+Exit 1 when a rule is broken or a budget overshot.
 """
 
 from __future__ import annotations
@@ -29,8 +30,12 @@
             for variant in variants:
                 counts = rows[variant, day]["service"].get(f"{klass}/{span}", {})
                 asked = sum(counts.values()) or 1
-                cells.append(f"{counts.get('on time', 0) / asked:.1%}" + "".join(
-                    f", {kind} {counts[kind] / asked:.1%}" for kind in KINDS[1:] if counts.get(kind)))
+                cells.append(
+                    f"{counts.get('on time', 0) / asked:.1%}"
+                    + "".join(
+                        f", {kind} {counts[kind] / asked:.1%}" for kind in KINDS[1:] if counts.get(kind)
+                    )
+                )
             print(f"{day} | {klass} | {span} | " + " | ".join(cells))
         for name in ("further a second", "arrived", "coldest", "fell", "broken", "most held"):
             print(f"{day} | {name} | | " + " | ".join(str(rows[variant, day][name]) for variant in variants))
--- a/benchmarks/worthsockets.py
+++ b/benchmarks/worthsockets.py
@@ -1,7 +1,9 @@
-"""Budgets over processes against lone brokers and an equal split: `.venv/bin/python benchmarks/worthsockets.py`.
+"""Budgets over processes against lone brokers and an equal split: `.venv/bin/python
+benchmarks/worthsockets.py`.
 
-6 brokers and 24 hosts as processes, one run a variant: slow hosts, eight hosts back cold, two steps of a release. In
-the split nothing is left to lend. Exit 1 when a rule is broken, a budget overshot, or a fault not made.
+6 brokers and 24 hosts as processes, one run a variant: slow hosts, eight hosts back cold, two steps of a
+release. In the split nothing is left to lend. Exit 1 when a rule is broken, a budget overshot, or a fault not
+made.
 """
 
 from __future__ import annotations
@@ -20,8 +22,10 @@
 SPANS = {"slow hosts": (6, 13), "cold return": (14, 23), "release": (24, 36)}
 KINDS = ("on time", "late", "partial", "refused", "lost", "broken")
 BUDGETS = """
-  (keepers "127.0.0.1:7101" "127.0.0.1:7102" "127.0.0.1:7103") (most 8) (lease 1500ms) (renew 200ms) (suspect 700ms)
-  (dead 2s) (budget further (whole 24) (aside {aside}) (burst 3s)) (budget cold (whole 30) (aside {aside}) (burst 2s))
+  (keepers "127.0.0.1:7101" "127.0.0.1:7102" "127.0.0.1:7103") (most 8)
+  (lease 1500ms) (renew 200ms) (suspect 700ms)
+  (dead 2s) (budget further (whole 24) (aside {aside}) (burst 3s))
+  (budget cold (whole 30) (aside {aside}) (burst 2s))
 """
 VARIANTS = {"lone": "", "split": BUDGETS.format(aside="100%"), "lent": BUDGETS.format(aside="20%")}
 
@@ -34,8 +38,9 @@
         folder = Path(tempfile.mkdtemp(prefix="heathwell-"))
         market = text.replace("(leaves 12) (brokers 3))", f"(leaves 24) (brokers 6) {budgets})")
         (folder / "market-worth.sx").write_text(market)
-        (folder / "day.sx").write_text((EXAMPLES / "worthday.sx").read_text()
-                                       + ("(wires yes)\n" if budgets else ""))
+        (folder / "day.sx").write_text(
+            (EXAMPLES / "worthday.sx").read_text() + ("(wires yes)\n" if budgets else "")
+        )
         script, settings, config = load_script(str(folder / "day.sx"))
         day = Day(script, settings, config, folder / "out", lambda _text: None)
         verdict = day.play()
@@ -50,9 +55,14 @@
         bad += len(wrong)
         sends = [event for event in day.logged if event.ev == "send" and event.fields.get("further")]
         seconds = Counter(event.t // 1_000_000 for event in sends)
-        print(f"{variant}: nearest to a cold host's fall {verdict.coldest:.2f}, {verdict.counts['falls']} falls; "
-              f"further attempts {len(sends) / script.seconds:.1f} a second, most {max(seconds.values(), default=0)}; "
-              f"{verdict.counts['arrivals']} arrivals; {len(wrong)} wrong", flush=True)
+        print(
+            f"{variant}: nearest to a cold host's fall {verdict.coldest:.2f}, "
+            f"{verdict.counts['falls']} falls; "
+            f"further attempts {len(sends) / script.seconds:.1f} a second, most "
+            f"{max(seconds.values(), default=0)}; "
+            f"{verdict.counts['arrivals']} arrivals; {len(wrong)} wrong",
+            flush=True,
+        )
         for line in wrong[:5]:
             print("   ", line)
     for span, klass in product(SPANS, ("price-search", "day-report", "sale-record")):
--- a/heathwell/admission/__init__.py
+++ b/heathwell/admission/__init__.py
@@ -1,4 +1,6 @@
-"""Admission by cost: what work will cost, how fronts share the hosts, how a batch is cut up. Pure deciders."""
+"""Admission by cost: what work will cost, how fronts share the hosts, how a batch is cut up. Pure
+deciders.
+"""
 
 from heathwell.admission.cost import CostModel, Costs
 from heathwell.admission.fair import GO, REFUSE, WAIT, FairGate
--- a/heathwell/admission/cost.py
+++ b/heathwell/admission/cost.py
@@ -1,8 +1,8 @@
 """What a part will cost a host, learned from the work that hosts report. Pure.
 
-A search's work is close to linear in a few figures of it; the coefficients are learned by recursive least squares
-with forgetting (Ljung, System Identification, 11.2), so that a change of the data or the hosts is followed within some
-hundred answers. Until enough answers came the stated cost stands.
+A search's work is close to linear in a few figures of it; the coefficients are learned by recursive least
+squares with forgetting (Ljung, System Identification, 11.2), so that a change of the data or the hosts is
+followed within some hundred answers. Until enough answers came the stated cost stands.
 """
 
 from __future__ import annotations
@@ -20,7 +20,9 @@
 
 @dataclass(slots=True)
 class CostModel:
-    """Predicts work (us) from figures of it. ``stated`` is what settings say a unit of the first figure costs."""
+    """Predicts work (us) from figures of it. ``stated`` is what settings say a unit of the first figure
+    costs.
+    """
 
     stated: float
     size: int
@@ -82,15 +84,17 @@
 
 
 def search_figures(searches: int, rows_wanted: int, filtered: int) -> tuple[float, ...]:
-    """The figures of a part of searches that share a product: their number, a part's fixed share, rows, filters."""
+    """The figures of a part of searches that share a product: their number, a part's fixed share, rows,
+    filters.
+    """
     return (float(searches), 1.0, rows_wanted / 100.0, float(filtered))
 
 
 def cut_batch(costs: Sequence[float], most_us: float, searches_most: int) -> list[list[int]]:
     """Indices of a batch's searches in chunks that cost a host at most so much each; linear.
 
-    Searches keep their order; one that alone costs more goes alone. A host's slot is held by a chunk at a time, so that
-    other work gets in between.
+    Searches keep their order; one that alone costs more goes alone. A host's slot is held by a chunk at a
+    time, so that other work gets in between.
     """
     chunks: list[list[int]] = []
     total = 0.0
--- a/heathwell/admission/fair.py
+++ b/heathwell/admission/fair.py
@@ -1,9 +1,10 @@
 """Fair sharing of the hosts between fronts, by the cost of work. Pure: events in, what may go out.
 
-Start-time fair queueing (Goyal, Vin, Cheng 1996) over one window of work that is out: a front that asks for less than
-its share goes at once, whatever the others do; what a front leaves unused the others may borrow, and give back as
-their work ends. Work waits only while it can still be worth it: what would wait longer than its patience is refused at
-once, with advice, and what has waited longer all the same is refused the moment that is known.
+Start-time fair queueing (Goyal, Vin, Cheng 1996) over one window of work that is out: a front that asks for
+less than its share goes at once, whatever the others do; what a front leaves unused the others may borrow,
+and give back as their work ends. Work waits only while it can still be worth it: what would wait longer than
+its patience is refused at once, with advice, and what has waited longer all the same is refused the moment
+that is known.
 """
 
 from __future__ import annotations
@@ -43,7 +44,9 @@
 
 
 class FairGate:
-    """Work by id: :meth:`offer` it, tell its end by :meth:`ended`, ask :meth:`ready` what may go and what gave up."""
+    """Work by id: :meth:`offer` it, tell its end by :meth:`ended`, ask :meth:`ready` what may go and what
+    gave up.
+    """
 
     def __init__(self, weights: Mapping[str, float], window: Window, seed: int) -> None:
         self.fronts = {name: _Front(weight) for name, weight in weights.items()}
@@ -85,7 +88,11 @@
         if lane.out + cost <= self._share(lane) or not lane.out:
             return True
         # Borrowed room ends where another's half begins: it must not have to wait to get going.
-        kept = sum(max(0.0, self._share(other) / 2 - other.out) for other in self.fronts.values() if other is not lane)
+        kept = sum(
+            max(0.0, self._share(other) / 2 - other.out)
+            for other in self.fronts.values()
+            if other is not lane
+        )
         return self.out + cost <= self.window.size - kept
 
     def _go(self, now: int, entry: _Entry, lane: _Front) -> None:
@@ -97,10 +104,11 @@
         self.out += entry.cost
 
     def expected_wait(self, now: int, front: str) -> float:
-        """How long work offered now would wait (us): what is ahead of it over the pace at which its front gets through.
+        """How long work offered now would wait (us): what is ahead of it over the pace at which its front
+        gets through.
 
-        By Little's law the window turns over once in the time that work spends in it; a front has its share of that, or
-        what the others leave. Before anything has ended nothing is known, and nothing is refused.
+        By Little's law the window turns over once in the time that work spends in it; a front has its share
+        of that, or what the others leave. Before anything has ended nothing is known, and nothing is refused.
         """
         lane = self.fronts[front]
         room = max(self._share(lane), self.window.size - (self.out - lane.out))
@@ -166,4 +174,6 @@
 
     def advice(self, now: int, front: str, most_us: int) -> int:
         """When a refused client may come back: after about what waits now, spread."""
-        return int(min(max(self.expected_wait(now, front), most_us / 4), most_us) * self.random.uniform(0.5, 1.0))
+        return int(
+            min(max(self.expected_wait(now, front), most_us / 4), most_us) * self.random.uniform(0.5, 1.0)
+        )
--- a/heathwell/admission/window.py
+++ b/heathwell/admission/window.py
@@ -1,7 +1,8 @@
 """How much work may be out at the hosts at once, followed from the queueing that answers show. Pure.
 
-A host reports what a part's work took, so its time beyond that is queueing (and the way). As in TCP Vegas the window is
-moved by that delay and not by losses: it shrinks while queueing lies over its target and grows while work waits for it.
+A host reports what a part's work took, so its time beyond that is queueing (and the way). As in TCP Vegas the
+window is moved by that delay and not by losses: it shrinks while queueing lies over its target and grows
+while work waits for it.
 """
 
 from __future__ import annotations
--- a/heathwell/audit/__init__.py
+++ b/heathwell/audit/__init__.py
@@ -5,5 +5,14 @@
 from heathwell.audit.reader import Event, read_logs
 from heathwell.audit.rules import Breach, Verdict, judge
 
-__all__ = ["AgeVerdict", "Breach", "BudgetVerdict", "Event", "Verdict", "judge", "judge_ages", "judge_budgets",
-           "read_logs"]
+__all__ = [
+    "AgeVerdict",
+    "Breach",
+    "BudgetVerdict",
+    "Event",
+    "Verdict",
+    "judge",
+    "judge_ages",
+    "judge_budgets",
+    "read_logs",
+]
--- a/heathwell/audit/budgets.py
+++ b/heathwell/audit/budgets.py
@@ -1,8 +1,8 @@
 """Budgets of a fleet, judged from logs alone: what was held, and what was used, at every instant.
 
-Holders log each change of what they hold (with how long yet, by their own clocks), each use of a rate, and how fast
-their clocks run; keepers log what they give; hosts log who connects and what arrives. A process that was killed says no
-more: what it held is counted until it would have run out.
+Holders log each change of what they hold (with how long yet, by their own clocks), each use of a rate, and
+how fast their clocks run; keepers log what they give; hosts log who connects and what arrives. A process that
+was killed says no more: what it held is counted until it would have run out.
 """
 
 from __future__ import annotations
@@ -21,7 +21,9 @@
 
 @dataclass(slots=True)
 class BudgetVerdict:
-    """``breaches`` are sentences; ``nearest`` is the most that was held of each budget, as a share of what may be."""
+    """``breaches`` are sentences; ``nearest`` is the most that was held of each budget, as a share of what
+    may be.
+    """
 
     breaches: list[str] = field(default_factory=list)
     nearest: dict[str, float] = field(default_factory=dict)
@@ -57,7 +59,9 @@
         self.drift = figures["drift"]
         self.out = BudgetVerdict()
         self.wholes: dict[str, int] = {name: spec["whole"] for name, spec in self.budgets.items()}
-        self._shrunk: dict[str, tuple[int, int]] = {}  # the larger whole before, and until when it may be held yet
+        self._shrunk: dict[
+            str, tuple[int, int]
+        ] = {}  # the larger whole before, and until when it may be held yet
         self._rates: dict[str, float] = {}
         self._member: dict[str, str] = {}  # by writer of a log: the name that it is a member under
         self._incs: dict[str, int] = {}
@@ -113,8 +117,17 @@
 
     def _gives(self, event: Event) -> None:
         self._grant_us = max(self._grant_us, event["length"])
-        self._given.add((event["to"], event["inc"], event["budget"], event["fraction"], event["number"],
-                         event["amount"], event.who.partition("r")[0]))
+        self._given.add(
+            (
+                event["to"],
+                event["inc"],
+                event["budget"],
+                event["fraction"],
+                event["number"],
+                event["amount"],
+                event.who.partition("r")[0],
+            )
+        )
 
     def _resized(self, event: Event) -> None:
         base, before = event["budget"], self.wholes[event["budget"]]
@@ -139,11 +152,21 @@
             until = event.t + int(left / rate) - SLACK_US
             share.held.append((until, amount))
             heapq.heappush(self._ends, (until, name, who))
-            backed = (self._member.get(who), self._incs.get(who), name, fraction, number, amount,
-                      str(owner).partition(".")[0])
+            backed = (
+                self._member.get(who),
+                self._incs.get(who),
+                name,
+                fraction,
+                number,
+                amount,
+                str(owner).partition(".")[0],
+            )
             if amount and backed not in self._given:
-                self._say(event, f"{who} holds {amount} of {name}, fraction {fraction}, by number {number} of {owner}: "
-                                 "no keeper's log has given that")
+                self._say(
+                    event,
+                    f"{who} holds {amount} of {name}, fraction {fraction}, by number {number} of {owner}: "
+                    "no keeper's log has given that",
+                )
         self._lent[name] += share.lent(event.t)
         spec = self._spec(name)
         share.fresh = fresh and not share.held
@@ -173,7 +196,9 @@
         spec = self._spec(name)
         if spec["kind"] == "rate" and now > share.at:
             a_second = share.own + sum(amount for _, amount in share.held)
-            share.saved = min(share.saved + a_second * (now - share.at) / 1e6, a_second * spec["window"] / 1e6)
+            share.saved = min(
+                share.saved + a_second * (now - share.at) / 1e6, a_second * spec["window"] / 1e6
+            )
             share.at = now
 
     def _spent(self, event: Event) -> None:
--- a/heathwell/audit/freshness.py
+++ b/heathwell/audit/freshness.py
@@ -1,4 +1,5 @@
-"""Holds the ages that answers state against the truth: what each host had really applied, and the source's clock.
+"""Holds the ages that answers state against the truth: what each host had really applied, and the source's
+clock.
 
 The truth comes from the hosts' logs (``true``: the source time up to which a host's data was applied when it
 answered, never sent over the wire) and from the run's figures (the source's clock against the machine's).
@@ -15,7 +16,9 @@
 
 @dataclass(slots=True)
 class AgeVerdict:
-    """What was found: breaches (of rule 5, honesty), answers judged, those of unknown age, and the bound's excess."""
+    """What was found: breaches (of rule 5, honesty), answers judged, those of unknown age, and the bound's
+    excess.
+    """
 
     breaches: list[Breach] = field(default_factory=list)
     judged: int = 0
@@ -37,7 +40,9 @@
 
 
 def judge_ages(events: list[Event], slack: int = 0) -> AgeVerdict:
-    """Judge every answer of a run; ``slack`` (microseconds) is the time between an answer and its log line."""
+    """Judge every answer of a run; ``slack`` (microseconds) is the time between an answer and its
+    log line.
+    """
     out = AgeVerdict()
     runs = [event for event in events if event.ev == "run"]
     offset = runs[0].fields["figures"].get("source_offset") if runs else None
@@ -51,8 +56,12 @@
         if not marks:
             continue
         if any(mark is None for mark in marks):
-            lost = [part for (part, _), mark in zip(final["used"].items(), marks, strict=True) if mark is None]
-            out.breaches.append(Breach(5, final["q"], f"rests on {lost[0]}, which no host answered", (final.at,)))
+            lost = [
+                part for (part, _), mark in zip(final["used"].items(), marks, strict=True) if mark is None
+            ]
+            out.breaches.append(
+                Breach(5, final["q"], f"rests on {lost[0]}, which no host answered", (final.at,))
+            )
             continue
         oldest = min((mark for mark in marks if mark is not None), key=lambda mark: int(mark["true"]))
         # The log line is written a little after the answer was put together.
@@ -64,8 +73,14 @@
         if stated is None:
             out.unknown += 1
         elif stated < age - slack:
-            out.breaches.append(Breach(
-                5, final["q"], f"states an age of {stated} us, its data was {age} us old", (final.at, oldest.at)))
+            out.breaches.append(
+                Breach(
+                    5,
+                    final["q"],
+                    f"states an age of {stated} us, its data was {age} us old",
+                    (final.at, oldest.at),
+                )
+            )
         else:
             out.excess.append(stated - age)
     _told(events, by_query, slack, out)
@@ -86,5 +101,11 @@
             queries = [by_query[q] for q in takes.get((reply["req"], value["key"]), []) if q in by_query]
             if told is not None and queries and all(told * 1000 < age - slack for age, _ in queries):
                 age, final = queries[0]
-                out.breaches.append(Breach(5, final["q"], f"the client was told {told} ms of data {age} us old",
-                                           (reply.at, final.at)))
+                out.breaches.append(
+                    Breach(
+                        5,
+                        final["q"],
+                        f"the client was told {told} ms of data {age} us old",
+                        (reply.at, final.at),
+                    )
+                )
--- a/heathwell/audit/rules.py
+++ b/heathwell/audit/rules.py
@@ -62,10 +62,14 @@
     cancel: Event | None = None
 
     def at(self) -> tuple[str, ...]:
-        return tuple(e.at for e in (self.send, self.arrive, self.begin, self.done, self.ended) if e is not None)
+        return tuple(
+            e.at for e in (self.send, self.arrive, self.begin, self.done, self.ended) if e is not None
+        )
 
     def may_have_run(self) -> bool:
-        """Whether the host may have done it: it began, or it arrived and nothing shows that it was not begun."""
+        """Whether the host may have done it: it began, or it arrived and nothing shows that it was
+        not begun.
+        """
         if self.begin is not None:
             return True
         if self.arrive is None:
@@ -134,8 +138,9 @@
                 if getattr(attempt, name) is None:
                     setattr(attempt, name, event)
                 elif name in ("arrive", "send", "ended"):
-                    self._breach(2, key[0], f"attempt {key[1]} has two '{name}' events",
-                                 getattr(attempt, name), event)
+                    self._breach(
+                        2, key[0], f"attempt {key[1]} has two '{name}' events", getattr(attempt, name), event
+                    )
         for query in self.queries.values():
             for attempts in query.parts.values():
                 attempts.sort(key=lambda a: a.seq)
@@ -157,9 +162,14 @@
         self._budget()
         finals = [q for q in self.queries.values() if q.finals]
         self.out.counts |= {
-            "queries": len(self.queries), "finals": len(finals), "attempts": len(self.attempts),
-            "arrivals": len(self.by["arrive"]), "effects": len(self.by["effect"]),
-            "clients": len(self.by["ask"]), "falls": len(self.by["fell"]), "news": len(self.by["news"]),
+            "queries": len(self.queries),
+            "finals": len(finals),
+            "attempts": len(self.attempts),
+            "arrivals": len(self.by["arrive"]),
+            "effects": len(self.by["effect"]),
+            "clients": len(self.by["ask"]),
+            "falls": len(self.by["fell"]),
+            "news": len(self.by["news"]),
         }
         self.out.breaches.sort(key=lambda b: (b.rule, b.request))
         return self.out
@@ -177,8 +187,11 @@
 
     def _stood_still(self, name: str, begin: int, end: int) -> int:
         """How long the harness kept a process stopped that was to answer between these times."""
-        return sum(pause["span"] + self.slack for pause in self.by["paused"]
-                   if pause["name"] == name and pause.t <= end and pause.t + pause["span"] + self.slack >= begin)
+        return sum(
+            pause["span"] + self.slack
+            for pause in self.by["paused"]
+            if pause["name"] == name and pause.t <= end and pause.t + pause["span"] + self.slack >= begin
+        )
 
     def _class(self, query: _Query) -> dict[str, Any]:
         found: dict[str, Any] = self.figures["classes"][query.take["klass"]]
@@ -209,19 +222,36 @@
         for attempts in query.parts.values():
             for attempt in attempts:
                 if attempt.send is not None and attempt.send.t > over:
-                    self._breach(1, query_id, f"part {attempt.part} sent after the final answer", last, attempt.send)
-                elif attempt.arrive is not None and attempt.send is None and attempt.arrive.t > over + self.slack:
-                    self._breach(1, query_id, f"part {attempt.part} reached a host after the final answer",
-                                 last, attempt.arrive)
+                    self._breach(
+                        1, query_id, f"part {attempt.part} sent after the final answer", last, attempt.send
+                    )
+                elif (
+                    attempt.arrive is not None
+                    and attempt.send is None
+                    and attempt.arrive.t > over + self.slack
+                ):
+                    self._breach(
+                        1,
+                        query_id,
+                        f"part {attempt.part} reached a host after the final answer",
+                        last,
+                        attempt.arrive,
+                    )
 
     def _unlogged(self) -> None:
-        """A host saw an attempt that its broker never logged: only a killed broker's last turn may do that."""
+        """A host saw an attempt that its broker never logged: only a killed broker's last turn may
+        do that.
+        """
         for (part, seq), attempt in self.attempts.items():
             if attempt.arrive is None or attempt.send is not None:
                 continue
             broker = attempt.arrive["broker"]
-            if broker not in self.first_last or not self._killed_before(broker, attempt.arrive.t + self.slack):
-                self._breach(2, part, f"attempt {seq} reached a host and its broker logged no send", attempt.arrive)
+            if broker not in self.first_last or not self._killed_before(
+                broker, attempt.arrive.t + self.slack
+            ):
+                self._breach(
+                    2, part, f"attempt {seq} reached a host and its broker logged no send", attempt.arrive
+                )
 
     def _clients(self) -> None:
         replies: dict[str, list[Event]] = defaultdict(list)
@@ -231,13 +261,20 @@
             got = replies.get(_own_number(ask), [])
             if len(got) > 1:
                 self._breach(1, ask["req"], f"the client saw {len(got)} replies", ask, *got)
-            elif not got and not self._broker_lost(ask) and self.first_last[ask.who][1] > ask.t + ask["limit"]:
+            elif (
+                not got and not self._broker_lost(ask) and self.first_last[ask.who][1] > ask.t + ask["limit"]
+            ):
                 self._breach(1, ask["req"], "the client saw no reply", ask)
             for reply in got:
                 still = self._stood_still(ask["broker"], ask.t, ask.t + ask["limit"])
-                if reply["kind"] in ("answer", "error") and reply.t > ask.t + ask["limit"] + self.slack + still:
+                if (
+                    reply["kind"] in ("answer", "error")
+                    and reply.t > ask.t + ask["limit"] + self.slack + still
+                ):
                     late = reply.t - ask.t - ask["limit"]
-                    self._breach(1, ask["req"], f"the client's reply came {late} us after its time", ask, reply)
+                    self._breach(
+                        1, ask["req"], f"the client's reply came {late} us after its time", ask, reply
+                    )
                 elif reply["kind"] == "timeout" and not still and not self._broker_lost(ask):
                     self._breach(1, ask["req"], "the client's time ran out without a reply", ask, reply)
                 elif reply["kind"] == "broken" and not self._broker_lost(ask) and self._was_taken(ask, reply):
@@ -253,16 +290,21 @@
         """Whether a running broker took what was asked; one killed before, unknown to its client, did not."""
         taken = any(self._taken(ask, key, reply.t) for key in ask["keys"])  # a key may be asked for twice
         door = any(e["req"] == ask["req"] and ask.t <= e.t <= reply.t for e in self.by["door"])
-        killed = any(who.rpartition("r")[0] == ask["broker"] and self._killed_before(who, ask.t)
-                     for who in self.first_last)
+        killed = any(
+            who.rpartition("r")[0] == ask["broker"] and self._killed_before(who, ask.t)
+            for who in self.first_last
+        )
         return taken or door or not killed
 
     def _taken(self, ask: Event, key: str, until: int) -> list[_Query]:
         """The queries that came of a key asked for: more than one where the get named it more than once.
         Ports are used again, so broker and time tell requests apart."""
-        return [query for query in self.takes.get((ask["req"], key), [])
-                if query.take.who.rpartition("r")[0] == ask["broker"]
-                and ask.t - self.slack <= query.take.t <= until]
+        return [
+            query
+            for query in self.takes.get((ask["req"], key), [])
+            if query.take.who.rpartition("r")[0] == ask["broker"]
+            and ask.t - self.slack <= query.take.t <= until
+        ]
 
     # Rule 2
 
@@ -280,16 +322,29 @@
             for earlier in attempts[:number]:
                 over = earlier.ended or earlier.done
                 if not self.figures["second_copies"] and (over is None or over.t > start.t):
-                    self._breach(2, part, f"attempts {earlier.seq} and {later.seq} were out at once",
-                                 earlier.send, start, over)
+                    self._breach(
+                        2,
+                        part,
+                        f"attempts {earlier.seq} and {later.seq} were out at once",
+                        earlier.send,
+                        start,
+                        over,
+                    )
             risky = [a for a in attempts[:number] if a.may_have_run()]
             if spec["repeat"] == "unsafe" and risky:
-                self._breach(2, part, f"unsafe part sent again as attempt {later.seq}", risky[0].arrive, start)
+                self._breach(
+                    2, part, f"unsafe part sent again as attempt {later.seq}", risky[0].arrive, start
+                )
             if spec["repeat"] == "keyed" and risky:
                 first = min(e.t for a in risky if (e := a.send or a.arrive) is not None)
                 if start.t > first + spec["dedup"]:
-                    self._breach(2, part, f"keyed part sent again {start.t - first} us after its first attempt",
-                                 risky[0].send, start)
+                    self._breach(
+                        2,
+                        part,
+                        f"keyed part sent again {start.t - first} us after its first attempt",
+                        risky[0].send,
+                        start,
+                    )
 
     def _outcome(self, attempt: _Attempt) -> None:
         """The broker's word on an attempt's end must be what the host saw."""
@@ -297,12 +352,19 @@
             return
         outcome = attempt.ended["outcome"]
         if outcome in NEVER_RAN and attempt.begin is not None and attempt.begin.t <= attempt.ended.t:
-            self._breach(2, attempt.part, f"told as '{outcome}' though the host had begun it",
-                         attempt.begin, attempt.ended)
+            self._breach(
+                2,
+                attempt.part,
+                f"told as '{outcome}' though the host had begun it",
+                attempt.begin,
+                attempt.ended,
+            )
         if outcome == "ok" and (attempt.done is None or attempt.done["outcome"] != "ok"):
             if attempt.arrive is not None and self._killed_before(attempt.arrive.who, attempt.ended.t):
                 return
-            self._breach(5, attempt.part, "told as answered, but no host answered it", attempt.ended, attempt.done)
+            self._breach(
+                5, attempt.part, "told as answered, but no host answered it", attempt.ended, attempt.done
+            )
 
     def _refusal(self, query_id: str, query: _Query) -> None:
         if self._class(query)["repeat"] != "unsafe":
@@ -355,8 +417,14 @@
                 if word is None or entry[1] != word[1]:
                     word = entry
             if word is not None and word[1] and when > word[0] + grace:
-                self._breach(3, attempt.part, f"sent to {arrive['node']} {when - word[0]} us after word of its end",
-                             word[2], attempt.send, arrive)
+                self._breach(
+                    3,
+                    attempt.part,
+                    f"sent to {arrive['node']} {when - word[0]} us after word of its end",
+                    word[2],
+                    attempt.send,
+                    arrive,
+                )
 
     # Rule 4
 
@@ -404,7 +472,9 @@
             for part in self._not_moot(query, final, moot):
                 self._breach(5, query_id, f"part {part} left out, which could have changed the rows", final)
             if weight < spec["floor"] - SUMS:
-                self._breach(5, query_id, f"answered from {weight:.3f} of its parts, under {spec['floor']}", final)
+                self._breach(
+                    5, query_id, f"answered from {weight:.3f} of its parts, under {spec['floor']}", final
+                )
             if final["whole"]:
                 second = len(set(names)) - len(set(first))
                 if weight < spec["need"] - SUMS:
@@ -412,7 +482,9 @@
                 if spec["fetch"] and second < min(spec["fetch"], len(first)):
                     self._breach(5, query_id, f"marked whole with {second} parts of its second step", final)
                 if any(not event["whole"] for event in query.firsts):
-                    self._breach(5, query_id, "marked whole though its first step was not", *query.firsts, final)
+                    self._breach(
+                        5, query_id, "marked whole though its first step was not", *query.firsts, final
+                    )
 
     def _not_moot(self, query: _Query, final: Event, moot: list[str]) -> list[str]:
         """Parts left out without right: by what hosts said before their work, against the rows in hand."""
@@ -427,19 +499,36 @@
                     best[point] = max(score, best.get(point, score))
             kept = sorted(best.values(), reverse=True)
             least = query.take["least"][search]
-            edges.append(max(kept[wanted - 1] if len(kept) >= wanted else -math.inf,
-                             least if least is not None else -math.inf))
-        return [part for part in moot if not any(
-            all(bound < edge or bound == -math.inf for bound, edge in zip(told["best"], edges, strict=True))
-            for told in self.bounds[part] if told.t <= final.t)]
+            edges.append(
+                max(
+                    kept[wanted - 1] if len(kept) >= wanted else -math.inf,
+                    least if least is not None else -math.inf,
+                )
+            )
+        return [
+            part
+            for part in moot
+            if not any(
+                all(
+                    bound < edge or bound == -math.inf
+                    for bound, edge in zip(told["best"], edges, strict=True)
+                )
+                for told in self.bounds[part]
+                if told.t <= final.t
+            )
+        ]
 
     def _host_answered(self, query: _Query, part: str, final: Event) -> bool:
         for attempt in query.parts.get(part, []):
             if attempt.done is not None and attempt.done["outcome"] == "ok" and attempt.done.t <= final.t:
                 return True
             # A host killed in the very turn that it answered leaves no line, but its broker has the answer.
-            if (attempt.arrive is not None and attempt.ended is not None and attempt.ended["outcome"] == "ok"
-                    and self._killed_before(attempt.arrive.who, final.t)):
+            if (
+                attempt.arrive is not None
+                and attempt.ended is not None
+                and attempt.ended["outcome"] == "ok"
+                and self._killed_before(attempt.arrive.who, final.t)
+            ):
                 return True
         return False
 
@@ -454,10 +543,16 @@
                 finals = [(query, query.finals[0]) for query in queries if query.finals]
                 wrong = [_untrue(value, query, final) for query, final in finals]
                 if not queries:
-                    self._breach(5, reply["req"], f"a value of '{value['key']}' that no broker took", ask, reply)
+                    self._breach(
+                        5, reply["req"], f"a value of '{value['key']}' that no broker took", ask, reply
+                    )
                 elif not finals:
-                    self._breach(1, queries[0].take["q"], "the client got a value, the broker gave no final answer",
-                                 reply)
+                    self._breach(
+                        1,
+                        queries[0].take["q"],
+                        "the client got a value, the broker gave no final answer",
+                        reply,
+                    )
                 elif all(wrong):
                     self._breach(5, queries[0].take["q"], wrong[0], reply, finals[0][1])
 
@@ -480,11 +575,16 @@
             for broker, sent in further.items():
                 sent.sort(key=lambda entry: entry[0])
                 for number, (t, attempt) in enumerate(sent):
-                    made = sum(t - span <= s <= t for s, _ in sent[:number + 1])
+                    made = sum(t - span <= s <= t for s, _ in sent[: number + 1])
                     took = sum(t - span < s <= t for s in taken[broker])
                     if made > free + ratio * took + 1e-9:
-                        self._breach(6, attempt.part, f"{made} further attempts within the window, of {took} taken",
-                                     attempt.send, attempt.arrive)
+                        self._breach(
+                            6,
+                            attempt.part,
+                            f"{made} further attempts within the window, of {took} taken",
+                            attempt.send,
+                            attempt.arrive,
+                        )
 
 
 def _untrue(value: dict[str, Any], query: _Query, final: Event) -> str:
--- a/heathwell/broker/discovery.py
+++ b/heathwell/broker/discovery.py
@@ -39,8 +39,17 @@
 class DiscoveryClient:
     """Watches the host list. Each :meth:`ask` is answered by exactly one piece of news."""
 
-    def __init__(self, loop: Loop, net: Net, address: str, name: str, timeout: int, push: bool,
-                 news: Callable[[hw.FleetNews], None], log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        address: str,
+        name: str,
+        timeout: int,
+        push: bool,
+        news: Callable[[hw.FleetNews], None],
+        log: Callable[..., None],
+    ) -> None:
         self.loop, self.net, self.address, self.name, self.timeout = loop, net, address, name, timeout
         self.push, self.news, self.log = push, news, log
         self.roster = Roster()
--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -67,7 +67,9 @@
         """Stop waiting for an attempt whose end the owner has told by itself; true if it was out."""
 
     def withdraw(self, key: Key) -> bool:
-        """Take back an attempt of which nothing has left yet; true if it was, and nothing of it will leave."""
+        """Take back an attempt of which nothing has left yet; true if it was, and nothing of it
+        will leave.
+        """
 
     def probe(self) -> None:
         """Ask for a sign of life; ends once."""
@@ -91,8 +93,10 @@
 
 @dataclass(slots=True)
 class Era:
-    """One version of the settings, and the decisions under it. A query belongs to one from its start to its answer; one
-    that is over lives on until its last query has ended. ``more`` is what a way in and out keeps by version."""
+    """One version of the settings, and the decisions under it. A query belongs to one from its start to its
+    answer; one that is over lives on until its last query has ended. ``more`` is what a way in and out keeps
+    by version.
+    """
 
     settings: hw.Settings
     module: Aggregator
@@ -164,13 +168,22 @@
 
 
 class Driver(Generic[Q]):
-    """One aggregator with its queries, links and list of hosts. Subclasses are the ways in and out: they say how a
-    part is asked for, what a usable answer is, what a second step asks, and how parts become a reply."""
+    """One aggregator with its queries, links and list of hosts. Subclasses are the ways in and out: they say
+    how a part is asked for, what a usable answer is, what a second step asks, and how parts become a reply.
+    """
 
     discovery: Membership
 
-    def __init__(self, loop: Loop, settings: hw.Settings, seed: int, *, name: str, events: EventLog | None = None,
-                 log: Callable[..., None] | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        settings: hw.Settings,
+        seed: int,
+        *,
+        name: str,
+        events: EventLog | None = None,
+        log: Callable[..., None] | None = None,
+    ) -> None:
         self.loop, self.name = loop, name
         self.events: EventLog = events or NoEvents()
         self.log = log or (lambda *_args, **_fields: None)
@@ -202,10 +215,14 @@
         return self.era.settings
 
     def begin_era(self, settings: hw.Settings, seed: int, version: str, more: Any = None) -> Era:
-        """Other settings for all queries that come from now on; those that are here go on under theirs. To be called
-        between two batches. What is known of servers, but for the list, is learned anew."""
-        roster = tuple(hw.ServerEntry(s.node, s.cell, hw.LIVE, s.since, s.rating, s.zone)
-                       for s in self.module.servers.values() if s.live)
+        """Other settings for all queries that come from now on; those that are here go on under theirs. To be
+        called between two batches. What is known of servers, but for the list, is learned anew.
+        """
+        roster = tuple(
+            hw.ServerEntry(s.node, s.cell, hw.LIVE, s.since, s.rating, s.zone)
+            for s in self.module.servers.values()
+            if s.live
+        )
         self.era = Era(settings, Aggregator(settings, seed), version, more)
         self.eras.append(self.era)
         self._push(hw.FleetNews(hw.FULL, roster, asked=False), self.era)
@@ -254,7 +271,9 @@
         return after_us
 
     def fleet_room(self) -> hw.Room | None:
-        """What budgets of the whole fleet leave this broker now, for the module; None where there are none."""
+        """What budgets of the whole fleet leave this broker now, for the module; None where there
+        are none.
+        """
         return None
 
     def may_leave(self, send: hw.Send, key: Key) -> bool:
@@ -283,20 +302,42 @@
         self.held += 1
         return Handle(self, query.id)
 
-    def enter(self, query: Q, parts: Iterable[tuple[Any, int | None]], count: int, hint_us: int | None,
-              retry: bool = False, tenant: int = 0) -> None:
+    def enter(
+        self,
+        query: Q,
+        parts: Iterable[tuple[Any, int | None]],
+        count: int,
+        hint_us: int | None,
+        retry: bool = False,
+        tenant: int = 0,
+    ) -> None:
         """Tell the module of a query and of its parts, each with its hint."""
         query.queued = False
-        self._push(hw.QueryArrived(query.id, query.job, query.klass, query.deadline, count, hint_us=hint_us,
-                                   retry=retry, tenant=tenant), query.era)
+        self._push(
+            hw.QueryArrived(
+                query.id,
+                query.job,
+                query.klass,
+                query.deadline,
+                count,
+                hint_us=hint_us,
+                retry=retry,
+                tenant=tenant,
+            ),
+            query.era,
+        )
         self.add_parts(query, parts)
 
     def add_parts(self, query: Q, parts: Iterable[tuple[Any, int | None]]) -> None:
         """Tell the module of a step's parts."""
         for part, hint in parts:
             self.hold_part(query, part)
-            self._push(hw.PartArrived(part.id, query.job, part.plan.shard, part.plan.weight, hint,
-                                      self.subject(query)), query.era)
+            self._push(
+                hw.PartArrived(
+                    part.id, query.job, part.plan.shard, part.plan.weight, hint, self.subject(query)
+                ),
+                query.era,
+            )
 
     def subject(self, query: Q) -> int | None:
         """What the query is about, where that is known as a number."""
@@ -386,7 +427,9 @@
             if self.usable(query, part, node, key, result):
                 part.data, part.node, part.seq = result.data, node, key[1]
                 self.kept(query, part, key, result)
-                if part.attempts > 1:  # a further attempt that still waits for its connection is of no use now
+                if (
+                    part.attempts > 1
+                ):  # a further attempt that still waits for its connection is of no use now
                     self._withdraw(query, key[0])
             else:
                 # Told to the module as an error of that host: it asks elsewhere where its own rules allow.
@@ -409,16 +452,19 @@
         self.events("ended", p=key[0], seq=key[1], node=node, outcome=outcome, took=took)
         self.attempt_over(node, key, outcome, took)
         active = result.inflight if result is not None else None
-        self._push(hw.AttemptEnded(key[0], key[1], node, outcome, took, None if active is None else float(active)),
-                   query.era)
+        self._push(
+            hw.AttemptEnded(key[0], key[1], node, outcome, took, None if active is None else float(active)),
+            query.era,
+        )
         self._let_go(query)
 
     def _deadline(self, query: Q) -> None:
         """The client's time is up: what is still out for its query ends here."""
         query.timer = None
         if query.on_reply is not None and not query.queued and not query.woken:
-            # After a stall of the loop the module's own timer, a tick earlier, comes in the same turn: it goes first.
-            # By a timer of the next turn: what is called soon would still run in this one, before its batch is handled.
+            # After a stall of the loop the module's own timer, a tick earlier, comes in the same turn: it
+            # goes first. By a timer of the next turn: what is called soon would still run in this one, before
+            # its batch is handled.
             query.woken = True
             self._push(hw.TimerFired("due"), query.era)
             query.timer = self.loop.call_at(self.loop.now() + 1, self._deadline, query)
@@ -536,7 +582,8 @@
         part.attempts += 1
         now = self.loop.now()
         if query.on_reply is None or now >= query.deadline or not self.may_leave(action, key):
-            # Its client left, or its time or the fleet's budget ran out while this was decided: told as what it is.
+            # Its client left, or its time or the fleet's budget ran out while this was decided: told as what
+            # it is.
             self.events("unsent", p=part_id, seq=key[1], node=node)
             self._push(hw.AttemptEnded(part_id, key[1], node, hw.NEVER_SENT), query.era)
             return
@@ -547,8 +594,14 @@
         if action.until_us is not None and action.until_us < query.deadline:
             self.loop.call_at(action.until_us, self._withdraw, query, key)
         self.sent(node, key)
-        self.events("send", p=part_id, seq=key[1], node=node, shard=part.plan.shard,
-                    **({"further": True} if action.further else {}))
+        self.events(
+            "send",
+            p=part_id,
+            seq=key[1],
+            node=node,
+            shard=part.plan.shard,
+            **({"further": True} if action.further else {}),
+        )
         batches = calls.setdefault(node, [])
         if not batches or len(batches[-1]) >= self.settings.parts_a_call:
             batches.append([])
@@ -639,6 +692,5 @@
         return link
 
 
-
 def _nothing() -> None:
     """A call that only makes the loop turn."""
--- a/heathwell/broker/hostpool.py
+++ b/heathwell/broker/hostpool.py
@@ -1,8 +1,9 @@
-"""Several connections to one host, where settings allow: each broker's first is its own, more are taken when those that
-stand are all busy, and let go when they rest or their share is over.
+"""Several connections to one host, where settings allow: each broker's first is its own, more are taken when
+those that stand are all busy, and let go when they rest or their share is over.
 
-One connection carries answers in order, so a lost packet or a half-sent answer holds up all that is behind it. Which
-host a part goes to is decided before; here only the connection is chosen: the one with the fewest parts out.
+One connection carries answers in order, so a lost packet or a half-sent answer holds up all that is behind
+it. Which host a part goes to is decided before; here only the connection is chosen: the one with the fewest
+parts out.
 """
 
 from __future__ import annotations
@@ -17,11 +18,21 @@
 
 
 class HostPool:
-    """A way to a host of up to ``most`` connections. ``take`` asks for a further one, ``give_back`` tells that one is
-    provably gone; a host closes what is silent for ``linger_us``, by its own clock."""
-
-    def __init__(self, loop: Loop, make: Callable[[Callable[[bool], None]], HostLink], *, most: int, busy: int,
-                 linger_us: int, take: Callable[[], bool], give_back: Callable[[], None]) -> None:
+    """A way to a host of up to ``most`` connections. ``take`` asks for a further one, ``give_back`` tells
+    that one is provably gone; a host closes what is silent for ``linger_us``, by its own clock.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        make: Callable[[Callable[[bool], None]], HostLink],
+        *,
+        most: int,
+        busy: int,
+        linger_us: int,
+        take: Callable[[], bool],
+        give_back: Callable[[], None],
+    ) -> None:
         self.loop, self.make, self.most, self.busy, self.linger_us = loop, make, most, busy, linger_us
         self.take, self.give_back = take, give_back
         self.first = make(lambda _seen: None)
@@ -68,7 +79,9 @@
         return link
 
     def _closed(self, link: HostLink, seen: bool) -> None:
-        """A further connection is gone: its unit is free once the host has seen the end, or has closed by itself."""
+        """A further connection is gone: its unit is free once the host has seen the end, or has closed by
+        itself.
+        """
         for links in (self.more, self.closing):
             if link in links:
                 links.remove(link)
@@ -86,7 +99,9 @@
 
     def shrink(self, units: int) -> None:
         """Let go of so many further connections, each as soon as it has nothing out."""
-        for link in sorted(self.more, key=lambda link: len(link.out))[:max(0, units - len(self.closing) - self.waits)]:
+        for link in sorted(self.more, key=lambda link: len(link.out))[
+            : max(0, units - len(self.closing) - self.waits)
+        ]:
             self.more.remove(link)
             self.closing.append(link)
         for link in [link for link in self.closing if not link.out]:
--- a/heathwell/broker/hosts.py
+++ b/heathwell/broker/hosts.py
@@ -27,7 +27,9 @@
         """One outcome a probe."""
 
     def waited(self, node: str, parts: list[frames.Ask]) -> list[frames.Ask]:
-        """Which of the attempts that waited for their connection may still leave; the others are ended by the owner."""
+        """Which of the attempts that waited for their connection may still leave; the others are ended by the
+        owner.
+        """
 
     def bound(self, node: str, key: Key, best: list[float]) -> None:
         """A host's word, before its work, on how good an attempt's best row can be."""
@@ -47,13 +49,26 @@
 
 
 class HostLink:
-    """One broker's way to one host: connects when there is something to send, closes when idle. With ``quiet_us`` the
-    host may close it when nothing came for so long, and a ping goes out in time. ``on_closed`` is told of each end, and
-    whether the host has seen it."""
-
-    def __init__(self, loop: Loop, net: Net, node: str, name: str, owner: Owner, *, connect_timeout: int,
-                 probe_timeout: int, idle_close: int, log: Callable[..., None], quiet_us: int = 0,
-                 on_closed: Callable[[bool], None] | None = None) -> None:
+    """One broker's way to one host: connects when there is something to send, closes when idle. With
+    ``quiet_us`` the host may close it when nothing came for so long, and a ping goes out in time.
+    ``on_closed`` is told of each end, and whether the host has seen it.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        node: str,
+        name: str,
+        owner: Owner,
+        *,
+        connect_timeout: int,
+        probe_timeout: int,
+        idle_close: int,
+        log: Callable[..., None],
+        quiet_us: int = 0,
+        on_closed: Callable[[bool], None] | None = None,
+    ) -> None:
         self.loop, self.net, self.node, self.name, self.owner, self.log = loop, net, node, name, owner, log
         self.connect_timeout, self.probe_timeout = connect_timeout, probe_timeout
         self.quiet_us, self.on_closed = quiet_us, on_closed
@@ -65,8 +80,9 @@
         self._task: Task | None = None
         self._probes: dict[int, Timer] = {}
         self._probe_no = 0
-        self._idle = IdleTime(loop, idle_close, lambda: self.stream is None or bool(self.out or self._probes),
-                              self.close)
+        self._idle = IdleTime(
+            loop, idle_close, lambda: self.stream is None or bool(self.out or self._probes), self.close
+        )
 
     @property
     def up(self) -> bool:
@@ -105,7 +121,8 @@
         self._probe_no += 1
         number = self._probe_no
         self._probes[number] = self.loop.call_at(
-            self.loop.now() + self.probe_timeout, self._probe_over, number, hw.TIMED_OUT)
+            self.loop.now() + self.probe_timeout, self._probe_over, number, hw.TIMED_OUT
+        )
         if self.stream is None:
             self._connect()
         else:
--- a/heathwell/broker/keyspace.py
+++ b/heathwell/broker/keyspace.py
@@ -77,8 +77,10 @@
         for trader in traders:
             for shard in rows_of(place(trader, self.shards), space.report_parts, self.shards):
                 holders.setdefault(shard, []).append(trader)
-        parts = tuple(PartPlan(shard, 1 / len(holders), "totals", ",".join(held) + ":" + day)
-                      for shard, held in holders.items())
+        parts = tuple(
+            PartPlan(shard, 1 / len(holders), "totals", ",".join(held) + ":" + day)
+            for shard, held in holders.items()
+        )
         return Plan(self._classes[space.klass], space.shape, zlib.crc32(traders[0].encode()), key, parts)
 
 
--- a/heathwell/broker/market.py
+++ b/heathwell/broker/market.py
@@ -74,25 +74,46 @@
     @classmethod
     def of(cls, market: Market) -> Version:
         """Made from settings."""
-        return cls(market, keyspace.KeySpaces(market),
-                   tuple(Policy(spec.wanted_age, spec.max_age, spec.stale) for spec in market.classes))
+        return cls(
+            market,
+            keyspace.KeySpaces(market),
+            tuple(Policy(spec.wanted_age, spec.max_age, spec.stale) for spec in market.classes),
+        )
 
 
 class Broker(Driver[MarketQuery]):
     """One aggregator with its connections. ``name`` must be one of a kind among the brokers' runs."""
 
-    def __init__(self, loop: Loop, net: Net, market: Market, *, name: str, zone: int, seed: int,
-                 discovery: str, source: str = "", siblings: int = 1, events: EventLog | None = None,
-                 log: Callable[..., None] | None = None, roster: tuple[hw.ServerEntry, ...] = (),
-                 agent: Agent | None = None, service: ServiceBook | None = None) -> None:
-        super().__init__(loop, module_settings(market, zone, siblings), seed, name=name, events=events, log=log)
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        market: Market,
+        *,
+        name: str,
+        zone: int,
+        seed: int,
+        discovery: str,
+        source: str = "",
+        siblings: int = 1,
+        events: EventLog | None = None,
+        log: Callable[..., None] | None = None,
+        roster: tuple[hw.ServerEntry, ...] = (),
+        agent: Agent | None = None,
+        service: ServiceBook | None = None,
+    ) -> None:
+        super().__init__(
+            loop, module_settings(market, zone, siblings), seed, name=name, events=events, log=log
+        )
         self.net, self.service, self.zone, self.siblings = net, service, zone, siblings
         self.era.more = Version.of(market)
         self.spending = Spending(self, agent) if agent is not None else None
         self.sight: ZoneSight | None = None
         self._zone_held: dict[int, frozenset[str]] = {}
         if agent is not None and market.fleet.evacuate:
-            from heathwell.broker.zonesight import ZoneSight  # noqa: PLC0415  # nobody else needs what it imports
+            # nobody else needs what it imports
+            from heathwell.broker.zonesight import ZoneSight  # noqa: PLC0415
+
             self.sight = ZoneSight(self, market.fleet.zones[zone], market.fleet.zones, seed ^ 0x20E5)
             agent.on_zones(self.sight)
         self.random = random.Random(seed ^ 0x5EED)
@@ -102,43 +123,70 @@
         self.explained: OrderedDict[str, dict[str, Any]] = OrderedDict()
         if fresh.on:
             self.fresh = Freshness(SourceClock(), self._holders)
-            self.clock_keeper = ClockKeeper(loop, net, source or fresh.source, name, fresh.sync, self.fresh.clock,
-                                            self.log)
+            self.clock_keeper = ClockKeeper(
+                loop, net, source or fresh.source, name, fresh.sync, self.fresh.clock, self.log
+            )
         self.regions: Regions | None = None
         self._listed_regions: dict[str, str] = {}
         self._far: frozenset[str] = frozenset()
         self._bare: dict[int, int] = {}
         self._held_back: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())
-        self._zone_region = {market.fleet.zones.index(name): region.name
-                             for region in market.across.regions for name in region.zones}
+        self._zone_region = {
+            market.fleet.zones.index(name): region.name
+            for region in market.across.regions
+            for name in region.zones
+        }
         across = market.across
-        if across.regions and (across.decide or across.prefer_home
-                               or any(spec.across != "any" for spec in market.classes)):
+        if across.regions and (
+            across.decide or across.prefer_home or any(spec.across != "any" for spec in market.classes)
+        ):
             self.regions = Regions(
-                self._zone_region[zone], [region.name for region in market.across.regions],
-                min(spec.aim_us for spec in self.settings.classes), seed ^ 0x11A5,
-                prefer=across.prefer_home, cross_most=across.cross_most, judge=across.decide,
-                budget=across.cross_budget, ways=self._ways(self._zone_region[zone]))
+                self._zone_region[zone],
+                [region.name for region in market.across.regions],
+                min(spec.aim_us for spec in self.settings.classes),
+                seed ^ 0x11A5,
+                prefer=across.prefer_home,
+                cross_most=across.cross_most,
+                judge=across.decide,
+                budget=across.cross_budget,
+                ways=self._ways(self._zone_region[zone]),
+            )
             loop.call_at(loop.now() + LOOK_US, self._look_at_links)
         fronts = market.fronts
         self.costs = Costs()
         self.gate: FairGate | None = None
         if fronts.queue_target:
             window = Window(fronts.queue_target, 2.0 * fronts.queue_target * market.fleet.cells / siblings)
-            self.gate = FairGate({"memcached": fronts.memcached, "vector": fronts.vector}, window, seed ^ 0xFA1E)
+            self.gate = FairGate(
+                {"memcached": fronts.memcached, "vector": fronts.vector}, window, seed ^ 0xFA1E
+            )
         self.storms: Storms | None = None
         if market.storms.on:
             said = market.storms
-            self.storms = Storms(Limits(said.useful, said.repeat, said.accepts, said.first_accepts,
-                                        float(said.first_rate)), loop.now(), seed ^ 0x570)
+            self.storms = Storms(
+                Limits(said.useful, said.repeat, said.accepts, said.first_accepts, float(said.first_rate)),
+                loop.now(),
+                seed ^ 0x570,
+            )
             self._most_hosts = 1
             loop.call_at(loop.now() + TICK_US, self._look_for_storms)
         self.points_seen: dict[str, dict[int, int]] = {}  # sizes of shards, by collection, as hosts told them
         self._gate_look: Timer | None = None
         leaving = market.fleet.zone_let_go if self.sight is not None else 0
         self.client_drain = ClientDrain(across.let_go or leaving, seed ^ 0xD12A)
-        self.begin_service(DiscoveryClient(loop, net, discovery, name, market.discovery.timeout,
-                                           not market.discovery.ask, self.news, self.log), roster)
+        self.begin_service(
+            DiscoveryClient(
+                loop,
+                net,
+                discovery,
+                name,
+                market.discovery.timeout,
+                not market.discovery.ask,
+                self.news,
+                self.log,
+            ),
+            roster,
+        )
 
     # Versions of the settings
 
@@ -162,15 +210,21 @@
     def needs_restart(self, market: Market) -> str:
         """Why other settings can't go in between two turns; empty where they can."""
         before, after = msgspec.to_builtins(self.market), msgspec.to_builtins(market)
-        rest = sorted(key for key in before.keys() | after.keys() if before.get(key) != after.get(key)
-                      and key not in IN_PLACE)
+        rest = sorted(
+            key
+            for key in before.keys() | after.keys()
+            if before.get(key) != after.get(key) and key not in IN_PLACE
+        )
         if rest:
             return f"{', '.join(rest)}: made at the start"
         fixed = [(spec.name, spec.across) for spec in self.market.classes]
         if fixed != [(spec.name, spec.across) for spec in market.classes]:
             return "class: names, their order and whether they cross are made at the start"
-        apart = [name for name in ("clients", "clients_an_address", "host_connections", "busy_connection")
-                 if getattr(self.market.limits, name) != getattr(market.limits, name)]
+        apart = [
+            name
+            for name in ("clients", "clients_an_address", "host_connections", "busy_connection")
+            if getattr(self.market.limits, name) != getattr(market.limits, name)
+        ]
         return f"limits: {', '.join(apart)}: made at the start" if apart else ""
 
     def use(self, market: Market, version: str) -> str:
@@ -178,8 +232,12 @@
         why = self.needs_restart(market)
         if why:
             return why
-        self.begin_era(module_settings(market, self.zone, self.siblings), self.random.getrandbits(48), version,
-                       Version.of(market))
+        self.begin_era(
+            module_settings(market, self.zone, self.siblings),
+            self.random.getrandbits(48),
+            version,
+            Version.of(market),
+        )
         if self.service is not None:
             self.service.classes = {spec.name: spec for spec in self.settings.classes}
         self.events("settings", version=version)
@@ -216,8 +274,15 @@
                 self._refuse_at_door(spec, key, request, on_reply, "storm", verdict.after_us, who)
                 return None
         if self.stopping or self.full(len(plan.parts)):
-            self._refuse_at_door(spec, key, request, on_reply, "stopping" if self.stopping else "full",
-                                 self._advice(plan, who), who)
+            self._refuse_at_door(
+                spec,
+                key,
+                request,
+                on_reply,
+                "stopping" if self.stopping else "full",
+                self._advice(plan, who),
+                who,
+            )
             return None
         stated = plan.search.limit_us if plan.search is not None else 0
         limit = min(spec.limit_us, stated or spec.limit_us)
@@ -233,13 +298,33 @@
             return None
         now = self.loop.now()
         self.jobs += 1
-        query = MarketQuery(f"{self.name}.{self.jobs}", self.jobs, plan.klass, now,
-                            now + max(limit - self.market.limits.transit, self.market.limits.tick), on_reply,
-                            plan=plan, cut_off=cut_off, who=who)
-        self.events("take", q=query.id, ver=self.era.version, req=request, key=key, klass=spec.name,
-                    parts=len(plan.parts), deadline=query.deadline - now, shards=[part.shard for part in plan.parts],
-                    **({"wanted": plan.search.top.wanted, "least": plan.search.top.thresholds}
-                       if plan.search is not None else {}))
+        query = MarketQuery(
+            f"{self.name}.{self.jobs}",
+            self.jobs,
+            plan.klass,
+            now,
+            now + max(limit - self.market.limits.transit, self.market.limits.tick),
+            on_reply,
+            plan=plan,
+            cut_off=cut_off,
+            who=who,
+        )
+        self.events(
+            "take",
+            q=query.id,
+            ver=self.era.version,
+            req=request,
+            key=key,
+            klass=spec.name,
+            parts=len(plan.parts),
+            deadline=query.deadline - now,
+            shards=[part.shard for part in plan.parts],
+            **(
+                {"wanted": plan.search.top.wanted, "least": plan.search.top.thresholds}
+                if plan.search is not None
+                else {}
+            ),
+        )
         handle = self.admit(query)
         self._by_turn(query)
         return handle
@@ -281,8 +366,9 @@
         work, plan = self._work(query.plan, query.era), query.plan
         self.enter(query, self._planned(query, plan.parts, work), len(plan.parts), work * len(plan.parts))
 
-    def _planned(self, query: MarketQuery, plans: tuple[PartPlan, ...],
-                 work: int) -> Iterator[tuple[MarketPart, int | None]]:
+    def _planned(
+        self, query: MarketQuery, plans: tuple[PartPlan, ...], work: int
+    ) -> Iterator[tuple[MarketPart, int | None]]:
         """A step's parts with their hints, but for those that nobody within reach holds."""
         for plan in plans:
             part = MarketPart(f"{query.id}/{len(query.parts)}", plan, query.step)
@@ -304,7 +390,9 @@
                 self.loop.call_soon(self._look_at_gate)
 
     def _look_at_gate(self) -> None:
-        """Let go what may go now, refuse what has waited too long, and look again when the next would have."""
+        """Let go what may go now, refuse what has waited too long, and look again when the next
+        would have.
+        """
         if self.gate is None or self.dead:
             return
         now = self.loop.now()
@@ -322,7 +410,9 @@
         at = self.gate.next_look()
         if self._gate_look is not None:
             self._gate_look.cancel()
-        self._gate_look = self.loop.call_at(max(at, now + 1000), self._look_at_gate) if at is not None else None
+        self._gate_look = (
+            self.loop.call_at(max(at, now + 1000), self._look_at_gate) if at is not None else None
+        )
 
     def _cost(self, plan: Plan, era: Era | None = None) -> float:
         """What a query is taken to cost its hosts in all (us)."""
@@ -330,7 +420,9 @@
         return float(self._work(plan, era) * max(1, int(len(plan.parts) * need + 0.999)))
 
     def _advice(self, plan: Plan, who: str, else_us: int = -1, era: Era | None = None) -> int:
-        """When a client that is refused may come back (us): by the storm decider's calendar, or after about an aim."""
+        """When a client that is refused may come back (us): by the storm decider's calendar, or after about
+        an aim.
+        """
         if self.storms is not None:
             return self.storms.advise(self.loop.now(), who, plan.key, self._cost(plan, era))
         if else_us >= 0:
@@ -359,8 +451,9 @@
             self.events("storm", state=state, why=why)
             self.log("warning" if state == "storm" else "info", "storm decider", state=state, why=why)
 
-    def _refuse_at_door(self, spec: hw.ClassSpec, key: str, request: str, on_reply: OnReply, why: str,
-                        after: int, who: str) -> None:
+    def _refuse_at_door(
+        self, spec: hw.ClassSpec, key: str, request: str, on_reply: OnReply, why: str, after: int, who: str
+    ) -> None:
         """Refuse with advice what never reaches the module."""
         self.counts["door", spec.name, why] += 1
         self.events("door", req=request, key=key, klass=spec.name, why=why)
@@ -378,22 +471,31 @@
     # Towards the module
 
     def _cut_off(self, plan: Plan) -> tuple[PartPlan, ...]:
-        """Parts whose every live holder lies behind a link that is down, or that have had none for a while."""
+        """Parts whose every live holder lies behind a link that is down, or that have had none for
+        a while.
+        """
         shut = self._held_back[1]
         if self.market.classes[plan.klass].across == "never":
             shut |= self._far
         if not shut and not self._bare:
             return ()
         long_ago = self.loop.now() - self.settings.classes[plan.klass].aim_us // 2
-        return tuple(part for part in plan.parts if self._bare.get(part.shard, long_ago + 1) <= long_ago or (
-            (holders := self._holders(part.shard)) and all(node in shut for node in holders)))
+        return tuple(
+            part
+            for part in plan.parts
+            if self._bare.get(part.shard, long_ago + 1) <= long_ago
+            or ((holders := self._holders(part.shard)) and all(node in shut for node in holders))
+        )
 
     def _find_bare(self) -> None:
         """Note the shards that no live host holds, and since when: waiting for one is worth half an aim."""
         if not self.dead:
             now = self.loop.now()
-            self._bare = {shard: self._bare.get(shard, now) for shard in range(self.market.fleet.shards)
-                          if not self._holders(shard)}
+            self._bare = {
+                shard: self._bare.get(shard, now)
+                for shard in range(self.market.fleet.shards)
+                if not self._holders(shard)
+            }
 
     def _look_at_links(self) -> None:
         """Let the region decider look again; the module is told when its holdings change."""
@@ -411,7 +513,9 @@
             self._push(hw.Held(held[0] | self._zone_held.get(-1, frozenset()), held[1]))
 
     def hold_zones(self, klass: int, nodes: frozenset[str]) -> None:
-        """Hosts of zones that the fleet leaves, for one class or all: avoided beside what regions hold back."""
+        """Hosts of zones that the fleet leaves, for one class or all: avoided beside what regions
+        hold back.
+        """
         self._zone_held[klass] = nodes
         nobody = frozenset[str]()
         avoid, shut = self._held_back if klass < 0 else (nobody, nobody)
@@ -426,7 +530,9 @@
         self._link(node).probe()
 
     def _hold_by_class(self) -> None:
-        """Classes that may not cross, or only where home has nobody, have the far hosts held back for good."""
+        """Classes that may not cross, or only where home has nobody, have the far hosts held back
+        for good.
+        """
         assert self.regions is not None
         far = frozenset(node for node, region in self._listed_regions.items() if region != self.regions.home)
         if far == self._far:
@@ -445,13 +551,19 @@
             self.log("warning", "link to region", region=region, state=state, why=why)
 
     def _ways(self, home: str) -> dict[str, Way]:
-        return {(set(link.between) - {home}).pop(): Way(2 * link.delay, link.cost)
-                for link in self.market.across.links if home in link.between}
+        return {
+            (set(link.between) - {home}).pop(): Way(2 * link.delay, link.cost)
+            for link in self.market.across.links
+            if home in link.between
+        }
 
     def _within(self, far_too: bool = True) -> list[bool]:
         """Of each shard, whether it has a live holder that may be sent to."""
         shut = self._held_back[1] if far_too else self._held_back[1] | self._far
-        return [any(node not in shut for node in self._holders(shard)) for shard in range(self.market.fleet.shards)]
+        return [
+            any(node not in shut for node in self._holders(shard))
+            for shard in range(self.market.fleet.shards)
+        ]
 
     def reach(self) -> float:
         """The share of shards with a live holder that may be sent to."""
@@ -460,8 +572,12 @@
 
     @property
     def sends_away(self) -> bool:
-        """Whether idle clients had better find another broker: this one is cut off, or the fleet leaves its zone."""
-        return self.sight is not None and self.sight.left() or bool(self.market.across.let_go) and self.cut_off
+        """Whether idle clients had better find another broker: this one is cut off, or the fleet leaves its
+        zone.
+        """
+        return (
+            self.sight is not None and self.sight.left() or bool(self.market.across.let_go) and self.cut_off
+        )
 
     @property
     def cut_off(self) -> bool:
@@ -471,8 +587,11 @@
     def served(self, klass: int) -> float:
         """The share of a class's queries that can be answered now, its keys being placed evenly."""
         spec, within = self.market.classes[klass], self._within(self.market.classes[klass].across != "never")
-        spans = [{"search": space.parts, "report": space.report_parts}.get(space.shape, 1)
-                 for space in self.market.keys if space.klass == spec.name]
+        spans = [
+            {"search": space.parts, "report": space.report_parts}.get(space.shape, 1)
+            for space in self.market.keys
+            if space.klass == spec.name
+        ]
         floor = self.settings.classes[klass].min_share
         return sum(answerable(within, span, floor) for span in spans) / len(spans) if spans else 1.0
 
@@ -491,9 +610,13 @@
         if self.regions is not None:
             self._hold_by_class()  # after the news: the module must know whom it is told of
 
-    def usable(self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result) -> bool:
+    def usable(
+        self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result
+    ) -> bool:
         """Fresh enough, and rows that a sound host gives."""
-        return self._fresh_enough(query, part, node, key, result) and self._mergeable(query, part, node, key, result)
+        return self._fresh_enough(query, part, node, key, result) and self._mergeable(
+            query, part, node, key, result
+        )
 
     def kept(self, query: MarketQuery, part: MarketPart, key: Key, result: frames.Result) -> None:
         """Note what the answer's data is of."""
@@ -509,15 +632,21 @@
             self.costs.model(search.model, 1.0, len(search.figures)).learn(search.figures, result.work_us)
             self._moot(query)
 
-    def _mergeable(self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result) -> bool:
+    def _mergeable(
+        self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result
+    ) -> bool:
         """Whether a search's rows are what a sound host gives; they are merged at once."""
         search = query.plan.search
         if search is None:
             return True
         try:
             answer = read_answer(result.data)
-            search.top.add(part.id, [[Row(hit.id, hit.score, hit, hit.version) for hit in rows]
-                                     for rows in answer.lists], answer.points, answer.recall)
+            search.top.add(
+                part.id,
+                [[Row(hit.id, hit.score, hit, hit.version) for hit in rows] for rows in answer.lists],
+                answer.points,
+                answer.recall,
+            )
             self.points_seen.setdefault(part.plan.key, {})[part.plan.shard] = answer.points
         except (Malformed, msgspec.MsgspecError) as problem:
             part.why = f"malformed: {problem}"
@@ -553,21 +682,37 @@
             self.events("moot", p=part_id, seq=seq)
             self._push(hw.Moot(part_id, seq), query.era)
 
-    def _fresh_enough(self, query: MarketQuery, part: MarketPart, node: str, key: Key,
-                      result: frames.Result) -> bool:
+    def _fresh_enough(
+        self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result
+    ) -> bool:
         """The freshness decider's ruling on an answer."""
         if self.fresh is None:
             return True
         now, shard = self.loop.now(), part.plan.shard
         seen = query.plan.at_least(shard)
         if query.step > 1:
-            seen = max([seen, *(p.position for p in query.parts.values()
-                                if p.step == 1 and p.plan.shard == shard and p.data is not None)])
+            seen = max(
+                [
+                    seen,
+                    *(
+                        p.position
+                        for p in query.parts.values()
+                        if p.step == 1 and p.plan.shard == shard and p.data is not None
+                    ),
+                ]
+            )
         ruling = self.fresh.rule(
-            now, shard, node, Watermark(result.position, result.source_us),
+            now,
+            shard,
+            node,
+            Watermark(result.position, result.source_us),
             self.settings_of(query).policies[query.plan.klass],
-            tried=part.nodes, turned_down=part.turned_down, took_us=now - self._sent_at[key],
-            time_left_us=query.started + self._spec(query).aim_us - now, at_least=seen)
+            tried=part.nodes,
+            turned_down=part.turned_down,
+            took_us=now - self._sent_at[key],
+            time_left_us=query.started + self._spec(query).aim_us - now,
+            at_least=seen,
+        )
         part.known_age = ruling.age_us is not None
         if not ruling.accept:
             part.turned_down += 1
@@ -579,8 +724,12 @@
     def _holders(self, shard: int) -> list[str]:
         """The hosts listed as live that hold a shard."""
         cells, fleet = self.module.cells, self.market.fleet
-        return [server.node for step in range(fleet.width)
-                for server in cells.get((shard + step) % fleet.cells, []) if server.live]
+        return [
+            server.node
+            for step in range(fleet.width)
+            for server in cells.get((shard + step) % fleet.cells, [])
+            if server.live
+        ]
 
     def _age(self, query: MarketQuery, used: list[MarketPart]) -> Age | None:
         """The answer's age as of now, from the parts that it rests on."""
@@ -592,11 +741,17 @@
         wanted = self.settings_of(query).policies[query.plan.klass].wanted_us
         heads: dict[int, int] = {part.plan.shard: part.position for part in used if part.step == 1}
         return Age(
-            bound, bool(wanted) and (bound is None or bound > wanted),
+            bound,
+            bool(wanted) and (bound is None or bound > wanted),
             all(part.position >= heads.get(part.plan.shard, 0) for part in used if part.step == 2),
-            tuple(sorted({part.plan.shard for part in used
-                          if part.position < query.plan.at_least(part.plan.shard)})),
-            make_token(heads), now)
+            tuple(
+                sorted(
+                    {part.plan.shard for part in used if part.position < query.plan.at_least(part.plan.shard)}
+                )
+            ),
+            make_token(heads),
+            now,
+        )
 
     def _explain(self, query: MarketQuery, reply: Reply, took: int) -> None:
         """Keep what a query rested on, for a while."""
@@ -604,8 +759,13 @@
         if not most:
             return
         self.explained[query.id] = {
-            "query": query, "kind": reply.kind, "whole": reply.whole, "took_us": took, "age": reply.age,
-            "at": self.loop.now()}
+            "query": query,
+            "kind": reply.kind,
+            "whole": reply.whole,
+            "took_us": took,
+            "age": reply.age,
+            "at": self.loop.now(),
+        }
         while len(self.explained) > most:
             self.explained.popitem(last=False)
 
@@ -618,16 +778,29 @@
         age: Age | None = kept["age"]
         clock = self.fresh.clock if self.fresh is not None else None
         return {
-            "query": query.id, "key": query.plan.key, "class": self._spec(query).name, "kind": kept["kind"],
-            "whole": kept["whole"], "took_ms": kept["took_us"] / 1000,
+            "query": query.id,
+            "key": query.plan.key,
+            "class": self._spec(query).name,
+            "kind": kept["kind"],
+            "whole": kept["whole"],
+            "took_ms": kept["took_us"] / 1000,
             "age_ms": age.bound_us / 1000 if age is not None and age.bound_us is not None else None,
-            "parts": [{
-                "part": part.id, "shard": part.plan.shard, "step": part.step, "in": part.data is not None,
-                "host": part.node or None, "attempts": part.attempts, "sent_to": part.nodes,
-                "age_ms": (clock.age(kept["at"], part.source_us) or 0) / 1000
-                if clock is not None and part.data is not None and part.known_age else None,
-                "why_missing": None if part.data is not None else part.why,
-            } for part in query.parts.values()],
+            "parts": [
+                {
+                    "part": part.id,
+                    "shard": part.plan.shard,
+                    "step": part.step,
+                    "in": part.data is not None,
+                    "host": part.node or None,
+                    "attempts": part.attempts,
+                    "sent_to": part.nodes,
+                    "age_ms": (clock.age(kept["at"], part.source_us) or 0) / 1000
+                    if clock is not None and part.data is not None and part.known_age
+                    else None,
+                    "why_missing": None if part.data is not None else part.why,
+                }
+                for part in query.parts.values()
+            ],
         }
 
     def probe_ended(self, node: str, outcome: str) -> None:
@@ -649,8 +822,12 @@
         """A host tells its drain on the connection, before discovery does."""
         known = self.module.servers.get(node)
         if known is not None:
-            self.news(hw.FleetNews(hw.UPDATE, (hw.ServerEntry(
-                node, known.cell, hw.DRAINING, known.since, known.rating, known.zone),)))
+            self.news(
+                hw.FleetNews(
+                    hw.UPDATE,
+                    (hw.ServerEntry(node, known.cell, hw.DRAINING, known.since, known.rating, known.zone),),
+                )
+            )
 
     def sent(self, node: str, key: Key) -> None:
         """The region decider hears of it."""
@@ -673,8 +850,17 @@
     def ask_for(self, query: MarketQuery, part: MarketPart, seq: int, left_us: int) -> frames.Ask:
         """An attempt on the inner wire."""
         plan: PartPlan = part.plan
-        return frames.Ask(part.id, seq, self._spec(query).name, plan.op, plan.key, plan.shard, left_us, plan.item,
-                          query.plan.search.body if query.plan.search is not None else b"")
+        return frames.Ask(
+            part.id,
+            seq,
+            self._spec(query).name,
+            plan.op,
+            plan.key,
+            plan.shard,
+            left_us,
+            plan.item,
+            query.plan.search.body if query.plan.search is not None else b"",
+        )
 
     def advice(self, query: MarketQuery, after_us: int) -> int:
         """The module's word, or the storm decider's."""
@@ -684,8 +870,9 @@
         """Item detail at shards that answered."""
         answered = [part.plan for part in query.parts.values() if part.data is not None]
         usual = self.settings_of(query).market.classes[query.klass]
-        return self._planned(query, keyspace.second_step(answered, self._spec(query).fetch),
-                             int(usual.work * usual.fetch_work))
+        return self._planned(
+            query, keyspace.second_step(answered, self._spec(query).fetch), int(usual.work * usual.fetch_work)
+        )
 
     def merged(self, query: MarketQuery, whole: bool) -> Reply:
         """By the key space's shape, or a search's rows."""
@@ -712,7 +899,11 @@
         assert search is not None
         missing = [p.id for p in query.parts.values() if p.data is None]
         usual = search.top.usual_points()
-        return {"searches": [search.top.result(number, missing, usual) for number in range(len(search.top.limits))]}
+        return {
+            "searches": [
+                search.top.result(number, missing, usual) for number in range(len(search.top.limits))
+            ]
+        }
 
     def _coverage(self, query: MarketQuery) -> Coverage:
         spec = self._spec(query)
@@ -720,31 +911,57 @@
         moot = query.plan.search.moot if query.plan.search is not None else set()
         second = [p for p in query.parts.values() if p.step == 2]
         got = [p for p in first if p.data is not None]
-        cover = Cover.of((p.plan.shard for p in first), (p.plan.shard for p in got),
-                         min((p.source_us for p in query.parts.values() if p.data is not None), default=None))
+        cover = Cover.of(
+            (p.plan.shard for p in first),
+            (p.plan.shard for p in got),
+            min((p.source_us for p in query.parts.values() if p.data is not None), default=None),
+        )
         return Coverage(
-            asked=len(first), got=len(got), moot=sum(p.id in moot for p in first if p.data is None),
+            asked=len(first),
+            got=len(got),
+            moot=sum(p.id in moot for p in first if p.data is None),
             weight=round(sum(p.plan.weight for p in first if p.data is not None or p.id in moot), 6),
-            need=spec.need, floor=spec.min_share, missing=tuple(cover.missing()), cover=cover,
-            items_asked=len(second), items_got=sum(p.data is not None for p in second))
+            need=spec.need,
+            floor=spec.min_share,
+            missing=tuple(cover.missing()),
+            cover=cover,
+            items_asked=len(second),
+            items_got=sum(p.data is not None for p in second),
+        )
 
     def final(self, query: MarketQuery, reply: Reply, took_us: int) -> None:
         """The storm decider, the sums of service, the event log and the explanations hear of it."""
         if self.service is not None:
             self.service.ended(self.loop.now(), query.who, query.plan.key, reply)
         if self.storms is not None:
-            self.storms.ended(self.loop.now(), self._cost(query.plan, query.era), reply.kind in (ANSWERED, MISS),
-                              took_us <= self._spec(query).aim_us)
+            self.storms.ended(
+                self.loop.now(),
+                self._cost(query.plan, query.era),
+                reply.kind in (ANSWERED, MISS),
+                took_us <= self._spec(query).aim_us,
+            )
         if self.events.on:  # the lists are a cost that only a log pays for
-            self.events("final", q=query.id, ver=query.era.version, kind=reply.kind,
-                        whole=reply.whole, got=reply.coverage.got,
-                        asked=reply.coverage.asked, weight=reply.coverage.weight, after=reply.after_us, took=took_us,
-                        parts=[p.id for p in query.parts.values() if p.data is not None],
-                        moot=[p.id for p in query.parts.values() if p.data is None and query.plan.search is not None
-                              and p.id in query.plan.search.moot],
-                        used={p.id: p.seq for p in query.parts.values() if p.data is not None},
-                        age=reply.age.bound_us if reply.age is not None else None,
-                        age_at=reply.age.at_us - self.loop.now() if reply.age is not None else None)
+            self.events(
+                "final",
+                q=query.id,
+                ver=query.era.version,
+                kind=reply.kind,
+                whole=reply.whole,
+                got=reply.coverage.got,
+                asked=reply.coverage.asked,
+                weight=reply.coverage.weight,
+                after=reply.after_us,
+                took=took_us,
+                parts=[p.id for p in query.parts.values() if p.data is not None],
+                moot=[
+                    p.id
+                    for p in query.parts.values()
+                    if p.data is None and query.plan.search is not None and p.id in query.plan.search.moot
+                ],
+                used={p.id: p.seq for p in query.parts.values() if p.data is not None},
+                age=reply.age.bound_us if reply.age is not None else None,
+                age_at=reply.age.at_us - self.loop.now() if reply.age is not None else None,
+            )
         self._explain(query, reply, took_us)
 
     def new_link(self, node: str) -> HostLink | HostPool:
@@ -753,17 +970,34 @@
         quiet = spending.linger_us if spending is not None else 0
 
         def make(on_closed: Callable[[bool], None] | None, idle: int) -> HostLink:
-            return HostLink(self.loop, self.net, node, self.name, self, connect_timeout=limits.connect_timeout,
-                            probe_timeout=limits.probe_timeout, idle_close=idle, log=self.log, quiet_us=quiet,
-                            on_closed=on_closed)
+            return HostLink(
+                self.loop,
+                self.net,
+                node,
+                self.name,
+                self,
+                connect_timeout=limits.connect_timeout,
+                probe_timeout=limits.probe_timeout,
+                idle_close=idle,
+                log=self.log,
+                quiet_us=quiet,
+                on_closed=on_closed,
+            )
+
         if limits.host_connections == 1:
             return make(None, limits.idle_close)
         shared = spending is not None and spending.shares("connections")
         return HostPool(
-            self.loop, lambda on_closed: make(on_closed, min(limits.idle_close, EXTRA_IDLE_US)),
-            most=limits.host_connections, busy=limits.busy_connection, linger_us=quiet,
-            take=(lambda: spending.take_connection(node)) if spending is not None and shared else lambda: True,
-            give_back=(lambda: spending.gave_back(node)) if spending is not None and shared else lambda: None)
+            self.loop,
+            lambda on_closed: make(on_closed, min(limits.idle_close, EXTRA_IDLE_US)),
+            most=limits.host_connections,
+            busy=limits.busy_connection,
+            linger_us=quiet,
+            take=(lambda: spending.take_connection(node))
+            if spending is not None and shared
+            else lambda: True,
+            give_back=(lambda: spending.gave_back(node)) if spending is not None and shared else lambda: None,
+        )
 
     # Budgets of the whole fleet, where settings turn them on.
 
--- a/heathwell/broker/replies.py
+++ b/heathwell/broker/replies.py
@@ -15,8 +15,9 @@
 class Coverage:
     """Which parts an answer rests on; weights are shares of the first step.
 
-    ``missing`` names the shards that are not in it; ``moot`` counts those that could not have changed it; ``items``
-    counts the second step's parts; ``cover`` is the same as sets of shards, to be merged with others'.
+    ``missing`` names the shards that are not in it; ``moot`` counts those that could not have changed it;
+    ``items`` counts the second step's parts; ``cover`` is the same as sets of shards, to be merged with
+    others'.
     """
 
     asked: int = 0
@@ -50,8 +51,9 @@
 class Age:
     """How old an answer's data is: the greatest age it can have (None: unknown), against what was wanted.
 
-    ``consistent`` is false where item detail is older than the totals it belongs to, ``behind`` names shards whose
-    data is older than what the client's token says it has seen; ``at_us`` is the broker's time that the age is of.
+    ``consistent`` is false where item detail is older than the totals it belongs to, ``behind`` names shards
+    whose data is older than what the client's token says it has seen; ``at_us`` is the broker's time that the
+    age is of.
     """
 
     bound_us: int | None = None
--- a/heathwell/broker/service.py
+++ b/heathwell/broker/service.py
@@ -1,4 +1,6 @@
-"""What a broker did for its clients, by class, for those who compare brokers: retries count with their first try."""
+"""What a broker did for its clients, by class, for those who compare brokers: retries count with their first
+try.
+"""
 
 from __future__ import annotations
 
@@ -17,13 +19,16 @@
 
 
 class ServiceBook:
-    """Sums since the start. A query's worth is its share of a whole answer in its aim, as its class says. It is counted
-    as it ends, so that worth and queries of a span are of the same ones."""
+    """Sums since the start. A query's worth is its share of a whole answer in its aim, as its class says. It
+    is counted as it ends, so that worth and queries of a span are of the same ones.
+    """
 
     def __init__(self, classes: tuple[hw.ClassSpec, ...]) -> None:
         self.classes = {spec.name: spec for spec in classes}
         self.sums: dict[str, dict[str, float]] = {spec.name: dict.fromkeys(FIGURES, 0.0) for spec in classes}
-        self._first: OrderedDict[tuple[str, str], tuple[int, float]] = OrderedDict()  # when it came, and its worth yet
+        self._first: OrderedDict[tuple[str, str], tuple[int, float]] = (
+            OrderedDict()
+        )  # when it came, and its worth yet
 
     def asked(self, now: int, who: str, key: str, klass: str) -> None:
         """A query came in; the same of the same client within its class's limit is a retry of the first."""
@@ -56,8 +61,11 @@
     def page(self) -> dict[str, Any]:
         """For the machine's agent: sums by class, processor (us) and memory (bytes) of this process."""
         pages = int(Path("/proc/self/statm").read_text().split()[1])
-        return {"classes": self.sums, "cpu_us": time.process_time_ns() // 1000,
-                "memory": pages * os.sysconf("SC_PAGE_SIZE")}
+        return {
+            "classes": self.sums,
+            "cpu_us": time.process_time_ns() // 1000,
+            "memory": pages * os.sysconf("SC_PAGE_SIZE"),
+        }
 
 
 def program_digest(package: Path) -> str:
--- a/heathwell/broker/sourceclock.py
+++ b/heathwell/broker/sourceclock.py
@@ -16,8 +16,16 @@
 class ClockKeeper:
     """Keeps one connection to the source; while it is lost the bounds widen by drift alone."""
 
-    def __init__(self, loop: Loop, net: Net, address: str, name: str, every: int, clock: SourceClock,
-                 log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        address: str,
+        name: str,
+        every: int,
+        clock: SourceClock,
+        log: Callable[..., None],
+    ) -> None:
         self.loop, self.net, self.address, self.name = loop, net, address, name
         self.every, self.clock, self.log = every, clock, log
         self._sent: dict[int, int] = {}
--- a/heathwell/broker/spending.py
+++ b/heathwell/broker/spending.py
@@ -1,7 +1,9 @@
-"""Where budgets of the whole fleet bite in a broker: further attempts, parts to cold hosts, connections to one host.
+"""Where budgets of the whole fleet bite in a broker: further attempts, parts to cold hosts, connections to
+one host.
 
-The module is told before each batch what there is room for (:class:`~heathwell.interface.Room`); a unit is used at the
-moment an attempt leaves, by the clock of that moment, so that nothing leaves on a share that has run out meanwhile.
+The module is told before each batch what there is room for (:class:`~heathwell.interface.Room`); a unit is
+used at the moment an attempt leaves, by the clock of that moment, so that nothing leaves on a share that has
+run out meanwhile.
 """
 
 from __future__ import annotations
@@ -76,8 +78,12 @@
         self._shared = {name for name in (FURTHER, COLD, CONNECTIONS) if agent.budget(name) is not None}
         spec = agent.budget(CONNECTIONS)
         self.linger_us = spec[1] if spec is not None else 0
-        self._cold: dict[str, int] = {}  # price of a part by cold host, in thousandths of one at its start's capacity
-        self._until: dict[Key, int] = {}  # when the share runs out that an attempt still waiting was taken from
+        self._cold: dict[
+            str, int
+        ] = {}  # price of a part by cold host, in thousandths of one at its start's capacity
+        self._until: dict[
+            Key, int
+        ] = {}  # when the share runs out that an attempt still waiting was taken from
         self._sent, self._flow_at, self._usual = 0, broker.loop.now(), 0
         broker.loop.call_at(broker.loop.now() + LOOK_US, self._look)
 
@@ -112,8 +118,11 @@
         if further and not self.agent.take(FURTHER):
             return False
         now, names = self.broker.loop.now(), [cold] * send.cold + [FURTHER] * further
-        terms = [term for name in names if (holder := self.agent.holder(name)) is not None
-                 and (term := holder.term_us(now)) is not None]
+        terms = [
+            term
+            for name in names
+            if (holder := self.agent.holder(name)) is not None and (term := holder.term_us(now)) is not None
+        ]
         if terms:
             self._until[key] = now + min(terms)
         return True
@@ -151,7 +160,9 @@
     # Now and then.
 
     def _look(self) -> None:
-        """Which hosts are cold and at what price, what a host usually gets of this broker, what must be let go."""
+        """Which hosts are cold and at what price, what a host usually gets of this broker, what must be let
+        go.
+        """
         broker = self.broker
         if broker.dead:
             return
@@ -161,8 +172,11 @@
             self._look_at_cold(now)
         if CONNECTIONS in self._shared:
             for node, link in broker.links.items():
-                holder = self.agent.holder(f"{CONNECTIONS}@{node}") if isinstance(link, HostPool) and (
-                    link.more or link.closing) else None
+                holder = (
+                    self.agent.holder(f"{CONNECTIONS}@{node}")
+                    if isinstance(link, HostPool) and (link.more or link.closing)
+                    else None
+                )
                 if holder is not None and isinstance(link, HostPool):
                     link.shrink(holder.excess(now))
                     link.drop(holder.overdue(now))
--- a/heathwell/broker/zonesight.py
+++ b/heathwell/broker/zonesight.py
@@ -1,8 +1,8 @@
 """A broker's part in leaving zones: what it saw of each, and going by what the fleet has decided.
 
-Hosts of a zone that is left are to be avoided (`Held`): they serve only where no other holder does, so the last holder
-of a shard is never lost. A share that stays or comes back is that of the brokers: each has one draw for a zone, so that
-those of one step are among those of the next.
+Hosts of a zone that is left are to be avoided (`Held`): they serve only where no other holder does, so the
+last holder of a shard is never lost. A share that stays or comes back is that of the brokers: each has one
+draw for a zone, so that those of one step are among those of the next.
 """
 
 from __future__ import annotations
@@ -20,8 +20,15 @@
 
 LOOK_US = 500_000
 PROBED = 0.3  # chance of a broker to probe one host of a zone that is left, each look
-HOWS = {hw.OK: GOOD, hw.CANCELLED: LATE, hw.TIMED_OUT: BAD, hw.FULL_UP: BAD, hw.ERROR: BAD, hw.BROKEN: BAD,
-        hw.UNREACHABLE: BAD}
+HOWS = {
+    hw.OK: GOOD,
+    hw.CANCELLED: LATE,
+    hw.TIMED_OUT: BAD,
+    hw.FULL_UP: BAD,
+    hw.ERROR: BAD,
+    hw.BROKEN: BAD,
+    hw.UNREACHABLE: BAD,
+}
 
 
 class ZoneSight:
@@ -42,15 +49,21 @@
         server = self.broker.module.servers.get(node)
         if how is not None and server is not None:
             how = LATE if how == GOOD and took_us > aim_us else how
-            self.evidence.ended(self.broker.loop.now(), self.names[server.zone], klass, how,
-                                took_us if outcome == hw.OK else 0)
+            self.evidence.ended(
+                self.broker.loop.now(),
+                self.names[server.zone],
+                klass,
+                how,
+                took_us if outcome == hw.OK else 0,
+            )
 
     def probed(self, node: str, outcome: str) -> None:
         """A probe has ended."""
         server = self.broker.module.servers.get(node)
         if server is not None:
-            self.evidence.ended(self.broker.loop.now(), self.names[server.zone], PROBE,
-                                GOOD if outcome == hw.OK else BAD)
+            self.evidence.ended(
+                self.broker.loop.now(), self.names[server.zone], PROBE, GOOD if outcome == hw.OK else BAD
+            )
 
     def summary(self, now: int) -> Summary:
         """What it says to keepers."""
@@ -59,10 +72,18 @@
     def decided(self, decision: Decision) -> None:
         """Go by a decision from now on."""
         self.decision = decision
-        self.broker.events("zones", term=decision.term, number=decision.number, states={
-            name: [word.state, word.share] for name, word in decision.zones.items()})
-        self.broker.log("warning", "zones", decision=f"({decision.term}, {decision.number})", states={
-            name: f"{word.state} at {word.share:.0%}" for name, word in decision.zones.items()})
+        self.broker.events(
+            "zones",
+            term=decision.term,
+            number=decision.number,
+            states={name: [word.state, word.share] for name, word in decision.zones.items()},
+        )
+        self.broker.log(
+            "warning",
+            "zones",
+            decision=f"({decision.term}, {decision.number})",
+            states={name: f"{word.state} at {word.share:.0%}" for name, word in decision.zones.items()},
+        )
         self.apply()
 
     def apply(self) -> None:
@@ -71,8 +92,11 @@
         for name, word in self.decision.zones.items():
             if name == self.zone and not word.only:
                 continue  # its own clients are served by what is here
-            klasses = [-1] if not word.only else [n for n, spec in enumerate(self.broker.settings.classes)
-                                                  if spec.name in word.only]
+            klasses = (
+                [-1]
+                if not word.only
+                else [n for n, spec in enumerate(self.broker.settings.classes) if spec.name in word.only]
+            )
             if self._draw(name) < word.share:
                 continue
             for klass in klasses:
@@ -86,12 +110,16 @@
     def _hosts(self, name: str) -> list[str]:
         """The live hosts of a zone; none of one that is not known here."""
         number = self.names.index(name) if name in self.names else None
-        return [node for node, server in self.broker.module.servers.items() if server.live and server.zone == number]
+        return [
+            node
+            for node, server in self.broker.module.servers.items()
+            if server.live and server.zone == number
+        ]
 
     def _draw(self, name: str) -> float:
         """This broker's own, for a zone: the same in each step."""
         whole = hashlib.blake2b(f"{self.evidence.broker}|{name}".encode(), digest_size=8).digest()
-        return int.from_bytes(whole, "big") / 2 ** 64
+        return int.from_bytes(whole, "big") / 2**64
 
     def left(self) -> bool:
         """Whether the fleet leaves the zone that this broker stands in."""
--- a/heathwell/budgets/giver.py
+++ b/heathwell/budgets/giver.py
@@ -1,6 +1,7 @@
 """One fraction of one budget in the hands of its owner: a book of what each member may hold of it.
 
-The book is lost with the run that keeps it, and need not be kept: no grant outlasts the ownership it was given under.
+The book is lost with the run that keeps it, and need not be kept: no grant outlasts the ownership it was
+given under.
 """
 
 from __future__ import annotations
@@ -15,9 +16,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """A member (one incarnation) asks for its share. ``goes_by`` is the number of the grant that it goes by, 0 for
-    none: of a count only one that covers what it holds in fact, so that units count as given back once they are.
-    ``lets_go``: it holds nothing more and goes by no grant."""
+    """A member (one incarnation) asks for its share. ``goes_by`` is the number of the grant that it goes by,
+    0 for none: of a count only one that covers what it holds in fact, so that units count as given back once
+    they are. ``lets_go``: it holds nothing more and goes by no grant.
+    """
 
     member: str
     demand: int
@@ -29,8 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """What an owner's run gives: numbers grow within a run; ``asked_us`` is the member's own clock, from which it
-    counts. ``length_us`` is the lease's, shorter where the ownership ends sooner; 0: nothing is given."""
+    """What an owner's run gives: numbers grow within a run; ``asked_us`` is the member's own clock, from
+    which it counts. ``length_us`` is the lease's, shorter where the ownership ends sooner; 0: nothing is
+    given.
+    """
 
     budget: str
     fraction: int
@@ -43,7 +47,9 @@
 
 @dataclass(slots=True)
 class _Given:
-    """What a member may hold: grants by number with their amounts and ends (our clock), and the largest of them."""
+    """What a member may hold: grants by number with their amounts and ends (our clock), and the largest of
+    them.
+    """
 
     grants: dict[int, tuple[int, int]] = field(default_factory=dict)
     wish: Wish = field(default_factory=lambda: Wish(0))
@@ -58,14 +64,19 @@
 
 
 class Giver:
-    """The book of one fraction, for as long as its owner's run owns it without a break. Its grants are numbered from
-    ``number`` on; shares are worked out anew when the last ones are older than ``stale_us``. ``among``: of what nobody
-    asks for a member gets no more than one of so many would, as they may all ask in a moment; 0: all of it."""
-
-    KEPT = 8  # grants a member that are told apart; more are merged into the largest and longest of the oldest
-
-    def __init__(self, budget: Budget, fraction: int, owner: str, lease: Lease, *, number: int = 0,
-                 stale_us: int = 0) -> None:
+    """The book of one fraction, for as long as its owner's run owns it without a break. Its grants are
+    numbered from ``number`` on; shares are worked out anew when the last ones are older than ``stale_us``.
+    ``among``: of what nobody asks for a member gets no more than one of so many would, as they may all ask in
+    a moment; 0: all of it.
+    """
+
+    KEPT = (
+        8  # grants a member that are told apart; more are merged into the largest and longest of the oldest
+    )
+
+    def __init__(
+        self, budget: Budget, fraction: int, owner: str, lease: Lease, *, number: int = 0, stale_us: int = 0
+    ) -> None:
         self.budget, self.fraction, self.owner, self.lease = budget, fraction, owner, lease
         self.number, self.stale_us, self.among = number, stale_us, 0
         self._term = lease.given_until(0)
@@ -92,7 +103,9 @@
         return self._sum
 
     def asked(self, now: int, ask: Ask, owned_until: int) -> Grant:
-        """A member's grant. ``owned_until`` is the end of the ownership on our clock: no grant is counted beyond it."""
+        """A member's grant. ``owned_until`` is the end of the ownership on our clock: no grant is counted
+        beyond it.
+        """
         given = self.given.setdefault(ask.member, _Given())
         if ask.lets_go:
             self._forget(ask.member)
@@ -130,8 +143,9 @@
         self._shared_us = None
 
     def _ends(self, now: int, owned_until: int) -> tuple[int, int]:
-        """A grant's length and its end here: cut so that it ends with the ownership at the latest. What lingers at
-        hosts after a count's holder has died lies within the charge."""
+        """A grant's length and its end here: cut so that it ends with the ownership at the latest. What
+        lingers at hosts after a count's holder has died lies within the charge.
+        """
         linger = self.budget.linger_us if self.budget.kind == COUNT else 0
         length, term = self.lease.length_us, self._term
         room = owned_until - now - linger
@@ -141,8 +155,9 @@
         return length, now + linger + term
 
     def _share(self, now: int, member: str) -> int:
-        """What the member is to have by the wishes of those heard lately; who is silent keeps what it may hold, no
-        more, and is forgotten once that has run out."""
+        """What the member is to have by the wishes of those heard lately; who is silent keeps what it may
+        hold, no more, and is forgotten once that has run out.
+        """
         if self.budget.sticky:
             return self.given[member].wish.demand
         if self._shared_us is None or now - self._shared_us >= self.stale_us or member not in self._shares:
--- a/heathwell/budgets/holder.py
+++ b/heathwell/budgets/holder.py
@@ -1,7 +1,7 @@
 """A broker's side of one budget: its own minimum always, and on top the grants that have not run out.
 
-Every use asks with the time of that moment: a grant that ran out while the process stood still is gone at its first
-look.
+Every use asks with the time of that moment: a grant that ran out while the process stood still is gone at its
+first look.
 """
 
 from __future__ import annotations
@@ -24,8 +24,9 @@
 
 
 class Holder:
-    """One budget of one broker. ``used`` are units of a count held now; of a rate, thousandths saved up are in
-    ``saved``."""
+    """One budget of one broker. ``used`` are units of a count held now; of a rate, thousandths saved up are
+    in ``saved``.
+    """
 
     def __init__(self, budget: Budget, drift: float, now: int, first: int = 0) -> None:
         self.budget, self.drift = budget, drift
@@ -33,7 +34,9 @@
         self.since_us = now
         self.covers: dict[int, tuple[int, int]] = {}  # by fraction: a larger grant before, and its end
         self.held: dict[int, _Held] = {}
-        self.seen: dict[tuple[int, str], int] = {}  # highest number by fraction and owner: an older one is never taken
+        self.seen: dict[
+            tuple[int, str], int
+        ] = {}  # highest number by fraction and owner: an older one is never taken
         self.used = 0
         self.saved = 0
         self.refused = self.passed = 0
@@ -43,7 +46,9 @@
         self._asked_us = now
 
     def granted(self, now: int, grant: Grant) -> bool:
-        """A keeper's answer; false where it is not taken: an older number, or one that has run out on its way."""
+        """A keeper's answer; false where it is not taken: an older number, or one that has run out on its
+        way.
+        """
         key = grant.fraction, grant.owner
         if grant.length_us <= 0 or grant.number <= self.seen.get(key, 0) or grant.asked_us < self.since_us:
             return False  # the last: asked for by one of this name that was forgotten since
@@ -55,7 +60,11 @@
         if until <= now:
             return False
         old = self.held.get(grant.fraction)
-        if old is not None and old.amount > grant.amount and old.amount >= self.covers.get(grant.fraction, (0, 0))[0]:
+        if (
+            old is not None
+            and old.amount > grant.amount
+            and old.amount >= self.covers.get(grant.fraction, (0, 0))[0]
+        ):
             self.covers[grant.fraction] = old.amount, old.until
         self.held[grant.fraction] = _Held(grant.owner, grant.number, grant.amount, until)
         if grant.amount and self._first:
@@ -89,8 +98,9 @@
         self.refused += 1
 
     def take(self, now: int, thousandths: int = 1_000) -> bool:
-        """Use one unit, of a count until :meth:`give_back`; false where the share is used up. Of a rate it may be
-        another amount."""
+        """Use one unit, of a count until :meth:`give_back`; false where the share is used up. Of a rate it
+        may be another amount.
+        """
         self._wanted += thousandths
         if self.budget.kind == RATE:
             free = self.room(now) >= thousandths
@@ -113,8 +123,9 @@
         return max(0, self.used - self.share(now)) if self.budget.kind == COUNT else 0
 
     def overdue(self, now: int) -> int:
-        """Units of a count that must be let go by now, whatever they are at work on: what is beyond the share may go on
-        while the larger grant that it was taken under has not run out."""
+        """Units of a count that must be let go by now, whatever they are at work on: what is beyond the share
+        may go on while the larger grant that it was taken under has not run out.
+        """
         if not self.excess(now):
             return 0
         may = self.budget.own
@@ -138,7 +149,9 @@
         return Ask(member, self.demand(now), now, goes_by)
 
     def demand(self, now: int) -> int:
-        """What could be used: of a count what is held and was refused since; of a rate the uses asked for a second."""
+        """What could be used: of a count what is held and was refused since; of a rate the uses asked for a
+        second.
+        """
         if self.budget.kind == COUNT:
             return self.used + self._wanted // 1_000
         return max(self.usual, self._wanted * 1_000_000 // max(1, now - self._asked_us))
@@ -148,7 +161,9 @@
         self._wanted, self._asked_us = 0, now
 
     def _settle(self, now: int) -> None:
-        """Save up until now. By the share of now: what ran out meanwhile saved up nothing since the last look."""
+        """Save up until now. By the share of now: what ran out meanwhile saved up nothing since the last
+        look.
+        """
         share = self.share(now)
         if self.budget.kind == RATE:
             self.saved += int(share * (1 - self.drift) * max(0, now - self._settled_us)) // 1_000_000
@@ -156,5 +171,7 @@
         self._clip(now)
 
     def _clip(self, now: int) -> None:
-        """No more is saved up than the share makes in a window: a share that is lost takes its savings with it."""
+        """No more is saved up than the share makes in a window: a share that is lost takes its savings with
+        it.
+        """
         self.saved = min(self.saved, self.share(now) * self.budget.window_us // 1_000_000)
--- a/heathwell/budgets/keeper.py
+++ b/heathwell/budgets/keeper.py
@@ -1,5 +1,6 @@
-"""One run of one keeper: its roll of brokers, its votes, the fractions that it owns, and their books. Pure: messages
-and the clock are handed in, messages to send come out."""
+"""One run of one keeper: its roll of brokers, its votes, the fractions that it owns, and their books. Pure:
+messages and the clock are handed in, messages to send come out.
+"""
 
 from __future__ import annotations
 
@@ -15,8 +16,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Need:
-    """One budget in a renewal: the demand, and by which grant the broker goes of each fraction (fraction, owner,
-    number)."""
+    """One budget in a renewal: the demand, and by which grant the broker goes of each fraction (fraction,
+    owner, number).
+    """
 
     budget: str
     demand: int
@@ -54,27 +56,38 @@
 
 
 class Keeper:
-    """``number`` is its home fraction; ``run`` names this run and no other, ever. At most ``BOOKS`` books are kept, the
-    rest is given nothing."""
+    """``number`` is its home fraction; ``run`` names this run and no other, ever. At most ``BOOKS`` books are
+    kept, the rest is given nothing.
+    """
 
     BOOKS = 2_048
     STALE = 30  # of a lease: how old the division may be that a grant goes by
 
-    def __init__(self, number: int, run: str, keepers: int, budgets: tuple[Budget, ...], now: int,
-                 times: Times | None = None) -> None:
+    def __init__(
+        self,
+        number: int,
+        run: str,
+        keepers: int,
+        budgets: tuple[Budget, ...],
+        now: int,
+        times: Times | None = None,
+    ) -> None:
         self.number, self.run, self.keepers = number, run, keepers
         self.times = times or Times()
         self.budgets = {budget.name: budget for budget in budgets}
         self.roll = Roll(run, self.times.roll)
         self.voter = Voter(str(number), now, self.times.promise)
-        self.claimant = Claimant(run, number, keepers, keepers, self.times.promise, now, self.times.patience_us)
+        self.claimant = Claimant(
+            run, number, keepers, keepers, self.times.promise, now, self.times.patience_us
+        )
         self.books: dict[tuple[str, int], Giver] = {}
         self._number = 0  # the highest of any book that was closed
         self._alive = 0
 
     def tick(self, now: int) -> tuple[list[Claim], list[Changed]]:
-        """Now and then, some times a lease: claims for all voters (this one's own has been counted), and what silence
-        has changed."""
+        """Now and then, some times a lease: claims for all voters (this one's own has been counted), and what
+        silence has changed.
+        """
         claims = self.claimant.wanted(now)
         for claim in claims:
             self.claimant.voted(self.voter.asked(now, claim))
@@ -101,8 +114,9 @@
         return [number for number in range(self.keepers) if self.claimant.owned_until(number) > now]
 
     def renew(self, now: int, renew: Renew) -> tuple[Renewed, list[Changed]]:
-        """A broker's renewal: its grants of every fraction owned here. Only one that is known to hear us gets any, as
-        what is given to one that does not is lost for a lease."""
+        """A broker's renewal: its grants of every fraction owned here. Only one that is known to hear us gets
+        any, as what is given to one that does not is lost for a lease.
+        """
         said = renew.report
         word, changes = self.roll.report(now, said)
         grants: list[Grant] = []
@@ -115,8 +129,10 @@
                     continue
                 if "@" in need.budget:  # one of many such, begun as the first member asks
                     book.among = self._alive
-                goes_by = max((number for of, owner, number in need.goes_by if (of, owner) == (fraction, self.run)),
-                              default=0)
+                goes_by = max(
+                    (number for of, owner, number in need.goes_by if (of, owner) == (fraction, self.run)),
+                    default=0,
+                )
                 ask = Ask(member, need.demand, renew.asked_us, goes_by, said.leaves)
                 grants.append(book.asked(now, ask, until))
         return Renewed(word, said.incarnation, renew.asked_us, self.run, tuple(grants)), changes
@@ -130,16 +146,28 @@
             if budget is None or bool(budget.each) != bool(which):
                 return None
             book = self.books[name, fraction] = Giver(
-                budget.of(which) if which else budget, fraction, self.run, self.times.grant, number=self._number,
-                stale_us=self.times.grant.length_us // self.STALE)
+                budget.of(which) if which else budget,
+                fraction,
+                self.run,
+                self.times.grant,
+                number=self._number,
+                stale_us=self.times.grant.length_us // self.STALE,
+            )
         return book
 
     def resize(self, budget: Budget) -> None:
         """Another whole of a budget. What is set aside can't change while brokers run that go by it."""
         old = self.budgets[budget.name]
-        if replace(budget, whole=old.whole, floor=old.floor, window_us=old.window_us, linger_us=old.linger_us) != old:
-            raise ValueError(f"budget {budget.name}: only the whole, the floor and the times may change while it runs, "
-                             f"not what is set aside ({old.aside} before, {budget.aside} now): brokers go by it")
+        if (
+            replace(
+                budget, whole=old.whole, floor=old.floor, window_us=old.window_us, linger_us=old.linger_us
+            )
+            != old
+        ):
+            raise ValueError(
+                f"budget {budget.name}: only the whole, the floor and the times may change while it runs, "
+                f"not what is set aside ({old.aside} before, {budget.aside} now): brokers go by it"
+            )
         self.budgets[budget.name] = budget
         for (name, _), book in self.books.items():
             base, _, which = name.partition("@")
--- a/heathwell/budgets/lease.py
+++ b/heathwell/budgets/lease.py
@@ -1,4 +1,6 @@
-"""A lease's arithmetic between two clocks that run at most ``drift`` too fast or too slow (Gray, Cheriton, 1989)."""
+"""A lease's arithmetic between two clocks that run at most ``drift`` too fast or too slow (Gray, Cheriton,
+1989).
+"""
 
 from __future__ import annotations
 
@@ -14,9 +16,13 @@
     drift: float = 0.03
 
     def holds_until(self, asked_us: int) -> int:
-        """The holder's end, on the clock by which it asked. A slow clock lets the counted time last longer."""
+        """The holder's end, on the clock by which it asked. A slow clock lets the counted time last
+        longer.
+        """
         return asked_us + floor(self.length_us * (1 - self.drift))
 
     def given_until(self, answered_us: int) -> int:
-        """The giver's end, on the clock by which it answered. A fast clock lets the counted time last shorter."""
+        """The giver's end, on the clock by which it answered. A fast clock lets the counted time last
+        shorter.
+        """
         return answered_us + ceil(self.length_us * (1 + self.drift))
--- a/heathwell/budgets/owner.py
+++ b/heathwell/budgets/owner.py
@@ -1,8 +1,9 @@
 """Who lends a fraction: the keeper that holds the promise of most keepers for it.
 
-A voter promises a fraction to one claimant at a time, a claimant being one run of one keeper. What a keeper promised
-or owned is not on disk: a run that begins knows nothing, so as a voter it promises nothing while an earlier run's
-promise may last, and as a claimant it is a stranger to promises made to that run, which have to end first.
+A voter promises a fraction to one claimant at a time, a claimant being one run of one keeper. What a keeper
+promised or owned is not on disk: a run that begins knows nothing, so as a voter it promises nothing while an
+earlier run's promise may last, and as a claimant it is a stranger to promises made to that run, which have to
+end first.
 """
 
 from __future__ import annotations
@@ -52,19 +53,23 @@
 
 @dataclass(slots=True)
 class _Votes:
-    """What one fraction's voters have promised us (until when, on our clock), and when a vote of theirs was last
-    another's."""
+    """What one fraction's voters have promised us (until when, on our clock), and when a vote of theirs was
+    last another's.
+    """
 
     until: dict[str, int] = field(default_factory=dict)
     others_at: int | None = None
 
 
 class Claimant:
-    """One run of one keeper as an owner. ``home`` is the fraction that it claims always; another's only once nobody has
-    been heard to own it for ``patience_us``, and it lets go of that as soon as its home keeper is heard again."""
-
-    def __init__(self, run: str, home: int, fractions: int, voters: int, lease: Lease, now: int,
-                 patience_us: int) -> None:
+    """One run of one keeper as an owner. ``home`` is the fraction that it claims always; another's only once
+    nobody has been heard to own it for ``patience_us``, and it lets go of that as soon as its home keeper is
+    heard again.
+    """
+
+    def __init__(
+        self, run: str, home: int, fractions: int, voters: int, lease: Lease, now: int, patience_us: int
+    ) -> None:
         self.run, self.home, self.voters, self.lease, self.patience_us = run, home, voters, lease, patience_us
         self.votes = {number: _Votes(others_at=now) for number in range(fractions)}
         self.keeper_heard: dict[int, int] = {}
@@ -83,7 +88,11 @@
         if now - self.keeper_heard.get(number, -self.patience_us) < self.patience_us:
             return False
         votes = self.votes[number]
-        return self.owned_until(number) > now or votes.others_at is None or now - votes.others_at >= self.patience_us
+        return (
+            self.owned_until(number) > now
+            or votes.others_at is None
+            or now - votes.others_at >= self.patience_us
+        )
 
     def voted(self, vote: Vote) -> None:
         """A voter's answer, on our clock of when we asked."""
--- a/heathwell/budgets/shares.py
+++ b/heathwell/budgets/shares.py
@@ -1,4 +1,6 @@
-"""A broker's side over all keepers and budgets. Pure: the clock and the answers are handed in, renewals come out."""
+"""A broker's side over all keepers and budgets. Pure: the clock and the answers are handed in, renewals come
+out.
+"""
 
 from __future__ import annotations
 
@@ -11,29 +13,42 @@
 
 
 class Shares:
-    """One broker's budgets. Each use goes through :meth:`turn` first, so that a stop is noticed before anything
-    leaves. Of a budget that is one of each of something, those are held that were used lately, ``HOLDERS`` at most."""
+    """One broker's budgets. Each use goes through :meth:`turn` first, so that a stop is noticed before
+    anything leaves. Of a budget that is one of each of something, those are held that were used lately,
+    ``HOLDERS`` at most.
+    """
 
     HOLDERS = 256
 
-    def __init__(self, member: Self, budgets: tuple[Budget, ...], keepers: tuple[str, ...], now: int,
-                 times: Times | None = None, seed: int = 0) -> None:
+    def __init__(
+        self,
+        member: Self,
+        budgets: tuple[Budget, ...],
+        keepers: tuple[str, ...],
+        now: int,
+        times: Times | None = None,
+        seed: int = 0,
+    ) -> None:
         self.random = random.Random(seed)
         self.member, self.keepers = member, keepers
         self.times = times or Times()
         self.budgets = {budget.name: budget for budget in budgets}
-        self.holders = {budget.name: Holder(budget, self.times.grant.drift, now) for budget in budgets
-                        if not budget.each}
+        self.holders = {
+            budget.name: Holder(budget, self.times.grant.drift, now) for budget in budgets if not budget.each
+        }
         self._used_us: dict[str, int] = {}  # when one of each was last looked at
         self.runs: dict[str, str] = {}  # each keeper's run, by its latest answer
 
     def turn(self, now: int) -> Lived:
-        """The first thing in a turn of the loop: a broker that stood still for too long holds nothing any more."""
+        """The first thing in a turn of the loop: a broker that stood still for too long holds nothing any
+        more.
+        """
         return self._lived(now, self.member.turn(now))
 
     def renewals(self, now: int, *, leaves: bool = False) -> list[tuple[str, Renew]]:
-        """What each keeper is to be asked now. Who leaves holds nothing any more by then; units of a count that are
-        still in use are not spoken of, and stay charged until they have run out."""
+        """What each keeper is to be asked now. Who leaves holds nothing any more by then; units of a count
+        that are still in use are not spoken of, and stay charged until they have run out.
+        """
         out = []
         self._forget(now)
         if leaves:
@@ -45,8 +60,11 @@
             for name, holder in self.holders.items():
                 if leaves and holder.used:
                     continue
-                going = [(fraction, run, number) for fraction in range(holder.budget.fractions)
-                         if (number := holder.ask(now, fraction, run, "").goes_by)]
+                going = [
+                    (fraction, run, number)
+                    for fraction in range(holder.budget.fractions)
+                    if (number := holder.ask(now, fraction, run, "").goes_by)
+                ]
                 needs.append(Need(name, holder.demand(now), tuple(going)))
             out.append((keeper, Renew(self.member.report(keeper, leaves=leaves), now, tuple(needs))))
         for holder in self.holders.values():
@@ -72,15 +90,22 @@
         return holder is not None and holder.take(now, thousandths)
 
     def holder(self, now: int, name: str) -> Holder | None:
-        """The budget's, begun for one of each where there is room; None where there is none, or no such budget."""
+        """The budget's, begun for one of each where there is room; None where there is none, or no such
+        budget.
+        """
         base, _, which = name.partition("@")
         holder, budget = self.holders.get(name), self.budgets.get(base)
         if which:
             self._used_us[name] = now
         if holder is None and which and budget is not None and len(self.holders) < self.HOLDERS:
-            # Many brokers that each get less than a unit a second must not all have their first at one moment.
-            holder = self.holders[name] = Holder(budget.of(which), self.times.grant.drift, now,
-                                                 self.random.randrange(1_000) if budget.kind == RATE else 0)
+            # Many brokers that each get less than a unit a second must not all have their first at one
+            # moment.
+            holder = self.holders[name] = Holder(
+                budget.of(which),
+                self.times.grant.drift,
+                now,
+                self.random.randrange(1_000) if budget.kind == RATE else 0,
+            )
         return holder
 
     def _forget(self, now: int) -> None:
--- a/heathwell/check/__init__.py
+++ b/heathwell/check/__init__.py
@@ -1,4 +1,6 @@
-"""Explores the pure machines of the fleet's control over all interleavings of small worlds. It drives the real code."""
+"""Explores the pure machines of the fleet's control over all interleavings of small worlds. It drives the
+real code.
+"""
 
 from heathwell.check.explore import Found, World, explore
 
--- a/heathwell/check/explore.py
+++ b/heathwell/check/explore.py
@@ -19,7 +19,9 @@
         """What may happen next, each in words, and what comes of it."""
 
     def key(self, state: Any) -> Hashable:
-        """What tells states apart; times as distances from now, so that the same situation later is the same state."""
+        """What tells states apart; times as distances from now, so that the same situation later is the same
+        state.
+        """
 
     def broken(self, state: Any) -> str:
         """The sentence that this state breaks, or nothing."""
@@ -27,7 +29,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Found:
-    """``states`` were seen; ``whole``: all that can be reached within the depth. A breach comes with its story."""
+    """``states`` were seen; ``whole``: all that can be reached within the depth. A breach comes with its
+    story.
+    """
 
     states: int
     whole: bool
--- a/heathwell/check/leases.py
+++ b/heathwell/check/leases.py
@@ -1,7 +1,9 @@
-"""The lease in a small world: two keepers that vote and lend, two brokers, one unit; loss, restart and expiry.
+"""The lease in a small world: two keepers that vote and lend, two brokers, one unit; loss, restart and
+expiry.
 
-Time goes on in ticks; the lease is a few of them and clocks agree, so that only the order of things is explored. The
-promise outlasts the grant as in a fleet. Both keepers claim the one fraction, which is the hardest case for a promise.
+Time goes on in ticks; the lease is a few of them and clocks agree, so that only the order of things is
+explored. The promise outlasts the grant as in a fleet. Both keepers claim the one fraction, which is the
+hardest case for a promise.
 """
 
 from __future__ import annotations
@@ -41,13 +43,27 @@
 
 
 class LeaseWorld:
-    """The types are parameters, so that a test can plant a bug in one. ``claims`` and ``asks`` choose what is sent;
-    ``owned``: it begins with the first keeper as the owner, by votes of now; ``held``: and the first broker with the
-    unit. A broker that has let go comes back as another incarnation, to which earlier answers are none."""
-
-    def __init__(self, *, voter: type[Voter] = Voter, giver: type[Giver] = Giver, holder: type[Holder] = Holder,
-                 grant_us: int = 2, promise_us: int = 4, flying: int = 2, restarts: int = 1, claims: bool = True,
-                 asks: bool = True, owned: bool = False, held: bool = False) -> None:
+    """The types are parameters, so that a test can plant a bug in one. ``claims`` and ``asks`` choose what is
+    sent; ``owned``: it begins with the first keeper as the owner, by votes of now; ``held``: and the first
+    broker with the unit. A broker that has let go comes back as another incarnation, to which earlier answers
+    are none.
+    """
+
+    def __init__(
+        self,
+        *,
+        voter: type[Voter] = Voter,
+        giver: type[Giver] = Giver,
+        holder: type[Holder] = Holder,
+        grant_us: int = 2,
+        promise_us: int = 4,
+        flying: int = 2,
+        restarts: int = 1,
+        claims: bool = True,
+        asks: bool = True,
+        owned: bool = False,
+        held: bool = False,
+    ) -> None:
         self.voter, self.giver, self.holder = voter, giver, holder
         self.grant, self.promise = Lease(grant_us, 0.0), Lease(promise_us, 0.0)
         self.flying, self.restarts, self.claims, self.asks = flying, restarts, claims, asks
@@ -71,7 +87,9 @@
         run = f"run{state.runs}"
         state.runs += 1
         claimant = Claimant(run, 0, 1, KEEPERS, self.promise, state.now, 0)
-        return KeeperRun(self.voter(run, state.now, self.promise), claimant, self.giver(UNIT, 0, run, self.grant), run)
+        return KeeperRun(
+            self.voter(run, state.now, self.promise), claimant, self.giver(UNIT, 0, run, self.grant), run
+        )
 
     def moves(self, state: State) -> Iterator[tuple[str, State]]:
         """A tick; a claim; an ask; a message that arrives or is lost; a give-back; a restart."""
@@ -150,7 +168,10 @@
             case Ask(member=member, lets_go=lets_go, asked_us=at):
                 return f"{member} {'lets go' if lets_go else 'asks'}, of tick {at}, to {who}"
             case _:
-                return f"a grant of {message.amount} by {message.owner}, asked at tick {message.asked_us}, to {who}"
+                return (
+                    f"a grant of {message.amount} by {message.owner}, asked at tick {message.asked_us}, "
+                    f"to {who}"
+                )
 
     def broken(self, state: State) -> str:
         """What must never be."""
@@ -166,18 +187,50 @@
 
         def ends(until: int) -> int:
             return max(until - now, 0)
-        keepers = tuple((
-            keeper.run, ends(keeper.voter.silent_until),
-            tuple((owner, ends(until)) for owner, until in keeper.voter.promised.values() if until > now),
-            tuple(sorted((who, ends(until)) for who, until in keeper.claimant.votes[0].until.items() if until > now)),
-            tuple((member, tuple((number, amount, ends(until)) for number, (amount, until) in given.grants.items()
-                                 if until > now), max(given.wished_us - now, -4), given.wish.demand)
-                  for member, given in sorted(keeper.giver.given.items())),
-            keeper.giver.number) for keeper in state.keepers)
-        holders = tuple((tuple((held.owner, held.number, held.amount, ends(held.until))
-                               for held in holder.held.values() if held.until > now), tuple(holder.seen.items()))
-                        for holder in state.holders)
-        flying = tuple(sorted((to, type(message).__name__, self._flat(message, now)) for to, message in state.flying))
+
+        keepers = tuple(
+            (
+                keeper.run,
+                ends(keeper.voter.silent_until),
+                tuple((owner, ends(until)) for owner, until in keeper.voter.promised.values() if until > now),
+                tuple(
+                    sorted(
+                        (who, ends(until))
+                        for who, until in keeper.claimant.votes[0].until.items()
+                        if until > now
+                    )
+                ),
+                tuple(
+                    (
+                        member,
+                        tuple(
+                            (number, amount, ends(until))
+                            for number, (amount, until) in given.grants.items()
+                            if until > now
+                        ),
+                        max(given.wished_us - now, -4),
+                        given.wish.demand,
+                    )
+                    for member, given in sorted(keeper.giver.given.items())
+                ),
+                keeper.giver.number,
+            )
+            for keeper in state.keepers
+        )
+        holders = tuple(
+            (
+                tuple(
+                    (held.owner, held.number, held.amount, ends(held.until))
+                    for held in holder.held.values()
+                    if held.until > now
+                ),
+                tuple(holder.seen.items()),
+            )
+            for holder in state.holders
+        )
+        flying = tuple(
+            sorted((to, type(message).__name__, self._flat(message, now)) for to, message in state.flying)
+        )
         return keepers, holders, flying, state.restarts, tuple(state.incarnations)
 
     @staticmethod
--- a/heathwell/cli/__init__.py
+++ b/heathwell/cli/__init__.py
@@ -29,6 +29,22 @@
 
 fleet.add_command(members)
 fleet.add_command(budgets)
-for command in (broker, keeper, zone, agent, rollout, leaf, discovery, source, relay, fleet, platform, check, schema,
-                audit, badday, replay):
+for command in (
+    broker,
+    keeper,
+    zone,
+    agent,
+    rollout,
+    leaf,
+    discovery,
+    source,
+    relay,
+    fleet,
+    platform,
+    check,
+    schema,
+    audit,
+    badday,
+    replay,
+):
     main.add_command(command)
--- a/heathwell/cli/badday.py
+++ b/heathwell/cli/badday.py
@@ -20,7 +20,9 @@
 
 @click.command()
 @click.argument("script", type=click.Path(dir_okay=False))
-@click.option("--out", type=click.Path(file_okay=False), help="Folder for logs and figures (a temporary one without).")
+@click.option(
+    "--out", type=click.Path(file_okay=False), help="Folder for logs and figures (a temporary one without)."
+)
 @click.option("--seconds", type=float, help="Cut the script to so long.")
 def badday(script: str, out: str | None, seconds: float | None) -> None:
     """Play SCRIPT against a fleet of processes under load; exit 1 when a rule was broken.
@@ -37,7 +39,9 @@
 
 @click.command()
 @click.argument("day", type=click.Path(dir_okay=False))
-@click.option("--config", default="examples/market-badday.sx", show_default=True, help="Settings of the fleet.")
+@click.option(
+    "--config", default="examples/market-badday.sx", show_default=True, help="Settings of the fleet."
+)
 @click.option("--seconds", default=30.0, show_default=True, help="Squeeze the day to so long.")
 @click.option("--rate", default=25.0, show_default=True, help="Requests a second.")
 @click.option("--out", type=click.Path(file_okay=False), help="Folder for logs and figures.")
@@ -63,13 +67,17 @@
     for line in day.service():
         click.echo(line)
     click.echo(", ".join(f"{count} {name}" for name, count in verdict.counts.items()))
-    click.echo(f"nearest to pushing a cold host over: {verdict.coldest:.2f} of what it bears; "
-               f"{day.clients.off_schedule} of {day.clients.asked} requests started off their schedule")
+    click.echo(
+        f"nearest to pushing a cold host over: {verdict.coldest:.2f} of what it bears; "
+        f"{day.clients.off_schedule} of {day.clients.asked} requests started off their schedule"
+    )
     for line in with_more(verdict, day.logged):
         click.echo(line)
     for breach in verdict.breaches[:20]:
         click.echo(str(breach))
-    click.echo(f"{'all rules kept' if verdict.kept else f'{len(verdict.breaches)} breaches'}; logs in {folder}")
+    click.echo(
+        f"{'all rules kept' if verdict.kept else f'{len(verdict.breaches)} breaches'}; logs in {folder}"
+    )
     (Path(folder) / "summary.json").write_text(json.dumps(summary(day, verdict), indent=1) + "\n")
     for fault in day.faults:
         click.echo(f"could not be made: {fault}", err=True)
