--- a/heathwell/cli/control.py
+++ b/heathwell/cli/control.py
@@ -56,11 +56,17 @@
     def main() -> Coro[None]:
         lent = (*budgets_of(fleet), lease_budget(fleet))
         decider = Keeper(number, run, len(where), lent, loop.now(), times_of(fleet))
-        server = KeeperServer(loop, process.net, decider,
-                              {other: address for other, address in enumerate(where) if other != number},
-                              seed=number + 1, log=process.log, events=process.events,
-                              zones=desk_of(process.market) if fleet.evacuate else None,
-                              fleet=fleet.called)
+        server = KeeperServer(
+            loop,
+            process.net,
+            decider,
+            {other: address for other, address in enumerate(where) if other != number},
+            seed=number + 1,
+            log=process.log,
+            events=process.events,
+            zones=desk_of(process.market) if fleet.evacuate else None,
+            fleet=fleet.called,
+        )
 
         def reread() -> None:
             try:
@@ -70,6 +76,7 @@
                 return
             for problem_text in server.resize(wholes):
                 process.log("error", "budget not taken", why=problem_text)
+
         process.poller.on_signal(signal.SIGHUP, reread)
         address = server.start(listen or where[number])
         pages = process.net.listen(admin, KeeperPages(server).serve, "admin", 100)
@@ -78,6 +85,7 @@
         yield from process.stop.wait()
         server.close()
         pages.close()
+
     process.run(main)
 
 
@@ -115,8 +123,9 @@
 
 
 def member_rows(views: list[frames.FleetView]) -> list[dict[str, Any]]:
-    """Who is a member: of each name the latest incarnation, by whoever heard it last; ``views`` says how many keepers
-    have it in that state."""
+    """Who is a member: of each name the latest incarnation, by whoever heard it last; ``views`` says how many
+    keepers have it in that state.
+    """
     latest: dict[str, frames.Member] = {}
     states: dict[tuple[str, int], list[str]] = defaultdict(list)
     for view in views:
@@ -125,15 +134,26 @@
             old = latest.get(member.name)
             if old is None or (member.incarnation, -member.heard_us) > (old.incarnation, -old.heard_us):
                 latest[member.name] = member
-    return [{"name": member.name, "state": member.state, "zone": member.zone, "incarnation": member.incarnation,
-             "since_s": round(member.since_us / 1e6, 1), "heard_s": round(member.heard_us / 1e6, 2),
-             "program": member.program, "settings": member.digest,
-             "views": f"{states[member.name, member.incarnation].count(member.state)}/{len(views)}"}
-            for member in sorted(latest.values(), key=lambda member: member.name)]
+    return [
+        {
+            "name": member.name,
+            "state": member.state,
+            "zone": member.zone,
+            "incarnation": member.incarnation,
+            "since_s": round(member.since_us / 1e6, 1),
+            "heard_s": round(member.heard_us / 1e6, 2),
+            "program": member.program,
+            "settings": member.digest,
+            "views": f"{states[member.name, member.incarnation].count(member.state)}/{len(views)}",
+        }
+        for member in sorted(latest.values(), key=lambda member: member.name)
+    ]
 
 
 def budget_rows(views: list[frames.FleetView]) -> list[dict[str, Any]]:
-    """Each budget: whole, set aside, given out, to whom and until when. A rate's figures are units a second."""
+    """Each budget: whole, set aside, given out, to whom and until when. A rate's figures are units
+    a second.
+    """
     rows = []
     for whole in views[0].wholes if views else []:
         unit = 1_000 if whole.kind == "rate" else 1
@@ -147,13 +167,24 @@
                     line[1] = max(line[1], share.left_us)
                     line[2] = max(line[2], share.demand)
         for which, members in sorted(by.items()) or [("", {})]:
-            rows.append({
-                "budget": whole.name + (f"@{which}" if which else ""), "kind": whole.kind,
-                "whole": (whole.whole + whole.apart) / unit, "aside": (whole.aside + whole.apart) / unit,
-                "given": sum(line[0] for line in members.values()) / unit,
-                "holders": [{"member": member, "amount": amount / unit, "demand": demand / unit,
-                             "until_s": round(left / 1e6, 2)}
-                            for member, (amount, left, demand) in sorted(members.items())]})
+            rows.append(
+                {
+                    "budget": whole.name + (f"@{which}" if which else ""),
+                    "kind": whole.kind,
+                    "whole": (whole.whole + whole.apart) / unit,
+                    "aside": (whole.aside + whole.apart) / unit,
+                    "given": sum(line[0] for line in members.values()) / unit,
+                    "holders": [
+                        {
+                            "member": member,
+                            "amount": amount / unit,
+                            "demand": demand / unit,
+                            "until_s": round(left / 1e6, 2),
+                        }
+                        for member, (amount, left, demand) in sorted(members.items())
+                    ],
+                }
+            )
     return rows
 
 
@@ -163,8 +194,10 @@
     heads = list(rows[0])
     lines = [heads, *([str(row[head]) for head in heads] for row in rows)]
     widths = [max(len(line[n]) for line in lines) for n in range(len(heads))]
-    return "\n".join("  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
-                     for line in lines)
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in lines
+    )
 
 
 def _tell(found: Views, body: dict[str, Any], as_json: bool, text: str) -> None:
@@ -178,9 +211,11 @@
 
 
 def _options(command: Any) -> Any:
-    for option in (click.option("--config", required=True, type=click.Path(dir_okay=False), help="Settings file."),
-                   click.option("--keepers", default="", help="Their addresses, commas between (settings' without)."),
-                   click.option("--json", "as_json", is_flag=True, help="As JSON.")):
+    for option in (
+        click.option("--config", required=True, type=click.Path(dir_okay=False), help="Settings file."),
+        click.option("--keepers", default="", help="Their addresses, commas between (settings' without)."),
+        click.option("--json", "as_json", is_flag=True, help="As JSON."),
+    ):
         command = option(command)
     return command
 
@@ -203,14 +238,29 @@
     owners = {view.keeper: view.owned for view in found.views}
     lines = []
     for row in rows:
-        lines.append(f"{row['budget']} ({row['kind']}): whole {row['whole']:g}, set aside {row['aside']:g}, "
-                     f"given {row['given']:g}")
-        lines += [f"  {holder['member']}: {holder['amount']:g} (could use {holder['demand']:g}) for "
-                  f"{holder['until_s']:g} s yet" for holder in row["holders"]]
+        lines.append(
+            f"{row['budget']} ({row['kind']}): whole {row['whole']:g}, set aside {row['aside']:g}, "
+            f"given {row['given']:g}"
+        )
+        lines += [
+            f"  {holder['member']}: {holder['amount']:g} (could use {holder['demand']:g}) for "
+            f"{holder['until_s']:g} s yet"
+            for holder in row["holders"]
+        ]
     for name, owned in owners.items():
-        lines.append(f"keeper {name} owns " + (", ".join(f"fraction {number} for {left / 1e6:.1f} s"
-                                                         for number, left in owned.items()) or "no fraction"))
-    _tell(found, {"budgets": rows, "owners": msgspec.to_builtins(owners, str_keys=True)}, as_json, "\n".join(lines))
+        lines.append(
+            f"keeper {name} owns "
+            + (
+                ", ".join(f"fraction {number} for {left / 1e6:.1f} s" for number, left in owned.items())
+                or "no fraction"
+            )
+        )
+    _tell(
+        found,
+        {"budgets": rows, "owners": msgspec.to_builtins(owners, str_keys=True)},
+        as_json,
+        "\n".join(lines),
+    )
 
 
 @click.group()
@@ -218,7 +268,9 @@
     """Zones that the fleet has left or leaves, and an operator's word on them."""
 
 
-def _ask_zones(addresses: list[str], order: frames.Order) -> tuple[dict[str, frames.Zones | str], list[frames.Zones]]:
+def _ask_zones(
+    addresses: list[str], order: frames.Order
+) -> tuple[dict[str, frames.Zones | str], list[frames.Zones]]:
     """What each keeper says to a word on a zone, or why nothing; and of these who decides."""
     told: dict[str, frames.Zones | str] = {}
     for address in addresses:
@@ -235,20 +287,32 @@
         order = frames.Order(word, getpass.getuser(), more.get("why", ""), more.get("zone", ""))
         told, deciding = _ask_zones(addresses, order)
         if as_json:
-            click.echo(json.dumps({address: msgspec.to_builtins(answer) for address, answer in told.items()}, indent=1))
+            click.echo(
+                json.dumps(
+                    {address: msgspec.to_builtins(answer) for address, answer in told.items()}, indent=1
+                )
+            )
         for answer in deciding:
             if not as_json:
                 for name, state in answer.states.items():
                     said = answer.decision.zones.get(name) if answer.decision is not None else None
-                    click.echo(f"{name}: {state}" + (f", {said.share:.0%} of its usual work"
-                                                     + (f", without {', '.join(said.only)}" if said.only else "")
-                                                     + f": {said.why}" if said is not None else ""))
+                    click.echo(
+                        f"{name}: {state}"
+                        + (
+                            f", {said.share:.0%} of its usual work"
+                            + (f", without {', '.join(said.only)}" if said.only else "")
+                            + f": {said.why}"
+                            if said is not None
+                            else ""
+                        )
+                    )
             if answer.text:
                 click.echo(answer.text, err=True)
                 sys.exit(1)
         if not deciding:
             click.echo("no keeper decides at this moment: the last decision stands", err=True)
             sys.exit(3)
+
     command.__doc__ = text
     command = _options(command)
     if word != "status":
@@ -256,17 +320,25 @@
     return click.command(word)(command)
 
 
-for _word, _text in (("status", "How zones stand."), ("leave", "Leave ZONE until return is said."),
-                     ("return", "Come back to ZONE, in steps."), ("pin", "Leave ZONE as it is until unpin."),
-                     ("unpin", "Let ZONE be decided again.")):
+for _word, _text in (
+    ("status", "How zones stand."),
+    ("leave", "Leave ZONE until return is said."),
+    ("return", "Come back to ZONE, in steps."),
+    ("pin", "Leave ZONE as it is until unpin."),
+    ("unpin", "Let ZONE be decided again."),
+):
     zone.add_command(_zone_word(_word, _text))
 
 
 @zone.command()
 @click.argument("zone")
 @click.option("--seconds", default=20.0, show_default=True, help="How long to stay away.")
-@click.option("--most", default=0.05, show_default=True, help="Share lost elsewhere beyond the usual, from which the "
-                                                              "drill is called off.")
+@click.option(
+    "--most",
+    default=0.05,
+    show_default=True,
+    help="Share lost elsewhere beyond the usual, from which the drill is called off.",
+)
 @click.option("--why", default="a drill", show_default=True, help="For the log.")
 @_options
 def drill(config: str, keepers: str, as_json: bool, zone: str, seconds: float, most: float, why: str) -> None:
@@ -311,9 +383,11 @@
         if away:
             say("return")
     rows = course.report()
-    click.echo(json.dumps({"zone": zone, "called_off": course.why, "stages": rows}, indent=1) if as_json
-               else _table([{key: value for key, value in row.items() if key != "lost_by_class"} for row in rows]))
+    click.echo(
+        json.dumps({"zone": zone, "called_off": course.why, "stages": rows}, indent=1)
+        if as_json
+        else _table([{key: value for key, value in row.items() if key != "lost_by_class"} for row in rows])
+    )
     if course.why:
         click.echo(f"called off: {course.why}", err=True)
         sys.exit(1)
-
--- a/heathwell/cli/fleet.py
+++ b/heathwell/cli/fleet.py
@@ -21,8 +21,11 @@
 
 @fleet.command()
 @click.option("--config", required=True, type=click.Path(dir_okay=False), help="Settings file.")
-@click.option("--ready-file", type=click.Path(dir_okay=False),
-              help="Write names, roles and addresses here, as JSON, once all serve.")
+@click.option(
+    "--ready-file",
+    type=click.Path(dir_okay=False),
+    help="Write names, roles and addresses here, as JSON, once all serve.",
+)
 @click.option("--events", type=click.Path(file_okay=False), help="Folder for event logs (off without).")
 @click.option("--seconds", type=float, help="Stop by itself after so long.")
 @click.option("--demo", is_flag=True, help="Ask a multi-get of every class and say what to try next.")
@@ -75,7 +78,9 @@
             if time.monotonic() > until:
                 raise FleetError(f"the demo fleet does not answer: {problem}") from None
             time.sleep(0.3)
-    click.echo(f"\n{len(running.of('leaf'))} hosts and {len(brokers)} brokers are up. A multi-get of four keys:")
+    click.echo(
+        f"\n{len(running.of('leaf'))} hosts and {len(brokers)} brokers are up. A multi-get of four keys:"
+    )
     for key in keys:
         click.echo(f"  {key}: {values[key].decode()[:150] if key in values else '(a miss)'}")
     admin = brokers[0].ready["admin"]
@@ -83,6 +88,6 @@
 Try next:
   printf 'get price:tea sale:bo:5\\r\\nquit\\r\\n' | nc {host} {port}
   curl http://{admin}/state    curl http://{admin}/metrics    curl http://{admin}/healthz
-  kill -9 {running.of('leaf')[0].ready['pid']}    (a host; it comes back cold, and answers go on)
+  kill -9 {running.of("leaf")[0].ready["pid"]}    (a host; it comes back cold, and answers go on)
   .venv/bin/heathwell badday examples/badday.sx
 Stop with Ctrl-C.""")
--- a/heathwell/cli/inspect.py
+++ b/heathwell/cli/inspect.py
@@ -19,8 +19,10 @@
 def check(file: str) -> None:
     """Check a settings FILE; every error is printed with its line and column."""
     market = settings_of(file)
-    click.echo(f"{file}: good: {len(market.classes)} classes, {len(market.keys)} key spaces, "
-               f"{market.fleet.shards} shards on {market.fleet.cells} cells")
+    click.echo(
+        f"{file}: good: {len(market.classes)} classes, {len(market.keys)} key spaces, "
+        f"{market.fleet.shards} shards on {market.fleet.cells} cells"
+    )
 
 
 @click.command()
@@ -30,21 +32,28 @@
 
 
 def with_more(verdict: Verdict, events: list[Event]) -> list[str]:
-    """Add what is wrong with budgets and stated ages to a verdict, where a run has any; lines of what was seen."""
+    """Add what is wrong with budgets and stated ages to a verdict, where a run has any; lines of what was
+    seen.
+    """
     figures = next(event for event in events if event.ev == "run").fields["figures"]
     lines = []
     if figures.get("budgets"):
         found = judge_budgets(events)
         verdict.breaches += [Breach(0, "budget", text, ()) for text in found.breaches]
-        lines.append(f"budgets: {found.lines} changes of shares and {found.uses} uses judged, "
-                     f"{len(found.breaches)} overshoots; most held of what may be: "
-                     + ", ".join(f"{name} {share:.2f}" for name, share in sorted(found.nearest.items())))
+        lines.append(
+            f"budgets: {found.lines} changes of shares and {found.uses} uses judged, "
+            f"{len(found.breaches)} overshoots; most held of what may be: "
+            + ", ".join(f"{name} {share:.2f}" for name, share in sorted(found.nearest.items()))
+        )
     if figures.get("source_offset") is None:
         return lines
     ages = judge_ages(events, LOGGED_WITHIN_US)
     verdict.breaches += ages.breaches
-    return [*lines, f"{ages.judged} ages judged, {ages.unknown} stated as unknown; the bound is older than the truth "
-            f"by {ages.excess_at(0.5):.0f} us (p50), {ages.excess_at(0.99):.0f} us (p99)"]
+    return [
+        *lines,
+        f"{ages.judged} ages judged, {ages.unknown} stated as unknown; the bound is older than the truth "
+        f"by {ages.excess_at(0.5):.0f} us (p50), {ages.excess_at(0.99):.0f} us (p99)",
+    ]
 
 
 @click.command()
--- a/heathwell/cli/logs.py
+++ b/heathwell/cli/logs.py
@@ -19,8 +19,11 @@
 def set_up(log: Log) -> Maker:
     """Configure logging; returns a maker of loggers, each called as ``log(level, text, **fields)``."""
     least = {entry.name: LEVELS[entry.level] for entry in log.modules}
-    renderer: Any = (structlog.processors.JSONRenderer() if log.format == "json"
-                     else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()))
+    renderer: Any = (
+        structlog.processors.JSONRenderer()
+        if log.format == "json"
+        else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    )
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -46,5 +49,7 @@
         def write(level: str, text: str, **fields: Any) -> None:
             if LEVELS[level] >= threshold:
                 getattr(logger, level)(text, **fields)
+
         return write
+
     return make
--- a/heathwell/cli/platform.py
+++ b/heathwell/cli/platform.py
@@ -13,7 +13,11 @@
 from heathwell.kernel import Coro, sleep
 from heathwell.lab.platform import PlatformError, PlatformFleet
 
-QUERIES = (("price-search", [0, 1, 2, 3], ""), ("day-report", [4, 5, 6, 7], ""), ("sale-record", [3], "5c0f6e1a"))
+QUERIES = (
+    ("price-search", [0, 1, 2, 3], ""),
+    ("day-report", [4, 5, 6, 7], ""),
+    ("sale-record", [3], "5c0f6e1a"),
+)
 
 
 @click.command()
--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -1,4 +1,6 @@
-"""`heathwell agent`, which runs the brokers of a machine, and `heathwell rollout`, which changes them in stages."""
+"""`heathwell agent`, which runs the brokers of a machine, and `heathwell rollout`, which changes them in
+stages.
+"""
 
 from __future__ import annotations
 
@@ -36,19 +38,39 @@
 
 @click.command()
 @serving("agent")
-@click.option("--state", required=True, type=click.Path(file_okay=False), help="Folder for its notes and logs.")
+@click.option(
+    "--state", required=True, type=click.Path(file_okay=False), help="Folder for its notes and logs."
+)
 @click.option("--listen", default="127.0.0.1:0", show_default=True, help="Address for controllers.")
-@click.option("--broker", "brokers", multiple=True, required=True, help="NAME:ZONE:HOST:PORT, ZONE a number; repeat.")
-@click.option("--args", "arguments", default="{}", help="JSON: by broker's name, more arguments of `heathwell broker`.")
-@click.option("--version", required=True, help="Name of the version that runs first, where no notes say otherwise.")
+@click.option(
+    "--broker", "brokers", multiple=True, required=True, help="NAME:ZONE:HOST:PORT, ZONE a number; repeat."
+)
+@click.option(
+    "--args", "arguments", default="{}", help="JSON: by broker's name, more arguments of `heathwell broker`."
+)
+@click.option(
+    "--version", required=True, help="Name of the version that runs first, where no notes say otherwise."
+)
 @click.option("--program", required=True, type=click.Path(file_okay=False), help="Its program tree.")
-@click.option("--settings", "first_settings", required=True, type=click.Path(dir_okay=False), help="Its settings.")
+@click.option(
+    "--settings", "first_settings", required=True, type=click.Path(dir_okay=False), help="Its settings."
+)
 @click.option("--broker-events", default="", help="Folder for brokers' event logs (off without).")
-def agent(process: Process, state: str, listen: str, brokers: tuple[str, ...], arguments: str, version: str,
-          program: str, first_settings: str, broker_events: str) -> None:
+def agent(
+    process: Process,
+    state: str,
+    listen: str,
+    brokers: tuple[str, ...],
+    arguments: str,
+    version: str,
+    program: str,
+    first_settings: str,
+    broker_events: str,
+) -> None:
     """Run a machine's agent: starts, replaces and restarts its brokers.
 
-    SIGTERM ends the brokers in order and then the agent. Killed, it leaves them running; the next one adopts them.
+    SIGTERM ends the brokers in order and then the agent. Killed, it leaves them running; the next one adopts
+    them.
     """
     zones = process.market.fleet.zones
     try:
@@ -64,13 +86,22 @@
         sys.exit(2)
 
     def main() -> Coro[None]:
-        served = MachineAgent(process.loop, process.net, process.name, Path(state), rows, zones, log=process.log,
-                              events=broker_events)
+        served = MachineAgent(
+            process.loop,
+            process.net,
+            process.name,
+            Path(state),
+            rows,
+            zones,
+            log=process.log,
+            events=broker_events,
+        )
         address = served.start(listen)
         for broker in rows:
             if not broker.slot.wanted:
-                why = served.want(broker.name, version, str(Path(program).resolve()),
-                                  str(Path(first_settings).resolve()))
+                why = served.want(
+                    broker.name, version, str(Path(program).resolve()), str(Path(first_settings).resolve())
+                )
                 if why:
                     click.echo(f"{broker.name}: {why}", err=True)
                     sys.exit(2)
@@ -78,8 +109,10 @@
                 slot = broker.slot
                 files = served.versions[slot.wanted.rstrip("~")]
                 served.want(broker.name, slot.wanted, files.program, files.settings, slot.term, slot.number)
-        while any(broker.slot.serving is None and not broker.slot.failed for broker in rows) \
-                and not process.stop.is_set:
+        while (
+            any(broker.slot.serving is None and not broker.slot.failed for broker in rows)
+            and not process.stop.is_set
+        ):
             yield from sleep(process.loop, 50_000)
         process.ready(address=address, brokers={broker.name: broker.address for broker in rows})
         yield from process.stop.wait()
@@ -87,6 +120,7 @@
         until = process.loop.now() + process.market.broker.drain_for + 2_000_000
         while served.alive and process.loop.now() < until:
             yield from sleep(process.loop, 50_000)
+
     process.run(main)
 
 
@@ -97,41 +131,73 @@
 
 def _span(words: str) -> int:
     number = words.rstrip("usmhd")
-    return int(float(number) * TIME_US[words[len(number):]])
+    return int(float(number) * TIME_US[words[len(number) :]])
 
 
 def _stages(text: str, bake: str, most: str, prove: str) -> tuple[Stage, ...]:
     def share(words: str) -> float:
         return float(words[:-1]) / 100 if words.endswith("%") else 0.0 if words == "1" else float(words)
-    return tuple(Stage(share(words), _span(bake), _span(most), prove=words == prove) for words in text.split(","))
+
+    return tuple(
+        Stage(share(words), _span(bake), _span(most), prove=words == prove) for words in text.split(",")
+    )
 
 
 @rollout.command()
 @serving("rollout")
-@click.option("--state", required=True, type=click.Path(file_okay=False), help="Folder for the course's record.")
+@click.option(
+    "--state", required=True, type=click.Path(file_okay=False), help="Folder for the course's record."
+)
 @click.option("--machines", required=True, help="Agents' addresses with commas between.")
-@click.option("--from", "old", required=True, help="Version that runs now, with --from-program and --from-settings.")
+@click.option(
+    "--from", "old", required=True, help="Version that runs now, with --from-program and --from-settings."
+)
 @click.option("--from-program", required=True, type=click.Path(file_okay=False, exists=True))
 @click.option("--from-settings", required=True, type=click.Path(dir_okay=False, exists=True))
 @click.option("--to", "new", required=True, help="Name of the new version.")
 @click.option("--program", type=click.Path(file_okay=False, exists=True), help="Its program tree (the old).")
-@click.option("--settings", "new_settings", type=click.Path(dir_okay=False, exists=True), help="Its settings.")
+@click.option(
+    "--settings", "new_settings", type=click.Path(dir_okay=False, exists=True), help="Its settings."
+)
 @click.option("--stages", default="1,5%,25%,100%", show_default=True, help="Shares of brokers; 1: one.")
 @click.option("--bake", default="30s", show_default=True, help="Least time of a stage.")
 @click.option("--most", default="120s", show_default=True, help="Longest time of a stage.")
 @click.option("--prove", default="25%", show_default=True, help="Stage that must be shown to be no worse.")
 @click.option("--window", default="2s", show_default=True, help="Span over which brokers are compared.")
-@click.option("--tolerance", default=0.02, show_default=True, help="Loss of worth that is shown not to be there.")
-@click.option("--zone-share", default=0.34, show_default=True, help="Of a zone, changed before the last stage.")
+@click.option(
+    "--tolerance", default=0.02, show_default=True, help="Loss of worth that is shown not to be there."
+)
+@click.option(
+    "--zone-share", default=0.34, show_default=True, help="Of a zone, changed before the last stage."
+)
 @click.option("--at-once", default=4, show_default=True, help="Brokers replaced at a time.")
 @click.option("--allow", multiple=True, help="A flag that a refusal named, such as --drop-classes; repeat.")
 @click.option("--keepers", default="", help="Keepers' addresses with commas between (settings' without).")
 @click.option("--listen", default="127.0.0.1:0", show_default=True, help="Address for operators.")
 @click.option("--crash-at", default="", hidden=True, help="For tests: SIGKILL oneself there.")
-def start(process: Process, state: str, machines: str, old: str, from_program: str, from_settings: str, new: str,
-          program: str | None, new_settings: str | None, stages: str, bake: str, most: str, prove: str,
-          window: str, tolerance: float, zone_share: float, at_once: int, allow: tuple[str, ...], keepers: str,
-          listen: str, crash_at: str) -> None:
+def start(
+    process: Process,
+    state: str,
+    machines: str,
+    old: str,
+    from_program: str,
+    from_settings: str,
+    new: str,
+    program: str | None,
+    new_settings: str | None,
+    stages: str,
+    bake: str,
+    most: str,
+    prove: str,
+    window: str,
+    tolerance: float,
+    zone_share: float,
+    at_once: int,
+    allow: tuple[str, ...],
+    keepers: str,
+    listen: str,
+    crash_at: str,
+) -> None:
     """Carry a change out, or go on with the one that is noted in --state. Exit code 0 done, 1 undone."""
     folder = Path(state)
     folder.mkdir(parents=True, exist_ok=True)
@@ -147,8 +213,13 @@
     except (ValueError, KeyError) as problem:
         click.echo(f"--stages, --bake, --most, --window: {problem}", err=True)
         sys.exit(2)
-    files = {old: (str(Path(from_program).resolve()), str(Path(from_settings).resolve())),
-             new: (str(Path(program or from_program).resolve()), str(Path(new_settings or from_settings).resolve()))}
+    files = {
+        old: (str(Path(from_program).resolve()), str(Path(from_settings).resolve())),
+        new: (
+            str(Path(program or from_program).resolve()),
+            str(Path(new_settings or from_settings).resolve()),
+        ),
+    }
     before = settings_of(from_settings)
 
     def check() -> list[str]:
@@ -165,8 +236,19 @@
 
     def main() -> Coro[int]:
         holds = _lease(process, before, keepers)
-        controller = Controller(process.loop, process.net, course, folder, machines.split(","), files,
-                                term=time.time_ns() // 1000, holds=holds, log=process.log, check=check, crash=crash)
+        controller = Controller(
+            process.loop,
+            process.net,
+            course,
+            folder,
+            machines.split(","),
+            files,
+            term=time.time_ns() // 1000,
+            holds=holds,
+            log=process.log,
+            check=check,
+            crash=crash,
+        )
         address = controller.start(listen)
         write_whole(folder / ADDRESS, json.dumps({"address": address, "pid": os.getpid()}))
         process.ready(address=address, change=course.id)
@@ -174,27 +256,42 @@
         def until_stopped() -> Coro[None]:
             yield from process.stop.wait()
             controller.done.set()
+
         process.loop.spawn(until_stopped(), "stop")
         yield from controller.done.wait()
         yield from sleep(process.loop, 200_000)  # for operators who ask at this moment
         controller.close()
         return 0
+
     process.run(main)
     click.echo(f"{course.id}: {course.state}: {course.why}")
     sys.exit(0 if course.state == DONE else 1)
 
 
 def _lease(process: Process, market: Market, keepers: str) -> Callable[[], bool]:
-    """Whether this controller is the fleet's one: by a unit that keepers lend to one at a time. Without keepers the
-    lock on its folder must do."""
+    """Whether this controller is the fleet's one: by a unit that keepers lend to one at a time. Without
+    keepers the lock on its folder must do.
+    """
     fleet = market.fleet
     if not fleet.keepers:
         return lambda: True
     times = times_of(fleet)
-    member = Self(process.name, time.time_ns() // 1000, process.loop.now(), version=__version__, timing=times.roll)
-    lender = FleetAgent(process.loop, process.net, member, (lease_budget(fleet),),
-                        tuple(keepers.split(",")) if keepers else tuple(fleet.keepers), renew_us=fleet.renew,
-                        times=times, seed=os.getpid(), log=process.log, events=process.events, fleet=fleet.called)
+    member = Self(
+        process.name, time.time_ns() // 1000, process.loop.now(), version=__version__, timing=times.roll
+    )
+    lender = FleetAgent(
+        process.loop,
+        process.net,
+        member,
+        (lease_budget(fleet),),
+        tuple(keepers.split(",")) if keepers else tuple(fleet.keepers),
+        renew_us=fleet.renew,
+        times=times,
+        seed=os.getpid(),
+        log=process.log,
+        events=process.events,
+        fleet=fleet.called,
+    )
     name = lease_budget(fleet).name
 
     def holds() -> bool:
@@ -204,6 +301,7 @@
         if holder.used and holder.share(now) < 1:
             lender.give_back(name)
         return bool(holder.used) or lender.take(name)
+
     return holds
 
 
@@ -221,13 +319,17 @@
     if as_json:
         click.echo(json.dumps(record, indent=1))
     else:
-        click.echo(f"{record['id']}: {record['state']}, stage {record['stage']}: {record['why']}"
-                   + ("" if record["holds"] else " (this controller has not the fleet's lease)"))
+        click.echo(
+            f"{record['id']}: {record['state']}, stage {record['stage']}: {record['why']}"
+            + ("" if record["holds"] else " (this controller has not the fleet's lease)")
+        )
         for name, row in record["brokers"].items():
-            click.echo(f"  {name} ({row['zone']}): {row['runs'] or 'nothing'}, {row['state']}"
-                       + (f", to run {row['wanted']}" if row["wanted"] not in ("", row["runs"]) else "")
-                       + (f"; failed: {row['failed']}" if row["failed"] else "")
-                       + ("" if row["fresh"] else "; its machine does not answer"))
+            click.echo(
+                f"  {name} ({row['zone']}): {row['runs'] or 'nothing'}, {row['state']}"
+                + (f", to run {row['wanted']}" if row["wanted"] not in ("", row["runs"]) else "")
+                + (f"; failed: {row['failed']}" if row["failed"] else "")
+                + ("" if row["fresh"] else "; its machine does not answer")
+            )
     if answer.text:
         click.echo(answer.text, err=True)
         sys.exit(1)
@@ -239,15 +341,22 @@
             click.echo("--state or --address is needed", err=True)
             sys.exit(2)
         _say(word, state, address, why, as_json)
+
     command.__doc__ = text
-    for option in (click.option("--state", default="", help="Folder of the controller."),
-                   click.option("--address", default="", help="Its address (that in its folder without)."),
-                   click.option("--why", default="", help="For the log."),
-                   click.option("--json", "as_json", is_flag=True, help="As JSON.")):
+    for option in (
+        click.option("--state", default="", help="Folder of the controller."),
+        click.option("--address", default="", help="Its address (that in its folder without)."),
+        click.option("--why", default="", help="For the log."),
+        click.option("--json", "as_json", is_flag=True, help="As JSON."),
+    ):
         command = option(command)
     return click.command(word)(command)
 
 
-for word, text in (("status", "How a change stands."), ("hold", "Begin nothing more for now."),
-                   ("resume", "Go on with a change that is held."), ("undo", "Bring the old version back everywhere.")):
+for word, text in (
+    ("status", "How a change stands."),
+    ("hold", "Begin nothing more for now."),
+    ("resume", "Go on with a change that is held."),
+    ("undo", "Bring the old version back everywhere."),
+):
     rollout.add_command(_word(word, text))
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -73,14 +73,23 @@
 class Process:
     """One serving process: loop, logs, events, signals, ready line."""
 
-    def __init__(self, config: str, name: str, role: str, events: str | None, ready_file: str | None,
-                 clock_rate: float = 1.0) -> None:
+    def __init__(
+        self,
+        config: str,
+        name: str,
+        role: str,
+        events: str | None,
+        ready_file: str | None,
+        clock_rate: float = 1.0,
+    ) -> None:
         self.config, self.market = config, settings_of(config)
         self.digest = settings_digest(config)
         self.name, self.ready_file = name, ready_file
         self.make_log = logs.set_up(self.market.log)
         self.log = self.make_log(f"heathwell.{role}", name=name)
-        self.loop, self.net, self.poller = socket_loop(clock=None if clock_rate == 1.0 else SkewedClock(clock_rate))
+        self.loop, self.net, self.poller = socket_loop(
+            clock=None if clock_rate == 1.0 else SkewedClock(clock_rate)
+        )
         self.loop.on_error = self._error
         self.events: EventLog = NoEvents()
         if events:
@@ -129,23 +138,37 @@
 
 def serving(role: str) -> Callable[[Callable[..., None]], Callable[..., None]]:
     """The options of every serving command; it is handed the :class:`Process` that they make."""
+
     def around(command: Callable[..., None]) -> Callable[..., None]:
         @wraps(command)
-        def made(config: str, name: str, events: str | None, ready_file: str | None, clock_rate: float,
-                 **more: Any) -> None:
+        def made(
+            config: str, name: str, events: str | None, ready_file: str | None, clock_rate: float, **more: Any
+        ) -> None:
             command(Process(config, name, role, events, ready_file, clock_rate), **more)
+
         for option in (
             click.option("--config", required=True, type=click.Path(dir_okay=False), help="Settings file."),
             click.option("--name", required=True, help="Name in logs; one of a kind among all runs."),
-            click.option("--events", type=click.Path(file_okay=False), help="Folder for the event log (off without)."),
-            click.option("--clock-rate", type=click.FloatRange(0.5, 2.0), default=1.0, hidden=True,
-                         help="For tests: how fast its clock runs against the machine's."),
-            click.option("--ready-file", type=click.Path(dir_okay=False),
-                         help="Write {name, pid, address ...} here, as JSON, once it serves (standard output "
-                              "without)."),
+            click.option(
+                "--events", type=click.Path(file_okay=False), help="Folder for the event log (off without)."
+            ),
+            click.option(
+                "--clock-rate",
+                type=click.FloatRange(0.5, 2.0),
+                default=1.0,
+                hidden=True,
+                help="For tests: how fast its clock runs against the machine's.",
+            ),
+            click.option(
+                "--ready-file",
+                type=click.Path(dir_okay=False),
+                help="Write {name, pid, address ...} here, as JSON, once it serves (standard output "
+                "without).",
+            ),
         ):
             made = option(made)
         return made
+
     return around
 
 
@@ -154,13 +177,26 @@
 @click.option("--discovery", required=True, help="host:port of the host list.")
 @click.option("--zone", default=0, show_default=True, help="Number of the zone it stands in.")
 @click.option("--seed", default=1, show_default=True, help="Seed of its decisions' draws.")
-@click.option("--routes", default="{}", help="JSON: hosts' addresses to the doors of a relay that leads to them.")
+@click.option(
+    "--routes", default="{}", help="JSON: hosts' addresses to the doors of a relay that leads to them."
+)
 @click.option("--source", default="", help="host:port of the source's clock (settings' without).")
 @click.option("--listen", help="memcached address (settings' without).")
 @click.option("--keepers", default="", help="Keepers' addresses with commas between (settings' without).")
-@click.option("--report", is_flag=True, help="Keep sums of service for the machine's agent, and say what it runs.")
-def broker(process: Process, discovery: str, zone: int, seed: int, source: str, routes: str, listen: str | None,
-           keepers: str, report: bool) -> None:
+@click.option(
+    "--report", is_flag=True, help="Keep sums of service for the machine's agent, and say what it runs."
+)
+def broker(
+    process: Process,
+    discovery: str,
+    zone: int,
+    seed: int,
+    source: str,
+    routes: str,
+    listen: str | None,
+    keepers: str,
+    report: bool,
+) -> None:
     """Run a broker: memcached in, answers from the hosts out.
 
     SIGTERM takes nothing new, finishes what is held, and exits 0; a second one exits at once.
@@ -175,19 +211,37 @@
     agent = _agent(process, zone, seed, keepers)
 
     def main() -> Coro[None]:
-        served = Broker(loop, net, market, name=process.name, zone=zone, seed=seed, discovery=discovery,
-                        source=source, siblings=max(1, market.fleet.brokers), events=process.events, log=process.log,
-                        agent=agent, service=ServiceBook(module_settings(market, zone, 1).classes) if report else None)
+        served = Broker(
+            loop,
+            net,
+            market,
+            name=process.name,
+            zone=zone,
+            seed=seed,
+            discovery=discovery,
+            source=source,
+            siblings=max(1, market.fleet.brokers),
+            events=process.events,
+            log=process.log,
+            agent=agent,
+            service=ServiceBook(module_settings(market, zone, 1).classes) if report else None,
+        )
         front = MemcachedFront(served, process.log)
         admin = AdminFront(served, front)
-        door = net.listen(listen or market.broker.listen, front.serve, "client", market.limits.clients + SPARE)
+        door = net.listen(
+            listen or market.broker.listen, front.serve, "client", market.limits.clients + SPARE
+        )
         admin_door = net.listen(market.broker.admin, admin.serve, "admin", 100)
         served.pace(door)
         searches: dict[str, str] = {}
         vector_door: Listener | None = None
         if market.vector.listen:
-            vector_door = net.listen(market.vector.listen, VectorFront(served, process.log).serve, "searcher",
-                                     market.limits.clients + SPARE)
+            vector_door = net.listen(
+                market.vector.listen,
+                VectorFront(served, process.log).serve,
+                "searcher",
+                market.limits.clients + SPARE,
+            )
             served.pace(vector_door)
             searches = {"vector": vector_door.address}
         served.era.version = process.digest
@@ -201,6 +255,7 @@
             why = served.use(again, digest) if digest != served.era.version else ""
             if why:
                 process.log("error", "settings need a restart, the old ones stay", why=why)
+
         process.poller.on_signal(signal.SIGHUP, reread)
         runs = {"program": program_digest(PACKAGE), "settings": process.digest} if report else {}
         process.ready(address=door.address, admin=admin_door.address, zone=zone, **searches, **runs)
@@ -223,6 +278,7 @@
             agent.leave()
             yield from sleep(loop, LEAVE_US)
             agent.close()
+
     process.run(main)
 
 
@@ -234,12 +290,31 @@
     from heathwell.control.agent import FleetAgent  # noqa: PLC0415
     from heathwell.control.wiring import budgets_of, times_of  # noqa: PLC0415
     from heathwell.membership import Self  # noqa: PLC0415
+
     times, now = times_of(fleet), process.loop.now()
-    member = Self(process.name.partition("r")[0], time.time_ns() // 1000, now, zone=fleet.zones[zone],
-                  version=__version__, digest=process.digest, timing=times.roll)
+    member = Self(
+        process.name.partition("r")[0],
+        time.time_ns() // 1000,
+        now,
+        zone=fleet.zones[zone],
+        version=__version__,
+        digest=process.digest,
+        timing=times.roll,
+    )
     where = tuple(keepers.split(",")) if keepers else tuple(fleet.keepers)
-    return FleetAgent(process.loop, process.net, member, budgets_of(fleet), where, renew_us=fleet.renew, times=times,
-                      seed=seed, log=process.log, events=process.events, fleet=fleet.called)
+    return FleetAgent(
+        process.loop,
+        process.net,
+        member,
+        budgets_of(fleet),
+        where,
+        renew_us=fleet.renew,
+        times=times,
+        seed=seed,
+        log=process.log,
+        events=process.events,
+        fleet=fleet.called,
+    )
 
 
 def _flush(loop: Loop, front: MemcachedFront) -> Coro[None]:
@@ -257,17 +332,40 @@
 @click.option("--zone", default=0, show_default=True, help="Number of the zone it stands in.")
 @click.option("--seed", default=1, show_default=True, help="Seed of its draws.")
 @click.option("--listen", default="127.0.0.1:0", show_default=True, help="Address.")
-@click.option("--warm/--cold", default=True, show_default=True, help="Whether it starts at its full capacity.")
+@click.option(
+    "--warm/--cold", default=True, show_default=True, help="Whether it starts at its full capacity."
+)
 @click.option("--speed", type=float, help="Work done in a second, in seconds, a slot (settings' without).")
-def leaf(process: Process, discovery: str, cell: int, zone: int, seed: int, listen: str, warm: bool,
-         speed: float | None) -> None:
+def leaf(
+    process: Process,
+    discovery: str,
+    cell: int,
+    zone: int,
+    seed: int,
+    listen: str,
+    warm: bool,
+    speed: float | None,
+) -> None:
     """Run a stand-in shard host with generated sale and price data."""
+
     def main() -> Coro[None]:
-        host = Leaf(process.loop, process.net, process.market, name=process.name, cell=cell, zone=zone,
-                    discovery=discovery, seed=seed, address=listen, events=process.events, on_die=process.stop.set,
-                    speed=speed)
+        host = Leaf(
+            process.loop,
+            process.net,
+            process.market,
+            name=process.name,
+            cell=cell,
+            zone=zone,
+            discovery=discovery,
+            seed=seed,
+            address=listen,
+            events=process.events,
+            on_die=process.stop.set,
+            speed=speed,
+        )
         process.ready(address=host.start(warm=warm), cell=cell, zone=zone)
         yield from process.stop.wait()
+
     process.run(main)
 
 
@@ -278,10 +376,12 @@
 @click.option("--listen", default="127.0.0.1:0", show_default=True, help="Address that takes orders.")
 def relay(process: Process, targets: str, seed: int, listen: str) -> None:
     """Run a stand-in for the link between two regions."""
+
     def main() -> Coro[None]:
         link = Relay(process.loop, process.net, targets.split(","), seed)
         process.ready(address=link.start(listen), routes=link.routes)
         yield from process.stop.wait()
+
     process.run(main)
 
 
@@ -290,9 +390,11 @@
 @click.option("--listen", help="Address (settings' without).")
 def source(process: Process, listen: str | None) -> None:
     """Run the stand-in source of all data: its clock."""
+
     def main() -> Coro[None]:
         process.ready(address=Source(process.loop, process.net, process.market, listen).start())
         yield from process.stop.wait()
+
     process.run(main)
 
 
@@ -301,11 +403,12 @@
 @click.option("--listen", help="Address (settings' without).")
 def discovery(process: Process, listen: str | None) -> None:
     """Run the stand-in host list."""
+
     def main() -> Coro[None]:
-        service = Discovery(process.loop, process.net, process.market, address=listen, events=process.events,
-                            log=process.log)
+        service = Discovery(
+            process.loop, process.net, process.market, address=listen, events=process.events, log=process.log
+        )
         process.ready(address=service.start())
         yield from process.stop.wait()
-    process.run(main)
-
 
+    process.run(main)
--- a/heathwell/codec/frames.py
+++ b/heathwell/codec/frames.py
@@ -80,8 +80,8 @@
 class Result(Message, tag="result"):
     """The one outcome of an attempt: ``ok``, ``error`` or ``full`` (never begun).
 
-    ``position`` and ``source_us`` are the data's watermark, ``inflight`` the load report, ``work_us`` what the work
-    alone took.
+    ``position`` and ``source_us`` are the data's watermark, ``inflight`` the load report, ``work_us`` what
+    the work alone took.
     """
 
     id: str
@@ -172,7 +172,9 @@
 
 
 class Need(msgspec.Struct, omit_defaults=True):
-    """What a broker could use of one budget, and by which grant of each fraction it goes (fraction, owner, number)."""
+    """What a broker could use of one budget, and by which grant of each fraction it goes (fraction, owner,
+    number).
+    """
 
     budget: str
     demand: int
@@ -208,7 +210,9 @@
 
 
 class Renew(Message, tag="renew"):
-    """A broker to a keeper: what it is, and what it could use; ``asked_us`` is its own clock's and comes back."""
+    """A broker to a keeper: what it is, and what it could use; ``asked_us`` is its own clock's and comes
+    back.
+    """
 
     name: str
     incarnation: int
@@ -321,8 +325,9 @@
 
 
 class Want(Message, tag="want"):
-    """A controller's wish of a machine: this broker runs that version, whose files lie there. Of an older (term,
-    number) than the last one it is not taken."""
+    """A controller's wish of a machine: this broker runs that version, whose files lie there. Of an older
+    (term, number) than the last one it is not taken.
+    """
 
     term: int
     number: int
@@ -379,7 +384,9 @@
 
 
 class Zones(Message, tag="zones"):
-    """How a keeper has the zones; ``decides`` where it is the one that decides, ``text`` what was wrong with a word."""
+    """How a keeper has the zones; ``decides`` where it is the one that decides, ``text`` what was wrong with
+    a word.
+    """
 
     decides: bool
     text: str = ""
@@ -395,9 +402,37 @@
     record: dict[str, object] = {}
 
 
-Any_ = (Hello | Call | CancelPart | Ping | Pong | Result | Draining | Register | Watch | Hosts | Control
-        | Done | Mismatch | AskClock | Clock | Bound | Renew | Renewed | Claim | Vote | AskFleet | FleetView
-        | Want | WantTaken | AskMachine | MachineView | Order | Course | Zones)
+Any_ = (
+    Hello
+    | Call
+    | CancelPart
+    | Ping
+    | Pong
+    | Result
+    | Draining
+    | Register
+    | Watch
+    | Hosts
+    | Control
+    | Done
+    | Mismatch
+    | AskClock
+    | Clock
+    | Bound
+    | Renew
+    | Renewed
+    | Claim
+    | Vote
+    | AskFleet
+    | FleetView
+    | Want
+    | WantTaken
+    | AskMachine
+    | MachineView
+    | Order
+    | Course
+    | Zones
+)
 
 
 class _Tagged(msgspec.Struct):
@@ -421,7 +456,9 @@
 
 
 class Frames:
-    """The incremental decoder of one connection; with ``greeted`` false its first message must be a sound hello."""
+    """The incremental decoder of one connection; with ``greeted`` false its first message must be a sound
+    hello.
+    """
 
     def __init__(self, most: int = FRAME_MOST, greeted: bool = True) -> None:
         self.most, self._greeted = most, greeted
@@ -439,12 +476,12 @@
         at = 0
         try:
             while len(self._buffer) - at >= 4:
-                size = int.from_bytes(self._buffer[at:at + 4], "big")
+                size = int.from_bytes(self._buffer[at : at + 4], "big")
                 if size > self.most:
                     raise FrameError(f"a frame of {size} bytes is over the limit of {self.most}")
                 if len(self._buffer) - at - 4 < size:
                     return
-                body = bytes(self._buffer[at + 4:at + 4 + size])
+                body = bytes(self._buffer[at + 4 : at + 4 + size])
                 at += 4 + size
                 try:
                     message = _decoder.decode(body)
--- a/heathwell/codec/http.py
+++ b/heathwell/codec/http.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 requests and responses by h11, without I/O.
 
-Pipelined requests come one after another, each once the one before it is answered; chunked bodies, bodies by length and
-``Expect: 100-continue`` are taken, and every length is bounded.
+Pipelined requests come one after another, each once the one before it is answered; chunked bodies, bodies by
+length and ``Expect: 100-continue`` are taken, and every length is bounded.
 """
 
 from __future__ import annotations
@@ -42,8 +42,8 @@
 class ServerSide:
     """One connection: feed bytes, get requests, and the bytes of responses in turn.
 
-    A head longer than ``head_most`` is answered 431, a body longer than ``body_most`` 413 (by its stated length before
-    it is sent), both before closing.
+    A head longer than ``head_most`` is answered 431, a body longer than ``body_most`` 413 (by its stated
+    length before it is sent), both before closing.
     """
 
     def __init__(self, body_most: int = BODY_MOST, head_most: int = HEAD_MOST) -> None:
@@ -114,7 +114,9 @@
         if length > self._body_most:
             yield self._too_long()
         elif self._connection.they_are_waiting_for_100_continue:
-            self.interim += self._connection.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+            self.interim += (
+                self._connection.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+            )
 
     def take_interim(self) -> bytes:
         """Bytes to be sent before the request is whole."""
@@ -134,8 +136,11 @@
 
     def respond(self, response: Response) -> bytes:
         """The bytes of a response; the next request can be fed after it."""
-        headers = [("content-type", response.kind), ("content-length", str(len(response.body))),
-                   *response.headers]
+        headers = [
+            ("content-type", response.kind),
+            ("content-length", str(len(response.body))),
+            *response.headers,
+        ]
         if self.closing:
             headers.append(("connection", "close"))
         out = b""
@@ -160,7 +165,9 @@
         self._status = 0
         self._body = bytearray()
 
-    def request(self, method: str, target: str, headers: Iterable[tuple[str, str]] = (), body: bytes = b"") -> bytes:
+    def request(
+        self, method: str, target: str, headers: Iterable[tuple[str, str]] = (), body: bytes = b""
+    ) -> bytes:
         """The bytes of a request; raises :class:`HttpError` where the connection can't be used for one."""
         head = [("Host", self._host), *headers]
         if body:
--- a/heathwell/codec/memcached.py
+++ b/heathwell/codec/memcached.py
@@ -133,7 +133,7 @@
             self._looked = len(self._buffer)
             return None
         line = bytes(self._buffer[:at])
-        del self._buffer[:at + 1]
+        del self._buffer[: at + 1]
         self._looked = 0
         if self._skipping or len(line) > self.line_most:
             self._skipping = False
@@ -151,7 +151,7 @@
         if left > dropped:
             return False
         if self._buffer[:1] == b"\n" or self._buffer[:2] == b"\r\n":
-            del self._buffer[:1 if self._buffer[:1] == b"\n" else 2]
+            del self._buffer[: 1 if self._buffer[:1] == b"\n" else 2]
             return True
         if bytes(self._buffer[:2]) in (b"", b"\r"):
             return False
@@ -161,7 +161,7 @@
         if at < 0:
             self._buffer.clear()
             return False
-        del self._buffer[:at + 1]
+        del self._buffer[: at + 1]
         return True
 
     def _finish_block(self) -> Command | None:
@@ -272,6 +272,7 @@
 
 # Replies
 
+
 def value(key: bytes, flags: int, data: bytes, cas: int | None = None) -> bytes:
     """One ``VALUE`` of a classic get."""
     unique = b"" if cas is None else b" %d" % cas
@@ -317,8 +318,11 @@
     """The miss of an ``mg``; nothing in quiet mode."""
     if request.quiet:
         return b""
-    back = [b"k" + request.shown if flag == b"k" else flag
-            for flag in request.flags if flag[:1] in (b"O", b"k", b"b")]
+    back = [
+        b"k" + request.shown if flag == b"k" else flag
+        for flag in request.flags
+        if flag[:1] in (b"O", b"k", b"b")
+    ]
     return b"EN" + b"".join(b" " + word for word in back) + b"\r\n"
 
 
--- a/heathwell/codec/nodeframes.py
+++ b/heathwell/codec/nodeframes.py
@@ -1,6 +1,7 @@
 """Frames between a broker and the platform's nodes, without I/O: any cut, every length bounded.
 
-A frame is a length (four bytes, most significant first), one letter and the rest; the length covers letter and rest.
+A frame is a length (four bytes, most significant first), one letter and the rest; the length covers letter
+and rest.
 """
 
 from __future__ import annotations
@@ -62,8 +63,16 @@
     return _LENGTH.pack(1 + len(rest)) + letter + rest
 
 
-def part_call(part: str, shard: int, wait_ms: int, text: bytes, *, key: str = "", answered: tuple[int, ...] = (),
-              whole: bool | None = None) -> bytes:
+def part_call(
+    part: str,
+    shard: int,
+    wait_ms: int,
+    text: bytes,
+    *,
+    key: str = "",
+    answered: tuple[int, ...] = (),
+    whole: bool | None = None,
+) -> bytes:
     """One part within a call; ``answered`` and ``whole`` are the first step's, for parts of a second."""
     items = [f"d={wait_ms}"]
     if key:
@@ -132,7 +141,10 @@
                     raise FrameError(f"a frame of {length} bytes", self._named(start))
                 if len(buffer) - start - 4 < length:
                     break
-                letter, rest = bytes(buffer[start + 4:start + 5]), bytes(buffer[start + 5:start + 4 + length])
+                letter, rest = (
+                    bytes(buffer[start + 4 : start + 5]),
+                    bytes(buffer[start + 5 : start + 4 + length]),
+                )
                 start += 4 + length
                 yield self._read(letter, rest)
         finally:
@@ -140,8 +152,12 @@
 
     def _named(self, start: int) -> str:
         """The part that a frame too long to wait for is of, if its line is at hand."""
-        line = bytes(self._buffer[start + 5:start + 5 + LINE_MOST]).split(b" ", 1)[0]
-        return line.decode("latin-1") if self._buffer[start + 4:start + 5] == ANSWER and ID.fullmatch(line) else ""
+        line = bytes(self._buffer[start + 5 : start + 5 + LINE_MOST]).split(b" ", 1)[0]
+        return (
+            line.decode("latin-1")
+            if self._buffer[start + 4 : start + 5] == ANSWER and ID.fullmatch(line)
+            else ""
+        )
 
     @staticmethod
     def _read(letter: bytes, rest: bytes) -> Message:
--- a/heathwell/control/agent.py
+++ b/heathwell/control/agent.py
@@ -34,11 +34,25 @@
 
 
 class FleetAgent:
-    """``on_death`` is called, with the reason, before anything else is done by a broker that finds itself dead."""
-
-    def __init__(self, loop: Loop, net: Net, member: Self, budgets: tuple[Budget, ...], keepers: tuple[str, ...], *,
-                 renew_us: int, times: Times, seed: int, log: Callable[..., None],
-                 events: EventLog | None = None, fleet: str = "") -> None:
+    """``on_death`` is called, with the reason, before anything else is done by a broker that finds itself
+    dead.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        member: Self,
+        budgets: tuple[Budget, ...],
+        keepers: tuple[str, ...],
+        *,
+        renew_us: int,
+        times: Times,
+        seed: int,
+        log: Callable[..., None],
+        events: EventLog | None = None,
+        fleet: str = "",
+    ) -> None:
         self.loop, self.log, self.renew_us = loop, log, renew_us
         self.events: EventLog = events or NoEvents()
         self.shares = Shares(member, budgets, keepers, loop.now(), times, seed)
@@ -49,10 +63,21 @@
         self.decision = Decision(0, 0)
         self._noted: dict[str, tuple[int, ...]] = {}
         silence = 2 * times.roll.suspect_us
-        self.links = {address: ControlLink(
-            loop, net, address, member.name, MEMBER_ROLE, silence_us=silence, seed=seed * 64 + number,
-            heard=partial(self._answered, address), log=log, fleet=fleet)
-            for number, address in enumerate(keepers)}
+        self.links = {
+            address: ControlLink(
+                loop,
+                net,
+                address,
+                member.name,
+                MEMBER_ROLE,
+                silence_us=silence,
+                seed=seed * 64 + number,
+                heard=partial(self._answered, address),
+                log=log,
+                fleet=fleet,
+            )
+            for number, address in enumerate(keepers)
+        }
         self.events("joins", name=member.name, inc=member.incarnation)
         loop.call_soon(self._renew)
 
@@ -97,10 +122,14 @@
         return (budget.whole, budget.linger_us) if budget is not None else None
 
     def figures(self) -> dict[str, dict[str, float]]:
-        """By budget: its share (units, of a rate a second), what was used and refused; those of each host summed."""
+        """By budget: its share (units, of a rate a second), what was used and refused; those of each host
+        summed.
+        """
         now, out = self.loop.now(), dict[str, dict[str, float]]()
         for name, holder in self.shares.holders.items():
-            row = out.setdefault(name.partition("@")[0], dict.fromkeys(("share", "in use", "used", "refused"), 0.0))
+            row = out.setdefault(
+                name.partition("@")[0], dict.fromkeys(("share", "in use", "used", "refused"), 0.0)
+            )
             row["share"] += holder.share(now) / (1 if holder.budget.kind == COUNT else 1_000)
             row["in use"] += holder.used
             row["used"] += holder.passed
@@ -133,7 +162,8 @@
         if self.leaves and self.events.on:
             for name, holder in self.shares.holders.items():
                 self._note(now, name, holder)
-            self.events.flush()  # type: ignore[attr-defined]  # on record before anybody hears that it is free
+            # on record before anybody hears that it is free
+            self.events.flush()  # type: ignore[attr-defined]
         for address, renew in renewals:
             message = messages.renew_out(renew)
             if word is not None:
@@ -164,20 +194,33 @@
         if lived.died:
             self.counts["deaths",] += 1
             self.events("dies", why=lived.died, inc=self.member.incarnation)
-            self.log("warning", "this broker was taken for dead: it holds nothing, and comes again", why=lived.died,
-                     incarnation=self.member.incarnation)
+            self.log(
+                "warning",
+                "this broker was taken for dead: it holds nothing, and comes again",
+                why=lived.died,
+                incarnation=self.member.incarnation,
+            )
             for name, holder in self.shares.holders.items():
                 self._note(self.loop.now(), name, holder)
             self.on_death(lived.died)
 
     def _note(self, now: int, name: str, holder: Holder) -> None:
-        """What is held, by fraction with how long yet (own clock), and of a count what is used: for auditors."""
+        """What is held, by fraction with how long yet (own clock), and of a count what is used: for
+        auditors.
+        """
         if not self.events.on:
             return
         share = holder.share(now)
         state = (share, holder.used, *(held.until for held in holder.held.values()))
         if self._noted.get(name) != state:
             self._noted[name] = state
-            self.events("holds", budget=name, own=holder.budget.own, used=holder.used,
-                        held=[[fraction, held.amount, held.until - self.loop.now(), held.owner, held.number]
-                              for fraction, held in holder.held.items()])
+            self.events(
+                "holds",
+                budget=name,
+                own=holder.budget.own,
+                used=holder.used,
+                held=[
+                    [fraction, held.amount, held.until - self.loop.now(), held.owner, held.number]
+                    for fraction, held in holder.held.items()
+                ],
+            )
--- a/heathwell/control/figures.py
+++ b/heathwell/control/figures.py
@@ -42,10 +42,16 @@
         for state in ("joining", "alive", "suspect", "left", "dead"):
             members.add_metric((state,), states.count(state))
         yield members
-        yield GaugeMetricFamily("heathwell_fractions_owned", "Fractions that this keeper may lend of",
-                                value=len(keeper.owned(now)))
-        given = GaugeMetricFamily("heathwell_budget_given", "What members may hold of this keeper's fractions; of a "
-                                  "rate thousandths a second", labels=("budget", "fraction"))
+        yield GaugeMetricFamily(
+            "heathwell_fractions_owned",
+            "Fractions that this keeper may lend of",
+            value=len(keeper.owned(now)),
+        )
+        given = GaugeMetricFamily(
+            "heathwell_budget_given",
+            "What members may hold of this keeper's fractions; of a rate thousandths a second",
+            labels=("budget", "fraction"),
+        )
         for (name, fraction), book in keeper.books.items():
             given.add_metric((name, str(fraction)), book.charged(now))
         yield given
@@ -55,5 +61,8 @@
                 changes.add_metric((key[1],), count)
         yield changes
         yield CounterMetricFamily("heathwell_renewals", "Renewals answered", value=server.counts["renewals",])
-        yield CounterMetricFamily("heathwell_control_garbled", "Connections that spoke another wire",
-                                  value=server.counts["garbled",])
+        yield CounterMetricFamily(
+            "heathwell_control_garbled",
+            "Connections that spoke another wire",
+            value=server.counts["garbled",],
+        )
--- a/heathwell/control/keeper.py
+++ b/heathwell/control/keeper.py
@@ -27,9 +27,19 @@
 class KeeperServer:
     """One run of a keeper. ``peers`` are the other keepers' addresses by number."""
 
-    def __init__(self, loop: Loop, net: Net, keeper: Keeper, peers: dict[int, str], *, seed: int,
-                 log: Callable[..., None], events: EventLog | None = None, zones: ZoneDesk | None = None,
-                 fleet: str = "") -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        keeper: Keeper,
+        peers: dict[int, str],
+        *,
+        seed: int,
+        log: Callable[..., None],
+        events: EventLog | None = None,
+        zones: ZoneDesk | None = None,
+        fleet: str = "",
+    ) -> None:
         self.loop, self.net, self.keeper, self.log = loop, net, keeper, log
         self.events: EventLog = events or NoEvents()
         self.name = f"k{keeper.number}"
@@ -39,10 +49,21 @@
         self.zones, self.fleet = zones, fleet
         self._owned: list[int] = []
         self._tick_us = keeper.times.promise.length_us // TICKS
-        self.peers = {number: ControlLink(
-            loop, net, address, str(keeper.number), KEEPER_ROLE, silence_us=keeper.times.promise.length_us // 2,
-            seed=seed * 64 + number, heard=partial(self._answered, number), log=log, fleet=fleet)
-            for number, address in peers.items()}
+        self.peers = {
+            number: ControlLink(
+                loop,
+                net,
+                address,
+                str(keeper.number),
+                KEEPER_ROLE,
+                silence_us=keeper.times.promise.length_us // 2,
+                seed=seed * 64 + number,
+                heard=partial(self._answered, number),
+                log=log,
+                fleet=fleet,
+            )
+            for number, address in peers.items()
+        }
         self.loop.call_soon(self._tick)
 
     def start(self, listen: str) -> str:
@@ -73,7 +94,9 @@
             else:
                 if budget != old:
                     self.events("resized", budget=budget.name, whole=budget.whole)
-                    self.log("info", "budget resized", budget=budget.name, before=old.whole, after=budget.whole)
+                    self.log(
+                        "info", "budget resized", budget=budget.name, before=old.whole, after=budget.whole
+                    )
         return problems
 
     def _tick(self) -> None:
@@ -84,8 +107,13 @@
         if self.zones is not None:
             for text in self.zones.look(now, 0 in self.keeper.owned(now)):
                 decision = self.zones.decision
-                self.events("zones", term=decision.term, number=decision.number, why=text, states={
-                    name: [word.state, word.share] for name, word in decision.zones.items()})
+                self.events(
+                    "zones",
+                    term=decision.term,
+                    number=decision.number,
+                    why=text,
+                    states={name: [word.state, word.share] for name, word in decision.zones.items()},
+                )
                 self.log("warning", "zone", change=text, decision=f"({decision.term}, {decision.number})")
         for claim in claims:
             for link in self.peers.values():
@@ -108,8 +136,11 @@
     def _look_at_owned(self, now: int) -> None:
         owned = self.keeper.owned(now)
         if owned != self._owned:
-            self.events("owns", fractions=owned, left={str(number): self.keeper.claimant.owned_until(number) - now
-                                                       for number in owned})
+            self.events(
+                "owns",
+                fractions=owned,
+                left={str(number): self.keeper.claimant.owned_until(number) - now for number in owned},
+            )
             self.log("info", "fractions owned", before=self._owned, after=owned)
             self._owned = owned
 
@@ -118,8 +149,13 @@
     def _serve(self, stream: Stream) -> Coro[None]:
         self.streams[stream] = ""
         try:
-            yield from wire.serve(stream, self.name, KEEPER_ROLE, lambda message: self._heard(stream, message),
-                                  messages.MESSAGE_MOST)
+            yield from wire.serve(
+                stream,
+                self.name,
+                KEEPER_ROLE,
+                lambda message: self._heard(stream, message),
+                messages.MESSAGE_MOST,
+            )
         except frames.FrameError as problem:
             self.counts["garbled",] += 1
             self.log("warning", "control: not our wire", peer=stream.peer, why=str(problem))
@@ -164,9 +200,16 @@
         if self.events.on:
             for grant in answer.grants:
                 if grant.amount:
-                    self.events("gives", to=message.name, inc=message.incarnation, budget=grant.budget,
-                                fraction=grant.fraction, number=grant.number, amount=grant.amount,
-                                length=grant.length_us)
+                    self.events(
+                        "gives",
+                        to=message.name,
+                        inc=message.incarnation,
+                        budget=grant.budget,
+                        fraction=grant.fraction,
+                        number=grant.number,
+                        amount=grant.amount,
+                        length=grant.length_us,
+                    )
             self.events.flush()  # type: ignore[attr-defined]  # on record before it is on its way
         return answer
 
@@ -180,23 +223,68 @@
     def _tell(self, changes: list[Changed]) -> None:
         for change in changes:
             self.counts["member", change.after] += 1
-            self.events("member", name=change.name, inc=change.incarnation, before=change.before, after=change.after,
-                        why=change.why)
-            self.log("warning" if change.after in ("suspect", "dead") else "info", "member", member=change.name,
-                     incarnation=change.incarnation, before=change.before or "-", after=change.after, why=change.why)
+            self.events(
+                "member",
+                name=change.name,
+                inc=change.incarnation,
+                before=change.before,
+                after=change.after,
+                why=change.why,
+            )
+            self.log(
+                "warning" if change.after in ("suspect", "dead") else "info",
+                "member",
+                member=change.name,
+                incarnation=change.incarnation,
+                before=change.before or "-",
+                after=change.after,
+                why=change.why,
+            )
 
     def view(self, now: int) -> frames.FleetView:
         """What this keeper knows, for those who look."""
         keeper = self.keeper
-        shares = [frames.Share(name, fraction, member, given.charge(now),
-                               max((until for _, until in given.grants.values()), default=now) - now,
-                               given.wish.demand)
-                  for (name, fraction), book in sorted(keeper.books.items())
-                  for member, given in sorted(book.given.items())]
+        shares = [
+            frames.Share(
+                name,
+                fraction,
+                member,
+                given.charge(now),
+                max((until for _, until in given.grants.values()), default=now) - now,
+                given.wish.demand,
+            )
+            for (name, fraction), book in sorted(keeper.books.items())
+            for member, given in sorted(book.given.items())
+        ]
         return frames.FleetView(
-            self.name, keeper.run, {number: keeper.claimant.owned_until(number) - now for number in keeper.owned(now)},
-            [frames.Member(entry.name, entry.incarnation, entry.state, now - entry.since_us, now - entry.state_us,
-                           now - entry.heard_us, entry.zone, entry.version, entry.digest)
-             for entry in keeper.roll.entries.values()],
-            [frames.Whole(budget.name, budget.kind, budget.whole, budget.aside, budget.most, budget.each, budget.apart)
-             for budget in keeper.budgets.values()], shares)
+            self.name,
+            keeper.run,
+            {number: keeper.claimant.owned_until(number) - now for number in keeper.owned(now)},
+            [
+                frames.Member(
+                    entry.name,
+                    entry.incarnation,
+                    entry.state,
+                    now - entry.since_us,
+                    now - entry.state_us,
+                    now - entry.heard_us,
+                    entry.zone,
+                    entry.version,
+                    entry.digest,
+                )
+                for entry in keeper.roll.entries.values()
+            ],
+            [
+                frames.Whole(
+                    budget.name,
+                    budget.kind,
+                    budget.whole,
+                    budget.aside,
+                    budget.most,
+                    budget.each,
+                    budget.apart,
+                )
+                for budget in keeper.budgets.values()
+            ],
+            shares,
+        )
--- a/heathwell/control/link.py
+++ b/heathwell/control/link.py
@@ -1,4 +1,6 @@
-"""One standing connection to another process of the control: made again when it is lost, given up when it is silent."""
+"""One standing connection to another process of the control: made again when it is lost, given up when it is
+silent.
+"""
 
 from __future__ import annotations
 
@@ -16,11 +18,24 @@
 
 
 class ControlLink:
-    """``heard`` is called with each message but the hello; ``silence_us`` without any while messages are sent ends the
-    connection, as one whose other side is gone is never reset."""
+    """``heard`` is called with each message but the hello; ``silence_us`` without any while messages are sent
+    ends the connection, as one whose other side is gone is never reset.
+    """
 
-    def __init__(self, loop: Loop, net: Net, address: str, name: str, role: str, *, silence_us: int, seed: int,
-                 heard: Callable[[frames.Any_], None], log: Callable[..., None], fleet: str = "") -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        address: str,
+        name: str,
+        role: str,
+        *,
+        silence_us: int,
+        seed: int,
+        heard: Callable[[frames.Any_], None],
+        log: Callable[..., None],
+        fleet: str = "",
+    ) -> None:
         self.fleet = fleet
         self.loop, self.net, self.address, self.name, self.role = loop, net, address, name, role
         self.silence_us, self.heard, self.log = silence_us, heard, log
--- a/heathwell/control/machine.py
+++ b/heathwell/control/machine.py
@@ -1,8 +1,8 @@
 """The agent of a machine: starts, replaces and restarts the broker processes that it is told to run.
 
-It opens each broker's listening socket itself and hands it on, so that connections wait in the kernel while one process
-ends and another begins. What runs is noted on disk before it is started: an agent that begins again adopts processes of
-the one before it, which go on serving meanwhile.
+It opens each broker's listening socket itself and hands it on, so that connections wait in the kernel while
+one process ends and another begins. What runs is noted on disk before it is started: an agent that begins
+again adopts processes of the one before it, which go on serving meanwhile.
 """
 
 from __future__ import annotations
@@ -76,8 +76,18 @@
 class MachineAgent:
     """``brokers`` are rows of name, zone number, address and arguments; ``zones`` the names of zones."""
 
-    def __init__(self, loop: Loop, net: Net, name: str, folder: Path, brokers: list[Broker], zones: list[str], *,
-                 log: Callable[..., None], events: str = "") -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        name: str,
+        folder: Path,
+        brokers: list[Broker],
+        zones: list[str],
+        *,
+        log: Callable[..., None],
+        events: str = "",
+    ) -> None:
         self.loop, self.net, self.name, self.folder, self.zones = loop, net, name, folder, zones
         self.log, self.events = log, events
         self.brokers = {broker.name: broker for broker in brokers}
@@ -95,7 +105,9 @@
             self.loop.spawn(self._ask(broker), f"asks {broker.name}")
         return self.listener.address
 
-    def want(self, name: str, version: str, program: str, settings: str, term: int = 0, number: int = 0) -> str:
+    def want(
+        self, name: str, version: str, program: str, settings: str, term: int = 0, number: int = 0
+    ) -> str:
         """A wish; returns why it is not taken, or nothing."""
         broker, base = self.brokers.get(name), version.rstrip(AGAIN)
         if broker is None:
@@ -109,7 +121,9 @@
             return f"version {base} is known here with other files: give the new ones another name"
         self.versions[base] = Version(program, settings, digests)
         serving = self.versions.get(broker.slot.version.rstrip(AGAIN))
-        in_place = serving is not None and serving.digests[0] == digests[0] and serving.digests[1] != digests[1]
+        in_place = (
+            serving is not None and serving.digests[0] == digests[0] and serving.digests[1] != digests[1]
+        )
         why, acts = broker.slot.want(self.loop.now(), version, term, number, in_place=in_place)
         if not why:
             self._note()
@@ -167,16 +181,37 @@
         try:
             sock = self._socket(broker)
             write_whole(self._settings(broker), Path(files.settings).read_text(encoding="utf-8"))
-            command = [sys.executable, "-m", "heathwell", "broker", "--config", str(self._settings(broker)), "--name",
-                       f"{broker.name}r{number}", "--zone", str(broker.zone), "--ready-file", str(ready), "--report",
-                       "--listen", f"fd:{sock.fileno()}", *broker.args]
+            command = [
+                sys.executable,
+                "-m",
+                "heathwell",
+                "broker",
+                "--config",
+                str(self._settings(broker)),
+                "--name",
+                f"{broker.name}r{number}",
+                "--zone",
+                str(broker.zone),
+                "--ready-file",
+                str(ready),
+                "--report",
+                "--listen",
+                f"fd:{sock.fileno()}",
+                *broker.args,
+            ]
             if self.events:
                 command += ["--events", self.events]
             with (self.folder / f"{broker.name}-{number}.log").open("wb") as log:
                 popen = subprocess.Popen(
-                    command, cwd=files.program, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                    pass_fds=(sock.fileno(),), start_new_session=True,
-                    env={**os.environ, "PYTHONPATH": files.program, "PYTHONUNBUFFERED": "1"})
+                    command,
+                    cwd=files.program,
+                    stdin=subprocess.DEVNULL,
+                    stdout=log,
+                    stderr=log,
+                    pass_fds=(sock.fileno(),),
+                    start_new_session=True,
+                    env={**os.environ, "PYTHONPATH": files.program, "PYTHONUNBUFFERED": "1"},
+                )
         except OSError as problem:
             self.log("error", "could not start a process", broker=broker.name, why=str(problem))
             self.loop.call_soon(self._over, broker, number, 127)
@@ -185,7 +220,9 @@
         self._note()
 
     def _socket(self, broker: Broker) -> socket.socket:
-        """The broker's listening socket. Its port may be shared with one that an agent before this one had opened."""
+        """The broker's listening socket. Its port may be shared with one that an agent before this one had
+        opened.
+        """
         if broker.sock is None:
             host, port = split_address(broker.address)
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -284,16 +321,23 @@
 
     def _serve(self, stream: Stream) -> Coro[None]:
         try:
-            yield from wire.serve(stream, self.name, "agent", lambda message: self._heard(stream, message),
-                                  MESSAGE_MOST)
+            yield from wire.serve(
+                stream, self.name, "agent", lambda message: self._heard(stream, message), MESSAGE_MOST
+            )
         except frames.FrameError as problem:
             self.log("warning", "control: not our wire", peer=stream.peer, why=str(problem))
 
     def _heard(self, stream: Stream, message: frames.Any_) -> None:
         match message:
             case frames.Want():
-                why = self.want(message.broker, message.version, message.program, message.settings, message.term,
-                                message.number)
+                why = self.want(
+                    message.broker,
+                    message.version,
+                    message.program,
+                    message.settings,
+                    message.term,
+                    message.number,
+                )
                 stream.offer(frames.encode(frames.WantTaken(message.broker, message.version, why)))
             case frames.AskMachine():
                 stream.offer(frames.encode(self.view()))
@@ -305,26 +349,50 @@
             slot, serving = broker.slot, broker.slot.serving
             run = broker.runs.get(serving.run) if serving is not None else None
             told = run.told if run is not None else {}
-            rows.append(frames.Running(
-                broker.name, self.zones[broker.zone], slot.state, slot.version, slot.wanted,
-                slot.failed.get(slot.wanted, ""), serving.run if serving is not None else 0, slot.deaths,
-                broker.address, run is not None and now - run.told_us > ASK_US + ANSWER_US, told.get("classes", {}),
-                told.get("cpu_us", 0), told.get("memory", 0)))
+            rows.append(
+                frames.Running(
+                    broker.name,
+                    self.zones[broker.zone],
+                    slot.state,
+                    slot.version,
+                    slot.wanted,
+                    slot.failed.get(slot.wanted, ""),
+                    serving.run if serving is not None else 0,
+                    slot.deaths,
+                    broker.address,
+                    run is not None and now - run.told_us > ASK_US + ANSWER_US,
+                    told.get("classes", {}),
+                    told.get("cpu_us", 0),
+                    told.get("memory", 0),
+                )
+            )
         return frames.MachineView(self.name, rows)
 
     # Its notes.
 
     def _note(self) -> None:
-        """Write what runs and what is wished; a disk that is full costs the note, and says so, not the brokers."""
+        """Write what runs and what is wished; a disk that is full costs the note, and says so, not the
+        brokers.
+        """
         state = {
             "versions": {name: [v.program, v.settings, list(v.digests)] for name, v in self.versions.items()},
-            "brokers": {broker.name: {
-                "address": broker.address, "wanted": broker.slot.wanted, "kept": broker.slot.kept,
-                "term": broker.slot.term, "number": broker.slot.number, "runs": broker.slot.runs,
-                "serving": broker.slot.serving.run if broker.slot.serving is not None else 0,
-                "processes": {str(number): [run.pid, run.version, run.started, run.ready_file]
-                              for number, run in broker.runs.items()},
-            } for broker in self.brokers.values()}}
+            "brokers": {
+                broker.name: {
+                    "address": broker.address,
+                    "wanted": broker.slot.wanted,
+                    "kept": broker.slot.kept,
+                    "term": broker.slot.term,
+                    "number": broker.slot.number,
+                    "runs": broker.slot.runs,
+                    "serving": broker.slot.serving.run if broker.slot.serving is not None else 0,
+                    "processes": {
+                        str(number): [run.pid, run.version, run.started, run.ready_file]
+                        for number, run in broker.runs.items()
+                    },
+                }
+                for broker in self.brokers.values()
+            },
+        }
         try:
             write_whole(self.folder / STATE, json.dumps(state))
         except OSError as problem:
@@ -336,8 +404,9 @@
         if not path.exists():
             return
         state = json.loads(path.read_text())
-        self.versions = {name: Version(row[0], row[1], (row[2][0], row[2][1]))
-                         for name, row in state["versions"].items()}
+        self.versions = {
+            name: Version(row[0], row[1], (row[2][0], row[2][1])) for name, row in state["versions"].items()
+        }
         for name, row in state["brokers"].items():
             broker = self.brokers.get(name)
             if broker is None:
@@ -372,7 +441,9 @@
         os.close(folder)
 
 
-def make_broker(name: str, zone: int, address: str, args: list[str], patience: Patience | None = None) -> Broker:
+def make_broker(
+    name: str, zone: int, address: str, args: list[str], patience: Patience | None = None
+) -> Broker:
     """A broker of a machine."""
     return Broker(name, zone, args, address, Slot(name, patience or Patience()))
 
--- a/heathwell/control/messages.py
+++ b/heathwell/control/messages.py
@@ -17,34 +17,74 @@
     """A renewal to the wire: of too many needs those with the most demand."""
     said = renew.report
     needs = sorted(renew.needs, key=lambda need: (not need.goes_by, -need.demand))[:NEEDS_MOST]
-    return frames.Renew(said.name, said.incarnation, renew.asked_us, said.zone, said.version, said.digest, said.run,
-                        said.heard, said.leaves,
-                        [frames.Need(need.budget, need.demand, list(need.goes_by)) for need in needs])
+    return frames.Renew(
+        said.name,
+        said.incarnation,
+        renew.asked_us,
+        said.zone,
+        said.version,
+        said.digest,
+        said.run,
+        said.heard,
+        said.leaves,
+        [frames.Need(need.budget, need.demand, list(need.goes_by)) for need in needs],
+    )
 
 
 def renew_in(message: frames.Renew) -> Renew:
     """A renewal from the wire; what is beyond the bound of needs is left out."""
-    said = Report(message.name, message.incarnation, message.zone, message.program, message.digest, message.run,
-                  message.heard, message.leaves)
-    return Renew(said, message.asked_us, tuple(Need(need.budget, max(0, need.demand), tuple(need.goes_by))
-                                               for need in message.needs[:NEEDS_MOST]))
+    said = Report(
+        message.name,
+        message.incarnation,
+        message.zone,
+        message.program,
+        message.digest,
+        message.run,
+        message.heard,
+        message.leaves,
+    )
+    return Renew(
+        said,
+        message.asked_us,
+        tuple(
+            Need(need.budget, max(0, need.demand), tuple(need.goes_by)) for need in message.needs[:NEEDS_MOST]
+        ),
+    )
 
 
 def renewed_out(answer: Renewed) -> frames.Renewed:
     """A keeper's answer to the wire."""
     word = answer.word
-    grants = [frames.Granted(grant.budget, grant.fraction, grant.number, grant.amount, grant.length_us)
-              for grant in answer.grants]
-    return frames.Renewed(answer.run, word.number, word.state, answer.incarnation, answer.asked_us, word.least,
-                          word.why, grants)
+    grants = [
+        frames.Granted(grant.budget, grant.fraction, grant.number, grant.amount, grant.length_us)
+        for grant in answer.grants
+    ]
+    return frames.Renewed(
+        answer.run, word.number, word.state, answer.incarnation, answer.asked_us, word.least, word.why, grants
+    )
 
 
 def renewed_in(message: frames.Renewed) -> Renewed:
     """A keeper's answer from the wire."""
     word = Word(message.state, message.number, message.least, message.why)
-    return Renewed(word, message.incarnation, message.asked_us, message.run, tuple(
-        Grant(grant.budget, grant.fraction, message.run, grant.number, grant.amount, message.asked_us, grant.length_us)
-        for grant in message.grants))
+    return Renewed(
+        word,
+        message.incarnation,
+        message.asked_us,
+        message.run,
+        tuple(
+            Grant(
+                grant.budget,
+                grant.fraction,
+                message.run,
+                grant.number,
+                grant.amount,
+                message.asked_us,
+                grant.length_us,
+            )
+            for grant in message.grants
+        ),
+    )
 
 
 def claim_out(claim: Claim) -> frames.Claim:
@@ -74,14 +114,18 @@
 
 def rows_out(seen: dict[tuple[str, str], Seen]) -> list[frames.ZoneSeen]:
     """What was seen, by zone and class, to the wire."""
-    return [frames.ZoneSeen(zone, klass, some.good, some.late, some.bad, some.took_ms)
-            for (zone, klass), some in list(seen.items())[:SEEN_MOST]]
+    return [
+        frames.ZoneSeen(zone, klass, some.good, some.late, some.bad, some.took_ms)
+        for (zone, klass), some in list(seen.items())[:SEEN_MOST]
+    ]
 
 
 def rows_in(rows: list[frames.ZoneSeen]) -> dict[tuple[str, str], Seen]:
     """What was seen, by zone and class, from the wire."""
-    return {(row.zone, row.klass): Seen(max(0, row.good), max(0, row.late), max(0, row.bad), max(0, row.took_ms))
-            for row in rows[:SEEN_MOST]}
+    return {
+        (row.zone, row.klass): Seen(max(0, row.good), max(0, row.late), max(0, row.bad), max(0, row.took_ms))
+        for row in rows[:SEEN_MOST]
+    }
 
 
 def seen_in(message: frames.Renew) -> Summary:
@@ -93,14 +137,25 @@
     """A decision on zones to the wire; none has been made under term 0."""
     if not decision.term:
         return None
-    return frames.ZoneDecision(decision.term, decision.number, {
-        name: frames.ZoneWord(word.state, word.share, list(word.only), word.why)
-        for name, word in decision.zones.items()})
+    return frames.ZoneDecision(
+        decision.term,
+        decision.number,
+        {
+            name: frames.ZoneWord(word.state, word.share, list(word.only), word.why)
+            for name, word in decision.zones.items()
+        },
+    )
 
 
 def decision_in(message: frames.ZoneDecision | None) -> Decision:
     """A decision on zones from the wire."""
     if message is None:
         return Decision(0, 0)
-    return Decision(message.term, message.number, {
-        name: ZoneWord(word.state, word.share, tuple(word.only), word.why) for name, word in message.zones.items()})
+    return Decision(
+        message.term,
+        message.number,
+        {
+            name: ZoneWord(word.state, word.share, tuple(word.only), word.why)
+            for name, word in message.zones.items()
+        },
+    )
--- a/heathwell/control/rollout.py
+++ b/heathwell/control/rollout.py
@@ -24,13 +24,26 @@
 
 
 class Controller:
-    """One run of a controller. ``holds`` tells whether it is the fleet's one at this moment: without it nothing is
-    begun. ``files`` are a version's program and settings, by name. ``crash_at`` ends the process at that point, for
-    tests."""
+    """One run of a controller. ``holds`` tells whether it is the fleet's one at this moment: without it
+    nothing is begun. ``files`` are a version's program and settings, by name. ``crash_at`` ends the process
+    at that point, for tests.
+    """
 
-    def __init__(self, loop: Loop, net: Net, course: Course, folder: Path, machines: list[str],
-                 files: dict[str, tuple[str, str]], *, term: int, holds: Callable[[], bool],
-                 log: Callable[..., None], check: Callable[[], list[str]], crash: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        course: Course,
+        folder: Path,
+        machines: list[str],
+        files: dict[str, tuple[str, str]],
+        *,
+        term: int,
+        holds: Callable[[], bool],
+        log: Callable[..., None],
+        check: Callable[[], list[str]],
+        crash: Callable[[str], None],
+    ) -> None:
         self.loop, self.net, self.course, self.folder, self.files = loop, net, course, folder, files
         self.holds, self.log, self.check, self.crash = holds, log, check, crash
         self.done = Event()
@@ -50,10 +63,22 @@
             course.restore(json.loads(path.read_text()), term)
             self.log("info", "goes on", change=course.id, state=course.state, stage=course.stage)
         course.term = term
-        self.links = {address: ControlLink(
-            loop, net, address, f"rollout {course.id}", "controller", silence_us=10 * TURN_US, seed=number,
-            heard=lambda message, address=address: self._heard(address, message), log=log)  # type: ignore[misc]
-            for number, address in enumerate(machines)}
+        self.links = {
+            address: ControlLink(
+                loop,
+                net,
+                address,
+                f"rollout {course.id}",
+                "controller",
+                silence_us=10 * TURN_US,
+                seed=number,
+                heard=lambda message, address=address: self._heard(  # type: ignore[misc]
+                    address, message
+                ),
+                log=log,
+            )
+            for number, address in enumerate(machines)
+        }
 
     def start(self, listen: str) -> str:
         """Open the door for operators, and begin."""
@@ -77,7 +102,9 @@
         for link in self.links.values():
             link.send(frames.AskMachine())
         if not self.holds():
-            self._say_once("another controller has the fleet's lease, or no keeper can be reached: nothing is begun")
+            self._say_once(
+                "another controller has the fleet's lease, or no keeper can be reached: nothing is begun"
+            )
             return
         if self._unwritten and not self._write():
             return
@@ -101,7 +128,9 @@
     def _known(self) -> bool:
         """Whether every machine has said what it runs; brokers are named as they are then."""
         if len(self.views) < len(self.links):
-            self._say_once(f"{len(self.links) - len(self.views)} of {len(self.links)} machines have not answered yet")
+            self._say_once(
+                f"{len(self.links) - len(self.views)} of {len(self.links)} machines have not answered yet"
+            )
             return False
         if not self.course.zones:
             self.course.zones = {running.broker: running.zone for running in self._runs.values()}
@@ -111,10 +140,16 @@
         course, now = self.course, self.loop.now()
         runs = {name: running.version for name, running in self._runs.items() if self._fresh(name)}
         wishes = course.wishes()
-        failed = [name for name, running in self._runs.items() if running.failed
-                  and running.wanted == wishes.get(name) and running.wanted != course.old]
-        failed += [name for name, running in self._runs.items() if running.state == GAVE_UP and course.state == STAGING
-                   and name in course.changed()]
+        failed = [
+            name
+            for name, running in self._runs.items()
+            if running.failed and running.wanted == wishes.get(name) and running.wanted != course.old
+        ]
+        failed += [
+            name
+            for name, running in self._runs.items()
+            if running.state == GAVE_UP and course.state == STAGING and name in course.changed()
+        ]
         if self._stepped(course.looked(runs, failed)):
             return
         changed, died = course.changed(), Counter[bool]()
@@ -123,7 +158,9 @@
         if self._stepped(course.died(died[True], died[False])):
             return
         if course.state in (STAGING, UNDOING):
-            busy = {name for name, running in self._runs.items() if running.state in BUSY and self._fresh(name)}
+            busy = {
+                name for name, running in self._runs.items() if running.state in BUSY and self._fresh(name)
+            }
             for name, version in course.batch(runs, busy).items():
                 self._wish(name, version)
         if course.state in (JUDGING, HELD) and now - self._window_us >= course.window_us:
@@ -139,8 +176,9 @@
     def _wish(self, name: str, version: str) -> None:
         self.crash(f"wish {name}")
         program, settings = self.files[version.rstrip(AGAIN)]
-        self.links[self._at[name]].send(frames.Want(self.course.term, self.course.number, name, version, program,
-                                                    settings))
+        self.links[self._at[name]].send(
+            frames.Want(self.course.term, self.course.number, name, version, program, settings)
+        )
 
     def _windows(self) -> list[Window]:
         """What each broker did since the last window."""
@@ -154,18 +192,35 @@
             sums: dict[str, Tally] = {}
             for klass, now_sums in running.classes.items():
                 old = before.classes.get(klass, {}) if same else {}
-                row: defaultdict[str, float] = defaultdict(float, {key: value - old.get(key, 0.0)
-                                                                   for key, value in now_sums.items()})
-                sums[klass] = Tally(int(row["asked"]), row["worth"], int(row["in_aim"]), int(row["refused"]),
-                                    int(row["failed"]), int(row["partial"]))
-            out.append(Window(
-                name, running.zone, running.version != self.course.old, sums,
-                running.cpu_us - (before.cpu_us if same else 0), running.memory, running.deaths - before.deaths,
-                running.silent or not self._fresh(name)))
+                row: defaultdict[str, float] = defaultdict(
+                    float, {key: value - old.get(key, 0.0) for key, value in now_sums.items()}
+                )
+                sums[klass] = Tally(
+                    int(row["asked"]),
+                    row["worth"],
+                    int(row["in_aim"]),
+                    int(row["refused"]),
+                    int(row["failed"]),
+                    int(row["partial"]),
+                )
+            out.append(
+                Window(
+                    name,
+                    running.zone,
+                    running.version != self.course.old,
+                    sums,
+                    running.cpu_us - (before.cpu_us if same else 0),
+                    running.memory,
+                    running.deaths - before.deaths,
+                    running.silent or not self._fresh(name),
+                )
+            )
         return out
 
     def _finish(self) -> None:
-        """An end is one once all brokers that can be reached run what was decided; none is left to an old wish."""
+        """An end is one once all brokers that can be reached run what was decided; none is left to an old
+        wish.
+        """
         self.log("info", "ended", change=self.course.id, state=self.course.state, why=self.course.why)
         self.done.set()
 
@@ -175,9 +230,16 @@
         if step is None:
             return False
         self.crash(f"before {step.after} {step.stage}")
-        self.log("warning" if step.after in (HELD, UNDOING) else "info", "step", change=self.course.id,
-                 before=step.before, after=step.after, stage=step.stage, why=step.why,
-                 number=f"({self.course.term}, {step.number})")
+        self.log(
+            "warning" if step.after in (HELD, UNDOING) else "info",
+            "step",
+            change=self.course.id,
+            before=step.before,
+            after=step.after,
+            stage=step.stage,
+            why=step.why,
+            number=f"({self.course.term}, {step.number})",
+        )
         self._write()
         self.crash(f"after {step.after} {step.stage}")
         return True
@@ -218,6 +280,7 @@
         def heard(message: frames.Any_) -> None:
             if isinstance(message, frames.Order):
                 stream.offer(frames.encode(self.order(message)))
+
         try:
             yield from wire.serve(stream, "rollout", "controller", heard, MESSAGE_MOST)
         except frames.FrameError as problem:
@@ -236,7 +299,19 @@
     def status(self) -> dict[str, Any]:
         """How it stands."""
         changed, wishes = self.course.changed(), self.course.wishes()
-        return {**self.course.record(), "holds": self.holds(), "brokers": {
-            name: {"zone": running.zone, "runs": running.version, "state": running.state,
-                   "wanted": wishes.get(name, ""), "changed": name in changed, "failed": running.failed,
-                   "fresh": self._fresh(name)} for name, running in sorted(self._runs.items())}}
+        return {
+            **self.course.record(),
+            "holds": self.holds(),
+            "brokers": {
+                name: {
+                    "zone": running.zone,
+                    "runs": running.version,
+                    "state": running.state,
+                    "wanted": wishes.get(name, ""),
+                    "changed": name in changed,
+                    "failed": running.failed,
+                    "fresh": self._fresh(name),
+                }
+                for name, running in sorted(self._runs.items())
+            },
+        }
--- a/heathwell/control/wiring.py
+++ b/heathwell/control/wiring.py
@@ -22,10 +22,27 @@
     most, fractions = most_brokers(fleet), len(fleet.keepers)
     if said.name == "connections":
         # A broker's first connection is its own and never asked for: only those beyond are lent.
-        return Budget(said.name, COUNT, int(said.whole) - most, 0, most, fractions, linger_us=said.linger, each="host",
-                      apart=most)
-    return Budget(said.name, RATE, int(said.whole * 1000), int(said.whole * said.aside * 1000), most, fractions,
-                  window_us=said.burst, each="host" if said.name == "cold" else "")
+        return Budget(
+            said.name,
+            COUNT,
+            int(said.whole) - most,
+            0,
+            most,
+            fractions,
+            linger_us=said.linger,
+            each="host",
+            apart=most,
+        )
+    return Budget(
+        said.name,
+        RATE,
+        int(said.whole * 1000),
+        int(said.whole * said.aside * 1000),
+        most,
+        fractions,
+        window_us=said.burst,
+        each="host" if said.name == "cold" else "",
+    )
 
 
 def lease_budget(fleet: Fleet) -> Budget:
@@ -34,6 +51,12 @@
 
 
 def times_of(fleet: Fleet) -> Times:
-    """The leases of a fleet. A promise lasts for two grants, so that one given late in it is not cut short at once."""
-    return Times(Lease(fleet.lease, fleet.drift), Lease(2 * fleet.lease, fleet.drift), fleet.suspect,
-                 Timing(fleet.suspect, fleet.dead))
+    """The leases of a fleet. A promise lasts for two grants, so that one given late in it is not cut short at
+    once.
+    """
+    return Times(
+        Lease(fleet.lease, fleet.drift),
+        Lease(2 * fleet.lease, fleet.drift),
+        fleet.suspect,
+        Timing(fleet.suspect, fleet.dead),
+    )
--- a/heathwell/control/zones.py
+++ b/heathwell/control/zones.py
@@ -1,7 +1,9 @@
-"""A keeper's part in leaving zones: it hears, relays what is decided, and decides while it owns the first fraction.
+"""A keeper's part in leaving zones: it hears, relays what is decided, and decides while it owns the first
+fraction.
 
-That fraction has one owner at a time (`heathwell/budgets/__init__.py`), so there is one decider at a time. What is
-decided is on no disk: it is what brokers go by, and a keeper that begins to decide first hears what that is.
+That fraction has one owner at a time (`heathwell/budgets/__init__.py`), so there is one decider at a time.
+What is decided is on no disk: it is what brokers go by, and a keeper that begins to decide first hears what
+that is.
 """
 
 from __future__ import annotations
@@ -17,16 +19,26 @@
 
 def desk_of(market: Market) -> ZoneDesk:
     """The desk that a fleet's settings ask for."""
-    return ZoneDesk(market.fleet.zones, bears=market.fleet.zone_bears,
-                    worth={spec.name: spec.worth for spec in market.classes})
+    return ZoneDesk(
+        market.fleet.zones,
+        bears=market.fleet.zone_bears,
+        worth={spec.name: spec.worth for spec in market.classes},
+    )
 
 
 class ZoneDesk:
-    """``bears`` are parts a second that one zone's hosts bear, 0 for what their answers tell; ``worth`` is that of a
-    part, by class. ``decides`` makes the decider (for the laboratory's others)."""
+    """``bears`` are parts a second that one zone's hosts bear, 0 for what their answers tell; ``worth`` is
+    that of a part, by class. ``decides`` makes the decider (for the laboratory's others).
+    """
 
-    def __init__(self, zones: list[str], figures: Figures | None = None, bears: int = 0,
-                 worth: dict[str, float] | None = None, decides: type[Decider] = Decider) -> None:
+    def __init__(
+        self,
+        zones: list[str],
+        figures: Figures | None = None,
+        bears: int = 0,
+        worth: dict[str, float] | None = None,
+        decides: type[Decider] = Decider,
+    ) -> None:
         self.names, self.figures, self.bears = zones, figures or Figures(), bears
         self.worth, self.decides = worth or {}, decides
         self.capacity, self.load = Capacity(LOADED_US), Load(LOADED_US)
@@ -49,7 +61,9 @@
 
     def look(self, now: int, owns: bool) -> list[str]:
         """Now and then: decide, where that is this keeper's; what changed, in words."""
-        self._words = {broker: row for broker, row in self._words.items() if now - row[0] < self.figures.stale_us}
+        self._words = {
+            broker: row for broker, row in self._words.items() if now - row[0] < self.figures.stale_us
+        }
         if not owns:
             self.decider, self._since = None, None
             return []
@@ -67,11 +81,16 @@
         if now - self._learned_at >= LOADED_US:
             self._learned_at = now
             for name in self.names:
-                self.capacity.saw(now, name, {klass: some for (zone, klass), some in seen.items()
-                                              if zone == name and klass != PROBE})
+                self.capacity.saw(
+                    now,
+                    name,
+                    {klass: some for (zone, klass), some in seen.items() if zone == name and klass != PROBE},
+                )
         self.decider.loads(
             {name: sum(rate for (zone, _), rate in rates.items() if zone == name) for name in self.names},
-            {name: float(self.bears) or self.capacity.bears(now, name) for name in self.names}, rates)
+            {name: float(self.bears) or self.capacity.bears(now, name) for name in self.names},
+            rates,
+        )
         told = self.decider.look(now)
         self.told(self.decider.decision)
         return told
@@ -94,8 +113,18 @@
             else:
                 text = self.decider.order(now, order.zone, order.word, order.who or "an operator", order.why)
                 self.told(self.decider.decision)
-        states = {} if self.decider is None else {
-            name: zone.state + (f", pinned by {zone.pinned}" if zone.pinned else "")
-            for name, zone in self.decider.zones.items()}
-        return frames.Zones(self.decider is not None, text, messages.decision_out(self.decision), states,
-                            messages.rows_out(self.seen()))
+        states = (
+            {}
+            if self.decider is None
+            else {
+                name: zone.state + (f", pinned by {zone.pinned}" if zone.pinned else "")
+                for name, zone in self.decider.zones.items()
+            }
+        )
+        return frames.Zones(
+            self.decider is not None,
+            text,
+            messages.decision_out(self.decision),
+            states,
+            messages.rows_out(self.seen()),
+        )
--- a/heathwell/coverage/__init__.py
+++ b/heathwell/coverage/__init__.py
@@ -1,8 +1,9 @@
-"""Which parts an answer rests on, as an algebra: merged over steps, regions and tree levels without counting twice.
+"""Which parts an answer rests on, as an algebra: merged over steps, regions and tree levels without counting
+twice.
 
-A cover is two sets of part numbers, those asked for and those that are in, held as bits of an integer. Merging
-is union in both, so it is associative, commutative and idempotent, and what is in never exceeds what was
-asked. ``oldest_us`` is the source time of the oldest data in it, merged by the least.
+A cover is two sets of part numbers, those asked for and those that are in, held as bits of an integer.
+Merging is union in both, so it is associative, commutative and idempotent, and what is in never exceeds what
+was asked. ``oldest_us`` is the source time of the oldest data in it, merged by the least.
 """
 
 from __future__ import annotations
@@ -126,7 +127,7 @@
     form = data[at]
     count, at = varint.take(data, at + 1)
     if form == BITS:
-        raw = data[at:at + count]
+        raw = data[at : at + count]
         if len(raw) < count or count * 8 > PARTS_MOST + 7:
             raise CoverError("a cover that ends too early")
         return int.from_bytes(raw, "little"), at + count
--- a/heathwell/datastructures/__init__.py
+++ b/heathwell/datastructures/__init__.py
@@ -1,7 +1,8 @@
 """Generic data structures of the decision module.
 
-They are pure and hold no tuned figure: each time constant, limit and gain is handed in by the caller, and nothing here
-chooses between servers or queries. Times are integers in microseconds on the caller's clock. Standard library only.
+They are pure and hold no tuned figure: each time constant, limit and gain is handed in by the caller, and
+nothing here chooses between servers or queries. Times are integers in microseconds on the caller's clock.
+Standard library only.
 """
 
 from heathwell.datastructures.decaying import DecayingAverage, DecayingSum, RunningMean
--- a/heathwell/datastructures/grouped_ranking.py
+++ b/heathwell/datastructures/grouped_ranking.py
@@ -28,8 +28,8 @@
 ) -> Iterator[T]:
     """Take the items one by one from the group of least rank, a drawn item of it each time.
 
-    A group is ranked anew only when it comes first and its basis is not current any more: with few groups resting on
-    one basis n items cost O(n log n). The lists in ``groups`` are emptied.
+    A group is ranked anew only when it comes first and its basis is not current any more: with few groups
+    resting on one basis n items cost O(n log n). The lists in ``groups`` are emptied.
     """
     heap = []
     for key, group in groups.items():
--- a/heathwell/datastructures/rate_limited_topics.py
+++ b/heathwell/datastructures/rate_limited_topics.py
@@ -4,7 +4,9 @@
 
 
 class RateLimitedTopics:
-    """Remembers when each topic last passed; from a number of topics on, those past their interval are dropped."""
+    """Remembers when each topic last passed; from a number of topics on, those past their interval are
+    dropped.
+    """
 
     __slots__ = ("_passed_at_us", "interval_us", "prune_above")
 
--- a/heathwell/evacuation/__init__.py
+++ b/heathwell/evacuation/__init__.py
@@ -1,6 +1,8 @@
-"""Leaving a zone that fails, as a fleet, and coming back at a pace its hosts bear. Pure; the clock is handed in.
+"""Leaving a zone that fails, as a fleet, and coming back at a pace its hosts bear. Pure; the clock is handed
+in.
 
-Each broker sums up what it saw of each zone; the deciding keeper weighs these, and one numbered decision goes to all.
+Each broker sums up what it saw of each zone; the deciding keeper weighs these, and one numbered decision goes
+to all.
 """
 
 from heathwell.evacuation.capacity import Capacity, Load
@@ -19,5 +21,22 @@
 from heathwell.evacuation.drill import Drill
 from heathwell.evacuation.evidence import PROBE, Evidence, Seen, Summary
 
-__all__ = ["DOUBTED", "LEAVING", "LEFT", "PROBE", "RETURNING", "SERVED", "STEPS", "Capacity", "Decider", "Decision",
-           "Drill", "Evidence", "Figures", "Load", "Seen", "Summary", "ZoneWord"]
+__all__ = [
+    "DOUBTED",
+    "LEAVING",
+    "LEFT",
+    "PROBE",
+    "RETURNING",
+    "SERVED",
+    "STEPS",
+    "Capacity",
+    "Decider",
+    "Decision",
+    "Drill",
+    "Evidence",
+    "Figures",
+    "Load",
+    "Seen",
+    "Summary",
+    "ZoneWord",
+]
--- a/heathwell/evacuation/capacity.py
+++ b/heathwell/evacuation/capacity.py
@@ -1,9 +1,10 @@
 """What a zone's hosts bear, learned from their answers. Pure; nothing is sent to find it out.
 
-What was borne is borne: the most parts a second that a zone answered in their usual time. Beyond that its answers tell
-by growing slower: two servers with one queue, at a share `u` of what they can do, answer in `1 / (1 - u ** 2)` of their
-idle time (M/M/2; hosts here have two cores). One core grows slow sooner, so that it is taken to bear less than it does;
-more cores grow slow later, and a zone is never taken to bear more than ``BEYOND`` times what it does now.
+What was borne is borne: the most parts a second that a zone answered in their usual time. Beyond that its
+answers tell by growing slower: two servers with one queue, at a share `u` of what they can do, answer in `1 /
+(1 - u ** 2)` of their idle time (M/M/2; hosts here have two cores). One core grows slow sooner, so that it is
+taken to bear less than it does; more cores grow slow later, and a zone is never taken to bear more than
+``BEYOND`` times what it does now.
 """
 
 from __future__ import annotations
@@ -75,8 +76,10 @@
 
 
 class Load:
-    """Parts a second that are asked of each zone. Attempts are no measure of it in trouble: one part is tried again and
-    again. So it is what is answered while every zone is sound, and that from before while one is not."""
+    """Parts a second that are asked of each zone. Attempts are no measure of it in trouble: one part is tried
+    again and again. So it is what is answered while every zone is sound, and that from before while one is
+    not.
+    """
 
     def __init__(self, span_us: int) -> None:
         self._span = span_us
--- a/heathwell/evacuation/decider.py
+++ b/heathwell/evacuation/decider.py
@@ -1,8 +1,10 @@
-"""Whether the fleet leaves a zone, how much of it, and how it comes back. Pure: words of brokers in, decisions out.
+"""Whether the fleet leaves a zone, how much of it, and how it comes back. Pure: words of brokers in,
+decisions out.
 
-A zone is left on the evidence of brokers of other zones that agree, each weighing what it saw, and only if the zone
-itself is sick for them all: where some zones reach it well the way is sick, which brokers judge by themselves. What the
-rest can't bear is not left: then a share, or the classes worth most, or nothing. Coming back goes in steps.
+A zone is left on the evidence of brokers of other zones that agree, each weighing what it saw, and only if
+the zone itself is sick for them all: where some zones reach it well the way is sick, which brokers judge by
+themselves. What the rest can't bear is not left: then a share, or the classes worth most, or nothing. Coming
+back goes in steps.
 """
 
 from __future__ import annotations
@@ -23,10 +25,10 @@
 #   worse   a step of the return does worse                     back    the last step did well
 #   leave, home: an operator's words
 TABLE: dict[str, dict[str, str]] = {
-    SERVED:    {"sick": DOUBTED, "leave": LEAVING},
-    DOUBTED:   {"well": SERVED, "proved": LEAVING, "leave": LEAVING},
-    LEAVING:   {"gone": LEFT, "home": RETURNING},
-    LEFT:      {"rested": RETURNING, "home": RETURNING},
+    SERVED: {"sick": DOUBTED, "leave": LEAVING},
+    DOUBTED: {"well": SERVED, "proved": LEAVING, "leave": LEAVING},
+    LEAVING: {"gone": LEFT, "home": RETURNING},
+    LEFT: {"rested": RETURNING, "home": RETURNING},
     RETURNING: {"worse": LEFT, "step": RETURNING, "back": SERVED, "leave": LEAVING},
 }
 STEPS = (0.02, 0.1, 0.3, 0.6, 1.0)  # shares of the zone's usual work that come back
@@ -34,8 +36,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """``sick``: loss from which a broker's word counts against a zone; ``agree``: share of the weight of the other
-    zones' brokers that must say so; times in us. ``room``: of the rest's capacity that may be used."""
+    """``sick``: loss from which a broker's word counts against a zone; ``agree``: share of the weight of the
+    other zones' brokers that must say so; times in us. ``room``: of the rest's capacity that may be used.
+    """
 
     sick: float = 0.4
     agree: float = 0.6
@@ -53,8 +56,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneWord:
-    """What all brokers are to do with a zone: serve it with a share of its usual first work (1: as ever, 0: not at
-    all); ``only`` those classes leave it, where it is not all."""
+    """What all brokers are to do with a zone: serve it with a share of its usual first work (1: as ever, 0:
+    not at all); ``only`` those classes leave it, where it is not all.
+    """
 
     state: str
     share: float
@@ -84,15 +88,18 @@
     only: tuple[str, ...] = ()
     why: str = ""
     stay_us: int = 0
-    left_us: int = -10 ** 15
+    left_us: int = -(10**15)
     pinned: str = ""  # an operator's word holds until the next
 
 
 class Decider:
-    """One run of the deciding keeper, under a term of its own. It begins from the decision that brokers go by."""
+    """One run of the deciding keeper, under a term of its own. It begins from the decision that brokers go
+    by.
+    """
 
-    def __init__(self, zones: list[str], figures: Figures, term: int, now: int,
-                 standing: Decision | None = None) -> None:
+    def __init__(
+        self, zones: list[str], figures: Figures, term: int, now: int, standing: Decision | None = None
+    ) -> None:
         self.figures, self.term, self.number = figures, term, 0
         self.zones = {zone: _Zone(since_us=now, stay_us=figures.stay_us) for zone in zones}
         self.words: dict[str, tuple[int, Summary]] = {}
@@ -114,13 +121,21 @@
         """A broker's word; the last one counts, while it is fresh."""
         self.words[summary.broker] = now, summary
 
-    def loads(self, load: dict[str, float], capacity: dict[str, float],
-              by_class: dict[tuple[str, str], float] | None = None) -> None:
-        """By zone, parts a second asked now and the most that its hosts bear; the former by class too, where known."""
+    def loads(
+        self,
+        load: dict[str, float],
+        capacity: dict[str, float],
+        by_class: dict[tuple[str, str], float] | None = None,
+    ) -> None:
+        """By zone, parts a second asked now and the most that its hosts bear; the former by class too, where
+        known.
+        """
         self.load, self.capacity, self.by_class = load, capacity, by_class or {}
 
     def order(self, now: int, zone: str, word: str, who: str, why: str) -> str:
-        """An operator's: leave, return, pin (it stays as it is until unpin), unpin. What is wrong, or nothing."""
+        """An operator's: leave, return, pin (it stays as it is until unpin), unpin. What is wrong, or
+        nothing.
+        """
         state = self.zones.get(zone)
         if state is None:
             return f"no zone '{zone}'; there are {', '.join(sorted(self.zones))}"
@@ -159,8 +174,11 @@
         return told
 
     def _publish(self) -> None:
-        zones = {name: ZoneWord(zone.state, zone.share, zone.only, zone.why) for name, zone in self.zones.items()
-                 if zone.state not in (SERVED, DOUBTED)}
+        zones = {
+            name: ZoneWord(zone.state, zone.share, zone.only, zone.why)
+            for name, zone in self.zones.items()
+            if zone.state not in (SERVED, DOUBTED)
+        }
         if zones != self.decision.zones:
             self.number += 1
             self.decision = Decision(self.term, self.number, zones)
@@ -217,7 +235,9 @@
             else:
                 zone.step, zone.since_us = zone.step - 1, now
                 zone.share, zone.why = STEPS[zone.step], f"{seen.loss:.0%} lost: one step back"
-        elif age >= self.figures.step_us and (seen.total >= self.figures.least or age >= 4 * self.figures.step_us):
+        elif age >= self.figures.step_us and (
+            seen.total >= self.figures.least or age >= 4 * self.figures.step_us
+        ):
             if zone.step == len(STEPS) - 1:
                 self._go(now, name, "back", f"{seen.loss:.0%} of {seen.total} lost at the last step")
             else:
@@ -234,22 +254,34 @@
         return sum(by_zone.values(), Seen()), dict(by_zone)
 
     def _witnesses(self, name: str, klass: str | None = None) -> list[tuple[Summary, Seen]]:
-        """The words that count on a zone: of brokers of other zones. One that takes itself for cut off is heard only
-        where those that don't see the same: of three zones two may be gone, and nobody is cut off."""
-        words = [(word, sum((some for (zone, of), some in word.seen.items() if zone == name and klass in (None, of)),
-                            Seen())) for _, word in self.words.values() if word.zone != name]
+        """The words that count on a zone: of brokers of other zones. One that takes itself for cut off is
+        heard only where those that don't see the same: of three zones two may be gone, and nobody is cut off.
+        """
+        words = [
+            (
+                word,
+                sum(
+                    (some for (zone, of), some in word.seen.items() if zone == name and klass in (None, of)),
+                    Seen(),
+                ),
+            )
+            for _, word in self.words.values()
+            if word.zone != name
+        ]
         sound = [(word, seen) for word, seen in words if not word.cut_off]
         return words if sum((seen for _, seen in sound), Seen()).loss >= self.figures.sick else sound
 
     def sick(self, name: str, klass: str | None = None) -> tuple[bool, str]:
         """Whether the other zones agree that it is sick, and on what evidence."""
         seen, by_zone = self._from_outside(name, klass)
-        # Once doubted, a zone is not well for want of attempts: its hosts are ejected, and few go there any more.
+        # Once doubted, a zone is not well for want of attempts: its hosts are ejected, and few go there any
+        # more.
         least = self.figures.least if self.zones[name].state == SERVED else 1
         if seen.total < least:
             return False, f"{seen.total} attempts tell too little"
-        # Brokers can lie, or share a sick way: both their weight and the zones must agree. What one says that it saw is
-        # its own word as well, so that it counts for no more than the median of them, however loud it is.
+        # Brokers can lie, or share a sick way: both their weight and the zones must agree. What one says that
+        # it saw is its own word as well, so that it counts for no more than the median of them, however loud
+        # it is.
         words = self._witnesses(name, klass)
         most = median_low([some.total for _, some in words if some.total])
         weights: dict[str, list[int]] = defaultdict(lambda: [0, 0])
@@ -266,7 +298,9 @@
         return agreed, f"{seen.loss:.0%} of {seen.total} lost from {len(zones)} zones"
 
     def _answers(self, name: str) -> bool:
-        """Whether what little goes there is answered; without any word from outside its own brokers' counts."""
+        """Whether what little goes there is answered; without any word from outside its own
+        brokers' counts.
+        """
         seen, _ = self._from_outside(name)
         if seen.total:
             return seen.loss <= 1 - self.figures.probes
@@ -274,10 +308,14 @@
         return bool(own) and not all(word.cut_off for word in own)
 
     def _how_much(self, name: str) -> tuple[float, tuple[str, ...], str]:
-        """What is left there: the share that goes on, or the classes that leave, and why. Nobody is left without a
-        holder: what only this zone holds goes on being asked there by those who decide for a query."""
-        rest = [other for other, zone in self.zones.items() if other != name and zone.state in (SERVED, DOUBTED)
-                and not self.sick(other)[0]]
+        """What is left there: the share that goes on, or the classes that leave, and why. Nobody is left
+        without a holder: what only this zone holds goes on being asked there by those who decide for a query.
+        """
+        rest = [
+            other
+            for other, zone in self.zones.items()
+            if other != name and zone.state in (SERVED, DOUBTED) and not self.sick(other)[0]
+        ]
         capacity = sum(self.capacity.get(other, 0.0) for other in rest)
         load = sum(self.load.get(other, 0.0) for other in self.zones)
         if not rest:
@@ -285,8 +323,14 @@
         if not capacity:
             return 0.0, (), "the others' capacity is not known"
         # A class of which too little is seen is neither sick nor well: it goes with the zone.
-        told = {klass for _, word in self.words.values() for (zone, klass) in word.seen if zone == name
-                and klass != PROBE and self._from_outside(name, klass)[0].total >= self.figures.least}
+        told = {
+            klass
+            for _, word in self.words.values()
+            for (zone, klass) in word.seen
+            if zone == name
+            and klass != PROBE
+            and self._from_outside(name, klass)[0].total >= self.figures.least
+        }
         sick_classes = sorted(klass for klass in told if self.sick(name, klass)[0])
         if sick_classes and set(sick_classes) < told:
             return 0.0, tuple(sick_classes), f"only {', '.join(sick_classes)} is sick there"
@@ -297,14 +341,24 @@
         stays = min(1.0, (load - room) / mine)
         leave = self._worth_most(name, room - (load - mine))
         if leave:
-            return 0.0, leave, f"{', '.join(leave)} alone: the others bear {capacity:.0f} parts a second of {load:.0f}"
+            return (
+                0.0,
+                leave,
+                f"{', '.join(leave)} alone: the others bear {capacity:.0f} parts a second of {load:.0f}",
+            )
         if stays >= 0.95:
             return 1.0, (), f"the others bear {capacity:.0f} parts a second of {load:.0f}"
         return stays, (), f"{stays:.0%} stays: the others bear {capacity:.0f} parts a second of {load:.0f}"
 
     def _worth_most(self, name: str, spare: float) -> tuple[str, ...]:
-        """The classes that the others can take over whole, by their worth; nothing where that is not known."""
-        mine = {klass: rate for (zone, klass), rate in self.by_class.items() if zone == name and klass in self.worth}
+        """The classes that the others can take over whole, by their worth; nothing where that is
+        not known.
+        """
+        mine = {
+            klass: rate
+            for (zone, klass), rate in self.by_class.items()
+            if zone == name and klass in self.worth
+        }
         taken: list[str] = []
         for klass in sorted(mine, key=lambda klass: (-self.worth[klass], klass)):
             if mine[klass] <= spare:
--- a/heathwell/evacuation/drill.py
+++ b/heathwell/evacuation/drill.py
@@ -1,7 +1,8 @@
-"""A drill: a healthy zone is left and come back to on purpose, and what it cost is told. Pure; looks in, words out.
+"""A drill: a healthy zone is left and come back to on purpose, and what it cost is told. Pure; looks in,
+words out.
 
-The fleet's own decider does the leaving and the return; the drill says when, counts what is lost elsewhere meanwhile,
-and calls it off at once where that is more than it may be.
+The fleet's own decider does the leaving and the return; the drill says when, counts what is lost elsewhere
+meanwhile, and calls it off at once where that is more than it may be.
 """
 
 from __future__ import annotations
@@ -14,7 +15,12 @@
 BEFORE, LEAVING, AWAY, COMING, AFTER, OVER = "before", "leaving", "away", "returning", "after", "over"
 # What follows each stage, and the word that the decider is given as it ends.
 NEXT: dict[str, tuple[str, str]] = {
-    BEFORE: (LEAVING, "leave"), LEAVING: (AWAY, ""), AWAY: (COMING, "return"), COMING: (AFTER, ""), AFTER: (OVER, "")}
+    BEFORE: (LEAVING, "leave"),
+    LEAVING: (AWAY, ""),
+    AWAY: (COMING, "return"),
+    COMING: (AFTER, ""),
+    AFTER: (OVER, ""),
+}
 CALM_US = 5_000_000  # before and after: what is usual
 LEAST = 10  # attempts of a look for its loss to count
 LOOKS = 3  # in a row with too much lost before a drill is called off
@@ -23,7 +29,9 @@
 
 @dataclass(slots=True)
 class Stage:
-    """One stage's sums: attempts elsewhere and at the zone, by class; ``worst`` is the greatest loss of one look."""
+    """One stage's sums: attempts elsewhere and at the zone, by class; ``worst`` is the greatest loss of one
+    look.
+    """
 
     name: str
     began_us: int
@@ -34,7 +42,9 @@
 
 
 class Drill:
-    """``hold_us`` away; ``most`` is what may be lost elsewhere beyond the usual (a share) before it is called off."""
+    """``hold_us`` away; ``most`` is what may be lost elsewhere beyond the usual (a share) before it is called
+    off.
+    """
 
     def __init__(self, zone: str, now: int, hold_us: int, most: float) -> None:
         self.zone, self.hold_us, self.most = zone, hold_us, most
@@ -48,7 +58,9 @@
         return self.stages[-1].name
 
     def look(self, now: int, state: str, seen: dict[tuple[str, str], Seen]) -> str:
-        """How the zone stands and what all brokers saw since the last look; the word to be given now, or nothing."""
+        """How the zone stands and what all brokers saw since the last look; the word to be given now, or
+        nothing.
+        """
         now_in = self.stages[-1]
         now_in.lasted_us = now - now_in.began_us
         elsewhere = Seen()
@@ -97,9 +109,17 @@
         for stage in self.stages[:-1] if self.stage == OVER else self.stages:
             there, rest = sum(stage.there.values(), Seen()), sum(stage.elsewhere.values(), Seen())
             seconds = max(stage.lasted_us, 1) / 1e6
-            rows.append({
-                "stage": stage.name, "seconds": round(seconds, 1), "there_a_second": round(there.total / seconds, 1),
-                "elsewhere_a_second": round(rest.total / seconds, 1), "lost_elsewhere": round(rest.loss, 4),
-                "worst_look": round(stage.worst, 4),
-                "lost_by_class": {klass: round(some.loss, 4) for klass, some in sorted(stage.elsewhere.items())}})
+            rows.append(
+                {
+                    "stage": stage.name,
+                    "seconds": round(seconds, 1),
+                    "there_a_second": round(there.total / seconds, 1),
+                    "elsewhere_a_second": round(rest.total / seconds, 1),
+                    "lost_elsewhere": round(rest.loss, 4),
+                    "worst_look": round(stage.worst, 4),
+                    "lost_by_class": {
+                        klass: round(some.loss, 4) for klass, some in sorted(stage.elsewhere.items())
+                    },
+                }
+            )
         return rows
--- a/heathwell/evacuation/evidence.py
+++ b/heathwell/evacuation/evidence.py
@@ -1,4 +1,6 @@
-"""What one broker saw of each zone lately, by class: bounded sums over a few spans, nothing decided about the zone."""
+"""What one broker saw of each zone lately, by class: bounded sums over a few spans, nothing decided about the
+zone.
+"""
 
 from __future__ import annotations
 
@@ -13,8 +15,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """Attempts of one class at one zone: ``good`` answered in their usual time, ``late`` out for long or answered late,
-    ``bad`` silent, refused, broken or an error."""
+    """Attempts of one class at one zone: ``good`` answered in their usual time, ``late`` out for long or
+    answered late, ``bad`` silent, refused, broken or an error.
+    """
 
     good: int = 0
     late: int = 0
@@ -27,8 +30,9 @@
         return self.good + self.late + self.bad
 
     def __add__(self, other: Seen) -> Seen:
-        return Seen(self.good + other.good, self.late + other.late, self.bad + other.bad,
-                    self.took_ms + other.took_ms)
+        return Seen(
+            self.good + other.good, self.late + other.late, self.bad + other.bad, self.took_ms + other.took_ms
+        )
 
     @property
     def loss(self) -> float:
@@ -38,8 +42,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """A broker's word: by zone and class. ``cut_off``: it sees nearly nothing of any zone but perhaps its own, so that
-    it is more likely cut off itself than all others sick."""
+    """A broker's word: by zone and class. ``cut_off``: it sees nearly nothing of any zone but perhaps its
+    own, so that it is more likely cut off itself than all others sick.
+    """
 
     broker: str
     zone: str
@@ -58,7 +63,9 @@
         self._spans: deque[tuple[int, dict[tuple[str, str], dict[str, int]]]] = deque(maxlen=SPANS)
 
     def ended(self, now: int, zone: str, klass: str, how: str, took_us: int = 0) -> None:
-        """An attempt at a zone's host ended, or is late by now: ``good``, ``late`` or ``bad``; it took so long."""
+        """An attempt at a zone's host ended, or is late by now: ``good``, ``late`` or ``bad``; it took so
+        long.
+        """
         span = now // SPAN_US
         if not self._spans or self._spans[-1][0] != span:
             self._spans.append((span, {}))
@@ -76,7 +83,8 @@
             if span > first:
                 for key, hows in sums.items():
                     seen[key] = seen.get(key, Seen()) + Seen(
-                        hows.get(GOOD, 0), hows.get(LATE, 0), hows.get(BAD, 0), hows.get(TOOK, 0) // 1000)
+                        hows.get(GOOD, 0), hows.get(LATE, 0), hows.get(BAD, 0), hows.get(TOOK, 0) // 1000
+                    )
         zones = defaultdict[str, Seen](Seen)
         for (zone, _), some in seen.items():
             zones[zone] = zones[zone] + some
--- a/heathwell/freshness/__init__.py
+++ b/heathwell/freshness/__init__.py
@@ -4,4 +4,13 @@
 from heathwell.freshness.replicas import Freshness, Policy, Ruling, Watermark
 from heathwell.freshness.token import TokenError, make_token, read_token
 
-__all__ = ["Freshness", "Policy", "Ruling", "SourceClock", "TokenError", "Watermark", "make_token", "read_token"]
+__all__ = [
+    "Freshness",
+    "Policy",
+    "Ruling",
+    "SourceClock",
+    "TokenError",
+    "Watermark",
+    "make_token",
+    "read_token",
+]
--- a/heathwell/freshness/clock.py
+++ b/heathwell/freshness/clock.py
@@ -1,9 +1,10 @@
 """What time it is at the source, as bounds that hold whatever the clocks show.
 
-A sample is a question sent at ``sent`` and answered at ``received`` (own clock) with the source's time. The source
-read its clock somewhere between, so its time at an own time ``t`` is at most ``source + (t - sent)`` and at least
-``source + (t - received)``, but for the drift of two quartz clocks. No clock need be set right: offsets cancel,
-only rates are trusted, to ``DRIFT``. The round trip is the uncertainty (Cristian's method, as bounds).
+A sample is a question sent at ``sent`` and answered at ``received`` (own clock) with the source's time. The
+source read its clock somewhere between, so its time at an own time ``t`` is at most ``source + (t - sent)``
+and at least ``source + (t - received)``, but for the drift of two quartz clocks. No clock need be set right:
+offsets cancel, only rates are trusted, to ``DRIFT``. The round trip is the uncertainty (Cristian's method, as
+bounds).
 """
 
 from __future__ import annotations
--- a/heathwell/freshness/replicas.py
+++ b/heathwell/freshness/replicas.py
@@ -1,9 +1,9 @@
 """What each replica's data is worth: lag estimated from watermarks, stuck and restored ones recognised, and
 whether an answer is used, turned down, or asked for elsewhere.
 
-A ruling is all that this decides. Turning an answer down is told to the decision module as an error of that host:
-the module asks another holder where its own rules allow, and leaves a host alone that keeps being turned down. It
-never sends, and on a fresh fleet every ruling is to use the answer.
+A ruling is all that this decides. Turning an answer down is told to the decision module as an error of that
+host: the module asks another holder where its own rules allow, and leaves a host alone that keeps being
+turned down. It never sends, and on a fresh fleet every ruling is to use the answer.
 """
 
 from __future__ import annotations
@@ -99,7 +99,9 @@
         return MEASURED
 
     def _look_if_stuck(self, shard: int, node: str, mark: Watermark) -> None:
-        """A replica whose watermark stands while a sibling's has moved on is stuck, however fast it answers."""
+        """A replica whose watermark stands while a sibling's has moved on is stuck, however fast it
+        answers.
+        """
         others = (self._seen.get((shard, other)) for other in self.holders(shard))
         newest = max((row.mark.source_us for row in others if row is not None), default=0)
         if newest - mark.source_us > STUCK_US:
@@ -114,20 +116,41 @@
             return self.clock.age(now, known.mark.source_us)
         return int(known.lag + SPREAD * known.dev)
 
-    def rule(self, now: int, shard: int, node: str, mark: Watermark, policy: Policy, *, tried: Iterable[str],
-             turned_down: int, time_left_us: int, took_us: int, at_least: int = 0) -> Ruling:
+    def rule(
+        self,
+        now: int,
+        shard: int,
+        node: str,
+        mark: Watermark,
+        policy: Policy,
+        *,
+        tried: Iterable[str],
+        turned_down: int,
+        time_left_us: int,
+        took_us: int,
+        at_least: int = 0,
+    ) -> Ruling:
         """Whether an answer is used.
 
-        ``at_least`` is a position that the client or the answer's first step has seen already, ``tried`` are the
-        hosts that the part was sent to, ``time_left_us`` is up to the query's aim.
+        ``at_least`` is a position that the client or the answer's first step has seen already, ``tried`` are
+        the hosts that the part was sent to, ``time_left_us`` is up to the query's aim.
         """
         trust = self.observe(now, shard, node, mark)
         age = None if trust != MEASURED else self.clock.age(now, mark.source_us)
         behind = mark.position < at_least
         too_old = bool(policy.allowed_us) and (age is None or age > policy.allowed_us)
         older = bool(policy.wanted_us) and (age is None or age > policy.wanted_us)
-        why = ("claims data newer than the source" if trust == FUTURE else "behind what was seen" if behind
-               else "too old" if too_old else "older than wanted" if older else "")
+        why = (
+            "claims data newer than the source"
+            if trust == FUTURE
+            else "behind what was seen"
+            if behind
+            else "too old"
+            if too_old
+            else "older than wanted"
+            if older
+            else ""
+        )
         if not why:
             return Ruling(True, age)
         if policy.stale == MISSING and (too_old or trust == FUTURE):
@@ -139,9 +162,12 @@
                 return Ruling(False, age, why)
         return Ruling(True, age, why)
 
-    def _better(self, now: int, shard: int, node: str, age: int | None, policy: Policy, tried: set[str],
-                at_least: int) -> bool:
-        """Whether a holder not yet asked is believed to do: turning down is only worth it for a better one."""
+    def _better(
+        self, now: int, shard: int, node: str, age: int | None, policy: Policy, tried: set[str], at_least: int
+    ) -> bool:
+        """Whether a holder not yet asked is believed to do: turning down is only worth it for a
+        better one.
+        """
         for other in self.holders(shard):
             known = self._seen.get((shard, other))
             if other == node or other in tried or known is None or known.back:
--- a/heathwell/freshness/token.py
+++ b/heathwell/freshness/token.py
@@ -1,8 +1,10 @@
-"""A token that a client hands back, so that a later answer is not older than an earlier one, or says that it is.
+"""A token that a client hands back, so that a later answer is not older than an earlier one, or says that it
+is.
 
-It holds the positions that the answer rested on, by shard, in a form short enough for a memcached key: 120 characters
-at most. Where the shards are too many for that it holds their least position alone, and says so. A checksum keeps a
-mangled token from being taken for a position; it is no signature: a client that forges one misleads itself only.
+It holds the positions that the answer rested on, by shard, in a form short enough for a memcached key: 120
+characters at most. Where the shards are too many for that it holds their least position alone, and says so. A
+checksum keeps a mangled token from being taken for a position; it is no signature: a client that forges one
+misleads itself only.
 """
 
 from __future__ import annotations
@@ -37,7 +39,9 @@
 
 
 def read_token(text: str) -> tuple[dict[int, int], int]:
-    """Positions by shard, and the least position for any shard that is not among them; raises :class:`TokenError`."""
+    """Positions by shard, and the least position for any shard that is not among them; raises
+    :class:`TokenError`.
+    """
     if len(text) > CHARACTERS_MOST:
         raise TokenError("token: too long")
     try:
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -21,8 +21,11 @@
 AGES = (0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60, 300, 3600, 86_400)
 WEIGHTS = (0.25, 0.5, 0.7, 0.75, 0.8, 0.9, 0.999)
 COUNTS = {
-    "final": ("heathwell_queries", "Final answers by class and kind, and whether in the aim",
-              ("class", "kind", "time")),
+    "final": (
+        "heathwell_queries",
+        "Final answers by class and kind, and whether in the aim",
+        ("class", "kind", "time"),
+    ),
     "attempt": ("heathwell_attempts", "Attempts by class and outcome", ("class", "outcome")),
     "probe": ("heathwell_probes", "Probes by outcome", ("outcome",)),
     "news": ("heathwell_discovery_news", "Discovery's words by kind", ("kind",)),
@@ -34,11 +37,23 @@
     "link probe": ("heathwell_link_probes", "Probes over links that are down", ()),
     "overdue": ("heathwell_overdue", "Queries that the deadline ended: a fault", ()),
     "storm": ("heathwell_storm_changes", "Changes of the storm decider's state", ("state",)),
-    "asked as": ("heathwell_asked_as", "Queries by what kind of ask the storm decider takes them for", ("kind",)),
-    "crowded": ("heathwell_crowded", "Queries refused as their front's turn would come too late", ("front", "class")),
+    "asked as": (
+        "heathwell_asked_as",
+        "Queries by what kind of ask the storm decider takes them for",
+        ("kind",),
+    ),
+    "crowded": (
+        "heathwell_crowded",
+        "Queries refused as their front's turn would come too late",
+        ("front", "class"),
+    ),
     "malformed": ("heathwell_malformed", "Answers with rows that no sound host gives", ("class",)),
     "moot": ("heathwell_moot", "Parts not waited for, as they could not change the answer", ("class",)),
-    "lacked": ("heathwell_lacked", "Uses of a budget of the whole fleet for which there was no room", ("budget",)),
+    "lacked": (
+        "heathwell_lacked",
+        "Uses of a budget of the whole fleet for which there was no room",
+        ("budget",),
+    ),
     "unmergeable": ("heathwell_unmergeable", "Answers whose parts could not be merged", ()),
 }
 
@@ -49,18 +64,39 @@
     def __init__(self, broker: Broker, front: MemcachedFront) -> None:
         self.broker, self.front = broker, front
         self.registry = CollectorRegistry(auto_describe=False)
-        self.took = Histogram("heathwell_query_seconds", "Time to the final answer", ("class",),
-                              registry=self.registry, buckets=SPANS)
-        self.weight = Histogram("heathwell_answer_weight", "Share of the first step's weight in an answer",
-                                ("class",), registry=self.registry, buckets=WEIGHTS)
-        self.age = Histogram("heathwell_answer_age_seconds", "Greatest age that an answer's data can have",
-                             ("class",), registry=self.registry, buckets=AGES)
-        self.unknown_age = Counter("heathwell_answer_age_unknown", "Answers whose age has no bound", ("class",),
-                                   registry=self.registry)
+        self.took = Histogram(
+            "heathwell_query_seconds",
+            "Time to the final answer",
+            ("class",),
+            registry=self.registry,
+            buckets=SPANS,
+        )
+        self.weight = Histogram(
+            "heathwell_answer_weight",
+            "Share of the first step's weight in an answer",
+            ("class",),
+            registry=self.registry,
+            buckets=WEIGHTS,
+        )
+        self.age = Histogram(
+            "heathwell_answer_age_seconds",
+            "Greatest age that an answer's data can have",
+            ("class",),
+            registry=self.registry,
+            buckets=AGES,
+        )
+        self.unknown_age = Counter(
+            "heathwell_answer_age_unknown",
+            "Answers whose age has no bound",
+            ("class",),
+            registry=self.registry,
+        )
         self.registry.register(self)
         # Looked up once: finding a label's child costs more than counting.
-        self._children = {spec.name: (self.took.labels(spec.name), self.weight.labels(spec.name))
-                          for spec in broker.settings.classes}
+        self._children = {
+            spec.name: (self.took.labels(spec.name), self.weight.labels(spec.name))
+            for spec in broker.settings.classes
+        }
         broker.on_final = self.final
 
     def final(self, _query: MarketQuery, reply: Reply, took_us: int) -> None:
@@ -87,29 +123,46 @@
             ("heathwell_hosts_live", "Hosts listed as live", sum(s.live for s in servers)),
             ("heathwell_hosts_ejected", "Hosts ejected", sum(bool(s.bars) for s in servers)),
             ("heathwell_clients", "Client connections", len(self.front.connections)),
-            ("heathwell_host_connections", "Connections to hosts",
-             sum(link.up for link in broker.links.values())),
+            (
+                "heathwell_host_connections",
+                "Connections to hosts",
+                sum(link.up for link in broker.links.values()),
+            ),
             ("heathwell_module_seconds", "Time spent in the module", broker.module_ns / 1e9),
         ):
             yield GaugeMetricFamily(name, text, value=figure)
         if broker.regions is not None:
-            crossed = CounterMetricFamily("heathwell_crossed", "Attempts over a link", labels=("region", "which"))
+            crossed = CounterMetricFamily(
+                "heathwell_crossed", "Attempts over a link", labels=("region", "which")
+            )
             for way in broker.regions.links.values():
                 crossed.add_metric((way.region, "first"), way.crossed - way.further)
                 crossed.add_metric((way.region, "further"), way.further)
             yield crossed
-            shares = GaugeMetricFamily("heathwell_answerable", "Share of a class's queries that can be answered now",
-                                       labels=("class",))
+            shares = GaugeMetricFamily(
+                "heathwell_answerable",
+                "Share of a class's queries that can be answered now",
+                labels=("class",),
+            )
             for index, spec in enumerate(broker.settings.classes):
                 shares.add_metric((spec.name,), broker.served(index))
             yield shares
-            yield CounterMetricFamily("heathwell_clients_let_go", "Idle clients closed while cut off or in a left zone",
-                                      value=broker.client_drain.let_go)
+            yield CounterMetricFamily(
+                "heathwell_clients_let_go",
+                "Idle clients closed while cut off or in a left zone",
+                value=broker.client_drain.let_go,
+            )
         if broker.spending is not None:
-            shares = GaugeMetricFamily("heathwell_budget_share", "What may be used of the fleet's budget: units, of a "
-                                       "rate a second", labels=("budget",))
-            uses = CounterMetricFamily("heathwell_budget_uses", "Units asked for, by whether there was room",
-                                       labels=("budget", "room"))
+            shares = GaugeMetricFamily(
+                "heathwell_budget_share",
+                "What may be used of the fleet's budget: units, of a rate a second",
+                labels=("budget",),
+            )
+            uses = CounterMetricFamily(
+                "heathwell_budget_uses",
+                "Units asked for, by whether there was room",
+                labels=("budget", "room"),
+            )
             for name, row in broker.spending.agent.figures().items():
                 shares.add_metric((name,), row["share"])
                 uses.add_metric((name, "yes"), row["used"])
@@ -117,17 +170,26 @@
             yield shares
             yield uses
         if broker.storms is not None:
-            yield GaugeMetricFamily("heathwell_storm_rate", "Work let in a second while not calm (s); 0 while calm",
-                                    value=0.0 if broker.storms.state == "calm" else broker.storms.rate / 1e6)
+            yield GaugeMetricFamily(
+                "heathwell_storm_rate",
+                "Work let in a second while not calm (s); 0 while calm",
+                value=0.0 if broker.storms.state == "calm" else broker.storms.rate / 1e6,
+            )
         if broker.gate is not None:
-            lanes = GaugeMetricFamily("heathwell_front_work_seconds", "Work of a front: out at hosts, waiting",
-                                      labels=("front", "where"))
+            lanes = GaugeMetricFamily(
+                "heathwell_front_work_seconds",
+                "Work of a front: out at hosts, waiting",
+                labels=("front", "where"),
+            )
             for name, lane in broker.gate.fronts.items():
                 lanes.add_metric((name, "out"), lane.out / 1e6)
                 lanes.add_metric((name, "waiting"), lane.waiting / 1e6)
             yield lanes
-            yield GaugeMetricFamily("heathwell_window_seconds", "Work that may be out at once",
-                                    value=broker.gate.window.size / 1e6)
+            yield GaugeMetricFamily(
+                "heathwell_window_seconds",
+                "Work that may be out at once",
+                value=broker.gate.window.size / 1e6,
+            )
         late = sum(link.late for link in broker.links.values())
         yield CounterMetricFamily("heathwell_late_results", "Results after their attempt's end", value=late)
 
@@ -138,7 +200,10 @@
     def __init__(self, broker: Broker, front: MemcachedFront) -> None:
         self.broker, self.figures = broker, Figures(broker, front)
         self.pages: dict[str, Callable[[], Response]] = {
-            "/healthz": self._health, "/metrics": self._metrics, "/state": self._state}
+            "/healthz": self._health,
+            "/metrics": self._metrics,
+            "/state": self._state,
+        }
         if broker.service is not None:
             self.pages["/service"] = self._service
 
@@ -178,13 +243,19 @@
         if self.broker.stopping:
             return Response(503, b"stopping\n")
         share = self.broker.served(names.index(wanted))
-        return Response(200 if share >= MOST else 503,
-                        f"{share:.0%} of {wanted} queries can be answered\n".encode())
+        return Response(
+            200 if share >= MOST else 503, f"{share:.0%} of {wanted} queries can be answered\n".encode()
+        )
 
     def _service(self) -> Response:
         assert self.broker.service is not None
-        return Response(200, msgspec.json.encode({
-            **self.broker.service.page(), "held": self.broker.held, "settings": self.broker.era.version}), JSON)
+        return Response(
+            200,
+            msgspec.json.encode(
+                {**self.broker.service.page(), "held": self.broker.held, "settings": self.broker.era.version}
+            ),
+            JSON,
+        )
 
     def _metrics(self) -> Response:
         return Response(200, generate_latest(self.figures.registry), PROMETHEUS)
@@ -199,20 +270,49 @@
 
     def _state(self) -> Response:
         broker, now = self.broker, self.broker.loop.now()
-        hosts = [{
-            "node": server.node, "cell": server.cell, "zone": server.zone, "live": server.live,
-            "out": len(server.out), "pace": round(server.pace.value, 3),
-            "ejected": {"all" if key < 0 else broker.settings.classes[key].name: {
-                "for_ms": max(0, bar.since + bar.span - now) // 1000, "trial": bar.trial, "dead": bar.dead}
-                for key, bar in server.bars.items()},
-            "last_ok_ms": (now - server.last_ok) // 1000 if server.last_ok >= 0 else None,
-            "connected": (link := broker.links.get(server.node)) is not None and link.up,
-        } for server in broker.module.servers.values()]
-        links = [] if broker.regions is None else [
-            {"region": link.region, "state": link.state, "for_ms": (now - link.since) // 1000 if link.since else None,
-             "why": link.evidence, "crossed": link.crossed, "further_crossed": link.further}
-            for link in broker.regions.links.values()]
-        state = {"name": broker.name, "links": links, "stopping": broker.stopping, "held": broker.held,
-                 "queries": len(broker.queries), "hosts": hosts,
-                 "counts": {"/".join(key): count for key, count in sorted(broker.counts.items())}}
+        hosts = [
+            {
+                "node": server.node,
+                "cell": server.cell,
+                "zone": server.zone,
+                "live": server.live,
+                "out": len(server.out),
+                "pace": round(server.pace.value, 3),
+                "ejected": {
+                    "all" if key < 0 else broker.settings.classes[key].name: {
+                        "for_ms": max(0, bar.since + bar.span - now) // 1000,
+                        "trial": bar.trial,
+                        "dead": bar.dead,
+                    }
+                    for key, bar in server.bars.items()
+                },
+                "last_ok_ms": (now - server.last_ok) // 1000 if server.last_ok >= 0 else None,
+                "connected": (link := broker.links.get(server.node)) is not None and link.up,
+            }
+            for server in broker.module.servers.values()
+        ]
+        links = (
+            []
+            if broker.regions is None
+            else [
+                {
+                    "region": link.region,
+                    "state": link.state,
+                    "for_ms": (now - link.since) // 1000 if link.since else None,
+                    "why": link.evidence,
+                    "crossed": link.crossed,
+                    "further_crossed": link.further,
+                }
+                for link in broker.regions.links.values()
+            ]
+        )
+        state = {
+            "name": broker.name,
+            "links": links,
+            "stopping": broker.stopping,
+            "held": broker.held,
+            "queries": len(broker.queries),
+            "hosts": hosts,
+            "counts": {"/".join(key): count for key, count in sorted(broker.counts.items())},
+        }
         return Response(200, msgspec.json.format(msgspec.json.encode(state)) + b"\n", JSON)
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -62,8 +62,9 @@
         """One connection, from its first byte to its last."""
         self.total += 1
         connection = Connection(self, stream)
-        stays, victim = self.doors.opened(connection.number, stream.peer.rpartition(":")[0],
-                                          lambda number: self.numbers[number].idle)
+        stays, victim = self.doors.opened(
+            connection.number, stream.peer.rpartition(":")[0], lambda number: self.numbers[number].idle
+        )
         if not stays:
             stream.write(mc.server_error("heathwell too many connections"))
             return
@@ -84,7 +85,9 @@
             connection.gone()
 
     def _let_go(self) -> None:
-        """Idle clients of a broker that is cut off, or whose zone is left, are closed as the decider draws them."""
+        """Idle clients of a broker that is cut off, or whose zone is left, are closed as the decider draws
+        them.
+        """
         broker, now = self.broker, self.broker.loop.now()
         if broker.dead:
             return
@@ -93,13 +96,14 @@
         if not broker.client_drain.cut:
             return
         known = {connection.number: connection for connection in self.connections}
-        for number in broker.client_drain.due(now, (
-                (c.number, c.since) for c in self.connections if c.idle)):
+        for number in broker.client_drain.due(now, ((c.number, c.since) for c in self.connections if c.idle)):
             self.log("debug", "client let go", client=known[number].stream.peer)
             known[number].stream.close()
 
     def hand_over(self) -> int:
-        """Close the connections on which nothing is asked: another process takes what comes next. How many are left."""
+        """Close the connections on which nothing is asked: another process takes what comes next. How many
+        are left.
+        """
         for connection in list(self.connections):
             if connection.idle:
                 connection.stream.close()
@@ -109,12 +113,19 @@
         """Figures for the ``stats`` command."""
         broker = self.broker
         return {
-            "pid": 0, "uptime": (broker.loop.now() - self.started) // 1_000_000, "version": __version__,
-            "curr_connections": len(self.connections), "total_connections": self.total, "cmd_get": self.gets,
+            "pid": 0,
+            "uptime": (broker.loop.now() - self.started) // 1_000_000,
+            "version": __version__,
+            "curr_connections": len(self.connections),
+            "total_connections": self.total,
+            "cmd_get": self.gets,
             "queries_held": sum(q.on_reply is not None for q in broker.queries.values()),
-            "hosts_known": len(broker.module.servers), "bad_commands": self.bad,
-            "clients_cut_slow": self.cut_slow, "clients_refused": self.doors.refused,
-            "clients_closed_for_others": self.doors.closed_for, "writes_refused": self.refused_writes,
+            "hosts_known": len(broker.module.servers),
+            "bad_commands": self.bad,
+            "clients_cut_slow": self.cut_slow,
+            "clients_refused": self.doors.refused,
+            "clients_closed_for_others": self.doors.closed_for,
+            "writes_refused": self.refused_writes,
             "stopping": int(broker.stopping),
         }
 
@@ -230,13 +241,16 @@
         slot.replies = [None] * len(keys)
         slot.left = len(keys)
         for index, key in enumerate(keys):
+
             def done(reply: Reply, index: int = index) -> None:
                 slot.replies[index] = reply
                 slot.left -= 1
                 if not slot.left:
                     self._finish(slot)
-            slot.handles.append(broker.ask(key.decode("utf-8", "replace"), done, request,
-                                           self.stream.peer.rpartition(":")[0]))
+
+            slot.handles.append(
+                broker.ask(key.decode("utf-8", "replace"), done, request, self.stream.peer.rpartition(":")[0])
+            )
 
     def _finish(self, slot: Slot) -> None:
         command, replies = slot.command, [reply for reply in slot.replies if reply is not None]
@@ -264,21 +278,31 @@
 def body(reply: Reply) -> bytes:
     """A value: the coverage first, so that even a cut-off reader meets it before the data."""
     cover = reply.coverage
-    return _json.encode({
-        "whole": reply.whole,
-        "coverage": {"parts": [cover.got, cover.asked], "weight": cover.weight, "need": cover.need,
-                     "floor": cover.floor, "missing": list(cover.missing),
-                     "items": [cover.items_got, cover.items_asked],
-                     **({"set": b64encode(encode(cover.cover)).decode()} if reply.age is not None else {})},
-        **(age_words(reply.age) if reply.age is not None else {}),
-        **reply.body,
-    })
+    return _json.encode(
+        {
+            "whole": reply.whole,
+            "coverage": {
+                "parts": [cover.got, cover.asked],
+                "weight": cover.weight,
+                "need": cover.need,
+                "floor": cover.floor,
+                "missing": list(cover.missing),
+                "items": [cover.items_got, cover.items_asked],
+                **({"set": b64encode(encode(cover.cover)).decode()} if reply.age is not None else {}),
+            },
+            **(age_words(reply.age) if reply.age is not None else {}),
+            **reply.body,
+        }
+    )
 
 
 def age_words(age: Age) -> dict[str, object]:
     """What is said of an answer's age: the greatest it can have (null: unknown), rounded up."""
-    words: dict[str, object] = {"age_ms": None if age.bound_us is None else -(-age.bound_us // 1000),
-                                "stale": age.stale, "token": age.token}
+    words: dict[str, object] = {
+        "age_ms": None if age.bound_us is None else -(-age.bound_us // 1000),
+        "stale": age.stale,
+        "token": age.token,
+    }
     if not age.consistent:
         words["consistent"] = False
     if age.behind:
@@ -300,7 +324,9 @@
 
 
 def classic(command: mc.Get, replies: list[Reply], by_error: bool = False) -> Iterator[bytes]:
-    """The reply of a classic get: the values, then ``END`` (or the error that names what could not be had)."""
+    """The reply of a classic get: the values, then ``END`` (or the error that names what could not
+    be had).
+    """
     lost: dict[str, list[int]] = {}
     after = 0
     for index, (key, reply) in enumerate(zip(command.keys, replies, strict=True), 1):
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -1,7 +1,9 @@
-"""The vector front: searches over HTTP by Qdrant's REST form, through the same broker path as any other query.
+"""The vector front: searches over HTTP by Qdrant's REST form, through the same broker path as any other
+query.
 
-A batch is cut by cost into queries of their own, each of which shares its parts' products; it is answered when all are
-in, and refused as a whole with the first one that is refused, as the API has no word for half a batch.
+A batch is cut by cost into queries of their own, each of which shares its parts' products; it is answered
+when all are in, and refused as a whole with the first one that is refused, as the API has no word for half a
+batch.
 """
 
 from __future__ import annotations
@@ -47,8 +49,10 @@
         self.total = 0
         self.collections = {spec.name: spec for spec in broker.market.collections}
         classes = {spec.name: index for index, spec in enumerate(broker.market.classes)}
-        self.classes = {spec.name: (classes[spec.klass], classes[spec.batch_class or spec.klass])
-                        for spec in broker.market.collections}
+        self.classes = {
+            spec.name: (classes[spec.klass], classes[spec.batch_class or spec.klass])
+            for spec in broker.market.collections
+        }
         self.requests = self.errors = self.slow = self.left = self.searches = 0
         if broker.client_drain.over:
             broker.loop.call_at(broker.loop.now() + DRAIN_LOOK_US, self._let_go)
@@ -65,12 +69,23 @@
         """One connection, from its first byte to its last."""
         self.total += 1
         connection = Connection(self, stream, self.total)
-        stays, victim = self.doors.opened(connection.number, stream.peer.rpartition(":")[0],
-                                          lambda number: self.numbers[number].idle)
+        stays, victim = self.doors.opened(
+            connection.number, stream.peer.rpartition(":")[0], lambda number: self.numbers[number].idle
+        )
         if not stays:
             connection.side.closing = True
-            stream.write(connection.side.respond(api.failed(api.ApiError(
-                503, "Service unavailable: too many connections", self.broker.settings.max_advice_us), 0)))
+            stream.write(
+                connection.side.respond(
+                    api.failed(
+                        api.ApiError(
+                            503,
+                            "Service unavailable: too many connections",
+                            self.broker.settings.max_advice_us,
+                        ),
+                        0,
+                    )
+                )
+            )
             return
         if victim is not None:
             self.numbers[victim].stream.close()
@@ -188,7 +203,9 @@
         return True
 
     def _watch(self) -> None:
-        """One timer: a request that takes too long to come, or a client that asks for nothing, ends the connection."""
+        """One timer: a request that takes too long to come, or a client that asks for nothing, ends the
+        connection.
+        """
         if self.stream.closed:
             return
         now = self.loop.now()
@@ -198,8 +215,13 @@
             if midway:
                 self.front.slow += 1
                 self.side.closing = True
-                self.stream.write(self.side.respond(api.failed(
-                    api.ApiError(408, f"the request was not whole within {most / 1e6:g} s"), most)))
+                self.stream.write(
+                    self.side.respond(
+                        api.failed(
+                            api.ApiError(408, f"the request was not whole within {most / 1e6:g} s"), most
+                        )
+                    )
+                )
             self.stream.close()
             return
         self.loop.call_at(now + min(self.limits.slow, self.limits.idle) // 2, self._watch)
@@ -233,14 +255,27 @@
             if request.method != "POST":
                 raise api.ApiError(405, f"{request.method} is not served on {path}")
             return (yield from self._searched(request, unquote(found[1]), found[2], bool(found[3]), began))
-        if path in ("", "/healthz", "/livez", "/readyz", "/collections") and request.method in ("GET", "HEAD"):
+        if path in ("", "/healthz", "/livez", "/readyz", "/collections") and request.method in (
+            "GET",
+            "HEAD",
+        ):
             if path == "":
-                return Response(200, msgspec.json.encode(
-                    {"title": "heathwell - vector search over shards", "version": API_VERSION,
-                     "commit": __version__}), api.JSON)
+                return Response(
+                    200,
+                    msgspec.json.encode(
+                        {
+                            "title": "heathwell - vector search over shards",
+                            "version": API_VERSION,
+                            "commit": __version__,
+                        }
+                    ),
+                    api.JSON,
+                )
             if path == "/collections":
-                return api.answered({"collections": [{"name": name} for name in self.front.collections]},
-                                    self.loop.now() - began)
+                return api.answered(
+                    {"collections": [{"name": name} for name in self.front.collections]},
+                    self.loop.now() - began,
+                )
             if path == "/readyz" and (broker.stopping or broker.cut_off):
                 return Response(503, b"stopping\n" if broker.stopping else b"cut off from most shards\n")
             return Response(200, b"ok\n")
@@ -253,7 +288,9 @@
             shards = self.front.shards(spec)
             sizes = broker.points_seen.get(name, {})
             seen = sum(sizes.values()) if len(sizes) == len(shards) else None
-            return api.answered(api.info(spec, len(shards), broker.market.fleet.width, seen), self.loop.now() - began)
+            return api.answered(
+                api.info(spec, len(shards), broker.market.fleet.width, seen), self.loop.now() - began
+            )
         if request.method in ("PUT", "DELETE", "PATCH", "POST") and path.startswith("/collections"):
             raise api.ApiError(403, f"Forbidden: {READ_ONLY}")
         raise api.ApiError(404, f"Not found: {request.method} {request.path}")
@@ -281,9 +318,12 @@
         results = list(api.each(rows, spec.distance, form))
         return api.answered(results if batch else results[0], self.loop.now() - began, api.honesty(replies))
 
-    def _ask(self, spec: Collection, searches: Sequence[api.Search], request: Request, timeout: int,
-             batch: bool) -> Coro[tuple[list[Reply], list[Merged]]]:
-        """Ask the broker for all searches, cut by cost; raises :class:`~heathwell.fronts.vector_api.ApiError`."""
+    def _ask(
+        self, spec: Collection, searches: Sequence[api.Search], request: Request, timeout: int, batch: bool
+    ) -> Coro[tuple[list[Reply], list[Merged]]]:
+        """Ask the broker for all searches, cut by cost; raises
+        :class:`~heathwell.fronts.vector_api.ApiError`.
+        """
         broker = self.front.broker
         model = broker.costs.model(f"vector:{spec.name}", float(spec.work), 4)
         costs = [model.predict(_figures([one])) for one in searches]
@@ -300,16 +340,23 @@
                 if reply.kind != ANSWERED:
                     lost.append(reply)
                 self._done.set()
+
             return note
+
         begun = 0
         # With the first chunk that is lost all are: the rest need not be asked.
         while not self._ended and not lost and len(replies) < len(chunks):
-            # Slow start: how fast hosts answer is known from answers alone; a burst on few of them looks like a jam.
+            # Slow start: how fast hosts answer is known from answers alone; a burst on few of them looks like
+            # a jam.
             room = min(self.limits.chunks_at_once, 1 + len(replies) // SLOW_START)
             if begun < len(chunks) and begun - len(replies) < room:
                 plan = self._plan(spec, [searches[n] for n in chunks[begun]], timeout, batch)
-                handle = broker.begin(plan, done(begun), name if len(chunks) == 1 else f"{name}/{begun}",
-                                      self.stream.peer.rpartition(":")[0])
+                handle = broker.begin(
+                    plan,
+                    done(begun),
+                    name if len(chunks) == 1 else f"{name}/{begun}",
+                    self.stream.peer.rpartition(":")[0],
+                )
                 begun += 1
                 if handle is not None:
                     self._handles.append(handle)
@@ -325,8 +372,12 @@
             raise StreamBroken("the client left")
         if wrong is not None:
             if wrong.kind == REFUSED:
-                raise api.ApiError(503, f"Service unavailable: refused ({wrong.why or 'overloaded'}); come back in "
-                                        f"{-(-wrong.after_us // 1000)} ms", max(wrong.after_us, 1))
+                raise api.ApiError(
+                    503,
+                    f"Service unavailable: refused ({wrong.why or 'overloaded'}); come back in "
+                    f"{-(-wrong.after_us // 1000)} ms",
+                    max(wrong.after_us, 1),
+                )
             raise api.ApiError(500, f"Service internal error: {wrong.why or 'no answer could be had'}")
         whole = [replies[index] for index in range(len(chunks))]
         rows: list[Merged] = [merged for reply in whole for merged in reply.body["searches"]]
@@ -338,17 +389,34 @@
         name = f"vector:{spec.name}"
         model = self.front.broker.costs.model(name, float(spec.work), len(figures))
         klass = self.front.classes[spec.name][batch]
-        top = TopK([one.limit for one in searches], [one.offset for one in searches],
-                   [one.want.threshold for one in searches])
+        top = TopK(
+            [one.limit for one in searches],
+            [one.offset for one in searches],
+            [one.want.threshold for one in searches],
+        )
         body = api.ask_of(spec.name, searches)
         return Plan(
-            klass, "vectors", zlib.crc32(searches[0].vector), name,
+            klass,
+            "vectors",
+            zlib.crc32(searches[0].vector),
+            name,
             tuple(PartPlan(shard, 1 / len(shards), OP, spec.name) for shard in shards),
-            search=SearchPlan(name, body, top, figures, int(model.predict(figures)), timeout,
-                              self.front.broker.settings.classes[klass].limit_us // 2
-                              if batch else 0), front="vector")
+            search=SearchPlan(
+                name,
+                body,
+                top,
+                figures,
+                int(model.predict(figures)),
+                timeout,
+                self.front.broker.settings.classes[klass].limit_us // 2 if batch else 0,
+            ),
+            front="vector",
+        )
 
 
 def _figures(searches: Sequence[api.Search]) -> tuple[float, ...]:
-    return search_figures(len(searches), sum(one.want.limit for one in searches),
-                          sum(one.want.filter is not None for one in searches))
+    return search_figures(
+        len(searches),
+        sum(one.want.limit for one in searches),
+        sum(one.want.filter is not None for one in searches),
+    )
--- a/heathwell/fronts/vector_api.py
+++ b/heathwell/fronts/vector_api.py
@@ -1,7 +1,8 @@
 """The vector front's protocol: Qdrant's REST form of searches, read and written. Pure.
 
-Served: ``points/query`` and ``points/search`` with their batch forms, of plain dense vectors. What a request names that
-is not served is an error that says so; nothing is skipped in silence. Errors have the API's own shape.
+Served: ``points/query`` and ``points/search`` with their batch forms, of plain dense vectors. What a request
+names that is not served is an error that says so; nothing is skipped in silence. Errors have the API's own
+shape.
 """
 
 from __future__ import annotations
@@ -99,7 +100,9 @@
 
 _batches = msgspec.json.Decoder(Batch)
 _bodies: dict[str, msgspec.json.Decoder[Any]] = {
-    "query": msgspec.json.Decoder(QueryBody), "search": msgspec.json.Decoder(SearchBody)}
+    "query": msgspec.json.Decoder(QueryBody),
+    "search": msgspec.json.Decoder(SearchBody),
+}
 _encoder = msgspec.json.Encoder()
 
 
@@ -114,7 +117,9 @@
     return searches.searches
 
 
-def read_search(form: str, body: bytes | msgspec.Raw, spec: Collection, limits: Vector, path: str = "") -> Search:
+def read_search(
+    form: str, body: bytes | msgspec.Raw, spec: Collection, limits: Vector, path: str = ""
+) -> Search:
     """One search of the form ``query`` or ``search``; raises :class:`ApiError` naming the field."""
     try:
         made = _bodies[form].decode(body)
@@ -124,19 +129,26 @@
         if getattr(made, name, None) is not None:
             raise ApiError(400, f"{path}{name}: not served here")
     if getattr(made, "using", None):
-        raise ApiError(400, f"{path}using: there is no vector named '{made.using}'; the collection has one, unnamed")
+        raise ApiError(
+            400, f"{path}using: there is no vector named '{made.using}'; the collection has one, unnamed"
+        )
     name, raw = ("query", made.query) if form == "query" else ("vector", made.vector)
     if isinstance(raw, dict) and form == "query":
         if set(raw) != {"nearest"}:
-            raise ApiError(400, f"{path}query: of {', '.join(sorted(raw)) or 'nothing'} only 'nearest' alone is served")
+            raise ApiError(
+                400, f"{path}query: of {', '.join(sorted(raw)) or 'nothing'} only 'nearest' alone is served"
+            )
         name, raw = "query.nearest", raw["nearest"]
     vector = _vector(raw, spec, path + name)
     limit = LIMIT_USUAL if made.limit is None else made.limit
     offset = made.offset or 0
     for field, value, least in (("limit", limit, 1), ("offset", offset, 0)):
         if value < least:
-            raise ApiError(422, f"Validation error in JSON body: [{path}{field}: value {value} invalid, must be "
-                                f"{least} or larger]")
+            raise ApiError(
+                422,
+                f"Validation error in JSON body: [{path}{field}: value {value} invalid, must be "
+                f"{least} or larger]",
+            )
     if offset + limit > limits.rows:
         raise ApiError(400, f"{path}limit: {offset + limit} rows with the offset, {limits.rows} are served")
     if made.filter is not None:
@@ -149,17 +161,34 @@
     if threshold is not None and spec.distance == "euclid":
         threshold = -threshold
     include, without = _payload(made.with_payload, path)
-    return Search(vector, Want(offset + limit, made.filter or None, threshold, bool(params.exact), params.hnsw_ef or 0,
-                               include, without, _vectors(made.with_vector, path)), limit, offset)
+    return Search(
+        vector,
+        Want(
+            offset + limit,
+            made.filter or None,
+            threshold,
+            bool(params.exact),
+            params.hnsw_ef or 0,
+            include,
+            without,
+            _vectors(made.with_vector, path),
+        ),
+        limit,
+        offset,
+    )
 
 
 def _vector(raw: Any, spec: Collection, path: str) -> bytes:
     if not isinstance(raw, list):
-        raise ApiError(400, f"Format error in JSON body: {path}: a list of {spec.size} numbers expected; points by id, "
-                            "sparse and named vectors are not served")
+        raise ApiError(
+            400,
+            f"Format error in JSON body: {path}: a list of {spec.size} numbers expected; points by id, "
+            "sparse and named vectors are not served",
+        )
     if len(raw) != spec.size:
-        raise ApiError(400, f"Wrong input: Vector dimension error: expected dim: {spec.size}, got {len(raw)} "
-                            f"(at {path})")
+        raise ApiError(
+            400, f"Wrong input: Vector dimension error: expected dim: {spec.size}, got {len(raw)} (at {path})"
+        )
     for at, number in enumerate(raw):
         if not isinstance(number, int | float) or isinstance(number, bool) or not abs(number) <= FLOAT_MOST:
             raise ApiError(400, f"Format error in JSON body: {path}[{at}]: a finite number expected")
@@ -196,7 +225,9 @@
 
 def ask_of(collection: str, searches: Sequence[Search]) -> bytes:
     """The body of a part that carries these searches."""
-    return encode(SearchAsk(collection, b"".join(one.vector for one in searches), [one.want for one in searches]))
+    return encode(
+        SearchAsk(collection, b"".join(one.vector for one in searches), [one.want for one in searches])
+    )
 
 
 def timeout_of(request: Request) -> int:
@@ -227,15 +258,22 @@
 
 
 def honesty(replies: Sequence[Reply]) -> dict[str, Any]:
-    """What is said of an answer's coverage, the least of its replies; the fields are in docs/clients-vector.md."""
+    """What is said of an answer's coverage, the least of its replies; the fields are in
+    docs/clients-vector.md.
+    """
     covers = [reply.coverage for reply in replies]
     least = min(covers, key=lambda cover: cover.weight)
     recalls = [merged.recall for reply in replies for merged in reply.body["searches"]]
     words: dict[str, Any] = {
         "whole": all(reply.whole for reply in replies),
-        "parts": [least.got, least.asked], "moot": least.moot, "weight": least.weight, "need": least.need,
-        "floor": least.floor, "missing": sorted({shard for cover in covers for shard in cover.missing}),
-        "recall": round(min(recalls, default=0.0), 4)}
+        "parts": [least.got, least.asked],
+        "moot": least.moot,
+        "weight": least.weight,
+        "need": least.need,
+        "floor": least.floor,
+        "missing": sorted({shard for cover in covers for shard in cover.missing}),
+        "recall": round(min(recalls, default=0.0), 4),
+    }
     ages = [reply.age for reply in replies if reply.age is not None]
     if ages:
         oldest = max(ages, key=lambda age: math.inf if age.bound_us is None else age.bound_us)
@@ -245,8 +283,10 @@
 
 def header_of(words: dict[str, Any]) -> str:
     """The same as a header, for those who read no body."""
-    return (f"whole={'yes' if words['whole'] else 'no'}; parts={words['parts'][0]}/{words['parts'][1]}; "
-            f"moot={words['moot']}; weight={words['weight']:g}; recall={words['recall']:g}")
+    return (
+        f"whole={'yes' if words['whole'] else 'no'}; parts={words['parts'][0]}/{words['parts'][1]}; "
+        f"moot={words['moot']}; weight={words['weight']:g}; recall={words['recall']:g}"
+    )
 
 
 def answered(result: Any, took_us: int, words: dict[str, Any] | None = None) -> Response:
@@ -254,32 +294,54 @@
     body: dict[str, Any] = {"result": result, "status": "ok", "time": took_us / 1e6}
     if words is None:
         return Response(200, _encoder.encode(body), JSON)
-    return Response(200, _encoder.encode({**body, "heathwell": words}), JSON, (
-        ("x-heathwell-coverage", header_of(words)),))
+    return Response(
+        200,
+        _encoder.encode({**body, "heathwell": words}),
+        JSON,
+        (("x-heathwell-coverage", header_of(words)),),
+    )
 
 
 def failed(problem: ApiError, took_us: int) -> Response:
     """An error in the API's shape; a refusal says when to come back, in whole seconds and in milliseconds."""
     headers: tuple[tuple[str, str], ...] = ()
     if problem.after_us:
-        headers = (("retry-after", str(max(1, -(-problem.after_us // 1_000_000)))),
-                   ("x-heathwell-retry-after-ms", str(-(-problem.after_us // 1000))))
-    return Response(problem.status, _encoder.encode(
-        {"status": {"error": problem.text}, "time": took_us / 1e6}), JSON, headers)
+        headers = (
+            ("retry-after", str(max(1, -(-problem.after_us // 1_000_000)))),
+            ("x-heathwell-retry-after-ms", str(-(-problem.after_us // 1000))),
+        )
+    return Response(
+        problem.status,
+        _encoder.encode({"status": {"error": problem.text}, "time": took_us / 1e6}),
+        JSON,
+        headers,
+    )
 
 
 def info(spec: Collection, shards: int, width: int, points_seen: int | None) -> dict[str, Any]:
     """A collection as ``GET /collections/NAME`` tells it."""
     return {
-        "status": "green", "optimizer_status": "ok", "points_count": points_seen, "segments_count": shards,
+        "status": "green",
+        "optimizer_status": "ok",
+        "points_count": points_seen,
+        "segments_count": shards,
         "indexed_vectors_count": points_seen if spec.index == "hnsw" else 0,
         "config": {
-            "params": {"vectors": {"size": spec.size, "distance": spec.distance.capitalize()},
-                       "shard_number": shards, "replication_factor": width, "write_consistency_factor": 1,
-                       "on_disk_payload": False},
+            "params": {
+                "vectors": {"size": spec.size, "distance": spec.distance.capitalize()},
+                "shard_number": shards,
+                "replication_factor": width,
+                "write_consistency_factor": 1,
+                "on_disk_payload": False,
+            },
             "hnsw_config": {"m": 16, "ef_construct": 100, "full_scan_threshold": 10_000},
-            "optimizer_config": {"deleted_threshold": 0.2, "vacuum_min_vector_number": 1000,
-                                 "default_segment_number": 0, "flush_interval_sec": 5}},
+            "optimizer_config": {
+                "deleted_threshold": 0.2,
+                "vacuum_min_vector_number": 1000,
+                "default_segment_number": 0,
+                "flush_interval_sec": 5,
+            },
+        },
         "payload_schema": {},
     }
 
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -34,7 +34,9 @@
 
 @dataclass(slots=True)
 class PlatformQuery(QueryState[PlatformPart]):
-    """A query as its client asked for it; ``answered`` and ``whole`` are the first step's, once it has ended."""
+    """A query as its client asked for it; ``answered`` and ``whole`` are the first step's, once it
+    has ended.
+    """
 
     wanted: Wanted = Wanted("", 0, 0, "", False, b"", ())
     answered: tuple[int, ...] = ()
@@ -42,12 +44,22 @@
 
 
 class PlatformBroker(Driver[PlatformQuery]):
-    """One broker on the platform. ``unix_us`` tells Unix time; it is read once, starts of nodes are counted from it."""
+    """One broker on the platform. ``unix_us`` tells Unix time; it is read once, starts of nodes are counted
+    from it.
+    """
 
     links: dict[str, NodeLink]  # type: ignore[assignment]
 
-    def __init__(self, loop: Loop, net: Net, config: Config, *, log: Callable[..., None],
-                 events: EventLog | None = None, unix_us: Callable[[], int] = lambda: time.time_ns() // 1000) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        config: Config,
+        *,
+        log: Callable[..., None],
+        events: EventLog | None = None,
+        unix_us: Callable[[], int] = lambda: time.time_ns() // 1000,
+    ) -> None:
         super().__init__(loop, config.settings, config.seed, name=config.name, events=events, log=log)
         self.net, self.config = net, config
         self.room = Room(config.node_sockets)
@@ -56,13 +68,22 @@
         self._boots: dict[str, float] = {}
         self._unix_offset = unix_us() - loop.now()
         self._note(config.known)
-        self.watch = Discovery(loop, net, config.discovery, self.told, log, hold_us=config.hold_us, seed=config.seed,
-                               pushed=not config.settings.ask_mode,
-                               grace_us=config.settings.drain_grace_us,
-                               rev=config.known.rev if config.known.all and config.known.targets else None)
+        self.watch = Discovery(
+            loop,
+            net,
+            config.discovery,
+            self.told,
+            log,
+            hold_us=config.hold_us,
+            seed=config.seed,
+            pushed=not config.settings.ask_mode,
+            grace_us=config.settings.drain_grace_us,
+            rev=config.known.rev if config.known.all and config.known.targets else None,
+        )
         known = self._news(config.known, asked=False)
-        # Where lists are pushed, what the agent has counts as told from a process's first moment, and what was known
-        # may be older: nothing is sent by it before the agent has been heard, or can't be. Queries wait for that.
+        # Where lists are pushed, what the agent has counts as told from a process's first moment, and what
+        # was known may be older: nothing is sent by it before the agent has been heard, or can't be. Queries
+        # wait for that.
         self._unheard = None if config.settings.ask_mode else known
         self.begin_service(self.watch, known.servers if self.ready else ())
 
@@ -72,7 +93,8 @@
         return self._unheard is None
 
     def begin(self, wanted: Wanted, on_reply: OnReply, arrived_us: int) -> Handle | None:
-        """Take a checked request that arrived then; its one reply comes by ``on_reply``, never before this returns.
+        """Take a checked request that arrived then; its one reply comes by ``on_reply``, never before this
+        returns.
 
         What can't be held is refused at the door and never reaches the module; None is returned then.
         """
@@ -84,14 +106,29 @@
             return None
         self.jobs += 1
         deadline = max(arrived_us + wanted.wait_us - MARGIN_US, arrived_us + self.settings.tick_us)
-        query = PlatformQuery(wanted.id, self.jobs, wanted.klass, arrived_us, deadline, on_reply, wanted=wanted)
-        self.events("take", q=query.id, req=query.id, key="", klass=spec.name, parts=len(wanted.parts),
-                    deadline=deadline - arrived_us, shards=[part.shard for part in wanted.parts])
+        query = PlatformQuery(
+            wanted.id, self.jobs, wanted.klass, arrived_us, deadline, on_reply, wanted=wanted
+        )
+        self.events(
+            "take",
+            q=query.id,
+            req=query.id,
+            key="",
+            klass=spec.name,
+            parts=len(wanted.parts),
+            deadline=deadline - arrived_us,
+            shards=[part.shard for part in wanted.parts],
+        )
         handle = self.admit(query)
         hints = [part.hint_us for part in wanted.parts if part.hint_us is not None]
-        self.enter(query, ((PlatformPart(f"{query.id}.{part.shard}", part, 1), part.hint_us)
-                           for part in wanted.parts), len(wanted.parts), sum(hints) if hints else None, wanted.retry,
-                   wanted.tenant)
+        self.enter(
+            query,
+            ((PlatformPart(f"{query.id}.{part.shard}", part, 1), part.hint_us) for part in wanted.parts),
+            len(wanted.parts),
+            sum(hints) if hints else None,
+            wanted.retry,
+            wanted.tenant,
+        )
         return handle
 
     def told(self, targets: Targets | None) -> None:
@@ -104,7 +141,8 @@
             return
         other = self._note(targets)
         self.news(self._news(targets))
-        # What waits for a connection is taken back after the news, so that it is placed anew by the list of now.
+        # What waits for a connection is taken back after the news, so that it is placed anew by the list of
+        # now.
         other |= {target.uid for target in targets.targets if state_of(target) != hw.LIVE}
         for node, link in list(self.links.items()):
             if node not in self.addresses:
@@ -121,9 +159,14 @@
         return news_of(targets, self.config.zones, self.settings.cells, self._unix_offset, asked)
 
     def _note(self, targets: Targets) -> set[str]:
-        """Where each listed node is met, and since when it runs; those that are another process now, which is cold."""
-        restarted = {target.uid for target in targets.targets
-                     if self._boots.get(target.uid, target.boot_ms) != target.boot_ms}
+        """Where each listed node is met, and since when it runs; those that are another process now, which is
+        cold.
+        """
+        restarted = {
+            target.uid
+            for target in targets.targets
+            if self._boots.get(target.uid, target.boot_ms) != target.boot_ms
+        }
         if targets.all:
             self.addresses, self._boots = {}, {}
         for target in targets.targets:
@@ -138,16 +181,34 @@
 
     def new_link(self, node: str) -> NodeLink:
         """The link to a node where it is listed now."""
-        return NodeLink(self.loop, self.net, node, self.addresses.get(node, ""), self, self.config.connections,
-                        self.room, self.log)
+        return NodeLink(
+            self.loop,
+            self.net,
+            node,
+            self.addresses.get(node, ""),
+            self,
+            self.config.connections,
+            self.room,
+            self.log,
+        )
 
     def ask_for(self, query: PlatformQuery, part: PlatformPart, seq: int, left_us: int) -> NodeAsk:
         """A part's line and text."""
         second = part.step == 2
-        return NodeAsk(part.id, seq, partial(
-            nf.part_call, part.id, part.plan.shard, text=query.wanted.text, key=query.wanted.key,
-            answered=query.answered if second else (), whole=query.whole if second else None),
-            self.loop.now() + left_us)
+        return NodeAsk(
+            part.id,
+            seq,
+            partial(
+                nf.part_call,
+                part.id,
+                part.plan.shard,
+                text=query.wanted.text,
+                key=query.wanted.key,
+                answered=query.answered if second else (),
+                whole=query.whole if second else None,
+            ),
+            self.loop.now() + left_us,
+        )
 
     def kept(self, query: PlatformQuery, part: PlatformPart, key: Key, result: Any) -> None:
         """Its score chooses among the shards of a second step."""
@@ -157,19 +218,30 @@
         """Parts at the shards of the highest scores among those in."""
         answered = [part for part in query.parts.values() if part.data is not None]
         query.answered, query.whole = tuple(sorted(part.plan.shard for part in answered)), whole
-        best = sorted(answered, key=lambda part: -part.score)[:self._spec(query).fetch]
+        best = sorted(answered, key=lambda part: -part.score)[: self._spec(query).fetch]
         for part in best:
             yield (PlatformPart(part.id + SECOND, WantedPart(part.plan.shard, 1 / len(best), None), 2), None)
 
     def merged(self, query: PlatformQuery, whole: bool) -> Reply:
         """The values of the last step's parts that are in, as nodes gave them."""
-        rows = [{"id": part.plan.shard, "data": part.data.decode("ascii")} for part in query.parts.values()
-                if part.step == query.step and part.data is not None]
+        rows = [
+            {"id": part.plan.shard, "data": part.data.decode("ascii")}
+            for part in query.parts.values()
+            if part.step == query.step and part.data is not None
+        ]
         return Reply(ANSWERED, query.id, self._spec(query).name, whole, body={"exact": whole, "rows": rows})
 
     def final(self, query: PlatformQuery, reply: Reply, took_us: int) -> None:
         """The event log hears of it."""
         if self.events.on:  # the lists are a cost that only a log pays for
             used = {part.id: part.seq for part in query.parts.values() if part.data is not None}
-            self.events("final", q=query.id, kind=reply.kind, whole=reply.whole, after=reply.after_us, took=took_us,
-                        parts=list(used), used=used)
+            self.events(
+                "final",
+                q=query.id,
+                kind=reply.kind,
+                whole=reply.whole,
+                after=reply.after_us,
+                took=took_us,
+                parts=list(used),
+                used=used,
+            )
