--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -47,7 +47,9 @@
 
     @property
     def hold_us(self) -> int:
-        """How long a watch of discovery waits: no call is due sooner, and discovery serves all brokers in turn."""
+        """How long a watch of discovery waits: no call is due sooner, and discovery serves all brokers in
+        turn.
+        """
         return self.settings.must_ask_us or HOLD_US
 
     @property
@@ -126,21 +128,31 @@
         raise ConfigError(f"known: {problem}") from None
     within = "settings.ceilings"
     return Config(
-        name=_word(table, "name"), listen=_address(table, "listen"), discovery=_address(table, "discovery"),
-        seed=number, sockets=_whole(limits, "sockets", "limits", SOCKETS_LEAST), settings=settings,
-        # Where none is stated: a part a connection, no end of idle ones, no wait beyond what any client waits.
-        connections=Connections(_whole(ceilings, "streams-per-conn", within, 0) or 1,
-                                _whole(ceilings, "conn-idle-us", within, 0) or NEVER_US,
-                                _whole(ceilings, "connect-timeout-us", within, 0)
-                                or min(spec.limit_us for spec in settings.classes)),
-        zones=tuple(zones), known=known)
+        name=_word(table, "name"),
+        listen=_address(table, "listen"),
+        discovery=_address(table, "discovery"),
+        seed=number,
+        sockets=_whole(limits, "sockets", "limits", SOCKETS_LEAST),
+        settings=settings,
+        # Where none is stated: a part a connection, no end of idle ones, no wait beyond what any client
+        # waits.
+        connections=Connections(
+            _whole(ceilings, "streams-per-conn", within, 0) or 1,
+            _whole(ceilings, "conn-idle-us", within, 0) or NEVER_US,
+            _whole(ceilings, "connect-timeout-us", within, 0)
+            or min(spec.limit_us for spec in settings.classes),
+        ),
+        zones=tuple(zones),
+        known=known,
+    )
 
 
 def load(environment: Mapping[str, str]) -> Config:
-    """The configuration that the environment names; raises :class:`ConfigError`, of a file that can't be read too.
+    """The configuration that the environment names; raises :class:`ConfigError`, of a file that can't be read
+    too.
 
-    Name and address must agree with the file, as two that tell apart leave open which one is meant. Discovery may have
-    moved since the variable was set: it must be an address, and the file's is used.
+    Name and address must agree with the file, as two that tell apart leave open which one is meant. Discovery
+    may have moved since the variable was set: it must be an address, and the file's is used.
     """
     path = environment.get("GW_CONFIG")
     if not path:
--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -1,11 +1,12 @@
 """The platform's discovery over HTTP: a watch that goes on, call after call, from the version that is held.
 
-The module says when to ask; from then on each answer is told to it, until a call fails. That is told too, and the
-module decides when to ask again. The only time-outs are a call's own, so that a silent connection is noticed.
+The module says when to ask; from then on each answer is told to it, until a call fails. That is told too, and
+the module decides when to ask again. The only time-outs are a call's own, so that a silent connection is
+noticed.
 
-Discovery serves all brokers in turn, and a line costs it work. So a call asks for what has changed since the version
-held, which the configuration gives at the start, also after one that failed; the whole list is asked for where no
-version is held, or where discovery has moved.
+Discovery serves all brokers in turn, and a line costs it work. So a call asks for what has changed since the
+version held, which the configuration gives at the start, also after one that failed; the whole list is asked
+for where no version is held, or where discovery has moved.
 """
 
 from __future__ import annotations
@@ -19,19 +20,28 @@
 
 HOLD_MOST_US = 60_000_000  # of a watch, by the protocol page
 CALL_US = 1_500_000  # for a call that does not wait
-LATE_US = 1_000_000  # for one that waits, beyond that: half of the 2 s after which what it misses counts as told
+LATE_US = (
+    1_000_000  # for one that waits, beyond that: half of the 2 s after which what it misses counts as told
+)
 CONNECT_US = 500_000
-TOLD_US, TOLD_LATE_US = 6_000_000, 2_000_000  # the page's: from the silence, or the end of a wait if that is later
+TOLD_US, TOLD_LATE_US = (
+    6_000_000,
+    2_000_000,
+)  # the page's: from the silence, or the end of a wait if that is later
 MOVED_US = 4_000_000  # the page of the days: after SIGHUP what the new address has counts as told
-AGAIN_US, AGAIN_MOST_US = 100_000, 800_000  # first and longest pause between calls while a change may count as told
+AGAIN_US, AGAIN_MOST_US = (
+    100_000,
+    800_000,
+)  # first and longest pause between calls while a change may count as told
 LIST = "/api/targets"
 LIST_MOST = 1 << 20
 
 
 def longest_wait(grace_us: int) -> int:
-    """How long a watch may wait so that one that falls silent is noticed, opened anew and answered before what it
-    missed binds: a change counts as told ``TOLD_US`` after the silence, or ``TOLD_LATE_US`` after the wait, and a drain
-    binds ``grace_us`` later. In the worst case it falls silent as it begins."""
+    """How long a watch may wait so that one that falls silent is noticed, opened anew and answered before
+    what it missed binds: a change counts as told ``TOLD_US`` after the silence, or ``TOLD_LATE_US`` after the
+    wait, and a drain binds ``grace_us`` later. In the worst case it falls silent as it begins.
+    """
     renewed = LATE_US + CONNECT_US + CALL_US
     return HOLD_MOST_US if renewed <= TOLD_LATE_US + grace_us else max(TOLD_US + grace_us - renewed, 0)
 
@@ -41,17 +51,30 @@
 
 
 class Discovery:
-    """Watches the list at one address, which may move. ``rev`` is the version of the list that is held at the start,
-    None for no list; ``hold_us`` is how long a watch waits at the most, and three quarters of it at the least, so that
-    brokers that began together ask apart. A lost connection is noticed so much later, and its answer's time.
-
-    ``pushed``: the watch is on from the start, as what the agent has counts as told whether it is asked or not.
-    ``grace_us`` after a change counts as told it binds: up to then a call that fails for a watch that fell silent, or
-    at an address that is new, is made again soon; other failures wait for the module's word."""
-
-    def __init__(self, loop: Loop, net: Net, address: str, news: Callable[[Targets | None], None],
-                 log: Callable[..., None], *, rev: int | None, hold_us: int, seed: int = 0, pushed: bool = False,
-                 grace_us: int = 0) -> None:
+    """Watches the list at one address, which may move. ``rev`` is the version of the list that is held at the
+    start, None for no list; ``hold_us`` is how long a watch waits at the most, and three quarters of it at
+    the least, so that brokers that began together ask apart. A lost connection is noticed so much later, and
+    its answer's time.
+
+    ``pushed``: the watch is on from the start, as what the agent has counts as told whether it is asked or
+    not. ``grace_us`` after a change counts as told it binds: up to then a call that fails for a watch that
+    fell silent, or at an address that is new, is made again soon; other failures wait for the module's word.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        address: str,
+        news: Callable[[Targets | None], None],
+        log: Callable[..., None],
+        *,
+        rev: int | None,
+        hold_us: int,
+        seed: int = 0,
+        pushed: bool = False,
+        grace_us: int = 0,
+    ) -> None:
         self.loop, self.net, self.address, self.news, self.log = loop, net, address, news, log
         self.random = random.Random(seed)
         self.calls = self.failures = 0
@@ -85,7 +108,8 @@
             self._task = None
 
     def _watch(self, address: str) -> Coro[None]:
-        # What one that fell silent missed is asked for at once; where lists are pushed what is new is, as it counts.
+        # What one that fell silent missed is asked for at once; where lists are pushed what is new is, as it
+        # counts.
         anew, pause = self.pushed, AGAIN_US
         while True:
             self._answered = False
@@ -161,5 +185,3 @@
             raise
         finally:
             limit.cancel()
-
-
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -1,7 +1,8 @@
 """Clients over HTTP: each request checked whole, handed to the broker, answered once.
 
-Every connection is within bounds of head, body, time and number. A front adds no retry, cache or time-out of a query's
-own: its times are only those of a request that does not come whole, and of a connection that asks for nothing.
+Every connection is within bounds of head, body, time and number. A front adds no retry, cache or time-out of
+a query's own: its times are only those of a request that does not come whole, and of a connection that asks
+for nothing.
 """
 
 from __future__ import annotations
@@ -34,9 +35,10 @@
 
 
 class Front:
-    """Serves connections, ``most`` at a time; the longest idle one makes room for a new one. Of those that have been
-    answered and ask for nothing at most ``kept_most`` are kept: clients may open only so many between them, and one at
-    rest may keep another from asking."""
+    """Serves connections, ``most`` at a time; the longest idle one makes room for a new one. Of those that
+    have been answered and ask for nothing at most ``kept_most`` are kept: clients may open only so many
+    between them, and one at rest may keep another from asking.
+    """
 
     def __init__(self, broker: PlatformBroker, most: int, kept_most: int, log: Callable[..., None]) -> None:
         self.broker, self.most, self.log, self.loop = broker, most, log, broker.loop
@@ -44,7 +46,9 @@
         self.kept: OrderedDict[Client, None] = OrderedDict()  # answered and at rest, by since when
         self.checker = Checker(broker.settings)
         self.clients: dict[Client, None] = {}
-        self.resting: OrderedDict[Client, None] = OrderedDict()  # by since when they ask for nothing, or have erred
+        self.resting: OrderedDict[Client, None] = (
+            OrderedDict()
+        )  # by since when they ask for nothing, or have erred
         self.begun: OrderedDict[Client, None] = OrderedDict()  # whose request is not whole, by since when
         self.counts: Counter[str] = Counter()
         self.draining = False
@@ -72,7 +76,9 @@
         self.draining = True
 
     def let_go(self) -> None:
-        """Close the connections that ask for nothing; one whose request comes in this very moment is served."""
+        """Close the connections that ask for nothing; one whose request comes in this very moment
+        is served.
+        """
         now = self.loop.now()
         for client in list(self.resting):
             if client.side is not None or now - client.since >= NEW_US:
@@ -90,7 +96,9 @@
         return False
 
     def rests(self, client: Client) -> None:
-        """It has been answered and asks for nothing; the longest at rest gives way where there are too many."""
+        """It has been answered and asks for nothing; the longest at rest gives way where there are
+        too many.
+        """
         self.resting[client] = self.kept[client] = None
         if len(self.kept) > self.kept_most:
             victim = next(iter(self.kept))
@@ -160,7 +168,8 @@
                 self._advance()
                 continue
             self._ahead += len(data)
-            # Its request was taken and is answered before more is read; but that it has left is seen meanwhile.
+            # Its request was taken and is answered before more is read; but that it has left is seen
+            # meanwhile.
             while self.busy and self._ahead > AHEAD_MOST:
                 if self.stream.hung_up:
                     return
--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -1,15 +1,16 @@
 """Connections to the platform's nodes: parts as frames, and every attempt's end told as what it was.
 
-An id on the wire is the part's, not the attempt's. So an id goes over a connection once: an attempt at a node that was
-sent the same part before goes over another connection, and what is heard on one can only be of the attempt it carried.
-What is given up stays known there until its answer comes or its time is long over, and is then counted and dropped.
+An id on the wire is the part's, not the attempt's. So an id goes over a connection once: an attempt at a node
+that was sent the same part before goes over another connection, and what is heard on one can only be of the
+attempt it carried. What is given up stays known there until its answer comes or its time is long over, and is
+then counted and dropped.
 
-A connection that breaks is no word on its node: a process that died refuses the next one, a machine that is lost does
-not answer it. So the end of what was out is told once a new connection came up (the attempt is lost, it may have run)
-or did not (it broke with its node).
+A connection that breaks is no word on its node: a process that died refuses the next one, a machine that is
+lost does not answer it. So the end of what was out is told once a new connection came up (the attempt is
+lost, it may have run) or did not (it broke with its node).
 
-A node that closes right after an answer takes what else is out on that connection with it. While it does so each
-connection carries one part, and is used again only once it has outlived its answer.
+A node that closes right after an answer takes what else is out on that connection with it. While it does so
+each connection carries one part, and is used again only once it has outlived its answer.
 """
 
 from __future__ import annotations
@@ -27,15 +28,23 @@
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, Timer
 
 OUTCOMES = {nf.SERVED: hw.OK, nf.ERROR: hw.ERROR, nf.TURNED_AWAY: hw.FULL_UP}
-CLOSE_EARLY = 0.8  # of the idle time after which nodes close: ours goes first, so that no part crosses its end
-SUSPECT_TIMES = 4  # usual times to an answer without a byte, after which a connection is not trusted with more
+CLOSE_EARLY = (
+    0.8  # of the idle time after which nodes close: ours goes first, so that no part crosses its end
+)
+SUSPECT_TIMES = (
+    4  # usual times to an answer without a byte, after which a connection is not trusted with more
+)
 SUSPECT_LEAST_US, SUSPECT_MOST_US = 40_000, 1_000_000
 USUAL_GAIN = 0.1  # weight of one answer in a node's usual time
-GIVEN_UP_US = 60_000_000  # how long an id that was given up is known on its connection: a node may hang for long
+GIVEN_UP_US = (
+    60_000_000  # how long an id that was given up is known on its connection: a node may hang for long
+)
 ANSWERED_US = 1_000_000  # how long one that was answered is: a second copy comes just behind the first
 KNOWN_MOST = 1024  # ids so known a connection and kind; with more the oldest goes
 CONNECTIONS_A_NODE = 4
-SINGLE_AFTER = 3  # connections in a row that a node closed right after an answer, from which each carries one part
+SINGLE_AFTER = (
+    3  # connections in a row that a node closed right after an answer, from which each carries one part
+)
 SINGLE_ANSWERS = 2  # answers of a connection up to which it counts as one of those: others close by chance
 SINGLE_CONNECTIONS = 16
 SOON_US = 50_000  # after an answer: an end within it is the node's way to close, what outlives it is kept
@@ -43,8 +52,9 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeAsk:
-    """One attempt: ``line`` gives its line and text in a call, of how long (ms) it is waited for when that leaves;
-    it is waited for until ``until_us`` (clock)."""
+    """One attempt: ``line`` gives its line and text in a call, of how long (ms) it is waited for when that
+    leaves; it is waited for until ``until_us`` (clock).
+    """
 
     id: str
     seq: int
@@ -66,7 +76,9 @@
 
 
 class Room:
-    """The descriptors that nodes may take, all links together; the longest idle connection makes room for a new one."""
+    """The descriptors that nodes may take, all links together; the longest idle connection makes room for a
+    new one.
+    """
 
     def __init__(self, most: int) -> None:
         self.most = most
@@ -122,13 +134,17 @@
         self.stream: Stream | None = None
         self._incoming = nf.Incoming()
         self._waiting: deque[list[NodeAsk]] = deque()  # calls of which nothing has left
-        self.bereft: dict[str, Key] = {}  # attempts of a connection that broke, whose end this one's connect tells
+        self.bereft: dict[
+            str, Key
+        ] = {}  # attempts of a connection that broke, whose end this one's connect tells
         self.answered_at: int | None = None
         self.answers = 0
         self._probes: deque[int] = deque()  # numbers of probes in the order sent; answers come in it
         self._unsent_probes: list[int] = []
         self._waits_since: int | None = None
-        self._idle = IdleTime(self.loop, int(link.limits.idle_us * CLOSE_EARLY), lambda: self.busy, self.close)
+        self._idle = IdleTime(
+            self.loop, int(link.limits.idle_us * CLOSE_EARLY), lambda: self.busy, self.close
+        )
         self._ended = hw.UNREACHABLE
         self._over = self._ours = self._handing = False
         self._task: Task = self.loop.spawn(self._run(), f"node {link.node}")
@@ -151,12 +167,15 @@
 
     @property
     def silent(self) -> bool:
-        """Something was asked long ago, and nothing at all was heard since, though it may have been given up."""
+        """Something was asked long ago, and nothing at all was heard since, though it may have been
+        given up.
+        """
         return self._waits_since is not None and self.loop.now() - self._waits_since > self.link.suspect_us
 
     def outlived(self, sent_at: int) -> None:
-        """What was sent later over another connection was answered: if this one is silent it is lost, its node is not.
-        Nobody waits for what is out here any more; it may have run."""
+        """What was sent later over another connection was answered: if this one is silent it is lost, its
+        node is not. Nobody waits for what is out here any more; it may have run.
+        """
         if self.silent and self._waits_since is not None and self._waits_since < sent_at:
             self._ended = hw.TIMED_OUT
             self.close()
@@ -283,7 +302,9 @@
             raise nf.FrameError(f"an answer of unknown id {message.id[:64]!r}")
 
     def _hand_on(self) -> None:
-        """Write calls while the socket takes them: one that waits here has provably not left, and may be taken back."""
+        """Write calls while the socket takes them: one that waits here has provably not left, and may be
+        taken back.
+        """
         stream = self.stream
         if stream is None or self._handing:  # the socket tells that it has taken a call while that is written
             return
@@ -345,14 +366,17 @@
         for key in self.bereft.values():
             self.link.ended(key, hw.BROKEN, None)
         never = [sent for sent in out.values() if sent.ends is None or sent.ends > written]
-        # A connection that stood is no word on its node: only one that never came up tells that it can't be met.
+        # A connection that stood is no word on its node: only one that never came up tells that it can't be
+        # met.
         outcome = hw.UNREACHABLE if stream is None and not self._ours else hw.NEVER_SENT
         for sent in never:
             self.link.ended(sent.key, outcome, None)
             del out[sent.key[0]]
         probes = [*self._probes, *self._unsent_probes]
         if self._ended == hw.BROKEN and not self.link.closing:
-            self.link.broke([sent.key for sent in out.values()], [n for n in probes if self.link.waits_for(n)])
+            self.link.broke(
+                [sent.key for sent in out.values()], [n for n in probes if self.link.waits_for(n)]
+            )
             return
         for sent in out.values():
             self.link.ended(sent.key, self._ended, None)
@@ -363,8 +387,17 @@
 class NodeLink:
     """One broker's way to one node, by as many connections as its parts need."""
 
-    def __init__(self, loop: Loop, net: Net, node: str, address: str, owner: Owner, limits: Connections, room: Room,
-                 log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        node: str,
+        address: str,
+        owner: Owner,
+        limits: Connections,
+        room: Room,
+        log: Callable[..., None],
+    ) -> None:
         self.loop, self.net, self.node, self.address, self.owner = loop, net, node, address, owner
         self.limits, self.room, self.log = limits, room, log
         self.connections: list[Connection] = []
@@ -421,7 +454,9 @@
         connection = self._for([ask.id for ask in parts])
         if connection is None:
             for ask in parts:
-                self.loop.call_soon(self.owner.attempt_ended, self.node, (ask.id, ask.seq), hw.UNREACHABLE, None)
+                self.loop.call_soon(
+                    self.owner.attempt_ended, self.node, (ask.id, ask.seq), hw.UNREACHABLE, None
+                )
             return
         for ask in parts:
             self.out[ask.id, ask.seq] = connection
@@ -436,7 +471,9 @@
         return True
 
     def withdraw(self, key: Key) -> bool:
-        """Take back an attempt that waits for its connection; of one that lost its connection nothing is to leave."""
+        """Take back an attempt that waits for its connection; of one that lost its connection nothing is to
+        leave.
+        """
         connection = self.out.get(key)
         return connection is not None and connection.holds_back(key[0]) and self.forget(key)
 
@@ -449,7 +486,9 @@
                 self.owner.attempt_ended(self.node, key, hw.NEVER_SENT, None)
 
     def probe(self) -> None:
-        """Ask for a sign of life; ends once. A connection that has fallen silent can't give one for its node."""
+        """Ask for a sign of life; ends once. A connection that has fallen silent can't give one for
+        its node.
+        """
         self._probe_no += 1
         number = self._probe_no
         until = self.loop.now() + self.limits.connect_us
@@ -501,7 +540,9 @@
         self.log("info", what, node=self.node, why=why, out=len(self.out))
 
     def _for(self, parts: list[str]) -> Connection | None:
-        """A connection that may carry these parts, a new one where none may; None where there is no room for it."""
+        """A connection that may carry these parts, a new one where none may; None where there is no room for
+        it.
+        """
         self._retire([connection for connection in self.connections if connection.silent])
         for connection in self.connections:
             if all(connection.takes(part) for part in parts) and not connection.retired:
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -19,7 +19,8 @@
 
 TAKE_US = 600_000  # after SIGTERM, for which clients still arrive
 END_LOOK_US = 20_000
-# The page's: no SIGKILL sooner than the longest deadline, counted as this where it is longer, and so long after it.
+# The page's: no SIGKILL sooner than the longest deadline, counted as this where it is longer, and so long
+# after it.
 KILL_LONGEST_US, KILL_AFTER_US = 3_000_000, 700_000
 END_MARGIN_US = 100_000  # of that time: answers leave, and the process ends by itself
 LINES_A_SECOND = 20
@@ -75,18 +76,29 @@
         calls = {signal.SIGTERM: self.terminate, signal.SIGINT: self.terminate, signal.SIGHUP: self.reload}
         for number, call in calls.items():
             self.poller.on_signal(number, call)
-        self.listener = self.net.listen(self.config.listen, self.front.serve, "client", self.config.client_sockets + 8)
+        self.listener = self.net.listen(
+            self.config.listen, self.front.serve, "client", self.config.client_sockets + 8
+        )
         for earlier in pending:
             calls[signal.Signals(earlier)]()
         calm_collector()
-        self.log("info", "ready", listen=self.listener.address, pid=os.getpid(), sockets=self.config.sockets,
-                 lists="asked" if self.config.settings.ask_mode else "pushed", watch_us=self.broker.watch.hold_us,
-                 grace_us=self.config.settings.drain_grace_us)
+        self.log(
+            "info",
+            "ready",
+            listen=self.listener.address,
+            pid=os.getpid(),
+            sockets=self.config.sockets,
+            lists="asked" if self.config.settings.ask_mode else "pushed",
+            watch_us=self.broker.watch.hold_us,
+            grace_us=self.config.settings.drain_grace_us,
+        )
         self.loop.run()
         return 0
 
     def terminate(self) -> None:
-        """Clients still come for a while and are served; then what is held is finished. A second call is nothing."""
+        """Clients still come for a while and are served; then what is held is finished. A second call is
+        nothing.
+        """
         if self._ending_at is not None:
             return
         self.log("info", "terminating", held=self.broker.held)
@@ -107,7 +119,9 @@
     def _look_for_end(self) -> None:
         """Idle clients are let go; the end is when no client waits for anything."""
         self.front.let_go()
-        if self.loop.now() >= self._end_by or not self.front.clients:  # an open query has its client among them
+        if (
+            self.loop.now() >= self._end_by or not self.front.clients
+        ):  # an open query has its client among them
             self.log("info", "ended", open=len(self.front.clients))
             self.broker.close()
             self.loop.stop()
@@ -122,19 +136,32 @@
             self.log("error", "configuration refused, the old one stays", why=str(problem))
             return
         moved = config.discovery != self.config.discovery
-        # All else stays as it was at the start, in every part of the program, also where the file says otherwise.
+        # All else stays as it was at the start, in every part of the program, also where the file says
+        # otherwise.
         kept = dataclasses.replace(self.config, discovery=config.discovery, known=config.known)
-        later = [field.name for field in dataclasses.fields(config)
-                 if getattr(config, field.name) != getattr(kept, field.name) and field.name != "seed"]
-        self.log("info", "configuration read", discovery=config.discovery, moved=moved,
-                 **({"from_the_next_start": ",".join(later)} if later else {}))
+        later = [
+            field.name
+            for field in dataclasses.fields(config)
+            if getattr(config, field.name) != getattr(kept, field.name) and field.name != "seed"
+        ]
+        self.log(
+            "info",
+            "configuration read",
+            discovery=config.discovery,
+            moved=moved,
+            **({"from_the_next_start": ",".join(later)} if later else {}),
+        )
         self.config = dataclasses.replace(self.config, discovery=config.discovery)
         if moved:
             self.broker.watch.move(config.discovery)
 
     def _error(self, task: str, error: BaseException) -> None:
-        self.log("error", "task ended by an error", task=task,
-                 why="".join(traceback.format_exception(error))[-600:])
+        self.log(
+            "error",
+            "task ended by an error",
+            task=task,
+            why="".join(traceback.format_exception(error))[-600:],
+        )
 
 
 def raise_limit(sockets: int) -> None:
@@ -146,7 +173,9 @@
 
 
 def main(pending: list[int]) -> int:
-    """Exit code 0 after SIGTERM, 2 for a configuration that can't be used, 3 for an address that can't be had."""
+    """Exit code 0 after SIGTERM, 2 for a configuration that can't be used, 3 for an address that can't be
+    had.
+    """
     try:
         config = load(os.environ)
     except ConfigError as problem:
--- a/heathwell/gateway/requests.py
+++ b/heathwell/gateway/requests.py
@@ -54,8 +54,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
-    """A checked request. ``wait_us`` is how long the client waits from when it sent it; ``tenant`` is its owner's place
-    among the settings' accounts, their number for one that is not among them."""
+    """A checked request. ``wait_us`` is how long the client waits from when it sent it; ``tenant`` is its
+    owner's place among the settings' accounts, their number for one that is not among them.
+    """
 
     id: str
     klass: int
@@ -97,8 +98,15 @@
         key = headers.get("idempotency-key", "")
         if spec.repeat == hw.KEYED and not KEY.fullmatch(key):
             raise BadRequest("Idempotency-Key: missing, or not of 1 to 128 printable characters without ','")
-        return Wanted(name, klass, wait, key if spec.repeat == hw.KEYED else "", headers.get("req-retry") == "1",
-                      *self._body(request.body), self._tenants.get(headers.get("req-owner", ""), len(self._tenants)))
+        return Wanted(
+            name,
+            klass,
+            wait,
+            key if spec.repeat == hw.KEYED else "",
+            headers.get("req-retry") == "1",
+            *self._body(request.body),
+            self._tenants.get(headers.get("req-owner", ""), len(self._tenants)),
+        )
 
     def _body(self, data: bytes) -> tuple[bytes, tuple[WantedPart, ...]]:
         try:
@@ -127,8 +135,10 @@
             total += part.w
         if abs(total - 1) > WEIGHT_SLACK:
             raise BadRequest(f"parts: weights add up to {total:.6g}, not 1")
-        return text, tuple(WantedPart(part.id, part.w / total, None if part.hint is None else int(part.hint))
-                           for part in body.parts)
+        return text, tuple(
+            WantedPart(part.id, part.w / total, None if part.hint is None else int(part.hint))
+            for part in body.parts
+        )
 
 
 def _time(words: str | None) -> int:
--- a/heathwell/gateway/targets.py
+++ b/heathwell/gateway/targets.py
@@ -60,16 +60,28 @@
     return STATES.get(target.state, hw.DRAINING)
 
 
-def news_of(targets: Targets, zones: tuple[str, ...], cells: int, unix_offset_us: int,
-            asked: bool = True) -> hw.FleetNews:
-    """The module's news. Starts are moved to the caller's clock, which is behind Unix time by ``unix_offset_us``.
+def news_of(
+    targets: Targets, zones: tuple[str, ...], cells: int, unix_offset_us: int, asked: bool = True
+) -> hw.FleetNews:
+    """The module's news. Starts are moved to the caller's clock, which is behind Unix time by
+    ``unix_offset_us``.
 
     A state nobody knows is taken as draining; a node of a cell that is not there is left out.
     """
     places = {name: index for index, name in enumerate(zones)}
-    return hw.FleetNews(hw.FULL if targets.all else hw.UPDATE, tuple(
-        hw.ServerEntry(
-            target.uid, target.pod_group, state_of(target),
-            max(1, int(target.boot_ms * 1000) - unix_offset_us) if target.boot_ms > 0 else None,
-            target.capacity_hint if target.capacity_hint > 0 else 1.0, places.get(target.az, -1))
-        for target in targets.targets if 0 <= target.pod_group < cells), asked)
+    return hw.FleetNews(
+        hw.FULL if targets.all else hw.UPDATE,
+        tuple(
+            hw.ServerEntry(
+                target.uid,
+                target.pod_group,
+                state_of(target),
+                max(1, int(target.boot_ms * 1000) - unix_offset_us) if target.boot_ms > 0 else None,
+                target.capacity_hint if target.capacity_hint > 0 else 1.0,
+                places.get(target.az, -1),
+            )
+            for target in targets.targets
+            if 0 <= target.pod_group < cells
+        ),
+        asked,
+    )
--- a/heathwell/gateway/trace.py
+++ b/heathwell/gateway/trace.py
@@ -1,6 +1,8 @@
-"""What the broker believes beside what passed on its sockets, a line a second; off unless ``HEATHWELL_TRACE`` is set.
+"""What the broker believes beside what passed on its sockets, a line a second; off unless ``HEATHWELL_TRACE``
+is set.
 
-Beliefs are the module's: own counts, ejections, cold and draining nodes. Facts are the links' and the front's.
+Beliefs are the module's: own counts, ejections, cold and draining nodes. Facts are the links' and the
+front's.
 """
 
 from __future__ import annotations
@@ -42,16 +44,27 @@
     def _look(self) -> None:
         now, facts, broker = self.loop.now(), self._facts(), self.broker
         module, links = broker.module, broker.links
-        passed = " ".join(f"{name.replace(' ', '_')}={figure - self._before[name]}"
-                          for name, figure in sorted(facts.items()) if figure != self._before[name])
+        passed = " ".join(
+            f"{name.replace(' ', '_')}={figure - self._before[name]}"
+            for name, figure in sorted(facts.items())
+            if figure != self._before[name]
+        )
         servers = [server for server in module.servers.values() if server.live]
-        believed = (f"known={len(module.servers)} live={len(servers)} ejected={sum(bool(s.bars) for s in servers)} "
-                    f"cold={sum(module.warmth(s) < 1 for s in servers)} out={sum(len(s.out) for s in servers)}")
-        held = (f"queries={len(broker.queries)} links={len(links)} links_out={sum(len(k.out) for k in links.values())} "
-                f"node_conns={broker.room.open} single={sum(k.single for k in links.values())} "
-                f"clients={len(self.front.clients)} resting={len(self.front.resting)} tasks={len(self.loop.tasks)}")
+        believed = (
+            f"known={len(module.servers)} live={len(servers)} ejected={sum(bool(s.bars) for s in servers)} "
+            f"cold={sum(module.warmth(s) < 1 for s in servers)} out={sum(len(s.out) for s in servers)}"
+        )
+        held = (
+            f"queries={len(broker.queries)} links={len(links)} "
+            f"links_out={sum(len(k.out) for k in links.values())} "
+            f"node_conns={broker.room.open} single={sum(k.single for k in links.values())} "
+            f"clients={len(self.front.clients)} resting={len(self.front.resting)} "
+            f"tasks={len(self.loop.tasks)}"
+        )
         lag = now - self._at - EVERY_US
-        print(f"trace {now / 1e6:.2f} lag_us={lag} believes: {believed} holds: {held} passed: {passed}",
-              file=sys.stderr)
+        print(
+            f"trace {now / 1e6:.2f} lag_us={lag} believes: {believed} holds: {held} passed: {passed}",
+            file=sys.stderr,
+        )
         self._before, self._at = facts, now
         self.loop.call_at(now + EVERY_US, self._look)
--- a/heathwell/heed.py
+++ b/heathwell/heed.py
@@ -35,9 +35,17 @@
 class Heedful:
     """One connection to one broker; not for several threads at once. Times in seconds."""
 
-    def __init__(self, host: str, port: int, *, useful: float = 8.0, timeout: float = 4.0,
-                 sleep: Callable[[float], None] = time.sleep, clock: Callable[[], float] = time.monotonic,
-                 seed: int | None = None) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        useful: float = 8.0,
+        timeout: float = 4.0,
+        sleep: Callable[[float], None] = time.sleep,
+        clock: Callable[[], float] = time.monotonic,
+        seed: int | None = None,
+    ) -> None:
         self.useful, self.sleep, self.clock = useful, sleep, clock
         self.random = random.Random(seed)
         self._client = Client((host, port), connect_timeout=timeout, timeout=timeout, no_delay=True)
--- a/heathwell/interface.py
+++ b/heathwell/interface.py
@@ -121,6 +121,7 @@
 
 # Events
 
+
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
     """One line of discovery's list; ``since_us`` is the latest start, None for long ago."""
@@ -238,12 +239,24 @@
     until_us: int
 
 
-Event = (FleetNews | QueryArrived | PartArrived | AttemptEnded | ProbeEnded | Held | Room | Moot
-         | TimerFired | QueryExpired | Ending)
+Event = (
+    FleetNews
+    | QueryArrived
+    | PartArrived
+    | AttemptEnded
+    | ProbeEnded
+    | Held
+    | Room
+    | Moot
+    | TimerFired
+    | QueryExpired
+    | Ending
+)
 
 
 # Actions
 
+
 @dataclass(frozen=True, slots=True)
 class Send:
     """Send a part to a server; attempts of a part are numbered from 0 in this order. ``further``: beyond the
--- a/heathwell/kernel/clock.py
+++ b/heathwell/kernel/clock.py
@@ -22,8 +22,9 @@
 
 
 class SkewedClock:
-    """A clock that runs faster or slower than the machine's, from its making on: for tests of what clocks are trusted
-    with."""
+    """A clock that runs faster or slower than the machine's, from its making on: for tests of what clocks are
+    trusted with.
+    """
 
     def __init__(self, rate: float) -> None:
         self.rate, self._true = rate, MonotonicClock()
--- a/heathwell/kernel/loop.py
+++ b/heathwell/kernel/loop.py
@@ -65,8 +65,21 @@
 class Task:
     """A running coroutine. Its children are cancelled when it ends."""
 
-    __slots__ = ("_abort", "_gen", "_pending", "_queued", "_waiters", "cancelling", "children", "done",
-                 "error", "loop", "name", "parent", "result")
+    __slots__ = (
+        "_abort",
+        "_gen",
+        "_pending",
+        "_queued",
+        "_waiters",
+        "cancelling",
+        "children",
+        "done",
+        "error",
+        "loop",
+        "name",
+        "parent",
+        "result",
+    )
 
     def __init__(self, loop: Loop, gen: Coro[Any], name: str, parent: Task | None) -> None:
         self.loop, self.name, self.parent = loop, name, parent
@@ -289,9 +302,11 @@
 
 def sleep(loop: Loop, span_us: int) -> Coro[None]:
     """Wait for a time; 0 lets the other tasks run once."""
+
     def trap(task: Task) -> Abort:
         timer = loop.call_at(loop.now() + max(span_us, 0), task.wake)
         return timer.cancel
+
     yield trap
 
 
--- a/heathwell/kernel/net.py
+++ b/heathwell/kernel/net.py
@@ -143,8 +143,9 @@
             self._shut(reset=False)
 
     def close_if_quiet(self) -> bool:
-        """Close a connection at rest, unless the other side has sent something that nobody has read yet; its reader
-        gets that. True once it is closed, or its end has come."""
+        """Close a connection at rest, unless the other side has sent something that nobody has read yet; its
+        reader gets that. True once it is closed, or its end has come.
+        """
         if self.closed:
             return True
         try:
--- a/heathwell/kernel/sockets.py
+++ b/heathwell/kernel/sockets.py
@@ -12,7 +12,15 @@
 
 from heathwell.kernel.clock import Clock, MonotonicClock
 from heathwell.kernel.loop import Abort, Coro, Loop, Task
-from heathwell.kernel.net import READ_SIZE, ConnectFailed, Handler, Listener, Stream, StreamBroken, split_address
+from heathwell.kernel.net import (
+    READ_SIZE,
+    ConnectFailed,
+    Handler,
+    Listener,
+    Stream,
+    StreamBroken,
+    split_address,
+)
 
 WATCH = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
 READ_MASK = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
@@ -283,9 +291,11 @@
                 if mask & WRITE_MASK:
                     timer.cancel()
                     task.wake(True)
+
             self.poller.register(sock.fileno(), happened)
 
             return timer.cancel
+
         done = yield trap
         if done:
             self.poller.unregister(sock.fileno())
@@ -293,8 +303,10 @@
         return bool(done)
 
     def listen(self, address: str, handler: Handler, name: str, most: int = 20_000) -> Listener:
-        """Serve connections; port 0 lets the kernel choose, see ``address`` of what is returned. ``fd:N`` is a socket
-        that this process was given, listening: others may take connections from it too, and it stays when it ends."""
+        """Serve connections; port 0 lets the kernel choose, see ``address`` of what is returned. ``fd:N`` is
+        a socket that this process was given, listening: others may take connections from it too, and it stays
+        when it ends.
+        """
         if address.startswith("fd:"):
             given = socket.socket(fileno=int(address[3:]))
             given.setblocking(False)
--- a/heathwell/kernel/worker.py
+++ b/heathwell/kernel/worker.py
@@ -29,10 +29,12 @@
 
     def run(self, job: Callable[[], Any]) -> Coro[Any]:
         """Wait for a job; returns its result, raises its error, :class:`RuntimeError` when too many wait."""
+
         def trap(task: Task) -> Abort:
             if not self.submit(job, task.wake):
                 task.wake(None, RuntimeError("worker: too many jobs wait"))
             return lambda: None
+
         result = yield trap
         return result
 
--- a/heathwell/lab/badday.py
+++ b/heathwell/lab/badday.py
@@ -32,15 +32,21 @@
 class Day:
     """One run of a script."""
 
-    def __init__(self, script: Script, market: Market, config: str, folder: str | Path,
-                 say: Callable[[str], None]) -> None:
+    def __init__(
+        self, script: Script, market: Market, config: str, folder: str | Path, say: Callable[[str], None]
+    ) -> None:
         self.script, self.market, self.folder, self.say = script, market, Path(folder), say
         self.folder.mkdir(parents=True, exist_ok=True)
         self.events = self.folder / "events"
         self.config = config
-        self.fleet = ProcessFleet(config, market, str(self.events), script.seed,
-                                  wires=Wires(script.seed) if script.wires else None,
-                                  clocks={clock.process: clock.rate for clock in script.clocks})
+        self.fleet = ProcessFleet(
+            config,
+            market,
+            str(self.events),
+            script.seed,
+            wires=Wires(script.seed) if script.wires else None,
+            clocks={clock.process: clock.rate for clock in script.clocks},
+        )
         self.clients: Clients | None = None
         self.exits: dict[str, int] = {}
         self.faults: list[str] = []  # of the harness itself
@@ -57,8 +63,10 @@
         began = time.monotonic()
         try:
             self.fleet.up()
-            self.say(f"{self.market.fleet.leaves} hosts and {self.market.fleet.brokers} brokers up after "
-                     f"{time.monotonic() - began:.1f} s")
+            self.say(
+                f"{self.market.fleet.leaves} hosts and {self.market.fleet.brokers} brokers up after "
+                f"{time.monotonic() - began:.1f} s"
+            )
             time.sleep(WARM_UP)
             self._run()
         finally:
@@ -69,17 +77,22 @@
 
     def _run(self) -> None:
         script = self.script
-        clients = self.clients = Clients(script.load, self.market, self._brokers, self.events / "clients.jsonl")
+        clients = self.clients = Clients(
+            script.load, self.market, self._brokers, self.events / "clients.jsonl"
+        )
         due: list[tuple[float, int, Step | Arrival]] = []
         for number, arrival in enumerate(
-                arrivals(script.load, self.market, script.seed, 0.0, script.seconds, self._factor)):
+            arrivals(script.load, self.market, script.seed, 0.0, script.seconds, self._factor)
+        ):
             due.append((arrival.at, number, arrival))
         for number, step in enumerate(script.steps):
             due.append((step.at / 1e6, -1 - number, step))
             if step.kind == "poison":
-                due += [(at, 10**9 + number * 1000 + n, self._poison(step, n, at))
-                        for n in range(int(step.value))
-                        for at in [step.at / 1e6 + n * step.span / 1e6 / step.value]]
+                due += [
+                    (at, 10**9 + number * 1000 + n, self._poison(step, n, at))
+                    for n in range(int(step.value))
+                    for at in [step.at / 1e6 + n * step.span / 1e6 / step.value]
+                ]
         heapq.heapify(due)
         zero = clients.start()
         while due:
@@ -101,8 +114,11 @@
 
     def _brokers(self) -> list[tuple[str, str, str]]:
         asked = self.script.load.ask
-        return [(m.name, m.address, str(m.ready.get("vector", ""))) for m in self.fleet.of("broker")
-                if m.address and (not asked or m.name in asked)]
+        return [
+            (m.name, m.address, str(m.ready.get("vector", "")))
+            for m in self.fleet.of("broker")
+            if m.address and (not asked or m.name in asked)
+        ]
 
     def _factor(self, at: float) -> float:
         found = 1.0
@@ -122,15 +138,19 @@
         return Arrival(at, (key,), space.klass)
 
     def _do(self, step: Step, at: float) -> None:
-        self.say(f"  {at:5.1f} s {step.kind} {' '.join(step.to)}"
-                 + (f" x{step.value:g}" if step.value else "") + (f" for {step.span / 1e6:g} s" if step.span else ""))
+        self.say(
+            f"  {at:5.1f} s {step.kind} {' '.join(step.to)}"
+            + (f" x{step.value:g}" if step.value else "")
+            + (f" for {step.span / 1e6:g} s" if step.span else "")
+        )
         try:
             if step.kind in HOST_TROUBLES:
                 for name in step.to:
                     self.fleet.order(name, frames.Control(step.kind, step.value, step.span, step.klass))
             elif step.kind in ("discovery-down", "discovery-late"):
-                self.fleet.order("discovery", frames.Control(
-                    step.kind.partition("-")[2], step.value, step.span))
+                self.fleet.order(
+                    "discovery", frames.Control(step.kind.partition("-")[2], step.value, step.span)
+                )
             elif step.kind.startswith("link-"):
                 for link in self.fleet.of("relay"):
                     if not step.to or link.name.removeprefix("link-") in step.to:
@@ -143,8 +163,13 @@
                 for number, name in enumerate(names := self._named(["b*"])):
                     self.fleet.kill(name, step.span / 1e6 * (number + 1) / len(names))
             elif step.kind in WAY_TROUBLES and self.fleet.wires is not None:
-                self.fleet.wires.order(self._named(step.source), self._named(step.to), step.kind.removeprefix("way-"),
-                                       step.span, step.value)
+                self.fleet.wires.order(
+                    self._named(step.source),
+                    self._named(step.to),
+                    step.kind.removeprefix("way-"),
+                    step.span,
+                    step.value,
+                )
             elif step.kind == "resize":
                 self._resize(step)
             elif step.kind == "join":
@@ -155,7 +180,8 @@
                     if member.role in ("leaf", "broker") and member.zone in zones:
                         self.fleet.kill(member.name, step.span / 1e6)
         except (OSError, FleetError, WireError) as problem:
-            # A trouble that was not made must not pass for one that was borne; but who is down can't be slowed.
+            # A trouble that was not made must not pass for one that was borne; but who is down can't be
+            # slowed.
             if step.kind not in HOST_TROUBLES:
                 self.faults.append(f"{at:.1f} s {step.kind}: {problem}")
             self.say(f"  {step.kind} could not be carried out: {problem}")
@@ -167,7 +193,9 @@
 
     def _note(self, event: str, **fields: Any) -> None:
         with (self.events / "run.jsonl").open("a", encoding="utf-8") as log:
-            log.write(json.dumps({"t": time.monotonic_ns() // 1000, "who": "run", "ev": event, **fields}) + "\n")
+            log.write(
+                json.dumps({"t": time.monotonic_ns() // 1000, "who": "run", "ev": event, **fields}) + "\n"
+            )
 
     def _named(self, patterns: list[str]) -> list[str]:
         return [name for pattern in patterns for name in named(pattern, self.fleet.members)]
@@ -182,6 +210,7 @@
                     self.fleet.join(number, JOINED_SECONDS)
                 except (OSError, FleetError) as problem:
                     self.faults.append(f"join of b{number}: {problem}")
+
         for n in range(count):
             timer = threading.Timer(n * step.value, one, (first + n,))
             timer.daemon = True
@@ -195,7 +224,7 @@
             raise FleetError(f"{self.config}: no (budget {step.budget} (whole ...) (aside ...%)")
         aside = float(found[1]) * float(found[2]) / step.value  # brokers' own minima stay as they are
         said = f"(budget {step.budget} (whole {step.value:g}) (aside {aside:g}%)"
-        Path(self.config).write_text(text[:found.start()] + said + text[found.end():], encoding="utf-8")
+        Path(self.config).write_text(text[: found.start()] + said + text[found.end() :], encoding="utf-8")
         for keeper in self.fleet.of("keeper"):
             self.fleet.signal(keeper.name, signal.SIGHUP)
 
@@ -221,8 +250,9 @@
                 continue
             asked = sum(counts.values())
             label = "whole run" if window < 0 else f"{window * WINDOW:3.0f}-{(window + 1) * WINDOW:.0f} s"
-            shares = " ".join(f"{counts.get(kind, 0) / asked:>9.1%}" if counts.get(kind) else f"{'-':>9}"
-                              for kind in KINDS)
+            shares = " ".join(
+                f"{counts.get(kind, 0) / asked:>9.1%}" if counts.get(kind) else f"{'-':>9}" for kind in KINDS
+            )
             lines.append(f"  {label:<12} {asked:>6} {shares}")
     return lines
 
@@ -233,6 +263,12 @@
     counts: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
     for outcome in day.clients.outcomes:
         counts[outcome.klass][outcome.kind] += 1
-    return {"service": counts, "off_schedule": day.clients.off_schedule, "asked": day.clients.asked,
-            "judged": verdict.counts, "coldest": verdict.coldest, "breaches": [str(b) for b in verdict.breaches],
-            "deaths": len(day.fleet.deaths)}
+    return {
+        "service": counts,
+        "off_schedule": day.clients.off_schedule,
+        "asked": day.clients.asked,
+        "judged": verdict.counts,
+        "coldest": verdict.coldest,
+        "breaches": [str(b) for b in verdict.breaches],
+        "deaths": len(day.fleet.deaths),
+    }
--- a/heathwell/lab/budgetday.py
+++ b/heathwell/lab/budgetday.py
@@ -1,8 +1,10 @@
-"""Keepers and brokers of a fleet on virtual time, with random faults between them, and an auditor that sees true time.
+"""Keepers and brokers of a fleet on virtual time, with random faults between them, and an auditor that sees
+true time.
 
-Each process has a clock of its own, offset and rate drawn. Messages are late, lost, or cut on a way; processes are
-killed, stopped, continued and started again. The auditor sums what all may hold, what they do hold and what they use,
-in true time, after each event: it looks at the processes from outside and knows nothing of keepers' books.
+Each process has a clock of its own, offset and rate drawn. Messages are late, lost, or cut on a way;
+processes are killed, stopped, continued and started again. The auditor sums what all may hold, what they do
+hold and what they use, in true time, after each event: it looks at the processes from outside and knows
+nothing of keepers' books.
 """
 
 from __future__ import annotations
@@ -20,8 +22,10 @@
 from heathwell.membership import Self
 
 TURN_US, RENEW_US, TICK_US = 100_000, 400_000, 500_000
-BUDGETS = (Budget("connections", COUNT, 120, 24, 24, linger_us=300_000),
-           Budget("further", RATE, 60_000, 12_000, 24, window_us=2_000_000))
+BUDGETS = (
+    Budget("connections", COUNT, 120, 24, 24, linger_us=300_000),
+    Budget("further", RATE, 60_000, 12_000, 24, window_us=2_000_000),
+)
 
 
 @dataclass(slots=True)
@@ -52,11 +56,22 @@
 
 
 class BudgetDay:
-    """One seeded run. ``breaches`` are the auditor's sentences; ``use`` sums what was used of the whole by time."""
-
-    def __init__(self, seed: int, *, brokers: int = 12, keepers: int = 3, drift: float = 0.02, loss: float = 0.02,
-                 budgets: tuple[Budget, ...] = BUDGETS, times: Times | None = None,
-                 keeper: type[Keeper] = Keeper) -> None:
+    """One seeded run. ``breaches`` are the auditor's sentences; ``use`` sums what was used of the whole by
+    time.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        brokers: int = 12,
+        keepers: int = 3,
+        drift: float = 0.02,
+        loss: float = 0.02,
+        budgets: tuple[Budget, ...] = BUDGETS,
+        times: Times | None = None,
+        keeper: type[Keeper] = Keeper,
+    ) -> None:
         self.draw = random.Random(seed)
         self.drift, self.loss, self.budgets, self.keeper_type = drift, loss, budgets, keeper
         self.times = times or Times(Lease(3_000_000, 0.03), Lease(6_000_000, 0.03))
@@ -65,8 +80,11 @@
         self.cuts: set[tuple[str, str]] = set()
         self.breaches: list[str] = []
         self.lingering: list[Lingering] = []
-        self.bucket = {budget.name: float(budget.whole * budget.window_us / 1e6)
-                       for budget in budgets if budget.kind == RATE}
+        self.bucket = {
+            budget.name: float(budget.whole * budget.window_us / 1e6)
+            for budget in budgets
+            if budget.kind == RATE
+        }
         self._bucket_at = 0
         self.used: Counter[tuple[str, int]] = Counter()  # units by budget and second
         self.deaths = self.messages = 0
@@ -77,7 +95,9 @@
             self.start(machine)
 
     def _machine(self, name: str) -> Machine:
-        return Machine(name, self.draw.randrange(1_000_000_000), 1 + self.draw.uniform(-self.drift, self.drift))
+        return Machine(
+            name, self.draw.randrange(1_000_000_000), 1 + self.draw.uniform(-self.drift, self.drift)
+        )
 
     # The run.
 
@@ -102,8 +122,9 @@
         now = machine.clock(self.now)
         if machine in self.keepers:
             number = self.keepers.index(machine)
-            machine.program = self.keeper_type(number, f"{machine.name}.{machine.run}", len(self.keepers), self.budgets,
-                                               now, self.times)
+            machine.program = self.keeper_type(
+                number, f"{machine.name}.{machine.run}", len(self.keepers), self.budgets, now, self.times
+            )
             self.at(self.now + self.draw.randrange(TICK_US), self._tick, machine, machine.run)
         else:
             member = Self(machine.name, self.now + 1, now, timing=self.times.roll)
@@ -131,7 +152,9 @@
             machine.stopped_at = self.now
             self.at(self.now + span, self._go_on, machine, machine.run)
             if machine in self.brokers:
-                self.at(self.now + self._linger_us, self._hosts_close, machine, machine.run, machine.stopped_at)
+                self.at(
+                    self.now + self._linger_us, self._hosts_close, machine, machine.run, machine.stopped_at
+                )
 
     def _go_on(self, machine: Machine, run: int) -> None:
         if not machine.up or machine.run != run:
@@ -255,13 +278,16 @@
         budgets = {budget.name: budget for budget in self.budgets}
         for other, saved in self.bucket.items():
             most = budgets[other]
-            self.bucket[other] = min(saved + most.whole * (self.now - self._bucket_at) / 1e6,
-                                     most.whole * most.window_us / 1e6)
+            self.bucket[other] = min(
+                saved + most.whole * (self.now - self._bucket_at) / 1e6, most.whole * most.window_us / 1e6
+            )
         self._bucket_at = self.now
         self.bucket[name] -= 1_000
         if self.bucket[name] < -1e-6:
             most_a_second = budgets[name].whole / 1000
-            self.breaches.append(f"{self.now / 1e6:.3f} s: more of {name} was used than {most_a_second} a second")
+            self.breaches.append(
+                f"{self.now / 1e6:.3f} s: more of {name} was used than {most_a_second} a second"
+            )
 
     def _units(self, machine: Machine) -> int:
         shares: Shares = machine.program
@@ -271,16 +297,26 @@
         """What may be held and is held at this instant, stopped processes included."""
         self.lingering = [old for old in self.lingering if old.until > self.now]
         for budget in self.budgets:
-            may = sum(broker.program.holders[budget.name].share(broker.clock(self.now))
-                      for broker in self.brokers if broker.up)
+            may = sum(
+                broker.program.holders[budget.name].share(broker.clock(self.now))
+                for broker in self.brokers
+                if broker.up
+            )
             if may > budget.whole:
-                self.breaches.append(f"{self.now / 1e6:.3f} s: {may} of {budget.name} may be held, of {budget.whole}")
+                self.breaches.append(
+                    f"{self.now / 1e6:.3f} s: {may} of {budget.name} may be held, of {budget.whole}"
+                )
             if budget.kind == COUNT:
-                held = (sum(broker.program.holders[budget.name].used for broker in self.brokers if broker.up)
-                        + sum(old.units for old in self.lingering))
-                self.used[budget.name, self.now // 1_000_000] = max(self.used[budget.name, self.now // 1_000_000], held)
+                held = sum(
+                    broker.program.holders[budget.name].used for broker in self.brokers if broker.up
+                ) + sum(old.units for old in self.lingering)
+                self.used[budget.name, self.now // 1_000_000] = max(
+                    self.used[budget.name, self.now // 1_000_000], held
+                )
                 if held > budget.whole:
-                    self.breaches.append(f"{self.now / 1e6:.3f} s: {held} of {budget.name} are held, of {budget.whole}")
+                    self.breaches.append(
+                        f"{self.now / 1e6:.3f} s: {held} of {budget.name} are held, of {budget.whole}"
+                    )
 
 
 def random_faults(day: BudgetDay, begin: int, end: int, every_us: int = 700_000) -> list[str]:
@@ -289,7 +325,9 @@
     when = begin
     while when < end:
         when += int(day.draw.expovariate(1 / every_us))
-        kind = day.draw.choice(["kill", "stop", "cut", "oneway", "mass", "keeper-kill", "keeper-stop", "half"])
+        kind = day.draw.choice(
+            ["kill", "stop", "cut", "oneway", "mass", "keeper-kill", "keeper-stop", "half"]
+        )
         machine = day.draw.choice(day.keepers if kind.startswith("keeper") else day.brokers)
         span = day.draw.randrange(50_000, 9_000_000)
         match kind:
@@ -300,12 +338,16 @@
             case "mass":
                 for broker in day.brokers:
                     if day.draw.random() < 0.6:
-                        day.at(when + day.draw.randrange(900_000), day.kill, broker, day.draw.randrange(500_000))
+                        day.at(
+                            when + day.draw.randrange(900_000), day.kill, broker, day.draw.randrange(500_000)
+                        )
             case _:
                 names = [m.name for m in day.brokers if kind != "half" or day.draw.random() < 0.5]
                 side = names if kind == "half" else [machine.name]
                 other = day.draw.choice(day.keepers).name
-                ways = {(a, other) for a in side} | ({(other, a) for a in side} if kind != "oneway" else set())
+                ways = {(a, other) for a in side} | (
+                    {(other, a) for a in side} if kind != "oneway" else set()
+                )
                 if kind == "oneway" and day.draw.random() < 0.5:
                     ways = {(b, a) for a, b in ways}
                 if kind == "cut" and day.draw.random() < 0.4:
--- a/heathwell/lab/clients.py
+++ b/heathwell/lab/clients.py
@@ -46,8 +46,9 @@
     broker: str = ""
 
 
-def arrivals(load: Load, market: Market, seed: int, begin: float, end: float,
-             factor: Callable[[float], float]) -> list[Arrival]:
+def arrivals(
+    load: Load, market: Market, seed: int, begin: float, end: float, factor: Callable[[float], float]
+) -> list[Arrival]:
     """Poisson arrivals between two times of a run, thinned to the rate of each moment."""
     draws = random.Random(seed)
     spaces = {space.prefix: space for space in market.keys}
@@ -67,8 +68,13 @@
             continue
         space = spaces[name]
         count = 4 if draws.random() < load.multi else 1
-        out.append(Arrival(at, tuple(_key(space.shape, space.prefix, load.traders, draws)
-                                     for _ in range(count)), space.klass))
+        out.append(
+            Arrival(
+                at,
+                tuple(_key(space.shape, space.prefix, load.traders, draws) for _ in range(count)),
+                space.klass,
+            )
+        )
     return out
 
 
@@ -85,8 +91,13 @@
 class Clients:
     """A crowd of clients of several brokers, zones in turn; brokers by name, memcached and search address."""
 
-    def __init__(self, load: Load, market: Market, brokers: Callable[[], list[tuple[str, str, str]]],
-                 log_path: str | Path | None) -> None:
+    def __init__(
+        self,
+        load: Load,
+        market: Market,
+        brokers: Callable[[], list[tuple[str, str, str]]],
+        log_path: str | Path | None,
+    ) -> None:
         self.load, self.market, self.brokers = load, market, brokers
         self.classes = {spec.name: spec for spec in market.classes}
         self.outcomes: list[Outcome] = []
@@ -96,7 +107,9 @@
         self._log = open(log_path, "w") if log_path else None  # noqa: SIM115  # closed by `finish`
         self._lock = threading.Lock()
         self._started = time.monotonic()
-        self._threads = [threading.Thread(target=self._run, args=(n,), daemon=True) for n in range(load.clients)]
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,), daemon=True) for n in range(load.clients)
+        ]
 
     def start(self) -> float:
         """Start the threads; returns the run's zero."""
@@ -184,10 +197,14 @@
         took = time.monotonic() - self.crowd._started - arrival.at
         kind = seen.kind
         if kind == "answered":
-            kind = "partial" if any(not v["whole"] for v in seen.values.values()) else (
-                "on time" if took <= spec.aim / 1e6 else "late")
-        self.crowd.outcomes.append(Outcome(
-            arrival.at, arrival.klass, kind, took, arrival.keys[0], self._broker))
+            kind = (
+                "partial"
+                if any(not v["whole"] for v in seen.values.values())
+                else ("on time" if took <= spec.aim / 1e6 else "late")
+            )
+        self.crowd.outcomes.append(
+            Outcome(arrival.at, arrival.klass, kind, took, arrival.keys[0], self._broker)
+        )
 
     def _connect(self) -> bool:
         if self._client is not None and self._client.sock is not None:
@@ -235,7 +252,9 @@
         self.crowd.note("ask", self.name, **told, keys=arrival.keys, broker=self._searched, limit=limit_us)
         try:
             link.sock.settimeout(seconds)
-            link.request("POST", f"/collections/{arrival.keys[0].partition(':')[2]}/points/query", body, headers)
+            link.request(
+                "POST", f"/collections/{arrival.keys[0].partition(':')[2]}/points/query", body, headers
+            )
             got = link.getresponse()
             answer = json.loads(got.read())
         except TimeoutError:
@@ -249,8 +268,14 @@
         if got.status != 200:
             after = float(got.headers.get("x-heathwell-retry-after-ms", 0)) / 1000
             kind = "refused" if got.status == 503 else "failed"
-            self.crowd.note("reply", self.name, **told, kind="answer", values=[],
-                            lost=[{"key": arrival.keys[0], "kind": kind}])
+            self.crowd.note(
+                "reply",
+                self.name,
+                **told,
+                kind="answer",
+                values=[],
+                lost=[{"key": arrival.keys[0], "kind": kind}],
+            )
             return _Seen(kind, after)
         words = answer["heathwell"]
         value = {"key": arrival.keys[0], "whole": words["whole"], "got": words["parts"][0]}
@@ -267,8 +292,7 @@
         self._total += 1
         name = {"req": request, "no": f"{self.name}:{self._total}"}
         self.crowd.asked += 1
-        self.crowd.note("ask", self.name, **name, keys=arrival.keys, broker=self._broker,
-                        limit=limit_us)
+        self.crowd.note("ask", self.name, **name, keys=arrival.keys, broker=self._broker, limit=limit_us)
         try:
             got = self._client.get_many(list(arrival.keys))
         except TimeoutError:
@@ -286,8 +310,13 @@
                 after = max(after, body["retry_after_ms"] / 1000)
                 continue
             cover = body["coverage"]
-            values[key] = {"key": key, "whole": body["whole"], "got": cover["parts"][0], "asked": cover["parts"][1],
-                           "age_ms": body.get("age_ms")}
+            values[key] = {
+                "key": key,
+                "whole": body["whole"],
+                "got": cover["parts"][0],
+                "asked": cover["parts"][1],
+                "age_ms": body.get("age_ms"),
+            }
         self.crowd.note("reply", self.name, **name, kind="answer", values=list(values.values()), lost=lost)
         if lost:
             return _Seen("refused" if all(one["kind"] == "refused" for one in lost) else "failed", after)
--- a/heathwell/lab/drawn.py
+++ b/heathwell/lab/drawn.py
@@ -7,23 +7,42 @@
 
 from heathwell.settings import Market
 
-KINDS = ("kill", "pause", "cut", "cut-out", "cut-back", "way-delay", "way-loss", "way-reset", "restart-all", "slow",
-         "crash", "keeper-kill", "keeper-pause", "half", "orphan")
+KINDS = (
+    "kill",
+    "pause",
+    "cut",
+    "cut-out",
+    "cut-back",
+    "way-delay",
+    "way-loss",
+    "way-reset",
+    "restart-all",
+    "slow",
+    "crash",
+    "keeper-kill",
+    "keeper-pause",
+    "half",
+    "orphan",
+)
 
 
-def draw_script(seed: int, market: Market, seconds: int = 14, faults: int = 7, rate: float = 24.0,
-                name: str = "market.sx") -> str:
-    """A day of faults among brokers, keepers and hosts of a market that names keepers. All have ended 2 s before the
-    end, so that what is left wrong then stays wrong by itself."""
+def draw_script(
+    seed: int, market: Market, seconds: int = 14, faults: int = 7, rate: float = 24.0, name: str = "market.sx"
+) -> str:
+    """A day of faults among brokers, keepers and hosts of a market that names keepers. All have ended 2 s
+    before the end, so that what is left wrong then stays wrong by itself.
+    """
     draws = random.Random(seed)
     brokers = [f"b{n}" for n in range(market.fleet.brokers)]
     keepers = [f"k{n}" for n in range(len(market.fleet.keepers))]
     hosts = [f"leaf{n}" for n in range(market.fleet.leaves)]
     clocks = " ".join(f"(clock {who} {1 + draws.uniform(-0.02, 0.02):.4f})" for who in brokers + keepers)
-    lines = [f"; Drawn with seed {seed}.",
-             f'(market "{name}") (seconds {seconds}) (seed {seed}) (wires yes) {clocks}',
-             f"(load (rate {rate:g}) (clients 48) (mix price (share 3)) (mix report) (mix sale (share 2)))",
-             f"(at 100ms slow (to {' '.join(draws.sample(hosts, len(hosts) // 2))}) (span {seconds}s) (value 5))"]
+    lines = [
+        f"; Drawn with seed {seed}.",
+        f'(market "{name}") (seconds {seconds}) (seed {seed}) (wires yes) {clocks}',
+        f"(load (rate {rate:g}) (clients 48) (mix price (share 3)) (mix report) (mix sale (share 2)))",
+        f"(at 100ms slow (to {' '.join(draws.sample(hosts, len(hosts) // 2))}) (span {seconds}s) (value 5))",
+    ]
     for _ in range(faults):
         at = draws.uniform(2.5, seconds - 4.0)
         span = draws.uniform(0.1, min(4.0, seconds - 2.0 - at))
@@ -32,9 +51,12 @@
     return "\n".join(lines) + "\n"
 
 
-def _one(draws: random.Random, kind: str, span: int, brokers: list[str], keepers: list[str], hosts: list[str]) -> str:
+def _one(
+    draws: random.Random, kind: str, span: int, brokers: list[str], keepers: list[str], hosts: list[str]
+) -> str:
     def some(names: list[str]) -> str:
         return " ".join(draws.sample(names, draws.randint(1, len(names))))
+
     one, keeper = draws.choice(brokers), draws.choice(keepers)
     texts: dict[str, Callable[[], str]] = {
         "kill": lambda: f"kill (to {one}) (span {span // 4 + 50}ms)",
@@ -44,10 +66,14 @@
         "restart-all": lambda: f"restart-all (span {span // 4 + 100}ms)",
         "half": lambda: f"cut (from {' '.join(brokers[::2])}) (to {keeper}) (span {span}ms)",
         "orphan": lambda: f"cut (from {some(brokers)}) (to k*) (span {span}ms)",
-        "way-delay": lambda: f"way-delay (from {some(brokers)}) (to {some(keepers)}) (span {span}ms) "
-                             f"(value {draws.uniform(0.01, 1.0):.3f})",
-        "way-loss": lambda: f"way-loss (from {some(brokers)}) (to {some(keepers)}) (span {span}ms) "
-                            f"(value {draws.uniform(0.01, 0.3):.3f})",
+        "way-delay": lambda: (
+            f"way-delay (from {some(brokers)}) (to {some(keepers)}) (span {span}ms) "
+            f"(value {draws.uniform(0.01, 1.0):.3f})"
+        ),
+        "way-loss": lambda: (
+            f"way-loss (from {some(brokers)}) (to {some(keepers)}) (span {span}ms) "
+            f"(value {draws.uniform(0.01, 0.3):.3f})"
+        ),
         "way-reset": lambda: f"way-reset (from {some(brokers)}) (to {some(keepers)})",
         "slow": lambda: f"slow (to {some(hosts)}) (span {span}ms) (value {draws.uniform(2, 10):.1f})",
         "crash": lambda: f"crash (to {draws.choice(hosts)}) (span {span // 4 + 200}ms)",
--- a/heathwell/lab/figures.py
+++ b/heathwell/lab/figures.py
@@ -13,17 +13,42 @@
     """The classes and the rules' figures, in the auditor's terms (microseconds and shares)."""
     rules, limits = market.rules, market.limits
     return {
-        "classes": {spec.name: {
-            "limit": spec.limit, "aim": spec.aim, "repeat": spec.repeat, "dedup": spec.dedup, "need": spec.need,
-            "floor": spec.floor or spec.need, "work": spec.work, "fetch": spec.fetch,
-        } for spec in market.classes},
-        "drain_grace": rules.drain_grace, "fall_multiple": rules.fall_multiple, "fall_after": rules.fall_after,
-        "free_resends": rules.free_resends, "further_ratio": rules.further_ratio,
-        "counted_over": rules.counted_over, "second_copies": limits.second_copies, "attempts": limits.attempts,
-        "budgets": [{"name": budget.name, "kind": budget.kind, "whole": budget.whole, "own": budget.own,
-                     "most": budget.most, "window": budget.window_us, "linger": budget.linger_us,
-                     "apart": budget.apart}
-                    for budget in budgets_of(market.fleet)],
-        "start_capacity": rules.start_capacity, "drift": market.fleet.drift,
-        "open_cap": limits.open_cap, "source_offset": OFFSET_US if market.freshness.on else None,
+        "classes": {
+            spec.name: {
+                "limit": spec.limit,
+                "aim": spec.aim,
+                "repeat": spec.repeat,
+                "dedup": spec.dedup,
+                "need": spec.need,
+                "floor": spec.floor or spec.need,
+                "work": spec.work,
+                "fetch": spec.fetch,
+            }
+            for spec in market.classes
+        },
+        "drain_grace": rules.drain_grace,
+        "fall_multiple": rules.fall_multiple,
+        "fall_after": rules.fall_after,
+        "free_resends": rules.free_resends,
+        "further_ratio": rules.further_ratio,
+        "counted_over": rules.counted_over,
+        "second_copies": limits.second_copies,
+        "attempts": limits.attempts,
+        "budgets": [
+            {
+                "name": budget.name,
+                "kind": budget.kind,
+                "whole": budget.whole,
+                "own": budget.own,
+                "most": budget.most,
+                "window": budget.window_us,
+                "linger": budget.linger_us,
+                "apart": budget.apart,
+            }
+            for budget in budgets_of(market.fleet)
+        ],
+        "start_capacity": rules.start_capacity,
+        "drift": market.fleet.drift,
+        "open_cap": limits.open_cap,
+        "source_offset": OFFSET_US if market.freshness.on else None,
     }
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -29,12 +29,19 @@
     def __init__(self, fleet: LocalFleet, number: int, run: int, address: str) -> None:
         spec, loop = fleet.market.fleet, fleet.loop
         self.name = f"k{number}r{run}"
-        decider = Keeper(number, f"k{number}.{run}", len(spec.keepers), budgets_of(spec), loop.now(), times_of(spec))
+        decider = Keeper(
+            number, f"k{number}.{run}", len(spec.keepers), budgets_of(spec), loop.now(), times_of(spec)
+        )
         self.server = KeeperServer(
-            loop, fleet.net_of(self.name), decider,
-            {n: where for n, where in enumerate(fleet.keeper_addresses) if n != number}, seed=fleet.seed * 50 + number,
-            log=fleet.log, events=fleet.events(self.name, "keeper"),
-            zones=fleet.desk(fleet.market) if spec.evacuate else None)
+            loop,
+            fleet.net_of(self.name),
+            decider,
+            {n: where for n, where in enumerate(fleet.keeper_addresses) if n != number},
+            seed=fleet.seed * 50 + number,
+            log=fleet.log,
+            events=fleet.events(self.name, "keeper"),
+            zones=fleet.desk(fleet.market) if spec.evacuate else None,
+        )
         self.server.start(address)
 
     def kill(self) -> None:
@@ -54,16 +61,35 @@
         self.agent: FleetAgent | None = None
         if market.fleet.keepers:
             spec, times, loop = market.fleet, times_of(market.fleet), fleet.loop
-            member = Self(f"b{number}", loop.now() + 1, loop.now(), zone=spec.zones[self.zone], timing=times.roll)
-            self.agent = FleetAgent(loop, net, member, budgets_of(spec), tuple(fleet.keeper_addresses),
-                                    renew_us=spec.renew, times=times, seed=fleet.seed * 1000 + number * 10 + run,
-                                    log=fleet.log, events=self.events)
+            member = Self(
+                f"b{number}", loop.now() + 1, loop.now(), zone=spec.zones[self.zone], timing=times.roll
+            )
+            self.agent = FleetAgent(
+                loop,
+                net,
+                member,
+                budgets_of(spec),
+                tuple(fleet.keeper_addresses),
+                renew_us=spec.renew,
+                times=times,
+                seed=fleet.seed * 1000 + number * 10 + run,
+                log=fleet.log,
+                events=self.events,
+            )
         self.broker = Broker(
-            fleet.loop, net, market, name=self.name, zone=self.zone,
-            seed=fleet.seed * 1000 + number * 10 + run, discovery=fleet.discovery.address,
+            fleet.loop,
+            net,
+            market,
+            name=self.name,
+            zone=self.zone,
+            seed=fleet.seed * 1000 + number * 10 + run,
+            discovery=fleet.discovery.address,
             source=fleet.source.address if fleet.source is not None else "",
-            siblings=max(1, market.fleet.brokers), events=self.events, log=fleet.log,
-            agent=self.agent)
+            siblings=max(1, market.fleet.brokers),
+            events=self.events,
+            log=fleet.log,
+            agent=self.agent,
+        )
         self.front = MemcachedFront(self.broker, fleet.log)
         self.admin = AdminFront(self.broker, self.front)
         self.listeners: list[Listener] = [
@@ -76,8 +102,14 @@
         self.vector_address = ""
         if market.vector.listen:
             self.vector = VectorFront(self.broker, fleet.log)
-            self.listeners.append(net.listen(market.vector.listen, self.vector.serve, f"searcher of {self.name}",
-                                             market.limits.clients + SPARE))
+            self.listeners.append(
+                net.listen(
+                    market.vector.listen,
+                    self.vector.serve,
+                    f"searcher of {self.name}",
+                    market.limits.clients + SPARE,
+                )
+            )
             self.broker.pace(self.listeners[-1])
             self.vector_address = self.listeners[-1].address
 
@@ -103,20 +135,35 @@
 
 
 class LocalFleet:
-    """The fleet of a settings file. With ``into`` every process notes its events in that list; without ``keep`` the
-    keepers that settings name don't run; ``desk`` makes their part in leaving zones."""
-
-    def __init__(self, loop: Loop, net_of: NetOf, market: Market, seed: int = 1, *,
-                 into: list[dict[str, Any]] | None = None, log: Callable[..., None] | None = None,
-                 host_of: Callable[[str], str] | None = None, keep: bool = True,
-                 desk: Callable[[Market], ZoneDesk] = desk_of) -> None:
+    """The fleet of a settings file. With ``into`` every process notes its events in that list; without
+    ``keep`` the keepers that settings name don't run; ``desk`` makes their part in leaving zones.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        net_of: NetOf,
+        market: Market,
+        seed: int = 1,
+        *,
+        into: list[dict[str, Any]] | None = None,
+        log: Callable[..., None] | None = None,
+        host_of: Callable[[str], str] | None = None,
+        keep: bool = True,
+        desk: Callable[[Market], ZoneDesk] = desk_of,
+    ) -> None:
         self.loop, self.net_of, self.market, self.seed = loop, net_of, market, seed
         self.desk = desk
         self.into, self.log = into, log or (lambda *_args, **_fields: None)
         host = host_of or (lambda _name: "127.0.0.1")
         self.host_of = host
-        self.discovery = Discovery(loop, net_of("discovery"), market, address=f"{host('discovery')}:0",
-                                   events=self.events("discovery", "discovery"))
+        self.discovery = Discovery(
+            loop,
+            net_of("discovery"),
+            market,
+            address=f"{host('discovery')}:0",
+            events=self.events("discovery", "discovery"),
+        )
         self.discovery.start()
         self.source: Source | None = None
         if market.freshness.on:
@@ -124,16 +171,27 @@
             self.source.start()
         zones = len(market.fleet.zones)
         self.leaves = [
-            Leaf(loop, net_of(f"leaf{n}"), market, name=f"leaf{n}", cell=n % market.fleet.cells,
-                 zone=n % zones, discovery=self.discovery.address, seed=seed * 100 + n,
-                 address=f"{host(f'leaf{n}')}:0", events=self.events(f"leaf{n}", "leaf"))
-            for n in range(market.fleet.leaves)]
+            Leaf(
+                loop,
+                net_of(f"leaf{n}"),
+                market,
+                name=f"leaf{n}",
+                cell=n % market.fleet.cells,
+                zone=n % zones,
+                discovery=self.discovery.address,
+                seed=seed * 100 + n,
+                address=f"{host(f'leaf{n}')}:0",
+                events=self.events(f"leaf{n}", "leaf"),
+            )
+            for n in range(market.fleet.leaves)
+        ]
         for leaf in self.leaves:
             leaf.start(warm=True)
         self.keeper_addresses = [f"{host(f'k{n}')}:{7100 + n}" for n in range(len(market.fleet.keepers))]
         self.keeper_runs = [0] * len(self.keeper_addresses)
-        self.keepers = [RunningKeeper(self, n, 0, address) for n, address in enumerate(self.keeper_addresses)
-                        if keep]
+        self.keepers = [
+            RunningKeeper(self, n, 0, address) for n, address in enumerate(self.keeper_addresses) if keep
+        ]
         self.runs = [0] * market.fleet.brokers
         self.brokers: list[RunningBroker] = []
         for number in range(market.fleet.brokers):
--- a/heathwell/lab/manybrokers.py
+++ b/heathwell/lab/manybrokers.py
@@ -1,5 +1,6 @@
-"""Many of the platform's brokers on virtual time, with one discovery that serves them in turn: what does no harm in one
-broker and harm in all of them is seen here."""
+"""Many of the platform's brokers on virtual time, with one discovery that serves them in turn: what does no
+harm in one broker and harm in all of them is seen here.
+"""
 
 from __future__ import annotations
 
@@ -22,7 +23,9 @@
 
 
 class ManyBrokers:
-    """``brokers`` brokers, ``nodes`` nodes of a cell each; discovery spends ``line_us`` on a line and on a call."""
+    """``brokers`` brokers, ``nodes`` nodes of a cell each; discovery spends ``line_us`` on a line and on a
+    call.
+    """
 
     def __init__(self, brokers: int, nodes: int, seed: int, *, line_us: int = 0) -> None:
         self.loop, self.net = virtual_loop(seed)
@@ -31,7 +34,9 @@
         self.loop.on_error = lambda name, error: self.errors.append((name, error))
         self.cells = nodes
         self.nodes = [self._node(cell, cell) for cell in range(nodes)]
-        self.registry = Registry(self.loop, self.net.at("registry"), "registry:8500", self.nodes, line_us=line_us)
+        self.registry = Registry(
+            self.loop, self.net.at("registry"), "registry:8500", self.nodes, line_us=line_us
+        )
         self.known = {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}
         self.brokers: list[PlatformBroker] = []
         self._fronts: list[tuple[Front, Listener]] = []
@@ -48,16 +53,23 @@
         setup = copy.deepcopy(SETUP)
         setup["specifics"].update(places=self.cells, shards=2 * self.cells)
         setup["siblings"] = brokers
-        return read(config_of(name=f"n{number}", listen=f"b{number}:7070", seed=f"{self.draw.getrandbits(64):016x}",
-                              known=self.known, settings=setup))
+        return read(
+            config_of(
+                name=f"n{number}",
+                listen=f"b{number}:7070",
+                seed=f"{self.draw.getrandbits(64):016x}",
+                known=self.known,
+                settings=setup,
+            )
+        )
 
     def _start(self, number: int, brokers: int) -> None:
         config = self._config(number, brokers)
         net = self.net.at(f"b{number}")
         broker = PlatformBroker(self.loop, net, config, log=lambda *_a, **_k: None, unix_us=lambda: UNIX_US)
         front = Front(broker, config.client_sockets, config.kept_clients, lambda *_a, **_k: None)
-        self.brokers[number:number + 1] = [broker]
-        self._fronts[number:number + 1] = [(front, net.listen(config.listen, front.serve, "client"))]
+        self.brokers[number : number + 1] = [broker]
+        self._fronts[number : number + 1] = [(front, net.listen(config.listen, front.serve, "client"))]
 
     def restart(self, number: int) -> None:
         """As SIGKILL and a start at the same address, with the list as the broker was first given it."""
@@ -80,8 +92,10 @@
     def unaware(self) -> int:
         """How many brokers don't know the nodes of now."""
         wanted = {node.uid for node in self.nodes}
-        return sum({server.node for server in broker.module.servers.values() if server.live} != wanted
-                   for broker in self.brokers)
+        return sum(
+            {server.node for server in broker.module.servers.values() if server.live} != wanted
+            for broker in self.brokers
+        )
 
     def load(self, rate: float, until_us: int) -> Coro[None]:
         """Queries of four parts each, so many a second over all brokers, until then."""
@@ -94,8 +108,9 @@
         client = Client(self.loop, self.net.at(f"c{number}"), f"b{broker}:7070")
         first = self.draw.randrange(2 * self.cells)
         try:
-            response = yield from client.ask(f"q{number}", "price-search",
-                                             [(first + step) % (2 * self.cells) for step in range(4)])
+            response = yield from client.ask(
+                f"q{number}", "price-search", [(first + step) % (2 * self.cells) for step in range(4)]
+            )
         except (StreamBroken, ConnectFailed):
             self.told[0] += 1
             return
--- a/heathwell/lab/platform.py
+++ b/heathwell/lab/platform.py
@@ -18,22 +18,72 @@
 LOOKS_MOST = 3_000  # at the log, fifty a second, for a word or the end
 ROOT = Path(__file__).resolve().parent.parent.parent
 SETUP: dict[str, Any] = {
-    "az": 0, "zones": ["a", "b"], "siblings": 1, "tick-us": 5000, "registry-mode": "ask", "value-by": "work",
+    "az": 0,
+    "zones": ["a", "b"],
+    "siblings": 1,
+    "tick-us": 5000,
+    "registry-mode": "ask",
+    "value-by": "work",
     "classes": [
-        {"name": "price-search", "objective-us": 250_000, "hard-limit-us": 600_000, "idempotency": "read_like",
-         "worth": 2.0, "late-value": 0.3, "dedup-window-us": 5_000_000},
-        {"name": "day-report", "objective-us": 300_000, "hard-limit-us": 900_000, "idempotency": "read_like",
-         "worth": 1.0, "late-value": 0.1, "dedup-window-us": 5_000_000},
-        {"name": "sale-record", "objective-us": 200_000, "hard-limit-us": 500_000, "idempotency": "idempotency_key",
-         "worth": 1.0, "late-value": 0.1, "dedup-window-us": 200_000}],
-    "ceilings": {"cancelling": True, "conn-idle-us": 3_000_000, "connect-timeout-us": 250_000, "max-attempts": 4,
-                 "max-retry-after-us": 500_000, "open-cap": 400, "probing": True, "retry-after": True,
-                 "second-copies": False, "streams-per-conn": 8},
-    "invariants": {"drain-grace-us": 1_000_000, "fall-multiple": 2.5, "must-ask-in-us": 10_000_000,
-                   "start-capacity": 0.18, "tip-after-us": 1_000_000, "warm-within-us": 4_000_000},
-    "specifics": {"class-fetch": [0, 2, 0], "class-need": [0.75, 1.0, 1.0], "min-share": [0.75, 1.0, 1.0],
-                  "incomplete-worth": [0.9, 0.9, 0.9], "parts-a-call": 1, "places": CELLS, "shards": 12,
-                  "warm-keys": True, "width": 3},
+        {
+            "name": "price-search",
+            "objective-us": 250_000,
+            "hard-limit-us": 600_000,
+            "idempotency": "read_like",
+            "worth": 2.0,
+            "late-value": 0.3,
+            "dedup-window-us": 5_000_000,
+        },
+        {
+            "name": "day-report",
+            "objective-us": 300_000,
+            "hard-limit-us": 900_000,
+            "idempotency": "read_like",
+            "worth": 1.0,
+            "late-value": 0.1,
+            "dedup-window-us": 5_000_000,
+        },
+        {
+            "name": "sale-record",
+            "objective-us": 200_000,
+            "hard-limit-us": 500_000,
+            "idempotency": "idempotency_key",
+            "worth": 1.0,
+            "late-value": 0.1,
+            "dedup-window-us": 200_000,
+        },
+    ],
+    "ceilings": {
+        "cancelling": True,
+        "conn-idle-us": 3_000_000,
+        "connect-timeout-us": 250_000,
+        "max-attempts": 4,
+        "max-retry-after-us": 500_000,
+        "open-cap": 400,
+        "probing": True,
+        "retry-after": True,
+        "second-copies": False,
+        "streams-per-conn": 8,
+    },
+    "invariants": {
+        "drain-grace-us": 1_000_000,
+        "fall-multiple": 2.5,
+        "must-ask-in-us": 10_000_000,
+        "start-capacity": 0.18,
+        "tip-after-us": 1_000_000,
+        "warm-within-us": 4_000_000,
+    },
+    "specifics": {
+        "class-fetch": [0, 2, 0],
+        "class-need": [0.75, 1.0, 1.0],
+        "min-share": [0.75, 1.0, 1.0],
+        "incomplete-worth": [0.9, 0.9, 0.9],
+        "parts-a-call": 1,
+        "places": CELLS,
+        "shards": 12,
+        "warm-keys": True,
+        "width": 3,
+    },
     "clients": {"marks-retry": False},
 }
 
@@ -45,19 +95,32 @@
 def config_of(**changes: Any) -> bytes:
     """A configuration file's bytes."""
     table: dict[str, Any] = {
-        "name": "n1", "listen": "broker:7070", "discovery": "registry:8500", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 0.4, "memory_mb": 96, "sockets": 256}, "known": {"rev": 0, "all": True, "targets": []},
-        "settings": copy.deepcopy(SETUP)}
+        "name": "n1",
+        "listen": "broker:7070",
+        "discovery": "registry:8500",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 0.4, "memory_mb": 96, "sockets": 256},
+        "known": {"rev": 0, "all": True, "targets": []},
+        "settings": copy.deepcopy(SETUP),
+    }
     table.update(changes)
     return json.dumps(table).encode()
 
 
 class PlatformFleet:
-    """A broker's process with its stand-ins; the configuration and the log are files in ``folder``. ``program`` are the
-    interpreter's arguments, for a test that watches what the broker calls; ``settings`` the platform's object."""
-
-    def __init__(self, folder: Path, registry: bool = True, program: tuple[str, ...] = ("-m", "heathwell.gateway"),
-                 settings: dict[str, Any] | None = None, ready: bool = True) -> None:
+    """A broker's process with its stand-ins; the configuration and the log are files in ``folder``.
+    ``program`` are the interpreter's arguments, for a test that watches what the broker calls; ``settings``
+    the platform's object.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        registry: bool = True,
+        program: tuple[str, ...] = ("-m", "heathwell.gateway"),
+        settings: dict[str, Any] | None = None,
+        ready: bool = True,
+    ) -> None:
         self.loop: Loop
         self.loop, self.net, _ = socket_loop()
         self.nodes = [Node(self.loop, self.net, "127.0.0.1:0", f"s{n}", n) for n in range(CELLS)]
@@ -67,8 +130,11 @@
         self.write(self.registries[0].address if registry else "127.0.0.1:1")
         with self.lines.open("wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, *program], cwd=ROOT, stderr=log,
-                env={"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1", "GW_CONFIG": str(self.path)})
+                [sys.executable, *program],
+                cwd=ROOT,
+                stderr=log,
+                env={"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1", "GW_CONFIG": str(self.path)},
+            )
         self.address = ""
         if ready:
             self.run(self._ready())
@@ -76,8 +142,11 @@
     def write(self, discovery: str) -> None:
         """The configuration, with discovery met there."""
         known = {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}
-        self.path.write_bytes(config_of(listen="127.0.0.1:0", discovery=discovery, known=known,
-                                        settings=copy.deepcopy(self.settings)))
+        self.path.write_bytes(
+            config_of(
+                listen="127.0.0.1:0", discovery=discovery, known=known, settings=copy.deepcopy(self.settings)
+            )
+        )
 
     def _ready(self) -> Coro[None]:
         yield from self.says("ready")
@@ -87,7 +156,9 @@
         self.address = found[1]
 
     def says(self, word: str) -> Coro[None]:
-        """Wait until the broker's log holds a word; raises :class:`PlatformError` where it ends, or never says it."""
+        """Wait until the broker's log holds a word; raises :class:`PlatformError` where it ends, or never
+        says it.
+        """
         for _ in range(LOOKS_MOST):
             if word in self.lines.read_text():
                 return
--- a/heathwell/lab/processes.py
+++ b/heathwell/lab/processes.py
@@ -48,12 +48,20 @@
 class ProcessFleet:
     """Discovery, hosts and brokers of a settings file, each a process of its own."""
 
-    def __init__(self, config: str, market: Market, events: str | None = None, seed: int = 1,
-                 leaf_host: str = "127.0.0.1", wires: Wires | None = None,
-                 clocks: dict[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        config: str,
+        market: Market,
+        events: str | None = None,
+        seed: int = 1,
+        leaf_host: str = "127.0.0.1",
+        wires: Wires | None = None,
+        clocks: dict[str, float] | None = None,
+    ) -> None:
         # With wires each process reaches the others by a relay of its own; ``clocks`` are rates by name.
         self.wires, self.clocks = wires, clocks or {}
-        # With many clients of this machine another loopback address for hosts keeps a killed host's port its own.
+        # With many clients of this machine another loopback address for hosts keeps a killed host's port its
+        # own.
         self.leaf_host = leaf_host
         self.config, self.market, self.events, self.seed = config, market, events, seed
         self.members: dict[str, Member] = {}
@@ -72,12 +80,33 @@
             self._wait([self._start("source", "source", 0, 0, [])])
             clock = ["--source", self.members["source"].address]
         names = [f"k{n}" for n in range(len(self.market.fleet.keepers))]
-        self._wait([self._start("keeper", name, n, n % zones, ["--number", str(n), *self._keepers(name, names)])
-                    for n, name in enumerate(names)])
-        hosts = [self._start("leaf", f"leaf{n}", n, n % zones, [
-            "--discovery", self._way(f"leaf{n}", "discovery"), "--cell", str(n % self.market.fleet.cells),
-            "--zone", str(n % zones), "--seed", str(self.seed * 100 + n), "--listen", f"{self.leaf_host}:0"])
-            for n in range(self.market.fleet.leaves)]
+        self._wait(
+            [
+                self._start("keeper", name, n, n % zones, ["--number", str(n), *self._keepers(name, names)])
+                for n, name in enumerate(names)
+            ]
+        )
+        hosts = [
+            self._start(
+                "leaf",
+                f"leaf{n}",
+                n,
+                n % zones,
+                [
+                    "--discovery",
+                    self._way(f"leaf{n}", "discovery"),
+                    "--cell",
+                    str(n % self.market.fleet.cells),
+                    "--zone",
+                    str(n % zones),
+                    "--seed",
+                    str(self.seed * 100 + n),
+                    "--listen",
+                    f"{self.leaf_host}:0",
+                ],
+            )
+            for n in range(self.market.fleet.leaves)
+        ]
         self._wait(hosts)
         self._wait(self._relays())
         self._clock = clock
@@ -85,10 +114,23 @@
 
     def _broker(self, n: int) -> Member:
         zone, keepers = n % len(self.market.fleet.zones), [member.name for member in self.of("keeper")]
-        return self._start("broker", f"b{n}", n, zone, [
-            "--discovery", self._way(f"b{n}", "discovery"), "--zone", str(zone),
-            "--seed", str(self.seed * 1000 + n), *self._clock, *self._routes(f"b{n}", zone),
-            *self._keepers(f"b{n}", keepers)])
+        return self._start(
+            "broker",
+            f"b{n}",
+            n,
+            zone,
+            [
+                "--discovery",
+                self._way(f"b{n}", "discovery"),
+                "--zone",
+                str(zone),
+                "--seed",
+                str(self.seed * 1000 + n),
+                *self._clock,
+                *self._routes(f"b{n}", zone),
+                *self._keepers(f"b{n}", keepers),
+            ],
+        )
 
     def join(self, number: int, seconds: float) -> None:
         """One broker more, which is asked to end after so many seconds."""
@@ -116,8 +158,15 @@
         for number, region in enumerate(self.market.across.regions):
             far = [leaf.address for leaf in self.of("leaf") if self.region_of(leaf.zone) != region.name]
             if far:
-                out.append(self._start("relay", f"link-{region.name}", number, 0, [
-                    "--targets", ",".join(far), "--seed", str(self.seed * 10 + number)]))
+                out.append(
+                    self._start(
+                        "relay",
+                        f"link-{region.name}",
+                        number,
+                        0,
+                        ["--targets", ",".join(far), "--seed", str(self.seed * 10 + number)],
+                    )
+                )
         return out
 
     def _way(self, source: str, target: str) -> str:
@@ -128,12 +177,18 @@
         """How a process finds the keepers: with wires by its own ways to them, else as settings say."""
         if not names or self.wires is None:
             return []
-        return ["--keepers", ",".join(self.wires.door(source, name) for name in names),
-                *(["--listen", "127.0.0.1:0"] if source in names else [])]
+        return [
+            "--keepers",
+            ",".join(self.wires.door(source, name) for name in names),
+            *(["--listen", "127.0.0.1:0"] if source in names else []),
+        ]
 
     def _routes(self, source: str, zone: int) -> list[str]:
         if self.wires is not None:
-            return ["--routes", json.dumps({leaf.address: self._way(source, leaf.name) for leaf in self.of("leaf")})]
+            return [
+                "--routes",
+                json.dumps({leaf.address: self._way(source, leaf.name) for leaf in self.of("leaf")}),
+            ]
         link = self.members.get(f"link-{self.region_of(zone)}")
         return ["--routes", json.dumps(link.ready["routes"])] if link is not None else []
 
@@ -143,8 +198,10 @@
 
     def table(self) -> dict[str, Any]:
         """Names and addresses, for a ready file."""
-        return {member.name: {"role": member.role, "zone": self.market.fleet.zones[member.zone], **member.ready}
-                for member in self.members.values()}
+        return {
+            member.name: {"role": member.role, "zone": self.market.fleet.zones[member.zone], **member.ready}
+            for member in self.members.values()
+        }
 
     def kill(self, name: str, back_after: float | None) -> None:
         """SIGKILL a member; it comes back at its address after so many seconds (never with None)."""
@@ -227,7 +284,9 @@
                 return  # killed twice, and back by the first
             # By wires a keeper is met where it was, wherever it listens.
             moved = self.wires is not None and old.role == "keeper"
-            extra = ["--listen", "127.0.0.1:0" if moved else old.address] + (["--cold"] if old.role == "leaf" else [])
+            extra = ["--listen", "127.0.0.1:0" if moved else old.address] + (
+                ["--cold"] if old.role == "leaf" else []
+            )
             run_name = f"{name}r{old.runs + 1}" if old.role in RUNS else name
             member = self._spawn(old.role, name, old.number, old.zone, old.args, extra, run_name)
             member.runs = old.runs + 1
@@ -240,15 +299,33 @@
     def _start(self, role: str, name: str, number: int, zone: int, args: list[str]) -> Member:
         return self._spawn(role, name, number, zone, args, [], f"{name}r0" if role in RUNS else name)
 
-    def _spawn(self, role: str, name: str, number: int, zone: int, args: list[str], extra: list[str],
-               run_name: str) -> Member:
-        command = [sys.executable, "-m", "heathwell", role, "--config", self.config, "--name", run_name, *args, *extra]
+    def _spawn(
+        self, role: str, name: str, number: int, zone: int, args: list[str], extra: list[str], run_name: str
+    ) -> Member:
+        command = [
+            sys.executable,
+            "-m",
+            "heathwell",
+            role,
+            "--config",
+            self.config,
+            "--name",
+            run_name,
+            *args,
+            *extra,
+        ]
         if self.events:
             command += ["--events", self.events]
         if name in self.clocks:
             command += ["--clock-rate", str(self.clocks[name])]
-        process = subprocess.Popen(command, stdout=subprocess.PIPE, stdin=subprocess.DEVNULL, text=True,
-                                   start_new_session=True, env={**os.environ, "PYTHONUNBUFFERED": "1"})
+        process = subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stdin=subprocess.DEVNULL,
+            text=True,
+            start_new_session=True,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
         member = Member(name, role, number, zone, args, process)
         self.members[name] = member
         return member
--- a/heathwell/lab/regional.py
+++ b/heathwell/lab/regional.py
@@ -23,7 +23,7 @@
     "decider": "(across (region hki (zones hki-1 hki-2)) (region espoo (zones espoo-1 espoo-2)))",
     "off": "(across (decide no) (region hki (zones hki-1 hki-2)) (region espoo (zones espoo-1 espoo-2)))",
     "nearest first": "(across (decide no) (prefer-home yes) (region hki (zones hki-1 hki-2)) "
-                     "(region espoo (zones espoo-1 espoo-2)))",
+    "(region espoo (zones espoo-1 espoo-2)))",
 }
 MARKET = """
 (class price-search (aim 1s) (limit 2s) (worth 2) (late-worth 30%) (need 75%) (floor 50%) (partial-worth 60%)
@@ -41,7 +41,8 @@
 
 # The users' size to come: 82 hosts, 89 brokers, 130 queries a second.
 LARGE = MARKET.replace("(shards 64) (cells 32) (width 2)", "(shards 164) (cells 82) (width 3)").replace(
-    "(leaves 32) (brokers 8)", "(leaves 82) (brokers 89)")
+    "(leaves 32) (brokers 8)", "(leaves 82) (brokers 89)"
+)
 
 
 @dataclass(slots=True)
@@ -58,12 +59,18 @@
 
 
 class RegionalDay(SimulatedDay):
-    """A day with one trouble between two regions; ``cells`` lie so that a quarter of the shards is all at home."""
+    """A day with one trouble between two regions; ``cells`` lie so that a quarter of the shards is all at
+    home.
+    """
 
-    def __init__(self, variant: str, trouble: str, seed: int = 1, rate: float = 60.0, text: str = MARKET) -> None:
+    def __init__(
+        self, variant: str, trouble: str, seed: int = 1, rate: float = 60.0, text: str = MARKET
+    ) -> None:
         market: Market = loads(text + VARIANTS[variant])
         self.ways: Callable[[str, str], int] = self._plain_way
-        super().__init__(market, seed, seconds=BEFORE + TROUBLE + AFTER, rate=rate, trouble_rate=0.0, poison=0.0)
+        super().__init__(
+            market, seed, seconds=BEFORE + TROUBLE + AFTER, rate=rate, trouble_rate=0.0, poison=0.0
+        )
         self.net.delay = self._way
         self.trouble_name = trouble
         self.spans: dict[tuple[str, int, bool], Span] = {}
@@ -103,13 +110,16 @@
         span = int(TROUBLE * 1e6)
         if self.trouble_name in ("100 ms", "400 ms"):
             extra = int(self.trouble_name.split()[0]) * 1000
-            self.ways = lambda a, b: self._plain_way(a, b) + (extra if self._plain_way(a, b) == FAR_WAY_US else 0)
+            self.ways = lambda a, b: (
+                self._plain_way(a, b) + (extra if self._plain_way(a, b) == FAR_WAY_US else 0)
+            )
             yield from sleep(self.loop, span)
             self.ways = self._plain_way
         elif self.trouble_name == "loss":
             draws = random.Random(self.seed)
-            self.ways = lambda a, b: (way := self._plain_way(a, b)) + (
-                lost_wait(1, LOSS, draws) if way == FAR_WAY_US else 0)
+            self.ways = lambda a, b: (
+                (way := self._plain_way(a, b)) + (lost_wait(1, LOSS, draws) if way == FAR_WAY_US else 0)
+            )
             yield from sleep(self.loop, span)
             self.ways = self._plain_way
         elif self.trouble_name == "one way":
@@ -133,8 +143,9 @@
             for leaf in lost:  # back cold all at once
                 leaf.start()
 
-    def _count(self, keys: list[str], classes: list[Any], bodies: dict[str, dict[str, Any]], took: int,
-               broker: int) -> None:
+    def _count(
+        self, keys: list[str], classes: list[Any], bodies: dict[str, dict[str, Any]], took: int, broker: int
+    ) -> None:
         far_broker = self.far(f"b{broker}")
         at = (self.loop.now() - took - 1_000_000 - 1_500_000) / 1e6
         where = 0 if at < BEFORE else 1 if at < BEFORE + TROUBLE else 2
@@ -162,10 +173,14 @@
                 self.give_up_us.append(took * 1000 // spec.aim)
 
     def steady_after(self) -> float | None:
-        """Seconds from the trouble's end until three seconds in a row are within 5 points of the time before."""
+        """Seconds from the trouble's end until three seconds in a row are within 5 points of the
+        time before.
+        """
+
         def share(seconds: range) -> float:
             rows = [self.by_second[s] for s in seconds if s in self.by_second]
             return sum(row[1] for row in rows) / max(1, sum(row[0] for row in rows))
+
         usual, end = share(range(2, int(BEFORE))), int(BEFORE + TROUBLE)
         for start in range(end, end + int(AFTER) - 2):
             if share(range(start, start + 3)) >= usual - 0.05:
@@ -175,13 +190,16 @@
     def _all_home(self, plan: Any, far: bool) -> bool:
         """Whether every shard of a plan has a holder in the region of the broker that was asked."""
         cells = self.market.fleet.cells
-        return all(any(((part.shard + step) % cells % 4 >= 2) == far for step in range(self.market.fleet.width))
-                   for part in plan.parts)
+        return all(
+            any(((part.shard + step) % cells % 4 >= 2) == far for step in range(self.market.fleet.width))
+            for part in plan.parts
+        )
 
 
 def sent_by_second(day: RegionalDay) -> list[dict[str, float]]:
-    """What hosts were sent each second: the surviving region's mean and most, the lost one's most, in parts, and
-    connections that hosts accepted."""
+    """What hosts were sent each second: the surviving region's mean and most, the lost one's most, in parts,
+    and connections that hosts accepted.
+    """
     zero = 1_000_000 + 1_500_000
     counts: dict[int, dict[str, int]] = {}
     opened: dict[int, int] = {}
@@ -197,28 +215,41 @@
     for second in sorted(counts):
         home = [count for name, count in counts[second].items() if not day.far(name)]
         far = [count for name, count in counts[second].items() if day.far(name)]
-        out.append({"second": second, "home mean": round(sum(home) / max(1, len(home)), 1),
-                    "home most": max(home, default=0), "far most": max(far, default=0),
-                    "connections": opened.get(second, 0)})
+        out.append(
+            {
+                "second": second,
+                "home mean": round(sum(home) / max(1, len(home)), 1),
+                "home most": max(home, default=0),
+                "far most": max(far, default=0),
+                "connections": opened.get(second, 0),
+            }
+        )
     return out
 
 
 def compare(trouble: str, seed: int = 1, rate: float = 60.0) -> dict[str, Any]:
-    """One trouble under every variant: service by class and span, rules, and how far a cold host was pushed."""
+    """One trouble under every variant: service by class and span, rules, and how far a cold host
+    was pushed.
+    """
     out: dict[str, Any] = {"trouble": trouble}
     for variant in VARIANTS:
         day = RegionalDay(variant, trouble, seed, rate)
         day.run()
         verdict = day.verdict()
         out[variant] = {
-            "rules": [str(breach) for breach in verdict.breaches[:5]], "broken": len(verdict.breaches),
+            "rules": [str(breach) for breach in verdict.breaches[:5]],
+            "broken": len(verdict.breaches),
             "coldest": round(verdict.coldest, 2),
-            "service": {f"{klass}/{('before', 'during', 'after')[where]}{'/home' if home else ''}":
-                        {name: getattr(span, name) for name in Span.__slots__}
-                        for (klass, where, home), span in sorted(day.spans.items())},
+            "service": {
+                f"{klass}/{('before', 'during', 'after')[where]}{'/home' if home else ''}": {
+                    name: getattr(span, name) for name in Span.__slots__
+                }
+                for (klass, where, home), span in sorted(day.spans.items())
+            },
             "steady after, s": day.steady_after(),
-            "gave up after, of the aim in 1000": sorted(day.give_up_us)[len(day.give_up_us) // 2:][:1],
-            "links": [(e["t"], e["who"], e["region"], e["state"], e["why"]) for e in day.events
-                      if e["ev"] == "link"][:6],
+            "gave up after, of the aim in 1000": sorted(day.give_up_us)[len(day.give_up_us) // 2 :][:1],
+            "links": [
+                (e["t"], e["who"], e["region"], e["state"], e["why"]) for e in day.events if e["ev"] == "link"
+            ][:6],
         }
     return out
--- a/heathwell/lab/releases.py
+++ b/heathwell/lab/releases.py
@@ -1,8 +1,9 @@
 """Releases good and bad over brokers of figures alone, for the judge and the course: seeded, on virtual time.
 
-Each broker has arrivals, a usual worth by class, troubles shared by its zone, processor and memory; a version has a
-defect or none. The course is the real one, and so is the judge: only what brokers did is drawn. Beside the course stand
-what it is compared with: all at once, stages that nobody judges, stages judged by fixed thresholds.
+Each broker has arrivals, a usual worth by class, troubles shared by its zone, processor and memory; a version
+has a defect or none. The course is the real one, and so is the judge: only what brokers did is drawn. Beside
+the course stand what it is compared with: all at once, stages that nobody judges, stages judged by fixed
+thresholds.
 """
 
 from __future__ import annotations
@@ -16,7 +17,17 @@
 from heathwell.rollout.course import AGAIN, ENDED
 
 CLASSES = {"price-search": (0.45, 0.985), "day-report": (0.2, 0.95), "sale-record": (0.35, 0.99)}
-DEFECTS = ("no start", "dies", "drops held", "worse class", "processor", "leak", "stall", "old wire", "false digest")
+DEFECTS = (
+    "no start",
+    "dies",
+    "drops held",
+    "worse class",
+    "processor",
+    "leak",
+    "stall",
+    "old wire",
+    "false digest",
+)
 POLICIES = ("judged", "all at once", "unjudged stages", "thresholds")
 WINDOW_US = 2_000_000
 REPLACE_US = 4_000_000
@@ -25,8 +36,9 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """How one release went: ``stopped`` by itself, at which stage, what it cost in broker-minutes of worth lost against
-    the old version, and how long it took (s)."""
+    """How one release went: ``stopped`` by itself, at which stage, what it cost in broker-minutes of worth
+    lost against the old version, and how long it took (s).
+    """
 
     defect: str
     policy: str
@@ -40,17 +52,32 @@
 class Releases:
     """One release over a fleet of figures."""
 
-    def __init__(self, seed: int, defect: str = "", *, brokers: int = 89, zones: int = 9, rate: float = 130.0,
-                 plan: Plan | None = None, policy: str = "judged") -> None:
+    def __init__(
+        self,
+        seed: int,
+        defect: str = "",
+        *,
+        brokers: int = 89,
+        zones: int = 9,
+        rate: float = 130.0,
+        plan: Plan | None = None,
+        policy: str = "judged",
+    ) -> None:
         self.draw = np.random.default_rng(seed)
         self.choice = random.Random(seed)
         self.defect, self.policy = defect, policy
         self.zones = {f"b{n}": f"z{n % zones}" for n in range(brokers)}
         shares = self.draw.gamma(3.0, 1.0, brokers)  # some brokers see several times the mean
         self.rates = dict(zip(self.zones, rate * shares / shares.sum(), strict=True))
-        self.plan = plan or Plan((
-            Stage(0.0, 30_000_000, 60_000_000), Stage(0.05, 60_000_000, 120_000_000),
-            Stage(0.25, 120_000_000, 600_000_000, prove=True), Stage(1.0, 20_000_000, 20_000_000)), at_once=8)
+        self.plan = plan or Plan(
+            (
+                Stage(0.0, 30_000_000, 60_000_000),
+                Stage(0.05, 60_000_000, 120_000_000),
+                Stage(0.25, 120_000_000, 600_000_000, prove=True),
+                Stage(1.0, 20_000_000, 20_000_000),
+            ),
+            at_once=8,
+        )
         if policy == "all at once":
             self.plan = Plan((Stage(1.0, 20_000_000, 20_000_000),), zone_share=1.0, at_once=brokers)
         self.course = Course("c", "old", "new", self.zones, self.plan, window_us=WINDOW_US)
@@ -75,19 +102,34 @@
         while course.state not in ENDED and self.now < 1_800_000_000:
             stage = max(stage, course.stage)
             self._replace()
-            failed = [name for name, want in self.wished.items() if want != "old" and name not in self.busy
-                      and (self._cannot_start() or self.defect == "drops held" and want == "new" + AGAIN)]
+            failed = [
+                name
+                for name, want in self.wished.items()
+                if want != "old"
+                and name not in self.busy
+                and (self._cannot_start() or self.defect == "drops held" and want == "new" + AGAIN)
+            ]
             course.looked(self.runs, failed)
             windows = self._window()
             self._judge(windows)
             self.now += WINDOW_US
             if course.state == HELD and not course.by_trouble:
                 break  # it asks for an operator
-        return Outcome(self.defect, self.policy, course.state in (UNDOING, "undone") or course.state == HELD, stage,
-                       self.lost / 60, self.now / 1e6, course.why)
+        return Outcome(
+            self.defect,
+            self.policy,
+            course.state in (UNDOING, "undone") or course.state == HELD,
+            stage,
+            self.lost / 60,
+            self.now / 1e6,
+            course.why,
+        )
 
     def _cannot_start(self) -> bool:
-        return self.defect in ("no start", "false digest")  # an agent sees either before the old one is asked to end
+        return self.defect in (
+            "no start",
+            "false digest",
+        )  # an agent sees either before the old one is asked to end
 
     def _judge(self, windows: list[Window]) -> None:
         course = self.course
@@ -105,7 +147,9 @@
                     return
             if course.judged_us >= stage.bake_us:
                 self.seen = [0.0, 0.0]
-                course.event("last" if course.stage == len(self.plan.stages) - 1 else "passed", "its time was over")
+                course.event(
+                    "last" if course.stage == len(self.plan.stages) - 1 else "passed", "its time was over"
+                )
 
     def _replace(self) -> None:
         for name, at in list(self.busy.items()):
@@ -129,17 +173,24 @@
     def _one(self, name: str, zone: str, in_trouble: bool) -> Window:
         new, age = self.runs[name] != "old", (self.now - self.since[name]) / 1e6
         defect = self.defect if new else ""
-        loss = abs(self.shock[zone]) + (0.5 if in_trouble and zone == self.trouble_zone else
-                                        0.05 if in_trouble else 0.0)
+        loss = abs(self.shock[zone]) + (
+            0.5 if in_trouble and zone == self.trouble_zone else 0.05 if in_trouble else 0.0
+        )
         gone = defect == "stall" and age > 20 or defect == "old wire"
         deaths = int(defect == "dies" and int(age // 5) != int((age - WINDOW_US / 1e6) // 5) and age > 0)
         drops = defect == "drops held" and name in self.busy
-        asked = self.draw.poisson(self.rates[name] * WINDOW_US / 1e6 * np.array([s for s, _ in CLASSES.values()]))
+        asked = self.draw.poisson(
+            self.rates[name] * WINDOW_US / 1e6 * np.array([s for s, _ in CLASSES.values()])
+        )
         classes, plain = {}, 0.0
         for (klass, (_, usual)), count in zip(CLASSES.items(), asked, strict=True):
             chance = max(0.0, usual - loss)
-            bad = (0.0 if gone else chance * (0.5 if deaths or drops else 1.0)
-                   - (0.03 if defect == "worse class" and klass == self.bad_class else 0.0))
+            bad = (
+                0.0
+                if gone
+                else chance * (0.5 if deaths or drops else 1.0)
+                - (0.03 if defect == "worse class" and klass == self.bad_class else 0.0)
+            )
             worth = float(self.draw.binomial(int(count), max(0.0, bad)))
             plain += chance * count - max(0.0, bad) * count
             if count:
@@ -148,8 +199,16 @@
         self.lost += plain / max(per_broker, 1e-9) * WINDOW_US / 1e6
         cpu = sum(t.asked for t in classes.values()) * 900 * (2.0 if defect == "processor" else 1.0)
         memory = 60e6 + float(self.draw.normal(0, 1e6)) + (0.4e6 * age if defect == "leak" else 0.0)
-        return Window(name, zone, new, classes, int(cpu * self.draw.lognormal(0, 0.1)), int(memory), deaths,
-                      silent=defect == "stall" and age > 20)
+        return Window(
+            name,
+            zone,
+            new,
+            classes,
+            int(cpu * self.draw.lognormal(0, 0.1)),
+            int(memory),
+            deaths,
+            silent=defect == "stall" and age > 20,
+        )
 
 
 def play(seed: int, defect: str = "", policy: str = "judged") -> Outcome:
--- a/heathwell/lab/replay.py
+++ b/heathwell/lab/replay.py
@@ -18,7 +18,9 @@
     """A file that is not a bench day; the text names what is missing."""
 
 
-def script_from(path: str, market: Market, config: str, seconds: float, rate: float) -> tuple[Script, list[str]]:
+def script_from(
+    path: str, market: Market, config: str, seconds: float, rate: float
+) -> tuple[Script, list[str]]:
     """The script of a day squeezed to so many seconds, and what could not be carried over."""
     try:
         day = json.loads(Path(path).read_text(encoding="utf-8"))
@@ -38,7 +40,9 @@
             skipped.append(f"{trouble['kind']}: no counterpart on loopback")
     steps.sort(key=lambda step: step.at)
     mix = [Mix(space=space.prefix, share=_class_share(day, market, space.klass)) for space in market.keys]
-    script = Script(market=config, seconds=day["length"] * squeeze / 1e6, load=Load(rate=rate, mix=mix), steps=steps)
+    script = Script(
+        market=config, seconds=day["length"] * squeeze / 1e6, load=Load(rate=rate, mix=mix), steps=steps
+    )
     return script, skipped
 
 
@@ -79,14 +83,18 @@
             return [step("crash", to=hosts)]
         case "pauses" | "flapping":
             beat = 2_000_000
-            return [step("stall", to=hosts or every, when=at + n * beat, span=400_000)
-                    for n in range(max(1, span // beat))]
+            return [
+                step("stall", to=hosts or every, when=at + n * beat, span=400_000)
+                for n in range(max(1, span // beat))
+            ]
         case "class_fail":
             name = market.classes[which % len(market.classes)].name
             return [step("failclass", to=hosts, klass=name)]
         case "answer_lost":
             if trouble.get("how") == "reset":
-                return [step("reset", to=hosts, when=at + n * 2_000_000) for n in range(max(1, span // 2_000_000))]
+                return [
+                    step("reset", to=hosts, when=at + n * 2_000_000) for n in range(max(1, span // 2_000_000))
+                ]
             return [step("lose", to=hosts, value=max(0.05, min(size, 1.0)))]
         case "poison":
             return [step("poison", value=max(1.0, round(span / 1e6 / 4)))]
@@ -100,8 +108,15 @@
             return [step("kill-broker", to=[f"b{which % max(1, market.fleet.brokers)}"])]
         case "preempt" | "deploy":
             waves = trouble.get("steps") or [{"at": trouble["at"], "stop": trouble.get("on") or [0]}]
-            return [step("drain", to=_hosts(wave.get("stop") or [0], day, market), when=int(wave["at"] * squeeze),
-                         span=0) for wave in waves]
+            return [
+                step(
+                    "drain",
+                    to=_hosts(wave.get("stop") or [0], day, market),
+                    when=int(wave["at"] * squeeze),
+                    span=0,
+                )
+                for wave in waves
+            ]
         case "slow_link" | "handshake_slow" | "idle_reap":
             return [step("stall", to=hosts or every[:1], span=min(span, 500_000))]
     return []
--- a/heathwell/lab/rolling.py
+++ b/heathwell/lab/rolling.py
@@ -1,4 +1,5 @@
-"""Rollouts over processes: machines' agents with their brokers, hosts, keepers, clients, and versions planted bad.
+"""Rollouts over processes: machines' agents with their brokers, hosts, keepers, clients, and versions planted
+bad.
 
 A bad version is a copy of this program with one place altered.
 """
@@ -30,29 +31,50 @@
 from heathwell.settings import Market, load
 
 PACKAGE = Path(__file__).resolve().parent.parent
-# The example of a fleet with budgets, for agents' brokers: none of its own, and room for those of two versions.
-SWAPS = (("(leaves 6) (brokers 6)", "(leaves 6) (brokers 0)"), ("(most 8)", "(most 20)"), ("(whole 14)", "(whole 40)"),
-         ("(aside 40%) (burst 2s)", "(aside 40%) (burst 5s)"), ("(level info)", "(level error)"))
+# The example of a fleet with budgets, for agents' brokers: none of its own, and room for those of two
+# versions.
+SWAPS = (
+    ("(leaves 6) (brokers 6)", "(leaves 6) (brokers 0)"),
+    ("(most 8)", "(most 20)"),
+    ("(whole 14)", "(whole 40)"),
+    ("(aside 40%) (burst 2s)", "(aside 40%) (burst 5s)"),
+    ("(level info)", "(level error)"),
+)
 BROKER_MAIN = "    def main() -> Coro[None]:\n        served = Broker("
 FINAL = "    def final(self, query: MarketQuery, reply: Reply, took_us: int) -> None:\n"
 # By name: file, what stands there, what stands there instead.
 DEFECTS: dict[str, tuple[str, str, str]] = {
     "does not start": ("cli/serve.py", BROKER_MAIN, "    raise SystemExit(9)\n\n" + BROKER_MAIN),
-    "dies after 5 s": ("cli/serve.py", BROKER_MAIN,
-                       "    loop.call_at(loop.now() + 5_000_000, lambda: os._exit(3))\n\n" + BROKER_MAIN),
+    "dies after 5 s": (
+        "cli/serve.py",
+        BROKER_MAIN,
+        "    loop.call_at(loop.now() + 5_000_000, lambda: os._exit(3))\n\n" + BROKER_MAIN,
+    ),
     "dies on SIGTERM": ("cli/serve.py", "        self._signals += 1\n", "        os._exit(1)\n"),
-    "a class worse": ("broker/market.py", "        if self.stopping or self.full(len(plan.parts)):\n",
-                      "        if sum(key.encode()) % 8 == 0 and spec.name == 'price-search':\n"
-                      "            self._refuse_at_door(spec, key, request, on_reply, 'full', 0, who)\n"
-                      "            return None\n"
-                      "        if self.stopping or self.full(len(plan.parts)):\n"),
-    "twice the processor": ("broker/market.py", FINAL, FINAL +
-                            "        import time\n        end = time.process_time() + 0.02\n"
-                            "        while time.process_time() < end:\n            pass\n"),
-    "leaks": ("broker/market.py", FINAL, FINAL +
-              "        self.__dict__.setdefault('leak', []).append(bytearray(3_000_000))\n"),
-    "stalls after a while": ("cli/serve.py", BROKER_MAIN,
-                             "    loop.call_at(loop.now() + 6_000_000, lambda: time.sleep(1000))\n\n" + BROKER_MAIN),
+    "a class worse": (
+        "broker/market.py",
+        "        if self.stopping or self.full(len(plan.parts)):\n",
+        "        if sum(key.encode()) % 8 == 0 and spec.name == 'price-search':\n"
+        "            self._refuse_at_door(spec, key, request, on_reply, 'full', 0, who)\n"
+        "            return None\n"
+        "        if self.stopping or self.full(len(plan.parts)):\n",
+    ),
+    "twice the processor": (
+        "broker/market.py",
+        FINAL,
+        FINAL + "        import time\n        end = time.process_time() + 0.02\n"
+        "        while time.process_time() < end:\n            pass\n",
+    ),
+    "leaks": (
+        "broker/market.py",
+        FINAL,
+        FINAL + "        self.__dict__.setdefault('leak', []).append(bytearray(3_000_000))\n",
+    ),
+    "stalls after a while": (
+        "cli/serve.py",
+        BROKER_MAIN,
+        "    loop.call_at(loop.now() + 6_000_000, lambda: time.sleep(1000))\n\n" + BROKER_MAIN,
+    ),
     "an older wire": ("codec/frames.py", "VERSION = 1\n", "VERSION = 0\n"),
     "a false digest": ("cli/serve.py", '"program": program_digest(PACKAGE)', '"program": "0123456789abcdef"'),
 }
@@ -105,9 +127,13 @@
 
 
 class RollingFleet:
-    """``machines`` agents of two brokers each, zones in turn. ``wires``: controllers reach agents by relays."""
+    """``machines`` agents of two brokers each, zones in turn. ``wires``: controllers reach agents
+    by relays.
+    """
 
-    def __init__(self, folder: Path, config: Path, *, machines: int = 3, rate: float = 40.0, seed: int = 1) -> None:
+    def __init__(
+        self, folder: Path, config: Path, *, machines: int = 3, rate: float = 40.0, seed: int = 1
+    ) -> None:
         self.folder, self.config, self.seed, self.rate = folder, config, seed, rate
         folder.mkdir(parents=True, exist_ok=True)
         self.events = folder / "events"
@@ -127,8 +153,17 @@
     @contextmanager
     def up(self) -> Iterator[RollingFleet]:
         """All of it, until the end of the block."""
-        (self.events / "run.jsonl").write_text(json.dumps(
-            {"t": time.monotonic_ns() // 1000, "who": "run", "ev": "run", "figures": run_figures(self.market)}) + "\n")
+        (self.events / "run.jsonl").write_text(
+            json.dumps(
+                {
+                    "t": time.monotonic_ns() // 1000,
+                    "who": "run",
+                    "ev": "run",
+                    "figures": run_figures(self.market),
+                }
+            )
+            + "\n"
+        )
         try:
             self.fleet.up()
             for number in range(self.count):
@@ -143,18 +178,52 @@
         zones = len(self.market.fleet.zones)
         names = [f"b{2 * number + n}" for n in range(2)]
         keepers = ",".join(member.address for member in self.fleet.of("keeper"))
-        more = {name: ["--discovery", self.fleet.members["discovery"].address, "--seed", str(100 + int(name[1:])),
-                       *(["--keepers", keepers] if keepers else [])] for name in names}
-        command = [sys.executable, "-m", "heathwell", "agent", "--config", str(self.config), "--name", f"m{number}",
-                   "--state", str(self.folder / f"m{number}"), "--version", "v1", "--program", str(self.old),
-                   "--settings", str(self.config), "--args", json.dumps(more), "--broker-events", str(self.events)]
+        more = {
+            name: [
+                "--discovery",
+                self.fleet.members["discovery"].address,
+                "--seed",
+                str(100 + int(name[1:])),
+                *(["--keepers", keepers] if keepers else []),
+            ]
+            for name in names
+        }
+        command = [
+            sys.executable,
+            "-m",
+            "heathwell",
+            "agent",
+            "--config",
+            str(self.config),
+            "--name",
+            f"m{number}",
+            "--state",
+            str(self.folder / f"m{number}"),
+            "--version",
+            "v1",
+            "--program",
+            str(self.old),
+            "--settings",
+            str(self.config),
+            "--args",
+            json.dumps(more),
+            "--broker-events",
+            str(self.events),
+        ]
         for name in names:
             command += ["--broker", f"{name}:{int(name[1:]) % zones}:127.0.0.1:0"]
         self.machines[f"m{number}"] = Machine(f"m{number}", command, self._spawn(command))
 
     def _spawn(self, command: list[str]) -> subprocess.Popen[str]:
-        return subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, stdin=subprocess.DEVNULL,
-                                text=True, start_new_session=True, env={**os.environ, "PYTHONUNBUFFERED": "1"})
+        return subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            stdin=subprocess.DEVNULL,
+            text=True,
+            start_new_session=True,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
 
     def _ready(self, machine: Machine) -> None:
         assert machine.process.stdout is not None
@@ -202,7 +271,11 @@
 
     def addresses(self) -> list[tuple[str, str, str]]:
         """Brokers, as clients find them."""
-        return [(name, address, "") for machine in self.machines.values() for name, address in machine.brokers.items()]
+        return [
+            (name, address, "")
+            for machine in self.machines.values()
+            for name, address in machine.brokers.items()
+        ]
 
     # Load.
 
@@ -218,6 +291,7 @@
                 if self._stop.wait(max(0.0, zero + arrival.at - time.monotonic())):
                     return
                 clients.offer(arrival)
+
         self._offering = threading.Thread(target=offer, daemon=True)
         self._offering.start()
 
@@ -232,28 +306,85 @@
 
     # Changes.
 
-    def controller(self, to: str, *, program: Path | None = None, settings: Path | None = None, state: str = "change",
-                   stages: str = "1,50%,100%", bake: str = "10s", most: str = "30s", prove: str = "50%",
-                   more: tuple[str, ...] = (), old: str = "",
-                   old_program: Path | None = None, old_settings: Path | None = None) -> subprocess.Popen[str]:
+    def controller(
+        self,
+        to: str,
+        *,
+        program: Path | None = None,
+        settings: Path | None = None,
+        state: str = "change",
+        stages: str = "1,50%,100%",
+        bake: str = "10s",
+        most: str = "30s",
+        prove: str = "50%",
+        more: tuple[str, ...] = (),
+        old: str = "",
+        old_program: Path | None = None,
+        old_settings: Path | None = None,
+    ) -> subprocess.Popen[str]:
         """Start a controller, from the version that began or another."""
         old = old or self.began
         keepers = ",".join(member.address for member in self.fleet.of("keeper"))
         ways = ",".join(self.wires.door("controller", name) for name in self.machines)
         return subprocess.Popen(
-            [sys.executable, "-m", "heathwell", "rollout", "start", "--config", str(self.config), "--name",
-             f"rollout-{state}", "--state", str(self.folder / state), "--machines", ways, "--from", old,
-             "--from-program", str(old_program or self.old), "--from-settings", str(old_settings or self.config),
-             "--to", to,
-             "--program", str(program or self.old), "--settings", str(settings or self.config), "--stages", stages,
-             "--bake", bake, "--most", most, "--prove", prove, "--zone-share", "0.5",
-             "--window", "1s", "--tolerance", "0.12",
-             *(["--keepers", keepers] if keepers else []), *more],
-            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL, text=True,
-            start_new_session=True, env={**os.environ, "PYTHONUNBUFFERED": "1"})
-
-    def finish(self, controller: subprocess.Popen[str], state: str = "change", seconds: float = 150.0,
-               undo_held: bool = False) -> Change:
+            [
+                sys.executable,
+                "-m",
+                "heathwell",
+                "rollout",
+                "start",
+                "--config",
+                str(self.config),
+                "--name",
+                f"rollout-{state}",
+                "--state",
+                str(self.folder / state),
+                "--machines",
+                ways,
+                "--from",
+                old,
+                "--from-program",
+                str(old_program or self.old),
+                "--from-settings",
+                str(old_settings or self.config),
+                "--to",
+                to,
+                "--program",
+                str(program or self.old),
+                "--settings",
+                str(settings or self.config),
+                "--stages",
+                stages,
+                "--bake",
+                bake,
+                "--most",
+                most,
+                "--prove",
+                prove,
+                "--zone-share",
+                "0.5",
+                "--window",
+                "1s",
+                "--tolerance",
+                "0.12",
+                *(["--keepers", keepers] if keepers else []),
+                *more,
+            ],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+            text=True,
+            start_new_session=True,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+
+    def finish(
+        self,
+        controller: subprocess.Popen[str],
+        state: str = "change",
+        seconds: float = 150.0,
+        undo_held: bool = False,
+    ) -> Change:
         """Wait for its end; ``undo_held``: as an operator, undo what is held for want of evidence."""
         began = time.monotonic()
         while undo_held and controller.poll() is None and time.monotonic() - began < seconds:
@@ -261,8 +392,22 @@
             path = self.folder / state / "rollout.json"
             record = json.loads(path.read_text()) if path.exists() else {}
             if record.get("state") == "held" and not record["by_trouble"]:
-                subprocess.run([sys.executable, "-m", "heathwell", "rollout", "undo", "--why", "not shown to be sound",
-                                "--state", str(self.folder / state)], capture_output=True, timeout=30, check=False)
+                subprocess.run(
+                    [
+                        sys.executable,
+                        "-m",
+                        "heathwell",
+                        "rollout",
+                        "undo",
+                        "--why",
+                        "not shown to be sound",
+                        "--state",
+                        str(self.folder / state),
+                    ],
+                    capture_output=True,
+                    timeout=30,
+                    check=False,
+                )
         try:
             output, _ = controller.communicate(timeout=seconds)
         except subprocess.TimeoutExpired:
@@ -280,7 +425,9 @@
         """What each broker runs, by its machine's agent."""
         out = {}
         for machine in self.machines.values():
-            for running in wire.ask(machine.address, "lab", "lab", frames.AskMachine(), frames.MachineView, 5).running:
+            for running in wire.ask(
+                machine.address, "lab", "lab", frames.AskMachine(), frames.MachineView, 5
+            ).running:
                 out[running.broker] = running
         return out
 
@@ -288,8 +435,10 @@
         """Whether all brokers come to run a version."""
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            if all(running.version.rstrip("~") == version and running.state == "running"
-                   for running in self.runs().values()):
+            if all(
+                running.version.rstrip("~") == version and running.state == "running"
+                for running in self.runs().values()
+            ):
                 return True
             time.sleep(0.2)
         return False
--- a/heathwell/lab/rude.py
+++ b/heathwell/lab/rude.py
@@ -1,5 +1,6 @@
-"""Clients that can't be read, don't finish, say nothing or ask for what there isn't, beside usual ones: each is owed an
-error or a close in its time, and the share that got one is counted at the client."""
+"""Clients that can't be read, don't finish, say nothing or ask for what there isn't, beside usual ones: each
+is owed an error or a close in its time, and the share that got one is counted at the client.
+"""
 
 from __future__ import annotations
 
@@ -14,8 +15,10 @@
 OWED_US = 3_000_000  # from the connect, by the platform's page
 OWED_LONG_US = 6_000_000  # of one that has 60 MB to send
 HUGE = 60_000_000
-HEAD = (b"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: %s\r\nReq-Kind: price-search\r\n"
-        b"Req-Deadline: 400m\r\n")
+HEAD = (
+    b"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: %s\r\nReq-Kind: price-search\r\n"
+    b"Req-Deadline: 400m\r\n"
+)
 
 
 def _body(parts: list[dict[str, object]], more: bytes = b"") -> bytes:
@@ -42,7 +45,7 @@
         "weights short of one": [head + _body([{"id": 1, "w": 0.2}])],
         "deadline no number": [head.replace(b"400m", b"soon") + _body(good)],
         "no id": [head.replace(b"Req-Id: " + name + b"\r\n", b"") + _body(good)],
-        "half a request": [head + b"Content-Length: 100\r\n\r\n{\"par"],
+        "half a request": [head + b'Content-Length: 100\r\n\r\n{"par'],
         "silence": [],
     }
 
--- a/heathwell/lab/script.py
+++ b/heathwell/lab/script.py
@@ -12,24 +12,99 @@
 from heathwell.settings.check import loads_as
 from heathwell.settings.schema import Record, _each, _say, _share, _time
 
-HOST_TROUBLES = ("stall", "slow", "silent", "midreply", "lose", "refuse", "failclass", "reset", "drain",
-                 "lag", "stuck", "back", "lie", "spoil")
+HOST_TROUBLES = (
+    "stall",
+    "slow",
+    "silent",
+    "midreply",
+    "lose",
+    "refuse",
+    "failclass",
+    "reset",
+    "drain",
+    "lag",
+    "stuck",
+    "back",
+    "lie",
+    "spoil",
+)
 PROCESS_TROUBLES = ("kill", "pause")  # of any process by name
-WAY_TROUBLES = ("cut", "cut-out", "cut-back", "way-delay", "way-loss", "way-reset")  # between processes, by relays
-NEED_A_FIGURE = ("slow", "burst", "lose", "discovery-late", "poison", "lag", "back", "lie", "link-delay", "link-rate",
-                 "link-loss", "link-flap", "way-delay", "way-loss", "resize", "join")
-Kind = Literal["stall", "slow", "silent", "midreply", "lose", "refuse", "failclass", "reset", "drain", "crash",
-               "zone-loss", "discovery-down", "discovery-late", "burst", "poison", "kill-broker",
-               "lag", "stuck", "back", "lie", "spoil", "link-delay", "link-rate", "link-loss", "link-cut",
-               "link-oneway", "link-flap", "link-reset", "link-refuse", "kill", "pause", "restart-all",
-               "cut", "cut-out", "cut-back", "way-delay", "way-loss", "way-reset", "resize", "join"]
+WAY_TROUBLES = (
+    "cut",
+    "cut-out",
+    "cut-back",
+    "way-delay",
+    "way-loss",
+    "way-reset",
+)  # between processes, by relays
+NEED_A_FIGURE = (
+    "slow",
+    "burst",
+    "lose",
+    "discovery-late",
+    "poison",
+    "lag",
+    "back",
+    "lie",
+    "link-delay",
+    "link-rate",
+    "link-loss",
+    "link-flap",
+    "way-delay",
+    "way-loss",
+    "resize",
+    "join",
+)
+Kind = Literal[
+    "stall",
+    "slow",
+    "silent",
+    "midreply",
+    "lose",
+    "refuse",
+    "failclass",
+    "reset",
+    "drain",
+    "crash",
+    "zone-loss",
+    "discovery-down",
+    "discovery-late",
+    "burst",
+    "poison",
+    "kill-broker",
+    "lag",
+    "stuck",
+    "back",
+    "lie",
+    "spoil",
+    "link-delay",
+    "link-rate",
+    "link-loss",
+    "link-cut",
+    "link-oneway",
+    "link-flap",
+    "link-reset",
+    "link-refuse",
+    "kill",
+    "pause",
+    "restart-all",
+    "cut",
+    "cut-out",
+    "cut-back",
+    "way-delay",
+    "way-loss",
+    "way-reset",
+    "resize",
+    "join",
+]
 
 
 class Mix(Record):
     """A share of the load."""
 
-    space: Annotated[str, Meta(description="a key space, or vector:COLLECTION", min_length=1,
-                               extra={"positional": True})]
+    space: Annotated[
+        str, Meta(description="a key space, or vector:COLLECTION", min_length=1, extra={"positional": True})
+    ]
     share: Annotated[float, Meta(gt=0, description="its weight among the mix")] = 1.0
 
 
@@ -48,16 +123,25 @@
 class Step(Record):
     """One trouble."""
 
-    at: Annotated[int, Meta(ge=0, description="when, from the load's start",
-                            extra={"unit": "time", "positional": True})]
+    at: Annotated[
+        int, Meta(ge=0, description="when, from the load's start", extra={"unit": "time", "positional": True})
+    ]
     kind: Annotated[Kind, Meta(description="what", extra={"positional": True})]
     to: Annotated[list[str], _say("hosts (leaf3), brokers (b1) or a zone's name")] = []
     span: Annotated[int, _time("for how long, or until it is back")] = 0
-    value: Annotated[float, Meta(description="factor of slow and burst, share of lose and link-loss, seconds of late, "
-                                             "queries of poison")] = 0.0
-    klass: Annotated[str, _say("class that failclass fails, or that alone is slow")] = field(name="class", default="")
-    source: Annotated[list[str], _say("the other side of a way; cut-out is what this side sends, cut-back what it "
-                                      "hears")] = field(name="from", default_factory=list)
+    value: Annotated[
+        float,
+        Meta(
+            description="factor of slow and burst, share of lose and link-loss, seconds of late, "
+            "queries of poison"
+        ),
+    ] = 0.0
+    klass: Annotated[str, _say("class that failclass fails, or that alone is slow")] = field(
+        name="class", default=""
+    )
+    source: Annotated[
+        list[str], _say("the other side of a way; cut-out is what this side sends, cut-back what it hears")
+    ] = field(name="from", default_factory=list)
     budget: Annotated[str, _say("budget that resize gives another whole, its value")] = ""
 
 
@@ -76,7 +160,9 @@
     load: Annotated[Load, _say("clients")]
     seed: Annotated[int, Meta(ge=0, description="seed of arrivals and keys")] = 1
     steps: Annotated[list[Step], _each("at", "what goes wrong")] = []
-    wires: Annotated[bool, _say("each process reaches each other by a relay of its own, which can be cut")] = False
+    wires: Annotated[
+        bool, _say("each process reaches each other by a relay of its own, which can be cut")
+    ] = False
     clocks: Annotated[list[Clock], _each("clock", "wrong clocks")] = []
 
 
@@ -85,8 +171,11 @@
         yield "load", "names no mix"
     for index, step in enumerate(script.steps):
         path = f"at[{index}]"
-        if step.kind in (*HOST_TROUBLES, "crash", "zone-loss", "kill-broker", *PROCESS_TROUBLES,
-                         *WAY_TROUBLES) and not step.to:
+        if (
+            step.kind
+            in (*HOST_TROUBLES, "crash", "zone-loss", "kill-broker", *PROCESS_TROUBLES, *WAY_TROUBLES)
+            and not step.to
+        ):
             yield f"{path}.to", f"{step.kind} needs a target"
         if step.kind in WAY_TROUBLES and not script.wires:
             yield path, f"{step.kind} needs (wires yes)"
@@ -121,15 +210,21 @@
             known = _targets(step, market, hosts, brokers)
         for target in (*step.to, *step.source):
             if target not in known and not named(target, known):
-                yield f"at[{index}].to", f"no '{target}' for {step.kind}; there are {', '.join(sorted(known))}"
+                yield (
+                    f"at[{index}].to",
+                    f"no '{target}' for {step.kind}; there are {', '.join(sorted(known))}",
+                )
         if step.kind == "failclass" and step.klass not in classes:
             yield f"at[{index}].class", f"no class '{step.klass}'; there are {', '.join(sorted(classes))}"
 
 
 def named(pattern: str, names: Iterable[str]) -> list[str]:
     """The processes that a target means: a name, or ``b*`` for all of a kind."""
-    return [name for name in names if name == pattern or pattern[-1:] == "*" and name.rstrip("0123456789") ==
-            pattern[:-1]]
+    return [
+        name
+        for name in names
+        if name == pattern or pattern[-1:] == "*" and name.rstrip("0123456789") == pattern[:-1]
+    ]
 
 
 def _targets(step: Step, market: Market, hosts: set[str], brokers: set[str]) -> set[str]:
@@ -138,8 +233,13 @@
         return hosts | brokers | {f"k{n}" for n in range(len(market.fleet.keepers))} | {"discovery"}
     if step.kind == "resize":
         return {budget.name for budget in market.fleet.budgets}
-    return (set(market.fleet.zones) if step.kind == "zone-loss" else
-            brokers if step.kind in ("kill-broker", "restart-all") else hosts)
+    return (
+        set(market.fleet.zones)
+        if step.kind == "zone-loss"
+        else brokers
+        if step.kind in ("kill-broker", "restart-all")
+        else hosts
+    )
 
 
 def load_script(path: str) -> tuple[Script, Market, str]:
--- a/heathwell/lab/searches.py
+++ b/heathwell/lab/searches.py
@@ -1,4 +1,6 @@
-"""Searches on virtual time beside memcached clients: bad days of both fronts on one broker, judged by the six rules."""
+"""Searches on virtual time beside memcached clients: bad days of both fronts on one broker, judged by the six
+rules.
+"""
 
 from __future__ import annotations
 
@@ -19,8 +21,16 @@
 class SearchingDay(SimulatedDay):
     """A bad day with so many searches a second besides; ``batches`` is the share that comes as batches."""
 
-    def __init__(self, market: Market, seed: int, *, searches: float = 20.0, batches: float = 0.1,
-                 troubles: Sequence[tuple[str, float, float]] = SEARCH_TROUBLES, **more: Any) -> None:
+    def __init__(
+        self,
+        market: Market,
+        seed: int,
+        *,
+        searches: float = 20.0,
+        batches: float = 0.1,
+        troubles: Sequence[tuple[str, float, float]] = SEARCH_TROUBLES,
+        **more: Any,
+    ) -> None:
         super().__init__(market, seed, troubles=troubles, **more)
         self.searches, self.batches = searches, batches
         self.asked = 0
@@ -37,9 +47,13 @@
             yield from sleep(self.loop, int(draws.expovariate(self.searches) * 1e6))
             spec = draws.choice(self.market.collections)
             count = draws.randrange(2, 24) if draws.random() < self.batches else 1
-            wishes = [{"query": [draws.gauss(0, 1.5) for _ in range(spec.size)], "limit": 1 + draws.randrange(12)}
-                      for _ in range(count)]
-            self.loop.spawn(self._search(draws.randrange(len(self.fleet.brokers)), spec.name, wishes), "searcher")
+            wishes = [
+                {"query": [draws.gauss(0, 1.5) for _ in range(spec.size)], "limit": 1 + draws.randrange(12)}
+                for _ in range(count)
+            ]
+            self.loop.spawn(
+                self._search(draws.randrange(len(self.fleet.brokers)), spec.name, wishes), "searcher"
+            )
 
     def _search(self, broker: int, collection: str, wishes: list[dict[str, Any]]) -> Coro[None]:
         """One request on a connection of its own."""
@@ -55,8 +69,10 @@
         if not batch:  # a batch is several queries to the broker, judged by themselves
             self.note("ask", req=request, keys=[key], broker=f"b{broker}", limit=limit)
         body = json.dumps({"searches": wishes} if batch else wishes[0]).encode()
-        head = (f"POST /collections/{collection}/points/query{'/batch' if batch else ''} HTTP/1.1\r\nhost: b\r\n"
-                f"x-request-id: {request}\r\ncontent-length: {len(body)}\r\n\r\n").encode()
+        head = (
+            f"POST /collections/{collection}/points/query{'/batch' if batch else ''} HTTP/1.1\r\nhost: b\r\n"
+            f"x-request-id: {request}\r\ncontent-length: {len(body)}\r\n\r\n"
+        ).encode()
         try:
             stream.write(head + body)
             status, raw = yield from _response(stream)
--- a/heathwell/lab/simulated.py
+++ b/heathwell/lab/simulated.py
@@ -1,4 +1,6 @@
-"""Bad days on virtual time: a whole fleet in memory, the real broker code, troubles and clients drawn by a seed."""
+"""Bad days on virtual time: a whole fleet in memory, the real broker code, troubles and clients drawn by a
+seed.
+"""
 
 from __future__ import annotations
 
@@ -19,10 +21,22 @@
 
 # Kind, figure, seconds: what a host may be told to do.
 HOST_TROUBLES: tuple[tuple[str, float, float], ...] = (
-    ("silent", 0.0, 6.0), ("midreply", 0.0, 4.0), ("slow", 6.0, 5.0), ("lose", 0.4, 5.0), ("reset", 0.0, 0.0),
-    ("refuse", 0.0, 3.0), ("failclass", 0.0, 5.0), ("stall", 0.0, 0.5), ("drain", 0.0, 0.0))
+    ("silent", 0.0, 6.0),
+    ("midreply", 0.0, 4.0),
+    ("slow", 6.0, 5.0),
+    ("lose", 0.4, 5.0),
+    ("reset", 0.0, 0.0),
+    ("refuse", 0.0, 3.0),
+    ("failclass", 0.0, 5.0),
+    ("stall", 0.0, 0.5),
+    ("drain", 0.0, 0.0),
+)
 LAG_TROUBLES: tuple[tuple[str, float, float], ...] = (
-    ("lag", 4.0, 6.0), ("stuck", 0.0, 6.0), ("back", 20.0, 0.0), ("lag", 0.5, 4.0))
+    ("lag", 4.0, 6.0),
+    ("stuck", 0.0, 6.0),
+    ("back", 20.0, 0.0),
+    ("lag", 0.5, 4.0),
+)
 SETTLE_US = 1_500_000
 AFTER_US = 4_000_000
 
@@ -30,10 +44,21 @@
 class SimulatedDay:
     """One day. ``events`` holds what every process and client saw, in order."""
 
-    def __init__(self, market: Market, seed: int, *, seconds: float = 25.0, rate: float = 30.0,
-                 troubles: Sequence[tuple[str, float, float]] = HOST_TROUBLES, trouble_rate: float = 1.2,
-                 poison: float = 0.01, crashes: bool = True, tokens: bool = False, keep: bool = True,
-                 desk: Callable[[Market], ZoneDesk] = desk_of) -> None:
+    def __init__(
+        self,
+        market: Market,
+        seed: int,
+        *,
+        seconds: float = 25.0,
+        rate: float = 30.0,
+        troubles: Sequence[tuple[str, float, float]] = HOST_TROUBLES,
+        trouble_rate: float = 1.2,
+        poison: float = 0.01,
+        crashes: bool = True,
+        tokens: bool = False,
+        keep: bool = True,
+        desk: Callable[[Market], ZoneDesk] = desk_of,
+    ) -> None:
         self.market, self.seed, self.seconds, self.rate = market, seed, seconds, rate
         self.troubles, self.trouble_rate, self.poison = troubles, trouble_rate, poison
         self.crashes, self.tokens = crashes, tokens
@@ -42,8 +67,16 @@
         self.loop.on_error = lambda name, error: self.errors.append((name, error))
         self.events: list[dict[str, Any]] = []
         self.note("run", figures=run_figures(market))
-        self.fleet = LocalFleet(self.loop, self._net_of, market, seed, into=self.events,
-                                host_of=lambda name: name, keep=keep, desk=desk)
+        self.fleet = LocalFleet(
+            self.loop,
+            self._net_of,
+            market,
+            seed,
+            into=self.events,
+            host_of=lambda name: name,
+            keep=keep,
+            desk=desk,
+        )
         self.known_tokens: dict[str, str] = {}
         self.outcomes: dict[str, dict[str, int]] = {}
         for leaf in self.fleet.leaves:
@@ -86,6 +119,7 @@
         def back() -> None:
             if leaf.listener is None:
                 leaf.start()
+
         self.loop.call_at(self.loop.now() + span_us, back)
 
     def _trouble(self, draws: random.Random) -> Coro[None]:
@@ -124,12 +158,20 @@
         while self.loop.now() < until:
             yield from sleep(self.loop, int(draws.expovariate(self.rate) * 1e6))
             who = draws.randrange(40)
-            keys = draws.choice([[f"price:t{who}"], [f"sale:t{who}:5"], [f"report:t{who},t{who + 1}:2026-11-28"],
-                                 [f"price:t{who}", f"sale:t{who}:9"]])
+            keys = draws.choice(
+                [
+                    [f"price:t{who}"],
+                    [f"sale:t{who}:5"],
+                    [f"report:t{who},t{who + 1}:2026-11-28"],
+                    [f"price:t{who}", f"sale:t{who}:9"],
+                ]
+            )
             if draws.random() < self.poison:
                 keys = [f"price:poison{who}"]
             if self.tokens and draws.random() < 0.5:
-                keys = [f"{key}@~{self.known_tokens[key]}" if key in self.known_tokens else key for key in keys]
+                keys = [
+                    f"{key}@~{self.known_tokens[key]}" if key in self.known_tokens else key for key in keys
+                ]
             self.loop.spawn(self._one(draws.randrange(len(self.fleet.brokers)), keys), "client")
 
     def _one(self, broker: int, keys: list[str]) -> Coro[None]:
@@ -152,21 +194,32 @@
         told = []
         for key, flags, body in values:
             if "coverage" in body:
-                told.append({"key": key, "whole": body["whole"], "got": body["coverage"]["parts"][0],
-                             "age_ms": body.get("age_ms"), "flags": flags, "behind": body.get("behind", [])})
+                told.append(
+                    {
+                        "key": key,
+                        "whole": body["whole"],
+                        "got": body["coverage"]["parts"][0],
+                        "age_ms": body.get("age_ms"),
+                        "flags": flags,
+                        "behind": body.get("behind", []),
+                    }
+                )
                 if body.get("token"):
                     self.known_tokens[key.partition("@~")[0]] = body["token"]
         self.note("reply", req=request, kind="answer", values=told)
-        self._count(keys, classes, {key: body for key, _, body in values}, self.loop.now() - began,
-                    broker)
+        self._count(keys, classes, {key: body for key, _, body in values}, self.loop.now() - began, broker)
 
-    def _count(self, keys: list[str], classes: list[Any], bodies: dict[str, dict[str, Any]], took: int,
-               broker: int) -> None:
+    def _count(
+        self, keys: list[str], classes: list[Any], bodies: dict[str, dict[str, Any]], took: int, broker: int
+    ) -> None:
         """Note how each key of a request that was asked of a broker ended."""
         for key, spec in zip(keys, classes, strict=True):
             body = bodies.get(key)
-            kind = ("on time" if took <= spec.aim else "late") if body is None or body.get("whole") else (
-                "partial" if "coverage" in body else "refused" if body.get("refused") else "failed")
+            kind = (
+                ("on time" if took <= spec.aim else "late")
+                if body is None or body.get("whole")
+                else ("partial" if "coverage" in body else "refused" if body.get("refused") else "failed")
+            )
             if body is not None and body.get("stale"):
                 kind += ", stale"
             counts = self.outcomes.setdefault(spec.name, {})
@@ -192,5 +245,5 @@
             if not more:
                 raise StreamBroken("end")
             data += more
-        values.append((key.decode(), int(flags), json.loads(data[:int(size)])))
-        data = data[int(size) + 2:]
+        values.append((key.decode(), int(flags), json.loads(data[: int(size)])))
+        data = data[int(size) + 2 :]
--- a/heathwell/lab/sockets.py
+++ b/heathwell/lab/sockets.py
@@ -1,6 +1,8 @@
-"""Two regions on sockets: one run a variant, every trouble of the link after another, the service counted around each.
+"""Two regions on sockets: one run a variant, every trouble of the link after another, the service counted
+around each.
 
-A fleet of processes, real clients, the relay as the link; the rules are judged from the logs of the whole run.
+A fleet of processes, real clients, the relay as the link; the rules are judged from the logs of the whole
+run.
 """
 
 from __future__ import annotations
@@ -20,9 +22,14 @@
 VARIANTS = {"decider": "(let-go 2s)", "off": "(decide no)", "nearest first": "(decide no) (prefer-home yes)"}
 FIRST, TROUBLE, BETWEEN = 8.0, 8.0, 12.0  # seconds: before the first, of each, and from one's end to the next
 TROUBLES: tuple[tuple[str, str, float, tuple[str, ...]], ...] = (
-    ("100 ms", "link-delay", 0.1, ()), ("400 ms", "link-delay", 0.4, ()), ("loss 5 %", "link-loss", 0.05, ()),
-    ("one way", "link-oneway", 0.0, ("hki",)), ("cut", "link-cut", 0.0, ()), ("flap 2 s", "link-flap", 2.0, ()),
-    ("region lost", "zone-loss", 0.0, ("espoo-1", "espoo-2")))
+    ("100 ms", "link-delay", 0.1, ()),
+    ("400 ms", "link-delay", 0.4, ()),
+    ("loss 5 %", "link-loss", 0.05, ()),
+    ("one way", "link-oneway", 0.0, ("hki",)),
+    ("cut", "link-cut", 0.0, ()),
+    ("flap 2 s", "link-flap", 2.0, ()),
+    ("region lost", "zone-loss", 0.0, ("espoo-1", "espoo-2")),
+)
 MARKET = """
 (class price-search (aim 1s) (limit 2s) (worth 2) (late-worth 30%) (need 75%) (floor 50%) (partial-worth 60%)
   (work 20ms))
@@ -43,7 +50,9 @@
 
 @dataclass(slots=True)
 class Service:
-    """How requests of a class ended around one trouble, by span; ``home``: all holders on their broker's side."""
+    """How requests of a class ended around one trouble, by span; ``home``: all holders on their broker's
+    side.
+    """
 
     counts: dict[tuple[str, str, bool], dict[str, int]] = field(default_factory=dict)
     steady_after: float | None = None
@@ -60,12 +69,21 @@
     return MARKET + f"(across {VARIANTS[variant]} {REGIONS})\n"
 
 
-def script_of(rate: float, troubles: tuple[tuple[str, str, float, tuple[str, ...]], ...], seed: int = 3) -> Script:
+def script_of(
+    rate: float, troubles: tuple[tuple[str, str, float, tuple[str, ...]], ...], seed: int = 3
+) -> Script:
     """Every trouble after another."""
-    steps = [Step(int((FIRST + n * (TROUBLE + BETWEEN)) * 1e6), kind, list(to), int(TROUBLE * 1e6), value)  # type: ignore[arg-type]
-             for n, (_, kind, value, to) in enumerate(troubles)]
-    load = Load(rate, clients=120, multi=0.0, retries=0,
-                mix=[Mix("price", 0.35), Mix("report", 0.3), Mix("sale", 0.35)])
+    steps = [
+        Step(int((FIRST + n * (TROUBLE + BETWEEN)) * 1e6), kind, list(to), int(TROUBLE * 1e6), value)  # type: ignore[arg-type]
+        for n, (_, kind, value, to) in enumerate(troubles)
+    ]
+    load = Load(
+        rate,
+        clients=120,
+        multi=0.0,
+        retries=0,
+        mix=[Mix("price", 0.35), Mix("report", 0.3), Mix("sale", 0.35)],
+    )
     return Script("market.sx", FIRST + len(troubles) * (TROUBLE + BETWEEN), load, seed, steps)
 
 
@@ -78,12 +96,16 @@
     region = {name: r.name for r in market.across.regions for name in r.zones}
     home = region[fleet.zones[int(broker[1:]) % len(fleet.zones)]]
     cells = {(part.shard + step) % fleet.cells for part in plan.parts for step in range(fleet.width)}
-    return all(region[fleet.zones[leaf % len(fleet.zones)]] == home
-               for leaf in range(fleet.leaves) if leaf % fleet.cells in cells)
+    return all(
+        region[fleet.zones[leaf % len(fleet.zones)]] == home
+        for leaf in range(fleet.leaves)
+        if leaf % fleet.cells in cells
+    )
 
 
-def services(outcomes: list[Outcome], market: Market,
-             troubles: tuple[tuple[str, str, float, tuple[str, ...]], ...]) -> dict[str, Service]:
+def services(
+    outcomes: list[Outcome], market: Market, troubles: tuple[tuple[str, str, float, tuple[str, ...]], ...]
+) -> dict[str, Service]:
     """The service around each trouble."""
     keys = KeySpaces(market)
     aims = {spec.name: spec.aim / 1e6 for spec in market.classes}
@@ -95,8 +117,15 @@
         per_second: dict[int, list[int]] = {}
         for outcome in outcomes:
             # The last seconds before are the recovered ones; the first minute of all is the start's.
-            span = ("before" if begin - 4 <= outcome.at < begin else "during" if begin <= outcome.at < end
-                    else "after" if end <= outcome.at < end + BETWEEN else "")
+            span = (
+                "before"
+                if begin - 4 <= outcome.at < begin
+                else "during"
+                if begin <= outcome.at < end
+                else "after"
+                if end <= outcome.at < end + BETWEEN
+                else ""
+            )
             if not span:
                 continue
             home = all_home(keys, market, outcome.key, outcome.broker)
@@ -124,8 +153,12 @@
     return None
 
 
-def play(variant: str, rate: float = 30.0, say: Callable[[str], None] = lambda _text: None,
-         troubles: tuple[tuple[str, str, float, tuple[str, ...]], ...] = TROUBLES) -> dict[str, Any]:
+def play(
+    variant: str,
+    rate: float = 30.0,
+    say: Callable[[str], None] = lambda _text: None,
+    troubles: tuple[tuple[str, str, float, tuple[str, ...]], ...] = TROUBLES,
+) -> dict[str, Any]:
     """One variant's run: service by trouble, the verdict, and what started off its schedule."""
     folder = Path(tempfile.mkdtemp(prefix="heathwell-regions-"))
     config = folder / "market.sx"
@@ -134,5 +167,11 @@
     day = Day(script_of(rate, troubles), market, str(config), folder, say)
     verdict = day.play()
     assert day.clients is not None
-    return {"variant": variant, "services": services(day.clients.outcomes, market, troubles), "verdict": verdict,
-            "off_schedule": day.clients.off_schedule, "asked": day.clients.asked, "folder": str(folder)}
+    return {
+        "variant": variant,
+        "services": services(day.clients.outcomes, market, troubles),
+        "verdict": verdict,
+        "off_schedule": day.clients.off_schedule,
+        "asked": day.clients.asked,
+        "folder": str(folder),
+    }
--- a/heathwell/lab/stormday.py
+++ b/heathwell/lab/stormday.py
@@ -1,4 +1,6 @@
-"""An outage and the storm after it, on virtual time: many clients, some of whom heed advice, some of whom don't."""
+"""An outage and the storm after it, on virtual time: many clients, some of whom heed advice, some of whom
+don't.
+"""
 
 from __future__ import annotations
 
@@ -54,8 +56,11 @@
         """Shares on time and answered at all, and how many, of requests that arose between two times."""
         rows = [r for r in self.requests if since <= r.at < until and (not policy or r.policy == policy)]
         asked = max(1, len(rows))
-        return (sum(r.ended == "on time" for r in rows) / asked,
-                sum(r.ended in ("on time", "late", "partial") for r in rows) / asked, len(rows))
+        return (
+            sum(r.ended == "on time" for r in rows) / asked,
+            sum(r.ended in ("on time", "late", "partial") for r in rows) / asked,
+            len(rows),
+        )
 
     def steady_after(self) -> float | None:
         """Seconds from the outage's end until three in a row are within 10 points of the time before it."""
@@ -74,10 +79,27 @@
     ``addresses`` are the brokers' at the moment; ``rush`` is what thinking is divided by at the moment.
     """
 
-    def __init__(self, loop: Loop, net_of: Callable[[int], Net], addresses: Callable[[], list[str]], market: Market,
-                 storm: Storm, *, think: float, ignoring: float, seed: int, fixed: bool = False,
-                 rush: Callable[[], float] = lambda: 1.0) -> None:
-        self.loop, self.net_of, self.addresses, self.market, self.storm = loop, net_of, addresses, market, storm
+    def __init__(
+        self,
+        loop: Loop,
+        net_of: Callable[[int], Net],
+        addresses: Callable[[], list[str]],
+        market: Market,
+        storm: Storm,
+        *,
+        think: float,
+        ignoring: float,
+        seed: int,
+        fixed: bool = False,
+        rush: Callable[[], float] = lambda: 1.0,
+    ) -> None:
+        self.loop, self.net_of, self.addresses, self.market, self.storm = (
+            loop,
+            net_of,
+            addresses,
+            market,
+            storm,
+        )
         self.think, self.seed, self.rush = think, seed, rush
         self.keys = KeySpaces(market)
         self.ignoring, self.fixed = ignoring, fixed
@@ -86,8 +108,10 @@
     def start(self, clients: int, until: int) -> None:
         """Begin; each asks for the last time before that time of the loop."""
         for number in range(clients):
-            policy = (IGNORES if self._draws.random() < self.ignoring else FIXED if self.fixed else HEEDS)
-            self.loop.spawn(self._client(number, policy, random.Random(self.seed * 100_000 + number), until), "client")
+            policy = IGNORES if self._draws.random() < self.ignoring else FIXED if self.fixed else HEEDS
+            self.loop.spawn(
+                self._client(number, policy, random.Random(self.seed * 100_000 + number), until), "client"
+            )
 
     def _client(self, number: int, policy: str, draws: random.Random, until: int) -> Coro[None]:
         stream: Stream | None = None
@@ -103,8 +127,9 @@
             self.storm.requests.append(request)
             stream = yield from self._ask(request, stream, number, key, spec, draws)
 
-    def _ask(self, request: Request, stream: Stream | None, number: int, key: str, spec: Any,
-             draws: random.Random) -> Coro[Stream | None]:
+    def _ask(
+        self, request: Request, stream: Stream | None, number: int, key: str, spec: Any, draws: random.Random
+    ) -> Coro[Stream | None]:
         """One request until it is answered or of no use any more; returns the connection for the next."""
         while self.loop.now() - request.at < USEFUL_US:
             request.tries += 1
@@ -113,7 +138,8 @@
                 if stream is None or stream.closed:
                     where = self.addresses()
                     stream = yield from self.net_of(number).connect(
-                        where[(number + request.tries) % len(where)], 1_000_000)
+                        where[(number + request.tries) % len(where)], 1_000_000
+                    )
                 stream.write(f"get {key}\r\n".encode())
                 values = yield from _read_values(stream)
             except (ConnectFailed, StreamBroken):
@@ -123,8 +149,9 @@
             body = values[0][2] if values else {"whole": True, "coverage": {}}
             if "coverage" in body:
                 request.took = self.loop.now() - request.at
-                request.ended = ("partial" if not body["whole"] else
-                                 "on time" if request.took <= spec.aim else "late")
+                request.ended = (
+                    "partial" if not body["whole"] else "on time" if request.took <= spec.aim else "late"
+                )
                 return stream
             advised = int(str(body.get("retry_after_ms", 0))) * 1000
             yield from sleep(self.loop, AGAIN_US.get(request.policy, advised) or pause)
@@ -134,14 +161,30 @@
 class StormDay(SimulatedDay):
     """``clients`` think for ``think`` seconds between requests; the outage takes hosts and brokers together.
 
-    ``killed_after`` it by so many seconds one broker is killed once more; ``addresses``: clients share so many.
+    ``killed_after`` it by so many seconds one broker is killed once more; ``addresses``: clients share so
+    many.
     """
 
-    def __init__(self, variant: str, seed: int = 1, *, clients: int = 600, think: float = 12.0, outage: float = 20.0,
-                 ignoring: float = 0.33, before: float = 12.0, after: float = 40.0, text: str = MARKET,
-                 burst: float = 1.0, killed_after: float = 0.0, addresses: int = 0) -> None:
+    def __init__(
+        self,
+        variant: str,
+        seed: int = 1,
+        *,
+        clients: int = 600,
+        think: float = 12.0,
+        outage: float = 20.0,
+        ignoring: float = 0.33,
+        before: float = 12.0,
+        after: float = 40.0,
+        text: str = MARKET,
+        burst: float = 1.0,
+        killed_after: float = 0.0,
+        addresses: int = 0,
+    ) -> None:
         market: Market = loads(text + (STORMS if variant == "damped" else ""))
-        super().__init__(market, seed, seconds=before + outage + after, rate=1.0, trouble_rate=0.0, poison=0.0)
+        super().__init__(
+            market, seed, seconds=before + outage + after, rate=1.0, trouble_rate=0.0, poison=0.0
+        )
         self.variant, self.clients, self.think, self.outage = variant, clients, think, outage
         self.ignoring, self.before, self.burst = ignoring, before, burst
         self.killed_after, self.addresses = killed_after, addresses
@@ -155,10 +198,18 @@
         if self.outage:
             self.loop.spawn(self._lost(), "outage")
         until = zero + int(self.seconds * 1e6)
-        crowd = Crowd(self.loop, lambda number: self.net.at(f"c{number % (self.addresses or self.clients)}"),
-                      lambda: [broker.address for broker in self.fleet.brokers], self.market, self.storm,
-                      think=self.think, ignoring=self.ignoring, seed=self.seed,
-                      fixed=self.variant == "fixed backoff", rush=self._rush)
+        crowd = Crowd(
+            self.loop,
+            lambda number: self.net.at(f"c{number % (self.addresses or self.clients)}"),
+            lambda: [broker.address for broker in self.fleet.brokers],
+            self.market,
+            self.storm,
+            think=self.think,
+            ignoring=self.ignoring,
+            seed=self.seed,
+            fixed=self.variant == "fixed backoff",
+            rush=self._rush,
+        )
         crowd.start(self.clients, until)
         yield from sleep(self.loop, until - self.loop.now() + USEFUL_US + LAST_US)
 
@@ -183,5 +234,8 @@
 
     def states(self) -> list[tuple[float, str, str]]:
         """Changes of the brokers' storm deciders, in seconds from the outage's end."""
-        return [((e["t"] - self.storm.outage_until) / 1e6, e["who"], e["state"])
-                for e in self.events if e["ev"] == "storm"]
+        return [
+            ((e["t"] - self.storm.outage_until) / 1e6, e["who"], e["state"])
+            for e in self.events
+            if e["ev"] == "storm"
+        ]
--- a/heathwell/lab/wires.py
+++ b/heathwell/lab/wires.py
@@ -1,6 +1,8 @@
-"""Faults *between* processes: each way from one process to another goes through a relay of its own, in a thread here.
+"""Faults *between* processes: each way from one process to another goes through a relay of its own, in a
+thread here.
 
-A door is opened before its target runs, at a port that the kernel chooses; where the target is, is told once it serves.
+A door is opened before its target runs, at a port that the kernel chooses; where the target is, is told once
+it serves.
 """
 
 from __future__ import annotations
@@ -54,6 +56,7 @@
             except Exception as problem:
                 wrong.append(problem)
             done.set()
+
         if self._loop is None:
             raise WireError("the wires are not up")
         self._loop.call_threadsafe(made)
@@ -67,12 +70,19 @@
         """The address by which one process reaches another."""
         relay = self._relays.get((source, target))
         if relay is None:
+
             def opened() -> Relay:
                 assert self._loop is not None and self._net is not None
-                made = Relay(self._loop, self._net, [target], self.seed * 10_007 + len(self._relays),
-                             lambda name: self._where.get(name, ""))
+                made = Relay(
+                    self._loop,
+                    self._net,
+                    [target],
+                    self.seed * 10_007 + len(self._relays),
+                    lambda name: self._where.get(name, ""),
+                )
                 made.open_doors()
                 return made
+
             relay = self._relays[source, target] = self._call(opened)
         return relay.routes[target]
 
@@ -81,14 +91,23 @@
         self._where[target] = address
 
     def between(self, sources: Iterable[str], targets: Iterable[str]) -> list[tuple[str, str]]:
-        """The ways that there are from any of these to any of those, whoever connects: ``(connector, listener)``."""
+        """The ways that there are from any of these to any of those, whoever connects: ``(connector,
+        listener)``.
+        """
         ones, others = set(sources), set(targets)
-        return [way for way in self._relays if (way[0] in ones and way[1] in others)
-                or (way[0] in others and way[1] in ones)]
-
-    def order(self, sources: Iterable[str], targets: Iterable[str], kind: str, span_us: int, value: float = 0.0) -> int:
-        """Make trouble on all ways between two groups; ``cut-out`` and ``cut-back`` are what the first group sends and
-        hears. Returns how many ways there are; raises :class:`WireError` where there is none, or one that refuses."""
+        return [
+            way
+            for way in self._relays
+            if (way[0] in ones and way[1] in others) or (way[0] in others and way[1] in ones)
+        ]
+
+    def order(
+        self, sources: Iterable[str], targets: Iterable[str], kind: str, span_us: int, value: float = 0.0
+    ) -> int:
+        """Make trouble on all ways between two groups; ``cut-out`` and ``cut-back`` are what the first group
+        sends and hears. Returns how many ways there are; raises :class:`WireError` where there is none, or
+        one that refuses.
+        """
         ones = set(sources)
         ways = self.between(ones, targets)
         if not ways:
--- a/heathwell/lab/worthday.py
+++ b/heathwell/lab/worthday.py
@@ -1,8 +1,9 @@
-"""What budgets of the whole fleet are worth: days on which all brokers together do harm, under three ways of bounds.
+"""What budgets of the whole fleet are worth: days on which all brokers together do harm, under three ways of
+bounds.
 
-``lone``: each broker by its own guess, as without keepers. ``split``: an equal fixed part of each whole for each one.
-``lent``: keepers lend by demand, but for a fifth of `further` that is set aside. ``half``: keepers lend one half, the
-other is set aside. Virtual time, the real broker code, the stand-in hosts.
+``lone``: each broker by its own guess, as without keepers. ``split``: an equal fixed part of each whole for
+each one. ``lent``: keepers lend by demand, but for a fifth of `further` that is set aside. ``half``: keepers
+lend one half, the other is set aside. Virtual time, the real broker code, the stand-in hosts.
 """
 
 from __future__ import annotations
@@ -41,26 +42,49 @@
 
 def market_of(variant: str, brokers: int, hosts: int, further: float, cold: float) -> Market:
     """The settings of a variant; wholes in units a second."""
-    fleet = (f"(shards {2 * hosts}) (cells {hosts}) (width 3) (zones {ZONES}) (leaves {hosts}) (brokers {brokers})")
+    fleet = (
+        f"(shards {2 * hosts}) (cells {hosts}) (width 3) (zones {ZONES}) (leaves {hosts}) (brokers {brokers})"
+    )
     if variant != "lone":
         own = {"split": 1.0, "lent": 0.0, "half": 0.5}[variant]  # of `cold`, set aside
-        aside, burst = ("100%", "4s") if variant == "split" else ("50%", "4s") if variant == "half" else ("20%", "8s")
-        fleet += (f' (keepers "k0:7100" "k1:7101" "k2:7102") (most {brokers})'
-                  f" (budget further (whole {further:g}) (aside {aside}) (burst {burst}))"
-                  + f" (budget cold (whole {cold:g}) (aside {own:.0%})"
-                  f" (burst {brokers / cold / (own or 1) + 0.1:.1f}s))")
+        aside, burst = (
+            ("100%", "4s") if variant == "split" else ("50%", "4s") if variant == "half" else ("20%", "8s")
+        )
+        fleet += (
+            f' (keepers "k0:7100" "k1:7101" "k2:7102") (most {brokers})'
+            f" (budget further (whole {further:g}) (aside {aside}) (burst {burst}))"
+            + f" (budget cold (whole {cold:g}) (aside {own:.0%})"
+            f" (burst {brokers / cold / (own or 1) + 0.1:.1f}s))"
+        )
     return loads(MARKET + f"(fleet {fleet})")
 
 
 class WorthDay(SimulatedDay):
     """One day under one variant; ``ends`` counts how queries ended by class and span."""
 
-    def __init__(self, variant: str, day: str, seed: int = 1, *, brokers: int = 89, hosts: int = 82,
-                 rate: float = 130.0, further: float = 120.0, cold: float = 20.0) -> None:
+    def __init__(
+        self,
+        variant: str,
+        day: str,
+        seed: int = 1,
+        *,
+        brokers: int = 89,
+        hosts: int = 82,
+        rate: float = 130.0,
+        further: float = 120.0,
+        cold: float = 20.0,
+    ) -> None:
         self.variant, self.day = variant, day
         self.ends: dict[tuple[str, int], Counter[str]] = {}
-        super().__init__(market_of(variant, brokers, hosts, further, cold), seed, seconds=BEFORE + TROUBLE + AFTER,
-                         rate=rate, trouble_rate=0.0, poison=0.0, keep=variant in LENT)
+        super().__init__(
+            market_of(variant, brokers, hosts, further, cold),
+            seed,
+            seconds=BEFORE + TROUBLE + AFTER,
+            rate=rate,
+            trouble_rate=0.0,
+            poison=0.0,
+            keep=variant in LENT,
+        )
         self.net.delay = self._way
 
     @staticmethod
@@ -105,33 +129,50 @@
             if leaf.listener is None:
                 leaf.start()
 
-    def _count(self, keys: list[str], classes: list[Any], bodies: dict[str, dict[str, Any]], took: int,
-               broker: int) -> None:
+    def _count(
+        self, keys: list[str], classes: list[Any], bodies: dict[str, dict[str, Any]], took: int, broker: int
+    ) -> None:
         at = (self.loop.now() - took - 1_000_000 - 1_500_000) / 1e6 - SETTLE
         span = 0 if at < BEFORE else 1 if at < BEFORE + TROUBLE else 2
         before = {name: Counter(counts) for name, counts in self.outcomes.items()}
         super()._count(keys, classes, bodies, took, broker)
         for name, counts in self.outcomes.items():
-            self.ends.setdefault((name, span), Counter()).update(Counter(counts) - before.get(name, Counter()))
+            self.ends.setdefault((name, span), Counter()).update(
+                Counter(counts) - before.get(name, Counter())
+            )
 
     def figures(self) -> dict[str, Any]:
-        """Service by class and span, further attempts of the fleet, how near a cold host came to its fall, the rules
-        and, where keepers lend, the budgets."""
+        """Service by class and span, further attempts of the fleet, how near a cold host came to its fall,
+        the rules and, where keepers lend, the budgets.
+        """
         verdict = self.verdict()
         zero = 1_000_000 + 1_500_000 + int((SETTLE + BEFORE) * 1e6)
-        further = Counter((event["t"] - zero) // 1_000_000 for event in self.events
-                          if event["ev"] == "send" and event.get("further"))
+        further = Counter(
+            (event["t"] - zero) // 1_000_000
+            for event in self.events
+            if event["ev"] == "send" and event.get("further")
+        )
         during = [further[second] for second in range(int(TROUBLE))]
-        arrived = sum(event["ev"] == "arrive" and zero <= event["t"] < zero + TROUBLE * 1e6 for event in self.events)
+        arrived = sum(
+            event["ev"] == "arrive" and zero <= event["t"] < zero + TROUBLE * 1e6 for event in self.events
+        )
         lent = judge_budgets(from_lines(self.events)) if self.variant in LENT else None
         return {
-            "day": self.day, "variant": self.variant,
-            "service": {f"{klass}/{SPANS[span]}": dict(counts) for (klass, span), counts in sorted(self.ends.items())},
-            "further a second": [round(sum(during) / len(during), 1), max(during)], "arrived": arrived,
-            "coldest": round(verdict.coldest, 2), "fell": verdict.counts["falls"],
-            "rules": [str(breach) for breach in verdict.breaches[:5]], "broken": len(verdict.breaches),
+            "day": self.day,
+            "variant": self.variant,
+            "service": {
+                f"{klass}/{SPANS[span]}": dict(counts) for (klass, span), counts in sorted(self.ends.items())
+            },
+            "further a second": [round(sum(during) / len(during), 1), max(during)],
+            "arrived": arrived,
+            "coldest": round(verdict.coldest, 2),
+            "fell": verdict.counts["falls"],
+            "rules": [str(breach) for breach in verdict.breaches[:5]],
+            "broken": len(verdict.breaches),
             "overshoots": lent.breaches[:3] if lent is not None else [],
-            "most held": {name: round(share, 2) for name, share in lent.nearest.items()} if lent is not None else {},
+            "most held": {name: round(share, 2) for name, share in lent.nearest.items()}
+            if lent is not None
+            else {},
         }
 
 
--- a/heathwell/lab/zoneday.py
+++ b/heathwell/lab/zoneday.py
@@ -1,10 +1,11 @@
-"""Days on which a zone fails, on virtual time, by who decides to leave it. Real broker and keeper code, stand-in hosts.
+"""Days on which a zone fails, on virtual time, by who decides to leave it. Real broker and keeper code,
+stand-in hosts.
 
 ``nobody``: the module alone, host by host. ``itself``: each broker judges the links to the other zones
-(`docs/regions.md`). ``fixed``: a health check of the whole fleet: half of all attempts lost for two seconds leaves a
-zone whole, five seconds without brings it back at once. ``fleet``: evidence, one decision, steps
-(`docs/evacuation.md`), and each broker's own judgement of links beside it. Hosts have one slot each, and are about half
-at work.
+(`docs/regions.md`). ``fixed``: a health check of the whole fleet: half of all attempts lost for two seconds
+leaves a zone whole, five seconds without brings it back at once. ``fleet``: evidence, one decision, steps
+(`docs/evacuation.md`), and each broker's own judgement of links beside it. Hosts have one slot each, and are
+about half at work.
 """
 
 from __future__ import annotations
@@ -27,8 +28,20 @@
 KEPT = ("fixed", "fleet")  # those with keepers
 ZONES = ("za", "zb", "zc")
 SICK = 1  # the zone that fails, by its number
-KINDS = ("killed", "cut off", "one way", "slow", "class", "lossy", "a fifth", "one broker", "two zones", "flapping",
-         "peak", "clients moved")
+KINDS = (
+    "killed",
+    "cut off",
+    "one way",
+    "slow",
+    "class",
+    "lossy",
+    "a fifth",
+    "one broker",
+    "two zones",
+    "flapping",
+    "peak",
+    "clients moved",
+)
 CALM = ("healthy", "busy")
 SETTLE, BEFORE, TROUBLE, AFTER = 9.0, 6.0, 12.0, 33.0  # seconds; keepers decide from the third on
 WINDOW = 5.0
@@ -43,7 +56,9 @@
         """Leave or come back, all at once."""
         told = []
         for name, zone in self.zones.items():
-            seen = [some for _, word in self.words.values() for (of, _), some in word.seen.items() if of == name]
+            seen = [
+                some for _, word in self.words.values() for (of, _), some in word.seen.items() if of == name
+            ]
             total = sum(some.total for some in seen)
             lost = total >= self.figures.least and sum(some.bad for some in seen) >= LOST * total
             if lost == (zone.state == SERVED):
@@ -64,25 +79,48 @@
 
 def market_of(variant: str, brokers: int, hosts: int) -> Market:
     """The settings of a variant: each shard has a holder in each zone."""
-    fleet = (f"(shards {2 * hosts}) (cells {hosts}) (width 3) (zones {' '.join(ZONES)}) (leaves {hosts})"
-             f" (brokers {brokers})")
+    fleet = (
+        f"(shards {2 * hosts}) (cells {hosts}) (width 3) (zones {' '.join(ZONES)}) (leaves {hosts})"
+        f" (brokers {brokers})"
+    )
     if variant in KEPT:
         fleet += f' (keepers "k0:7100" "k1:7101" "k2:7102") (most {brokers}) (evacuate yes)'
-    across = "".join(f"(region r{zone} (zones {zone}))" for zone in ZONES) if variant in ("itself", "fleet") else ""
+    across = (
+        "".join(f"(region r{zone} (zones {zone}))" for zone in ZONES)
+        if variant in ("itself", "fleet")
+        else ""
+    )
     return loads(MARKET + HOSTS + f"(fleet {fleet})" + (f"(across {across})" if across else ""))
 
 
 class ZoneDay(SimulatedDay):
-    """One day of a kind under a variant; ``ends`` counts how queries ended by class and window of five seconds."""
+    """One day of a kind under a variant; ``ends`` counts how queries ended by class and window of five
+    seconds.
+    """
 
-    def __init__(self, variant: str, kind: str, seed: int = 1, *, brokers: int = 89, hosts: int = 82,
-                 rate: float = 130.0) -> None:
+    def __init__(
+        self,
+        variant: str,
+        kind: str,
+        seed: int = 1,
+        *,
+        brokers: int = 89,
+        hosts: int = 82,
+        rate: float = 130.0,
+    ) -> None:
         self.variant, self.kind = variant, kind
         self.ends: dict[tuple[str, int], Counter[str]] = defaultdict(Counter)
         desk: Callable[[Market], ZoneDesk] = _fixed_desk if variant == "fixed" else desk_of
         busy = {"busy": 1.5, "peak": 1.6}.get(kind, 1.0)
-        super().__init__(market_of(variant, brokers, hosts), seed, seconds=BEFORE + TROUBLE + AFTER, rate=rate * busy,
-                         trouble_rate=0.0, poison=0.0, desk=desk)
+        super().__init__(
+            market_of(variant, brokers, hosts),
+            seed,
+            seconds=BEFORE + TROUBLE + AFTER,
+            rate=rate * busy,
+            trouble_rate=0.0,
+            poison=0.0,
+            desk=desk,
+        )
         self.cuts: list[tuple[str, str]] = []
 
     def _main(self) -> Coro[None]:
@@ -157,11 +195,13 @@
             def chosen(upto: int, *more: int) -> int:
                 number, of_brokers = plain(upto, *more), upto == len(self.fleet.brokers)
                 return here[number % len(here)] if of_brokers and self.loop.now() > moved else number
+
             draws.randrange = chosen  # type: ignore[method-assign,assignment]
         yield from super()._clients(draws)
 
-    def _count(self, keys: list[str], classes: list[Any], bodies: dict[str, dict[str, Any]], took: int,
-               broker: int) -> None:
+    def _count(
+        self, keys: list[str], classes: list[Any], bodies: dict[str, dict[str, Any]], took: int, broker: int
+    ) -> None:
         window = int(((self.loop.now() - took - self._zero) / 1e6) // WINDOW)
         before = {name: Counter(counts) for name, counts in self.outcomes.items()}
         super()._count(keys, classes, bodies, took, broker)
@@ -183,13 +223,22 @@
             service[klass][window] = round(good / asked, 3) if asked else 1.0
             windows[window][0] += good
             windows[window][1] += asked
-        inside = [good / asked for window, (good, asked) in windows.items()
-                  if asked >= 20 and -1 <= window <= int((TROUBLE + AFTER) / WINDOW) - 1]
+        inside = [
+            good / asked
+            for window, (good, asked) in windows.items()
+            if asked >= 20 and -1 <= window <= int((TROUBLE + AFTER) / WINDOW) - 1
+        ]
         worst = min(inside, default=1.0)
         total = [sum(column) for column in zip(*windows.values(), strict=True)] or [0, 1]
-        by_keepers = [event for event in self.events if event["ev"] == "zones" and event["who"].startswith("k")]
-        leaving = [event["t"] for event in by_keepers for name, (state, _) in event["states"].items()
-                   if state in ("leaving", LEFT) and name == ZONES[SICK]]
+        by_keepers = [
+            event for event in self.events if event["ev"] == "zones" and event["who"].startswith("k")
+        ]
+        leaving = [
+            event["t"]
+            for event in by_keepers
+            for name, (state, _) in event["states"].items()
+            if state in ("leaving", LEFT) and name == ZONES[SICK]
+        ]
         empty = [event["t"] for event in by_keepers if not event["states"]]
         left_at = next((at for at in leaving if at >= self._zero), None)
         told: dict[tuple[int, int], list[int]] = defaultdict(list)
@@ -198,17 +247,28 @@
                 told[event["term"], event["number"]].append(event["t"])
         states = [event["states"].get(ZONES[SICK], [SERVED])[0] for event in by_keepers]
         return {
-            "kind": self.kind, "variant": self.variant, "seed": self.seed,
-            "service": {klass: dict(row) for klass, row in service.items()}, "worst": round(worst, 3),
+            "kind": self.kind,
+            "variant": self.variant,
+            "seed": self.seed,
+            "service": {klass: dict(row) for klass, row in service.items()},
+            "worst": round(worst, 3),
             "all": round(total[0] / max(total[1], 1), 4),
             "left_after_s": round((left_at - self._zero) / 1e6, 1) if left_at is not None else None,
-            "back_after_s": round((max(empty) - self._zero) / 1e6, 1) if empty and left_at is not None else None,
-            "others_left": sorted({name for event in by_keepers for name in event["states"] if name != ZONES[SICK]}),
-            "leaves": sum(after in ("leaving", LEFT) and before == SERVED
-                          for before, after in zip([SERVED, *states], states, strict=False)),
+            "back_after_s": round((max(empty) - self._zero) / 1e6, 1)
+            if empty and left_at is not None
+            else None,
+            "others_left": sorted(
+                {name for event in by_keepers for name in event["states"] if name != ZONES[SICK]}
+            ),
+            "leaves": sum(
+                after in ("leaving", LEFT) and before == SERVED
+                for before, after in zip([SERVED, *states], states, strict=False)
+            ),
             "apart_s": round(max((max(ats) - min(ats) for ats in told.values()), default=0) / 1e6, 2),
-            "fell": verdict.counts["falls"], "coldest": round(verdict.coldest, 2),
-            "broken": len(verdict.breaches), "rules": [str(breach) for breach in verdict.breaches[:3]],
+            "fell": verdict.counts["falls"],
+            "coldest": round(verdict.coldest, 2),
+            "broken": len(verdict.breaches),
+            "rules": [str(breach) for breach in verdict.breaches[:3]],
         }
 
 
--- a/heathwell/logic.py
+++ b/heathwell/logic.py
@@ -281,8 +281,16 @@
         aim_at = min(self.now + aim, event.deadline_us)
         if left < CUT_TRY * usual and (event.retry or not self.cfg.marks_retry):
             aim_at = min(aim_at, event.deadline_us - spec.limit_us + aim)
-        query = Query(event.id, event.job, event.klass, event.tenant, self.now, aim_at,
-                      event.deadline_us, spec.need * event.parts + spec.fetch)
+        query = Query(
+            event.id,
+            event.job,
+            event.klass,
+            event.tenant,
+            self.now,
+            aim_at,
+            event.deadline_us,
+            spec.need * event.parts + spec.fetch,
+        )
         self.queries[event.id] = self.jobs[event.job] = query
         self._later(event.deadline_us - self.cfg.tick_us, "deadline", query)
         if self.now + self.cfg.tick_us < query.aim_at < event.deadline_us:
@@ -371,7 +379,7 @@
         need = self.cfg.classes[query.klass].need
         picks = [(part, self._pick(part)) for part in query.parts]
         loads = sorted(len(known) if s is None else len(s.out) + self._charge(s) for _, s in picks)
-        loads = loads[:max(1, int(len(loads) * need + 0.999))]
+        loads = loads[: max(1, int(len(loads) * need + 0.999))]
         return sum(loads) / len(loads) * len(known) / speed
 
     def _hot_time(self, query: Query, least: int) -> float:
--- a/heathwell/membership/__init__.py
+++ b/heathwell/membership/__init__.py
@@ -1,7 +1,21 @@
-"""Who is a member of a fleet of brokers: pure, clock handed in. Numbers only grow: a broker that starts again, or finds
-itself taken for dead, is a new incarnation, and what an old one held is not its own."""
+"""Who is a member of a fleet of brokers: pure, clock handed in. Numbers only grow: a broker that starts
+again, or finds itself taken for dead, is a new incarnation, and what an old one held is not its own.
+"""
 
 from heathwell.membership.member import Lived, Self
 from heathwell.membership.roll import ALIVE, DEAD, JOINING, LEFT, SUSPECT, Entry, Report, Roll, Timing, Word
 
-__all__ = ["ALIVE", "DEAD", "JOINING", "LEFT", "SUSPECT", "Entry", "Lived", "Report", "Roll", "Self", "Timing", "Word"]
+__all__ = [
+    "ALIVE",
+    "DEAD",
+    "JOINING",
+    "LEFT",
+    "SUSPECT",
+    "Entry",
+    "Lived",
+    "Report",
+    "Roll",
+    "Self",
+    "Timing",
+    "Word",
+]
--- a/heathwell/membership/member.py
+++ b/heathwell/membership/member.py
@@ -1,7 +1,8 @@
 """A broker's own side of its membership: which incarnation it is, and when it must take itself for dead.
 
-A process that was stopped and goes on has missed its own death. It sees that from its own clock: more time between two
-turns than silence is borne. It then drops what it held before it does anything else, and comes as a new incarnation.
+A process that was stopped and goes on has missed its own death. It sees that from its own clock: more time
+between two turns than silence is borne. It then drops what it held before it does anything else, and comes as
+a new incarnation.
 """
 
 from __future__ import annotations
@@ -19,13 +20,32 @@
 
 
 class Self:
-    """One broker. ``incarnation`` is handed in (Unix time of its start in us does), and only grows from there."""
+    """One broker. ``incarnation`` is handed in (Unix time of its start in us does), and only grows from
+    there.
+    """
 
-    def __init__(self, name: str, incarnation: int, now: int, *, zone: str = "", version: str = "", digest: str = "",
-                 timing: Timing | None = None) -> None:
-        self.name, self.incarnation, self.zone, self.version, self.digest = name, incarnation, zone, version, digest
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        now: int,
+        *,
+        zone: str = "",
+        version: str = "",
+        digest: str = "",
+        timing: Timing | None = None,
+    ) -> None:
+        self.name, self.incarnation, self.zone, self.version, self.digest = (
+            name,
+            incarnation,
+            zone,
+            version,
+            digest,
+        )
         self.timing = timing or Timing()
-        self.heard: dict[str, tuple[str, int]] = {}  # by keeper: its run, and the highest number of an answer of that
+        self.heard: dict[
+            str, tuple[str, int]
+        ] = {}  # by keeper: its run, and the highest number of an answer of that
         self.deaths = 0
         self._turn_us = now
 
@@ -42,8 +62,9 @@
         return Report(self.name, self.incarnation, self.zone, self.version, self.digest, run, number, leaves)
 
     def told(self, keeper: str, run: str, incarnation: int, word: Word) -> Lived:
-        """A keeper's answer to a report of this incarnation; answers to an older one say nothing of this. Numbers are
-        counted within a keeper's run."""
+        """A keeper's answer to a report of this incarnation; answers to an older one say nothing of this.
+        Numbers are counted within a keeper's run.
+        """
         before, number = self.heard.get(keeper, ("", 0))
         if incarnation != self.incarnation or (run == before and word.number <= number):
             return Lived()
