--- a/heathwell/membership/roll.py
+++ b/heathwell/membership/roll.py
@@ -1,6 +1,7 @@
 """A keeper's roll of brokers: what each says of itself, and what its silence says.
 
-An entry is one incarnation of one name. Times are microseconds of the keeper's own clock; nothing here reads it.
+An entry is one incarnation of one name. Times are microseconds of the keeper's own clock; nothing here reads
+it.
 """
 
 from __future__ import annotations
@@ -19,14 +20,16 @@
 #   replaced  a later incarnation of its name reported
 EVENTS = ("heard", "called", "quiet", "silent", "leaves", "replaced")
 TABLE: dict[str, dict[str, str]] = {
-    state: dict(zip(EVENTS, row, strict=True)) for state, row in {
+    state: dict(zip(EVENTS, row, strict=True))
+    for state, row in {
         #         heard   called   quiet    silent  leaves  replaced
-        JOINING: (ALIVE,  JOINING, JOINING, DEAD,   LEFT,   DEAD),
-        ALIVE:   (ALIVE,  SUSPECT, SUSPECT, DEAD,   LEFT,   DEAD),
-        SUSPECT: (ALIVE,  SUSPECT, SUSPECT, DEAD,   LEFT,   DEAD),
-        LEFT:    (LEFT,   LEFT,    LEFT,    LEFT,   LEFT,   LEFT),
-        DEAD:    (DEAD,   DEAD,    DEAD,    DEAD,   DEAD,   DEAD),
-    }.items()}
+        JOINING: (ALIVE, JOINING, JOINING, DEAD, LEFT, DEAD),
+        ALIVE: (ALIVE, SUSPECT, SUSPECT, DEAD, LEFT, DEAD),
+        SUSPECT: (ALIVE, SUSPECT, SUSPECT, DEAD, LEFT, DEAD),
+        LEFT: (LEFT, LEFT, LEFT, LEFT, LEFT, LEFT),
+        DEAD: (DEAD, DEAD, DEAD, DEAD, DEAD, DEAD),
+    }.items()
+}
 GONE = (LEFT, DEAD)  # from which nothing leads back: the same name comes with a later incarnation
 
 
@@ -42,8 +45,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """What a broker says of itself. ``heard`` is the highest number of an answer that it has had of a keeper's
-    ``run``."""
+    """What a broker says of itself. ``heard`` is the highest number of an answer that it has had of a
+    keeper's ``run``.
+    """
 
     name: str
     incarnation: int
@@ -57,8 +61,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Word:
-    """The answer to a report: ``state`` as the roll has it now. ``least`` is the incarnation from which the name may
-    come again where the state is gone; ``number`` is the answer's own."""
+    """The answer to a report: ``state`` as the roll has it now. ``least`` is the incarnation from which the
+    name may come again where the state is gone; ``number`` is the answer's own.
+    """
 
     state: str
     number: int
@@ -115,7 +120,9 @@
                 changes += self._step(now, entry, "replaced", f"incarnation {said.incarnation} came")
             elif len(self.entries) >= self.timing.most and not self._make_room():
                 return Word(DEAD, self.number, said.incarnation, "the roll is full"), changes
-            entry = Entry(said.name, said.incarnation, said.zone, said.version, said.digest, now, now, state_us=now)
+            entry = Entry(
+                said.name, said.incarnation, said.zone, said.version, said.digest, now, now, state_us=now
+            )
             self.entries[said.name] = entry
             changes.append(Changed(said.name, said.incarnation, "", JOINING, "its first report"))
         if entry.state in GONE:
@@ -144,7 +151,9 @@
         return changes
 
     def members(self) -> Iterator[Entry]:
-        """Those that are members now: only one that is alive is given anything, a suspect one keeps what it has."""
+        """Those that are members now: only one that is alive is given anything, a suspect one keeps what it
+        has.
+        """
         return (entry for entry in self.entries.values() if entry.state not in GONE)
 
     def _step(self, now: int, entry: Entry, event: str, why: str) -> list[Changed]:
--- a/heathwell/merge/topk.py
+++ b/heathwell/merge/topk.py
@@ -1,12 +1,14 @@
-"""The merge of ranked rows over parts: the k best, whichever order parts came in, and when no part can change them.
+"""The merge of ranked rows over parts: the k best, whichever order parts came in, and when no part can change
+them.
 
-A query may hold several searches (a batch shares its parts). Scores are compared as *better is greater*; a distance is
-handed in negated. The order is total: score, then id, so that equal scores rank the same every time. Each part is asked
-for ``offset + limit`` rows, as all of them may lie in one part; a part's rows hold an id once, parts may overlap.
+A query may hold several searches (a batch shares its parts). Scores are compared as *better is greater*; a
+distance is handed in negated. The order is total: score, then id, so that equal scores rank the same every
+time. Each part is asked for ``offset + limit`` rows, as all of them may lie in one part; a part's rows hold
+an id once, parts may overlap.
 
-A host says at an attempt's arrival, before it searches, how good its best row can be at most. Once ``offset + limit``
-rows are in that are all strictly better than that (or the bound lies under the threshold), the part can't change the
-answer: it is moot. Parts that said nothing are never moot.
+A host says at an attempt's arrival, before it searches, how good its best row can be at most. Once ``offset +
+limit`` rows are in that are all strictly better than that (or the bound lies under the threshold), the part
+can't change the answer: it is moot. Parts that said nothing are never moot.
 """
 
 from __future__ import annotations
@@ -22,7 +24,9 @@
 
 
 class Malformed(ValueError):
-    """Rows that no sound host gives: unsorted, too many, an id twice, no number, or better than its own bound."""
+    """Rows that no sound host gives: unsorted, too many, an id twice, no number, or better than its own
+    bound.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +76,9 @@
     parts: dict[str, _Part] = field(default_factory=dict)
     _best: list[list[tuple[tuple[float, tuple[int, int, str]], Row]]] = field(default_factory=list)
     _kth: list[float] = field(default_factory=list)
-    _bounds: list[list[tuple[float, str, int]]] = field(default_factory=list)  # by search, a heap of what is not beaten
+    _bounds: list[list[tuple[float, str, int]]] = field(
+        default_factory=list
+    )  # by search, a heap of what is not beaten
     _moot: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -86,12 +92,17 @@
         return [offset + limit for offset, limit in zip(self.offsets, self.limits, strict=True)]
 
     def bound(self, part: str, bounds: Sequence[float]) -> None:
-        """How good a part's best row can be at most, by search. Of two attempts' words the weaker one stands."""
-        if len(bounds) != len(self.limits) or not all(isinstance(b, float) and not math.isnan(b) for b in bounds):
+        """How good a part's best row can be at most, by search. Of two attempts' words the weaker
+        one stands.
+        """
+        if len(bounds) != len(self.limits) or not all(
+            isinstance(b, float) and not math.isnan(b) for b in bounds
+        ):
             raise Malformed("bounds that are not a number a search")
         known = self.parts.setdefault(part, _Part())
-        known.bounds = bounds if known.bounds is None else [
-            max(a, b) for a, b in zip(known.bounds, bounds, strict=True)]
+        known.bounds = (
+            bounds if known.bounds is None else [max(a, b) for a, b in zip(known.bounds, bounds, strict=True)]
+        )
         known.words, known.beaten = known.words + 1, 0
         for search, most in enumerate(known.bounds):
             heapq.heappush(self._bounds[search], (most, part, known.words))
@@ -120,7 +131,9 @@
                     raise Malformed("a row better than the bound that was told")
 
     def add(self, part: str, lists: Sequence[Sequence[Row]], points: int = 0, recall: float = 1.0) -> None:
-        """A part's rows, best first; raises :class:`Malformed`. Linear in its rows, but for the heap's logarithm."""
+        """A part's rows, best first; raises :class:`Malformed`. Linear in its rows, but for the heap's
+        logarithm.
+        """
         self.check(part, lists)
         known = self.parts.setdefault(part, _Part())
         known.lists, known.points, known.recall = lists, points, recall
@@ -152,7 +165,9 @@
         self._beat(search)
 
     def _beat(self, search: int) -> None:
-        """Count the bounds that are beaten by now, each once: linear in parts, but for the heap's logarithm."""
+        """Count the bounds that are beaten by now, each once: linear in parts, but for the heap's
+        logarithm.
+        """
         heap = self._bounds[search]
         while heap and self._beaten(search, heap[0][0]):
             _, name, word = heapq.heappop(heap)
@@ -163,10 +178,15 @@
                     self._moot.append(name)
 
     def newly_moot(self) -> list[str]:
-        """Parts that have told their bounds, are not in, and since the last call can't change any search's rows."""
+        """Parts that have told their bounds, are not in, and since the last call can't change any search's
+        rows.
+        """
         moot, self._moot = self._moot, []
-        return [name for name in moot if self.parts[name].lists is None
-                and self.parts[name].beaten == len(self.limits)]
+        return [
+            name
+            for name in moot
+            if self.parts[name].lists is None and self.parts[name].beaten == len(self.limits)
+        ]
 
     def _beaten(self, search: int, bound: float) -> bool:
         # Hosts score in single precision: what comes within that of the k-th may yet displace it.
@@ -179,11 +199,11 @@
     def result(self, search: int, missing: Sequence[str], usual_points: float) -> Merged:
         """A search's rows and the estimate of their recall.
 
-        ``missing`` are the parts that did not come in. Points being no likelier in one part than in another, the true
-        rows are spread as points are; of a part that is not in they are all lost unless its bound rules them out. A
-        part that said nothing of its size is taken to be as large as ``usual_points``.
+        ``missing`` are the parts that did not come in. Points being no likelier in one part than in another,
+        the true rows are spread as points are; of a part that is not in they are all lost unless its bound
+        rules them out. A part that said nothing of its size is taken to be as large as ``usual_points``.
         """
-        rows = [row for _, row in self._best[search]][self.offsets[search]:]
+        rows = [row for _, row in self._best[search]][self.offsets[search] :]
         held = lost = 0.0
         for part in self.parts.values():
             if part.lists is not None:
--- a/heathwell/regions/clients.py
+++ b/heathwell/regions/clients.py
@@ -1,8 +1,9 @@
 """When a broker that is cut off lets its clients go, so that they find one that is not. Pure.
 
-Closing is all that memcached's protocol leaves to say unasked, so it is done to idle connections only, spread by seed
-(all at once would be a herd at the other brokers), and once a cut: who comes back after the cut began found no better
-broker, or the layer in front sends it here all the same; it is served what there is, and refused the rest with advice.
+Closing is all that memcached's protocol leaves to say unasked, so it is done to idle connections only, spread
+by seed (all at once would be a herd at the other brokers), and once a cut: who comes back after the cut began
+found no better broker, or the layer in front sends it here all the same; it is served what there is, and
+refused the rest with advice.
 """
 
 from __future__ import annotations
@@ -15,7 +16,9 @@
 
 
 class ClientDrain:
-    """Draws each client's time to go. ``over_us`` is the time that all are spread over; 0 keeps every client."""
+    """Draws each client's time to go. ``over_us`` is the time that all are spread over; 0 keeps
+    every client.
+    """
 
     def __init__(self, over_us: int, seed: int) -> None:
         self.over = over_us
--- a/heathwell/regions/links.py
+++ b/heathwell/regions/links.py
@@ -1,16 +1,15 @@
 """The state of the links to other regions, from what this broker itself sees. Pure: events in, holdings out.
 
-Many hosts behind one link that go bad together are the link; one that does is the host, and stays the decision
-module's business. What comes out is which hosts are *shut* (nothing may go there now) and which are *avoided* (only
-where nobody else can serve); the module chooses among the rest as ever.
-
-| state | entered when | what holds |
-| --- | --- | --- |
-| open | at the start, and after half open | all hosts |
-| slow | its quickest answers take ``SLOW_SHARE`` of the shortest aim longer than home's | far hosts avoided |
-| down | ``HOSTS_TELL`` far hosts, and ``BAD_SHARE`` of those tried, went silent or unreachable and home answers | far
-hosts shut; a few are probed at growing, drawn intervals; late answers of two hosts make it slow |
-| half | a probe came back | a growing, drawn share of the far hosts, a step a ``STEP_US`` while answers come |
+Many hosts behind one link that go bad together are the link; one that does is the host, and stays the
+decision module's business. What comes out is which hosts are *shut* (nothing may go there now) and which are
+*avoided* (only where nobody else can serve); the module chooses among the rest as ever.
+
+| state | entered when | what holds | | --- | --- | --- | | open | at the start, and after half open | all
+hosts | | slow | its quickest answers take ``SLOW_SHARE`` of the shortest aim longer than home's | far hosts
+avoided | | down | ``HOSTS_TELL`` far hosts, and ``BAD_SHARE`` of those tried, went silent or unreachable and
+home answers | far hosts shut; a few are probed at growing, drawn intervals; late answers of two hosts make it
+slow | | half | a probe came back | a growing, drawn share of the far hosts, a step a ``STEP_US`` while
+answers come |
 """
 
 from __future__ import annotations
@@ -31,11 +30,17 @@
 SILENT_TIMES = 5.0  # usual answers at home within which a far host must have said something
 SILENT_LEAST_US, SILENT_MOST_US = 150_000, 1_000_000
 RECENT_US = 5_000_000  # how long what was seen of a host counts
-SLOW_SHARE, FAST_SHARE = 0.15, 0.08  # of the shortest aim: extra way from which a link is slow, and is not any more
+SLOW_SHARE, FAST_SHARE = (
+    0.15,
+    0.08,
+)  # of the shortest aim: extra way from which a link is slow, and is not any more
 QUICK_KEPT = 32  # latest answers by which a way's quickest is judged
 TRIAL_FIRST_US, TRIAL_MOST_US = 500_000, 2_000_000
 QUICK_PROBES = 4  # quick ones in a row after which a slow link is open again: the jitter of one says little
-SUSPECT_HOSTS, SUSPECT_EVERY_US = 4, 1_000_000  # probed once a far host is silent: work may be too seldom to tell
+SUSPECT_HOSTS, SUSPECT_EVERY_US = (
+    4,
+    1_000_000,
+)  # probed once a far host is silent: work may be too seldom to tell
 TRIAL_HOSTS = 2  # probed at a trial: one may be down by itself
 STEPS = (0.25, 0.5, 1.0)  # shares of the far hosts let in while half open
 STEP_US = 400_000
@@ -45,7 +50,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Way:
-    """What settings say of the way to a region: its usual delay there and back (us), and a crossing part's cost."""
+    """What settings say of the way to a region: its usual delay there and back (us), and a crossing part's
+    cost.
+    """
 
     round_us: int = 0
     cost: float = 1.0
@@ -84,17 +91,30 @@
 
 
 class Regions:
-    """One broker's links. ``regions`` names each host's region; ``cross_most`` bounds further attempts that cross in
-    a second (0: no bound), so that retries in two regions can't multiply; ``budget`` is the cost of all that may cross
-    in a second before far hosts are avoided (0: no bound)."""
-
-    def __init__(self, home: str, names: list[str], shortest_aim_us: int, seed: int, *, prefer: bool = True,
-                 cross_most: int = 0, judge: bool = True, budget: float = 0.0,
-                 ways: Mapping[str, Way] | None = None) -> None:
+    """One broker's links. ``regions`` names each host's region; ``cross_most`` bounds further attempts that
+    cross in a second (0: no bound), so that retries in two regions can't multiply; ``budget`` is the cost of
+    all that may cross in a second before far hosts are avoided (0: no bound).
+    """
+
+    def __init__(
+        self,
+        home: str,
+        names: list[str],
+        shortest_aim_us: int,
+        seed: int,
+        *,
+        prefer: bool = True,
+        cross_most: int = 0,
+        judge: bool = True,
+        budget: float = 0.0,
+        ways: Mapping[str, Way] | None = None,
+    ) -> None:
         self.home, self.aim, self.prefer, self.cross_most = home, shortest_aim_us, prefer, cross_most
         self.judge, self.budget = judge, budget
         self.random = random.Random(seed)
-        self.links = {name: LinkState(name, way=(ways or {}).get(name, Way())) for name in names if name != home}
+        self.links = {
+            name: LinkState(name, way=(ways or {}).get(name, Way())) for name in names if name != home
+        }
         self.hosts: dict[str, _Host] = {}
         self.home_took = 0.0
         self.home_ok = -1
@@ -185,7 +205,12 @@
                 link.quick_probes = link.quick_probes + 1 if quick else 0
                 if link.quick_probes >= QUICK_PROBES:
                     link.quick.clear()
-                    self._to(now, link, OPEN, f"{QUICK_PROBES} probes in a row back within {FAST_SHARE:g} of an aim")
+                    self._to(
+                        now,
+                        link,
+                        OPEN,
+                        f"{QUICK_PROBES} probes in a row back within {FAST_SHARE:g} of an aim",
+                    )
             elif link.state == DOWN:
                 link.step, link.step_at, link.oks = 0, now, 0
                 self._to(now, link, HALF, f"probe of {node} answered")
@@ -202,20 +227,23 @@
                 if not bad and link.state != HALF:
                     probes += self._suspect(now, far, link)
                 if bad and silent and link.state == OPEN:
-                    # Silent for so short a time it may be slow and not cut: avoided, until it has been silent for long.
+                    # Silent for so short a time it may be slow and not cut: avoided, until it has been silent
+                    # for long.
                     link.suspected = now - SUSPECT_EVERY_US
                     self._to(now, link, SLOW, bad)
                     continue
                 if bad and link.state != HALF and not self._flaps(now, link):
                     link.falls.append(now)
                     if len(link.falls) == FLAPS and now - link.falls[0] < FLAP_US:
-                        # It falls again and again: what it holds comes within the flap, and shutting costs more.
+                        # It falls again and again: what it holds comes within the flap, and shutting costs
+                        # more.
                         link.heard.clear()
                         self._to(now, link, SLOW, f"{FLAPS} falls within {FLAP_US // 1_000_000} s: it flaps")
                         continue
                 if bad:
-                    link.trial_wait = TRIAL_FIRST_US if link.state != HALF else min(
-                        2 * link.trial_wait, TRIAL_MOST_US)
+                    link.trial_wait = (
+                        TRIAL_FIRST_US if link.state != HALF else min(2 * link.trial_wait, TRIAL_MOST_US)
+                    )
                     link.trial_at = now + self._drawn(link.trial_wait)
                     link.quick.clear()
                     self._to(now, link, DOWN, bad)
@@ -238,10 +266,15 @@
         return len(link.falls) == FLAPS and now - link.falls[0] < 2 * FLAP_US
 
     def _suspect(self, now: int, far: list[tuple[str, _Host]], link: LinkState) -> list[str]:
-        """Hosts to probe as one has gone silent: is it alone? They are judged like those that work was sent to."""
+        """Hosts to probe as one has gone silent: is it alone? They are judged like those that work was sent
+        to.
+        """
         if now - link.suspected < SUSPECT_EVERY_US or not any(
-                host.waiting and now - (oldest := min(host.waiting.values())) > SILENT_LEAST_US
-                and host.last_ok < oldest for _, host in far):
+            host.waiting
+            and now - (oldest := min(host.waiting.values())) > SILENT_LEAST_US
+            and host.last_ok < oldest
+            for _, host in far
+        ):
             return []
         link.suspected = now
         nodes = self.random.sample([node for node, _ in far], min(SUSPECT_HOSTS, len(far)))
@@ -253,8 +286,9 @@
         return nodes
 
     def _bad_together(self, now: int, far: list[tuple[str, _Host]], link: LinkState) -> tuple[str, bool]:
-        """Why the link must be bad, or nothing, and whether it is by silence. What was seen before its last change
-        speaks of the last trouble."""
+        """Why the link must be bad, or nothing, and whether it is by silence. What was seen before its last
+        change speaks of the last trouble.
+        """
         limit = min(max(SILENT_TIMES * self.home_took, SILENT_LEAST_US), SILENT_MOST_US) + link.way.round_us
         if link.state == SLOW:
             # Its answers are known to take long, and a flapping link's longer than that.
@@ -271,8 +305,15 @@
             bad += bool(quiet or failed)
             silent += bool(quiet)
         # Where home is as silent it is this broker, or everybody, and no link's fault.
-        if bad >= HOSTS_TELL and bad >= BAD_SHARE * tried and self.home_ok >= 0 and now - self.home_ok < RECENT_US:
-            text = f"{bad} of {tried} hosts tried gone bad together, {silent} of them silent, while home answers"
+        if (
+            bad >= HOSTS_TELL
+            and bad >= BAD_SHARE * tried
+            and self.home_ok >= 0
+            and now - self.home_ok < RECENT_US
+        ):
+            text = (
+                f"{bad} of {tried} hosts tried gone bad together, {silent} of them silent, while home answers"
+            )
             return text, 2 * silent > bad
         return "", False
 
@@ -316,8 +357,12 @@
             self._further.popleft()
         while self._spent and self._spent[0][0] <= now - 1_000_000:
             self.spent -= self._spent.popleft()[1]
-        spent = (bool(self.cross_most) and len(self._further) >= self.cross_most
-                 or bool(self.budget) and self.spent >= self.budget)
+        spent = (
+            bool(self.cross_most)
+            and len(self._further) >= self.cross_most
+            or bool(self.budget)
+            and self.spent >= self.budget
+        )
         avoid, shut = set(), set()
         for node, host in self.hosts.items():
             link = self.links.get(host.region)
--- a/heathwell/regions/reach.py
+++ b/heathwell/regions/reach.py
@@ -1,7 +1,8 @@
 """Which queries a broker can answer from the hosts that it may send to now. Pure.
 
-A query of a key space asks for shards in a row from a first one, wherever its key places it, so the share of first
-shards from which the class's floor can be met is the share of queries that can be answered, keys being placed evenly.
+A query of a key space asks for shards in a row from a first one, wherever its key places it, so the share of
+first shards from which the class's floor can be met is the share of queries that can be answered, keys being
+placed evenly.
 """
 
 from __future__ import annotations
--- a/heathwell/rollout/checks.py
+++ b/heathwell/rollout/checks.py
@@ -1,4 +1,6 @@
-"""Settings that are well formed and would still do harm: what a change is asked before it goes anywhere. Pure."""
+"""Settings that are well formed and would still do harm: what a change is asked before it goes anywhere.
+Pure.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +12,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Doubt:
-    """What is wrong with a change, and the flag by which an operator takes it all the same; empty: it is refused."""
+    """What is wrong with a change, and the flag by which an operator takes it all the same; empty: it is
+    refused.
+    """
 
     text: str
     flag: str = ""
@@ -26,8 +30,11 @@
 
 
 def _alone(new: Market) -> Iterator[Doubt]:
-    used = {space.klass for space in new.keys} | {one.klass for one in new.collections} | {
-        one.batch_class for one in new.collections}
+    used = (
+        {space.klass for space in new.keys}
+        | {one.klass for one in new.collections}
+        | {one.batch_class for one in new.collections}
+    )
     for spec in new.classes:
         if spec.name not in used:
             yield Doubt(f"class {spec.name}: no key space and no collection asks for it")
@@ -42,8 +49,11 @@
                 homes = sum(zone in region.zones for zone in fleet.zones)
                 hosts = homes * fleet.leaves // max(1, len(fleet.zones))
                 if fleet.leaves and hosts * fleet.width < fleet.cells:
-                    yield Doubt(f"class {region_class.name} never leaves region {region.name}, whose hosts hold not "
-                                "all shards", "--allow-gaps")
+                    yield Doubt(
+                        f"class {region_class.name} never leaves region {region.name}, whose hosts hold not "
+                        "all shards",
+                        "--allow-gaps",
+                    )
     for budget in fleet.budgets:
         if budget.name != "connections" and budget.whole < 1:
             yield Doubt(f"budget {budget.name}: a whole of {budget.whole:g} a second is nothing")
@@ -55,21 +65,34 @@
     for name in FIXED:
         before, after = getattr(old.fleet, name), getattr(new.fleet, name)
         if before != after:
-            yield Doubt(f"fleet.{name}: from {before} to {after}: brokers of both at once would not agree where data "
-                        "lies or what is shared")
+            yield Doubt(
+                f"fleet.{name}: from {before} to {after}: brokers of both at once would not agree where data "
+                "lies or what is shared"
+            )
     gone = {spec.name for spec in old.classes} - {spec.name for spec in new.classes}
     if gone:
         yield Doubt(f"classes that are asked for today are gone: {', '.join(sorted(gone))}", "--drop-classes")
     lost = {space.prefix for space in old.keys} - {space.prefix for space in new.keys}
     if lost:
-        yield Doubt(f"key spaces that are asked for today are gone: {', '.join(sorted(lost))}", "--drop-classes")
+        yield Doubt(
+            f"key spaces that are asked for today are gone: {', '.join(sorted(lost))}", "--drop-classes"
+        )
     if old.fleet.leaves and abs(new.fleet.leaves - old.fleet.leaves) > HOSTS_SHARE * old.fleet.leaves:
-        yield Doubt(f"hosts: from {old.fleet.leaves} to {new.fleet.leaves}, over {HOSTS_SHARE:.0%}", "--many-hosts")
+        yield Doubt(
+            f"hosts: from {old.fleet.leaves} to {new.fleet.leaves}, over {HOSTS_SHARE:.0%}", "--many-hosts"
+        )
     for spec in new.classes:
         before_spec = next((one for one in old.classes if one.name == spec.name), None)
         if before_spec is not None and before_spec.repeat != spec.repeat:
-            yield Doubt(f"class {spec.name}: repeat from {before_spec.repeat} to {spec.repeat}: what is safe to send "
-                        "again is the data's nature", "--change-repeat")
+            yield Doubt(
+                f"class {spec.name}: repeat from {before_spec.repeat} to {spec.repeat}: what is safe to send "
+                "again is the data's nature",
+                "--change-repeat",
+            )
         if before_spec is not None and not 0.5 <= spec.limit / before_spec.limit <= 2:
-            yield Doubt(f"class {spec.name}: limit from {before_spec.limit / 1e6:g} s to {spec.limit / 1e6:g} s, over "
-                        "a factor of two", "--far")
+            yield Doubt(
+                f"class {spec.name}: limit from {before_spec.limit / 1e6:g} s to "
+                f"{spec.limit / 1e6:g} s, over "
+                "a factor of two",
+                "--far",
+            )
--- a/heathwell/rollout/course.py
+++ b/heathwell/rollout/course.py
@@ -1,8 +1,9 @@
 """The course of one change: a table of states, kept so that it can go on after any step.
 
-What is to be is a wish for each broker; what is, brokers say. So a controller that dies between any two steps and
-begins again from its last record repeats no effect: the same wishes come out. A record is written before what follows
-from it is done, and wishes carry (term, number), of which a machine never takes an older one after a newer one.
+What is to be is a wish for each broker; what is, brokers say. So a controller that dies between any two steps
+and begins again from its last record repeats no effect: the same wishes come out. A record is written before
+what follows from it is done, and wishes carry (term, number), of which a machine never takes an older one
+after a newer one.
 """
 
 from __future__ import annotations
@@ -15,7 +16,15 @@
 from heathwell.rollout.plan import Plan, chosen, next_batch
 
 PLANNED, CHECKING, STAGING, JUDGING, HELD, UNDOING, DONE, UNDONE = (
-    "planned", "checking", "staging", "judging", "held", "undoing", "done", "undone")
+    "planned",
+    "checking",
+    "staging",
+    "judging",
+    "held",
+    "undoing",
+    "done",
+    "undone",
+)
 
 # What a state becomes when ... (any other event changes nothing):
 #   began    the controller took it up            sound    the new version passed its checks, "unsound" if not
@@ -24,14 +33,21 @@
 #   calm     trouble on both sides is over        hold, resume, undo: an operator's
 #   back     all brokers run the old one again
 TABLE: dict[str, dict[str, str]] = {
-    PLANNED:  {"began": CHECKING, "undo": UNDONE},
+    PLANNED: {"began": CHECKING, "undo": UNDONE},
     CHECKING: {"sound": STAGING, "unsound": UNDONE, "hold": HELD, "undo": UNDONE},
-    STAGING:  {"staged": JUDGING, "worse": UNDOING, "unsure": HELD, "hold": HELD, "undo": UNDOING},
-    JUDGING:  {"passed": STAGING, "last": DONE, "worse": UNDOING, "unsure": HELD, "hold": HELD, "undo": UNDOING},
-    HELD:     {"worse": UNDOING, "calm": STAGING, "resume": STAGING, "undo": UNDOING},
-    UNDOING:  {"back": UNDONE},
-    DONE:     {"undo": UNDOING},
-    UNDONE:   {},
+    STAGING: {"staged": JUDGING, "worse": UNDOING, "unsure": HELD, "hold": HELD, "undo": UNDOING},
+    JUDGING: {
+        "passed": STAGING,
+        "last": DONE,
+        "worse": UNDOING,
+        "unsure": HELD,
+        "hold": HELD,
+        "undo": UNDOING,
+    },
+    HELD: {"worse": UNDOING, "calm": STAGING, "resume": STAGING, "undo": UNDOING},
+    UNDOING: {"back": UNDONE},
+    DONE: {"undo": UNDOING},
+    UNDONE: {},
 }
 ENDED = (DONE, UNDONE)
 AGAIN = "~"  # behind a version's name: started once more, so that its end has been seen before many run it
@@ -50,8 +66,9 @@
 
 @dataclass(slots=True)
 class Course:
-    """One change. ``zones`` are the brokers with their zones as it began; ``term`` is the controller's, ``number``
-    grows with each step. ``by_trouble``: held as both sides were in trouble, to go on by itself."""
+    """One change. ``zones`` are the brokers with their zones as it began; ``term`` is the controller's,
+    ``number`` grows with each step. ``by_trouble``: held as both sides were in trouble, to go on by itself.
+    """
 
     id: str
     old: str
@@ -82,8 +99,10 @@
         return set(chosen(self.plan, self.stage, self.zones))
 
     def wishes(self) -> dict[str, str]:
-        """The version that each broker is to run. While it is held nothing is changed that has not been. From the
-        second stage on the first that was changed runs it a second time: how a version ends is part of it."""
+        """The version that each broker is to run. While it is held nothing is changed that has not been. From
+        the second stage on the first that was changed runs it a second time: how a version ends is part of
+        it.
+        """
         changed = self.changed()
         wishes = {name: self.new if name in changed else self.old for name in self.zones}
         if self.stage and changed:
@@ -91,13 +110,17 @@
         return wishes
 
     def batch(self, runs: dict[str, str], busy: set[str]) -> dict[str, str]:
-        """Which brokers are to be told now, of what each runs and which are being replaced. Undoing goes on beside
-        brokers that can't be reached; it is over once all run the old version."""
+        """Which brokers are to be told now, of what each runs and which are being replaced. Undoing goes on
+        beside brokers that can't be reached; it is over once all run the old version.
+        """
         if self.state not in (STAGING, UNDOING):
             return {}
         wishes = self.wishes()
-        todo = [name for name in chosen(self.plan, len(self.plan.stages) - 1, self.zones)
-                if name in runs and runs[name] != wishes[name]]
+        todo = [
+            name
+            for name in chosen(self.plan, len(self.plan.stages) - 1, self.zones)
+            if name in runs and runs[name] != wishes[name]
+        ]
         return {name: wishes[name] for name in next_batch(self.plan, todo, busy, self.zones)}
 
     # What happens.
@@ -133,7 +156,9 @@
         return None
 
     def died(self, changed: int, unchanged: int) -> Step | None:
-        """Ends of processes that nobody asked for, since the change began: in a stage's windows, and between stages."""
+        """Ends of processes that nobody asked for, since the change began: in a stage's windows, and between
+        stages.
+        """
         if self.state in (STAGING, JUDGING) and changed >= self.limits.deaths and not unchanged:
             return self.event("worse", f"changed brokers died {changed} times, no unchanged one")
         return None
@@ -149,7 +174,9 @@
         if self.judge is None:
             self.judge = Judge(self.limits, stage.most_us // self.window_us)
         ruling = self.judge.feed(windows)
-        self.judged_us += self.window_us * (ruling.word != TROUBLED)  # such a window tells nothing of the change
+        self.judged_us += self.window_us * (
+            ruling.word != TROUBLED
+        )  # such a window tells nothing of the change
         if ruling.word == WORSE:
             return self.event("worse", ruling.why)
         if ruling.word == TROUBLED and self.judge.troubled >= self.CALM:
@@ -164,8 +191,9 @@
     def _end(self, ruling: Ruling, prove: bool) -> Step | None:
         if ruling.word == TOO_LITTLE and prove:
             return self.event("unsure", f"too little to go by: {ruling.why}")
-        said = f"{ruling.word}: {ruling.why}" + (f"; too little traffic for {', '.join(ruling.unsaid)}"
-                                                 if ruling.unsaid else "")
+        said = f"{ruling.word}: {ruling.why}" + (
+            f"; too little traffic for {', '.join(ruling.unsaid)}" if ruling.unsaid else ""
+        )
         if ruling.word not in (FINE, TOO_LITTLE):
             return None
         return self.event("last" if self.stage == len(self.plan.stages) - 1 else "passed", said)
@@ -174,10 +202,19 @@
 
     def record(self) -> dict[str, Any]:
         """All that it goes on from; what the judge has seen of a stage is not kept, it is judged anew."""
-        return {"id": self.id, "old": self.old, "new": self.new, "zones": self.zones, "state": self.state,
-                "stage": self.stage, "term": self.term, "number": self.number, "why": self.why,
-                "by_trouble": self.by_trouble,
-                "history": [[s.before, s.after, s.why, s.stage, s.number] for s in self.history]}
+        return {
+            "id": self.id,
+            "old": self.old,
+            "new": self.new,
+            "zones": self.zones,
+            "state": self.state,
+            "stage": self.stage,
+            "term": self.term,
+            "number": self.number,
+            "why": self.why,
+            "by_trouble": self.by_trouble,
+            "history": [[s.before, s.after, s.why, s.stage, s.number] for s in self.history],
+        }
 
     def restore(self, record: dict[str, Any], term: int) -> None:
         """Go on from a record under a new term; raises :class:`ValueError` for one of another change."""
--- a/heathwell/rollout/judge.py
+++ b/heathwell/rollout/judge.py
@@ -1,10 +1,11 @@
 """Whether changed brokers do worse than unchanged ones of the same zone over the same seconds.
 
-Each window gives, by class, the difference of the mean worth of a query between changed and unchanged brokers, zone
-by zone: what hits both sides is gone from it. Over windows a weighted t-test asks whether the mean difference is below
-zero. It is asked several times, so the error allowed is spent over these looks as O'Brien and Fleming's boundary does
-(Lan, DeMets, 1983), each look with what it may spend alone: by the union bound the sum holds whatever the looks have
-in common. It is shared out over classes in the same way (Bonferroni).
+Each window gives, by class, the difference of the mean worth of a query between changed and unchanged
+brokers, zone by zone: what hits both sides is gone from it. Over windows a weighted t-test asks whether the
+mean difference is below zero. It is asked several times, so the error allowed is spent over these looks as
+O'Brien and Fleming's boundary does (Lan, DeMets, 1983), each look with what it may spend alone: by the union
+bound the sum holds whatever the looks have in common. It is shared out over classes in the same way
+(Bonferroni).
 """
 
 from __future__ import annotations
@@ -19,8 +20,9 @@
 
 @dataclass(slots=True)
 class Tally:
-    """Queries of one class: ``worth`` is their sum of shares of a whole answer in its aim, a client's retries counted
-    with its first try."""
+    """Queries of one class: ``worth`` is their sum of shares of a whole answer in its aim, a client's retries
+    counted with its first try.
+    """
 
     asked: int = 0
     worth: float = 0.0
@@ -41,8 +43,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Window:
-    """One broker over one span. ``silent``: it did not say what it did. ``deaths`` are ends of its process that nobody
-    asked for, in this span."""
+    """One broker over one span. ``silent``: it did not say what it did. ``deaths`` are ends of its process
+    that nobody asked for, in this span.
+    """
 
     broker: str
     zone: str
@@ -56,9 +59,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """``error``: how often a change that is no worse may be stopped. ``tolerance``: by how much, in worth, a change is
-    shown not to be worse. ``least``: queries of a class on each side for a word on it. ``looks`` is how often it is
-    asked until a stage's longest. ``cost``: the ratio of processor a query beyond which it is worse."""
+    """``error``: how often a change that is no worse may be stopped. ``tolerance``: by how much, in worth, a
+    change is shown not to be worse. ``least``: queries of a class on each side for a word on it. ``looks`` is
+    how often it is asked until a stage's longest. ``cost``: the ratio of processor a query beyond which it is
+    worse.
+    """
 
     error: float = 0.01
     tolerance: float = 0.02
@@ -68,13 +73,17 @@
     growth: float = 0.3  # of the memory of the unchanged, which the changed ones have grown by beyond them
     deaths: int = 2
     silent: int = 3  # windows in a row
-    trouble: float = 0.1  # loss of worth on the unchanged side, against its own usual, that speaks of something else
+    trouble: float = (
+        0.1  # loss of worth on the unchanged side, against its own usual, that speaks of something else
+    )
     gross: float = 0.5  # of the unchanged side's worth, in three windows in a row
 
 
 @dataclass(frozen=True, slots=True)
 class Ruling:
-    """``word`` is one of the above; ``why`` names class and figures; ``unsaid`` are classes with too little traffic."""
+    """``word`` is one of the above; ``why`` names class and figures; ``unsaid`` are classes with too little
+    traffic.
+    """
 
     word: str
     why: str = ""
@@ -96,21 +105,28 @@
         if len(self.values) < 5 or not total:
             return 0.0, math.inf
         mean = sum(value * weight for value, weight in zip(self.values, self.weights, strict=True)) / total
-        spread = sum(weight * (value - mean) ** 2 for value, weight in zip(self.values, self.weights, strict=True))
-        # All alike tells of no spread only so far: a query's worth lies within 0 and 1, and one may yet differ.
+        spread = sum(
+            weight * (value - mean) ** 2 for value, weight in zip(self.values, self.weights, strict=True)
+        )
+        # All alike tells of no spread only so far: a query's worth lies within 0 and 1, and one may yet
+        # differ.
         floor = 0.25 / total / total
         return mean, math.sqrt(max(spread / ((len(self.values) - 1) * total), floor))
 
 
 def _student(quantile_or_value: float, freedom: int, inverse: bool = False) -> float:
-    """Student's distribution, or its inverse. The library is loaded with the first question, as most ask none."""
+    """Student's distribution, or its inverse. The library is loaded with the first question, as most ask
+    none.
+    """
     from scipy import special  # type: ignore[import-untyped]  # noqa: PLC0415
+
     return float((special.stdtrit if inverse else special.stdtr)(freedom, quantile_or_value))
 
 
 def _normal(quantile_or_value: float, inverse: bool = False) -> float:
     """The normal distribution, or its inverse."""
     from scipy import special  # noqa: PLC0415
+
     return float((special.ndtri if inverse else special.ndtr)(quantile_or_value))
 
 
@@ -163,10 +179,15 @@
         if prove:
             open_yet = [name for name in names if not self._shown(name)]
             if open_yet:
-                return Ruling(TOO_LITTLE, f"not shown to be within {self.limits.tolerance:.1%}: {', '.join(open_yet)}",
-                              unsaid)
+                return Ruling(
+                    TOO_LITTLE,
+                    f"not shown to be within {self.limits.tolerance:.1%}: {', '.join(open_yet)}",
+                    unsaid,
+                )
         mean, error = self._series[ALL].mean()
-        return Ruling(FINE, f"worth {mean:+.2%} (error {error:.2%}) over {self._series[ALL].changed} queries", unsaid)
+        return Ruling(
+            FINE, f"worth {mean:+.2%} (error {error:.2%}) over {self._series[ALL].changed} queries", unsaid
+        )
 
     def shown(self) -> bool:
         """Whether every class with enough traffic is shown to be no worse than the tolerance allows."""
@@ -178,8 +199,12 @@
     def _plainly_wrong(self, sides: dict[bool, list[Window]]) -> str:
         if self._deaths[True] >= self.limits.deaths and not self._deaths[False]:
             return f"{self._deaths[True]} changed brokers died, no unchanged one"
-        silent = [window.broker for window in sides[True] if self._silent[window.broker] >= self.limits.silent]
-        others = [window.broker for window in sides[False] if self._silent[window.broker] >= self.limits.silent]
+        silent = [
+            window.broker for window in sides[True] if self._silent[window.broker] >= self.limits.silent
+        ]
+        others = [
+            window.broker for window in sides[False] if self._silent[window.broker] >= self.limits.silent
+        ]
         if silent and not others:
             return f"{', '.join(silent)} says nothing any more"
         return ""
@@ -190,7 +215,10 @@
             bad = changed.worth / changed.asked < self.limits.gross * usual.worth / usual.asked
             self._gross = self._gross + 1 if bad else 0
             if self._gross >= 3:
-                return f"worth {changed.worth / changed.asked:.0%} for {usual.worth / usual.asked:.0%}, three windows"
+                return (
+                    f"worth {changed.worth / changed.asked:.0%} for {usual.worth / usual.asked:.0%}, "
+                    "three windows"
+                )
         return ""
 
     def _trouble(self, unchanged: list[Window]) -> bool:
@@ -261,8 +289,11 @@
             chance = _student(mean / error, len(self._series[name].values) - 1)
             may = allowed / (len(names) + 1)  # one more: the cost
             if mean < 0 and chance < may:
-                return Ruling(WORSE, f"{name}: worth {mean:+.2%} (error {error:.2%}, chance {chance:.1e} where "
-                              f"{may:.1e} may be spent) over {self._series[name].changed} queries")
+                return Ruling(
+                    WORSE,
+                    f"{name}: worth {mean:+.2%} (error {error:.2%}, chance {chance:.1e} where "
+                    f"{may:.1e} may be spent) over {self._series[name].changed} queries",
+                )
         return Ruling(GOING_ON)
 
     def _costs(self) -> str:
@@ -275,12 +306,14 @@
         return ""
 
     def _grows(self) -> str:
-        """Memory that has grown beyond the unchanged side's, and goes on growing through each third of the time."""
+        """Memory that has grown beyond the unchanged side's, and goes on growing through each third of the
+        time.
+        """
         new, old = self._memory[True], self._memory[False]
         if len(new) < 9 or not old:
             return ""
         third = len(new) // 3
-        steps = [sum(new[n * third:(n + 1) * third]) / third for n in range(3)]
+        steps = [sum(new[n * third : (n + 1) * third]) / third for n in range(3)]
         usual = sum(old) / len(old)
         most = self.limits.growth * usual
         if steps[2] - usual > most and steps[2] - steps[1] > most / 6 and steps[1] - steps[0] > most / 6:
--- a/heathwell/rollout/plan.py
+++ b/heathwell/rollout/plan.py
@@ -9,9 +9,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Stage:
-    """How many brokers run the new version in it: ``share`` of all, at least one. It is judged for ``bake_us`` at the
-    least and ``most_us`` at the most; with ``prove`` it must be shown to be no worse, else nothing may speak against
-    it."""
+    """How many brokers run the new version in it: ``share`` of all, at least one. It is judged for
+    ``bake_us`` at the least and ``most_us`` at the most; with ``prove`` it must be shown to be no worse, else
+    nothing may speak against it.
+    """
 
     share: float
     bake_us: int = 30_000_000
@@ -25,8 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """The stages; until the last no more than ``zone_share`` of a zone is changed, so that each keeps what it is judged
-    against, and at any time no more than that of a zone, nor over ``at_once`` in all, is being replaced."""
+    """The stages; until the last no more than ``zone_share`` of a zone is changed, so that each keeps what it
+    is judged against, and at any time no more than that of a zone, nor over ``at_once`` in all, is being
+    replaced.
+    """
 
     stages: tuple[Stage, ...] = (Stage(0.0), Stage(0.05), Stage(0.25, prove=True), Stage(1.0))
     zone_share: float = 0.34
@@ -41,8 +44,10 @@
 
 
 def chosen(plan: Plan, stage: int, zones: dict[str, str]) -> list[str]:
-    """The brokers that run the new version in a stage, of all with their zones: by zone, then name. What earlier stages
-    took is among them. In a zone of one broker there is nothing to judge it against, but in the last stage."""
+    """The brokers that run the new version in a stage, of all with their zones: by zone, then name. What
+    earlier stages took is among them. In a zone of one broker there is nothing to judge it against, but in
+    the last stage.
+    """
     order = sorted(zones, key=lambda name: (zones[name], name))
     last = stage == len(plan.stages) - 1
     if last:
@@ -60,7 +65,9 @@
 
 
 def next_batch(plan: Plan, todo: list[str], busy: set[str], zones: dict[str, str]) -> list[str]:
-    """Of those that are to be replaced, which may begin now while ``busy`` ones are at it. A zone always lets one."""
+    """Of those that are to be replaced, which may begin now while ``busy`` ones are at it. A zone always lets
+    one.
+    """
     sizes, at_work = Counter(zones.values()), Counter(zones[name] for name in busy)
     out: list[str] = []
     for name in todo:
--- a/heathwell/rollout/slot.py
+++ b/heathwell/rollout/slot.py
@@ -1,8 +1,9 @@
-"""One broker of a machine: which version runs, and how it is replaced while its address takes connections. Pure.
+"""One broker of a machine: which version runs, and how it is replaced while its address takes connections.
+Pure.
 
-The new process is started beside the old one and shares its listening socket; only once it serves, and has told the
-digests that its files have, is the old one asked to end, and it finishes what it holds. What crashes is started again
-after a wait that doubles, and given up, loudly, after too many.
+The new process is started beside the old one and shares its listening socket; only once it serves, and has
+told the digests that its files have, is the old one asked to end, and it finishes what it holds. What crashes
+is started again after a wait that doubles, and given up, loudly, after too many.
 """
 
 from __future__ import annotations
@@ -10,7 +11,15 @@
 from dataclasses import dataclass, field
 
 EMPTY, STARTING, RUNNING, REPLACING, DRAINING, APPLYING, WAITING, GAVE_UP = (
-    "empty", "starting", "running", "replacing", "draining", "applying", "waiting", "gave up")
+    "empty",
+    "starting",
+    "running",
+    "replacing",
+    "draining",
+    "applying",
+    "waiting",
+    "gave up",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +84,9 @@
 
 @dataclass(slots=True)
 class Slot:
-    """``wanted`` is what is to run; ``failed`` tells why the last wish could not be carried out, by its version."""
+    """``wanted`` is what is to run; ``failed`` tells why the last wish could not be carried out, by its
+    version.
+    """
 
     name: str
     patience: Patience = field(default_factory=Patience)
@@ -103,10 +114,12 @@
         """What serves now; empty while nothing does."""
         return self.serving.version if self.serving is not None else ""
 
-    def want(self, now: int, version: str, term: int = 0, number: int = 0, *,
-             in_place: bool = False) -> tuple[str, list[Act]]:
-        """A wish; returns why it is not taken, or nothing. One of an older (term, number) than the last is not.
-        ``in_place``: it differs from what serves in its settings alone, which may be handed over."""
+    def want(
+        self, now: int, version: str, term: int = 0, number: int = 0, *, in_place: bool = False
+    ) -> tuple[str, list[Act]]:
+        """A wish; returns why it is not taken, or nothing. One of an older (term, number) than the last is
+        not. ``in_place``: it differs from what serves in its settings alone, which may be handed over.
+        """
         if (term, number) < (self.term, self.number):
             return f"({term}, {number}) is older than ({self.term}, {self.number})", []
         self.term, self.number = term, number
@@ -120,7 +133,12 @@
                 self._end(now, self.coming, by_force=True)  # it has taken nothing yet
                 self.coming = None
             self.applying = ""
-            if in_place and self.serving is not None and self.serving.version != version and self.going is None:
+            if (
+                in_place
+                and self.serving is not None
+                and self.serving.version != version
+                and self.going is None
+            ):
                 self.applying, self.applying_us = version, now
                 self._acts.append(Apply(self.serving.run, version))
         self._go_on(now)
@@ -166,7 +184,9 @@
                 if code != 0:
                     self.deaths += 1
                     self.failed[self.wanted] = f"{process.version} ended with {code}, {held} held"
-                    self._say("error", f"{self.name}: {process.version} did not end in order: {code}, {held} held")
+                    self._say(
+                        "error", f"{self.name}: {process.version} did not end in order: {code}, {held} held"
+                    )
             elif role == "coming":
                 self._could_not(now, process.version, f"ended with {code} before it served")
             else:
@@ -209,7 +229,9 @@
         self._acts.append(Stop(process.run, by_force))
 
     def _could_not(self, now: int, version: str, why: str) -> None:
-        """A start that came to nothing: beside one that serves it is a wish that failed, alone it is a crash."""
+        """A start that came to nothing: beside one that serves it is a wish that failed, alone it
+        is a crash.
+        """
         self._say("error", f"{self.name}: {version}: {why}")
         self._tries += 1
         if self.serving is not None:
@@ -236,20 +258,42 @@
             self._say("error", f"{self.name}: {self.wanted} is given up, back to {self.kept}")
         else:
             self.state = GAVE_UP
-            self._say("error", f"{self.name}: given up after {self._crashes} ends in a row: it needs an operator")
+            self._say(
+                "error", f"{self.name}: given up after {self._crashes} ends in a row: it needs an operator"
+            )
 
     def _go_on(self, now: int) -> None:
         """Start what is to be started."""
         if self.state == GAVE_UP:
             return
-        if self.coming is None and self.wanted and self.going is None and not (self.applying and self.serving):
+        if (
+            self.coming is None
+            and self.wanted
+            and self.going is None
+            and not (self.applying and self.serving)
+        ):
             wished = self.wanted not in self.failed
-            if now >= self._again_us if self.serving is None else self.serving.version != self.wanted and wished:
+            if (
+                now >= self._again_us
+                if self.serving is None
+                else self.serving.version != self.wanted and wished
+            ):
                 self._start(now, self.wanted if wished or not self.kept else self.kept)
-        self.state = (APPLYING if self.applying and self.serving is not None else DRAINING if self.going is not None
-                      else REPLACING if self.coming is not None and self.serving is not None
-                      else STARTING if self.coming is not None else RUNNING if self.serving is not None
-                      else WAITING if self.wanted else EMPTY)
+        self.state = (
+            APPLYING
+            if self.applying and self.serving is not None
+            else DRAINING
+            if self.going is not None
+            else REPLACING
+            if self.coming is not None and self.serving is not None
+            else STARTING
+            if self.coming is not None
+            else RUNNING
+            if self.serving is not None
+            else WAITING
+            if self.wanted
+            else EMPTY
+        )
 
     def _start(self, now: int, version: str) -> None:
         self.runs += 1
--- a/heathwell/settings/check.py
+++ b/heathwell/settings/check.py
@@ -62,7 +62,9 @@
     return loads_as(Market, CROSS_CHECKS, text, file)
 
 
-def loads_as(kind: type[R], checks: Iterable[Callable[[R], Iterable[tuple[str, str]]]], text: str, file: str) -> R:
+def loads_as(
+    kind: type[R], checks: Iterable[Callable[[R], Iterable[tuple[str, str]]]], text: str, file: str
+) -> R:
     """A text as a record of another kind, with checks that give a path and what is wrong there."""
     checker = Checker(file)
     try:
@@ -106,10 +108,12 @@
         self.places[path] = Where(form.line, form.column)
         fields = {entry.encode_name: entry for entry in info.fields}
         positional = [name for name, entry in fields.items() if extra(entry.type).get("positional")]
-        repeated = {extra(entry.type)["each"]: name for name, entry in fields.items()
-                    if "each" in extra(entry.type)}
-        plain = {name for name, entry in fields.items()
-                 if name not in positional and name not in repeated.values()}
+        repeated = {
+            extra(entry.type)["each"]: name for name, entry in fields.items() if "each" in extra(entry.type)
+        }
+        plain = {
+            name for name, entry in fields.items() if name not in positional and name not in repeated.values()
+        }
         values: dict[str, Any] = {}
         for item in form.items[1:]:
             where = Where(item.line, item.column)
@@ -171,9 +175,11 @@
             return None
         inner = bare(info)
         if isinstance(inner, shape.IntType | shape.FloatType):
-            for bound, bad, word in ((inner.ge, made < (inner.ge or 0), "at least"),
-                                     (inner.le, made > (inner.le or 0), "at most"),
-                                     (inner.gt, made <= (inner.gt or 0), "more than")):
+            for bound, bad, word in (
+                (inner.ge, made < (inner.ge or 0), "at least"),
+                (inner.le, made > (inner.le or 0), "at most"),
+                (inner.gt, made <= (inner.gt or 0), "more than"),
+            ):
                 if bound is not None and bad:
                     self.add(where, path, f"must be {word} {show(bound, info)}, got '{item.text}'")
         return made
--- a/heathwell/settings/schema.py
+++ b/heathwell/settings/schema.py
@@ -56,10 +56,14 @@
     fetch_work: Annotated[float, _share("work of such a part against one of the first step")] = 0.5
     wanted_age: Annotated[int, _time("age of data that is wanted; older is stated as stale; 0: any")] = 0
     max_age: Annotated[int, _time("greatest age of data that 'missing' still takes; 0: any")] = 0
-    stale: Annotated[Literal["use", "missing", "another"], _say(
-        "with older data: use it and say so, take the part as missing, or ask another holder once")] = "use"
-    across: Annotated[Literal["any", "prefer-home", "never"], _say(
-        "hosts of other regions: as any, only where home has none to send to, or never")] = "any"
+    stale: Annotated[
+        Literal["use", "missing", "another"],
+        _say("with older data: use it and say so, take the part as missing, or ask another holder once"),
+    ] = "use"
+    across: Annotated[
+        Literal["any", "prefer-home", "never"],
+        _say("hosts of other regions: as any, only where home has none to send to, or never"),
+    ] = "any"
     work: Annotated[int, _time("usual work of a part at a host, for hints and stand-ins", 1)] = 40_000
 
 
@@ -68,9 +72,13 @@
 
     prefix: Annotated[str, NAME]
     klass: Annotated[str, _say("class of its queries")] = field(name="class")
-    shape: Annotated[Literal["record", "search", "report"], _say(
-        "record: prefix:<trader>:<id>, one part; search: prefix:<term>, a part a shard; "
-        "report: prefix:<trader>[,<trader>...]:<day>")]
+    shape: Annotated[
+        Literal["record", "search", "report"],
+        _say(
+            "record: prefix:<trader>:<id>, one part; search: prefix:<term>, a part a shard; "
+            "report: prefix:<trader>[,<trader>...]:<day>"
+        ),
+    ]
     parts: Annotated[int, _count("shards of a search, in a row from the term's first", 1)] = 1
     report_parts: Annotated[int, _count("shards that hold one trader's days", 1)] = 4
 
@@ -83,14 +91,20 @@
     size: Annotated[int, _count("numbers of a vector", 1)]
     batch_class: Annotated[str, _say("class of searches in batches; as class without")] = ""
     distance: Annotated[Literal["cosine", "dot", "euclid"], _say("how near two vectors are")] = "cosine"
-    index: Annotated[Literal["exact", "hnsw"], _say("how hosts search: all vectors, or by an index that may miss "
-                                                    "some")] = "exact"
+    index: Annotated[
+        Literal["exact", "hnsw"], _say("how hosts search: all vectors, or by an index that may miss some")
+    ] = "exact"
     parts: Annotated[int, _count("its shards, in a row; 0: all of the fleet's")] = 0
     work: Annotated[int, _time("usual work of one search at a host, until it is learned", 1)] = 10_000
     points: Annotated[int, _count("stand-ins: points a shard", 1)] = 500
     overlap: Annotated[float, _share("stand-ins: share of points that the next shard holds too")] = 0.0
-    spread: Annotated[float, Meta(gt=0, description="stand-ins: spread of a shard's points about its centre, against "
-                                                    "that of the centres")] = 1.0
+    spread: Annotated[
+        float,
+        Meta(
+            gt=0,
+            description="stand-ins: spread of a shard's points about its centre, against that of the centres",
+        ),
+    ] = 1.0
 
 
 class Vector(Record):
@@ -120,11 +134,17 @@
 class Storms(Record):
     """Retry and reconnect storms."""
 
-    on: Annotated[bool, _say("recognise and damp them, and advise from a calendar of what hosts can take")] = False
+    on: Annotated[
+        bool, _say("recognise and damp them, and advise from a calendar of what hosts can take")
+    ] = False
     useful: Annotated[int, _time("advice later than this is no use to a client", 200_000)] = 8_000_000
-    repeat: Annotated[int, _time("the same question of the same client within this is a repeat", 1000)] = 3_000_000
+    repeat: Annotated[int, _time("the same question of the same client within this is a repeat", 1000)] = (
+        3_000_000
+    )
     accepts: Annotated[float, Meta(ge=0, description="connects taken in a second; 0: no bound")] = 0.0
-    first_accepts: Annotated[float, Meta(ge=0, description="the same just after the start, growing; 0: no bound")] = 0.0
+    first_accepts: Annotated[
+        float, Meta(ge=0, description="the same just after the start, growing; 0: no bound")
+    ] = 0.0
     first_rate: Annotated[int, _time("work let in a second just after the start, growing; 0: no bound")] = 0
 
 
@@ -173,23 +193,35 @@
 
 
 class FleetBudget(Record):
-    """What all brokers may do together, divided among those alive. `further`: attempts a second beyond the first that
-    are needed. `cold`: parts a second to a host just started, at its start's capacity, rising with it. `connections`:
-    connections held at one host at once; each broker's first is its own."""
-
-    name: Annotated[Literal["further", "cold", "connections"], Meta(description="what is divided",
-                                                                    extra={"positional": True})]
-    whole: Annotated[float, Meta(gt=0, description="for the whole fleet; of cold and connections at each host")]
-    aside: Annotated[float, _share("share of it that is set aside for brokers' own minima, in equal parts; of "
-                                   "connections one each, whatever this says")] = 0.2
+    """What all brokers may do together, divided among those alive. `further`: attempts a second beyond the
+    first that are needed. `cold`: parts a second to a host just started, at its start's capacity, rising with
+    it. `connections`: connections held at one host at once; each broker's first is its own.
+    """
+
+    name: Annotated[
+        Literal["further", "cold", "connections"],
+        Meta(description="what is divided", extra={"positional": True}),
+    ]
+    whole: Annotated[
+        float, Meta(gt=0, description="for the whole fleet; of cold and connections at each host")
+    ]
+    aside: Annotated[
+        float,
+        _share(
+            "share of it that is set aside for brokers' own minima, in equal parts; of "
+            "connections one each, whatever this says"
+        ),
+    ] = 0.2
     burst: Annotated[int, _time("of a rate, for how long it may be saved up", 10_000)] = 1_000_000
-    linger: Annotated[int, _time("hosts close a broker's connection from which nothing came for so long",
-                                 100_000)] = 1_500_000
+    linger: Annotated[
+        int, _time("hosts close a broker's connection from which nothing came for so long", 100_000)
+    ] = 1_500_000
 
 
 class Fleet(Record):
-    """How shards lie on hosts: shard s is held by cells s, s+1 ... (mod cells), width of them; and, with keepers named,
-    the fleet's own control."""
+    """How shards lie on hosts: shard s is held by cells s, s+1 ... (mod cells), width of them; and, with
+    keepers named, the fleet's own control.
+    """
 
     shards: Annotated[int, _count("shards", 1)]
     cells: Annotated[int, _count("cells", 1)]
@@ -198,19 +230,28 @@
     leaves: Annotated[int, _count("stand-in hosts of a demo fleet, one a cell in turn")] = 0
     brokers: Annotated[int, _count("brokers of a demo fleet, zones in turn")] = 0
     called: Annotated[str, _say("name of the fleet: keepers refuse who says another")] = ""
-    keepers: Annotated[list[str], _say("host:port of each keeper, which hold the roll of brokers and lend budgets; "
-                                       "none: brokers share nothing")] = []
-    most: Annotated[int, _count("brokers that there may ever be at once, dying ones included; 0: as brokers")] = 0
+    keepers: Annotated[
+        list[str],
+        _say(
+            "host:port of each keeper, which hold the roll of brokers and lend budgets; "
+            "none: brokers share nothing"
+        ),
+    ] = []
+    most: Annotated[
+        int, _count("brokers that there may ever be at once, dying ones included; 0: as brokers")
+    ] = 0
     lease: Annotated[int, _time("how long a share may be used after it was asked for", 100_000)] = 3_000_000
     renew: Annotated[int, _time("how often shares are renewed", 20_000)] = 1_000_000
     suspect: Annotated[int, _time("silence after which a broker is suspected", 100_000)] = 2_000_000
     dead: Annotated[int, _time("silence after which it is taken for dead", 200_000)] = 5_000_000
     drift: Annotated[float, _share("how much faster or slower a clock may run")] = 0.03
     evacuate: Annotated[bool, _say("leave a zone that fails, and come back to it, as a fleet")] = False
-    zone_bears: Annotated[int, _count("parts a second that the hosts of one zone bear; 0: what their answers "
-                                      "tell")] = 0
-    zone_let_go: Annotated[int, _time("brokers of a zone that is left close idle clients over so long; 0: keep "
-                                      "them")] = 10_000_000
+    zone_bears: Annotated[
+        int, _count("parts a second that the hosts of one zone bear; 0: what their answers tell")
+    ] = 0
+    zone_let_go: Annotated[
+        int, _time("brokers of a zone that is left close idle clients over so long; 0: keep them")
+    ] = 10_000_000
     budgets: Annotated[list[FleetBudget], _each("budget", "budgets of the whole fleet")] = []
 
 
@@ -240,7 +281,9 @@
     """Ages of answers. The source's clock is asked, so that no host's clock need be right."""
 
     on: Annotated[bool, _say("state ages, and rule on stale data")] = False
-    source: Annotated[str, _say("host:port of the source's clock; port 0 for a demo fleet's own")] = "127.0.0.1:0"
+    source: Annotated[str, _say("host:port of the source's clock; port 0 for a demo fleet's own")] = (
+        "127.0.0.1:0"
+    )
     sync: Annotated[int, _time("how often the source's clock is asked", 10_000)] = 1_000_000
     explain: Annotated[int, _count("latest queries that /explain can tell of")] = 500
     rate: Annotated[float, Meta(gt=0, description="stand-ins: log positions a shard and second")] = 50.0
@@ -265,15 +308,28 @@
 class Across(Record):
     """Several regions served as one. Without regions nothing here acts."""
 
-    decide: Annotated[bool, _say("judge the links between regions, and shut or avoid what lies behind them")] = True
-    prefer_home: Annotated[bool, _say("use hosts of other regions only where home has none to send to")] = False
+    decide: Annotated[
+        bool, _say("judge the links between regions, and shut or avoid what lies behind them")
+    ] = True
+    prefer_home: Annotated[bool, _say("use hosts of other regions only where home has none to send to")] = (
+        False
+    )
     cross_most: Annotated[int, _count("further attempts that cross in a second and broker; 0: no bound")] = 0
-    cross_budget: Annotated[float, Meta(ge=0, description="cost of crossing parts a second and broker, beyond which "
-                                                          "they go there only where home has none; 0: no bound")] = 0.0
-    let_go: Annotated[int, _time("a broker cut off from most shards closes idle clients over so long; 0: keeps "
-                                 "them")] = 0
+    cross_budget: Annotated[
+        float,
+        Meta(
+            ge=0,
+            description="cost of crossing parts a second and broker, beyond which "
+            "they go there only where home has none; 0: no bound",
+        ),
+    ] = 0.0
+    let_go: Annotated[
+        int, _time("a broker cut off from most shards closes idle clients over so long; 0: keeps them")
+    ] = 0
     regions: Annotated[list[Region], _each("region", "the regions")] = []
-    links: Annotated[list[RegionLink], _each("link", "ways between them, where there is something to say")] = []
+    links: Annotated[
+        list[RegionLink], _each("link", "ways between them, where there is something to say")
+    ] = []
 
 
 class Broker(Record):
@@ -281,8 +337,13 @@
 
     listen: Annotated[str, _say("memcached address; port 0 lets the kernel choose")] = "127.0.0.1:0"
     admin: Annotated[str, _say("admin HTTP address")] = "127.0.0.1:0"
-    refusals: Annotated[Literal["value", "error"], _say("how a classic get tells a query refused or failed: a flagged "
-                        "value, or SERVER_ERROR in place of END (libmemcached takes that for a miss)")] = "value"
+    refusals: Annotated[
+        Literal["value", "error"],
+        _say(
+            "how a classic get tells a query refused or failed: a flagged "
+            "value, or SERVER_ERROR in place of END (libmemcached takes that for a miss)"
+        ),
+    ] = "value"
     drain_for: Annotated[int, _time("how long a stopping broker finishes what it holds")] = 5_000_000
 
 
@@ -405,10 +466,18 @@
             if budget.whole != int(budget.whole) or (most and budget.whole <= most):
                 yield f"{path}.whole", f"a whole number above that of the {most} brokers is expected"
             if budget.linger >= fleet.lease:
-                yield f"{path}.linger", "must be shorter than fleet.lease: what lingers is part of a share's term"
-        elif most and (own := int(budget.whole * budget.aside * 1000) // most) and own * budget.burst < 10 ** 9:
-            yield f"{path}.burst", (f"a broker's own {own / 1000:.3g} a second never make one within it: a longer "
-                                    "burst, a larger aside, or (aside 0) is needed")
+                yield (
+                    f"{path}.linger",
+                    "must be shorter than fleet.lease: what lingers is part of a share's term",
+                )
+        elif most and (own := int(budget.whole * budget.aside * 1000) // most) and own * budget.burst < 10**9:
+            yield (
+                f"{path}.burst",
+                (
+                    f"a broker's own {own / 1000:.3g} a second never make one within it: a longer "
+                    "burst, a larger aside, or (aside 0) is needed"
+                ),
+            )
 
 
 def _rules(market: Market) -> Found:
@@ -428,7 +497,10 @@
     for index, region in enumerate(market.across.regions):
         for zone in region.zones:
             if zone not in market.fleet.zones:
-                yield f"across.region[{index}].zones", f"no zone '{zone}'; there are {', '.join(market.fleet.zones)}"
+                yield (
+                    f"across.region[{index}].zones",
+                    f"no zone '{zone}'; there are {', '.join(market.fleet.zones)}",
+                )
             if zone in placed:
                 yield f"across.region[{index}].zones", f"zone '{zone}' stands in two regions"
             placed.add(zone)
--- a/heathwell/standins/data.py
+++ b/heathwell/standins/data.py
@@ -19,14 +19,20 @@
     if not number.isdigit() or int(number) >= RECORDS_A_TRADER:
         return {"found": False}
     code = draw("sale", trader, number)
-    return {"found": True, "trader": trader, "id": number, "cents": 100 + code % 9900,
-            "goods": GOODS[code % len(GOODS)]}
+    return {
+        "found": True,
+        "trader": trader,
+        "id": number,
+        "cents": 100 + code % 9900,
+        "goods": GOODS[code % len(GOODS)],
+    }
 
 
 def search(shard: int, term: str, rows: int) -> dict[str, Any]:
     """A shard's products for a term, the cheapest first."""
-    made = [{"id": f"{term}-{shard}-{n}", "price": 50 + draw("price", shard, term, n) % 5000}
-            for n in range(rows)]
+    made = [
+        {"id": f"{term}-{shard}-{n}", "price": 50 + draw("price", shard, term, n) % 5000} for n in range(rows)
+    ]
     made.sort(key=lambda row: (row["price"], row["id"]))
     return {"rows": made}
 
@@ -40,8 +46,14 @@
 
 def items(shard: int, traders: list[str], day: str, number: int) -> dict[str, Any]:
     """One batch of a report's item detail."""
-    made = [{"id": f"{day}-{shard}-{number}-{n}", "trader": traders[n % len(traders)],
-             "cents": draw("item", shard, day, number, n) % 5000} for n in range(3)]
+    made = [
+        {
+            "id": f"{day}-{shard}-{number}-{n}",
+            "trader": traders[n % len(traders)],
+            "cents": draw("item", shard, day, number, n) % 5000,
+        }
+        for n in range(3)
+    ]
     return {"items": made}
 
 
--- a/heathwell/standins/discovery.py
+++ b/heathwell/standins/discovery.py
@@ -16,8 +16,16 @@
 class Discovery:
     """The service: hosts register, brokers watch."""
 
-    def __init__(self, loop: Loop, net: Net, market: Market, *, address: str | None = None,
-                 events: EventLog | None = None, log: Callable[..., None] | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        market: Market,
+        *,
+        address: str | None = None,
+        events: EventLog | None = None,
+        log: Callable[..., None] | None = None,
+    ) -> None:
         self.loop, self.net, self.market = loop, net, market
         self.address = address or market.discovery.address
         self.events: EventLog = events or NoEvents()
@@ -55,7 +63,9 @@
 
     def _serve(self, stream: Stream) -> Coro[None]:
         try:
-            yield from wire.serve(stream, "discovery", "discovery", lambda message: self._heard(stream, message))
+            yield from wire.serve(
+                stream, "discovery", "discovery", lambda message: self._heard(stream, message)
+            )
         except (frames.FrameError, StreamBroken) as problem:
             self.log("debug", "peer lost", peer=stream.peer, why=str(problem))
         finally:
--- a/heathwell/standins/leaf.py
+++ b/heathwell/standins/leaf.py
@@ -37,8 +37,24 @@
 REGISTER_AGAIN_US = 200_000
 QUIET_LOOK_US = 50_000
 POISON = "poison"
-TROUBLES = ("stall", "slow", "silent", "midreply", "lose", "refuse", "failclass", "reset", "drain", "die",
-            "heal", "lag", "stuck", "back", "lie", "spoil")
+TROUBLES = (
+    "stall",
+    "slow",
+    "silent",
+    "midreply",
+    "lose",
+    "refuse",
+    "failclass",
+    "reset",
+    "drain",
+    "die",
+    "heal",
+    "lag",
+    "stuck",
+    "back",
+    "lie",
+    "spoil",
+)
 LAGS = ("lag", "stuck", "back", "lie")
 Key = tuple[str, int]
 
@@ -76,9 +92,22 @@
 class Leaf:
     """One host. ``warm`` starts it at its full capacity; every later :meth:`start` is cold."""
 
-    def __init__(self, loop: Loop, net: Net, market: Market, *, name: str, cell: int, zone: int,
-                 discovery: str, seed: int, address: str = "127.0.0.1:0", events: EventLog | None = None,
-                 on_die: Callable[[], None] | None = None, speed: float | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        market: Market,
+        *,
+        name: str,
+        cell: int,
+        zone: int,
+        discovery: str,
+        seed: int,
+        address: str = "127.0.0.1:0",
+        events: EventLog | None = None,
+        on_die: Callable[[], None] | None = None,
+        speed: float | None = None,
+    ) -> None:
         self.loop, self.net, self.market, self.name = loop, net, market, name
         self.cell, self.zone, self.discovery, self.address = cell, zone, discovery, address
         self.events: EventLog = events or NoEvents()
@@ -90,6 +119,7 @@
         if self.collections:
             # Only hosts of vectors pay for the libraries; all shards are at hand before the door opens.
             from heathwell.standins.vectors import shard_of  # noqa: PLC0415
+
             self.shard_of = shard_of
             for spec in market.collections:
                 for number in range(market.fleet.shards):
@@ -101,7 +131,9 @@
         self.troubles: dict[str, Trouble] = {}
         self.peers: dict[Stream, frames.Hello] = {}
         self.held: dict[Stream, Held] = {}
-        self.spoke: dict[Stream, int] = {}  # when something came last, of those that may be closed for their silence
+        self.spoke: dict[
+            Stream, int
+        ] = {}  # when something came last, of those that may be closed for their silence
         self._looks_at_quiet = False
         self.effects: dict[str, tuple[int, bytes]] = {}
         self.recent: deque[tuple[int, float]] = deque()
@@ -128,8 +160,9 @@
         self.troubles.clear()
         self.recent.clear()
         self.pressure = 0.0
-        self.events("up", node=self.address, cell=self.cell, zone=self.zone, cold=not warm,
-                    rate=self._full_rate())
+        self.events(
+            "up", node=self.address, cell=self.cell, zone=self.zone, cold=not warm, rate=self._full_rate()
+        )
         self._registrar = self.loop.spawn(self._register(), f"leaf {self.name} register")
         return self.address
 
@@ -269,7 +302,9 @@
         match message:
             case frames.Hello():
                 self.peers[stream] = message
-                self.events("met", node=self.address, peer=message.name, role=message.role, open=len(self.peers))
+                self.events(
+                    "met", node=self.address, peer=message.name, role=message.role, open=len(self.peers)
+                )
                 if message.quiet_us:
                     self.spoke[stream] = self.loop.now()
                     if not self._looks_at_quiet:
@@ -291,8 +326,17 @@
     def _arrived(self, job: Job) -> None:
         ask = job.ask
         spec = self.classes.get(ask.klass)
-        self.events("arrive", p=ask.id, seq=ask.seq, klass=ask.klass, shard=ask.shard, broker=job.broker,
-                    node=self.address, left=ask.left_us, warmth=round(self.warmth(), 4))
+        self.events(
+            "arrive",
+            p=ask.id,
+            seq=ask.seq,
+            klass=ask.klass,
+            shard=ask.shard,
+            broker=job.broker,
+            node=self.address,
+            left=ask.left_us,
+            warmth=round(self.warmth(), 4),
+        )
         work = float(spec.work) if spec is not None else 0.0
         if ask.op == OP and spec is not None:
             try:
@@ -323,7 +367,9 @@
             self._reply(job, "full")
 
     def _searched(self, job: Job) -> float:
-        """Read a search; its usual work (us): a product shared by all searches, rows to rank, filters to apply."""
+        """Read a search; its usual work (us): a product shared by all searches, rows to rank, filters to
+        apply.
+        """
         job.search = search = read_ask(job.ask.body)
         spec = self.collections[search.collection]
         rows = sum(want.limit for want in search.wants)
@@ -432,8 +478,14 @@
             result.position = self.feed.truth.position(result.source_us)
             self.events("done", p=ask.id, seq=ask.seq, outcome=outcome, node=self.address, true=true_us)
         else:
-            self.events("done", p=ask.id, seq=ask.seq, outcome=outcome, node=self.address,
-                        **({"rows": job.rows} if job.rows is not None else {}))
+            self.events(
+                "done",
+                p=ask.id,
+                seq=ask.seq,
+                outcome=outcome,
+                node=self.address,
+                **({"rows": job.rows} if job.rows is not None else {}),
+            )
         self._put(job.stream, frames.encode(result))
 
     def _put(self, stream: Stream, frame: bytes) -> None:
@@ -468,8 +520,14 @@
             try:
                 stream = yield from self.net.connect(self.discovery, 1_000_000)
                 age = self.loop.now() - self.started_cold if self.started_cold else -1
-                entry = frames.Entry(self.address, self.cell, self.zone, birth=self.birth, age_us=age,
-                                     state="draining" if self.draining else "live")
+                entry = frames.Entry(
+                    self.address,
+                    self.cell,
+                    self.zone,
+                    birth=self.birth,
+                    age_us=age,
+                    state="draining" if self.draining else "live",
+                )
                 stream.write(frames.encode(frames.Hello(frames.VERSION, self.name, "leaf")))
                 stream.write(frames.encode(frames.Register(entry)))
                 self._registered = stream
--- a/heathwell/standins/platform.py
+++ b/heathwell/standins/platform.py
@@ -1,7 +1,8 @@
-"""Stand-ins of the platform's protocol, for tests and a demo: nodes, discovery and a client; told to misbehave.
+"""Stand-ins of the platform's protocol, for tests and a demo: nodes, discovery and a client; told to
+misbehave.
 
-A node answers a part after its work, as ``behave`` says; discovery serves one list, with watches; both keep what
-they saw.
+A node answers a part after its work, as ``behave`` says; discovery serves one list, with watches; both keep
+what they saw.
 """
 
 from __future__ import annotations
@@ -44,7 +45,9 @@
         length = int(words[3])
         if length > len(rest):
             raise ValueError("the text is cut")
-        yield Called(words[0], int(words[1]), dict(item.split("=", 1) for item in words[2].split(",")), rest[:length])
+        yield Called(
+            words[0], int(words[1]), dict(item.split("=", 1) for item in words[2].split(",")), rest[:length]
+        )
         rest = rest[length:]
 
 
@@ -64,8 +67,17 @@
 class Node:
     """One node. ``behave(node, stream, part)`` is called once a part's work is done, None: a good answer."""
 
-    def __init__(self, loop: Loop, net: Net, address: str, uid: str, cell: int, *, work_us: int = 20_000,
-                 events: EventLog | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        address: str,
+        uid: str,
+        cell: int,
+        *,
+        work_us: int = 20_000,
+        events: EventLog | None = None,
+    ) -> None:
         self.loop, self.net, self.uid, self.cell, self.work_us = loop, net, uid, cell, work_us
         self.events: EventLog = events or NoEvents()
         self.behave: Callable[[Node, Stream, Called], None] | None = None
@@ -81,8 +93,16 @@
     @property
     def entry(self) -> dict[str, Any]:
         """Its line of discovery's list."""
-        return {"uid": self.uid, "endpoint": self.address, "az": "a", "model": "m", "pod_group": self.cell,
-                "state": "draining" if self.draining else "up", "capacity_hint": 1.0, "boot_ms": self.boot_ms}
+        return {
+            "uid": self.uid,
+            "endpoint": self.address,
+            "az": "a",
+            "model": "m",
+            "pod_group": self.cell,
+            "state": "draining" if self.draining else "up",
+            "capacity_hint": 1.0,
+            "boot_ms": self.boot_ms,
+        }
 
     def kill(self) -> None:
         """The process dies: connections are reset, new ones refused."""
@@ -97,8 +117,8 @@
             while data := (yield from stream.read()):
                 buffer += data
                 while len(buffer) >= 4 and len(buffer) >= 4 + (length := _HEAD.unpack_from(buffer)[0]):
-                    letter, rest = bytes(buffer[4:5]), bytes(buffer[5:4 + length])
-                    del buffer[:4 + length]
+                    letter, rest = bytes(buffer[4:5]), bytes(buffer[5 : 4 + length])
+                    del buffer[: 4 + length]
                     self._heard(stream, letter, rest)
         finally:
             self.streams.pop(stream, None)
@@ -109,7 +129,9 @@
                 part = replace(called, number=len(self.parts))
                 self.parts.append(part)
                 self.events("arrive", p=part.id, node=self.uid, n=part.number, shard=part.shard, warmth=1.0)
-                self._works[part.id] = self.loop.call_at(self.loop.now() + self.work_us, self._done, stream, part)
+                self._works[part.id] = self.loop.call_at(
+                    self.loop.now() + self.work_us, self._done, stream, part
+                )
         elif letter == nf.GIVE_UP:
             self.given_up.append(rest.decode())
             self.events("cancel", p=rest.decode(), node=self.uid)
@@ -133,8 +155,10 @@
 
 
 class Registry:
-    """Discovery: one list, watches that wait; ``down`` ends them, and answers 503. A call and each line of its answer
-    take ``line_us`` of one worker, who serves them in turn: what would wait for ``PATIENCE_US`` is answered 503."""
+    """Discovery: one list, watches that wait; ``down`` ends them, and answers 503. A call and each line of
+    its answer take ``line_us`` of one worker, who serves them in turn: what would wait for ``PATIENCE_US`` is
+    answered 503.
+    """
 
     PATIENCE_US = 1_000_000
 
@@ -195,8 +219,11 @@
             self._waiting.discard(changed)
         if self.down:
             return Response(503, b"down\n")
-        targets = [entry for rev, entry in self.entries.values()
-                   if rev > since and (since >= 0 or entry["state"] != "removed")]
+        targets = [
+            entry
+            for rev, entry in self.entries.values()
+            if rev > since and (since >= 0 or entry["state"] != "removed")
+        ]
         body = {"rev": self.rev, "all": since < 0, "targets": targets}
         if self.line_us:
             begin = max(self._free_at, self.loop.now())
@@ -216,14 +243,27 @@
         self.side = ClientSide(address)
         self.stream: Stream | None = None
 
-    def ask(self, name: str, kind: str, shards: list[int], *, wait_ms: int = 1000, key: str = "",
-            text: str = "c41e77d0", hint: int = 9000, **more: Any) -> Coro[Response]:
+    def ask(
+        self,
+        name: str,
+        kind: str,
+        shards: list[int],
+        *,
+        wait_ms: int = 1000,
+        key: str = "",
+        text: str = "c41e77d0",
+        hint: int = 9000,
+        **more: Any,
+    ) -> Coro[Response]:
         """One query, parts of equal weight; raises :class:`StreamBroken` where no answer comes."""
         headers = [("Req-Id", name), ("Req-Kind", kind), ("Req-Deadline", f"{wait_ms}m")]
         if key:
             headers.append(("Idempotency-Key", key))
-        body = {"parts": [{"id": shard, "w": round(1 / len(shards), 4), "hint": hint} for shard in shards],
-                "expr": text, **more}
+        body = {
+            "parts": [{"id": shard, "w": round(1 / len(shards), 4), "hint": hint} for shard in shards],
+            "expr": text,
+            **more,
+        }
         return (yield from self.post(f"/{kind}", headers, msgspec.json.encode(body)))
 
     def post(self, target: str, headers: list[tuple[str, str]], body: bytes) -> Coro[Response]:
--- a/heathwell/standins/relay.py
+++ b/heathwell/standins/relay.py
@@ -1,7 +1,7 @@
 """A stand-in for the link between regions, on sockets: a relay that delays, limits, cuts, resets and flaps.
 
-One listener a host behind the link. Each direction has conditions of its own; bytes keep their order, and what a cut
-holds goes on after it, as TCP's own retransmission would have it.
+One listener a host behind the link. Each direction has conditions of its own; bytes keep their order, and
+what a cut holds goes on after it, as TCP's own retransmission would have it.
 """
 
 from __future__ import annotations
@@ -20,15 +20,19 @@
 HELD_MOST = 1 << 20  # bytes on their way in one direction, then reading waits
 LOOK_US = 5_000
 SEGMENT = 1_448  # bytes a packet carries
-RESEND_US, RESEND_MOST_US = 200_000, 60_000_000  # Linux' least time to a resend, doubled for each loss in a row
+RESEND_US, RESEND_MOST_US = (
+    200_000,
+    60_000_000,
+)  # Linux' least time to a resend, doubled for each loss in a row
 CONNECT_RESEND_US = 1_000_000  # a lost SYN or its answer (RFC 6298)
 
 
 def lost_wait(size: int, loss: float, draws: random.Random, first: int = RESEND_US) -> int:
-    """What losses add to the way of so many bytes (us): TCP hides a lost packet behind the time to its resend.
+    """What losses add to the way of so many bytes (us): TCP hides a lost packet behind the time to its
+    resend.
 
-    The worse of TCP's two ways: short messages have no packets behind them whose acknowledgements would call for the
-    lost one sooner. One wait for all packets of a write, as they are resent together.
+    The worse of TCP's two ways: short messages have no packets behind them whose acknowledgements would call
+    for the lost one sooner. One wait for all packets of a write, as they are resent together.
     """
     waited, wait = 0, first
     while any(draws.random() < loss for _ in range(-(-size // SEGMENT))) and waited < RESEND_MOST_US:
@@ -48,11 +52,13 @@
 
 
 class Relay:
-    """Relays to hosts; ``out`` is towards them, ``back`` from them. ``where`` tells a target's address at the moment
-    of a connect, empty while it has none."""
+    """Relays to hosts; ``out`` is towards them, ``back`` from them. ``where`` tells a target's address at the
+    moment of a connect, empty while it has none.
+    """
 
-    def __init__(self, loop: Loop, net: Net, targets: list[str], seed: int = 1,
-                 where: Callable[[str], str] = str) -> None:
+    def __init__(
+        self, loop: Loop, net: Net, targets: list[str], seed: int = 1, where: Callable[[str], str] = str
+    ) -> None:
         self.loop, self.net, self.targets, self.where = loop, net, targets, where
         self.random = random.Random(seed)
         self.out, self.back = Condition(), Condition()
@@ -125,11 +131,13 @@
         def heard(message: frames.Any_) -> None:
             if isinstance(message, frames.Control):
                 stream.write(frames.encode(frames.Done(self.order(message))))
+
         return wire.serve(stream, "relay", "relay", heard)
 
     def _serving(self, target: str) -> Callable[[Stream], Coro[None]]:
         def serve(stream: Stream) -> Coro[None]:
             return self._carry(stream, target)
+
         return serve
 
     def _carry(self, near: Stream, target: str) -> Coro[None]:
@@ -202,8 +210,14 @@
         while (left := way().cut_until - self.loop.now()) > 0:
             yield from sleep(self.loop, min(left, LOOK_US * 20))
 
-    def _send(self, queue: deque[tuple[int, bytes]], filled: Event, room: Event, sink: Stream,
-              way: Callable[[], Condition]) -> Coro[None]:
+    def _send(
+        self,
+        queue: deque[tuple[int, bytes]],
+        filled: Event,
+        room: Event,
+        sink: Stream,
+        way: Callable[[], Condition],
+    ) -> Coro[None]:
         try:
             while True:
                 while not queue:
@@ -222,7 +236,9 @@
 
 
 class RoutedNet:
-    """A net that reaches some addresses by a relay's doors; the addresses themselves stay what they are called by."""
+    """A net that reaches some addresses by a relay's doors; the addresses themselves stay what they are
+    called by.
+    """
 
     def __init__(self, net: Net, routes: dict[str, str]) -> None:
         self.net, self.routes = net, routes
--- a/heathwell/standins/source.py
+++ b/heathwell/standins/source.py
@@ -1,7 +1,9 @@
-"""A stand-in for the source of all data: a log a shard with positions and times, its clock, and hosts' lag behind it.
+"""A stand-in for the source of all data: a log a shard with positions and times, its clock, and hosts' lag
+behind it.
 
-The log is a rule rather than a file: at source time T a shard's log stands at ``T * rate``. The source's clock runs
-with the machine's, at an offset of its own, so that nothing works that takes one clock for another.
+The log is a rule rather than a file: at source time T a shard's log stands at ``T * rate``. The source's
+clock runs with the machine's, at an offset of its own, so that nothing works that takes one clock for
+another.
 """
 
 from __future__ import annotations
@@ -101,4 +103,5 @@
         def heard(message: frames.Any_) -> None:
             if isinstance(message, frames.AskClock):
                 stream.write(frames.encode(frames.Clock(message.n, self.truth.now(self.loop.now()))))
+
         return wire.serve(stream, "source", "source", heard)
--- a/heathwell/standins/vectors.py
+++ b/heathwell/standins/vectors.py
@@ -1,4 +1,6 @@
-"""Generated vectors: every host, checker and test makes the same points of a shard from the collection's name."""
+"""Generated vectors: every host, checker and test makes the same points of a shard from the collection's
+name.
+"""
 
 from __future__ import annotations
 
@@ -20,14 +22,18 @@
     draws = np.random.default_rng(draw("vectors", name, shard))
     centre = draws.normal(0, 1, size)
     return (centre + draws.normal(0, spread, (points, size))).astype(np.float32), [
-        shard * ID_STEP + n for n in range(points)]
+        shard * ID_STEP + n for n in range(points)
+    ]
 
 
 def payload(point: int) -> dict[str, Any]:
     """A point's payload."""
     code = draw("payload", point)
-    out: dict[str, Any] = {"goods": GOODS[code % len(GOODS)], "cents": 100 + code % 9900,
-                           "stall": {"row": code % 40, "covered": code % 3 == 0}}
+    out: dict[str, Any] = {
+        "goods": GOODS[code % len(GOODS)],
+        "cents": 100 + code % 9900,
+        "stall": {"row": code % 40, "covered": code % 3 == 0},
+    }
     if code % 4:
         out["tags"] = [GOODS[(code >> n) % len(GOODS)] for n in range(3, 3 + code % 3)]
     if code % 11 == 0:
@@ -36,8 +42,17 @@
 
 
 @functools.lru_cache(maxsize=256)
-def made(name: str, size: int, distance: str, index: str, shard: int, shards: int, points: int, overlap: float,
-         spread: float) -> Shard:
+def made(
+    name: str,
+    size: int,
+    distance: str,
+    index: str,
+    shard: int,
+    shards: int,
+    points: int,
+    overlap: float,
+    spread: float,
+) -> Shard:
     """A shard, with the share of the one before it that it holds too. Fleets in one process share it."""
     vectors, ids = own_points(name, size, shard, points, spread)
     more = int(points * overlap)
@@ -49,4 +64,6 @@
 
 def shard_of(spec: Collection, shard: int, shards: int) -> Shard:
     """A collection's shard."""
-    return made(spec.name, spec.size, spec.distance, spec.index, shard, shards, spec.points, spec.overlap, spec.spread)
+    return made(
+        spec.name, spec.size, spec.distance, spec.index, shard, shards, spec.points, spec.overlap, spec.spread
+    )
--- a/heathwell/startsettings.py
+++ b/heathwell/startsettings.py
@@ -87,20 +87,22 @@
     classes = []
     for index, entry in enumerate(rows(setup, "classes", where)):
         at = f"classes[{index}]"
-        classes.append(hw.ClassSpec(
-            name=str(entry.get("name", index)),
-            aim_us=number(entry, "objective-us", at),
-            limit_us=number(entry, "hard-limit-us", at),
-            repeat=coded(entry, "idempotency", at, REPEATS),
-            dedup_us=int(entry.get("dedup-window-us") or 0),
-            worth=float(entry.get("worth", 1.0)),
-            late_worth=float(entry.get("late-value") or 0.0),
-            partial_worth=_at(partial, index, 0.0),
-            need=_at(needs, index, 1.0),
-            min_share=_at(floors, index, 1.0),
-            fetch=int(_at(fetch, index, 0.0)),
-            aim_stretch=float(entry.get("aim-stretch") or 0.0),
-        ))
+        classes.append(
+            hw.ClassSpec(
+                name=str(entry.get("name", index)),
+                aim_us=number(entry, "objective-us", at),
+                limit_us=number(entry, "hard-limit-us", at),
+                repeat=coded(entry, "idempotency", at, REPEATS),
+                dedup_us=int(entry.get("dedup-window-us") or 0),
+                worth=float(entry.get("worth", 1.0)),
+                late_worth=float(entry.get("late-value") or 0.0),
+                partial_worth=_at(partial, index, 0.0),
+                need=_at(needs, index, 1.0),
+                min_share=_at(floors, index, 1.0),
+                fetch=int(_at(fetch, index, 0.0)),
+                aim_stretch=float(entry.get("aim-stretch") or 0.0),
+            )
+        )
     return hw.Settings(
         classes=tuple(classes),
         shards=number(family, "shards", "specifics"),
--- a/heathwell/storms/__init__.py
+++ b/heathwell/storms/__init__.py
@@ -5,5 +5,16 @@
 from heathwell.storms.doors import Doors
 from heathwell.storms.sketch import Recent, Sketch
 
-__all__ = ["BUILDING", "CALM", "DRAINING", "STORM", "Calendar", "Doors", "Limits", "Recent", "Sketch", "Storms",
-           "Verdict"]
+__all__ = [
+    "BUILDING",
+    "CALM",
+    "DRAINING",
+    "STORM",
+    "Calendar",
+    "Doors",
+    "Limits",
+    "Recent",
+    "Sketch",
+    "Storms",
+    "Verdict",
+]
--- a/heathwell/storms/advice.py
+++ b/heathwell/storms/advice.py
@@ -18,9 +18,9 @@
         self._from = 0  # slots before it are known to be full or past
 
     def book(self, now: int, cost: float, rate: float, least_us: int, most_us: int) -> int:
-        """Microseconds from now at which work of that cost may come: the first slot with room at ``rate`` (cost a
-        microsecond), not before ``least_us``, drawn within it. Where none is free before ``most_us`` it is any time of
-        the later half, unbooked: later than that the client has no use for it.
+        """Microseconds from now at which work of that cost may come: the first slot with room at ``rate``
+        (cost a microsecond), not before ``least_us``, drawn within it. Where none is free before ``most_us``
+        it is any time of the later half, unbooked: later than that the client has no use for it.
         """
         first, here = (now + least_us) // SLOT_US + 1, now // SLOT_US
         for past in [slot for slot in self.booked if slot < here]:
--- a/heathwell/storms/decider.py
+++ b/heathwell/storms/decider.py
@@ -1,15 +1,19 @@
 """Storms as one broker sees them: repeats, connects, refusals; what is let in while one lasts. Pure.
 
 - *calm*: nothing is held back; advice comes from the calendar all the same.
-- *building*, when repeats that no advice sent make ``BUILDING_SHARE`` of the asks, or connects come at many times the
+- *building*, when repeats that no advice sent make ``BUILDING_SHARE`` of the asks, or connects come at many
+times the
   usual rate: connects are taken by their budget.
-- *storm*, when they make ``STORM_SHARE`` and queries are being refused, for ``SURE_TICKS``: what reaches the module in
-  a second is held to what hosts have been seen to answer; who heeded advice goes first, then first tries, and who
+- *storm*, when they make ``STORM_SHARE`` and queries are being refused, for ``SURE_TICKS``: what reaches the
+module in
+  a second is held to what hosts have been seen to answer; who heeded advice goes first, then first tries, and
+  who
   ignored it last.
 - *draining*, when their share is down: as in a storm, at a rate that grows while answers come in their aim.
 
-The line to the module: this decides by who asks and when, and never looks at a host; what it lets in the module sheds
-by its own estimates as ever. In calm it lets everything in. A process that has just started is draining: it can't know.
+The line to the module: this decides by who asks and when, and never looks at a host; what it lets in the
+module sheds by its own estimates as ever. In calm it lets everything in. A process that has just started is
+draining: it can't know.
 """
 
 from __future__ import annotations
@@ -46,9 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Figures from settings: ``useful_us``: later advice is no use to a client; ``repeat_us``: spacing within which
-    the same question of the same client is a repeat; ``accepts`` and ``first_accepts`` connects a second (0: no bound),
-    once open and just after the start; ``first_rate`` work (us a second) let in just after the start (0: no bound)."""
+    """Figures from settings: ``useful_us``: later advice is no use to a client; ``repeat_us``: spacing within
+    which the same question of the same client is a repeat; ``accepts`` and ``first_accepts`` connects a
+    second (0: no bound), once open and just after the start; ``first_rate`` work (us a second) let in just
+    after the start (0: no bound).
+    """
 
     useful_us: int = 8_000_000
     repeat_us: int = 3_000_000
@@ -105,9 +111,15 @@
 
     def accept_wait(self, now: int) -> int:
         """Microseconds until the next connection may be taken; 0: now."""
-        most = self._accepts if now < self.opened + self.limits.useful_us or self.state != CALM else self.limits.accepts
+        most = (
+            self._accepts
+            if now < self.opened + self.limits.useful_us or self.state != CALM
+            else self.limits.accepts
+        )
         if most > 0:
-            self._accept_tokens = min(most * 0.25 + 1, self._accept_tokens + (now - self._accept_at) * most / 1e6)
+            self._accept_tokens = min(
+                most * 0.25 + 1, self._accept_tokens + (now - self._accept_at) * most / 1e6
+            )
             self._accept_at = now
             if self._accept_tokens < 1:
                 return int((1 - self._accept_tokens) / most * 1e6) + 1
@@ -131,7 +143,9 @@
             return Verdict(True, kind)
         self._refill(now)
         leave = {HEEDED: 0.0, FIRST: FIRST_TRIES_LEAVE, AGAIN: FIRST_TRIES_LEAVE, EARLY: EARLY_LEAVE}[kind]
-        if self.budget - cost >= leave * self.rate * 0.25 or (kind != EARLY and self.budget >= self.rate * 0.25):
+        if self.budget - cost >= leave * self.rate * 0.25 or (
+            kind != EARLY and self.budget >= self.rate * 0.25
+        ):
             self.budget -= cost
             return Verdict(True, kind)
         return Verdict(False, kind, self.advise(now, client, key, cost))
@@ -152,7 +166,9 @@
         self._refilled = now
 
     def advise(self, now: int, client: str, key: str, cost: float) -> int:
-        """When a refused client may come back, remembered as a promise; longer for those who ignored it before."""
+        """When a refused client may come back, remembered as a promise; longer for those who ignored it
+        before.
+        """
         self._ticks[-1].refused += 1
         penalty = min(self.ignored.count(hashed(client), now), PENALTY_MOST)
         most = self.limits.useful_us
@@ -171,7 +187,8 @@
     # State
 
     def tick(self, now: int, room: float) -> list[tuple[str, str]]:
-        """To be called each :data:`TICK_US`; ``room``: the share of the hosts' work that cold starts and losses leave.
+        """To be called each :data:`TICK_US`; ``room``: the share of the hosts' work that cold starts and
+        losses leave.
 
         Returns changes of state with their evidence.
         """
@@ -197,8 +214,10 @@
         share = repeats / asks if asks >= ASKS_TELL else 0.0
         rush = connects > max(CONNECTS_LEAST, CONNECTS_TIMES * self.usual_connects)
         many = share >= STORM_SHARE and refused >= REFUSED_TELLS * asks
-        text = (f"{share:.0%} of {asks} asks a second are repeats that no advice sent, {refused} refused, "
-                f"{connects:.0f} connects a second, {self.usual_connects:.0f} usual")
+        text = (
+            f"{share:.0%} of {asks} asks a second are repeats that no advice sent, {refused} refused, "
+            f"{connects:.0f} connects a second, {self.usual_connects:.0f} usual"
+        )
         self._sure = self._sure + 1 if many else 0
         self._low = self._low + 1 if share < LOW_SHARE and not rush else 0
         if self.state in (CALM, BUILDING) and self._sure >= SURE_TICKS:
@@ -218,13 +237,16 @@
             self._to(now, CALM, text)
 
     def _pace(self, window: list[_Tick]) -> None:
-        """While not calm: the rate grows while what is let in is answered in its aim, and follows what hosts do."""
+        """While not calm: the rate grows while what is let in is answered in its aim, and follows what hosts
+        do.
+        """
         if self.state not in (STORM, DRAINING):
             return
         ended, good = sum(t.ended for t in window), sum(t.good for t in window)
         known = self.capacity * self.room * HEADROOM
         if ended and good >= GOOD_SHARE * ended:
-            # In a storm too: held to what was answered so far, it would itself keep the storm's refusals going.
+            # In a storm too: held to what was answered so far, it would itself keep the storm's refusals
+            # going.
             self.rate = min(self.rate * GROW, max(known, self.limits.first_rate) * RATE_MOST)
         elif ended and good < 0.5 * ended:
             # Never to nothing: without answers there would be nothing to grow by again.
--- a/heathwell/storms/doors.py
+++ b/heathwell/storms/doors.py
@@ -1,8 +1,8 @@
 """Which connections are kept when there are too many. Pure.
 
-An address has its own limit, so that one that opens sockets without end takes only its own. At the limit of all, the
-address that holds the most gives up its longest idle one for an address that holds fewer; else the new one is turned
-away. Connections at work are never closed for another.
+An address has its own limit, so that one that opens sockets without end takes only its own. At the limit of
+all, the address that holds the most gives up its longest idle one for an address that holds fewer; else the
+new one is turned away. Connections at work are never closed for another.
 """
 
 from __future__ import annotations
--- a/heathwell/storms/sketch.py
+++ b/heathwell/storms/sketch.py
@@ -1,7 +1,7 @@
 """What is remembered of clients in bounded memory: decaying counts, and what was asked lately.
 
-Counts are a count-min sketch (Cormode, Muthukrishnan 2005) under forward decay (Cormode and others 2009): it never
-tells less than was counted, and more only for what collides. Hashes are xxh64.
+Counts are a count-min sketch (Cormode, Muthukrishnan 2005) under forward decay (Cormode and others 2009): it
+never tells less than was counted, and more only for what collides. Hashes are xxh64.
 """
 
 from __future__ import annotations
@@ -22,7 +22,9 @@
 
 
 class Sketch:
-    """Decaying counts of hashes: ``width`` counters in each of ``depth`` rows, halved each ``half_life_us``."""
+    """Decaying counts of hashes: ``width`` counters in each of ``depth`` rows, halved each
+    ``half_life_us``.
+    """
 
     def __init__(self, half_life_us: int, width: int = 4096, depth: int = 4) -> None:
         self.half_life, self.width = half_life_us, width
@@ -38,9 +40,9 @@
     def _weight(self, now: int) -> float:
         halvings = (now - self._landmark) / self.half_life
         if halvings <= HALVINGS_MOST:
-            return float(2.0 ** halvings)
+            return float(2.0**halvings)
         # Kept in range by beginning anew from here; after so long a rest nothing is left of what was.
-        shrink = 2.0 ** -halvings if halvings < 1000 else 0.0
+        shrink = 2.0**-halvings if halvings < 1000 else 0.0
         for row in self._rows:
             for place in range(self.width):
                 row[place] *= shrink
--- a/heathwell/vectors/filters.py
+++ b/heathwell/vectors/filters.py
@@ -1,4 +1,5 @@
-"""Payload filters of the search API, checked once at the broker; hosts evaluate them (:mod:`heathwell.vectors.masks`).
+"""Payload filters of the search API, checked once at the broker; hosts evaluate them
+(:mod:`heathwell.vectors.masks`).
 
 Supported: ``must``, ``should``, ``must_not``, ``min_should``, nested filters; ``match`` (value, any, except),
 ``range``, ``values_count``, ``is_empty``, ``is_null``, ``has_id``. What is not served is refused by name.
@@ -105,12 +106,17 @@
             raise FilterError(path, "a condition is an object")
         if "key" in raw:
             made = _as(raw, FieldCondition, path)
-            given = [name for name in ("match", "range", "values_count", "is_empty", "is_null")
-                     if getattr(made, name) is not None]
+            given = [
+                name
+                for name in ("match", "range", "values_count", "is_empty", "is_null")
+                if getattr(made, name) is not None
+            ]
             if len(given) != 1:
                 raise FilterError(path, "names one of match, range, values_count, is_empty, is_null")
-            if made.match is not None and sum(
-                    x is not None for x in (made.match.value, made.match.any, made.match.except_)) != 1:
+            if (
+                made.match is not None
+                and sum(x is not None for x in (made.match.value, made.match.any, made.match.except_)) != 1
+            ):
                 raise FilterError(f"{path}.match", "names one of value, any, except")
         elif "is_empty" in raw or "is_null" in raw:
             name = "is_empty" if "is_empty" in raw else "is_null"
--- a/heathwell/vectors/masks.py
+++ b/heathwell/vectors/masks.py
@@ -1,4 +1,6 @@
-"""Checked payload filters over a shard's points: columns of payload fields, made when first asked for, to masks."""
+"""Checked payload filters over a shard's points: columns of payload fields, made when first asked for, to
+masks.
+"""
 
 from __future__ import annotations
 
@@ -14,7 +16,9 @@
 
 
 class Columns:
-    """Payloads of a shard by field, each made when it is first asked for; ``values`` are lists of a point's values."""
+    """Payloads of a shard by field, each made when it is first asked for; ``values`` are lists of a point's
+    values.
+    """
 
     def __init__(self, ids: Sequence[int | str], payloads: Sequence[dict[str, Any]]) -> None:
         self.ids, self.payloads = ids, payloads
@@ -38,12 +42,16 @@
                 self._numbers[key] = None
             else:
                 is_number = np.fromiter((_is_number(v) for v in values), bool, len(values))
-                self._numbers[key] = np.fromiter(
-                    (float(v) if _is_number(v) else 0.0 for v in values), float, len(values)), is_number
+                self._numbers[key] = (
+                    np.fromiter((float(v) if _is_number(v) else 0.0 for v in values), float, len(values)),
+                    is_number,
+                )
         return self._numbers[key]
 
     def codes(self, key: str) -> tuple[dict[Any, int], NDArray[np.int64]] | None:
-        """A field of plain values as numbers of a dictionary; None where some point holds a list or an object."""
+        """A field of plain values as numbers of a dictionary; None where some point holds a list or an
+        object.
+        """
         if key not in self._codes:
             values = self.values(key)
             if any(isinstance(v, list | dict) for v in values):
@@ -51,8 +59,9 @@
             else:
                 book: dict[Any, int] = {}
                 # True is no 1 to a filter, though Python takes them for equal.
-                coded = np.fromiter((book.setdefault((type(v) is bool, v), len(book)) for v in values), np.int64,
-                                    len(values))
+                coded = np.fromiter(
+                    (book.setdefault((type(v) is bool, v), len(book)) for v in values), np.int64, len(values)
+                )
                 self._codes[key] = book, coded
         return self._codes[key]
 
@@ -128,8 +137,17 @@
 def _nulls(columns: Columns, key: str) -> Mask:
     """Fields that are there and null: a missing one is empty, not null."""
     *path, last = key.split(".")
-    return np.fromiter(((holder := _dig(payload, path)) is not None and isinstance(holder, dict) and last in holder
-                        and holder[last] is None for payload in columns.payloads), bool, len(columns.ids))
+    return np.fromiter(
+        (
+            (holder := _dig(payload, path)) is not None
+            and isinstance(holder, dict)
+            and last in holder
+            and holder[last] is None
+            for payload in columns.payloads
+        ),
+        bool,
+        len(columns.ids),
+    )
 
 
 def _each(columns: Columns, key: str, holds: Callable[[Any], bool]) -> Mask:
@@ -148,10 +166,12 @@
     marked = {(type(v) is bool, v) for v in given}
     coded = columns.codes(key)
     if coded is None:
+
         def holds(value: Any) -> bool:
             if without is not None:
                 return value is not None and (type(value) is bool, value) not in marked
             return not isinstance(value, dict) and (type(value) is bool, value) in marked
+
         return _each(columns, key, _some(holds))
     book, codes = coded
     wanted = [book[one] for one in marked if one in book]
@@ -165,8 +185,13 @@
     lt, gt, lte, gte = (limits.get(name) for name in ("lt", "gt", "lte", "gte"))
 
     def holds(value: float) -> bool:
-        return ((lt is None or value < lt) and (gt is None or value > gt)
-                and (lte is None or value <= lte) and (gte is None or value >= gte))
+        return (
+            (lt is None or value < lt)
+            and (gt is None or value > gt)
+            and (lte is None or value <= lte)
+            and (gte is None or value >= gte)
+        )
+
     return holds
 
 
@@ -176,7 +201,12 @@
         holds = _bounds(limits)
         return _each(columns, key, _some(lambda v: _is_number(v) and holds(v)))
     values, out = numbers[0], numbers[1].copy()
-    for name, keep in (("lt", np.less), ("gt", np.greater), ("lte", np.less_equal), ("gte", np.greater_equal)):
+    for name, keep in (
+        ("lt", np.less),
+        ("gt", np.greater),
+        ("lte", np.less_equal),
+        ("gte", np.greater_equal),
+    ):
         if limits.get(name) is not None:
             out &= keep(values, limits[name])
     return out
--- a/heathwell/vectors/shard.py
+++ b/heathwell/vectors/shard.py
@@ -1,6 +1,8 @@
-"""One shard's points: exact search by one matrix product a batch, an HNSW index, and bounds that cost next to nothing.
+"""One shard's points: exact search by one matrix product a batch, an HNSW index, and bounds that cost next to
+nothing.
 
-Scores are *better is greater*: a Euclidean distance is negated. Vectors of a cosine collection are kept at length one.
+Scores are *better is greater*: a Euclidean distance is negated. Vectors of a cosine collection are kept at
+length one.
 """
 
 from __future__ import annotations
@@ -25,15 +27,24 @@
 class Shard:
     """Points of one shard of a collection; they don't change."""
 
-    def __init__(self, ids: Sequence[int | str], vectors: Floats, payloads: Sequence[dict[str, Any]], distance: str,
-                 index: str = EXACT, seed: int = 1) -> None:
+    def __init__(
+        self,
+        ids: Sequence[int | str],
+        vectors: Floats,
+        payloads: Sequence[dict[str, Any]],
+        distance: str,
+        index: str = EXACT,
+        seed: int = 1,
+    ) -> None:
         self.ids, self.payloads, self.distance = ids, payloads, distance
         self.plain = np.ascontiguousarray(vectors, np.float32)
         self.vectors = unit(self.plain) if distance == COSINE else self.plain
         self.columns = Columns(ids, payloads)
         # Equal scores rank by id: a stable sort of rows that lie in the order of their ids does it.
-        ranked = sorted(range(len(ids)), key=lambda row: (0, ids[row], "") if isinstance(ids[row], int)
-                        else (1, 0, ids[row]))
+        ranked = sorted(
+            range(len(ids)),
+            key=lambda row: (0, ids[row], "") if isinstance(ids[row], int) else (1, 0, ids[row]),
+        )
         self.id_order = np.empty(len(ids), np.int64)
         self.id_order[ranked] = np.arange(len(ids))
         self.centre = self.vectors.mean(axis=0, dtype=np.float64) if len(ids) else np.zeros(vectors.shape[1])
@@ -47,8 +58,14 @@
 
     def _build(self, seed: int) -> None:
         size = self.vectors.shape[1]
-        self._index = Index(ndim=size, metric="l2sq" if self.distance == EUCLID else "ip", dtype="f32",
-                            connectivity=16, expansion_add=100, expansion_search=EXPANSION)
+        self._index = Index(
+            ndim=size,
+            metric="l2sq" if self.distance == EUCLID else "ip",
+            dtype="f32",
+            connectivity=16,
+            expansion_add=100,
+            expansion_search=EXPANSION,
+        )
         self._index.add(np.arange(len(self.ids)), self.vectors, threads=1)
         self.recall = self._measure(seed)
 
@@ -56,7 +73,9 @@
         """The index's recall at ten over some of its own points, against the exact search."""
         draws = np.random.default_rng(seed)
         rows = draws.choice(len(self.ids), min(SAMPLE, len(self.ids)), replace=False)
-        queries = self.vectors[rows] + draws.normal(0, 0.05, (len(rows), self.vectors.shape[1])).astype(np.float32)
+        queries = self.vectors[rows] + draws.normal(0, 0.05, (len(rows), self.vectors.shape[1])).astype(
+            np.float32
+        )
         wanted = min(RECALL_AT, len(self.ids))
         exact = np.argsort(-self._scores(queries), axis=1)[:, :wanted]
         found = self._index.search(queries, wanted, threads=1).keys
@@ -66,7 +85,9 @@
         return len(self.ids)
 
     def prepared(self, raw: bytes, count: int) -> Floats:
-        """The query vectors of an ask; raises :class:`ValueError` where their size is not the collection's."""
+        """The query vectors of an ask; raises :class:`ValueError` where their size is not the
+        collection's.
+        """
         queries = np.frombuffer(raw, "<f4").reshape(count, -1)
         if queries.shape[1] != self.vectors.shape[1]:
             raise ValueError(f"vectors of {queries.shape[1]} numbers, {self.vectors.shape[1]} expected")
@@ -100,8 +121,10 @@
         queries = self.prepared(ask.vectors, len(ask.wants))
         masks: dict[int, Any] = {}
         plans = [self._mask(want, masks) for want in ask.wants]
-        by_index = [self._index is not None and not want.exact and (
-            mask is None or mask.mean() >= MOST_LEFT_OUT) for want, mask in zip(ask.wants, plans, strict=True)]
+        by_index = [
+            self._index is not None and not want.exact and (mask is None or mask.mean() >= MOST_LEFT_OUT)
+            for want, mask in zip(ask.wants, plans, strict=True)
+        ]
         exact = [number for number, indexed in enumerate(by_index) if not indexed]
         scores = self._scores(queries[exact]) if exact and len(self.ids) else None
         place = {number: row for row, number in enumerate(exact)}
@@ -143,8 +166,9 @@
         return self._hits(query, rows if mask is None else rows[mask[rows]], want)
 
     def _hits(self, query: Floats, rows: NDArray[np.int64], want: Want) -> list[Hit]:
-        """The best of some rows, scored anew in double precision: a matrix product's last digits depend on its shape,
-        and the same point must score the same in every shard and batch."""
+        """The best of some rows, scored anew in double precision: a matrix product's last digits depend on
+        its shape, and the same point must score the same in every shard and batch.
+        """
         chosen, wide = self.vectors[rows].astype(np.float64), query.astype(np.float64)
         if self.distance == EUCLID:
             scores = (-np.sqrt(((chosen - wide) ** 2).sum(axis=1))).astype(np.float32)
@@ -153,10 +177,16 @@
         if want.threshold is not None:
             keep = scores >= want.threshold
             rows, scores = rows[keep], scores[keep]
-        order = np.lexsort((self.id_order[rows], -scores))[:want.limit]
-        return [Hit(self.ids[row], float(score), self._payload(row, want),
-                    self.plain[row].tolist() if want.vectors else None)
-                for row, score in zip(rows[order].tolist(), scores[order].tolist(), strict=True)]
+        order = np.lexsort((self.id_order[rows], -scores))[: want.limit]
+        return [
+            Hit(
+                self.ids[row],
+                float(score),
+                self._payload(row, want),
+                self.plain[row].tolist() if want.vectors else None,
+            )
+            for row, score in zip(rows[order].tolist(), scores[order].tolist(), strict=True)
+        ]
 
     def _payload(self, row: int, want: Want) -> dict[str, Any] | None:
         if not want.payload and not want.without:
--- a/heathwell/vectors/wire.py
+++ b/heathwell/vectors/wire.py
@@ -1,4 +1,6 @@
-"""What a broker asks of a host for a search and what comes back, as msgpack within the inner wire's ``body``."""
+"""What a broker asks of a host for a search and what comes back, as msgpack within the inner wire's
+``body``.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +14,9 @@
 
 
 class Want(msgspec.Struct, omit_defaults=True):
-    """One search of a part. ``filter`` is the API's own form, checked by the broker; ``limit`` includes the offset."""
+    """One search of a part. ``filter`` is the API's own form, checked by the broker; ``limit`` includes the
+    offset.
+    """
 
     limit: int
     filter: dict[str, Any] | None = None
--- a/heathwell/wire.py
+++ b/heathwell/wire.py
@@ -34,8 +34,7 @@
         stream.write(frames.encode(frames.Mismatch(str(problem))))
 
 
-def ask(address: str, name: str, role: str, question: frames.Message, kind: type[A],
-        seconds: float) -> A:
+def ask(address: str, name: str, role: str, question: frames.Message, kind: type[A], seconds: float) -> A:
     """For programs without a loop: one question, and the answer of that kind, each wait of ``seconds`` at
     the most. Raises :class:`OSError`, :class:`FrameError`, :class:`ValueError` for no address or answer."""
     host, _, port = address.rpartition(":")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -28,9 +28,16 @@
             hw.ClassSpec("partial", AIM, 2 * AIM, need=1.0, min_share=0.5, partial_worth=0.9),
             hw.ClassSpec("both", AIM, 2 * AIM, need=0.8, min_share=0.4, fetch=2, partial_worth=0.9),
         ),
-        "shards": 6, "cells": 6, "width": 3, "tick_us": 5000, "max_attempts": 3,
-        "fall_multiple": 2.0, "tip_after_us": 1_000_000, "start_capacity": 0.2,
-        "warm_within_us": 10_000_000, "drain_grace_us": 1_000_000,
+        "shards": 6,
+        "cells": 6,
+        "width": 3,
+        "tick_us": 5000,
+        "max_attempts": 3,
+        "fall_multiple": 2.0,
+        "tip_after_us": 1_000_000,
+        "start_capacity": 0.2,
+        "warm_within_us": 10_000_000,
+        "drain_grace_us": 1_000_000,
     }
     values.update(changes)
     return Settings(**values)
@@ -57,8 +64,9 @@
         self.now += after
         return self.agg.handle(self.now, list(events))
 
-    def query(self, klass: int, shards: list[int], limit: int = 2 * AIM, after: int = 5000,
-              **more: Any) -> list[hw.Action]:
+    def query(
+        self, klass: int, shards: list[int], limit: int = 2 * AIM, after: int = 5000, **more: Any
+    ) -> list[hw.Action]:
         """A query with one part for each shard, ids `q<job>` and `q<job>/<n>`."""
         self.jobs += 1
         name = f"q{self.jobs}"
@@ -66,12 +74,14 @@
         events: list[hw.Event] = [
             hw.QueryArrived(name, self.jobs, klass, self.now + limit, len(shards), **more)
         ]
-        events += [hw.PartArrived(f"{name}/{n}", self.jobs, shard, 1 / len(shards))
-                   for n, shard in enumerate(shards)]
+        events += [
+            hw.PartArrived(f"{name}/{n}", self.jobs, shard, 1 / len(shards)) for n, shard in enumerate(shards)
+        ]
         return self.step(0, *events)
 
-    def end(self, send: hw.Send, outcome: str = hw.OK, after: int = 5000, seq: int = 0,
-            took: int = 80_000) -> list[hw.Action]:
+    def end(
+        self, send: hw.Send, outcome: str = hw.OK, after: int = 5000, seq: int = 0, took: int = 80_000
+    ) -> list[hw.Action]:
         """One outcome."""
         return self.step(after, hw.AttemptEnded(send.id, seq, send.node, outcome, took))
 
@@ -91,6 +101,8 @@
 @pytest.fixture
 def drive() -> Any:
     """A driver on the usual settings, with changes."""
+
     def build(seed: int = 1, servers: int | None = None, **changes: Any) -> Driver:
         return Driver(make_settings(**changes), seed, servers)
+
     return build
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -1,7 +1,8 @@
-"""Crossings over loopback sockets: a broker, its front and scripted peers in one loop, so that order is forced.
+"""Crossings over loopback sockets: a broker, its front and scripted peers in one loop, so that order is
+forced.
 
-A peer waits for a named point of the broker (``until``) before its next byte; connects of the broker wait at a gate.
-Nothing sleeps for a time, ports are the kernel's, and what is judged is what nodes and clients saw.
+A peer waits for a named point of the broker (``until``) before its next byte; connects of the broker wait at
+a gate. Nothing sleeps for a time, ports are the kernel's, and what is judged is what nodes and clients saw.
 """
 
 from __future__ import annotations
@@ -26,27 +27,70 @@
     "asked": {},
     "asked, short grace, calls of many parts, copies": {
         "classes": [
-            {"name": "range-search", "objective-us": 500_000, "hard-limit-us": 4_000_000,
-             "idempotency": "read_like", "worth": 2.0, "late-value": 0.1, "dedup-window-us": 5_000_000},
-            {"name": "hut-nights", "objective-us": 300_000, "hard-limit-us": 900_000, "idempotency": "read_like",
-             "worth": 1.0, "late-value": 0.3, "dedup-window-us": 5_000_000}],
+            {
+                "name": "range-search",
+                "objective-us": 500_000,
+                "hard-limit-us": 4_000_000,
+                "idempotency": "read_like",
+                "worth": 2.0,
+                "late-value": 0.1,
+                "dedup-window-us": 5_000_000,
+            },
+            {
+                "name": "hut-nights",
+                "objective-us": 300_000,
+                "hard-limit-us": 900_000,
+                "idempotency": "read_like",
+                "worth": 1.0,
+                "late-value": 0.3,
+                "dedup-window-us": 5_000_000,
+            },
+        ],
         "ceilings": {"second-copies": True, "conn-idle-us": 1_500_000, "connect-timeout-us": 400_000},
         "invariants": {"drain-grace-us": 250_000},
-        "specifics": {"class-fetch": [0, 0], "class-need": [1.0, 1.0], "min-share": [1.0, 0.7],
-                      "incomplete-worth": [0.9, 0.8], "parts-a-call": 8}},
+        "specifics": {
+            "class-fetch": [0, 0],
+            "class-need": [1.0, 1.0],
+            "min-share": [1.0, 0.7],
+            "incomplete-worth": [0.9, 0.8],
+            "parts-a-call": 8,
+        },
+    },
     "pushed, unsafe, no cancels, tenants": {
         "registry-mode": "push",
-        "accounts": [{"name": "valley", "quota-rps": 20.0, "share": 0.6},
-                     {"name": "harbour", "quota-rps": 10.0, "share": 0.4}],
+        "accounts": [
+            {"name": "valley", "quota-rps": 20.0, "share": 0.6},
+            {"name": "harbour", "quota-rps": 10.0, "share": 0.4},
+        ],
         "classes": [
-            {"name": "visit-note", "objective-us": 200_000, "hard-limit-us": 400_000, "idempotency": "non_idempotent",
-             "worth": 1.0, "late-value": 0.1, "dedup-window-us": 0},
-            {"name": "ward-list", "objective-us": 900_000, "hard-limit-us": 3_500_000,
-             "idempotency": "idempotency_key", "worth": 1.0, "late-value": 0.1, "dedup-window-us": 900_000}],
+            {
+                "name": "visit-note",
+                "objective-us": 200_000,
+                "hard-limit-us": 400_000,
+                "idempotency": "non_idempotent",
+                "worth": 1.0,
+                "late-value": 0.1,
+                "dedup-window-us": 0,
+            },
+            {
+                "name": "ward-list",
+                "objective-us": 900_000,
+                "hard-limit-us": 3_500_000,
+                "idempotency": "idempotency_key",
+                "worth": 1.0,
+                "late-value": 0.1,
+                "dedup-window-us": 900_000,
+            },
+        ],
         "ceilings": {"cancelling": False, "probing": False, "retry-after": False, "max-attempts": 2},
         "invariants": {"drain-grace-us": 600_000, "must-ask-in-us": 0},
-        "specifics": {"class-fetch": [0, 0], "class-need": [1.0, 1.0], "min-share": [1.0, 1.0],
-                      "incomplete-worth": [0.9, 0.9]}},
+        "specifics": {
+            "class-fetch": [0, 0],
+            "class-need": [1.0, 1.0],
+            "min-share": [1.0, 1.0],
+            "incomplete-worth": [0.9, 0.9],
+        },
+    },
 }
 
 
@@ -60,7 +104,9 @@
 
 
 class Ahead(MonotonicClock):
-    """The machine's clock and ``by_us`` more, which a test sets: the loop stalled for so long, and nobody sleeps."""
+    """The machine's clock and ``by_us`` more, which a test sets: the loop stalled for so long, and nobody
+    sleeps.
+    """
 
     by_us = 0
 
@@ -111,10 +157,17 @@
         self.nodes = [Node(self.loop, self.net, "127.0.0.1:0", f"s{n}", n, work_us=1) for n in range(CELLS)]
         self.registry = Registry(self.loop, self.net, "127.0.0.1:0", self.nodes)
         self.setup = customer(name, width=width)
-        self.config = read(config_of(**{
-            "listen": "127.0.0.1:0", "discovery": self.registry.address if registry else "127.0.0.1:1",
-            "settings": self.setup,
-            "known": {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}, **changes}))
+        self.config = read(
+            config_of(
+                **{
+                    "listen": "127.0.0.1:0",
+                    "discovery": self.registry.address if registry else "127.0.0.1:1",
+                    "settings": self.setup,
+                    "known": {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]},
+                    **changes,
+                }
+            )
+        )
         self.lines: list[str] = []
         self.broker = PlatformBroker(self.loop, self.gate, self.config, log=self.log)
         self.front = Front(self.broker, self.config.client_sockets, self.config.kept_clients, self.log)
@@ -128,7 +181,9 @@
         return Client(self.loop, self.net, self.listener.address)
 
     def ask(self, name: str, shard: int, kind: int = 0, client: Client | None = None, **more: Any) -> Any:
-        """A query of one part on its way, as a task. Its deadline is a minute: the class's own limit holds."""
+        """A query of one part on its way, as a task. Its deadline is a minute: the class's own
+        limit holds.
+        """
         return self.loop.spawn(self._asked(name, shard, kind, client or self.client(), more), name)
 
     def _asked(self, name: str, shard: int, kind: int, client: Client, more: dict[str, Any]) -> Coro[Any]:
@@ -138,8 +193,11 @@
     def request(self, name: str, shard: int, kind: int = 0) -> bytes:
         """A request's bytes."""
         body = json.dumps({"parts": [{"id": shard, "w": 1.0}], "expr": "c41e77d0"}).encode()
-        return (f"POST /{self.kinds[kind]} HTTP/1.1\r\nHost: b\r\nReq-Id: {name}\r\nReq-Kind: {self.kinds[kind]}\r\n"
-                f"Req-Deadline: 60000m\r\nIdempotency-Key: k1\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+        return (
+            f"POST /{self.kinds[kind]} HTTP/1.1\r\nHost: b\r\nReq-Id: {name}\r\nReq-Kind: "
+            f"{self.kinds[kind]}\r\n"
+            f"Req-Deadline: 60000m\r\nIdempotency-Key: k1\r\nContent-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
 
     def raw(self) -> socket.socket:
         """A client's bare socket, connected."""
@@ -192,7 +250,9 @@
 
     def out(self, name: str) -> Callable[[], bool]:
         """Whether a query's part is with its link."""
-        return lambda: any(key[0].startswith(f"{name}.") for link in self.broker.links.values() for key in link.out)
+        return lambda: any(
+            key[0].startswith(f"{name}.") for link in self.broker.links.values() for key in link.out
+        )
 
 
 def reset(sock: socket.socket) -> None:
@@ -202,4 +262,7 @@
 
 
 LEAVES: dict[str, Callable[[socket.socket], None]] = {
-    "close": lambda sock: sock.close(), "half-close": lambda sock: sock.shutdown(socket.SHUT_WR), "reset": reset}
+    "close": lambda sock: sock.close(),
+    "half-close": lambda sock: sock.shutdown(socket.SHUT_WR),
+    "reset": reset,
+}
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -37,8 +37,9 @@
         self.loop.on_error = lambda name, error: self.errors.append((name, error))
         self.events: list[dict[str, Any]] = []
         self.note("run", figures=run_figures(self.market))
-        self.fleet = LocalFleet(self.loop, self.net_of, self.market, seed, into=self.events,
-                                host_of=lambda name: name)
+        self.fleet = LocalFleet(
+            self.loop, self.net_of, self.market, seed, into=self.events, host_of=lambda name: name
+        )
         self.run(self.settle())
 
     def net_of(self, name: str):
@@ -94,7 +95,7 @@
             if not more:
                 raise StreamBroken("end")
             self.data += more
-        block, self.data = self.data[:size], self.data[size + 2:]
+        block, self.data = self.data[:size], self.data[size + 2 :]
         return block
 
     def get(self, *keys: str, command: str = "get"):
@@ -110,8 +111,11 @@
         except StreamBroken:
             world.note("reply", req=request, kind="broken")
             raise
-        told = [{"key": key, "whole": body["whole"], "got": body["coverage"]["parts"][0]}
-                for key, (_, data) in values.items() for body in [json.loads(data)]]
+        told = [
+            {"key": key, "whole": body["whole"], "got": body["coverage"]["parts"][0]}
+            for key, (_, data) in values.items()
+            for body in [json.loads(data)]
+        ]
         world.note("reply", req=request, kind="answer" if end == "END" else "error", values=told, text=end)
         return values, end
 
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -1,4 +1,6 @@
-"""The platform on virtual time: a broker with its front, stand-in nodes and discovery; and its logs for the auditor."""
+"""The platform on virtual time: a broker with its front, stand-in nodes and discovery; and its logs for the
+auditor.
+"""
 
 from __future__ import annotations
 
@@ -30,8 +32,15 @@
 class Platform:
     """Nodes, one a cell, discovery, one broker."""
 
-    def __init__(self, *, known: bool = True, registry: bool = True, seed: int | None = None,
-                 limits: dict[str, Any] | None = None, setup: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        known: bool = True,
+        registry: bool = True,
+        seed: int | None = None,
+        limits: dict[str, Any] | None = None,
+        setup: dict[str, Any] | None = None,
+    ) -> None:
         self.loop, self.net = virtual_loop(seed)
         self.errors: list[tuple[str, BaseException]] = []
         self.loop.on_error = lambda name, error: self.errors.append((name, error))
@@ -39,7 +48,9 @@
         self.lines: list[str] = []
         self.events: list[dict[str, Any]] = []
         self.nodes = [self.node(n) for n in range(CELLS)]
-        self.registry = Registry(self.loop, self.net.at("registry"), "registry:8500", self.nodes) if registry else None
+        self.registry = (
+            Registry(self.loop, self.net.at("registry"), "registry:8500", self.nodes) if registry else None
+        )
         changes: dict[str, Any] = {"limits": limits} if limits else {}
         if setup:
             changes["settings"] = {**copy.deepcopy(SETUP), **setup}
@@ -47,16 +58,27 @@
             changes["known"] = {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}
         self.config = read(config_of(**changes))
         self.broker = PlatformBroker(
-            self.loop, self.net.at("broker"), self.config, log=self.log,
-            events=ListEvents(self.events, "n1", "broker", self.loop.clock), unix_us=lambda: UNIX_US)
+            self.loop,
+            self.net.at("broker"),
+            self.config,
+            log=self.log,
+            events=ListEvents(self.events, "n1", "broker", self.loop.clock),
+            unix_us=lambda: UNIX_US,
+        )
         self.front = Front(self.broker, self.config.client_sockets, self.config.kept_clients, self.log)
         self.listener = self.net.at("broker").listen("broker:7070", self.front.serve, "client")
 
     def node(self, number: int, cell: int | None = None) -> Node:
         """A node of its own address."""
         uid = f"s{number}"
-        return Node(self.loop, self.net.at(uid), f"{uid}:7070", uid, number if cell is None else cell,
-                    events=ListEvents(self.events, uid, "host", self.loop.clock))
+        return Node(
+            self.loop,
+            self.net.at(uid),
+            f"{uid}:7070",
+            uid,
+            number if cell is None else cell,
+            events=ListEvents(self.events, uid, "host", self.loop.clock),
+        )
 
     def log(self, level: str, event: str, **fields: Any) -> None:
         self.lines.append(f"{level} {event} {fields}")
@@ -73,8 +95,10 @@
         self.run(sleep(self.loop, int(seconds * 1e6)))
 
     def verdict(self) -> Any:
-        """The auditor's, over what broker and nodes noted. The wire names parts and not attempts: an arrival is tied
-        to the latest send that can have come so far, and parts are numbered as the auditor counts them."""
+        """The auditor's, over what broker and nodes noted. The wire names parts and not attempts: an arrival
+        is tied to the latest send that can have come so far, and parts are numbered as the auditor counts
+        them.
+        """
         order: dict[str, dict[str, str]] = {}
         sends: dict[tuple[str, str], list[tuple[int, int]]] = {}
         arrived: dict[tuple[str, int], int] = {}
@@ -83,8 +107,9 @@
         for seen in self.events:
             event, kind = seen, seen["ev"]
             if kind == "take":
-                order[event["q"]] = {f"{event['q']}.{shard}": f"{event['q']}/{n}"
-                                     for n, shard in enumerate(event["shards"])}
+                order[event["q"]] = {
+                    f"{event['q']}.{shard}": f"{event['q']}/{n}" for n, shard in enumerate(event["shards"])
+                }
                 klass[event["q"]] = event["klass"]
             if "p" in event:
                 query = event["p"].partition(".")[0]
@@ -111,14 +136,29 @@
     def figures(self) -> dict[str, Any]:
         rules = self.config.settings
         return {
-            "classes": {spec.name: {
-                "limit": spec.limit_us, "aim": spec.aim_us, "repeat": spec.repeat, "dedup": spec.dedup_us,
-                "need": spec.need, "floor": spec.min_share, "work": 20_000, "fetch": spec.fetch,
-            } for spec in rules.classes},
-            "drain_grace": rules.drain_grace_us, "fall_multiple": rules.fall_multiple,
-            "fall_after": rules.tip_after_us, "free_resends": 0, "further_ratio": 0, "counted_over": 0,
-            "second_copies": rules.second_copies, "attempts": rules.max_attempts,
-            "open_cap": rules.open_cap, "source_offset": None,
+            "classes": {
+                spec.name: {
+                    "limit": spec.limit_us,
+                    "aim": spec.aim_us,
+                    "repeat": spec.repeat,
+                    "dedup": spec.dedup_us,
+                    "need": spec.need,
+                    "floor": spec.min_share,
+                    "work": 20_000,
+                    "fetch": spec.fetch,
+                }
+                for spec in rules.classes
+            },
+            "drain_grace": rules.drain_grace_us,
+            "fall_multiple": rules.fall_multiple,
+            "fall_after": rules.tip_after_us,
+            "free_resends": 0,
+            "further_ratio": 0,
+            "counted_over": 0,
+            "second_copies": rules.second_copies,
+            "attempts": rules.max_attempts,
+            "open_cap": rules.open_cap,
+            "source_offset": None,
         }
 
 
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -112,8 +112,11 @@
         query = self.open[action.id]
         spec = self.config.classes[query.klass]
         step = self.step[action.id]
-        got = sum(e.weight for e in self.parts.values()
-                  if e.job == query.job and e.id in self.good and self.step_of[e.id] == step)
+        got = sum(
+            e.weight
+            for e in self.parts.values()
+            if e.job == query.job and e.id in self.good and self.step_of[e.id] == step
+        )
         floor = spec.min_share if step == 1 or spec.min_share < spec.need else 1.0
         assert got >= floor - 1e-4, "under floor"
         if action.whole:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -23,6 +23,7 @@
             searches = draws.randrange(1, 20)
             figures = search_figures(searches, 10 * searches, draws.randrange(2) * searches)
             model.learn(figures, true(figures, scale) * draws.uniform(0.8, 1.2))
+
     first = search_figures(4, 40, 0)
     assert model.predict(first) == 4000  # as stated, until it knows
     train(200, 1.0)
@@ -155,8 +156,14 @@
     assert hosts.gate.fronts["a"].waiting == 0
 
 
-@given(st.lists(st.tuples(st.sampled_from("ab"), st.floats(1, 90_000), st.integers(1, 500_000), st.integers(0, 60_000)),
-                max_size=60))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("ab"), st.floats(1, 90_000), st.integers(1, 500_000), st.integers(0, 60_000)
+        ),
+        max_size=60,
+    )
+)
 def test_nothing_is_lost_or_counted_twice(work):
     hosts, verdicts = Hosts({"a": 1.0, "b": 2.0}), []
     for front, cost, patience, pause in work:
--- a/tests/test_badday.py
+++ b/tests/test_badday.py
@@ -14,6 +14,8 @@
 from .fleet import MARKET
 
 THREE = MARKET.replace("(brokers 1)", "(brokers 3)").replace("(leaves 6)", "(leaves 12)")
+
+
 def day(seed: int, seconds: float = 25.0) -> SimulatedDay:
     return SimulatedDay(loads(THREE), seed, seconds=seconds).run()
 
@@ -95,10 +97,24 @@
 
 
 def plant_send_to_a_drained_host(events):
-    arrive = next(a for a in events if a["ev"] == "arrive" and a["t"] > 4_000_000 and not any(
-        n["ev"] == "news" and n["who"] == a["broker"] and -2_000_000 < n["t"] - a["t"] < 0 for n in events))
-    events.append({"t": arrive["t"] - 1_500_000, "who": arrive["broker"], "ev": "news", "kind": "update",
-                   "hosts": {arrive["node"]: "draining"}})
+    arrive = next(
+        a
+        for a in events
+        if a["ev"] == "arrive"
+        and a["t"] > 4_000_000
+        and not any(
+            n["ev"] == "news" and n["who"] == a["broker"] and -2_000_000 < n["t"] - a["t"] < 0 for n in events
+        )
+    )
+    events.append(
+        {
+            "t": arrive["t"] - 1_500_000,
+            "who": arrive["broker"],
+            "ev": "news",
+            "kind": "update",
+            "hosts": {arrive["node"]: "draining"},
+        }
+    )
     return 3
 
 
@@ -110,7 +126,9 @@
 def plant_a_push(events):
     arrive = first(events, "arrive")
     for number in range(400):
-        events.append(arrive | {"t": arrive["t"] + number, "p": f"{arrive['p']}9", "seq": number, "warmth": 0.2})
+        events.append(
+            arrive | {"t": arrive["t"] + number, "p": f"{arrive['p']}9", "seq": number, "warmth": 0.2}
+        )
     return 4
 
 
@@ -143,8 +161,11 @@
     return 6
 
 
-@pytest.mark.parametrize("plant", [f for name, f in list(globals().items()) if name.startswith("plant_")],
-                         ids=lambda f: f.__name__[6:])
+@pytest.mark.parametrize(
+    "plant",
+    [f for name, f in list(globals().items()) if name.startswith("plant_")],
+    ids=lambda f: f.__name__[6:],
+)
 def test_a_planted_breach_is_found_at_its_request_and_lines(good, plant):
     events = copy.deepcopy(good.events)
     rule = plant(events)
--- a/tests/test_both_fronts.py
+++ b/tests/test_both_fronts.py
@@ -1,4 +1,6 @@
-"""Both fronts on one broker: bad days on virtual time by the six rules, and overload of one beside the other."""
+"""Both fronts on one broker: bad days on virtual time by the six rules, and overload of one beside
+the other.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +19,8 @@
 (keys sale (class sale-record) (shape record))
 (keys price (class price-search) (shape search) (parts 8))
 (keys report (class day-report) (shape report) (report-parts 4))
-(collection goods (class alike) (batch-class bulk) (size 8) (points 40) (overlap 20%) (spread 40%) (work 25ms))
+(collection goods (class alike) (batch-class bulk) (size 8) (points 40) (overlap 20%) (spread 40%)
+(work 25ms))
 (vector (listen 127.0.0.1:0))
 (fronts (queue-target 30ms) (memcached 2) (vector 1))
 (fleet (shards 12) (cells 6) (width 3) (zones a b c) (leaves 6) (brokers 2))
@@ -64,6 +67,11 @@
     for name in ("sale-record", "price-search"):
         assert served(alone, name) > 0.95
         assert served(crowded, name) > 0.9, (name, crowded.outcomes)
-    open_door = SearchingDay(loads(heavy.replace("(fronts (queue-target 30ms) (memcached 2) (vector 1))", "")), 5,
-                             searches=80.0, batches=0.0, **quiet).run()
+    open_door = SearchingDay(
+        loads(heavy.replace("(fronts (queue-target 30ms) (memcached 2) (vector 1))", "")),
+        5,
+        searches=80.0,
+        batches=0.0,
+        **quiet,
+    ).run()
     assert served(open_door, "sale-record") < served(crowded, "sale-record") - 0.2
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -23,6 +23,7 @@
         assert price["coverage"]["parts"] == [6, 8] and price["whole"] and values["price:tea"][0] == 0
         report = json.loads(values["report:anna,bo:2026-11-28"][1])
         assert report["coverage"]["items"] == [5, 5] and len(report["items"]) == 15
+
     world.run(main())
     finals = world.seen("final")
     assert len(finals) == 4 and len(world.seen("take")) == 4
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,5 +1,6 @@
-"""Budgets among brokers: division, the lease's arithmetic, books, holders, and days of random faults judged from
-outside."""
+"""Budgets among brokers: division, the lease's arithmetic, books, holders, and days of random faults judged
+from outside.
+"""
 
 from dataclasses import replace
 
@@ -7,7 +8,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heathwell.budgets import COUNT, RATE, Ask, Budget, Claim, Giver, Grant, Holder, Lease, Voter, Wish, divide
+from heathwell.budgets import (
+    COUNT,
+    RATE,
+    Ask,
+    Budget,
+    Claim,
+    Giver,
+    Grant,
+    Holder,
+    Lease,
+    Voter,
+    Wish,
+    divide,
+)
 from heathwell.budgets.keeper import Keeper
 from heathwell.budgets.shares import Shares
 from heathwell.lab.budgetday import BUDGETS, BudgetDay, random_faults
@@ -20,8 +34,16 @@
 
 # Division.
 
-@given(st.integers(0, 1000), st.dictionaries(st.text("abcdef", min_size=1, max_size=2), st.builds(
-    Wish, st.integers(0, 400), st.integers(1, 4)), max_size=8), st.integers(0, 20))
+
+@given(
+    st.integers(0, 1000),
+    st.dictionaries(
+        st.text("abcdef", min_size=1, max_size=2),
+        st.builds(Wish, st.integers(0, 400), st.integers(1, 4)),
+        max_size=8,
+    ),
+    st.integers(0, 20),
+)
 def test_shares_never_sum_to_more_and_use_all_that_is_wanted(amount, wishes, floor):
     shares = divide(amount, wishes, floor)
     assert set(shares) == set(wishes) and all(share >= 0 for share in shares.values())
@@ -43,6 +65,7 @@
 
 # The lease.
 
+
 @given(st.integers(1, 10**9), st.floats(0, 0.05), st.floats(-1, 1), st.floats(-1, 1), st.integers(0, 10**6))
 def test_a_lease_ends_at_its_holder_first_whatever_the_clocks_do(length, drift, fast, slow, way):
     lease = Lease(length, drift)
@@ -54,6 +77,7 @@
 
 # Books.
 
+
 def far(now):
     return now + 100 * S
 
@@ -73,7 +97,9 @@
 
 
 def test_of_a_budget_that_all_may_ask_for_in_a_moment_the_first_to_ask_gets_no_more_than_its_part():
-    """Else it holds all until it has asked twice more (a host that starts: 89 brokers, 2 s without first work)."""
+    """Else it holds all until it has asked twice more (a host that starts: 89 brokers, 2 s without first
+    work).
+    """
     giver = Giver(POOL, 0, "k0.1", LEASE)
     giver.among = 10
     assert give(giver, "a", 1).amount == 3 and give(giver, "b", 1).amount == 3
@@ -130,13 +156,16 @@
     assert voter.asked(S, Claim(1, "k1.1", 0)).owner == ""
     later = LEASE.given_until(0)
     assert voter.asked(later, Claim(1, "k1.1", 0)).owner == "k1.1"
-    assert voter.asked(later + S, Claim(1, "k1.2", 0)).owner == "k1.1"  # a new run of the same keeper is a stranger
+    assert (
+        voter.asked(later + S, Claim(1, "k1.2", 0)).owner == "k1.1"
+    )  # a new run of the same keeper is a stranger
     assert voter.asked(later + S, Claim(0, "k1.2", 0)).owner == "k1.2"
     assert voter.asked(later + 3 * LEASE.given_until(0), Claim(1, "k1.2", 0)).owner == "k1.2"
 
 
 # Holders.
 
+
 def grant(number, amount, *, asked=0, length=3 * S, owner="k0.1", fraction=0, name="pool"):
     return Grant(name, fraction, owner, number, amount, asked, length)
 
@@ -178,19 +207,29 @@
     assert holder.share(0) == 1_000
     holder.granted(0, Grant("further", 0, "k0.1", 1, 9_000, 0, 3 * S))
     assert sum(holder.take(S) for _ in range(20)) == 10
-    assert sum(holder.take(10 * S) for _ in range(20)) == 1  # the lease ran out: its own minimum, a window of it
-
-
-@pytest.mark.parametrize("wrong", [
-    {"whole": 5, "aside": 6}, {"most": 0}, {"fractions": 0}, {"kind": RATE, "aside": 10, "whole": 20, "most": 10},
-])
+    assert (
+        sum(holder.take(10 * S) for _ in range(20)) == 1
+    )  # the lease ran out: its own minimum, a window of it
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"whole": 5, "aside": 6},
+        {"most": 0},
+        {"fractions": 0},
+        {"kind": RATE, "aside": 10, "whole": 20, "most": 10},
+    ],
+)
 def test_a_budget_that_can_not_be_is_refused(wrong):
     with pytest.raises(ValueError, match="pool"):
         Budget(**{"name": "pool", "kind": COUNT, "whole": 30, "aside": 0, "most": 10, **wrong})
 
 
 def test_who_leaves_holds_nothing_by_the_time_it_says_so_and_units_in_use_stay_charged():
-    """A broker that joined and left each 100 ms went by its grants for 50 ms after they were lent on (processes)."""
+    """A broker that joined and left each 100 ms went by its grants for 50 ms after they were lent on
+    (processes).
+    """
     budgets = (replace(POOL, name="idle"), replace(POOL, name="busy"))
     shares = Shares(Self("b0", 1, 0), budgets, ("k0",), 0)
     for name in ("idle", "busy"):
@@ -203,7 +242,10 @@
 
 # Days.
 
-@pytest.mark.parametrize("seed", [*range(3), *(pytest.param(seed, marks=pytest.mark.fleet) for seed in range(3, 203))])
+
+@pytest.mark.parametrize(
+    "seed", [*range(3), *(pytest.param(seed, marks=pytest.mark.fleet) for seed in range(3, 203))]
+)
 def test_no_more_than_the_whole_is_held_or_used_under_random_faults(seed):
     day = BudgetDay(seed)
     random_faults(day, 7_000_000, 18_000_000)
@@ -251,8 +293,10 @@
     assert not day.breaches
 
 
-@pytest.mark.parametrize("fault", [
-    "kill", pytest.param("stop", marks=pytest.mark.fleet), pytest.param("cut", marks=pytest.mark.fleet)])
+@pytest.mark.parametrize(
+    "fault",
+    ["kill", pytest.param("stop", marks=pytest.mark.fleet), pytest.param("cut", marks=pytest.mark.fleet)],
+)
 def test_a_keeper_lost_costs_a_third_for_a_promise_at_most(fault):
     """Its grants run out, its promise does, and another lends its fraction."""
     day = BudgetDay(5, brokers=24)
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -23,30 +23,62 @@
 SETUP = {
     "ceilings": {"max-attempts": 3, "cancelling": True},
     "classes": [{"objective-us": 1000000, "hard-limit-us": 2000000, "idempotency": "read_like"}],
-    "invariants": {"drain-grace-us": 1000000}, "never-heard-of": 1,
+    "invariants": {"drain-grace-us": 1000000},
+    "never-heard-of": 1,
     "specifics": {"shards": 2, "places": 2, "width": 2, "class-need": [1.0], "class-fetch": [0]},
 }
-MEMBERS = [{"flavor": 0, "node": f"n:{i}", "place": i, "availability": "live", "since-us": None,
-            "rating": 1, "site": 0} for i in range(2)]
+MEMBERS = [
+    {
+        "flavor": 0,
+        "node": f"n:{i}",
+        "place": i,
+        "availability": "live",
+        "since-us": None,
+        "rating": 1,
+        "site": 0,
+    }
+    for i in range(2)
+]
 
 
 def start(who: int, seed: int) -> list[dict]:
-    return [{"event_type": "new-instance", "who": who, "nonce64": seed, "setup": SETUP},
-            {"event_type": "list", "table": 0, "members-list": MEMBERS},
-            {"event_type": "fleet", "who": who, "form": "restored", "index": 1, "table": 0}]
+    return [
+        {"event_type": "new-instance", "who": who, "nonce64": seed, "setup": SETUP},
+        {"event_type": "list", "table": 0, "members-list": MEMBERS},
+        {"event_type": "fleet", "who": who, "form": "restored", "index": 1, "table": 0},
+    ]
 
 
 def query(who: int, job: int) -> list[dict]:
-    base = {"event_type": "query", "who": who, "band": 0, "deadline-us": 3_000_000, "job-no": job,
-            "size-hint-us": None, "key": None, "retry": False, "write": False, "customer": 0}
-    return [{**base, "xid": f"q{who}.{job}", "amount": 2, "range-no": -1},
-            {**base, "xid": f"q{who}.{job}a", "amount": 0.5, "range-no": 0},
-            {**base, "xid": f"q{who}.{job}b", "amount": 0.5, "range-no": 1}]
+    base = {
+        "event_type": "query",
+        "who": who,
+        "band": 0,
+        "deadline-us": 3_000_000,
+        "job-no": job,
+        "size-hint-us": None,
+        "key": None,
+        "retry": False,
+        "write": False,
+        "customer": 0,
+    }
+    return [
+        {**base, "xid": f"q{who}.{job}", "amount": 2, "range-no": -1},
+        {**base, "xid": f"q{who}.{job}a", "amount": 0.5, "range-no": 0},
+        {**base, "xid": f"q{who}.{job}b", "amount": 0.5, "range-no": 1},
+    ]
 
 
 def pipe(lines: list[str], **env: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "heathwell.benchlink"], input="\n".join(lines) + "\n",
-                          capture_output=True, text=True, cwd=ROOT, env={**os.environ, **env}, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "heathwell.benchlink"],
+        input="\n".join(lines) + "\n",
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={**os.environ, **env},
+        check=False,
+    )
 
 
 def batches(whos: list[int]) -> list[str]:
@@ -67,6 +99,7 @@
 def test_instances_interleaved_act_as_alone_under_any_hash_seed():
     def by(who: int, text: str) -> list[list[dict]]:
         return [[c for c in json.loads(line)["cmds"] if c["who"] == who] for line in text.splitlines()]
+
     both = pipe(batches([1, 2]), PYTHONHASHSEED="1").stdout
     for who in (1, 2):
         alone = pipe(batches([who]), PYTHONHASHSEED="77").stdout
@@ -74,40 +107,65 @@
         assert any(by(who, alone)[1])
 
 
-@pytest.mark.parametrize(("line", "word"), [
-    ("{nope", "JSON"),
-    ('{"time-us":1}', "inbox"),
-    ('{"inbox":[]}', "time-us"),
-    ('{"time-us":1,"inbox":[{"who":1}]}', "event_type"),
-    ('{"time-us":1,"inbox":[{"event_type":"mystery","who":1}]}', "mystery"),
-    ('{"time-us":1,"inbox":[{"event_type":"expired","who":1}]}', "xid"),
-    ('{"time-us":1,"inbox":[{"event_type":"fleet","who":1,"form":"replace","index":1,"table":7}]}', "table"),
-    ('{"time-us":1,"inbox":[{"event_type":"new-instance","who":1,"nonce64":1,"setup":{}}]}', "specifics"),
-    ('{"time-us":1,"inbox":[7]}', "object"),
-    ('{"time-us":1,"inbox":[{"event_type":"new-instance","who":1,"nonce64":1,"setup":'
-     '{"specifics":3,"ceilings":{},"invariants":{}}}]}', "specifics"),
-    ('{"time-us":1,"inbox":[{"event_type":"new-instance","who":1,"nonce64":1,"setup":'
-     '{"specifics":{},"ceilings":{},"invariants":{},"clients":3}}]}', "clients"),
-])
+@pytest.mark.parametrize(
+    ("line", "word"),
+    [
+        ("{nope", "JSON"),
+        ('{"time-us":1}', "inbox"),
+        ('{"inbox":[]}', "time-us"),
+        ('{"time-us":1,"inbox":[{"who":1}]}', "event_type"),
+        ('{"time-us":1,"inbox":[{"event_type":"mystery","who":1}]}', "mystery"),
+        ('{"time-us":1,"inbox":[{"event_type":"expired","who":1}]}', "xid"),
+        (
+            '{"time-us":1,"inbox":[{"event_type":"fleet","who":1,"form":"replace","index":1,"table":7}]}',
+            "table",
+        ),
+        ('{"time-us":1,"inbox":[{"event_type":"new-instance","who":1,"nonce64":1,"setup":{}}]}', "specifics"),
+        ('{"time-us":1,"inbox":[7]}', "object"),
+        (
+            '{"time-us":1,"inbox":[{"event_type":"new-instance","who":1,"nonce64":1,"setup":'
+            '{"specifics":3,"ceilings":{},"invariants":{}}}]}',
+            "specifics",
+        ),
+        (
+            '{"time-us":1,"inbox":[{"event_type":"new-instance","who":1,"nonce64":1,"setup":'
+            '{"specifics":{},"ceilings":{},"invariants":{},"clients":3}}]}',
+            "clients",
+        ),
+    ],
+)
 def test_bad_input_is_a_plain_message_that_names_the_field(line, word):
     done = pipe([line])
     assert done.returncode != 0 and done.stdout == ""
     assert word in done.stderr and "Traceback" not in done.stderr
 
 
-@pytest.mark.parametrize(("change", "word"), [
-    ({"classes": ()}, "classes"), ({"shards": 0}, "shards"), ({"start_capacity": 1.5}, "start_capacity"),
-    ({"width": 9}, "width"), ({"max_attempts": 0}, "max_attempts"), ({"further_ratio": -1.0}, "budget"),
-])
+@pytest.mark.parametrize(
+    ("change", "word"),
+    [
+        ({"classes": ()}, "classes"),
+        ({"shards": 0}, "shards"),
+        ({"start_capacity": 1.5}, "start_capacity"),
+        ({"width": 9}, "width"),
+        ({"max_attempts": 0}, "max_attempts"),
+        ({"further_ratio": -1.0}, "budget"),
+    ],
+)
 def test_senseless_settings_are_refused(change, word):
     with pytest.raises(ValueError, match=word):
         make_settings(**change)
 
 
-@pytest.mark.parametrize(("change", "word"), [
-    ({"need": 1.2}, "need"), ({"min_share": 0.0}, "min_share"), ({"aim_us": 0}, "aim_us"),
-    ({"repeat": "perhaps"}, "repeat"), ({"fetch": -1}, "fetch"),
-])
+@pytest.mark.parametrize(
+    ("change", "word"),
+    [
+        ({"need": 1.2}, "need"),
+        ({"min_share": 0.0}, "min_share"),
+        ({"aim_us": 0}, "aim_us"),
+        ({"repeat": "perhaps"}, "repeat"),
+        ({"fetch": -1}, "fetch"),
+    ],
+)
 def test_senseless_classes_are_refused(change, word):
     with pytest.raises(ValueError, match=word):
         hw.ClassSpec(**{"name": "c", "aim_us": 10, "limit_us": 20, **change})
@@ -122,6 +180,7 @@
             for send in of(seen[-1], hw.Send)[:2]:
                 seen.append(d.end(send))
         return seen
+
     assert day(5) == day(5)
     assert day(5) != day(6)
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -11,8 +11,12 @@
     """Counts its lease from when the answer came."""
 
     def granted(self, now: int, grant: Grant) -> bool:
-        return super().granted(now, Grant(grant.budget, grant.fraction, grant.owner, grant.number, grant.amount, now,
-                                          grant.length_us))
+        return super().granted(
+            now,
+            Grant(
+                grant.budget, grant.fraction, grant.owner, grant.number, grant.amount, now, grant.length_us
+            ),
+        )
 
 
 class NoWait(Voter):
@@ -42,9 +46,18 @@
 TURNS = {"asks": False, "flying": 2, "restarts": 1, "owned": True, "promise_us": 3}
 
 
-@pytest.mark.parametrize(("world", "depth"), [
-    (LENDS, 6), (RESTARTS, 5), (TURNS, 6),
-    *(pytest.param(world, depth, marks=pytest.mark.fleet) for world, depth in ((LENDS, 9), (RESTARTS, 8), (TURNS, 9)))])
+@pytest.mark.parametrize(
+    ("world", "depth"),
+    [
+        (LENDS, 6),
+        (RESTARTS, 5),
+        (TURNS, 6),
+        *(
+            pytest.param(world, depth, marks=pytest.mark.fleet)
+            for world, depth in ((LENDS, 9), (RESTARTS, 8), (TURNS, 9))
+        ),
+    ],
+)
 def test_all_interleavings_keep_to_the_one_unit(world, depth):
     found = explore(LeaseWorld(**world), depth, 60)
     assert found.whole and not found.breach, str(found)
@@ -52,11 +65,14 @@
 
 
 @pytest.mark.fleet
-@pytest.mark.parametrize(("bug", "world", "depth", "word"), [
-    ({"holder": FromTheAnswer}, LENDS, 9, "may be held"),
-    ({"voter": NoWait}, RESTARTS, 9, "may be held"),
-    ({"giver": TwiceBack}, {**LENDS, "flying": 1}, 12, "may be held"),
-])
+@pytest.mark.parametrize(
+    ("bug", "world", "depth", "word"),
+    [
+        ({"holder": FromTheAnswer}, LENDS, 9, "may be held"),
+        ({"voter": NoWait}, RESTARTS, 9, "may be held"),
+        ({"giver": TwiceBack}, {**LENDS, "flying": 1}, 12, "may be held"),
+    ],
+)
 def test_a_planted_bug_is_found_with_its_story(bug, world, depth, word):
     found = explore(LeaseWorld(**{**world, **bug}), depth, 60)
     assert word in found.breach and len(found.story) >= 5, str(found)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,4 +1,6 @@
-"""Real client libraries against a fleet on real sockets: a miss, a refusal, a partial and a whole answer differ."""
+"""Real client libraries against a fleet on real sockets: a miss, a refusal, a partial and a whole answer
+differ.
+"""
 
 from __future__ import annotations
 
@@ -21,8 +23,9 @@
 
 from .fleet import MARKET
 
-TEXT = MARKET.replace("(need 75%)", "(need 75%) (floor 50%) (partial-worth 80%)").replace("(notice 300ms)",
-                                                                                          "(notice 1ms)")
+TEXT = MARKET.replace("(need 75%)", "(need 75%) (floor 50%) (partial-worth 80%)").replace(
+    "(notice 300ms)", "(notice 1ms)"
+)
 
 
 @pytest.fixture(scope="module")
@@ -112,6 +115,7 @@
         def deserialize(self, key, value, flags):
             seen[key] = (flags, json.loads(value))
             return value
+
     client = pymemcache.Client(address(fleet), timeout=10, serde=Flags())
     outcomes(client.get, "abcdefghijkl")
     assert {flags for flags, body in seen.values() if not body["whole"] and "rows" in body} == {PARTIAL}
@@ -122,7 +126,9 @@
 
 def test_pylibmc_tells_the_same_apart(fleet):
     host, port = address(fleet)
-    client = pylibmc.Client([f"{host}:{port}"], behaviors={"receive_timeout": 10_000_000, "tcp_nodelay": True})
+    client = pylibmc.Client(
+        [f"{host}:{port}"], behaviors={"receive_timeout": 10_000_000, "tcp_nodelay": True}
+    )
     many = had(client.get_multi, ["sale:anna:17", "sale:anna:99999", "report:bo:2026-11-28"])
     assert many["sale:anna:17"]["whole"] is True and client.get("sale:anna:99999") is None
     assert set(many) == {"sale:anna:17", "report:bo:2026-11-28"}
@@ -176,12 +182,18 @@
     def page(path):
         with urllib.request.urlopen(base + path, timeout=10) as response:
             return response.read().decode()
+
     assert page("/healthz") == "ok\n"
     state = json.loads(page("/state"))
     assert len(state["hosts"]) == 6 and state["name"] == "b0r0"
     metrics = page("/metrics")
-    for name in ("heathwell_queries_total", "heathwell_attempts_total", "heathwell_query_seconds_bucket",
-                 "heathwell_answer_weight_bucket", "heathwell_held"):
+    for name in (
+        "heathwell_queries_total",
+        "heathwell_attempts_total",
+        "heathwell_query_seconds_bucket",
+        "heathwell_answer_weight_bucket",
+        "heathwell_held",
+    ):
         assert name in metrics
     with pytest.raises(urllib.error.HTTPError, match="404"):
         page("/nowhere")
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -16,7 +16,8 @@
 STREAM = (
     b"get a b\r\nset k 0 0 5\r\nget x\r\nset k 0 0 3 noreply\r\nabc\r\ngets c\r\nmg k v k Oq1 q\r\nmn\r\n"
     b"cas k 0 0 2 7\r\nhi\r\ndelete k\r\ntouch k 5 noreply\r\nms k 2 q\r\nhi\r\ngat 10 a\r\n"
-    b"verbosity 1\r\nstats\r\nnope\r\nget " + b"x" * 300
+    b"verbosity 1\r\nstats\r\nnope\r\nget "
+    + b"x" * 300
     + b"\r\nget a\x01b\r\nmg \r\nset k 0 0 2\r\nlong\r\nversion\r\n"
 )
 
@@ -31,8 +32,27 @@
 
 def test_commands_of_every_kind_in_order():
     kinds = [type(c).__name__ for c in WHOLE]
-    assert kinds == ["Get", "Refuse", "Refuse", "Get", "MetaGet", "Noop", "Refuse", "Refuse", "Refuse", "Refuse",
-                     "Get", "Simple", "Simple", "Bad", "Bad", "Bad", "Bad", "Bad", "Simple"]
+    assert kinds == [
+        "Get",
+        "Refuse",
+        "Refuse",
+        "Get",
+        "MetaGet",
+        "Noop",
+        "Refuse",
+        "Refuse",
+        "Refuse",
+        "Refuse",
+        "Get",
+        "Simple",
+        "Simple",
+        "Bad",
+        "Bad",
+        "Bad",
+        "Bad",
+        "Bad",
+        "Simple",
+    ]
     assert [c.quiet for c in WHOLE if isinstance(c, mc.Refuse)] == [False, True, False, False, True, True]
     assert WHOLE[4].quiet and WHOLE[4].key == b"k"
     assert WHOLE[-2].line == b"CLIENT_ERROR bad data chunk\r\n" and WHOLE[13].line == b"ERROR\r\n"
@@ -69,11 +89,19 @@
     assert [type(c) for c in out] == [mc.Bad, mc.Get] and b"too long" in out[0].line
 
 
-@pytest.mark.parametrize(("line", "word"), [
-    (b"mg a N30", b"store"), (b"mg a x", b"flag"), (b"mg a v v", b"duplicate"), (b"mg !!! b", b"decoding"),
-    (b"get " + b" ".join([b"k"] * 201), b"200"), (b"set k 0 0 -3", b"bad data"), (b"gat x k", b"exptime"),
-    (b"mg a O" + b"1" * 40, b"opaque"),
-])
+@pytest.mark.parametrize(
+    ("line", "word"),
+    [
+        (b"mg a N30", b"store"),
+        (b"mg a x", b"flag"),
+        (b"mg a v v", b"duplicate"),
+        (b"mg !!! b", b"decoding"),
+        (b"get " + b" ".join([b"k"] * 201), b"200"),
+        (b"set k 0 0 -3", b"bad data"),
+        (b"gat x k", b"exptime"),
+        (b"mg a O" + b"1" * 40, b"opaque"),
+    ],
+)
 def test_what_is_wrong_is_a_client_error_that_says_why(line, word):
     bad, after = list(mc.Requests().feed(line + b"\r\nmn\r\n"))
     assert isinstance(bad, mc.Bad) and bad.line.startswith(b"CLIENT_ERROR") and word in bad.line
@@ -89,9 +117,15 @@
 
 
 def test_frames_survive_any_cut_and_skip_unknown_fields():
-    wire = b"".join(frames.encode(m) for m in (
-        frames.Hello(1, "b", "broker"), frames.Call([frames.Ask("q/0", 0, "c", "record", "k", 3, 99)]),
-        frames.Result("q/0", 0, "ok", b"x" * 1000, 4), frames.Pong(3)))
+    wire = b"".join(
+        frames.encode(m)
+        for m in (
+            frames.Hello(1, "b", "broker"),
+            frames.Call([frames.Ask("q/0", 0, "c", "record", "k", 3, 99)]),
+            frames.Result("q/0", 0, "ok", b"x" * 1000, 4),
+            frames.Pong(3),
+        )
+    )
     whole = list(frames.Frames().feed(wire))
     parser = frames.Frames()
     assert [m for byte in wire for m in parser.feed(bytes([byte]))] == whole and len(whole) == 4
@@ -99,10 +133,14 @@
     assert list(frames.Frames().feed(len(newer).to_bytes(4, "big") + newer)) == [frames.Pong(1)]
 
 
-@pytest.mark.parametrize(("data", "word"), [
-    (b"\xff\xff\xff\xff", "over the limit"), (b"\0\0\0\x01\x01", "not a message"),
-    (b"\0\0\0\x02\x81\xa4", "not a message"),
-])
+@pytest.mark.parametrize(
+    ("data", "word"),
+    [
+        (b"\xff\xff\xff\xff", "over the limit"),
+        (b"\0\0\0\x01\x01", "not a message"),
+        (b"\0\0\0\x02\x81\xa4", "not a message"),
+    ],
+)
 def test_garbled_frames_are_told(data, word):
     with pytest.raises(frames.FrameError, match=word):
         list(frames.Frames().feed(data))
@@ -132,11 +170,17 @@
 
 
 def test_a_message_of_a_newer_side_is_skipped_and_one_that_is_wrong_is_not():
-    """Old beside new: an unknown type and unknown fields cost nothing; a known type that is spoilt ends the wire."""
+    """Old beside new: an unknown type and unknown fields cost nothing; a known type that is spoilt ends the
+    wire.
+    """
     decoder = frames.Frames(greeted=False)
-    got = list(decoder.feed(frames.encode(frames.Hello(frames.VERSION, "b0", "broker"))
-                            + _framed({"type": "later", "what": [1, 2]})
-                            + _framed({"type": "ping", "n": 3, "mood": "new"})))
+    got = list(
+        decoder.feed(
+            frames.encode(frames.Hello(frames.VERSION, "b0", "broker"))
+            + _framed({"type": "later", "what": [1, 2]})
+            + _framed({"type": "ping", "n": 3, "mood": "new"})
+        )
+    )
     assert got[1:] == [frames.Ping(3)] and decoder.skipped == 1
     with pytest.raises(frames.FrameError, match="not a message"):
         list(decoder.feed(_framed({"type": "ping", "n": "three"})))
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -31,8 +31,7 @@
 def fleet(kind: type[Aggregator], seed: int, call: int = 1, servers: int = 24) -> Aggregator:
     """An aggregator whose servers differ in latency and load."""
     spec = hw.ClassSpec("s", AIM, 2 * AIM, need=0.75, min_share=0.75)
-    agg = kind(Settings(classes=(spec,), shards=servers, cells=servers, width=3,
-                         parts_a_call=call), seed)
+    agg = kind(Settings(classes=(spec,), shards=servers, cells=servers, width=3, parts_a_call=call), seed)
     agg.handle(1000, [hw.FleetNews(hw.FULL, servers_listed(servers), False)])
     draws = random.Random(seed)
     for server in agg.servers.values():
@@ -62,8 +61,15 @@
 def test_parts_that_tie_are_drawn_alike():
     first: dict[str, int] = {}
     for seed in range(600):
-        agg = Aggregator(Settings(classes=(hw.ClassSpec("s", AIM, 2 * AIM, need=0.2, min_share=0.2),),
-                                  shards=6, cells=6, width=2), seed)
+        agg = Aggregator(
+            Settings(
+                classes=(hw.ClassSpec("s", AIM, 2 * AIM, need=0.2, min_share=0.2),),
+                shards=6,
+                cells=6,
+                width=2,
+            ),
+            seed,
+        )
         agg.handle(1000, [hw.FleetNews(hw.FULL, tuple(hw.ServerEntry(f"s{i}", i) for i in range(6)), False)])
         part, _ = sends(agg, 2000, 5, 6)[0]
         first[part] = first.get(part, 0) + 1
@@ -89,8 +95,16 @@
     agg, now = fleet(Aggregator, 5, servers=3), 10_000
     for job in range(3000):
         now += 10_000
-        sent = of(agg.handle(now, [hw.QueryArrived(f"q{job}", job, 0, now + 2 * AIM, 1),
-                                   hw.PartArrived(f"q{job}/0", job, job % 3, 1.0)]), hw.Send)
+        sent = of(
+            agg.handle(
+                now,
+                [
+                    hw.QueryArrived(f"q{job}", job, 0, now + 2 * AIM, 1),
+                    hw.PartArrived(f"q{job}/0", job, job % 3, 1.0),
+                ],
+            ),
+            hw.Send,
+        )
         for send in sent:
             agg.handle(now + 1000, [hw.AttemptEnded(send.id, 0, send.node, hw.OK, 1000)])
     assert len(agg.recent) < 300
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,4 +1,6 @@
-"""What comes between two lines: parts that wait, clients that leave, idle ends, lists and signals; order is forced."""
+"""What comes between two lines: parts that wait, clients that leave, idle ends, lists and signals; order is
+forced.
+"""
 
 from __future__ import annotations
 
@@ -22,13 +24,17 @@
 
 @pytest.fixture
 def trusting(monkeypatch):
-    """However slow the machine: a connection that says nothing is not given up for another while a test is on."""
+    """However slow the machine: a connection that says nothing is not given up for another while a test is
+    on.
+    """
     for least_or_most in ("SUSPECT_LEAST_US", "SUSPECT_MOST_US"):
         monkeypatch.setattr(nodes, least_or_most, 1 << 50)
 
 
 class Deaf:
-    """A node's listener that reads nothing until it is told to; then the ids of the parts that come, in order."""
+    """A node's listener that reads nothing until it is told to; then the ids of the parts that come, in
+    order.
+    """
 
     def __init__(self, world, number):
         self.loop, self.hears, self.ids, self.ends = world.loop, Event(), [], []
@@ -50,17 +56,20 @@
         finally:
             while len(data) >= 5 and len(data) >= 4 + (size := int.from_bytes(data[:4], "big")):
                 if data[4:5] == nf.CALL:
-                    self.ids += [part.id for part in read_call(data[5:4 + size])]
-                data = data[4 + size:]
+                    self.ids += [part.id for part in read_call(data[5 : 4 + size])]
+                data = data[4 + size :]
 
 
 # Parts that wait.
 
+
 @pytest.mark.parametrize("name", CUSTOMERS)
 @pytest.mark.parametrize("how", ["draining", "gone", "moved"])
 @pytest.mark.parametrize("wait", ["connect", "second connect", "full socket"])
 def test_a_node_that_is_told_of_while_a_part_waits_for_it_never_sees_it(name, how, wait, trusting):
-    """The grace runs to the first byte: a part that waits for a connect (up to twice its time) left after it."""
+    """The grace runs to the first byte: a part that waits for a connect (up to twice its time) left
+    after it.
+    """
     world = World(name)
     node = world.nodes[SHARD]
 
@@ -71,8 +80,10 @@
             yield from world.until(world.knows(node, deaf.address))
             link = world.broker._link(node.uid)
             link.send([node_ask("full.0", 0, 0, b"x" * 4_000_000)])  # nobody's: it fills
-            yield from world.until(lambda: link.connections and link.connections[0].stream
-                                   and link.connections[0].stream.unsent, "a full socket")
+            yield from world.until(
+                lambda: link.connections and link.connections[0].stream and link.connections[0].stream.unsent,
+                "a full socket",
+            )
         else:
             world.gate.hold(node.address)
             if wait == "second connect":
@@ -91,23 +102,28 @@
         else:
             world.gate.open(node.address)
         response = yield from asked.join()
-        for connection in list(world.broker.links[node.uid].connections) if node.uid in world.broker.links else []:
+        for connection in (
+            list(world.broker.links[node.uid].connections) if node.uid in world.broker.links else []
+        ):
             connection.close()
         if deaf is not None:
             yield from world.until(lambda: deaf.ends)
         return response.status, other, deaf
+
     status, other, deaf = world.run(main())
     seen = deaf.ids if deaf is not None else [part.id for part in node.parts]
     assert not [part for part in seen if part.startswith("q1")]
-    # Where it moved it is asked at the new address; else nobody holds the shard, and the client hears that at once or
-    # at its time, as the class allows: nothing has run, so a repeat is harmless.
+    # Where it moved it is asked at the new address; else nobody holds the shard, and the client hears that at
+    # once or at its time, as the class allows: nothing has run, so a repeat is harmless.
     assert (status, [part.id for part in other.parts]) == ((200, ["q1.3"]) if how == "moved" else (503, []))
 
 
 @pytest.mark.parametrize("name", CUSTOMERS)
 @pytest.mark.parametrize("word", ["draining", "restarted"])
 def test_what_is_taken_back_is_placed_at_a_holder_that_stays_also_where_a_repeat_is_forbidden(name, word):
-    """Another process at a node's address is cold: what waited for the old one is not what it was chosen for."""
+    """Another process at a node's address is cold: what waited for the old one is not what it was
+    chosen for.
+    """
     world = World(name, width=3)
 
     def main():
@@ -119,11 +135,14 @@
         chosen = next(node for node in world.nodes if node.uid == first)
         world.put(chosen, word)
         yield from world.until(world.knows(chosen, word))
-        yield from world.until(lambda: any(link.out for uid, link in world.broker.links.items() if uid != first))
+        yield from world.until(
+            lambda: any(link.out for uid, link in world.broker.links.items() if uid != first)
+        )
         for node in world.nodes:
             world.gate.open(node.address)
         response = yield from asked.join()
         return response.status, chosen
+
     status, chosen = world.run(main())
     assert status == 200 and not chosen.parts
     assert [part.id for node in world.nodes for part in node.parts] == ["q1.3"]  # once, by all nodes together
@@ -143,8 +162,10 @@
             yield from world.until(world.knows(node, deaf.address))
             link = world.broker._link(node.uid)
             link.send([node_ask("full.0", 0, 0, b"x" * 4_000_000)])
-            yield from world.until(lambda: link.connections and link.connections[0].stream
-                                   and link.connections[0].stream.unsent, "a full socket")
+            yield from world.until(
+                lambda: link.connections and link.connections[0].stream and link.connections[0].stream.unsent,
+                "a full socket",
+            )
         else:
             world.gate.hold(node.address)
             if wait == "second connect":
@@ -165,6 +186,7 @@
         response = yield from world.ask("q2", SHARD).join()  # over the connection that q1 waited for
         assert response.status == 200
         return [part.id for part in node.parts]
+
     seen = world.run(main())
     assert not [part for part in seen if part.startswith("q1")]
 
@@ -186,20 +208,22 @@
         yield from world.until(lambda: held)
         LEAVES[leaves](sock)
         yield from world.until(lambda: world.broker.counts["left", world.kinds[kind]])
-        (node, stream, part), = held
+        ((node, stream, part),) = held
         for each in world.nodes:
             each.behave = None
         if not stream.closed:
             stream.write(answer(part, 200 if between == "steps" else 500))
         return (yield from world.ask("q2", SHARD).join()).status
+
     assert world.run(main()) == 200
     assert [part.id for node in world.nodes for part in node.parts if part.id.startswith("q1")] == ["q1.3"]
 
 
 @pytest.mark.parametrize("leaves", ["close", "reset"])
 def test_a_client_that_left_is_noticed_behind_more_than_is_read_ahead(leaves):
-    """Bad clients send hundreds of requests at once and go: what they sent filled the bound of what is read ahead, the
-    end behind it was not seen, and one request after another was sent on for nobody."""
+    """Bad clients send hundreds of requests at once and go: what they sent filled the bound of what is read
+    ahead, the end behind it was not seen, and one request after another was sent on for nobody.
+    """
     world = World()
     node = world.nodes[SHARD]
     node.silent = True
@@ -217,6 +241,7 @@
         node.silent = False
         response = yield from world.ask("after", SHARD).join()
         return response.status
+
     assert world.run(main()) == 200
     assert [part.id for part in node.parts] == ["q0.3", "after.3"]
 
@@ -231,6 +256,7 @@
         sock.close()  # both are at hand before the broker's next turn
         yield from world.until(lambda: not world.front.clients)
         return (yield from world.ask("q2", SHARD).join()).status
+
     assert world.run(main()) == 200
     assert [part.id for part in world.nodes[SHARD].parts] == ["q2.3"]
 
@@ -238,7 +264,9 @@
 @pytest.mark.parametrize("name", CUSTOMERS)
 def test_a_further_attempt_that_waits_is_not_sent_once_the_first_is_answered(name):
     world = World(name, width=3)
-    kind = next(n for n, entry in enumerate(world.setup["classes"]) if entry["idempotency"] != "non_idempotent")
+    kind = next(
+        n for n, entry in enumerate(world.setup["classes"]) if entry["idempotency"] != "non_idempotent"
+    )
 
     def main():
         held = []
@@ -246,7 +274,9 @@
             node.behave = lambda node, stream, part: held.append((stream, node, part))
         entry = world.setup["classes"][kind]
         key = "k1" if entry["idempotency"] == "idempotency_key" else ""
-        asked = world.loop.spawn(world.client().ask("q1", entry["name"], [SHARD, 0], wait_ms=60_000, key=key), "q1")
+        asked = world.loop.spawn(
+            world.client().ask("q1", entry["name"], [SHARD, 0], wait_ms=60_000, key=key), "q1"
+        )
         yield from world.until(lambda: len(held) == 2)
         held.sort(key=lambda one: one[2].shard != SHARD)
         first = held[0][1].uid
@@ -271,14 +301,21 @@
         yield from sleep(world.loop, 0)
         for address in list(world.gate.shut):
             world.gate.open(address)
-        links = [link for link in world.broker.links.values() if link.node in ("s3", "s4", "s5") and link.node != first]
+        links = [
+            link
+            for link in world.broker.links.values()
+            if link.node in ("s3", "s4", "s5") and link.node != first
+        ]
         yield from world.until(lambda: all(c.stream for link in links for c in link.connections))
         for link in links:  # behind it on the connection that it waited for
             link.send([node_ask("after.3", 0, 3, b"x")])
-        yield from world.until(lambda: any(part.id == "after.3" for node in world.nodes for part in node.parts))
+        yield from world.until(
+            lambda: any(part.id == "after.3" for node in world.nodes for part in node.parts)
+        )
         stream, node, called = held[1]
         node._done(stream, called)
         return (yield from asked.join()).status
+
     assert world.run(main()) == 200
     assert [part.id for node in world.nodes for part in node.parts if part.id == "q1.3"] == ["q1.3"]
 
@@ -302,6 +339,7 @@
         yield from world.until(lambda: deaf.ends)
         yield from world.until(lambda: ended)
         return deaf
+
     deaf = world.run(main())
     assert deaf.ends == ["reset"] and "q2.3" not in deaf.ids
     assert ended == [("q2.3", hw.NEVER_SENT)]  # it was not written whole
@@ -309,6 +347,7 @@
 
 # Idle ends.
 
+
 def served(world, sock):
     """One request of a bare client, answered; the connection rests then."""
     sock.send(world.request("q1", SHARD))
@@ -318,8 +357,9 @@
 
 @pytest.mark.parametrize("by", ["the end", "its patience", "too many at rest", "room for another"])
 def test_a_request_at_hand_when_its_idle_connection_is_to_close_is_served(by):
-    """The kernel holds its bytes, the broker has not read them: closed then, the client would have to come again (and,
-    at the end, to somebody else)."""
+    """The kernel holds its bytes, the broker has not read them: closed then, the client would have to come
+    again (and, at the end, to somebody else).
+    """
     world = World()
 
     def main():
@@ -351,6 +391,7 @@
             except BlockingIOError:
                 yield from sleep(world.loop, 200)
         return data
+
     assert world.run(main()).startswith(b"HTTP/1.1 200")
 
 
@@ -374,13 +415,15 @@
             assert world.front._make_room()
         assert client.stream.closed
         yield from sleep(world.loop, 0)
+
     world.run(main())
 
 
 @pytest.mark.parametrize("first", ["write", "end"])
 def test_a_node_that_closes_in_the_instant_of_a_write_is_no_word_on_the_node(first):
-    """Bytes given to the kernel are not bytes unsent: they may have run. What the kernel refused provably never left;
-    but it was told as a node that can't be met, and the node was ejected and fed as cold."""
+    """Bytes given to the kernel are not bytes unsent: they may have run. What the kernel refused provably
+    never left; but it was told as a node that can't be met, and the node was ejected and fed as cold.
+    """
     world = World(width=1)
 
     def main():
@@ -392,6 +435,7 @@
         def ends():
             for stream in list(world.nodes[SHARD].streams):
                 stream.abort()
+
         if first == "end":
             ends()  # on its way; the broker has not heard of it
         link.send([node_ask("q2.3", 0, 3, b"x")])
@@ -399,14 +443,18 @@
             ends()
         yield from world.until(lambda: ended)
         return ended
+
     assert world.run(main()) == [hw.LOST if first == "write" else hw.NEVER_SENT]
 
 
 # Lists.
 
+
 @pytest.mark.parametrize("name", CUSTOMERS)
 def test_the_list_is_watched_from_the_start_and_again_after_a_loss_whether_asked_or_pushed(name):
-    """Where lists are pushed nothing ever asked for them, and the broker served from the list of its start for good."""
+    """Where lists are pushed nothing ever asked for them, and the broker served from the list of its start
+    for good.
+    """
     world = World(name)
 
     def main():
@@ -416,9 +464,12 @@
             stream.abort()
         world.put(world.nodes[1], "gone")
         yield from world.until(world.knows(world.nodes[1], "gone"))
+
     world.run(main())
     module = world.broker.module
-    told = world.setup["invariants"]["must-ask-in-us" if world.setup["registry-mode"] == "ask" else "drain-grace-us"]
+    told = world.setup["invariants"][
+        "must-ask-in-us" if world.setup["registry-mode"] == "ask" else "drain-grace-us"
+    ]
     assert module.ask_first == told // 10 and module.ask_most <= told // 2
 
 
@@ -431,8 +482,10 @@
 
 @pytest.mark.parametrize("grace_us", [0, 250_000, 400_000, 999_999, 1_000_000, 3_000_000])
 def test_a_watch_waits_no_longer_than_a_silence_can_be_made_good(grace_us):
-    """The page's times added up: silence as the call begins, noticed a second after its wait, half a second to connect,
-    one and a half for the answer; told after six seconds or two past the wait, binding a grace later."""
+    """The page's times added up: silence as the call begins, noticed a second after its wait, half a second
+    to connect, one and a half for the answer; told after six seconds or two past the wait, binding a grace
+    later.
+    """
     for wait in (longest_wait(grace_us), longest_wait(grace_us) // 2):
         assert wait + 1_000_000 + 500_000 + 1_500_000 <= max(6_000_000, wait + 2_000_000) + grace_us
     assert longest_wait(grace_us) >= 3_000_000
@@ -440,7 +493,9 @@
 
 @pytest.mark.parametrize("name", CUSTOMERS)
 def test_a_silence_from_the_first_byte_is_made_good_before_it_binds_with_a_slow_discovery(name):
-    """On virtual time, as it takes seconds: discovery answers the watch that is opened anew in 1.4 of its 1.5 s."""
+    """On virtual time, as it takes seconds: discovery answers the watch that is opened anew in 1.4 of its 1.5
+    s.
+    """
     setup = customer(name)
     world = Platform(setup=setup)
     registry = world.registry
@@ -459,8 +514,9 @@
 @pytest.mark.parametrize("draw", [0.0, 0.5, 1.0])
 @pytest.mark.parametrize("failing", ["refused", "503"])
 def test_a_failure_of_the_watch_opened_anew_is_made_good_before_it_binds(failing, draw):
-    """Discovery is back a moment after the change counts as told. The module alone asks one to two seconds after a
-    failure, then two to four: after the grace, by its shorter and its middle draws."""
+    """Discovery is back a moment after the change counts as told. The module alone asks one to two seconds
+    after a failure, then two to four: after the grace, by its shorter and its middle draws.
+    """
     world = Platform()
     world.broker.module.random.uniform = lambda low, high: low + draw * (high - low)
     registry = world.registry
@@ -483,7 +539,9 @@
 
 
 def test_discovery_that_moved_is_asked_again_soon_however_long_the_old_one_failed():
-    """The module's waits had grown to 4.5 s while the old address failed; what the new one has counts after 4 s."""
+    """The module's waits had grown to 4.5 s while the old address failed; what the new one has counts after 4
+    s.
+    """
     world = Platform()
     registry = world.registry
     registry.down = True
@@ -500,7 +558,9 @@
 
 @pytest.mark.parametrize("rev", [1, 2, 50])
 def test_a_discovery_that_comes_back_with_an_older_an_equal_or_a_newer_version_is_taken_as_it_is(rev):
-    """On virtual time: that a version went back shows only once the wait of the first call after it is over."""
+    """On virtual time: that a version went back shows only once the wait of the first call after it
+    is over.
+    """
     world = Platform(known=False)
     registry = world.registry
     world.wait(0.1)
@@ -522,16 +582,20 @@
 
 def test_lists_may_come_indented():
     world = World(registry=False)
-    body = json.dumps({"rev": 2, "all": False, "targets": [{**world.nodes[2].entry, "state": "draining"}]}, indent=4)
+    body = json.dumps(
+        {"rev": 2, "all": False, "targets": [{**world.nodes[2].entry, "state": "draining"}]}, indent=4
+    )
 
     def main():
         def serve(stream):
             yield from stream.read()
             stream.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body.encode())
             yield from stream.read()
+
         listener = world.net.listen("127.0.0.1:0", serve, "indented")
         world.broker.watch.move(listener.address)
         yield from world.until(world.knows(world.nodes[2], "draining"))
+
     world.run(main())
 
 
@@ -544,14 +608,17 @@
         def serve(stream):
             asked.append((yield from stream.read()))
             if point == "half an answer":
-                stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n{\"rev\": 9, ")
+                stream.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n{"rev": 9, ')
                 other.append(stream)
             yield from stream.read()
+
         listener = world.net.listen("127.0.0.1:0", serve, "old")
         if point == "connecting":
             world.gate.hold(listener.address)
         world.broker.watch.move(listener.address)
-        yield from world.until(lambda: listener.address in world.gate.asked if point == "connecting" else asked)
+        yield from world.until(
+            lambda: listener.address in world.gate.asked if point == "connecting" else asked
+        )
         if point == "half an answer":
             yield from world.until(lambda: other)
         world.put(world.nodes[2], "draining")
@@ -562,12 +629,14 @@
             world.gate.open(listener.address)
         assert (yield from world.ask("q1", SHARD).join()).status == 200
         return len(asked)
+
     assert world.run(main()) == (0 if point == "connecting" else 1)
     assert world.broker.watch.rev == world.registry.rev
 
 
 # The end.
 
+
 @pytest.mark.parametrize("name", CUSTOMERS)
 def test_at_the_end_every_query_has_its_answer_before_a_sigkill_may_come(name):
     """On virtual time. A class's time may be longer than the 3 s that SIGKILL counts: it is cut then."""
@@ -595,6 +664,7 @@
         for task in tasks:
             yield from task.join()
         return until
+
     until = world.run(main())
     assert len(answered) == 2 * len(kinds) and max(at for at, _, _ in answered.values()) <= until + 1000
     unsafe = {kind for kind, entry in kinds.items() if entry["idempotency"] == "non_idempotent"}
@@ -604,6 +674,7 @@
 
 # Settings.
 
+
 def test_an_owner_is_known_by_the_settings_accounts():
     world = World("pushed, unsafe, no cancels, tenants")
     seen, handle = [], world.broker.module.handle
@@ -611,6 +682,7 @@
     def noted(now, events):
         seen.extend(event.tenant for event in events if isinstance(event, hw.QueryArrived))
         return handle(now, events)
+
     world.broker.module.handle = noted
 
     def main():
@@ -620,14 +692,22 @@
             headers += [("Req-Owner", owner)] if owner else []
             body = json.dumps({"parts": [{"id": SHARD, "w": 1.0}], "expr": "c41e77d0"}).encode()
             assert (yield from client.post("/visit-note", headers, body)).status == 200
+
     world.run(main())
     assert seen == [0, 1, 2, 2]  # two accounts: whoever is none of them is over nobody's share
 
 
-@pytest.mark.parametrize(("ceilings", "limits"), [
-    ({}, (1, 1 << 53, 500_000)),
-    ({"streams-per-conn": 0, "conn-idle-us": 0, "connect-timeout-us": 0}, (1, 1 << 53, 500_000)),
-    ({"streams-per-conn": 7, "conn-idle-us": 9_000_000, "connect-timeout-us": 90_000}, (7, 9_000_000, 90_000))])
+@pytest.mark.parametrize(
+    ("ceilings", "limits"),
+    [
+        ({}, (1, 1 << 53, 500_000)),
+        ({"streams-per-conn": 0, "conn-idle-us": 0, "connect-timeout-us": 0}, (1, 1 << 53, 500_000)),
+        (
+            {"streams-per-conn": 7, "conn-idle-us": 9_000_000, "connect-timeout-us": 90_000},
+            (7, 9_000_000, 90_000),
+        ),
+    ],
+)
 def test_figures_that_no_settings_state_are_no_other_customers(ceilings, limits):
     world = Platform(setup={"ceilings": {"max-attempts": 3, **ceilings}})
     figures = world.config.connections
--- a/tests/test_crossings_drawn.py
+++ b/tests/test_crossings_drawn.py
@@ -1,7 +1,7 @@
 """Drawn schedules of crossings on virtual time, under three customers' settings, judged by the auditor.
 
-Virtual time, as hours of seconds are played; the order of tasks within a turn is drawn as well. The longer run stands
-behind `make test-fleet`.
+Virtual time, as hours of seconds are played; the order of tasks within a turn is drawn as well. The longer
+run stands behind `make test-fleet`.
 """
 
 from __future__ import annotations
@@ -20,12 +20,26 @@
 SPAN_US = 6_000_000
 WAY_US = 2_000  # bytes take 100 us, a turn of the broker's nothing
 LEFT_US = 300_000  # the users' bar: nothing is sent on later for a client that has left
-KINDS = ("drain", "remove", "return", "reset", "mute", "slow connects", "watch silent", "watch reset", "discovery down",
-         "older list", "spoil", "end")
+KINDS = (
+    "drain",
+    "remove",
+    "return",
+    "reset",
+    "mute",
+    "slow connects",
+    "watch silent",
+    "watch reset",
+    "discovery down",
+    "older list",
+    "spoil",
+    "end",
+)
 
 
 class SlowConnects:
-    """The broker's net: connects to a node take so long more; bytes don't, so that arrivals are told from attempts."""
+    """The broker's net: connects to a node take so long more; bytes don't, so that arrivals are told from
+    attempts.
+    """
 
     def __init__(self, loop, net):
         self.loop, self.net, self.more = loop, net, {}
@@ -90,8 +104,12 @@
         elif what == "slow connects":
             net.more[node.address] = draw.choice([0, 60_000, 120_000, 240_000, 600_000])
             crosses("reset", node)  # so that there is something to connect for
-            world.loop.call_at(world.loop.now() + draw.choice([20_000, 100_000, 200_000]), crosses,
-                               draw.choice(["drain", "remove", "return", "return"]), node)
+            world.loop.call_at(
+                world.loop.now() + draw.choice([20_000, 100_000, 200_000]),
+                crosses,
+                draw.choice(["drain", "remove", "return", "return"]),
+                node,
+            )
         elif what == "watch silent":
             registry.fall_silent()
         elif what == "watch reset":
@@ -119,11 +137,17 @@
             yield from sleep(world.loop, draw.choice([1, 500, 20_000, 60_000]))
         for task in tasks:
             yield from task.join()
+
     world.run(main())
     verdict = world.verdict()
     assert verdict.kept, (name, seed, verdict)
-    late = [(event["p"], event["t"] - left[query]) for event in world.events if event["ev"] == "arrive"
-            and (query := event["p"].partition(".")[0]) in left and event["t"] > left[query] + LEFT_US]
+    late = [
+        (event["p"], event["t"] - left[query])
+        for event in world.events
+        if event["ev"] == "arrive"
+        and (query := event["p"].partition(".")[0]) in left
+        and event["t"] > left[query] + LEFT_US
+    ]
     assert not late, (name, seed, late)
     # What has not left when the broker learns of a leaving node never does: stricter than the grace.
     leaving: dict[str, int] = {}
