--- a/tests/test_crossings_processes.py
+++ b/tests/test_crossings_processes.py
@@ -43,6 +43,7 @@
         for node in worlds[-1].nodes:
             node.work_us = 1
         return worlds[-1]
+
     yield build
     for world in worlds:
         world.close()
@@ -61,9 +62,15 @@
     raise AssertionError(f"never reached: {world.lines.read_text()}")
 
 
-@pytest.mark.parametrize("numbers", [
-    [signal.SIGTERM], [signal.SIGTERM, signal.SIGTERM], [signal.SIGHUP, signal.SIGTERM],
-    [signal.SIGTERM, signal.SIGHUP]])
+@pytest.mark.parametrize(
+    "numbers",
+    [
+        [signal.SIGTERM],
+        [signal.SIGTERM, signal.SIGTERM],
+        [signal.SIGHUP, signal.SIGTERM],
+        [signal.SIGTERM, signal.SIGHUP],
+    ],
+)
 def test_signals_between_the_configuration_and_the_listener_are_carried_out(running, numbers):
     code = BEFORE_THE_LOOP.format(numbers=[int(number) for number in numbers])
     world = running(program=("-c", code), ready=False)
@@ -77,27 +84,35 @@
     def main():
         yield from world.says("configuration read")
         return (yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])).status
+
     assert world.run(main()) == 200
 
 
 @pytest.mark.parametrize("name", CUSTOMERS)
 def test_at_sigterm_what_hangs_is_answered_and_the_process_ends_by_itself(running, name):
-    """All nodes hang; one customer's longest class has 4 s, more than the 3.7 s after which SIGKILL may come."""
+    """All nodes hang; one customer's longest class has 4 s, more than the 3.7 s after which SIGKILL
+    may come.
+    """
     setup = customer(name)
     world = running(settings=setup)
     for node in world.nodes:
         node.silent = True
 
     def main():
-        tasks = [world.loop.spawn(one_part(world, f"q{n}", kind), "q") for n, kind in enumerate(setup["classes"])]
+        tasks = [
+            world.loop.spawn(one_part(world, f"q{n}", kind), "q") for n, kind in enumerate(setup["classes"])
+        ]
         yield from until(world, lambda: sum(len(node.parts) for node in world.nodes) >= len(tasks))
         world.process.send_signal(signal.SIGTERM)
         yield from world.says("terminating")
-        tasks += [world.loop.spawn(one_part(world, f"r{n}", kind), "r") for n, kind in enumerate(setup["classes"])]
+        tasks += [
+            world.loop.spawn(one_part(world, f"r{n}", kind), "r") for n, kind in enumerate(setup["classes"])
+        ]
         statuses = []
         for task in tasks:
             statuses.append((yield from task.join()).status)
         return statuses, (yield from world.ended())
+
     statuses, code = world.run(main())
     wanted = [500 if kind["idempotency"] == "non_idempotent" else 503 for kind in setup["classes"]]
     assert (statuses, code) == (wanted * 2, 0)
@@ -107,13 +122,17 @@
 def test_a_request_half_read_when_the_listener_closes_is_finished_and_answered(running):
     world = running()
     body = json.dumps({"parts": [{"id": 3, "w": 1.0}], "expr": "c41e77d0"}).encode()
-    request = (f"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: q1\r\nReq-Kind: price-search\r\n"
-               f"Req-Deadline: 500m\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+    request = (
+        f"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: q1\r\nReq-Kind: price-search\r\n"
+        f"Req-Deadline: 500m\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
     def main():
         stream = yield from world.net.connect(world.address, 1_000_000)
         stream.write(request[:50])
-        assert (yield from world.client().ask("q0", "price-search", [3])).status == 200  # the half is read by now
+        assert (
+            yield from world.client().ask("q0", "price-search", [3])
+        ).status == 200  # the half is read by now
         world.process.send_signal(signal.SIGTERM)
         while True:
             try:
@@ -127,14 +146,16 @@
         while more := (yield from stream.read()):
             data += more
         return data, (yield from world.ended())
+
     data, code = world.run(main())
     assert data.startswith(b"HTTP/1.1 200") and code == 0
 
 
 @pytest.mark.parametrize("name", CUSTOMERS)
 def test_clients_that_go_on_sending_at_the_end_lose_nothing_that_was_sent_on(running, name):
-    """Five clients send one request after another on what stays open, and connect anew while that can be, up to the
-    end: whatever any node saw was answered to its client."""
+    """Five clients send one request after another on what stays open, and connect anew while that can be, up
+    to the end: whatever any node saw was answered to its client.
+    """
     setup = customer(name)
     world = running(settings=setup)
     kind = setup["classes"][0]
@@ -166,6 +187,7 @@
         for task in tasks:
             yield from task.join()
         return (yield from world.ended())
+
     assert world.run(main()) == 0
     seen = {part.id.partition(".")[0] for node in world.nodes for part in node.parts}
     assert len(seen) > 20 and not (seen - answered), (seen - answered, crossed)
@@ -179,7 +201,7 @@
     def serve(stream):
         heard.append((yield from stream.read()))
         if point == "half an answer":
-            stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n{\"rev\": 9, ")
+            stream.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n{"rev": 9, ')
         yield from stream.read()
 
     def main():
@@ -201,6 +223,7 @@
             assert world.process.poll() is None
             world.process.send_signal(signal.SIGTERM)
         return status, (yield from world.ended())
+
     assert world.run(main()) == (200, 0)
 
 
@@ -210,25 +233,45 @@
     setup = {**world.settings, "classes": [other]}
 
     def main():
-        world.path.write_bytes(config_of(listen="127.0.0.1:0", discovery=world.registries[1].address, settings={
-            **setup, "specifics": {**setup["specifics"], "class-fetch": [0], "class-need": [1.0], "min-share": [1.0],
-                                   "incomplete-worth": [0.9]}}))
+        world.path.write_bytes(
+            config_of(
+                listen="127.0.0.1:0",
+                discovery=world.registries[1].address,
+                settings={
+                    **setup,
+                    "specifics": {
+                        **setup["specifics"],
+                        "class-fetch": [0],
+                        "class-need": [1.0],
+                        "min-share": [1.0],
+                        "incomplete-worth": [0.9],
+                    },
+                },
+            )
+        )
         world.process.send_signal(signal.SIGHUP)
         yield from until(world, lambda: world.registries[1].calls)
         yield from world.says("from_the_next_start='settings'")
         one = yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])
         other = yield from world.client().ask("q2", "other", [0])
         return one.status, other.status
+
     assert world.run(main()) == (200, 404)
 
 
 def test_what_waits_in_the_backlog_when_the_listener_closes_is_served_before_the_end():
-    """In one process, as the kernel's queue is filled between two lines: connected and asked, and the broker has
-    accepted nothing of it yet. Its end was looked for in the same turn, before their tasks had begun."""
+    """In one process, as the kernel's queue is filled between two lines: connected and asked, and the broker
+    has accepted nothing of it yet. Its end was looked for in the same turn, before their tasks had begun.
+    """
     loop, net, _ = socket_loop()
     node = Node(loop, net, "127.0.0.1:0", "s3", 3, work_us=1)
-    config = read(config_of(listen="127.0.0.1:0", discovery="127.0.0.1:1",
-                            known={"rev": 1, "all": True, "targets": [node.entry]}))
+    config = read(
+        config_of(
+            listen="127.0.0.1:0",
+            discovery="127.0.0.1:1",
+            known={"rev": 1, "all": True, "targets": [node.entry]},
+        )
+    )
     process = Process(config, {})
     process.listener = process.net.listen(config.listen, process.front.serve, "client", 64)
     process.loop.turn()
@@ -240,9 +283,15 @@
     def crosses():
         for n in range(3):
             socks.append(socket.create_connection((host, int(port))))
-            socks[-1].send((f"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: q{n}\r\nReq-Kind: price-search\r\n"
-                            f"Req-Deadline: 500m\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+            socks[-1].send(
+                (
+                    f"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: q{n}\r\nReq-Kind: price-search\r\n"
+                    f"Req-Deadline: 500m\r\nContent-Length: {len(body)}\r\n\r\n"
+                ).encode()
+                + body
+            )
         process._take_no_more()
+
     process.loop.call_soon(crosses)
     beside = threading.Thread(target=loop.run, daemon=True)
     beside.start()
--- a/tests/test_crossings_times.py
+++ b/tests/test_crossings_times.py
@@ -1,4 +1,6 @@
-"""Crossings with a time that is up: the loop's clock is set ahead at a named point, so that order is forced."""
+"""Crossings with a time that is up: the loop's clock is set ahead at a named point, so that order
+is forced.
+"""
 
 from __future__ import annotations
 
@@ -49,10 +51,12 @@
 
 # Repeats that wait.
 
+
 @pytest.mark.parametrize(("name", "kind"), cases(KEYED))
 def test_a_keyed_repeat_that_waits_for_its_connect_does_not_leave_after_the_window(name, kind):
-    """The repeat is decided within the window of repeats; its connect comes up behind it, and its effect would be
-    another one. It is taken back when the window is over, and the client hears of it then."""
+    """The repeat is decided within the window of repeats; its connect comes up behind it, and its effect
+    would be another one. It is taken back when the window is over, and the client hears of it then.
+    """
     world = World(name, width=3)
     window = world.setup["classes"][kind]["dedup-window-us"]
     held = []
@@ -69,11 +73,16 @@
         sent_at = world.loop.now()  # of the first attempt's arrival: it left before
         stream.write(answer(part, 500))
         waits = {other.address for other in world.nodes if other is not node}
-        yield from world.until(lambda: any(a in waits for a in world.gate.asked), "the repeat waits for its connect")
+        yield from world.until(
+            lambda: any(a in waits for a in world.gate.asked), "the repeat waits for its connect"
+        )
         world.stalls_until(sent_at + window)
-        world.gate.open(next(a for a in world.gate.asked if a in waits))  # up in the very turn in which it is over
+        world.gate.open(
+            next(a for a in world.gate.asked if a in waits)
+        )  # up in the very turn in which it is over
         response = yield from asked.join()
         return response.status
+
     assert world.run(main()) == 503
     assert [part.id for node in world.nodes for part in node.parts] == ["q1.3"]
 
@@ -100,6 +109,7 @@
             if other is not node:
                 world.gate.open(other.address)
         return (yield from asked.join()).status
+
     assert world.run(main()) == 200
     assert [part.id for node in world.nodes for part in node.parts] == ["q1.3", "q1.3"]
 
@@ -120,6 +130,7 @@
         world.gate.open(node.address)
         yield from asked.join()
         return node.parts, left
+
     parts, left = world.run(main())
     assert [part.id for part in parts] == ["q1.3"]
     assert 0 < int(parts[0].items["d"]) * 1000 <= left
@@ -127,6 +138,7 @@
 
 # Answers.
 
+
 @pytest.mark.parametrize("first", ["answer", "deadline"])
 @pytest.mark.parametrize("name", CUSTOMERS)
 def test_an_answer_that_crosses_the_deadline_makes_one_reply(name, first):
@@ -153,17 +165,21 @@
             yield from world.until(lambda: world.broker.links["s3"].late)
         sock.send(b"GET /-/ready HTTP/1.1\r\nHost: b\r\n\r\n")  # the connection is as good as before
         return (yield from told(world, sock, data, 2))
+
     assert statuses(world.run(main())) == [200 if first == "answer" else 500 if unsafe else 503, 200]
     assert [part.id for part in world.nodes[SHARD].parts] == ["q1.3"]
 
 
 @pytest.mark.parametrize("first", ["answer", "cancel"])
-@pytest.mark.parametrize(("name", "kind"), [(name, kind) for name, kind in cases(SAFE)
-                                            if not customer(name)["specifics"]["class-fetch"][kind]])
+@pytest.mark.parametrize(
+    ("name", "kind"),
+    [(name, kind) for name, kind in cases(SAFE) if not customer(name)["specifics"]["class-fetch"][kind]],
+)
 def test_an_answer_that_crosses_its_late_mark_is_used_once(name, kind, first):
-    """At the late mark a part is called off and sent elsewhere, or copied, as the settings allow. An answer at hand in
-    that very turn comes first, and nothing is sent; one on its way meets the attempt's end, and is dropped or, of a
-    copied part, used."""
+    """At the late mark a part is called off and sent elsewhere, or copied, as the settings allow. An answer
+    at hand in that very turn comes first, and nothing is sent; one on its way meets the attempt's end, and is
+    dropped or, of a copied part, used.
+    """
     world = World(name, width=3)
     copies, cancels = (world.setup["ceilings"][key] for key in ("second-copies", "cancelling"))
     held = []
@@ -189,6 +205,7 @@
                 other, stream, part = held[1]
                 stream.write(answer(part))
         return (yield from told(world, sock, b""))
+
     assert statuses(world.run(main())) == [200]
     assert len([part for node in world.nodes for part in node.parts]) == (1 if first == "answer" else 2)
 
@@ -196,7 +213,9 @@
 @pytest.mark.parametrize("name", CUSTOMERS)
 @pytest.mark.parametrize("first", ["answer", "end"])
 def test_an_answer_that_crosses_its_connections_end_counts_if_it_came_first(name, first):
-    """Whole and then the end, in one turn of the broker: it is an answer. Half of it and the end: it may have run."""
+    """Whole and then the end, in one turn of the broker: it is an answer. Half of it and the end: it may have
+    run.
+    """
     world = World(name)
     kind = next(n for n, fetch in enumerate(world.setup["specifics"]["class-fetch"]) if not fetch)
     effect = world.setup["classes"][kind]["idempotency"]
@@ -211,6 +230,7 @@
         node = world.nodes[SHARD]
         node.behave = ends
         return (yield from world.ask("q1", SHARD, kind).join()).status
+
     repeated = first == "end" and effect != "non_idempotent"
     assert world.run(main()) == (500 if first == "end" and not repeated else 200)
     assert [part.id for part in world.nodes[SHARD].parts] == ["q1.3"] * (2 if repeated else 1)
@@ -218,6 +238,7 @@
 
 # Lists.
 
+
 class Scripted:
     """Discovery whose answers are written by a test: each call's stream, in order."""
 
@@ -266,6 +287,7 @@
         yield from world.until(world.knows(node, "draining"))
         yield from world.until(lambda: len(script.calls) == 4)
         return script.calls[3][1]
+
     assert world.run(main()).startswith("/api/targets?from=8&hold_ms=")
     assert not world.broker.module.servers["s2"].live
 
@@ -273,9 +295,10 @@
 @pytest.mark.parametrize("name", CUSTOMERS)
 @pytest.mark.parametrize("discovery", ["answers late", "is down"])
 def test_a_new_process_sends_by_an_old_list_only_where_the_list_of_now_does_not_count_yet(name, discovery):
-    """Where lists are pushed the agent's counts from a process's first moment, and ``known`` may be older: a request
-    that came before its answer went to a node that had long been announced as leaving. Elsewhere what is written
-    counts, and while discovery is down nothing does."""
+    """Where lists are pushed the agent's counts from a process's first moment, and ``known`` may be older: a
+    request that came before its answer went to a node that had long been announced as leaving. Elsewhere what
+    is written counts, and while discovery is down nothing does.
+    """
     world = World(name, registry=discovery == "answers late")
     pushed = world.setup["registry-mode"] != "ask"
     node = world.nodes[SHARD]
@@ -304,6 +327,7 @@
             yield from world.until(world.knows(node, "draining"))
             assert (yield from ready()) == 200
         return (yield from asked.join()).status, waits
+
     status, waits = world.run(main())
     assert status == (503 if waits else 200)
     assert [part.id for part in node.parts] == ([] if waits else ["q1.3"])
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,4 +1,6 @@
-"""What the platform asks of `build` and `run`: one process by exec, linked dynamically, that makes no refused call."""
+"""What the platform asks of `build` and `run`: one process by exec, linked dynamically, that makes no refused
+call.
+"""
 
 import re
 import shlex
@@ -12,8 +14,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
-# Run before the broker: what the platform refuses is written down and raised. Fork, sendfile and splice have no audit
-# event of their own, so they are put out of the way by name.
+# Run before the broker: what the platform refuses is written down and raised. Fork, sendfile and splice have
+# no audit event of their own, so they are put out of the way by name.
 WATCHED = """
 import os, socket, sys, threading
 def refused(name):
@@ -28,7 +30,8 @@
 def look(event, args):
     if event in ("subprocess.Popen", "os.fork", "os.exec", "os.posix_spawn", "os.system"):
         refused(event)()
-    if event in ("socket.bind", "socket.connect") and args[0].family not in (socket.AF_INET, socket.AF_UNSPEC):
+    ours = (socket.AF_INET, socket.AF_UNSPEC)
+    if event in ("socket.bind", "socket.connect") and args[0].family not in ours:
         refused(f"{event} of family {args[0].family}")()
 sys.addaudithook(look)
 import runpy
@@ -41,7 +44,9 @@
     words = shlex.split(DEPLOY["run"])
     assert words == ["exec", ".venv/bin/python", "-m", "heathwell.gateway"]
     assert re.search(r"\.venv/bin/python -m compileall -q heathwell\b", DEPLOY["build"])
-    assert all((ROOT / path).exists() for path in DEPLOY["policy"] + DEPLOY["node"]) and not DEPLOY["packages"]
+    assert (
+        all((ROOT / path).exists() for path in DEPLOY["policy"] + DEPLOY["node"]) and not DEPLOY["packages"]
+    )
 
 
 def test_a_broker_at_work_is_one_thread_of_one_process_and_makes_no_refused_call(tmp_path):
@@ -56,6 +61,7 @@
                 assert response.status == 200
             fleet.process.send_signal(signal.SIGHUP)
             yield from sleep(fleet.loop, 100_000)
+
         fleet.run(main())
         task = Path(f"/proc/{pid}/task")
         assert [entry.name for entry in task.iterdir()] == [str(pid)]
@@ -78,8 +84,9 @@
 
 
 def test_the_watch_over_refused_calls_finds_one(tmp_path):
-    planted = WATCHED.replace("import runpy\n", "import runpy, subprocess\ntry: subprocess.run(['true'])\n"
-                              "except OSError: pass\n")
+    planted = WATCHED.replace(
+        "import runpy\n", "import runpy, subprocess\ntry: subprocess.run(['true'])\nexcept OSError: pass\n"
+    )
     fleet = PlatformFleet(tmp_path, program=("-c", planted))
     try:
         assert "refused call" in fleet.lines.read_text()
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -1,4 +1,6 @@
-"""Leaving a zone as a fleet: what brokers say, what is decided of it, and the way back. Pure; a fleet of figures."""
+"""Leaving a zone as a fleet: what brokers say, what is decided of it, and the way back. Pure; a fleet of
+figures.
+"""
 
 import random
 
@@ -28,7 +30,9 @@
 
 
 class World:
-    """Nine brokers in three zones, each with two classes of work at every zone; ``loss`` is by (from, to, class)."""
+    """Nine brokers in three zones, each with two classes of work at every zone; ``loss`` is by (from, to,
+    class).
+    """
 
     def __init__(self, seed=1, rate=6, figures=None):
         self.draw, self.rate, self.now = random.Random(seed), rate, 10 * S
@@ -98,7 +102,7 @@
     world.run(40)
     assert world.state("b") == SERVED
     shares = [decision.zones["b"].share for _, decision in world.history if "b" in decision.zones]
-    assert shares == [0.0, 0.0, *STEPS][:len(shares)] or shares == sorted(shares)
+    assert shares == [0.0, 0.0, *STEPS][: len(shares)] or shares == sorted(shares)
     numbers = [(decision.term, decision.number) for _, decision in world.history]
     assert numbers == sorted(set(numbers))
 
@@ -144,13 +148,16 @@
 
 
 def test_liars_gain_nothing_by_saying_that_they_saw_more():
-    """What a broker saw is its own word too: twenty times as much bad outweighed all others together, by the mean."""
+    """What a broker saw is its own word too: twenty times as much bad outweighed all others together, by the
+    mean.
+    """
     for names in (("b0", "b3", "b6"), ("b0", "b2", "b3"), ("b0", "b2", "b5")):
         world = World()
         for name in names:
             broker = world.brokers[name]
             broker.ended = lambda now, zone, klass, how, plain=broker.ended: [
-                plain(now, "b", klass, "bad") for _ in range(20)]
+                plain(now, "b", klass, "bad") for _ in range(20)
+            ]
         assert world.run(20).decider.decision.number == 0, (names, world.told)
 
 
@@ -185,7 +192,9 @@
     over.load = dict.fromkeys(ZONES, 75.0)
     over.loss = dead("b")
     over.run(8)
-    assert 0.3 < over.decider.decision.zones["b"].share < 0.9 and "stays" in over.decider.decision.zones["b"].why
+    assert (
+        0.3 < over.decider.decision.zones["b"].share < 0.9 and "stays" in over.decider.decision.zones["b"].why
+    )
     none = World()
     none.load = {"a": 90.0, "b": 90.0, "c": 90.0}
     none.loss = dead("b")
@@ -195,7 +204,9 @@
 
 
 def test_a_class_of_which_little_is_seen_goes_with_its_zone():
-    """A zone killed whole kept a class that hardly anybody had asked there, and probes were taken for a class."""
+    """A zone killed whole kept a class that hardly anybody had asked there, and probes were taken for a
+    class.
+    """
     world = World()
     world.loss = dead("b")
     for n in range(3):
@@ -222,9 +233,12 @@
 def test_where_not_all_can_be_borne_the_classes_worth_most_leave_whole():
     world = World()
     world.decider.worth = {"price": 2.0, "report": 1.0}
-    world.load = dict.fromkeys(ZONES, 75.0)  # 225 of which the others may be used for 180: 30 of the zone's 75
+    world.load = dict.fromkeys(
+        ZONES, 75.0
+    )  # 225 of which the others may be used for 180: 30 of the zone's 75
     world.decider.loads = lambda load, capacity, plain=world.decider.loads: plain(
-        load, capacity, {("b", "price"): 25.0, ("b", "report"): 50.0})
+        load, capacity, {("b", "price"): 25.0, ("b", "report"): 50.0}
+    )
     world.loss = dead("b")
     world.run(8)
     word = world.decider.decision.zones["b"]
@@ -233,7 +247,8 @@
     dear.decider.worth = {"price": 2.0, "report": 1.0}
     dear.load = dict.fromkeys(ZONES, 75.0)
     dear.decider.loads = lambda load, capacity, plain=dear.decider.loads: plain(
-        load, capacity, {("b", "price"): 37.0, ("b", "report"): 38.0})  # neither fits whole: a share of all
+        load, capacity, {("b", "price"): 37.0, ("b", "report"): 38.0}
+    )  # neither fits whole: a share of all
     dear.loss = dead("b")
     dear.run(8)
     word = dear.decider.decision.zones["b"]
@@ -242,11 +257,12 @@
 
 # Capacity.
 
+
 def two_cores(rate, most, idle_ms=100.0, seconds=2):
     """What two servers with one queue show at a rate (M/M/2)."""
     used = min(rate / most, 0.98)
     count = int(rate * seconds)
-    return {"price": Seen(good=count, took_ms=int(count * idle_ms / (1 - used ** 2)))}
+    return {"price": Seen(good=count, took_ms=int(count * idle_ms / (1 - used**2)))}
 
 
 def test_capacity_is_told_by_answers_that_grow_slower_and_kept_while_a_zone_is_lost():
@@ -272,27 +288,39 @@
 
 
 def test_of_three_zones_two_may_be_gone_and_nobody_cut_off():
-    """Brokers of the third see nothing of any other zone, and take themselves for cut off; those of the two don't, and
-    see the same. Hosts are ejected, so that attempts there get few: a doubted zone is not well for want of them."""
+    """Brokers of the third see nothing of any other zone, and take themselves for cut off; those of the two
+    don't, and see the same. Hosts are ejected, so that attempts there get few: a doubted zone is not well for
+    want of them.
+    """
     world = World()
     world.loss = lambda source, target, klass: 1.0 if target in ("b", "c") and source != target else 0.02
     plain = world.shares
     started = world.now + 2 * S
     world.shares = lambda zone: plain(zone) if zone == "a" or world.now < started else 0.05
     world.run(2)
-    assert world.brokers["b0"].summary(world.now).cut_off and not world.brokers["b1"].summary(world.now).cut_off
+    assert (
+        world.brokers["b0"].summary(world.now).cut_off and not world.brokers["b1"].summary(world.now).cut_off
+    )
     world.run(6)
-    assert world.state("b") in (LEAVING, LEFT) and world.state("c") in (LEAVING, LEFT) and world.state("a") == SERVED
+    assert (
+        world.state("b") in (LEAVING, LEFT)
+        and world.state("c") in (LEAVING, LEFT)
+        and world.state("a") == SERVED
+    )
 
 
 def test_load_is_what_was_asked_before_the_trouble_not_the_attempts_in_it():
-    """Parts of lost zones are tried again and again: three times the load was seen, and nothing could be left."""
+    """Parts of lost zones are tried again and again: three times the load was seen, and nothing could be
+    left.
+    """
     load = Load(2 * S)
     usual = {(zone, "price"): Seen(good=100) for zone in ZONES}
     assert load.now(usual) == dict.fromkeys(usual, 50.0)
     trouble = {("a", "price"): Seen(good=180), ("b", "price"): Seen(bad=400), ("c", "price"): Seen(bad=400)}
     assert sum(load.now(trouble).values()) == 150.0
-    assert sum(load.now({("a", "price"): Seen(good=600), ("b", "price"): Seen(bad=400)}).values()) == 300.0  # it grew
+    assert (
+        sum(load.now({("a", "price"): Seen(good=600), ("b", "price"): Seen(bad=400)}).values()) == 300.0
+    )  # it grew
     assert load.now(usual) == dict.fromkeys(usual, 50.0)
 
 
@@ -307,6 +335,7 @@
 
 # Drills.
 
+
 class Drilled:
     """A drill over the fleet of figures."""
 
@@ -334,13 +363,18 @@
 
 def test_a_drill_leaves_and_returns_and_tells_what_it_cost():
     drilled = Drilled().run()
-    assert drilled.words == ["leave", "return"] and drilled.world.state("b") == SERVED and not drilled.drill.why
+    assert (
+        drilled.words == ["leave", "return"] and drilled.world.state("b") == SERVED and not drilled.drill.why
+    )
     rows = {row["stage"]: row for row in drilled.drill.report()}
     assert list(rows) == ["before", "leaving", "away", "returning", "after"]
     assert 10 <= rows["away"]["seconds"] <= 14
     assert rows["away"]["there_a_second"] < rows["before"]["there_a_second"] / 5
-    assert all(row["lost_elsewhere"] < 0.1 and set(row["lost_by_class"]) == {"price", "report"}
-               for row in rows.values() if row["seconds"] > 1)
+    assert all(
+        row["lost_elsewhere"] < 0.1 and set(row["lost_by_class"]) == {"price", "report"}
+        for row in rows.values()
+        if row["seconds"] > 1
+    )
 
 
 def test_a_drill_that_costs_too_much_elsewhere_is_called_off_and_comes_back():
@@ -378,7 +412,8 @@
     world.loss = dead("b")
     world.run(8)
     world.loss = lambda source, target, klass: (
-        0.02 if target != "b" or world.shares("b") < 0.5 else 0.6)  # it bears no more than half
+        0.02 if target != "b" or world.shares("b") < 0.5 else 0.6
+    )  # it bears no more than half
     world.run(60)
     shares = [decision.zones["b"].share for _, decision in world.history if "b" in decision.zones]
     assert 0.6 in shares and shares[shares.index(0.6) + 1] == 0.3 and world.state("b") == RETURNING
@@ -414,8 +449,9 @@
     assert world.decider.order(world.now, "a", "return", "ann", "over") == ""
     world.run(30)
     assert world.state("a") == SERVED
-    assert "no zone" in world.decider.order(world.now, "x", "leave", "ann", "") and "leave, return" in \
-        world.decider.order(world.now, "a", "dance", "ann", "")
+    assert "no zone" in world.decider.order(
+        world.now, "x", "leave", "ann", ""
+    ) and "leave, return" in world.decider.order(world.now, "a", "dance", "ann", "")
 
 
 def test_an_older_decision_is_never_newer():
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -1,4 +1,6 @@
-"""Leaving a zone over processes: brokers, hosts and keepers of three zones, with faults between; judged from logs."""
+"""Leaving a zone over processes: brokers, hosts and keepers of three zones, with faults between; judged from
+logs.
+"""
 
 import json
 import re
@@ -27,8 +29,12 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 MARKET = (ROOT / "examples/market-fleet.sx").read_text()
-SWAPS = (("(most 8)", "(most 8) (evacuate yes)"), ("(leaves 6)", "(leaves 9)"), ("(cells 6)", "(cells 9)"),
-         ("(level info)", "(level error)"))
+SWAPS = (
+    ("(most 8)", "(most 8) (evacuate yes)"),
+    ("(leaves 6)", "(leaves 9)"),
+    ("(cells 6)", "(cells 9)"),
+    ("(level info)", "(level error)"),
+)
 ZONE = "leaf1 leaf4 leaf7"  # hosts of hki-2, and b1 and b4 are its brokers
 
 
@@ -40,28 +46,43 @@
 
 
 def left(seen, zone="hki-2"):
-    return [event for event in decisions(seen)[0] if event["states"].get(zone, [""])[0] in ("leaving", "left")]
+    return [
+        event for event in decisions(seen)[0] if event["states"].get(zone, [""])[0] in ("leaving", "left")
+    ]
 
 
 def once_and_back(seen):
     states = [event["states"].get("hki-2", ["served"])[0] for event in decisions(seen)[0] if event["number"]]
-    assert states.index("leaving") < states.index("left") < states.index("returning") and states[-1] == "served"
-    shares = [event["states"]["hki-2"][1] for event in decisions(seen)[0]
-              if event["states"].get("hki-2", [""])[0] == "returning"]
+    assert (
+        states.index("leaving") < states.index("left") < states.index("returning") and states[-1] == "served"
+    )
+    shares = [
+        event["states"]["hki-2"][1]
+        for event in decisions(seen)[0]
+        if event["states"].get("hki-2", [""])[0] == "returning"
+    ]
     assert shares == sorted(shares)
 
 
 def all_within_a_second(seen):
-    """Of the brokers that keepers can reach: each decision to leave, within a second and what a busy machine adds."""
+    """Of the brokers that keepers can reach: each decision to leave, within a second and what a busy machine
+    adds.
+    """
     keepers, brokers = decisions(seen)
     leaving = next(event for event in keepers if event["states"].get("hki-2", [""])[0] == "leaving")
-    told = [event.t for event in brokers if (event["term"], event["number"]) == (leaving["term"], leaving["number"])]
+    told = [
+        event.t
+        for event in brokers
+        if (event["term"], event["number"]) == (leaving["term"], leaving["number"])
+    ]
     assert len(told) == 6 and max(told) - min(told) <= 2_000_000
 
 
 def no_number_goes_back(seen):
     for who in {event.who for event in seen if event.ev == "zones" and event.who.startswith("b")}:
-        numbers = [(event["term"], event["number"]) for event in seen if event.ev == "zones" and event.who == who]
+        numbers = [
+            (event["term"], event["number"]) for event in seen if event.ev == "zones" and event.who == who
+        ]
         assert numbers == sorted(set(numbers))
 
 
@@ -88,7 +109,9 @@
 
 def but_for_one_class(seen):
     """Where the zone is left it is for that class alone."""
-    assert all("price-search" in event["why"] for event in left(seen) if event["states"]["hki-2"][0] == "leaving")
+    assert all(
+        "price-search" in event["why"] for event in left(seen) if event["states"]["hki-2"][0] == "leaving"
+    )
 
 
 def comes_back(seen):
@@ -103,35 +126,73 @@
 
 
 CASES = {
-    "a zone's hosts killed and back cold": (f"(at 8s crash (to {ZONE}) (span 8s))", 48,
-                                            (once_and_back, all_within_a_second)),
+    "a zone's hosts killed and back cold": (
+        f"(at 8s crash (to {ZONE}) (span 8s))",
+        48,
+        (once_and_back, all_within_a_second),
+    ),
     "a fifth of its hosts bad": ("(at 8s lose (to leaf1) (span 12s) (value 0.3))", 24, (nothing_left,)),
     "a broker that is itself cut off": ("(at 8s cut (from b0) (to leaf*) (span 10s))", 24, (nothing_left,)),
     "one way of a link cut": (f"(at 8s cut-back (from b0 b3) (to {ZONE}) (span 8s))", 24, (nothing_left,)),
     "a zone cut off from the others": (f"(at 8s cut (from b0 b2 b3 b5) (to {ZONE}) (span 8s))", 30, (left,)),
     "the deciding keeper killed as a zone is left": (
-        f"(at 8s crash (to {ZONE}) (span 14s)) (at 12500ms kill (to k0) (span 1s))", 40, (left,)),
+        f"(at 8s crash (to {ZONE}) (span 14s)) (at 12500ms kill (to k0) (span 1s))",
+        40,
+        (left,),
+    ),
     "the deciding keeper gone for long": (
-        f"(at 8s crash (to {ZONE}) (span 20s)) (at 13s kill (to k0) (span 30s))", 44, (decided_on,)),
+        f"(at 8s crash (to {ZONE}) (span 20s)) (at 13s kill (to k0) (span 30s))",
+        44,
+        (decided_on,),
+    ),
     "all keepers gone as a zone is left": (
-        f"(at 8s crash (to {ZONE}) (span 8s)) (at 14s kill (to k*) (span 60s))", 26, (stands,)),
+        f"(at 8s crash (to {ZONE}) (span 8s)) (at 14s kill (to k*) (span 60s))",
+        26,
+        (stands,),
+    ),
     "half the brokers restarted while a zone is left": (
-        f"(at 8s crash (to {ZONE}) (span 12s)) (at 13s kill (to b0 b2 b4) (span 500ms))", 44, (left,)),
+        f"(at 8s crash (to {ZONE}) (span 12s)) (at 13s kill (to b0 b2 b4) (span 500ms))",
+        44,
+        (left,),
+    ),
 }
 CASES |= {
     "a zone killed whole, with its brokers": (
-        f"(at 8s crash (to {ZONE}) (span 8s)) (at 8s kill (to b1 b4) (span 8s))", 48, (once_and_back,)),
+        f"(at 8s crash (to {ZONE}) (span 8s)) (at 8s kill (to b1 b4) (span 8s))",
+        48,
+        (once_and_back,),
+    ),
     "ten times slower, for one class": (
-        f"(at 8s slow (to {ZONE}) (span 12s) (value 10) (class price-search))", 30, (but_for_one_class,)),
+        f"(at 8s slow (to {ZONE}) (span 12s) (value 10) (class price-search))",
+        30,
+        (but_for_one_class,),
+    ),
     "one class fails there": (
-        f"(at 8s failclass (to {ZONE}) (span 12s) (class price-search))", 30, (but_for_one_class,)),
+        f"(at 8s failclass (to {ZONE}) (span 12s) (class price-search))",
+        30,
+        (but_for_one_class,),
+    ),
     "5 % of answers lost there": (f"(at 8s lose (to {ZONE}) (span 12s) (value 0.05))", 24, (nothing_left,)),
-    "two zones sick at once": (f"(at 8s crash (to {ZONE} leaf2 leaf5 leaf8) (span 8s))", 30, (never_the_last,)),
-    "flapping each 8 s": (" ".join(f"(at {at}s crash (to {ZONE}) (span 4s))" for at in (8, 16, 24, 32)), 56,
-                          (longer_each_time,)),
+    "two zones sick at once": (
+        f"(at 8s crash (to {ZONE} leaf2 leaf5 leaf8) (span 8s))",
+        30,
+        (never_the_last,),
+    ),
+    "flapping each 8 s": (
+        " ".join(f"(at {at}s crash (to {ZONE}) (span 4s))" for at in (8, 16, 24, 32)),
+        56,
+        (longer_each_time,),
+    ),
     "the deciding keeper killed as a zone comes back": (
-        f"(at 8s crash (to {ZONE}) (span 6s)) (at 27s kill (to k0) (span 30s))", 66, (decided_on, comes_back)),
-    "all clients moved to the other zones' brokers": ("(at 8s kill (to b1 b4) (span 10s))", 24, (nothing_left,)),
+        f"(at 8s crash (to {ZONE}) (span 6s)) (at 27s kill (to k0) (span 30s))",
+        66,
+        (decided_on, comes_back),
+    ),
+    "all clients moved to the other zones' brokers": (
+        "(at 8s kill (to b1 b4) (span 10s))",
+        24,
+        (nothing_left,),
+    ),
 }
 QUICK = ("a zone's hosts killed and back cold",)
 
@@ -145,14 +206,16 @@
     return path
 
 
-@pytest.mark.parametrize("name", [pytest.param(name, marks=[] if name in QUICK else pytest.mark.fleet)
-                                  for name in CASES])
+@pytest.mark.parametrize(
+    "name", [pytest.param(name, marks=[] if name in QUICK else pytest.mark.fleet) for name in CASES]
+)
 def test_a_zone_is_left_and_come_back_to_as_it_should(name, tmp_path):
     steps, seconds, shows = CASES[name]
     write_market(tmp_path / "market.sx")
     (tmp_path / "day.sx").write_text(
         f'(market "market.sx") (seconds {seconds}) (seed 3) (wires yes)\n'
-        f"(load (rate 36) (clients 64) (mix price (share 3)) (mix report) (mix sale (share 2)))\n{steps}\n")
+        f"(load (rate 36) (clients 64) (mix price (share 3)) (mix report) (mix sale (share 2)))\n{steps}\n"
+    )
     day = Day(*load_script(str(tmp_path / "day.sx")), folder=tmp_path / "out", say=lambda _text: None)
     verdict = day.play()
     assert not day.faults and verdict.kept, (day.faults, verdict.breaches[:5])
@@ -192,8 +255,11 @@
     for port in ports:
         port.close()
     text = re.sub(r"\(keepers [^)]*\)", f"(keepers {keepers})", path.read_text())
-    path.write_text(text.replace("(most 8)", "(most 12)").replace("(whole 12)", "(whole 18)").replace(
-        "(whole 14)", "(whole 22)"))
+    path.write_text(
+        text.replace("(most 8)", "(most 12)")
+        .replace("(whole 12)", "(whole 18)")
+        .replace("(whole 14)", "(whole 22)")
+    )
     config = str(path)
     fleet = ProcessFleet(config, load(config))
     askers = []
@@ -202,8 +268,11 @@
         askers = [Asker(member.address) for member in fleet.of("broker")]
         for asker in askers:
             asker.start()
-        yield fleet, [sys.executable, "-m", "heathwell", "zone"], [
-            "--config", config, "--keepers", ",".join(member.address for member in fleet.of("keeper"))]
+        yield (
+            fleet,
+            [sys.executable, "-m", "heathwell", "zone"],
+            ["--config", config, "--keepers", ",".join(member.address for member in fleet.of("keeper"))],
+        )
     finally:
         for asker in askers:
             asker.stop.set()
@@ -229,7 +298,12 @@
 def decides(command, where):
     """Wait until a keeper decides: brokers are heard first."""
     for _ in range(60):
-        if subprocess.run([*command, "status", *where], cwd=ROOT, capture_output=True, check=False).returncode == 0:
+        if (
+            subprocess.run(
+                [*command, "status", *where], cwd=ROOT, capture_output=True, check=False
+            ).returncode
+            == 0
+        ):
             return
     raise AssertionError("no keeper decides")
 
@@ -242,9 +316,16 @@
     there = [member for member in fleet.of("broker") if member.zone == 1]
     socks = [resting(member.address) for member in there for _ in range(4)]
     others = [resting(member.address) for member in fleet.of("broker") if member.zone != 1]
-    drill = subprocess.Popen([*command, "drill", "hki-2", "--seconds", "14", "--json", *where], cwd=ROOT,
-                             stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
-    assert [sock.recv(64) for sock in socks] == [b""] * len(socks)  # let go, within the ten seconds of the settings
+    drill = subprocess.Popen(
+        [*command, "drill", "hki-2", "--seconds", "14", "--json", *where],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    assert [sock.recv(64) for sock in socks] == [b""] * len(
+        socks
+    )  # let go, within the ten seconds of the settings
     assert {health(member) for member in there} == {b"the fleet leaves this zone\n"}
     assert {health(member) for member in fleet.of("broker") if member.zone != 1} == {b"ok\n"}
     resting(there[0].address).close()  # who comes is served
@@ -263,15 +344,18 @@
 def test_a_drill_that_is_ended_half_way_comes_back_before_it_goes(running):
     fleet, command, where = running
     decides(command, where)
-    drill = subprocess.Popen([*command, "drill", "hki-2", "--seconds", "600", *where], cwd=ROOT,
-                             stdout=subprocess.PIPE, text=True)
+    drill = subprocess.Popen(
+        [*command, "drill", "hki-2", "--seconds", "600", *where], cwd=ROOT, stdout=subprocess.PIPE, text=True
+    )
     for line in drill.stdout:
         if "away" in line:
             break
     drill.send_signal(signal.SIGTERM)
     assert drill.wait(60) == 143
     for _ in range(120):
-        status = subprocess.run([*command, "status", *where], cwd=ROOT, capture_output=True, text=True, check=False)
+        status = subprocess.run(
+            [*command, "status", *where], cwd=ROOT, capture_output=True, text=True, check=False
+        )
         if "hki-2: served" in status.stdout:
             return
     raise AssertionError(status.stdout)
@@ -299,10 +383,20 @@
     agents = []
     for n, zone in enumerate(("hki-1", "espoo-1", "hki-1")):
         name = f"liar{n}"
-        agents.append(FleetAgent(
-            loop, net, Self(name, loop.now() + 1, loop.now(), zone=zone, timing=times_of(spec).roll), budgets_of(spec),
-            tuple(where[-1].split(",")), renew_us=spec.renew, times=times_of(spec), seed=n,
-            log=lambda *_args, **_fields: None, fleet=spec.called))
+        agents.append(
+            FleetAgent(
+                loop,
+                net,
+                Self(name, loop.now() + 1, loop.now(), zone=zone, timing=times_of(spec).roll),
+                budgets_of(spec),
+                tuple(where[-1].split(",")),
+                renew_us=spec.renew,
+                times=times_of(spec),
+                seed=n,
+                log=lambda *_args, **_fields: None,
+                fleet=spec.called,
+            )
+        )
         agents[-1].on_zones(Liar(name, zone, "hki-2"))
     beside = threading.Thread(target=loop.run, daemon=True)
     beside.start()
@@ -319,10 +413,18 @@
     decides(command, where)
     until = time.monotonic() + 20
     while time.monotonic() < until:
-        out = subprocess.run([*command, "status", "--json", *where], cwd=ROOT, capture_output=True, text=True,
-                             check=False).stdout
+        out = subprocess.run(
+            [*command, "status", "--json", *where], cwd=ROOT, capture_output=True, text=True, check=False
+        ).stdout
         deciding = [view for view in json.loads(out).values() if isinstance(view, dict) and view["decides"]]
         if deciding:
-            lies = [row for row in deciding[0]["seen"] if row["zone"] == "hki-2" and row["klass"] == "price-search"]
-            assert deciding[0]["states"]["hki-2"] in ("served", "doubted") and deciding[0]["decision"]["number"] == 0
+            lies = [
+                row
+                for row in deciding[0]["seen"]
+                if row["zone"] == "hki-2" and row["klass"] == "price-search"
+            ]
+            assert (
+                deciding[0]["states"]["hki-2"] in ("served", "doubted")
+                and deciding[0]["decision"]["number"] == 0
+            )
     assert lies[0]["bad"] >= 1500 and lies[0]["good"] > 50  # of all three, beside what is true
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,7 +1,7 @@
 """The fleet's control as processes of the program, with faults between them: budgets judged from logs alone.
 
-Six brokers, three keepers, six hosts and clients; every way goes through a relay. The short cases run in `make test`,
-the others by `make test-fleet`. Nothing here is judged by how long the machine took.
+Six brokers, three keepers, six hosts and clients; every way goes through a relay. The short cases run in
+`make test`, the others by `make test-fleet`. Nothing here is judged by how long the machine took.
 """
 
 from __future__ import annotations
@@ -43,8 +43,11 @@
 
 
 def of(seen: Seen, ev: str, **fields: object) -> Seen:
-    return [event for event in seen if event.ev == ev
-            and all(event.fields.get(key) == value for key, value in fields.items())]
+    return [
+        event
+        for event in seen
+        if event.ev == ev and all(event.fields.get(key) == value for key, value in fields.items())
+    ]
 
 
 def states(seen: Seen, name: str) -> set[str]:
@@ -54,8 +57,14 @@
 
 def lent(seen: Seen, who: str, budget: str = "further") -> int:
     """The most that a broker's run held of a budget beyond its own minimum."""
-    return max((sum(amount for _, amount, *_ in event["held"]) for event in of(seen, "holds", budget=budget)
-                if event.who == who), default=0)
+    return max(
+        (
+            sum(amount for _, amount, *_ in event["held"])
+            for event in of(seen, "holds", budget=budget)
+            if event.who == who
+        ),
+        default=0,
+    )
 
 
 def killed_with_most(seen: Seen) -> None:
@@ -78,7 +87,9 @@
 
 def unheard(seen: Seen) -> None:
     assert "dead" in states(seen, "b0") and "alive" in states(seen, "b0")
-    assert of(seen, "dies", why=of(seen, "dies")[0]["why"])[0]["why"].startswith("127.0.0.1")  # a keeper told it
+    assert of(seen, "dies", why=of(seen, "dies")[0]["why"])[0]["why"].startswith(
+        "127.0.0.1"
+    )  # a keeper told it
 
 
 def deaf(seen: Seen) -> None:
@@ -149,35 +160,54 @@
 
 
 CASES = {
-    "a broker killed while it holds most": Case("(at 6s kill (to b0) (span 500ms))", killed_with_most, 12,
-                                                "(ask b0)"),
+    "a broker killed while it holds most": Case(
+        "(at 6s kill (to b0) (span 500ms))", killed_with_most, 12, "(ask b0)"
+    ),
     "a broker stopped past its lease": Case("(at 5s pause (to b1) (span 2600ms))", stopped),
     "a broker that keepers don't hear": Case("(at 4s cut-out (from b0) (to k*) (span 4s))", unheard, 12),
     "a broker that does not hear keepers": Case("(at 4s cut-back (from b0) (to k*) (span 1300ms))", deaf),
-    "answers to renewals lost": Case(" ".join(
-        f"(at {4000 + 700 * n}ms cut-back (from b0) (to k*) (span 250ms)) "
-        f"(at {4240 + 700 * n}ms way-reset (from b0) (to k*))" for n in range(6)), answers_lost),
-    "keepers killed as they give": Case(" ".join(
-        f"(at {4500 + 900 * n}ms kill (to k{n % 3}) (span 100ms))" for n in range(7)), given_on, 14),
+    "answers to renewals lost": Case(
+        " ".join(
+            f"(at {4000 + 700 * n}ms cut-back (from b0) (to k*) (span 250ms)) "
+            f"(at {4240 + 700 * n}ms way-reset (from b0) (to k*))"
+            for n in range(6)
+        ),
+        answers_lost,
+    ),
+    "keepers killed as they give": Case(
+        " ".join(f"(at {4500 + 900 * n}ms kill (to k{n % 3}) (span 100ms))" for n in range(7)), given_on, 14
+    ),
     "a keeper back with nothing remembered": Case("(at 4s kill (to k0) (span 300ms))", keeper_forgets, 12),
-    "a keeper cut off with half of the brokers": Case("(at 5s cut (from b0 b1 b2 k1 k2) (to k0) (span 4s))",
-                                                      half_cut, 12),
+    "a keeper cut off with half of the brokers": Case(
+        "(at 5s cut (from b0 b1 b2 k1 k2) (to k0) (span 4s))", half_cut, 12
+    ),
     "all brokers restarted within a second": Case("(at 5s restart-all (span 900ms))", all_restarted, 10),
     "a broker dies with connections open at its hosts": Case(
-        "(at 4900ms cut (from b2) (to leaf*) (span 3s)) (at 5s kill (to b2) (span 4s))", left_open, 10),
-    "a budget made smaller while all is given out": Case("(at 5s resize (budget further) (value 8))", shrunk, 11),
+        "(at 4900ms cut (from b2) (to leaf*) (span 3s)) (at 5s kill (to b2) (span 4s))", left_open, 10
+    ),
+    "a budget made smaller while all is given out": Case(
+        "(at 5s resize (budget further) (value 8))", shrunk, 11
+    ),
     "all keepers gone": Case("(at 5s kill (to k*) (span 60s))", no_keeper, 11),
-    "a broker joins each 100 ms for a minute": Case("(at 1s join (span 60s) (value 0.1))", joined, 62,
-                                                    "(ask b0 b1 b2 b3 b4 b5)",  # who leaves closes on its clients
-                                                    swaps={"(most 8)": "(most 240)", "(whole 14)": "(whole 246)",
-                                                           "(aside 40%) (burst 2s)": "(aside 0)"}),
+    "a broker joins each 100 ms for a minute": Case(
+        "(at 1s join (span 60s) (value 0.1))",
+        joined,
+        62,
+        "(ask b0 b1 b2 b3 b4 b5)",  # who leaves closes on its clients
+        swaps={"(most 8)": "(most 240)", "(whole 14)": "(whole 246)", "(aside 40%) (burst 2s)": "(aside 0)"},
+    ),
 }
-QUICK = ("a broker killed while it holds most", "a broker stopped past its lease",
-         "a keeper back with nothing remembered", "a broker dies with connections open at its hosts")
+QUICK = (
+    "a broker killed while it holds most",
+    "a broker stopped past its lease",
+    "a keeper back with nothing remembered",
+    "a broker dies with connections open at its hosts",
+)
 
 
-@pytest.mark.parametrize("name", [pytest.param(name, marks=[] if name in QUICK else pytest.mark.fleet)
-                                  for name in CASES])
+@pytest.mark.parametrize(
+    "name", [pytest.param(name, marks=[] if name in QUICK else pytest.mark.fleet) for name in CASES]
+)
 def test_no_budget_is_overshot_and_no_rule_broken(name, tmp_path):
     case = CASES[name]
     text = MARKET
@@ -189,7 +219,8 @@
     (tmp_path / "day.sx").write_text(
         f'(market "market.sx") (seconds {case.seconds}) (seed 3) (wires yes) {CLOCKS} '
         f"(load (rate 30) (clients 48) {asked} (mix price (share 3)) (mix report) (mix sale (share 2)))\n"
-        f"{SLOW}\n{case.steps}\n")
+        f"{SLOW}\n{case.steps}\n"
+    )
     script, market, config = load_script(str(tmp_path / "day.sx"))
     told: list[str] = []
     day = Day(script, market, config, tmp_path / "out", told.append)
@@ -206,8 +237,10 @@
     """Asked of running keepers, as a table and as JSON; one keeper that is gone is named."""
     (tmp_path / "market.sx").write_text(MARKET)
     script = tmp_path / "day.sx"
-    script.write_text('(market "market.sx") (seconds 6) (wires yes) (load (rate 20) (clients 16) (mix price)) '
-                      f"{SLOW} (at 3s kill (to k2) (span 60s))")
+    script.write_text(
+        '(market "market.sx") (seconds 6) (wires yes) (load (rate 20) (clients 16) (mix price)) '
+        f"{SLOW} (at 3s kill (to k2) (span 60s))"
+    )
     read, market, config = load_script(str(script))
     day = Day(read, market, config, tmp_path / "out", lambda _text: None)
     seen: dict[str, subprocess.CompletedProcess[str]] = {}
@@ -217,11 +250,31 @@
         plain(until)
         if len(day.fleet.deaths) and not seen:
             where = ",".join(day.fleet.members[f"k{n}"].address for n in range(3))
-            for name, more in (("members", []), ("budgets", []), ("members json", ["--json"]),
-                               ("budgets json", ["--json"])):
+            for name, more in (
+                ("members", []),
+                ("budgets", []),
+                ("members json", ["--json"]),
+                ("budgets json", ["--json"]),
+            ):
                 seen[name] = subprocess.run(
-                    [sys.executable, "-m", "heathwell", "fleet", name.split()[0], "--config", config, "--keepers",
-                     where, *more], capture_output=True, text=True, timeout=30, check=False)
+                    [
+                        sys.executable,
+                        "-m",
+                        "heathwell",
+                        "fleet",
+                        name.split()[0],
+                        "--config",
+                        config,
+                        "--keepers",
+                        where,
+                        *more,
+                    ],
+                    capture_output=True,
+                    text=True,
+                    timeout=30,
+                    check=False,
+                )
+
     day._wait = wait  # type: ignore[method-assign]
     day.play()
     assert {run.returncode for run in seen.values()} == {0}, seen
@@ -229,8 +282,10 @@
     assert table[0].split()[:3] == ["name", "state", "zone"] and len(table) == 7
     rows = json.loads(seen["members json"].stdout)["members"]
     assert [row["name"] for row in rows] == [f"b{n}" for n in range(6)]
-    assert all(row["state"] in ("alive", "suspect") and row["views"] in ("1/2", "2/2") and row["settings"]
-               for row in rows)
+    assert all(
+        row["state"] in ("alive", "suspect") and row["views"] in ("1/2", "2/2") and row["settings"]
+        for row in rows
+    )
     budgets = json.loads(seen["budgets json"].stdout)
     assert len(budgets["silent"]) == 1 and "says nothing" in seen["budgets"].stderr
     further = next(row for row in budgets["budgets"] if row["budget"] == "further")
@@ -242,23 +297,43 @@
     """An address can come to be another fleet's keeper's: its roll and budgets must not mix with ours."""
     from heathwell.control.agent import FleetAgent  # noqa: PLC0415
     from heathwell.control.keeper import KeeperServer  # noqa: PLC0415
+
     loop, net = virtual_loop(1)
     keeper = Keeper(0, "k0.1", 1, (), loop.now())
     server = KeeperServer(loop, net.at("k0"), keeper, {}, seed=1, log=lambda *_a, **_k: None, fleet="ours")
     server.start("k0:1")
-    agents = [FleetAgent(loop, net.at(name), Self(name, 1, loop.now()), (), ("k0:1",), renew_us=200_000, times=Times(),
-                         seed=1, log=lambda *_a, **_k: None, fleet=fleet) for name, fleet in (("b0", "ours"),
-                                                                                              ("b1", "theirs"))]
+    agents = [
+        FleetAgent(
+            loop,
+            net.at(name),
+            Self(name, 1, loop.now()),
+            (),
+            ("k0:1",),
+            renew_us=200_000,
+            times=Times(),
+            seed=1,
+            log=lambda *_a, **_k: None,
+            fleet=fleet,
+        )
+        for name, fleet in (("b0", "ours"), ("b1", "theirs"))
+    ]
     loop.run(loop.spawn(sleep(loop, 3_000_000), "wait"))
     assert set(keeper.roll.entries) == {"b0"} and server.counts["other fleet",] > 0 and len(agents) == 2
 
 
 def test_run_and_a_broker_without_keepers_import_nothing_of_the_control():
     control = {"control", "budgets", "membership", "evacuation", "rollout", "check", "lab"}
-    for module, more in (("heathwell.gateway.process", {"hostpool", "market", "service", "spending", "zonesight"}),
-                         ("heathwell.broker.market", {"zonesight"})):
-        run = subprocess.run([sys.executable, "-c", f"import sys, {module}; print('\\n'.join(sys.modules))"],
-                             capture_output=True, text=True, timeout=60, check=True)
+    for module, more in (
+        ("heathwell.gateway.process", {"hostpool", "market", "service", "spending", "zonesight"}),
+        ("heathwell.broker.market", {"zonesight"}),
+    ):
+        run = subprocess.run(
+            [sys.executable, "-c", f"import sys, {module}; print('\\n'.join(sys.modules))"],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+        )
         loaded = [name.split(".") for name in run.stdout.split() if name.startswith("heathwell.")]
         assert module.split(".") in loaded
         assert not [path for path in loaded if path[1] in control], module
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -75,13 +75,22 @@
     assert Cover.of([1, 2], [2]).weight({1: 0.25, 2: 0.75}) == 0.75
 
 
-@given(st.lists(st.tuples(st.integers(1, 5000), st.integers(0, 1_000_000), st.integers(0, 1_000_000)), min_size=1,
-                max_size=20), st.integers(0, 60_000_000), st.floats(-1, 1), st.integers(-10_000_000, 10**12))
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 5000), st.integers(0, 1_000_000), st.integers(0, 1_000_000)),
+        min_size=1,
+        max_size=20,
+    ),
+    st.integers(0, 60_000_000),
+    st.floats(-1, 1),
+    st.integers(-10_000_000, 10**12),
+)
 def test_bounds_hold_whatever_the_clocks_offset_and_drift(waits, later, drift, offset):
     clock, own, rate = SourceClock(), 1_000_000, 1 + drift * DRIFT / 4
 
     def source(at):
         return int(at * rate) + offset
+
     for pause, out, back in waits:
         own += pause
         assert clock.add(own, own + out + back, source(own + out))
@@ -141,8 +150,17 @@
 
 def test_a_watermark_newer_than_the_source_is_a_lie_of_unknown_age():
     fresh = decider()
-    ruling = fresh.rule(5_000_000, 1, "a", mark(5_000_000, -60_000), Policy(1_000_000, 2_000_000, "missing"),
-                        tried=["a"], turned_down=0, time_left_us=1, took_us=1)
+    ruling = fresh.rule(
+        5_000_000,
+        1,
+        "a",
+        mark(5_000_000, -60_000),
+        Policy(1_000_000, 2_000_000, "missing"),
+        tried=["a"],
+        turned_down=0,
+        time_left_us=1,
+        took_us=1,
+    )
     assert not ruling.accept and ruling.age_us is None and fresh.liars == 1
 
 
@@ -199,6 +217,7 @@
         told = decode(base64.b64decode(cover["set"]))
         assert list(told.count()) == cover["parts"] and told.missing() == cover["missing"]
         assert told.oldest_us > OFFSET_US
+
     world.run(main())
 
 
@@ -222,6 +241,7 @@
                     stale += body["stale"]
                 yield from sleep(world.loop, 150_000)
             return stale
+
         stale = world.run(main())
         assert stale > 5 if expect_stale else stale <= 2
         world.close()
@@ -235,7 +255,10 @@
         client = yield from world.client()
         values, _ = yield from client.get("price:tea")
         body = json.loads(values["price:tea"][1])
-        assert body["rows"] == [] and body["coverage"]["parts"][0] == 6 and len(body["coverage"]["missing"]) == 2
+        assert (
+            body["rows"] == [] and body["coverage"]["parts"][0] == 6 and len(body["coverage"]["missing"]) == 2
+        )
+
     world.run(main())
 
 
@@ -258,12 +281,17 @@
         assert "behind" not in json.loads(values[f"sale:anna:17@~{token}"][1])
         yield from client.get("sale:anna:17@~mangled")
         assert "token" in client.lost["sale:anna:17@~mangled"]["why"]
+
     world.run(main())
 
 
 def test_items_older_than_their_totals_are_said_to_be():
-    world = World(6, ON.replace("(work 30ms))\n(class sale", "(work 300ms))\n(class sale").replace(
-        "(aim 1200ms) (limit 3s)", "(aim 6s) (limit 9s)"))
+    world = World(
+        6,
+        ON.replace("(work 30ms))\n(class sale", "(work 300ms))\n(class sale").replace(
+            "(aim 1200ms) (limit 3s)", "(aim 6s) (limit 9s)"
+        ),
+    )
 
     def main():
         client = yield from world.client()
@@ -275,6 +303,7 @@
         values, _ = yield from client.reply()
         [(_, data)] = values.values()
         assert json.loads(data)["consistent"] is False
+
     world.run(main())
 
 
@@ -290,6 +319,7 @@
         for part in told["parts"]:
             assert (part["age_ms"] > 0 and part["host"]) if part["in"] else part["why_missing"] == "not sent"
         assert broker.explain("nothing") is None
+
     world.run(main())
 
 
@@ -304,6 +334,7 @@
         flags, data = values["price:tea"]
         body = json.loads(data)
         assert body["age_ms"] is None and body["stale"] and flags & STALE
+
     world.run(main())
 
 
@@ -346,8 +377,11 @@
         for name, part in list(query.parts.items())[:1]:
             query.parts[name + "again"] = copy.copy(part)
         final(self, query, reply, on_reply)
+
     monkeypatch.setattr(Broker, "_final", twice)
-    verdict = judge(from_lines(day(24, seconds=4.0, crashes=False, trouble_rate=0.0).run().events), slack=20_000)
+    verdict = judge(
+        from_lines(day(24, seconds=4.0, crashes=False, trouble_rate=0.0).run().events), slack=20_000
+    )
     assert any("twice" in breach.text for breach in verdict.breaches)
 
 
@@ -360,4 +394,5 @@
         client = yield from world.client()
         values, _ = yield from client.get("price:tea")
         assert json.loads(values["price:tea"][1])["age_ms"] < 1000
+
     world.run(main())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,6 +20,7 @@
     def main():
         response = yield from world.client().ask(*args, **more)
         return response
+
     response = world.run(main())
     return response.status, json.loads(response.body) if response.status == 200 else response.body
 
@@ -29,10 +30,15 @@
     status, body = ask(world, "q1", "price-search", [0, 1, 2, 3])
     assert status == 200 and body["exact"] and len(body["rows"]) == 3  # any three of four make it whole
     assert {row["id"]: row["data"] for row in body["rows"]} == {
-        row["id"]: value_of(row["id"], b"c41e77d0").decode() for row in body["rows"]}
+        row["id"]: value_of(row["id"], b"c41e77d0").decode() for row in body["rows"]
+    }
     parts = [part for node in world.nodes for part in node.parts]
     assert len(parts) == 3 and all(part.text == b"c41e77d0" and int(part.items["d"]) <= 600 for part in parts)
-    assert all(part.shard % 6 in {(node.cell - n) % 6 for n in range(3)} for node in world.nodes for part in node.parts)
+    assert all(
+        part.shard % 6 in {(node.cell - n) % 6 for n in range(3)}
+        for node in world.nodes
+        for part in node.parts
+    )
     assert world.verdict().kept
 
 
@@ -63,14 +69,17 @@
     def breaks(node, stream, part):
         node.behave = None
         stream.abort()
+
     for node in world.nodes:
         node.behave = breaks
     status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
     assert status == 200
     assert world.broker.counts["attempt", "price-search", hw.LOST] >= 3  # it may have run; the node is there
     assert not world.broker.counts["attempt", "price-search", hw.BROKEN]
-    assert all(server.cold_from is None and "no connection" not in [bar.dead for bar in server.bars.values()]
-               for server in world.broker.module.servers.values())
+    assert all(
+        server.cold_from is None and "no connection" not in [bar.dead for bar in server.bars.values()]
+        for server in world.broker.module.servers.values()
+    )
 
 
 def test_a_node_that_dies_is_told_as_lost():
@@ -82,6 +91,7 @@
         node.kill()
         for other in world.nodes:
             other.behave = None
+
     for node in world.nodes:
         node.behave = dies
     status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
@@ -106,6 +116,7 @@
         node.served(part)
         stream.write(answer(part))
         stream.close()
+
     for node in world.nodes:
         node.behave = closes
 
@@ -116,15 +127,20 @@
             second = world.loop.spawn(world.client().ask(f"b{n}", "price-search", [0, 1, 2, 3]), "b")
             yield from first.join()
             yield from second.join()
+
     world.run(main())
     links = [link for link in world.broker.links.values() if link.connects > SINGLE_AFTER]
     assert links and all(link.single for link in links)
     before = sum(link.breaks for link in links)
 
     def more():
-        tasks = [world.loop.spawn(world.client().ask(f"c{n}", "price-search", [0, 1, 2, 3]), "c") for n in range(12)]
+        tasks = [
+            world.loop.spawn(world.client().ask(f"c{n}", "price-search", [0, 1, 2, 3]), "c")
+            for n in range(12)
+        ]
         for task in tasks:
             yield from task.join()
+
     world.run(more())
     assert sum(link.breaks for link in links) == before  # no answer's close took another part with it
 
@@ -134,6 +150,7 @@
         for n in range(8):
             yield from world.client().ask(f"d{n}", "price-search", [0, 1, 2, 3])
             yield from sleep(world.loop, 100_000)
+
     world.run(keeps())
     assert not any(link.single for link in links if link.up)
 
@@ -192,6 +209,7 @@
         if stream not in dead:
             node.served(part)
             stream.write(answer(part))
+
     for node in world.nodes:
         node.behave = mute
 
@@ -202,6 +220,7 @@
             statuses.append(response.status)
             yield from sleep(world.loop, 20_000)
         return statuses
+
     statuses = world.run(main())
     module = world.broker.module
     assert statuses.count(200) >= 58 and statuses[20:] == [200] * 40
@@ -222,6 +241,7 @@
         response = yield from world.client().ask("q1", "price-search", [0, 1, 2, 3], wait_ms=120)
         yield from sleep(world.loop, 1_000_000)
         return response.status
+
     assert world.run(main()) == 503
     assert not any(node.parts for node in world.nodes)
     assert world.broker.counts["attempt", "price-search", hw.NEVER_SENT] >= 3
@@ -238,6 +258,7 @@
         yield from sleep(world.loop, 200_000)
         world.loop.clock.advance(world.loop.now() + 300_000)  # nothing ran for so long
         return (yield from task.join())
+
     response = world.run(main())
     assert response.status == 503  # the module's refusal, not the driver's own end
     assert not any("overdue" in line for line in world.lines)
@@ -278,6 +299,7 @@
         with contextlib.suppress(StreamBroken):
             yield from task.join()
         yield from sleep(world.loop, 50_000)
+
     world.run(main())
     assert world.broker.counts["left", "price-search"] == 1 and not world.broker.queries
 
@@ -304,10 +326,27 @@
             world.lines.clear()
             if n in (500, 1999):
                 broker, module = world.broker, world.broker.module
-                sizes.append([len(kept) for kept in (
-                    module.servers, module.topics, module.due, module.strays, broker.links, broker.addresses,
-                    broker.queries, broker.parts, broker._sent_at, broker.counts, world.front.clients,
-                    world.loop.tasks, world.loop._timers)])
+                sizes.append(
+                    [
+                        len(kept)
+                        for kept in (
+                            module.servers,
+                            module.topics,
+                            module.due,
+                            module.strays,
+                            broker.links,
+                            broker.addresses,
+                            broker.queries,
+                            broker.parts,
+                            broker._sent_at,
+                            broker.counts,
+                            world.front.clients,
+                            world.loop.tasks,
+                            world.loop._timers,
+                        )
+                    ]
+                )
+
     world.run(main())
     early, late = sizes
     assert all(after <= before + 20 for before, after in zip(early, late, strict=True)), sizes
@@ -332,7 +371,9 @@
         for send in of(d.query(0, [0, 1, 2, 3]), hw.Send):
             first = first or send
             again = of(d.end(send, hw.LOST, after=1000, took=10_000), hw.Send)
-            assert len(again) == 1 and again[0].node != send.node  # outside of the own budget, at another holder
+            assert (
+                len(again) == 1 and again[0].node != send.node
+            )  # outside of the own budget, at another holder
             d.end(again[0], after=1000, seq=1)
     assert not any(server.bars or server.charge.value for server in d.agg.servers.values())
     assert d.agg.budget.tokens >= 1
@@ -362,6 +403,7 @@
                 for stream in list(node.streams):
                     stream.abort()
             yield from sleep(world.loop, 20_000)
+
     gc.disable()
     try:
         world.run(main())
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -1,4 +1,6 @@
-"""Hard cases of nodes and discovery through the whole gateway, and a bad day that the auditor judges; virtual time."""
+"""Hard cases of nodes and discovery through the whole gateway, and a bad day that the auditor judges; virtual
+time.
+"""
 
 from __future__ import annotations
 
@@ -21,9 +23,11 @@
 
 def spoils(data):
     """A node that answers like this once, and well from then on."""
+
     def behave(node, stream, part):
         node.behave = None
         stream.write(data(part) if callable(data) else data)
+
     return behave
 
 
@@ -31,15 +35,19 @@
     return answer(part, **more)
 
 
-@pytest.mark.parametrize("data", [
-    b"\x00noise" * 9, lambda part: nf.frame(b"Q", f"{part.id} 200 5 -\n0123456789abcdef".encode()),
-    lambda part: nf.frame(nf.ANSWER, f"{part.id} 201 5 -\n0123456789abcdef".encode()),
-    lambda part: nf.frame(nf.ANSWER, b"nobody.7 200 5 -\n0123456789abcdef"),
-    lambda part: nf.frame(nf.ANSWER, f"{part.id} 200 5 -".encode() + b"a" * 900),
-    lambda part: nf.frame(nf.ANSWER, f"{part.id} 200 5 -\nnot what nodes give".encode()),
-    lambda part: b"\xb2\xd0\x5e\x00" + f"O{part.id} 200 5 -\n".encode() + b"a" * 60_000,
-    lambda part: b"\0\0\0\0",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00noise" * 9,
+        lambda part: nf.frame(b"Q", f"{part.id} 200 5 -\n0123456789abcdef".encode()),
+        lambda part: nf.frame(nf.ANSWER, f"{part.id} 201 5 -\n0123456789abcdef".encode()),
+        lambda part: nf.frame(nf.ANSWER, b"nobody.7 200 5 -\n0123456789abcdef"),
+        lambda part: nf.frame(nf.ANSWER, f"{part.id} 200 5 -".encode() + b"a" * 900),
+        lambda part: nf.frame(nf.ANSWER, f"{part.id} 200 5 -\nnot what nodes give".encode()),
+        lambda part: b"\xb2\xd0\x5e\x00" + f"O{part.id} 200 5 -\n".encode() + b"a" * 60_000,
+        lambda part: b"\0\0\0\0",
+    ],
+)
 def test_a_spoilt_answer_is_a_failed_attempt_and_the_client_is_served_elsewhere(data):
     world = Platform()
     for node in world.nodes:
@@ -47,6 +55,7 @@
 
     def main():
         return (yield from world.client().ask("q1", "price-search", [0, 1, 2, 3]))
+
     response = world.run(main())
     rows = json.loads(response.body)["rows"]
     assert response.status == 200
@@ -62,6 +71,7 @@
 
     def rides(node, stream, part):
         stream.write(answer(part) + (answer(part) if behind is None else behind))
+
     for node in world.nodes:
         node.behave = rides
 
@@ -70,6 +80,7 @@
             response = yield from world.client().ask(f"q{n}", "price-search", [0, 1, 2, 3])
             assert response.status == 200
             yield from sleep(world.loop, 50_000)
+
     world.run(main())
     assert set(key[2] for key in world.broker.counts if key[0] == "attempt") == {hw.OK}
     assert not any(server.bars for server in world.broker.module.servers.values())
@@ -83,12 +94,15 @@
             for byte in answer(part):
                 stream.write(bytes([byte]))
                 yield from sleep(world.loop, 500)
+
         world.loop.spawn(run(), "drips")
+
     for node in world.nodes:
         node.behave = drips
 
     def main(name):
         return (yield from world.client().ask(name, "price-search", [0, 1, 2, 3]))
+
     assert world.run(main("q1")).status == 200
     for node in world.nodes:
         node.behave = lambda node, stream, part: stream.write(answer(part)[:9])
@@ -114,6 +128,7 @@
         for stream in list(node.streams):
             stream.abort()
         yield from sleep(world.loop, 500_000)
+
     node.silent = True
     world.run(main())
     assert ended["q.1"] in (hw.LOST, hw.BROKEN)
@@ -138,6 +153,7 @@
         for n in range(6):
             yield from world.client().ask(f"r{n}", "price-search", [0, 1, 2, 3])
         return told
+
     told = world.run(main())
     assert told == {node.uid: len(node.parts) for node in world.nodes[:3]}  # nothing new after the word
     assert world.verdict().kept
@@ -154,10 +170,13 @@
         tasks = []
         for n in range(120):
             shards = [(n + k) % 12 for k in range(4)]
-            tasks.append(world.loop.spawn(world.client().ask(f"q{n}", "price-search", shards, hint=40_000), "q"))
+            tasks.append(
+                world.loop.spawn(world.client().ask(f"q{n}", "price-search", shards, hint=40_000), "q")
+            )
             yield from sleep(world.loop, 10_000)
         for task in tasks:
             yield from task.join()
+
     world.run(main())
     cold, *warm = (len(node.parts) for node in world.nodes)
     assert 0 < cold < sum(warm) / len(warm) / 1.5 and world.verdict().kept
@@ -183,11 +202,14 @@
         failures = world.broker.watch.failures
         registry.silent = True
         yield from sleep(world.loop, world.config.hold_us + 3_500_000)
-        assert world.broker.watch.failures > failures  # within a hold and a call's time, and that of one opened anew
+        assert (
+            world.broker.watch.failures > failures
+        )  # within a hold and a call's time, and that of one opened anew
         registry.silent = False
         world.nodes[2].draining = True
         registry.put(world.nodes[2].entry)
         yield from sleep(world.loop, 6_000_000)
+
     world.run(main())
     assert not world.broker.module.servers["s2"].live
 
@@ -209,8 +231,9 @@
 
 @pytest.mark.parametrize("after", [0.2, 1.6, 2.9, 4.3, 6.0, 7.3])
 def test_what_a_silent_watch_misses_is_known_before_it_counts_as_told(after):
-    """Six seconds after it fell silent, or two after its wait (join+mass, seed 3: 36 sends to nodes whose drain
-    counted as told)."""
+    """Six seconds after it fell silent, or two after its wait (join+mass, seed 3: 36 sends to nodes whose
+    drain counted as told).
+    """
     world = Platform()
     registry = world.registry
     assert registry is not None
@@ -219,14 +242,19 @@
     told_us = max(world.loop.now() + 6_000_000, registry.called_us + wait_us + 2_000_000)
     registry.fall_silent()
     registry.put({**world.nodes[4].entry, "state": "draining"})
-    world.wait((told_us - world.loop.now()) / 1e6 - 0.5)  # half a second is left to a busy discovery, and the grace
+    world.wait(
+        (told_us - world.loop.now()) / 1e6 - 0.5
+    )  # half a second is left to a busy discovery, and the grace
     assert not world.broker.module.servers["s4"].live
-    assert world.broker.watch.failures == 0  # it was opened anew at once, so the module had no failure to wait after
+    assert (
+        world.broker.watch.failures == 0
+    )  # it was opened anew at once, so the module had no failure to wait after
 
 
 def test_after_a_failed_call_only_what_has_changed_is_asked_for():
-    """A line is work for discovery, which serves all brokers in turn: full lists asked for anew by each that failed
-    kept it from serving any (herd+mass: no list came through after second 5)."""
+    """A line is work for discovery, which serves all brokers in turn: full lists asked for anew by each that
+    failed kept it from serving any (herd+mass: no list came through after second 5).
+    """
     world = Platform()
     registry = world.registry
     assert registry is not None
@@ -270,6 +298,7 @@
 
     def main(name):
         return (yield from world.client().ask(name, "sale-record", [3], key="k"))
+
     assert world.run(main("q1")).status == 200
     for number, old in enumerate(list(world.nodes)):
         moved = world.nodes[number] = world.node(100 + number, number)
@@ -283,8 +312,11 @@
 @given(st.data())
 def test_a_request_cut_anywhere_is_the_same_request(data):
     body = b'{"parts":[{"id":1,"w":1.0}],"expr":"c4"}'
-    stream = (b"POST /price-search?key=7f HTTP/1.1\r\nHost: b\r\nReq-Id: q1\r\nContent-Length: %d\r\n\r\n" % len(body)
-              + body)
+    stream = (
+        b"POST /price-search?key=7f HTTP/1.1\r\nHost: b\r\nReq-Id: q1\r\nContent-Length: %d\r\n\r\n"
+        % len(body)
+        + body
+    )
     side, got = ServerSide(), []
     while stream:
         cut = data.draw(st.integers(1, len(stream)))
@@ -304,7 +336,9 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_bad_day_keeps_every_rule(seed):
-    """Breaks, silences, spoilt answers, errors, refusals, deaths and returns, drains and clients that leave."""
+    """Breaks, silences, spoilt answers, errors, refusals, deaths and returns, drains and clients
+    that leave.
+    """
     world = Platform(seed=seed)
     draw = random.Random(seed)
     registry = world.registry
@@ -330,13 +364,17 @@
             stream.write(answer(part))
             if fate > 0.95:
                 stream.close()
+
     for node in world.nodes:
         node.behave = behave
     told = []
 
     def one(n):
-        kind, shards, key = [("price-search", [0, 1, 2, 3], ""), ("day-report", [4, 5, 6], ""),
-                             ("sale-record", [n % 12], f"k{n}")][n % 3]
+        kind, shards, key = [
+            ("price-search", [0, 1, 2, 3], ""),
+            ("day-report", [4, 5, 6], ""),
+            ("sale-record", [n % 12], f"k{n}"),
+        ][n % 3]
         client = world.client(f"c{n}")
         if n % 17 == 0:
             task = world.loop.spawn(client.ask(f"q{n}", kind, shards, key=key), "leaves")
@@ -366,9 +404,11 @@
         for task in tasks:
             yield from task.join()
         yield from sleep(world.loop, 1_500_000)
+
     world.run(main())
     verdict = world.verdict()
     assert verdict.kept, [str(breach) for breach in verdict.breaches[:5]]
-    # Of eight seeds 223 to 244 are answered; 212 to 249 while the whole list came first: the order of all draws.
+    # Of eight seeds 223 to 244 are answered; 212 to 249 while the whole list came first: the order of all
+    # draws.
     assert verdict.counts["queries"] == 300 and told.count(200) > 205
     assert not world.broker.queries and not world.broker.parts and not world.broker._sent_at
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -1,4 +1,6 @@
-"""Clients that can't be read, don't finish or say nothing, beside usual ones: all get an error or a close in time."""
+"""Clients that can't be read, don't finish or say nothing, beside usual ones: all get an error or a close in
+time.
+"""
 
 from __future__ import annotations
 
@@ -28,29 +30,49 @@
 def test_a_good_request_is_taken_as_it_says():
     wanted = Checker(settings_of()).check(request(query="key=7f3a9c21e0b4d655"))
     assert (wanted.id, wanted.klass, wanted.wait_us, wanted.text) == ("q1", 0, 480_000, b"c41e77d0")
-    assert [(part.shard, part.weight, part.hint_us) for part in wanted.parts] == [(1, 0.5, None), (2, 0.5, 9000)]
-    assert Checker(settings_of()).check(request({"req-deadline": "90000000u"})).wait_us == 600_000  # the class's
-
-
-@pytest.mark.parametrize(("head", "body", "word"), [
-    ({"req-id": ""}, None, "Req-Id"), ({"req-id": "a.1"}, None, "Req-Id"), ({"req-id": "a b"}, None, "Req-Id"),
-    ({"req-kind": "nothing"}, None, "Req-Kind"), ({"req-kind": "day-report"}, None, "path"),
-    ({"req-deadline": "soon"}, None, "Req-Deadline"), ({"req-deadline": "-5m"}, None, "Req-Deadline"),
-    ({"req-deadline": "480"}, None, "Req-Deadline"), ({"req-deadline": "0m"}, None, "Req-Deadline"),
-    ({"req-deadline": "1e9m"}, None, "Req-Deadline"), ({"req-deadline": "nanm"}, None, "Req-Deadline"),
-    ({}, b"{", "body"), ({}, b"\xff", "body"), ({}, b"[]", "body"), ({}, {"parts": [PART]}, "body"),
-    ({}, {"parts": [], "expr": "x"}, "parts"), ({}, {"parts": [PART, PART], "expr": "x"}, "twice"),
-    ({}, {"parts": [{"id": 12, "w": 1}], "expr": "x"}, "no shard"),
-    ({}, {"parts": [{"id": -1, "w": 1}], "expr": "x"}, "no shard"),
-    ({}, {"parts": [{"id": 1.5, "w": 1}], "expr": "x"}, "body"),
-    ({}, {"parts": [{"id": 1, "w": 0}], "expr": "x"}, "weight"),
-    ({}, {"parts": [{"id": 1, "w": 1.5}], "expr": "x"}, "weight"),
-    ({}, {"parts": [{"id": 1, "w": -0.5}, {"id": 2, "w": 1}], "expr": "x"}, "weight"),
-    ({}, {"parts": [PART], "expr": "x"}, "add up"), ({}, {"parts": [{"id": 1, "w": 1}], "expr": ""}, "expr"),
-    ({}, {"parts": [{"id": 1, "w": 1, "hint": -1}], "expr": "x"}, "hint"),
-    ({}, {"parts": [{"id": 1, "w": 1, "tag": "xyz"}], "expr": "x"}, "tag"),
-    ({}, {"parts": [{"id": 1, "w": 1}], "expr": 5}, "body"), ({}, b"[" * 5000, "body"),
-])
+    assert [(part.shard, part.weight, part.hint_us) for part in wanted.parts] == [
+        (1, 0.5, None),
+        (2, 0.5, 9000),
+    ]
+    assert (
+        Checker(settings_of()).check(request({"req-deadline": "90000000u"})).wait_us == 600_000
+    )  # the class's
+
+
+@pytest.mark.parametrize(
+    ("head", "body", "word"),
+    [
+        ({"req-id": ""}, None, "Req-Id"),
+        ({"req-id": "a.1"}, None, "Req-Id"),
+        ({"req-id": "a b"}, None, "Req-Id"),
+        ({"req-kind": "nothing"}, None, "Req-Kind"),
+        ({"req-kind": "day-report"}, None, "path"),
+        ({"req-deadline": "soon"}, None, "Req-Deadline"),
+        ({"req-deadline": "-5m"}, None, "Req-Deadline"),
+        ({"req-deadline": "480"}, None, "Req-Deadline"),
+        ({"req-deadline": "0m"}, None, "Req-Deadline"),
+        ({"req-deadline": "1e9m"}, None, "Req-Deadline"),
+        ({"req-deadline": "nanm"}, None, "Req-Deadline"),
+        ({}, b"{", "body"),
+        ({}, b"\xff", "body"),
+        ({}, b"[]", "body"),
+        ({}, {"parts": [PART]}, "body"),
+        ({}, {"parts": [], "expr": "x"}, "parts"),
+        ({}, {"parts": [PART, PART], "expr": "x"}, "twice"),
+        ({}, {"parts": [{"id": 12, "w": 1}], "expr": "x"}, "no shard"),
+        ({}, {"parts": [{"id": -1, "w": 1}], "expr": "x"}, "no shard"),
+        ({}, {"parts": [{"id": 1.5, "w": 1}], "expr": "x"}, "body"),
+        ({}, {"parts": [{"id": 1, "w": 0}], "expr": "x"}, "weight"),
+        ({}, {"parts": [{"id": 1, "w": 1.5}], "expr": "x"}, "weight"),
+        ({}, {"parts": [{"id": 1, "w": -0.5}, {"id": 2, "w": 1}], "expr": "x"}, "weight"),
+        ({}, {"parts": [PART], "expr": "x"}, "add up"),
+        ({}, {"parts": [{"id": 1, "w": 1}], "expr": ""}, "expr"),
+        ({}, {"parts": [{"id": 1, "w": 1, "hint": -1}], "expr": "x"}, "hint"),
+        ({}, {"parts": [{"id": 1, "w": 1, "tag": "xyz"}], "expr": "x"}, "tag"),
+        ({}, {"parts": [{"id": 1, "w": 1}], "expr": 5}, "body"),
+        ({}, b"[" * 5000, "body"),
+    ],
+)
 def test_what_is_wrong_is_named(head, body, word):
     with pytest.raises(BadRequest, match=word) as caught:
         Checker(settings_of()).check(request(head, body))
@@ -75,7 +97,10 @@
     assert abs(sum(part.weight for part in wanted.parts) - 1) < 1e-9
 
 
-RAW = b"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: %s\r\nReq-Kind: price-search\r\nReq-Deadline: 400m\r\n"
+RAW = (
+    b"POST /price-search HTTP/1.1\r\nHost: b\r\nReq-Id: %s\r\n"
+    b"Req-Kind: price-search\r\nReq-Deadline: 400m\r\n"
+)
 BODY = json.dumps(GOOD).encode()
 
 
@@ -85,6 +110,7 @@
 
 def told(world, pieces, gap_us=0, patience=3_500_000):
     """What a raw client is told, and after how long (us); pieces are written one after another."""
+
     def main():
         stream = yield from world.net.connect("broker:7070", 1_000_000, "bad")
         began, got = world.loop.now(), bytearray()
@@ -95,6 +121,7 @@
                 stream.write(piece)
                 yield from stream.drain()
                 yield from sleep(world.loop, gap_us)
+
         writer = world.loop.spawn(writes(), "writes")
         ended = None
         try:
@@ -106,24 +133,33 @@
         timer.cancel()
         writer.cancel()
         return bytes(got), ended
+
     return world.run(main(), errors=True)
 
 
-@pytest.mark.parametrize(("pieces", "status"), [
-    ([b"\x00\x01\x02\x03 what\r\n\r\n"], b"400"),
-    ([b"GET / HTTP/1.1\r\nHost: b\r\nX: " + b"a" * 20_000], b"431"),
-    ([whole(b"q1", more=b"Transfer-Encoding: chunked\r\n")], b"400"),
-    ([RAW % b"q1" + b"Content-Length: -5\r\n\r\n"], b"400"),
-    ([RAW % b"q1" + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\n"], b"400"),
-    ([RAW % b"q1" + b"Content-Length: 60000000\r\n\r\n"], b"413"),
-    ([RAW % b"q1" + b"Transfer-Encoding: chunked\r\n\r\n", b"ffff\r\n" + b"a" * 65_535 + b"\r\n" + b"ff\r\n"
-      + b"a" * 255 + b"\r\n"], b"413"),
-    ([RAW % b"q1" + b"Content-Length: 100\r\n\r\n{\"parts\""], b"408"),
-    ([b"POST /pri"], b"408"),
-    ([whole(b"")], b"400"),
-    ([b"DELETE /price-search HTTP/1.1\r\nHost: b\r\nReq-Kind: price-search\r\n\r\n"], b"405"),
-    ([b"GET /nowhere HTTP/1.1\r\nHost: b\r\n\r\n"], b"400"),
-])
+@pytest.mark.parametrize(
+    ("pieces", "status"),
+    [
+        ([b"\x00\x01\x02\x03 what\r\n\r\n"], b"400"),
+        ([b"GET / HTTP/1.1\r\nHost: b\r\nX: " + b"a" * 20_000], b"431"),
+        ([whole(b"q1", more=b"Transfer-Encoding: chunked\r\n")], b"400"),
+        ([RAW % b"q1" + b"Content-Length: -5\r\n\r\n"], b"400"),
+        ([RAW % b"q1" + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\n"], b"400"),
+        ([RAW % b"q1" + b"Content-Length: 60000000\r\n\r\n"], b"413"),
+        (
+            [
+                RAW % b"q1" + b"Transfer-Encoding: chunked\r\n\r\n",
+                b"ffff\r\n" + b"a" * 65_535 + b"\r\n" + b"ff\r\n" + b"a" * 255 + b"\r\n",
+            ],
+            b"413",
+        ),
+        ([RAW % b"q1" + b'Content-Length: 100\r\n\r\n{"parts"'], b"408"),
+        ([b"POST /pri"], b"408"),
+        ([whole(b"")], b"400"),
+        ([b"DELETE /price-search HTTP/1.1\r\nHost: b\r\nReq-Kind: price-search\r\n\r\n"], b"405"),
+        ([b"GET /nowhere HTTP/1.1\r\nHost: b\r\n\r\n"], b"400"),
+    ],
+)
 def test_bad_input_is_answered_and_closed_within_three_seconds(pieces, status):
     world = Platform()
     got, ended = told(world, pieces)
@@ -165,6 +201,7 @@
         yield from sleep(world.loop, 10_000)
         second = yield from world.client("other").ask("q1", "price-search", [0, 1, 2, 3])
         return (yield from first.join()), second
+
     first, second = world.run(main())
     assert (first.status, second.status) == (200, 409)
     assert len([part for node in world.nodes for part in node.parts]) == 3
@@ -181,6 +218,7 @@
                 response = yield from world.client().ask(f"q{n}", "price-search", [0, 1, 2, 3])
                 assert response.status == 200
             assert len(world.front.clients) <= most
+
     world.run(main())
     assert world.front.counts["closed for another"] > 200
 
@@ -213,6 +251,7 @@
         last = streams[-1]  # those that asked last are still there
         last.write(whole(b"again"))
         assert (yield from last.read()).startswith(b"HTTP/1.1 200")
+
     world.run(main())
     assert asked == 3 * may_hold and world.front.counts["let go"] > may_hold
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -1,4 +1,6 @@
-"""The broker's process: its start, signals and how little it holds, on loopback with ports that the kernel chooses."""
+"""The broker's process: its start, signals and how little it holds, on loopback with ports that the kernel
+chooses.
+"""
 
 from __future__ import annotations
 
@@ -17,10 +19,31 @@
 from heathwell.lab.platform import PlatformFleet, config_of
 
 ROOT = Path(__file__).resolve().parent.parent
-HEAVY = ("numpy", "usearch", "lark", "click", "structlog", "prometheus_client", "hdrh", "pymemcache", "xxhash",
-         "heathwell.lab", "heathwell.standins", "heathwell.vectors", "heathwell.storms", "heathwell.fronts",
-         "heathwell.membership", "heathwell.budgets", "heathwell.control", "heathwell.check",
-         "heathwell.settings", "heathwell.merge", "heathwell.regions", "heathwell.freshness", "heathwell.broker.market")
+HEAVY = (
+    "numpy",
+    "usearch",
+    "lark",
+    "click",
+    "structlog",
+    "prometheus_client",
+    "hdrh",
+    "pymemcache",
+    "xxhash",
+    "heathwell.lab",
+    "heathwell.standins",
+    "heathwell.vectors",
+    "heathwell.storms",
+    "heathwell.fronts",
+    "heathwell.membership",
+    "heathwell.budgets",
+    "heathwell.control",
+    "heathwell.check",
+    "heathwell.settings",
+    "heathwell.merge",
+    "heathwell.regions",
+    "heathwell.freshness",
+    "heathwell.broker.market",
+)
 
 
 def without(field):
@@ -35,23 +58,44 @@
     return json.dumps(table).encode()
 
 
-@pytest.mark.parametrize(("data", "word"), [
-    (b"{", "JSON"), (b"[]", "object"), (without("name"), "name"), (without("listen"), "listen"),
-    (without("discovery"), "discovery"), (without("seed"), "seed"), (without("limits"), "limits"),
-    (without("settings"), "settings"), (config_of(listen="nowhere"), "listen"), (config_of(seed="xyz"), "seed"),
-    (config_of(discovery="a:99999"), "discovery"), (config_of(limits={"sockets": 5}), "limits.sockets"),
-    (config_of(limits={"sockets": "many"}), "limits.sockets"), (config_of(known={"rev": 1}), "known"),
-    (settings(classes=[]), "classes"), (settings(zones="a"), "zones"), (settings(specifics=None), "specifics"),
-    (settings(ceilings={"max-attempts": 3, "conn-idle-us": "x"}), "conn-idle-us"),
-])
+@pytest.mark.parametrize(
+    ("data", "word"),
+    [
+        (b"{", "JSON"),
+        (b"[]", "object"),
+        (without("name"), "name"),
+        (without("listen"), "listen"),
+        (without("discovery"), "discovery"),
+        (without("seed"), "seed"),
+        (without("limits"), "limits"),
+        (without("settings"), "settings"),
+        (config_of(listen="nowhere"), "listen"),
+        (config_of(seed="xyz"), "seed"),
+        (config_of(discovery="a:99999"), "discovery"),
+        (config_of(limits={"sockets": 5}), "limits.sockets"),
+        (config_of(limits={"sockets": "many"}), "limits.sockets"),
+        (config_of(known={"rev": 1}), "known"),
+        (settings(classes=[]), "classes"),
+        (settings(zones="a"), "zones"),
+        (settings(specifics=None), "specifics"),
+        (settings(ceilings={"max-attempts": 3, "conn-idle-us": "x"}), "conn-idle-us"),
+    ],
+)
 def test_what_is_wrong_in_the_configuration_is_named(data, word):
     with pytest.raises(ConfigError, match=re.escape(word)):
         read(data)
 
 
 def start(environment):
-    return subprocess.run([sys.executable, "-m", "heathwell.gateway"], cwd=ROOT, env=environment, text=True,
-                          capture_output=True, timeout=30, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "heathwell.gateway"],
+        cwd=ROOT,
+        env=environment,
+        text=True,
+        capture_output=True,
+        timeout=30,
+        check=False,
+    )
 
 
 def test_a_start_that_cant_be_is_exit_code_2_and_one_line(tmp_path):
@@ -59,8 +103,10 @@
     path = tmp_path / "config.json"
     path.write_bytes(without("discovery"))
     for environment, word in (
-            (base, "GW_CONFIG"), ({**base, "GW_CONFIG": str(tmp_path / "none")}, "GW_CONFIG"),
-            ({**base, "GW_CONFIG": str(path)}, "discovery")):
+        (base, "GW_CONFIG"),
+        ({**base, "GW_CONFIG": str(tmp_path / "none")}, "GW_CONFIG"),
+        ({**base, "GW_CONFIG": str(path)}, "discovery"),
+    ):
         done = start(environment)
         assert done.returncode == 2 and word in done.stderr and done.stderr.count("\n") == 1
     path.write_bytes(config_of())
@@ -71,8 +117,9 @@
 
 def test_the_start_imports_nothing_heavy():
     code = "import sys, heathwell.gateway.process; print('\\n'.join(sys.modules))"
-    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=30,
-                          check=True)
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=30, check=True
+    )
     loaded = set(done.stdout.split())
     assert not [name for name in loaded if name.startswith(HEAVY)]
 
@@ -84,6 +131,7 @@
     def build(**more):
         worlds.append(PlatformFleet(tmp_path, **more))
         return worlds[-1]
+
     yield build
     for world in worlds:
         world.close()
@@ -95,6 +143,7 @@
     def main():
         response = yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])
         return response.status
+
     assert world.run(main()) == 200
     pid = world.process.pid
     assert "Threads:\t1\n" in Path(f"/proc/{pid}/status").read_text()
@@ -119,6 +168,7 @@
         one = yield from first.join()
         code = yield from world.ended()
         return one.status, second.status, code
+
     assert world.run(main()) == (200, 200, 0)
 
 
@@ -140,14 +190,21 @@
             yield from sleep(world.loop, 5_000)
         two = yield from client.ask("q2", "price-search", [0, 1, 2, 3])
         return one.status, two.status
+
     assert world.run(main()) == (200, 200)
     assert world.process.poll() is None
 
 
 def test_the_demo_starts_asks_and_ends():
-    done = subprocess.run([sys.executable, "-m", "heathwell", "platform", "--seconds", "0.2"], cwd=ROOT, text=True,
-                          capture_output=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "heathwell", "platform", "--seconds", "0.2"],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 0, done.stderr
     for kind in ("price-search", "day-report", "sale-record"):
-        assert f"{kind}: 200 {{\"exact\":true" in done.stdout
+        assert f'{kind}: 200 {{"exact":true' in done.stdout
     assert "exit code 0" in done.stdout
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -42,6 +42,7 @@
         assert sum(link.late for link in world.fleet.brokers[0].broker.links.values()) > 0
         again, end = yield from client.get("price:tea")
         assert end == "END" and json.loads(again["price:tea"][1])["whole"]
+
     world.run(main())
     finish(world)
 
@@ -60,6 +61,7 @@
         body = json.loads(data)
         assert flags == 0 and body["whole"] and body["coverage"]["parts"] == [6, 8]
         assert body["coverage"]["weight"] == 0.75 and len(body["coverage"]["missing"]) == 2
+
     world.run(main())
     finish(world)
 
@@ -83,6 +85,7 @@
             assert flags == 1 << 16 and not body["whole"] and body["coverage"]["weight"] >= floor
         else:
             assert client.lost["price:tea"]["refused"] and end == "END"
+
     world.run(main())
     finish(world)
 
@@ -103,17 +106,22 @@
             for flags, data in values.values():
                 seen.append((flags, json.loads(data)))
             assert values or client.lost[f"price:{word}"]["refused"]
+
     world.run(main())
     partial = [(flags, body) for flags, body in seen if not body["whole"]]
-    assert partial and all(flags == 1 << 16 and 0.5 <= body["coverage"]["weight"] < 0.75 for flags, body in partial)
+    assert partial and all(
+        flags == 1 << 16 and 0.5 <= body["coverage"]["weight"] < 0.75 for flags, body in partial
+    )
     finish(world)
 
 
 @pytest.mark.parametrize(("after", "resent"), [(100_000, True), (900_000, False)])
 def test_a_reset_between_request_and_reply_of_a_keyed_part(after, resent):
     """Inside its window it is sent again, past it never; the effect happens once."""
-    text = MARKET.replace("(repeat keyed) (dedup 750ms) (late-worth 10%) (work 30ms)",
-                          "(repeat keyed) (dedup 750ms) (late-worth 10%) (work 1400ms)")
+    text = MARKET.replace(
+        "(repeat keyed) (dedup 750ms) (late-worth 10%) (work 30ms)",
+        "(repeat keyed) (dedup 750ms) (late-worth 10%) (work 1400ms)",
+    )
     world = World(6, text.replace("(limit 1500ms)", "(limit 4s)").replace("(aim 750ms)", "(aim 4s)"))
 
     def main():
@@ -121,11 +129,14 @@
         client.stream.write(b"get sale:anna:17\r\n")
         yield from sleep(world.loop, after)
         [arrive] = world.seen("arrive")
-        next(leaf for leaf in world.fleet.leaves if leaf.address == arrive["node"]).order(frames.Control("reset"))
+        next(leaf for leaf in world.fleet.leaves if leaf.address == arrive["node"]).order(
+            frames.Control("reset")
+        )
         values, end = yield from client.reply()
         sent = world.seen("send")
         assert len(sent) == (2 if resent else 1)
         assert bool(values) is resent and bool(client.lost) is not resent
+
     world.run(main())
     finish(world)
 
@@ -140,9 +151,14 @@
             values, end = yield from client.get(f"price:w{number}", f"sale:anna:{number}")
             assert end == "END" and len(values) == 2
             yield from sleep(world.loop, 150_000)
+
     world.run(main())
-    drained = {leaf.address: e["t"] for leaf in world.fleet.leaves for e in world.seen("drain", node=leaf.address)}
-    late = [a for a in world.seen("arrive") if a["node"] in drained and a["t"] > drained[a["node"]] + 1_000_000]
+    drained = {
+        leaf.address: e["t"] for leaf in world.fleet.leaves for e in world.seen("drain", node=leaf.address)
+    }
+    late = [
+        a for a in world.seen("arrive") if a["node"] in drained and a["t"] > drained[a["node"]] + 1_000_000
+    ]
     assert len(drained) == 2 and not late
     finish(world)
 
@@ -161,6 +177,7 @@
         assert not set(values) & {"sale:anna:17"}
         assert client.lost["sale:anna:17"]["refused"] and client.lost["sale:anna:17"]["retry_after_ms"] > 0
         assert world.loop.now() - asked < 2_000_000
+
     world.run(main())
     finish(world)
 
@@ -178,6 +195,7 @@
         broker = world.fleet.brokers[0].broker
         assert not broker.queries and not broker.parts and broker.held == 0
         assert not broker.module.queries and not broker.module.strays
+
     world.run(main())
     assert len(world.seen("left")) + len(world.seen("final")) == 40 and len(world.seen("left")) > 20
     finish(world)
@@ -200,6 +218,7 @@
         yield from client.block(int(head.split()[1]))
         with pytest.raises(StreamBroken):
             yield from client.line()
+
     world.run(main())
     finish(world)
 
@@ -209,12 +228,16 @@
 
     def main():
         client = yield from world.client()
-        keys = [f"price:w{n}" for n in range(20)] + [f"sale:t{n}:3" for n in range(60)] + [
-            f"report:t{n}:2026-11-02" for n in range(20)]
+        keys = (
+            [f"price:w{n}" for n in range(20)]
+            + [f"sale:t{n}:3" for n in range(60)]
+            + [f"report:t{n}:2026-11-02" for n in range(20)]
+        )
         keys = keys[::3] + keys[1::3] + keys[2::3]
         values, end = yield from client.get(*keys)
         assert [key for key in keys if key in values] == list(values)
         assert end == "END" and len(values) + len(client.lost) == 100 and len(values) > 60
+
     world.run(main())
     finish(world)
 
@@ -227,6 +250,7 @@
         values, end = yield from client.get(*[f"price:w{n}" for n in range(5)])
         assert len(values) == 3 and list(client.lost) == ["price:w3", "price:w4"] and end == "END"
         assert all(0 < lost["retry_after_ms"] <= 500 for lost in client.lost.values())
+
     world.run(main())
     assert len(world.seen("door", why="full")) == 2
     finish(world)
@@ -249,6 +273,7 @@
         assert client.lost["price:bread"]["refused"]
         client.stream.write(b"mg price:bread v\r\n")
         assert (yield from client.line()).startswith(b"SERVER_ERROR heathwell refused=1 retry-after-ms=")
+
     world.run(main())
     finish(world)
 
@@ -267,13 +292,19 @@
         client = yield from world.client()
         values, _ = yield from client.get("price:tea")
         assert values
+
     world.run(main())
     finish(world)
 
 
 def test_a_slow_reader_is_cut_off_and_its_memory_given_back():
-    world = World(15, MARKET.replace("(limits ", "(limits (unread 100kb) (pipelined 64) ").replace(
-        "(open-cap 600)", "(open-cap 0)") + "(leaf (rows 400) (slots 64) (queue 500))")
+    world = World(
+        15,
+        MARKET.replace("(limits ", "(limits (unread 100kb) (pipelined 64) ").replace(
+            "(open-cap 600)", "(open-cap 0)"
+        )
+        + "(leaf (rows 400) (slots 64) (queue 500))",
+    )
 
     def main():
         client = yield from world.client()
@@ -285,6 +316,7 @@
         assert max(c.stream.unsent for c in front.connections) <= 100 * 1024
         values, _ = yield from other.get("sale:anna:1")
         assert values
+
     world.run(main())
 
 
@@ -305,6 +337,7 @@
                 pass
             assert isinstance(got[0], frames.Hello)
             assert not told or "version 9" in got[-1].text
+
     world.run(main())
     assert world.seen("garbled")
 
@@ -331,6 +364,7 @@
         broker = world.fleet.brokers[0].broker
         assert not broker.queries and not broker.parts and not broker._sent_at and broker.held == 0
         assert not broker.module.queries and not broker.module.strays
+
     world.run(main())
     finish(world)
 
@@ -348,6 +382,7 @@
         handle.leave()
         yield from sleep(world.loop, 3_000_000)
         assert not broker.queries and not broker.module.strays and broker.held == 0
+
     world.run(main())
     assert len(world.seen("send")) == 1 and len(world.seen("unsent")) == 1
 
@@ -360,6 +395,7 @@
         client = yield from world.client()
         values, _ = yield from client.get("price:tea")
         assert json.loads(values["price:tea"][1])["coverage"]["parts"] == [8, 8]
+
     world.run(main())
     arrivals = world.seen("arrive")
     assert len(arrivals) == 8 and len({a["node"] for a in arrivals}) == 6  # 12 shards on 6 hosts: pairs share
@@ -379,6 +415,7 @@
         assert not any(link.stream for link in links)
         values, _ = yield from client.get("price:tea")
         assert values
+
     world.run(main())
     finish(world)
 
@@ -398,6 +435,7 @@
         yield from sleep(world.loop, 8_000_000)
         state = world.fleet.brokers[0].broker.module.servers[world.fleet.leaves[0].address]
         assert not state.live
+
     world.run(main())
     finish(world)
 
@@ -418,5 +456,6 @@
         assert server.live and server.since is not None and server.since > 3_000_000
         assert len(world.seen("watch")) > 2
         assert (yield from client.get("price:tea"))[0]
+
     world.run(main())
     finish(world)
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -49,9 +49,10 @@
 
         def writer():
             for at in range(0, len(sent), 10_000):
-                stream.write(sent[at:at + 10_000])
+                stream.write(sent[at : at + 10_000])
                 yield from stream.drain()
             stream.end()
+
         loop.spawn(writer(), "writer")
         while data := (yield from stream.read()):
             got += data
@@ -59,6 +60,7 @@
         listener.close()
         with pytest.raises(ConnectFailed):
             yield from net.connect(listener.address, 100_000)
+
     run(loop, main())
 
 
@@ -83,6 +85,7 @@
         with pytest.raises(StreamBroken):
             while (yield from stream.read()):
                 pass
+
     run(loop, main())
     assert "too slowly" in fate[0]
 
@@ -111,6 +114,7 @@
         me[0].cancel()
         assert (yield from me[0].join()) is None
         yield from sleep(loop, 1000)
+
     me = []
     run(loop, main())
     assert seen == ["parent", "child"]
@@ -133,6 +137,7 @@
             with contextlib.suppress(StreamBroken):
                 assert (yield from stream.read()) == b""
         assert listener.open == 0
+
     run(loop, main())
     assert told == [("bad", "'oops'")] * 2
 
@@ -150,6 +155,7 @@
             timer.cancel()
         yield from sleep(loop, 10_000)
         assert len(loop._timers) < 600
+
     run(loop, main())
     assert seen == [1, 3]
 
@@ -180,6 +186,7 @@
         while len(got) < 3:
             got += yield from stream.read()
         assert got == b"123"
+
     run(loop, main())
 
 
@@ -191,10 +198,12 @@
         def task(n):
             seen.append(n)
             yield from sleep(loop, 0)
+
         for n in range(8):
             loop.spawn(task(n), str(n))
         run(loop, sleep(loop, 10))
         return seen
+
     assert order(1) == order(1) and order(1) != order(2) and sorted(order(1)) == list(range(8))
 
 
@@ -214,6 +223,7 @@
         with pytest.raises(ZeroDivisionError):
             yield from worker.run(lambda: 1 // 0)
         yield from sleep(loop, 20_000)
+
     run(loop, main())
     worker.close()
     loop.shutdown()
@@ -255,6 +265,7 @@
         for stream in (first, waiting, late):
             stream.write(b"hi")
             assert (yield from stream.read()) == b"hi"
+
     try:
         run(loop, main())
     finally:
--- a/tests/test_many_brokers.py
+++ b/tests/test_many_brokers.py
@@ -1,4 +1,6 @@
-"""A hundred brokers that restart together while nodes are replaced, with a discovery that serves them in turn."""
+"""A hundred brokers that restart together while nodes are replaced, with a discovery that serves them in
+turn.
+"""
 
 from heathwell.kernel import sleep
 from heathwell.lab.manybrokers import ManyBrokers
@@ -18,7 +20,10 @@
             yield from sleep(world.loop, 250_000)
         yield from sleep(world.loop, 3_000_000)
         return world.unaware()
+
     unaware = world.run(main())
     assert not world.errors, world.errors[:3]
-    assert unaware == 0, f"{unaware} of 100 brokers send by an old list; {world.registry.turned_away} calls turned away"
+    assert unaware == 0, (
+        f"{unaware} of 100 brokers send by an old list; {world.registry.turned_away} calls turned away"
+    )
     assert world.told[200] > 0.9 * world.told.total(), world.told
--- a/tests/test_merge.py
+++ b/tests/test_merge.py
@@ -1,4 +1,6 @@
-"""The merge: any order of parts gives brute force's rows, moot parts can't change them, malformed rows are caught."""
+"""The merge: any order of parts gives brute force's rows, moot parts can't change them, malformed rows are
+caught.
+"""
 
 from __future__ import annotations
 
@@ -24,19 +26,24 @@
 
 
 @settings(max_examples=150)
-@given(st.lists(ROWS, min_size=1, max_size=5), st.integers(1, 6), st.integers(0, 5),
-       st.one_of(st.none(), SCORES), st.randoms())
+@given(
+    st.lists(ROWS, min_size=1, max_size=5),
+    st.integers(1, 6),
+    st.integers(0, 5),
+    st.one_of(st.none(), SCORES),
+    st.randoms(),
+)
 def test_any_order_of_parts_gives_brute_forces_rows(shards, limit, offset, threshold, order):
     scores: dict = {}
     held = [rows_of(shard, scores) for shard in shards]
     everything = {row.id: row for rows in held for row in rows if threshold is None or row.score >= threshold}
-    want = ranked(everything.values())[offset:offset + limit]
+    want = ranked(everything.values())[offset : offset + limit]
     top = TopK([limit], [offset], [threshold])
     parts = list(enumerate(held))
     order.shuffle(parts)
     for name, rows in parts:
         best = ranked(row for row in rows if threshold is None or row.score >= threshold)
-        top.add(str(name), [best[:limit + offset]], points=len(rows))
+        top.add(str(name), [best[: limit + offset]], points=len(rows))
     assert top.result(0, [], 0).rows == want
 
 
@@ -60,14 +67,24 @@
         top.add(name, [ranked(held[int(name)])[:limit]])
     assert top.result(0, [], 0).rows == before
     if not moot and len(before) == limit:
-        assert all(max(row.score for row in held[int(n)]) + 0.2 >= before[-1].score for n in out if held[int(n)])
-
-
-@pytest.mark.parametrize(("rows", "why"), [
-    ([Row(1, 0.1), Row(2, 0.9)], "order"), ([Row(2, 0.5), Row(1, 0.5)], "order"),
-    ([Row(n, 0.5 - n / 10) for n in range(4)], "3 were asked"), ([Row(1, math.nan)], "no number"),
-    ([Row(1, 0.9), Row(1, 0.8)], "twice"), ([Row(1, 0.96)], "bound"), ([Row(1, 0.0)], "threshold"),
-    ([Row(1, math.inf)], "no number")])
+        assert all(
+            max(row.score for row in held[int(n)]) + 0.2 >= before[-1].score for n in out if held[int(n)]
+        )
+
+
+@pytest.mark.parametrize(
+    ("rows", "why"),
+    [
+        ([Row(1, 0.1), Row(2, 0.9)], "order"),
+        ([Row(2, 0.5), Row(1, 0.5)], "order"),
+        ([Row(n, 0.5 - n / 10) for n in range(4)], "3 were asked"),
+        ([Row(1, math.nan)], "no number"),
+        ([Row(1, 0.9), Row(1, 0.8)], "twice"),
+        ([Row(1, 0.96)], "bound"),
+        ([Row(1, 0.0)], "threshold"),
+        ([Row(1, math.inf)], "no number"),
+    ],
+)
 def test_rows_that_no_sound_host_gives_are_caught(rows, why):
     top = TopK([2], [1], [0.2])
     top.bound("a", [0.95])
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -25,8 +25,10 @@
 from .fleet import MARKET
 
 ROOT = Path(__file__).parent.parent
-SLOW = MARKET.replace("(aim 750ms) (limit 1500ms) (repeat keyed) (dedup 750ms) (late-worth 10%) (work 30ms)",
-                      "(aim 4s) (limit 8s) (repeat keyed) (dedup 4s) (work 250ms)")
+SLOW = MARKET.replace(
+    "(aim 750ms) (limit 1500ms) (repeat keyed) (dedup 750ms) (late-worth 10%) (work 30ms)",
+    "(aim 4s) (limit 8s) (repeat keyed) (dedup 4s) (work 250ms)",
+)
 SLOW = SLOW.replace("(notice 300ms)", "(notice 1ms)")
 
 
@@ -75,7 +77,8 @@
     assert broker.process.wait(20) == 0
     assert events.read_text().splitlines()[-1].count('"ev":"closed"') == 1
     (tmp_path / "events" / "run.jsonl").write_text(
-        json.dumps({"t": 0, "who": "run", "ev": "run", "figures": run_figures(slow_fleet.market)}) + "\n")
+        json.dumps({"t": 0, "who": "run", "ev": "run", "figures": run_figures(slow_fleet.market)}) + "\n"
+    )
     assert judge(read_logs([tmp_path / "events"])).kept
 
 
@@ -95,8 +98,22 @@
 def test_fleet_up_writes_its_ready_file_and_ends_on_sigterm(tmp_path):
     config, ready = tmp_path / "m.sx", tmp_path / "ready.json"
     config.write_text(MARKET)
-    process = subprocess.Popen([sys.executable, "-m", "heathwell", "fleet", "up", "--config", str(config),
-                                "--ready-file", str(ready), "--seconds", "60"], stderr=subprocess.DEVNULL)
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "heathwell",
+            "fleet",
+            "up",
+            "--config",
+            str(config),
+            "--ready-file",
+            str(ready),
+            "--seconds",
+            "60",
+        ],
+        stderr=subprocess.DEVNULL,
+    )
     wait_for(lambda: ready.exists() or process.poll() is not None, "the ready file")
     table = json.loads(ready.read_text())
     assert len(table) == 8 and table["b0"]["admin"].startswith("127.0.0.1:")
@@ -123,12 +140,30 @@
 def test_a_taken_address_is_exit_code_3(tmp_path):
     config = tmp_path / "m.sx"
     config.write_text(MARKET)
-    first = subprocess.Popen([sys.executable, "-m", "heathwell", "discovery", "--config", str(config), "--name", "d"],
-                             stdout=subprocess.PIPE, text=True)
+    first = subprocess.Popen(
+        [sys.executable, "-m", "heathwell", "discovery", "--config", str(config), "--name", "d"],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     try:
         address = json.loads(first.stdout.readline())["address"]
-        second = subprocess.run([sys.executable, "-m", "heathwell", "discovery", "--config", str(config), "--name",
-                                 "e", "--listen", address], capture_output=True, text=True, check=False)
+        second = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "heathwell",
+                "discovery",
+                "--config",
+                str(config),
+                "--name",
+                "e",
+                "--listen",
+                address,
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
         assert second.returncode == 3 and "Address already in use" in second.stderr
     finally:
         first.terminate()
@@ -152,22 +187,31 @@
     script.write_text("""
 (market "m.sx") (seconds 5) (load (rate 20) (clients 24) (mix price) (mix sale) (mix report))
 (at 500ms silent (to leaf1) (span 2s)) (at 1s crash (to leaf2) (span 1s)) (at 1500ms drain (to leaf3))
-(at 2s midreply (to leaf4) (span 1s)) (at 2500ms discovery-down (span 1s)) (at 3s kill-broker (to b0) (span 200ms))
+(at 2s midreply (to leaf4) (span 1s)) (at 2500ms discovery-down (span 1s)) (at 3s kill-broker (to b0)
+(span 200ms))
 """)
-    done = subprocess.run([sys.executable, "-m", "heathwell", "badday", str(script), "--out", str(tmp_path / "out")],
-                          capture_output=True, text=True, check=False, env=os.environ)
+    done = subprocess.run(
+        [sys.executable, "-m", "heathwell", "badday", str(script), "--out", str(tmp_path / "out")],
+        capture_output=True,
+        text=True,
+        check=False,
+        env=os.environ,
+    )
     assert done.returncode == 0, done.stdout + done.stderr
     assert "all rules kept" in done.stdout
     assert cli("audit", str(tmp_path / "out" / "events")).exit_code == 0
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    (("(to leaf1)", "(to leaf99)"), "no 'leaf99' for silent"),
-    (("(span 2s)", ""), "silent needs a span"),
-    (("silent", "silentt"), "one of"),
-    (("(mix price)", "(mix prices)"), "no key space 'prices'"),
-    (("(at 1s", "(at 100s"), "lies after the end"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (("(to leaf1)", "(to leaf99)"), "no 'leaf99' for silent"),
+        (("(span 2s)", ""), "silent needs a span"),
+        (("silent", "silentt"), "one of"),
+        (("(mix price)", "(mix prices)"), "no key space 'prices'"),
+        (("(at 1s", "(at 100s"), "lies after the end"),
+    ],
+)
 def test_a_bad_script_names_the_place(tmp_path, change, said):
     (tmp_path / "m.sx").write_text(MARKET)
     text = '(market "m.sx") (seconds 5) (load (rate 20) (mix price))\n(at 1s silent (to leaf1) (span 2s))\n'
@@ -180,20 +224,72 @@
 
 def test_a_bench_day_becomes_a_script_of_this_fleet(tmp_path):
     day = tmp_path / "day.json"
-    kinds = ["slow", "hang", "vanish", "crash", "zone_loss", "pauses", "class_fail", "answer_lost", "poison", "burst",
-             "discovery_down", "discovery_stale", "balancer_crash", "neighbour", "slow_link"]
-    day.write_text(json.dumps({
-        "length": 40_000_000, "servers": [{}] * 12, "classes": [{"share": 0.5}] * 3,
-        "troubles": [{"kind": kind, "at": 1_000_000 * n, "len": 5_000_000, "size": 0.5, "extra": 2.0,
-                      "on": [n % 12, (n + 5) % 12], "which": 1} for n, kind in enumerate(kinds)]
-        + [{"kind": "preempt", "at": 9_000_000, "len": 5_000_000, "size": 1,
-            "steps": [{"at": 9_000_000, "stop": [3]}]}, {"kind": "unheard_of", "at": 1, "len": 1}]}))
+    kinds = [
+        "slow",
+        "hang",
+        "vanish",
+        "crash",
+        "zone_loss",
+        "pauses",
+        "class_fail",
+        "answer_lost",
+        "poison",
+        "burst",
+        "discovery_down",
+        "discovery_stale",
+        "balancer_crash",
+        "neighbour",
+        "slow_link",
+    ]
+    day.write_text(
+        json.dumps(
+            {
+                "length": 40_000_000,
+                "servers": [{}] * 12,
+                "classes": [{"share": 0.5}] * 3,
+                "troubles": [
+                    {
+                        "kind": kind,
+                        "at": 1_000_000 * n,
+                        "len": 5_000_000,
+                        "size": 0.5,
+                        "extra": 2.0,
+                        "on": [n % 12, (n + 5) % 12],
+                        "which": 1,
+                    }
+                    for n, kind in enumerate(kinds)
+                ]
+                + [
+                    {
+                        "kind": "preempt",
+                        "at": 9_000_000,
+                        "len": 5_000_000,
+                        "size": 1,
+                        "steps": [{"at": 9_000_000, "stop": [3]}],
+                    },
+                    {"kind": "unheard_of", "at": 1, "len": 1},
+                ],
+            }
+        )
+    )
     script, skipped = script_from(str(day), loads(MARKET), "m.sx", 20.0, 10.0)
     assert isinstance(script, Script) and script.seconds == 20.0
     assert skipped == ["unheard_of: no counterpart on loopback"]
     made = {step.kind for step in script.steps}
-    assert made >= {"slow", "silent", "crash", "stall", "failclass", "lose", "poison", "burst", "discovery-down",
-                    "discovery-late", "kill-broker", "drain"}
+    assert made >= {
+        "slow",
+        "silent",
+        "crash",
+        "stall",
+        "failclass",
+        "lose",
+        "poison",
+        "burst",
+        "discovery-down",
+        "discovery-late",
+        "kill-broker",
+        "drain",
+    }
     assert all(step.at <= 20_000_000 for step in script.steps)
     day.write_text("{}")
     with pytest.raises(DayError, match="'troubles' is missing"):
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -15,8 +15,12 @@
 STATES = [hw.LIVE, hw.LIVE, hw.DRAINING, hw.GONE, "unheard-of"]
 
 STEP = st.one_of(
-    st.tuples(st.just("query"), st.integers(0, 6), st.lists(st.integers(0, 5), min_size=1, max_size=5),
-              st.integers(30_000, 2 * AIM)),
+    st.tuples(
+        st.just("query"),
+        st.integers(0, 6),
+        st.lists(st.integers(0, 5), min_size=1, max_size=5),
+        st.integers(30_000, 2 * AIM),
+    ),
     st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from(OUTCOMES)),
     st.tuples(st.just("fleet"), st.integers(0, 5), st.sampled_from(STATES), st.booleans()),
     st.tuples(st.just("failed")),
@@ -27,15 +31,27 @@
 
 
 @given(
-    steps=st.lists(STEP, min_size=5, max_size=60), seed=st.integers(0, 2**40),
-    copies=st.booleans(), cancelling=st.booleans(), probing=st.booleans(), ask=st.booleans(),
-    budget=st.booleans(), call=st.sampled_from([1, 3]),
+    steps=st.lists(STEP, min_size=5, max_size=60),
+    seed=st.integers(0, 2**40),
+    copies=st.booleans(),
+    cancelling=st.booleans(),
+    probing=st.booleans(),
+    ask=st.booleans(),
+    budget=st.booleans(),
+    call=st.sampled_from([1, 3]),
 )
 def test_rules_hold_on_any_legal_day(steps, seed, copies, cancelling, probing, ask, budget, call):
     config = make_settings(
-        second_copies=copies, cancelling=cancelling, probing=probing, ask_mode=ask,
-        must_ask_us=10 * AIM, parts_a_call=call, advise=True, max_advice_us=AIM // 2,
-        counted_over_us=3 * AIM if budget else 0, free_resends=1 if budget else 0,
+        second_copies=copies,
+        cancelling=cancelling,
+        probing=probing,
+        ask_mode=ask,
+        must_ask_us=10 * AIM,
+        parts_a_call=call,
+        advise=True,
+        max_advice_us=AIM // 2,
+        counted_over_us=3 * AIM if budget else 0,
+        free_resends=1 if budget else 0,
         further_ratio=0.1 if budget else 0.0,
     )
     agg, rules = Aggregator(config, seed), Rules(config)
@@ -81,9 +97,10 @@
         match step:
             case ("query", klass, shards, limit):
                 jobs += 1
-                batch(hw.QueryArrived(f"q{jobs}", jobs, klass, now + config.tick_us + limit, len(shards)),
-                      *[hw.PartArrived(f"q{jobs}/{n}", jobs, s, 1 / len(shards))
-                        for n, s in enumerate(shards)])
+                batch(
+                    hw.QueryArrived(f"q{jobs}", jobs, klass, now + config.tick_us + limit, len(shards)),
+                    *[hw.PartArrived(f"q{jobs}/{n}", jobs, s, 1 / len(shards)) for n, s in enumerate(shards)],
+                )
             case ("end", which, outcome):
                 left = attempts()
                 if left:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -1,4 +1,6 @@
-"""Within reach or cut off: which queries can be answered, clients let go, crossing's cost, losses of the link."""
+"""Within reach or cut off: which queries can be answered, clients let go, crossing's cost, losses of the
+link.
+"""
 
 from __future__ import annotations
 
@@ -20,13 +22,17 @@
 from .test_settings import problems
 
 SPLIT = MARKET.replace("(width 3)", "(width 1)") + (
-    "(across (let-go 2s) (region small (zones a)) (region large (zones b c)))")
+    "(across (let-go 2s) (region small (zones a)) (region large (zones b c)))"
+)
 
 
 @given(st.lists(st.booleans(), min_size=1, max_size=12), st.integers(1, 14), st.floats(0.01, 1))
 def test_answerable_is_the_share_of_first_shards_that_meet_the_floor(within, span, floor):
     shards, wide = len(within), min(span, len(within))
-    met = sum(sum(within[(first + n) % shards] for n in range(wide)) / wide >= floor - 1e-6 for first in range(shards))
+    met = sum(
+        sum(within[(first + n) % shards] for n in range(wide)) / wide >= floor - 1e-6
+        for first in range(shards)
+    )
     assert answerable(within, span, floor) == met / shards
 
 
@@ -39,6 +45,7 @@
             drain.look(at, cut)
             for client in drain.due(at, [c for c in clients if c[0] not in left]):
                 left[client] = at
+
     wait(0, 750_000, True, idle)
     wait(750_000, 6_000_000, False, idle)
     assert not left
@@ -106,6 +113,7 @@
             if not values:
                 yield from sleep(world.loop, 500_000)
         assert values and "cut off" not in str(back.lost)
+
     world.run(main())
     assert world.verdict().kept
 
@@ -131,16 +139,20 @@
 
 
 def test_links_are_checked():
-    assert "across.link[0].between: no region 'mars'" in problems(SPLIT[:-1] + "(link (between small mars)))")[0]
+    assert (
+        "across.link[0].between: no region 'mars'" in problems(SPLIT[:-1] + "(link (between small mars)))")[0]
+    )
     assert "names two regions" in problems(SPLIT[:-1] + "(link (between small)))")[0]
-    assert "the link is given twice" in problems(
-        SPLIT[:-1] + "(link (between small large)) (link (between large small)))")[0]
+    assert (
+        "the link is given twice"
+        in problems(SPLIT[:-1] + "(link (between small large)) (link (between large small)))")[0]
+    )
 
 
 def test_losses_show_as_resends_in_steps_that_double():
     draws = random.Random(3)
     waits = [lost_wait(100, 0.3, draws) for _ in range(4000)]
-    assert set(waits) <= {RESEND_US * (2 ** n - 1) for n in range(12)}
+    assert set(waits) <= {RESEND_US * (2**n - 1) for n in range(12)}
     assert 0.27 < sum(wait > 0 for wait in waits) / 4000 < 0.33
     assert sum(lost_wait(14_480, 0.05, draws) > 0 for _ in range(2000)) > 600  # ten packets: any of them
     assert lost_wait(100, 0.0, draws) == 0
@@ -149,8 +161,18 @@
 def test_the_service_around_a_trouble_is_counted_by_class_span_and_home():
     market = loads(settings("decider"))
     troubles = (("cut", "link-cut", 0.0, ()),)
-    rows = [Outcome(at / 10, "sale-record", "refused" if 80 <= at < 160 and n % 2 else "on time", 0.01,
-                    f"sale:t{at + n}:1", f"b{n}") for at in range(40, 280) for n in range(8)]
+    rows = [
+        Outcome(
+            at / 10,
+            "sale-record",
+            "refused" if 80 <= at < 160 and n % 2 else "on time",
+            0.01,
+            f"sale:t{at + n}:1",
+            f"b{n}",
+        )
+        for at in range(40, 280)
+        for n in range(8)
+    ]
     service = services(rows, market, troubles)["cut"]
     assert service.share("sale-record", "during", "refused") == 0.5
     assert service.share("sale-record", "before", "refused") == 0 and service.steady_after == 0
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -207,7 +207,15 @@
 
 
 def test_brokers_of_other_seeds_try_at_other_times():
-    assert len({tuple(Regions("a", ["a", "b"], 10**6, seed)._drawn(1000) for _ in range(3)) for seed in range(20)}) > 15
+    assert (
+        len(
+            {
+                tuple(Regions("a", ["a", "b"], 10**6, seed)._drawn(1000) for _ in range(3))
+                for seed in range(20)
+            }
+        )
+        > 15
+    )
 
 
 def test_the_module_avoids_and_shuts_what_it_is_told_to():
@@ -241,8 +249,13 @@
 def crossings(day, klass):
     zone = {e["node"]: e["zone"] for e in day.events if e["ev"] == "up"}
     here = {f"b{n}": n % 4 // 2 for n in range(8)}
-    return [e for e in day.events if e["ev"] == "arrive" and e["klass"] == klass
-            and zone[e["node"]] // 2 != here[e["broker"].partition("r")[0]]]
+    return [
+        e
+        for e in day.events
+        if e["ev"] == "arrive"
+        and e["klass"] == klass
+        and zone[e["node"]] // 2 != here[e["broker"].partition("r")[0]]
+    ]
 
 
 def test_a_class_that_may_never_cross_does_not_and_says_what_it_lacks():
@@ -255,14 +268,23 @@
 
 
 def test_a_class_that_prefers_home_crosses_only_for_what_home_has_not():
-    day = RegionalDay("decider", "cut", seed=3, rate=20.0,
-                      text=MARKET.replace("(work 30ms))\n(keys", "(across prefer-home) (work 30ms))\n(keys"))
+    day = RegionalDay(
+        "decider",
+        "cut",
+        seed=3,
+        rate=20.0,
+        text=MARKET.replace("(work 30ms))\n(keys", "(across prefer-home) (work 30ms))\n(keys"),
+    )
     day.run()
     assert day.verdict().kept
     crossed = crossings(day, "sale-record")
     zone = {e["node"]: e["zone"] for e in day.events if e["ev"] == "up"}
-    far_only = [e for e in crossed if len({(e["shard"] + step) % 32 % 4 // 2 for step in range(2)}) == 1
-                and zone[e["node"]] // 2 == e["shard"] % 32 % 4 // 2]
+    far_only = [
+        e
+        for e in crossed
+        if len({(e["shard"] + step) % 32 % 4 // 2 for step in range(2)}) == 1
+        and zone[e["node"]] // 2 == e["shard"] % 32 % 4 // 2
+    ]
     assert crossed and len(far_only) >= 0.9 * len(crossed)
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -56,6 +56,7 @@
         assert 170_000 < (yield from ask(loop, stream)) < 240_000
         yield from sleep(loop, 2_500_000)
         assert (yield from ask(loop, stream)) < 5_000
+
     run(loop, main(), errors)
 
 
@@ -66,6 +67,7 @@
         stream = yield from net.connect(address, 1_000_000)
         order(relay, "rate", 100_000.0, 60.0)
         assert 900_000 < (yield from ask(loop, stream, b"x" * 100_000)) < 2_500_000
+
     run(loop, main(), errors)
 
 
@@ -84,6 +86,7 @@
             other.write(b"x")
             yield from sleep(loop, 1_000_000)
             other.abort()
+
     run(loop, main(), errors)
 
 
@@ -98,6 +101,7 @@
             yield from ask(loop, stream)
         again = yield from net.connect(address, 1_000_000)
         assert (yield from ask(loop, again)) < 5_000
+
     run(loop, main(), errors)
     assert "unknown trouble" in relay.order(frames.Control("nonsense"))
 
@@ -120,5 +124,6 @@
         refused = yield from routed.connect(host.address, 1_000_000)
         with pytest.raises((StreamBroken, ConnectFailed)):
             yield from ask(loop, refused)
+
     loop.run(loop.spawn(main(), "main"))
     loop.shutdown()
--- a/tests/test_rolling.py
+++ b/tests/test_rolling.py
@@ -1,6 +1,8 @@
-"""Rolling change over processes: agents, their brokers, a controller, hosts, keepers and clients, with faults between.
+"""Rolling change over processes: agents, their brokers, a controller, hosts, keepers and clients, with faults
+between.
 
-The short cases run in `make test`, the others by `make test-fleet`; many releases by `benchmarks/rollouts.py`.
+The short cases run in `make test`, the others by `make test-fleet`; many releases by
+`benchmarks/rollouts.py`.
 """
 
 import json
@@ -59,8 +61,15 @@
     fleet.begin_load()
     lies = fleet.change("v2", program=plant(fleet.folder, "v2", "a false digest"), **SHORT)
     assert lies.code == 1 and states(lies)[-2:] == ["undoing", "undone"]
-    dies = fleet.change("v3", program=plant(fleet.folder, "v3", "dies after 5 s"), state="second", stages="1,50%,100%",
-                        bake="14s", most="20s", prove="none")
+    dies = fleet.change(
+        "v3",
+        program=plant(fleet.folder, "v3", "dies after 5 s"),
+        state="second",
+        stages="1,50%,100%",
+        bake="14s",
+        most="20s",
+        prove="none",
+    )
     assert dies.code == 1 and "died" in " ".join(why for _, _, why, *_ in dies.record["history"])
     assert fleet.wait_for("v1")
 
@@ -71,7 +80,9 @@
     (fleet.folder / "new.sx").write_text(fleet.config.read_text().replace("(attempts 4)", "(attempts 3)"))
     change = fleet.change("s2", settings=fleet.folder / "new.sx", **SHORT)
     assert change.code == 0 and fleet.wait_for("s2"), change.output
-    assert all(running.run <= 2 for running in fleet.runs().values())  # one was started again to see how it ends
+    assert all(
+        running.run <= 2 for running in fleet.runs().values()
+    )  # one was started again to see how it ends
     fleet.end_load()
     events = read_logs([fleet.events])
     taken = {event["q"]: event["ver"] for event in events if event.ev == "take"}
@@ -82,12 +93,24 @@
     assert verdict.kept, verdict.breaches[:5]
 
 
-POINTS = ("after checking 0", "after staging 0", "wish b0", "after judging 0", "after staging 1", "wish b1",
-          "after judging 1", "after staging 2", "before done 2", "after done 2")
-
-
-@pytest.mark.parametrize("points", [("after judging 0", "wish b1"), *(
-    pytest.param((point,), marks=fleet_only) for point in POINTS)])
+POINTS = (
+    "after checking 0",
+    "after staging 0",
+    "wish b0",
+    "after judging 0",
+    "after staging 1",
+    "wish b1",
+    "after judging 1",
+    "after staging 2",
+    "before done 2",
+    "after done 2",
+)
+
+
+@pytest.mark.parametrize(
+    "points",
+    [("after judging 0", "wish b1"), *(pytest.param((point,), marks=fleet_only) for point in POINTS)],
+)
 def test_a_controller_killed_at_a_step_goes_on_and_repeats_nothing(fleet, points):
     fleet.begin_load()
     new = plant(fleet.folder, "v2")
@@ -99,7 +122,9 @@
     numbers = [number for *_, number in change.record["history"]]
     assert numbers == sorted(set(numbers))  # each step once
     runs = fleet.runs().values()
-    assert {running.version.rstrip("~") for running in runs} == {"v2"} and max(running.run for running in runs) <= 4
+    assert {running.version.rstrip("~") for running in runs} == {"v2"} and max(
+        running.run for running in runs
+    ) <= 4
     assert rules(fleet).kept
 
 
@@ -117,15 +142,34 @@
 def test_a_machine_that_is_cut_off_comes_to_the_fleets_version(fleet):
     """Cut off while all others are undone, it goes on with the new one, and is undone as it is back."""
     fleet.begin_load()
-    controller = fleet.controller("v2", program=plant(fleet.folder, "v2"), stages="50%,100%", bake="30s", most="40s",
-                                  prove="none")
+    controller = fleet.controller(
+        "v2", program=plant(fleet.folder, "v2"), stages="50%,100%", bake="30s", most="40s", prove="none"
+    )
     wait_changed(fleet, 2)
-    cut = [name for name, machine in fleet.machines.items()
-           if any(fleet.runs()[broker].version == "v2" for broker in machine.brokers)][0]
+    cut = [
+        name
+        for name, machine in fleet.machines.items()
+        if any(fleet.runs()[broker].version == "v2" for broker in machine.brokers)
+    ][0]
     fleet.wires.order(["controller"], [cut], "cut", 8_000_000)
     time.sleep(3)
-    said = subprocess.run([sys.executable, "-m", "heathwell", "rollout", "undo", "--why", "a drill", "--state",
-                           str(fleet.folder / "change")], capture_output=True, text=True, timeout=30, check=False)
+    said = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "heathwell",
+            "rollout",
+            "undo",
+            "--why",
+            "a drill",
+            "--state",
+            str(fleet.folder / "change"),
+        ],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
     assert said.returncode == 0 and "undoing" in said.stdout, said
     change = fleet.finish(controller)
     assert change.code == 1 and fleet.wait_for("v1"), change.output
@@ -135,11 +179,15 @@
 def test_a_controller_cut_off_from_half_of_the_machines_in_a_stage_waits_for_them(fleet):
     """Nothing is repeated and nothing is forced: the stage is whole only when all have said so."""
     fleet.begin_load()
-    controller = fleet.controller("v2", program=plant(fleet.folder, "v2"), stages="1,50%,100%", bake="3s", most="20s",
-                                  prove="none")
+    controller = fleet.controller(
+        "v2", program=plant(fleet.folder, "v2"), stages="1,50%,100%", bake="3s", most="20s", prove="none"
+    )
     wait_changed(fleet, 1)
-    far = [name for name, machine in fleet.machines.items()
-           if not any(fleet.runs()[broker].version == "v2" for broker in machine.brokers)]
+    far = [
+        name
+        for name, machine in fleet.machines.items()
+        if not any(fleet.runs()[broker].version == "v2" for broker in machine.brokers)
+    ]
     assert len(far) == 1 and fleet.wires.order(["controller"], far, "cut", 12_000_000) == 1
     time.sleep(10)
     assert not any(fleet.runs()[broker].version == "v2" for broker in fleet.machines[far[0]].brokers)
@@ -152,12 +200,29 @@
 @fleet_only
 def test_two_operators_at_once_are_told_apart_and_one_word_counts(fleet):
     fleet.begin_load()
-    controller = fleet.controller("v2", program=plant(fleet.folder, "v2"), stages="50%,100%", bake="20s", most="30s",
-                                  prove="none")
+    controller = fleet.controller(
+        "v2", program=plant(fleet.folder, "v2"), stages="50%,100%", bake="20s", most="30s", prove="none"
+    )
     wait_changed(fleet, 2)
-    words = [subprocess.Popen([sys.executable, "-m", "heathwell", "rollout", word, "--why", f"{word} it", "--state",
-                               str(fleet.folder / "change")], stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
-             for word in ("undo", "hold", "undo")]
+    words = [
+        subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "heathwell",
+                "rollout",
+                word,
+                "--why",
+                f"{word} it",
+                "--state",
+                str(fleet.folder / "change"),
+            ],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        for word in ("undo", "hold", "undo")
+    ]
     codes = [word.wait(30) for word in words]
     for word in words:
         word.communicate()
@@ -188,11 +253,19 @@
     fleet.begin_load()
     controller = fleet.controller("v2", program=plant(fleet.folder, "v2"), **SHORT)
     until = time.monotonic() + 30
-    while time.monotonic() < until and not any(r.state in ("replacing", "draining") for r in fleet.runs().values()):
+    while time.monotonic() < until and not any(
+        r.state in ("replacing", "draining") for r in fleet.runs().values()
+    ):
         time.sleep(0.02)
     at_work, runs = ("replacing", "draining"), fleet.runs()
-    victim = next((name for name, machine in fleet.machines.items()
-                   if any(runs[broker].state in at_work for broker in machine.brokers)), "m0")
+    victim = next(
+        (
+            name
+            for name, machine in fleet.machines.items()
+            if any(runs[broker].state in at_work for broker in machine.brokers)
+        ),
+        "m0",
+    )
     fleet.restart_agent(victim)
     change = fleet.finish(controller)
     assert change.record["state"] in ("done", "undone"), change.output
@@ -202,8 +275,9 @@
 @fleet_only
 def test_a_zone_lost_in_a_stage_holds_the_change_and_blames_nobody(fleet):
     fleet.begin_load()
-    controller = fleet.controller("v2", program=plant(fleet.folder, "v2"), stages="50%,100%", bake="12s", most="30s",
-                                  prove="none")
+    controller = fleet.controller(
+        "v2", program=plant(fleet.folder, "v2"), stages="50%,100%", bake="12s", most="30s", prove="none"
+    )
     wait_changed(fleet, 2)
     time.sleep(6)
     for leaf in fleet.fleet.of("leaf")[:4]:
@@ -231,11 +305,15 @@
 
 
 @fleet_only
-@pytest.mark.parametrize(("old", "new", "word"), [
-    ("(keys report (class day-report)   (shape report) (report-parts 4))", "", "no key space"),
-    ("(shards 24)", "(shards 48)", "would not agree"), ("(limit 2s)", "(limit 20s)", "--far"),
-    ("(repeat keyed) (dedup 750ms)", "(repeat unsafe)", "--change-repeat"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "word"),
+    [
+        ("(keys report (class day-report)   (shape report) (report-parts 4))", "", "no key space"),
+        ("(shards 24)", "(shards 48)", "would not agree"),
+        ("(limit 2s)", "(limit 20s)", "--far"),
+        ("(repeat keyed) (dedup 750ms)", "(repeat unsafe)", "--change-repeat"),
+    ],
+)
 def test_settings_that_are_well_formed_and_would_do_harm_are_refused(fleet, old, new, word):
     text = fleet.config.read_text()
     assert old in text
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,4 +1,6 @@
-"""Rolling change: the course's table, its stages, the judge's word on good and bad releases. Pure, or on figures."""
+"""Rolling change: the course's table, its stages, the judge's word on good and bad releases. Pure, or on
+figures.
+"""
 
 import itertools
 from collections import Counter
@@ -50,8 +52,16 @@
 
 
 def windows(change, runs, worth=1.0, new_worth=1.0, asked=20):
-    return [Window(name, zone, runs[name] != "old", {"one": Tally(asked, asked * (
-        new_worth if runs[name] != "old" else worth))}, cpu_us=1000) for name, zone in change.zones.items()]
+    return [
+        Window(
+            name,
+            zone,
+            runs[name] != "old",
+            {"one": Tally(asked, asked * (new_worth if runs[name] != "old" else worth))},
+            cpu_us=1000,
+        )
+        for name, zone in change.zones.items()
+    ]
 
 
 def through(change, runs, most=200):
@@ -67,6 +77,7 @@
 
 # The table.
 
+
 def test_each_state_leads_to_an_end_and_ends_lead_only_to_undoing():
     for state in TABLE:
         reached, front = {state}, [state]
@@ -113,7 +124,9 @@
 
 
 def test_begun_again_after_any_step_it_comes_out_the_same():
-    """Killed between any two steps: the record of before the step, and what brokers run by then, lead to one end."""
+    """Killed between any two steps: the record of before the step, and what brokers run by then, lead to one
+    end.
+    """
     for killed_after in range(1, 25):
         change, runs = course(), dict.fromkeys(ZONES, "old")
         change.event("began")
@@ -159,6 +172,7 @@
 
 # Stages.
 
+
 @given(st.integers(1, 60), st.integers(1, 9), st.floats(0.1, 1.0))
 def test_stages_grow_and_leave_each_zone_something_to_be_judged_against(brokers, zones, share):
     names = {f"b{n:02}": f"z{n % zones}" for n in range(brokers)}
@@ -169,8 +183,11 @@
         assert before <= set(now) and len(now) <= max(len(before), plan.stages[stage].count(brokers))
         if stage < len(plan.stages) - 1:
             taken = Counter(names[name] for name in now)
-            assert all(taken[zone] <= max(1, share * size) and (taken[zone] < size or share == 1)
-                       for zone, size in sizes.items() if taken[zone])
+            assert all(
+                taken[zone] <= max(1, share * size) and (taken[zone] < size or share == 1)
+                for zone, size in sizes.items()
+                if taken[zone]
+            )
         before = set(now)
     assert before == set(names)
 
@@ -194,6 +211,7 @@
 
 # The judge.
 
+
 def test_too_little_traffic_is_said():
     change, runs = course(), dict.fromkeys(ZONES, "old")
     change.event("began")
@@ -242,17 +260,23 @@
 def test_deaths_and_silence_of_changed_brokers_alone_speak_against_the_change(more):
     judge, word = Judge(Limits(), 20), ""
     for _ in range(4):
-        word = judge.feed([Window("a", "z", True, {}, **more), Window("b", "z", False, {"one": Tally(9, 9)})]).word
+        word = judge.feed(
+            [Window("a", "z", True, {}, **more), Window("b", "z", False, {"one": Tally(9, 9)})]
+        ).word
         if word == WORSE:
             break
     assert word == WORSE
     both = Judge(Limits(), 20)
-    assert all(both.feed([Window("a", "z", True, {}, **more), Window("b", "z", False, {}, **more)]).word != WORSE
-               for _ in range(6))
+    assert all(
+        both.feed([Window("a", "z", True, {}, **more), Window("b", "z", False, {}, **more)]).word != WORSE
+        for _ in range(6)
+    )
 
 
 def test_deaths_between_stages_count_as_those_within():
-    """A version that dies each 5 s did so as the next stage was put up, and went to all (simulated, processes)."""
+    """A version that dies each 5 s did so as the next stage was put up, and went to all (simulated,
+    processes).
+    """
     change, runs = course(), dict.fromkeys(ZONES, "old")
     change.event("began")
     change.event("sound")
@@ -267,10 +291,16 @@
     judge = Judge(Limits(), 60)
     for n in range(60):
         bad = 0.8 + 0.02 * (n % 3)
-        cases = (("a", "bad", True, 90, bad), ("b", "bad", False, 9, bad),
-                 ("c", "good", True, 5, 1.0), ("d", "good", False, 80, 1.0))
-        rows = [Window(name, zone, changed, {"one": Tally(asked, asked * worth)})
-                for name, zone, changed, asked, worth in cases]
+        cases = (
+            ("a", "bad", True, 90, bad),
+            ("b", "bad", False, 9, bad),
+            ("c", "good", True, 5, 1.0),
+            ("d", "good", False, 80, 1.0),
+        )
+        rows = [
+            Window(name, zone, changed, {"one": Tally(asked, asked * worth)})
+            for name, zone, changed, asked, worth in cases
+        ]
         assert judge.feed(rows).word != WORSE
 
 
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -1,4 +1,6 @@
-"""The share of bad clients that got an error or a close, counted by the clients themselves, beside usual ones."""
+"""The share of bad clients that got an error or a close, counted by the clients themselves, beside usual
+ones.
+"""
 
 import pytest
 
@@ -26,6 +28,7 @@
         task = world.loop.spawn(usual(world.loop, world.client, 60, statuses), "usual")
         yield from rude.run(200, 5_000)
         yield from task.join()
+
     world.run(main())
     assert rude.outcome.total() == 200 and {kind for kind, _ in rude.outcome} == set(bad_requests(b""))
     assert rude.owed == 1.0, {key: n for key, n in rude.outcome.items() if key[1] not in ("error", "close")}
@@ -40,6 +43,7 @@
         while (yield from stream.read()):
             pass
         yield from sleep(world.loop, 60_000_000)
+
     world.net.at("deaf").listen("deaf:7070", deaf, "deaf")
     world.run(rude.run(16, 1_000))
     assert rude.owed == 0.0 and rude.outcome["silence", "nothing"] == 1
@@ -55,6 +59,7 @@
             task = fleet.loop.spawn(usual(fleet.loop, fleet.client, 20, statuses), "usual")
             yield from rude.run(64, 10_000)
             yield from task.join()
+
         fleet.run(main())
         told = {what for _, what in rude.outcome}
         assert rude.outcome.total() == 64 and "served" not in told
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -250,8 +250,12 @@
     assert len(of(seen, hw.Refuse)) == 1 and of(seen, hw.Send) == []
     sends = of(d.query(1, [0, 1]), hw.Send)
     d.now += 3 * AIM
-    late = d.step(0, *[hw.AttemptEnded(s.id, 0, s.node, hw.OK, 3 * AIM) for s in sends],
-                  hw.QueryExpired(f"q{d.jobs}"), hw.TimerFired("due"))
+    late = d.step(
+        0,
+        *[hw.AttemptEnded(s.id, 0, s.node, hw.OK, 3 * AIM) for s in sends],
+        hw.QueryExpired(f"q{d.jobs}"),
+        hw.TimerFired("due"),
+    )
     assert len(of(late, hw.Answer)) + len(of(late, hw.Refuse)) <= 1
     assert d.agg.queries == {} and len(of(d.query(1, [0]), hw.Send)) == 1
 
@@ -385,9 +389,17 @@
 
 def test_stale_and_foreign_events_are_ignored(drive):
     d = drive()
-    assert d.step(5000, hw.AttemptEnded("none", 0, "s0", hw.OK), hw.QueryExpired("none"),
-                  hw.ProbeEnded("none", hw.OK), hw.TimerFired("old"),
-                  hw.PartArrived("p", 99, 0, 1.0)) == []
+    assert (
+        d.step(
+            5000,
+            hw.AttemptEnded("none", 0, "s0", hw.OK),
+            hw.QueryExpired("none"),
+            hw.ProbeEnded("none", hw.OK),
+            hw.TimerFired("old"),
+            hw.PartArrived("p", 99, 0, 1.0),
+        )
+        == []
+    )
 
 
 def test_parts_of_one_call_count_once(drive):
@@ -458,8 +470,14 @@
         hint = 1_000 if job % 10 == 0 else 100_000
         d.jobs += 1
         name = f"q{d.jobs}"
-        sends = of(d.step(5000, hw.QueryArrived(name, d.jobs, 1, d.now + 2 * AIM, 1),
-                          hw.PartArrived(name + "/0", d.jobs, job % 6, 1.0, hint_us=hint)), hw.Send)
+        sends = of(
+            d.step(
+                5000,
+                hw.QueryArrived(name, d.jobs, 1, d.now + 2 * AIM, 1),
+                hw.PartArrived(name + "/0", d.jobs, job % 6, 1.0, hint_us=hint),
+            ),
+            hw.Send,
+        )
         d.end(sends[0], after=100_000, took=100_000)
     assert 90_000 <= d.agg.mean_took[1].value <= 110_000
 
--- a/tests/test_seldom.py
+++ b/tests/test_seldom.py
@@ -115,8 +115,9 @@
 
 
 def test_a_broker_that_meets_each_server_within_an_aim_forgets_by_its_aims():
-    """Three times the way between two visits was over an aim, though each is met within one: what a cancelled attempt
-    may still cost was held for three times as long, and sound servers were kept away from."""
+    """Three times the way between two visits was over an aim, though each is met within one: what a cancelled
+    attempt may still cost was held for three times as long, and sound servers were kept away from.
+    """
     d = Driver(make_settings(shards=6, cells=6, warm_within_us=60_000_000))
     for n in range(60):
         for send in of(d.query(1, [n % 6], after=AIM // 8), hw.Send):
--- a/tests/test_slot.py
+++ b/tests/test_slot.py
@@ -1,4 +1,6 @@
-"""One broker of a machine: started beside, digests told, drained, restarted with waits that double, given up. Pure."""
+"""One broker of a machine: started beside, digests told, drained, restarted with waits that double, given up.
+Pure.
+"""
 
 import pytest
 from hypothesis import given
@@ -36,7 +38,12 @@
 def test_the_old_one_serves_until_the_new_one_does_and_then_finishes_what_it_holds():
     slot = running()
     why, found = slot.want(2 * S, "new", 1, 2)
-    assert not why and acts(found, Start) == [Start(2, "new")] and slot.state == REPLACING and slot.version == "old"
+    assert (
+        not why
+        and acts(found, Start) == [Start(2, "new")]
+        and slot.state == REPLACING
+        and slot.version == "old"
+    )
     assert acts(slot.ready(3 * S, 2), Stop) == [Stop(1)] and slot.version == "new" and slot.state == DRAINING
     assert not acts(slot.ended(4 * S, 1, 0), Start) and slot.state == RUNNING and not slot.failed
 
@@ -90,7 +97,10 @@
         now += 50_000
         assert now < 60 * S
     waits = [after - before for before, after in zip(starts, starts[1:], strict=False)]
-    assert all(after > 1.5 * before for before, after in zip(waits, waits[1:], strict=False)) and len(starts) >= 4
+    assert (
+        all(after > 1.5 * before for before, after in zip(waits, waits[1:], strict=False))
+        and len(starts) >= 4
+    )
     assert any(say.level == "error" and "operator" in say.text for say in said)
     assert not slot.look(now + 100 * S)
     assert acts(slot.want(now, "other", 1, 3)[1], Start)  # a new wish is tried
@@ -130,8 +140,12 @@
     assert Stop(7) in slot.ready(2 * S, 8)
 
 
-@given(st.lists(st.tuples(st.sampled_from(["want", "ready", "lie", "end", "crash", "wait"]), st.integers(0, 3)),
-                max_size=60))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["want", "ready", "lie", "end", "crash", "wait"]), st.integers(0, 3)),
+        max_size=60,
+    )
+)
 def test_whatever_happens_at_most_one_serves_one_starts_and_one_goes(steps):
     """And an address that was served is never left without a start to come, but by giving up."""
     slot, now, number, live = Slot("b0"), 0, 0, {}
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -46,7 +46,9 @@
         recent.put(n, n, 0)
     assert len(recent) == 10 and recent.forgotten == 40 and recent.get(3, 500_000) == 3
     recent.put(99, 1, 1_200_000)
-    assert recent.get(3, 1_200_000) == 3 and recent.get(3, 2_300_000) is None and recent.get(99, 2_300_000) == 1
+    assert (
+        recent.get(3, 1_200_000) == 3 and recent.get(3, 2_300_000) is None and recent.get(99, 2_300_000) == 1
+    )
     assert len(recent) <= 20
 
 
@@ -198,6 +200,7 @@
         with pytest.raises(ConnectFailed):
             yield from net.connect("b:1", 100_000, "c")
         return times
+
     times = loop.run(loop.spawn(main(), "main"))
     assert times[1] - times[0] >= 400_000 and times[2] - times[1] >= 400_000 and listener.paced > 5
 
@@ -221,6 +224,7 @@
                 return True
             yield from sleep(loop, 10_000)
         return False
+
     assert loop.run(loop.spawn(crowd(), "main"))
     loop.shutdown()
 
@@ -267,7 +271,11 @@
         client = Told()
         client._client = Fake(answers)
         return client.get("price:a"), client.waits
-    whole, refused = {"whole": True, "coverage": {}}, {"whole": False, "refused": True, "retry_after_ms": 1200}
+
+    whole, refused = (
+        {"whole": True, "coverage": {}},
+        {"whole": False, "refused": True, "retry_after_ms": 1200},
+    )
     answer, waits = asked(refused, refused, whole)
     assert answer.kind == "whole" and answer.tries == 3 and waits == [1.2, 1.2]
     answer, waits = asked(*[refused] * 9)
@@ -284,9 +292,15 @@
     for number in range(4):
         assert doors.opened(number, "greedy", lambda n: n not in busy) == (True, None)
     assert doors.opened(4, "greedy", lambda n: True) == (False, None)
-    assert doors.opened(5, "a", lambda n: True) == (True, None) and doors.opened(6, "b", lambda n: True) == (True, None)
+    assert doors.opened(5, "a", lambda n: True) == (True, None) and doors.opened(6, "b", lambda n: True) == (
+        True,
+        None,
+    )
     doors.used(1)
-    assert doors.opened(7, "c", lambda n: n not in busy) == (True, 2)  # the longest idle of who holds the most
+    assert doors.opened(7, "c", lambda n: n not in busy) == (
+        True,
+        2,
+    )  # the longest idle of who holds the most
     assert doors.opened(8, "d", lambda n: False) == (False, None)  # all are at work
     assert doors.opened(9, "d", lambda n: n not in busy) == (True, 3)
     assert doors.opened(10, "e", lambda n: n not in busy) == (True, 1)
@@ -311,4 +325,5 @@
         assert (yield from over.stream.read()) == b""
         yield from clients[1].get("sale:t1:6")
         assert world.fleet.brokers[0].front.stats()["clients_refused"] == 1
+
     world.run(main())
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -61,7 +61,9 @@
         self.errors: list = []
         self.loop.on_error = lambda name, error: self.errors.append((name, error))
         self.events: list = []
-        self.events.append({"t": self.loop.now(), "who": "run", "ev": "run", "figures": run_figures(self.market)})
+        self.events.append(
+            {"t": self.loop.now(), "who": "run", "ev": "run", "figures": run_figures(self.market)}
+        )
         self.fleet = LocalFleet(self.loop, lambda _name: self.net, self.market, 1, into=self.events)
         self.broker = self.fleet.brokers[0]
         self.stop = False
@@ -77,6 +79,7 @@
                 while self.wishes:
                     self.wishes.pop(0)()
                 yield from sleep(self.loop, 10_000)
+
         self.loop.run(self.loop.spawn(main(), "main"))
         self.loop.shutdown()
 
@@ -88,8 +91,12 @@
         return got[0]
 
     def order(self, leaves, kind, value=0.0, seconds=0.0, text=""):
-        self.call(lambda: [self.fleet.leaves[n].order(frames.Control(kind, value, int(seconds * 1e6), text))
-                           for n in leaves])
+        self.call(
+            lambda: [
+                self.fleet.leaves[n].order(frames.Control(kind, value, int(seconds * 1e6), text))
+                for n in leaves
+            ]
+        )
 
     @property
     def client(self):
@@ -125,7 +132,9 @@
     wide = np.asarray(query, np.float32).astype(np.float64)
     for number in range(SHARDS):
         shard = shard_of(spec, number, SHARDS)
-        for point, vector, payload in zip(shard.ids, shard.plain.astype(np.float64), shard.payloads, strict=True):
+        for point, vector, payload in zip(
+            shard.ids, shard.plain.astype(np.float64), shard.payloads, strict=True
+        ):
             if spec.distance == "euclid":
                 score = float(np.sqrt(((vector - wide) ** 2).sum()))
             else:
@@ -138,7 +147,7 @@
     rows = sorted(found.items(), key=lambda item: (sign * item[1], item[0]))
     if least is not None:
         rows = [row for row in rows if sign * row[1] <= sign * least]
-    return rows[offset:offset + limit]
+    return rows[offset : offset + limit]
 
 
 def same(points, rows):
@@ -164,23 +173,34 @@
     if whole:
         least = brute(fleet.market, name, query, 10)[4][1]
         least += 1e-6 if name == "far" else -1e-6
-        same(client.query_points(name, query=query, limit=10, score_threshold=least).points,
-             brute(fleet.market, name, query, 5))
+        same(
+            client.query_points(name, query=query, limit=10, score_threshold=least).points,
+            brute(fleet.market, name, query, 5),
+        )
         assert client.query_points(name, query=query, offset=5000, limit=10).points == []
 
 
 def test_filters_batches_and_vectors_come_as_the_client_expects(fleet):
     client, query = fleet.client, vector(9, 16)
     eels = models.Filter(
-        must=[models.FieldCondition(key="goods", match=models.MatchAny(any=["eel", "dill"])),
-              models.FieldCondition(key="cents", range=models.Range(gte=500, lt=9000))],
-        must_not=[models.FieldCondition(key="stall.covered", match=models.MatchValue(value=True))])
+        must=[
+            models.FieldCondition(key="goods", match=models.MatchAny(any=["eel", "dill"])),
+            models.FieldCondition(key="cents", range=models.Range(gte=500, lt=9000)),
+        ],
+        must_not=[models.FieldCondition(key="stall.covered", match=models.MatchValue(value=True))],
+    )
 
     def keep(payload):
-        return (payload["goods"] in ("eel", "dill") and 500 <= payload["cents"] < 9000
-                and not payload["stall"]["covered"])
-    same(client.query_points("prices", query=query, query_filter=eels, limit=6).points,
-         brute(fleet.market, "prices", query, 6, keep=keep))
+        return (
+            payload["goods"] in ("eel", "dill")
+            and 500 <= payload["cents"] < 9000
+            and not payload["stall"]["covered"]
+        )
+
+    same(
+        client.query_points("prices", query=query, query_filter=eels, limit=6).points,
+        brute(fleet.market, "prices", query, 6, keep=keep),
+    )
     none = models.Filter(must=[models.FieldCondition(key="goods", match=models.MatchValue(value="gold"))])
     assert client.query_points("prices", query=query, query_filter=none).points == []
     one = shard_of(fleet.market.collections[0], 3, SHARDS)
@@ -190,18 +210,28 @@
     for selector in (["cents"], models.PayloadSelectorInclude(include=["cents"])):
         [point] = client.query_points("prices", query=query, limit=1, with_payload=selector).points
         assert set(point.payload) == {"cents"}
-    [point] = client.query_points("prices", query=query, limit=1, with_payload=models.PayloadSelectorExclude(
-        exclude=["cents"])).points
+    [point] = client.query_points(
+        "prices", query=query, limit=1, with_payload=models.PayloadSelectorExclude(exclude=["cents"])
+    ).points
     assert "goods" in point.payload and "cents" not in point.payload
     queries = [vector(n, 16) for n in range(12)]
-    got = client.query_batch_points("prices", requests=[
-        models.QueryRequest(query=one, limit=1 + n % 4, filter=eels if n % 3 == 0 else None)
-        for n, one in enumerate(queries)])
+    got = client.query_batch_points(
+        "prices",
+        requests=[
+            models.QueryRequest(query=one, limit=1 + n % 4, filter=eels if n % 3 == 0 else None)
+            for n, one in enumerate(queries)
+        ],
+    )
     for n, (one, answer) in enumerate(zip(queries, got, strict=True)):
-        same(answer.points, brute(fleet.market, "prices", one, 1 + n % 4, keep=keep if n % 3 == 0 else lambda _p: True))
+        same(
+            answer.points,
+            brute(fleet.market, "prices", one, 1 + n % 4, keep=keep if n % 3 == 0 else lambda _p: True),
+        )
     assert client.query_batch_points("prices", requests=[]) == []
-    old = httpx.post(f"{fleet.base}/collections/prices/points/search",
-                     json={"vector": query, "limit": 2, "params": {"exact": True}}).json()
+    old = httpx.post(
+        f"{fleet.base}/collections/prices/points/search",
+        json={"vector": query, "limit": 2, "params": {"exact": True}},
+    ).json()
     assert [p["id"] for p in old["result"]] == [p for p, _ in brute(fleet.market, "prices", query, 2)]
     assert client.collection_exists("prices") and not client.collection_exists("nope")
     told = client.get_collection("prices")
@@ -211,25 +241,39 @@
 
 def test_an_index_says_what_recall_it_has(fleet):
     query = vector(3, 16)
-    told = httpx.post(f"{fleet.base}/collections/rough/points/query", json={"query": query, "limit": 10}).json()
+    told = httpx.post(
+        f"{fleet.base}/collections/rough/points/query", json={"query": query, "limit": 10}
+    ).json()
     assert 0.5 < told["heathwell"]["recall"] <= 1 and told["heathwell"]["whole"]
-    exact = httpx.post(f"{fleet.base}/collections/rough/points/query",
-                       json={"query": query, "limit": 10, "params": {"exact": True}}).json()
+    exact = httpx.post(
+        f"{fleet.base}/collections/rough/points/query",
+        json={"query": query, "limit": 10, "params": {"exact": True}},
+    ).json()
     want = [p for p, _ in brute(fleet.market, "rough", query, 10)]
     assert exact["heathwell"]["recall"] == 1 and [p["id"] for p in exact["result"]["points"]] == want
     assert len({p["id"] for p in told["result"]["points"]} & set(want)) >= 7
 
 
-@pytest.mark.parametrize(("body", "status", "word"), [
-    ({"query": [1.0] * 15}, 400, "expected dim: 16, got 15"), ({"query": [0.0] * 16}, 400, "zero vector"),
-    ({"query": [1.0] * 15 + ["x"]}, 400, "query[15]"), ({"query": [1e39] * 16}, 400, "query[0]"),
-    ({"query": 17}, 400, "points by id"), ({"query": {"recommend": {}}}, 400, "recommend"),
-    ({"query": [1.0] * 16, "limit": 0}, 422, "limit: value 0"), ({"query": [1.0] * 16, "limit": "x"}, 400, "$.limit"),
-    ({"query": [1.0] * 16, "offset": -1}, 422, "offset"), ({"query": [1.0] * 16, "limit": 99999}, 400, "limit"),
-    ({"query": [1.0] * 16, "prefetch": []}, 400, "prefetch"), ({"query": [1.0] * 16, "using": "v"}, 400, "using"),
-    ({"query": [1.0] * 16, "lmit": 3}, 400, "lmit"),
-    ({"query": [1.0] * 16, "filter": {"must": [{"key": "a", "geo_radius": {}}]}}, 400, "filter.must[0]"),
-    ({"query": [1.0] * 16, "with_payload": {"include": [], "exclude": []}}, 400, "with_payload")])
+@pytest.mark.parametrize(
+    ("body", "status", "word"),
+    [
+        ({"query": [1.0] * 15}, 400, "expected dim: 16, got 15"),
+        ({"query": [0.0] * 16}, 400, "zero vector"),
+        ({"query": [1.0] * 15 + ["x"]}, 400, "query[15]"),
+        ({"query": [1e39] * 16}, 400, "query[0]"),
+        ({"query": 17}, 400, "points by id"),
+        ({"query": {"recommend": {}}}, 400, "recommend"),
+        ({"query": [1.0] * 16, "limit": 0}, 422, "limit: value 0"),
+        ({"query": [1.0] * 16, "limit": "x"}, 400, "$.limit"),
+        ({"query": [1.0] * 16, "offset": -1}, 422, "offset"),
+        ({"query": [1.0] * 16, "limit": 99999}, 400, "limit"),
+        ({"query": [1.0] * 16, "prefetch": []}, 400, "prefetch"),
+        ({"query": [1.0] * 16, "using": "v"}, 400, "using"),
+        ({"query": [1.0] * 16, "lmit": 3}, 400, "lmit"),
+        ({"query": [1.0] * 16, "filter": {"must": [{"key": "a", "geo_radius": {}}]}}, 400, "filter.must[0]"),
+        ({"query": [1.0] * 16, "with_payload": {"include": [], "exclude": []}}, 400, "with_payload"),
+    ],
+)
 def test_bad_input_is_named_in_the_apis_own_shape(fleet, body, status, word):
     got = httpx.post(f"{fleet.base}/collections/prices/points/query", json=body)
     assert got.status_code == status and word in got.json()["status"]["error"]
@@ -280,7 +324,9 @@
     sized = path + b"content-length: %d\r\n" % len(body)
     chunks = b"%x\r\n%s\r\n" % (20, body[:20]) + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body) - 20, body[20:])
     last = b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
-    got = raw_exchange(fleet, sized + b"\r\n" + body + path + b"transfer-encoding: chunked\r\n\r\n" + chunks + last)
+    got = raw_exchange(
+        fleet, sized + b"\r\n" + body + path + b"transfer-encoding: chunked\r\n\r\n" + chunks + last
+    )
     assert got.count(b"HTTP/1.1 200") == 3 and got.count(b"x-heathwell-coverage: whole=yes") == 2
     got = raw_exchange(fleet, [sized + b"expect: 100-continue\r\nconnection: close\r\n\r\n", body], 0.05)
     assert got.startswith(b"HTTP/1.1 100") and b"HTTP/1.1 200" in got
@@ -311,7 +357,9 @@
         client.query_points("prices", query=query)
         one.order([0, 1, 2], "silent", seconds=20)  # all holders of shard 0 (and some of others)
         began = time.monotonic()
-        got = httpx.post(f"{one.base}/collections/prices/points/query", json={"query": query, "limit": 10}, timeout=5)
+        got = httpx.post(
+            f"{one.base}/collections/prices/points/query", json={"query": query, "limit": 10}, timeout=5
+        )
         assert time.monotonic() - began < 2.0
         told = got.json()
         assert got.status_code == 200 and not told["heathwell"]["whole"]
@@ -328,20 +376,30 @@
         one.order([0], "spoil", seconds=20)
         one.order([1], "spoil", seconds=20, text="many")
         for seed in range(12):
-            same(client.query_points("prices", query=vector(seed, 16), limit=5).points,
-                 brute(one.market, "prices", vector(seed, 16), 5))
+            same(
+                client.query_points("prices", query=vector(seed, 16), limit=5).points,
+                brute(one.market, "prices", vector(seed, 16), 5),
+            )
         counts = one.broker.broker.counts
-        assert counts["malformed", "near"] > 0 and counts["attempt", "near", "error"] >= counts["malformed", "near"]
+        assert (
+            counts["malformed", "near"] > 0
+            and counts["attempt", "near", "error"] >= counts["malformed", "near"]
+        )
         with httpx.Client() as raw:
-            assert raw.post(f"{one.base}/collections/prices/points/query",
-                            json={"query": query}).json()["heathwell"]["whole"]
+            assert raw.post(f"{one.base}/collections/prices/points/query", json={"query": query}).json()[
+                "heathwell"
+            ]["whole"]
 
 
 def test_equal_scores_come_in_the_same_order_every_time(fleet):
     client = fleet.client
     queries = [vector(5, 16) for _ in range(8)]
-    answers = [[(p.id, p.score) for p in client.query_points("prices", query=q, limit=40).points] for q in queries]
-    batch = client.query_batch_points("prices", requests=[models.QueryRequest(query=q, limit=40) for q in queries])
+    answers = [
+        [(p.id, p.score) for p in client.query_points("prices", query=q, limit=40).points] for q in queries
+    ]
+    batch = client.query_batch_points(
+        "prices", requests=[models.QueryRequest(query=q, limit=40) for q in queries]
+    )
     answers += [[(p.id, p.score) for p in one.points] for one in batch]
     assert all(answer == answers[0] for answer in answers)
     ids = [point for point, _ in answers[0]]
@@ -349,16 +407,20 @@
 
 
 def test_parts_that_cannot_change_the_rows_are_not_waited_for():
-    text = MARKET.replace("(size 16) (points 150) (overlap 20%)", "(size 16) (points 150) (spread 5%)").replace(
-        "(work 2ms))\n(collection far", "(work 150ms))\n(collection far")
+    text = MARKET.replace(
+        "(size 16) (points 150) (overlap 20%)", "(size 16) (points 150) (spread 5%)"
+    ).replace("(work 2ms))\n(collection far", "(work 150ms))\n(collection far")
     with running(text) as one:
         spec = one.market.collections[0]
         query = shard_of(spec, 2, SHARDS).plain[7].tolist()
         one.order(range(6), "stall", seconds=0.0)
         for _ in range(6):
-            got = httpx.post(f"{one.base}/collections/prices/points/query", json={"query": query, "limit": 3}).json()
+            got = httpx.post(
+                f"{one.base}/collections/prices/points/query", json={"query": query, "limit": 3}
+            ).json()
             assert [p["id"] for p in got["result"]["points"]] == [
-                p for p, _ in brute(one.market, "prices", query, 3)]
+                p for p, _ in brute(one.market, "prices", query, 3)
+            ]
             assert got["heathwell"]["whole"] and got["heathwell"]["weight"] == 1
         assert one.broker.broker.counts["moot", "near"] > 0
         time.sleep(0.5)
@@ -372,10 +434,14 @@
 
 def test_a_batch_of_16_megabytes_lets_single_gets_through():
     text = MARKET.replace("(body 1mb) (slow 400ms)", "(body 32mb)").replace(
-        "(collection dots", "(collection wide (class near) (batch-class bulk) (size 1024) (points 60) (work 1ms))\n"
-        "(collection dots")
+        "(collection dots",
+        "(collection wide (class near) (batch-class bulk) (size 1024) (points 60) (work 1ms))\n"
+        "(collection dots",
+    )
     with running(text) as one:
-        wishes = [{"query": np.random.default_rng(n).normal(0, 1, 1024).tolist(), "limit": 3} for n in range(820)]
+        wishes = [
+            {"query": np.random.default_rng(n).normal(0, 1, 1024).tolist(), "limit": 3} for n in range(820)
+        ]
         body = json.dumps({"searches": wishes})
         assert len(body) > 16_000_000
         host, port = one.broker.address.split(":")
@@ -385,6 +451,7 @@
         def ask():
             while not done.wait(0.02):
                 replies.append(json.loads(gets.get(f"sale:t{len(replies)}:7")))
+
         asking = threading.Thread(target=ask)
         asking.start()
         for _ in range(12):  # as told by the advice, should it come too soon after the start
@@ -416,7 +483,9 @@
 
 
 def test_http_clients_over_their_limit_are_told():
-    with running(MARKET.replace("(vector (listen", "(limits (clients-an-address 2))\n(vector (listen")) as one:
+    with running(
+        MARKET.replace("(vector (listen", "(limits (clients-an-address 2))\n(vector (listen")
+    ) as one:
         host, port = one.broker.vector_address.split(":")
         kept = [socket.create_connection((host, int(port)), 5) for _ in range(2)]
         time.sleep(0.1)
@@ -428,10 +497,23 @@
         kept.pop().close()
 
 
-PAYLOADS = st.lists(st.fixed_dictionaries({}, optional={
-    "a": st.one_of(st.none(), st.booleans(), st.integers(0, 3), st.sampled_from("xy"),
-                   st.lists(st.integers(0, 3), max_size=2)),
-    "n": st.fixed_dictionaries({}, optional={"b": st.integers(0, 3)})}), min_size=1, max_size=12)
+PAYLOADS = st.lists(
+    st.fixed_dictionaries(
+        {},
+        optional={
+            "a": st.one_of(
+                st.none(),
+                st.booleans(),
+                st.integers(0, 3),
+                st.sampled_from("xy"),
+                st.lists(st.integers(0, 3), max_size=2),
+            ),
+            "n": st.fixed_dictionaries({}, optional={"b": st.integers(0, 3)}),
+        },
+    ),
+    min_size=1,
+    max_size=12,
+)
 
 
 @hypothesis_settings(max_examples=150)
@@ -449,31 +531,43 @@
 
     def some(holds, found):
         return any(map(holds, found)) if isinstance(found, list) else found is not None and holds(found)
+
     columns = Columns(list(range(len(payloads))), payloads)
 
     def mask(condition):
         check({"must": condition})
         return mask_of({"must": condition}, columns).tolist()
+
     values = [dig(payload) for payload in payloads]
     match = {"key": key, "match": {"value": value}}
     assert mask(match) == [some(equal, v) for v in values]
     assert mask_of({"must_not": [match]}, columns).tolist() == [not some(equal, v) for v in values]
     if not isinstance(value, bool):
-        assert mask({"key": key, "match": {"except": [value]}}) == [some(lambda o: not equal(o), v) for v in values]
-    number = [some(lambda o: isinstance(o, int) and not isinstance(o, bool) and 1 <= o < 3, v) for v in values]
+        assert mask({"key": key, "match": {"except": [value]}}) == [
+            some(lambda o: not equal(o), v) for v in values
+        ]
+    number = [
+        some(lambda o: isinstance(o, int) and not isinstance(o, bool) and 1 <= o < 3, v) for v in values
+    ]
     assert mask({"key": key, "range": {"gte": 1, "lt": 3}}) == number
     assert mask({"is_empty": {"key": key}}) == [v is None or v == [] for v in values]
     both = {"min_should": {"conditions": [match, {"key": key, "range": {"gte": 1, "lt": 3}}], "min_count": 2}}
-    assert mask_of(both, columns).tolist() == [a and some(equal, v) for a, v in zip(number, values, strict=True)]
+    assert mask_of(both, columns).tolist() == [
+        a and some(equal, v) for a, v in zip(number, values, strict=True)
+    ]
 
 
 def test_filters_are_bounded():
     deep: dict = {"must": []}
     for _ in range(12):
         deep = {"must": [deep]}
-    for bad, why in ((deep, "nested"), ({"must": [{"key": "a", "is_null": True}] * 300}, "conditions"),
-                     ({"must": [{"key": "a"}]}, "names one of"), ({"musty": []}, "musty"),
-                     ({"must": [{"key": "a", "match": {"value": 1.5}}]}, "match")):
+    for bad, why in (
+        (deep, "nested"),
+        ({"must": [{"key": "a", "is_null": True}] * 300}, "conditions"),
+        ({"must": [{"key": "a"}]}, "names one of"),
+        ({"musty": []}, "musty"),
+        ({"must": [{"key": "a", "match": {"value": 1.5}}]}, "match"),
+    ):
         with pytest.raises(FilterError, match=why):
             check(bad)
 
