--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 	$(PY) -m heathwell platform
 
 test: setup
+	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
 	$(PY) -m mypy
 	$(PY) -m pytest -q -n 6
