--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,8 @@
 hypothesis_settings.register_profile("same", derandomize=True, deadline=None, max_examples=150, database=None)
 hypothesis_settings.load_profile("same")
 
+pytest_plugins = ["tests.known_red"]
+
 AIM = 1_000_000
 
 
