--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -114,7 +114,7 @@
 
 
 def collects_whole_suite(config: pytest.Config) -> bool:
-    """Whether a run collects each test file; a worker of pytest-xdist is told by the process that started it."""
+    """Whether a run collects each test file; the process that starts a worker of pytest-xdist tells it."""
     worker_input: dict[str, Any] | None = getattr(config, "workerinput", None)
     if worker_input is not None:
         return bool(worker_input[WORKER_INPUT_KEY])
@@ -184,7 +184,7 @@
 
     @pytest.hookimpl(optionalhook=True)
     def pytest_configure_node(self, node: Any) -> None:
-        """Tell a worker of pytest-xdist, which gets its paths from this process, if they are the whole suite."""
+        """Tell a worker of pytest-xdist whether the run collects the whole suite."""
         node.workerinput[WORKER_INPUT_KEY] = collects_whole_suite(node.config)
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
