--- a/benchmarks/freshness.py
+++ b/benchmarks/freshness.py
@@ -117,12 +117,16 @@
         mine = [row for row in rows if row["policy"] == name]
         counts: dict[str, dict[str, int]] = {}
         for row in mine:
-            for klass, outcomes in row["outcomes"].items():
+            for query_class, outcomes in row["outcomes"].items():
                 for kind, count in outcomes.items():
-                    counts.setdefault(klass, {})[kind] = counts.setdefault(klass, {}).get(kind, 0) + count
+                    counts.setdefault(query_class, {})[kind] = (
+                        counts.setdefault(query_class, {}).get(kind, 0) + count
+                    )
         shares = {
-            klass: {kind: f"{count / sum(outcomes.values()):.1%}" for kind, count in sorted(outcomes.items())}
-            for klass, outcomes in sorted(counts.items())
+            query_class: {
+                kind: f"{count / sum(outcomes.values()):.1%}" for kind, count in sorted(outcomes.items())
+            }
+            for query_class, outcomes in sorted(counts.items())
         }
         young = sum(len(row.get("young", ())) for row in mine)
         broken = sum(len(row["rules"]) for row in mine)
--- a/benchmarks/keepercost.py
+++ b/benchmarks/keepercost.py
@@ -14,11 +14,11 @@
 import time
 from pathlib import Path
 
-from heathwell.control.agent import FleetAgent
-from heathwell.control.wiring import budgets_of, times_of
+from heathwell.fleet.control.agent import FleetAgent
+from heathwell.fleet.control.wiring import budgets_of, times_of
+from heathwell.fleet.membership import Self
 from heathwell.kernel import Coro, sleep, socket_loop
 from heathwell.lab.wires import Wires
-from heathwell.membership import Self
 from heathwell.settings import load
 
 HOSTS_WANTED = 4  # cold hosts and hosts with further connections, each, that a broker asks for at a time
--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -25,9 +25,13 @@
     for row in sent_by_second(day):
         print(row)
     open_most = max(event["open"] for event in day.events if event["ev"] == "met")
-    for (klass, where, home), span in sorted(day.spans.items()):
+    for (query_class, where, home), span in sorted(day.spans.items()):
         if not home:
-            print(klass, ("before", "during", "after")[where], {n: getattr(span, n) for n in span.__slots__})
+            print(
+                query_class,
+                ("before", "during", "after")[where],
+                {n: getattr(span, n) for n in span.__slots__},
+            )
     print(
         f"rules broken {len(verdict.breaches)}, nearest to a cold host's fall "
         f"{verdict.coldest:.2f}, steady after "
@@ -45,17 +49,17 @@
     kinds = ("on time", "late", "partial", "refused", "failed", "lost", "broken", "no broker")
     print("trouble | class | span | variant | " + " | ".join(kinds) + " | at home on time")
     for trouble, *_ in sockets.TROUBLES:
-        for klass in ("price-search", "day-report", "sale-record"):
+        for query_class in ("price-search", "day-report", "sale-record"):
             for span in sockets.SPANS:
                 for run in runs:
                     service: sockets.Service = run["services"][trouble]
-                    counts = service.counts.get((klass, span, False), {})
-                    shares = " | ".join(f"{service.share(klass, span, kind):.1%}" for kind in kinds)
-                    home = sum(service.counts.get((klass, span, True), {}).values())
+                    counts = service.counts.get((query_class, span, False), {})
+                    shares = " | ".join(f"{service.share(query_class, span, kind):.1%}" for kind in kinds)
+                    home = sum(service.counts.get((query_class, span, True), {}).values())
                     print(
-                        f"{trouble} | {klass} | {span} | {run['variant']} ({sum(counts.values())}) "
+                        f"{trouble} | {query_class} | {span} | {run['variant']} ({sum(counts.values())}) "
                         f"| {shares} | "
-                        f"{service.share(klass, span, 'on time', True):.1%} of {home}"
+                        f"{service.share(query_class, span, 'on time', True):.1%} of {home}"
                     )
         for run in runs:
             service = run["services"][trouble]
--- a/benchmarks/worth.py
+++ b/benchmarks/worth.py
@@ -25,10 +25,10 @@
     bad = 0
     for day in DAYS:
         print(f"\n{day} | class | span | " + " | ".join(variants))
-        for klass, span in product(("price-search", "day-report", "sale-record"), SPANS):
+        for query_class, span in product(("price-search", "day-report", "sale-record"), SPANS):
             cells = []
             for variant in variants:
-                counts = rows[variant, day]["service"].get(f"{klass}/{span}", {})
+                counts = rows[variant, day]["service"].get(f"{query_class}/{span}", {})
                 asked = sum(counts.values()) or 1
                 cells.append(
                     f"{counts.get('on time', 0) / asked:.1%}"
@@ -36,7 +36,7 @@
                         f", {kind} {counts[kind] / asked:.1%}" for kind in KINDS[1:] if counts.get(kind)
                     )
                 )
-            print(f"{day} | {klass} | {span} | " + " | ".join(cells))
+            print(f"{day} | {query_class} | {span} | " + " | ".join(cells))
         for name in ("further a second", "arrived", "coldest", "fell", "broken", "most held"):
             print(f"{day} | {name} | | " + " | ".join(str(rows[variant, day][name]) for variant in variants))
         for variant in variants:
--- a/benchmarks/worthsockets.py
+++ b/benchmarks/worthsockets.py
@@ -49,7 +49,7 @@
         for outcome in day.clients.outcomes:
             for span, (begin, end) in SPANS.items():
                 if begin <= outcome.at < end:
-                    rows.setdefault((span, outcome.klass), Counter())[outcome.kind] += 1
+                    rows.setdefault((span, outcome.query_class), Counter())[outcome.kind] += 1
         found = judge_budgets(day.logged) if variant == "lent" else None
         wrong = [*map(str, verdict.breaches), *(found.breaches if found is not None else []), *day.faults]
         bad += len(wrong)
@@ -65,13 +65,13 @@
         )
         for line in wrong[:5]:
             print("   ", line)
-    for span, klass in product(SPANS, ("price-search", "day-report", "sale-record")):
+    for span, query_class in product(SPANS, ("price-search", "day-report", "sale-record")):
         cells = []
         for variant in VARIANTS:
-            counts = table[variant].get((span, klass), Counter())
+            counts = table[variant].get((span, query_class), Counter())
             asked = sum(counts.values()) or 1
             cells.append(", ".join(f"{kind} {counts[kind] / asked:.1%}" for kind in KINDS if counts[kind]))
-        print(f"{span} | {klass} | " + " | ".join(cells))
+        print(f"{span} | {query_class} | " + " | ".join(cells))
     return 1 if bad else 0
 
 
--- a/heathwell/__init__.py
+++ b/heathwell/__init__.py
@@ -1,7 +1,7 @@
 """heathwell: an aggregator of queries over replicated shards that degrades honestly."""
 
-from heathwell.interface import Settings
-from heathwell.logic import Aggregator
+from heathwell.policy import Settings
+from heathwell.policy.aggregator import Aggregator
 
 __version__ = "0.2.0"
 __all__ = ["Aggregator", "Settings", "__version__"]
--- a/heathwell/benchlink.py
+++ b/heathwell/benchlink.py
@@ -1,6 +1,6 @@
 """The wire of the operators' bench on one side, the library on the other.
 
-Each line of JSON is translated to events of :mod:`heathwell.interface`, each
+Each line of JSON is translated to events of :mod:`heathwell.policy`, each
 reply back; there is one :class:`Aggregator` for each instance. Nothing is
 decided here.
 """
@@ -12,9 +12,9 @@
 from collections.abc import Iterable
 from typing import Any, TextIO
 
-from heathwell import interface as hw
-from heathwell.logic import Aggregator
-from heathwell.startsettings import (
+from heathwell import policy
+from heathwell.policy.aggregator import Aggregator
+from heathwell.settings_from_platform import (
     WireError,
     coded,
     need,
@@ -25,113 +25,124 @@
     text,
 )
 
-STATES = {"live": hw.LIVE, "quiescing": hw.DRAINING, "dead": hw.GONE}
-FORMS = {"update": hw.UPDATE, "replace": hw.FULL, "restored": hw.FULL, "unavailable": hw.FAILED}
+STATES = {
+    "live": policy.EndpointState.LIVE,
+    "quiescing": policy.EndpointState.DRAINING,
+    "dead": policy.EndpointState.GONE,
+}
+FORMS = {
+    "update": policy.UpdateKind.INCREMENTAL,
+    "replace": policy.UpdateKind.FULL,
+    "restored": policy.UpdateKind.FULL,
+    "unavailable": policy.UpdateKind.FAILED,
+}
 OUTCOMES = {
-    "success": hw.OK,
-    "failure": hw.ERROR,
-    "overloaded": hw.FULL_UP,
-    "timed_out": hw.TIMED_OUT,
-    "unreachable": hw.UNREACHABLE,
-    "broken": hw.BROKEN,
-    "withdrawn": hw.CANCELLED,
-    "void": hw.NEVER_SENT,
+    "success": policy.Outcome.OK,
+    "failure": policy.Outcome.ERROR,
+    "overloaded": policy.Outcome.REJECTED,
+    "timed_out": policy.Outcome.TIMED_OUT,
+    "unreachable": policy.Outcome.UNREACHABLE,
+    "broken": policy.Outcome.BROKEN,
+    "withdrawn": policy.Outcome.CANCELLED,
+    "void": policy.Outcome.NEVER_SENT,
 }
 UNUSED = ("peer-data", "first-byte")
 
 
-def entry_from(line: Any) -> hw.ServerEntry:
-    """One line of a wire list; a state the wire does not know is passed on as it is."""
+def entry_from(line: Any) -> policy.EndpointEntry:
+    """One line of a wire list; a state the wire does not know is passed on as unknown."""
     where = "members-list"
     state = text(line, "availability", where)
     since = line.get("since-us")
-    return hw.ServerEntry(
+    return policy.EndpointEntry(
         node=text(line, "node", where),
-        cell=number(line, "place", where),
-        state=STATES.get(state, state),
-        since_us=int(since) if since else None,
+        replica_group=number(line, "place", where),
+        state=STATES.get(state, policy.EndpointState.UNKNOWN),
+        started_at_us=int(since) if since else None,
         rating=float(line.get("rating") or 1.0),
         zone=int(line.get("site") or 0),
     )
 
 
-def event_from(message: dict[str, Any], kind: str, tables: dict[int, tuple[hw.ServerEntry, ...]]) -> hw.Event:
+def event_from(
+    message: dict[str, Any], kind: str, tables: dict[int, tuple[policy.EndpointEntry, ...]]
+) -> policy.Event:
     """The library's event for one wire message of a given type."""
     if kind == "fleet":
         form = text(message, "form", kind)
         word = coded(message, "form", kind, FORMS)
-        servers: tuple[hw.ServerEntry, ...] = ()
-        if word != hw.FAILED:
+        servers: tuple[policy.EndpointEntry, ...] = ()
+        if word != policy.UpdateKind.FAILED:
             table = number(message, "table", kind)
             if table not in tables:
                 raise WireError(f"fleet: field 'table' names list {table}, which was never given")
             servers = tables[table]
-        return hw.FleetNews(word, servers, asked=form != "restored")
+        return policy.EndpointUpdate(word, servers, requested=form != "restored")
     if kind == "query":
         shard = number(message, "range-no", kind)
         hint = message.get("size-hint-us")
         key = message.get("key")
         if shard < 0:
-            return hw.QueryArrived(
+            return policy.QueryArrived(
                 id=text(message, "xid", kind),
                 job=number(message, "job-no", kind),
-                klass=number(message, "band", kind),
+                query_class=number(message, "band", kind),
                 deadline_us=number(message, "deadline-us", kind),
-                parts=number(message, "amount", kind),
+                part_count=number(message, "amount", kind),
                 tenant=int(message.get("customer") or 0),
-                hint_us=hint,
-                retry=bool(message.get("retry")),
+                work_hint_us=hint,
+                is_retry=bool(message.get("retry")),
             )
-        return hw.PartArrived(
+        return policy.PartArrived(
             id=text(message, "xid", kind),
             job=number(message, "job-no", kind),
             shard=shard,
             weight=share(message, "amount", kind),
-            hint_us=hint,
+            work_hint_us=hint,
             key=key,
         )
     if kind == "returned":
         stats = message.get("stats") or {}
-        return hw.AttemptEnded(
+        return policy.AttemptEnded(
             id=text(message, "xid", kind),
             seq=number(message, "seq-no", kind),
             node=text(message, "node", kind),
             outcome=coded(message, "verdict", kind, OUTCOMES),
             elapsed_us=number(message, "elapsed-us", kind),
-            active=stats.get("active"),
-            busy=stats.get("cpu"),
+            in_flight=stats.get("active"),
+            cpu_utilization=stats.get("cpu"),
         )
     if kind == "probed":
-        return hw.ProbeEnded(text(message, "node", kind), coded(message, "verdict", kind, OUTCOMES))
+        return policy.ProbeEnded(text(message, "node", kind), coded(message, "verdict", kind, OUTCOMES))
     if kind == "elapsed":
-        return hw.TimerFired(text(message, "label", kind))
+        return policy.TimerFired(text(message, "label", kind))
     if kind == "expired":
-        return hw.QueryExpired(text(message, "xid", kind))
+        return policy.ClientDisconnected(text(message, "xid", kind))
     raise WireError(f"message of unknown type '{kind}'")
 
 
-def action_to(who: int, action: hw.Action) -> dict[str, Any]:
+def action_to(who: int, action: policy.Action) -> dict[str, Any]:
     """The wire message for one action."""
     match action:
-        case hw.Send(id=part, node=node):
+        case policy.Send(id=part, node=node):
             return {"event_type": "transmit", "who": who, "xid": part, "node": node}
-        case hw.Cancel(id=part, seq=seq):
+        case policy.Cancel(id=part, seq=seq):
             return {"event_type": "abandon", "who": who, "xid": part, "seq-no": seq}
-        case hw.Answer(id=query, whole=whole):
+        case policy.Answer(id=query, complete=whole):
             return {"event_type": "assemble", "who": who, "xid": query, "complete": whole}
-        case hw.Refuse(id=query, after_us=after):
+        case policy.Reject(id=query, retry_after_us=after):
             return {"event_type": "not-now", "who": who, "xid": query, "not-before-for-us": after}
-        case hw.Fail(id=query):
+        case policy.Fail(id=query):
             return {"event_type": "drop-request", "who": who, "xid": query}
-        case hw.Probe(node=node):
+        case policy.Probe(node=node):
             return {"event_type": "inspect", "who": who, "node": node}
-        case hw.Watch():
+        case policy.WatchEndpoints():
             return {"event_type": "subscribe", "who": who, "complete": True}
-        case hw.SetTimer(at_us=at, label=label):
+        case policy.SetTimer(at_us=at, label=label):
             return {"event_type": "set-timer", "who": who, "instant-us": at, "label": label}
-        case hw.Log(text=line):
+        case policy.Log(text=line):
             return {"event_type": "journal-line", "who": who, "text": line}
-        case hw.Lacked():
+        case policy.QuotaExhausted():
             raise WireError("a budget of the whole fleet, which the bench never tells of")
 
 
@@ -139,7 +150,7 @@
     """All instances of one process; they share nothing but the numbered lists."""
 
     def __init__(self) -> None:
-        self.tables: dict[int, tuple[hw.ServerEntry, ...]] = {}
+        self.tables: dict[int, tuple[policy.EndpointEntry, ...]] = {}
         self.instances: dict[int, Aggregator] = {}
 
     def reply(self, line: str) -> str:
@@ -149,7 +160,7 @@
         except ValueError as error:
             raise WireError(f"a line is not JSON: {error}") from None
         now = number(batch, "time-us", "batch")
-        pending: dict[int, list[hw.Event]] = {}
+        pending: dict[int, list[policy.Event]] = {}
         for message in rows(batch, "inbox", "batch"):
             kind = text(message, "event_type", "message")
             if kind == "list":
--- a/heathwell/broker/discovery.py
+++ b/heathwell/broker/discovery.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Callable
 
-from heathwell import interface as hw
-from heathwell import wire
+from heathwell import inner_protocol, policy
 from heathwell.codec import frames
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, sleep
 
 RECONNECT_US = 500_000
+STATES = {
+    state.value: state
+    for state in (policy.EndpointState.LIVE, policy.EndpointState.DRAINING, policy.EndpointState.GONE)
+}
 
 
 class Roster:
@@ -22,18 +25,21 @@
     def __init__(self) -> None:
         self._births: dict[str, tuple[int, int | None]] = {}
 
-    def take(self, now: int, kind: str, entries: list[frames.Entry]) -> hw.FleetNews:
+    def take(self, now: int, kind: str, entries: list[frames.Entry]) -> policy.EndpointUpdate:
         """The module's news for a message of discovery."""
-        servers = tuple(self._entry(now, entry) for entry in entries)
-        return hw.FleetNews(hw.FULL if kind == hw.FULL else hw.UPDATE, servers)
+        update_kind = (
+            policy.UpdateKind.FULL if kind == policy.UpdateKind.FULL else policy.UpdateKind.INCREMENTAL
+        )
+        endpoints = tuple(self._entry(now, entry) for entry in entries)
+        return policy.EndpointUpdate(update_kind, endpoints)
 
-    def _entry(self, now: int, entry: frames.Entry) -> hw.ServerEntry:
+    def _entry(self, now: int, entry: frames.Entry) -> policy.EndpointEntry:
         known = self._births.get(entry.node)
         if known is None or known[0] != entry.birth:
             since = max(1, now - entry.age_us) if entry.age_us >= 0 else None
             known = self._births[entry.node] = (entry.birth, since)
-        state = entry.state if entry.state in (hw.LIVE, hw.DRAINING, hw.GONE) else hw.DRAINING
-        return hw.ServerEntry(entry.node, entry.cell, state, known[1], zone=entry.zone)
+        state = STATES.get(entry.state, policy.EndpointState.DRAINING)
+        return policy.EndpointEntry(entry.node, entry.cell, state, known[1], zone=entry.zone)
 
 
 class DiscoveryClient:
@@ -47,7 +53,7 @@
         name: str,
         timeout: int,
         push: bool,
-        news: Callable[[hw.FleetNews], None],
+        news: Callable[[policy.EndpointUpdate], None],
         log: Callable[..., None],
     ) -> None:
         self.loop, self.net, self.address, self.name, self.timeout = loop, net, address, name, timeout
@@ -109,12 +115,12 @@
             stream.write(frames.encode(frames.Watch(0)))
             self._asked = max(self._asked, 1)
             self._limit()
-            yield from wire.listen(stream, self._heard)
+            yield from inner_protocol.listen(stream, self._heard)
             raise StreamBroken("discovery closed the watch")
         except (ConnectFailed, StreamBroken, frames.FrameError) as problem:
             self.log("info", "discovery: call failed or watch broken", why=str(problem))
             self._asked = 0
-            self.news(hw.FleetNews(hw.FAILED))
+            self.news(policy.EndpointUpdate(policy.UpdateKind.FAILED))
         finally:
             if self._stream is not None:
                 self._stream.abort()
--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -16,11 +16,11 @@
 from dataclasses import dataclass, field
 from typing import Any, Generic, Protocol, TypeVar
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.broker.replies import FAILED, REFUSED, OnReply, Reply
-from heathwell.eventlog import EventLog, NoEvents
 from heathwell.kernel import Event, Loop, Timer
-from heathwell.logic import Aggregator
+from heathwell.observability.event_log import EventLog, NoEvents
+from heathwell.policy.aggregator import Aggregator
 
 Key = tuple[str, int]
 
@@ -98,11 +98,11 @@
     by version.
     """
 
-    settings: hw.Settings
+    settings: policy.Settings
     module: Aggregator
     version: str = ""
     more: Any = None
-    inbox: list[hw.Event] = field(default_factory=list)
+    inbox: list[policy.Event] = field(default_factory=list)
     timers: dict[str, Timer] = field(default_factory=dict)
     open: int = 0
 
@@ -131,7 +131,7 @@
 
     id: str
     job: int
-    klass: int
+    query_class: int
     started: int
     deadline: int
     on_reply: OnReply | None
@@ -177,7 +177,7 @@
     def __init__(
         self,
         loop: Loop,
-        settings: hw.Settings,
+        settings: policy.Settings,
         seed: int,
         *,
         name: str,
@@ -210,29 +210,31 @@
         return self.era.module
 
     @property
-    def settings(self) -> hw.Settings:
+    def settings(self) -> policy.Settings:
         """The settings that they are made by."""
         return self.era.settings
 
-    def begin_era(self, settings: hw.Settings, seed: int, version: str, more: Any = None) -> Era:
+    def begin_era(self, settings: policy.Settings, seed: int, version: str, more: Any = None) -> Era:
         """Other settings for all queries that come from now on; those that are here go on under theirs. To be
         called between two batches. What is known of servers, but for the list, is learned anew.
         """
         roster = tuple(
-            hw.ServerEntry(s.node, s.cell, hw.LIVE, s.since, s.rating, s.zone)
-            for s in self.module.servers.values()
+            policy.EndpointEntry(
+                s.node, s.replica_group, policy.EndpointState.LIVE, s.started_at_us, s.rating, s.zone
+            )
+            for s in self.module.endpoints.values()
             if s.live
         )
         self.era = Era(settings, Aggregator(settings, seed), version, more)
         self.eras.append(self.era)
-        self._push(hw.FleetNews(hw.FULL, roster, asked=False), self.era)
+        self._push(policy.EndpointUpdate(policy.UpdateKind.FULL, roster, requested=False), self.era)
         return self.era
 
-    def begin_service(self, discovery: Membership, roster: tuple[hw.ServerEntry, ...]) -> None:
+    def begin_service(self, discovery: Membership, roster: tuple[policy.EndpointEntry, ...]) -> None:
         """Hand the module the list as it was last known, and ask for the list of now."""
         self.discovery = discovery
         self.loop.at_turn_end(self._turn_end)
-        self._push(hw.FleetNews(hw.FULL, roster, asked=False))
+        self._push(policy.EndpointUpdate(policy.UpdateKind.FULL, roster, requested=False))
         self.discovery.start()
 
     # What a way in and out provides.
@@ -263,20 +265,20 @@
     def sent(self, node: str, key: Key) -> None:
         """An attempt is handed to its link."""
 
-    def attempt_over(self, node: str, key: Key, outcome: str, took_us: int) -> None:
+    def attempt_over(self, node: str, key: Key, outcome: policy.Outcome, took_us: int) -> None:
         """An attempt has ended."""
 
     def advice(self, query: Q, after_us: int) -> int:
         """When a client that the module refuses may come back (us), from the module's own word."""
         return after_us
 
-    def fleet_room(self) -> hw.Room | None:
+    def fleet_room(self) -> policy.QuotaUpdate | None:
         """What budgets of the whole fleet leave this broker now, for the module; None where there
         are none.
         """
         return None
 
-    def may_leave(self, send: hw.Send, key: Key) -> bool:
+    def may_leave(self, send: policy.Send, key: Key) -> bool:
         """Whether such a budget has a unit for an attempt at this moment; it is used."""
         return True
 
@@ -314,14 +316,14 @@
         """Tell the module of a query and of its parts, each with its hint."""
         query.queued = False
         self._push(
-            hw.QueryArrived(
+            policy.QueryArrived(
                 query.id,
                 query.job,
-                query.klass,
+                query.query_class,
                 query.deadline,
                 count,
-                hint_us=hint_us,
-                retry=retry,
+                work_hint_us=hint_us,
+                is_retry=retry,
                 tenant=tenant,
             ),
             query.era,
@@ -333,7 +335,7 @@
         for part, hint in parts:
             self.hold_part(query, part)
             self._push(
-                hw.PartArrived(
+                policy.PartArrived(
                     part.id, query.job, part.plan.shard, part.plan.weight, hint, self.subject(query)
                 ),
                 query.era,
@@ -351,7 +353,7 @@
 
     def full(self, parts: int) -> bool:
         """Whether a query of so many parts finds no room."""
-        cap = self.settings.open_cap
+        cap = self.settings.max_open
         return bool(cap) and self.held + 1 + parts > cap
 
     def left(self, query_id: str) -> None:
@@ -365,7 +367,7 @@
                 query.queued = False
                 self._closed(query)
                 return
-            self._push(hw.QueryExpired(query.id), query.era)
+            self._push(policy.ClientDisconnected(query.id), query.era)
             self._leaving.append(query)  # the module may still name its parts until it has heard
 
     def stop(self) -> None:
@@ -382,7 +384,7 @@
                 if query.timer is not None:
                     query.timer.cancel()
                     query.timer = self.loop.call_at(until_us, self._deadline, query)
-        self._push(hw.Ending(until_us))
+        self._push(policy.ShutdownStarted(until_us))
 
     def kill(self) -> None:
         """What a SIGKILL leaves: nothing more is decided or sent (for fleets within one process)."""
@@ -402,20 +404,20 @@
 
     # Towards the module.
 
-    def _push(self, event: hw.Event, era: Era | None = None) -> None:
+    def _push(self, event: policy.Event, era: Era | None = None) -> None:
         """To the version whose query it is about; what is about servers to all."""
         if self._handling and not any(one.inbox for one in self.eras):
             self.loop.call_soon(_nothing)  # what comes of handling a batch is the next turn's
         for one in self.eras if era is None else (era,):
             one.inbox.append(event)
 
-    def news(self, news: hw.FleetNews) -> None:
+    def news(self, news: policy.EndpointUpdate) -> None:
         """Discovery's word."""
-        self.events("news", kind=news.kind, hosts={s.node: s.state for s in news.servers})
+        self.events("news", kind=news.kind, hosts={s.node: s.state for s in news.endpoints})
         self.counts["news", news.kind] += 1
         self._push(news)
 
-    def attempt_ended(self, node: str, key: Key, outcome: str, result: Any) -> None:
+    def attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, result: Any) -> None:
         """A link's word on an attempt."""
         query = self.parts.get(key[0])
         if query is None or query.out.pop(key, None) is None:
@@ -423,7 +425,7 @@
         part = query.parts[key[0]]
         part.why = outcome
         wanted = part.data is None and query.on_reply is not None
-        if outcome == hw.OK and result is not None and wanted:
+        if outcome == policy.Outcome.OK and result is not None and wanted:
             if self.usable(query, part, node, key, result):
                 part.data, part.node, part.seq = result.data, node, key[1]
                 self.kept(query, part, key, result)
@@ -433,19 +435,19 @@
                     self._withdraw(query, key[0])
             else:
                 # Told to the module as an error of that host: it asks elsewhere where its own rules allow.
-                outcome = hw.ERROR
+                outcome = policy.Outcome.ERROR
         self._ended(query, key, node, outcome, result)
 
-    def probe_ended(self, node: str, outcome: str) -> None:
+    def probe_ended(self, node: str, outcome: policy.Outcome) -> None:
         """A link's word on a probe."""
         self.counts["probe", outcome] += 1
         self.events("probed", node=node, outcome=outcome)
-        self._push(hw.ProbeEnded(node, outcome))
+        self._push(policy.ProbeEnded(node, outcome))
 
     def late_result(self, node: str) -> None:
         """An answer to an attempt whose end was told already: it counts for nothing."""
 
-    def _ended(self, query: Q, key: Key, node: str, outcome: str, result: Result | None) -> None:
+    def _ended(self, query: Q, key: Key, node: str, outcome: policy.Outcome, result: Result | None) -> None:
         self.counts["attempt", self._spec(query).name, outcome] += 1
         sent_at = self._sent_at.pop(key, self.loop.now())
         took = self.loop.now() - sent_at
@@ -453,7 +455,9 @@
         self.attempt_over(node, key, outcome, took)
         active = result.inflight if result is not None else None
         self._push(
-            hw.AttemptEnded(key[0], key[1], node, outcome, took, None if active is None else float(active)),
+            policy.AttemptEnded(
+                key[0], key[1], node, outcome, took, None if active is None else float(active)
+            ),
             query.era,
         )
         self._let_go(query)
@@ -466,19 +470,19 @@
             # goes first. By a timer of the next turn: what is called soon would still run in this one, before
             # its batch is handled.
             query.woken = True
-            self._push(hw.TimerFired("due"), query.era)
+            self._push(policy.TimerFired("due"), query.era)
             query.timer = self.loop.call_at(self.loop.now() + 1, self._deadline, query)
             return
         for key, node in list(query.out.items()):
             del query.out[key]
             self._link(node).forget(key)
-            self._ended(query, key, node, hw.TIMED_OUT, None)
+            self._ended(query, key, node, policy.Outcome.TIMED_OUT, None)
         if query.on_reply is not None:
             # The module owes a final answer a tick earlier; reaching this is a fault of ours, and says so.
             self.log("error", "query overdue", query=query.id)
             self.counts["overdue",] += 1
             on_reply, query.on_reply = query.on_reply, None
-            self._push(hw.QueryExpired(query.id), query.era)
+            self._push(policy.ClientDisconnected(query.id), query.era)
             self._final(query, Reply(FAILED, query.id, self._spec(query).name), on_reply)
         self._let_go(query)
 
@@ -531,38 +535,38 @@
         if query is not None and query.on_reply is not None:
             return True
         if query is not None and query.out.pop(key, None) is not None:
-            self._ended(query, key, node, hw.NEVER_SENT, None)
+            self._ended(query, key, node, policy.Outcome.NEVER_SENT, None)
         return False
 
     # What the module decided.
 
-    def _carry_out(self, action: hw.Action, calls: Calls, era: Era) -> None:
+    def _carry_out(self, action: policy.Action, calls: Calls, era: Era) -> None:
         match action:
-            case hw.Send():
+            case policy.Send():
                 self._send(action, calls)
-            case hw.Cancel(id=part_id, seq=seq):
+            case policy.Cancel(id=part_id, seq=seq):
                 query = self.parts.get(part_id)
                 if query is not None and (part_id, seq) in query.out:
                     node = query.out.pop((part_id, seq))
                     self._take_back(calls, node, (part_id, seq))
-                    self._ended(query, (part_id, seq), node, hw.CANCELLED, None)
-            case hw.Answer(id=query_id, whole=whole):
+                    self._ended(query, (part_id, seq), node, policy.Outcome.CANCELLED, None)
+            case policy.Answer(id=query_id, complete=whole):
                 self._answer(query_id, whole)
-            case hw.Refuse(id=query_id, after_us=after):
+            case policy.Reject(id=query_id, retry_after_us=after):
                 self._end_without(query_id, REFUSED, after)
-            case hw.Fail(id=query_id):
+            case policy.Fail(id=query_id):
                 self._end_without(query_id, FAILED, 0)
-            case hw.Probe(node=node):
+            case policy.Probe(node=node):
                 self.events("probe", node=node)
                 self._link(node).probe()
-            case hw.Watch():
+            case policy.WatchEndpoints():
                 self.events("watch")
                 self.discovery.ask()
-            case hw.SetTimer(at_us=at, label=label):
+            case policy.SetTimer(at_us=at, label=label):
                 self._set_timer(era, at, label)
-            case hw.Log(text=text):
+            case policy.Log(text=text):
                 self.log("info", text)
-            case hw.Lacked():
+            case policy.QuotaExhausted():
                 self.lacked()
 
     def _set_timer(self, era: Era, at: int, label: str) -> None:
@@ -572,9 +576,9 @@
             if pending.at <= at:
                 return
             pending.cancel()
-        era.timers[label] = self.loop.call_at(at, self._push, hw.TimerFired(label), era)
+        era.timers[label] = self.loop.call_at(at, self._push, policy.TimerFired(label), era)
 
-    def _send(self, action: hw.Send, calls: Calls) -> None:
+    def _send(self, action: policy.Send, calls: Calls) -> None:
         part_id, node = action.id, action.node
         query = self.parts[part_id]
         part = query.parts[part_id]
@@ -585,14 +589,14 @@
             # Its client left, or its time or the fleet's budget ran out while this was decided: told as what
             # it is.
             self.events("unsent", p=part_id, seq=key[1], node=node)
-            self._push(hw.AttemptEnded(part_id, key[1], node, hw.NEVER_SENT), query.era)
+            self._push(policy.AttemptEnded(part_id, key[1], node, policy.Outcome.NEVER_SENT), query.era)
             return
         query.out[key] = node
         part.why = "out"
         part.nodes.append(node)
         self._sent_at[key] = now
-        if action.until_us is not None and action.until_us < query.deadline:
-            self.loop.call_at(action.until_us, self._withdraw, query, key)
+        if action.send_by_us is not None and action.send_by_us < query.deadline:
+            self.loop.call_at(action.send_by_us, self._withdraw, query, key)
         self.sent(node, key)
         self.events(
             "send",
@@ -600,10 +604,10 @@
             seq=key[1],
             node=node,
             shard=part.plan.shard,
-            **({"further": True} if action.further else {}),
+            **({"further": True} if action.additional else {}),
         )
         batches = calls.setdefault(node, [])
-        if not batches or len(batches[-1]) >= self.settings.parts_a_call:
+        if not batches or len(batches[-1]) >= self.settings.parts_per_call:
             batches.append([])
         batches[-1].append(self.ask_for(query, part, key[1], query.deadline - now))
 
@@ -623,14 +627,14 @@
                 after = self.advice(query, after)
             self._reply(query, Reply(kind, query_id, self._spec(query).name, after_us=after))
 
-    def _spec(self, query: Q) -> hw.ClassSpec:
-        return query.era.settings.classes[query.klass]
+    def _spec(self, query: Q) -> policy.QueryClass:
+        return query.era.settings.classes[query.query_class]
 
     def _answer(self, query_id: str, whole: bool) -> None:
         query = self.queries.get(query_id)
         if query is None or query.on_reply is None:
             return  # its client left within this very batch
-        if query.step == 1 and self._spec(query).fetch:
+        if query.step == 1 and self._spec(query).second_step_parts:
             query.step = 2
             self.events("first", q=query.id, whole=whole)
             self.add_parts(query, self.second_step(query, whole))
@@ -645,7 +649,7 @@
     def _final(self, query: Q, reply: Reply, on_reply: OnReply) -> None:
         took = self.loop.now() - query.started
         spec = self._spec(query)
-        aim = "in aim" if took <= spec.aim_us else "late"
+        aim = "in aim" if took <= spec.latency_objective_us else "late"
         kind = "partial" if reply.kind == "answered" and not reply.whole else reply.kind
         self.counts["final", spec.name, kind, aim] += 1
         self.final(query, reply, took)
@@ -669,7 +673,7 @@
         for key, node in list(query.out.items()):
             if of in (None, key, key[0]) and self._link(node).withdraw(key):
                 del query.out[key]
-                self._ended(query, key, node, hw.NEVER_SENT, None)
+                self._ended(query, key, node, policy.Outcome.NEVER_SENT, None)
 
     def _let_go(self, query: Q) -> None:
         if query.on_reply is None and not query.out and query.id in self.queries:
--- a/heathwell/broker/hosts.py
+++ b/heathwell/broker/hosts.py
@@ -6,13 +6,12 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from heathwell import interface as hw
-from heathwell import wire
+from heathwell import inner_protocol, policy
 from heathwell.broker.idle import IdleTime
 from heathwell.codec import frames
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Overrun, Stream, StreamBroken, Task, Timer
 
-OUTCOMES = {"ok": hw.OK, "error": hw.ERROR, "full": hw.FULL_UP}
+OUTCOMES = {"ok": policy.Outcome.OK, "error": policy.Outcome.ERROR, "full": policy.Outcome.REJECTED}
 Key = tuple[str, int]
 BEATS = 4  # pings within the time after which a host closes what is silent
 
@@ -20,10 +19,12 @@
 class Owner(Protocol):
     """Who is told how attempts and probes end."""
 
-    def attempt_ended(self, node: str, key: Key, outcome: str, result: frames.Result | None) -> None:
+    def attempt_ended(
+        self, node: str, key: Key, outcome: policy.Outcome, result: frames.Result | None
+    ) -> None:
         """One outcome an attempt."""
 
-    def probe_ended(self, node: str, outcome: str) -> None:
+    def probe_ended(self, node: str, outcome: policy.Outcome) -> None:
         """One outcome a probe."""
 
     def waited(self, node: str, parts: list[frames.Ask]) -> list[frames.Ask]:
@@ -121,7 +122,7 @@
         self._probe_no += 1
         number = self._probe_no
         self._probes[number] = self.loop.call_at(
-            self.loop.now() + self.probe_timeout, self._probe_over, number, hw.TIMED_OUT
+            self.loop.now() + self.probe_timeout, self._probe_over, number, policy.Outcome.TIMED_OUT
         )
         if self.stream is None:
             self._connect()
@@ -139,11 +140,11 @@
 
     def _run(self) -> Coro[None]:
         stream: Stream | None = None
-        ended, seen = hw.UNREACHABLE, False
+        ended, seen = policy.Outcome.UNREACHABLE, False
         try:
             self.connects += 1
             stream = yield from self.net.connect(self.node, self.connect_timeout)
-            ended = hw.BROKEN
+            ended = policy.Outcome.BROKEN
             self.stream = stream
             self._write(frames.encode(frames.Hello(frames.VERSION, self.name, "broker", self.quiet_us)))
             self._keep()
@@ -155,7 +156,7 @@
                 if still:
                     self._write_call(still)
             self._idle.rests()
-            yield from wire.listen(stream, self._heard)
+            yield from inner_protocol.listen(stream, self._heard)
             seen = True
             if self.out:
                 raise StreamBroken("the host closed with attempts out")
@@ -186,7 +187,7 @@
                     self.late += 1  # its end was told already: nothing may come of it any more
                     self.owner.late_result(self.node)
                 else:
-                    outcome = OUTCOMES.get(message.outcome, hw.ERROR)
+                    outcome = OUTCOMES.get(message.outcome, policy.Outcome.ERROR)
                     self.owner.attempt_ended(self.node, key, outcome, message)
                 self._idle.rests()
             case frames.Bound(id=part, seq=seq, best=best):
@@ -195,7 +196,7 @@
             case frames.Pong(n=number):
                 if number not in self._probes:
                     self.owner.late_result(self.node)
-                self._probe_over(number, hw.OK)
+                self._probe_over(number, policy.Outcome.OK)
             case frames.Draining():
                 self.owner.said_draining(self.node)
 
@@ -211,20 +212,20 @@
         if self.stream is not None:
             self.stream.offer(data)  # the reading side tells the ends of a broken one
 
-    def _lost(self, stream: Stream | None, ended: str) -> None:
+    def _lost(self, stream: Stream | None, ended: policy.Outcome) -> None:
         """The connection is gone: what had not left provably never ran, the rest may have."""
         sent = stream.sent if stream is not None else 0
         self.stream = self._task = None
         out, self.out, self._waiting = self.out, {}, []
         for key, attempt in out.items():
             never = attempt.starts is None or attempt.starts >= sent
-            self.owner.attempt_ended(self.node, key, hw.UNREACHABLE if never else ended, None)
+            self.owner.attempt_ended(self.node, key, policy.Outcome.UNREACHABLE if never else ended, None)
         for number in list(self._probes):
             self._probe_over(number, ended)
         if stream is not None:
             stream.abort() if out else stream.close()
 
-    def _probe_over(self, number: int, outcome: str) -> None:
+    def _probe_over(self, number: int, outcome: policy.Outcome) -> None:
         timer = self._probes.pop(number, None)
         if timer is not None:
             timer.cancel()
--- a/heathwell/broker/keyspace.py
+++ b/heathwell/broker/keyspace.py
@@ -61,12 +61,12 @@
         if not (trader and colon and number):
             return None
         part = PartPlan(place(trader, self.shards), 1.0, "record", rest)
-        return Plan(self._classes[space.klass], space.shape, zlib.crc32(trader.encode()), key, (part,))
+        return Plan(self._classes[space.query_class], space.shape, zlib.crc32(trader.encode()), key, (part,))
 
     def _search(self, space: KeySpace, key: str, rest: str) -> Plan:
         shards = rows_of(place(rest, self.shards), space.parts, self.shards)
         parts = tuple(PartPlan(shard, 1 / len(shards), "search", rest) for shard in shards)
-        return Plan(self._classes[space.klass], space.shape, zlib.crc32(rest.encode()), key, parts)
+        return Plan(self._classes[space.query_class], space.shape, zlib.crc32(rest.encode()), key, parts)
 
     def _report(self, space: KeySpace, key: str, rest: str) -> Plan | None:
         names, colon, day = rest.rpartition(":")
@@ -81,7 +81,9 @@
             PartPlan(shard, 1 / len(holders), "totals", ",".join(held) + ":" + day)
             for shard, held in holders.items()
         )
-        return Plan(self._classes[space.klass], space.shape, zlib.crc32(traders[0].encode()), key, parts)
+        return Plan(
+            self._classes[space.query_class], space.shape, zlib.crc32(traders[0].encode()), key, parts
+        )
 
 
 def second_step(answered: Iterable[PartPlan], count: int) -> tuple[PartPlan, ...]:
--- a/heathwell/broker/market.py
+++ b/heathwell/broker/market.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.admission import GO, WAIT, Costs, FairGate, Window
 from heathwell.broker import keyspace
 from heathwell.broker.discovery import DiscoveryClient
@@ -24,10 +24,10 @@
 from heathwell.broker.spending import Agent, Spending
 from heathwell.codec import frames
 from heathwell.coverage import Cover
-from heathwell.eventlog import EventLog
 from heathwell.freshness import Freshness, Policy, SourceClock, Watermark, make_token
 from heathwell.kernel import Listener, Loop, Net, Timer
 from heathwell.merge import Malformed, Row
+from heathwell.observability.event_log import EventLog
 from heathwell.regions import ClientDrain, Regions, Way, answerable
 from heathwell.settings import Market
 from heathwell.storms import Limits, Storms
@@ -98,7 +98,7 @@
         siblings: int = 1,
         events: EventLog | None = None,
         log: Callable[..., None] | None = None,
-        roster: tuple[hw.ServerEntry, ...] = (),
+        roster: tuple[policy.EndpointEntry, ...] = (),
         agent: Agent | None = None,
         service: ServiceBook | None = None,
     ) -> None:
@@ -143,7 +143,7 @@
             self.regions = Regions(
                 self._zone_region[zone],
                 [region.name for region in market.across.regions],
-                min(spec.aim_us for spec in self.settings.classes),
+                min(spec.latency_objective_us for spec in self.settings.classes),
                 seed ^ 0x11A5,
                 prefer=across.prefer_home,
                 cross_most=across.cross_most,
@@ -263,7 +263,7 @@
 
     def begin(self, plan: Plan, on_reply: OnReply, request: str = "", client: str = "") -> Handle | None:
         """Take a query by its plan; as :meth:`ask`."""
-        key, spec = plan.key, self.settings.classes[plan.klass]
+        key, spec = plan.key, self.settings.classes[plan.query_class]
         who = f"{client}|{plan.subject}"
         if self.service is not None:
             self.service.asked(self.loop.now(), who, key, spec.name)
@@ -285,14 +285,14 @@
             )
             return None
         stated = plan.search.limit_us if plan.search is not None else 0
-        limit = min(spec.limit_us, stated or spec.limit_us)
-        least = NO_TIME * self.module.mean_took[plan.klass].value
-        if limit < spec.limit_us and limit - self.market.limits.transit < least:
+        limit = min(spec.timeout_us, stated or spec.timeout_us)
+        least = NO_TIME * self.module.mean_latency_us[plan.query_class].value
+        if limit < spec.timeout_us and limit - self.market.limits.transit < least:
             # A client that stated less time than even a quick answer takes: refused before it costs anything.
             self._refuse_at_door(spec, key, request, on_reply, "no time", self._advice(plan, who), who)
             return None
         cut_off = self._cut_off(plan)
-        if cut_off and 1 - sum(part.weight for part in cut_off) < spec.min_share - 1e-6:
+        if cut_off and 1 - sum(part.weight for part in cut_off) < spec.minimum_fraction - 1e-6:
             # Nothing to come can make an answer of it: refused at once, not at its deadline.
             self._refuse_at_door(spec, key, request, on_reply, "cut off", self._advice(plan, who), who)
             return None
@@ -301,7 +301,7 @@
         query = MarketQuery(
             f"{self.name}.{self.jobs}",
             self.jobs,
-            plan.klass,
+            plan.query_class,
             now,
             now + max(limit - self.market.limits.transit, self.market.limits.tick),
             on_reply,
@@ -332,14 +332,14 @@
     def _work(self, plan: Plan, era: Era | None = None) -> int:
         """What a part is taken to cost its host (us), by the version of now or its query's."""
         version: Version = (era or self.era).more
-        return plan.search.work if plan.search is not None else version.market.classes[plan.klass].work
+        return plan.search.work if plan.search is not None else version.market.classes[plan.query_class].work
 
     def _by_turn(self, query: MarketQuery) -> None:
         """Hand a new query to the module, at once or when its front's turn comes."""
         verdict = GO
         if self.gate is not None:
             spec, now, front = self._spec(query), self.loop.now(), query.plan.front
-            patience = int(self.market.fronts.patience * min(spec.aim_us, query.deadline - now))
+            patience = int(self.market.fronts.patience * min(spec.latency_objective_us, query.deadline - now))
             if query.plan.search is not None and query.plan.search.patience_us:
                 patience = min(query.plan.search.patience_us, (query.deadline - now) // 2)
             verdict = self.gate.offer(now, front, query.id, self._cost(query.plan, query.era), patience)
@@ -355,7 +355,7 @@
         """Refuse at once what would wait too long for its front's turn."""
         spec = self._spec(query)
         self.counts["crowded", query.plan.front, spec.name] += 1
-        most = min(spec.aim_us, self.settings.max_advice_us or spec.aim_us)
+        most = min(spec.latency_objective_us, self.settings.max_retry_after_us or spec.latency_objective_us)
         after = self.gate.advice(self.loop.now(), query.plan.front, most) if self.gate is not None else most
         query.queued = False
         after = self._advice(query.plan, query.who, after, query.era)
@@ -416,7 +416,7 @@
 
     def _cost(self, plan: Plan, era: Era | None = None) -> float:
         """What a query is taken to cost its hosts in all (us)."""
-        need = (era or self.era).settings.classes[plan.klass].need
+        need = (era or self.era).settings.classes[plan.query_class].required_fraction
         return float(self._work(plan, era) * max(1, int(len(plan.parts) * need + 0.999)))
 
     def _advice(self, plan: Plan, who: str, else_us: int = -1, era: Era | None = None) -> int:
@@ -427,8 +427,8 @@
             return self.storms.advise(self.loop.now(), who, plan.key, self._cost(plan, era))
         if else_us >= 0:
             return else_us
-        aim = (era or self.era).settings.classes[plan.klass].aim_us
-        return int(min(aim, self.settings.max_advice_us) * self.random.uniform(0.5, 1.0))
+        aim = (era or self.era).settings.classes[plan.query_class].latency_objective_us
+        return int(min(aim, self.settings.max_retry_after_us) * self.random.uniform(0.5, 1.0))
 
     def pace(self, listener: Listener) -> None:
         """Let the storm decider say when clients' connections are taken."""
@@ -443,21 +443,28 @@
             return
         now = self.loop.now()
         self.loop.call_at(now + TICK_US, self._look_for_storms)
-        live = [server for server in self.module.servers.values() if server.live]
+        live = [server for server in self.module.endpoints.values() if server.live]
         self._most_hosts = max(self._most_hosts, len(live))
-        warm = sum(self.module.warmth(server) for server in live) / self._most_hosts
+        warm = sum(self.module.slow_start_fraction(server) for server in live) / self._most_hosts
         for state, why in self.storms.tick(now, warm):
             self.counts["storm", state] += 1
             self.events("storm", state=state, why=why)
             self.log("warning" if state == "storm" else "info", "storm decider", state=state, why=why)
 
     def _refuse_at_door(
-        self, spec: hw.ClassSpec, key: str, request: str, on_reply: OnReply, why: str, after: int, who: str
+        self,
+        spec: policy.QueryClass,
+        key: str,
+        request: str,
+        on_reply: OnReply,
+        why: str,
+        after: int,
+        who: str,
     ) -> None:
         """Refuse with advice what never reaches the module."""
         self.counts["door", spec.name, why] += 1
         self.events("door", req=request, key=key, klass=spec.name, why=why)
-        reply = Reply(REFUSED, klass=spec.name, after_us=after, why=why)
+        reply = Reply(REFUSED, query_class=spec.name, after_us=after, why=why)
         if self.service is not None:
             self.service.ended(self.loop.now(), who, key, reply)
         self.loop.call_soon(on_reply, reply)
@@ -475,11 +482,11 @@
         a while.
         """
         shut = self._held_back[1]
-        if self.market.classes[plan.klass].across == "never":
+        if self.market.classes[plan.query_class].across == "never":
             shut |= self._far
         if not shut and not self._bare:
             return ()
-        long_ago = self.loop.now() - self.settings.classes[plan.klass].aim_us // 2
+        long_ago = self.loop.now() - self.settings.classes[plan.query_class].latency_objective_us // 2
         return tuple(
             part
             for part in plan.parts
@@ -510,19 +517,19 @@
         held = self.regions.holdings(now)
         if held != self._held_back:
             self._held_back = held
-            self._push(hw.Held(held[0] | self._zone_held.get(-1, frozenset()), held[1]))
+            self._push(policy.HolderRestrictions(held[0] | self._zone_held.get(-1, frozenset()), held[1]))
 
-    def hold_zones(self, klass: int, nodes: frozenset[str]) -> None:
+    def hold_zones(self, query_class: int, nodes: frozenset[str]) -> None:
         """Hosts of zones that the fleet leaves, for one class or all: avoided beside what regions
         hold back.
         """
-        self._zone_held[klass] = nodes
+        self._zone_held[query_class] = nodes
         nobody = frozenset[str]()
-        avoid, shut = self._held_back if klass < 0 else (nobody, nobody)
-        if klass >= 0 and self._far and self.market.classes[klass].across != "any":
-            never = self.market.classes[klass].across == "never"
+        avoid, shut = self._held_back if query_class < 0 else (nobody, nobody)
+        if query_class >= 0 and self._far and self.market.classes[query_class].across != "any":
+            never = self.market.classes[query_class].across == "never"
             avoid, shut = (nobody, self._far) if never else (self._far, nobody)
-        self._push(hw.Held(avoid | nodes, shut, klass))
+        self._push(policy.HolderRestrictions(avoid | nodes, shut, query_class))
 
     def probe(self, node: str) -> None:
         """Ask a host for a sign of life."""
@@ -541,7 +548,9 @@
         for index, spec in enumerate(self.market.classes):
             if spec.across != "any":
                 never = spec.across == "never"
-                self._push(hw.Held(nobody if never else far, far if never else nobody, index))
+                self._push(
+                    policy.HolderRestrictions(nobody if never else far, far if never else nobody, index)
+                )
 
     def _tell_links(self, regions: Regions) -> None:
         """Log what has changed since the last call."""
@@ -584,25 +593,28 @@
         """Whether links that are down keep most shards out of reach."""
         return bool(self._held_back[1]) and self.reach() < MOST
 
-    def served(self, klass: int) -> float:
+    def served(self, query_class: int) -> float:
         """The share of a class's queries that can be answered now, its keys being placed evenly."""
-        spec, within = self.market.classes[klass], self._within(self.market.classes[klass].across != "never")
+        spec, within = (
+            self.market.classes[query_class],
+            self._within(self.market.classes[query_class].across != "never"),
+        )
         spans = [
             {"search": space.parts, "report": space.report_parts}.get(space.shape, 1)
             for space in self.market.keys
-            if space.klass == spec.name
+            if space.query_class == spec.name
         ]
-        floor = self.settings.classes[klass].min_share
+        floor = self.settings.classes[query_class].minimum_fraction
         return sum(answerable(within, span, floor) for span in spans) / len(spans) if spans else 1.0
 
-    def news(self, news: hw.FleetNews) -> None:
+    def news(self, news: policy.EndpointUpdate) -> None:
         """Discovery's word."""
-        if self.regions is not None and news.kind != hw.FAILED:
-            if news.kind == hw.FULL:
+        if self.regions is not None and news.kind != policy.UpdateKind.FAILED:
+            if news.kind == policy.UpdateKind.FULL:
                 self._listed_regions.clear()
-            for server in news.servers:
+            for server in news.endpoints:
                 self._listed_regions[server.node] = self._zone_region.get(server.zone, "")
-                if server.state == hw.GONE:
+                if server.state == policy.EndpointState.GONE:
                     del self._listed_regions[server.node]
             self.regions.listed(self._listed_regions)
         super().news(news)
@@ -680,7 +692,7 @@
             search.moot.add(part_id)
             self.counts["moot", self._spec(query).name] += 1
             self.events("moot", p=part_id, seq=seq)
-            self._push(hw.Moot(part_id, seq), query.era)
+            self._push(policy.AttemptSuperseded(part_id, seq), query.era)
 
     def _fresh_enough(
         self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result
@@ -706,11 +718,11 @@
             shard,
             node,
             Watermark(result.position, result.source_us),
-            self.settings_of(query).policies[query.plan.klass],
+            self.settings_of(query).policies[query.plan.query_class],
             tried=part.nodes,
             turned_down=part.turned_down,
             took_us=now - self._sent_at[key],
-            time_left_us=query.started + self._spec(query).aim_us - now,
+            time_left_us=query.started + self._spec(query).latency_objective_us - now,
             at_least=seen,
         )
         part.known_age = ruling.age_us is not None
@@ -723,7 +735,7 @@
 
     def _holders(self, shard: int) -> list[str]:
         """The hosts listed as live that hold a shard."""
-        cells, fleet = self.module.cells, self.market.fleet
+        cells, fleet = self.module.endpoints_by_group, self.market.fleet
         return [
             server.node
             for step in range(fleet.width)
@@ -738,7 +750,7 @@
         bound, now = None, self.loop.now()
         if all(part.known_age for part in used):
             bound = self.fresh.clock.age(now, min(part.source_us for part in used))
-        wanted = self.settings_of(query).policies[query.plan.klass].wanted_us
+        wanted = self.settings_of(query).policies[query.plan.query_class].wanted_us
         heads: dict[int, int] = {part.plan.shard: part.position for part in used if part.step == 1}
         return Age(
             bound,
@@ -803,7 +815,7 @@
             ],
         }
 
-    def probe_ended(self, node: str, outcome: str) -> None:
+    def probe_ended(self, node: str, outcome: policy.Outcome) -> None:
         """A connection's word on a probe."""
         if self.regions is not None:
             self.regions.probed(self.loop.now(), node, outcome)
@@ -820,12 +832,21 @@
 
     def said_draining(self, node: str) -> None:
         """A host tells its drain on the connection, before discovery does."""
-        known = self.module.servers.get(node)
+        known = self.module.endpoints.get(node)
         if known is not None:
             self.news(
-                hw.FleetNews(
-                    hw.UPDATE,
-                    (hw.ServerEntry(node, known.cell, hw.DRAINING, known.since, known.rating, known.zone),),
+                policy.EndpointUpdate(
+                    policy.UpdateKind.INCREMENTAL,
+                    (
+                        policy.EndpointEntry(
+                            node,
+                            known.replica_group,
+                            policy.EndpointState.DRAINING,
+                            known.started_at_us,
+                            known.rating,
+                            known.zone,
+                        ),
+                    ),
                 )
             )
 
@@ -834,7 +855,7 @@
         if self.regions is not None:
             self.regions.sent(self.loop.now(), node, key)
 
-    def attempt_over(self, node: str, key: Key, outcome: str, took_us: int) -> None:
+    def attempt_over(self, node: str, key: Key, outcome: policy.Outcome, took_us: int) -> None:
         """The region decider hears of it."""
         if self.regions is not None:
             self.regions.ended(self.loop.now(), node, key, outcome, took_us)
@@ -843,7 +864,7 @@
         if self.sight is not None:
             query = self.parts[key[0]]
             spec = self._spec(query)
-            self.sight.ended(node, spec.name, outcome, took_us, spec.aim_us)
+            self.sight.ended(node, spec.name, outcome, took_us, spec.latency_objective_us)
 
     # What the module decided
 
@@ -869,9 +890,11 @@
     def second_step(self, query: MarketQuery, whole: bool) -> Iterator[tuple[MarketPart, int | None]]:
         """Item detail at shards that answered."""
         answered = [part.plan for part in query.parts.values() if part.data is not None]
-        usual = self.settings_of(query).market.classes[query.klass]
+        usual = self.settings_of(query).market.classes[query.query_class]
         return self._planned(
-            query, keyspace.second_step(answered, self._spec(query).fetch), int(usual.work * usual.fetch_work)
+            query,
+            keyspace.second_step(answered, self._spec(query).second_step_parts),
+            int(usual.work * usual.fetch_work),
         )
 
     def merged(self, query: MarketQuery, whole: bool) -> Reply:
@@ -921,8 +944,8 @@
             got=len(got),
             moot=sum(p.id in moot for p in first if p.data is None),
             weight=round(sum(p.plan.weight for p in first if p.data is not None or p.id in moot), 6),
-            need=spec.need,
-            floor=spec.min_share,
+            need=spec.required_fraction,
+            floor=spec.minimum_fraction,
             missing=tuple(cover.missing()),
             cover=cover,
             items_asked=len(second),
@@ -938,7 +961,7 @@
                 self.loop.now(),
                 self._cost(query.plan, query.era),
                 reply.kind in (ANSWERED, MISS),
-                took_us <= self._spec(query).aim_us,
+                took_us <= self._spec(query).latency_objective_us,
             )
         if self.events.on:  # the lists are a cost that only a log pays for
             self.events(
@@ -1001,11 +1024,11 @@
 
     # Budgets of the whole fleet, where settings turn them on.
 
-    def fleet_room(self) -> hw.Room | None:
+    def fleet_room(self) -> policy.QuotaUpdate | None:
         """What they leave this broker now."""
         return self.spending.room() if self.spending is not None else None
 
-    def may_leave(self, send: hw.Send, key: Key) -> bool:
+    def may_leave(self, send: policy.Send, key: Key) -> bool:
         """Whether they have a unit for this attempt, which is used."""
         return self.spending is None or self.spending.take(send, key)
 
@@ -1019,7 +1042,7 @@
             query = self.parts.get(ask.id)
             self._link(node).forget(key)
             if query is not None and query.out.pop(key, None) is not None:
-                self._ended(query, key, node, hw.NEVER_SENT, None)
+                self._ended(query, key, node, policy.Outcome.NEVER_SENT, None)
         return [ask for ask in parts if ask not in over]
 
     def lacked(self) -> None:
--- a/heathwell/broker/records.py
+++ b/heathwell/broker/records.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.merge import TopK
 from heathwell.settings import Market
 
@@ -43,7 +43,7 @@
 class Plan:
     """What a client's key asks for."""
 
-    klass: int
+    query_class: int
     shape: str
     subject: int
     key: str
@@ -59,51 +59,51 @@
         return self.seen.get(shard, self.seen_least)
 
 
-def module_settings(market: Market, zone: int, siblings: int) -> hw.Settings:
+def module_settings(market: Market, zone: int, siblings: int) -> policy.Settings:
     """The decision module's settings from the file's."""
     rules, limits, fleet = market.rules, market.limits, market.fleet
-    return hw.Settings(
+    return policy.Settings(
         classes=tuple(
-            hw.ClassSpec(
+            policy.QueryClass(
                 name=spec.name,
-                aim_us=spec.aim,
-                limit_us=spec.limit,
-                repeat=spec.repeat,
-                dedup_us=spec.dedup,
-                worth=spec.worth,
-                late_worth=spec.late_worth,
-                partial_worth=spec.partial_worth,
-                need=spec.need,
-                min_share=spec.floor or spec.need,
-                fetch=spec.fetch,
+                latency_objective_us=spec.latency_objective_us,
+                timeout_us=spec.timeout_us,
+                idempotency=policy.Idempotency(spec.idempotency),
+                idempotency_window_us=spec.idempotency_window_us,
+                priority_weight=spec.priority_weight,
+                late_weight=spec.late_weight,
+                partial_weight=spec.partial_weight,
+                required_fraction=spec.required_fraction,
+                minimum_fraction=spec.minimum_fraction or spec.required_fraction,
+                second_step_parts=spec.second_step_parts,
             )
             for spec in market.classes
         ),
         shards=fleet.shards,
-        cells=fleet.cells,
-        width=fleet.width,
-        siblings=siblings,
+        replica_groups=fleet.cells,
+        groups_per_shard=fleet.width,
+        aggregator_count=siblings,
         zone=zone,
         tick_us=limits.tick,
         max_attempts=limits.attempts,
-        open_cap=limits.open_cap,
-        second_copies=limits.second_copies,
-        cancelling=limits.cancelling,
-        probing=limits.probing,
-        advise=limits.advise,
-        max_advice_us=limits.max_advice,
-        ask_mode=market.discovery.ask,
-        must_ask_us=rules.must_ask,
-        parts_a_call=limits.parts_a_call,
-        marks_retry=limits.marks_retry,
+        max_open=limits.open_cap,
+        hedging_allowed=limits.second_copies,
+        cancellation_allowed=limits.cancelling,
+        probing_allowed=limits.probing,
+        retry_advice_allowed=limits.advise,
+        max_retry_after_us=limits.max_advice,
+        poll_mode=market.discovery.ask,
+        poll_within_us=rules.must_ask,
+        parts_per_call=limits.parts_a_call,
+        clients_mark_retries=limits.marks_retry,
         drain_grace_us=rules.drain_grace,
-        fall_multiple=rules.fall_multiple,
-        tip_after_us=rules.fall_after,
-        start_capacity=rules.start_capacity,
-        warm_within_us=rules.warm_within,
-        free_resends=rules.free_resends,
-        further_ratio=rules.further_ratio,
-        counted_over_us=rules.counted_over,
-        warm_keys=limits.warm_keys,
-        by_work=limits.by_work,
+        overload_multiple=rules.fall_multiple,
+        overload_after_us=rules.fall_after,
+        slow_start_capacity=rules.start_capacity,
+        slow_start_duration_us=rules.warm_within,
+        free_additional_attempts=rules.free_resends,
+        additional_attempt_ratio=rules.further_ratio,
+        attempt_budget_window_us=rules.counted_over,
+        endpoints_cache_keys=limits.warm_keys,
+        weight_by_work=limits.by_work,
     )
--- a/heathwell/broker/replies.py
+++ b/heathwell/broker/replies.py
@@ -38,7 +38,7 @@
 
     kind: str
     query: str = ""
-    klass: str = ""
+    query_class: str = ""
     whole: bool = False
     coverage: Coverage = field(default_factory=Coverage)
     body: dict[str, Any] = field(default_factory=dict)
--- a/heathwell/broker/service.py
+++ b/heathwell/broker/service.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.broker.replies import ANSWERED, MISS, REFUSED, Reply
 
 KEPT = 4_096  # first tries that a retry is recognised by
@@ -23,17 +23,17 @@
     is counted as it ends, so that worth and queries of a span are of the same ones.
     """
 
-    def __init__(self, classes: tuple[hw.ClassSpec, ...]) -> None:
+    def __init__(self, classes: tuple[policy.QueryClass, ...]) -> None:
         self.classes = {spec.name: spec for spec in classes}
         self.sums: dict[str, dict[str, float]] = {spec.name: dict.fromkeys(FIGURES, 0.0) for spec in classes}
         self._first: OrderedDict[tuple[str, str], tuple[int, float]] = (
             OrderedDict()
         )  # when it came, and its worth yet
 
-    def asked(self, now: int, who: str, key: str, klass: str) -> None:
+    def asked(self, now: int, who: str, key: str, query_class: str) -> None:
         """A query came in; the same of the same client within its class's limit is a retry of the first."""
         first = self._first.get((who, key))
-        if first is not None and now - first[0] <= self.classes[klass].limit_us:
+        if first is not None and now - first[0] <= self.classes[query_class].timeout_us:
             return
         self._first.pop((who, key), None)
         self._first[who, key] = now, -1.0
@@ -42,17 +42,17 @@
 
     def ended(self, now: int, who: str, key: str, reply: Reply) -> None:
         """Its reply, also one at the door. A retry adds what it brought beyond the try before."""
-        spec, sums = self.classes[reply.klass], self.sums[reply.klass]
+        spec, sums = self.classes[reply.query_class], self.sums[reply.query_class]
         began, given = self._first.get((who, key), (now, -1.0))
         sums["asked"] += given < 0
-        worth, in_aim = 0.0, now - began <= spec.aim_us
+        worth, in_aim = 0.0, now - began <= spec.latency_objective_us
         if reply.kind not in (ANSWERED, MISS):
             sums["refused" if reply.kind == REFUSED else "failed"] += 1
         else:
-            worth = 1.0 if in_aim else spec.late_worth
+            worth = 1.0 if in_aim else spec.late_weight
             if not reply.whole and reply.kind == ANSWERED:
                 sums["partial"] += 1
-                worth *= spec.partial_worth
+                worth *= spec.partial_weight
             sums["in_aim"] += in_aim
         sums["worth"] += max(0.0, worth - max(given, 0.0))
         if (who, key) in self._first:
--- a/heathwell/broker/sourceclock.py
+++ b/heathwell/broker/sourceclock.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from heathwell import wire
+from heathwell import inner_protocol
 from heathwell.codec import frames
 from heathwell.freshness import SourceClock
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, sleep
@@ -44,7 +44,7 @@
                 stream.write(frames.encode(frames.Hello(frames.VERSION, self.name, "broker")))
                 asker = self.loop.spawn(self._ask(stream), "source clock asks", parent=self._task)
                 try:
-                    yield from wire.listen(stream, self._heard)
+                    yield from inner_protocol.listen(stream, self._heard)
                 finally:
                     asker.cancel()
             except (ConnectFailed, StreamBroken, frames.FrameError) as problem:
--- a/heathwell/broker/spending.py
+++ b/heathwell/broker/spending.py
@@ -1,7 +1,7 @@
 """Where budgets of the whole fleet bite in a broker: further attempts, parts to cold hosts, connections to
 one host.
 
-The module is told before each batch what there is room for (:class:`~heathwell.interface.Room`); a unit is
+The module is told before each batch what there is room for (:class:`~heathwell.policy.Room`); a unit is
 used at the moment an attempt leaves, by the clock of that moment, so that nothing leaves on a share that has
 run out meanwhile.
 """
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING, Any, Protocol
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.broker.hostpool import HostPool
 
 if TYPE_CHECKING:
@@ -24,7 +24,7 @@
 
 
 class Holder(Protocol):
-    """This broker's side of one budget (:class:`heathwell.budgets.Holder`)."""
+    """This broker's side of one budget (:class:`heathwell.fleet.quotas.Holder`)."""
 
     used: int
     usual: int
@@ -46,7 +46,7 @@
 
 
 class Agent(Protocol):
-    """What lends to this broker (:class:`heathwell.control.agent.FleetAgent`)."""
+    """What lends to this broker (:class:`heathwell.fleet.control.agent.FleetAgent`)."""
 
     def turn(self) -> int:
         """Before anything is used; returns the time."""
@@ -93,7 +93,7 @@
 
     # Attempts.
 
-    def room(self) -> hw.Room | None:
+    def room(self) -> policy.QuotaUpdate | None:
         """What the module may send now."""
         now = self.agent.turn()
         if not self._shared & {FURTHER, COLD}:
@@ -106,18 +106,18 @@
                 holder = self.agent.holder(f"{COLD}@{node}")
                 if holder is not None:
                     cold[node] = holder.room(now) // price
-        return hw.Room(further.room(now) // UNIT if further is not None else None, cold)
+        return policy.QuotaUpdate(further.room(now) // UNIT if further is not None else None, cold)
 
-    def take(self, send: hw.Send, key: Key) -> bool:
+    def take(self, send: policy.Send, key: Key) -> bool:
         """Use what an attempt needs, all or nothing; the clock may have gone on since the module was told."""
         self._sent += 1
         cold = f"{COLD}@{send.node}"
-        if send.cold and not self.agent.take(cold, self._cold.get(send.node, UNIT)):
+        if send.slow_start and not self.agent.take(cold, self._cold.get(send.node, UNIT)):
             return False
-        further = send.further and FURTHER in self._shared
+        further = send.additional and FURTHER in self._shared
         if further and not self.agent.take(FURTHER):
             return False
-        now, names = self.broker.loop.now(), [cold] * send.cold + [FURTHER] * further
+        now, names = self.broker.loop.now(), [cold] * send.slow_start + [FURTHER] * further
         terms = [
             term
             for name in names
@@ -184,14 +184,14 @@
     def _look_at_cold(self, now: int) -> None:
         module = self.broker.module
         if now - self._flow_at >= FLOW_US:
-            live = max(1, sum(server.live for server in module.servers.values()))
+            live = max(1, sum(server.live for server in module.endpoints.values()))
             self._usual = self._sent * UNIT * 1_000_000 // (live * (now - self._flow_at))
             self._sent, self._flow_at = 0, now
         self._cold = {}
-        for server in module.servers.values():
-            warmth = module.warmth(server) if server.live else 1.0
+        for server in module.endpoints.values():
+            warmth = module.slow_start_fraction(server) if server.live else 1.0
             if warmth < 1:
-                self._cold[server.node] = max(1, int(UNIT * module.cfg.start_capacity / warmth))
+                self._cold[server.node] = max(1, int(UNIT * module.settings.slow_start_capacity / warmth))
                 holder = self.agent.holder(f"{COLD}@{server.node}")
                 if holder is not None:
                     holder.usual = self._usual
--- a/heathwell/broker/zonesight.py
+++ b/heathwell/broker/zonesight.py
@@ -11,9 +11,9 @@
 import random
 from typing import TYPE_CHECKING
 
-from heathwell import interface as hw
-from heathwell.evacuation import LEAVING, LEFT, PROBE, Decision, Evidence, Summary
-from heathwell.evacuation.evidence import BAD, GOOD, LATE
+from heathwell import policy
+from heathwell.fleet.evacuation import LEAVING, LEFT, PROBE, Decision, Evidence, Summary
+from heathwell.fleet.evacuation.evidence import BAD, GOOD, LATE
 
 if TYPE_CHECKING:
     from heathwell.broker.market import Broker
@@ -21,13 +21,13 @@
 LOOK_US = 500_000
 PROBED = 0.3  # chance of a broker to probe one host of a zone that is left, each look
 HOWS = {
-    hw.OK: GOOD,
-    hw.CANCELLED: LATE,
-    hw.TIMED_OUT: BAD,
-    hw.FULL_UP: BAD,
-    hw.ERROR: BAD,
-    hw.BROKEN: BAD,
-    hw.UNREACHABLE: BAD,
+    policy.Outcome.OK: GOOD,
+    policy.Outcome.CANCELLED: LATE,
+    policy.Outcome.TIMED_OUT: BAD,
+    policy.Outcome.REJECTED: BAD,
+    policy.Outcome.ERROR: BAD,
+    policy.Outcome.BROKEN: BAD,
+    policy.Outcome.UNREACHABLE: BAD,
 }
 
 
@@ -43,26 +43,29 @@
         self._held: dict[int, frozenset[str]] = {}
         broker.loop.call_at(broker.loop.now() + LOOK_US, self._look)
 
-    def ended(self, node: str, klass: str, outcome: str, took_us: int, aim_us: int) -> None:
+    def ended(self, node: str, query_class: str, outcome: policy.Outcome, took_us: int, aim_us: int) -> None:
         """An attempt at a host has ended."""
         how = HOWS.get(outcome)
-        server = self.broker.module.servers.get(node)
+        server = self.broker.module.endpoints.get(node)
         if how is not None and server is not None:
             how = LATE if how == GOOD and took_us > aim_us else how
             self.evidence.ended(
                 self.broker.loop.now(),
                 self.names[server.zone],
-                klass,
+                query_class,
                 how,
-                took_us if outcome == hw.OK else 0,
+                took_us if outcome == policy.Outcome.OK else 0,
             )
 
-    def probed(self, node: str, outcome: str) -> None:
+    def probed(self, node: str, outcome: policy.Outcome) -> None:
         """A probe has ended."""
-        server = self.broker.module.servers.get(node)
+        server = self.broker.module.endpoints.get(node)
         if server is not None:
             self.evidence.ended(
-                self.broker.loop.now(), self.names[server.zone], PROBE, GOOD if outcome == hw.OK else BAD
+                self.broker.loop.now(),
+                self.names[server.zone],
+                PROBE,
+                GOOD if outcome == policy.Outcome.OK else BAD,
             )
 
     def summary(self, now: int) -> Summary:
@@ -92,19 +95,19 @@
         for name, word in self.decision.zones.items():
             if name == self.zone and not word.only:
                 continue  # its own clients are served by what is here
-            klasses = (
+            query_classes = (
                 [-1]
                 if not word.only
                 else [n for n, spec in enumerate(self.broker.settings.classes) if spec.name in word.only]
             )
             if self._draw(name) < word.share:
                 continue
-            for klass in klasses:
-                held.setdefault(klass, set()).update(self._hosts(name))
-        wanted = {klass: frozenset(nodes) for klass, nodes in held.items()}
-        for klass in wanted.keys() | self._held.keys():
-            if wanted.get(klass, frozenset()) != self._held.get(klass, frozenset()):
-                self.broker.hold_zones(klass, wanted.get(klass, frozenset()))
+            for query_class in query_classes:
+                held.setdefault(query_class, set()).update(self._hosts(name))
+        wanted = {query_class: frozenset(nodes) for query_class, nodes in held.items()}
+        for query_class in wanted.keys() | self._held.keys():
+            if wanted.get(query_class, frozenset()) != self._held.get(query_class, frozenset()):
+                self.broker.hold_zones(query_class, wanted.get(query_class, frozenset()))
         self._held = wanted
 
     def _hosts(self, name: str) -> list[str]:
@@ -112,7 +115,7 @@
         number = self.names.index(name) if name in self.names else None
         return [
             node
-            for node, server in self.broker.module.servers.items()
+            for node, server in self.broker.module.endpoints.items()
             if server.live and server.zone == number
         ]
 
--- a/heathwell/cli/control.py
+++ b/heathwell/cli/control.py
@@ -16,16 +16,16 @@
 import click
 import msgspec
 
-from heathwell import wire
-from heathwell.budgets.keeper import Keeper
+from heathwell import inner_protocol
 from heathwell.cli.serve import Process, serving, settings_of
 from heathwell.codec import frames
-from heathwell.control.figures import KeeperPages
-from heathwell.control.keeper import KeeperServer
-from heathwell.control.messages import rows_in
-from heathwell.control.wiring import budgets_of, lease_budget, times_of
-from heathwell.control.zones import desk_of
-from heathwell.evacuation import SERVED, Drill
+from heathwell.fleet.control.figures import KeeperPages
+from heathwell.fleet.control.keeper import KeeperServer
+from heathwell.fleet.control.messages import rows_in
+from heathwell.fleet.control.wiring import budgets_of, lease_budget, times_of
+from heathwell.fleet.control.zones import desk_of
+from heathwell.fleet.evacuation import SERVED, Drill
+from heathwell.fleet.quotas.keeper import Keeper
 from heathwell.kernel import Coro
 from heathwell.settings import Market, SettingsError, load
 
@@ -109,8 +109,8 @@
 
 
 def ask(address: str, question: frames.Message, kind: type[A], seconds: float = ANSWER_SECONDS) -> A:
-    """An operator's question; raises as :func:`heathwell.wire.ask`."""
-    return wire.ask(address, f"cli{os.getpid()}", "cli", question, kind, seconds)
+    """An operator's question; raises as :func:`heathwell.inner_protocol.ask`."""
+    return inner_protocol.ask(address, f"cli{os.getpid()}", "cli", question, kind, seconds)
 
 
 def _where(config: str, keepers: str) -> tuple[Market, list[str]]:
--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -21,14 +21,14 @@
 from heathwell.cli.control import ask
 from heathwell.cli.serve import Process, exit_codes, serving, settings_of
 from heathwell.codec import frames
-from heathwell.control.agent import FleetAgent
-from heathwell.control.machine import MachineAgent, make_broker, write_whole
-from heathwell.control.rollout import Controller
-from heathwell.control.wiring import lease_budget, times_of
+from heathwell.fleet.control.agent import FleetAgent
+from heathwell.fleet.control.machine import MachineAgent, make_broker, write_whole
+from heathwell.fleet.control.rollout import Controller
+from heathwell.fleet.control.wiring import lease_budget, times_of
+from heathwell.fleet.membership import Self
+from heathwell.fleet.rollout import DONE, Course, Limits, Plan, Stage
+from heathwell.fleet.rollout.checks import doubts
 from heathwell.kernel import Coro, sleep
-from heathwell.membership import Self
-from heathwell.rollout import DONE, Course, Limits, Plan, Stage
-from heathwell.rollout.checks import doubts
 from heathwell.settings import Market, SettingsError, load
 from heathwell.settings.check import TIME_US
 
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -20,7 +20,6 @@
 from heathwell.broker.records import module_settings
 from heathwell.broker.service import ServiceBook, program_digest, settings_digest
 from heathwell.cli import logs
-from heathwell.eventlog import EventLog, FileEvents, NoEvents
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
 from heathwell.fronts.vector import VectorFront
@@ -36,6 +35,7 @@
     sleep,
     socket_loop,
 )
+from heathwell.observability.event_log import EventLog, FileEvents, NoEvents
 from heathwell.settings import Market, SettingsError, load
 from heathwell.standins.discovery import Discovery
 from heathwell.standins.leaf import Leaf
@@ -43,7 +43,7 @@
 from heathwell.standins.source import Source
 
 if TYPE_CHECKING:
-    from heathwell.control.agent import FleetAgent
+    from heathwell.fleet.control.agent import FleetAgent
 
 PACKAGE = Path(__file__).resolve().parent.parent
 HAND_OVER_US = 2_000_000  # for clients to come to a moment at which nothing is asked
@@ -287,9 +287,9 @@
     fleet = process.market.fleet
     if not fleet.keepers:
         return None
-    from heathwell.control.agent import FleetAgent  # noqa: PLC0415
-    from heathwell.control.wiring import budgets_of, times_of  # noqa: PLC0415
-    from heathwell.membership import Self  # noqa: PLC0415
+    from heathwell.fleet.control.agent import FleetAgent  # noqa: PLC0415
+    from heathwell.fleet.control.wiring import budgets_of, times_of  # noqa: PLC0415
+    from heathwell.fleet.membership import Self  # noqa: PLC0415
 
     times, now = times_of(fleet), process.loop.now()
     member = Self(
--- a/heathwell/codec/frames.py
+++ b/heathwell/codec/frames.py
@@ -37,12 +37,12 @@
     fleet: str = ""  # of those of a fleet's control: which one; another's is refused
 
 
-class Ask(msgspec.Struct, omit_defaults=True):
+class Ask(msgspec.Struct, omit_defaults=True, rename={"query_class": "klass"}):
     """One attempt of a part. ``left_us`` is the time that the query still has."""
 
     id: str
     seq: int
-    klass: str
+    query_class: str
     op: str
     key: str
     shard: int
@@ -181,11 +181,11 @@
     goes_by: list[tuple[int, str, int]] = []
 
 
-class ZoneSeen(msgspec.Struct, omit_defaults=True):
+class ZoneSeen(msgspec.Struct, omit_defaults=True, rename={"query_class": "klass"}):
     """What a broker saw of one class at one zone lately."""
 
     zone: str
-    klass: str
+    query_class: str
     good: int = 0
     late: int = 0
     bad: int = 0
--- a/heathwell/control/agent.py
+++ b/heathwell/fleet/control/agent.py
@@ -10,17 +10,17 @@
 from functools import partial
 from typing import Protocol
 
-from heathwell.budgets import COUNT, Budget, Holder
-from heathwell.budgets.keeper import Times
-from heathwell.budgets.shares import Shares
 from heathwell.codec import frames
-from heathwell.control import messages
-from heathwell.control.keeper import MEMBER_ROLE
-from heathwell.control.link import ControlLink
-from heathwell.evacuation import Decision, Summary
-from heathwell.eventlog import EventLog, NoEvents
+from heathwell.fleet.control import messages
+from heathwell.fleet.control.keeper import MEMBER_ROLE
+from heathwell.fleet.control.link import ControlLink
+from heathwell.fleet.evacuation import Decision, Summary
+from heathwell.fleet.membership import Lived, Self
+from heathwell.fleet.quotas import COUNT, Budget, Holder
+from heathwell.fleet.quotas.keeper import Times
+from heathwell.fleet.quotas.shares import Shares
 from heathwell.kernel import Loop, Net
-from heathwell.membership import Lived, Self
+from heathwell.observability.event_log import EventLog, NoEvents
 
 
 class Zones(Protocol):
--- a/heathwell/control/figures.py
+++ b/heathwell/fleet/control/figures.py
@@ -8,9 +8,9 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from heathwell.codec.http import Request, Response
-from heathwell.control.keeper import KeeperServer
+from heathwell.fleet.control.keeper import KeeperServer
 from heathwell.kernel import Coro, Stream
-from heathwell.pages import PROMETHEUS, serve_pages
+from heathwell.observability.http_pages import PROMETHEUS, serve_pages
 
 
 class KeeperPages:
--- a/heathwell/control/keeper.py
+++ b/heathwell/fleet/control/keeper.py
@@ -7,16 +7,16 @@
 from functools import partial
 from typing import TypeVar
 
-from heathwell import wire
-from heathwell.budgets import Budget
-from heathwell.budgets.keeper import Keeper, Renewed
+from heathwell import inner_protocol
 from heathwell.codec import frames
-from heathwell.control import messages
-from heathwell.control.link import ControlLink
-from heathwell.control.zones import ZoneDesk
-from heathwell.eventlog import EventLog, NoEvents
+from heathwell.fleet.control import messages
+from heathwell.fleet.control.link import ControlLink
+from heathwell.fleet.control.zones import ZoneDesk
+from heathwell.fleet.membership.roll import Changed
+from heathwell.fleet.quotas import Budget
+from heathwell.fleet.quotas.keeper import Keeper, Renewed
 from heathwell.kernel import Coro, Listener, Loop, Net, Stream
-from heathwell.membership.roll import Changed
+from heathwell.observability.event_log import EventLog, NoEvents
 
 TICKS = 12  # of a promise: how often claims are made anew, so that some may be lost
 CONNECTIONS = 4_096
@@ -149,7 +149,7 @@
     def _serve(self, stream: Stream) -> Coro[None]:
         self.streams[stream] = ""
         try:
-            yield from wire.serve(
+            yield from inner_protocol.serve(
                 stream,
                 self.name,
                 KEEPER_ROLE,
--- a/heathwell/control/machine.py
+++ b/heathwell/fleet/control/machine.py
@@ -19,15 +19,15 @@
 from pathlib import Path
 from typing import Any
 
-from heathwell import wire
+from heathwell import inner_protocol
 from heathwell.broker.service import program_digest, settings_digest
 from heathwell.codec import frames
 from heathwell.codec.http import ClientSide, HttpError
-from heathwell.control.messages import MESSAGE_MOST
+from heathwell.fleet.control.messages import MESSAGE_MOST
+from heathwell.fleet.rollout.course import AGAIN
+from heathwell.fleet.rollout.slot import Apply, Patience, Say, Slot, Start, Stop
 from heathwell.kernel import ConnectFailed, Coro, Listener, Loop, Net, Stream, StreamBroken, sleep
 from heathwell.kernel.net import split_address
-from heathwell.rollout.course import AGAIN
-from heathwell.rollout.slot import Apply, Patience, Say, Slot, Start, Stop
 
 LOOK_US = 100_000
 ASK_US = 500_000  # how often brokers are asked what they did
@@ -321,7 +321,7 @@
 
     def _serve(self, stream: Stream) -> Coro[None]:
         try:
-            yield from wire.serve(
+            yield from inner_protocol.serve(
                 stream, self.name, "agent", lambda message: self._heard(stream, message), MESSAGE_MOST
             )
         except frames.FrameError as problem:
--- a/heathwell/control/messages.py
+++ b/heathwell/fleet/control/messages.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from heathwell.budgets import Claim, Grant, Vote
-from heathwell.budgets.keeper import Need, Renew, Renewed
 from heathwell.codec import frames
-from heathwell.evacuation import Decision, Seen, Summary, ZoneWord
-from heathwell.membership import Report, Word
+from heathwell.fleet.evacuation import Decision, Seen, Summary, ZoneWord
+from heathwell.fleet.membership import Report, Word
+from heathwell.fleet.quotas import Claim, Grant, Vote
+from heathwell.fleet.quotas.keeper import Need, Renew, Renewed
 
 MESSAGE_MOST = 256 << 10  # bytes of a message between the control's processes
 NEEDS_MOST = 96  # budgets in one renewal
@@ -115,15 +115,17 @@
 def rows_out(seen: dict[tuple[str, str], Seen]) -> list[frames.ZoneSeen]:
     """What was seen, by zone and class, to the wire."""
     return [
-        frames.ZoneSeen(zone, klass, some.good, some.late, some.bad, some.took_ms)
-        for (zone, klass), some in list(seen.items())[:SEEN_MOST]
+        frames.ZoneSeen(zone, query_class, some.good, some.late, some.bad, some.took_ms)
+        for (zone, query_class), some in list(seen.items())[:SEEN_MOST]
     ]
 
 
 def rows_in(rows: list[frames.ZoneSeen]) -> dict[tuple[str, str], Seen]:
     """What was seen, by zone and class, from the wire."""
     return {
-        (row.zone, row.klass): Seen(max(0, row.good), max(0, row.late), max(0, row.bad), max(0, row.took_ms))
+        (row.zone, row.query_class): Seen(
+            max(0, row.good), max(0, row.late), max(0, row.bad), max(0, row.took_ms)
+        )
         for row in rows[:SEEN_MOST]
     }
 
--- a/heathwell/control/rollout.py
+++ b/heathwell/fleet/control/rollout.py
@@ -8,15 +8,15 @@
 from pathlib import Path
 from typing import Any
 
-from heathwell import wire
+from heathwell import inner_protocol
 from heathwell.codec import frames
-from heathwell.control.link import ControlLink
-from heathwell.control.machine import write_whole
-from heathwell.control.messages import MESSAGE_MOST
+from heathwell.fleet.control.link import ControlLink
+from heathwell.fleet.control.machine import write_whole
+from heathwell.fleet.control.messages import MESSAGE_MOST
+from heathwell.fleet.rollout import CHECKING, HELD, JUDGING, PLANNED, STAGING, UNDOING, Course, Tally, Window
+from heathwell.fleet.rollout.course import AGAIN, ENDED, Step
+from heathwell.fleet.rollout.slot import DRAINING, GAVE_UP, REPLACING, STARTING, WAITING
 from heathwell.kernel import Coro, Event, Listener, Loop, Net, Stream
-from heathwell.rollout import CHECKING, HELD, JUDGING, PLANNED, STAGING, UNDOING, Course, Tally, Window
-from heathwell.rollout.course import AGAIN, ENDED, Step
-from heathwell.rollout.slot import DRAINING, GAVE_UP, REPLACING, STARTING, WAITING
 
 TURN_US = 200_000
 RECORD = "rollout.json"
@@ -190,12 +190,12 @@
                 continue
             same = before.run == running.run
             sums: dict[str, Tally] = {}
-            for klass, now_sums in running.classes.items():
-                old = before.classes.get(klass, {}) if same else {}
+            for query_class, now_sums in running.classes.items():
+                old = before.classes.get(query_class, {}) if same else {}
                 row: defaultdict[str, float] = defaultdict(
                     float, {key: value - old.get(key, 0.0) for key, value in now_sums.items()}
                 )
-                sums[klass] = Tally(
+                sums[query_class] = Tally(
                     int(row["asked"]),
                     row["worth"],
                     int(row["in_aim"]),
@@ -282,7 +282,7 @@
                 stream.offer(frames.encode(self.order(message)))
 
         try:
-            yield from wire.serve(stream, "rollout", "controller", heard, MESSAGE_MOST)
+            yield from inner_protocol.serve(stream, "rollout", "controller", heard, MESSAGE_MOST)
         except frames.FrameError as problem:
             self.log("warning", "control: not our wire", peer=stream.peer, why=str(problem))
 
--- a/heathwell/control/wiring.py
+++ b/heathwell/fleet/control/wiring.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from heathwell.budgets import COUNT, RATE, Budget, Lease
-from heathwell.budgets.keeper import Times
-from heathwell.membership import Timing
+from heathwell.fleet.membership import Timing
+from heathwell.fleet.quotas import COUNT, RATE, Budget, Lease
+from heathwell.fleet.quotas.keeper import Times
 from heathwell.settings.schema import Fleet, FleetBudget
 
 
--- a/heathwell/control/zones.py
+++ b/heathwell/fleet/control/zones.py
@@ -1,16 +1,16 @@
 """A keeper's part in leaving zones: it hears, relays what is decided, and decides while it owns the first
 fraction.
 
-That fraction has one owner at a time (`heathwell/budgets/__init__.py`), so there is one decider at a time.
-What is decided is on no disk: it is what brokers go by, and a keeper that begins to decide first hears what
-that is.
+That fraction has one owner at a time (`heathwell/fleet/quotas/__init__.py`), so there is one decider at a
+time. What is decided is on no disk: it is what brokers go by, and a keeper that begins to decide first hears
+what that is.
 """
 
 from __future__ import annotations
 
 from heathwell.codec import frames
-from heathwell.control import messages
-from heathwell.evacuation import PROBE, Capacity, Decider, Decision, Figures, Load, Seen, Summary
+from heathwell.fleet.control import messages
+from heathwell.fleet.evacuation import PROBE, Capacity, Decider, Decision, Figures, Load, Seen, Summary
 from heathwell.settings import Market
 
 HEAR_US = 2_500_000  # before it begins to decide: brokers renew more often
@@ -22,7 +22,7 @@
     return ZoneDesk(
         market.fleet.zones,
         bears=market.fleet.zone_bears,
-        worth={spec.name: spec.worth for spec in market.classes},
+        worth={spec.name: spec.priority_weight for spec in market.classes},
     )
 
 
@@ -84,7 +84,11 @@
                 self.capacity.saw(
                     now,
                     name,
-                    {klass: some for (zone, klass), some in seen.items() if zone == name and klass != PROBE},
+                    {
+                        query_class: some
+                        for (zone, query_class), some in seen.items()
+                        if zone == name and query_class != PROBE
+                    },
                 )
         self.decider.loads(
             {name: sum(rate for (zone, _), rate in rates.items() if zone == name) for name in self.names},
--- a/heathwell/evacuation/__init__.py
+++ b/heathwell/fleet/evacuation/__init__.py
@@ -5,8 +5,8 @@
 to all.
 """
 
-from heathwell.evacuation.capacity import Capacity, Load
-from heathwell.evacuation.decider import (
+from heathwell.fleet.evacuation.capacity import Capacity, Load
+from heathwell.fleet.evacuation.decider import (
     DOUBTED,
     LEAVING,
     LEFT,
@@ -18,8 +18,8 @@
     Figures,
     ZoneWord,
 )
-from heathwell.evacuation.drill import Drill
-from heathwell.evacuation.evidence import PROBE, Evidence, Seen, Summary
+from heathwell.fleet.evacuation.drill import Drill
+from heathwell.fleet.evacuation.evidence import PROBE, Evidence, Seen, Summary
 
 __all__ = [
     "DOUBTED",
--- a/heathwell/evacuation/capacity.py
+++ b/heathwell/fleet/evacuation/capacity.py
@@ -12,7 +12,7 @@
 import math
 from dataclasses import dataclass, field
 
-from heathwell.evacuation.evidence import Seen
+from heathwell.fleet.evacuation.evidence import Seen
 
 BEYOND = 4.0
 LEAST = 20  # answers of a span that tell of a rate or a time
@@ -44,14 +44,14 @@
         total = sum(seen.values(), Seen())
         answered = total.good + total.late
         slow = work = 0.0
-        for klass, some in seen.items():
+        for query_class, some in seen.items():
             count = some.good + some.late
             if count < LEAST or not some.took_ms:
                 continue
             mean = some.took_ms / count
-            idle = state.idle_ms.get(klass)
-            state.idle_ms[klass] = mean if idle is None else min(mean, idle * (1 + RISE))
-            slow += count * mean / state.idle_ms[klass]
+            idle = state.idle_ms.get(query_class)
+            state.idle_ms[query_class] = mean if idle is None else min(mean, idle * (1 + RISE))
+            slow += count * mean / state.idle_ms[query_class]
             work += count
         if answered < LEAST or not work:
             state.rate = state.used = 0.0
--- a/heathwell/evacuation/decider.py
+++ b/heathwell/fleet/evacuation/decider.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from statistics import median_low
 
-from heathwell.evacuation.evidence import PROBE, Seen, Summary
+from heathwell.fleet.evacuation.evidence import PROBE, Seen, Summary
 
 SERVED, DOUBTED, LEAVING, LEFT, RETURNING = "served", "doubted", "leaving", "left", "returning"
 
@@ -226,7 +226,7 @@
                 self._step(now, name, zone, age)
 
     def _step(self, now: int, name: str, zone: _Zone, age: int) -> None:
-        seen = sum((self._from_outside(name, klass)[0] for klass in zone.only or (None,)), Seen())
+        seen = sum((self._from_outside(name, query_class)[0] for query_class in zone.only or (None,)), Seen())
         # Few attempts say little: what is lost must be beyond what chance brings.
         chance = 1.5 * math.sqrt(seen.loss * (1 - seen.loss) / seen.total) if seen.total else 0.0
         if seen.total >= self.figures.least and seen.loss - chance > 1 - self.figures.probes:
@@ -246,14 +246,14 @@
 
     # The evidence, weighed.
 
-    def _from_outside(self, name: str, klass: str | None = None) -> tuple[Seen, dict[str, Seen]]:
+    def _from_outside(self, name: str, query_class: str | None = None) -> tuple[Seen, dict[str, Seen]]:
         """What brokers of other zones saw of it, in all and by their zone."""
         by_zone: dict[str, Seen] = defaultdict(Seen)
-        for word, seen in self._witnesses(name, klass):
+        for word, seen in self._witnesses(name, query_class):
             by_zone[word.zone] = by_zone[word.zone] + seen
         return sum(by_zone.values(), Seen()), dict(by_zone)
 
-    def _witnesses(self, name: str, klass: str | None = None) -> list[tuple[Summary, Seen]]:
+    def _witnesses(self, name: str, query_class: str | None = None) -> list[tuple[Summary, Seen]]:
         """The words that count on a zone: of brokers of other zones. One that takes itself for cut off is
         heard only where those that don't see the same: of three zones two may be gone, and nobody is cut off.
         """
@@ -261,7 +261,11 @@
             (
                 word,
                 sum(
-                    (some for (zone, of), some in word.seen.items() if zone == name and klass in (None, of)),
+                    (
+                        some
+                        for (zone, of), some in word.seen.items()
+                        if zone == name and query_class in (None, of)
+                    ),
                     Seen(),
                 ),
             )
@@ -271,9 +275,9 @@
         sound = [(word, seen) for word, seen in words if not word.cut_off]
         return words if sum((seen for _, seen in sound), Seen()).loss >= self.figures.sick else sound
 
-    def sick(self, name: str, klass: str | None = None) -> tuple[bool, str]:
+    def sick(self, name: str, query_class: str | None = None) -> tuple[bool, str]:
         """Whether the other zones agree that it is sick, and on what evidence."""
-        seen, by_zone = self._from_outside(name, klass)
+        seen, by_zone = self._from_outside(name, query_class)
         # Once doubted, a zone is not well for want of attempts: its hosts are ejected, and few go there any
         # more.
         least = self.figures.least if self.zones[name].state == SERVED else 1
@@ -282,7 +286,7 @@
         # Brokers can lie, or share a sick way: both their weight and the zones must agree. What one says that
         # it saw is its own word as well, so that it counts for no more than the median of them, however loud
         # it is.
-        words = self._witnesses(name, klass)
+        words = self._witnesses(name, query_class)
         most = median_low([some.total for _, some in words if some.total])
         weights: dict[str, list[int]] = defaultdict(lambda: [0, 0])
         for word, some in words:
@@ -324,14 +328,14 @@
             return 0.0, (), "the others' capacity is not known"
         # A class of which too little is seen is neither sick nor well: it goes with the zone.
         told = {
-            klass
+            query_class
             for _, word in self.words.values()
-            for (zone, klass) in word.seen
+            for (zone, query_class) in word.seen
             if zone == name
-            and klass != PROBE
-            and self._from_outside(name, klass)[0].total >= self.figures.least
+            and query_class != PROBE
+            and self._from_outside(name, query_class)[0].total >= self.figures.least
         }
-        sick_classes = sorted(klass for klass in told if self.sick(name, klass)[0])
+        sick_classes = sorted(query_class for query_class in told if self.sick(name, query_class)[0])
         if sick_classes and set(sick_classes) < told:
             return 0.0, tuple(sick_classes), f"only {', '.join(sick_classes)} is sick there"
         room = self.figures.room * capacity
@@ -355,13 +359,13 @@
         not known.
         """
         mine = {
-            klass: rate
-            for (zone, klass), rate in self.by_class.items()
-            if zone == name and klass in self.worth
+            query_class: rate
+            for (zone, query_class), rate in self.by_class.items()
+            if zone == name and query_class in self.worth
         }
         taken: list[str] = []
-        for klass in sorted(mine, key=lambda klass: (-self.worth[klass], klass)):
-            if mine[klass] <= spare:
-                taken.append(klass)
-                spare -= mine[klass]
+        for query_class in sorted(mine, key=lambda query_class: (-self.worth[query_class], query_class)):
+            if mine[query_class] <= spare:
+                taken.append(query_class)
+                spare -= mine[query_class]
         return tuple(sorted(taken)) if len(taken) < len(mine) else ()
--- a/heathwell/evacuation/drill.py
+++ b/heathwell/fleet/evacuation/drill.py
@@ -9,8 +9,8 @@
 
 from dataclasses import dataclass, field
 
-from heathwell.evacuation.decider import LEFT, RETURNING, SERVED
-from heathwell.evacuation.evidence import Seen
+from heathwell.fleet.evacuation.decider import LEFT, RETURNING, SERVED
+from heathwell.fleet.evacuation.evidence import Seen
 
 BEFORE, LEAVING, AWAY, COMING, AFTER, OVER = "before", "leaving", "away", "returning", "after", "over"
 # What follows each stage, and the word that the decider is given as it ends.
@@ -64,9 +64,9 @@
         now_in = self.stages[-1]
         now_in.lasted_us = now - now_in.began_us
         elsewhere = Seen()
-        for (zone, klass), some in seen.items():
+        for (zone, query_class), some in seen.items():
             sums = now_in.there if zone == self.zone else now_in.elsewhere
-            sums[klass] = sums.get(klass, Seen()) + some
+            sums[query_class] = sums.get(query_class, Seen()) + some
             elsewhere = elsewhere + (some if zone != self.zone else Seen())
         if elsewhere.total >= LEAST:
             now_in.worst = max(now_in.worst, elsewhere.loss)
@@ -118,7 +118,8 @@
                     "lost_elsewhere": round(rest.loss, 4),
                     "worst_look": round(stage.worst, 4),
                     "lost_by_class": {
-                        klass: round(some.loss, 4) for klass, some in sorted(stage.elsewhere.items())
+                        query_class: round(some.loss, 4)
+                        for query_class, some in sorted(stage.elsewhere.items())
                     },
                 }
             )
--- a/heathwell/evacuation/evidence.py
+++ b/heathwell/fleet/evacuation/evidence.py
@@ -62,7 +62,7 @@
         self.broker, self.zone = broker, zone
         self._spans: deque[tuple[int, dict[tuple[str, str], dict[str, int]]]] = deque(maxlen=SPANS)
 
-    def ended(self, now: int, zone: str, klass: str, how: str, took_us: int = 0) -> None:
+    def ended(self, now: int, zone: str, query_class: str, how: str, took_us: int = 0) -> None:
         """An attempt at a zone's host ended, or is late by now: ``good``, ``late`` or ``bad``; it took so
         long.
         """
@@ -70,9 +70,9 @@
         if not self._spans or self._spans[-1][0] != span:
             self._spans.append((span, {}))
         sums = self._spans[-1][1]
-        if (zone, klass) not in sums and len(sums) >= CLASSES_MOST * ZONES_MOST:
+        if (zone, query_class) not in sums and len(sums) >= CLASSES_MOST * ZONES_MOST:
             return
-        row = sums.setdefault((zone, klass), defaultdict(int))
+        row = sums.setdefault((zone, query_class), defaultdict(int))
         row[how] += 1
         row[TOOK] += took_us
 
--- a/heathwell/membership/__init__.py
+++ b/heathwell/fleet/membership/__init__.py
@@ -2,8 +2,19 @@
 again, or finds itself taken for dead, is a new incarnation, and what an old one held is not its own.
 """
 
-from heathwell.membership.member import Lived, Self
-from heathwell.membership.roll import ALIVE, DEAD, JOINING, LEFT, SUSPECT, Entry, Report, Roll, Timing, Word
+from heathwell.fleet.membership.member import Lived, Self
+from heathwell.fleet.membership.roll import (
+    ALIVE,
+    DEAD,
+    JOINING,
+    LEFT,
+    SUSPECT,
+    Entry,
+    Report,
+    Roll,
+    Timing,
+    Word,
+)
 
 __all__ = [
     "ALIVE",
--- a/heathwell/membership/member.py
+++ b/heathwell/fleet/membership/member.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from heathwell.membership.roll import GONE, Report, Timing, Word
+from heathwell.fleet.membership.roll import GONE, Report, Timing, Word
 
 
 @dataclass(frozen=True, slots=True)
--- a/heathwell/budgets/__init__.py
+++ b/heathwell/fleet/quotas/__init__.py
@@ -25,12 +25,12 @@
 drift.
 """
 
-from heathwell.budgets.divide import Wish, divide
-from heathwell.budgets.giver import Ask, Giver, Grant
-from heathwell.budgets.holder import Holder
-from heathwell.budgets.lease import Lease
-from heathwell.budgets.owner import Claim, Claimant, Vote, Voter
-from heathwell.budgets.spec import COUNT, RATE, Budget
+from heathwell.fleet.quotas.divide import Wish, divide
+from heathwell.fleet.quotas.giver import Ask, Giver, Grant
+from heathwell.fleet.quotas.holder import Holder
+from heathwell.fleet.quotas.lease import Lease
+from heathwell.fleet.quotas.owner import Claim, Claimant, Vote, Voter
+from heathwell.fleet.quotas.spec import COUNT, RATE, Budget
 
 __all__ = [
     "COUNT",
--- a/heathwell/budgets/giver.py
+++ b/heathwell/fleet/quotas/giver.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
-from heathwell.budgets.divide import Wish, divide
-from heathwell.budgets.lease import Lease
-from heathwell.budgets.spec import COUNT, Budget
+from heathwell.fleet.quotas.divide import Wish, divide
+from heathwell.fleet.quotas.lease import Lease
+from heathwell.fleet.quotas.spec import COUNT, Budget
 
 
 @dataclass(frozen=True, slots=True)
--- a/heathwell/budgets/holder.py
+++ b/heathwell/fleet/quotas/holder.py
@@ -8,9 +8,9 @@
 
 from dataclasses import dataclass
 
-from heathwell.budgets.giver import Ask, Grant
-from heathwell.budgets.lease import Lease
-from heathwell.budgets.spec import COUNT, RATE, Budget
+from heathwell.fleet.quotas.giver import Ask, Grant
+from heathwell.fleet.quotas.lease import Lease
+from heathwell.fleet.quotas.spec import COUNT, RATE, Budget
 
 
 @dataclass(slots=True)
--- a/heathwell/budgets/keeper.py
+++ b/heathwell/fleet/quotas/keeper.py
@@ -6,12 +6,12 @@
 
 from dataclasses import dataclass, field, replace
 
-from heathwell.budgets.giver import Ask, Giver, Grant
-from heathwell.budgets.lease import Lease
-from heathwell.budgets.owner import Claim, Claimant, Vote, Voter
-from heathwell.budgets.spec import Budget
-from heathwell.membership import ALIVE, Report, Roll, Timing, Word
-from heathwell.membership.roll import Changed
+from heathwell.fleet.membership import ALIVE, Report, Roll, Timing, Word
+from heathwell.fleet.membership.roll import Changed
+from heathwell.fleet.quotas.giver import Ask, Giver, Grant
+from heathwell.fleet.quotas.lease import Lease
+from heathwell.fleet.quotas.owner import Claim, Claimant, Vote, Voter
+from heathwell.fleet.quotas.spec import Budget
 
 
 @dataclass(frozen=True, slots=True)
--- a/heathwell/budgets/owner.py
+++ b/heathwell/fleet/quotas/owner.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 
-from heathwell.budgets.lease import Lease
+from heathwell.fleet.quotas.lease import Lease
 
 
 @dataclass(frozen=True, slots=True)
--- a/heathwell/budgets/shares.py
+++ b/heathwell/fleet/quotas/shares.py
@@ -6,10 +6,10 @@
 
 import random
 
-from heathwell.budgets.holder import Holder
-from heathwell.budgets.keeper import Need, Renew, Renewed, Times
-from heathwell.budgets.spec import RATE, Budget
-from heathwell.membership import Lived, Self
+from heathwell.fleet.membership import Lived, Self
+from heathwell.fleet.quotas.holder import Holder
+from heathwell.fleet.quotas.keeper import Need, Renew, Renewed, Times
+from heathwell.fleet.quotas.spec import RATE, Budget
 
 
 class Shares:
--- a/heathwell/rollout/__init__.py
+++ b/heathwell/fleet/rollout/__init__.py
@@ -6,8 +6,18 @@
 was done is seen from what brokers run.
 """
 
-from heathwell.rollout.course import CHECKING, DONE, HELD, JUDGING, PLANNED, STAGING, UNDOING, UNDONE, Course
-from heathwell.rollout.judge import (
+from heathwell.fleet.rollout.course import (
+    CHECKING,
+    DONE,
+    HELD,
+    JUDGING,
+    PLANNED,
+    STAGING,
+    UNDOING,
+    UNDONE,
+    Course,
+)
+from heathwell.fleet.rollout.judge import (
     FINE,
     GOING_ON,
     TOO_LITTLE,
@@ -19,7 +29,7 @@
     Tally,
     Window,
 )
-from heathwell.rollout.plan import Plan, Stage, chosen
+from heathwell.fleet.rollout.plan import Plan, Stage, chosen
 
 __all__ = [
     "CHECKING",
--- a/heathwell/rollout/checks.py
+++ b/heathwell/fleet/rollout/checks.py
@@ -31,8 +31,8 @@
 
 def _alone(new: Market) -> Iterator[Doubt]:
     used = (
-        {space.klass for space in new.keys}
-        | {one.klass for one in new.collections}
+        {space.query_class for space in new.keys}
+        | {one.query_class for one in new.collections}
         | {one.batch_class for one in new.collections}
     )
     for spec in new.classes:
@@ -83,16 +83,16 @@
         )
     for spec in new.classes:
         before_spec = next((one for one in old.classes if one.name == spec.name), None)
-        if before_spec is not None and before_spec.repeat != spec.repeat:
+        if before_spec is not None and before_spec.idempotency != spec.idempotency:
             yield Doubt(
-                f"class {spec.name}: repeat from {before_spec.repeat} to {spec.repeat}: what is safe to send "
-                "again is the data's nature",
+                f"class {spec.name}: repeat from {before_spec.idempotency} to {spec.idempotency}: "
+                "what is safe to send again is the data's nature",
                 "--change-repeat",
             )
-        if before_spec is not None and not 0.5 <= spec.limit / before_spec.limit <= 2:
+        if before_spec is not None and not 0.5 <= spec.timeout_us / before_spec.timeout_us <= 2:
             yield Doubt(
-                f"class {spec.name}: limit from {before_spec.limit / 1e6:g} s to "
-                f"{spec.limit / 1e6:g} s, over "
+                f"class {spec.name}: limit from {before_spec.timeout_us / 1e6:g} s to "
+                f"{spec.timeout_us / 1e6:g} s, over "
                 "a factor of two",
                 "--far",
             )
--- a/heathwell/rollout/course.py
+++ b/heathwell/fleet/rollout/course.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from heathwell.rollout.judge import FINE, TOO_LITTLE, TROUBLED, WORSE, Judge, Limits, Ruling, Window
-from heathwell.rollout.plan import Plan, chosen, next_batch
+from heathwell.fleet.rollout.judge import FINE, TOO_LITTLE, TROUBLED, WORSE, Judge, Limits, Ruling, Window
+from heathwell.fleet.rollout.plan import Plan, chosen, next_batch
 
 PLANNED, CHECKING, STAGING, JUDGING, HELD, UNDOING, DONE, UNDONE = (
     "planned",
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -14,7 +14,7 @@
 from heathwell.codec.http import Request, Response
 from heathwell.fronts.memcached import MemcachedFront
 from heathwell.kernel import Coro, Stream
-from heathwell.pages import PROMETHEUS, serve_pages
+from heathwell.observability.http_pages import PROMETHEUS, serve_pages
 
 JSON = "application/json"
 SPANS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.2, 1.5, 2.0, 3.0)
@@ -101,15 +101,15 @@
 
     def final(self, _query: MarketQuery, reply: Reply, took_us: int) -> None:
         """One final answer."""
-        took, weight = self._children[reply.klass]
+        took, weight = self._children[reply.query_class]
         took.observe(took_us / 1e6)
         if reply.coverage.asked:
             weight.observe(reply.coverage.weight)
         if reply.age is not None:
             if reply.age.bound_us is None:
-                self.unknown_age.labels(reply.klass).inc()
+                self.unknown_age.labels(reply.query_class).inc()
             else:
-                self.age.labels(reply.klass).observe(reply.age.bound_us / 1e6)
+                self.age.labels(reply.query_class).observe(reply.age.bound_us / 1e6)
 
     def collect(self) -> Iterator[Metric]:
         """Counters and gauges, read when asked for."""
@@ -117,11 +117,11 @@
         for key, count in self.broker.counts.items():
             families[key[0]].add_metric(key[1:], count)
         yield from families.values()
-        broker, servers = self.broker, self.broker.module.servers.values()
+        broker, servers = self.broker, self.broker.module.endpoints.values()
         for name, text, figure in (
             ("heathwell_held", "Queries and parts held", broker.held),
             ("heathwell_hosts_live", "Hosts listed as live", sum(s.live for s in servers)),
-            ("heathwell_hosts_ejected", "Hosts ejected", sum(bool(s.bars) for s in servers)),
+            ("heathwell_hosts_ejected", "Hosts ejected", sum(bool(s.ejections) for s in servers)),
             ("heathwell_clients", "Client connections", len(self.front.connections)),
             (
                 "heathwell_host_connections",
@@ -226,7 +226,7 @@
 
     def _health(self) -> Response:
         broker = self.broker
-        live = sum(server.live for server in broker.module.servers.values())
+        live = sum(server.live for server in broker.module.endpoints.values())
         word = "stopping" if broker.stopping else "no hosts" if not live else "ok"
         if word == "ok" and broker.sight is not None and broker.sight.left():
             word = "the fleet leaves this zone"
@@ -273,23 +273,25 @@
         hosts = [
             {
                 "node": server.node,
-                "cell": server.cell,
+                "cell": server.replica_group,
                 "zone": server.zone,
                 "live": server.live,
-                "out": len(server.out),
-                "pace": round(server.pace.value, 3),
+                "out": len(server.in_flight),
+                "pace": round(server.relative_latency.value, 3),
                 "ejected": {
                     "all" if key < 0 else broker.settings.classes[key].name: {
-                        "for_ms": max(0, bar.since + bar.span - now) // 1000,
-                        "trial": bar.trial,
-                        "dead": bar.dead,
+                        "for_ms": max(0, bar.ejected_at_us + bar.duration_us - now) // 1000,
+                        "trial": bar.half_open,
+                        "dead": bar.disconnect_reason,
                     }
-                    for key, bar in server.bars.items()
+                    for key, bar in server.ejections.items()
                 },
-                "last_ok_ms": (now - server.last_ok) // 1000 if server.last_ok >= 0 else None,
+                "last_ok_ms": (now - server.last_answer_at_us) // 1000
+                if server.last_answer_at_us >= 0
+                else None,
                 "connected": (link := broker.links.get(server.node)) is not None and link.up,
             }
-            for server in broker.module.servers.values()
+            for server in broker.module.endpoints.values()
         ]
         links = (
             []
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -120,7 +120,7 @@
             "total_connections": self.total,
             "cmd_get": self.gets,
             "queries_held": sum(q.on_reply is not None for q in broker.queries.values()),
-            "hosts_known": len(broker.module.servers),
+            "hosts_known": len(broker.module.endpoints),
             "bad_commands": self.bad,
             "clients_cut_slow": self.cut_slow,
             "clients_refused": self.doors.refused,
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -50,7 +50,7 @@
         self.collections = {spec.name: spec for spec in broker.market.collections}
         classes = {spec.name: index for index, spec in enumerate(broker.market.classes)}
         self.classes = {
-            spec.name: (classes[spec.klass], classes[spec.batch_class or spec.klass])
+            spec.name: (classes[spec.query_class], classes[spec.batch_class or spec.query_class])
             for spec in broker.market.collections
         }
         self.requests = self.errors = self.slow = self.left = self.searches = 0
@@ -80,7 +80,7 @@
                         api.ApiError(
                             503,
                             "Service unavailable: too many connections",
-                            self.broker.settings.max_advice_us,
+                            self.broker.settings.max_retry_after_us,
                         ),
                         0,
                     )
@@ -388,7 +388,7 @@
         figures = _figures(searches)
         name = f"vector:{spec.name}"
         model = self.front.broker.costs.model(name, float(spec.work), len(figures))
-        klass = self.front.classes[spec.name][batch]
+        query_class = self.front.classes[spec.name][batch]
         top = TopK(
             [one.limit for one in searches],
             [one.offset for one in searches],
@@ -396,7 +396,7 @@
         )
         body = api.ask_of(spec.name, searches)
         return Plan(
-            klass,
+            query_class,
             "vectors",
             zlib.crc32(searches[0].vector),
             name,
@@ -408,7 +408,7 @@
                 figures,
                 int(model.predict(figures)),
                 timeout,
-                self.front.broker.settings.classes[klass].limit_us // 2 if batch else 0,
+                self.front.broker.settings.classes[query_class].timeout_us // 2 if batch else 0,
             ),
             front="vector",
         )
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -9,17 +9,17 @@
 from functools import partial
 from typing import Any
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState
 from heathwell.broker.replies import ANSWERED, REFUSED, OnReply, Reply
 from heathwell.codec import nodeframes as nf
-from heathwell.eventlog import EventLog
 from heathwell.gateway.config import Config
 from heathwell.gateway.discovery import Discovery
 from heathwell.gateway.nodes import NodeAsk, NodeLink, Room
 from heathwell.gateway.requests import Wanted, WantedPart
 from heathwell.gateway.targets import Targets, news_of, state_of
 from heathwell.kernel import Loop, Net
+from heathwell.observability.event_log import EventLog
 
 MARGIN_US = 8_000  # of a client's time: the way here and back, and what the loop may be late by
 SECOND = ".fetch"
@@ -76,7 +76,7 @@
             log,
             hold_us=config.hold_us,
             seed=config.seed,
-            pushed=not config.settings.ask_mode,
+            pushed=not config.settings.poll_mode,
             grace_us=config.settings.drain_grace_us,
             rev=config.known.rev if config.known.all and config.known.targets else None,
         )
@@ -84,8 +84,8 @@
         # Where lists are pushed, what the agent has counts as told from a process's first moment, and what
         # was known may be older: nothing is sent by it before the agent has been heard, or can't be. Queries
         # wait for that.
-        self._unheard = None if config.settings.ask_mode else known
-        self.begin_service(self.watch, known.servers if self.ready else ())
+        self._unheard = None if config.settings.poll_mode else known
+        self.begin_service(self.watch, known.endpoints if self.ready else ())
 
     @property
     def ready(self) -> bool:
@@ -98,16 +98,20 @@
 
         What can't be held is refused at the door and never reaches the module; None is returned then.
         """
-        spec = self.settings.classes[wanted.klass]
+        spec = self.settings.classes[wanted.query_class]
         if self.full(len(wanted.parts)):
             self.counts["door", spec.name, "full"] += 1
-            after = min(spec.aim_us, self.settings.max_advice_us) if self.settings.advise else 0
-            self.loop.call_soon(on_reply, Reply(REFUSED, klass=spec.name, after_us=after, why="full"))
+            after = (
+                min(spec.latency_objective_us, self.settings.max_retry_after_us)
+                if self.settings.retry_advice_allowed
+                else 0
+            )
+            self.loop.call_soon(on_reply, Reply(REFUSED, query_class=spec.name, after_us=after, why="full"))
             return None
         self.jobs += 1
         deadline = max(arrived_us + wanted.wait_us - MARGIN_US, arrived_us + self.settings.tick_us)
         query = PlatformQuery(
-            wanted.id, self.jobs, wanted.klass, arrived_us, deadline, on_reply, wanted=wanted
+            wanted.id, self.jobs, wanted.query_class, arrived_us, deadline, on_reply, wanted=wanted
         )
         self.events(
             "take",
@@ -137,13 +141,13 @@
             known, self._unheard = self._unheard, None
             self._push(known)
         if targets is None:
-            self.news(hw.FleetNews(hw.FAILED))
+            self.news(policy.EndpointUpdate(policy.UpdateKind.FAILED))
             return
         other = self._note(targets)
         self.news(self._news(targets))
         # What waits for a connection is taken back after the news, so that it is placed anew by the list of
         # now.
-        other |= {target.uid for target in targets.targets if state_of(target) != hw.LIVE}
+        other |= {target.uid for target in targets.targets if state_of(target) != policy.EndpointState.LIVE}
         for node, link in list(self.links.items()):
             if node not in self.addresses:
                 link.leave()
@@ -155,8 +159,8 @@
             if node in other:
                 link.take_back()
 
-    def _news(self, targets: Targets, asked: bool = True) -> hw.FleetNews:
-        return news_of(targets, self.config.zones, self.settings.cells, self._unix_offset, asked)
+    def _news(self, targets: Targets, asked: bool = True) -> policy.EndpointUpdate:
+        return news_of(targets, self.config.zones, self.settings.replica_groups, self._unix_offset, asked)
 
     def _note(self, targets: Targets) -> set[str]:
         """Where each listed node is met, and since when it runs; those that are another process now, which is
@@ -218,7 +222,7 @@
         """Parts at the shards of the highest scores among those in."""
         answered = [part for part in query.parts.values() if part.data is not None]
         query.answered, query.whole = tuple(sorted(part.plan.shard for part in answered)), whole
-        best = sorted(answered, key=lambda part: -part.score)[: self._spec(query).fetch]
+        best = sorted(answered, key=lambda part: -part.score)[: self._spec(query).second_step_parts]
         for part in best:
             yield (PlatformPart(part.id + SECOND, WantedPart(part.plan.shard, 1 / len(best), None), 2), None)
 
--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.gateway.targets import Targets, TargetsError
 from heathwell.kernel.net import split_address
-from heathwell.startsettings import WireError, settings_from
+from heathwell.settings_from_platform import WireError, settings_from
 
 SOCKETS_LEAST = 64
 NEVER_US = 1 << 53
@@ -40,7 +40,7 @@
     discovery: str
     seed: int
     sockets: int
-    settings: hw.Settings
+    settings: policy.Settings
     connections: Connections
     zones: tuple[str, ...]
     known: Targets
@@ -50,7 +50,7 @@
         """How long a watch of discovery waits: no call is due sooner, and discovery serves all brokers in
         turn.
         """
-        return self.settings.must_ask_us or HOLD_US
+        return self.settings.poll_within_us or HOLD_US
 
     @property
     def node_sockets(self) -> int:
@@ -140,7 +140,7 @@
             _whole(ceilings, "streams-per-conn", within, 0) or 1,
             _whole(ceilings, "conn-idle-us", within, 0) or NEVER_US,
             _whole(ceilings, "connect-timeout-us", within, 0)
-            or min(spec.limit_us for spec in settings.classes),
+            or min(spec.timeout_us for spec in settings.classes),
         ),
         zones=tuple(zones),
         known=known,
--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -20,14 +20,18 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.broker.driver import Key
 from heathwell.broker.idle import IdleTime
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.config import Connections
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, Timer
 
-OUTCOMES = {nf.SERVED: hw.OK, nf.ERROR: hw.ERROR, nf.TURNED_AWAY: hw.FULL_UP}
+OUTCOMES = {
+    nf.SERVED: policy.Outcome.OK,
+    nf.ERROR: policy.Outcome.ERROR,
+    nf.TURNED_AWAY: policy.Outcome.REJECTED,
+}
 CLOSE_EARLY = (
     0.8  # of the idle time after which nodes close: ours goes first, so that no part crosses its end
 )
@@ -65,10 +69,10 @@
 class Owner(Protocol):
     """Who is told how attempts and probes end."""
 
-    def attempt_ended(self, node: str, key: Key, outcome: str, result: Any) -> None:
+    def attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, result: Any) -> None:
         """One outcome an attempt."""
 
-    def probe_ended(self, node: str, outcome: str) -> None:
+    def probe_ended(self, node: str, outcome: policy.Outcome) -> None:
         """One outcome a probe."""
 
     def late_result(self, node: str) -> None:
@@ -145,7 +149,7 @@
         self._idle = IdleTime(
             self.loop, int(link.limits.idle_us * CLOSE_EARLY), lambda: self.busy, self.close
         )
-        self._ended = hw.UNREACHABLE
+        self._ended = policy.Outcome.UNREACHABLE
         self._over = self._ours = self._handing = False
         self._task: Task = self.loop.spawn(self._run(), f"node {link.node}")
 
@@ -177,7 +181,7 @@
         node is not. Nobody waits for what is out here any more; it may have run.
         """
         if self.silent and self._waits_since is not None and self._waits_since < sent_at:
-            self._ended = hw.TIMED_OUT
+            self._ended = policy.Outcome.TIMED_OUT
             self.close()
 
     @property
@@ -234,10 +238,10 @@
     def _run(self) -> Coro[None]:
         try:
             self.stream = yield from self._connect()
-            self._ended = hw.BROKEN
+            self._ended = policy.Outcome.BROKEN
             bereft, self.bereft = self.bereft, {}
             for key in bereft.values():
-                self.link.ended(key, hw.LOST, None)
+                self.link.ended(key, policy.Outcome.CONNECTION_LOST, None)
             self.stream.on_flushed = self._hand_on
             self._hand_on()
             probes, self._unsent_probes = self._unsent_probes, []
@@ -256,7 +260,7 @@
             self.link.spoilt += 1
             if self.out:
                 self.link.note("spoilt answer", f"{problem.part or 'of no part'}: {problem}")
-            self._ended = hw.ERROR
+            self._ended = policy.Outcome.ERROR
         finally:
             self._finish()
 
@@ -278,7 +282,9 @@
                 case nf.ProbeAnswer(ok=ok):
                     if not self._probes:
                         raise nf.FrameError("an answer to no probe")
-                    self.link.probe_over(self._probes.popleft(), hw.OK if ok else hw.ERROR)
+                    self.link.probe_over(
+                        self._probes.popleft(), policy.Outcome.OK if ok else policy.Outcome.ERROR
+                    )
                 case nf.Unusable(words=words):
                     self.link.note("a frame could not be used", words)
                     raise StreamBroken("the node could not use a frame")
@@ -355,7 +361,7 @@
         self.link.room.idle.pop(self, None)
         self.link.connections.remove(self)
         self._idle.cancel()
-        if self._ended == hw.BROKEN and not self._ours and self.answered_at is not None:
+        if self._ended == policy.Outcome.BROKEN and not self._ours and self.answered_at is not None:
             self.link.ended_soon += self._just_answered
             at_once = self._just_answered and self.answers <= SINGLE_ANSWERS
             self.link.closes = self.link.closes + 1 if at_once else 0
@@ -364,16 +370,18 @@
         if stream is not None:
             stream.abort() if out or stream.unsent else stream.close()
         for key in self.bereft.values():
-            self.link.ended(key, hw.BROKEN, None)
+            self.link.ended(key, policy.Outcome.BROKEN, None)
         never = [sent for sent in out.values() if sent.ends is None or sent.ends > written]
         # A connection that stood is no word on its node: only one that never came up tells that it can't be
         # met.
-        outcome = hw.UNREACHABLE if stream is None and not self._ours else hw.NEVER_SENT
+        outcome = (
+            policy.Outcome.UNREACHABLE if stream is None and not self._ours else policy.Outcome.NEVER_SENT
+        )
         for sent in never:
             self.link.ended(sent.key, outcome, None)
             del out[sent.key[0]]
         probes = [*self._probes, *self._unsent_probes]
-        if self._ended == hw.BROKEN and not self.link.closing:
+        if self._ended == policy.Outcome.BROKEN and not self.link.closing:
             self.link.broke(
                 [sent.key for sent in out.values()], [n for n in probes if self.link.waits_for(n)]
             )
@@ -455,7 +463,7 @@
         if connection is None:
             for ask in parts:
                 self.loop.call_soon(
-                    self.owner.attempt_ended, self.node, (ask.id, ask.seq), hw.UNREACHABLE, None
+                    self.owner.attempt_ended, self.node, (ask.id, ask.seq), policy.Outcome.UNREACHABLE, None
                 )
             return
         for ask in parts:
@@ -483,7 +491,7 @@
             if connection.holds_back(key[0]):
                 del self.out[key]
                 connection.give_up(key[0])
-                self.owner.attempt_ended(self.node, key, hw.NEVER_SENT, None)
+                self.owner.attempt_ended(self.node, key, policy.Outcome.NEVER_SENT, None)
 
     def probe(self) -> None:
         """Ask for a sign of life; ends once. A connection that has fallen silent can't give one for
@@ -492,10 +500,10 @@
         self._probe_no += 1
         number = self._probe_no
         until = self.loop.now() + self.limits.connect_us
-        self._probes[number] = self.loop.call_at(until, self.probe_over, number, hw.TIMED_OUT)
+        self._probes[number] = self.loop.call_at(until, self.probe_over, number, policy.Outcome.TIMED_OUT)
         connection = self._for([])
         if connection is None:
-            self.loop.call_soon(self.probe_over, number, hw.UNREACHABLE)
+            self.loop.call_soon(self.probe_over, number, policy.Outcome.UNREACHABLE)
         else:
             connection.probe(number)
 
@@ -505,7 +513,7 @@
         for connection in list(self.connections):
             connection.close()
 
-    def ended(self, key: Key, outcome: str, result: nf.PartAnswer | None) -> None:
+    def ended(self, key: Key, outcome: policy.Outcome, result: nf.PartAnswer | None) -> None:
         """A connection's word on an attempt."""
         if self.out.pop(key, None) is not None:
             self.owner.attempt_ended(self.node, key, outcome, result)
@@ -518,9 +526,9 @@
         connection = self._new()
         if connection is None:
             for key in keys:
-                self.ended(key, hw.BROKEN, None)
+                self.ended(key, policy.Outcome.BROKEN, None)
             for number in probes:
-                self.probe_over(number, hw.BROKEN)
+                self.probe_over(number, policy.Outcome.BROKEN)
             return
         for key in keys:
             self.out[key] = connection
@@ -528,7 +536,7 @@
         for number in probes:
             connection.probe(number)
 
-    def probe_over(self, number: int, outcome: str) -> None:
+    def probe_over(self, number: int, outcome: policy.Outcome) -> None:
         """A probe's end, the first that is told of it."""
         timer = self._probes.pop(number, None)
         if timer is not None:
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -88,7 +88,7 @@
             listen=self.listener.address,
             pid=os.getpid(),
             sockets=self.config.sockets,
-            lists="asked" if self.config.settings.ask_mode else "pushed",
+            lists="asked" if self.config.settings.poll_mode else "pushed",
             watch_us=self.broker.watch.hold_us,
             grace_us=self.config.settings.drain_grace_us,
         )
@@ -103,7 +103,7 @@
             return
         self.log("info", "terminating", held=self.broker.held)
         self._ending_at = self.loop.now()
-        longest = max(spec.limit_us for spec in self.config.settings.classes)
+        longest = max(spec.timeout_us for spec in self.config.settings.classes)
         self._end_by = self._ending_at + min(longest, KILL_LONGEST_US) + KILL_AFTER_US - END_MARGIN_US
         self.front.drain()
         self.broker.ends_at(self._end_by - END_MARGIN_US)
--- a/heathwell/gateway/requests.py
+++ b/heathwell/gateway/requests.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from heathwell import interface as hw
+from heathwell import policy
 from heathwell.codec.http import Request
 
 ID = re.compile(r"[0-9A-Za-z_-]{1,64}")  # no dot: a part's id is this, a dot and the shard
@@ -59,7 +59,7 @@
     """
 
     id: str
-    klass: int
+    query_class: int
     wait_us: int
     key: str
     retry: bool
@@ -71,7 +71,7 @@
 class Checker:
     """Checks requests against the start settings."""
 
-    def __init__(self, settings: hw.Settings) -> None:
+    def __init__(self, settings: policy.Settings) -> None:
         self._settings = settings
         self._classes = {spec.name: index for index, spec in enumerate(settings.classes)}
         self._tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
@@ -92,17 +92,17 @@
         name = headers.get("req-id", "")
         if not ID.fullmatch(name):
             raise BadRequest("Req-Id: missing, or not of 1 to 64 letters, digits, '-' and '_'")
-        klass = self._classes[kind]
-        spec = self._settings.classes[klass]
-        wait = min(_time(headers.get("req-deadline")), spec.limit_us)
+        query_class = self._classes[kind]
+        spec = self._settings.classes[query_class]
+        wait = min(_time(headers.get("req-deadline")), spec.timeout_us)
         key = headers.get("idempotency-key", "")
-        if spec.repeat == hw.KEYED and not KEY.fullmatch(key):
+        if spec.idempotency == policy.Idempotency.KEYED and not KEY.fullmatch(key):
             raise BadRequest("Idempotency-Key: missing, or not of 1 to 128 printable characters without ','")
         return Wanted(
             name,
-            klass,
+            query_class,
             wait,
-            key if spec.repeat == hw.KEYED else "",
+            key if spec.idempotency == policy.Idempotency.KEYED else "",
             headers.get("req-retry") == "1",
             *self._body(request.body),
             self._tenants.get(headers.get("req-owner", ""), len(self._tenants)),
--- a/heathwell/gateway/targets.py
+++ b/heathwell/gateway/targets.py
@@ -6,9 +6,13 @@
 
 import msgspec
 
-from heathwell import interface as hw
+from heathwell import policy
 
-STATES = {"up": hw.LIVE, "draining": hw.DRAINING, "removed": hw.GONE}
+STATES = {
+    "up": policy.EndpointState.LIVE,
+    "draining": policy.EndpointState.DRAINING,
+    "removed": policy.EndpointState.GONE,
+}
 
 
 class TargetsError(ValueError):
@@ -55,24 +59,24 @@
 _decoder = msgspec.json.Decoder(Targets)
 
 
-def state_of(target: Target) -> str:
+def state_of(target: Target) -> policy.EndpointState:
     """The module's word for its state; one that nobody knows is taken as draining."""
-    return STATES.get(target.state, hw.DRAINING)
+    return STATES.get(target.state, policy.EndpointState.DRAINING)
 
 
 def news_of(
     targets: Targets, zones: tuple[str, ...], cells: int, unix_offset_us: int, asked: bool = True
-) -> hw.FleetNews:
+) -> policy.EndpointUpdate:
     """The module's news. Starts are moved to the caller's clock, which is behind Unix time by
     ``unix_offset_us``.
 
     A state nobody knows is taken as draining; a node of a cell that is not there is left out.
     """
     places = {name: index for index, name in enumerate(zones)}
-    return hw.FleetNews(
-        hw.FULL if targets.all else hw.UPDATE,
+    return policy.EndpointUpdate(
+        policy.UpdateKind.FULL if targets.all else policy.UpdateKind.INCREMENTAL,
         tuple(
-            hw.ServerEntry(
+            policy.EndpointEntry(
                 target.uid,
                 target.pod_group,
                 state_of(target),
--- a/heathwell/gateway/trace.py
+++ b/heathwell/gateway/trace.py
@@ -49,10 +49,12 @@
             for name, figure in sorted(facts.items())
             if figure != self._before[name]
         )
-        servers = [server for server in module.servers.values() if server.live]
+        servers = [server for server in module.endpoints.values() if server.live]
         believed = (
-            f"known={len(module.servers)} live={len(servers)} ejected={sum(bool(s.bars) for s in servers)} "
-            f"cold={sum(module.warmth(s) < 1 for s in servers)} out={sum(len(s.out) for s in servers)}"
+            f"known={len(module.endpoints)} live={len(servers)} "
+            f"ejected={sum(bool(s.ejections) for s in servers)} "
+            f"cold={sum(module.slow_start_fraction(s) < 1 for s in servers)} "
+            f"out={sum(len(s.in_flight) for s in servers)}"
         )
         held = (
             f"queries={len(broker.queries)} links={len(links)} "
--- a/heathwell/lab/badday.py
+++ b/heathwell/lab/badday.py
@@ -135,7 +135,7 @@
                 space = other
         name = f"poison{step.at // 1000}x{number}"
         key = f"{space.prefix}:{name}:1" if space.shape == "record" else f"{space.prefix}:{name}"
-        return Arrival(at, (key,), space.klass)
+        return Arrival(at, (key,), space.query_class)
 
     def _do(self, step: Step, at: float) -> None:
         self.say(
@@ -146,7 +146,7 @@
         try:
             if step.kind in HOST_TROUBLES:
                 for name in step.to:
-                    self.fleet.order(name, frames.Control(step.kind, step.value, step.span, step.klass))
+                    self.fleet.order(name, frames.Control(step.kind, step.value, step.span, step.query_class))
             elif step.kind in ("discovery-down", "discovery-late"):
                 self.fleet.order(
                     "discovery", frames.Control(step.kind.partition("-")[2], step.value, step.span)
@@ -238,14 +238,14 @@
     """Lines of a table, a window of five seconds a row and the whole run last."""
     by: dict[tuple[str, int], dict[str, int]] = defaultdict(lambda: defaultdict(int))
     for outcome in outcomes:
-        by[outcome.klass, int(outcome.at // WINDOW)][outcome.kind] += 1
-        by[outcome.klass, -1][outcome.kind] += 1
+        by[outcome.query_class, int(outcome.at // WINDOW)][outcome.kind] += 1
+        by[outcome.query_class, -1][outcome.kind] += 1
     lines = []
-    for klass in sorted({name for name, _ in by}):
-        lines.append(f"{klass:<14} {'asked':>6} " + " ".join(f"{kind:>9}" for kind in KINDS))
+    for query_class in sorted({name for name, _ in by}):
+        lines.append(f"{query_class:<14} {'asked':>6} " + " ".join(f"{kind:>9}" for kind in KINDS))
         windows = [*range(int(seconds // WINDOW) + 1), -1]
         for window in windows:
-            counts = by.get((klass, window))
+            counts = by.get((query_class, window))
             if counts is None:
                 continue
             asked = sum(counts.values())
@@ -262,7 +262,7 @@
     assert day.clients is not None
     counts: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
     for outcome in day.clients.outcomes:
-        counts[outcome.klass][outcome.kind] += 1
+        counts[outcome.query_class][outcome.kind] += 1
     return {
         "service": counts,
         "off_schedule": day.clients.off_schedule,
--- a/heathwell/lab/budgetday.py
+++ b/heathwell/lab/budgetday.py
@@ -16,10 +16,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from heathwell.budgets import COUNT, RATE, Budget, Claim, Lease
-from heathwell.budgets.keeper import Keeper, Renew, Renewed, Times
-from heathwell.budgets.shares import Shares
-from heathwell.membership import Self
+from heathwell.fleet.membership import Self
+from heathwell.fleet.quotas import COUNT, RATE, Budget, Claim, Lease
+from heathwell.fleet.quotas.keeper import Keeper, Renew, Renewed, Times
+from heathwell.fleet.quotas.shares import Shares
 
 TURN_US, RENEW_US, TICK_US = 100_000, 400_000, 500_000
 BUDGETS = (
--- a/heathwell/lab/clients.py
+++ b/heathwell/lab/clients.py
@@ -30,7 +30,7 @@
 
     at: float
     keys: tuple[str, ...]
-    klass: str
+    query_class: str
     vector: tuple[float, ...] = ()
 
 
@@ -39,7 +39,7 @@
     """How a request ended, with its retries: seconds from its scheduled arrival."""
 
     at: float
-    klass: str
+    query_class: str
     kind: str
     took: float
     key: str = ""
@@ -64,7 +64,7 @@
         if name in collections:
             spec = collections[name]
             vector = tuple(draws.gauss(0, 1.5) for _ in range(spec.size))
-            out.append(Arrival(at, (name,), spec.klass, vector))
+            out.append(Arrival(at, (name,), spec.query_class, vector))
             continue
         space = spaces[name]
         count = 4 if draws.random() < load.multi else 1
@@ -72,7 +72,7 @@
             Arrival(
                 at,
                 tuple(_key(space.shape, space.prefix, load.traders, draws) for _ in range(count)),
-                space.klass,
+                space.query_class,
             )
         )
     return out
@@ -185,12 +185,16 @@
             self._searches = None
 
     def serve(self, arrival: Arrival) -> None:
-        spec = self.crowd.classes[arrival.klass]
-        limit = spec.limit / 1e6
+        spec = self.crowd.classes[arrival.query_class]
+        limit = spec.timeout_us / 1e6
         seen = _Seen("none")
         for _ in range(1 + self.crowd.load.retries):
-            seen = self._search(arrival, spec.limit) if arrival.vector else self._ask(arrival, spec.limit)
-            again = seen.kind == "refused" or (seen.kind == "broken" and spec.repeat == "safe")
+            seen = (
+                self._search(arrival, spec.timeout_us)
+                if arrival.vector
+                else self._ask(arrival, spec.timeout_us)
+            )
+            again = seen.kind == "refused" or (seen.kind == "broken" and spec.idempotency == "safe")
             if not again or time.monotonic() - self.crowd._started - arrival.at + seen.after > limit:
                 break
             time.sleep(seen.after)
@@ -200,10 +204,10 @@
             kind = (
                 "partial"
                 if any(not v["whole"] for v in seen.values.values())
-                else ("on time" if took <= spec.aim / 1e6 else "late")
+                else ("on time" if took <= spec.latency_objective_us / 1e6 else "late")
             )
         self.crowd.outcomes.append(
-            Outcome(arrival.at, arrival.klass, kind, took, arrival.keys[0], self._broker)
+            Outcome(arrival.at, arrival.query_class, kind, took, arrival.keys[0], self._broker)
         )
 
     def _connect(self) -> bool:
--- a/heathwell/lab/figures.py
+++ b/heathwell/lab/figures.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from heathwell.control.wiring import budgets_of
+from heathwell.fleet.control.wiring import budgets_of
 from heathwell.settings import Market
 from heathwell.standins.source import OFFSET_US
 
@@ -15,14 +15,14 @@
     return {
         "classes": {
             spec.name: {
-                "limit": spec.limit,
-                "aim": spec.aim,
-                "repeat": spec.repeat,
-                "dedup": spec.dedup,
-                "need": spec.need,
-                "floor": spec.floor or spec.need,
+                "limit": spec.timeout_us,
+                "aim": spec.latency_objective_us,
+                "repeat": spec.idempotency,
+                "dedup": spec.idempotency_window_us,
+                "need": spec.required_fraction,
+                "floor": spec.minimum_fraction or spec.required_fraction,
                 "work": spec.work,
-                "fetch": spec.fetch,
+                "fetch": spec.second_step_parts,
             }
             for spec in market.classes
         },
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -6,17 +6,17 @@
 from typing import Any, Protocol
 
 from heathwell.broker.market import Broker
-from heathwell.budgets.keeper import Keeper
-from heathwell.control.agent import FleetAgent
-from heathwell.control.keeper import KeeperServer
-from heathwell.control.wiring import budgets_of, times_of
-from heathwell.control.zones import ZoneDesk, desk_of
-from heathwell.eventlog import EventLog, ListEvents, NoEvents
+from heathwell.fleet.control.agent import FleetAgent
+from heathwell.fleet.control.keeper import KeeperServer
+from heathwell.fleet.control.wiring import budgets_of, times_of
+from heathwell.fleet.control.zones import ZoneDesk, desk_of
+from heathwell.fleet.membership import Self
+from heathwell.fleet.quotas.keeper import Keeper
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
 from heathwell.fronts.vector import VectorFront
 from heathwell.kernel import Listener, Loop, Net
-from heathwell.membership import Self
+from heathwell.observability.event_log import EventLog, ListEvents, NoEvents
 from heathwell.settings import Market
 from heathwell.standins.discovery import Discovery
 from heathwell.standins.leaf import Leaf
--- a/heathwell/lab/processes.py
+++ b/heathwell/lab/processes.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from heathwell import wire
+from heathwell import inner_protocol
 from heathwell.codec import frames
 from heathwell.lab.wires import Wires
 from heathwell.settings import Market
@@ -247,7 +247,7 @@
         if not address:
             raise FleetError(f"{name} is not up")
         try:
-            done = wire.ask(address, "script", "script", control, frames.Done, 5)
+            done = inner_protocol.ask(address, "script", "script", control, frames.Done, 5)
         except ValueError:
             raise FleetError(f"{name} closed without taking the order") from None
         if done.text:
--- a/heathwell/lab/regional.py
+++ b/heathwell/lab/regional.py
@@ -162,15 +162,15 @@
                         span.failed += bool(body.get("failed"))
                     elif body is not None and not body["whole"]:
                         span.partial += 1
-                    elif took <= spec.aim:
+                    elif took <= spec.latency_objective_us:
                         span.on_time += 1
                     else:
                         span.late += 1
             second = self.by_second.setdefault(int(at), [0, 0])
             second[0] += 1
-            second[1] += took <= spec.aim and (body is None or bool(body.get("whole")))
+            second[1] += took <= spec.latency_objective_us and (body is None or bool(body.get("whole")))
             if where == 1 and body is not None and not body.get("whole") and not home:
-                self.give_up_us.append(took * 1000 // spec.aim)
+                self.give_up_us.append(took * 1000 // spec.latency_objective_us)
 
     def steady_after(self) -> float | None:
         """Seconds from the trouble's end until three seconds in a row are within 5 points of the
@@ -241,10 +241,10 @@
             "broken": len(verdict.breaches),
             "coldest": round(verdict.coldest, 2),
             "service": {
-                f"{klass}/{('before', 'during', 'after')[where]}{'/home' if home else ''}": {
+                f"{query_class}/{('before', 'during', 'after')[where]}{'/home' if home else ''}": {
                     name: getattr(span, name) for name in Span.__slots__
                 }
-                for (klass, where, home), span in sorted(day.spans.items())
+                for (query_class, where, home), span in sorted(day.spans.items())
             },
             "steady after, s": day.steady_after(),
             "gave up after, of the aim in 1000": sorted(day.give_up_us)[len(day.give_up_us) // 2 :][:1],
--- a/heathwell/lab/releases.py
+++ b/heathwell/lab/releases.py
@@ -13,8 +13,8 @@
 
 import numpy as np
 
-from heathwell.rollout import HELD, JUDGING, UNDOING, Course, Plan, Stage, Tally, Window
-from heathwell.rollout.course import AGAIN, ENDED
+from heathwell.fleet.rollout import HELD, JUDGING, UNDOING, Course, Plan, Stage, Tally, Window
+from heathwell.fleet.rollout.course import AGAIN, ENDED
 
 CLASSES = {"price-search": (0.45, 0.985), "day-report": (0.2, 0.95), "sale-record": (0.35, 0.99)}
 DEFECTS = (
@@ -183,18 +183,18 @@
             self.rates[name] * WINDOW_US / 1e6 * np.array([s for s, _ in CLASSES.values()])
         )
         classes, plain = {}, 0.0
-        for (klass, (_, usual)), count in zip(CLASSES.items(), asked, strict=True):
+        for (query_class, (_, usual)), count in zip(CLASSES.items(), asked, strict=True):
             chance = max(0.0, usual - loss)
             bad = (
                 0.0
                 if gone
                 else chance * (0.5 if deaths or drops else 1.0)
-                - (0.03 if defect == "worse class" and klass == self.bad_class else 0.0)
+                - (0.03 if defect == "worse class" and query_class == self.bad_class else 0.0)
             )
             worth = float(self.draw.binomial(int(count), max(0.0, bad)))
             plain += chance * count - max(0.0, bad) * count
             if count:
-                classes[klass] = Tally(int(count), worth, int(worth), int(count - worth))
+                classes[query_class] = Tally(int(count), worth, int(worth), int(count - worth))
         per_broker = self.rates[name] * WINDOW_US / 1e6
         self.lost += plain / max(per_broker, 1e-9) * WINDOW_US / 1e6
         cpu = sum(t.asked for t in classes.values()) * 900 * (2.0 if defect == "processor" else 1.0)
--- a/heathwell/lab/replay.py
+++ b/heathwell/lab/replay.py
@@ -39,7 +39,9 @@
         else:
             skipped.append(f"{trouble['kind']}: no counterpart on loopback")
     steps.sort(key=lambda step: step.at)
-    mix = [Mix(space=space.prefix, share=_class_share(day, market, space.klass)) for space in market.keys]
+    mix = [
+        Mix(space=space.prefix, share=_class_share(day, market, space.query_class)) for space in market.keys
+    ]
     script = Script(
         market=config, seconds=day["length"] * squeeze / 1e6, load=Load(rate=rate, mix=mix), steps=steps
     )
@@ -89,7 +91,7 @@
             ]
         case "class_fail":
             name = market.classes[which % len(market.classes)].name
-            return [step("failclass", to=hosts, klass=name)]
+            return [step("failclass", to=hosts, query_class=name)]
         case "answer_lost":
             if trouble.get("how") == "reset":
                 return [
--- a/heathwell/lab/rolling.py
+++ b/heathwell/lab/rolling.py
@@ -20,9 +20,9 @@
 from pathlib import Path
 from typing import Any
 
-from heathwell import wire
+from heathwell import inner_protocol
 from heathwell.codec import frames
-from heathwell.control.machine import start_of
+from heathwell.fleet.control.machine import start_of
 from heathwell.lab.clients import Clients, arrivals
 from heathwell.lab.figures import run_figures
 from heathwell.lab.processes import FleetError, ProcessFleet
@@ -425,7 +425,7 @@
         """What each broker runs, by its machine's agent."""
         out = {}
         for machine in self.machines.values():
-            for running in wire.ask(
+            for running in inner_protocol.ask(
                 machine.address, "lab", "lab", frames.AskMachine(), frames.MachineView, 5
             ).running:
                 out[running.broker] = running
--- a/heathwell/lab/script.py
+++ b/heathwell/lab/script.py
@@ -136,7 +136,7 @@
             "queries of poison"
         ),
     ] = 0.0
-    klass: Annotated[str, _say("class that failclass fails, or that alone is slow")] = field(
+    query_class: Annotated[str, _say("class that failclass fails, or that alone is slow")] = field(
         name="class", default=""
     )
     source: Annotated[
@@ -214,8 +214,11 @@
                     f"at[{index}].to",
                     f"no '{target}' for {step.kind}; there are {', '.join(sorted(known))}",
                 )
-        if step.kind == "failclass" and step.klass not in classes:
-            yield f"at[{index}].class", f"no class '{step.klass}'; there are {', '.join(sorted(classes))}"
+        if step.kind == "failclass" and step.query_class not in classes:
+            yield (
+                f"at[{index}].class",
+                f"no class '{step.query_class}'; there are {', '.join(sorted(classes))}",
+            )
 
 
 def named(pattern: str, names: Iterable[str]) -> list[str]:
--- a/heathwell/lab/searches.py
+++ b/heathwell/lab/searches.py
@@ -59,7 +59,7 @@
         """One request on a connection of its own."""
         running = self.fleet.brokers[broker]
         plan = running.vector.classes[collection][len(wishes) > 1] if running.vector is not None else 0
-        limit = self.market.classes[plan].limit
+        limit = self.market.classes[plan].timeout_us
         try:
             stream = yield from self.net.connect(running.vector_address, 1_000_000, "client")
         except ConnectFailed:
--- a/heathwell/lab/simulated.py
+++ b/heathwell/lab/simulated.py
@@ -12,7 +12,7 @@
 from heathwell.audit import AgeVerdict, Verdict, judge, judge_ages
 from heathwell.audit.reader import from_lines
 from heathwell.codec import frames
-from heathwell.control.zones import ZoneDesk, desk_of
+from heathwell.fleet.control.zones import ZoneDesk, desk_of
 from heathwell.kernel import ConnectFailed, Coro, HostNet, Stream, StreamBroken, sleep, virtual_loop
 from heathwell.lab.figures import run_figures
 from heathwell.lab.fleet import LocalFleet
@@ -176,14 +176,16 @@
 
     def _one(self, broker: int, keys: list[str]) -> Coro[None]:
         plan = self.fleet.brokers[broker].broker.keys.plan
-        classes = [self.market.classes[p.klass] for p in map(plan, keys) if p is not None]
+        classes = [self.market.classes[p.query_class] for p in map(plan, keys) if p is not None]
         began = self.loop.now()
         try:
             stream = yield from self.net.connect(self.fleet.brokers[broker].address, 1_000_000, "client")
         except ConnectFailed:
             return
         request = f"{stream.here}#1"  # type: ignore[attr-defined]  # the broker knows this client by it
-        self.note("ask", req=request, keys=keys, broker=f"b{broker}", limit=max(c.limit for c in classes))
+        self.note(
+            "ask", req=request, keys=keys, broker=f"b{broker}", limit=max(c.timeout_us for c in classes)
+        )
         try:
             stream.write(f"get {' '.join(keys)}\r\n".encode())
             values = yield from _read_values(stream)
@@ -216,7 +218,7 @@
         for key, spec in zip(keys, classes, strict=True):
             body = bodies.get(key)
             kind = (
-                ("on time" if took <= spec.aim else "late")
+                ("on time" if took <= spec.latency_objective_us else "late")
                 if body is None or body.get("whole")
                 else ("partial" if "coverage" in body else "refused" if body.get("refused") else "failed")
             )
--- a/heathwell/lab/sockets.py
+++ b/heathwell/lab/sockets.py
@@ -58,9 +58,9 @@
     steady_after: float | None = None
     refused_after: list[float] = field(default_factory=list)
 
-    def share(self, klass: str, span: str, kind: str, home: bool = False) -> float:
+    def share(self, query_class: str, span: str, kind: str, home: bool = False) -> float:
         """The share of a class that ended so; 0 where nothing was asked."""
-        counts = self.counts.get((klass, span, home), {})
+        counts = self.counts.get((query_class, span, home), {})
         return counts.get(kind, 0) / max(1, sum(counts.values()))
 
 
@@ -108,7 +108,7 @@
 ) -> dict[str, Service]:
     """The service around each trouble."""
     keys = KeySpaces(market)
-    aims = {spec.name: spec.aim / 1e6 for spec in market.classes}
+    aims = {spec.name: spec.latency_objective_us / 1e6 for spec in market.classes}
     out: dict[str, Service] = {}
     for number, (name, *_) in enumerate(troubles):
         begin = FIRST + number * (TROUBLE + BETWEEN)
@@ -130,10 +130,10 @@
                 continue
             home = all_home(keys, market, outcome.key, outcome.broker)
             for mine in {False, home}:
-                counts = service.counts.setdefault((outcome.klass, span, mine), {})
+                counts = service.counts.setdefault((outcome.query_class, span, mine), {})
                 counts[outcome.kind] = counts.get(outcome.kind, 0) + 1
             if span == "during" and outcome.kind == "refused":
-                service.refused_after.append(outcome.took / aims[outcome.klass])
+                service.refused_after.append(outcome.took / aims[outcome.query_class])
             second = per_second.setdefault(int(outcome.at - end) if outcome.at >= end else -1, [0, 0])
             second[0] += 1
             second[1] += outcome.kind == "on time"
--- a/heathwell/lab/stormday.py
+++ b/heathwell/lab/stormday.py
@@ -37,7 +37,7 @@
     """One request with all its tries; times in microseconds from the day's zero."""
 
     at: int
-    klass: str
+    query_class: str
     policy: str
     ended: str = "given up"
     took: int = 0
@@ -122,7 +122,7 @@
             key = draws.choice([f"price:t{draws.randrange(60)}", f"sale:t{number}:{draws.randrange(9000)}"])
             plan = self.keys.plan(key)
             assert plan is not None
-            spec = self.market.classes[plan.klass]
+            spec = self.market.classes[plan.query_class]
             request = Request(self.loop.now(), spec.name, policy)
             self.storm.requests.append(request)
             stream = yield from self._ask(request, stream, number, key, spec, draws)
@@ -150,7 +150,11 @@
             if "coverage" in body:
                 request.took = self.loop.now() - request.at
                 request.ended = (
-                    "partial" if not body["whole"] else "on time" if request.took <= spec.aim else "late"
+                    "partial"
+                    if not body["whole"]
+                    else "on time"
+                    if request.took <= spec.latency_objective_us
+                    else "late"
                 )
                 return stream
             advised = int(str(body.get("retry_after_ms", 0))) * 1000
--- a/heathwell/lab/worthday.py
+++ b/heathwell/lab/worthday.py
@@ -161,7 +161,8 @@
             "day": self.day,
             "variant": self.variant,
             "service": {
-                f"{klass}/{SPANS[span]}": dict(counts) for (klass, span), counts in sorted(self.ends.items())
+                f"{query_class}/{SPANS[span]}": dict(counts)
+                for (query_class, span), counts in sorted(self.ends.items())
             },
             "further a second": [round(sum(during) / len(during), 1), max(during)],
             "arrived": arrived,
--- a/heathwell/lab/zoneday.py
+++ b/heathwell/lab/zoneday.py
@@ -16,8 +16,8 @@
 from typing import Any
 
 from heathwell.codec import frames
-from heathwell.control.zones import ZoneDesk, desk_of
-from heathwell.evacuation import LEFT, SERVED, Decider
+from heathwell.fleet.control.zones import ZoneDesk, desk_of
+from heathwell.fleet.evacuation import LEFT, SERVED, Decider
 from heathwell.kernel import Coro, sleep
 from heathwell.lab.simulated import SimulatedDay
 from heathwell.lab.worthday import MARKET
@@ -182,9 +182,9 @@
             self.net.heal(leaf, name)
 
     @staticmethod
-    def _order(leaves: list[Leaf], what: str, value: float, span: int, klass: str = "") -> None:
+    def _order(leaves: list[Leaf], what: str, value: float, span: int, query_class: str = "") -> None:
         for leaf in leaves:
-            leaf.order(frames.Control(what, value, span, klass))
+            leaf.order(frames.Control(what, value, span, query_class))
 
     def _clients(self, draws: random.Random) -> Coro[None]:
         """As ever, but on the day on which all clients come to one zone's brokers."""
@@ -218,9 +218,9 @@
         verdict = self.verdict()
         service: dict[str, dict[int, float]] = defaultdict(dict)
         windows: dict[int, list[int]] = defaultdict(lambda: [0, 0])
-        for (klass, window), counts in sorted(self.ends.items()):
+        for (query_class, window), counts in sorted(self.ends.items()):
             asked, good = sum(counts.values()), counts.get("on time", 0)
-            service[klass][window] = round(good / asked, 3) if asked else 1.0
+            service[query_class][window] = round(good / asked, 3) if asked else 1.0
             windows[window][0] += good
             windows[window][1] += asked
         inside = [
@@ -250,7 +250,7 @@
             "kind": self.kind,
             "variant": self.variant,
             "seed": self.seed,
-            "service": {klass: dict(row) for klass, row in service.items()},
+            "service": {query_class: dict(row) for query_class, row in service.items()},
             "worst": round(worst, 3),
             "all": round(total[0] / max(total[1], 1), 4),
             "left_after_s": round((left_at - self._zero) / 1e6, 1) if left_at is not None else None,
--- a/heathwell/check/__init__.py
+++ b/heathwell/modelcheck/__init__.py
@@ -2,6 +2,6 @@
 real code.
 """
 
-from heathwell.check.explore import Found, World, explore
+from heathwell.modelcheck.explore import Found, World, explore
 
 __all__ = ["Found", "World", "explore"]
--- a/heathwell/check/leases.py
+++ b/heathwell/modelcheck/leases.py
@@ -13,7 +13,19 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from heathwell.budgets import COUNT, Ask, Budget, Claim, Claimant, Giver, Grant, Holder, Lease, Vote, Voter
+from heathwell.fleet.quotas import (
+    COUNT,
+    Ask,
+    Budget,
+    Claim,
+    Claimant,
+    Giver,
+    Grant,
+    Holder,
+    Lease,
+    Vote,
+    Voter,
+)
 
 UNIT = Budget("unit", COUNT, 1, 0, 2, fractions=1, floor=0)
 KEEPERS, BROKERS = 2, 2
