--- a/benchmarks/costs.py
+++ b/benchmarks/costs.py
@@ -75,7 +75,7 @@
     def get(self, key: str, shard: int) -> frames.Result:
         """One part, to its result."""
         self.asked += 1
-        ask = frames.Ask(f"bench/{self.asked}", 0, "one", "record", key, shard, 9_000_000)
+        ask = frames.PartRequest(f"bench/{self.asked}", 0, "one", "record", key, shard, 9_000_000)
         self.line.sock.sendall(frames.encode(frames.Call([ask])))
         while True:
             for message in self.decoder.feed(self.line.sock.recv(65_536)):
--- a/benchmarks/keepercost.py
+++ b/benchmarks/keepercost.py
@@ -44,7 +44,7 @@
     folder = tempfile.mkdtemp(prefix="heathwell-")
     config = f"{folder}/market.sx"
     Path(config).write_text(MARKET.format(most=brokers, connections=2 * brokers, burst=brokers // 30 + 1))
-    market, wires = load(config), Wires()
+    service_settings, wires = load(config), Wires()
     names = ["k0", "k1", "k2"]
     keepers = []
     for number, name in enumerate(names):
@@ -77,7 +77,7 @@
         addresses.append(json.loads(process.stdout.readline())["address"])
         wires.point(name, addresses[-1])
     loop, net, _ = socket_loop()
-    times, draws = times_of(market.fleet), random.Random(1)
+    times, draws = times_of(service_settings.fleet), random.Random(1)
     agents = []
 
     def use(agent: FleetAgent, hosts: list[str]) -> Coro[None]:
@@ -96,9 +96,9 @@
                 loop,
                 net,
                 member,
-                budgets_of(market.fleet),
+                budgets_of(service_settings.fleet),
                 tuple(addresses),
-                renew_us=market.fleet.renew,
+                renew_us=service_settings.fleet.renew,
                 times=times,
                 seed=number,
                 log=lambda *_a, **_k: None,
@@ -122,7 +122,8 @@
         wires.close()
     needs = sum(len(agent.shares.holders) for agent in agents) / brokers
     print(
-        f"{brokers} brokers, a renewal each {market.fleet.renew / 1e6:g} s of {needs:.1f} budgets each: "
+        f"{brokers} brokers, a renewal each {service_settings.fleet.renew / 1e6:g} s of {needs:.1f} "
+        f"budgets each: "
         + ", ".join(f"{name} {share:.1%}" for name, share in zip(names, used, strict=True))
         + f" of a core; {passed / seconds:.0f} further attempts a second of 200 used"
     )
--- a/benchmarks/rollingload.py
+++ b/benchmarks/rollingload.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from heathwell.audit import judge, read_logs
-from heathwell.lab.rolling import RollingFleet, plant, write_market
+from heathwell.lab.rolling import RollingFleet, plant, write_service_settings
 
 MARKET = Path(__file__).resolve().parent.parent / "examples/market-fleet.sx"
 BEFORE, AFTER = 25.0, 20.0  # seconds
@@ -24,7 +24,7 @@
 def main() -> int:
     """One rollout, and a table by span."""
     folder = Path(tempfile.mkdtemp(prefix="heathwell-"))
-    write_market(MARKET, folder / "market.sx")
+    write_service_settings(MARKET, folder / "market.sx")
     with RollingFleet(folder / "run", folder / "market.sx", machines=3).up() as fleet:
         fleet.begin_load()
         time.sleep(5.0)
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -15,7 +15,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
-from heathwell.lab.rolling import DEFECTS, RollingFleet, plant, write_market
+from heathwell.lab.rolling import DEFECTS, RollingFleet, plant, write_service_settings
 
 MARKET = Path(__file__).resolve().parent.parent / "examples/market-fleet.sx"
 A_FLEET = 6  # releases of one fleet, after which it is put up anew
@@ -27,7 +27,7 @@
     why.
     """
     folder = Path(tempfile.mkdtemp(prefix="heathwell-"))
-    write_market(MARKET, folder / "market.sx")
+    write_service_settings(MARKET, folder / "market.sx")
     out: list[Row] = []
     try:
         with RollingFleet(folder / "run", folder / "market.sx", machines=2, rate=40.0).up() as fleet:
--- a/benchmarks/settingschanges.py
+++ b/benchmarks/settingschanges.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from heathwell.audit import Event, judge, read_logs
-from heathwell.lab.rolling import RollingFleet, write_market
+from heathwell.lab.rolling import RollingFleet, write_service_settings
 
 MARKET = Path(__file__).resolve().parent.parent / "examples/market-fleet.sx"
 # Faults of settings: what is replaced by what. Those that are well formed and harmful are judged by what they
@@ -59,7 +59,7 @@
 def main(count: int, seed: int) -> int:
     """Make them one after another, and judge the whole run."""
     draws, folder = random.Random(seed), Path(tempfile.mkdtemp(prefix="heathwell-"))
-    write_market(MARKET, folder / "market.sx")
+    write_service_settings(MARKET, folder / "market.sx")
     began, wrong, ends = time.monotonic(), 0, Counter[str]()
     with RollingFleet(folder / "run", folder / "market.sx", machines=2, rate=30.0).up() as fleet:
         fleet.begin_load(3600.0)
--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -98,15 +98,22 @@
         MARKET + (STORMS if variant == "damped" else "") + "(log (level error)) (broker (listen 127.0.0.2:0))"
     )
     (folder / "market.sx").write_text(text)
-    market = loads(text)
+    service_settings = loads(text)
     (folder / "events").mkdir()
     (folder / "events" / "run.jsonl").write_text(
         json.dumps(
-            {"t": time.monotonic_ns() // 1000, "who": "run", "ev": "run", "figures": run_figures(market)}
+            {
+                "t": time.monotonic_ns() // 1000,
+                "who": "run",
+                "ev": "run",
+                "figures": run_figures(service_settings),
+            }
         )
         + "\n"
     )
-    fleet = ProcessFleet(str(folder / "market.sx"), market, str(folder / "events"), leaf_host="127.0.0.2")
+    fleet = ProcessFleet(
+        str(folder / "market.sx"), service_settings, str(folder / "events"), leaf_host="127.0.0.2"
+    )
     loop, net, _ = socket_loop()
     storm = Storm()
     try:
@@ -116,7 +123,7 @@
             loop,
             lambda _number: net,
             lambda: [m.address for m in fleet.of("broker")],
-            market,
+            service_settings,
             storm,
             think=clients / 50.0,
             ignoring=0.33,
--- a/benchmarks/vectors.py
+++ b/benchmarks/vectors.py
@@ -30,7 +30,7 @@
 from heathwell.lab.processes import ProcessFleet
 from heathwell.lab.script import Load, Mix
 from heathwell.merge import Row, TopK
-from heathwell.settings import Market, loads
+from heathwell.settings import ServiceSettings, loads
 from heathwell.standins.vectors import shard_of
 
 SHARDS = 24
@@ -76,17 +76,17 @@
 
 
 @contextmanager
-def fleet_of(text: str, events: bool = False) -> Iterator[tuple[ProcessFleet, Market]]:
+def fleet_of(text: str, events: bool = False) -> Iterator[tuple[ProcessFleet, ServiceSettings]]:
     """A fleet of processes while it lasts."""
     folder = Path(tempfile.mkdtemp(prefix="heathwell-vectors-"))
     config = folder / "market.sx"
     config.write_text(text)
-    market = loads(text)
-    fleet = ProcessFleet(str(config), market, str(folder / "events") if events else None)
+    service_settings = loads(text)
+    fleet = ProcessFleet(str(config), service_settings, str(folder / "events") if events else None)
     try:
         fleet.up()
         time.sleep(2.0)
-        yield fleet, market
+        yield fleet, service_settings
     finally:
         fleet.down()
 
@@ -145,9 +145,9 @@
     return out
 
 
-def truth(market: Market) -> Callable[[list[float]], list[int]]:
+def truth(service_settings: ServiceSettings) -> Callable[[list[float]], list[int]]:
     """The ten nearest of all points, by brute force."""
-    shards = [shard_of(market.collections[0], number, SHARDS) for number in range(SHARDS)]
+    shards = [shard_of(service_settings.collections[0], number, SHARDS) for number in range(SHARDS)]
     vectors = np.concatenate([shard.vectors for shard in shards]).astype(np.float64)
     ids = np.array([point for shard in shards for point in shard.ids])
 
@@ -176,9 +176,9 @@
     for need in (50, 62.5, 75, 87.5, 100):
         with fleet_of(market_text(f"(aim 500ms) (limit 3s) (need {need}%)", spread="300%")) as (
             fleet,
-            market,
+            service_settings,
         ):
-            nearest = truth(market)
+            nearest = truth(service_settings)
             done = load(fleet.of("broker")[0].ready["vector"], 40, 6)
             good = [(vector, one) for vector, one in done if one.status == 200]
             hits = [len(set(one.ids) & set(nearest(vector))) / 10 for vector, one in good]
@@ -196,7 +196,7 @@
     draws = random.Random(seed)
     while not until.wait(1.0):
         for name in draws.sample([m.name for m in fleet.of("leaf")], 3):
-            fleet.order(name, frames.Control("slow", 60.0, 1_000_000))
+            fleet.order(name, frames.FaultCommand("slow", 60.0, 1_000_000))
 
 
 def slow() -> None:
@@ -208,8 +208,8 @@
     }
     print("latency with three of 24 hosts 60 times slower, others each second; 25 searches/s, n/k 75 %")
     for name, alike in variants.items():
-        with fleet_of(market_text(alike, spread="300%")) as (fleet, market):
-            nearest, until = truth(market), threading.Event()
+        with fleet_of(market_text(alike, spread="300%")) as (fleet, service_settings):
+            nearest, until = truth(service_settings), threading.Event()
             maker = threading.Thread(target=troubled, args=(fleet, until), daemon=True)
             maker.start()
             done = load(fleet.of("broker")[0].ready["vector"], 25, 15)
@@ -236,12 +236,15 @@
         ("not shared", ""),
     ):
         for times in (0, 1, 3):
-            with fleet_of(market_text(alike, work="20ms", fronts=text, brokers=2)) as (fleet, market):
+            with fleet_of(market_text(alike, work="20ms", fronts=text, brokers=2)) as (
+                fleet,
+                service_settings,
+            ):
                 brokers = fleet.of("broker")
                 where = [(m.name, m.address, "") for m in brokers]
                 crowd = Clients(
                     Load(40.0, clients=60, retries=0, mix=[Mix("price", 0.5), Mix("sale", 0.5)]),
-                    market,
+                    service_settings,
                     partial(list, where),
                     None,
                 )
@@ -253,7 +256,7 @@
                 zero = crowd.start()
                 for thread in threads:
                     thread.start()
-                for arrival in arrivals(crowd.load, market, 3, 0.0, 10.0, lambda _at: 1.0):
+                for arrival in arrivals(crowd.load, service_settings, 3, 0.0, 10.0, lambda _at: 1.0):
                     time.sleep(max(0.0, zero + arrival.at - time.monotonic()))
                     crowd.offer(arrival)
                 crowd.finish()
--- a/benchmarks/worthsockets.py
+++ b/benchmarks/worthsockets.py
@@ -36,8 +36,8 @@
     text = (EXAMPLES / "market.sx").read_text().replace("(log (level info)", "(log (level error)")
     for variant, budgets in VARIANTS.items():
         folder = Path(tempfile.mkdtemp(prefix="heathwell-"))
-        market = text.replace("(leaves 12) (brokers 3))", f"(leaves 24) (brokers 6) {budgets})")
-        (folder / "market-worth.sx").write_text(market)
+        service_settings = text.replace("(leaves 12) (brokers 3))", f"(leaves 24) (brokers 6) {budgets})")
+        (folder / "market-worth.sx").write_text(service_settings)
         (folder / "day.sx").write_text(
             (EXAMPLES / "worthday.sx").read_text() + ("(wires yes)\n" if budgets else "")
         )
--- a/heathwell/broker/discovery.py
+++ b/heathwell/broker/discovery.py
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         self._births: dict[str, tuple[int, int | None]] = {}
 
-    def take(self, now: int, kind: str, entries: list[frames.Entry]) -> policy.EndpointUpdate:
+    def take(self, now: int, kind: str, entries: list[frames.EndpointListEntry]) -> policy.EndpointUpdate:
         """The module's news for a message of discovery."""
         update_kind = (
             policy.UpdateKind.FULL if kind == policy.UpdateKind.FULL else policy.UpdateKind.INCREMENTAL
@@ -33,7 +33,7 @@
         endpoints = tuple(self._entry(now, entry) for entry in entries)
         return policy.EndpointUpdate(update_kind, endpoints)
 
-    def _entry(self, now: int, entry: frames.Entry) -> policy.EndpointEntry:
+    def _entry(self, now: int, entry: frames.EndpointListEntry) -> policy.EndpointEntry:
         known = self._births.get(entry.node)
         if known is None or known[0] != entry.birth:
             since = max(1, now - entry.age_us) if entry.age_us >= 0 else None
@@ -74,7 +74,7 @@
         self._asked += 1
         if self._stream is not None:
             try:
-                self._stream.write(frames.encode(frames.Watch(self._index)))
+                self._stream.write(frames.encode(frames.WatchRequest(self._index)))
             except StreamBroken:
                 pass  # the reader tells the failure
             else:
@@ -112,7 +112,7 @@
             self._stream = stream
             self._index = 0
             stream.write(frames.encode(frames.Hello(frames.VERSION, self.name, "broker")))
-            stream.write(frames.encode(frames.Watch(0)))
+            stream.write(frames.encode(frames.WatchRequest(0)))
             self._asked = max(self._asked, 1)
             self._limit()
             yield from inner_protocol.listen(stream, self._heard)
@@ -126,8 +126,8 @@
                 self._stream.abort()
             self._stream = None
 
-    def _heard(self, message: frames.Any_) -> None:
-        if isinstance(message, frames.Hosts):
+    def _heard(self, message: frames.AnyMessage) -> None:
+        if isinstance(message, frames.EndpointList):
             self._asked = 0
             self._index = message.index
             self.news(self.roster.take(self.loop.now(), message.kind, message.entries))
--- a/heathwell/broker/hosts.py
+++ b/heathwell/broker/host_link.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from heathwell import inner_protocol, policy
-from heathwell.broker.idle import IdleTime
+from heathwell.broker.idle_connections import IdleTime
 from heathwell.codec import frames
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Overrun, Stream, StreamBroken, Task, Timer
 
@@ -19,15 +19,15 @@
 class Owner(Protocol):
     """Who is told how attempts and probes end."""
 
-    def attempt_ended(
+    def on_attempt_result(
         self, node: str, key: Key, outcome: policy.Outcome, result: frames.Result | None
     ) -> None:
         """One outcome an attempt."""
 
-    def probe_ended(self, node: str, outcome: policy.Outcome) -> None:
+    def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
         """One outcome a probe."""
 
-    def waited(self, node: str, parts: list[frames.Ask]) -> list[frames.Ask]:
+    def waited(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
         """Which of the attempts that waited for their connection may still leave; the others are ended by the
         owner.
         """
@@ -35,7 +35,7 @@
     def bound(self, node: str, key: Key, best: list[float]) -> None:
         """A host's word, before its work, on how good an attempt's best row can be."""
 
-    def late_result(self, node: str) -> None:
+    def on_late_answer(self, node: str) -> None:
         """A result whose attempt's end was told already."""
 
     def said_draining(self, node: str) -> None:
@@ -76,8 +76,8 @@
         self._beat: Timer | None = None
         self.out: dict[Key, Sent] = {}
         self.stream: Stream | None = None
-        self.connects = self.late = 0
-        self._waiting: list[list[frames.Ask]] = []
+        self.connects = self.late_answers = 0
+        self._waiting: list[list[frames.PartRequest]] = []
         self._task: Task | None = None
         self._probes: dict[int, Timer] = {}
         self._probe_no = 0
@@ -90,7 +90,7 @@
         """Whether the connection stands."""
         return self.stream is not None
 
-    def send(self, parts: list[frames.Ask]) -> None:
+    def send(self, parts: list[frames.PartRequest]) -> None:
         """Send attempts in one call; each will end once."""
         for ask in parts:
             self.out[ask.id, ask.seq] = Sent()
@@ -100,7 +100,7 @@
         else:
             self._write_call(parts)
 
-    def forget(self, key: Key) -> bool:
+    def abandon(self, key: Key) -> bool:
         """Stop waiting for an attempt whose end the owner has told by itself; true if it was out."""
         sent = self.out.pop(key, None)
         if sent is None:
@@ -115,7 +115,7 @@
 
     def withdraw(self, key: Key) -> bool:
         """Take back an attempt that is not written yet."""
-        return key in self.out and self.out[key].starts is None and self.forget(key)
+        return key in self.out and self.out[key].starts is None and self.abandon(key)
 
     def probe(self) -> None:
         """Ask for a sign of life; ends once."""
@@ -179,28 +179,28 @@
             self._beat = self.loop.call_at(self.loop.now() + self.quiet_us // BEATS, self._keep)
             self._write(frames.encode(frames.Ping(0)))
 
-    def _heard(self, message: frames.Any_) -> None:
+    def _heard(self, message: frames.AnyMessage) -> None:
         match message:
             case frames.Result():
                 key = (message.id, message.seq)
                 if self.out.pop(key, None) is None:
-                    self.late += 1  # its end was told already: nothing may come of it any more
-                    self.owner.late_result(self.node)
+                    self.late_answers += 1  # its end was told already: nothing may come of it any more
+                    self.owner.on_late_answer(self.node)
                 else:
                     outcome = OUTCOMES.get(message.outcome, policy.Outcome.ERROR)
-                    self.owner.attempt_ended(self.node, key, outcome, message)
+                    self.owner.on_attempt_result(self.node, key, outcome, message)
                 self._idle.rests()
-            case frames.Bound(id=part, seq=seq, best=best):
+            case frames.ScoreBound(id=part, seq=seq, best=best):
                 if (part, seq) in self.out:
                     self.owner.bound(self.node, (part, seq), best)
             case frames.Pong(n=number):
                 if number not in self._probes:
-                    self.owner.late_result(self.node)
+                    self.owner.on_late_answer(self.node)
                 self._probe_over(number, policy.Outcome.OK)
-            case frames.Draining():
+            case frames.DrainNotice():
                 self.owner.said_draining(self.node)
 
-    def _write_call(self, parts: list[frames.Ask]) -> None:
+    def _write_call(self, parts: list[frames.PartRequest]) -> None:
         assert self.stream is not None
         starts = self.stream.queued
         for ask in parts:
@@ -219,7 +219,7 @@
         out, self.out, self._waiting = self.out, {}, []
         for key, attempt in out.items():
             never = attempt.starts is None or attempt.starts >= sent
-            self.owner.attempt_ended(self.node, key, policy.Outcome.UNREACHABLE if never else ended, None)
+            self.owner.on_attempt_result(self.node, key, policy.Outcome.UNREACHABLE if never else ended, None)
         for number in list(self._probes):
             self._probe_over(number, ended)
         if stream is not None:
@@ -229,5 +229,5 @@
         timer = self._probes.pop(number, None)
         if timer is not None:
             timer.cancel()
-            self.owner.probe_ended(self.node, outcome)
+            self.owner.on_probe_result(self.node, outcome)
             self._idle.rests()
--- a/heathwell/broker/hostpool.py
+++ b/heathwell/broker/host_pool.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Callable
 
-from heathwell.broker.hosts import HostLink, Key
+from heathwell.broker.host_link import HostLink, Key
 from heathwell.codec import frames
 from heathwell.kernel import Loop
 
@@ -48,9 +48,9 @@
         return self.first.node
 
     @property
-    def late(self) -> int:
+    def late_answers(self) -> int:
         """Answers told to nobody."""
-        return self._late + sum(link.late for link in self.links())
+        return self._late + sum(link.late_answers for link in self.links())
 
     @property
     def up(self) -> bool:
@@ -61,7 +61,7 @@
         """All connections, those that are ending too."""
         return [self.first, *self.more, *self.closing]
 
-    def send(self, parts: list[frames.Ask]) -> None:
+    def send(self, parts: list[frames.PartRequest]) -> None:
         """Send attempts in one call; each will end once."""
         link = min([self.first, *self.more], key=lambda link: len(link.out))
         held = 1 + len(self.more) + len(self.closing) + self.waits
@@ -85,7 +85,7 @@
         for links in (self.more, self.closing):
             if link in links:
                 links.remove(link)
-                self._late += link.late
+                self._late += link.late_answers
                 if seen:
                     self.give_back()
                 else:
@@ -112,10 +112,10 @@
         for link in [*self.closing, *self.more][:units]:
             link.close()
 
-    def forget(self, key: Key) -> bool:
+    def abandon(self, key: Key) -> bool:
         """Stop waiting for an attempt; true if it was out."""
         link = self._where.pop(key, None)
-        return link is not None and link.forget(key)
+        return link is not None and link.abandon(key)
 
     def withdraw(self, key: Key) -> bool:
         """Take back an attempt that is not written yet."""
--- a/heathwell/broker/keyspace.py
+++ b/heathwell/broker/key_spaces.py
@@ -14,7 +14,7 @@
 
 from heathwell.broker.records import PartPlan, Plan
 from heathwell.freshness import TokenError, read_token
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 from heathwell.settings.schema import KeySpace
 
 TOP_ROWS = 10
@@ -35,10 +35,10 @@
 class KeySpaces:
     """Reads keys by the settings' spaces."""
 
-    def __init__(self, market: Market) -> None:
-        self.shards = market.fleet.shards
-        self._classes = {spec.name: index for index, spec in enumerate(market.classes)}
-        self._spaces = {space.prefix: space for space in market.keys}
+    def __init__(self, service_settings: ServiceSettings) -> None:
+        self.shards = service_settings.fleet.shards
+        self._classes = {spec.name: index for index, spec in enumerate(service_settings.classes)}
+        self._spaces = {space.prefix: space for space in service_settings.keys}
 
     def plan(self, key: str) -> Plan | None:
         """The query that a key asks for; None for a key of no space, or one that is not of its form."""
--- a/heathwell/broker/spending.py
+++ b/heathwell/broker/quota_gate.py
@@ -11,10 +11,10 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from heathwell import policy
-from heathwell.broker.hostpool import HostPool
+from heathwell.broker.host_pool import HostPool
 
 if TYPE_CHECKING:
-    from heathwell.broker.market import Broker
+    from heathwell.broker.service_broker import ServiceBroker
 
 Key = tuple[str, int]
 FURTHER, COLD, CONNECTIONS = "further", "cold", "connections"
@@ -70,10 +70,10 @@
         """By budget: its share, and what was used and refused; those of each host summed."""
 
 
-class Spending:
+class QuotaGate:
     """The three budgets of one broker."""
 
-    def __init__(self, broker: Broker, agent: Agent) -> None:
+    def __init__(self, broker: ServiceBroker, agent: Agent) -> None:
         self.broker, self.agent = broker, agent
         self._shared = {name for name in (FURTHER, COLD, CONNECTIONS) if agent.budget(name) is not None}
         spec = agent.budget(CONNECTIONS)
@@ -141,7 +141,7 @@
         holder = self.agent.holder(FURTHER)
         if holder is not None:
             holder.wanted()
-            self.broker.counts["lacked", FURTHER] += 1
+            self.broker.counters["lacked", FURTHER] += 1
 
     # Connections.
 
@@ -150,7 +150,7 @@
         name = f"{CONNECTIONS}@{node}"
         took = self.agent.take(name)
         if not took:
-            self.broker.counts["lacked", CONNECTIONS] += 1
+            self.broker.counters["lacked", CONNECTIONS] += 1
         return took
 
     def gave_back(self, node: str) -> None:
@@ -182,7 +182,7 @@
                     link.drop(holder.overdue(now))
 
     def _look_at_cold(self, now: int) -> None:
-        module = self.broker.module
+        module = self.broker.aggregator
         if now - self._flow_at >= FLOW_US:
             live = max(1, sum(server.live for server in module.endpoints.values()))
             self._usual = self._sent * UNIT * 1_000_000 // (live * (now - self._flow_at))
--- a/heathwell/broker/records.py
+++ b/heathwell/broker/records.py
@@ -6,7 +6,7 @@
 
 from heathwell import policy
 from heathwell.merge import TopK
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,9 +34,9 @@
     top: TopK
     figures: tuple[float, ...]
     work: int
-    limit_us: int = 0
+    timeout_us: int = 0
     patience_us: int = 0
-    moot: set[str] = field(default_factory=set)
+    superseded: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,9 +59,9 @@
         return self.seen.get(shard, self.seen_least)
 
 
-def module_settings(market: Market, zone: int, siblings: int) -> policy.Settings:
+def module_settings(service_settings: ServiceSettings, zone: int, siblings: int) -> policy.Settings:
     """The decision module's settings from the file's."""
-    rules, limits, fleet = market.rules, market.limits, market.fleet
+    rules, limits, fleet = service_settings.rules, service_settings.limits, service_settings.fleet
     return policy.Settings(
         classes=tuple(
             policy.QueryClass(
@@ -77,7 +77,7 @@
                 minimum_fraction=spec.minimum_fraction or spec.required_fraction,
                 second_step_parts=spec.second_step_parts,
             )
-            for spec in market.classes
+            for spec in service_settings.classes
         ),
         shards=fleet.shards,
         replica_groups=fleet.cells,
@@ -92,7 +92,7 @@
         probing_allowed=limits.probing,
         retry_advice_allowed=limits.advise,
         max_retry_after_us=limits.max_advice,
-        poll_mode=market.discovery.ask,
+        poll_mode=service_settings.discovery.ask,
         poll_within_us=rules.must_ask,
         parts_per_call=limits.parts_a_call,
         clients_mark_retries=limits.marks_retry,
--- a/heathwell/broker/replies.py
+++ b/heathwell/broker/replies.py
@@ -20,15 +20,15 @@
     others'.
     """
 
-    asked: int = 0
-    got: int = 0
+    requested_parts: int = 0
+    answered_parts: int = 0
     weight: float = 0.0
-    need: float = 1.0
-    floor: float = 1.0
+    required_fraction: float = 1.0
+    minimum_fraction: float = 1.0
     missing: tuple[int, ...] = ()
-    items_asked: int = 0
-    items_got: int = 0
-    moot: int = 0
+    second_step_requested: int = 0
+    second_step_answered: int = 0
+    superseded: int = 0
     cover: Cover = field(default_factory=Cover)
 
 
@@ -39,11 +39,11 @@
     kind: str
     query: str = ""
     query_class: str = ""
-    whole: bool = False
+    complete: bool = False
     coverage: Coverage = field(default_factory=Coverage)
     body: dict[str, Any] = field(default_factory=dict)
-    after_us: int = 0
-    why: str = ""
+    retry_after_us: int = 0
+    reason: str = ""
     age: Age | None = None
 
 
--- a/heathwell/broker/market.py
+++ b/heathwell/broker/service_broker.py
@@ -12,16 +12,16 @@
 
 from heathwell import policy
 from heathwell.admission import GO, WAIT, Costs, FairGate, Window
-from heathwell.broker import keyspace
+from heathwell.broker import key_spaces
 from heathwell.broker.discovery import DiscoveryClient
-from heathwell.broker.driver import Driver, Era, Handle, Key, PartState, QueryState
-from heathwell.broker.hostpool import HostPool
-from heathwell.broker.hosts import HostLink
+from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState, SettingsVersion
+from heathwell.broker.host_link import HostLink
+from heathwell.broker.host_pool import HostPool
+from heathwell.broker.quota_gate import Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
 from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Age, Coverage, OnReply, Reply
-from heathwell.broker.service import ServiceBook
-from heathwell.broker.sourceclock import ClockKeeper
-from heathwell.broker.spending import Agent, Spending
+from heathwell.broker.service_statistics import ServiceStatistics
+from heathwell.broker.source_clock import SourceClockClient
 from heathwell.codec import frames
 from heathwell.coverage import Cover
 from heathwell.freshness import Freshness, Policy, SourceClock, Watermark, make_token
@@ -29,13 +29,13 @@
 from heathwell.merge import Malformed, Row
 from heathwell.observability.event_log import EventLog
 from heathwell.regions import ClientDrain, Regions, Way, answerable
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 from heathwell.storms import Limits, Storms
 from heathwell.storms.decider import TICK_US
 from heathwell.vectors.wire import read_answer
 
 if TYPE_CHECKING:
-    from heathwell.broker.zonesight import ZoneSight
+    from heathwell.broker.zone_observer import ZoneObserver
 
 LOOK_US = 25_000  # how often the links are looked at again
 IN_PLACE = ("classes", "keys", "limits", "rules")  # settings that may change between two turns
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class MarketPart(PartState):
+class ServicePart(PartState):
     """A part with what its answer's data is of."""
 
     position: int = 0
@@ -55,7 +55,7 @@
 
 
 @dataclass(slots=True)
-class MarketQuery(QueryState[MarketPart]):
+class ServiceQuery(QueryState[ServicePart]):
     """A query with its plan; ``cut_off`` are parts that no host within reach holds."""
 
     plan: Plan = Plan(0, "", 0, "", ())
@@ -67,28 +67,28 @@
 class Version:
     """What a market's broker keeps by version of its settings."""
 
-    market: Market
-    keys: keyspace.KeySpaces
+    service_settings: ServiceSettings
+    keys: key_spaces.KeySpaces
     policies: tuple[Policy, ...]
 
     @classmethod
-    def of(cls, market: Market) -> Version:
+    def of(cls, service_settings: ServiceSettings) -> Version:
         """Made from settings."""
         return cls(
-            market,
-            keyspace.KeySpaces(market),
-            tuple(Policy(spec.wanted_age, spec.max_age, spec.stale) for spec in market.classes),
+            service_settings,
+            key_spaces.KeySpaces(service_settings),
+            tuple(Policy(spec.wanted_age, spec.max_age, spec.stale) for spec in service_settings.classes),
         )
 
 
-class Broker(Driver[MarketQuery]):
+class ServiceBroker(Driver[ServiceQuery]):
     """One aggregator with its connections. ``name`` must be one of a kind among the brokers' runs."""
 
     def __init__(
         self,
         loop: Loop,
         net: Net,
-        market: Market,
+        service_settings: ServiceSettings,
         *,
         name: str,
         zone: int,
@@ -100,49 +100,53 @@
         log: Callable[..., None] | None = None,
         roster: tuple[policy.EndpointEntry, ...] = (),
         agent: Agent | None = None,
-        service: ServiceBook | None = None,
+        service: ServiceStatistics | None = None,
     ) -> None:
         super().__init__(
-            loop, module_settings(market, zone, siblings), seed, name=name, events=events, log=log
+            loop, module_settings(service_settings, zone, siblings), seed, name=name, events=events, log=log
         )
-        self.net, self.service, self.zone, self.siblings = net, service, zone, siblings
-        self.era.more = Version.of(market)
-        self.spending = Spending(self, agent) if agent is not None else None
-        self.sight: ZoneSight | None = None
-        self._zone_held: dict[int, frozenset[str]] = {}
-        if agent is not None and market.fleet.evacuate:
+        self.net, self.service_statistics, self.zone, self.aggregator_count = net, service, zone, siblings
+        self.current_version.extension = Version.of(service_settings)
+        self.quota_gate = QuotaGate(self, agent) if agent is not None else None
+        self.zone_observer: ZoneObserver | None = None
+        self._zone_restrictions: dict[int, frozenset[str]] = {}
+        if agent is not None and service_settings.fleet.evacuate:
             # nobody else needs what it imports
-            from heathwell.broker.zonesight import ZoneSight  # noqa: PLC0415
+            from heathwell.broker.zone_observer import ZoneObserver  # noqa: PLC0415
 
-            self.sight = ZoneSight(self, market.fleet.zones[zone], market.fleet.zones, seed ^ 0x20E5)
-            agent.on_zones(self.sight)
+            self.zone_observer = ZoneObserver(
+                self, service_settings.fleet.zones[zone], service_settings.fleet.zones, seed ^ 0x20E5
+            )
+            agent.on_zones(self.zone_observer)
         self.random = random.Random(seed ^ 0x5EED)
-        fresh = market.freshness
-        self.fresh: Freshness | None = None
-        self.clock_keeper: ClockKeeper | None = None
+        fresh = service_settings.freshness
+        self.freshness: Freshness | None = None
+        self.source_clock_client: SourceClockClient | None = None
         self.explained: OrderedDict[str, dict[str, Any]] = OrderedDict()
         if fresh.on:
-            self.fresh = Freshness(SourceClock(), self._holders)
-            self.clock_keeper = ClockKeeper(
-                loop, net, source or fresh.source, name, fresh.sync, self.fresh.clock, self.log
+            self.freshness = Freshness(SourceClock(), self._holders)
+            self.source_clock_client = SourceClockClient(
+                loop, net, source or fresh.source, name, fresh.sync, self.freshness.clock, self.log
             )
         self.regions: Regions | None = None
         self._listed_regions: dict[str, str] = {}
-        self._far: frozenset[str] = frozenset()
-        self._bare: dict[int, int] = {}
-        self._held_back: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())
+        self._remote_nodes: frozenset[str] = frozenset()
+        self._unheld_shards: dict[int, int] = {}
+        self._link_restrictions: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())
         self._zone_region = {
-            market.fleet.zones.index(name): region.name
-            for region in market.across.regions
+            service_settings.fleet.zones.index(name): region.name
+            for region in service_settings.across.regions
             for name in region.zones
         }
-        across = market.across
+        across = service_settings.across
         if across.regions and (
-            across.decide or across.prefer_home or any(spec.across != "any" for spec in market.classes)
+            across.decide
+            or across.prefer_home
+            or any(spec.across != "any" for spec in service_settings.classes)
         ):
             self.regions = Regions(
                 self._zone_region[zone],
-                [region.name for region in market.across.regions],
+                [region.name for region in service_settings.across.regions],
                 min(spec.latency_objective_us for spec in self.settings.classes),
                 seed ^ 0x11A5,
                 prefer=across.prefer_home,
@@ -152,17 +156,19 @@
                 ways=self._ways(self._zone_region[zone]),
             )
             loop.call_at(loop.now() + LOOK_US, self._look_at_links)
-        fronts = market.fronts
+        fronts = service_settings.fronts
         self.costs = Costs()
         self.gate: FairGate | None = None
         if fronts.queue_target:
-            window = Window(fronts.queue_target, 2.0 * fronts.queue_target * market.fleet.cells / siblings)
+            window = Window(
+                fronts.queue_target, 2.0 * fronts.queue_target * service_settings.fleet.cells / siblings
+            )
             self.gate = FairGate(
                 {"memcached": fronts.memcached, "vector": fronts.vector}, window, seed ^ 0xFA1E
             )
         self.storms: Storms | None = None
-        if market.storms.on:
-            said = market.storms
+        if service_settings.storms.on:
+            said = service_settings.storms
             self.storms = Storms(
                 Limits(said.useful, said.repeat, said.accepts, said.first_accepts, float(said.first_rate)),
                 loop.now(),
@@ -172,7 +178,7 @@
             loop.call_at(loop.now() + TICK_US, self._look_for_storms)
         self.points_seen: dict[str, dict[int, int]] = {}  # sizes of shards, by collection, as hosts told them
         self._gate_look: Timer | None = None
-        leaving = market.fleet.zone_let_go if self.sight is not None else 0
+        leaving = service_settings.fleet.zone_let_go if self.zone_observer is not None else 0
         self.client_drain = ClientDrain(across.let_go or leaving, seed ^ 0xD12A)
         self.begin_service(
             DiscoveryClient(
@@ -180,9 +186,9 @@
                 net,
                 discovery,
                 name,
-                market.discovery.timeout,
-                not market.discovery.ask,
-                self.news,
+                service_settings.discovery.timeout,
+                not service_settings.discovery.ask,
+                self.on_endpoint_update,
                 self.log,
             ),
             roster,
@@ -191,25 +197,25 @@
     # Versions of the settings
 
     @property
-    def market(self) -> Market:
+    def service_settings(self) -> ServiceSettings:
         """The settings for what comes now."""
-        version: Version = self.era.more
-        return version.market
+        version: Version = self.current_version.extension
+        return version.service_settings
 
     @property
-    def keys(self) -> keyspace.KeySpaces:
+    def keys(self) -> key_spaces.KeySpaces:
         """The key spaces for what comes now."""
-        version: Version = self.era.more
+        version: Version = self.current_version.extension
         return version.keys
 
-    def settings_of(self, query: MarketQuery) -> Version:
+    def version_of(self, query: ServiceQuery) -> Version:
         """The version that a query is decided under."""
-        version: Version = query.era.more
+        version: Version = query.settings_version.extension
         return version
 
-    def needs_restart(self, market: Market) -> str:
+    def needs_restart(self, service_settings: ServiceSettings) -> str:
         """Why other settings can't go in between two turns; empty where they can."""
-        before, after = msgspec.to_builtins(self.market), msgspec.to_builtins(market)
+        before, after = msgspec.to_builtins(self.service_settings), msgspec.to_builtins(service_settings)
         rest = sorted(
             key
             for key in before.keys() | after.keys()
@@ -217,31 +223,31 @@
         )
         if rest:
             return f"{', '.join(rest)}: made at the start"
-        fixed = [(spec.name, spec.across) for spec in self.market.classes]
-        if fixed != [(spec.name, spec.across) for spec in market.classes]:
+        fixed = [(spec.name, spec.across) for spec in self.service_settings.classes]
+        if fixed != [(spec.name, spec.across) for spec in service_settings.classes]:
             return "class: names, their order and whether they cross are made at the start"
         apart = [
             name
             for name in ("clients", "clients_an_address", "host_connections", "busy_connection")
-            if getattr(self.market.limits, name) != getattr(market.limits, name)
+            if getattr(self.service_settings.limits, name) != getattr(service_settings.limits, name)
         ]
         return f"limits: {', '.join(apart)}: made at the start" if apart else ""
 
-    def use(self, market: Market, version: str) -> str:
+    def apply_settings(self, service_settings: ServiceSettings, version: str) -> str:
         """Other settings for all that comes from now on, at once; returns why not, or nothing."""
-        why = self.needs_restart(market)
+        why = self.needs_restart(service_settings)
         if why:
             return why
-        self.begin_era(
-            module_settings(market, self.zone, self.siblings),
+        self.begin_version(
+            module_settings(service_settings, self.zone, self.aggregator_count),
             self.random.getrandbits(48),
             version,
-            Version.of(market),
+            Version.of(service_settings),
         )
-        if self.service is not None:
-            self.service.classes = {spec.name: spec for spec in self.settings.classes}
+        if self.service_statistics is not None:
+            self.service_statistics.classes = {spec.name: spec for spec in self.settings.classes}
         self.events("settings", version=version)
-        self.log("info", "settings", version=version, eras=len(self.eras))
+        self.log("info", "settings", version=version, eras=len(self.versions))
         return ""
 
     # The front's side
@@ -254,10 +260,10 @@
         """
         plan = self.keys.plan(key)
         if plan is None:
-            self.loop.call_soon(on_reply, Reply(MISS, why="no such key space"))
+            self.loop.call_soon(on_reply, Reply(MISS, reason="no such key space"))
             return None
         if plan.wrong:
-            self.loop.call_soon(on_reply, Reply(FAILED, why=plan.wrong))
+            self.loop.call_soon(on_reply, Reply(FAILED, reason=plan.wrong))
             return None
         return self.begin(plan, on_reply, request, client)
 
@@ -265,16 +271,16 @@
         """Take a query by its plan; as :meth:`ask`."""
         key, spec = plan.key, self.settings.classes[plan.query_class]
         who = f"{client}|{plan.subject}"
-        if self.service is not None:
-            self.service.asked(self.loop.now(), who, key, spec.name)
+        if self.service_statistics is not None:
+            self.service_statistics.asked(self.loop.now(), who, key, spec.name)
         if self.storms is not None:
             verdict = self.storms.asked(self.loop.now(), who, key, self._cost(plan))
-            self.counts["asked as", verdict.kind] += 1
+            self.counters["asked as", verdict.kind] += 1
             if not verdict.admit:
-                self._refuse_at_door(spec, key, request, on_reply, "storm", verdict.after_us, who)
+                self._reject_at_admission(spec, key, request, on_reply, "storm", verdict.after_us, who)
                 return None
-        if self.stopping or self.full(len(plan.parts)):
-            self._refuse_at_door(
+        if self.stopping or self.is_full(len(plan.parts)):
+            self._reject_at_admission(
                 spec,
                 key,
                 request,
@@ -284,26 +290,26 @@
                 who,
             )
             return None
-        stated = plan.search.limit_us if plan.search is not None else 0
+        stated = plan.search.timeout_us if plan.search is not None else 0
         limit = min(spec.timeout_us, stated or spec.timeout_us)
-        least = NO_TIME * self.module.mean_latency_us[plan.query_class].value
-        if limit < spec.timeout_us and limit - self.market.limits.transit < least:
+        least = NO_TIME * self.aggregator.mean_latency_us[plan.query_class].value
+        if limit < spec.timeout_us and limit - self.service_settings.limits.transit < least:
             # A client that stated less time than even a quick answer takes: refused before it costs anything.
-            self._refuse_at_door(spec, key, request, on_reply, "no time", self._advice(plan, who), who)
+            self._reject_at_admission(spec, key, request, on_reply, "no time", self._advice(plan, who), who)
             return None
         cut_off = self._cut_off(plan)
         if cut_off and 1 - sum(part.weight for part in cut_off) < spec.minimum_fraction - 1e-6:
             # Nothing to come can make an answer of it: refused at once, not at its deadline.
-            self._refuse_at_door(spec, key, request, on_reply, "cut off", self._advice(plan, who), who)
+            self._reject_at_admission(spec, key, request, on_reply, "cut off", self._advice(plan, who), who)
             return None
         now = self.loop.now()
-        self.jobs += 1
-        query = MarketQuery(
-            f"{self.name}.{self.jobs}",
-            self.jobs,
+        self.last_job += 1
+        query = ServiceQuery(
+            f"{self.name}.{self.last_job}",
+            self.last_job,
             plan.query_class,
             now,
-            now + max(limit - self.market.limits.transit, self.market.limits.tick),
+            now + max(limit - self.service_settings.limits.transit, self.service_settings.limits.tick),
             on_reply,
             plan=plan,
             cut_off=cut_off,
@@ -312,12 +318,12 @@
         self.events(
             "take",
             q=query.id,
-            ver=self.era.version,
+            ver=self.current_version.version,
             req=request,
             key=key,
             klass=spec.name,
             parts=len(plan.parts),
-            deadline=query.deadline - now,
+            deadline=query.deadline_us - now,
             shards=[part.shard for part in plan.parts],
             **(
                 {"wanted": plan.search.top.wanted, "least": plan.search.top.thresholds}
@@ -329,20 +335,29 @@
         self._by_turn(query)
         return handle
 
-    def _work(self, plan: Plan, era: Era | None = None) -> int:
+    def _work(self, plan: Plan, era: SettingsVersion | None = None) -> int:
         """What a part is taken to cost its host (us), by the version of now or its query's."""
-        version: Version = (era or self.era).more
-        return plan.search.work if plan.search is not None else version.market.classes[plan.query_class].work
+        version: Version = (era or self.current_version).extension
+        return (
+            plan.search.work
+            if plan.search is not None
+            else version.service_settings.classes[plan.query_class].work
+        )
 
-    def _by_turn(self, query: MarketQuery) -> None:
+    def _by_turn(self, query: ServiceQuery) -> None:
         """Hand a new query to the module, at once or when its front's turn comes."""
         verdict = GO
         if self.gate is not None:
-            spec, now, front = self._spec(query), self.loop.now(), query.plan.front
-            patience = int(self.market.fronts.patience * min(spec.latency_objective_us, query.deadline - now))
+            spec, now, front = self._query_class(query), self.loop.now(), query.plan.front
+            patience = int(
+                self.service_settings.fronts.patience
+                * min(spec.latency_objective_us, query.deadline_us - now)
+            )
             if query.plan.search is not None and query.plan.search.patience_us:
-                patience = min(query.plan.search.patience_us, (query.deadline - now) // 2)
-            verdict = self.gate.offer(now, front, query.id, self._cost(query.plan, query.era), patience)
+                patience = min(query.plan.search.patience_us, (query.deadline_us - now) // 2)
+            verdict = self.gate.offer(
+                now, front, query.id, self._cost(query.plan, query.settings_version), patience
+            )
         if verdict == GO:
             self._enter(query)
         elif verdict == WAIT:
@@ -351,38 +366,38 @@
         else:
             self.loop.call_soon(self._turned_away, query)
 
-    def _turned_away(self, query: MarketQuery) -> None:
+    def _turned_away(self, query: ServiceQuery) -> None:
         """Refuse at once what would wait too long for its front's turn."""
-        spec = self._spec(query)
-        self.counts["crowded", query.plan.front, spec.name] += 1
+        spec = self._query_class(query)
+        self.counters["crowded", query.plan.front, spec.name] += 1
         most = min(spec.latency_objective_us, self.settings.max_retry_after_us or spec.latency_objective_us)
         after = self.gate.advice(self.loop.now(), query.plan.front, most) if self.gate is not None else most
         query.queued = False
-        after = self._advice(query.plan, query.who, after, query.era)
-        self._reply(query, Reply(REFUSED, query.id, spec.name, after_us=after, why="crowded"))
+        after = self._advice(query.plan, query.who, after, query.settings_version)
+        self._reply(query, Reply(REFUSED, query.id, spec.name, retry_after_us=after, reason="crowded"))
 
-    def _enter(self, query: MarketQuery) -> None:
+    def _enter(self, query: ServiceQuery) -> None:
         """Into the module."""
-        work, plan = self._work(query.plan, query.era), query.plan
+        work, plan = self._work(query.plan, query.settings_version), query.plan
         self.enter(query, self._planned(query, plan.parts, work), len(plan.parts), work * len(plan.parts))
 
     def _planned(
-        self, query: MarketQuery, plans: tuple[PartPlan, ...], work: int
-    ) -> Iterator[tuple[MarketPart, int | None]]:
+        self, query: ServiceQuery, plans: tuple[PartPlan, ...], work: int
+    ) -> Iterator[tuple[ServicePart, int | None]]:
         """A step's parts with their hints, but for those that nobody within reach holds."""
         for plan in plans:
-            part = MarketPart(f"{query.id}/{len(query.parts)}", plan, query.step)
+            part = ServicePart(f"{query.id}/{len(query.parts)}", plan, query.step)
             if query.step == 1 and plan in query.cut_off:
-                part.why = "no live host holds it, or all lie behind a link that is down"
+                part.status = "no live host holds it, or all lie behind a link that is down"
                 self.hold_part(query, part)
                 continue
             yield part, work
 
-    def subject(self, query: MarketQuery) -> int | None:
+    def subject(self, query: ServiceQuery) -> int | None:
         """The trader or term."""
         return query.plan.subject
 
-    def query_closed(self, query: MarketQuery) -> None:
+    def on_query_closed(self, query: ServiceQuery) -> None:
         """The next may have its turn."""
         if self.gate is not None:
             self.gate.ended(self.loop.now(), query.id)
@@ -414,12 +429,12 @@
             self.loop.call_at(max(at, now + 1000), self._look_at_gate) if at is not None else None
         )
 
-    def _cost(self, plan: Plan, era: Era | None = None) -> float:
+    def _cost(self, plan: Plan, era: SettingsVersion | None = None) -> float:
         """What a query is taken to cost its hosts in all (us)."""
-        need = (era or self.era).settings.classes[plan.query_class].required_fraction
+        need = (era or self.current_version).settings.classes[plan.query_class].required_fraction
         return float(self._work(plan, era) * max(1, int(len(plan.parts) * need + 0.999)))
 
-    def _advice(self, plan: Plan, who: str, else_us: int = -1, era: Era | None = None) -> int:
+    def _advice(self, plan: Plan, who: str, else_us: int = -1, era: SettingsVersion | None = None) -> int:
         """When a client that is refused may come back (us): by the storm decider's calendar, or after about
         an aim.
         """
@@ -427,7 +442,7 @@
             return self.storms.advise(self.loop.now(), who, plan.key, self._cost(plan, era))
         if else_us >= 0:
             return else_us
-        aim = (era or self.era).settings.classes[plan.query_class].latency_objective_us
+        aim = (era or self.current_version).settings.classes[plan.query_class].latency_objective_us
         return int(min(aim, self.settings.max_retry_after_us) * self.random.uniform(0.5, 1.0))
 
     def pace(self, listener: Listener) -> None:
@@ -443,15 +458,15 @@
             return
         now = self.loop.now()
         self.loop.call_at(now + TICK_US, self._look_for_storms)
-        live = [server for server in self.module.endpoints.values() if server.live]
+        live = [server for server in self.aggregator.endpoints.values() if server.live]
         self._most_hosts = max(self._most_hosts, len(live))
-        warm = sum(self.module.slow_start_fraction(server) for server in live) / self._most_hosts
+        warm = sum(self.aggregator.slow_start_fraction(server) for server in live) / self._most_hosts
         for state, why in self.storms.tick(now, warm):
-            self.counts["storm", state] += 1
+            self.counters["storm", state] += 1
             self.events("storm", state=state, why=why)
             self.log("warning" if state == "storm" else "info", "storm decider", state=state, why=why)
 
-    def _refuse_at_door(
+    def _reject_at_admission(
         self,
         spec: policy.QueryClass,
         key: str,
@@ -462,18 +477,18 @@
         who: str,
     ) -> None:
         """Refuse with advice what never reaches the module."""
-        self.counts["door", spec.name, why] += 1
+        self.counters["door", spec.name, why] += 1
         self.events("door", req=request, key=key, klass=spec.name, why=why)
-        reply = Reply(REFUSED, query_class=spec.name, after_us=after, why=why)
-        if self.service is not None:
-            self.service.ended(self.loop.now(), who, key, reply)
+        reply = Reply(REFUSED, query_class=spec.name, retry_after_us=after, reason=why)
+        if self.service_statistics is not None:
+            self.service_statistics.ended(self.loop.now(), who, key, reply)
         self.loop.call_soon(on_reply, reply)
 
     def close(self) -> None:
         """Let go of connections."""
         super().close()
-        if self.clock_keeper is not None:
-            self.clock_keeper.close()
+        if self.source_clock_client is not None:
+            self.source_clock_client.close()
 
     # Towards the module
 
@@ -481,26 +496,26 @@
         """Parts whose every live holder lies behind a link that is down, or that have had none for
         a while.
         """
-        shut = self._held_back[1]
-        if self.market.classes[plan.query_class].across == "never":
-            shut |= self._far
-        if not shut and not self._bare:
+        shut = self._link_restrictions[1]
+        if self.service_settings.classes[plan.query_class].across == "never":
+            shut |= self._remote_nodes
+        if not shut and not self._unheld_shards:
             return ()
         long_ago = self.loop.now() - self.settings.classes[plan.query_class].latency_objective_us // 2
         return tuple(
             part
             for part in plan.parts
-            if self._bare.get(part.shard, long_ago + 1) <= long_ago
+            if self._unheld_shards.get(part.shard, long_ago + 1) <= long_ago
             or ((holders := self._holders(part.shard)) and all(node in shut for node in holders))
         )
 
-    def _find_bare(self) -> None:
+    def _find_unheld_shards(self) -> None:
         """Note the shards that no live host holds, and since when: waiting for one is worth half an aim."""
         if not self.dead:
             now = self.loop.now()
-            self._bare = {
-                shard: self._bare.get(shard, now)
-                for shard in range(self.market.fleet.shards)
+            self._unheld_shards = {
+                shard: self._unheld_shards.get(shard, now)
+                for shard in range(self.service_settings.fleet.shards)
                 if not self._holders(shard)
             }
 
@@ -511,29 +526,35 @@
         now = self.loop.now()
         self.loop.call_at(now + LOOK_US, self._look_at_links)
         for node in self.regions.tick(now):
-            self.counts["link probe",] += 1
+            self.counters["link probe",] += 1
             self._link(node).probe()
         self._tell_links(self.regions)
         held = self.regions.holdings(now)
-        if held != self._held_back:
-            self._held_back = held
-            self._push(policy.HolderRestrictions(held[0] | self._zone_held.get(-1, frozenset()), held[1]))
+        if held != self._link_restrictions:
+            self._link_restrictions = held
+            self._push(
+                policy.HolderRestrictions(held[0] | self._zone_restrictions.get(-1, frozenset()), held[1])
+            )
 
     def hold_zones(self, query_class: int, nodes: frozenset[str]) -> None:
         """Hosts of zones that the fleet leaves, for one class or all: avoided beside what regions
         hold back.
         """
-        self._zone_held[query_class] = nodes
+        self._zone_restrictions[query_class] = nodes
         nobody = frozenset[str]()
-        avoid, shut = self._held_back if query_class < 0 else (nobody, nobody)
-        if query_class >= 0 and self._far and self.market.classes[query_class].across != "any":
-            never = self.market.classes[query_class].across == "never"
-            avoid, shut = (nobody, self._far) if never else (self._far, nobody)
+        avoid, shut = self._link_restrictions if query_class < 0 else (nobody, nobody)
+        if (
+            query_class >= 0
+            and self._remote_nodes
+            and self.service_settings.classes[query_class].across != "any"
+        ):
+            never = self.service_settings.classes[query_class].across == "never"
+            avoid, shut = (nobody, self._remote_nodes) if never else (self._remote_nodes, nobody)
         self._push(policy.HolderRestrictions(avoid | nodes, shut, query_class))
 
     def probe(self, node: str) -> None:
         """Ask a host for a sign of life."""
-        self.counts["zone probe",] += 1
+        self.counters["zone probe",] += 1
         self._link(node).probe()
 
     def _hold_by_class(self) -> None:
@@ -542,10 +563,10 @@
         """
         assert self.regions is not None
         far = frozenset(node for node, region in self._listed_regions.items() if region != self.regions.home)
-        if far == self._far:
+        if far == self._remote_nodes:
             return
-        self._far, nobody = far, frozenset[str]()
-        for index, spec in enumerate(self.market.classes):
+        self._remote_nodes, nobody = far, frozenset[str]()
+        for index, spec in enumerate(self.service_settings.classes):
             if spec.across != "any":
                 never = spec.across == "never"
                 self._push(
@@ -555,23 +576,23 @@
     def _tell_links(self, regions: Regions) -> None:
         """Log what has changed since the last call."""
         for region, state, why in regions.news():
-            self.counts["link", region, state] += 1
+            self.counters["link", region, state] += 1
             self.events("link", region=region, state=state, why=why)
             self.log("warning", "link to region", region=region, state=state, why=why)
 
     def _ways(self, home: str) -> dict[str, Way]:
         return {
             (set(link.between) - {home}).pop(): Way(2 * link.delay, link.cost)
-            for link in self.market.across.links
+            for link in self.service_settings.across.links
             if home in link.between
         }
 
     def _within(self, far_too: bool = True) -> list[bool]:
         """Of each shard, whether it has a live holder that may be sent to."""
-        shut = self._held_back[1] if far_too else self._held_back[1] | self._far
+        shut = self._link_restrictions[1] if far_too else self._link_restrictions[1] | self._remote_nodes
         return [
             any(node not in shut for node in self._holders(shard))
-            for shard in range(self.market.fleet.shards)
+            for shard in range(self.service_settings.fleet.shards)
         ]
 
     def reach(self) -> float:
@@ -585,29 +606,32 @@
         zone.
         """
         return (
-            self.sight is not None and self.sight.left() or bool(self.market.across.let_go) and self.cut_off
+            self.zone_observer is not None
+            and self.zone_observer.left()
+            or bool(self.service_settings.across.let_go)
+            and self.cut_off
         )
 
     @property
     def cut_off(self) -> bool:
         """Whether links that are down keep most shards out of reach."""
-        return bool(self._held_back[1]) and self.reach() < MOST
+        return bool(self._link_restrictions[1]) and self.reach() < MOST
 
     def served(self, query_class: int) -> float:
         """The share of a class's queries that can be answered now, its keys being placed evenly."""
         spec, within = (
-            self.market.classes[query_class],
-            self._within(self.market.classes[query_class].across != "never"),
+            self.service_settings.classes[query_class],
+            self._within(self.service_settings.classes[query_class].across != "never"),
         )
         spans = [
             {"search": space.parts, "report": space.report_parts}.get(space.shape, 1)
-            for space in self.market.keys
+            for space in self.service_settings.keys
             if space.query_class == spec.name
         ]
         floor = self.settings.classes[query_class].minimum_fraction
         return sum(answerable(within, span, floor) for span in spans) / len(spans) if spans else 1.0
 
-    def news(self, news: policy.EndpointUpdate) -> None:
+    def on_endpoint_update(self, news: policy.EndpointUpdate) -> None:
         """Discovery's word."""
         if self.regions is not None and news.kind != policy.UpdateKind.FAILED:
             if news.kind == policy.UpdateKind.FULL:
@@ -617,35 +641,39 @@
                 if server.state == policy.EndpointState.GONE:
                     del self._listed_regions[server.node]
             self.regions.listed(self._listed_regions)
-        super().news(news)
-        self.loop.call_at(self.loop.now() + LOOK_US, self._find_bare)  # once the module has taken it in
+        super().on_endpoint_update(news)
+        self.loop.call_at(
+            self.loop.now() + LOOK_US, self._find_unheld_shards
+        )  # once the module has taken it in
         if self.regions is not None:
             self._hold_by_class()  # after the news: the module must know whom it is told of
 
-    def usable(
-        self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result
+    def is_usable(
+        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
     ) -> bool:
         """Fresh enough, and rows that a sound host gives."""
         return self._fresh_enough(query, part, node, key, result) and self._mergeable(
             query, part, node, key, result
         )
 
-    def kept(self, query: MarketQuery, part: MarketPart, key: Key, result: frames.Result) -> None:
+    def on_part_answered(
+        self, query: ServiceQuery, part: ServicePart, key: Key, result: frames.Result
+    ) -> None:
         """Note what the answer's data is of."""
         part.position, part.source_us = result.position, result.source_us
         self._learn(query, part.node, key, result)
 
-    def _learn(self, query: MarketQuery, node: str, key: Key, result: frames.Result) -> None:
+    def _learn(self, query: ServiceQuery, node: str, key: Key, result: frames.Result) -> None:
         """What the work of an answer cost, for costs and the window; and which parts it made moot."""
         now, search = self.loop.now(), query.plan.search
         if self.gate is not None and result.work_us:
-            self.gate.window.answered(now, now - self._sent_at.get(key, now), result.work_us)
+            self.gate.window.answered(now, now - self._sent_at_us.get(key, now), result.work_us)
         if search is not None:
             self.costs.model(search.model, 1.0, len(search.figures)).learn(search.figures, result.work_us)
             self._moot(query)
 
     def _mergeable(
-        self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result
+        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
     ) -> bool:
         """Whether a search's rows are what a sound host gives; they are merged at once."""
         search = query.plan.search
@@ -661,8 +689,8 @@
             )
             self.points_seen.setdefault(part.plan.key, {})[part.plan.shard] = answer.points
         except (Malformed, msgspec.MsgspecError) as problem:
-            part.why = f"malformed: {problem}"
-            self.counts["malformed", self._spec(query).name] += 1
+            part.status = f"malformed: {problem}"
+            self.counters["malformed", self._query_class(query).name] += 1
             self.events("malformed", p=key[0], seq=key[1], node=node, why=str(problem))
             self.log("warning", "a host's rows are malformed", node=node, why=str(problem))
             return False
@@ -671,7 +699,7 @@
     def bound(self, node: str, key: Key, best: list[float]) -> None:
         """A host's word on how good an attempt's rows can be: with it the part may be moot at once."""
         query = self.parts.get(key[0])
-        if query is None or query.plan.search is None or key not in query.out:
+        if query is None or query.plan.search is None or key not in query.in_flight:
             return
         try:
             query.plan.search.top.bound(key[0], best)
@@ -680,25 +708,25 @@
             return
         self._moot(query)
 
-    def _moot(self, query: MarketQuery) -> None:
+    def _moot(self, query: ServiceQuery) -> None:
         """Tell the module of parts out that can't change the answer any more."""
         search = query.plan.search
         if search is None or query.on_reply is None:
             return
         for part_id in search.top.newly_moot():
-            seq = query.parts[part_id].attempts - 1
-            if part_id in search.moot or (part_id, seq) not in query.out:
+            seq = query.parts[part_id].attempt_count - 1
+            if part_id in search.superseded or (part_id, seq) not in query.in_flight:
                 continue
-            search.moot.add(part_id)
-            self.counts["moot", self._spec(query).name] += 1
+            search.superseded.add(part_id)
+            self.counters["moot", self._query_class(query).name] += 1
             self.events("moot", p=part_id, seq=seq)
-            self._push(policy.AttemptSuperseded(part_id, seq), query.era)
+            self._push(policy.AttemptSuperseded(part_id, seq), query.settings_version)
 
     def _fresh_enough(
-        self, query: MarketQuery, part: MarketPart, node: str, key: Key, result: frames.Result
+        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
     ) -> bool:
         """The freshness decider's ruling on an answer."""
-        if self.fresh is None:
+        if self.freshness is None:
             return True
         now, shard = self.loop.now(), part.plan.shard
         seen = query.plan.at_least(shard)
@@ -713,29 +741,29 @@
                     ),
                 ]
             )
-        ruling = self.fresh.rule(
+        ruling = self.freshness.rule(
             now,
             shard,
             node,
             Watermark(result.position, result.source_us),
-            self.settings_of(query).policies[query.plan.query_class],
-            tried=part.nodes,
+            self.version_of(query).policies[query.plan.query_class],
+            tried=part.attempted_nodes,
             turned_down=part.turned_down,
-            took_us=now - self._sent_at[key],
-            time_left_us=query.started + self._spec(query).latency_objective_us - now,
+            took_us=now - self._sent_at_us[key],
+            time_left_us=query.started_at_us + self._query_class(query).latency_objective_us - now,
             at_least=seen,
         )
         part.known_age = ruling.age_us is not None
         if not ruling.accept:
             part.turned_down += 1
-            part.why = f"turned down: {ruling.why}"
-            self.counts["turned down", self._spec(query).name, ruling.why] += 1
+            part.status = f"turned down: {ruling.why}"
+            self.counters["turned down", self._query_class(query).name, ruling.why] += 1
             self.events("turned", p=key[0], seq=key[1], node=node, why=ruling.why)
         return ruling.accept
 
     def _holders(self, shard: int) -> list[str]:
         """The hosts listed as live that hold a shard."""
-        cells, fleet = self.module.endpoints_by_group, self.market.fleet
+        cells, fleet = self.aggregator.endpoints_by_group, self.service_settings.fleet
         return [
             server.node
             for step in range(fleet.width)
@@ -743,14 +771,14 @@
             if server.live
         ]
 
-    def _age(self, query: MarketQuery, used: list[MarketPart]) -> Age | None:
+    def _age(self, query: ServiceQuery, used: list[ServicePart]) -> Age | None:
         """The answer's age as of now, from the parts that it rests on."""
-        if self.fresh is None or not used:
+        if self.freshness is None or not used:
             return None
         bound, now = None, self.loop.now()
         if all(part.known_age for part in used):
-            bound = self.fresh.clock.age(now, min(part.source_us for part in used))
-        wanted = self.settings_of(query).policies[query.plan.query_class].wanted_us
+            bound = self.freshness.clock.age(now, min(part.source_us for part in used))
+        wanted = self.version_of(query).policies[query.plan.query_class].wanted_us
         heads: dict[int, int] = {part.plan.shard: part.position for part in used if part.step == 1}
         return Age(
             bound,
@@ -765,15 +793,15 @@
             now,
         )
 
-    def _explain(self, query: MarketQuery, reply: Reply, took: int) -> None:
+    def _explain(self, query: ServiceQuery, reply: Reply, took: int) -> None:
         """Keep what a query rested on, for a while."""
-        most = self.market.freshness.explain
+        most = self.service_settings.freshness.explain
         if not most:
             return
         self.explained[query.id] = {
             "query": query,
             "kind": reply.kind,
-            "whole": reply.whole,
+            "whole": reply.complete,
             "took_us": took,
             "age": reply.age,
             "at": self.loop.now(),
@@ -786,13 +814,13 @@
         kept = self.explained.get(query_id)
         if kept is None:
             return None
-        query: MarketQuery = kept["query"]
+        query: ServiceQuery = kept["query"]
         age: Age | None = kept["age"]
-        clock = self.fresh.clock if self.fresh is not None else None
+        clock = self.freshness.clock if self.freshness is not None else None
         return {
             "query": query.id,
             "key": query.plan.key,
-            "class": self._spec(query).name,
+            "class": self._query_class(query).name,
             "kind": kept["kind"],
             "whole": kept["whole"],
             "took_ms": kept["took_us"] / 1000,
@@ -804,27 +832,27 @@
                     "step": part.step,
                     "in": part.data is not None,
                     "host": part.node or None,
-                    "attempts": part.attempts,
-                    "sent_to": part.nodes,
+                    "attempts": part.attempt_count,
+                    "sent_to": part.attempted_nodes,
                     "age_ms": (clock.age(kept["at"], part.source_us) or 0) / 1000
                     if clock is not None and part.data is not None and part.known_age
                     else None,
-                    "why_missing": None if part.data is not None else part.why,
+                    "why_missing": None if part.data is not None else part.status,
                 }
                 for part in query.parts.values()
             ],
         }
 
-    def probe_ended(self, node: str, outcome: policy.Outcome) -> None:
+    def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
         """A connection's word on a probe."""
         if self.regions is not None:
             self.regions.probed(self.loop.now(), node, outcome)
             self._tell_links(self.regions)
-        if self.sight is not None:
-            self.sight.probed(node, outcome)
-        super().probe_ended(node, outcome)
+        if self.zone_observer is not None:
+            self.zone_observer.probed(node, outcome)
+        super().on_probe_result(node, outcome)
 
-    def late_result(self, node: str) -> None:
+    def on_late_answer(self, node: str) -> None:
         """Counts for nothing but as a sign that the way to the host is open."""
         if self.regions is not None:
             self.regions.heard(self.loop.now(), node)
@@ -832,9 +860,9 @@
 
     def said_draining(self, node: str) -> None:
         """A host tells its drain on the connection, before discovery does."""
-        known = self.module.endpoints.get(node)
+        known = self.aggregator.endpoints.get(node)
         if known is not None:
-            self.news(
+            self.on_endpoint_update(
                 policy.EndpointUpdate(
                     policy.UpdateKind.INCREMENTAL,
                     (
@@ -850,31 +878,33 @@
                 )
             )
 
-    def sent(self, node: str, key: Key) -> None:
+    def on_attempt_sent(self, node: str, key: Key) -> None:
         """The region decider hears of it."""
         if self.regions is not None:
             self.regions.sent(self.loop.now(), node, key)
 
-    def attempt_over(self, node: str, key: Key, outcome: policy.Outcome, took_us: int) -> None:
+    def on_attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, took_us: int) -> None:
         """The region decider hears of it."""
         if self.regions is not None:
             self.regions.ended(self.loop.now(), node, key, outcome, took_us)
-        if self.spending is not None:
-            self.spending.over(key)
-        if self.sight is not None:
+        if self.quota_gate is not None:
+            self.quota_gate.over(key)
+        if self.zone_observer is not None:
             query = self.parts[key[0]]
-            spec = self._spec(query)
-            self.sight.ended(node, spec.name, outcome, took_us, spec.latency_objective_us)
+            spec = self._query_class(query)
+            self.zone_observer.ended(node, spec.name, outcome, took_us, spec.latency_objective_us)
 
     # What the module decided
 
-    def ask_for(self, query: MarketQuery, part: MarketPart, seq: int, left_us: int) -> frames.Ask:
+    def attempt_request(
+        self, query: ServiceQuery, part: ServicePart, seq: int, left_us: int
+    ) -> frames.PartRequest:
         """An attempt on the inner wire."""
         plan: PartPlan = part.plan
-        return frames.Ask(
+        return frames.PartRequest(
             part.id,
             seq,
-            self._spec(query).name,
+            self._query_class(query).name,
             plan.op,
             plan.key,
             plan.shard,
@@ -883,23 +913,23 @@
             query.plan.search.body if query.plan.search is not None else b"",
         )
 
-    def advice(self, query: MarketQuery, after_us: int) -> int:
+    def retry_after_us(self, query: ServiceQuery, after_us: int) -> int:
         """The module's word, or the storm decider's."""
-        return self._advice(query.plan, query.who, after_us, query.era)
+        return self._advice(query.plan, query.who, after_us, query.settings_version)
 
-    def second_step(self, query: MarketQuery, whole: bool) -> Iterator[tuple[MarketPart, int | None]]:
+    def second_step(self, query: ServiceQuery, whole: bool) -> Iterator[tuple[ServicePart, int | None]]:
         """Item detail at shards that answered."""
         answered = [part.plan for part in query.parts.values() if part.data is not None]
-        usual = self.settings_of(query).market.classes[query.query_class]
+        usual = self.version_of(query).service_settings.classes[query.query_class]
         return self._planned(
             query,
-            keyspace.second_step(answered, self._spec(query).second_step_parts),
+            key_spaces.second_step(answered, self._query_class(query).second_step_parts),
             int(usual.work * usual.fetch_work),
         )
 
-    def merged(self, query: MarketQuery, whole: bool) -> Reply:
+    def merge(self, query: ServiceQuery, whole: bool) -> Reply:
         """By the key space's shape, or a search's rows."""
-        spec = self._spec(query)
+        spec = self._query_class(query)
         coverage = self._coverage(query)
         age = self._age(query, [part for part in query.parts.values() if part.data is not None])
         if query.plan.search is not None:
@@ -907,16 +937,16 @@
         firsts = [p.data for p in query.parts.values() if p.step == 1 and p.data is not None]
         seconds = [p.data for p in query.parts.values() if p.step == 2 and p.data is not None]
         try:
-            body = keyspace.merge(query.plan.shape, firsts, seconds)
+            body = key_spaces.merge(query.plan.shape, firsts, seconds)
         except (ValueError, KeyError, TypeError) as problem:
             self.log("error", "parts that can't be merged", query=query.id, why=repr(problem))
-            self.counts["unmergeable",] += 1
+            self.counters["unmergeable",] += 1
             return Reply(FAILED, query.id, spec.name)
         if query.plan.shape == "record" and not body.get("found", False):
             return Reply(MISS, query.id, spec.name, True, coverage, age=age)
         return Reply(ANSWERED, query.id, spec.name, whole, coverage, body, age=age)
 
-    def _rows(self, query: MarketQuery) -> dict[str, Any]:
+    def _rows(self, query: ServiceQuery) -> dict[str, Any]:
         """A search's merged rows, one :class:`~heathwell.merge.Merged` a search."""
         search = query.plan.search
         assert search is not None
@@ -928,10 +958,10 @@
             ]
         }
 
-    def _coverage(self, query: MarketQuery) -> Coverage:
-        spec = self._spec(query)
+    def _coverage(self, query: ServiceQuery) -> Coverage:
+        spec = self._query_class(query)
         first = [p for p in query.parts.values() if p.step == 1]
-        moot = query.plan.search.moot if query.plan.search is not None else set()
+        moot = query.plan.search.superseded if query.plan.search is not None else set()
         second = [p for p in query.parts.values() if p.step == 2]
         got = [p for p in first if p.data is not None]
         cover = Cover.of(
@@ -940,46 +970,48 @@
             min((p.source_us for p in query.parts.values() if p.data is not None), default=None),
         )
         return Coverage(
-            asked=len(first),
-            got=len(got),
-            moot=sum(p.id in moot for p in first if p.data is None),
+            requested_parts=len(first),
+            answered_parts=len(got),
+            superseded=sum(p.id in moot for p in first if p.data is None),
             weight=round(sum(p.plan.weight for p in first if p.data is not None or p.id in moot), 6),
-            need=spec.required_fraction,
-            floor=spec.minimum_fraction,
+            required_fraction=spec.required_fraction,
+            minimum_fraction=spec.minimum_fraction,
             missing=tuple(cover.missing()),
             cover=cover,
-            items_asked=len(second),
-            items_got=sum(p.data is not None for p in second),
+            second_step_requested=len(second),
+            second_step_answered=sum(p.data is not None for p in second),
         )
 
-    def final(self, query: MarketQuery, reply: Reply, took_us: int) -> None:
+    def on_reply_made(self, query: ServiceQuery, reply: Reply, took_us: int) -> None:
         """The storm decider, the sums of service, the event log and the explanations hear of it."""
-        if self.service is not None:
-            self.service.ended(self.loop.now(), query.who, query.plan.key, reply)
+        if self.service_statistics is not None:
+            self.service_statistics.ended(self.loop.now(), query.who, query.plan.key, reply)
         if self.storms is not None:
             self.storms.ended(
                 self.loop.now(),
-                self._cost(query.plan, query.era),
+                self._cost(query.plan, query.settings_version),
                 reply.kind in (ANSWERED, MISS),
-                took_us <= self._spec(query).latency_objective_us,
+                took_us <= self._query_class(query).latency_objective_us,
             )
         if self.events.on:  # the lists are a cost that only a log pays for
             self.events(
                 "final",
                 q=query.id,
-                ver=query.era.version,
+                ver=query.settings_version.version,
                 kind=reply.kind,
-                whole=reply.whole,
-                got=reply.coverage.got,
-                asked=reply.coverage.asked,
+                whole=reply.complete,
+                got=reply.coverage.answered_parts,
+                asked=reply.coverage.requested_parts,
                 weight=reply.coverage.weight,
-                after=reply.after_us,
+                after=reply.retry_after_us,
                 took=took_us,
                 parts=[p.id for p in query.parts.values() if p.data is not None],
                 moot=[
                     p.id
                     for p in query.parts.values()
-                    if p.data is None and query.plan.search is not None and p.id in query.plan.search.moot
+                    if p.data is None
+                    and query.plan.search is not None
+                    and p.id in query.plan.search.superseded
                 ],
                 used={p.id: p.seq for p in query.parts.values() if p.data is not None},
                 age=reply.age.bound_us if reply.age is not None else None,
@@ -989,7 +1021,7 @@
 
     def new_link(self, node: str) -> HostLink | HostPool:
         """One connection a host, or a pool of some, on the inner wire."""
-        limits, spending = self.market.limits, self.spending
+        limits, spending = self.service_settings.limits, self.quota_gate
         quiet = spending.linger_us if spending is not None else 0
 
         def make(on_closed: Callable[[bool], None] | None, idle: int) -> HostLink:
@@ -1024,28 +1056,28 @@
 
     # Budgets of the whole fleet, where settings turn them on.
 
-    def fleet_room(self) -> policy.QuotaUpdate | None:
+    def quota_update(self) -> policy.QuotaUpdate | None:
         """What they leave this broker now."""
-        return self.spending.room() if self.spending is not None else None
+        return self.quota_gate.room() if self.quota_gate is not None else None
 
-    def may_leave(self, send: policy.Send, key: Key) -> bool:
+    def acquire_quota(self, send: policy.Send, key: Key) -> bool:
         """Whether they have a unit for this attempt, which is used."""
-        return self.spending is None or self.spending.take(send, key)
+        return self.quota_gate is None or self.quota_gate.take(send, key)
 
-    def waited(self, node: str, parts: list[frames.Ask]) -> list[frames.Ask]:
+    def waited(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
         """What waited for its connection may leave while the share that it was taken from has not run out."""
-        if self.spending is None:
+        if self.quota_gate is None:
             return parts
-        over = [ask for ask in parts if not self.spending.still((ask.id, ask.seq))]
+        over = [ask for ask in parts if not self.quota_gate.still((ask.id, ask.seq))]
         for ask in over:
             key = ask.id, ask.seq
             query = self.parts.get(ask.id)
-            self._link(node).forget(key)
-            if query is not None and query.out.pop(key, None) is not None:
+            self._link(node).abandon(key)
+            if query is not None and query.in_flight.pop(key, None) is not None:
                 self._ended(query, key, node, policy.Outcome.NEVER_SENT, None)
         return [ask for ask in parts if ask not in over]
 
-    def lacked(self) -> None:
+    def on_quota_exhausted(self) -> None:
         """It counts as demand."""
-        if self.spending is not None:
-            self.spending.lacked()
+        if self.quota_gate is not None:
+            self.quota_gate.lacked()
--- a/heathwell/broker/service.py
+++ b/heathwell/broker/service_statistics.py
@@ -18,7 +18,7 @@
 FIGURES = ("asked", "worth", "in_aim", "refused", "failed", "partial")
 
 
-class ServiceBook:
+class ServiceStatistics:
     """Sums since the start. A query's worth is its share of a whole answer in its aim, as its class says. It
     is counted as it ends, so that worth and queries of a span are of the same ones.
     """
@@ -50,7 +50,7 @@
             sums["refused" if reply.kind == REFUSED else "failed"] += 1
         else:
             worth = 1.0 if in_aim else spec.late_weight
-            if not reply.whole and reply.kind == ANSWERED:
+            if not reply.complete and reply.kind == ANSWERED:
                 sums["partial"] += 1
                 worth *= spec.partial_weight
             sums["in_aim"] += in_aim
--- a/heathwell/broker/sourceclock.py
+++ b/heathwell/broker/source_clock.py
@@ -13,7 +13,7 @@
 FIRST_SAMPLES = 4  # at once, so that the tightest of a few bounds the first answers
 
 
-class ClockKeeper:
+class SourceClockClient:
     """Keeps one connection to the source; while it is lost the bounds widen by drift alone."""
 
     def __init__(
@@ -61,13 +61,13 @@
             asked += 1
             self._sent = {self._number: self.loop.now()}
             try:
-                stream.write(frames.encode(frames.AskClock(self._number)))
+                stream.write(frames.encode(frames.ClockRequest(self._number)))
             except StreamBroken:
                 return
             yield from sleep(self.loop, self.every if asked >= FIRST_SAMPLES else self.every // 20)
 
-    def _heard(self, message: frames.Any_) -> None:
-        if isinstance(message, frames.Clock):
+    def _heard(self, message: frames.AnyMessage) -> None:
+        if isinstance(message, frames.ClockReply):
             sent, now = self._sent.pop(message.n, None), self.loop.now()
             if sent is not None and now - sent <= ANSWER_MOST_US:
                 if not self.clock.add(sent, now, message.source_us):
--- a/heathwell/broker/zonesight.py
+++ b/heathwell/broker/zone_observer.py
@@ -16,7 +16,7 @@
 from heathwell.fleet.evacuation.evidence import BAD, GOOD, LATE
 
 if TYPE_CHECKING:
-    from heathwell.broker.market import Broker
+    from heathwell.broker.service_broker import ServiceBroker
 
 LOOK_US = 500_000
 PROBED = 0.3  # chance of a broker to probe one host of a zone that is left, each look
@@ -31,10 +31,10 @@
 }
 
 
-class ZoneSight:
+class ZoneObserver:
     """One broker's. ``zone`` is its own."""
 
-    def __init__(self, broker: Broker, zone: str, names: list[str], seed: int) -> None:
+    def __init__(self, broker: ServiceBroker, zone: str, names: list[str], seed: int) -> None:
         self.broker, self.names = broker, names
         self.zone = zone
         self.evidence = Evidence(broker.name.partition("r")[0], zone)
@@ -46,7 +46,7 @@
     def ended(self, node: str, query_class: str, outcome: policy.Outcome, took_us: int, aim_us: int) -> None:
         """An attempt at a host has ended."""
         how = HOWS.get(outcome)
-        server = self.broker.module.endpoints.get(node)
+        server = self.broker.aggregator.endpoints.get(node)
         if how is not None and server is not None:
             how = LATE if how == GOOD and took_us > aim_us else how
             self.evidence.ended(
@@ -59,7 +59,7 @@
 
     def probed(self, node: str, outcome: policy.Outcome) -> None:
         """A probe has ended."""
-        server = self.broker.module.endpoints.get(node)
+        server = self.broker.aggregator.endpoints.get(node)
         if server is not None:
             self.evidence.ended(
                 self.broker.loop.now(),
@@ -115,7 +115,7 @@
         number = self.names.index(name) if name in self.names else None
         return [
             node
-            for node, server in self.broker.module.endpoints.items()
+            for node, server in self.broker.aggregator.endpoints.items()
             if server.live and server.zone == number
         ]
 
--- a/heathwell/cli/badday.py
+++ b/heathwell/cli/badday.py
@@ -15,7 +15,7 @@
 from heathwell.lab.processes import FleetError
 from heathwell.lab.replay import DayError, script_from
 from heathwell.lab.script import Script, load_script
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 
 @click.command()
@@ -30,11 +30,11 @@
     Prints what went wrong and when, per-class service every five seconds, and the auditor's verdict.
     """
     with exit_codes():
-        read, market, config = load_script(script)
+        read, service_settings, config = load_script(script)
     if seconds is not None:
         read.steps = [step for step in read.steps if step.at < seconds * 1e6]
         read.seconds = min(read.seconds, seconds)
-    sys.exit(_play(read, market, config, out))
+    sys.exit(_play(read, service_settings, config, out))
 
 
 @click.command()
@@ -47,17 +47,17 @@
 @click.option("--out", type=click.Path(file_okay=False), help="Folder for logs and figures.")
 def replay(day: str, config: str, seconds: float, rate: float, out: str | None) -> None:
     """Play the kinds of trouble of DAY (a day file as the bench's `draw` prints it) through real brokers."""
-    market = settings_of(config)
+    service_settings = settings_of(config)
     with exit_codes(DayError):
-        script, skipped = script_from(day, market, config, seconds, rate)
+        script, skipped = script_from(day, service_settings, config, seconds, rate)
     for line in skipped:
         click.echo(f"left out: {line}")
-    sys.exit(_play(script, market, config, out))
+    sys.exit(_play(script, service_settings, config, out))
 
 
-def _play(script: Script, market: Market, config: str, out: str | None) -> int:
+def _play(script: Script, service_settings: ServiceSettings, config: str, out: str | None) -> int:
     folder = out or tempfile.mkdtemp(prefix="heathwell-")
-    day = Day(script, market, config, folder, click.echo)
+    day = Day(script, service_settings, config, folder, click.echo)
     try:
         verdict = day.play()
     except FleetError as problem:
--- a/heathwell/cli/control.py
+++ b/heathwell/cli/control.py
@@ -27,7 +27,7 @@
 from heathwell.fleet.evacuation import SERVED, Drill
 from heathwell.fleet.quotas.keeper import Keeper
 from heathwell.kernel import Coro
-from heathwell.settings import Market, SettingsError, load
+from heathwell.settings import ServiceSettings, SettingsError, load
 
 ANSWER_SECONDS = 3.0
 LOOK_SECONDS = 2.0  # between two looks of a drill: what brokers say is of so long
@@ -45,7 +45,7 @@
 
     SIGHUP reads the settings anew: the wholes of budgets may change while all run. It keeps nothing on disk.
     """
-    fleet = process.market.fleet
+    fleet = process.service_settings.fleet
     where = keepers.split(",") if keepers else list(fleet.keepers)
     if not 0 <= number < len(where):
         click.echo(f"--number {number}: settings name {len(where)} keepers", err=True)
@@ -64,7 +64,7 @@
             seed=number + 1,
             log=process.log,
             events=process.events,
-            zones=desk_of(process.market) if fleet.evacuate else None,
+            zones=desk_of(process.service_settings) if fleet.evacuate else None,
             fleet=fleet.called,
         )
 
@@ -102,7 +102,7 @@
     found = Views()
     for address in addresses:
         try:
-            found.views.append(ask(address, frames.AskFleet(), frames.FleetView, seconds))
+            found.views.append(ask(address, frames.FleetRequest(), frames.FleetView, seconds))
         except (OSError, ValueError, frames.FrameError) as problem:
             found.silent[address] = str(problem) or type(problem).__name__
     return found
@@ -113,20 +113,20 @@
     return inner_protocol.ask(address, f"cli{os.getpid()}", "cli", question, kind, seconds)
 
 
-def _where(config: str, keepers: str) -> tuple[Market, list[str]]:
-    market = settings_of(config)
-    where = keepers.split(",") if keepers else list(market.fleet.keepers)
+def _where(config: str, keepers: str) -> tuple[ServiceSettings, list[str]]:
+    service_settings = settings_of(config)
+    where = keepers.split(",") if keepers else list(service_settings.fleet.keepers)
     if not where:
         click.echo(f"{config}: fleet.keepers: none are named, so there is no roll and no budget", err=True)
         sys.exit(2)
-    return market, where
+    return service_settings, where
 
 
 def member_rows(views: list[frames.FleetView]) -> list[dict[str, Any]]:
     """Who is a member: of each name the latest incarnation, by whoever heard it last; ``views`` says how many
     keepers have it in that state.
     """
-    latest: dict[str, frames.Member] = {}
+    latest: dict[str, frames.MemberStatus] = {}
     states: dict[tuple[str, int], list[str]] = defaultdict(list)
     for view in views:
         for member in view.members:
@@ -269,22 +269,24 @@
 
 
 def _ask_zones(
-    addresses: list[str], order: frames.Order
-) -> tuple[dict[str, frames.Zones | str], list[frames.Zones]]:
+    addresses: list[str], order: frames.OperatorCommand
+) -> tuple[dict[str, frames.ZonesStatus | str], list[frames.ZonesStatus]]:
     """What each keeper says to a word on a zone, or why nothing; and of these who decides."""
-    told: dict[str, frames.Zones | str] = {}
+    told: dict[str, frames.ZonesStatus | str] = {}
     for address in addresses:
         try:
-            told[address] = ask(address, order, frames.Zones)
+            told[address] = ask(address, order, frames.ZonesStatus)
         except (OSError, ValueError, frames.FrameError) as problem:
             told[address] = str(problem)
-    return told, [answer for answer in told.values() if isinstance(answer, frames.Zones) and answer.decides]
+    return told, [
+        answer for answer in told.values() if isinstance(answer, frames.ZonesStatus) and answer.decides
+    ]
 
 
 def _zone_word(word: str, text: str) -> click.Command:
     def command(config: str, keepers: str, as_json: bool, **more: str) -> None:
         addresses = _where(config, keepers)[1]
-        order = frames.Order(word, getpass.getuser(), more.get("why", ""), more.get("zone", ""))
+        order = frames.OperatorCommand(word, getpass.getuser(), more.get("why", ""), more.get("zone", ""))
         told, deciding = _ask_zones(addresses, order)
         if as_json:
             click.echo(
@@ -348,8 +350,8 @@
     """
     addresses = _where(config, keepers)[1]
 
-    def say(word: str) -> frames.Zones:
-        deciding = _ask_zones(addresses, frames.Order(word, getpass.getuser(), why, zone))[1]
+    def say(word: str) -> frames.ZonesStatus:
+        deciding = _ask_zones(addresses, frames.OperatorCommand(word, getpass.getuser(), why, zone))[1]
         if not deciding:
             raise click.ClickException("no keeper decides at this moment: the last decision stands")
         if deciding[0].text:
--- a/heathwell/cli/fleet.py
+++ b/heathwell/cli/fleet.py
@@ -31,11 +31,11 @@
 @click.option("--demo", is_flag=True, help="Ask a multi-get of every class and say what to try next.")
 def up(config: str, ready_file: str | None, events: str | None, seconds: float | None, demo: bool) -> None:
     """Start discovery, hosts and brokers; stop them all on SIGTERM, SIGINT or after --seconds."""
-    market = settings_of(config)
-    if not market.fleet.leaves or not market.fleet.brokers:
+    service_settings = settings_of(config)
+    if not service_settings.fleet.leaves or not service_settings.fleet.brokers:
         click.echo(f"{config}: fleet.leaves and fleet.brokers say how many to start", err=True)
         sys.exit(2)
-    running = ProcessFleet(config, market, events)
+    running = ProcessFleet(config, service_settings, events)
     ended = []
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: ended.append(1))
--- a/heathwell/cli/inspect.py
+++ b/heathwell/cli/inspect.py
@@ -18,10 +18,10 @@
 @click.argument("file", type=click.Path(dir_okay=False))
 def check(file: str) -> None:
     """Check a settings FILE; every error is printed with its line and column."""
-    market = settings_of(file)
+    service_settings = settings_of(file)
     click.echo(
-        f"{file}: good: {len(market.classes)} classes, {len(market.keys)} key spaces, "
-        f"{market.fleet.shards} shards on {market.fleet.cells} cells"
+        f"{file}: good: {len(service_settings.classes)} classes, {len(service_settings.keys)} key spaces, "
+        f"{service_settings.fleet.shards} shards on {service_settings.fleet.cells} cells"
     )
 
 
--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -29,7 +29,7 @@
 from heathwell.fleet.rollout import DONE, Course, Limits, Plan, Stage
 from heathwell.fleet.rollout.checks import doubts
 from heathwell.kernel import Coro, sleep
-from heathwell.settings import Market, SettingsError, load
+from heathwell.settings import ServiceSettings, SettingsError, load
 from heathwell.settings.check import TIME_US
 
 ADDRESS = "controller.json"
@@ -72,7 +72,7 @@
     SIGTERM ends the brokers in order and then the agent. Killed, it leaves them running; the next one adopts
     them.
     """
-    zones = process.market.fleet.zones
+    zones = process.service_settings.fleet.zones
     try:
         more: dict[str, list[str]] = json.loads(arguments)
         rows = []
@@ -117,7 +117,7 @@
         process.ready(address=address, brokers={broker.name: broker.address for broker in rows})
         yield from process.stop.wait()
         served.stop()
-        until = process.loop.now() + process.market.broker.drain_for + 2_000_000
+        until = process.loop.now() + process.service_settings.broker.drain_for + 2_000_000
         while served.alive and process.loop.now() < until:
             yield from sleep(process.loop, 50_000)
 
@@ -268,11 +268,11 @@
     sys.exit(0 if course.state == DONE else 1)
 
 
-def _lease(process: Process, market: Market, keepers: str) -> Callable[[], bool]:
+def _lease(process: Process, service_settings: ServiceSettings, keepers: str) -> Callable[[], bool]:
     """Whether this controller is the fleet's one: by a unit that keepers lend to one at a time. Without
     keepers the lock on its folder must do.
     """
-    fleet = market.fleet
+    fleet = service_settings.fleet
     if not fleet.keepers:
         return lambda: True
     times = times_of(fleet)
@@ -311,7 +311,7 @@
         with exit_codes(ValueError):
             where = json.loads((Path(state) / ADDRESS).read_text())["address"]
     try:
-        answer = ask(where, frames.Order(word, getpass.getuser(), why), frames.Course)
+        answer = ask(where, frames.OperatorCommand(word, getpass.getuser(), why), frames.RolloutStatus)
     except (OSError, ValueError, frames.FrameError) as problem:
         click.echo(f"controller {where}: {problem}", err=True)
         sys.exit(3)
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -16,9 +16,9 @@
 import click
 
 from heathwell import __version__
-from heathwell.broker.market import Broker
 from heathwell.broker.records import module_settings
-from heathwell.broker.service import ServiceBook, program_digest, settings_digest
+from heathwell.broker.service_broker import ServiceBroker
+from heathwell.broker.service_statistics import ServiceStatistics, program_digest, settings_digest
 from heathwell.cli import logs
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
@@ -36,7 +36,7 @@
     socket_loop,
 )
 from heathwell.observability.event_log import EventLog, FileEvents, NoEvents
-from heathwell.settings import Market, SettingsError, load
+from heathwell.settings import ServiceSettings, SettingsError, load
 from heathwell.standins.discovery import Discovery
 from heathwell.standins.leaf import Leaf
 from heathwell.standins.relay import Relay, RoutedNet
@@ -64,7 +64,7 @@
         sys.exit(3)
 
 
-def settings_of(path: str) -> Market:
+def settings_of(path: str) -> ServiceSettings:
     """The settings of a file, or exit code 2 with all that is wrong."""
     with exit_codes():
         return load(path)
@@ -82,10 +82,10 @@
         ready_file: str | None,
         clock_rate: float = 1.0,
     ) -> None:
-        self.config, self.market = config, settings_of(config)
+        self.config, self.service_settings = config, settings_of(config)
         self.digest = settings_digest(config)
         self.name, self.ready_file = name, ready_file
-        self.make_log = logs.set_up(self.market.log)
+        self.make_log = logs.set_up(self.service_settings.log)
         self.log = self.make_log(f"heathwell.{role}", name=name)
         self.loop, self.net, self.poller = socket_loop(
             clock=None if clock_rate == 1.0 else SkewedClock(clock_rate)
@@ -201,7 +201,7 @@
 
     SIGTERM takes nothing new, finishes what is held, and exits 0; a second one exits at once.
     """
-    market, loop = process.market, process.loop
+    service_settings, loop = process.service_settings, process.loop
     try:
         net: Net = RoutedNet(process.net, json.loads(routes))
     except ValueError as problem:
@@ -211,40 +211,43 @@
     agent = _agent(process, zone, seed, keepers)
 
     def main() -> Coro[None]:
-        served = Broker(
+        served = ServiceBroker(
             loop,
             net,
-            market,
+            service_settings,
             name=process.name,
             zone=zone,
             seed=seed,
             discovery=discovery,
             source=source,
-            siblings=max(1, market.fleet.brokers),
+            siblings=max(1, service_settings.fleet.brokers),
             events=process.events,
             log=process.log,
             agent=agent,
-            service=ServiceBook(module_settings(market, zone, 1).classes) if report else None,
+            service=ServiceStatistics(module_settings(service_settings, zone, 1).classes) if report else None,
         )
         front = MemcachedFront(served, process.log)
         admin = AdminFront(served, front)
         door = net.listen(
-            listen or market.broker.listen, front.serve, "client", market.limits.clients + SPARE
+            listen or service_settings.broker.listen,
+            front.serve,
+            "client",
+            service_settings.limits.clients + SPARE,
         )
-        admin_door = net.listen(market.broker.admin, admin.serve, "admin", 100)
+        admin_door = net.listen(service_settings.broker.admin, admin.serve, "admin", 100)
         served.pace(door)
         searches: dict[str, str] = {}
         vector_door: Listener | None = None
-        if market.vector.listen:
+        if service_settings.vector.listen:
             vector_door = net.listen(
-                market.vector.listen,
+                service_settings.vector.listen,
                 VectorFront(served, process.log).serve,
                 "searcher",
-                market.limits.clients + SPARE,
+                service_settings.limits.clients + SPARE,
             )
             served.pace(vector_door)
             searches = {"vector": vector_door.address}
-        served.era.version = process.digest
+        served.current_version.version = process.digest
 
         def reread() -> None:
             try:
@@ -252,7 +255,7 @@
             except (SettingsError, OSError) as problem:
                 process.log("error", "settings not taken, the old ones stay", why=str(problem))
                 return
-            why = served.use(again, digest) if digest != served.era.version else ""
+            why = served.apply_settings(again, digest) if digest != served.current_version.version else ""
             if why:
                 process.log("error", "settings need a restart, the old ones stay", why=why)
 
@@ -261,7 +264,7 @@
         process.ready(address=door.address, admin=admin_door.address, zone=zone, **searches, **runs)
         process.log("info", "serving", address=door.address, admin=admin_door.address)
         yield from process.stop.wait()
-        process.log("info", "stopping", held=served.held)
+        process.log("info", "stopping", held=served.open_count)
         door.close()
         if vector_door is not None:
             vector_door.close()
@@ -269,8 +272,8 @@
         until = loop.now() + (HAND_OVER_US if report else 0)
         while loop.now() < until and front.hand_over():
             yield from sleep(loop, 10_000)
-        served.stop()
-        loop.call_at(loop.now() + market.broker.drain_for, served.idle.set)
+        served.drain()
+        loop.call_at(loop.now() + service_settings.broker.drain_for, served.idle.set)
         yield from served.idle.wait()
         yield from _flush(loop, front)
         served.close()
@@ -284,7 +287,7 @@
 
 def _agent(process: Process, zone: int, seed: int, keepers: str) -> FleetAgent | None:
     """The agent of a broker whose settings name keepers; without these nothing of the control is imported."""
-    fleet = process.market.fleet
+    fleet = process.service_settings.fleet
     if not fleet.keepers:
         return None
     from heathwell.fleet.control.agent import FleetAgent  # noqa: PLC0415
@@ -352,7 +355,7 @@
         host = Leaf(
             process.loop,
             process.net,
-            process.market,
+            process.service_settings,
             name=process.name,
             cell=cell,
             zone=zone,
@@ -392,7 +395,7 @@
     """Run the stand-in source of all data: its clock."""
 
     def main() -> Coro[None]:
-        process.ready(address=Source(process.loop, process.net, process.market, listen).start())
+        process.ready(address=Source(process.loop, process.net, process.service_settings, listen).start())
         yield from process.stop.wait()
 
     process.run(main)
@@ -406,7 +409,12 @@
 
     def main() -> Coro[None]:
         service = Discovery(
-            process.loop, process.net, process.market, address=listen, events=process.events, log=process.log
+            process.loop,
+            process.net,
+            process.service_settings,
+            address=listen,
+            events=process.events,
+            log=process.log,
         )
         process.ready(address=service.start())
         yield from process.stop.wait()
--- a/heathwell/codec/frames.py
+++ b/heathwell/codec/frames.py
@@ -37,7 +37,7 @@
     fleet: str = ""  # of those of a fleet's control: which one; another's is refused
 
 
-class Ask(msgspec.Struct, omit_defaults=True, rename={"query_class": "klass"}):
+class PartRequest(msgspec.Struct, omit_defaults=True, rename={"query_class": "klass"}):
     """One attempt of a part. ``left_us`` is the time that the query still has."""
 
     id: str
@@ -54,7 +54,7 @@
 class Call(Message, tag="call"):
     """Attempts that share a call; each has its own outcome."""
 
-    parts: list[Ask]
+    parts: list[PartRequest]
 
 
 class CancelPart(Message, tag="cancel"):
@@ -94,7 +94,7 @@
     work_us: int = 0
 
 
-class Bound(Message, tag="bound"):
+class ScoreBound(Message, tag="bound"):
     """Before the work: how good an attempt's best row can be at most, by search."""
 
     id: str
@@ -102,11 +102,11 @@
     best: list[float]
 
 
-class Draining(Message, tag="draining"):
+class DrainNotice(Message, tag="draining"):
     """The host finishes what it has and takes nothing new."""
 
 
-class Entry(msgspec.Struct, omit_defaults=True):
+class EndpointListEntry(msgspec.Struct, omit_defaults=True):
     """A host in the list; ``birth`` names its process, ``age_us`` is how long that has run."""
 
     node: str
@@ -117,40 +117,40 @@
     age_us: int = -1
 
 
-class Register(Message, tag="register"):
+class Registration(Message, tag="register"):
     """A host reports to discovery; the connection is its heartbeat."""
 
-    entry: Entry
+    entry: EndpointListEntry
 
 
-class Watch(Message, tag="watch"):
+class WatchRequest(Message, tag="watch"):
     """A broker asks for the list and its changes."""
 
     index: int = 0
 
 
-class Hosts(Message, tag="hosts"):
+class EndpointList(Message, tag="hosts"):
     """Discovery's word: ``full`` or ``update``."""
 
     kind: str
     index: int
-    entries: list[Entry]
+    entries: list[EndpointListEntry]
 
 
-class AskClock(Message, tag="askclock"):
+class ClockRequest(Message, tag="askclock"):
     """What time is it at the source?"""
 
     n: int
 
 
-class Clock(Message, tag="clock"):
+class ClockReply(Message, tag="clock"):
     """The source's time, read between the question's arrival and this."""
 
     n: int
     source_us: int
 
 
-class Control(Message, tag="control"):
+class FaultCommand(Message, tag="control"):
     """A script's order to a stand-in: a kind of trouble, its figure, and for how long."""
 
     kind: str
@@ -159,19 +159,19 @@
     text: str = ""
 
 
-class Done(Message, tag="done"):
+class FaultCommandReply(Message, tag="done"):
     """An order was carried out."""
 
     text: str = ""
 
 
-class Mismatch(Message, tag="mismatch"):
+class VersionMismatch(Message, tag="mismatch"):
     """The other side speaks a version that this one does not; the connection ends."""
 
     text: str
 
 
-class Need(msgspec.Struct, omit_defaults=True):
+class QuotaDemand(msgspec.Struct, omit_defaults=True):
     """What a broker could use of one budget, and by which grant of each fraction it goes (fraction, owner,
     number).
     """
@@ -181,7 +181,7 @@
     goes_by: list[tuple[int, str, int]] = []
 
 
-class ZoneSeen(msgspec.Struct, omit_defaults=True, rename={"query_class": "klass"}):
+class ZoneReport(msgspec.Struct, omit_defaults=True, rename={"query_class": "klass"}):
     """What a broker saw of one class at one zone lately."""
 
     zone: str
@@ -192,7 +192,7 @@
     took_ms: int = 0
 
 
-class ZoneWord(msgspec.Struct, omit_defaults=True):
+class ZoneState(msgspec.Struct, omit_defaults=True):
     """What is decided of one zone: how much of its usual first work goes there, or which classes leave it."""
 
     state: str
@@ -206,10 +206,10 @@
 
     term: int
     number: int
-    zones: dict[str, ZoneWord] = {}
+    zones: dict[str, ZoneState] = {}
 
 
-class Renew(Message, tag="renew"):
+class RenewalRequest(Message, tag="renew"):
     """A broker to a keeper: what it is, and what it could use; ``asked_us`` is its own clock's and comes
     back.
     """
@@ -223,8 +223,8 @@
     run: str = ""
     heard: int = 0
     leaves: bool = False
-    needs: list[Need] = []
-    seen: list[ZoneSeen] = []
+    needs: list[QuotaDemand] = []
+    seen: list[ZoneReport] = []
     cut_off: bool = False
     decision: ZoneDecision | None = None
 
@@ -239,7 +239,7 @@
     length_us: int = 0
 
 
-class Renewed(Message, tag="renewed"):
+class RenewalReply(Message, tag="renewed"):
     """The keeper's answer: the broker's state on its roll, and shares of the fractions that it owns."""
 
     run: str
@@ -253,7 +253,7 @@
     decision: ZoneDecision | None = None
 
 
-class Claim(Message, tag="claim"):
+class LeaseRequest(Message, tag="claim"):
     """A keeper's run asks for the promise of a fraction."""
 
     fraction: int
@@ -262,7 +262,7 @@
     decision: ZoneDecision | None = None
 
 
-class Vote(Message, tag="vote"):
+class LeaseVote(Message, tag="vote"):
     """A keeper's word on a claim: who has its promise now; empty where it may promise to nobody yet."""
 
     fraction: int
@@ -272,11 +272,11 @@
     decision: ZoneDecision | None = None
 
 
-class AskFleet(Message, tag="askfleet"):
+class FleetRequest(Message, tag="askfleet"):
     """What does a keeper know of members and budgets?"""
 
 
-class Member(msgspec.Struct, omit_defaults=True):
+class MemberStatus(msgspec.Struct, omit_defaults=True):
     """A line of a keeper's roll; times are ages (us)."""
 
     name: str
@@ -290,7 +290,7 @@
     digest: str = ""
 
 
-class Share(msgspec.Struct, omit_defaults=True):
+class MemberShare(msgspec.Struct, omit_defaults=True):
     """What one member may hold of one fraction, and for how long yet."""
 
     budget: str
@@ -301,7 +301,7 @@
     demand: int = 0
 
 
-class Whole(msgspec.Struct, omit_defaults=True):
+class QuotaStatus(msgspec.Struct, omit_defaults=True):
     """One budget as a keeper has it; a rate's figures are thousandths a second."""
 
     name: str
@@ -314,17 +314,17 @@
 
 
 class FleetView(Message, tag="fleetview"):
-    """A keeper's answer to :class:`AskFleet`."""
+    """A keeper's answer to :class:`FleetRequest`."""
 
     keeper: str
     run: str
     owned: dict[int, int] = {}
-    members: list[Member] = []
-    wholes: list[Whole] = []
-    shares: list[Share] = []
+    members: list[MemberStatus] = []
+    wholes: list[QuotaStatus] = []
+    shares: list[MemberShare] = []
 
 
-class Want(Message, tag="want"):
+class DesiredVersion(Message, tag="want"):
     """A controller's wish of a machine: this broker runs that version, whose files lie there. Of an older
     (term, number) than the last one it is not taken.
     """
@@ -337,7 +337,7 @@
     settings: str = ""
 
 
-class WantTaken(Message, tag="wanttaken"):
+class DesiredVersionReply(Message, tag="wanttaken"):
     """Whether a wish was taken; ``why`` is empty where it was."""
 
     broker: str
@@ -345,11 +345,11 @@
     why: str = ""
 
 
-class AskMachine(Message, tag="askmachine"):
+class MachineRequest(Message, tag="askmachine"):
     """What runs on a machine, and what did it do?"""
 
 
-class Running(msgspec.Struct, omit_defaults=True):
+class BrokerStatus(msgspec.Struct, omit_defaults=True):
     """One broker of a machine. Sums are of the process that serves now, numbered ``run``."""
 
     broker: str
@@ -368,13 +368,13 @@
 
 
 class MachineView(Message, tag="machineview"):
-    """A machine's answer to :class:`AskMachine`."""
+    """A machine's answer to :class:`MachineRequest`."""
 
     machine: str
-    running: list[Running] = []
+    running: list[BrokerStatus] = []
 
 
-class Order(Message, tag="order"):
+class OperatorCommand(Message, tag="order"):
     """An operator's word to a controller: hold, resume, undo or status."""
 
     word: str
@@ -383,7 +383,7 @@
     zone: str = ""
 
 
-class Zones(Message, tag="zones"):
+class ZonesStatus(Message, tag="zones"):
     """How a keeper has the zones; ``decides`` where it is the one that decides, ``text`` what was wrong with
     a word.
     """
@@ -392,46 +392,46 @@
     text: str = ""
     decision: ZoneDecision | None = None
     states: dict[str, str] = {}
-    seen: list[ZoneSeen] = []
+    seen: list[ZoneReport] = []
 
 
-class Course(Message, tag="course"):
+class RolloutStatus(Message, tag="course"):
     """How a change stands."""
 
     text: str
     record: dict[str, object] = {}
 
 
-Any_ = (
+AnyMessage = (
     Hello
     | Call
     | CancelPart
     | Ping
     | Pong
     | Result
-    | Draining
-    | Register
-    | Watch
-    | Hosts
-    | Control
-    | Done
-    | Mismatch
-    | AskClock
-    | Clock
-    | Bound
-    | Renew
-    | Renewed
-    | Claim
-    | Vote
-    | AskFleet
+    | DrainNotice
+    | Registration
+    | WatchRequest
+    | EndpointList
+    | FaultCommand
+    | FaultCommandReply
+    | VersionMismatch
+    | ClockRequest
+    | ClockReply
+    | ScoreBound
+    | RenewalRequest
+    | RenewalReply
+    | LeaseRequest
+    | LeaseVote
+    | FleetRequest
     | FleetView
-    | Want
-    | WantTaken
-    | AskMachine
+    | DesiredVersion
+    | DesiredVersionReply
+    | MachineRequest
     | MachineView
-    | Order
-    | Course
-    | Zones
+    | OperatorCommand
+    | RolloutStatus
+    | ZonesStatus
 )
 
 
@@ -441,10 +441,10 @@
     type: str
 
 
-_KNOWN = {kind.__struct_config__.tag for kind in Any_.__args__}
+_KNOWN = {kind.__struct_config__.tag for kind in AnyMessage.__args__}
 _tagged = msgspec.msgpack.Decoder(_Tagged)
 _encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Any_] = msgspec.msgpack.Decoder(Any_)
+_decoder: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(AnyMessage)
 
 
 def encode(message: Message) -> bytes:
@@ -470,7 +470,7 @@
         """Bytes of an unfinished frame."""
         return len(self._buffer)
 
-    def feed(self, data: bytes) -> Iterator[Any_]:
+    def feed(self, data: bytes) -> Iterator[AnyMessage]:
         """Messages completed by these bytes; raises :class:`FrameError`."""
         self._buffer += data
         at = 0
@@ -508,9 +508,9 @@
         return False
 
 
-def check_hello(message: Any_) -> str:
+def check_hello(message: AnyMessage) -> str:
     """What is wrong with a first frame, or nothing."""
-    if isinstance(message, Mismatch):
+    if isinstance(message, VersionMismatch):
         return message.text
     if not isinstance(message, Hello):
         return f"the first frame must be hello, not {type(message).__name__.lower()}"
--- a/heathwell/fleet/control/agent.py
+++ b/heathwell/fleet/control/agent.py
@@ -175,8 +175,8 @@
             for name, holder in self.shares.holders.items():
                 self._note(now, name, holder)
 
-    def _answered(self, address: str, message: frames.Any_) -> None:
-        if not isinstance(message, frames.Renewed):
+    def _answered(self, address: str, message: frames.AnyMessage) -> None:
+        if not isinstance(message, frames.RenewalReply):
             return
         now = self.turn()
         if self.leaves:
--- a/heathwell/fleet/control/keeper.py
+++ b/heathwell/fleet/control/keeper.py
@@ -21,7 +21,7 @@
 TICKS = 12  # of a promise: how often claims are made anew, so that some may be lost
 CONNECTIONS = 4_096
 KEEPER_ROLE, MEMBER_ROLE = "keeper", "member"
-Carries = TypeVar("Carries", frames.Renewed, frames.Claim, frames.Vote)
+Carries = TypeVar("Carries", frames.RenewalReply, frames.LeaseRequest, frames.LeaseVote)
 
 
 class KeeperServer:
@@ -126,11 +126,13 @@
             message.decision = messages.decision_out(self.zones.decision)
         return message
 
-    def _told(self, now: int, message: frames.Renew | frames.Claim | frames.Vote) -> None:
+    def _told(
+        self, now: int, message: frames.RenewalRequest | frames.LeaseRequest | frames.LeaseVote
+    ) -> None:
         """What others go by."""
         if self.zones is not None:
             self.zones.told(messages.decision_in(message.decision))
-            if isinstance(message, frames.Renew):
+            if isinstance(message, frames.RenewalRequest):
                 self.zones.heard(now, messages.seen_in(message))
 
     def _look_at_owned(self, now: int) -> None:
@@ -162,7 +164,7 @@
         finally:
             del self.streams[stream]
 
-    def _heard(self, stream: Stream, message: frames.Any_) -> None:
+    def _heard(self, stream: Stream, message: frames.AnyMessage) -> None:
         now = self.loop.now()
         if stream.closed:
             return
@@ -175,25 +177,27 @@
                 if fleet and fleet != self.fleet:  # an address may come to be another fleet's
                     self.counts["other fleet",] += 1
                     self.log("error", "control: of another fleet", peer=name, theirs=fleet, ours=self.fleet)
-                    stream.offer(frames.encode(frames.Mismatch(f"this is a keeper of fleet '{self.fleet}'")))
+                    stream.offer(
+                        frames.encode(frames.VersionMismatch(f"this is a keeper of fleet '{self.fleet}'"))
+                    )
                     stream.close()
                 self.streams[stream] = name
-            case frames.Renew():
+            case frames.RenewalRequest():
                 self._told(now, message)
                 stream.offer(frames.encode(self._with(messages.renewed_out(self._renew(now, message)))))
-            case frames.Claim():
+            case frames.LeaseRequest():
                 if self.streams[stream].isdecimal():
                     self._told(now, message)
                     vote = self.keeper.claimed(now, int(self.streams[stream]), messages.claim_in(message))
                     stream.offer(frames.encode(self._with(messages.vote_out(vote))))
-            case frames.Order() if self.zones is not None:
+            case frames.OperatorCommand() if self.zones is not None:
                 stream.offer(frames.encode(self.zones.order(now, message)))
-            case frames.AskFleet():
+            case frames.FleetRequest():
                 stream.offer(frames.encode(self.view(now)))
             case _:
                 self.counts["unasked",] += 1
 
-    def _renew(self, now: int, message: frames.Renew) -> Renewed:
+    def _renew(self, now: int, message: frames.RenewalRequest) -> Renewed:
         answer, changes = self.keeper.renew(now, messages.renew_in(message))
         self.counts["renewals",] += 1
         self._tell(changes)
@@ -213,8 +217,8 @@
             self.events.flush()  # type: ignore[attr-defined]  # on record before it is on its way
         return answer
 
-    def _answered(self, number: int, message: frames.Any_) -> None:
-        if isinstance(message, frames.Vote):
+    def _answered(self, number: int, message: frames.AnyMessage) -> None:
+        if isinstance(message, frames.LeaseVote):
             now = self.loop.now()
             self._told(now, message)
             self.keeper.voted(now, number, messages.vote_in(message))
@@ -245,7 +249,7 @@
         """What this keeper knows, for those who look."""
         keeper = self.keeper
         shares = [
-            frames.Share(
+            frames.MemberShare(
                 name,
                 fraction,
                 member,
@@ -261,7 +265,7 @@
             keeper.run,
             {number: keeper.claimant.owned_until(number) - now for number in keeper.owned(now)},
             [
-                frames.Member(
+                frames.MemberStatus(
                     entry.name,
                     entry.incarnation,
                     entry.state,
@@ -275,7 +279,7 @@
                 for entry in keeper.roll.entries.values()
             ],
             [
-                frames.Whole(
+                frames.QuotaStatus(
                     budget.name,
                     budget.kind,
                     budget.whole,
--- a/heathwell/fleet/control/link.py
+++ b/heathwell/fleet/control/link.py
@@ -32,7 +32,7 @@
         *,
         silence_us: int,
         seed: int,
-        heard: Callable[[frames.Any_], None],
+        heard: Callable[[frames.AnyMessage], None],
         log: Callable[..., None],
         fleet: str = "",
     ) -> None:
@@ -86,7 +86,7 @@
             self.stream = None
             stream.abort()
 
-    def _hear(self, message: frames.Any_) -> None:
+    def _hear(self, message: frames.AnyMessage) -> None:
         self.heard_us = self.loop.now()
         if isinstance(message, frames.Hello):
             if self._told:
--- a/heathwell/fleet/control/machine.py
+++ b/heathwell/fleet/control/machine.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from heathwell import inner_protocol
-from heathwell.broker.service import program_digest, settings_digest
+from heathwell.broker.service_statistics import program_digest, settings_digest
 from heathwell.codec import frames
 from heathwell.codec.http import ClientSide, HttpError
 from heathwell.fleet.control.messages import MESSAGE_MOST
@@ -60,7 +60,7 @@
 
 
 @dataclass(slots=True)
-class Broker:
+class ServiceBroker:
     """One broker of this machine: its slot, its socket, its processes."""
 
     name: str
@@ -82,7 +82,7 @@
         net: Net,
         name: str,
         folder: Path,
-        brokers: list[Broker],
+        brokers: list[ServiceBroker],
         zones: list[str],
         *,
         log: Callable[..., None],
@@ -144,7 +144,7 @@
 
     # What decisions ask for.
 
-    def _carry_out(self, broker: Broker, acts: list[Any]) -> None:
+    def _carry_out(self, broker: ServiceBroker, acts: list[Any]) -> None:
         for act in acts:
             match act:
                 case Start(run=run, version=version):
@@ -157,7 +157,7 @@
                 case Say(level=level, text=text):
                     self.log(level, text)
 
-    def _apply(self, broker: Broker, number: int, version: str) -> None:
+    def _apply(self, broker: ServiceBroker, number: int, version: str) -> None:
         """Put a version's settings where the process reads its own, and ask it to read them anew."""
         files = self.versions[version.rstrip(AGAIN)]
         try:
@@ -168,11 +168,11 @@
         if number in broker.runs:
             _signal(broker.runs[number].pid, signal.SIGHUP)
 
-    def _settings(self, broker: Broker) -> Path:
+    def _settings(self, broker: ServiceBroker) -> Path:
         """The file that a broker's processes read, which is the agent's."""
         return self.folder / f"{broker.name}.sx"
 
-    def _launch(self, broker: Broker, number: int, version: str) -> None:
+    def _launch(self, broker: ServiceBroker, number: int, version: str) -> None:
         if self.stopping:
             return
         files = self.versions[version.rstrip(AGAIN)]
@@ -219,7 +219,7 @@
         broker.runs[number] = Run(popen.pid, version, start_of(popen.pid), str(ready), popen)
         self._note()
 
-    def _socket(self, broker: Broker) -> socket.socket:
+    def _socket(self, broker: ServiceBroker) -> socket.socket:
         """The broker's listening socket. Its port may be shared with one that an agent before this one had
         opened.
         """
@@ -256,7 +256,7 @@
             return run.popen.poll()
         return None if start_of(run.pid) == run.started else 0
 
-    def _over(self, broker: Broker, number: int, code: int) -> None:
+    def _over(self, broker: ServiceBroker, number: int, code: int) -> None:
         run = broker.runs.pop(number, None)
         held = int(run.told.get("held", 0)) if run is not None else 0
         if run is not None:
@@ -266,7 +266,7 @@
         self._carry_out(broker, broker.slot.ended(self.loop.now(), number, code, held))
         self._note()
 
-    def _served(self, broker: Broker, number: int, run: Run) -> None:
+    def _served(self, broker: ServiceBroker, number: int, run: Run) -> None:
         """A process says that it serves, and what it runs: that must be what its files are."""
         try:
             ready = json.loads(Path(run.ready_file).read_text())
@@ -281,7 +281,7 @@
         self._carry_out(broker, broker.slot.ready(self.loop.now(), number, wrong))
         self._note()
 
-    def _ask(self, broker: Broker) -> Coro[None]:
+    def _ask(self, broker: ServiceBroker) -> Coro[None]:
         """Ask what serves for its sums, now and then."""
         while True:
             yield from sleep(self.loop, ASK_US)
@@ -327,9 +327,9 @@
         except frames.FrameError as problem:
             self.log("warning", "control: not our wire", peer=stream.peer, why=str(problem))
 
-    def _heard(self, stream: Stream, message: frames.Any_) -> None:
+    def _heard(self, stream: Stream, message: frames.AnyMessage) -> None:
         match message:
-            case frames.Want():
+            case frames.DesiredVersion():
                 why = self.want(
                     message.broker,
                     message.version,
@@ -338,8 +338,8 @@
                     message.term,
                     message.number,
                 )
-                stream.offer(frames.encode(frames.WantTaken(message.broker, message.version, why)))
-            case frames.AskMachine():
+                stream.offer(frames.encode(frames.DesiredVersionReply(message.broker, message.version, why)))
+            case frames.MachineRequest():
                 stream.offer(frames.encode(self.view()))
 
     def view(self) -> frames.MachineView:
@@ -350,7 +350,7 @@
             run = broker.runs.get(serving.run) if serving is not None else None
             told = run.told if run is not None else {}
             rows.append(
-                frames.Running(
+                frames.BrokerStatus(
                     broker.name,
                     self.zones[broker.zone],
                     slot.state,
@@ -443,9 +443,9 @@
 
 def make_broker(
     name: str, zone: int, address: str, args: list[str], patience: Patience | None = None
-) -> Broker:
+) -> ServiceBroker:
     """A broker of a machine."""
-    return Broker(name, zone, args, address, Slot(name, patience or Patience()))
+    return ServiceBroker(name, zone, args, address, Slot(name, patience or Patience()))
 
 
 def _signal(pid: int, number: int) -> None:
--- a/heathwell/fleet/control/messages.py
+++ b/heathwell/fleet/control/messages.py
@@ -13,11 +13,11 @@
 SEEN_MOST = 512  # zones and classes in one broker's word
 
 
-def renew_out(renew: Renew) -> frames.Renew:
+def renew_out(renew: Renew) -> frames.RenewalRequest:
     """A renewal to the wire: of too many needs those with the most demand."""
     said = renew.report
     needs = sorted(renew.needs, key=lambda need: (not need.goes_by, -need.demand))[:NEEDS_MOST]
-    return frames.Renew(
+    return frames.RenewalRequest(
         said.name,
         said.incarnation,
         renew.asked_us,
@@ -27,11 +27,11 @@
         said.run,
         said.heard,
         said.leaves,
-        [frames.Need(need.budget, need.demand, list(need.goes_by)) for need in needs],
+        [frames.QuotaDemand(need.budget, need.demand, list(need.goes_by)) for need in needs],
     )
 
 
-def renew_in(message: frames.Renew) -> Renew:
+def renew_in(message: frames.RenewalRequest) -> Renew:
     """A renewal from the wire; what is beyond the bound of needs is left out."""
     said = Report(
         message.name,
@@ -52,19 +52,19 @@
     )
 
 
-def renewed_out(answer: Renewed) -> frames.Renewed:
+def renewed_out(answer: Renewed) -> frames.RenewalReply:
     """A keeper's answer to the wire."""
     word = answer.word
     grants = [
         frames.Granted(grant.budget, grant.fraction, grant.number, grant.amount, grant.length_us)
         for grant in answer.grants
     ]
-    return frames.Renewed(
+    return frames.RenewalReply(
         answer.run, word.number, word.state, answer.incarnation, answer.asked_us, word.least, word.why, grants
     )
 
 
-def renewed_in(message: frames.Renewed) -> Renewed:
+def renewed_in(message: frames.RenewalReply) -> Renewed:
     """A keeper's answer from the wire."""
     word = Word(message.state, message.number, message.least, message.why)
     return Renewed(
@@ -87,40 +87,40 @@
     )
 
 
-def claim_out(claim: Claim) -> frames.Claim:
+def claim_out(claim: Claim) -> frames.LeaseRequest:
     """A claim to the wire."""
-    return frames.Claim(claim.fraction, claim.claimant, claim.asked_us)
+    return frames.LeaseRequest(claim.fraction, claim.claimant, claim.asked_us)
 
 
-def claim_in(message: frames.Claim) -> Claim:
+def claim_in(message: frames.LeaseRequest) -> Claim:
     """A claim from the wire."""
     return Claim(message.fraction, message.claimant, message.asked_us)
 
 
-def vote_out(vote: Vote) -> frames.Vote:
+def vote_out(vote: Vote) -> frames.LeaseVote:
     """A vote to the wire."""
-    return frames.Vote(vote.fraction, vote.voter, vote.asked_us, vote.owner)
+    return frames.LeaseVote(vote.fraction, vote.voter, vote.asked_us, vote.owner)
 
 
-def vote_in(message: frames.Vote) -> Vote:
+def vote_in(message: frames.LeaseVote) -> Vote:
     """A vote from the wire."""
     return Vote(message.fraction, message.voter, message.asked_us, message.owner)
 
 
-def seen_out(summary: Summary) -> list[frames.ZoneSeen]:
+def seen_out(summary: Summary) -> list[frames.ZoneReport]:
     """A broker's word on zones to the wire."""
     return rows_out(summary.seen)
 
 
-def rows_out(seen: dict[tuple[str, str], Seen]) -> list[frames.ZoneSeen]:
+def rows_out(seen: dict[tuple[str, str], Seen]) -> list[frames.ZoneReport]:
     """What was seen, by zone and class, to the wire."""
     return [
-        frames.ZoneSeen(zone, query_class, some.good, some.late, some.bad, some.took_ms)
+        frames.ZoneReport(zone, query_class, some.good, some.late, some.bad, some.took_ms)
         for (zone, query_class), some in list(seen.items())[:SEEN_MOST]
     ]
 
 
-def rows_in(rows: list[frames.ZoneSeen]) -> dict[tuple[str, str], Seen]:
+def rows_in(rows: list[frames.ZoneReport]) -> dict[tuple[str, str], Seen]:
     """What was seen, by zone and class, from the wire."""
     return {
         (row.zone, row.query_class): Seen(
@@ -130,7 +130,7 @@
     }
 
 
-def seen_in(message: frames.Renew) -> Summary:
+def seen_in(message: frames.RenewalRequest) -> Summary:
     """A broker's word on zones from the wire."""
     return Summary(message.name, message.zone, rows_in(message.seen), message.cut_off)
 
@@ -143,7 +143,7 @@
         decision.term,
         decision.number,
         {
-            name: frames.ZoneWord(word.state, word.share, list(word.only), word.why)
+            name: frames.ZoneState(word.state, word.share, list(word.only), word.why)
             for name, word in decision.zones.items()
         },
     )
--- a/heathwell/fleet/control/rollout.py
+++ b/heathwell/fleet/control/rollout.py
@@ -50,9 +50,9 @@
         self.listener: Listener | None = None
         self.views: dict[str, frames.MachineView] = {}
         self.viewed_us: dict[str, int] = {}
-        self._runs: dict[str, frames.Running] = {}  # each broker's latest
+        self._runs: dict[str, frames.BrokerStatus] = {}  # each broker's latest
         self._at: dict[str, str] = {}  # and the machine that it is of
-        self._before: dict[str, frames.Running] = {}  # and as it was a window ago
+        self._before: dict[str, frames.BrokerStatus] = {}  # and as it was a window ago
         self._deaths: dict[str, int] = {}  # of each broker, as this controller first saw it
         self._refused: Counter[str] = Counter()
         self._window_us = 0
@@ -100,7 +100,7 @@
             return
         self.loop.call_at(self.loop.now() + TURN_US, self._turn)
         for link in self.links.values():
-            link.send(frames.AskMachine())
+            link.send(frames.MachineRequest())
         if not self.holds():
             self._say_once(
                 "another controller has the fleet's lease, or no keeper can be reached: nothing is begun"
@@ -177,7 +177,7 @@
         self.crash(f"wish {name}")
         program, settings = self.files[version.rstrip(AGAIN)]
         self.links[self._at[name]].send(
-            frames.Want(self.course.term, self.course.number, name, version, program, settings)
+            frames.DesiredVersion(self.course.term, self.course.number, name, version, program, settings)
         )
 
     def _windows(self) -> list[Window]:
@@ -264,21 +264,21 @@
 
     # Machines and operators.
 
-    def _heard(self, address: str, message: frames.Any_) -> None:
+    def _heard(self, address: str, message: frames.AnyMessage) -> None:
         match message:
             case frames.MachineView():
                 self.views[address], self.viewed_us[address] = message, self.loop.now()
                 for running in message.running:
                     self._runs[running.broker], self._at[running.broker] = running, address
-            case frames.WantTaken(broker=broker, why=why) if why:
+            case frames.DesiredVersionReply(broker=broker, why=why) if why:
                 self._refused[broker] += 1
                 self._say_once(f"{broker}: a wish was not taken: {why}")
                 if self._refused[broker] >= 3 and self.course.state == STAGING:
                     self._stepped(self.course.event("worse", f"{broker}: {why}"))
 
     def _serve(self, stream: Stream) -> Coro[None]:
-        def heard(message: frames.Any_) -> None:
-            if isinstance(message, frames.Order):
+        def heard(message: frames.AnyMessage) -> None:
+            if isinstance(message, frames.OperatorCommand):
                 stream.offer(frames.encode(self.order(message)))
 
         try:
@@ -286,15 +286,19 @@
         except frames.FrameError as problem:
             self.log("warning", "control: not our wire", peer=stream.peer, why=str(problem))
 
-    def order(self, order: frames.Order) -> frames.Course:
+    def order(self, order: frames.OperatorCommand) -> frames.RolloutStatus:
         """An operator's word."""
         if order.word in ("hold", "resume", "undo"):
             why = f"{order.word} by {order.who or 'an operator'}: {order.why or 'no reason given'}"
             if not self._stepped(self.course.event(order.word, why)):
-                return frames.Course(f"{order.word}: not while it is {self.course.state}", self.status())
+                return frames.RolloutStatus(
+                    f"{order.word}: not while it is {self.course.state}", self.status()
+                )
         elif order.word != "status":
-            return frames.Course(f"unknown word '{order.word}': hold, resume, undo, status", self.status())
-        return frames.Course("", self.status())
+            return frames.RolloutStatus(
+                f"unknown word '{order.word}': hold, resume, undo, status", self.status()
+            )
+        return frames.RolloutStatus("", self.status())
 
     def status(self) -> dict[str, Any]:
         """How it stands."""
--- a/heathwell/fleet/control/zones.py
+++ b/heathwell/fleet/control/zones.py
@@ -11,18 +11,18 @@
 from heathwell.codec import frames
 from heathwell.fleet.control import messages
 from heathwell.fleet.evacuation import PROBE, Capacity, Decider, Decision, Figures, Load, Seen, Summary
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 HEAR_US = 2_500_000  # before it begins to decide: brokers renew more often
 LOADED_US = 2_000_000  # over which what brokers saw is summed
 
 
-def desk_of(market: Market) -> ZoneDesk:
+def desk_of(service_settings: ServiceSettings) -> ZoneDesk:
     """The desk that a fleet's settings ask for."""
     return ZoneDesk(
-        market.fleet.zones,
-        bears=market.fleet.zone_bears,
-        worth={spec.name: spec.priority_weight for spec in market.classes},
+        service_settings.fleet.zones,
+        bears=service_settings.fleet.zone_bears,
+        worth={spec.name: spec.priority_weight for spec in service_settings.classes},
     )
 
 
@@ -108,7 +108,7 @@
                     sums[key] = sums.get(key, Seen()) + some
         return sums
 
-    def order(self, now: int, order: frames.Order) -> frames.Zones:
+    def order(self, now: int, order: frames.OperatorCommand) -> frames.ZonesStatus:
         """An operator's word."""
         text = ""
         if order.word != "status":
@@ -125,7 +125,7 @@
                 for name, zone in self.decider.zones.items()
             }
         )
-        return frames.Zones(
+        return frames.ZonesStatus(
             self.decider is not None,
             text,
             messages.decision_out(self.decision),
--- a/heathwell/fleet/rollout/checks.py
+++ b/heathwell/fleet/rollout/checks.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from heathwell.settings.schema import Market
+from heathwell.settings.schema import ServiceSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,12 +24,12 @@
 FIXED = ("zones", "cells", "width", "shards", "most", "keepers")  # of the fleet: what brokers must have alike
 
 
-def doubts(old: Market, new: Market) -> list[Doubt]:
+def doubts(old: ServiceSettings, new: ServiceSettings) -> list[Doubt]:
     """All that speaks against going from one to the other."""
     return [*_alone(new), *_between(old, new)]
 
 
-def _alone(new: Market) -> Iterator[Doubt]:
+def _alone(new: ServiceSettings) -> Iterator[Doubt]:
     used = (
         {space.query_class for space in new.keys}
         | {one.query_class for one in new.collections}
@@ -61,7 +61,7 @@
         yield Doubt(f"limits.open-cap {new.limits.open_cap}: the widest query would never be taken")
 
 
-def _between(old: Market, new: Market) -> Iterator[Doubt]:
+def _between(old: ServiceSettings, new: ServiceSettings) -> Iterator[Doubt]:
     for name in FIXED:
         before, after = getattr(old.fleet, name), getattr(new.fleet, name)
         if before != after:
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -9,8 +9,8 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-from heathwell.broker.market import MOST, Broker, MarketQuery
 from heathwell.broker.replies import Reply
+from heathwell.broker.service_broker import MOST, ServiceBroker, ServiceQuery
 from heathwell.codec.http import Request, Response
 from heathwell.fronts.memcached import MemcachedFront
 from heathwell.kernel import Coro, Stream
@@ -61,7 +61,7 @@
 class Figures:
     """Collects a broker's figures for the metrics page."""
 
-    def __init__(self, broker: Broker, front: MemcachedFront) -> None:
+    def __init__(self, broker: ServiceBroker, front: MemcachedFront) -> None:
         self.broker, self.front = broker, front
         self.registry = CollectorRegistry(auto_describe=False)
         self.took = Histogram(
@@ -99,11 +99,11 @@
         }
         broker.on_final = self.final
 
-    def final(self, _query: MarketQuery, reply: Reply, took_us: int) -> None:
+    def final(self, _query: ServiceQuery, reply: Reply, took_us: int) -> None:
         """One final answer."""
         took, weight = self._children[reply.query_class]
         took.observe(took_us / 1e6)
-        if reply.coverage.asked:
+        if reply.coverage.requested_parts:
             weight.observe(reply.coverage.weight)
         if reply.age is not None:
             if reply.age.bound_us is None:
@@ -114,12 +114,12 @@
     def collect(self) -> Iterator[Metric]:
         """Counters and gauges, read when asked for."""
         families = {name: CounterMetricFamily(*COUNTS[name][:2], labels=COUNTS[name][2]) for name in COUNTS}
-        for key, count in self.broker.counts.items():
+        for key, count in self.broker.counters.items():
             families[key[0]].add_metric(key[1:], count)
         yield from families.values()
-        broker, servers = self.broker, self.broker.module.endpoints.values()
+        broker, servers = self.broker, self.broker.aggregator.endpoints.values()
         for name, text, figure in (
-            ("heathwell_held", "Queries and parts held", broker.held),
+            ("heathwell_held", "Queries and parts held", broker.open_count),
             ("heathwell_hosts_live", "Hosts listed as live", sum(s.live for s in servers)),
             ("heathwell_hosts_ejected", "Hosts ejected", sum(bool(s.ejections) for s in servers)),
             ("heathwell_clients", "Client connections", len(self.front.connections)),
@@ -128,7 +128,7 @@
                 "Connections to hosts",
                 sum(link.up for link in broker.links.values()),
             ),
-            ("heathwell_module_seconds", "Time spent in the module", broker.module_ns / 1e9),
+            ("heathwell_module_seconds", "Time spent in the module", broker.decision_time_ns / 1e9),
         ):
             yield GaugeMetricFamily(name, text, value=figure)
         if broker.regions is not None:
@@ -152,7 +152,7 @@
                 "Idle clients closed while cut off or in a left zone",
                 value=broker.client_drain.let_go,
             )
-        if broker.spending is not None:
+        if broker.quota_gate is not None:
             shares = GaugeMetricFamily(
                 "heathwell_budget_share",
                 "What may be used of the fleet's budget: units, of a rate a second",
@@ -163,7 +163,7 @@
                 "Units asked for, by whether there was room",
                 labels=("budget", "room"),
             )
-            for name, row in broker.spending.agent.figures().items():
+            for name, row in broker.quota_gate.agent.figures().items():
                 shares.add_metric((name,), row["share"])
                 uses.add_metric((name, "yes"), row["used"])
                 uses.add_metric((name, "no"), row["refused"])
@@ -190,21 +190,21 @@
                 "Work that may be out at once",
                 value=broker.gate.window.size / 1e6,
             )
-        late = sum(link.late for link in broker.links.values())
+        late = sum(link.late_answers for link in broker.links.values())
         yield CounterMetricFamily("heathwell_late_results", "Results after their attempt's end", value=late)
 
 
 class AdminFront:
     """Serves the admin port."""
 
-    def __init__(self, broker: Broker, front: MemcachedFront) -> None:
+    def __init__(self, broker: ServiceBroker, front: MemcachedFront) -> None:
         self.broker, self.figures = broker, Figures(broker, front)
         self.pages: dict[str, Callable[[], Response]] = {
             "/healthz": self._health,
             "/metrics": self._metrics,
             "/state": self._state,
         }
-        if broker.service is not None:
+        if broker.service_statistics is not None:
             self.pages["/service"] = self._service
 
     def serve(self, stream: Stream) -> Coro[None]:
@@ -226,9 +226,9 @@
 
     def _health(self) -> Response:
         broker = self.broker
-        live = sum(server.live for server in broker.module.endpoints.values())
+        live = sum(server.live for server in broker.aggregator.endpoints.values())
         word = "stopping" if broker.stopping else "no hosts" if not live else "ok"
-        if word == "ok" and broker.sight is not None and broker.sight.left():
+        if word == "ok" and broker.zone_observer is not None and broker.zone_observer.left():
             word = "the fleet leaves this zone"
         if word == "ok" and broker.cut_off:
             word = "cut off from most shards"
@@ -248,11 +248,15 @@
         )
 
     def _service(self) -> Response:
-        assert self.broker.service is not None
+        assert self.broker.service_statistics is not None
         return Response(
             200,
             msgspec.json.encode(
-                {**self.broker.service.page(), "held": self.broker.held, "settings": self.broker.era.version}
+                {
+                    **self.broker.service_statistics.page(),
+                    "held": self.broker.open_count,
+                    "settings": self.broker.current_version.version,
+                }
             ),
             JSON,
         )
@@ -291,7 +295,7 @@
                 else None,
                 "connected": (link := broker.links.get(server.node)) is not None and link.up,
             }
-            for server in broker.module.endpoints.values()
+            for server in broker.aggregator.endpoints.values()
         ]
         links = (
             []
@@ -312,9 +316,9 @@
             "name": broker.name,
             "links": links,
             "stopping": broker.stopping,
-            "held": broker.held,
+            "held": broker.open_count,
             "queries": len(broker.queries),
             "hosts": hosts,
-            "counts": {"/".join(key): count for key, count in sorted(broker.counts.items())},
+            "counts": {"/".join(key): count for key, count in sorted(broker.counters.items())},
         }
         return Response(200, msgspec.json.format(msgspec.json.encode(state)) + b"\n", JSON)
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -19,8 +19,8 @@
 
 from heathwell import __version__
 from heathwell.broker.driver import Handle
-from heathwell.broker.market import Broker
 from heathwell.broker.replies import ANSWERED, FAILED, MISS, Age, Reply
+from heathwell.broker.service_broker import ServiceBroker
 from heathwell.codec import memcached as mc
 from heathwell.coverage import encode
 from heathwell.kernel import Coro, Event, Overrun, Stream, StreamBroken
@@ -47,12 +47,12 @@
 class MemcachedFront:
     """Serves connections; counts what it could not serve."""
 
-    def __init__(self, broker: Broker, log: Callable[..., None]) -> None:
+    def __init__(self, broker: ServiceBroker, log: Callable[..., None]) -> None:
         self.broker, self.log = broker, log
         self.started = broker.loop.now()
         self.connections: dict[Connection, None] = {}
         self.numbers: dict[int, Connection] = {}
-        limits = broker.market.limits
+        limits = broker.service_settings.limits
         self.doors = Doors(limits.clients, limits.clients_an_address)
         self.total = self.gets = self.cut_slow = self.bad = self.refused_writes = 0
         if broker.client_drain.over:
@@ -120,7 +120,7 @@
             "total_connections": self.total,
             "cmd_get": self.gets,
             "queries_held": sum(q.on_reply is not None for q in broker.queries.values()),
-            "hosts_known": len(broker.module.endpoints),
+            "hosts_known": len(broker.aggregator.endpoints),
             "bad_commands": self.bad,
             "clients_cut_slow": self.cut_slow,
             "clients_refused": self.doors.refused,
@@ -136,7 +136,7 @@
     def __init__(self, front: MemcachedFront, stream: Stream) -> None:
         self.front, self.stream = front, stream
         self.number, self.since = front.total, front.broker.loop.now()
-        limits = front.broker.market.limits
+        limits = front.broker.service_settings.limits
         self.parser = mc.Requests(limits.line, limits.keys_a_get)
         self.most = limits.pipelined
         stream.hard_limit = limits.unread
@@ -191,7 +191,7 @@
         for slot in slots:
             for handle, reply in zip(slot.handles, slot.replies, strict=False):
                 if handle is not None and reply is None:
-                    handle.leave()
+                    handle.disconnect()
         self._room.set()
 
     def take(self, command: mc.Command) -> None:
@@ -255,7 +255,7 @@
     def _finish(self, slot: Slot) -> None:
         command, replies = slot.command, [reply for reply in slot.replies if reply is not None]
         if isinstance(command, mc.Get):
-            by_error = self.front.broker.market.broker.refusals == "error"
+            by_error = self.front.broker.service_settings.broker.refusals == "error"
             slot.ready = b"".join(classic(command, replies, by_error))
         elif command is not None:
             slot.ready = meta(command, replies[0])
@@ -280,14 +280,14 @@
     cover = reply.coverage
     return _json.encode(
         {
-            "whole": reply.whole,
+            "whole": reply.complete,
             "coverage": {
-                "parts": [cover.got, cover.asked],
+                "parts": [cover.answered_parts, cover.requested_parts],
                 "weight": cover.weight,
-                "need": cover.need,
-                "floor": cover.floor,
+                "need": cover.required_fraction,
+                "floor": cover.minimum_fraction,
                 "missing": list(cover.missing),
-                "items": [cover.items_got, cover.items_asked],
+                "items": [cover.second_step_answered, cover.second_step_requested],
                 **({"set": b64encode(encode(cover.cover)).decode()} if reply.age is not None else {}),
             },
             **(age_words(reply.age) if reply.age is not None else {}),
@@ -313,14 +313,16 @@
 def flags_of(reply: Reply) -> int:
     """The client flags of a value."""
     stale = reply.age is not None and (reply.age.stale or bool(reply.age.behind))
-    return (0 if reply.whole else PARTIAL) | (STALE if stale else 0)
+    return (0 if reply.complete else PARTIAL) | (STALE if stale else 0)
 
 
 def unanswered_body(reply: Reply) -> bytes:
     """The value that stands for an answer that could not be had."""
     word = "failed" if reply.kind == FAILED else "refused"
-    why = {"why": reply.why} if reply.why else {}
-    return _json.encode({"whole": False, word: True, "retry_after_ms": -(-reply.after_us // 1000), **why})
+    why = {"why": reply.reason} if reply.reason else {}
+    return _json.encode(
+        {"whole": False, word: True, "retry_after_ms": -(-reply.retry_after_us // 1000), **why}
+    )
 
 
 def classic(command: mc.Get, replies: list[Reply], by_error: bool = False) -> Iterator[bytes]:
@@ -334,7 +336,7 @@
             continue
         if reply.kind != ANSWERED and by_error:
             lost.setdefault(reply.kind, []).append(index)
-            after = max(after, reply.after_us)
+            after = max(after, reply.retry_after_us)
             continue
         if reply.kind == ANSWERED:
             flags, data = flags_of(reply), body(reply)
@@ -371,4 +373,4 @@
     if reply.kind == MISS:
         return mc.meta_miss(command)
     word = "failed" if reply.kind == FAILED else "refused"
-    return mc.server_error(unanswered({word: [1]}, reply.after_us))
+    return mc.server_error(unanswered({word: [1]}, reply.retry_after_us))
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -18,10 +18,10 @@
 from heathwell import __version__
 from heathwell.admission.cost import cut_batch, search_figures
 from heathwell.broker.driver import Handle
-from heathwell.broker.keyspace import place, rows_of
-from heathwell.broker.market import Broker
+from heathwell.broker.key_spaces import place, rows_of
 from heathwell.broker.records import PartPlan, Plan, SearchPlan
 from heathwell.broker.replies import ANSWERED, REFUSED, Reply
+from heathwell.broker.service_broker import ServiceBroker
 from heathwell.codec.http import Request, Response, ServerSide
 from heathwell.fronts import vector_api as api
 from heathwell.fronts.memcached import DRAIN_LOOK_US
@@ -41,17 +41,17 @@
 class VectorFront:
     """Serves connections; counts what it could not serve."""
 
-    def __init__(self, broker: Broker, log: Callable[..., None]) -> None:
+    def __init__(self, broker: ServiceBroker, log: Callable[..., None]) -> None:
         self.broker, self.log = broker, log
         self.numbers: dict[int, Connection] = {}
-        limits = broker.market.limits
+        limits = broker.service_settings.limits
         self.doors = Doors(limits.clients, limits.clients_an_address)
         self.total = 0
-        self.collections = {spec.name: spec for spec in broker.market.collections}
-        classes = {spec.name: index for index, spec in enumerate(broker.market.classes)}
+        self.collections = {spec.name: spec for spec in broker.service_settings.collections}
+        classes = {spec.name: index for index, spec in enumerate(broker.service_settings.classes)}
         self.classes = {
             spec.name: (classes[spec.query_class], classes[spec.batch_class or spec.query_class])
-            for spec in broker.market.collections
+            for spec in broker.service_settings.collections
         }
         self.requests = self.errors = self.slow = self.left = self.searches = 0
         if broker.client_drain.over:
@@ -101,7 +101,7 @@
 
     def shards(self, spec: Collection) -> list[int]:
         """The shards that a collection lies on."""
-        fleet = self.broker.market.fleet
+        fleet = self.broker.service_settings.fleet
         return rows_of(place(spec.name, fleet.shards), spec.parts or fleet.shards, fleet.shards)
 
 
@@ -111,7 +111,7 @@
     def __init__(self, front: VectorFront, stream: Stream, number: int) -> None:
         self.number = number
         self.front, self.stream, self.loop = front, stream, front.broker.loop
-        self.limits = front.broker.market.vector
+        self.limits = front.broker.service_settings.vector
         self.side = ServerSide(self.limits.body, self.limits.head)
         self.since = self.loop.now()
         self.last = False
@@ -232,7 +232,7 @@
         if handles:
             self.front.left += 1
         for handle in handles:
-            handle.leave()
+            handle.disconnect()
         self._ended = True
         self._done.set()
         self._filled.set()
@@ -289,7 +289,8 @@
             sizes = broker.points_seen.get(name, {})
             seen = sum(sizes.values()) if len(sizes) == len(shards) else None
             return api.answered(
-                api.info(spec, len(shards), broker.market.fleet.width, seen), self.loop.now() - began
+                api.info(spec, len(shards), broker.service_settings.fleet.width, seen),
+                self.loop.now() - began,
             )
         if request.method in ("PUT", "DELETE", "PATCH", "POST") and path.startswith("/collections"):
             raise api.ApiError(403, f"Forbidden: {READ_ONLY}")
@@ -367,18 +368,18 @@
         handles, self._handles = self._handles, []
         if wrong is not None or self._ended:
             for handle in handles:
-                handle.leave()  # those answered already know nothing of it any more
+                handle.disconnect()  # those answered already know nothing of it any more
         if self._ended and wrong is None:
             raise StreamBroken("the client left")
         if wrong is not None:
             if wrong.kind == REFUSED:
                 raise api.ApiError(
                     503,
-                    f"Service unavailable: refused ({wrong.why or 'overloaded'}); come back in "
-                    f"{-(-wrong.after_us // 1000)} ms",
-                    max(wrong.after_us, 1),
+                    f"Service unavailable: refused ({wrong.reason or 'overloaded'}); come back in "
+                    f"{-(-wrong.retry_after_us // 1000)} ms",
+                    max(wrong.retry_after_us, 1),
                 )
-            raise api.ApiError(500, f"Service internal error: {wrong.why or 'no answer could be had'}")
+            raise api.ApiError(500, f"Service internal error: {wrong.reason or 'no answer could be had'}")
         whole = [replies[index] for index in range(len(chunks))]
         rows: list[Merged] = [merged for reply in whole for merged in reply.body["searches"]]
         return whole, rows
--- a/heathwell/fronts/vector_api.py
+++ b/heathwell/fronts/vector_api.py
@@ -265,12 +265,12 @@
     least = min(covers, key=lambda cover: cover.weight)
     recalls = [merged.recall for reply in replies for merged in reply.body["searches"]]
     words: dict[str, Any] = {
-        "whole": all(reply.whole for reply in replies),
-        "parts": [least.got, least.asked],
-        "moot": least.moot,
+        "whole": all(reply.complete for reply in replies),
+        "parts": [least.answered_parts, least.requested_parts],
+        "moot": least.superseded,
         "weight": least.weight,
-        "need": least.need,
-        "floor": least.floor,
+        "need": least.required_fraction,
+        "floor": least.minimum_fraction,
         "missing": sorted({shard for cover in covers for shard in cover.missing}),
         "recall": round(min(recalls, default=0.0), 4),
     }
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -99,19 +99,21 @@
         What can't be held is refused at the door and never reaches the module; None is returned then.
         """
         spec = self.settings.classes[wanted.query_class]
-        if self.full(len(wanted.parts)):
-            self.counts["door", spec.name, "full"] += 1
+        if self.is_full(len(wanted.parts)):
+            self.counters["door", spec.name, "full"] += 1
             after = (
                 min(spec.latency_objective_us, self.settings.max_retry_after_us)
                 if self.settings.retry_advice_allowed
                 else 0
             )
-            self.loop.call_soon(on_reply, Reply(REFUSED, query_class=spec.name, after_us=after, why="full"))
+            self.loop.call_soon(
+                on_reply, Reply(REFUSED, query_class=spec.name, retry_after_us=after, reason="full")
+            )
             return None
-        self.jobs += 1
+        self.last_job += 1
         deadline = max(arrived_us + wanted.wait_us - MARGIN_US, arrived_us + self.settings.tick_us)
         query = PlatformQuery(
-            wanted.id, self.jobs, wanted.query_class, arrived_us, deadline, on_reply, wanted=wanted
+            wanted.id, self.last_job, wanted.query_class, arrived_us, deadline, on_reply, wanted=wanted
         )
         self.events(
             "take",
@@ -141,10 +143,10 @@
             known, self._unheard = self._unheard, None
             self._push(known)
         if targets is None:
-            self.news(policy.EndpointUpdate(policy.UpdateKind.FAILED))
+            self.on_endpoint_update(policy.EndpointUpdate(policy.UpdateKind.FAILED))
             return
         other = self._note(targets)
-        self.news(self._news(targets))
+        self.on_endpoint_update(self._news(targets))
         # What waits for a connection is taken back after the news, so that it is placed anew by the list of
         # now.
         other |= {target.uid for target in targets.targets if state_of(target) != policy.EndpointState.LIVE}
@@ -196,7 +198,7 @@
             self.log,
         )
 
-    def ask_for(self, query: PlatformQuery, part: PlatformPart, seq: int, left_us: int) -> NodeAsk:
+    def attempt_request(self, query: PlatformQuery, part: PlatformPart, seq: int, left_us: int) -> NodeAsk:
         """A part's line and text."""
         second = part.step == 2
         return NodeAsk(
@@ -214,7 +216,7 @@
             self.loop.now() + left_us,
         )
 
-    def kept(self, query: PlatformQuery, part: PlatformPart, key: Key, result: Any) -> None:
+    def on_part_answered(self, query: PlatformQuery, part: PlatformPart, key: Key, result: Any) -> None:
         """Its score chooses among the shards of a second step."""
         part.score = result.score
 
@@ -222,20 +224,22 @@
         """Parts at the shards of the highest scores among those in."""
         answered = [part for part in query.parts.values() if part.data is not None]
         query.answered, query.whole = tuple(sorted(part.plan.shard for part in answered)), whole
-        best = sorted(answered, key=lambda part: -part.score)[: self._spec(query).second_step_parts]
+        best = sorted(answered, key=lambda part: -part.score)[: self._query_class(query).second_step_parts]
         for part in best:
             yield (PlatformPart(part.id + SECOND, WantedPart(part.plan.shard, 1 / len(best), None), 2), None)
 
-    def merged(self, query: PlatformQuery, whole: bool) -> Reply:
+    def merge(self, query: PlatformQuery, whole: bool) -> Reply:
         """The values of the last step's parts that are in, as nodes gave them."""
         rows = [
             {"id": part.plan.shard, "data": part.data.decode("ascii")}
             for part in query.parts.values()
             if part.step == query.step and part.data is not None
         ]
-        return Reply(ANSWERED, query.id, self._spec(query).name, whole, body={"exact": whole, "rows": rows})
+        return Reply(
+            ANSWERED, query.id, self._query_class(query).name, whole, body={"exact": whole, "rows": rows}
+        )
 
-    def final(self, query: PlatformQuery, reply: Reply, took_us: int) -> None:
+    def on_reply_made(self, query: PlatformQuery, reply: Reply, took_us: int) -> None:
         """The event log hears of it."""
         if self.events.on:  # the lists are a cost that only a log pays for
             used = {part.id: part.seq for part in query.parts.values() if part.data is not None}
@@ -243,8 +247,8 @@
                 "final",
                 q=query.id,
                 kind=reply.kind,
-                whole=reply.whole,
-                after=reply.after_us,
+                whole=reply.complete,
+                after=reply.retry_after_us,
                 took=took_us,
                 parts=list(used),
                 used=used,
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -233,7 +233,7 @@
         if reply.kind == ANSWERED:
             self._respond(Response(200, msgspec.json.encode(reply.body), JSON))
         elif reply.kind == REFUSED:
-            advice = (("Retry-After", f"{reply.after_us / 1e6:.3f}"),) if reply.after_us else ()
+            advice = (("Retry-After", f"{reply.retry_after_us / 1e6:.3f}"),) if reply.retry_after_us else ()
             self._respond(Response(503, b"refused: a repeat is harmless\n", headers=advice))
         else:
             self._respond(Response(500, b"failed\n"))
@@ -284,4 +284,4 @@
         self._answered.set()
         handle, self.handle = self.handle, None
         if handle is not None:
-            handle.leave()
+            handle.disconnect()
--- a/heathwell/gateway/nodes.py
+++ b/heathwell/gateway/nodes.py
@@ -22,7 +22,7 @@
 
 from heathwell import policy
 from heathwell.broker.driver import Key
-from heathwell.broker.idle import IdleTime
+from heathwell.broker.idle_connections import IdleTime
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.config import Connections
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, Timer
@@ -69,13 +69,13 @@
 class Owner(Protocol):
     """Who is told how attempts and probes end."""
 
-    def attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, result: Any) -> None:
+    def on_attempt_result(self, node: str, key: Key, outcome: policy.Outcome, result: Any) -> None:
         """One outcome an attempt."""
 
-    def probe_ended(self, node: str, outcome: policy.Outcome) -> None:
+    def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
         """One outcome a probe."""
 
-    def late_result(self, node: str) -> None:
+    def on_late_answer(self, node: str) -> None:
         """An answer to an attempt whose end was told already."""
 
 
@@ -302,8 +302,10 @@
             self.link.ended(sent.key, OUTCOMES[message.end], message)
             self.link.heard(self, sent.at)
         elif message.id in self.given_up or message.id in self.answered:
-            self.link.late += 1  # its end was told already, or this is a second copy: nothing comes of it
-            self.link.owner.late_result(self.link.node)
+            self.link.late_answers += (
+                1  # its end was told already, or this is a second copy: nothing comes of it
+            )
+            self.link.owner.on_late_answer(self.link.node)
         else:
             raise nf.FrameError(f"an answer of unknown id {message.id[:64]!r}")
 
@@ -410,7 +412,7 @@
         self.limits, self.room, self.log = limits, room, log
         self.connections: list[Connection] = []
         self.out: dict[Key, Connection] = {}
-        self.late = self.spoilt = self.connects = self.breaks = 0
+        self.late_answers = self.spoilt = self.connects = self.breaks = 0
         self.ended_soon = 0  # connections that the node ended right after an answer
         self.closes = 0  # connections in a row that the node closed right after an answer
         self.closing = False
@@ -463,14 +465,18 @@
         if connection is None:
             for ask in parts:
                 self.loop.call_soon(
-                    self.owner.attempt_ended, self.node, (ask.id, ask.seq), policy.Outcome.UNREACHABLE, None
+                    self.owner.on_attempt_result,
+                    self.node,
+                    (ask.id, ask.seq),
+                    policy.Outcome.UNREACHABLE,
+                    None,
                 )
             return
         for ask in parts:
             self.out[ask.id, ask.seq] = connection
         connection.send(parts)
 
-    def forget(self, key: Key) -> bool:
+    def abandon(self, key: Key) -> bool:
         """Stop waiting for an attempt whose end the owner has told by itself; true if it was out."""
         connection = self.out.pop(key, None)
         if connection is None:
@@ -483,7 +489,7 @@
         leave.
         """
         connection = self.out.get(key)
-        return connection is not None and connection.holds_back(key[0]) and self.forget(key)
+        return connection is not None and connection.holds_back(key[0]) and self.abandon(key)
 
     def take_back(self) -> None:
         """The node wants nothing new, or is met elsewhere: of what has not left for it nothing will."""
@@ -491,7 +497,7 @@
             if connection.holds_back(key[0]):
                 del self.out[key]
                 connection.give_up(key[0])
-                self.owner.attempt_ended(self.node, key, policy.Outcome.NEVER_SENT, None)
+                self.owner.on_attempt_result(self.node, key, policy.Outcome.NEVER_SENT, None)
 
     def probe(self) -> None:
         """Ask for a sign of life; ends once. A connection that has fallen silent can't give one for
@@ -516,7 +522,7 @@
     def ended(self, key: Key, outcome: policy.Outcome, result: nf.PartAnswer | None) -> None:
         """A connection's word on an attempt."""
         if self.out.pop(key, None) is not None:
-            self.owner.attempt_ended(self.node, key, outcome, result)
+            self.owner.on_attempt_result(self.node, key, outcome, result)
 
     def broke(self, keys: list[Key], probes: list[int]) -> None:
         """A connection broke with these out: a new one's connect tells whether its node is lost as well."""
@@ -541,7 +547,7 @@
         timer = self._probes.pop(number, None)
         if timer is not None:
             timer.cancel()
-            self.owner.probe_ended(self.node, outcome)
+            self.owner.on_probe_result(self.node, outcome)
 
     def note(self, what: str, why: str) -> None:
         """A line for the operators."""
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -101,18 +101,18 @@
         """
         if self._ending_at is not None:
             return
-        self.log("info", "terminating", held=self.broker.held)
+        self.log("info", "terminating", held=self.broker.open_count)
         self._ending_at = self.loop.now()
         longest = max(spec.timeout_us for spec in self.config.settings.classes)
         self._end_by = self._ending_at + min(longest, KILL_LONGEST_US) + KILL_AFTER_US - END_MARGIN_US
         self.front.drain()
-        self.broker.ends_at(self._end_by - END_MARGIN_US)
+        self.broker.start_shutdown(self._end_by - END_MARGIN_US)
         self.loop.call_at(self._ending_at + TAKE_US, self._take_no_more)
 
     def _take_no_more(self) -> None:
         if self.listener is not None:
             self.listener.close()
-        self.broker.stop()
+        self.broker.drain()
         # What connected in the last moment is served first: its task has not begun yet.
         self.loop.call_at(self.loop.now() + END_LOOK_US, self._look_for_end)
 
--- a/heathwell/gateway/trace.py
+++ b/heathwell/gateway/trace.py
@@ -30,20 +30,20 @@
         facts = Counter(self.broker.passed)
         for link in self.broker.links.values():
             facts.update(link.figures())
-        for kind, figure in self.broker.counts.items():
+        for kind, figure in self.broker.counters.items():
             if kind[0] == "final":
                 facts[f"{kind[2]} {kind[3]}"] += figure
             elif kind[0] in ("attempt", "probe", "door"):
                 facts[f"{kind[0]} {kind[-1]}"] += figure
         facts.update(self.front.counts)
         facts["cpu_ms"] = time.process_time_ns() // 1_000_000
-        facts["module_ms"] = self.broker.module_ns // 1_000_000
+        facts["module_ms"] = self.broker.decision_time_ns // 1_000_000
         facts["turns"] = self.loop.turns
         return facts
 
     def _look(self) -> None:
         now, facts, broker = self.loop.now(), self._facts(), self.broker
-        module, links = broker.module, broker.links
+        module, links = broker.aggregator, broker.links
         passed = " ".join(
             f"{name.replace(' ', '_')}={figure - self._before[name]}"
             for name, figure in sorted(facts.items())
--- a/heathwell/inner_protocol.py
+++ b/heathwell/inner_protocol.py
@@ -12,7 +12,7 @@
 from heathwell.codec import frames
 from heathwell.kernel import Coro, Stream
 
-Heard = Callable[[frames.Any_], None]
+Heard = Callable[[frames.AnyMessage], None]
 A = TypeVar("A")
 
 
@@ -31,7 +31,7 @@
     try:
         yield from listen(stream, heard, most)
     except frames.HelloError as problem:
-        stream.write(frames.encode(frames.Mismatch(str(problem))))
+        stream.write(frames.encode(frames.VersionMismatch(str(problem))))
 
 
 def ask(address: str, name: str, role: str, question: frames.Message, kind: type[A], seconds: float) -> A:
--- a/heathwell/lab/badday.py
+++ b/heathwell/lab/badday.py
@@ -20,7 +20,7 @@
 from heathwell.lab.processes import FleetError, ProcessFleet
 from heathwell.lab.script import HOST_TROUBLES, WAY_TROUBLES, Script, Step, named
 from heathwell.lab.wires import WireError, Wires
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 KINDS = ("on time", "late", "partial", "refused", "failed", "lost", "broken", "no broker")
 WINDOW = 5.0
@@ -33,15 +33,25 @@
     """One run of a script."""
 
     def __init__(
-        self, script: Script, market: Market, config: str, folder: str | Path, say: Callable[[str], None]
+        self,
+        script: Script,
+        service_settings: ServiceSettings,
+        config: str,
+        folder: str | Path,
+        say: Callable[[str], None],
     ) -> None:
-        self.script, self.market, self.folder, self.say = script, market, Path(folder), say
+        self.script, self.service_settings, self.folder, self.say = (
+            script,
+            service_settings,
+            Path(folder),
+            say,
+        )
         self.folder.mkdir(parents=True, exist_ok=True)
         self.events = self.folder / "events"
         self.config = config
         self.fleet = ProcessFleet(
             config,
-            market,
+            service_settings,
             str(self.events),
             script.seed,
             wires=Wires(script.seed) if script.wires else None,
@@ -59,12 +69,13 @@
         stale = list(self.events.glob("*.jsonl"))
         for path in stale:
             path.unlink()
-        self._note("run", figures=run_figures(self.market))
+        self._note("run", figures=run_figures(self.service_settings))
         began = time.monotonic()
         try:
             self.fleet.up()
             self.say(
-                f"{self.market.fleet.leaves} hosts and {self.market.fleet.brokers} brokers up after "
+                f"{self.service_settings.fleet.leaves} hosts and "
+                f"{self.service_settings.fleet.brokers} brokers up after "
                 f"{time.monotonic() - began:.1f} s"
             )
             time.sleep(WARM_UP)
@@ -78,11 +89,11 @@
     def _run(self) -> None:
         script = self.script
         clients = self.clients = Clients(
-            script.load, self.market, self._brokers, self.events / "clients.jsonl"
+            script.load, self.service_settings, self._brokers, self.events / "clients.jsonl"
         )
         due: list[tuple[float, int, Step | Arrival]] = []
         for number, arrival in enumerate(
-            arrivals(script.load, self.market, script.seed, 0.0, script.seconds, self._factor)
+            arrivals(script.load, self.service_settings, script.seed, 0.0, script.seconds, self._factor)
         ):
             due.append((arrival.at, number, arrival))
         for number, step in enumerate(script.steps):
@@ -129,8 +140,8 @@
 
     def _poison(self, step: Step, number: int, at: float) -> Arrival:
         """A query that kills each host that begins it."""
-        space = next(s for s in self.market.keys if s.shape in ("search", "record"))
-        for other in self.market.keys:
+        space = next(s for s in self.service_settings.keys if s.shape in ("search", "record"))
+        for other in self.service_settings.keys:
             if other.shape == "search":
                 space = other
         name = f"poison{step.at // 1000}x{number}"
@@ -146,15 +157,17 @@
         try:
             if step.kind in HOST_TROUBLES:
                 for name in step.to:
-                    self.fleet.order(name, frames.Control(step.kind, step.value, step.span, step.query_class))
+                    self.fleet.order(
+                        name, frames.FaultCommand(step.kind, step.value, step.span, step.query_class)
+                    )
             elif step.kind in ("discovery-down", "discovery-late"):
                 self.fleet.order(
-                    "discovery", frames.Control(step.kind.partition("-")[2], step.value, step.span)
+                    "discovery", frames.FaultCommand(step.kind.partition("-")[2], step.value, step.span)
                 )
             elif step.kind.startswith("link-"):
                 for link in self.fleet.of("relay"):
                     if not step.to or link.name.removeprefix("link-") in step.to:
-                        self.fleet.order(link.name, frames.Control(step.kind[5:], step.value, step.span))
+                        self.fleet.order(link.name, frames.FaultCommand(step.kind[5:], step.value, step.span))
             elif step.kind in ("crash", "kill-broker", "kill", "pause"):
                 act = self._pause if step.kind == "pause" else self.fleet.kill
                 for name in self._named(step.to):
@@ -175,7 +188,7 @@
             elif step.kind == "join":
                 self._join(step)
             elif step.kind == "zone-loss":
-                zones = {self.market.fleet.zones.index(name) for name in step.to}
+                zones = {self.service_settings.fleet.zones.index(name) for name in step.to}
                 for member in list(self.fleet.members.values()):
                     if member.role in ("leaf", "broker") and member.zone in zones:
                         self.fleet.kill(member.name, step.span / 1e6)
--- a/heathwell/lab/clients.py
+++ b/heathwell/lab/clients.py
@@ -18,7 +18,7 @@
 from pymemcache.exceptions import MemcacheError
 
 from heathwell.lab.script import Load
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 PATIENCE = 0.5  # seconds past its time for which a client still listens, so that lateness is seen
 LATE_START = 0.05  # seconds after which a request's start counts as off its schedule
@@ -47,12 +47,17 @@
 
 
 def arrivals(
-    load: Load, market: Market, seed: int, begin: float, end: float, factor: Callable[[float], float]
+    load: Load,
+    service_settings: ServiceSettings,
+    seed: int,
+    begin: float,
+    end: float,
+    factor: Callable[[float], float],
 ) -> list[Arrival]:
     """Poisson arrivals between two times of a run, thinned to the rate of each moment."""
     draws = random.Random(seed)
-    spaces = {space.prefix: space for space in market.keys}
-    collections = {f"vector:{spec.name}": spec for spec in market.collections}
+    spaces = {space.prefix: space for space in service_settings.keys}
+    collections = {f"vector:{spec.name}": spec for spec in service_settings.collections}
     names = [mix.space for mix in load.mix]
     weights = [mix.share for mix in load.mix]
     peak = load.rate * max((factor(begin + n * 0.25) for n in range(int((end - begin) * 4) + 1)), default=1.0)
@@ -94,12 +99,12 @@
     def __init__(
         self,
         load: Load,
-        market: Market,
+        service_settings: ServiceSettings,
         brokers: Callable[[], list[tuple[str, str, str]]],
         log_path: str | Path | None,
     ) -> None:
-        self.load, self.market, self.brokers = load, market, brokers
-        self.classes = {spec.name: spec for spec in market.classes}
+        self.load, self.service_settings, self.brokers = load, service_settings, brokers
+        self.classes = {spec.name: spec for spec in service_settings.classes}
         self.outcomes: list[Outcome] = []
         self.off_schedule = 0
         self.asked = 0
--- a/heathwell/lab/drawn.py
+++ b/heathwell/lab/drawn.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 KINDS = (
     "kill",
@@ -27,15 +27,20 @@
 
 
 def draw_script(
-    seed: int, market: Market, seconds: int = 14, faults: int = 7, rate: float = 24.0, name: str = "market.sx"
+    seed: int,
+    service_settings: ServiceSettings,
+    seconds: int = 14,
+    faults: int = 7,
+    rate: float = 24.0,
+    name: str = "market.sx",
 ) -> str:
     """A day of faults among brokers, keepers and hosts of a market that names keepers. All have ended 2 s
     before the end, so that what is left wrong then stays wrong by itself.
     """
     draws = random.Random(seed)
-    brokers = [f"b{n}" for n in range(market.fleet.brokers)]
-    keepers = [f"k{n}" for n in range(len(market.fleet.keepers))]
-    hosts = [f"leaf{n}" for n in range(market.fleet.leaves)]
+    brokers = [f"b{n}" for n in range(service_settings.fleet.brokers)]
+    keepers = [f"k{n}" for n in range(len(service_settings.fleet.keepers))]
+    hosts = [f"leaf{n}" for n in range(service_settings.fleet.leaves)]
     clocks = " ".join(f"(clock {who} {1 + draws.uniform(-0.02, 0.02):.4f})" for who in brokers + keepers)
     lines = [
         f"; Drawn with seed {seed}.",
--- a/heathwell/lab/figures.py
+++ b/heathwell/lab/figures.py
@@ -5,13 +5,13 @@
 from typing import Any
 
 from heathwell.fleet.control.wiring import budgets_of
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 from heathwell.standins.source import OFFSET_US
 
 
-def run_figures(market: Market) -> dict[str, Any]:
+def run_figures(service_settings: ServiceSettings) -> dict[str, Any]:
     """The classes and the rules' figures, in the auditor's terms (microseconds and shares)."""
-    rules, limits = market.rules, market.limits
+    rules, limits = service_settings.rules, service_settings.limits
     return {
         "classes": {
             spec.name: {
@@ -24,7 +24,7 @@
                 "work": spec.work,
                 "fetch": spec.second_step_parts,
             }
-            for spec in market.classes
+            for spec in service_settings.classes
         },
         "drain_grace": rules.drain_grace,
         "fall_multiple": rules.fall_multiple,
@@ -45,10 +45,10 @@
                 "linger": budget.linger_us,
                 "apart": budget.apart,
             }
-            for budget in budgets_of(market.fleet)
+            for budget in budgets_of(service_settings.fleet)
         ],
         "start_capacity": rules.start_capacity,
-        "drift": market.fleet.drift,
+        "drift": service_settings.fleet.drift,
         "open_cap": limits.open_cap,
-        "source_offset": OFFSET_US if market.freshness.on else None,
+        "source_offset": OFFSET_US if service_settings.freshness.on else None,
     }
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from heathwell.broker.market import Broker
+from heathwell.broker.service_broker import ServiceBroker
 from heathwell.fleet.control.agent import FleetAgent
 from heathwell.fleet.control.keeper import KeeperServer
 from heathwell.fleet.control.wiring import budgets_of, times_of
@@ -17,7 +17,7 @@
 from heathwell.fronts.vector import VectorFront
 from heathwell.kernel import Listener, Loop, Net
 from heathwell.observability.event_log import EventLog, ListEvents, NoEvents
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 from heathwell.standins.discovery import Discovery
 from heathwell.standins.leaf import Leaf
 from heathwell.standins.source import Source
@@ -27,7 +27,7 @@
     """A keeper; :meth:`kill` is what a SIGKILL does."""
 
     def __init__(self, fleet: LocalFleet, number: int, run: int, address: str) -> None:
-        spec, loop = fleet.market.fleet, fleet.loop
+        spec, loop = fleet.service_settings.fleet, fleet.loop
         self.name = f"k{number}r{run}"
         decider = Keeper(
             number, f"k{number}.{run}", len(spec.keepers), budgets_of(spec), loop.now(), times_of(spec)
@@ -40,7 +40,7 @@
             seed=fleet.seed * 50 + number,
             log=fleet.log,
             events=fleet.events(self.name, "keeper"),
-            zones=fleet.desk(fleet.market) if spec.evacuate else None,
+            zones=fleet.desk(fleet.service_settings) if spec.evacuate else None,
         )
         self.server.start(address)
 
@@ -53,14 +53,14 @@
     """A broker with its fronts; :meth:`kill` is what a SIGKILL does."""
 
     def __init__(self, fleet: LocalFleet, number: int, run: int, address: str = "127.0.0.1:0") -> None:
-        market = fleet.market
+        service_settings = fleet.service_settings
         self.name = f"b{number}r{run}"
-        self.zone = number % len(market.fleet.zones)
+        self.zone = number % len(service_settings.fleet.zones)
         net = fleet.net_of(self.name)
         self.events = fleet.events(self.name, "broker")
         self.agent: FleetAgent | None = None
-        if market.fleet.keepers:
-            spec, times, loop = market.fleet, times_of(market.fleet), fleet.loop
+        if service_settings.fleet.keepers:
+            spec, times, loop = service_settings.fleet, times_of(service_settings.fleet), fleet.loop
             member = Self(
                 f"b{number}", loop.now() + 1, loop.now(), zone=spec.zones[self.zone], timing=times.roll
             )
@@ -76,16 +76,16 @@
                 log=fleet.log,
                 events=self.events,
             )
-        self.broker = Broker(
+        self.broker = ServiceBroker(
             fleet.loop,
             net,
-            market,
+            service_settings,
             name=self.name,
             zone=self.zone,
             seed=fleet.seed * 1000 + number * 10 + run,
             discovery=fleet.discovery.address,
             source=fleet.source.address if fleet.source is not None else "",
-            siblings=max(1, market.fleet.brokers),
+            siblings=max(1, service_settings.fleet.brokers),
             events=self.events,
             log=fleet.log,
             agent=self.agent,
@@ -93,21 +93,23 @@
         self.front = MemcachedFront(self.broker, fleet.log)
         self.admin = AdminFront(self.broker, self.front)
         self.listeners: list[Listener] = [
-            net.listen(address, self.front.serve, f"client of {self.name}", market.limits.clients + SPARE),
-            net.listen(market.broker.admin, self.admin.serve, f"admin of {self.name}"),
+            net.listen(
+                address, self.front.serve, f"client of {self.name}", service_settings.limits.clients + SPARE
+            ),
+            net.listen(service_settings.broker.admin, self.admin.serve, f"admin of {self.name}"),
         ]
         self.address, self.admin_address = (listener.address for listener in self.listeners)
         self.broker.pace(self.listeners[0])
         self.vector: VectorFront | None = None
         self.vector_address = ""
-        if market.vector.listen:
+        if service_settings.vector.listen:
             self.vector = VectorFront(self.broker, fleet.log)
             self.listeners.append(
                 net.listen(
-                    market.vector.listen,
+                    service_settings.vector.listen,
                     self.vector.serve,
                     f"searcher of {self.name}",
-                    market.limits.clients + SPARE,
+                    service_settings.limits.clients + SPARE,
                 )
             )
             self.broker.pace(self.listeners[-1])
@@ -143,16 +145,16 @@
         self,
         loop: Loop,
         net_of: NetOf,
-        market: Market,
+        service_settings: ServiceSettings,
         seed: int = 1,
         *,
         into: list[dict[str, Any]] | None = None,
         log: Callable[..., None] | None = None,
         host_of: Callable[[str], str] | None = None,
         keep: bool = True,
-        desk: Callable[[Market], ZoneDesk] = desk_of,
+        desk: Callable[[ServiceSettings], ZoneDesk] = desk_of,
     ) -> None:
-        self.loop, self.net_of, self.market, self.seed = loop, net_of, market, seed
+        self.loop, self.net_of, self.service_settings, self.seed = loop, net_of, service_settings, seed
         self.desk = desk
         self.into, self.log = into, log or (lambda *_args, **_fields: None)
         host = host_of or (lambda _name: "127.0.0.1")
@@ -160,41 +162,43 @@
         self.discovery = Discovery(
             loop,
             net_of("discovery"),
-            market,
+            service_settings,
             address=f"{host('discovery')}:0",
             events=self.events("discovery", "discovery"),
         )
         self.discovery.start()
         self.source: Source | None = None
-        if market.freshness.on:
-            self.source = Source(loop, net_of("source"), market, address=f"{host('source')}:0")
+        if service_settings.freshness.on:
+            self.source = Source(loop, net_of("source"), service_settings, address=f"{host('source')}:0")
             self.source.start()
-        zones = len(market.fleet.zones)
+        zones = len(service_settings.fleet.zones)
         self.leaves = [
             Leaf(
                 loop,
                 net_of(f"leaf{n}"),
-                market,
+                service_settings,
                 name=f"leaf{n}",
-                cell=n % market.fleet.cells,
+                cell=n % service_settings.fleet.cells,
                 zone=n % zones,
                 discovery=self.discovery.address,
                 seed=seed * 100 + n,
                 address=f"{host(f'leaf{n}')}:0",
                 events=self.events(f"leaf{n}", "leaf"),
             )
-            for n in range(market.fleet.leaves)
+            for n in range(service_settings.fleet.leaves)
         ]
         for leaf in self.leaves:
             leaf.start(warm=True)
-        self.keeper_addresses = [f"{host(f'k{n}')}:{7100 + n}" for n in range(len(market.fleet.keepers))]
+        self.keeper_addresses = [
+            f"{host(f'k{n}')}:{7100 + n}" for n in range(len(service_settings.fleet.keepers))
+        ]
         self.keeper_runs = [0] * len(self.keeper_addresses)
         self.keepers = [
             RunningKeeper(self, n, 0, address) for n, address in enumerate(self.keeper_addresses) if keep
         ]
-        self.runs = [0] * market.fleet.brokers
+        self.runs = [0] * service_settings.fleet.brokers
         self.brokers: list[RunningBroker] = []
-        for number in range(market.fleet.brokers):
+        for number in range(service_settings.fleet.brokers):
             self.brokers.append(RunningBroker(self, number, 0, f"{host(f'b{number}')}:0"))
 
     def events(self, name: str, role: str) -> EventLog:
--- a/heathwell/lab/manybrokers.py
+++ b/heathwell/lab/manybrokers.py
@@ -93,7 +93,7 @@
         """How many brokers don't know the nodes of now."""
         wanted = {node.uid for node in self.nodes}
         return sum(
-            {server.node for server in broker.module.endpoints.values() if server.live} != wanted
+            {server.node for server in broker.aggregator.endpoints.values() if server.live} != wanted
             for broker in self.brokers
         )
 
--- a/heathwell/lab/processes.py
+++ b/heathwell/lab/processes.py
@@ -15,7 +15,7 @@
 from heathwell import inner_protocol
 from heathwell.codec import frames
 from heathwell.lab.wires import Wires
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 START_SECONDS = 30.0
 RUNS = ("broker", "keeper")  # roles whose runs have names of their own, and so logs of their own
@@ -51,7 +51,7 @@
     def __init__(
         self,
         config: str,
-        market: Market,
+        service_settings: ServiceSettings,
         events: str | None = None,
         seed: int = 1,
         leaf_host: str = "127.0.0.1",
@@ -63,7 +63,7 @@
         # With many clients of this machine another loopback address for hosts keeps a killed host's port its
         # own.
         self.leaf_host = leaf_host
-        self.config, self.market, self.events, self.seed = config, market, events, seed
+        self.config, self.service_settings, self.events, self.seed = config, service_settings, events, seed
         self.members: dict[str, Member] = {}
         self.restart_after = 5.0
         self._lock = threading.Lock()
@@ -73,13 +73,13 @@
 
     def up(self) -> None:
         """Start everything; raises :class:`FleetError`."""
-        zones = len(self.market.fleet.zones)
+        zones = len(self.service_settings.fleet.zones)
         self._wait([self._start("discovery", "discovery", 0, 0, [])])
         clock: list[str] = []
-        if self.market.freshness.on:
+        if self.service_settings.freshness.on:
             self._wait([self._start("source", "source", 0, 0, [])])
             clock = ["--source", self.members["source"].address]
-        names = [f"k{n}" for n in range(len(self.market.fleet.keepers))]
+        names = [f"k{n}" for n in range(len(self.service_settings.fleet.keepers))]
         self._wait(
             [
                 self._start("keeper", name, n, n % zones, ["--number", str(n), *self._keepers(name, names)])
@@ -96,7 +96,7 @@
                     "--discovery",
                     self._way(f"leaf{n}", "discovery"),
                     "--cell",
-                    str(n % self.market.fleet.cells),
+                    str(n % self.service_settings.fleet.cells),
                     "--zone",
                     str(n % zones),
                     "--seed",
@@ -105,15 +105,18 @@
                     f"{self.leaf_host}:0",
                 ],
             )
-            for n in range(self.market.fleet.leaves)
+            for n in range(self.service_settings.fleet.leaves)
         ]
         self._wait(hosts)
         self._wait(self._relays())
         self._clock = clock
-        self._wait([self._broker(n) for n in range(self.market.fleet.brokers)])
+        self._wait([self._broker(n) for n in range(self.service_settings.fleet.brokers)])
 
     def _broker(self, n: int) -> Member:
-        zone, keepers = n % len(self.market.fleet.zones), [member.name for member in self.of("keeper")]
+        zone, keepers = (
+            n % len(self.service_settings.fleet.zones),
+            [member.name for member in self.of("keeper")],
+        )
         return self._start(
             "broker",
             f"b{n}",
@@ -149,13 +152,15 @@
 
     def region_of(self, zone: int) -> str:
         """The region that a zone stands in; empty where there are none."""
-        name = self.market.fleet.zones[zone]
-        return next((region.name for region in self.market.across.regions if name in region.zones), "")
+        name = self.service_settings.fleet.zones[zone]
+        return next(
+            (region.name for region in self.service_settings.across.regions if name in region.zones), ""
+        )
 
     def _relays(self) -> list[Member]:
         """A link a region: the way of its brokers to the hosts of the others."""
         out = []
-        for number, region in enumerate(self.market.across.regions):
+        for number, region in enumerate(self.service_settings.across.regions):
             far = [leaf.address for leaf in self.of("leaf") if self.region_of(leaf.zone) != region.name]
             if far:
                 out.append(
@@ -199,7 +204,11 @@
     def table(self) -> dict[str, Any]:
         """Names and addresses, for a ready file."""
         return {
-            member.name: {"role": member.role, "zone": self.market.fleet.zones[member.zone], **member.ready}
+            member.name: {
+                "role": member.role,
+                "zone": self.service_settings.fleet.zones[member.zone],
+                **member.ready,
+            }
             for member in self.members.values()
         }
 
@@ -241,13 +250,13 @@
                 threading.Timer(self.restart_after, self._again, (member.name,)).start()
         return ended
 
-    def order(self, name: str, control: frames.Control) -> None:
+    def order(self, name: str, control: frames.FaultCommand) -> None:
         """Tell a stand-in to make trouble; raises :class:`FleetError` with its complaint."""
         address = self.members[name].address
         if not address:
             raise FleetError(f"{name} is not up")
         try:
-            done = inner_protocol.ask(address, "script", "script", control, frames.Done, 5)
+            done = inner_protocol.ask(address, "script", "script", control, frames.FaultCommandReply, 5)
         except ValueError:
             raise FleetError(f"{name} closed without taking the order") from None
         if done.text:
--- a/heathwell/lab/regional.py
+++ b/heathwell/lab/regional.py
@@ -12,7 +12,7 @@
 
 from heathwell.kernel import Coro, sleep
 from heathwell.lab.simulated import SimulatedDay
-from heathwell.settings import Market, loads
+from heathwell.settings import ServiceSettings, loads
 from heathwell.standins.relay import lost_wait
 
 BEFORE, TROUBLE, AFTER = 10.0, 15.0, 20.0
@@ -66,10 +66,10 @@
     def __init__(
         self, variant: str, trouble: str, seed: int = 1, rate: float = 60.0, text: str = MARKET
     ) -> None:
-        market: Market = loads(text + VARIANTS[variant])
+        service_settings: ServiceSettings = loads(text + VARIANTS[variant])
         self.ways: Callable[[str, str], int] = self._plain_way
         super().__init__(
-            market, seed, seconds=BEFORE + TROUBLE + AFTER, rate=rate, trouble_rate=0.0, poison=0.0
+            service_settings, seed, seconds=BEFORE + TROUBLE + AFTER, rate=rate, trouble_rate=0.0, poison=0.0
         )
         self.net.delay = self._way
         self.trouble_name = trouble
@@ -189,9 +189,12 @@
 
     def _all_home(self, plan: Any, far: bool) -> bool:
         """Whether every shard of a plan has a holder in the region of the broker that was asked."""
-        cells = self.market.fleet.cells
+        cells = self.service_settings.fleet.cells
         return all(
-            any(((part.shard + step) % cells % 4 >= 2) == far for step in range(self.market.fleet.width))
+            any(
+                ((part.shard + step) % cells % 4 >= 2) == far
+                for step in range(self.service_settings.fleet.width)
+            )
             for part in plan.parts
         )
 
