--- a/heathwell/lab/replay.py
+++ b/heathwell/lab/replay.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from heathwell.lab.script import Load, Mix, Script, Step
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 
 class DayError(Exception):
@@ -19,7 +19,7 @@
 
 
 def script_from(
-    path: str, market: Market, config: str, seconds: float, rate: float
+    path: str, service_settings: ServiceSettings, config: str, seconds: float, rate: float
 ) -> tuple[Script, list[str]]:
     """The script of a day squeezed to so many seconds, and what could not be carried over."""
     try:
@@ -33,43 +33,49 @@
     steps: list[Step] = []
     skipped: list[str] = []
     for trouble in day["troubles"]:
-        made = _steps(trouble, day, market, squeeze)
+        made = _steps(trouble, day, service_settings, squeeze)
         if made:
             steps += made
         else:
             skipped.append(f"{trouble['kind']}: no counterpart on loopback")
     steps.sort(key=lambda step: step.at)
     mix = [
-        Mix(space=space.prefix, share=_class_share(day, market, space.query_class)) for space in market.keys
+        Mix(space=space.prefix, share=_class_share(day, service_settings, space.query_class))
+        for space in service_settings.keys
     ]
     script = Script(
-        market=config, seconds=day["length"] * squeeze / 1e6, load=Load(rate=rate, mix=mix), steps=steps
+        service_settings=config,
+        seconds=day["length"] * squeeze / 1e6,
+        load=Load(rate=rate, mix=mix),
+        steps=steps,
     )
     return script, skipped
 
 
-def _class_share(day: dict[str, Any], market: Market, name: str) -> float:
-    index = [spec.name for spec in market.classes].index(name)
+def _class_share(day: dict[str, Any], service_settings: ServiceSettings, name: str) -> float:
+    index = [spec.name for spec in service_settings.classes].index(name)
     classes = day["classes"]
     return float(classes[min(index, len(classes) - 1)].get("share", 1.0)) or 0.01
 
 
-def _hosts(on: list[int], day: dict[str, Any], market: Market) -> list[str]:
+def _hosts(on: list[int], day: dict[str, Any], service_settings: ServiceSettings) -> list[str]:
     """As large a share of the hosts as the day's, spread as its numbers are."""
     if not on:
         return []
-    servers, leaves = max(1, len(day["servers"])), market.fleet.leaves
+    servers, leaves = max(1, len(day["servers"])), service_settings.fleet.leaves
     count = max(1, round(len(on) / servers * leaves))
     found = list(dict.fromkeys(number * leaves // servers % leaves for number in on))
     spare = [n for n in range(leaves) if n not in found]
     return [f"leaf{n}" for n in sorted((found + spare)[:count])]
 
 
-def _steps(trouble: dict[str, Any], day: dict[str, Any], market: Market, squeeze: float) -> list[Step]:
+def _steps(
+    trouble: dict[str, Any], day: dict[str, Any], service_settings: ServiceSettings, squeeze: float
+) -> list[Step]:
     kind, size, extra = trouble["kind"], float(trouble.get("size") or 0), float(trouble.get("extra") or 0)
     at, span = int(trouble["at"] * squeeze), max(1_000_000, int(trouble["len"] * squeeze))
-    hosts = _hosts(trouble.get("on") or [], day, market)
-    every = [f"leaf{n}" for n in range(market.fleet.leaves)]
+    hosts = _hosts(trouble.get("on") or [], day, service_settings)
+    every = [f"leaf{n}" for n in range(service_settings.fleet.leaves)]
     which = int(trouble.get("which") or 0)
 
     def step(name: Any, **more: Any) -> Step:
@@ -90,7 +96,7 @@
                 for n in range(max(1, span // beat))
             ]
         case "class_fail":
-            name = market.classes[which % len(market.classes)].name
+            name = service_settings.classes[which % len(service_settings.classes)].name
             return [step("failclass", to=hosts, query_class=name)]
         case "answer_lost":
             if trouble.get("how") == "reset":
@@ -107,13 +113,13 @@
         case "discovery_stale" | "report_late":
             return [step("discovery-late", value=max(extra, size, 1.0))]
         case "balancer_crash" | "balancer_stall":
-            return [step("kill-broker", to=[f"b{which % max(1, market.fleet.brokers)}"])]
+            return [step("kill-broker", to=[f"b{which % max(1, service_settings.fleet.brokers)}"])]
         case "preempt" | "deploy":
             waves = trouble.get("steps") or [{"at": trouble["at"], "stop": trouble.get("on") or [0]}]
             return [
                 step(
                     "drain",
-                    to=_hosts(wave.get("stop") or [0], day, market),
+                    to=_hosts(wave.get("stop") or [0], day, service_settings),
                     when=int(wave["at"] * squeeze),
                     span=0,
                 )
--- a/heathwell/lab/rolling.py
+++ b/heathwell/lab/rolling.py
@@ -28,7 +28,7 @@
 from heathwell.lab.processes import FleetError, ProcessFleet
 from heathwell.lab.script import Load, Mix
 from heathwell.lab.wires import Wires
-from heathwell.settings import Market, load
+from heathwell.settings import ServiceSettings, load
 
 PACKAGE = Path(__file__).resolve().parent.parent
 # The example of a fleet with budgets, for agents' brokers: none of its own, and room for those of two
@@ -52,7 +52,7 @@
     ),
     "dies on SIGTERM": ("cli/serve.py", "        self._signals += 1\n", "        os._exit(1)\n"),
     "a class worse": (
-        "broker/market.py",
+        "broker/service_broker.py",
         "        if self.stopping or self.full(len(plan.parts)):\n",
         "        if sum(key.encode()) % 8 == 0 and spec.name == 'price-search':\n"
         "            self._refuse_at_door(spec, key, request, on_reply, 'full', 0, who)\n"
@@ -60,13 +60,13 @@
         "        if self.stopping or self.full(len(plan.parts)):\n",
     ),
     "twice the processor": (
-        "broker/market.py",
+        "broker/service_broker.py",
         FINAL,
         FINAL + "        import time\n        end = time.process_time() + 0.02\n"
         "        while time.process_time() < end:\n            pass\n",
     ),
     "leaks": (
-        "broker/market.py",
+        "broker/service_broker.py",
         FINAL,
         FINAL + "        self.__dict__.setdefault('leak', []).append(bytearray(3_000_000))\n",
     ),
@@ -80,7 +80,7 @@
 }
 
 
-def write_market(example: Path, into: Path) -> Path:
+def write_service_settings(example: Path, into: Path) -> Path:
     """The settings of a fleet whose brokers agents run, from the example's."""
     text = example.read_text(encoding="utf-8")
     for old, new in SWAPS:
@@ -138,9 +138,11 @@
         folder.mkdir(parents=True, exist_ok=True)
         self.events = folder / "events"
         self.events.mkdir()
-        self.market: Market = load(config)
+        self.service_settings: ServiceSettings = load(config)
         self.wires = Wires(seed)
-        self.fleet = ProcessFleet(str(config), self.market, str(self.events), seed, wires=self.wires)
+        self.fleet = ProcessFleet(
+            str(config), self.service_settings, str(self.events), seed, wires=self.wires
+        )
         self.count = machines
         self.machines: dict[str, Machine] = {}
         self.clients: Clients | None = None
@@ -159,7 +161,7 @@
                     "t": time.monotonic_ns() // 1000,
                     "who": "run",
                     "ev": "run",
-                    "figures": run_figures(self.market),
+                    "figures": run_figures(self.service_settings),
                 }
             )
             + "\n"
@@ -175,7 +177,7 @@
             self.down()
 
     def _launch(self, number: int) -> None:
-        zones = len(self.market.fleet.zones)
+        zones = len(self.service_settings.fleet.zones)
         names = [f"b{2 * number + n}" for n in range(2)]
         keepers = ",".join(member.address for member in self.fleet.of("keeper"))
         more = {
@@ -281,13 +283,17 @@
 
     def begin_load(self, seconds: float = 600.0) -> None:
         """Clients ask until :meth:`end_load`."""
-        spaces = [Mix(space.prefix, 3.0 if space.shape == "search" else 1.0) for space in self.market.keys]
+        spaces = [
+            Mix(space.prefix, 3.0 if space.shape == "search" else 1.0) for space in self.service_settings.keys
+        ]
         spec = Load(rate=self.rate, clients=48, mix=spaces)
-        clients = self.clients = Clients(spec, self.market, self.addresses, self.events / "clients.jsonl")
+        clients = self.clients = Clients(
+            spec, self.service_settings, self.addresses, self.events / "clients.jsonl"
+        )
         zero = clients.start()
 
         def offer() -> None:
-            for arrival in arrivals(spec, self.market, self.seed, 0.0, seconds, lambda _at: 1.0):
+            for arrival in arrivals(spec, self.service_settings, self.seed, 0.0, seconds, lambda _at: 1.0):
                 if self._stop.wait(max(0.0, zero + arrival.at - time.monotonic())):
                     return
                 clients.offer(arrival)
@@ -421,12 +427,12 @@
         """A change from its start to its end."""
         return self.finish(self.controller(to, **more), more.get("state", "change"), seconds, undo_held)
 
-    def runs(self) -> dict[str, frames.Running]:
+    def runs(self) -> dict[str, frames.BrokerStatus]:
         """What each broker runs, by its machine's agent."""
         out = {}
         for machine in self.machines.values():
             for running in inner_protocol.ask(
-                machine.address, "lab", "lab", frames.AskMachine(), frames.MachineView, 5
+                machine.address, "lab", "lab", frames.MachineRequest(), frames.MachineView, 5
             ).running:
                 out[running.broker] = running
         return out
--- a/heathwell/lab/script.py
+++ b/heathwell/lab/script.py
@@ -8,7 +8,7 @@
 
 from msgspec import Meta, field
 
-from heathwell.settings import Market, SettingsError, load
+from heathwell.settings import ServiceSettings, SettingsError, load
 from heathwell.settings.check import loads_as
 from heathwell.settings.schema import Record, _each, _say, _share, _time
 
@@ -155,7 +155,7 @@
 class Script(Record):
     """A bad day."""
 
-    market: Annotated[str, _say("settings file, beside the script")]
+    service_settings: Annotated[str, _say("settings file, beside the script")]
     seconds: Annotated[float, Meta(gt=0, description="length of the load")]
     load: Annotated[Load, _say("clients")]
     seed: Annotated[int, Meta(ge=0, description="seed of arrivals and keys")] = 1
@@ -191,23 +191,23 @@
             yield path, "lies after the end"
 
 
-def _against(script: Script, market: Market) -> Iterator[tuple[str, str]]:
-    spaces = {space.prefix for space in market.keys}
-    if market.vector.listen:
-        spaces |= {f"vector:{spec.name}" for spec in market.collections}
-    classes = {spec.name for spec in market.classes}
-    hosts = {f"leaf{n}" for n in range(market.fleet.leaves)}
-    brokers = {f"b{n}" for n in range(market.fleet.brokers)}
+def _against(script: Script, service_settings: ServiceSettings) -> Iterator[tuple[str, str]]:
+    spaces = {space.prefix for space in service_settings.keys}
+    if service_settings.vector.listen:
+        spaces |= {f"vector:{spec.name}" for spec in service_settings.collections}
+    classes = {spec.name for spec in service_settings.classes}
+    hosts = {f"leaf{n}" for n in range(service_settings.fleet.leaves)}
+    brokers = {f"b{n}" for n in range(service_settings.fleet.brokers)}
     for index, mix in enumerate(script.load.mix):
         if mix.space not in spaces:
             yield f"load.mix[{index}]", f"no key space '{mix.space}'; there are {', '.join(sorted(spaces))}"
     for index, step in enumerate(script.steps):
         if step.kind.startswith("link-"):
-            if not market.across.regions:
+            if not service_settings.across.regions:
                 yield f"at[{index}]", f"{step.kind} needs settings with regions"
-            known = {region.name for region in market.across.regions}
+            known = {region.name for region in service_settings.across.regions}
         else:
-            known = _targets(step, market, hosts, brokers)
+            known = _targets(step, service_settings, hosts, brokers)
         for target in (*step.to, *step.source):
             if target not in known and not named(target, known):
                 yield (
@@ -230,14 +230,14 @@
     ]
 
 
-def _targets(step: Step, market: Market, hosts: set[str], brokers: set[str]) -> set[str]:
+def _targets(step: Step, service_settings: ServiceSettings, hosts: set[str], brokers: set[str]) -> set[str]:
     """What a trouble of the fleet may be done to."""
     if step.kind in (*PROCESS_TROUBLES, *WAY_TROUBLES):
-        return hosts | brokers | {f"k{n}" for n in range(len(market.fleet.keepers))} | {"discovery"}
+        return hosts | brokers | {f"k{n}" for n in range(len(service_settings.fleet.keepers))} | {"discovery"}
     if step.kind == "resize":
-        return {budget.name for budget in market.fleet.budgets}
+        return {budget.name for budget in service_settings.fleet.budgets}
     return (
-        set(market.fleet.zones)
+        set(service_settings.fleet.zones)
         if step.kind == "zone-loss"
         else brokers
         if step.kind in ("kill-broker", "restart-all")
@@ -245,14 +245,14 @@
     )
 
 
-def load_script(path: str) -> tuple[Script, Market, str]:
+def load_script(path: str) -> tuple[Script, ServiceSettings, str]:
     """A script, its settings and their path; raises :class:`SettingsError`, :class:`OSError`."""
     text = Path(path).read_text(encoding="utf-8")
     script = loads_as(Script, (_steps,), text, path)
-    config = str(Path(path).parent / script.market)
-    market = load(config)
-    wrong = list(_against(script, market))
+    config = str(Path(path).parent / script.service_settings)
+    service_settings = load(config)
+    wrong = list(_against(script, service_settings))
     if wrong:
         loads_as(Script, (lambda _script: wrong,), text, path)
         raise SettingsError([])
-    return script, market, config
+    return script, service_settings, config
--- a/heathwell/lab/searches.py
+++ b/heathwell/lab/searches.py
@@ -13,7 +13,7 @@
 
 from heathwell.kernel import ConnectFailed, Coro, Stream, StreamBroken, sleep
 from heathwell.lab.simulated import HOST_TROUBLES, SimulatedDay
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 SEARCH_TROUBLES: tuple[tuple[str, float, float], ...] = (*HOST_TROUBLES, ("spoil", 0.0, 4.0))
 
@@ -23,7 +23,7 @@
 
     def __init__(
         self,
-        market: Market,
+        service_settings: ServiceSettings,
         seed: int,
         *,
         searches: float = 20.0,
@@ -31,7 +31,7 @@
         troubles: Sequence[tuple[str, float, float]] = SEARCH_TROUBLES,
         **more: Any,
     ) -> None:
-        super().__init__(market, seed, troubles=troubles, **more)
+        super().__init__(service_settings, seed, troubles=troubles, **more)
         self.searches, self.batches = searches, batches
         self.asked = 0
         self.statuses: dict[int, int] = {}
@@ -45,7 +45,7 @@
         until = self.loop.now() + int(self.seconds * 1e6)
         while self.searches and self.loop.now() < until:
             yield from sleep(self.loop, int(draws.expovariate(self.searches) * 1e6))
-            spec = draws.choice(self.market.collections)
+            spec = draws.choice(self.service_settings.collections)
             count = draws.randrange(2, 24) if draws.random() < self.batches else 1
             wishes = [
                 {"query": [draws.gauss(0, 1.5) for _ in range(spec.size)], "limit": 1 + draws.randrange(12)}
@@ -59,7 +59,7 @@
         """One request on a connection of its own."""
         running = self.fleet.brokers[broker]
         plan = running.vector.classes[collection][len(wishes) > 1] if running.vector is not None else 0
-        limit = self.market.classes[plan].timeout_us
+        limit = self.service_settings.classes[plan].timeout_us
         try:
             stream = yield from self.net.connect(running.vector_address, 1_000_000, "client")
         except ConnectFailed:
--- a/heathwell/lab/simulated.py
+++ b/heathwell/lab/simulated.py
@@ -16,7 +16,7 @@
 from heathwell.kernel import ConnectFailed, Coro, HostNet, Stream, StreamBroken, sleep, virtual_loop
 from heathwell.lab.figures import run_figures
 from heathwell.lab.fleet import LocalFleet
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 from heathwell.standins.leaf import Leaf
 
 # Kind, figure, seconds: what a host may be told to do.
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        market: Market,
+        service_settings: ServiceSettings,
         seed: int,
         *,
         seconds: float = 25.0,
@@ -57,20 +57,20 @@
         crashes: bool = True,
         tokens: bool = False,
         keep: bool = True,
-        desk: Callable[[Market], ZoneDesk] = desk_of,
+        desk: Callable[[ServiceSettings], ZoneDesk] = desk_of,
     ) -> None:
-        self.market, self.seed, self.seconds, self.rate = market, seed, seconds, rate
+        self.service_settings, self.seed, self.seconds, self.rate = service_settings, seed, seconds, rate
         self.troubles, self.trouble_rate, self.poison = troubles, trouble_rate, poison
         self.crashes, self.tokens = crashes, tokens
         self.loop, self.net = virtual_loop(seed)
         self.errors: list[tuple[str, BaseException]] = []
         self.loop.on_error = lambda name, error: self.errors.append((name, error))
         self.events: list[dict[str, Any]] = []
-        self.note("run", figures=run_figures(market))
+        self.note("run", figures=run_figures(service_settings))
         self.fleet = LocalFleet(
             self.loop,
             self._net_of,
-            market,
+            service_settings,
             seed,
             into=self.events,
             host_of=lambda name: name,
@@ -133,8 +133,8 @@
                 self._disaster(leaf, what, draws)
             elif leaf.listener is not None:
                 kind, value, span = draws.choice(self.troubles)
-                name = draws.choice(self.market.classes).name
-                leaf.order(frames.Control(kind, value, int(span * 1e6), name))
+                name = draws.choice(self.service_settings.classes).name
+                leaf.order(frames.FaultCommand(kind, value, int(span * 1e6), name))
 
     def _disaster(self, leaf: Leaf, what: float, draws: random.Random) -> None:
         if what < 0.15:
@@ -142,11 +142,11 @@
                 leaf.crash()
                 self._back_after(leaf, 3_000_000)
         elif what < 0.22:
-            self.fleet.discovery.order(frames.Control("down", 0.0, 4_000_000))
+            self.fleet.discovery.order(frames.FaultCommand("down", 0.0, 4_000_000))
         elif what < 0.28:
             self.fleet.restart_broker(draws.randrange(len(self.fleet.brokers)))
         else:
-            zone = draws.randrange(len(self.market.fleet.zones))
+            zone = draws.randrange(len(self.service_settings.fleet.zones))
             for other in self.fleet.leaves:
                 if other.zone == zone and other.listener is not None:
                     other.crash()
@@ -176,7 +176,7 @@
 
     def _one(self, broker: int, keys: list[str]) -> Coro[None]:
         plan = self.fleet.brokers[broker].broker.keys.plan
-        classes = [self.market.classes[p.query_class] for p in map(plan, keys) if p is not None]
+        classes = [self.service_settings.classes[p.query_class] for p in map(plan, keys) if p is not None]
         began = self.loop.now()
         try:
             stream = yield from self.net.connect(self.fleet.brokers[broker].address, 1_000_000, "client")
--- a/heathwell/lab/sockets.py
+++ b/heathwell/lab/sockets.py
@@ -13,11 +13,11 @@
 from pathlib import Path
 from typing import Any
 
-from heathwell.broker.keyspace import KeySpaces
+from heathwell.broker.key_spaces import KeySpaces
 from heathwell.lab.badday import Day
 from heathwell.lab.clients import Outcome
 from heathwell.lab.script import Load, Mix, Script, Step
-from heathwell.settings import Market, loads
+from heathwell.settings import ServiceSettings, loads
 
 VARIANTS = {"decider": "(let-go 2s)", "off": "(decide no)", "nearest first": "(decide no) (prefer-home yes)"}
 FIRST, TROUBLE, BETWEEN = 8.0, 8.0, 12.0  # seconds: before the first, of each, and from one's end to the next
@@ -87,13 +87,13 @@
     return Script("market.sx", FIRST + len(troubles) * (TROUBLE + BETWEEN), load, seed, steps)
 
 
-def all_home(keys: KeySpaces, market: Market, key: str, broker: str) -> bool:
+def all_home(keys: KeySpaces, service_settings: ServiceSettings, key: str, broker: str) -> bool:
     """Whether all holders of all shards that a key asks for stand in the broker's region."""
     plan = keys.plan(key)
     if plan is None or not broker:
         return False
-    fleet = market.fleet
-    region = {name: r.name for r in market.across.regions for name in r.zones}
+    fleet = service_settings.fleet
+    region = {name: r.name for r in service_settings.across.regions for name in r.zones}
     home = region[fleet.zones[int(broker[1:]) % len(fleet.zones)]]
     cells = {(part.shard + step) % fleet.cells for part in plan.parts for step in range(fleet.width)}
     return all(
@@ -104,11 +104,13 @@
 
 
 def services(
-    outcomes: list[Outcome], market: Market, troubles: tuple[tuple[str, str, float, tuple[str, ...]], ...]
+    outcomes: list[Outcome],
+    service_settings: ServiceSettings,
+    troubles: tuple[tuple[str, str, float, tuple[str, ...]], ...],
 ) -> dict[str, Service]:
     """The service around each trouble."""
-    keys = KeySpaces(market)
-    aims = {spec.name: spec.latency_objective_us / 1e6 for spec in market.classes}
+    keys = KeySpaces(service_settings)
+    aims = {spec.name: spec.latency_objective_us / 1e6 for spec in service_settings.classes}
     out: dict[str, Service] = {}
     for number, (name, *_) in enumerate(troubles):
         begin = FIRST + number * (TROUBLE + BETWEEN)
@@ -128,7 +130,7 @@
             )
             if not span:
                 continue
-            home = all_home(keys, market, outcome.key, outcome.broker)
+            home = all_home(keys, service_settings, outcome.key, outcome.broker)
             for mine in {False, home}:
                 counts = service.counts.setdefault((outcome.query_class, span, mine), {})
                 counts[outcome.kind] = counts.get(outcome.kind, 0) + 1
@@ -163,13 +165,13 @@
     folder = Path(tempfile.mkdtemp(prefix="heathwell-regions-"))
     config = folder / "market.sx"
     config.write_text(settings(variant))
-    market = loads(settings(variant))
-    day = Day(script_of(rate, troubles), market, str(config), folder, say)
+    service_settings = loads(settings(variant))
+    day = Day(script_of(rate, troubles), service_settings, str(config), folder, say)
     verdict = day.play()
     assert day.clients is not None
     return {
         "variant": variant,
-        "services": services(day.clients.outcomes, market, troubles),
+        "services": services(day.clients.outcomes, service_settings, troubles),
         "verdict": verdict,
         "off_schedule": day.clients.off_schedule,
         "asked": day.clients.asked,
--- a/heathwell/lab/stormday.py
+++ b/heathwell/lab/stormday.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from heathwell.broker.keyspace import KeySpaces
+from heathwell.broker.key_spaces import KeySpaces
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, sleep
 from heathwell.lab.simulated import SETTLE_US, SimulatedDay, _read_values
-from heathwell.settings import Market, loads
+from heathwell.settings import ServiceSettings, loads
 
 HEEDS, IGNORES, FIXED = "heeds", "ignores", "fixed"
 AGAIN_US = {IGNORES: 100_000, FIXED: 500_000}  # pause of those who don't heed advice
@@ -84,7 +84,7 @@
         loop: Loop,
         net_of: Callable[[int], Net],
         addresses: Callable[[], list[str]],
-        market: Market,
+        service_settings: ServiceSettings,
         storm: Storm,
         *,
         think: float,
@@ -93,15 +93,15 @@
         fixed: bool = False,
         rush: Callable[[], float] = lambda: 1.0,
     ) -> None:
-        self.loop, self.net_of, self.addresses, self.market, self.storm = (
+        self.loop, self.net_of, self.addresses, self.service_settings, self.storm = (
             loop,
             net_of,
             addresses,
-            market,
+            service_settings,
             storm,
         )
         self.think, self.seed, self.rush = think, seed, rush
-        self.keys = KeySpaces(market)
+        self.keys = KeySpaces(service_settings)
         self.ignoring, self.fixed = ignoring, fixed
         self._draws = random.Random(seed + 3)
 
@@ -122,7 +122,7 @@
             key = draws.choice([f"price:t{draws.randrange(60)}", f"sale:t{number}:{draws.randrange(9000)}"])
             plan = self.keys.plan(key)
             assert plan is not None
-            spec = self.market.classes[plan.query_class]
+            spec = self.service_settings.classes[plan.query_class]
             request = Request(self.loop.now(), spec.name, policy)
             self.storm.requests.append(request)
             stream = yield from self._ask(request, stream, number, key, spec, draws)
@@ -185,9 +185,9 @@
         killed_after: float = 0.0,
         addresses: int = 0,
     ) -> None:
-        market: Market = loads(text + (STORMS if variant == "damped" else ""))
+        service_settings: ServiceSettings = loads(text + (STORMS if variant == "damped" else ""))
         super().__init__(
-            market, seed, seconds=before + outage + after, rate=1.0, trouble_rate=0.0, poison=0.0
+            service_settings, seed, seconds=before + outage + after, rate=1.0, trouble_rate=0.0, poison=0.0
         )
         self.variant, self.clients, self.think, self.outage = variant, clients, think, outage
         self.ignoring, self.before, self.burst = ignoring, before, burst
@@ -206,7 +206,7 @@
             self.loop,
             lambda number: self.net.at(f"c{number % (self.addresses or self.clients)}"),
             lambda: [broker.address for broker in self.fleet.brokers],
-            self.market,
+            self.service_settings,
             self.storm,
             think=self.think,
             ignoring=self.ignoring,
--- a/heathwell/lab/wires.py
+++ b/heathwell/lab/wires.py
@@ -113,11 +113,11 @@
         if not ways:
             raise WireError(f"{kind}: no way between {sorted(ones)} and {sorted(set(targets))}")
         for source, target in ways:
-            control = frames.Control(kind, value, span_us)
+            control = frames.FaultCommand(kind, value, span_us)
             if kind in ("cut-out", "cut-back"):
                 # Of a way that the second group opened, what the first sends is what comes back.
                 out = (kind == "cut-out") == (source in ones)
-                control = frames.Control("oneway", value, span_us, "out" if out else "back")
+                control = frames.FaultCommand("oneway", value, span_us, "out" if out else "back")
             wrong = self._call(partial(self._relays[source, target].order, control))
             if wrong:
                 raise WireError(wrong)
--- a/heathwell/lab/worthday.py
+++ b/heathwell/lab/worthday.py
@@ -16,7 +16,7 @@
 from heathwell.codec import frames
 from heathwell.kernel import Coro, sleep
 from heathwell.lab.simulated import SimulatedDay
-from heathwell.settings import Market, loads
+from heathwell.settings import ServiceSettings, loads
 from heathwell.standins.leaf import Leaf
 
 VARIANTS = ("lone", "split", "lent", "half")
@@ -40,7 +40,9 @@
 FAR_US, NEAR_US = 3_000, 300
 
 
-def market_of(variant: str, brokers: int, hosts: int, further: float, cold: float) -> Market:
+def service_settings_of(
+    variant: str, brokers: int, hosts: int, further: float, cold: float
+) -> ServiceSettings:
     """The settings of a variant; wholes in units a second."""
     fleet = (
         f"(shards {2 * hosts}) (cells {hosts}) (width 3) (zones {ZONES}) (leaves {hosts}) (brokers {brokers})"
@@ -77,7 +79,7 @@
         self.variant, self.day = variant, day
         self.ends: dict[tuple[str, int], Counter[str]] = {}
         super().__init__(
-            market_of(variant, brokers, hosts, further, cold),
+            service_settings_of(variant, brokers, hosts, further, cold),
             seed,
             seconds=BEFORE + TROUBLE + AFTER,
             rate=rate,
@@ -106,7 +108,7 @@
         leaves, span = self.fleet.leaves, int(TROUBLE * 1e6)
         if self.day == "slow hosts":
             for leaf in leaves[::6]:
-                leaf.order(frames.Control("slow", 10.0, span))
+                leaf.order(frames.FaultCommand("slow", 10.0, span))
         elif self.day == "cold return":
             lost = [leaf for leaf in leaves if self._region(leaf.name) == 2]
             for leaf in lost:
@@ -124,7 +126,7 @@
         for leaf in group:
             leaf.on_die = None
             leaf.drain()
-        yield from sleep(self.loop, self.market.leaf.drain_for + 500_000)
+        yield from sleep(self.loop, self.service_settings.leaf.drain_for + 500_000)
         for leaf in group:
             if leaf.listener is None:
                 leaf.start()
--- a/heathwell/lab/zoneday.py
+++ b/heathwell/lab/zoneday.py
@@ -21,7 +21,7 @@
 from heathwell.kernel import Coro, sleep
 from heathwell.lab.simulated import SimulatedDay
 from heathwell.lab.worthday import MARKET
-from heathwell.settings import Market, loads
+from heathwell.settings import ServiceSettings, loads
 from heathwell.standins.leaf import Leaf
 
 VARIANTS = ("nobody", "itself", "fixed", "fleet")
@@ -73,11 +73,11 @@
         return told
 
 
-def _fixed_desk(market: Market) -> ZoneDesk:
-    return ZoneDesk(market.fleet.zones, decides=FixedCheck)
+def _fixed_desk(service_settings: ServiceSettings) -> ZoneDesk:
+    return ZoneDesk(service_settings.fleet.zones, decides=FixedCheck)
 
 
-def market_of(variant: str, brokers: int, hosts: int) -> Market:
+def service_settings_of(variant: str, brokers: int, hosts: int) -> ServiceSettings:
     """The settings of a variant: each shard has a holder in each zone."""
     fleet = (
         f"(shards {2 * hosts}) (cells {hosts}) (width 3) (zones {' '.join(ZONES)}) (leaves {hosts})"
@@ -110,10 +110,10 @@
     ) -> None:
         self.variant, self.kind = variant, kind
         self.ends: dict[tuple[str, int], Counter[str]] = defaultdict(Counter)
-        desk: Callable[[Market], ZoneDesk] = _fixed_desk if variant == "fixed" else desk_of
+        desk: Callable[[ServiceSettings], ZoneDesk] = _fixed_desk if variant == "fixed" else desk_of
         busy = {"busy": 1.5, "peak": 1.6}.get(kind, 1.0)
         super().__init__(
-            market_of(variant, brokers, hosts),
+            service_settings_of(variant, brokers, hosts),
             seed,
             seconds=BEFORE + TROUBLE + AFTER,
             rate=rate * busy,
@@ -152,7 +152,7 @@
             case "slow":
                 self._order(there, "slow", 10.0, span)
             case "class":
-                self._order(there, "failclass", 0.0, span, draw.choice(self.market.classes).name)
+                self._order(there, "failclass", 0.0, span, draw.choice(self.service_settings.classes).name)
             case "lossy":
                 self._order(there, "lose", 0.05, span)
             case "a fifth":
@@ -184,7 +184,7 @@
     @staticmethod
     def _order(leaves: list[Leaf], what: str, value: float, span: int, query_class: str = "") -> None:
         for leaf in leaves:
-            leaf.order(frames.Control(what, value, span, query_class))
+            leaf.order(frames.FaultCommand(what, value, span, query_class))
 
     def _clients(self, draws: random.Random) -> Coro[None]:
         """As ever, but on the day on which all clients come to one zone's brokers."""
--- a/heathwell/settings/__init__.py
+++ b/heathwell/settings/__init__.py
@@ -2,6 +2,6 @@
 
 from heathwell.settings.check import Problem, SettingsError, Where, load, loads
 from heathwell.settings.page import schema_page
-from heathwell.settings.schema import Market
+from heathwell.settings.schema import ServiceSettings
 
-__all__ = ["Market", "Problem", "SettingsError", "Where", "load", "loads", "schema_page"]
+__all__ = ["ServiceSettings", "Problem", "SettingsError", "Where", "load", "loads", "schema_page"]
--- a/heathwell/settings/check.py
+++ b/heathwell/settings/check.py
@@ -14,7 +14,7 @@
 from msgspec import inspect as shape
 
 from heathwell.settings.reader import Atom, Form, ReadError, read
-from heathwell.settings.schema import CROSS_CHECKS, Market
+from heathwell.settings.schema import CROSS_CHECKS, ServiceSettings
 
 R = TypeVar("R", bound=msgspec.Struct)
 TIME_US = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000, "d": 86_400_000_000}
@@ -52,14 +52,14 @@
         self.problems = problems
 
 
-def load(path: str | Path) -> Market:
+def load(path: str | Path) -> ServiceSettings:
     """The settings of a file; raises :class:`SettingsError`, :class:`OSError`."""
     return loads(Path(path).read_text(encoding="utf-8"), str(path))
 
 
-def loads(text: str, file: str = "settings") -> Market:
+def loads(text: str, file: str = "settings") -> ServiceSettings:
     """The settings of a text; raises :class:`SettingsError`."""
-    return loads_as(Market, CROSS_CHECKS, text, file)
+    return loads_as(ServiceSettings, CROSS_CHECKS, text, file)
 
 
 def loads_as(
--- a/heathwell/settings/page.py
+++ b/heathwell/settings/page.py
@@ -6,7 +6,7 @@
 from msgspec import inspect as shape
 
 from heathwell.settings.check import bare, expected, extra, show
-from heathwell.settings.schema import Market
+from heathwell.settings.schema import ServiceSettings
 
 HEAD = """# Settings
 
@@ -19,7 +19,7 @@
 def schema_page() -> str:
     """Markdown: a table for each record."""
     out = [HEAD]
-    _record(shape.type_info(Market), "the file", "", out)
+    _record(shape.type_info(ServiceSettings), "the file", "", out)
     return "\n".join(out)
 
 
--- a/heathwell/settings/schema.py
+++ b/heathwell/settings/schema.py
@@ -348,7 +348,7 @@
     ] = []
 
 
-class Broker(Record):
+class BrokerSettings(Record):
     """A broker's doors."""
 
     listen: Annotated[str, _say("memcached address; port 0 lets the kernel choose")] = "127.0.0.1:0"
@@ -378,7 +378,7 @@
     modules: Annotated[list[ModuleLevel], _each("module", "levels of single packages")] = []
 
 
-class Market(Record):
+class ServiceSettings(Record):
     """A whole settings file."""
 
     classes: Annotated[list[QueryClass], _each("class", "the classes of query")]
@@ -394,25 +394,25 @@
     leaf: Annotated[Leaf, _say("stand-in hosts")] = field(default_factory=Leaf)
     freshness: Annotated[Freshness, _say("ages of answers")] = field(default_factory=Freshness)
     across: Annotated[Across, _say("several regions")] = field(default_factory=Across)
-    broker: Annotated[Broker, _say("a broker's doors")] = field(default_factory=Broker)
+    broker: Annotated[BrokerSettings, _say("a broker's doors")] = field(default_factory=BrokerSettings)
     log: Annotated[Log, _say("logs")] = field(default_factory=Log)
 
 
 Found = Iterator[tuple[str, str]]
 
 
-def _classes(market: Market) -> Found:
+def _classes(service_settings: ServiceSettings) -> Found:
     names: set[str] = set()
-    if not market.classes:
+    if not service_settings.classes:
         yield "class", "at least one class is needed"
-    for index, spec in enumerate(market.classes):
+    for index, spec in enumerate(service_settings.classes):
         path = f"class[{index}]"
         if spec.name in names:
             yield path, f"class '{spec.name}' is given twice"
         names.add(spec.name)
         if spec.timeout_us < spec.latency_objective_us:
             yield f"{path}.limit", "lies before the aim"
-        elif spec.timeout_us <= market.limits.transit + 2 * market.limits.tick:
+        elif spec.timeout_us <= service_settings.limits.transit + 2 * service_settings.limits.tick:
             yield f"{path}.limit", "leaves no time beside limits.transit and limits.tick"
         if spec.required_fraction <= 0:
             yield f"{path}.need", "must be more than 0"
@@ -427,7 +427,7 @@
         if spec.idempotency == "keyed" and not spec.idempotency_window_us:
             yield f"{path}.dedup", "a keyed class must say how long repeats are dropped"
     prefixes: set[str] = set()
-    for index, space in enumerate(market.keys):
+    for index, space in enumerate(service_settings.keys):
         path = f"keys[{index}]"
         if space.query_class not in names:
             yield f"{path}.class", f"no class '{space.query_class}'; there are {', '.join(sorted(names))}"
@@ -435,12 +435,12 @@
             yield path, f"prefix '{space.prefix}' is given twice"
         prefixes.add(space.prefix)
         name = {"search": "parts", "report": "report_parts"}.get(space.shape)
-        if name and getattr(space, name) > market.fleet.shards:
-            yield f"{path}.{name.replace('_', '-')}", f"more than the {market.fleet.shards} shards"
+        if name and getattr(space, name) > service_settings.fleet.shards:
+            yield f"{path}.{name.replace('_', '-')}", f"more than the {service_settings.fleet.shards} shards"
 
 
-def _fleet(market: Market) -> Found:
-    fleet = market.fleet
+def _fleet(service_settings: ServiceSettings) -> Found:
+    fleet = service_settings.fleet
     if fleet.width > fleet.cells:
         yield "fleet.width", f"more holders than the {fleet.cells} cells"
     if not fleet.zones:
@@ -496,36 +496,36 @@
             )
 
 
-def _rules(market: Market) -> Found:
-    rules = market.rules
+def _rules(service_settings: ServiceSettings) -> Found:
+    rules = service_settings.rules
     if rules.start_capacity <= 0:
         yield "rules.start-capacity", "must be more than 0"
     if bool(rules.fall_multiple) != bool(rules.fall_after):
         yield "rules.fall-multiple", "fall-multiple and fall-after go together"
     if rules.further_ratio and not rules.counted_over:
         yield "rules.further-ratio", "needs counted-over"
-    if market.discovery.ask and rules.must_ask < 2 * market.discovery.timeout:
+    if service_settings.discovery.ask and rules.must_ask < 2 * service_settings.discovery.timeout:
         yield "rules.must-ask", "must be at least twice discovery's timeout: a failed call is asked again"
 
 
-def _across(market: Market) -> Found:
+def _across(service_settings: ServiceSettings) -> Found:
     placed: set[str] = set()
-    for index, region in enumerate(market.across.regions):
+    for index, region in enumerate(service_settings.across.regions):
         for zone in region.zones:
-            if zone not in market.fleet.zones:
+            if zone not in service_settings.fleet.zones:
                 yield (
                     f"across.region[{index}].zones",
-                    f"no zone '{zone}'; there are {', '.join(market.fleet.zones)}",
+                    f"no zone '{zone}'; there are {', '.join(service_settings.fleet.zones)}",
                 )
             if zone in placed:
                 yield f"across.region[{index}].zones", f"zone '{zone}' stands in two regions"
             placed.add(zone)
-    for index, spec in enumerate(market.classes):
-        if spec.across != "any" and not market.across.regions:
+    for index, spec in enumerate(service_settings.classes):
+        if spec.across != "any" and not service_settings.across.regions:
             yield f"class[{index}].across", "needs (across (region ...) ...)"
-    names = [region.name for region in market.across.regions]
+    names = [region.name for region in service_settings.across.regions]
     seen: set[frozenset[str]] = set()
-    for index, link in enumerate(market.across.links):
+    for index, link in enumerate(service_settings.across.links):
         path, pair = f"across.link[{index}].between", frozenset(link.between)
         for name in link.between:
             if name not in names:
@@ -535,14 +535,14 @@
         elif pair in seen:
             yield path, "the link is given twice"
         seen.add(pair)
-    if market.across.regions and placed < set(market.fleet.zones):
-        yield "across", f"zones in no region: {', '.join(sorted(set(market.fleet.zones) - placed))}"
+    if service_settings.across.regions and placed < set(service_settings.fleet.zones):
+        yield "across", f"zones in no region: {', '.join(sorted(set(service_settings.fleet.zones) - placed))}"
 
 
-def _collections(market: Market) -> Found:
-    classes = {spec.name: spec for spec in market.classes}
+def _collections(service_settings: ServiceSettings) -> Found:
+    classes = {spec.name: spec for spec in service_settings.classes}
     seen: set[str] = set()
-    for index, one in enumerate(market.collections):
+    for index, one in enumerate(service_settings.collections):
         path = f"collection[{index}]"
         if one.name in seen:
             yield path, f"collection '{one.name}' is given twice"
@@ -553,11 +553,11 @@
                 yield f"{path}.{key}", f"no class '{name}'; there are {', '.join(sorted(classes))}"
             elif spec.second_step_parts:
                 yield f"{path}.{key}", f"class '{name}' has a second step, which searches have not"
-        if one.parts > market.fleet.shards:
-            yield f"{path}.parts", f"more than the {market.fleet.shards} shards"
-    if market.vector.listen and not market.collections:
+        if one.parts > service_settings.fleet.shards:
+            yield f"{path}.parts", f"more than the {service_settings.fleet.shards} shards"
+    if service_settings.vector.listen and not service_settings.collections:
         yield "vector.listen", "there is no collection to serve"
 
 
-Check = Callable[[Market], Found]
+Check = Callable[[ServiceSettings], Found]
 CROSS_CHECKS: tuple[Check, ...] = (_classes, _fleet, _rules, _across, _collections)
--- a/heathwell/standins/discovery.py
+++ b/heathwell/standins/discovery.py
@@ -8,7 +8,7 @@
 from heathwell.codec import frames
 from heathwell.kernel import Coro, Listener, Loop, Net, Stream, StreamBroken
 from heathwell.observability.event_log import EventLog, NoEvents
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 TROUBLES = ("down", "late", "heal")
 
@@ -20,17 +20,17 @@
         self,
         loop: Loop,
         net: Net,
-        market: Market,
+        service_settings: ServiceSettings,
         *,
         address: str | None = None,
         events: EventLog | None = None,
         log: Callable[..., None] | None = None,
     ) -> None:
-        self.loop, self.net, self.market = loop, net, market
-        self.address = address or market.discovery.address
+        self.loop, self.net, self.service_settings = loop, net, service_settings
+        self.address = address or service_settings.discovery.address
         self.events: EventLog = events or NoEvents()
         self.log = log or (lambda *_args, **_fields: None)
-        self.public: dict[str, frames.Entry] = {}
+        self.public: dict[str, frames.EndpointListEntry] = {}
         self.seen: dict[str, int] = {}
         self.alive: dict[str, Stream] = {}
         self.registered: dict[Stream, str] = {}
@@ -45,7 +45,7 @@
         self.address = self.listener.address
         return self.address
 
-    def order(self, control: frames.Control) -> str:
+    def order(self, control: frames.FaultCommand) -> str:
         """Make trouble as told."""
         now = self.loop.now()
         if control.kind not in TROUBLES:
@@ -73,24 +73,26 @@
             node = self.registered.pop(stream, "")
             if node and self.alive.get(node) is stream:
                 del self.alive[node]
-                self.loop.call_at(self.loop.now() + self.market.discovery.silent_notice, self._missed, node)
+                self.loop.call_at(
+                    self.loop.now() + self.service_settings.discovery.silent_notice, self._missed, node
+                )
 
-    def _heard(self, stream: Stream, message: frames.Any_) -> None:
+    def _heard(self, stream: Stream, message: frames.AnyMessage) -> None:
         match message:
             case frames.Hello(role=role):
                 if role in ("", "broker") and self.loop.now() < self.down_until:
                     raise StreamBroken("down by order")
-            case frames.Register(entry=entry):
+            case frames.Registration(entry=entry):
                 self.registered[stream] = entry.node
                 self._registered(entry, stream)
-            case frames.Draining():
+            case frames.DrainNotice():
                 self._change(self.registered.get(stream, ""), "draining")
-            case frames.Watch():
+            case frames.WatchRequest():
                 self._watch(stream)
-            case frames.Control():
-                stream.write(frames.encode(frames.Done(self.order(message))))
+            case frames.FaultCommand():
+                stream.write(frames.encode(frames.FaultCommandReply(self.order(message))))
 
-    def _registered(self, entry: frames.Entry, stream: Stream) -> None:
+    def _registered(self, entry: frames.EndpointListEntry, stream: Stream) -> None:
         self.alive[entry.node] = stream
         self.seen[entry.node] = self.loop.now() - entry.age_us if entry.age_us >= 0 else -1
         self._tell(entry)
@@ -102,14 +104,18 @@
     def _change(self, node: str, state: str) -> None:
         known = self.public.get(node)
         if known is not None:
-            self._tell(frames.Entry(node, known.cell, known.zone, state, known.birth, known.age_us))
+            self._tell(
+                frames.EndpointListEntry(node, known.cell, known.zone, state, known.birth, known.age_us)
+            )
 
-    def _tell(self, entry: frames.Entry) -> None:
+    def _tell(self, entry: frames.EndpointListEntry) -> None:
         """What is known now becomes public later, in order."""
         extra = self.late_by if self.loop.now() < self.late_until else 0
-        self.loop.call_at(self.loop.now() + self.market.discovery.notice + extra, self._publish, entry)
+        self.loop.call_at(
+            self.loop.now() + self.service_settings.discovery.notice + extra, self._publish, entry
+        )
 
-    def _publish(self, entry: frames.Entry) -> None:
+    def _publish(self, entry: frames.EndpointListEntry) -> None:
         self.index += 1
         self.public[entry.node] = entry
         self.events("published", node=entry.node, state=entry.state)
@@ -122,14 +128,14 @@
         entries = [] if known else [self._aged(e) for e in self.public.values() if e.state != "gone"]
         self._send(stream, "update" if known else "full", entries)
 
-    def _aged(self, entry: frames.Entry) -> frames.Entry:
+    def _aged(self, entry: frames.EndpointListEntry) -> frames.EndpointListEntry:
         """The entry with its process's age as of now."""
         since = self.seen.get(entry.node, -1)
         age = self.loop.now() - since if since >= 0 else -1
-        return frames.Entry(entry.node, entry.cell, entry.zone, entry.state, entry.birth, age)
+        return frames.EndpointListEntry(entry.node, entry.cell, entry.zone, entry.state, entry.birth, age)
 
-    def _send(self, stream: Stream, kind: str, entries: list[frames.Entry]) -> None:
+    def _send(self, stream: Stream, kind: str, entries: list[frames.EndpointListEntry]) -> None:
         try:
-            stream.write(frames.encode(frames.Hosts(kind, self.index, entries)))
+            stream.write(frames.encode(frames.EndpointList(kind, self.index, entries)))
         except StreamBroken:
             self.watchers.pop(stream, None)
--- a/heathwell/standins/leaf.py
+++ b/heathwell/standins/leaf.py
@@ -29,7 +29,7 @@
     sleep,
 )
 from heathwell.observability.event_log import EventLog, NoEvents
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 from heathwell.standins import data
 from heathwell.standins.source import Feed, Truth
 from heathwell.vectors.wire import OP, SearchAsk, encode, read_ask
@@ -63,7 +63,7 @@
 class Job:
     """An attempt that has arrived."""
 
-    ask: frames.Ask
+    ask: frames.PartRequest
     stream: Stream
     came: int
     broker: str
@@ -96,7 +96,7 @@
         self,
         loop: Loop,
         net: Net,
-        market: Market,
+        service_settings: ServiceSettings,
         *,
         name: str,
         cell: int,
@@ -108,23 +108,23 @@
         on_die: Callable[[], None] | None = None,
         speed: float | None = None,
     ) -> None:
-        self.loop, self.net, self.market, self.name = loop, net, market, name
+        self.loop, self.net, self.service_settings, self.name = loop, net, service_settings, name
         self.cell, self.zone, self.discovery, self.address = cell, zone, discovery, address
         self.events: EventLog = events or NoEvents()
         self.random = random.Random(seed)
-        self.speed = speed or market.leaf.speed
+        self.speed = speed or service_settings.leaf.speed
         self.on_die = on_die
-        self.classes = {spec.name: spec for spec in market.classes}
-        self.collections = {spec.name: spec for spec in market.collections}
+        self.classes = {spec.name: spec for spec in service_settings.classes}
+        self.collections = {spec.name: spec for spec in service_settings.collections}
         if self.collections:
             # Only hosts of vectors pay for the libraries; all shards are at hand before the door opens.
             from heathwell.standins.vectors import shard_of  # noqa: PLC0415
 
             self.shard_of = shard_of
-            for spec in market.collections:
-                for number in range(market.fleet.shards):
+            for spec in service_settings.collections:
+                for number in range(service_settings.fleet.shards):
                     if self._holds(number):
-                        shard_of(spec, number, market.fleet.shards)
+                        shard_of(spec, number, service_settings.fleet.shards)
         self.listener: Listener | None = None
         self.running: dict[Key, Job] = {}
         self.queue: deque[Job] = deque()
@@ -143,7 +143,7 @@
         self.fallen = self.draining = False
         self.reported = (0, 0)
         self.served = 0
-        fresh = market.freshness
+        fresh = service_settings.freshness
         self.feed = Feed(Truth(fresh.rate), fresh.lag, random.Random(seed + 1)) if fresh.on else None
         self._registrar: Task | None = None
         self._registered: Stream | None = None
@@ -192,14 +192,14 @@
             return
         self.draining = True
         self.events("drain", node=self.address)
-        frame = frames.encode(frames.Draining())
+        frame = frames.encode(frames.DrainNotice())
         for stream in list(self.peers):
             self._put(stream, frame)
         if self._registered is not None:
             self._put(self._registered, frame)
-        self.loop.call_at(self.loop.now() + self.market.leaf.drain_for, self._die)
+        self.loop.call_at(self.loop.now() + self.service_settings.leaf.drain_for, self._die)
 
-    def order(self, control: frames.Control) -> str:
+    def order(self, control: frames.FaultCommand) -> str:
         """Make trouble as told; returns an error's text, or nothing."""
         kind, now = control.kind, self.loop.now()
         if kind not in TROUBLES:
@@ -245,7 +245,7 @@
 
     def warmth(self) -> float:
         """The share of its capacity that the host has now."""
-        rules = self.market.rules
+        rules = self.service_settings.rules
         if not self.started_cold or not rules.warm_within:
             return 1.0
         age = (self.loop.now() - self.started_cold) / rules.warm_within
@@ -253,11 +253,11 @@
 
     def _full_rate(self) -> float:
         """Work, in seconds, that the warm host does in a second."""
-        return self.market.leaf.slots * self.speed
+        return self.service_settings.leaf.slots * self.speed
 
     def _press(self, work_us: float) -> None:
         """Count arriving work against the cold budget: over it for the stated time, the host falls."""
-        rules = self.market.rules
+        rules = self.service_settings.rules
         if not rules.fall_after or self.warmth() >= 1.0:
             return
         now = self.loop.now()
@@ -298,7 +298,7 @@
             return
         self._looks_at_quiet = False
 
-    def _heard(self, stream: Stream, message: frames.Any_) -> None:
+    def _heard(self, stream: Stream, message: frames.AnyMessage) -> None:
         if stream in self.spoke:
             self.spoke[stream] = self.loop.now()
         match message:
@@ -313,7 +313,7 @@
                         self._looks_at_quiet = True
                         self._look_at_quiet()
                 if self.draining:
-                    self._put(stream, frames.encode(frames.Draining()))
+                    self._put(stream, frames.encode(frames.DrainNotice()))
             case frames.Call():
                 for ask in message.parts:
                     self._arrived(Job(ask, stream, self.loop.now(), self.peers[stream].name))
@@ -322,8 +322,8 @@
             case frames.Ping(n=number):
                 if not self.fallen and not self._has("silent"):
                     self._put(stream, frames.encode(frames.Pong(number, self._inflight())))
-            case frames.Control():
-                stream.write(frames.encode(frames.Done(self.order(message))))
+            case frames.FaultCommand():
+                stream.write(frames.encode(frames.FaultCommandReply(self.order(message))))
 
     def _arrived(self, job: Job) -> None:
         ask = job.ask
@@ -361,9 +361,9 @@
             self._reply(job, "error")
         elif self.draining or self._has("refuse"):
             self._reply(job, "full")
-        elif len(self.running) < self.market.leaf.slots:
+        elif len(self.running) < self.service_settings.leaf.slots:
             self._begin(job)
-        elif len(self.queue) < self.market.leaf.queue:
+        elif len(self.queue) < self.service_settings.leaf.queue:
             self.queue.append(job)
         else:
             self._reply(job, "full")
@@ -380,13 +380,15 @@
 
     def _tell_bound(self, job: Job, search: SearchAsk) -> None:
         """Before the queue: how good this host's best row can be."""
-        shard = self.shard_of(self.collections[search.collection], job.ask.shard, self.market.fleet.shards)
+        shard = self.shard_of(
+            self.collections[search.collection], job.ask.shard, self.service_settings.fleet.shards
+        )
         best = shard.bounds(shard.prepared(search.vectors, len(search.wants)))
         self.events("bound", p=job.ask.id, seq=job.ask.seq, node=self.address, best=best)
-        self._put(job.stream, frames.encode(frames.Bound(job.ask.id, job.ask.seq, best)))
+        self._put(job.stream, frames.encode(frames.ScoreBound(job.ask.id, job.ask.seq, best)))
 
     def _holds(self, shard: int) -> bool:
-        fleet = self.market.fleet
+        fleet = self.service_settings.fleet
         return (self.cell - shard) % fleet.cells < fleet.width
 
     def _begin(self, job: Job) -> None:
@@ -404,7 +406,11 @@
         if slow is not None and slow.text not in ("", ask.query_class):
             slow = None
         share = spec.fetch_work if ask.op == "items" else 1.0
-        noise = self.random.lognormvariate(0.0, self.market.leaf.noise) if self.market.leaf.noise else 1.0
+        noise = (
+            self.random.lognormvariate(0.0, self.service_settings.leaf.noise)
+            if self.service_settings.leaf.noise
+            else 1.0
+        )
         work = self._searched(job) if job.search is not None else spec.work * share
         span = work * noise / (self.speed * self.warmth()) * (slow.value if slow else 1.0)
         self.events("begin", p=ask.id, seq=ask.seq, node=self.address)
@@ -431,9 +437,13 @@
         """An attempt's data; raises :class:`ValueError`."""
         ask = job.ask
         if job.search is None:
-            made: dict[str, Any] = data.answer(ask.op, ask.shard, ask.key, ask.item, self.market.leaf.rows)
+            made: dict[str, Any] = data.answer(
+                ask.op, ask.shard, ask.key, ask.item, self.service_settings.leaf.rows
+            )
             return msgspec.json.encode(made)
-        shard = self.shard_of(self.collections[job.search.collection], ask.shard, self.market.fleet.shards)
+        shard = self.shard_of(
+            self.collections[job.search.collection], ask.shard, self.service_settings.fleet.shards
+        )
         answer = shard.search(job.search)
         spoilt = self._has("spoil")
         if spoilt is not None:
@@ -451,7 +461,7 @@
             del self.effects[oldest]
 
     def _next(self) -> None:
-        while self.queue and len(self.running) < self.market.leaf.slots:
+        while self.queue and len(self.running) < self.service_settings.leaf.slots:
             job = self.queue.popleft()
             if job.stream.closed or self.loop.now() - job.came >= job.ask.left_us:
                 self.events("dropped", p=job.ask.id, seq=job.ask.seq, node=self.address)
@@ -467,7 +477,7 @@
 
     def _inflight(self) -> int:
         now = self.loop.now()
-        if now - self.reported[0] >= self.market.leaf.refresh:
+        if now - self.reported[0] >= self.service_settings.leaf.refresh:
             self.reported = (now, len(self.running) + len(self.queue))
         return self.reported[1]
 
@@ -526,7 +536,7 @@
             try:
                 stream = yield from self.net.connect(self.discovery, 1_000_000)
                 age = self.loop.now() - self.started_cold if self.started_cold else -1
-                entry = frames.Entry(
+                entry = frames.EndpointListEntry(
                     self.address,
                     self.cell,
                     self.zone,
@@ -535,7 +545,7 @@
                     state="draining" if self.draining else "live",
                 )
                 stream.write(frames.encode(frames.Hello(frames.VERSION, self.name, "leaf")))
-                stream.write(frames.encode(frames.Register(entry)))
+                stream.write(frames.encode(frames.Registration(entry)))
                 self._registered = stream
                 while (yield from stream.read()):
                     pass
--- a/heathwell/standins/relay.py
+++ b/heathwell/standins/relay.py
@@ -81,7 +81,7 @@
             self.routes[target] = door.address
         return self.routes
 
-    def order(self, control: frames.Control) -> str:
+    def order(self, control: frames.FaultCommand) -> str:
         """Make trouble as told; returns an error's text, or nothing."""
         kind, now = control.kind, self.loop.now()
         until = now + control.span_us
@@ -128,9 +128,9 @@
         self.loop.call_at(now + period, self._flap, period, not cut)
 
     def _orders(self, stream: Stream) -> Coro[None]:
-        def heard(message: frames.Any_) -> None:
-            if isinstance(message, frames.Control):
-                stream.write(frames.encode(frames.Done(self.order(message))))
+        def heard(message: frames.AnyMessage) -> None:
+            if isinstance(message, frames.FaultCommand):
+                stream.write(frames.encode(frames.FaultCommandReply(self.order(message))))
 
         return inner_protocol.serve(stream, "relay", "relay", heard)
 
--- a/heathwell/standins/source.py
+++ b/heathwell/standins/source.py
@@ -14,7 +14,7 @@
 from heathwell import inner_protocol
 from heathwell.codec import frames
 from heathwell.kernel import Coro, Listener, Loop, Net, Stream
-from heathwell.settings import Market
+from heathwell.settings import ServiceSettings
 
 OFFSET_US = 7_777_777_777_000  # of the source's clock before the machine's
 CATCH_UP = 10.0  # times real time at which a host that was set back applies the log
@@ -87,10 +87,12 @@
 class Source:
     """Serves the source's clock."""
 
-    def __init__(self, loop: Loop, net: Net, market: Market, address: str | None = None) -> None:
+    def __init__(
+        self, loop: Loop, net: Net, service_settings: ServiceSettings, address: str | None = None
+    ) -> None:
         self.loop, self.net = loop, net
-        self.address = address or market.freshness.source
-        self.truth = Truth(market.freshness.rate)
+        self.address = address or service_settings.freshness.source
+        self.truth = Truth(service_settings.freshness.rate)
         self.listener: Listener | None = None
 
     def start(self) -> str:
@@ -100,8 +102,8 @@
         return self.address
 
     def _serve(self, stream: Stream) -> Coro[None]:
-        def heard(message: frames.Any_) -> None:
-            if isinstance(message, frames.AskClock):
-                stream.write(frames.encode(frames.Clock(message.n, self.truth.now(self.loop.now()))))
+        def heard(message: frames.AnyMessage) -> None:
+            if isinstance(message, frames.ClockRequest):
+                stream.write(frames.encode(frames.ClockReply(message.n, self.truth.now(self.loop.now()))))
 
         return inner_protocol.serve(stream, "source", "source", heard)
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -241,7 +241,7 @@
 
     def knows(self, node: Node, how: str) -> Callable[[], bool]:
         """Whether the broker has that word."""
-        servers = self.broker.module.endpoints
+        servers = self.broker.aggregator.endpoints
         if how == "restarted":
             return lambda: node.uid in servers and servers[node.uid].started_at_us is not None
         if how in ("draining", "gone"):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,7 +11,7 @@
 from heathwell.kernel import StreamBroken, sleep, virtual_loop
 from heathwell.lab.figures import run_figures
 from heathwell.lab.fleet import LocalFleet
-from heathwell.settings import Market, loads
+from heathwell.settings import ServiceSettings, loads
 
 MARKET = """
 (class price-search (aim 1s) (limit 2s) (worth 2) (late-worth 30%) (need 75%) (work 40ms))
@@ -32,13 +32,13 @@
 
     def __init__(self, seed: int = 1, text: str = MARKET, shuffle: int | None = None) -> None:
         self.loop, self.net = virtual_loop(shuffle)
-        self.market: Market = loads(text)
+        self.service_settings: ServiceSettings = loads(text)
         self.errors: list[tuple[str, BaseException]] = []
         self.loop.on_error = lambda name, error: self.errors.append((name, error))
         self.events: list[dict[str, Any]] = []
-        self.note("run", figures=run_figures(self.market))
+        self.note("run", figures=run_figures(self.service_settings))
         self.fleet = LocalFleet(
-            self.loop, self.net_of, self.market, seed, into=self.events, host_of=lambda name: name
+            self.loop, self.net_of, self.service_settings, seed, into=self.events, host_of=lambda name: name
         )
         self.run(self.settle())
 
@@ -103,7 +103,7 @@
         self.asked += 1
         request, world = f"{self.stream.here}#{self.asked}", self.world
         plans = [world.fleet.brokers[self.broker].broker.keys.plan(key) for key in keys]
-        limit = max((world.market.classes[p.query_class].timeout_us for p in plans if p), default=1)
+        limit = max((world.service_settings.classes[p.query_class].timeout_us for p in plans if p), default=1)
         world.note("ask", req=request, keys=keys, broker=f"b{self.broker}", limit=limit)
         self.stream.write(f"{command} {' '.join(keys)}\r\n".encode())
         try:
--- a/tests/test_both_fronts.py
+++ b/tests/test_both_fronts.py
@@ -38,7 +38,7 @@
     assert day.statuses[200] > 100 and set(day.statuses) <= {200, 503}
     truth = {}
     for shard in range(12):
-        held = shard_of(day.market.collections[0], shard, 12)
+        held = shard_of(day.service_settings.collections[0], shard, 12)
         truth |= dict(zip(held.ids, held.vectors, strict=True))
     checked = 0
     for one in day.answers[:80]:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -35,11 +35,11 @@
     made = LocalFleet(loop, lambda _name: net, loads(TEXT))
     for leaf in made.leaves:
         if leaf.cell in (0, 1, 2, 3):
-            leaf.order(frames.Control("failclass", 0, 3_600_000_000, "price-search"))
+            leaf.order(frames.FaultCommand("failclass", 0, 3_600_000_000, "price-search"))
     thread = threading.Thread(target=loop.run, daemon=True)
     thread.start()
     until = time.monotonic() + 20
-    while not made.brokers[0].broker.module.endpoints and time.monotonic() < until:
+    while not made.brokers[0].broker.aggregator.endpoints and time.monotonic() < until:
         time.sleep(0.01)
     yield made
     loop.call_threadsafe(loop.stop)
@@ -157,13 +157,13 @@
 
 def test_where_settings_ask_for_errors_pymemcache_raises_the_refusal_and_its_advice(fleet):
     broker = fleet.brokers[0].broker
-    broker.stopping, broker.market.broker.refusals = True, "error"
+    broker.stopping, broker.service_settings.broker.refusals = True, "error"
     try:
         client = pymemcache.Client(address(fleet), timeout=10)
         with pytest.raises(MemcacheServerError, match=r"refused=1,3 retry-after-ms=\d+"):
             client.get_many(["sale:anna:17", "nothing:1", "sale:bo:1"])
     finally:
-        broker.stopping, broker.market.broker.refusals = False, "value"
+        broker.stopping, broker.service_settings.broker.refusals = False, "value"
     assert had(client.get_many, ["sale:anna:17"])["sale:anna:17"]["found"]
 
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -121,7 +121,7 @@
         frames.encode(m)
         for m in (
             frames.Hello(1, "b", "broker"),
-            frames.Call([frames.Ask("q/0", 0, "c", "record", "k", 3, 99)]),
+            frames.Call([frames.PartRequest("q/0", 0, "c", "record", "k", 3, 99)]),
             frames.Result("q/0", 0, "ok", b"x" * 1000, 4),
             frames.Pong(3),
         )
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -292,7 +292,7 @@
             key = (part.id, 1)
             part.attempts = 2
             query.out[key] = other.uid
-            world.broker._link(other.uid).send([world.broker.ask_for(query, part, 1, 100_000)])
+            world.broker._link(other.uid).send([world.broker.attempt_request(query, part, 1, 100_000)])
         for node in world.nodes:
             node.behave = None
         stream, node, called = held[0]
@@ -329,7 +329,7 @@
         deaf = Deaf(world, SHARD)
         yield from world.until(world.knows(world.nodes[SHARD], deaf.address))
         link = world.broker._link("s3")
-        world.broker.attempt_ended = lambda node, key, outcome, result: ended.append((key[0], outcome))
+        world.broker.on_attempt_result = lambda node, key, outcome, result: ended.append((key[0], outcome))
         link.send([node_ask("q1.3", 0, 3, b"x")])
         yield from world.until(lambda: link.connections[0].stream and link.connections[0].out["q1.3"].ends)
         link.send([node_ask("q2.3", 0, 3, b"x" * 4_000_000)])
@@ -430,7 +430,7 @@
         assert (yield from world.ask("q1", SHARD).join()).status == 200
         link = world.broker.links["s3"]
         ended = []
-        world.broker.attempt_ended = lambda node, key, outcome, result: ended.append(outcome)
+        world.broker.on_attempt_result = lambda node, key, outcome, result: ended.append(outcome)
 
         def ends():
             for stream in list(world.nodes[SHARD].streams):
@@ -468,7 +468,7 @@
         yield from world.until(world.knows(world.nodes[1], "gone"))
 
     world.run(main())
-    module = world.broker.module
+    module = world.broker.aggregator
     told = world.setup["invariants"][
         "must-ask-in-us" if world.setup["registry-mode"] == "ask" else "drain-grace-us"
     ]
@@ -510,7 +510,7 @@
     registry.put({**world.nodes[4].entry, "state": "draining"})
     told = max(silent_at + 6_000_000, registry.called_us + wait_us + 2_000_000)
     world.wait((told + grace - world.loop.now()) / 1e6)
-    assert not world.broker.module.endpoints["s4"].live
+    assert not world.broker.aggregator.endpoints["s4"].live
 
 
 @pytest.mark.parametrize("draw", [0.0, 0.5, 1.0])
@@ -520,7 +520,7 @@
     after a failure, then two to four: after the grace, by its shorter and its middle draws.
     """
     world = Platform()
-    world.broker.module.random.uniform = lambda low, high: low + draw * (high - low)
+    world.broker.aggregator.random.uniform = lambda low, high: low + draw * (high - low)
     registry = world.registry
     world.wait(0.01)
     wait_us = int(registry.calls[-1].partition("hold_ms=")[2]) * 1000
@@ -537,7 +537,7 @@
     if failing == "refused":
         world.net.listeners["registry:8500"] = kept
     world.wait(0.85)  # a grace of one second: one call every 0.8 s at the most
-    assert not world.broker.module.endpoints["s4"].live
+    assert not world.broker.aggregator.endpoints["s4"].live
 
 
 def test_discovery_that_moved_is_asked_again_soon_however_long_the_old_one_failed():
@@ -555,7 +555,7 @@
     registry.put({**world.nodes[4].entry, "state": "draining"})
     registry.down = False
     world.wait(1.0)
-    assert not world.broker.module.endpoints["s4"].live
+    assert not world.broker.aggregator.endpoints["s4"].live
 
 
 @pytest.mark.parametrize("rev", [1, 2, 50])
@@ -578,7 +578,7 @@
         registry.entries = {uid: (min(at, rev), entry) for uid, (at, entry) in registry.entries.items()}
     registry.down = False
     world.wait(12.0)
-    assert not world.broker.module.endpoints["s2"].live and world.broker.module.endpoints["s5"].live
+    assert not world.broker.aggregator.endpoints["s2"].live and world.broker.aggregator.endpoints["s5"].live
     assert world.broker.watch.rev == rev
 
 
@@ -660,7 +660,7 @@
         yield from sleep(world.loop, 100_000)
         began = world.loop.now()
         until = began + min(longest, 3_000_000) + 500_000
-        world.broker.ends_at(until)
+        world.broker.start_shutdown(until)
         yield from sleep(world.loop, 300_000)
         tasks += [world.loop.spawn(one(kind, 10 + n), "q") for n, kind in enumerate(kinds)]
         for task in tasks:
@@ -679,13 +679,13 @@
 
 def test_an_owner_is_known_by_the_settings_accounts():
     world = World("pushed, unsafe, no cancels, tenants")
-    seen, handle = [], world.broker.module.handle
+    seen, handle = [], world.broker.aggregator.handle
 
     def noted(now, events):
         seen.extend(event.tenant for event in events if isinstance(event, policy.QueryArrived))
         return handle(now, events)
 
-    world.broker.module.handle = noted
+    world.broker.aggregator.handle = noted
 
     def main():
         for n, owner in enumerate(("valley", "harbour", "nobody", None)):
--- a/tests/test_crossings_drawn.py
+++ b/tests/test_crossings_drawn.py
@@ -124,7 +124,7 @@
             node.behave = noise
         elif what == "end" and not ends and draw.random() < 0.3:
             ends.append(world.loop.now() + 2_000_000)
-            world.broker.ends_at(ends[0])
+            world.broker.start_shutdown(ends[0])
 
     def main():
         began, n, tasks = world.loop.now(), 0, []
--- a/tests/test_crossings_times.py
+++ b/tests/test_crossings_times.py
@@ -124,7 +124,7 @@
         world.gate.hold(node.address)
         asked = world.ask("q1", SHARD)
         yield from world.until(world.out("q1"))
-        deadline = world.broker.queries["q1"].deadline
+        deadline = world.broker.queries["q1"].deadline_us
         world.stalls_until(deadline - limit // 2)
         left = deadline - world.loop.now()
         world.gate.open(node.address)
@@ -158,7 +158,7 @@
         stream, part = held[0]
         if first == "answer":
             stream.write(answer(part))
-        world.stalls_until(world.broker.queries["q1"].deadline + 1_000)
+        world.stalls_until(world.broker.queries["q1"].deadline_us + 1_000)
         data = yield from told(world, sock, b"")
         if first == "deadline" and not stream.closed:
             stream.write(answer(part))
@@ -289,7 +289,7 @@
         return script.calls[3][1]
 
     assert world.run(main()).startswith("/api/targets?from=8&hold_ms=")
-    assert not world.broker.module.endpoints["s2"].live
+    assert not world.broker.aggregator.endpoints["s2"].live
 
 
 @pytest.mark.parametrize("name", CUSTOMERS)
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -197,7 +197,7 @@
 QUICK = ("a zone's hosts killed and back cold",)
 
 
-def write_market(path):
+def write_service_settings(path):
     text = MARKET
     for old, new in SWAPS:
         assert old in text
@@ -211,7 +211,7 @@
 )
 def test_a_zone_is_left_and_come_back_to_as_it_should(name, tmp_path):
     steps, seconds, shows = CASES[name]
-    write_market(tmp_path / "market.sx")
+    write_service_settings(tmp_path / "market.sx")
     (tmp_path / "day.sx").write_text(
         f'(market "market.sx") (seconds {seconds}) (seed 3) (wires yes)\n'
         f"(load (rate 36) (clients 64) (mix price (share 3)) (mix report) (mix sale (share 2)))\n{steps}\n"
@@ -249,7 +249,7 @@
 
 @pytest.fixture
 def running(tmp_path):
-    path = write_market(tmp_path / "market.sx")
+    path = write_service_settings(tmp_path / "market.sx")
     ports = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
     keepers = " ".join(f'"127.0.0.1:{port.getsockname()[1]}"' for port in ports)
     for port in ports:
@@ -379,7 +379,7 @@
     """Three more members, whose words are lies; in a loop of their own beside the processes."""
     fleet, _, where = running
     loop, net, _ = socket_loop()
-    spec = fleet.market.fleet
+    spec = fleet.service_settings.fleet
     agents = []
     for n, zone in enumerate(("hki-1", "espoo-1", "hki-1")):
         name = f"liar{n}"
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -221,9 +221,9 @@
         f"(load (rate 30) (clients 48) {asked} (mix price (share 3)) (mix report) (mix sale (share 2)))\n"
         f"{SLOW}\n{case.steps}\n"
     )
-    script, market, config = load_script(str(tmp_path / "day.sx"))
+    script, service_settings, config = load_script(str(tmp_path / "day.sx"))
     told: list[str] = []
-    day = Day(script, market, config, tmp_path / "out", told.append)
+    day = Day(script, service_settings, config, tmp_path / "out", told.append)
     verdict = day.play()
     found = judge_budgets(day.logged)
     assert not day.faults, day.faults  # a fault that was not made must not pass for one that was borne
@@ -241,8 +241,8 @@
         '(market "market.sx") (seconds 6) (wires yes) (load (rate 20) (clients 16) (mix price)) '
         f"{SLOW} (at 3s kill (to k2) (span 60s))"
     )
-    read, market, config = load_script(str(script))
-    day = Day(read, market, config, tmp_path / "out", lambda _text: None)
+    read, service_settings, config = load_script(str(script))
+    day = Day(read, service_settings, config, tmp_path / "out", lambda _text: None)
     seen: dict[str, subprocess.CompletedProcess[str]] = {}
     plain = day._wait
 
@@ -325,7 +325,7 @@
     control = {"control", "budgets", "membership", "evacuation", "rollout", "check", "lab"}
     for module, more in (
         ("heathwell.gateway.process", {"hostpool", "market", "service", "spending", "zonesight"}),
-        ("heathwell.broker.market", {"zonesight"}),
+        ("heathwell.broker.service_broker", {"zonesight"}),
     ):
         run = subprocess.run(
             [sys.executable, "-c", f"import sys, {module}; print('\\n'.join(sys.modules))"],
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -12,7 +12,7 @@
 
 from heathwell.audit import judge, judge_ages
 from heathwell.audit.reader import from_lines
-from heathwell.broker.market import Broker
+from heathwell.broker.service_broker import ServiceBroker
 from heathwell.codec import frames
 from heathwell.coverage import Cover, CoverError, decode, encode
 from heathwell.freshness import Freshness, Policy, SourceClock, TokenError, Watermark, make_token, read_token
@@ -204,7 +204,7 @@
 
 
 def order(leaf, kind, seconds, value=0.0):
-    assert leaf.order(frames.Control(kind, value, int(seconds * 1e6))) == ""
+    assert leaf.order(frames.FaultCommand(kind, value, int(seconds * 1e6))) == ""
 
 
 def test_the_set_in_an_answer_is_what_it_rests_on():
@@ -325,7 +325,7 @@
 
 def test_without_the_sources_clock_ages_are_unknown_and_never_guessed():
     world = World(8, policy(ON, "(wanted-age 1s)"))
-    world.fleet.brokers[0].broker.clock_keeper.close()
+    world.fleet.brokers[0].broker.source_clock_client.close()
     world.fleet.brokers[0].broker.fresh.clock.forget()
 
     def main():
@@ -371,14 +371,14 @@
 
 
 def test_a_broker_that_counts_a_part_twice_is_caught(monkeypatch):
-    final = Broker._final
+    final = ServiceBroker._final
 
     def twice(self, query, reply, on_reply):
         for name, part in list(query.parts.items())[:1]:
             query.parts[name + "again"] = copy.copy(part)
         final(self, query, reply, on_reply)
 
-    monkeypatch.setattr(Broker, "_final", twice)
+    monkeypatch.setattr(ServiceBroker, "_final", twice)
     verdict = judge(
         from_lines(day(24, seconds=4.0, crashes=False, trouble_rate=0.0).run().events), slack=20_000
     )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -81,7 +81,7 @@
     assert all(
         server.slow_start_from_us is None
         and "no connection" not in [bar.dead for bar in server.ejections.values()]
-        for server in world.broker.module.endpoints.values()
+        for server in world.broker.aggregator.endpoints.values()
     )
 
 
@@ -99,7 +99,7 @@
         node.behave = dies
     status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
     assert status == 200 and world.broker.counts["attempt", "price-search", policy.Outcome.BROKEN] >= 1
-    assert world.broker.module.endpoints[victims[0]].ejections
+    assert world.broker.aggregator.endpoints[victims[0]].ejections
 
 
 def test_what_had_not_left_when_a_connection_broke_never_ran():
@@ -165,7 +165,7 @@
     node = world.nodes[3]
     ended = []
     link = link_of("s3")
-    world.broker.attempt_ended = lambda node, key, outcome, result: ended.append((key, outcome))
+    world.broker.on_attempt_result = lambda node, key, outcome, result: ended.append((key, outcome))
     late = []
     node.behave = lambda node, stream, part: late.append((stream, part))
     link.send([node_ask("q1.3", 0, 3, b"x")])
@@ -225,7 +225,7 @@
         return statuses
 
     statuses = world.run(main())
-    module = world.broker.module
+    module = world.broker.aggregator
     assert statuses.count(200) >= 58 and statuses[20:] == [200] * 40
     assert all(module.slow_start_fraction(server) == 1.0 for server in module.endpoints.values())
     assert world.broker.counts["attempt", "price-search", policy.Outcome.TIMED_OUT] >= 1
@@ -249,7 +249,7 @@
     assert not any(node.parts for node in world.nodes)
     assert world.broker.counts["attempt", "price-search", policy.Outcome.NEVER_SENT] >= 3
     assert not world.broker.parts and not any(
-        server.in_flight for server in world.broker.module.endpoints.values()
+        server.in_flight for server in world.broker.aggregator.endpoints.values()
     )
 
 
@@ -275,8 +275,8 @@
     began = world.loop.now()
     world.registry.put({**world.nodes[2].entry, "boot_ms": UNIX_US // 1000 + 5000})
     world.wait(0.5)
-    assert world.broker.module.endpoints["s2"].started_at_us == began + 5_000_000
-    assert world.broker.module.endpoints["s1"].started_at_us is None
+    assert world.broker.aggregator.endpoints["s2"].started_at_us == began + 5_000_000
+    assert world.broker.aggregator.endpoints["s1"].started_at_us is None
 
 
 def test_a_last_try_with_all_the_time_left_does_not_make_first_tries_look_cut():
@@ -330,7 +330,7 @@
             world.events.clear()
             world.lines.clear()
             if n in (500, 1999):
-                broker, module = world.broker, world.broker.module
+                broker, module = world.broker, world.broker.aggregator
                 sizes.append(
                     [
                         len(kept)
@@ -343,7 +343,7 @@
                             broker.addresses,
                             broker.queries,
                             broker.parts,
-                            broker._sent_at,
+                            broker._sent_at_us,
                             broker.counts,
                             world.front.clients,
                             world.loop.tasks,
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -83,7 +83,7 @@
 
     world.run(main())
     assert set(key[2] for key in world.broker.counts if key[0] == "attempt") == {policy.Outcome.OK}
-    assert not any(server.ejections for server in world.broker.module.endpoints.values())
+    assert not any(server.ejections for server in world.broker.aggregator.endpoints.values())
 
 
 def test_an_answer_in_single_bytes_is_whole_and_one_that_stops_short_is_replaced():
@@ -113,7 +113,7 @@
 def test_what_was_not_written_whole_never_ran_and_the_rest_may_have():
     world = Platform()
     node, ended = world.nodes[3], {}
-    world.broker.attempt_ended = lambda node, key, outcome, result: ended.update({key[0]: outcome})
+    world.broker.on_attempt_result = lambda node, key, outcome, result: ended.update({key[0]: outcome})
     link = world.broker._link("s3")
     world.net.cut("broker", "s3")  # opens once healed; what is written then fills the way
 
@@ -198,7 +198,7 @@
         calls = len(registry.calls)
         registry.put({**world.nodes[5].entry, "state": "draining"})
         yield from sleep(world.loop, 100_000)
-        assert len(registry.calls) == calls + 1 and not world.broker.module.endpoints["s5"].live
+        assert len(registry.calls) == calls + 1 and not world.broker.aggregator.endpoints["s5"].live
         failures = world.broker.watch.failures
         registry.silent = True
         yield from sleep(world.loop, world.config.hold_us + 3_500_000)
@@ -211,7 +211,7 @@
         yield from sleep(world.loop, 6_000_000)
 
     world.run(main())
-    assert not world.broker.module.endpoints["s2"].live
+    assert not world.broker.aggregator.endpoints["s2"].live
 
 
 def test_a_watch_goes_on_from_the_version_it_had_and_takes_changes_only():
@@ -228,7 +228,7 @@
     assert not world.broker.counts[
         "news", policy.UpdateKind.FULL
     ]  # the configuration's list was whole already
-    assert not world.broker.module.endpoints["s4"].live and world.broker.module.endpoints["s3"].live
+    assert not world.broker.aggregator.endpoints["s4"].live and world.broker.aggregator.endpoints["s3"].live
 
 
 @pytest.mark.parametrize("after", [0.2, 1.6, 2.9, 4.3, 6.0, 7.3])
@@ -247,7 +247,7 @@
     world.wait(
         (told_us - world.loop.now()) / 1e6 - 0.5
     )  # half a second is left to a busy discovery, and the grace
-    assert not world.broker.module.endpoints["s4"].live
+    assert not world.broker.aggregator.endpoints["s4"].live
     assert (
         world.broker.watch.failures == 0
     )  # it was opened anew at once, so the module had no failure to wait after
@@ -268,7 +268,7 @@
     registry.put({**world.nodes[4].entry, "state": "draining"})
     registry.down = False
     world.wait(5.0)
-    assert "" not in registry.calls and not world.broker.module.endpoints["s4"].live
+    assert "" not in registry.calls and not world.broker.aggregator.endpoints["s4"].live
 
 
 def test_where_no_list_is_held_or_discovery_has_moved_the_whole_one_is_asked_for():
@@ -308,7 +308,7 @@
         old.kill()
     world.wait(0.3)
     assert world.run(main("q2")).status == 200
-    assert any(node.parts for node in world.nodes) and len(world.broker.module.endpoints) == 6
+    assert any(node.parts for node in world.nodes) and len(world.broker.aggregator.endpoints) == 6
 
 
 @given(st.data())
@@ -413,4 +413,4 @@
     # Of eight seeds 223 to 244 are answered; 212 to 249 while the whole list came first: the order of all
     # draws.
     assert verdict.counts["queries"] == 300 and told.count(200) > 205
-    assert not world.broker.queries and not world.broker.parts and not world.broker._sent_at
+    assert not world.broker.queries and not world.broker.parts and not world.broker._sent_at_us
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -42,7 +42,7 @@
     "heathwell.merge",
     "heathwell.regions",
     "heathwell.freshness",
-    "heathwell.broker.market",
+    "heathwell.broker.service_broker",
 )
 
 
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -13,7 +13,7 @@
 
 
 def order(world, leaf, kind, seconds=0.0, value=0.0, text=""):
-    return world.fleet.leaves[leaf].order(frames.Control(kind, value, int(seconds * 1e6), text))
+    return world.fleet.leaves[leaf].order(frames.FaultCommand(kind, value, int(seconds * 1e6), text))
 
 
 def holders(world, shard):
@@ -77,7 +77,7 @@
         lost = {leaf.name for shard in shards[:1] + shards[-1:] for leaf in holders(world, shard)}
         for leaf in world.fleet.leaves:
             if leaf.name in lost:
-                leaf.order(frames.Control("failclass", 0, 60_000_000, "price-search"))
+                leaf.order(frames.FaultCommand("failclass", 0, 60_000_000, "price-search"))
         values, end = yield from client.get("price:tea")
         if values:
             flags, data = values["price:tea"]
@@ -100,7 +100,7 @@
         # Shards 0, 1, 6 and 7 lose all holders' price searches, the others answer.
         for leaf in world.fleet.leaves:
             if leaf.cell in (0, 1, 2, 3):
-                leaf.order(frames.Control("failclass", 0, 60_000_000, "price-search"))
+                leaf.order(frames.FaultCommand("failclass", 0, 60_000_000, "price-search"))
         for word in "abcdefghijkl":
             values, end = yield from client.get(f"price:{word}")
             for flags, data in values.values():
@@ -130,7 +130,7 @@
         yield from sleep(world.loop, after)
         [arrive] = world.seen("arrive")
         next(leaf for leaf in world.fleet.leaves if leaf.address == arrive["node"]).order(
-            frames.Control("reset")
+            frames.FaultCommand("reset")
         )
         values, end = yield from client.reply()
         sent = world.seen("send")
@@ -194,7 +194,7 @@
         yield from sleep(world.loop, 3_000_000)
         broker = world.fleet.brokers[0].broker
         assert not broker.queries and not broker.parts and broker.held == 0
-        assert not broker.module.queries and not broker.module.attempts_in_flight
+        assert not broker.aggregator.queries and not broker.aggregator.attempts_in_flight
 
     world.run(main())
     assert len(world.seen("left")) + len(world.seen("final")) == 40 and len(world.seen("left")) > 20
@@ -356,14 +356,14 @@
 
     def main():
         for leaf in world.fleet.leaves[::2]:
-            leaf.order(frames.Control("failclass", 0, 3_000_000, "price-search"))
+            leaf.order(frames.FaultCommand("failclass", 0, 3_000_000, "price-search"))
         for number in range(80):
             world.loop.spawn(leaver(number), "leaver")
             yield from sleep(world.loop, 7_000)
         yield from sleep(world.loop, 5_000_000)
         broker = world.fleet.brokers[0].broker
-        assert not broker.queries and not broker.parts and not broker._sent_at and broker.held == 0
-        assert not broker.module.queries and not broker.module.attempts_in_flight
+        assert not broker.queries and not broker.parts and not broker._sent_at_us and broker.held == 0
+        assert not broker.aggregator.queries and not broker.aggregator.attempts_in_flight
 
     world.run(main())
     finish(world)
@@ -378,10 +378,10 @@
         yield from sleep(world.loop, 5_000)
         [sent] = world.seen("send")
         # An outcome that calls for another attempt, and the client's leaving, in one batch.
-        broker.attempt_ended(sent["node"], (sent["p"], 0), "unreachable", None)
+        broker.on_attempt_result(sent["node"], (sent["p"], 0), "unreachable", None)
         handle.leave()
         yield from sleep(world.loop, 3_000_000)
-        assert not broker.queries and not broker.module.attempts_in_flight and broker.held == 0
+        assert not broker.queries and not broker.aggregator.attempts_in_flight and broker.held == 0
 
     world.run(main())
     assert len(world.seen("send")) == 1 and len(world.seen("unsent")) == 1
@@ -427,13 +427,13 @@
         client = yield from world.client()
         assert (yield from client.get("price:tea"))[0]
         assert not world.seen("watch")
-        world.fleet.discovery.order(frames.Control("down", 0, 3_000_000))
+        world.fleet.discovery.order(frames.FaultCommand("down", 0, 3_000_000))
         yield from sleep(world.loop, 1_000_000)
         assert world.seen("news", kind="failed")
         assert (yield from client.get("price:bread"))[0]
         world.fleet.leaves[0].crash()
         yield from sleep(world.loop, 8_000_000)
-        state = world.fleet.brokers[0].broker.module.endpoints[world.fleet.leaves[0].address]
+        state = world.fleet.brokers[0].broker.aggregator.endpoints[world.fleet.leaves[0].address]
         assert not state.live
 
     world.run(main())
@@ -446,13 +446,13 @@
     def main():
         client = yield from world.client()
         assert (yield from client.get("price:tea"))[0]
-        world.fleet.discovery.order(frames.Control("down", 0, 6_000_000))
+        world.fleet.discovery.order(frames.FaultCommand("down", 0, 6_000_000))
         leaf = world.fleet.leaves[2]
         leaf.crash()
         yield from sleep(world.loop, 3_000_000)
         leaf.start()
         yield from sleep(world.loop, 9_000_000)
-        server = world.fleet.brokers[0].broker.module.endpoints[leaf.address]
+        server = world.fleet.brokers[0].broker.aggregator.endpoints[leaf.address]
         assert server.live and server.started_at_us is not None and server.started_at_us > 3_000_000
         assert len(world.seen("watch")) > 2
         assert (yield from client.get("price:tea"))[0]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -77,7 +77,8 @@
     assert broker.process.wait(20) == 0
     assert events.read_text().splitlines()[-1].count('"ev":"closed"') == 1
     (tmp_path / "events" / "run.jsonl").write_text(
-        json.dumps({"t": 0, "who": "run", "ev": "run", "figures": run_figures(slow_fleet.market)}) + "\n"
+        json.dumps({"t": 0, "who": "run", "ev": "run", "figures": run_figures(slow_fleet.service_settings)})
+        + "\n"
     )
     assert judge(read_logs([tmp_path / "events"])).kept
 
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -159,7 +159,7 @@
 
 
 def test_the_service_around_a_trouble_is_counted_by_class_span_and_home():
-    market = loads(settings("decider"))
+    service_settings = loads(settings("decider"))
     troubles = (("cut", "link-cut", 0.0, ()),)
     rows = [
         Outcome(
@@ -173,7 +173,7 @@
         for at in range(40, 280)
         for n in range(8)
     ]
-    service = services(rows, market, troubles)["cut"]
+    service = services(rows, service_settings, troubles)["cut"]
     assert service.share("sale-record", "during", "refused") == 0.5
     assert service.share("sale-record", "before", "refused") == 0 and service.steady_after == 0
     at_home = sum(service.counts["sale-record", "during", True].values())
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -299,7 +299,7 @@
                 self.net.cut("discovery", home)
         else:
             for leaf in self.fleet.leaves[:8:2]:
-                leaf.order(frames.Control("slow", 6.0, 12_000_000))
+                leaf.order(frames.FaultCommand("slow", 6.0, 12_000_000))
         yield from super()._link_trouble()
         for home in self._hosts(False):
             self.net.heal(home, "discovery")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -26,7 +26,7 @@
 
 
 def order(relay, kind, value=0.0, seconds=0.0):
-    assert relay.order(frames.Control(kind, value, int(seconds * 1e6))) == ""
+    assert relay.order(frames.FaultCommand(kind, value, int(seconds * 1e6))) == ""
 
 
 def ask(loop, stream, data=b"hi"):
@@ -103,7 +103,7 @@
         assert (yield from ask(loop, again)) < 5_000
 
     run(loop, main(), errors)
-    assert "unknown trouble" in relay.order(frames.Control("nonsense"))
+    assert "unknown trouble" in relay.order(frames.FaultCommand("nonsense"))
 
 
 def test_over_real_sockets():
--- a/tests/test_rolling.py
+++ b/tests/test_rolling.py
@@ -15,7 +15,7 @@
 import pytest
 
 from heathwell.audit import judge, read_logs
-from heathwell.lab.rolling import DEFECTS, RollingFleet, plant, write_market
+from heathwell.lab.rolling import DEFECTS, RollingFleet, plant, write_service_settings
 
 ROOT = Path(__file__).resolve().parent.parent
 SHORT = {"stages": "1,50%,100%", "bake": "3s", "most": "4s", "prove": "none"}
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    settings = write_market(ROOT / "examples/market-fleet.sx", tmp_path / "market.sx")
+    settings = write_service_settings(ROOT / "examples/market-fleet.sx", tmp_path / "market.sx")
     with RollingFleet(tmp_path / "run", settings, machines=2).up() as running:
         yield running
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,7 +2,7 @@
 
 from heathwell import policy
 from heathwell.broker.replies import ANSWERED, FAILED, REFUSED, Reply
-from heathwell.broker.service import ServiceBook, program_digest, settings_digest
+from heathwell.broker.service_statistics import ServiceStatistics, program_digest, settings_digest
 
 S = 1_000_000
 SPEC = policy.QueryClass("one", S, 3 * S, late_weight=0.25, partial_weight=0.5)
@@ -10,7 +10,7 @@
 
 def book_of(*tries):
     """Tries of one client: when asked, when ended, and how."""
-    book = ServiceBook((SPEC,))
+    book = ServiceStatistics((SPEC,))
     for asked, ended, kind, whole in tries:
         book.asked(asked, "c", "k", "one")
         book.ended(ended, "c", "k", Reply(kind, "q", "one", whole))
@@ -40,7 +40,7 @@
 
 
 def test_first_tries_are_kept_within_a_bound():
-    book = ServiceBook((SPEC,))
+    book = ServiceStatistics((SPEC,))
     for n in range(10_000):
         book.asked(n, f"c{n}", "k", "one")
     assert len(book._first) <= 4_096
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -19,15 +19,18 @@
 
 
 def test_the_example_reads_with_its_units():
-    market = load(ROOT / "examples/market.sx")
-    price = market.classes[0]
+    service_settings = load(ROOT / "examples/market.sx")
+    price = service_settings.classes[0]
     assert (price.name, price.latency_objective_us, price.required_fraction, price.priority_weight) == (
         "price-search",
         1_000_000,
         0.75,
         2.0,
     )
-    assert market.keys[0].query_class == "sale-record" and market.log.modules[0].level == "warning"
+    assert (
+        service_settings.keys[0].query_class == "sale-record"
+        and service_settings.log.modules[0].level == "warning"
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -66,7 +66,7 @@
     assert calendar.book(60_000_000, 100_000.0, 2.0, 0, 8_000_000) < 400_000  # what is past is forgotten
 
 
-class Broker:
+class ServiceBroker:
     """Feeds a decider; the module behind it answers so much work a second and refuses the rest."""
 
     def __init__(self, limits=None, capacity=1_000_000.0):
@@ -96,7 +96,7 @@
 
 
 def test_repeats_that_no_advice_sent_make_a_storm_and_their_end_ends_it():
-    broker = Broker()
+    broker = ServiceBroker()
     for turn in range(40):
         for n in range(8):
             broker.ask(f"c{turn * 8 + n}")
@@ -117,7 +117,7 @@
 
 
 def test_a_festival_of_first_tries_is_no_storm_though_many_are_refused():
-    broker, due = Broker(), []
+    broker, due = ServiceBroker(), []
     for turn in range(100):
         busy = 20 <= turn < 60
         for n in range(60 if busy else 8):
@@ -135,7 +135,7 @@
 
 
 def test_who_ignores_advice_waits_longer_and_goes_last():
-    broker = Broker(Limits(first_rate=400_000.0), capacity=400_000.0)
+    broker = ServiceBroker(Limits(first_rate=400_000.0), capacity=400_000.0)
     served = {"heeds": 0, "ignores": 0}
     due = {("heeds", n): 0 for n in range(40)} | {("ignores", n): 0 for n in range(40)}
     for _ in range(80):
@@ -170,7 +170,7 @@
 
 
 def test_a_rush_of_connects_is_building_and_damps_no_query():
-    broker = Broker()
+    broker = ServiceBroker()
     for _ in range(30):
         broker.storms.accepted()
         broker.ask(f"a{broker.now}")
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -56,21 +56,21 @@
     """A fleet on a thread; `call` runs something on its loop."""
 
     def __init__(self, text: str = MARKET) -> None:
-        self.market = loads(text)
+        self.service_settings = loads(text)
         self.loop, self.net, _ = socket_loop()
         self.errors: list = []
         self.loop.on_error = lambda name, error: self.errors.append((name, error))
         self.events: list = []
         self.events.append(
-            {"t": self.loop.now(), "who": "run", "ev": "run", "figures": run_figures(self.market)}
+            {"t": self.loop.now(), "who": "run", "ev": "run", "figures": run_figures(self.service_settings)}
         )
-        self.fleet = LocalFleet(self.loop, lambda _name: self.net, self.market, 1, into=self.events)
+        self.fleet = LocalFleet(self.loop, lambda _name: self.net, self.service_settings, 1, into=self.events)
         self.broker = self.fleet.brokers[0]
         self.stop = False
         self.wishes: list = []
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
-        while sum(s.live for s in self.broker.broker.module.endpoints.values()) < len(self.fleet.leaves):
+        while sum(s.live for s in self.broker.broker.aggregator.endpoints.values()) < len(self.fleet.leaves):
             time.sleep(0.02)
 
     def _run(self) -> None:
@@ -93,7 +93,7 @@
     def order(self, leaves, kind, value=0.0, seconds=0.0, text=""):
         self.call(
             lambda: [
-                self.fleet.leaves[n].order(frames.Control(kind, value, int(seconds * 1e6), text))
+                self.fleet.leaves[n].order(frames.FaultCommand(kind, value, int(seconds * 1e6), text))
                 for n in leaves
             ]
         )
@@ -125,9 +125,9 @@
         yield one
 
 
-def brute(market, name, query, limit, offset=0, keep=lambda payload: True, least=None):
+def brute(service_settings, name, query, limit, offset=0, keep=lambda payload: True, least=None):
     """All shards' points, scored in double precision."""
-    spec = next(one for one in market.collections if one.name == name)
+    spec = next(one for one in service_settings.collections if one.name == name)
     found = {}
     wide = np.asarray(query, np.float32).astype(np.float64)
     for number in range(SHARDS):
@@ -167,15 +167,15 @@
         query = vector(seed, size)
         got = client.query_points(name, query=query, limit=7, offset=seed, with_payload=True).points
         if whole:
-            same(got, brute(fleet.market, name, query, 7, seed))
+            same(got, brute(fleet.service_settings, name, query, 7, seed))
         assert got == sorted(got, key=lambda p: (p.score if name == "far" else -p.score, p.id))
         assert all(p.payload["goods"] for p in got)
     if whole:
-        least = brute(fleet.market, name, query, 10)[4][1]
+        least = brute(fleet.service_settings, name, query, 10)[4][1]
         least += 1e-6 if name == "far" else -1e-6
         same(
             client.query_points(name, query=query, limit=10, score_threshold=least).points,
-            brute(fleet.market, name, query, 5),
+            brute(fleet.service_settings, name, query, 5),
         )
         assert client.query_points(name, query=query, offset=5000, limit=10).points == []
 
@@ -199,11 +199,11 @@
 
     same(
         client.query_points("prices", query=query, query_filter=eels, limit=6).points,
-        brute(fleet.market, "prices", query, 6, keep=keep),
+        brute(fleet.service_settings, "prices", query, 6, keep=keep),
     )
     none = models.Filter(must=[models.FieldCondition(key="goods", match=models.MatchValue(value="gold"))])
     assert client.query_points("prices", query=query, query_filter=none).points == []
-    one = shard_of(fleet.market.collections[0], 3, SHARDS)
+    one = shard_of(fleet.service_settings.collections[0], 3, SHARDS)
     rare = models.Filter(must=[models.HasIdCondition(has_id=[one.ids[5]])])  # most shards match nothing
     [point] = client.query_points("prices", query=query, query_filter=rare, with_vectors=True).points
     assert point.id == one.ids[5] and point.vector == pytest.approx(one.plain[5].tolist())
@@ -225,14 +225,18 @@
     for n, (one, answer) in enumerate(zip(queries, got, strict=True)):
         same(
             answer.points,
-            brute(fleet.market, "prices", one, 1 + n % 4, keep=keep if n % 3 == 0 else lambda _p: True),
+            brute(
+                fleet.service_settings, "prices", one, 1 + n % 4, keep=keep if n % 3 == 0 else lambda _p: True
+            ),
         )
     assert client.query_batch_points("prices", requests=[]) == []
     old = httpx.post(
         f"{fleet.base}/collections/prices/points/search",
         json={"vector": query, "limit": 2, "params": {"exact": True}},
     ).json()
-    assert [p["id"] for p in old["result"]] == [p for p, _ in brute(fleet.market, "prices", query, 2)]
+    assert [p["id"] for p in old["result"]] == [
+        p for p, _ in brute(fleet.service_settings, "prices", query, 2)
+    ]
     assert client.collection_exists("prices") and not client.collection_exists("nope")
     told = client.get_collection("prices")
     assert told.points_count == SHARDS * 180 and told.config.params.vectors.size == 16
@@ -249,7 +253,7 @@
         f"{fleet.base}/collections/rough/points/query",
         json={"query": query, "limit": 10, "params": {"exact": True}},
     ).json()
-    want = [p for p, _ in brute(fleet.market, "rough", query, 10)]
+    want = [p for p, _ in brute(fleet.service_settings, "rough", query, 10)]
     assert exact["heathwell"]["recall"] == 1 and [p["id"] for p in exact["result"]["points"]] == want
     assert len({p["id"] for p in told["result"]["points"]} & set(want)) >= 7
 
@@ -365,7 +369,7 @@
         assert got.status_code == 200 and not told["heathwell"]["whole"]
         assert 0 in told["heathwell"]["missing"] and 0.3 < told["heathwell"]["recall"] < 1
         assert "whole=no" in got.headers["x-heathwell-coverage"]
-        truth = dict(brute(one.market, "prices", query, 10_000))
+        truth = dict(brute(one.service_settings, "prices", query, 10_000))
         for point in told["result"]["points"]:
             assert point["score"] == pytest.approx(truth[point["id"]], abs=1e-4)
 
@@ -378,7 +382,7 @@
         for seed in range(12):
             same(
                 client.query_points("prices", query=vector(seed, 16), limit=5).points,
-                brute(one.market, "prices", vector(seed, 16), 5),
+                brute(one.service_settings, "prices", vector(seed, 16), 5),
             )
         counts = one.broker.broker.counts
         assert (
@@ -411,7 +415,7 @@
         "(size 16) (points 150) (overlap 20%)", "(size 16) (points 150) (spread 5%)"
     ).replace("(work 2ms))\n(collection far", "(work 150ms))\n(collection far")
     with running(text) as one:
-        spec = one.market.collections[0]
+        spec = one.service_settings.collections[0]
         query = shard_of(spec, 2, SHARDS).plain[7].tolist()
         one.order(range(6), "stall", seconds=0.0)
         for _ in range(6):
@@ -419,7 +423,7 @@
                 f"{one.base}/collections/prices/points/query", json={"query": query, "limit": 3}
             ).json()
             assert [p["id"] for p in got["result"]["points"]] == [
-                p for p, _ in brute(one.market, "prices", query, 3)
+                p for p, _ in brute(one.service_settings, "prices", query, 3)
             ]
             assert got["heathwell"]["whole"] and got["heathwell"]["weight"] == 1
         assert one.broker.broker.counts["moot", "near"] > 0
@@ -464,7 +468,7 @@
         assert got.status_code == 200, (got.text[:200], dict(one.broker.broker.counts))
         assert len(got.json()["result"]) == 820
         for n in (0, 400, 819):
-            want = brute(one.market, "wide", wishes[n]["query"], 3)
+            want = brute(one.service_settings, "wide", wishes[n]["query"], 3)
             assert [p["id"] for p in got.json()["result"][n]["points"]] == [point for point, _ in want]
         answered = [reply for reply in replies if reply.get("coverage")]
         assert len(answered) > 0.9 * len(replies) > 5
@@ -572,7 +576,7 @@
             check(bad)
 
 
-@hypothesis_settings(max_examples=40, deadline=None)
+@hypothesis_settings(max_examples=40, deadline_us=None)
 @given(st.sampled_from(["cosine", "dot", "euclid"]), st.integers(0, 10_000), st.integers(1, 30))
 def test_no_row_is_better_than_its_shards_bound(distance, seed, limit):
     shard = made("bounded", 6, distance, "exact", seed % 4, 4, 50, 0.0, 0.3)
