--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -427,14 +427,14 @@
         if query is None or query.in_flight.pop(key, None) is None:
             return
         part = query.parts[key[0]]
-        part.why = outcome
+        part.status = outcome
         wanted = part.data is None and query.on_reply is not None
         if outcome == policy.Outcome.OK and result is not None and wanted:
             if self.is_usable(query, part, node, key, result):
                 part.data, part.node, part.seq = result.data, node, key[1]
                 self.on_part_answered(query, part, key, result)
                 if (
-                    part.attempts > 1
+                    part.attempt_count > 1
                 ):  # a further attempt that still waits for its connection is of no use now
                     self._withdraw(query, key[0])
             else:
@@ -586,8 +586,8 @@
         part_id, node = action.id, action.node
         query = self.parts[part_id]
         part = query.parts[part_id]
-        key = (part_id, part.attempts)
-        part.attempts += 1
+        key = (part_id, part.attempt_count)
+        part.attempt_count += 1
         now = self.loop.now()
         if query.on_reply is None or now >= query.deadline_us or not self.acquire_quota(action, key):
             # Its client left, or its time or the fleet's budget ran out while this was decided: told as what
@@ -598,8 +598,8 @@
             )
             return
         query.in_flight[key] = node
-        part.why = "out"
-        part.nodes.append(node)
+        part.status = "out"
+        part.attempted_nodes.append(node)
         self._sent_at_us[key] = now
         if action.send_by_us is not None and action.send_by_us < query.deadline_us:
             self.loop.call_at(action.send_by_us, self._withdraw, query, key)
--- a/heathwell/lab/script.py
+++ b/heathwell/lab/script.py
@@ -155,7 +155,7 @@
 class Script(Record):
     """A bad day."""
 
-    service_settings: Annotated[str, _say("settings file, beside the script")]
+    service_settings: Annotated[str, _say("settings file, beside the script")] = field(name="market")
     seconds: Annotated[float, Meta(gt=0, description="length of the load")]
     load: Annotated[Load, _say("clients")]
     seed: Annotated[int, Meta(ge=0, description="seed of arrivals and keys")] = 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -174,7 +174,7 @@
         sock.send(world.request("q1", SHARD))
         yield from world.until(world.out("q1"))
         LEAVES[leaves](sock)
-        yield from world.until(lambda: world.broker.counts["left", world.kinds[0]])
+        yield from world.until(lambda: world.broker.counters["left", world.kinds[0]])
         if deaf is not None:
             for connection in list(link.connections):
                 deaf.hears.set()
@@ -207,7 +207,7 @@
         sock.send(world.request("q1", SHARD, kind))
         yield from world.until(lambda: held)
         LEAVES[leaves](sock)
-        yield from world.until(lambda: world.broker.counts["left", world.kinds[kind]])
+        yield from world.until(lambda: world.broker.counters["left", world.kinds[kind]])
         ((node, stream, part),) = held
         for each in world.nodes:
             each.behave = None
@@ -236,7 +236,7 @@
         yield from world.until(world.out("q0"))
         yield from world.until(lambda: next(iter(world.front.clients))._ahead > 65_536)
         LEAVES[leaves](sock)
-        yield from world.until(lambda: world.broker.counts["left", world.kinds[0]], "the end is seen")
+        yield from world.until(lambda: world.broker.counters["left", world.kinds[0]], "the end is seen")
         yield from world.until(lambda: not world.front.clients)
         node.silent = False
         response = yield from world.ask("after", SHARD).join()
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -326,7 +326,7 @@
 def test_without_the_sources_clock_ages_are_unknown_and_never_guessed():
     world = World(8, policy(ON, "(wanted-age 1s)"))
     world.fleet.brokers[0].broker.source_clock_client.close()
-    world.fleet.brokers[0].broker.fresh.clock.forget()
+    world.fleet.brokers[0].broker.freshness.clock.forget()
 
     def main():
         client = yield from world.client()
@@ -367,7 +367,7 @@
     order(lying.fleet.leaves[1], "lie", 60, 60.0)
     ages = lying.run().ages()
     assert ages.kept and ages.unknown > 0
-    assert sum(b.broker.fresh.liars for b in lying.fleet.brokers) > 0
+    assert sum(b.broker.freshness.liars for b in lying.fleet.brokers) > 0
 
 
 def test_a_broker_that_counts_a_part_twice_is_caught(monkeypatch):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -75,9 +75,9 @@
     status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
     assert status == 200
     assert (
-        world.broker.counts["attempt", "price-search", policy.Outcome.CONNECTION_LOST] >= 3
+        world.broker.counters["attempt", "price-search", policy.Outcome.CONNECTION_LOST] >= 3
     )  # it may have run; the node is there
-    assert not world.broker.counts["attempt", "price-search", policy.Outcome.BROKEN]
+    assert not world.broker.counters["attempt", "price-search", policy.Outcome.BROKEN]
     assert all(
         server.slow_start_from_us is None
         and "no connection" not in [bar.dead for bar in server.ejections.values()]
@@ -98,7 +98,7 @@
     for node in world.nodes:
         node.behave = dies
     status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
-    assert status == 200 and world.broker.counts["attempt", "price-search", policy.Outcome.BROKEN] >= 1
+    assert status == 200 and world.broker.counters["attempt", "price-search", policy.Outcome.BROKEN] >= 1
     assert world.broker.aggregator.endpoints[victims[0]].ejections
 
 
@@ -108,8 +108,8 @@
         node.kill()  # new connections are refused
     status, _ = ask(world, "q1", "sale-record", [3], key="k1")
     assert status == 503
-    assert set(world.broker.counts) & {("attempt", "sale-record", policy.Outcome.UNREACHABLE)}
-    assert not world.broker.counts["attempt", "sale-record", policy.Outcome.BROKEN]
+    assert set(world.broker.counters) & {("attempt", "sale-record", policy.Outcome.UNREACHABLE)}
+    assert not world.broker.counters["attempt", "sale-record", policy.Outcome.BROKEN]
 
 
 def test_a_node_that_closes_after_each_answer_gets_one_part_a_connection():
@@ -193,13 +193,13 @@
     world.net.cut(uid, "broker")
     link.probe()
     world.wait(2.0)
-    assert world.broker.counts["probe", policy.Outcome.TIMED_OUT] == 1
+    assert world.broker.counters["probe", policy.Outcome.TIMED_OUT] == 1
     world.net.heal(uid, "broker")
     node.silent = False
     held = list(node.streams)
     link.probe()
     world.wait(0.2)
-    assert world.broker.counts["probe", policy.Outcome.OK] == 1
+    assert world.broker.counters["probe", policy.Outcome.OK] == 1
     assert any(stream not in held for stream in node.streams)
 
 
@@ -228,8 +228,8 @@
     module = world.broker.aggregator
     assert statuses.count(200) >= 58 and statuses[20:] == [200] * 40
     assert all(module.slow_start_fraction(server) == 1.0 for server in module.endpoints.values())
-    assert world.broker.counts["attempt", "price-search", policy.Outcome.TIMED_OUT] >= 1
-    assert not world.broker.counts["probe", policy.Outcome.TIMED_OUT]
+    assert world.broker.counters["attempt", "price-search", policy.Outcome.TIMED_OUT] >= 1
+    assert not world.broker.counters["probe", policy.Outcome.TIMED_OUT]
     assert world.verdict().kept
 
 
@@ -247,7 +247,7 @@
 
     assert world.run(main()) == 503
     assert not any(node.parts for node in world.nodes)
-    assert world.broker.counts["attempt", "price-search", policy.Outcome.NEVER_SENT] >= 3
+    assert world.broker.counters["attempt", "price-search", policy.Outcome.NEVER_SENT] >= 3
     assert not world.broker.parts and not any(
         server.in_flight for server in world.broker.aggregator.endpoints.values()
     )
@@ -306,7 +306,7 @@
         yield from sleep(world.loop, 50_000)
 
     world.run(main())
-    assert world.broker.counts["left", "price-search"] == 1 and not world.broker.queries
+    assert world.broker.counters["left", "price-search"] == 1 and not world.broker.queries
 
 
 def test_what_is_kept_stands_still_while_thousands_of_nodes_and_clients_come_and_go():
@@ -344,7 +344,7 @@
                             broker.queries,
                             broker.parts,
                             broker._sent_at_us,
-                            broker.counts,
+                            broker.counters,
                             world.front.clients,
                             world.loop.tasks,
                             world.loop._timers,
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -262,4 +262,4 @@
         node.work_us = 60_000
     got, ended = told(world, [whole(b"q1"), b"x" * 65_536, b"x" * 65_536, b"x" * 65_536])
     assert got.count(b"HTTP/1.1 200") == 1 and got.count(b"HTTP/1.1 4") == 1 and ended is not None
-    assert not world.broker.counts["left", "price-search"]
+    assert not world.broker.counters["left", "price-search"]
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -39,7 +39,7 @@
         assert json.loads(values["price:tea"][1])["coverage"]["parts"][0] >= 6
         # The second halves come when everything is over: they change nothing and break nothing.
         yield from sleep(world.loop, 6_000_000)
-        assert sum(link.late for link in world.fleet.brokers[0].broker.links.values()) > 0
+        assert sum(link.late_answers for link in world.fleet.brokers[0].broker.links.values()) > 0
         again, end = yield from client.get("price:tea")
         assert end == "END" and json.loads(again["price:tea"][1])["whole"]
 
@@ -193,7 +193,7 @@
         client.stream.abort()
         yield from sleep(world.loop, 3_000_000)
         broker = world.fleet.brokers[0].broker
-        assert not broker.queries and not broker.parts and broker.held == 0
+        assert not broker.queries and not broker.parts and broker.open_count == 0
         assert not broker.aggregator.queries and not broker.aggregator.attempts_in_flight
 
     world.run(main())
@@ -264,7 +264,7 @@
         broker = world.fleet.brokers[0].broker
         client.stream.write(b"get price:tea\r\n")
         yield from sleep(world.loop, 5_000)
-        broker.stop()
+        broker.drain()
         assert not broker.idle.is_set
         client.stream.write(b"get price:bread\r\n")
         values, _ = yield from client.reply()
@@ -362,7 +362,7 @@
             yield from sleep(world.loop, 7_000)
         yield from sleep(world.loop, 5_000_000)
         broker = world.fleet.brokers[0].broker
-        assert not broker.queries and not broker.parts and not broker._sent_at_us and broker.held == 0
+        assert not broker.queries and not broker.parts and not broker._sent_at_us and broker.open_count == 0
         assert not broker.aggregator.queries and not broker.aggregator.attempts_in_flight
 
     world.run(main())
@@ -379,9 +379,9 @@
         [sent] = world.seen("send")
         # An outcome that calls for another attempt, and the client's leaving, in one batch.
         broker.on_attempt_result(sent["node"], (sent["p"], 0), "unreachable", None)
-        handle.leave()
+        handle.disconnect()
         yield from sleep(world.loop, 3_000_000)
-        assert not broker.queries and not broker.aggregator.attempts_in_flight and broker.held == 0
+        assert not broker.queries and not broker.aggregator.attempts_in_flight and broker.open_count == 0
 
     world.run(main())
     assert len(world.seen("send")) == 1 and len(world.seen("unsent")) == 1
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -340,10 +340,10 @@
     assert b"HTTP/1.1 413" in raw_exchange(fleet, grown)
     assert b"HTTP/1.1 431" in raw_exchange(fleet, path + b"x: " + b"y" * 70_000 + b"\r\n\r\n")
     assert b"HTTP/1.1 408" in raw_exchange(fleet, path)  # a slow client is not waited for
-    taken = fleet.broker.broker.jobs
+    taken = fleet.broker.broker.last_job
     raw_exchange(fleet, path + b"transfer-encoding: chunked\r\n\r\n20\r\n" + body[:10], end=True)
     assert b"HTTP/1.1 400" in raw_exchange(fleet, b"nonsense\r\n\r\n")
-    assert fleet.broker.broker.jobs == taken  # a body that was never whole asked for nothing
+    assert fleet.broker.broker.last_job == taken  # a body that was never whole asked for nothing
 
 
 def test_the_servers_side_keeps_pipelined_requests_in_turn():
@@ -384,7 +384,7 @@
                 client.query_points("prices", query=vector(seed, 16), limit=5).points,
                 brute(one.service_settings, "prices", vector(seed, 16), 5),
             )
-        counts = one.broker.broker.counts
+        counts = one.broker.broker.counters
         assert (
             counts["malformed", "near"] > 0
             and counts["attempt", "near", "error"] >= counts["malformed", "near"]
@@ -426,7 +426,7 @@
                 p for p, _ in brute(one.service_settings, "prices", query, 3)
             ]
             assert got["heathwell"]["whole"] and got["heathwell"]["weight"] == 1
-        assert one.broker.broker.counts["moot", "near"] > 0
+        assert one.broker.broker.counters["moot", "near"] > 0
         time.sleep(0.5)
         verdict = judge(from_lines(list(one.events)), slack=100_000)
         assert verdict.kept, verdict.breaches[:3]
@@ -465,7 +465,7 @@
             time.sleep(float(got.headers["x-heathwell-retry-after-ms"]) / 1000)
         done.set()
         asking.join()
-        assert got.status_code == 200, (got.text[:200], dict(one.broker.broker.counts))
+        assert got.status_code == 200, (got.text[:200], dict(one.broker.broker.counters))
         assert len(got.json()["result"]) == 820
         for n in (0, 400, 819):
             want = brute(one.service_settings, "wide", wishes[n]["query"], 3)
@@ -576,7 +576,7 @@
             check(bad)
 
 
-@hypothesis_settings(max_examples=40, deadline_us=None)
+@hypothesis_settings(max_examples=40, deadline=None)
 @given(st.sampled_from(["cosine", "dot", "euclid"]), st.integers(0, 10_000), st.integers(1, 30))
 def test_no_row_is_better_than_its_shards_bound(distance, seed, limit):
     shard = made("bounded", 6, distance, "exact", seed % 4, 4, 50, 0.0, 0.3)
