--- a/heathwell/lab/rolling.py
+++ b/heathwell/lab/rolling.py
@@ -40,8 +40,8 @@
     ("(aside 40%) (burst 2s)", "(aside 40%) (burst 5s)"),
     ("(level info)", "(level error)"),
 )
-BROKER_MAIN = "    def main() -> Coro[None]:\n        served = Broker("
-FINAL = "    def final(self, query: MarketQuery, reply: Reply, took_us: int) -> None:\n"
+BROKER_MAIN = "    def main() -> Coro[None]:\n        served = ServiceBroker("
+FINAL = "    def on_reply_made(self, query: ServiceQuery, reply: Reply, took_us: int) -> None:\n"
 # By name: file, what stands there, what stands there instead.
 DEFECTS: dict[str, tuple[str, str, str]] = {
     "does not start": ("cli/serve.py", BROKER_MAIN, "    raise SystemExit(9)\n\n" + BROKER_MAIN),
@@ -53,11 +53,11 @@
     "dies on SIGTERM": ("cli/serve.py", "        self._signals += 1\n", "        os._exit(1)\n"),
     "a class worse": (
         "broker/service_broker.py",
-        "        if self.stopping or self.full(len(plan.parts)):\n",
+        "        if self.stopping or self.is_full(len(plan.parts)):\n",
         "        if sum(key.encode()) % 8 == 0 and spec.name == 'price-search':\n"
-        "            self._refuse_at_door(spec, key, request, on_reply, 'full', 0, who)\n"
+        "            self._reject_at_admission(spec, key, request, on_reply, 'full', 0, who)\n"
         "            return None\n"
-        "        if self.stopping or self.full(len(plan.parts)):\n",
+        "        if self.stopping or self.is_full(len(plan.parts)):\n",
     ),
     "twice the processor": (
         "broker/service_broker.py",
