--- a/heathwell/policy/aggregator.py
+++ b/heathwell/policy/aggregator.py
@@ -1,4 +1,4 @@
-"""Every decision of heathwell; its settings, events and actions are in heathwell/interface.py.
+"""Every decision of heathwell; the types beside this file decide nothing.
 
 The ordinary path is Batch Sampling on own counts (Li, Ramamoorthy, Srikant): of a shard's holders
 the one with the fewest of this aggregator's own parts out serves the part, the parts are ranked by
@@ -13,7 +13,6 @@
 from collections.abc import Iterator
 from math import exp, log
 
-from heathwell import policy
 from heathwell.datastructures import (
     DecayingSum,
     GroupRank,
@@ -26,7 +25,39 @@
     TokenBucket,
     drain_by_rank,
 )
+from heathwell.policy.actions import (
+    Action,
+    Answer,
+    Cancel,
+    Fail,
+    Log,
+    Probe,
+    QuotaExhausted,
+    Reject,
+    Send,
+    SetTimer,
+    WatchEndpoints,
+)
+from heathwell.policy.events import (
+    AttemptEnded,
+    AttemptSuperseded,
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointState,
+    EndpointUpdate,
+    Event,
+    HolderRestrictions,
+    Outcome,
+    PartArrived,
+    ProbeEnded,
+    QueryArrived,
+    QuotaUpdate,
+    ShutdownStarted,
+    TimerFired,
+    UpdateKind,
+)
 from heathwell.policy.records import Attempt, Bar, Due, Part, Query, Server
+from heathwell.policy.settings import Idempotency, Settings
 
 LATE_SHARE = 0.5  # the design's mark: a part is late after half the aim that was left at its send
 EVERY = -1  # key of an ejection that holds for all classes, beside those of one class
@@ -73,24 +104,21 @@
 KEPT = 20  # aims that a server is known after it left the list, where it would be warm before
 LOG_EVERY = 10  # aims between two lines of one topic for the operators
 TOPICS = 64  # topics of lines for the operators from which old ones are forgotten
-FREE = (
-    policy.Outcome.CONNECTION_LOST,
-    policy.Outcome.UNREACHABLE,
-    policy.Outcome.NEVER_SENT,
-)  # ends after which a further attempt is not of our own budget
+# Ends after which a further attempt is not of our own budget.
+FREE = (Outcome.CONNECTION_LOST, Outcome.UNREACHABLE, Outcome.NEVER_SENT)
 RETRY_WAIT = 0.05  # aims before a part without a usable holder is tried again
 
 
 class Aggregator:
     """Decides for one aggregator; `handle` is the only door."""
 
-    def __init__(self, settings: policy.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
         self.revisit_interval_us = 0.0
         self.now = self.last_call = 0
         self.started_at_us: int | None = None
-        self.actions: list[policy.Action] = []
+        self.actions: list[Action] = []
         self.endpoints: dict[str, Server] = {}
         self.endpoints_by_group: dict[int, list[Server]] = {}
         self.queries: dict[str, Query] = {}
@@ -100,7 +128,7 @@
         self.armed_at_us: int | None = None
         self.shortest_objective_us = min(c.latency_objective_us for c in settings.classes)
         self.tenant_rates = [DecayingSum() for _ in settings.tenants]
-        self.connection_broken_at_us: int | None = None
+        self.wary_until_us = 0.0
         self.mean_latency_us = [RunningMean() for _ in settings.classes]
         self.mean_work_hint_us = [RunningMean() for _ in settings.classes]
         self.recent_timeouts: list[deque[int]] = [deque(maxlen=TRIES) for _ in settings.classes]
@@ -122,7 +150,7 @@
         self.additional_quota: int | None = None
         self.slow_start_quota: dict[str, int] | None = None
 
-    def handle(self, now: int, events: list[policy.Event]) -> list[policy.Action]:
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take one batch of events and return the actions, both in order."""
         self.now, self.actions = now, []
         if self.started_at_us is None:
@@ -130,34 +158,30 @@
         started: dict[str, Query] = {}
         for event in events:
             match event:
-                case policy.AttemptEnded():
+                case AttemptEnded():
                     self._ended(event)
-                case policy.PartArrived():
-                    query = self._part(event)
-                    if query:
+                case PartArrived():
+                    if query := self._part(event):
                         started[query.id] = query
-                case policy.QueryArrived():
+                case QueryArrived():
                     self._query(event)
-                case policy.EndpointUpdate():
+                case EndpointUpdate():
                     self._fleet(event)
-                case policy.ProbeEnded():
+                case ProbeEnded():
                     self._probed(event)
-                case policy.ClientDisconnected():
+                case ClientDisconnected():
                     self._left(event)
-                case policy.ShutdownStarted():
+                case ShutdownStarted():
                     self._curtail(event.ends_at_us)
-                case policy.HolderRestrictions():
+                case HolderRestrictions():
                     self._held(event)
-                case policy.QuotaUpdate():
-                    self.additional_quota, self.slow_start_quota = (
-                        event.additional_attempts,
-                        event.slow_start_parts and dict(event.slow_start_parts),
-                    )
-                case policy.AttemptSuperseded():
-                    attempt = self.attempts_in_flight.get((event.id, event.seq))
-                    if attempt:
+                case QuotaUpdate():
+                    self.additional_quota = event.additional_attempts
+                    self.slow_start_quota = event.slow_start_parts and dict(event.slow_start_parts)
+                case AttemptSuperseded():
+                    if attempt := self.attempts_in_flight.get((event.id, event.seq)):
                         self._part_in(attempt.part)
-                case policy.TimerFired():
+                case TimerFired():
                     self.armed_at_us = None
         for query in started.values():
             if query.id in self.queries:
@@ -167,23 +191,18 @@
         next_at = self.timers.next_at_us
         if next_at is not None and (self.armed_at_us is None or next_at < self.armed_at_us):
             self.armed_at_us = max(next_at, now + 1)
-            self.actions.append(policy.SetTimer(self.armed_at_us, "due"))
+            self.actions.append(SetTimer(self.armed_at_us, "due"))
         return self.actions
 
-    def _held(self, event: policy.HolderRestrictions) -> None:
+    def _held(self, event: HolderRestrictions) -> None:
         """Parts whose every live holder is shut now are not waited for: their queries are answered from the
         rest where that makes an answer, else given up at once."""
         restricted = EVERY if event.query_class is None else event.query_class
         for server in self.endpoints.values():
-            for held, nodes in (
-                (server.deprioritized_for, event.deprioritized),
-                (server.excluded_for, event.excluded),
-            ):
-                (held.add if server.node in nodes else held.discard)(restricted)
+            server.restrict(restricted, event.deprioritized, event.excluded)
         for query in list(self.queries.values()) if event.excluded else ():
             told = {EVERY, query.query_class}
-            pending = [p for p in query.parts if not (p.done or p.excluded) and p.step == query.step]
-            lost = [part for part in pending if self._shut_off(part, told)]
+            lost = [part for part in query.pending_parts() if self._shut_off(part, told)]
             for part in lost:
                 part.excluded = True
                 query.offered_weight -= part.weight if query.step == 1 else 0.0
@@ -214,27 +233,27 @@
                 self._late(subject)
             case Server():
                 self._half_open(subject)
-            case None if (
-                what == "ask" or self.now >= (self.polled_at_us or self.now) + self.poll_backoff_most_us
-            ):
-                self._ask()
+            case None:
+                unanswered_at_us = (self.polled_at_us or self.now) + self.poll_backoff_most_us
+                if what == "ask" or self.now >= unanswered_at_us:
+                    self._ask()
 
     def _log(self, about: str, text: str) -> None:
         """One line for the operators, at most one a topic in ten aims."""
         if self.log_topics.admit(about, self.now):
-            self.actions.append(policy.Log(text))
+            self.actions.append(Log(text))
 
     # Fleet view
 
-    def _fleet(self, news: policy.EndpointUpdate) -> None:
-        if news.kind == policy.UpdateKind.FAILED:
+    def _fleet(self, news: EndpointUpdate) -> None:
+        if news.kind == UpdateKind.FAILED:
             # Guards the drain rule: without news we must keep asking; jitter keeps the callers apart.
             self.polled_at_us = None
             self.poll_backoff_us = min(self.poll_backoff_us * 2, self.poll_backoff_most_us)
             self._later(self.now + int(self.poll_backoff_us * self.random.uniform(0.5, 1.0)), "ask", None)
             self._log("discovery", "discovery: call failed or subscription broke, asking again")
             return
-        if news.kind == policy.UpdateKind.FULL:
+        if news.kind == UpdateKind.FULL:
             listed = {entry.node for entry in news.endpoints}
             for server in self.endpoints.values():
                 if server.node not in listed:
@@ -243,55 +262,37 @@
             self._listed(entry)
         # Who left is known until it would be warm again and its parts have ended: then nothing hangs on it.
         kept_after = self.now - max(self.settings.slow_start_duration_us, KEPT * self.shortest_objective_us)
-        left = [s for s in self.endpoints.values() if s.gone_at_us is not None and not s.in_flight]
-        for server in left:
-            if server.gone_at_us is not None and server.gone_at_us < kept_after:
-                del self.endpoints[server.node]
+        for server in [s for s in self.endpoints.values() if s.left_before(kept_after) and not s.in_flight]:
+            del self.endpoints[server.node]
         self.endpoints_by_group = {}
         for server in self.endpoints.values():
             self.endpoints_by_group.setdefault(server.replica_group, []).append(server)
-        if not news.requested and self.settings.poll_mode:
-            self._ask()
-        elif news.requested:
+        if news.requested:
             self.polled_at_us = None
             self.poll_backoff_us = self.poll_backoff_first_us
+        elif self.settings.poll_mode:
+            self._ask()
 
-    def _listed(self, entry: policy.EndpointEntry) -> None:
+    def _listed(self, entry: EndpointEntry) -> None:
         server = self.endpoints.get(entry.node)
         if server is None:
-            if entry.state != policy.EndpointState.LIVE:
+            if entry.state != EndpointState.LIVE:
                 return
             server = Server(entry.node, entry.replica_group, entry.zone, entry.rating, entry.started_at_us)
             self.endpoints[entry.node] = server
         elif entry.started_at_us and entry.started_at_us != server.started_at_us:
-            # A new process: what was known of the old one is void, and it is cold.
-            server.started_at_us, server.slow_start_from_us, server.slow_start_credit = (
-                entry.started_at_us,
-                None,
-                None,
-            )
-            server.consecutive_errors, server.ejections, server.penalty.value = {}, {}, 0.0
-            server.relative_latency.reset()
-        if entry.state in (
-            policy.EndpointState.LIVE,
-            policy.EndpointState.DRAINING,
-            policy.EndpointState.GONE,
-        ):
-            server.live = entry.state == policy.EndpointState.LIVE
-            server.gone_at_us = (
-                (server.gone_at_us or self.now) if entry.state == policy.EndpointState.GONE else None
-            )
-        server.replica_group, server.zone, server.rating = entry.replica_group, entry.zone, entry.rating
+            server.restart(entry.started_at_us)
+        server.update(entry, self.now)
 
     def _ask(self) -> None:
         """Subscribe, and look again later in case no word comes back at all."""
         self.polled_at_us = self.now
-        self.actions.append(policy.WatchEndpoints())
+        self.actions.append(WatchEndpoints())
         self._later(self.now + self.poll_backoff_most_us, "answer?", None)
 
     # Admission
 
-    def _query(self, event: policy.QueryArrived) -> None:
+    def _query(self, event: QueryArrived) -> None:
         spec = self.settings.classes[event.query_class]
         self.admitted.add(self.now)
         aim = spec.latency_objective_us + int(spec.objective_hint_ratio * (event.work_hint_us or 0))
@@ -304,28 +305,18 @@
         aim_at = min(self.now + aim, event.deadline_us)
         if left < CUT_TRY * usual and (event.is_retry or not self.settings.clients_mark_retries):
             aim_at = min(aim_at, event.deadline_us - spec.timeout_us + aim)
-        query = Query(
-            event.id,
-            event.job,
-            event.query_class,
-            event.tenant,
-            self.now,
-            aim_at,
-            event.deadline_us,
-            spec.required_fraction * event.part_count + spec.second_step_parts,
-        )
+        query = Query.from_arrival(event, spec, self.now, aim_at)
         self.queries[event.id] = self.jobs[event.job] = query
-        self._later(event.deadline_us - self.settings.tick_us, "deadline", query)
-        if self.now + self.settings.tick_us < query.objective_at_us < event.deadline_us:
-            self._later(query.objective_at_us - self.settings.tick_us, "aim", query)
-        if spec.second_step_parts and spec.minimum_fraction < spec.required_fraction:
-            second = min(
-                SECOND_STEP * self.mean_latency_us[event.query_class].value or spec.latency_objective_us / 4,
-                spec.latency_objective_us / 2,
-            )
-            self._later(query.objective_at_us - self.settings.tick_us - int(second), "cut", query)
-
-    def _part(self, event: policy.PartArrived) -> Query | None:
+        tick = self.settings.tick_us
+        self._later(event.deadline_us - tick, "deadline", query)
+        if self.now + tick < aim_at < event.deadline_us:
+            self._later(aim_at - tick, "aim", query)
+        if spec.second_step_parts and spec.allows_partial:
+            step = SECOND_STEP * self.mean_latency_us[event.query_class].value
+            second = min(step or spec.latency_objective_us / 4, spec.latency_objective_us / 2)
+            self._later(aim_at - tick - int(second), "cut", query)
+
+    def _part(self, event: PartArrived) -> Query | None:
         self.admitted.add(self.now)
         query = self.jobs.get(event.job)
         if query is None:
@@ -341,14 +332,11 @@
         if not query.answered and self._shed(query):
             self._give_up(query)
             return
-        waiting = [p for p in query.parts if p.step == query.step and not p.attempts and not p.waiting]
+        waiting = [part for part in query.unsent_parts() if not part.waiting]
         # While servers die one part goes first, the others once it is answered: a deadly query costs one.
-        wary = (
-            self.connection_broken_at_us is not None
-            and self.now < self.connection_broken_at_us + WARY * self.shortest_objective_us
-        )
+        wary = self.now < self.wary_until_us
         need = self._need(query) if query.step > 1 or query.answered or not wary else 1e-5
-        sent = sum(p.weight for p in query.parts if p.step == query.step and p.attempts)
+        sent = query.sent_weight()
         # Where all are sent the order decides nothing.
         order = iter(waiting) if need > 1 - 1e-4 else self._ranked(waiting)
         if need < 1e-4 and waiting:
@@ -380,27 +368,21 @@
 
     def _shed(self, query: Query) -> bool:
         """Load shedding: refuse at once what can't meet its aim at the pace of now, the least worth first."""
-        steps = 2 if self.settings.classes[query.query_class].second_step_parts else 1
+        steps = 2 if query.spec.second_step_parts else 1
         share = SHED_FROM + (SHED_ALL - SHED_FROM) * self._worth_rank(query)
-        few = max(self._flow(), self.best_completion_rate) * self.shortest_objective_us < COUNTS_TELL * len(
-            self.endpoints
-        )
+        rate = max(self._flow(), self.best_completion_rate)
+        few = rate * self.shortest_objective_us < COUNTS_TELL * len(self.endpoints)
         usual = self._recent_time(query) if few else self._queue_time(query)
         # The slowest of many parts lies further from the rank than that of a few, such as a second step's.
-        many = (
-            few
-            and self.settings.classes[query.query_class].required_fraction > SLOWEST
-            and len(query.parts) > FEW_PARTS
-        )
+        many = few and query.spec.required_fraction > SLOWEST and len(query.parts) > FEW_PARTS
         first = usual * log(len(query.parts)) / log(FEW_PARTS) if many else usual
         took = max(first, self._hot_time(query, 0 if few else HOT_COUNT)) + (steps - 1) * usual
-        return took > share * min(
-            max(query.objective_at_us - self.now, 0), self.shortest_objective_us * steps
-        )
+        left = max(query.objective_at_us - self.now, 0)
+        return took > share * min(left, self.shortest_objective_us * steps)
 
     def _worth_rank(self, query: Query) -> float:
         """The share of the latest queries that are worth less for their work."""
-        spec = self.settings.classes[query.query_class]
+        spec = query.spec
         density = spec.priority_weight * self._share_worth(query)
         density *= 1.0 if query.objective_at_us > self.now else spec.late_weight
         if not self.settings.weight_by_work:
@@ -413,7 +395,7 @@
         speed = max(self._flow(), FLOW_LEAST * self.best_completion_rate)
         if not speed or sum(len(s.in_flight) + self._charge(s) for s in known) < len(self.endpoints):
             return 0.0
-        need = self.settings.classes[query.query_class].required_fraction
+        need = query.spec.required_fraction
         picks = [(part, self._pick(part)) for part in query.parts]
         loads = sorted(len(known) if s is None else len(s.in_flight) + self._charge(s) for _, s in picks)
         loads = loads[: max(1, int(len(loads) * need + 0.999))]
@@ -421,18 +403,14 @@
 
     def _hot_time(self, query: Query, least: int) -> float:
         """A shard whose holders are all slow and busy holds its query up, however idle the rest are."""
-        if self.settings.classes[query.query_class].required_fraction < 1:
+        if query.spec.required_fraction < 1:
             return 0.0
-        picks = [(part, self._pick(part)) for part in query.parts]
-        edge = (
-            self.now - PACE_FADE * self.shortest_objective_us
-        )  # else a jam's yardstick would refuse all, unseen to be over
-        busy = [
-            (p, s)
-            for p, s in picks
-            if s and self._load(s) >= least and s.relative_latency.updated_at_us > edge
+        # An older latency doesn't count: a jam's yardstick would refuse all, unseen to be over.
+        edge = self.now - PACE_FADE * self.shortest_objective_us
+        picks = [(part, s) for part in query.parts if (s := self._pick(part)) and self._load(s) >= least]
+        slow = [
+            self._pace(s) * self._usual(part) for part, s in picks if s.relative_latency.updated_at_us > edge
         ]
-        slow = [self._pace(s) * self._usual(p) for p, s in busy]
         return max(slow, default=0.0)
 
     def _recent_time(self, query: Query) -> float:
@@ -442,11 +420,7 @@
         seen = [0.0] * RECENT_LEAST + self.recent_latencies.since(edge)
         out = [a for a in self.attempts_in_flight.values() if a.outcome is None and a.sent_at_us > edge]
         seen += [self._ratio(a, self.now - a.sent_at_us) for a in out]
-        need = (
-            self.settings.classes[query.query_class].required_fraction
-            * len(query.parts)
-            / (len(query.parts) + 1)
-        )
+        need = query.spec.required_fraction * len(query.parts) / (len(query.parts) + 1)
         seen.sort()
         usual = sum(self._usual(part) for part in query.parts) / len(query.parts)
         return seen[int(len(seen) * min(need, SLOWEST))] * usual
@@ -476,20 +450,15 @@
         return self.settings.over_quota_weight if self.random.random() * count.value > quota else 1.0
 
     def _need(self, query: Query) -> float:
-        spec = self.settings.classes[query.query_class]
+        spec = query.spec
+        if query.step > 1:
+            return 1.0
+        if query.truncated:
+            return spec.least_fraction
         # Of parts that can't be had now the caller gives none: what was given is all that can come.
-        most = (
-            spec.required_fraction
-            if query.offered_weight > spec.required_fraction - 1e-3
-            else max(query.offered_weight, spec.minimum_fraction)
-        )
-        return (
-            1.0
-            if query.step > 1
-            else min(spec.required_fraction, spec.minimum_fraction)
-            if query.truncated
-            else most
-        )
+        if query.offered_weight > spec.required_fraction - 1e-3:
+            return spec.required_fraction
+        return max(query.offered_weight, spec.minimum_fraction)
 
     def _rank(self, part: Part) -> tuple[float, ...]:
         server = self._pick(part)
@@ -518,19 +487,14 @@
         return min(pool, key=lambda server: (self._load(server), *self._tie(server)), default=None)
 
     def _holders(self, part: Part) -> list[Server]:
-        cells = (
-            (part.shard + step) % self.settings.replica_groups
-            for step in range(self.settings.groups_per_shard)
-        )
-        return [server for cell in cells for server in self.endpoints_by_group.get(cell, [])]
+        total, copies = self.settings.replica_groups, self.settings.groups_per_shard
+        groups = [(part.shard + step) % total for step in range(copies)]
+        return [server for group in groups for server in self.endpoints_by_group.get(group, [])]
 
     def _load(self, server: Server) -> int:
         """Own calls out, and on top the charges: the exceptions that act on the count itself."""
-        return (
-            len(server.in_flight_by_call)
-            + int(self._charge(server) + 0.5)
-            + int(self._pace(server) / OUTLIER)
-        )
+        charged = int(self._charge(server) + 0.5) + int(self._pace(server) / OUTLIER)
+        return len(server.in_flight_by_call) + charged
 
     def _tie(self, server: Server) -> tuple[float, ...]:
         trial = any(bar.half_open for bar in server.ejections.values())
@@ -558,9 +522,8 @@
 
     def _place(self, part: Part) -> bool:
         """Send the part to the design's replica, or try again shortly when no holder may be sent to."""
-        if self.now >= part.query.deadline_us - self.settings.tick_us or (
-            part.attempts and not self._may_resend(part)
-        ):
+        over = self.now >= part.query.deadline_us - self.settings.tick_us
+        if over or (part.attempts and not self._may_resend(part)):
             return False
         if part.is_hedge and not part.attempts and not self._fleet_room():
             return False
@@ -568,7 +531,7 @@
         if server is None:
             if not part.waiting:
                 part.waiting = True
-                wait = int(RETRY_WAIT * self.settings.classes[part.query.query_class].latency_objective_us)
+                wait = int(RETRY_WAIT * part.query.spec.latency_objective_us)
                 self._later(self.now + max(wait, self.settings.tick_us), "wait", part)
             return False
         self._send(part, server)
@@ -576,12 +539,9 @@
 
     def _may_resend(self, part: Part, saved: bool = False) -> bool:
         """The rules on a further attempt: limits, the class's effects, and the attempt budget."""
-        spec = self.settings.classes[part.query.query_class]
         if len(part.attempts) >= self.settings.max_attempts:
             return False
-        if part.in_flight() and (
-            not self.settings.hedging_allowed or spec.idempotency == policy.Idempotency.NON_IDEMPOTENT
-        ):
+        if part.in_flight() and not (self.settings.hedging_allowed and part.query.spec.allows_duplicates):
             return False
         if self.now > self._repeat_until(part):
             return False
@@ -590,18 +550,16 @@
 
     def _repeat_until(self, part: Part) -> int:
         """Up to when an attempt may leave: what may have run is repeated as its class's effect allows."""
-        spec, deadline = self.settings.classes[part.query.query_class], part.query.deadline_us
-        risky = [a.sent_at_us for a in part.attempts if a.outcome not in policy.NOT_EXECUTED]
-        until = {
-            policy.Idempotency.KEYED: min(risky, default=deadline) + spec.idempotency_window_us,
-            policy.Idempotency.NON_IDEMPOTENT: -1 if risky else deadline,
-        }
-        return min(deadline, until.get(spec.idempotency, deadline))
+        spec, deadline = part.query.spec, part.query.deadline_us
+        risky = [attempt.sent_at_us for attempt in part.attempts if attempt.may_have_run()]
+        if not risky or spec.idempotency == Idempotency.IDEMPOTENT:
+            return deadline
+        return min(deadline, min(risky) + spec.idempotency_window_us) if spec.allows_duplicates else -1
 
     def _fleet_room(self) -> bool:
         """Where all aggregators share a budget of further attempts, whether it leaves us one."""
         if self.additional_quota is not None and self.additional_quota < 1:
-            self.actions.append(policy.QuotaExhausted())
+            self.actions.append(QuotaExhausted())
             return False
         return True
 
@@ -609,20 +567,15 @@
         """The stated budget, and our own: when many parts need further attempts these feed an overload. What
         was lost with its connection was not late, what met nobody is no load: our own is not for these. It is
         a guess at what all may do, and so stands back where that is told."""
-        most = (
-            self.settings.free_additional_attempts
-            + self.settings.additional_attempt_ratio * self.admitted.count(self.now)
-        )
+        earned = self.settings.additional_attempt_ratio * self.admitted.count(self.now)
+        most = self.settings.free_additional_attempts + earned
+        unlimited = not self.settings.attempt_budget_window_us
         own = free or self.retry_budget.has_token() or self.additional_quota is not None
-        return own and (
-            not self.settings.attempt_budget_window_us or self.additional.count(self.now) + 1 <= most
-        )
+        return own and (unlimited or self.additional.count(self.now) + 1 <= most)
 
     def _send(self, part: Part, server: Server) -> None:
-        further, cold = (
-            bool(part.attempts) or part.is_hedge,
-            self.slow_start_quota is not None and self.slow_start_fraction(server) < 1,
-        )
+        further = bool(part.attempts) or part.is_hedge
+        cold = self.slow_start_quota is not None and self.slow_start_fraction(server) < 1
         until = self._repeat_until(part)
         if further and self.additional_quota is not None:
             self.additional_quota -= 1
@@ -634,80 +587,50 @@
             self.additional.add(self.now)
         else:
             self.retry_budget.earn(FURTHER_SHARE)
-        if server.last_call_at_us != self.now or server.last_call_capacity < 1:
-            self.last_call += 1
-            server.last_call_at_us, server.last_call_id, server.last_call_capacity = (
-                self.now,
-                self.last_call,
-                self.settings.parts_per_call,
-            )
-        server.last_call_capacity -= 1
-        server.in_flight_by_call[server.last_call_id] = (
-            server.in_flight_by_call.get(server.last_call_id, 0) + 1
-        )
-        attempt = Attempt(part, len(part.attempts), server, self.now, server.last_call_id)
+        call_id = server.join_call(self.now, self.last_call + 1, self.settings.parts_per_call)
+        self.last_call = max(self.last_call, call_id)
+        attempt = Attempt(part, len(part.attempts), server, self.now, call_id)
         part.attempts.append(attempt)
         server.in_flight[part.id, attempt.seq] = self.attempts_in_flight[part.id, attempt.seq] = attempt
         if server.slow_start_credit is not None:
             server.slow_start_credit -= 1.0
-        self.actions.append(policy.Send(part.id, server.node, further, cold, until))
-        left = max(
-            part.query.objective_at_us - self.now,
-            self.settings.classes[part.query.query_class].latency_objective_us // 2,
-        )
+        self.actions.append(Send(part.id, server.node, further, cold, until))
+        left = max(part.query.objective_at_us - self.now, part.query.spec.latency_objective_us // 2)
         self._later(self.now + int(left * LATE_SHARE), "late", attempt)
 
     def _late(self, attempt: Attempt) -> None:
         """At the half-aim mark: an unsent sibling steps in, else a copy, else cancel and resend."""
         self._silent(attempt)
-        part, query = attempt.part, attempt.part.query
-        if part.done or query.id not in self.queries or part.step != query.step:
-            return
-        if self._deadly(query):
+        part, query, server = attempt.part, attempt.part.query, attempt.endpoint
+        if not self._is_awaited(part) or self._deadly(query):
             return
+        recheck_at_us = self.now + int(RECHECK * query.spec.latency_objective_us)
         if not self._fleet_room():
-            self._later(
-                self.now + int(RECHECK * self.settings.classes[query.query_class].latency_objective_us),
-                "late",
-                attempt,
-            )
+            self._later(recheck_at_us, "late", attempt)
             return
-        if self._spare(query):
+        if self._spare(query) or self._pick(part) in (None, server) or not query.spec.allows_duplicates:
             return
-        spec = self.settings.classes[query.query_class]
-        if self._pick(part) in (None, attempt.endpoint):
-            return
-        if self.settings.hedging_allowed and spec.idempotency != policy.Idempotency.NON_IDEMPOTENT:
-            self._place(part)
-        elif (
-            self.settings.cancellation_allowed
-            and spec.idempotency != policy.Idempotency.NON_IDEMPOTENT
-            and attempt is part.attempts[-1]
-        ):
-            if len(part.attempts) >= self.settings.max_attempts:
-                return
-            if not self._budget_left():
-                self._later(self.now + int(RECHECK * spec.latency_objective_us), "late", attempt)
-                return
-            # A server that answers in turn will come to this part: calling it off would pay twice.
-            server = attempt.endpoint
-            if (
-                server.last_answer_at_us > attempt.sent_at_us
-                and server.last_answered_send_at_us <= attempt.sent_at_us
-            ):
-                self._later(self.now + int(RECHECK * spec.latency_objective_us), "late", attempt)
-                return
-            if (
-                spec.idempotency == policy.Idempotency.KEYED
-                and self.now + self.settings.tick_us > self._repeat_until(part)
-            ):
-                return
-            self._cancel(attempt)
+        if self.settings.hedging_allowed:
             self._place(part)
+            return
+        if not self.settings.cancellation_allowed or attempt is not part.attempts[-1]:
+            return
+        if len(part.attempts) >= self.settings.max_attempts:
+            return
+        # A server that answers in turn will come to this part: calling it off would pay twice.
+        in_turn = server.last_answered_send_at_us <= attempt.sent_at_us < server.last_answer_at_us
+        if in_turn or not self._budget_left():
+            self._later(recheck_at_us, "late", attempt)
+            return
+        keyed = query.spec.idempotency == Idempotency.KEYED
+        if keyed and self.now + self.settings.tick_us > self._repeat_until(part):
+            return
+        self._cancel(attempt)
+        self._place(part)
 
     def _spare(self, query: Query) -> bool:
         """Send the unsent part whose replica has the smallest count; k minus n a query at most."""
-        unsent = [p for p in query.parts if p.step == query.step and not p.attempts]
+        unsent = query.unsent_parts()
         if not unsent or query.step != 1:
             return False
         spare = min(unsent, key=self._rank)
@@ -718,45 +641,34 @@
 
     def _cancel(self, attempt: Attempt) -> None:
         """Stop waiting; the server may still work at it, so the count turns into a fading charge."""
-        attempt.outcome = policy.Outcome.CANCELLED
-        self._clear(attempt)
+        attempt.outcome = Outcome.CANCELLED
+        attempt.endpoint.release(attempt)
         self._add_charge(attempt.endpoint)
-        self.actions.append(policy.Cancel(attempt.part.id, attempt.seq))
-
-    def _clear(self, attempt: Attempt) -> None:
-        server = attempt.endpoint
-        if server.in_flight.pop((attempt.part.id, attempt.seq), None) is None:
-            return
-        server.in_flight_by_call[attempt.call_id] -= 1
-        if not server.in_flight_by_call[attempt.call_id]:
-            del server.in_flight_by_call[attempt.call_id]
+        self.actions.append(Cancel(attempt.part.id, attempt.seq))
 
     # Outcomes
 
-    def _ended(self, event: policy.AttemptEnded) -> None:
+    def _ended(self, event: AttemptEnded) -> None:
         attempt = self.attempts_in_flight.pop((event.id, event.seq), None)
         if attempt is None:
             return
         attempt.outcome = attempt.outcome or event.outcome
-        self._clear(attempt)
-        part = attempt.part
-        query = part.query
-        query.broken_connections += attempt.outcome == policy.Outcome.BROKEN
-        if event.outcome == policy.Outcome.OK:
+        attempt.endpoint.release(attempt)
+        part, query = attempt.part, attempt.part.query
+        query.broken_connections += attempt.outcome == Outcome.BROKEN
+        if event.outcome == Outcome.OK:
             self._answered(attempt, event)
             if self._part_in(part) and query.id in self.queries and not query.answered:
                 query.answered = True
                 self._go_on(query)
             return
         self._judge(attempt, event.outcome)
-        if query.id not in self.queries or part.done or part.step != query.step:
-            return
-        if event.outcome == policy.Outcome.CANCELLED or part.in_flight():
+        if not self._is_awaited(part) or event.outcome == Outcome.CANCELLED or part.in_flight():
             return
         if self._deadly(query):
             return
         # A deadly query must not take both holders of a shard: a sibling is tried, the part itself later.
-        if event.outcome == policy.Outcome.BROKEN and not query.answered and self._spare(query):
+        if event.outcome == Outcome.BROKEN and not query.answered and self._spare(query):
             return
         # A part that errors is replaced: by itself where the class allows, else by an unsent sibling.
         if not self._place(part) and not part.waiting and not self._spare(query) and not self._saves(part):
@@ -765,26 +677,27 @@
     def _saves(self, part: Part) -> bool:
         """Whether only our own budget keeps the part from a further attempt, and it may earn one while the
         aim can be met: given up now, its client would ask for all parts anew."""
-        wait = int(RETRY_WAIT * self.settings.classes[part.query.query_class].latency_objective_us)
-        enough = (
-            self.retry_budget.has_token() if self.additional_quota is None else self.additional_quota >= 1
-        )
-        if enough or not self._may_resend(part, saved=True):
-            return False
-        if self.now + wait + self._usual(part) > part.query.objective_at_us:
+        wait = int(RETRY_WAIT * part.query.spec.latency_objective_us)
+        quota = self.additional_quota
+        enough = self.retry_budget.has_token() if quota is None else quota >= 1
+        late = self.now + wait + self._usual(part) > part.query.objective_at_us
+        if enough or late or not self._may_resend(part, saved=True):
             return False
         part.waiting = True
         self._later(self.now + wait, "wait", part)
         return True
 
+    def _is_awaited(self, part: Part) -> bool:
+        """Whether the part's answer would still count."""
+        return part.query.id in self.queries and not part.done and part.step == part.query.step
+
     def _part_in(self, part: Part) -> bool:
         """The part's weight counts, once; true if it did now."""
-        query = part.query
-        if query.id not in self.queries or part.done or part.step != query.step:
+        if not self._is_awaited(part):
             return False
         part.done = True
-        query.received_weight += part.weight
-        self._settle(query)
+        part.query.received_weight += part.weight
+        self._settle(part.query)
         return True
 
     def _deadly(self, query: Query) -> bool:
@@ -793,11 +706,11 @@
         queries other parts are answered."""
         if query.answered or not query.broken_connections:
             return False
-        tries = [a for p in query.parts for a in p.attempts]
-        if query.broken_connections < DEATHS and all(a.outcome is not None for a in tries):
+        if query.in_flight():
+            return True
+        if query.broken_connections < DEATHS:
             return False
-        if all(a.outcome is not None for a in tries):
-            self._give_up(query)
+        self._give_up(query)
         return True
 
     def _go_on(self, query: Query) -> None:
@@ -809,26 +722,20 @@
 
     def _doomed(self, query: Query) -> None:
         """End a query at once when what is in, out, waiting or unsent can't make an answer any more."""
-        spec = self.settings.classes[query.query_class]
-        floor = (
-            min(spec.minimum_fraction, spec.required_fraction)
-            if query.step == 1 or spec.minimum_fraction < spec.required_fraction
-            else 1.0
-        )
-        reach = sum(p.weight for p in query.parts if p.step == query.step and p.can_contribute())
-        if reach < floor - 1e-6:
+        partial = query.step == 1 or query.spec.allows_partial
+        if query.reachable_weight() < (query.spec.least_fraction if partial else 1.0) - 1e-6:
             self._give_up(query)
 
     def _settle(self, query: Query) -> None:
         """Answer once n are in; the first answer of two brings the second step's parts."""
         if query.received_weight >= self._need(query) - 1e-6:
-            whole = self.settings.classes[query.query_class].required_fraction if query.step == 1 else 1.0
+            whole = query.spec.required_fraction if query.step == 1 else 1.0
             query.complete = query.complete and query.received_weight >= whole - 1e-6
             self._answer(query)
 
     def _answer(self, query: Query) -> None:
-        self.actions.append(policy.Answer(query.id, query.complete))
-        if query.step == 1 and self.settings.classes[query.query_class].second_step_parts:
+        self.actions.append(Answer(query.id, query.complete))
+        if query.step == 1 and query.spec.second_step_parts:
             query.step, query.received_weight = 2, 0.0
         else:
             self._forget(query)
@@ -843,10 +750,7 @@
     def _usable(self, server: Server, query_class: int) -> bool:
         for key in (EVERY, query_class):
             bar = server.ejections.get(key)
-            if bar and not (
-                bar.half_open
-                and all(a.sent_at_us < bar.ejected_at_us + bar.duration_us for a in server.in_flight.values())
-            ):
+            if bar and not (bar.half_open and server.all_sent_before(bar.ends_at_us)):
                 return False
         return True
 
@@ -856,34 +760,29 @@
         if old and not old.half_open:
             return
         span = int(min(2 * old.duration_us, self._known(BAR_MOST)) if old else self._known(BAR_SPAN))
-        dead = (
-            why
-            if why in (NO_CONNECTION, NO_PROBE) or not self.settings.probing_allowed
-            else old.disconnect_reason
-            if old
-            else ""
-        )
-        if old and old.disconnect_reason == NO_CONNECTION:
-            dead = old.disconnect_reason
+        dead = old.disconnect_reason if old else ""
+        unreachable = why in (NO_CONNECTION, NO_PROBE) or not self.settings.probing_allowed
+        if unreachable and dead != NO_CONNECTION:
+            dead = why
         server.ejections[key] = Bar(self.now, span, disconnect_reason=dead)
         self._later(self.now + span, "trial", server)
         self._log("eject " + server.node, f"server {server.node} ejected: {why}")
 
     def _half_open(self, server: Server) -> None:
         for key, bar in server.ejections.items():
-            if not bar.half_open and self.now >= bar.ejected_at_us + bar.duration_us:
+            if not bar.half_open and self.now >= bar.ends_at_us:
                 if key == EVERY and self.settings.probing_allowed and server.live:
-                    self.actions.append(policy.Probe(server.node))
+                    self.actions.append(Probe(server.node))
                 else:
                     bar.half_open = True
 
-    def _probed(self, event: policy.ProbeEnded) -> None:
+    def _probed(self, event: ProbeEnded) -> None:
         server = self.endpoints.get(event.node)
         bar = server.ejections.get(EVERY) if server else None
         if server is None or bar is None or bar.half_open:
             return
         bar.half_open = True
-        if event.outcome != policy.Outcome.OK:
+        if event.outcome != Outcome.OK:
             self._bar(server, EVERY, NO_PROBE)
 
     def _silent(self, attempt: Attempt) -> None:
@@ -893,18 +792,11 @@
         if attempt.outcome is None and self.now - attempt.sent_at_us < SILENT_TIMES * usual:
             self._later(int(attempt.sent_at_us + SILENT_TIMES * usual) + 1, "silent", attempt)
             return
+        others_answered = server.last_answer_at_us < attempt.sent_at_us <= self.last_answer_at_us
         # At low traffic the stuck part's own count keeps a second one away: a time-out says it alone.
-        timed_out = attempt.outcome == policy.Outcome.TIMED_OUT
-        stuck = (
-            SILENT_PARTS
-            if timed_out
-            else sum(a.sent_at_us > server.last_answer_at_us for a in server.in_flight.values())
-        )
-        if (
-            server.last_answer_at_us < attempt.sent_at_us <= self.last_answer_at_us
-            and stuck >= SILENT_PARTS
-            and self._may_bar()
-        ):
+        timed_out = attempt.outcome == Outcome.TIMED_OUT
+        stuck = sum(a.sent_at_us > server.last_answer_at_us for a in server.in_flight.values())
+        if others_answered and (timed_out or stuck >= SILENT_PARTS) and self._may_bar():
             self._bar(server, EVERY, "silent while others answer")
 
     def _may_bar(self) -> bool:
@@ -914,45 +806,34 @@
 
     def _judge(self, attempt: Attempt, outcome: str) -> None:
         server, query_class = attempt.endpoint, attempt.part.query.query_class
-        if outcome == policy.Outcome.TIMED_OUT:
+        if outcome == Outcome.TIMED_OUT:
             self._silent(attempt)
-        if (
-            outcome == policy.Outcome.CONNECTION_LOST
-        ):  # no load, no error of the server's: only less of a pick among equals
+        if outcome == Outcome.CONNECTION_LOST:
+            # No load, no error of the server's: only less of a pick among equals.
             server.relative_latency.add(self.now, LOST_COST, PACE_GAIN, self._known(PACE_FADE))
-        if outcome in (
-            policy.Outcome.CANCELLED,
-            policy.Outcome.NEVER_SENT,
-            policy.Outcome.TIMED_OUT,
-            policy.Outcome.CONNECTION_LOST,
-        ):
+        if outcome in (Outcome.CANCELLED, Outcome.NEVER_SENT, Outcome.TIMED_OUT, Outcome.CONNECTION_LOST):
             return
         self._add_charge(server)
-        if outcome in (policy.Outcome.UNREACHABLE, policy.Outcome.BROKEN):
-            self.connection_broken_at_us = self.now
+        if outcome in (Outcome.UNREACHABLE, Outcome.BROKEN):
+            self.wary_until_us = self.now + WARY * self.shortest_objective_us
             self._bar(server, EVERY, NO_CONNECTION)
-            return
-        if outcome == policy.Outcome.REJECTED:  # had it waited for its turn it would have taken about the aim
+        elif outcome == Outcome.REJECTED:
+            # Had it waited for its turn it would have taken about the aim.
             self._remember(attempt, self.shortest_objective_us)
-            server.consecutive_errors[EVERY] = server.consecutive_errors.get(EVERY, 0) + 1
-            if server.consecutive_errors[EVERY] >= ERRORS_TO_BAR and self._may_bar():
+            if server.add_error(EVERY) >= ERRORS_TO_BAR and self._may_bar():
                 self._bar(server, EVERY, "turns away all that comes")
-            return
-        server.consecutive_errors[query_class] = server.consecutive_errors.get(query_class, 0) + 1
-        if server.consecutive_errors[query_class] >= ERRORS_TO_BAR:
+        elif server.add_error(query_class) >= ERRORS_TO_BAR:
             self._bar(server, query_class, "errors in a row")
 
-    def _answered(self, attempt: Attempt, event: policy.AttemptEnded) -> None:
+    def _answered(self, attempt: Attempt, event: AttemptEnded) -> None:
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
         server, query_class = attempt.endpoint, attempt.part.query.query_class
         gap = self.now - server.last_answer_at_us
         server.last_answered_send_at_us = max(server.last_answered_send_at_us, attempt.sent_at_us)
         server.last_answer_at_us = self.last_answer_at_us = self.now
-        self.completions.add(self.now, 1.0, FLOW_SPAN * self.shortest_objective_us)
-        if (
-            self.now > (self.started_at_us or 0) + FLOW_SPAN * self.shortest_objective_us
-            and self._flow() > self.best_completion_rate
-        ):
+        span = FLOW_SPAN * self.shortest_objective_us
+        self.completions.add(self.now, 1.0, span)
+        if self.now > (self.started_at_us or 0) + span and self._flow() > self.best_completion_rate:
             # Kept with the fleet that did it: servers lost since must not make the others look larger.
             self.best_completion_rate, self.best_rate_rating = self._flow(), self._rating()
         for key in (EVERY, query_class):
@@ -961,41 +842,38 @@
             if bar and attempt.sent_at_us >= bar.ejected_at_us:
                 del server.ejections[key]
                 if key == EVERY:
-                    # Back from silence: it may have restarted unlisted, so it is treated as cold.
-                    if bar.disconnect_reason == NO_CONNECTION or (
-                        bar.disconnect_reason and gap > COLD_SILENCE * self.shortest_objective_us
-                    ):
-                        server.slow_start_from_us = self.now
-                    self._log("back " + server.node, f"server {server.node} readmitted")
+                    self._readmitted(server, bar, gap)
         self._remember(attempt, event.elapsed_us)
         took, usual = event.elapsed_us, self._usual(attempt.part)
         ratio = min(took / usual, 20.0) if usual else 1.0
         # A broker that seldom meets any server has but the last answer or two of each to go by, and by then
         # an aim is long over: one of many brokers would find each sick server anew at every visit.
         way = len(self.endpoints) / max(self._flow(), self.best_completion_rate)
-        self.revisit_interval_us = (
-            min(VISITS * way, self.settings.slow_start_duration_us or KEPT * self.shortest_objective_us)
-            if way > self.shortest_objective_us
-            else 0
-        )
+        most = self.settings.slow_start_duration_us or KEPT * self.shortest_objective_us
+        self.revisit_interval_us = min(VISITS * way, most) if way > self.shortest_objective_us else 0
         pause = min(len(self.endpoints) / self._flow(), self.now - server.relative_latency.updated_at_us)
         gain = max(PACE_GAIN, PACE_MOST * (1 - exp(-2 * pause / (PACE_FADE * self.shortest_objective_us))))
         server.relative_latency.add(self.now, ratio, gain, self._known(PACE_FADE))
         self.mean_latency_us[query_class].add(min(took, 3 * usual or took), RATE_GAIN)
 
+    def _readmitted(self, server: Server, bar: Bar, gap: int) -> None:
+        # Back from silence: it may have restarted unlisted, so it is treated as cold.
+        long_silent = gap > COLD_SILENCE * self.shortest_objective_us
+        if bar.disconnect_reason == NO_CONNECTION or (bar.disconnect_reason and long_silent):
+            server.slow_start_from_us = self.now
+        self._log("back " + server.node, f"server {server.node} readmitted")
+
     # Cold ramp
 
     def slow_start_fraction(self, server: Server) -> float:
         """The share of its capacity that a server has at least, by the settings' ramp."""
+        least, ramp_us = self.settings.slow_start_capacity, self.settings.slow_start_duration_us
         if EVERY in server.ejections and server.ejections[EVERY].disconnect_reason:
-            return self.settings.slow_start_capacity  # it may be starting this moment
+            return least  # it may be starting this moment
         since = max(server.started_at_us or -1, server.slow_start_from_us or -1)
-        if since < 0 or not self.settings.slow_start_duration_us:
+        if since < 0 or not ramp_us:
             return 1.0
-        age = (self.now - since) / self.settings.slow_start_duration_us
-        return min(
-            1.0, self.settings.slow_start_capacity + (1 - self.settings.slow_start_capacity) * max(age, 0.0)
-        )
+        return min(1.0, least + (1 - least) * max((self.now - since) / ramp_us, 0.0))
 
     def _flow(self) -> float:
         """Parts a microsecond answered lately; answers, as what is turned away shows no capacity."""
@@ -1022,16 +900,14 @@
         if self.slow_start_quota is not None:  # the guess at our share below stands back where it is told
             return self.slow_start_quota.get(server.node, 0) >= 1
         fleet = max(self.best_rate_rating or self._rating(), 1e-9)
-        usual = max(
-            server.rating * (self.best_completion_rate or self._flow()) / fleet, self._least_rate(server)
-        )
+        share = server.rating * (self.best_completion_rate or self._flow()) / fleet
+        usual = max(share, self._least_rate(server))
         rate = COLD_SHARE * self.settings.overload_multiple * warmth * usual
         if server.slow_start_credit is None:
             server.slow_start_credit, server.slow_start_credit_at_us = self.random.random(), self.now
         most = max(1.0, COLD_BURST * rate * self.settings.overload_after_us)
-        server.slow_start_credit = min(
-            server.slow_start_credit + rate * (self.now - server.slow_start_credit_at_us), most
-        )
+        earned = rate * (self.now - server.slow_start_credit_at_us)
+        server.slow_start_credit = min(server.slow_start_credit + earned, most)
         server.slow_start_credit_at_us = self.now
         return server.slow_start_credit >= 1.0
 
@@ -1040,21 +916,15 @@
     def _overdue(self, query: Query, what: str) -> None:
         """At the aim or deadline: a partial answer if allowed and worth more than waiting, else the end. A
         first step is cut while a second still has time: answered at the deadline the query would be lost."""
-        spec = self.settings.classes[query.query_class]
+        spec, got = query.spec, query.received_weight
         if what == "cut":
             query.truncated = query.step == 1
             self._settle(query)
             return
-        got = query.received_weight
         last_step = query.step > 1 or not spec.second_step_parts
-        enough = (
-            spec.minimum_fraction < spec.required_fraction
-            and got >= spec.minimum_fraction - 1e-6
-            and last_step
-        )
-        if what == "aim" and spec.late_weight > (
-            spec.partial_weight * got / spec.required_fraction if enough else 0.0
-        ):
+        enough = spec.allows_partial and got >= spec.minimum_fraction - 1e-6 and last_step
+        partial_worth = spec.partial_weight * got / spec.required_fraction if enough else 0.0
+        if what == "aim" and spec.late_weight > partial_worth:
             return
         if enough:
             query.complete = False
@@ -1062,14 +932,13 @@
         else:
             self._give_up(query)
 
-    def _left(self, event: policy.ClientDisconnected) -> None:
+    def _left(self, event: ClientDisconnected) -> None:
         """The client left: nobody waits for what is out."""
         query = self.queries.get(event.id)
         if query is None:
             return
-        for attempt in [a for part in query.parts for a in part.in_flight()]:
-            if self.settings.cancellation_allowed:
-                self._cancel(attempt)
+        for attempt in query.in_flight() if self.settings.cancellation_allowed else ():
+            self._cancel(attempt)
         self._forget(query)
 
     def _curtail(self, until_us: int) -> None:
@@ -1081,17 +950,14 @@
 
     def _give_up(self, query: Query) -> None:
         """End the query at once: refused where a repeat is known to be harmless, else failed."""
-        spec = self.settings.classes[query.query_class]
-        ran = any(a.outcome not in policy.NOT_EXECUTED for p in query.parts for a in p.attempts)
-        if spec.idempotency == policy.Idempotency.NON_IDEMPOTENT and ran:
-            self.actions.append(policy.Fail(query.id))
+        ran = any(attempt.may_have_run() for attempt in query.attempts())
+        if ran and not query.spec.allows_duplicates:
+            self.actions.append(Fail(query.id))
         else:
             # Come back after about one aim, or what clients heed, spread so that they don't come at once.
-            after = int(
-                min(spec.latency_objective_us, self.settings.max_retry_after_us)
-                * self.random.uniform(0.5, 1.0)
-            )
-            self.actions.append(policy.Reject(query.id, after if self.settings.retry_advice_allowed else 0))
+            longest = min(query.spec.latency_objective_us, self.settings.max_retry_after_us)
+            after = int(longest * self.random.uniform(0.5, 1.0))
+            self.actions.append(Reject(query.id, after if self.settings.retry_advice_allowed else 0))
         self._forget(query)
 
 
--- a/heathwell/policy/records.py
+++ b/heathwell/policy/records.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 
 from heathwell.datastructures import DecayingAverage, DecayingSum
+from heathwell.policy.events import NOT_EXECUTED, EndpointEntry, EndpointState, QueryArrived
+from heathwell.policy.settings import QueryClass
 
 
 @dataclass(slots=True)
@@ -15,6 +17,7 @@
     id: str
     job: int
     query_class: int
+    spec: QueryClass
     tenant: int
     admitted_at_us: int
     objective_at_us: int
@@ -29,6 +32,49 @@
     offered_weight: float = 0.0
     broken_connections: int = 0
 
+    @classmethod
+    def from_arrival(cls, event: QueryArrived, spec: QueryClass, now_us: int, objective_at_us: int) -> Query:
+        """A query as it arrives; its work is the number of parts that a complete answer needs."""
+        return cls(
+            id=event.id,
+            job=event.job,
+            query_class=event.query_class,
+            spec=spec,
+            tenant=event.tenant,
+            admitted_at_us=now_us,
+            objective_at_us=objective_at_us,
+            deadline_us=event.deadline_us,
+            work=spec.required_fraction * event.part_count + spec.second_step_parts,
+        )
+
+    def attempts(self) -> list[Attempt]:
+        """All attempts of all parts."""
+        return [attempt for part in self.parts for attempt in part.attempts]
+
+    def in_flight(self) -> list[Attempt]:
+        """Attempts of any part that have had no outcome."""
+        return [attempt for part in self.parts for attempt in part.in_flight()]
+
+    def step_parts(self) -> list[Part]:
+        """Parts of the present step."""
+        return [part for part in self.parts if part.step == self.step]
+
+    def unsent_parts(self) -> list[Part]:
+        """Parts of the present step without an attempt."""
+        return [part for part in self.step_parts() if not part.attempts]
+
+    def pending_parts(self) -> list[Part]:
+        """Parts of the present step that are neither in nor excluded."""
+        return [part for part in self.step_parts() if not (part.done or part.excluded)]
+
+    def sent_weight(self) -> float:
+        """Weight of the present step's parts that have an attempt."""
+        return sum(part.weight for part in self.step_parts() if part.attempts)
+
+    def reachable_weight(self) -> float:
+        """Weight of the present step's parts whose answer is in or may still come."""
+        return sum(part.weight for part in self.step_parts() if part.can_contribute())
+
 
 @dataclass(slots=True)
 class Part:
@@ -69,6 +115,10 @@
     call_id: int
     outcome: str | None = None
 
+    def may_have_run(self) -> bool:
+        """Whether nothing proves that the endpoint never ran the part."""
+        return self.outcome not in NOT_EXECUTED
+
 
 @dataclass(slots=True)
 class Server:
@@ -98,6 +148,58 @@
     slow_start_credit: float | None = None
     slow_start_credit_at_us: int = 0
 
+    def update(self, entry: EndpointEntry, now_us: int) -> None:
+        """Take what the endpoint list says; an unknown state leaves the present one as it is."""
+        if entry.state in (EndpointState.LIVE, EndpointState.DRAINING, EndpointState.GONE):
+            self.live = entry.state == EndpointState.LIVE
+            self.gone_at_us = (self.gone_at_us or now_us) if entry.state == EndpointState.GONE else None
+        self.replica_group, self.zone, self.rating = entry.replica_group, entry.zone, entry.rating
+
+    def restart(self, started_at_us: int) -> None:
+        """A new process: what was known of the old one is void."""
+        self.started_at_us = started_at_us
+        self.slow_start_from_us = self.slow_start_credit = None
+        self.consecutive_errors, self.ejections, self.penalty.value = {}, {}, 0.0
+        self.relative_latency.reset()
+
+    def left_before(self, edge_us: int) -> bool:
+        """Whether it left the endpoint list before an instant."""
+        return self.gone_at_us is not None and self.gone_at_us < edge_us
+
+    def restrict(self, key: int, deprioritized: frozenset[str], excluded: frozenset[str]) -> None:
+        """Replace the restrictions that hold for a key by those that name this endpoint."""
+        for restricted, nodes in (
+            (self.deprioritized_for, deprioritized),
+            (self.excluded_for, excluded),
+        ):
+            (restricted.add if self.node in nodes else restricted.discard)(key)
+
+    def join_call(self, now_us: int, next_call_id: int, parts_per_call: int) -> int:
+        """Count a part in flight in the call of this instant while that has room, else in the next call."""
+        if self.last_call_at_us != now_us or self.last_call_capacity < 1:
+            self.last_call_at_us, self.last_call_id = now_us, next_call_id
+            self.last_call_capacity = parts_per_call
+        self.last_call_capacity -= 1
+        self.in_flight_by_call[self.last_call_id] = self.in_flight_by_call.get(self.last_call_id, 0) + 1
+        return self.last_call_id
+
+    def release(self, attempt: Attempt) -> None:
+        """The attempt is not in flight any more; a second time has no effect."""
+        if self.in_flight.pop((attempt.part.id, attempt.seq), None) is None:
+            return
+        self.in_flight_by_call[attempt.call_id] -= 1
+        if not self.in_flight_by_call[attempt.call_id]:
+            del self.in_flight_by_call[attempt.call_id]
+
+    def all_sent_before(self, edge_us: int) -> bool:
+        """Whether each attempt in flight was sent before an instant."""
+        return all(attempt.sent_at_us < edge_us for attempt in self.in_flight.values())
+
+    def add_error(self, key: int) -> int:
+        """Count one more error in a row for a key; returns how many these are."""
+        self.consecutive_errors[key] = self.consecutive_errors.get(key, 0) + 1
+        return self.consecutive_errors[key]
+
 
 @dataclass(slots=True)
 class Bar:
@@ -108,6 +210,11 @@
     half_open: bool = False
     disconnect_reason: str = ""
 
+    @property
+    def ends_at_us(self) -> int:
+        """When a trial may begin."""
+        return self.ejected_at_us + self.duration_us
+
 
 class Due(NamedTuple):
     """What a timer is set for."""
--- a/heathwell/policy/settings.py
+++ b/heathwell/policy/settings.py
@@ -56,6 +56,21 @@
         if self.second_step_parts < 0:
             raise ValueError(f"class {self.name}: second_step_parts {self.second_step_parts} is negative")
 
+    @property
+    def allows_partial(self) -> bool:
+        """Whether less than a complete answer may be given."""
+        return self.minimum_fraction < self.required_fraction
+
+    @property
+    def least_fraction(self) -> float:
+        """The least fraction of the first step's weight that may be answered."""
+        return min(self.minimum_fraction, self.required_fraction)
+
+    @property
+    def allows_duplicates(self) -> bool:
+        """Whether a part may be sent while or after another attempt may have run it."""
+        return self.idempotency != Idempotency.NON_IDEMPOTENT
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
