--- a/heathwell/policy/aggregator.py
+++ b/heathwell/policy/aggregator.py
@@ -25,37 +25,8 @@
     TokenBucket,
     drain_by_rank,
 )
-from heathwell.policy.actions import (
-    Action,
-    Answer,
-    Cancel,
-    Fail,
-    Log,
-    Probe,
-    QuotaExhausted,
-    Reject,
-    Send,
-    SetTimer,
-    WatchEndpoints,
-)
-from heathwell.policy.events import (
-    AttemptEnded,
-    AttemptSuperseded,
-    ClientDisconnected,
-    EndpointEntry,
-    EndpointState,
-    EndpointUpdate,
-    Event,
-    HolderRestrictions,
-    Outcome,
-    PartArrived,
-    ProbeEnded,
-    QueryArrived,
-    QuotaUpdate,
-    ShutdownStarted,
-    TimerFired,
-    UpdateKind,
-)
+from heathwell.policy import actions, events
+from heathwell.policy.events import EndpointState, Outcome, UpdateKind
 from heathwell.policy.records import Attempt, Bar, Due, Part, Query, Server
 from heathwell.policy.settings import Idempotency, Settings
 
@@ -118,7 +89,7 @@
         self.revisit_interval_us = 0.0
         self.now = self.last_call = 0
         self.started_at_us: int | None = None
-        self.actions: list[Action] = []
+        self.actions: list[actions.Action] = []
         self.endpoints: dict[str, Server] = {}
         self.endpoints_by_group: dict[int, list[Server]] = {}
         self.queries: dict[str, Query] = {}
@@ -150,38 +121,38 @@
         self.additional_quota: int | None = None
         self.slow_start_quota: dict[str, int] | None = None
 
-    def handle(self, now: int, events: list[Event]) -> list[Action]:
+    def handle(self, now: int, batch: list[events.Event]) -> list[actions.Action]:
         """Take one batch of events and return the actions, both in order."""
         self.now, self.actions = now, []
         if self.started_at_us is None:
             self.started_at_us = now
         started: dict[str, Query] = {}
-        for event in events:
+        for event in batch:
             match event:
-                case AttemptEnded():
+                case events.AttemptEnded():
                     self._ended(event)
-                case PartArrived():
+                case events.PartArrived():
                     if query := self._part(event):
                         started[query.id] = query
-                case QueryArrived():
+                case events.QueryArrived():
                     self._query(event)
-                case EndpointUpdate():
+                case events.EndpointUpdate():
                     self._fleet(event)
-                case ProbeEnded():
+                case events.ProbeEnded():
                     self._probed(event)
-                case ClientDisconnected():
+                case events.ClientDisconnected():
                     self._left(event)
-                case ShutdownStarted():
+                case events.ShutdownStarted():
                     self._curtail(event.ends_at_us)
-                case HolderRestrictions():
+                case events.HolderRestrictions():
                     self._held(event)
-                case QuotaUpdate():
+                case events.QuotaUpdate():
                     self.additional_quota = event.additional_attempts
                     self.slow_start_quota = event.slow_start_parts and dict(event.slow_start_parts)
-                case AttemptSuperseded():
+                case events.AttemptSuperseded():
                     if attempt := self.attempts_in_flight.get((event.id, event.seq)):
                         self._part_in(attempt.part)
-                case TimerFired():
+                case events.TimerFired():
                     self.armed_at_us = None
         for query in started.values():
             if query.id in self.queries:
@@ -191,10 +162,10 @@
         next_at = self.timers.next_at_us
         if next_at is not None and (self.armed_at_us is None or next_at < self.armed_at_us):
             self.armed_at_us = max(next_at, now + 1)
-            self.actions.append(SetTimer(self.armed_at_us, "due"))
+            self.actions.append(actions.SetTimer(self.armed_at_us, "due"))
         return self.actions
 
-    def _held(self, event: HolderRestrictions) -> None:
+    def _held(self, event: events.HolderRestrictions) -> None:
         """Parts whose every live holder is shut now are not waited for: their queries are answered from the
         rest where that makes an answer, else given up at once."""
         restricted = EVERY if event.query_class is None else event.query_class
@@ -204,8 +175,7 @@
             told = {EVERY, query.query_class}
             lost = [part for part in query.pending_parts() if self._shut_off(part, told)]
             for part in lost:
-                part.excluded = True
-                query.offered_weight -= part.weight if query.step == 1 else 0.0
+                query.exclude(part)
             if lost:
                 self._doomed(query)
             if lost and query.id in self.queries and query.received_weight > 0:
@@ -241,11 +211,11 @@
     def _log(self, about: str, text: str) -> None:
         """One line for the operators, at most one a topic in ten aims."""
         if self.log_topics.admit(about, self.now):
-            self.actions.append(Log(text))
+            self.actions.append(actions.Log(text))
 
     # Fleet view
 
-    def _fleet(self, news: EndpointUpdate) -> None:
+    def _fleet(self, news: events.EndpointUpdate) -> None:
         if news.kind == UpdateKind.FAILED:
             # Guards the drain rule: without news we must keep asking; jitter keeps the callers apart.
             self.polled_at_us = None
@@ -273,7 +243,7 @@
         elif self.settings.poll_mode:
             self._ask()
 
-    def _listed(self, entry: EndpointEntry) -> None:
+    def _listed(self, entry: events.EndpointEntry) -> None:
         server = self.endpoints.get(entry.node)
         if server is None:
             if entry.state != EndpointState.LIVE:
@@ -287,12 +257,12 @@
     def _ask(self) -> None:
         """Subscribe, and look again later in case no word comes back at all."""
         self.polled_at_us = self.now
-        self.actions.append(WatchEndpoints())
+        self.actions.append(actions.WatchEndpoints())
         self._later(self.now + self.poll_backoff_most_us, "answer?", None)
 
     # Admission
 
-    def _query(self, event: QueryArrived) -> None:
+    def _query(self, event: events.QueryArrived) -> None:
         spec = self.settings.classes[event.query_class]
         self.admitted.add(self.now)
         aim = spec.latency_objective_us + int(spec.objective_hint_ratio * (event.work_hint_us or 0))
@@ -316,15 +286,12 @@
             second = min(step or spec.latency_objective_us / 4, spec.latency_objective_us / 2)
             self._later(aim_at - tick - int(second), "cut", query)
 
-    def _part(self, event: PartArrived) -> Query | None:
+    def _part(self, event: events.PartArrived) -> Query | None:
         self.admitted.add(self.now)
         query = self.jobs.get(event.job)
-        if query is None:
-            return None
-        part = Part(event.id, query, event.shard, event.weight, event.work_hint_us, query.step)
-        query.parts.append(part)
-        query.offered_weight += event.weight if query.step == 1 else 0.0
-        self.mean_work_hint_us[query.query_class].add(event.work_hint_us or 0, RATE_GAIN)
+        if query:
+            query.add_part(event)
+            self.mean_work_hint_us[query.query_class].add(event.work_hint_us or 0, RATE_GAIN)
         return query
 
     def _open(self, query: Query) -> None:
@@ -559,7 +526,7 @@
     def _fleet_room(self) -> bool:
         """Where all aggregators share a budget of further attempts, whether it leaves us one."""
         if self.additional_quota is not None and self.additional_quota < 1:
-            self.actions.append(QuotaExhausted())
+            self.actions.append(actions.QuotaExhausted())
             return False
         return True
 
@@ -594,7 +561,7 @@
         server.in_flight[part.id, attempt.seq] = self.attempts_in_flight[part.id, attempt.seq] = attempt
         if server.slow_start_credit is not None:
             server.slow_start_credit -= 1.0
-        self.actions.append(Send(part.id, server.node, further, cold, until))
+        self.actions.append(actions.Send(part.id, server.node, further, cold, until))
         left = max(part.query.objective_at_us - self.now, part.query.spec.latency_objective_us // 2)
         self._later(self.now + int(left * LATE_SHARE), "late", attempt)
 
@@ -644,11 +611,11 @@
         attempt.outcome = Outcome.CANCELLED
         attempt.endpoint.release(attempt)
         self._add_charge(attempt.endpoint)
-        self.actions.append(Cancel(attempt.part.id, attempt.seq))
+        self.actions.append(actions.Cancel(attempt.part.id, attempt.seq))
 
     # Outcomes
 
-    def _ended(self, event: AttemptEnded) -> None:
+    def _ended(self, event: events.AttemptEnded) -> None:
         attempt = self.attempts_in_flight.pop((event.id, event.seq), None)
         if attempt is None:
             return
@@ -734,7 +701,7 @@
             self._answer(query)
 
     def _answer(self, query: Query) -> None:
-        self.actions.append(Answer(query.id, query.complete))
+        self.actions.append(actions.Answer(query.id, query.complete))
         if query.step == 1 and query.spec.second_step_parts:
             query.step, query.received_weight = 2, 0.0
         else:
@@ -772,11 +739,11 @@
         for key, bar in server.ejections.items():
             if not bar.half_open and self.now >= bar.ends_at_us:
                 if key == EVERY and self.settings.probing_allowed and server.live:
-                    self.actions.append(Probe(server.node))
+                    self.actions.append(actions.Probe(server.node))
                 else:
                     bar.half_open = True
 
-    def _probed(self, event: ProbeEnded) -> None:
+    def _probed(self, event: events.ProbeEnded) -> None:
         server = self.endpoints.get(event.node)
         bar = server.ejections.get(EVERY) if server else None
         if server is None or bar is None or bar.half_open:
@@ -825,7 +792,7 @@
         elif server.add_error(query_class) >= ERRORS_TO_BAR:
             self._bar(server, query_class, "errors in a row")
 
-    def _answered(self, attempt: Attempt, event: AttemptEnded) -> None:
+    def _answered(self, attempt: Attempt, event: events.AttemptEnded) -> None:
         """An answer: it readmits the server and tells its pace against the fleet's usual."""
         server, query_class = attempt.endpoint, attempt.part.query.query_class
         gap = self.now - server.last_answer_at_us
@@ -904,12 +871,9 @@
         usual = max(share, self._least_rate(server))
         rate = COLD_SHARE * self.settings.overload_multiple * warmth * usual
         if server.slow_start_credit is None:
-            server.slow_start_credit, server.slow_start_credit_at_us = self.random.random(), self.now
+            server.start_slow_start_credit(self.now, self.random.random())
         most = max(1.0, COLD_BURST * rate * self.settings.overload_after_us)
-        earned = rate * (self.now - server.slow_start_credit_at_us)
-        server.slow_start_credit = min(server.slow_start_credit + earned, most)
-        server.slow_start_credit_at_us = self.now
-        return server.slow_start_credit >= 1.0
+        return server.earn_slow_start_credit(self.now, rate, most) >= 1.0
 
     # Answer or give up
 
@@ -932,7 +896,7 @@
         else:
             self._give_up(query)
 
-    def _left(self, event: ClientDisconnected) -> None:
+    def _left(self, event: events.ClientDisconnected) -> None:
         """The client left: nobody waits for what is out."""
         query = self.queries.get(event.id)
         if query is None:
@@ -952,12 +916,12 @@
         """End the query at once: refused where a repeat is known to be harmless, else failed."""
         ran = any(attempt.may_have_run() for attempt in query.attempts())
         if ran and not query.spec.allows_duplicates:
-            self.actions.append(Fail(query.id))
+            self.actions.append(actions.Fail(query.id))
         else:
             # Come back after about one aim, or what clients heed, spread so that they don't come at once.
             longest = min(query.spec.latency_objective_us, self.settings.max_retry_after_us)
             after = int(longest * self.random.uniform(0.5, 1.0))
-            self.actions.append(Reject(query.id, after if self.settings.retry_advice_allowed else 0))
+            self.actions.append(actions.Reject(query.id, after if self.settings.retry_advice_allowed else 0))
         self._forget(query)
 
 
--- a/heathwell/policy/records.py
+++ b/heathwell/policy/records.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from heathwell.datastructures import DecayingAverage, DecayingSum
-from heathwell.policy.events import NOT_EXECUTED, EndpointEntry, EndpointState, QueryArrived
+from heathwell.policy.events import NOT_EXECUTED, EndpointEntry, EndpointState, PartArrived, QueryArrived
 from heathwell.policy.settings import QueryClass
 
 
@@ -47,6 +47,16 @@
             work=spec.required_fraction * event.part_count + spec.second_step_parts,
         )
 
+    def add_part(self, event: PartArrived) -> None:
+        """Add a part of the present step."""
+        self.parts.append(Part(event.id, self, event.shard, event.weight, event.work_hint_us, self.step))
+        self.offered_weight += event.weight if self.step == 1 else 0.0
+
+    def exclude(self, part: Part) -> None:
+        """A part of the present step is not waited for any more."""
+        part.excluded = True
+        self.offered_weight -= part.weight if self.step == 1 else 0.0
+
     def attempts(self) -> list[Attempt]:
         """All attempts of all parts."""
         return [attempt for part in self.parts for attempt in part.attempts]
@@ -191,6 +201,17 @@
         if not self.in_flight_by_call[attempt.call_id]:
             del self.in_flight_by_call[attempt.call_id]
 
+    def start_slow_start_credit(self, now_us: int, credit: float) -> None:
+        """Begin to count the parts that may be sent in slow start."""
+        self.slow_start_credit, self.slow_start_credit_at_us = credit, now_us
+
+    def earn_slow_start_credit(self, now_us: int, rate: float, most: float) -> float:
+        """Let the credit grow by parts a microsecond up to a limit; returns what it is now."""
+        earned = rate * (now_us - self.slow_start_credit_at_us)
+        self.slow_start_credit = min((self.slow_start_credit or 0.0) + earned, most)
+        self.slow_start_credit_at_us = now_us
+        return self.slow_start_credit
+
     def all_sent_before(self, edge_us: int) -> bool:
         """Whether each attempt in flight was sent before an instant."""
         return all(attempt.sent_at_us < edge_us for attempt in self.in_flight.values())
