Broker: quota gate and zone observer depend on protocols, not on the broker

service_broker, quota_gate and zone_observer imported each other in a circle. The gate and the observer now state in a Protocol what they use of a broker; the observer is built by a factory that cli/serve and lab/fleet hand in where settings evacuate zones, so a broker module imports nothing of the evacuation. Restrictions for all classes are keyed None, as HolderRestrictions documents, instead of -1 (which worked only because the module's own key for 'all' has that value). Names by the table, no packed assignments.

--- a/heathwell/broker/quota_gate.py
+++ b/heathwell/broker/quota_gate.py
@@ -1,26 +1,32 @@
-"""Where budgets of the whole fleet bite in a broker: further attempts, parts to cold hosts, connections to
-one host.
+"""Quotas of the whole fleet at the point of use in a broker: additional attempts, parts to endpoints in slow
+start, and connections to one endpoint.
 
-The module is told before each batch what there is room for (:class:`~heathwell.policy.Room`); a unit is
-used at the moment an attempt leaves, by the clock of that moment, so that nothing leaves on a share that has
+The module learns before each batch how much it may send (:class:`~heathwell.policy.QuotaUpdate`). A unit is
+used at the moment an attempt leaves, by the clock of that moment, so that nothing leaves on a grant that has
 run out meanwhile.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Protocol
+from collections import Counter
+from collections.abc import Mapping
+from typing import Protocol
 
 from heathwell import policy
 from heathwell.broker.host_pool import HostPool
+from heathwell.kernel import Loop
 
-if TYPE_CHECKING:
-    from heathwell.broker.service_broker import ServiceBroker
+AttemptKey = tuple[str, int]
 
-Key = tuple[str, int]
-FURTHER, COLD, CONNECTIONS = "further", "cold", "connections"
-UNIT = 1_000  # thousandths
-LOOK_US = 50_000  # how often it is asked which hosts are cold, and what must be let go
-FLOW_US = 2_000_000  # over which the usual number of parts a host is counted
+# Names of the budgets, as settings and metrics have them.
+ADDITIONAL_ATTEMPTS = "further"
+SLOW_START_PARTS = "cold"
+CONNECTIONS = "connections"
+
+UNIT_MILLIUNITS = 1_000
+TICK_INTERVAL_US = 50_000  # between two looks at slow start and at connections beyond the quota
+RATE_WINDOW_US = 2_000_000  # over which the usual number of parts an endpoint is counted
+MICROSECONDS_PER_SECOND = 1_000_000
 
 
 class Holder(Protocol):
@@ -30,168 +36,250 @@
     usual: int
 
     def room(self, now: int) -> int:
-        """What could be taken now: thousandths of a rate, units of a count."""
+        """What could be taken now: milliunits of a rate, units of a count."""
 
-    def wanted(self, thousandths: int = UNIT) -> None:
-        """A use that had no room."""
+    def wanted(self, thousandths: int = UNIT_MILLIUNITS) -> None:
+        """Record a use that the quota did not cover."""
 
     def excess(self, now: int) -> int:
-        """Units beyond the share."""
+        """Units beyond the quota."""
 
     def overdue(self, now: int) -> int:
-        """Units that must go now."""
+        """Units that must be returned now."""
 
     def term_us(self, now: int) -> int | None:
         """How long the first of its grants lasts yet."""
 
 
 class Agent(Protocol):
-    """What lends to this broker (:class:`heathwell.fleet.control.agent.FleetAgent`)."""
+    """What obtains quotas for this broker (:class:`heathwell.fleet.control.agent.FleetAgent`)."""
 
     def turn(self) -> int:
-        """Before anything is used; returns the time."""
+        """Expire grants before anything is used; returns the time (us)."""
 
-    def take(self, budget: str, thousandths: int = UNIT) -> bool:
-        """Use a unit now."""
+    def take(self, budget: str, thousandths: int = UNIT_MILLIUNITS) -> bool:
+        """Use so many milliunits now."""
 
     def give_back(self, budget: str) -> None:
-        """A unit of a count is let go."""
+        """Return a unit of a count."""
 
     def holder(self, budget: str) -> Holder | None:
-        """One budget's side."""
+        """This broker's side of one budget."""
 
     def budget(self, name: str) -> tuple[int, int] | None:
         """Whole and linger (us) of a budget that is set; None where it is not."""
 
-    def on_zones(self, zones: Any) -> None:
-        """Say a broker's word on zones, and tell it what is decided."""
-
     def figures(self) -> dict[str, dict[str, float]]:
-        """By budget: its share, and what was used and refused; those of each host summed."""
+        """By budget: its quota, and what was used and refused; those of each endpoint summed."""
+
+
+class QuotaEndpoint(Protocol):
+    """What the gate reads of an endpoint."""
+
+    @property
+    def node(self) -> str:
+        """Its address."""
+
+    @property
+    def live(self) -> bool:
+        """Whether it is listed as live."""
+
+
+class QuotaBroker(Protocol):
+    """What the gate uses of its broker."""
+
+    @property
+    def loop(self) -> Loop:
+        """The event loop."""
+
+    @property
+    def dead(self) -> bool:
+        """Whether the broker is closed."""
+
+    @property
+    def counters(self) -> Counter[tuple[str, ...]]:
+        """Its counters, by labels."""
+
+    @property
+    def links(self) -> Mapping[str, object]:
+        """By node, its connection or its :class:`HostPool`."""
+
+    @property
+    def endpoints(self) -> Mapping[str, QuotaEndpoint]:
+        """All endpoints that its module knows, by node."""
+
+    @property
+    def slow_start_capacity(self) -> float:
+        """The fraction of its capacity that an endpoint starts with."""
+
+    def slow_start_fraction(self, node: str) -> float:
+        """The fraction of its capacity that an endpoint has by now."""
 
 
 class QuotaGate:
     """The three budgets of one broker."""
 
-    def __init__(self, broker: ServiceBroker, agent: Agent) -> None:
-        self.broker, self.agent = broker, agent
-        self._shared = {name for name in (FURTHER, COLD, CONNECTIONS) if agent.budget(name) is not None}
-        spec = agent.budget(CONNECTIONS)
-        self.linger_us = spec[1] if spec is not None else 0
-        self._cold: dict[
-            str, int
-        ] = {}  # price of a part by cold host, in thousandths of one at its start's capacity
-        self._until: dict[
-            Key, int
-        ] = {}  # when the share runs out that an attempt still waiting was taken from
-        self._sent, self._flow_at, self._usual = 0, broker.loop.now(), 0
-        broker.loop.call_at(broker.loop.now() + LOOK_US, self._look)
-
-    def shares(self, name: str) -> bool:
+    def __init__(self, broker: QuotaBroker, agent: Agent) -> None:
+        self.agent = agent
+        self._broker = broker
+        self._budgets = frozenset(
+            name
+            for name in (ADDITIONAL_ATTEMPTS, SLOW_START_PARTS, CONNECTIONS)
+            if agent.budget(name) is not None
+        )
+        connections = agent.budget(CONNECTIONS)
+        self.linger_us = connections[1] if connections is not None else 0
+        self._slow_start_price_milliunits: dict[str, int] = {}
+        self._sendable_until_us: dict[AttemptKey, int] = {}
+        self._sent_in_window = 0
+        self._window_started_at_us = broker.loop.now()
+        self._usual_rate_milliunits = 0
+        broker.loop.call_at(broker.loop.now() + TICK_INTERVAL_US, self._tick)
+
+    def has_budget(self, name: str) -> bool:
         """Whether such a budget is set."""
-        return name in self._shared
+        return name in self._budgets
 
     # Attempts.
 
-    def room(self) -> policy.QuotaUpdate | None:
-        """What the module may send now."""
+    def quota_update(self) -> policy.QuotaUpdate | None:
+        """What the module may send now; None where no budget concerns attempts."""
         now = self.agent.turn()
-        if not self._shared & {FURTHER, COLD}:
+        if not self._budgets & {ADDITIONAL_ATTEMPTS, SLOW_START_PARTS}:
+            return None
+        return policy.QuotaUpdate(self._additional_attempts(now), self._slow_start_parts(now))
+
+    def _additional_attempts(self, now: int) -> int | None:
+        """How many additional attempts may be sent; None without such a budget."""
+        if not self.has_budget(ADDITIONAL_ATTEMPTS):
+            return None
+        holder = self.agent.holder(ADDITIONAL_ATTEMPTS)
+        return holder.room(now) // UNIT_MILLIUNITS if holder is not None else None
+
+    def _slow_start_parts(self, now: int) -> dict[str, int] | None:
+        """By endpoint in slow start, how many parts may be sent to it; None without such a budget."""
+        if not self.has_budget(SLOW_START_PARTS):
             return None
-        further = self.agent.holder(FURTHER) if FURTHER in self._shared else None
-        cold: dict[str, int] | None = None
-        if COLD in self._shared:
-            cold = {}
-            for node, price in self._cold.items():
-                holder = self.agent.holder(f"{COLD}@{node}")
-                if holder is not None:
-                    cold[node] = holder.room(now) // price
-        return policy.QuotaUpdate(further.room(now) // UNIT if further is not None else None, cold)
-
-    def take(self, send: policy.Send, key: Key) -> bool:
-        """Use what an attempt needs, all or nothing; the clock may have gone on since the module was told."""
-        self._sent += 1
-        cold = f"{COLD}@{send.node}"
-        if send.slow_start and not self.agent.take(cold, self._cold.get(send.node, UNIT)):
-            return False
-        further = send.additional and FURTHER in self._shared
-        if further and not self.agent.take(FURTHER):
-            return False
-        now, names = self.broker.loop.now(), [cold] * send.slow_start + [FURTHER] * further
-        terms = [
-            term
-            for name in names
-            if (holder := self.agent.holder(name)) is not None and (term := holder.term_us(now)) is not None
-        ]
-        if terms:
-            self._until[key] = now + min(terms)
+        parts: dict[str, int] = {}
+        for node, price in self._slow_start_price_milliunits.items():
+            holder = self.agent.holder(_of_endpoint(SLOW_START_PARTS, node))
+            if holder is not None:
+                parts[node] = holder.room(now) // price
+        return parts
+
+    def acquire(self, send: policy.Send, key: AttemptKey) -> bool:
+        """Use what an attempt needs; false where a quota does not cover it.
+
+        The clock may have gone on since the module got its update, so a grant may have run out.
+        """
+        self._sent_in_window += 1
+        budgets: list[str] = []
+        if send.slow_start:
+            budget = _of_endpoint(SLOW_START_PARTS, send.node)
+            price = self._slow_start_price_milliunits.get(send.node, UNIT_MILLIUNITS)
+            if not self.agent.take(budget, price):
+                return False
+            budgets.append(budget)
+        if send.additional and self.has_budget(ADDITIONAL_ATTEMPTS):
+            if not self.agent.take(ADDITIONAL_ATTEMPTS):
+                return False
+            budgets.append(ADDITIONAL_ATTEMPTS)
+        self._note_expiry(key, budgets)
         return True
 
-    def still(self, key: Key) -> bool:
+    def _note_expiry(self, key: AttemptKey, budgets: list[str]) -> None:
+        """Note when the first grant runs out that an attempt was paid from."""
+        now = self._broker.loop.now()
+        terms_us: list[int] = []
+        for budget in budgets:
+            holder = self.agent.holder(budget)
+            term_us = holder.term_us(now) if holder is not None else None
+            if term_us is not None:
+                terms_us.append(term_us)
+        if terms_us:
+            self._sendable_until_us[key] = now + min(terms_us)
+
+    def may_still_send(self, key: AttemptKey) -> bool:
         """Whether an attempt that waited for its connection may leave."""
-        now, until = self.agent.turn(), self._until.get(key)
-        return until is None or now < until
+        now = self.agent.turn()
+        until_us = self._sendable_until_us.get(key)
+        return until_us is None or now < until_us
 
-    def over(self, key: Key) -> None:
-        """An attempt has ended."""
-        self._until.pop(key, None)
+    def forget_attempt(self, key: AttemptKey) -> None:
+        """Drop what is kept of an attempt that has ended."""
+        self._sendable_until_us.pop(key, None)
 
-    def lacked(self) -> None:
-        """A further attempt had no room."""
-        holder = self.agent.holder(FURTHER)
+    def record_exhausted(self) -> None:
+        """Count an additional attempt that the quota did not cover: it is demand."""
+        holder = self.agent.holder(ADDITIONAL_ATTEMPTS)
         if holder is not None:
             holder.wanted()
-            self.broker.counters["lacked", FURTHER] += 1
+            self._broker.counters["lacked", ADDITIONAL_ATTEMPTS] += 1
 
     # Connections.
 
-    def take_connection(self, node: str) -> bool:
-        """Whether one more may be opened to a host; the last of a share that ends soon is not begun."""
-        name = f"{CONNECTIONS}@{node}"
-        took = self.agent.take(name)
-        if not took:
-            self.broker.counters["lacked", CONNECTIONS] += 1
-        return took
+    def acquire_connection(self, node: str) -> bool:
+        """Use a unit for one more connection to an endpoint; false where the quota does not cover it."""
+        acquired = self.agent.take(_of_endpoint(CONNECTIONS, node))
+        if not acquired:
+            self._broker.counters["lacked", CONNECTIONS] += 1
+        return acquired
 
-    def gave_back(self, node: str) -> None:
-        """One has ended."""
-        self.agent.give_back(f"{CONNECTIONS}@{node}")
+    def release_connection(self, node: str) -> None:
+        """Return the unit of a connection that has ended."""
+        self.agent.give_back(_of_endpoint(CONNECTIONS, node))
 
-    # Now and then.
+    # Periodic work.
 
-    def _look(self) -> None:
-        """Which hosts are cold and at what price, what a host usually gets of this broker, what must be let
-        go.
-        """
-        broker = self.broker
-        if broker.dead:
+    def _tick(self) -> None:
+        """Update prices and usual rates of slow start, and close connections beyond the quota."""
+        if self._broker.dead:
             return
         now = self.agent.turn()
-        broker.loop.call_at(now + LOOK_US, self._look)
-        if COLD in self._shared:
-            self._look_at_cold(now)
-        if CONNECTIONS in self._shared:
-            for node, link in broker.links.items():
-                holder = (
-                    self.agent.holder(f"{CONNECTIONS}@{node}")
-                    if isinstance(link, HostPool) and (link.more or link.closing)
-                    else None
-                )
-                if holder is not None and isinstance(link, HostPool):
-                    link.shrink(holder.excess(now))
-                    link.drop(holder.overdue(now))
-
-    def _look_at_cold(self, now: int) -> None:
-        module = self.broker.aggregator
-        if now - self._flow_at >= FLOW_US:
-            live = max(1, sum(server.live for server in module.endpoints.values()))
-            self._usual = self._sent * UNIT * 1_000_000 // (live * (now - self._flow_at))
-            self._sent, self._flow_at = 0, now
-        self._cold = {}
-        for server in module.endpoints.values():
-            warmth = module.slow_start_fraction(server) if server.live else 1.0
-            if warmth < 1:
-                self._cold[server.node] = max(1, int(UNIT * module.settings.slow_start_capacity / warmth))
-                holder = self.agent.holder(f"{COLD}@{server.node}")
-                if holder is not None:
-                    holder.usual = self._usual
+        self._broker.loop.call_at(now + TICK_INTERVAL_US, self._tick)
+        if self.has_budget(SLOW_START_PARTS):
+            self._measure_usual_rate(now)
+            self._price_slow_start()
+        if self.has_budget(CONNECTIONS):
+            self._close_excess_connections(now)
+
+    def _measure_usual_rate(self, now: int) -> None:
+        """Once a window: the milliunits a second that a live endpoint usually gets of this broker."""
+        elapsed_us = now - self._window_started_at_us
+        if elapsed_us < RATE_WINDOW_US:
+            return
+        live_count = max(1, sum(endpoint.live for endpoint in self._broker.endpoints.values()))
+        sent_milliunits = self._sent_in_window * UNIT_MILLIUNITS
+        self._usual_rate_milliunits = sent_milliunits * MICROSECONDS_PER_SECOND // (live_count * elapsed_us)
+        self._sent_in_window = 0
+        self._window_started_at_us = now
+
+    def _price_slow_start(self) -> None:
+        """The price of a part by endpoint in slow start, in milliunits of one at its start's capacity."""
+        self._slow_start_price_milliunits = {}
+        for endpoint in self._broker.endpoints.values():
+            if not endpoint.live:
+                continue
+            fraction = self._broker.slow_start_fraction(endpoint.node)
+            if fraction >= 1:
+                continue
+            price = int(UNIT_MILLIUNITS * self._broker.slow_start_capacity / fraction)
+            self._slow_start_price_milliunits[endpoint.node] = max(1, price)
+            holder = self.agent.holder(_of_endpoint(SLOW_START_PARTS, endpoint.node))
+            if holder is not None:
+                holder.usual = self._usual_rate_milliunits
+
+    def _close_excess_connections(self, now: int) -> None:
+        """Close connections beyond the quota: idle ones where there is time, any where there is none."""
+        for node, link in self._broker.links.items():
+            if not isinstance(link, HostPool) or not (link.more or link.closing):
+                continue
+            holder = self.agent.holder(_of_endpoint(CONNECTIONS, node))
+            if holder is not None:
+                link.shrink(holder.excess(now))
+                link.drop(holder.overdue(now))
+
+
+def _of_endpoint(budget: str, node: str) -> str:
+    """The name of an endpoint's own budget."""
+    return f"{budget}@{node}"
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -17,7 +17,7 @@
 from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState, SettingsVersion
 from heathwell.broker.host_link import HostLink
 from heathwell.broker.host_pool import HostPool
-from heathwell.broker.quota_gate import Agent, QuotaGate
+from heathwell.broker.quota_gate import CONNECTIONS, Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
 from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Age, Coverage, OnReply, Reply
 from heathwell.broker.service_statistics import ServiceStatistics
@@ -28,6 +28,7 @@
 from heathwell.kernel import Listener, Loop, Net, Timer
 from heathwell.merge import Malformed, Row
 from heathwell.observability.event_log import EventLog
+from heathwell.policy.records import Server
 from heathwell.regions import ClientDrain, Regions, Way, answerable
 from heathwell.settings import ServiceSettings
 from heathwell.storms import Limits, Storms
@@ -82,7 +83,11 @@
 
 
 class ServiceBroker(Driver[ServiceQuery]):
-    """One aggregator with its connections. ``name`` must be one of a kind among the brokers' runs."""
+    """One aggregator with its connections. ``name`` must be unique among the incarnations of all brokers.
+
+    ``observe_zones`` makes its zone observer where zones may be evacuated. It is handed in because no other
+    broker shall import what an observer needs.
+    """
 
     def __init__(
         self,
@@ -100,6 +105,7 @@
         log: Callable[..., None] | None = None,
         roster: tuple[policy.EndpointEntry, ...] = (),
         agent: Agent | None = None,
+        observe_zones: Callable[[ServiceBroker], ZoneObserver] | None = None,
         service: ServiceStatistics | None = None,
     ) -> None:
         super().__init__(
@@ -108,16 +114,8 @@
         self.net, self.service_statistics, self.zone, self.aggregator_count = net, service, zone, siblings
         self.current_version.extension = Version.of(service_settings)
         self.quota_gate = QuotaGate(self, agent) if agent is not None else None
-        self.zone_observer: ZoneObserver | None = None
-        self._zone_restrictions: dict[int, frozenset[str]] = {}
-        if agent is not None and service_settings.fleet.evacuate:
-            # nobody else needs what it imports
-            from heathwell.broker.zone_observer import ZoneObserver  # noqa: PLC0415
-
-            self.zone_observer = ZoneObserver(
-                self, service_settings.fleet.zones[zone], service_settings.fleet.zones, seed ^ 0x20E5
-            )
-            agent.on_zones(self.zone_observer)
+        self._zone_restrictions: dict[int | None, frozenset[str]] = {}
+        self.zone_observer = observe_zones(self) if observe_zones is not None else None
         self.random = random.Random(seed ^ 0x5EED)
         fresh = service_settings.freshness
         self.freshness: Freshness | None = None
@@ -533,27 +531,51 @@
         if held != self._link_restrictions:
             self._link_restrictions = held
             self._push(
-                policy.HolderRestrictions(held[0] | self._zone_restrictions.get(-1, frozenset()), held[1])
+                policy.HolderRestrictions(held[0] | self._zone_restrictions.get(None, frozenset()), held[1])
             )
 
-    def hold_zones(self, query_class: int, nodes: frozenset[str]) -> None:
-        """Hosts of zones that the fleet leaves, for one class or all: avoided beside what regions
-        hold back.
+    def restrict_zones(self, query_class: int | None, nodes: frozenset[str]) -> None:
+        """Deprioritize endpoints of evacuated zones, for one query class or (None) for all, beside those that
+        the regions restrict.
         """
         self._zone_restrictions[query_class] = nodes
+        deprioritized, excluded = (
+            self._link_restrictions if query_class is None else self._remote_restrictions(query_class)
+        )
+        self._push(policy.HolderRestrictions(deprioritized | nodes, excluded, query_class))
+
+    def _remote_restrictions(self, query_class: int) -> tuple[frozenset[str], frozenset[str]]:
+        """The remote endpoints that a class deprioritizes, and those that it excludes."""
         nobody = frozenset[str]()
-        avoid, shut = self._link_restrictions if query_class < 0 else (nobody, nobody)
-        if (
-            query_class >= 0
-            and self._remote_nodes
-            and self.service_settings.classes[query_class].across != "any"
-        ):
-            never = self.service_settings.classes[query_class].across == "never"
-            avoid, shut = (nobody, self._remote_nodes) if never else (self._remote_nodes, nobody)
-        self._push(policy.HolderRestrictions(avoid | nodes, shut, query_class))
+        match self.service_settings.classes[query_class].across:
+            case "any":
+                return nobody, nobody
+            case "never":
+                return nobody, self._remote_nodes
+            case _:
+                return self._remote_nodes, nobody
+
+    @property
+    def endpoints(self) -> Mapping[str, Server]:
+        """All endpoints that the module knows, by node."""
+        return self.aggregator.endpoints
+
+    @property
+    def class_names(self) -> list[str]:
+        """The names of the query classes, in their order."""
+        return [spec.name for spec in self.settings.classes]
+
+    @property
+    def slow_start_capacity(self) -> float:
+        """The fraction of its capacity that an endpoint starts with."""
+        return self.settings.slow_start_capacity
+
+    def slow_start_fraction(self, node: str) -> float:
+        """The fraction of its capacity that an endpoint has by now."""
+        return self.aggregator.slow_start_fraction(self.aggregator.endpoints[node])
 
     def probe(self, node: str) -> None:
-        """Ask a host for a sign of life."""
+        """Send a probe to an endpoint."""
         self.counters["zone probe",] += 1
         self._link(node).probe()
 
@@ -565,13 +587,11 @@
         far = frozenset(node for node, region in self._listed_regions.items() if region != self.regions.home)
         if far == self._remote_nodes:
             return
-        self._remote_nodes, nobody = far, frozenset[str]()
+        self._remote_nodes = far
         for index, spec in enumerate(self.service_settings.classes):
             if spec.across != "any":
-                never = spec.across == "never"
-                self._push(
-                    policy.HolderRestrictions(nobody if never else far, far if never else nobody, index)
-                )
+                deprioritized, excluded = self._remote_restrictions(index)
+                self._push(policy.HolderRestrictions(deprioritized, excluded, index))
 
     def _tell_links(self, regions: Regions) -> None:
         """Log what has changed since the last call."""
@@ -607,7 +627,7 @@
         """
         return (
             self.zone_observer is not None
-            and self.zone_observer.left()
+            and self.zone_observer.is_evacuated()
             or bool(self.service_settings.across.let_go)
             and self.cut_off
         )
@@ -849,7 +869,7 @@
             self.regions.probed(self.loop.now(), node, outcome)
             self._tell_links(self.regions)
         if self.zone_observer is not None:
-            self.zone_observer.probed(node, outcome)
+            self.zone_observer.on_probe_result(node, outcome)
         super().on_probe_result(node, outcome)
 
     def on_late_answer(self, node: str) -> None:
@@ -888,11 +908,11 @@
         if self.regions is not None:
             self.regions.ended(self.loop.now(), node, key, outcome, took_us)
         if self.quota_gate is not None:
-            self.quota_gate.over(key)
+            self.quota_gate.forget_attempt(key)
         if self.zone_observer is not None:
             query = self.parts[key[0]]
             spec = self._query_class(query)
-            self.zone_observer.ended(node, spec.name, outcome, took_us, spec.latency_objective_us)
+            self.zone_observer.on_attempt_ended(node, spec.name, outcome, took_us, spec.latency_objective_us)
 
     # What the module decided
 
@@ -1041,34 +1061,36 @@
 
         if limits.host_connections == 1:
             return make(None, limits.idle_close)
-        shared = spending is not None and spending.shares("connections")
+        shared = spending is not None and spending.has_budget(CONNECTIONS)
         return HostPool(
             self.loop,
             lambda on_closed: make(on_closed, min(limits.idle_close, EXTRA_IDLE_US)),
             most=limits.host_connections,
             busy=limits.busy_connection,
             linger_us=quiet,
-            take=(lambda: spending.take_connection(node))
+            take=(lambda: spending.acquire_connection(node))
             if spending is not None and shared
             else lambda: True,
-            give_back=(lambda: spending.gave_back(node)) if spending is not None and shared else lambda: None,
+            give_back=(lambda: spending.release_connection(node))
+            if spending is not None and shared
+            else lambda: None,
         )
 
     # Budgets of the whole fleet, where settings turn them on.
 
     def quota_update(self) -> policy.QuotaUpdate | None:
         """What they leave this broker now."""
-        return self.quota_gate.room() if self.quota_gate is not None else None
+        return self.quota_gate.quota_update() if self.quota_gate is not None else None
 
     def acquire_quota(self, send: policy.Send, key: Key) -> bool:
         """Whether they have a unit for this attempt, which is used."""
-        return self.quota_gate is None or self.quota_gate.take(send, key)
+        return self.quota_gate is None or self.quota_gate.acquire(send, key)
 
     def waited(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
         """What waited for its connection may leave while the share that it was taken from has not run out."""
         if self.quota_gate is None:
             return parts
-        over = [ask for ask in parts if not self.quota_gate.still((ask.id, ask.seq))]
+        over = [ask for ask in parts if not self.quota_gate.may_still_send((ask.id, ask.seq))]
         for ask in over:
             key = ask.id, ask.seq
             query = self.parts.get(ask.id)
@@ -1080,4 +1102,4 @@
     def on_quota_exhausted(self) -> None:
         """It counts as demand."""
         if self.quota_gate is not None:
-            self.quota_gate.lacked()
+            self.quota_gate.record_exhausted()
--- a/heathwell/broker/zone_observer.py
+++ b/heathwell/broker/zone_observer.py
@@ -1,26 +1,30 @@
-"""A broker's part in leaving zones: what it saw of each, and going by what the fleet has decided.
+"""A broker's part in zone evacuation: evidence collected on each zone, and the fleet's decision applied.
 
-Hosts of a zone that is left are to be avoided (`Held`): they serve only where no other holder does, so the
-last holder of a shard is never lost. A share that stays or comes back is that of the brokers: each has one
-draw for a zone, so that those of one step are among those of the next.
+Endpoints of an evacuated zone are deprioritized (:class:`~heathwell.policy.HolderRestrictions`): they serve
+only where no other replica does, so the last replica of a shard is never lost. The fraction of a zone's work
+that stays or is restored is a fraction of the brokers: each has one draw for a zone, so that those that serve
+it at one step of the recovery ramp also serve it at the next.
 """
 
 from __future__ import annotations
 
 import hashlib
 import random
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Protocol
 
 from heathwell import policy
-from heathwell.fleet.evacuation import LEAVING, LEFT, PROBE, Decision, Evidence, Summary
+from heathwell.fleet.evacuation import LEAVING, LEFT, PROBE, Decision, Evidence, Summary, ZoneWord
 from heathwell.fleet.evacuation.evidence import BAD, GOOD, LATE
-
-if TYPE_CHECKING:
-    from heathwell.broker.service_broker import ServiceBroker
-
-LOOK_US = 500_000
-PROBED = 0.3  # chance of a broker to probe one host of a zone that is left, each look
-HOWS = {
+from heathwell.kernel import Loop
+from heathwell.observability.event_log import EventLog
+
+TICK_INTERVAL_US = 500_000
+PROBE_PROBABILITY = 0.3  # of a broker to probe one endpoint of an evacuated zone, each tick
+ZONE_SEED_MASK = 0x20E5
+DRAW_BYTES = 8
+NO_NODES = frozenset[str]()
+EVIDENCE_OF_OUTCOME = {
     policy.Outcome.OK: GOOD,
     policy.Outcome.CANCELLED: LATE,
     policy.Outcome.TIMED_OUT: BAD,
@@ -31,112 +35,208 @@
 }
 
 
+class ZoneEndpoint(Protocol):
+    """What the observer reads of an endpoint."""
+
+    @property
+    def live(self) -> bool:
+        """Whether it is listed as live."""
+
+    @property
+    def zone(self) -> int:
+        """The number of its zone."""
+
+
+class ZoneBroker(Protocol):
+    """What the observer uses of its broker."""
+
+    @property
+    def name(self) -> str:
+        """The broker's name, with its incarnation."""
+
+    @property
+    def loop(self) -> Loop:
+        """The event loop."""
+
+    @property
+    def dead(self) -> bool:
+        """Whether the broker is closed."""
+
+    @property
+    def events(self) -> EventLog:
+        """The event log."""
+
+    @property
+    def log(self) -> Callable[..., None]:
+        """The log."""
+
+    @property
+    def endpoints(self) -> Mapping[str, ZoneEndpoint]:
+        """All endpoints that its module knows, by node."""
+
+    @property
+    def class_names(self) -> Sequence[str]:
+        """The names of the query classes, in their order."""
+
+    def restrict_zones(self, query_class: int | None, nodes: frozenset[str]) -> None:
+        """Deprioritize endpoints for one query class, or (None) for all."""
+
+    def probe(self, node: str) -> None:
+        """Send a probe to an endpoint."""
+
+
+class ZoneAgent(Protocol):
+    """What exchanges evidence and decisions (:class:`heathwell.fleet.control.agent.FleetAgent`)."""
+
+    def on_zones(self, zones: ZoneObserver) -> None:
+        """Report the observer's summaries, and hand it each new decision."""
+
+
 class ZoneObserver:
-    """One broker's. ``zone`` is its own."""
+    """The observer of one broker. ``zone`` is the broker's own, ``zone_names`` are all by number."""
 
-    def __init__(self, broker: ServiceBroker, zone: str, names: list[str], seed: int) -> None:
-        self.broker, self.names = broker, names
+    def __init__(self, broker: ZoneBroker, zone: str, zone_names: Sequence[str], seed: int) -> None:
         self.zone = zone
-        self.evidence = Evidence(broker.name.partition("r")[0], zone)
-        self.random = random.Random(seed)
         self.decision = Decision(0, 0)
-        self._held: dict[int, frozenset[str]] = {}
-        broker.loop.call_at(broker.loop.now() + LOOK_US, self._look)
-
-    def ended(self, node: str, query_class: str, outcome: policy.Outcome, took_us: int, aim_us: int) -> None:
-        """An attempt at a host has ended."""
-        how = HOWS.get(outcome)
-        server = self.broker.aggregator.endpoints.get(node)
-        if how is not None and server is not None:
-            how = LATE if how == GOOD and took_us > aim_us else how
-            self.evidence.ended(
-                self.broker.loop.now(),
-                self.names[server.zone],
-                query_class,
-                how,
-                took_us if outcome == policy.Outcome.OK else 0,
-            )
-
-    def probed(self, node: str, outcome: policy.Outcome) -> None:
-        """A probe has ended."""
-        server = self.broker.aggregator.endpoints.get(node)
-        if server is not None:
-            self.evidence.ended(
-                self.broker.loop.now(),
-                self.names[server.zone],
-                PROBE,
-                GOOD if outcome == policy.Outcome.OK else BAD,
-            )
+        self._broker = broker
+        self._zone_names = zone_names
+        self._evidence = Evidence(broker.name.partition("r")[0], zone)
+        self._random = random.Random(seed)
+        self._restricted: dict[int | None, frozenset[str]] = {}
+        broker.loop.call_at(broker.loop.now() + TICK_INTERVAL_US, self._tick)
+
+    # Evidence.
+
+    def on_attempt_ended(
+        self,
+        node: str,
+        query_class: str,
+        outcome: policy.Outcome,
+        duration_us: int,
+        latency_objective_us: int,
+    ) -> None:
+        """Record an attempt; one that was answered after its objective counts as late."""
+        endpoint = self._broker.endpoints.get(node)
+        evidence = EVIDENCE_OF_OUTCOME.get(outcome)
+        if evidence is None or endpoint is None:
+            return
+        if evidence == GOOD and duration_us > latency_objective_us:
+            evidence = LATE
+        answered_in_us = duration_us if outcome == policy.Outcome.OK else 0
+        self._record(endpoint, query_class, evidence, answered_in_us)
+
+    def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
+        """Record a probe."""
+        endpoint = self._broker.endpoints.get(node)
+        if endpoint is not None:
+            self._record(endpoint, PROBE, GOOD if outcome == policy.Outcome.OK else BAD)
+
+    def _record(self, endpoint: ZoneEndpoint, subject: str, evidence: str, answered_in_us: int = 0) -> None:
+        zone = self._zone_names[endpoint.zone]
+        self._evidence.ended(self._broker.loop.now(), zone, subject, evidence, answered_in_us)
 
     def summary(self, now: int) -> Summary:
-        """What it says to keepers."""
-        return self.evidence.summary(now)
+        """What the quota coordinators are told of this broker's evidence."""
+        return self._evidence.summary(now)
+
+    # Decisions.
 
     def decided(self, decision: Decision) -> None:
-        """Go by a decision from now on."""
+        """Apply a decision from now on."""
         self.decision = decision
-        self.broker.events(
+        self._broker.events(
             "zones",
             term=decision.term,
             number=decision.number,
             states={name: [word.state, word.share] for name, word in decision.zones.items()},
         )
-        self.broker.log(
+        self._broker.log(
             "warning",
             "zones",
             decision=f"({decision.term}, {decision.number})",
             states={name: f"{word.state} at {word.share:.0%}" for name, word in decision.zones.items()},
         )
-        self.apply()
-
-    def apply(self) -> None:
-        """Tell the module whose hosts are to be avoided, by class where only one leaves."""
-        held: dict[int, set[str]] = {-1: set()}
-        for name, word in self.decision.zones.items():
-            if name == self.zone and not word.only:
-                continue  # its own clients are served by what is here
-            query_classes = (
-                [-1]
-                if not word.only
-                else [n for n, spec in enumerate(self.broker.settings.classes) if spec.name in word.only]
-            )
-            if self._draw(name) < word.share:
+        self._apply_decision()
+
+    def is_evacuated(self) -> bool:
+        """Whether the fleet evacuates, or has evacuated, all work from the broker's own zone."""
+        zone_decision = self.decision.zones.get(self.zone)
+        return zone_decision is not None and _is_evacuated(zone_decision) and not zone_decision.only
+
+    def _apply_decision(self) -> None:
+        """Send the broker the restrictions that have changed."""
+        restrictions = self._restrictions()
+        for query_class in sorted(restrictions.keys() | self._restricted.keys(), key=_all_classes_last):
+            nodes = restrictions.get(query_class, NO_NODES)
+            if nodes != self._restricted.get(query_class, NO_NODES):
+                self._broker.restrict_zones(query_class, nodes)
+        self._restricted = restrictions
+
+    def _restrictions(self) -> dict[int | None, frozenset[str]]:
+        """The endpoints to deprioritize, by query class and (None) for all."""
+        restrictions: dict[int | None, frozenset[str]] = {None: NO_NODES}
+        for name, zone_decision in self.decision.zones.items():
+            if name == self.zone and not zone_decision.only:
+                continue  # the clients in its own zone are served by the endpoints there
+            if self._draw(name) < zone_decision.share:
                 continue
-            for query_class in query_classes:
-                held.setdefault(query_class, set()).update(self._hosts(name))
-        wanted = {query_class: frozenset(nodes) for query_class, nodes in held.items()}
-        for query_class in wanted.keys() | self._held.keys():
-            if wanted.get(query_class, frozenset()) != self._held.get(query_class, frozenset()):
-                self.broker.hold_zones(query_class, wanted.get(query_class, frozenset()))
-        self._held = wanted
-
-    def _hosts(self, name: str) -> list[str]:
-        """The live hosts of a zone; none of one that is not known here."""
-        number = self.names.index(name) if name in self.names else None
+            nodes = frozenset(self._live_nodes(name))
+            for query_class in self._evacuated_classes(zone_decision):
+                restrictions[query_class] = restrictions.get(query_class, NO_NODES) | nodes
+        return restrictions
+
+    def _evacuated_classes(self, zone_decision: ZoneWord) -> Iterable[int | None]:
+        """The query classes that a decision on a zone concerns; None for all."""
+        if not zone_decision.only:
+            return [None]
+        names = self._broker.class_names
+        return [index for index, name in enumerate(names) if name in zone_decision.only]
+
+    def _live_nodes(self, zone_name: str) -> list[str]:
+        """The live endpoints of a zone; none of a zone that is not known here."""
+        if zone_name not in self._zone_names:
+            return []
+        number = self._zone_names.index(zone_name)
         return [
             node
-            for node, server in self.broker.aggregator.endpoints.items()
-            if server.live and server.zone == number
+            for node, endpoint in self._broker.endpoints.items()
+            if endpoint.live and endpoint.zone == number
         ]
 
-    def _draw(self, name: str) -> float:
-        """This broker's own, for a zone: the same in each step."""
-        whole = hashlib.blake2b(f"{self.evidence.broker}|{name}".encode(), digest_size=8).digest()
-        return int.from_bytes(whole, "big") / 2**64
+    def _draw(self, zone_name: str) -> float:
+        """This broker's draw for a zone, from 0 to 1: the same at each step."""
+        text = f"{self._evidence.broker}|{zone_name}".encode()
+        digest = hashlib.blake2b(text, digest_size=DRAW_BYTES).digest()
+        return int.from_bytes(digest, "big") / (1 << 8 * DRAW_BYTES)
 
-    def left(self) -> bool:
-        """Whether the fleet leaves the zone that this broker stands in."""
-        word = self.decision.zones.get(self.zone)
-        return word is not None and word.state in (LEAVING, LEFT) and not word.only
+    # Periodic work.
 
-    def _look(self) -> None:
-        broker = self.broker
-        if broker.dead:
+    def _tick(self) -> None:
+        """Restrict endpoints that are new on the list, and probe some of the evacuated zones."""
+        if self._broker.dead:
             return
-        broker.loop.call_at(broker.loop.now() + LOOK_US, self._look)
-        self.apply()  # hosts come and go
-        for name, word in self.decision.zones.items():
-            if word.state in (LEAVING, LEFT) and self.random.random() < PROBED:
-                here = self._hosts(name)
-                if here:
-                    broker.probe(self.random.choice(here))
+        self._broker.loop.call_at(self._broker.loop.now() + TICK_INTERVAL_US, self._tick)
+        self._apply_decision()
+        for name, zone_decision in self.decision.zones.items():
+            if not _is_evacuated(zone_decision) or self._random.random() >= PROBE_PROBABILITY:
+                continue
+            nodes = self._live_nodes(name)
+            if nodes:
+                self._broker.probe(self._random.choice(nodes))
+
+
+def observe_zones(
+    broker: ZoneBroker, agent: ZoneAgent, zone: int, zone_names: Sequence[str], seed: int
+) -> ZoneObserver:
+    """The observer of a broker in a zone (by number), made known to the broker's agent."""
+    observer = ZoneObserver(broker, zone_names[zone], zone_names, seed ^ ZONE_SEED_MASK)
+    agent.on_zones(observer)
+    return observer
+
+
+def _is_evacuated(zone_decision: ZoneWord) -> bool:
+    return zone_decision.state in (LEAVING, LEFT)
+
+
+def _all_classes_last(query_class: int | None) -> tuple[bool, int]:
+    return query_class is None, query_class or 0
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from functools import wraps
+from functools import partial, wraps
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -43,6 +43,7 @@
 from heathwell.standins.source import Source
 
 if TYPE_CHECKING:
+    from heathwell.broker.zone_observer import ZoneObserver
     from heathwell.fleet.control.agent import FleetAgent
 
 PACKAGE = Path(__file__).resolve().parent.parent
@@ -224,6 +225,7 @@
             events=process.events,
             log=process.log,
             agent=agent,
+            observe_zones=_zone_observer_factory(service_settings, agent, zone, seed),
             service=ServiceStatistics(module_settings(service_settings, zone, 1).classes) if report else None,
         )
         front = MemcachedFront(served, process.log)
@@ -320,6 +322,17 @@
     )
 
 
+def _zone_observer_factory(
+    service_settings: ServiceSettings, agent: FleetAgent | None, zone: int, seed: int
+) -> Callable[[ServiceBroker], ZoneObserver] | None:
+    """What makes a broker's zone observer; without evacuation nothing of it is imported."""
+    if agent is None or not service_settings.fleet.evacuate:
+        return None
+    from heathwell.broker.zone_observer import observe_zones  # noqa: PLC0415
+
+    return partial(observe_zones, agent=agent, zone=zone, zone_names=service_settings.fleet.zones, seed=seed)
+
+
 def _flush(loop: Loop, front: MemcachedFront) -> Coro[None]:
     """Let the last replies go out."""
     for _ in range(20):
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -228,7 +228,7 @@
         broker = self.broker
         live = sum(server.live for server in broker.aggregator.endpoints.values())
         word = "stopping" if broker.stopping else "no hosts" if not live else "ok"
-        if word == "ok" and broker.zone_observer is not None and broker.zone_observer.left():
+        if word == "ok" and broker.zone_observer is not None and broker.zone_observer.is_evacuated():
             word = "the fleet leaves this zone"
         if word == "ok" and broker.cut_off:
             word = "cut off from most shards"
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol
 
 from heathwell.broker.service_broker import ServiceBroker
+from heathwell.broker.zone_observer import ZoneObserver, observe_zones
 from heathwell.fleet.control.agent import FleetAgent
 from heathwell.fleet.control.keeper import KeeperServer
 from heathwell.fleet.control.wiring import budgets_of, times_of
@@ -89,6 +91,9 @@
             events=self.events,
             log=fleet.log,
             agent=self.agent,
+            observe_zones=self._zone_observer_factory(
+                service_settings, fleet.seed * 1000 + number * 10 + run
+            ),
         )
         self.front = MemcachedFront(self.broker, fleet.log)
         self.admin = AdminFront(self.broker, self.front)
@@ -115,6 +120,20 @@
             self.broker.pace(self.listeners[-1])
             self.vector_address = self.listeners[-1].address
 
+    def _zone_observer_factory(
+        self, service_settings: ServiceSettings, seed: int
+    ) -> Callable[[ServiceBroker], ZoneObserver] | None:
+        """What makes the broker's zone observer; None where its settings evacuate no zones."""
+        if self.agent is None or not service_settings.fleet.evacuate:
+            return None
+        return partial(
+            observe_zones,
+            agent=self.agent,
+            zone=self.zone,
+            zone_names=service_settings.fleet.zones,
+            seed=seed,
+        )
+
     def kill(self) -> None:
         """Gone: what it held is lost, its clients see a reset."""
         for listener in self.listeners:
