--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -21,10 +21,11 @@
 from heathwell.broker.records import PartPlan, Plan, module_settings
 from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Age, Coverage, OnReply, Reply
 from heathwell.broker.service_statistics import ServiceStatistics
+from heathwell.broker.settings_change import ServiceSnapshot, check_settings_change
 from heathwell.broker.source_clock import SourceClockClient
 from heathwell.codec import frames
 from heathwell.coverage import Cover
-from heathwell.freshness import Freshness, Policy, SourceClock, Watermark, make_token
+from heathwell.freshness import Freshness, SourceClock, Watermark, make_token
 from heathwell.kernel import Listener, Loop, Net, Timer
 from heathwell.merge import Malformed, Row
 from heathwell.observability.event_log import EventLog
@@ -39,7 +40,6 @@
     from heathwell.broker.zone_observer import ZoneObserver
 
 LOOK_US = 25_000  # how often the links are looked at again
-IN_PLACE = ("classes", "keys", "limits", "rules")  # settings that may change between two turns
 NO_TIME = 0.5  # of a class's usual time for a part: with less left no answer comes
 EXTRA_IDLE_US = 2_000_000  # after which a connection beyond the first is let go
 MOST = 0.5  # of the shards within reach; a broker with less says that it is cut off
@@ -64,24 +64,6 @@
     who: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Version:
-    """What a market's broker keeps by version of its settings."""
-
-    service_settings: ServiceSettings
-    keys: key_spaces.KeySpaces
-    policies: tuple[Policy, ...]
-
-    @classmethod
-    def of(cls, service_settings: ServiceSettings) -> Version:
-        """Made from settings."""
-        return cls(
-            service_settings,
-            key_spaces.KeySpaces(service_settings),
-            tuple(Policy(spec.wanted_age, spec.max_age, spec.stale) for spec in service_settings.classes),
-        )
-
-
 class ServiceBroker(Driver[ServiceQuery]):
     """One aggregator with its connections. ``name`` must be unique among the incarnations of all brokers.
 
@@ -112,7 +94,7 @@
             loop, module_settings(service_settings, zone, siblings), seed, name=name, events=events, log=log
         )
         self.net, self.service_statistics, self.zone, self.aggregator_count = net, service, zone, siblings
-        self.current_version.extension = Version.of(service_settings)
+        self.current_version.extension = ServiceSnapshot.from_settings(service_settings)
         self.quota_gate = QuotaGate(self, agent) if agent is not None else None
         self._zone_restrictions: dict[int | None, frozenset[str]] = {}
         self.zone_observer = observe_zones(self) if observe_zones is not None else None
@@ -197,56 +179,35 @@
     @property
     def service_settings(self) -> ServiceSettings:
         """The settings for what comes now."""
-        version: Version = self.current_version.extension
-        return version.service_settings
+        snapshot: ServiceSnapshot = self.current_version.extension
+        return snapshot.service_settings
 
     @property
     def keys(self) -> key_spaces.KeySpaces:
         """The key spaces for what comes now."""
-        version: Version = self.current_version.extension
-        return version.keys
+        snapshot: ServiceSnapshot = self.current_version.extension
+        return snapshot.keys
 
-    def version_of(self, query: ServiceQuery) -> Version:
+    def snapshot_of(self, query: ServiceQuery) -> ServiceSnapshot:
         """The version that a query is decided under."""
-        version: Version = query.settings_version.extension
-        return version
-
-    def needs_restart(self, service_settings: ServiceSettings) -> str:
-        """Why other settings can't go in between two turns; empty where they can."""
-        before, after = msgspec.to_builtins(self.service_settings), msgspec.to_builtins(service_settings)
-        rest = sorted(
-            key
-            for key in before.keys() | after.keys()
-            if before.get(key) != after.get(key) and key not in IN_PLACE
-        )
-        if rest:
-            return f"{', '.join(rest)}: made at the start"
-        fixed = [(spec.name, spec.across) for spec in self.service_settings.classes]
-        if fixed != [(spec.name, spec.across) for spec in service_settings.classes]:
-            return "class: names, their order and whether they cross are made at the start"
-        apart = [
-            name
-            for name in ("clients", "clients_an_address", "host_connections", "busy_connection")
-            if getattr(self.service_settings.limits, name) != getattr(service_settings.limits, name)
-        ]
-        return f"limits: {', '.join(apart)}: made at the start" if apart else ""
+        snapshot: ServiceSnapshot = query.settings_version.extension
+        return snapshot
 
-    def apply_settings(self, service_settings: ServiceSettings, version: str) -> str:
-        """Other settings for all that comes from now on, at once; returns why not, or nothing."""
-        why = self.needs_restart(service_settings)
-        if why:
-            return why
+    def apply_settings(self, service_settings: ServiceSettings, version: str) -> None:
+        """Apply other settings at once to all queries that come from now on; those that are here go on under
+        theirs. Raises :class:`SettingsChangeError`, with nothing changed, where they need a restart.
+        """
+        check_settings_change(self.service_settings, service_settings)
         self.begin_version(
             module_settings(service_settings, self.zone, self.aggregator_count),
             self.random.getrandbits(48),
             version,
-            Version.of(service_settings),
+            ServiceSnapshot.from_settings(service_settings),
         )
         if self.service_statistics is not None:
             self.service_statistics.classes = {spec.name: spec for spec in self.settings.classes}
         self.events("settings", version=version)
         self.log("info", "settings", version=version, eras=len(self.versions))
-        return ""
 
     # The front's side
 
@@ -335,11 +296,11 @@
 
     def _work(self, plan: Plan, era: SettingsVersion | None = None) -> int:
         """What a part is taken to cost its host (us), by the version of now or its query's."""
-        version: Version = (era or self.current_version).extension
+        snapshot: ServiceSnapshot = (era or self.current_version).extension
         return (
             plan.search.work
             if plan.search is not None
-            else version.service_settings.classes[plan.query_class].work
+            else snapshot.service_settings.classes[plan.query_class].work
         )
 
     def _by_turn(self, query: ServiceQuery) -> None:
@@ -766,7 +727,7 @@
             shard,
             node,
             Watermark(result.position, result.source_us),
-            self.version_of(query).policies[query.plan.query_class],
+            self.snapshot_of(query).freshness_policies[query.plan.query_class],
             tried=part.attempted_nodes,
             turned_down=part.turned_down,
             took_us=now - self._sent_at_us[key],
@@ -798,7 +759,7 @@
         bound, now = None, self.loop.now()
         if all(part.known_age for part in used):
             bound = self.freshness.clock.age(now, min(part.source_us for part in used))
-        wanted = self.version_of(query).policies[query.plan.query_class].wanted_us
+        wanted = self.snapshot_of(query).freshness_policies[query.plan.query_class].wanted_us
         heads: dict[int, int] = {part.plan.shard: part.position for part in used if part.step == 1}
         return Age(
             bound,
@@ -940,7 +901,7 @@
     def second_step(self, query: ServiceQuery, whole: bool) -> Iterator[tuple[ServicePart, int | None]]:
         """Item detail at shards that answered."""
         answered = [part.plan for part in query.parts.values() if part.data is not None]
-        usual = self.version_of(query).service_settings.classes[query.query_class]
+        usual = self.snapshot_of(query).service_settings.classes[query.query_class]
         return self._planned(
             query,
             key_spaces.second_step(answered, self._query_class(query).second_step_parts),
--- /dev/null
+++ b/heathwell/broker/settings_change.py
@@ -0,0 +1,67 @@
+"""What a broker derives from each version of its settings, and which settings may change while it runs."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from heathwell.broker.key_spaces import KeySpaces
+from heathwell.freshness import Policy
+from heathwell.settings import ServiceSettings
+
+# Sections that may change between two batches, and of the limits those that may not.
+CHANGEABLE_SECTIONS = frozenset({"classes", "keys", "limits", "rules"})
+FIXED_LIMITS = ("clients", "clients_an_address", "host_connections", "busy_connection")
+MADE_AT_START = "made at the start"
+
+
+class SettingsChangeError(Exception):
+    """Settings can't be applied while the broker runs: ``subject`` is fixed at its start."""
+
+    def __init__(self, subject: str, detail: str) -> None:
+        super().__init__(f"{subject}: {detail}")
+        self.subject = subject
+        self.detail = detail
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSnapshot:
+    """What a service broker keeps by version of its settings, beside what its module keeps."""
+
+    service_settings: ServiceSettings
+    keys: KeySpaces
+    freshness_policies: tuple[Policy, ...]
+
+    @classmethod
+    def from_settings(cls, service_settings: ServiceSettings) -> ServiceSnapshot:
+        """Derive it from settings."""
+        policies = tuple(
+            Policy(spec.wanted_age, spec.max_age, spec.stale) for spec in service_settings.classes
+        )
+        return cls(service_settings, KeySpaces(service_settings), policies)
+
+
+def check_settings_change(current: ServiceSettings, proposed: ServiceSettings) -> None:
+    """Raise :class:`SettingsChangeError` where proposed settings differ in what needs a restart."""
+    _check_sections(msgspec.to_builtins(current), msgspec.to_builtins(proposed))
+    if _class_layout(current) != _class_layout(proposed):
+        raise SettingsChangeError("class", f"names, their order and whether they cross are {MADE_AT_START}")
+    changed = [
+        name for name in FIXED_LIMITS if getattr(current.limits, name) != getattr(proposed.limits, name)
+    ]
+    if changed:
+        raise SettingsChangeError(f"limits: {', '.join(changed)}", MADE_AT_START)
+
+
+def _check_sections(current: dict[str, Any], proposed: dict[str, Any]) -> None:
+    names = (current.keys() | proposed.keys()) - CHANGEABLE_SECTIONS
+    changed = sorted(name for name in names if current.get(name) != proposed.get(name))
+    if changed:
+        raise SettingsChangeError(", ".join(changed), MADE_AT_START)
+
+
+def _class_layout(service_settings: ServiceSettings) -> Sequence[tuple[str, str]]:
+    return [(spec.name, spec.across) for spec in service_settings.classes]
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -19,6 +19,7 @@
 from heathwell.broker.records import module_settings
 from heathwell.broker.service_broker import ServiceBroker
 from heathwell.broker.service_statistics import ServiceStatistics, program_digest, settings_digest
+from heathwell.broker.settings_change import SettingsChangeError
 from heathwell.cli import logs
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
@@ -257,9 +258,12 @@
             except (SettingsError, OSError) as problem:
                 process.log("error", "settings not taken, the old ones stay", why=str(problem))
                 return
-            why = served.apply_settings(again, digest) if digest != served.current_version.version else ""
-            if why:
-                process.log("error", "settings need a restart, the old ones stay", why=why)
+            if digest == served.current_version.version:
+                return
+            try:
+                served.apply_settings(again, digest)
+            except SettingsChangeError as problem:
+                process.log("error", "settings need a restart, the old ones stay", why=str(problem))
 
         process.poller.on_signal(signal.SIGHUP, reread)
         runs = {"program": program_digest(PACKAGE), "settings": process.digest} if report else {}
