Broker: freshness of answers and explanations of queries leave service_broker

AnswerFreshness judges answers and gives a reply's age, QueryExplanations keeps what recent queries rested on, service_records holds ServiceQuery and ServicePart; each takes a narrow Protocol of its broker.

--- /dev/null
+++ b/heathwell/broker/answer_freshness.py
@@ -0,0 +1,132 @@
+"""Whether an endpoint's answer is fresh enough, and how old the reply made from several answers is."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from heathwell import policy
+from heathwell.broker.driver import Key
+from heathwell.broker.replies import Age
+from heathwell.broker.service_records import ServicePart, ServiceQuery
+from heathwell.broker.settings_change import ServiceSnapshot
+from heathwell.codec import frames
+from heathwell.freshness import Freshness, SourceClock, Watermark, make_token
+from heathwell.kernel import Loop
+from heathwell.observability.event_log import EventLog
+
+
+class FreshnessBroker(Protocol):
+    """What :class:`AnswerFreshness` uses of its broker."""
+
+    @property
+    def loop(self) -> Loop:
+        """The event loop."""
+
+    @property
+    def events(self) -> EventLog:
+        """The event log."""
+
+    @property
+    def counters(self) -> Counter[tuple[str, ...]]:
+        """Its counters, by labels."""
+
+    def query_class_of(self, query: ServiceQuery) -> policy.QueryClass:
+        """A query's class, by the settings that it is decided under."""
+
+    def snapshot_of(self, query: ServiceQuery) -> ServiceSnapshot:
+        """What is derived from the settings that a query is decided under."""
+
+
+class AnswerFreshness:
+    """Judges answers by the position of the data source that they stand at.
+
+    ``replicas_of`` gives the live nodes that hold a shard.
+    """
+
+    def __init__(self, broker: FreshnessBroker, replicas_of: Callable[[int], list[str]]) -> None:
+        self.clock = SourceClock()
+        self._broker = broker
+        self._decider = Freshness(self.clock, replicas_of)
+
+    @property
+    def liars(self) -> int:
+        """How many answers claimed a position that the data source had not reached."""
+        return self._decider.liars
+
+    def is_acceptable(
+        self,
+        query: ServiceQuery,
+        part: ServicePart,
+        node: str,
+        key: Key,
+        result: frames.Result,
+        sent_at_us: int,
+    ) -> bool:
+        """Whether an answer may be used; a rejected one is counted, and noted at its part."""
+        now = self._broker.loop.now()
+        query_class = self._broker.query_class_of(query)
+        ruling = self._decider.rule(
+            now,
+            part.plan.shard,
+            node,
+            Watermark(result.position, result.source_us),
+            self._broker.snapshot_of(query).freshness_policies[query.plan.query_class],
+            tried=part.attempted_nodes,
+            turned_down=part.turned_down,
+            took_us=now - sent_at_us,
+            time_left_us=query.started_at_us + query_class.latency_objective_us - now,
+            at_least=_required_position(query, part.plan.shard),
+        )
+        part.known_age = ruling.age_us is not None
+        if not ruling.accept:
+            part.turned_down += 1
+            part.status = f"turned down: {ruling.why}"
+            self._broker.counters["turned down", query_class.name, ruling.why] += 1
+            self._broker.events("turned", p=key[0], seq=key[1], node=node, why=ruling.why)
+        return ruling.accept
+
+    def age_of(self, query: ServiceQuery, parts: Sequence[ServicePart]) -> Age | None:
+        """The age, as of now, of a reply that rests on answered parts; None where there are none."""
+        if not parts:
+            return None
+        now = self._broker.loop.now()
+        bound_us = None
+        if all(part.known_age for part in parts):
+            bound_us = self.clock.age(now, min(part.source_us for part in parts))
+        wanted_us = self._broker.snapshot_of(query).freshness_policies[query.plan.query_class].wanted_us
+        is_stale = bool(wanted_us) and (bound_us is None or bound_us > wanted_us)
+        first_positions = {part.plan.shard: part.position for part in parts if part.step == 1}
+        is_consistent = all(
+            part.position >= first_positions.get(part.plan.shard, 0) for part in parts if part.step == 2
+        )
+        shards_behind = {
+            part.plan.shard for part in parts if part.position < query.plan.at_least(part.plan.shard)
+        }
+        return Age(
+            bound_us,
+            is_stale,
+            is_consistent,
+            tuple(sorted(shards_behind)),
+            make_token(first_positions),
+            now,
+        )
+
+    def age_at_us(self, part: ServicePart, at_us: int) -> int | None:
+        """The age of a part's data at an instant; None where it is not known."""
+        if part.data is None or not part.known_age:
+            return None
+        return self.clock.age(at_us, part.source_us) or 0
+
+
+def _required_position(query: ServiceQuery, shard: int) -> int:
+    """The position that an answer of a shard must stand at: the client's, and that of the first step."""
+    positions = [query.plan.at_least(shard)]
+    if query.step > 1:
+        positions += [
+            part.position
+            for part in query.parts.values()
+            if part.step == 1 and part.plan.shard == shard and part.data is not None
+        ]
+    return max(positions)
--- /dev/null
+++ b/heathwell/broker/query_explanations.py
@@ -0,0 +1,84 @@
+"""What recent queries rested on, for the admin page."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Any
+
+from heathwell.broker.answer_freshness import AnswerFreshness
+from heathwell.broker.replies import Reply
+from heathwell.broker.service_records import ServicePart, ServiceQuery
+
+MICROSECONDS_PER_MILLISECOND = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainedQuery:
+    """A query that has had its reply. ``replied_at_us`` is an instant of the broker's loop."""
+
+    query: ServiceQuery
+    class_name: str
+    reply: Reply
+    duration_us: int
+    replied_at_us: int
+
+
+class QueryExplanations:
+    """The last queries, by id. ``freshness`` gives the age of their parts' data, where it is known."""
+
+    def __init__(self, freshness: AnswerFreshness | None) -> None:
+        self._freshness = freshness
+        self._queries: OrderedDict[str, ExplainedQuery] = OrderedDict()
+
+    @property
+    def query_ids(self) -> list[str]:
+        """The ids of the queries that are kept, the oldest first."""
+        return list(self._queries)
+
+    def record(self, explained: ExplainedQuery, capacity: int) -> None:
+        """Keep a query; the oldest beyond a capacity are dropped."""
+        if not capacity:
+            return
+        self._queries[explained.query.id] = explained
+        while len(self._queries) > capacity:
+            self._queries.popitem(last=False)
+
+    def explain(self, query_id: str) -> dict[str, Any] | None:
+        """A query as the admin page shows it: each part, its endpoint, the age of its data, and why one is
+        missing; None where it is not kept.
+        """
+        explained = self._queries.get(query_id)
+        if explained is None:
+            return None
+        query = explained.query
+        reply = explained.reply
+        age_us = reply.age.bound_us if reply.age is not None else None
+        return {
+            "query": query.id,
+            "key": query.plan.key,
+            "class": explained.class_name,
+            "kind": reply.kind,
+            "whole": reply.complete,
+            "took_ms": explained.duration_us / MICROSECONDS_PER_MILLISECOND,
+            "age_ms": _to_milliseconds(age_us),
+            "parts": [self._explain_part(part, explained.replied_at_us) for part in query.parts.values()],
+        }
+
+    def _explain_part(self, part: ServicePart, replied_at_us: int) -> dict[str, Any]:
+        age_us = self._freshness.age_at_us(part, replied_at_us) if self._freshness is not None else None
+        return {
+            "part": part.id,
+            "shard": part.plan.shard,
+            "step": part.step,
+            "in": part.data is not None,
+            "host": part.node or None,
+            "attempts": part.attempt_count,
+            "sent_to": part.attempted_nodes,
+            "age_ms": _to_milliseconds(age_us),
+            "why_missing": None if part.data is not None else part.status,
+        }
+
+
+def _to_milliseconds(duration_us: int | None) -> float | None:
+    return duration_us / MICROSECONDS_PER_MILLISECOND if duration_us is not None else None
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -13,19 +11,21 @@
 from heathwell import policy
 from heathwell.admission import GO, WAIT, Costs, FairGate, Window
 from heathwell.broker import key_spaces
+from heathwell.broker.answer_freshness import AnswerFreshness
 from heathwell.broker.discovery import DiscoveryClient
-from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState, SettingsVersion
+from heathwell.broker.driver import Driver, Handle, Key, SettingsVersion
 from heathwell.broker.host_link import HostLink
 from heathwell.broker.host_pool import HostPool
+from heathwell.broker.query_explanations import ExplainedQuery, QueryExplanations
 from heathwell.broker.quota_gate import CONNECTIONS, Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
-from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Age, Coverage, OnReply, Reply
+from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Coverage, OnReply, Reply
+from heathwell.broker.service_records import ServicePart, ServiceQuery
 from heathwell.broker.service_statistics import ServiceStatistics
 from heathwell.broker.settings_change import ServiceSnapshot, check_settings_change
 from heathwell.broker.source_clock import SourceClockClient
 from heathwell.codec import frames
 from heathwell.coverage import Cover
-from heathwell.freshness import Freshness, SourceClock, Watermark, make_token
 from heathwell.kernel import Listener, Loop, Net, Timer
 from heathwell.merge import Malformed, Row
 from heathwell.observability.event_log import EventLog
@@ -45,25 +45,6 @@
 MOST = 0.5  # of the shards within reach; a broker with less says that it is cut off
 
 
-@dataclass(slots=True)
-class ServicePart(PartState):
-    """A part with what its answer's data is of."""
-
-    position: int = 0
-    source_us: int = 0
-    known_age: bool = False
-    turned_down: int = 0
-
-
-@dataclass(slots=True)
-class ServiceQuery(QueryState[ServicePart]):
-    """A query with its plan; ``cut_off`` are parts that no host within reach holds."""
-
-    plan: Plan = Plan(0, "", 0, "", ())
-    cut_off: tuple[PartPlan, ...] = ()
-    who: str = ""
-
-
 class ServiceBroker(Driver[ServiceQuery]):
     """One aggregator with its connections. ``name`` must be unique among the incarnations of all brokers.
 
@@ -100,14 +81,14 @@
         self.zone_observer = observe_zones(self) if observe_zones is not None else None
         self.random = random.Random(seed ^ 0x5EED)
         fresh = service_settings.freshness
-        self.freshness: Freshness | None = None
+        self.freshness: AnswerFreshness | None = None
         self.source_clock_client: SourceClockClient | None = None
-        self.explained: OrderedDict[str, dict[str, Any]] = OrderedDict()
         if fresh.on:
-            self.freshness = Freshness(SourceClock(), self._holders)
+            self.freshness = AnswerFreshness(self, self._holders)
             self.source_clock_client = SourceClockClient(
                 loop, net, source or fresh.source, name, fresh.sync, self.freshness.clock, self.log
             )
+        self.explanations = QueryExplanations(self.freshness)
         self.regions: Regions | None = None
         self._listed_regions: dict[str, str] = {}
         self._remote_nodes: frozenset[str] = frozenset()
@@ -633,9 +614,10 @@
         self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
     ) -> bool:
         """Fresh enough, and rows that a sound host gives."""
-        return self._fresh_enough(query, part, node, key, result) and self._mergeable(
-            query, part, node, key, result
+        is_fresh = self.freshness is None or self.freshness.is_acceptable(
+            query, part, node, key, result, self._sent_at_us[key]
         )
+        return is_fresh and self._mergeable(query, part, node, key, result)
 
     def on_part_answered(
         self, query: ServiceQuery, part: ServicePart, key: Key, result: frames.Result
@@ -703,45 +685,6 @@
             self.events("moot", p=part_id, seq=seq)
             self._push(policy.AttemptSuperseded(part_id, seq), query.settings_version)
 
-    def _fresh_enough(
-        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
-    ) -> bool:
-        """The freshness decider's ruling on an answer."""
-        if self.freshness is None:
-            return True
-        now, shard = self.loop.now(), part.plan.shard
-        seen = query.plan.at_least(shard)
-        if query.step > 1:
-            seen = max(
-                [
-                    seen,
-                    *(
-                        p.position
-                        for p in query.parts.values()
-                        if p.step == 1 and p.plan.shard == shard and p.data is not None
-                    ),
-                ]
-            )
-        ruling = self.freshness.rule(
-            now,
-            shard,
-            node,
-            Watermark(result.position, result.source_us),
-            self.snapshot_of(query).freshness_policies[query.plan.query_class],
-            tried=part.attempted_nodes,
-            turned_down=part.turned_down,
-            took_us=now - self._sent_at_us[key],
-            time_left_us=query.started_at_us + self._query_class(query).latency_objective_us - now,
-            at_least=seen,
-        )
-        part.known_age = ruling.age_us is not None
-        if not ruling.accept:
-            part.turned_down += 1
-            part.status = f"turned down: {ruling.why}"
-            self.counters["turned down", self._query_class(query).name, ruling.why] += 1
-            self.events("turned", p=key[0], seq=key[1], node=node, why=ruling.why)
-        return ruling.accept
-
     def _holders(self, shard: int) -> list[str]:
         """The hosts listed as live that hold a shard."""
         cells, fleet = self.aggregator.endpoints_by_group, self.service_settings.fleet
@@ -752,77 +695,13 @@
             if server.live
         ]
 
-    def _age(self, query: ServiceQuery, used: list[ServicePart]) -> Age | None:
-        """The answer's age as of now, from the parts that it rests on."""
-        if self.freshness is None or not used:
-            return None
-        bound, now = None, self.loop.now()
-        if all(part.known_age for part in used):
-            bound = self.freshness.clock.age(now, min(part.source_us for part in used))
-        wanted = self.snapshot_of(query).freshness_policies[query.plan.query_class].wanted_us
-        heads: dict[int, int] = {part.plan.shard: part.position for part in used if part.step == 1}
-        return Age(
-            bound,
-            bool(wanted) and (bound is None or bound > wanted),
-            all(part.position >= heads.get(part.plan.shard, 0) for part in used if part.step == 2),
-            tuple(
-                sorted(
-                    {part.plan.shard for part in used if part.position < query.plan.at_least(part.plan.shard)}
-                )
-            ),
-            make_token(heads),
-            now,
-        )
-
-    def _explain(self, query: ServiceQuery, reply: Reply, took: int) -> None:
-        """Keep what a query rested on, for a while."""
-        most = self.service_settings.freshness.explain
-        if not most:
-            return
-        self.explained[query.id] = {
-            "query": query,
-            "kind": reply.kind,
-            "whole": reply.complete,
-            "took_us": took,
-            "age": reply.age,
-            "at": self.loop.now(),
-        }
-        while len(self.explained) > most:
-            self.explained.popitem(last=False)
-
     def explain(self, query_id: str) -> dict[str, Any] | None:
-        """What a recent query rested on: each part, its host, the age of its data, and why one is missing."""
-        kept = self.explained.get(query_id)
-        if kept is None:
-            return None
-        query: ServiceQuery = kept["query"]
-        age: Age | None = kept["age"]
-        clock = self.freshness.clock if self.freshness is not None else None
-        return {
-            "query": query.id,
-            "key": query.plan.key,
-            "class": self._query_class(query).name,
-            "kind": kept["kind"],
-            "whole": kept["whole"],
-            "took_ms": kept["took_us"] / 1000,
-            "age_ms": age.bound_us / 1000 if age is not None and age.bound_us is not None else None,
-            "parts": [
-                {
-                    "part": part.id,
-                    "shard": part.plan.shard,
-                    "step": part.step,
-                    "in": part.data is not None,
-                    "host": part.node or None,
-                    "attempts": part.attempt_count,
-                    "sent_to": part.attempted_nodes,
-                    "age_ms": (clock.age(kept["at"], part.source_us) or 0) / 1000
-                    if clock is not None and part.data is not None and part.known_age
-                    else None,
-                    "why_missing": None if part.data is not None else part.status,
-                }
-                for part in query.parts.values()
-            ],
-        }
+        """What a recent query rested on; None where it is not kept."""
+        return self.explanations.explain(query_id)
+
+    def query_class_of(self, query: ServiceQuery) -> policy.QueryClass:
+        """A query's class, by the settings that it is decided under."""
+        return self._query_class(query)
 
     def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
         """A connection's word on a probe."""
@@ -912,7 +791,8 @@
         """By the key space's shape, or a search's rows."""
         spec = self._query_class(query)
         coverage = self._coverage(query)
-        age = self._age(query, [part for part in query.parts.values() if part.data is not None])
+        answered = [part for part in query.parts.values() if part.data is not None]
+        age = self.freshness.age_of(query, answered) if self.freshness is not None else None
         if query.plan.search is not None:
             return Reply(ANSWERED, query.id, spec.name, whole, coverage, self._rows(query), age=age)
         firsts = [p.data for p in query.parts.values() if p.step == 1 and p.data is not None]
@@ -998,7 +878,10 @@
                 age=reply.age.bound_us if reply.age is not None else None,
                 age_at=reply.age.at_us - self.loop.now() if reply.age is not None else None,
             )
-        self._explain(query, reply, took_us)
+        self.explanations.record(
+            ExplainedQuery(query, self._query_class(query).name, reply, took_us, self.loop.now()),
+            self.service_settings.freshness.explain,
+        )
 
     def new_link(self, node: str) -> HostLink | HostPool:
         """One connection a host, or a pool of some, on the inner wire."""
--- /dev/null
+++ b/heathwell/broker/service_records.py
@@ -0,0 +1,29 @@
+"""The queries and parts of a service broker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from heathwell.broker.driver import PartState, QueryState
+from heathwell.broker.records import PartPlan, Plan
+
+
+@dataclass(slots=True)
+class ServicePart(PartState):
+    """A part with the source position (and its instant) that its answer's data stands at."""
+
+    position: int = 0
+    source_us: int = 0
+    known_age: bool = False
+    turned_down: int = 0
+
+
+@dataclass(slots=True)
+class ServiceQuery(QueryState[ServicePart]):
+    """A query with its plan; ``cut_off`` are parts that no endpoint within reach holds, ``who`` names its
+    client and subject.
+    """
+
+    plan: Plan = Plan(0, "", 0, "", ())
+    cut_off: tuple[PartPlan, ...] = ()
+    who: str = ""
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -10,7 +10,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from heathwell.broker.replies import Reply
-from heathwell.broker.service_broker import MOST, ServiceBroker, ServiceQuery
+from heathwell.broker.service_broker import MOST, ServiceBroker
+from heathwell.broker.service_records import ServiceQuery
 from heathwell.codec.http import Request, Response
 from heathwell.fronts.memcached import MemcachedFront
 from heathwell.kernel import Coro, Stream
@@ -268,7 +269,7 @@
         wanted = dict(parse_qsl(query)).get("id", "")
         told = self.broker.explain(wanted)
         if told is None:
-            recent = list(self.broker.explained)[-10:]
+            recent = self.broker.explanations.query_ids[-10:]
             return Response(404, f"no recent query '{wanted}'; the latest are {', '.join(recent)}\n".encode())
         return Response(200, msgspec.json.format(msgspec.json.encode(told)) + b"\n", JSON)
 
