--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -13,21 +11,25 @@
 from heathwell import policy
 from heathwell.admission import GO, WAIT, Costs, FairGate, Window
 from heathwell.broker import key_spaces
+from heathwell.broker.answer_freshness import AnswerFreshness
 from heathwell.broker.discovery import DiscoveryClient
-from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState, SettingsVersion
+from heathwell.broker.driver import Driver, Handle, Key, SettingsVersion
 from heathwell.broker.host_link import HostLink
 from heathwell.broker.host_pool import HostPool
-from heathwell.broker.quota_gate import Agent, QuotaGate
+from heathwell.broker.query_explanations import ExplainedQuery, QueryExplanations
+from heathwell.broker.quota_gate import CONNECTIONS, Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
-from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Age, Coverage, OnReply, Reply
+from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Coverage, OnReply, Reply
+from heathwell.broker.service_records import ServicePart, ServiceQuery
 from heathwell.broker.service_statistics import ServiceStatistics
+from heathwell.broker.settings_change import ServiceSnapshot, check_settings_change
 from heathwell.broker.source_clock import SourceClockClient
 from heathwell.codec import frames
 from heathwell.coverage import Cover
-from heathwell.freshness import Freshness, Policy, SourceClock, Watermark, make_token
 from heathwell.kernel import Listener, Loop, Net, Timer
 from heathwell.merge import Malformed, Row
 from heathwell.observability.event_log import EventLog
+from heathwell.policy.records import Server
 from heathwell.regions import ClientDrain, Regions, Way, answerable
 from heathwell.settings import ServiceSettings
 from heathwell.storms import Limits, Storms
@@ -38,51 +40,17 @@
     from heathwell.broker.zone_observer import ZoneObserver
 
 LOOK_US = 25_000  # how often the links are looked at again
-IN_PLACE = ("classes", "keys", "limits", "rules")  # settings that may change between two turns
 NO_TIME = 0.5  # of a class's usual time for a part: with less left no answer comes
 EXTRA_IDLE_US = 2_000_000  # after which a connection beyond the first is let go
 MOST = 0.5  # of the shards within reach; a broker with less says that it is cut off
 
 
-@dataclass(slots=True)
-class ServicePart(PartState):
-    """A part with what its answer's data is of."""
-
-    position: int = 0
-    source_us: int = 0
-    known_age: bool = False
-    turned_down: int = 0
-
-
-@dataclass(slots=True)
-class ServiceQuery(QueryState[ServicePart]):
-    """A query with its plan; ``cut_off`` are parts that no host within reach holds."""
-
-    plan: Plan = Plan(0, "", 0, "", ())
-    cut_off: tuple[PartPlan, ...] = ()
-    who: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Version:
-    """What a market's broker keeps by version of its settings."""
-
-    service_settings: ServiceSettings
-    keys: key_spaces.KeySpaces
-    policies: tuple[Policy, ...]
-
-    @classmethod
-    def of(cls, service_settings: ServiceSettings) -> Version:
-        """Made from settings."""
-        return cls(
-            service_settings,
-            key_spaces.KeySpaces(service_settings),
-            tuple(Policy(spec.wanted_age, spec.max_age, spec.stale) for spec in service_settings.classes),
-        )
-
-
 class ServiceBroker(Driver[ServiceQuery]):
-    """One aggregator with its connections. ``name`` must be one of a kind among the brokers' runs."""
+    """One aggregator with its connections. ``name`` must be unique among the incarnations of all brokers.
+
+    ``observe_zones`` makes its zone observer where zones may be evacuated. It is handed in because no other
+    broker shall import what an observer needs.
+    """
 
     def __init__(
         self,
@@ -100,34 +68,27 @@
         log: Callable[..., None] | None = None,
         roster: tuple[policy.EndpointEntry, ...] = (),
         agent: Agent | None = None,
+        observe_zones: Callable[[ServiceBroker], ZoneObserver] | None = None,
         service: ServiceStatistics | None = None,
     ) -> None:
         super().__init__(
             loop, module_settings(service_settings, zone, siblings), seed, name=name, events=events, log=log
         )
         self.net, self.service_statistics, self.zone, self.aggregator_count = net, service, zone, siblings
-        self.current_version.extension = Version.of(service_settings)
+        self.current_version.extension = ServiceSnapshot.from_settings(service_settings)
         self.quota_gate = QuotaGate(self, agent) if agent is not None else None
-        self.zone_observer: ZoneObserver | None = None
-        self._zone_restrictions: dict[int, frozenset[str]] = {}
-        if agent is not None and service_settings.fleet.evacuate:
-            # nobody else needs what it imports
-            from heathwell.broker.zone_observer import ZoneObserver  # noqa: PLC0415
-
-            self.zone_observer = ZoneObserver(
-                self, service_settings.fleet.zones[zone], service_settings.fleet.zones, seed ^ 0x20E5
-            )
-            agent.on_zones(self.zone_observer)
+        self._zone_restrictions: dict[int | None, frozenset[str]] = {}
+        self.zone_observer = observe_zones(self) if observe_zones is not None else None
         self.random = random.Random(seed ^ 0x5EED)
         fresh = service_settings.freshness
-        self.freshness: Freshness | None = None
+        self.freshness: AnswerFreshness | None = None
         self.source_clock_client: SourceClockClient | None = None
-        self.explained: OrderedDict[str, dict[str, Any]] = OrderedDict()
         if fresh.on:
-            self.freshness = Freshness(SourceClock(), self._holders)
+            self.freshness = AnswerFreshness(self, self._holders)
             self.source_clock_client = SourceClockClient(
                 loop, net, source or fresh.source, name, fresh.sync, self.freshness.clock, self.log
             )
+        self.explanations = QueryExplanations(self.freshness)
         self.regions: Regions | None = None
         self._listed_regions: dict[str, str] = {}
         self._remote_nodes: frozenset[str] = frozenset()
@@ -199,56 +160,35 @@
     @property
     def service_settings(self) -> ServiceSettings:
         """The settings for what comes now."""
-        version: Version = self.current_version.extension
-        return version.service_settings
+        snapshot: ServiceSnapshot = self.current_version.extension
+        return snapshot.service_settings
 
     @property
     def keys(self) -> key_spaces.KeySpaces:
         """The key spaces for what comes now."""
-        version: Version = self.current_version.extension
-        return version.keys
+        snapshot: ServiceSnapshot = self.current_version.extension
+        return snapshot.keys
 
-    def version_of(self, query: ServiceQuery) -> Version:
+    def snapshot_of(self, query: ServiceQuery) -> ServiceSnapshot:
         """The version that a query is decided under."""
-        version: Version = query.settings_version.extension
-        return version
-
-    def needs_restart(self, service_settings: ServiceSettings) -> str:
-        """Why other settings can't go in between two turns; empty where they can."""
-        before, after = msgspec.to_builtins(self.service_settings), msgspec.to_builtins(service_settings)
-        rest = sorted(
-            key
-            for key in before.keys() | after.keys()
-            if before.get(key) != after.get(key) and key not in IN_PLACE
-        )
-        if rest:
-            return f"{', '.join(rest)}: made at the start"
-        fixed = [(spec.name, spec.across) for spec in self.service_settings.classes]
-        if fixed != [(spec.name, spec.across) for spec in service_settings.classes]:
-            return "class: names, their order and whether they cross are made at the start"
-        apart = [
-            name
-            for name in ("clients", "clients_an_address", "host_connections", "busy_connection")
-            if getattr(self.service_settings.limits, name) != getattr(service_settings.limits, name)
-        ]
-        return f"limits: {', '.join(apart)}: made at the start" if apart else ""
+        snapshot: ServiceSnapshot = query.settings_version.extension
+        return snapshot
 
-    def apply_settings(self, service_settings: ServiceSettings, version: str) -> str:
-        """Other settings for all that comes from now on, at once; returns why not, or nothing."""
-        why = self.needs_restart(service_settings)
-        if why:
-            return why
+    def apply_settings(self, service_settings: ServiceSettings, version: str) -> None:
+        """Apply other settings at once to all queries that come from now on; those that are here go on under
+        theirs. Raises :class:`SettingsChangeError`, with nothing changed, where they need a restart.
+        """
+        check_settings_change(self.service_settings, service_settings)
         self.begin_version(
             module_settings(service_settings, self.zone, self.aggregator_count),
             self.random.getrandbits(48),
             version,
-            Version.of(service_settings),
+            ServiceSnapshot.from_settings(service_settings),
         )
         if self.service_statistics is not None:
             self.service_statistics.classes = {spec.name: spec for spec in self.settings.classes}
         self.events("settings", version=version)
         self.log("info", "settings", version=version, eras=len(self.versions))
-        return ""
 
     # The front's side
 
@@ -337,11 +277,11 @@
 
     def _work(self, plan: Plan, era: SettingsVersion | None = None) -> int:
         """What a part is taken to cost its host (us), by the version of now or its query's."""
-        version: Version = (era or self.current_version).extension
+        snapshot: ServiceSnapshot = (era or self.current_version).extension
         return (
             plan.search.work
             if plan.search is not None
-            else version.service_settings.classes[plan.query_class].work
+            else snapshot.service_settings.classes[plan.query_class].work
         )
 
     def _by_turn(self, query: ServiceQuery) -> None:
@@ -533,27 +473,51 @@
         if held != self._link_restrictions:
             self._link_restrictions = held
             self._push(
-                policy.HolderRestrictions(held[0] | self._zone_restrictions.get(-1, frozenset()), held[1])
+                policy.HolderRestrictions(held[0] | self._zone_restrictions.get(None, frozenset()), held[1])
             )
 
-    def hold_zones(self, query_class: int, nodes: frozenset[str]) -> None:
-        """Hosts of zones that the fleet leaves, for one class or all: avoided beside what regions
-        hold back.
+    def restrict_zones(self, query_class: int | None, nodes: frozenset[str]) -> None:
+        """Deprioritize endpoints of evacuated zones, for one query class or (None) for all, beside those that
+        the regions restrict.
         """
         self._zone_restrictions[query_class] = nodes
+        deprioritized, excluded = (
+            self._link_restrictions if query_class is None else self._remote_restrictions(query_class)
+        )
+        self._push(policy.HolderRestrictions(deprioritized | nodes, excluded, query_class))
+
+    def _remote_restrictions(self, query_class: int) -> tuple[frozenset[str], frozenset[str]]:
+        """The remote endpoints that a class deprioritizes, and those that it excludes."""
         nobody = frozenset[str]()
-        avoid, shut = self._link_restrictions if query_class < 0 else (nobody, nobody)
-        if (
-            query_class >= 0
-            and self._remote_nodes
-            and self.service_settings.classes[query_class].across != "any"
-        ):
-            never = self.service_settings.classes[query_class].across == "never"
-            avoid, shut = (nobody, self._remote_nodes) if never else (self._remote_nodes, nobody)
-        self._push(policy.HolderRestrictions(avoid | nodes, shut, query_class))
+        match self.service_settings.classes[query_class].across:
+            case "any":
+                return nobody, nobody
+            case "never":
+                return nobody, self._remote_nodes
+            case _:
+                return self._remote_nodes, nobody
+
+    @property
+    def endpoints(self) -> Mapping[str, Server]:
+        """All endpoints that the module knows, by node."""
+        return self.aggregator.endpoints
+
+    @property
+    def class_names(self) -> list[str]:
+        """The names of the query classes, in their order."""
+        return [spec.name for spec in self.settings.classes]
+
+    @property
+    def slow_start_capacity(self) -> float:
+        """The fraction of its capacity that an endpoint starts with."""
+        return self.settings.slow_start_capacity
+
+    def slow_start_fraction(self, node: str) -> float:
+        """The fraction of its capacity that an endpoint has by now."""
+        return self.aggregator.slow_start_fraction(self.aggregator.endpoints[node])
 
     def probe(self, node: str) -> None:
-        """Ask a host for a sign of life."""
+        """Send a probe to an endpoint."""
         self.counters["zone probe",] += 1
         self._link(node).probe()
 
@@ -565,13 +529,11 @@
         far = frozenset(node for node, region in self._listed_regions.items() if region != self.regions.home)
         if far == self._remote_nodes:
             return
-        self._remote_nodes, nobody = far, frozenset[str]()
+        self._remote_nodes = far
         for index, spec in enumerate(self.service_settings.classes):
             if spec.across != "any":
-                never = spec.across == "never"
-                self._push(
-                    policy.HolderRestrictions(nobody if never else far, far if never else nobody, index)
-                )
+                deprioritized, excluded = self._remote_restrictions(index)
+                self._push(policy.HolderRestrictions(deprioritized, excluded, index))
 
     def _tell_links(self, regions: Regions) -> None:
         """Log what has changed since the last call."""
@@ -607,7 +569,7 @@
         """
         return (
             self.zone_observer is not None
-            and self.zone_observer.left()
+            and self.zone_observer.is_evacuated()
             or bool(self.service_settings.across.let_go)
             and self.cut_off
         )
@@ -652,9 +614,10 @@
         self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
     ) -> bool:
         """Fresh enough, and rows that a sound host gives."""
-        return self._fresh_enough(query, part, node, key, result) and self._mergeable(
-            query, part, node, key, result
+        is_fresh = self.freshness is None or self.freshness.is_acceptable(
+            query, part, node, key, result, self._sent_at_us[key]
         )
+        return is_fresh and self._mergeable(query, part, node, key, result)
 
     def on_part_answered(
         self, query: ServiceQuery, part: ServicePart, key: Key, result: frames.Result
@@ -722,45 +685,6 @@
             self.events("moot", p=part_id, seq=seq)
             self._push(policy.AttemptSuperseded(part_id, seq), query.settings_version)
 
-    def _fresh_enough(
-        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
-    ) -> bool:
-        """The freshness decider's ruling on an answer."""
-        if self.freshness is None:
-            return True
-        now, shard = self.loop.now(), part.plan.shard
-        seen = query.plan.at_least(shard)
-        if query.step > 1:
-            seen = max(
-                [
-                    seen,
-                    *(
-                        p.position
-                        for p in query.parts.values()
-                        if p.step == 1 and p.plan.shard == shard and p.data is not None
-                    ),
-                ]
-            )
-        ruling = self.freshness.rule(
-            now,
-            shard,
-            node,
-            Watermark(result.position, result.source_us),
-            self.version_of(query).policies[query.plan.query_class],
-            tried=part.attempted_nodes,
-            turned_down=part.turned_down,
-            took_us=now - self._sent_at_us[key],
-            time_left_us=query.started_at_us + self._query_class(query).latency_objective_us - now,
-            at_least=seen,
-        )
-        part.known_age = ruling.age_us is not None
-        if not ruling.accept:
-            part.turned_down += 1
-            part.status = f"turned down: {ruling.why}"
-            self.counters["turned down", self._query_class(query).name, ruling.why] += 1
-            self.events("turned", p=key[0], seq=key[1], node=node, why=ruling.why)
-        return ruling.accept
-
     def _holders(self, shard: int) -> list[str]:
         """The hosts listed as live that hold a shard."""
         cells, fleet = self.aggregator.endpoints_by_group, self.service_settings.fleet
@@ -771,77 +695,13 @@
             if server.live
         ]
 
-    def _age(self, query: ServiceQuery, used: list[ServicePart]) -> Age | None:
-        """The answer's age as of now, from the parts that it rests on."""
-        if self.freshness is None or not used:
-            return None
-        bound, now = None, self.loop.now()
-        if all(part.known_age for part in used):
-            bound = self.freshness.clock.age(now, min(part.source_us for part in used))
-        wanted = self.version_of(query).policies[query.plan.query_class].wanted_us
-        heads: dict[int, int] = {part.plan.shard: part.position for part in used if part.step == 1}
-        return Age(
-            bound,
-            bool(wanted) and (bound is None or bound > wanted),
-            all(part.position >= heads.get(part.plan.shard, 0) for part in used if part.step == 2),
-            tuple(
-                sorted(
-                    {part.plan.shard for part in used if part.position < query.plan.at_least(part.plan.shard)}
-                )
-            ),
-            make_token(heads),
-            now,
-        )
-
-    def _explain(self, query: ServiceQuery, reply: Reply, took: int) -> None:
-        """Keep what a query rested on, for a while."""
-        most = self.service_settings.freshness.explain
-        if not most:
-            return
-        self.explained[query.id] = {
-            "query": query,
-            "kind": reply.kind,
-            "whole": reply.complete,
-            "took_us": took,
-            "age": reply.age,
-            "at": self.loop.now(),
-        }
-        while len(self.explained) > most:
-            self.explained.popitem(last=False)
-
     def explain(self, query_id: str) -> dict[str, Any] | None:
-        """What a recent query rested on: each part, its host, the age of its data, and why one is missing."""
-        kept = self.explained.get(query_id)
-        if kept is None:
-            return None
-        query: ServiceQuery = kept["query"]
-        age: Age | None = kept["age"]
-        clock = self.freshness.clock if self.freshness is not None else None
-        return {
-            "query": query.id,
-            "key": query.plan.key,
-            "class": self._query_class(query).name,
-            "kind": kept["kind"],
-            "whole": kept["whole"],
-            "took_ms": kept["took_us"] / 1000,
-            "age_ms": age.bound_us / 1000 if age is not None and age.bound_us is not None else None,
-            "parts": [
-                {
-                    "part": part.id,
-                    "shard": part.plan.shard,
-                    "step": part.step,
-                    "in": part.data is not None,
-                    "host": part.node or None,
-                    "attempts": part.attempt_count,
-                    "sent_to": part.attempted_nodes,
-                    "age_ms": (clock.age(kept["at"], part.source_us) or 0) / 1000
-                    if clock is not None and part.data is not None and part.known_age
-                    else None,
-                    "why_missing": None if part.data is not None else part.status,
-                }
-                for part in query.parts.values()
-            ],
-        }
+        """What a recent query rested on; None where it is not kept."""
+        return self.explanations.explain(query_id)
+
+    def query_class_of(self, query: ServiceQuery) -> policy.QueryClass:
+        """A query's class, by the settings that it is decided under."""
+        return self._query_class(query)
 
     def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
         """A connection's word on a probe."""
@@ -849,7 +709,7 @@
             self.regions.probed(self.loop.now(), node, outcome)
             self._tell_links(self.regions)
         if self.zone_observer is not None:
-            self.zone_observer.probed(node, outcome)
+            self.zone_observer.on_probe_result(node, outcome)
         super().on_probe_result(node, outcome)
 
     def on_late_answer(self, node: str) -> None:
@@ -888,11 +748,11 @@
         if self.regions is not None:
             self.regions.ended(self.loop.now(), node, key, outcome, took_us)
         if self.quota_gate is not None:
-            self.quota_gate.over(key)
+            self.quota_gate.forget_attempt(key)
         if self.zone_observer is not None:
             query = self.parts[key[0]]
             spec = self._query_class(query)
-            self.zone_observer.ended(node, spec.name, outcome, took_us, spec.latency_objective_us)
+            self.zone_observer.on_attempt_ended(node, spec.name, outcome, took_us, spec.latency_objective_us)
 
     # What the module decided
 
@@ -920,7 +780,7 @@
     def second_step(self, query: ServiceQuery, whole: bool) -> Iterator[tuple[ServicePart, int | None]]:
         """Item detail at shards that answered."""
         answered = [part.plan for part in query.parts.values() if part.data is not None]
-        usual = self.version_of(query).service_settings.classes[query.query_class]
+        usual = self.snapshot_of(query).service_settings.classes[query.query_class]
         return self._planned(
             query,
             key_spaces.second_step(answered, self._query_class(query).second_step_parts),
@@ -931,7 +791,8 @@
         """By the key space's shape, or a search's rows."""
         spec = self._query_class(query)
         coverage = self._coverage(query)
-        age = self._age(query, [part for part in query.parts.values() if part.data is not None])
+        answered = [part for part in query.parts.values() if part.data is not None]
+        age = self.freshness.age_of(query, answered) if self.freshness is not None else None
         if query.plan.search is not None:
             return Reply(ANSWERED, query.id, spec.name, whole, coverage, self._rows(query), age=age)
         firsts = [p.data for p in query.parts.values() if p.step == 1 and p.data is not None]
@@ -1017,7 +878,10 @@
                 age=reply.age.bound_us if reply.age is not None else None,
                 age_at=reply.age.at_us - self.loop.now() if reply.age is not None else None,
             )
-        self._explain(query, reply, took_us)
+        self.explanations.record(
+            ExplainedQuery(query, self._query_class(query).name, reply, took_us, self.loop.now()),
+            self.service_settings.freshness.explain,
+        )
 
     def new_link(self, node: str) -> HostLink | HostPool:
         """One connection a host, or a pool of some, on the inner wire."""
@@ -1041,34 +905,36 @@
 
         if limits.host_connections == 1:
             return make(None, limits.idle_close)
-        shared = spending is not None and spending.shares("connections")
+        shared = spending is not None and spending.has_budget(CONNECTIONS)
         return HostPool(
             self.loop,
             lambda on_closed: make(on_closed, min(limits.idle_close, EXTRA_IDLE_US)),
             most=limits.host_connections,
             busy=limits.busy_connection,
             linger_us=quiet,
-            take=(lambda: spending.take_connection(node))
+            take=(lambda: spending.acquire_connection(node))
             if spending is not None and shared
             else lambda: True,
-            give_back=(lambda: spending.gave_back(node)) if spending is not None and shared else lambda: None,
+            give_back=(lambda: spending.release_connection(node))
+            if spending is not None and shared
+            else lambda: None,
         )
 
     # Budgets of the whole fleet, where settings turn them on.
 
     def quota_update(self) -> policy.QuotaUpdate | None:
         """What they leave this broker now."""
-        return self.quota_gate.room() if self.quota_gate is not None else None
+        return self.quota_gate.quota_update() if self.quota_gate is not None else None
 
     def acquire_quota(self, send: policy.Send, key: Key) -> bool:
         """Whether they have a unit for this attempt, which is used."""
-        return self.quota_gate is None or self.quota_gate.take(send, key)
+        return self.quota_gate is None or self.quota_gate.acquire(send, key)
 
     def waited(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
         """What waited for its connection may leave while the share that it was taken from has not run out."""
         if self.quota_gate is None:
             return parts
-        over = [ask for ask in parts if not self.quota_gate.still((ask.id, ask.seq))]
+        over = [ask for ask in parts if not self.quota_gate.may_still_send((ask.id, ask.seq))]
         for ask in over:
             key = ask.id, ask.seq
             query = self.parts.get(ask.id)
@@ -1080,4 +946,4 @@
     def on_quota_exhausted(self) -> None:
         """It counts as demand."""
         if self.quota_gate is not None:
-            self.quota_gate.lacked()
+            self.quota_gate.record_exhausted()
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from functools import wraps
+from functools import partial, wraps
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -19,6 +19,7 @@
 from heathwell.broker.records import module_settings
 from heathwell.broker.service_broker import ServiceBroker
 from heathwell.broker.service_statistics import ServiceStatistics, program_digest, settings_digest
+from heathwell.broker.settings_change import SettingsChangeError
 from heathwell.cli import logs
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
@@ -43,6 +44,7 @@
 from heathwell.standins.source import Source
 
 if TYPE_CHECKING:
+    from heathwell.broker.zone_observer import ZoneObserver
     from heathwell.fleet.control.agent import FleetAgent
 
 PACKAGE = Path(__file__).resolve().parent.parent
@@ -224,6 +226,7 @@
             events=process.events,
             log=process.log,
             agent=agent,
+            observe_zones=_zone_observer_factory(service_settings, agent, zone, seed),
             service=ServiceStatistics(module_settings(service_settings, zone, 1).classes) if report else None,
         )
         front = MemcachedFront(served, process.log)
@@ -255,9 +258,12 @@
             except (SettingsError, OSError) as problem:
                 process.log("error", "settings not taken, the old ones stay", why=str(problem))
                 return
-            why = served.apply_settings(again, digest) if digest != served.current_version.version else ""
-            if why:
-                process.log("error", "settings need a restart, the old ones stay", why=why)
+            if digest == served.current_version.version:
+                return
+            try:
+                served.apply_settings(again, digest)
+            except SettingsChangeError as problem:
+                process.log("error", "settings need a restart, the old ones stay", why=str(problem))
 
         process.poller.on_signal(signal.SIGHUP, reread)
         runs = {"program": program_digest(PACKAGE), "settings": process.digest} if report else {}
@@ -320,6 +326,17 @@
     )
 
 
+def _zone_observer_factory(
+    service_settings: ServiceSettings, agent: FleetAgent | None, zone: int, seed: int
+) -> Callable[[ServiceBroker], ZoneObserver] | None:
+    """What makes a broker's zone observer; without evacuation nothing of it is imported."""
+    if agent is None or not service_settings.fleet.evacuate:
+        return None
+    from heathwell.broker.zone_observer import observe_zones  # noqa: PLC0415
+
+    return partial(observe_zones, agent=agent, zone=zone, zone_names=service_settings.fleet.zones, seed=seed)
+
+
 def _flush(loop: Loop, front: MemcachedFront) -> Coro[None]:
     """Let the last replies go out."""
     for _ in range(20):
