Evacuation: reasons in logs and decisions speak of unhealthy paths and evacuated zones

The texts of reasons still had the earlier style (sick, well, left, the way). They are prose in `why` fields and log lines: no key, state or command name changes.

--- a/heathwell/fleet/evacuation/controller.py
+++ b/heathwell/fleet/evacuation/controller.py
@@ -158,7 +158,7 @@
                 machine.handle(now_us, ZoneEvent.DRAINED, machine.reason)
             case ZoneState.EVACUATED if state_age_us >= machine.minimum_evacuation_us:
                 if self.health.answers_probes(name):
-                    reason = f"left for {state_age_us / 1e6:.0f} s, probes are answered"
+                    reason = f"evacuated for {state_age_us / 1e6:.0f} s, probes are answered"
                     machine.handle(now_us, ZoneEvent.PROBES_ANSWERED, reason)
             case ZoneState.RESTORING:
                 self._reconcile_restoring(now_us, name, machine, state_age_us)
@@ -174,7 +174,7 @@
             return
         plan = self._plan(name)
         if not plan.evacuates:
-            machine.reason = f"{assessment.reason}; not left: {plan.reason}"
+            machine.reason = f"{assessment.reason}; not evacuated: {plan.reason}"
             return
         machine.set_scope(plan.traffic_share, plan.query_classes)
         machine.handle(now_us, ZoneEvent.CONFIRMED, f"{assessment.reason}; {plan.reason}")
--- a/heathwell/fleet/evacuation/drill.py
+++ b/heathwell/fleet/evacuation/drill.py
@@ -158,7 +158,7 @@
         if self._ticks_over_limit >= CANCEL_TICKS:
             return f"over {self.loss_limit:.0%} more than usual is lost elsewhere"
         if current.stage == DrillStage.EVACUATING and current.duration_us >= TRANSITION_TIMEOUT_US:
-            return "the zone is not left"
+            return "the zone is not evacuated"
         return None
 
     def _has_ended(self, current: _StageSums, state: str) -> bool:
--- a/heathwell/fleet/evacuation/health.py
+++ b/heathwell/fleet/evacuation/health.py
@@ -109,7 +109,7 @@
         observations = self._observations(zone, query_class)
         counts = sum_counts(observation.counts for observation in observations)
         if counts.total < minimum_attempts:
-            return HealthAssessment(False, f"{counts.total} attempts tell too little")
+            return HealthAssessment(False, f"{counts.total} attempts are too few to judge")
         votes = self._votes(observations)
         voting_zones = _zones_with(max(1, minimum_attempts // 2), observations)
         agreeing_zones = [voter for voter in voting_zones if self._agrees(votes[voter])]
@@ -122,8 +122,8 @@
             healthy_from = [voter for voter in voting_zones if voter not in agreeing_zones]
             return HealthAssessment(
                 False,
-                f"sick from {', '.join(agreeing_zones)}, well from {', '.join(healthy_from)}:"
-                " the way, not the zone",
+                f"unhealthy from {', '.join(agreeing_zones)}, healthy from {', '.join(healthy_from)}:"
+                " the path, not the zone",
             )
         return HealthAssessment(
             is_unhealthy, f"{counts.loss:.0%} of {counts.total} lost from {len(voting_zones)} zones"
--- a/heathwell/fleet/evacuation/plan.py
+++ b/heathwell/fleet/evacuation/plan.py
@@ -68,14 +68,14 @@
         No shard is left without a replica: what only this zone holds is asked there as before.
         """
         if not healthy_zones:
-            return EvacuationPlan(1.0, (), "no other zone is served")
+            return EvacuationPlan(1.0, (), "no other zone is serving")
         capacity = sum(self.load.capacity.get(other, 0.0) for other in healthy_zones)
         if not capacity:
-            return EvacuationPlan(0.0, (), "the others' capacity is not known")
+            return EvacuationPlan(0.0, (), "the other zones' capacity is not known")
         # A class of which too little was observed is neither healthy nor unhealthy: it goes with the zone.
         if classes.unhealthy and classes.unhealthy < classes.observed:
             unhealthy = tuple(sorted(classes.unhealthy))
-            return EvacuationPlan(0.0, unhealthy, f"only {', '.join(unhealthy)} is sick there")
+            return EvacuationPlan(0.0, unhealthy, f"only {', '.join(unhealthy)} is unhealthy there")
         return self._plan_within(zone, capacity)
 
     def _plan_within(self, zone: str, capacity: float) -> EvacuationPlan:
@@ -84,11 +84,11 @@
         usable = self.usable_capacity_fraction * capacity
         if total_rate <= usable:
             return EvacuationPlan(
-                0.0, (), f"the others bear {capacity:.0f} parts a second, {total_rate:.0f} are asked"
+                0.0, (), f"the other zones bear {capacity:.0f} parts a second, {total_rate:.0f} are asked"
             )
         excess = total_rate - usable
         zone_rate = max(self.load.rate.get(zone, 0.0), excess, MINIMUM_RATE)
-        shortage = f"the others bear {capacity:.0f} parts a second of {total_rate:.0f}"
+        shortage = f"the other zones bear {capacity:.0f} parts a second of {total_rate:.0f}"
         query_classes = self._most_valuable_classes(zone, usable - (total_rate - zone_rate))
         if query_classes:
             return EvacuationPlan(0.0, query_classes, f"{', '.join(query_classes)} alone: {shortage}")
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -135,7 +135,10 @@
     world = World()
     world.loss = lambda source, target, query_class: 1.0 if (source, target) == ("a", "b") else 0.02
     world.run(20)
-    assert world.controller.decision.number == 0 and "the way" in world.controller.assess("b").reason
+    assert (
+        world.controller.decision.number == 0
+        and "the path, not the zone" in world.controller.assess("b").reason
+    )
 
 
 def test_a_broker_that_is_cut_off_itself_has_no_say():
@@ -214,7 +217,7 @@
     none.loss = dead("b")
     none.run(8)
     assert none.state("b") == ZoneState.SUSPECTED and none.controller.decision.number == 0
-    assert "not left" in none.controller.zones["b"].reason
+    assert "not evacuated" in none.controller.zones["b"].reason
 
 
 def test_a_class_of_which_little_is_seen_goes_with_its_zone():
