--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -313,8 +313,8 @@
 
 def test_two_zones_of_three_may_be_lost_without_any_broker_cut_off():
     """Brokers of the third see nothing of any other zone, and take themselves for cut off; those of the two
-    don't, and see the same. Hosts are ejected, so that few attempts go there: no suspected zone is healthy for
-    want of them.
+    don't, and see the same. Hosts are ejected, so that few attempts go there: that is no reason to take a
+    suspected zone for healthy.
     """
     world = World()
     world.loss = lambda source, target, query_class: (
