--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -29,7 +29,7 @@
 from heathwell.kernel import Listener, Loop, Net, Timer
 from heathwell.merge import Malformed, Row
 from heathwell.observability.event_log import EventLog
-from heathwell.policy.records import Server
+from heathwell.policy.records import Endpoint
 from heathwell.regions import ClientDrain, Regions, Way, answerable
 from heathwell.settings import ServiceSettings
 from heathwell.storms import Limits, Storms
@@ -498,7 +498,7 @@
                 return self._remote_nodes, nobody
 
     @property
-    def endpoints(self) -> Mapping[str, Server]:
+    def endpoints(self) -> Mapping[str, Endpoint]:
         """All endpoints that the module knows, by node."""
         return self.aggregator.endpoints
 
--- a/heathwell/broker/zone_observer.py
+++ b/heathwell/broker/zone_observer.py
@@ -14,8 +14,15 @@
 from typing import Protocol
 
 from heathwell import policy
-from heathwell.fleet.evacuation import LEAVING, LEFT, PROBE, Decision, Evidence, Summary, ZoneWord
-from heathwell.fleet.evacuation.evidence import BAD, GOOD, LATE
+from heathwell.fleet.evacuation import (
+    PROBE_CLASS,
+    AttemptResult,
+    BrokerReport,
+    Decision,
+    Evidence,
+    ZoneDirective,
+    ZoneState,
+)
 from heathwell.kernel import Loop
 from heathwell.observability.event_log import EventLog
 
@@ -25,13 +32,13 @@
 DRAW_BYTES = 8
 NO_NODES = frozenset[str]()
 EVIDENCE_OF_OUTCOME = {
-    policy.Outcome.OK: GOOD,
-    policy.Outcome.CANCELLED: LATE,
-    policy.Outcome.TIMED_OUT: BAD,
-    policy.Outcome.REJECTED: BAD,
-    policy.Outcome.ERROR: BAD,
-    policy.Outcome.BROKEN: BAD,
-    policy.Outcome.UNREACHABLE: BAD,
+    policy.Outcome.OK: AttemptResult.GOOD,
+    policy.Outcome.CANCELLED: AttemptResult.LATE,
+    policy.Outcome.TIMED_OUT: AttemptResult.BAD,
+    policy.Outcome.REJECTED: AttemptResult.BAD,
+    policy.Outcome.ERROR: AttemptResult.BAD,
+    policy.Outcome.BROKEN: AttemptResult.BAD,
+    policy.Outcome.UNREACHABLE: AttemptResult.BAD,
 }
 
 
@@ -120,8 +127,8 @@
         evidence = EVIDENCE_OF_OUTCOME.get(outcome)
         if evidence is None or endpoint is None:
             return
-        if evidence == GOOD and duration_us > latency_objective_us:
-            evidence = LATE
+        if evidence == AttemptResult.GOOD and duration_us > latency_objective_us:
+            evidence = AttemptResult.LATE
         answered_in_us = duration_us if outcome == policy.Outcome.OK else 0
         self._record(endpoint, query_class, evidence, answered_in_us)
 
@@ -129,15 +136,21 @@
         """Record a probe."""
         endpoint = self._broker.endpoints.get(node)
         if endpoint is not None:
-            self._record(endpoint, PROBE, GOOD if outcome == policy.Outcome.OK else BAD)
-
-    def _record(self, endpoint: ZoneEndpoint, subject: str, evidence: str, answered_in_us: int = 0) -> None:
+            self._record(
+                endpoint,
+                PROBE_CLASS,
+                AttemptResult.GOOD if outcome == policy.Outcome.OK else AttemptResult.BAD,
+            )
+
+    def _record(
+        self, endpoint: ZoneEndpoint, subject: str, evidence: AttemptResult, answered_in_us: int = 0
+    ) -> None:
         zone = self._zone_names[endpoint.zone]
-        self._evidence.ended(self._broker.loop.now(), zone, subject, evidence, answered_in_us)
+        self._evidence.record_attempt(self._broker.loop.now(), zone, subject, evidence, answered_in_us)
 
-    def summary(self, now: int) -> Summary:
+    def summary(self, now: int) -> BrokerReport:
         """What the quota coordinators are told of this broker's evidence."""
-        return self._evidence.summary(now)
+        return self._evidence.report(now)
 
     # Decisions.
 
@@ -148,20 +161,22 @@
             "zones",
             term=decision.term,
             number=decision.number,
-            states={name: [word.state, word.share] for name, word in decision.zones.items()},
+            states={name: [word.state, word.traffic_share] for name, word in decision.zones.items()},
         )
         self._broker.log(
             "warning",
             "zones",
             decision=f"({decision.term}, {decision.number})",
-            states={name: f"{word.state} at {word.share:.0%}" for name, word in decision.zones.items()},
+            states={
+                name: f"{word.state} at {word.traffic_share:.0%}" for name, word in decision.zones.items()
+            },
         )
         self._apply_decision()
 
     def is_evacuated(self) -> bool:
         """Whether the fleet evacuates, or has evacuated, all work from the broker's own zone."""
         zone_decision = self.decision.zones.get(self.zone)
-        return zone_decision is not None and _is_evacuated(zone_decision) and not zone_decision.only
+        return zone_decision is not None and _is_evacuated(zone_decision) and not zone_decision.query_classes
 
     def _apply_decision(self) -> None:
         """Send the broker the restrictions that have changed."""
@@ -176,21 +191,21 @@
         """The endpoints to deprioritize, by query class and (None) for all."""
         restrictions: dict[int | None, frozenset[str]] = {None: NO_NODES}
         for name, zone_decision in self.decision.zones.items():
-            if name == self.zone and not zone_decision.only:
+            if name == self.zone and not zone_decision.query_classes:
                 continue  # the clients in its own zone are served by the endpoints there
-            if self._draw(name) < zone_decision.share:
+            if self._draw(name) < zone_decision.traffic_share:
                 continue
             nodes = frozenset(self._live_nodes(name))
             for query_class in self._evacuated_classes(zone_decision):
                 restrictions[query_class] = restrictions.get(query_class, NO_NODES) | nodes
         return restrictions
 
-    def _evacuated_classes(self, zone_decision: ZoneWord) -> Iterable[int | None]:
+    def _evacuated_classes(self, zone_decision: ZoneDirective) -> Iterable[int | None]:
         """The query classes that a decision on a zone concerns; None for all."""
-        if not zone_decision.only:
+        if not zone_decision.query_classes:
             return [None]
         names = self._broker.class_names
-        return [index for index, name in enumerate(names) if name in zone_decision.only]
+        return [index for index, name in enumerate(names) if name in zone_decision.query_classes]
 
     def _live_nodes(self, zone_name: str) -> list[str]:
         """The live endpoints of a zone; none of a zone that is not known here."""
@@ -234,8 +249,8 @@
     return observer
 
 
-def _is_evacuated(zone_decision: ZoneWord) -> bool:
-    return zone_decision.state in (LEAVING, LEFT)
+def _is_evacuated(zone_decision: ZoneDirective) -> bool:
+    return zone_decision.state in (ZoneState.EVACUATING, ZoneState.EVACUATED)
 
 
 def _all_classes_last(query_class: int | None) -> tuple[bool, int]:
