--- a/heathwell/gateway/__init__.py
+++ b/heathwell/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's way in and out: HTTP clients, nodes by frames, discovery by HTTP, one process by `run`."""
+"""The platform's protocols: clients and discovery over HTTP, nodes by frames, one broker per process."""
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -1,4 +1,8 @@
-"""The broker of the platform: the driver between checked requests, nodes and discovery."""
+"""The broker of the platform: the driver between checked requests, nodes and discovery.
+
+:class:`PlatformBroker` owns the links to nodes, their addresses and the watch of discovery; the driver that
+it extends owns queries and attempts. Imports the driver, the node links and discovery, never the front.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +11,6 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
-from typing import Any
 
 from heathwell import policy
 from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState
@@ -15,14 +18,17 @@
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.config import Config
 from heathwell.gateway.discovery import Discovery
-from heathwell.gateway.nodes import NodeAsk, NodeLink, Room
-from heathwell.gateway.requests import Wanted, WantedPart
-from heathwell.gateway.targets import Targets, news_of, state_of
+from heathwell.gateway.node_attempts import NodeRequest
+from heathwell.gateway.node_pool import NodeLink
+from heathwell.gateway.node_pool_limit import ConnectionPoolLimit
+from heathwell.gateway.requests import ClientRequest, RequestedPart
+from heathwell.gateway.targets import Targets, endpoint_state, to_endpoint_update
 from heathwell.kernel import Loop, Net
 from heathwell.observability.event_log import EventLog
 
-MARGIN_US = 8_000  # of a client's time: the way here and back, and what the loop may be late by
-SECOND = ".fetch"
+# Kept back of a client's timeout: the network both ways, and the delay of the loop.
+DEADLINE_MARGIN_US = 8_000
+SECOND_STEP_SUFFIX = ".fetch"
 
 
 @dataclass(slots=True)
@@ -34,18 +40,20 @@
 
 @dataclass(slots=True)
 class PlatformQuery(QueryState[PlatformPart]):
-    """A query as its client asked for it; ``answered`` and ``whole`` are the first step's, once it
-    has ended.
+    """A query with its request.
+
+    ``answered_shards`` and ``complete`` are the result of the first step, once it has ended.
     """
 
-    wanted: Wanted = Wanted("", 0, 0, "", False, b"", ())
-    answered: tuple[int, ...] = ()
-    whole: bool | None = None
+    request: ClientRequest = ClientRequest("", 0, 0, "", False, b"", ())
+    answered_shards: tuple[int, ...] = ()
+    complete: bool | None = None
 
 
 class PlatformBroker(Driver[PlatformQuery]):
-    """One broker on the platform. ``unix_us`` tells Unix time; it is read once, starts of nodes are counted
-    from it.
+    """One broker on the platform.
+
+    ``unix_us`` returns Unix time; it is read once, to convert the starts of nodes to the loop's clock.
     """
 
     links: dict[str, NodeLink]  # type: ignore[assignment]
@@ -61,18 +69,19 @@
         unix_us: Callable[[], int] = lambda: time.time_ns() // 1000,
     ) -> None:
         super().__init__(loop, config.settings, config.seed, name=config.name, events=events, log=log)
-        self.net, self.config = net, config
-        self.room = Room(config.node_sockets)
+        self.net = net
+        self.config = config
+        self.pool_limit = ConnectionPoolLimit(config.node_sockets)
         self.addresses: dict[str, str] = {}
-        self.passed: Counter[str] = Counter()  # figures of links that are gone
-        self._boots: dict[str, float] = {}
-        self._unix_offset = unix_us() - loop.now()
-        self._note(config.known)
+        self.closed_link_statistics: Counter[str] = Counter()
+        self._boot_ms: dict[str, float] = {}
+        self._unix_offset_us = unix_us() - loop.now()
+        self._update_addresses(config.known)
         self.watch = Discovery(
             loop,
             net,
             config.discovery,
-            self.told,
+            self.on_targets,
             log,
             hold_us=config.hold_us,
             seed=config.seed,
@@ -80,113 +89,138 @@
             grace_us=config.settings.drain_grace_us,
             rev=config.known.rev if config.known.all and config.known.targets else None,
         )
-        known = self._news(config.known, asked=False)
-        # Where lists are pushed, what the agent has counts as told from a process's first moment, and what
-        # was known may be older: nothing is sent by it before the agent has been heard, or can't be. Queries
-        # wait for that.
-        self._unheard = None if config.settings.poll_mode else known
-        self.begin_service(self.watch, known.endpoints if self.ready else ())
+        initial_update = self._endpoint_update(config.known, requested=False)
+        # Where lists are pushed, discovery's list is in effect from the process's first moment, and the
+        # configured one may be older: it is not used before discovery has answered or failed. Queries wait
+        # for that.
+        self._initial_update = None if config.settings.poll_mode else initial_update
+        self.begin_service(self.watch, initial_update.endpoints if self.ready else ())
 
     @property
     def ready(self) -> bool:
-        """Whether there is a list to go by."""
-        return self._unheard is None
+        """Whether there is an endpoint list to use."""
+        return self._initial_update is None
 
-    def begin(self, wanted: Wanted, on_reply: OnReply, arrived_us: int) -> Handle | None:
-        """Take a checked request that arrived then; its one reply comes by ``on_reply``, never before this
-        returns.
+    def begin(self, request: ClientRequest, on_reply: OnReply, arrived_at_us: int) -> Handle | None:
+        """Start the query of a checked request; its only reply is given to ``on_reply`` after this returns.
 
-        What can't be held is refused at the door and never reaches the module; None is returned then.
+        At capacity the request is rejected, never reaches the module, and ``None`` is returned.
         """
-        spec = self.settings.classes[wanted.query_class]
-        if self.is_full(len(wanted.parts)):
-            self.counters["door", spec.name, "full"] += 1
-            after = (
-                min(spec.latency_objective_us, self.settings.max_retry_after_us)
-                if self.settings.retry_advice_allowed
-                else 0
-            )
-            self.loop.call_soon(
-                on_reply, Reply(REFUSED, query_class=spec.name, retry_after_us=after, reason="full")
-            )
+        spec = self.settings.classes[request.query_class]
+        if self.is_full(len(request.parts)):
+            self._reject(spec, on_reply)
             return None
         self.last_job += 1
-        deadline = max(arrived_us + wanted.wait_us - MARGIN_US, arrived_us + self.settings.tick_us)
+        deadline_us = max(
+            arrived_at_us + request.wait_us - DEADLINE_MARGIN_US, arrived_at_us + self.settings.tick_us
+        )
         query = PlatformQuery(
-            wanted.id, self.last_job, wanted.query_class, arrived_us, deadline, on_reply, wanted=wanted
+            request.id,
+            self.last_job,
+            request.query_class,
+            arrived_at_us,
+            deadline_us,
+            on_reply,
+            request=request,
+        )
+        self._log_arrival(query, spec)
+        handle = self.admit(query)
+        hints_us = [part.hint_us for part in request.parts if part.hint_us is not None]
+        self.enter(
+            query,
+            ((PlatformPart(f"{query.id}.{part.shard}", part, 1), part.hint_us) for part in request.parts),
+            len(request.parts),
+            sum(hints_us) if hints_us else None,
+            request.retry,
+            request.tenant,
+        )
+        return handle
+
+    def _reject(self, spec: policy.QueryClass, on_reply: OnReply) -> None:
+        self.counters["door", spec.name, "full"] += 1
+        retry_after_us = (
+            min(spec.latency_objective_us, self.settings.max_retry_after_us)
+            if self.settings.retry_advice_allowed
+            else 0
         )
+        reply = Reply(REFUSED, query_class=spec.name, retry_after_us=retry_after_us, reason="full")
+        self.loop.call_soon(on_reply, reply)
+
+    def _log_arrival(self, query: PlatformQuery, spec: policy.QueryClass) -> None:
+        parts = query.request.parts
         self.events(
             "take",
             q=query.id,
             req=query.id,
             key="",
             klass=spec.name,
-            parts=len(wanted.parts),
-            deadline=deadline - arrived_us,
-            shards=[part.shard for part in wanted.parts],
-        )
-        handle = self.admit(query)
-        hints = [part.hint_us for part in wanted.parts if part.hint_us is not None]
-        self.enter(
-            query,
-            ((PlatformPart(f"{query.id}.{part.shard}", part, 1), part.hint_us) for part in wanted.parts),
-            len(wanted.parts),
-            sum(hints) if hints else None,
-            wanted.retry,
-            wanted.tenant,
+            parts=len(parts),
+            deadline=query.deadline_us - query.started_at_us,
+            shards=[part.shard for part in parts],
         )
-        return handle
 
-    def told(self, targets: Targets | None) -> None:
-        """Discovery's answer, None for a failure."""
-        if self._unheard is not None:
-            known, self._unheard = self._unheard, None
-            self._push(known)
+    def on_targets(self, targets: Targets | None) -> None:
+        """Take over an answer of discovery, ``None`` for a failure."""
+        initial_update = self._initial_update
+        if initial_update is not None:
+            self._initial_update = None
+            self._push(initial_update)
         if targets is None:
             self.on_endpoint_update(policy.EndpointUpdate(policy.UpdateKind.FAILED))
             return
-        other = self._note(targets)
-        self.on_endpoint_update(self._news(targets))
-        # What waits for a connection is taken back after the news, so that it is placed anew by the list of
-        # now.
-        other |= {target.uid for target in targets.targets if state_of(target) != policy.EndpointState.LIVE}
+        unavailable = self._update_addresses(targets)
+        self.on_endpoint_update(self._endpoint_update(targets))
+        # Unsent attempts are withdrawn after the update, so that they are placed by the new list.
+        unavailable |= {
+            target.uid for target in targets.targets if endpoint_state(target) != policy.EndpointState.LIVE
+        }
+        self._update_links(unavailable)
+
+    def _update_links(self, unavailable: set[str]) -> None:
+        """Apply the addresses to the links; nothing unsent goes to a node that is ``unavailable``."""
         for node, link in list(self.links.items()):
             if node not in self.addresses:
-                link.leave()
+                link.on_endpoint_removed()
                 if not link.connections:
-                    self.passed.update(link.figures())
+                    self.closed_link_statistics.update(link.statistics())
                     del self.links[node]
                 continue
-            link.move(self.addresses[node])
-            if node in other:
-                link.take_back()
+            link.set_address(self.addresses[node])
+            if node in unavailable:
+                link.withdraw_unsent()
 
-    def _news(self, targets: Targets, asked: bool = True) -> policy.EndpointUpdate:
-        return news_of(targets, self.config.zones, self.settings.replica_groups, self._unix_offset, asked)
+    def _endpoint_update(self, targets: Targets, requested: bool = True) -> policy.EndpointUpdate:
+        return to_endpoint_update(
+            targets,
+            self.config.zones,
+            self.settings.replica_groups,
+            self._unix_offset_us,
+            requested,
+        )
 
-    def _note(self, targets: Targets) -> set[str]:
-        """Where each listed node is met, and since when it runs; those that are another process now, which is
-        cold.
-        """
+    def _update_addresses(self, targets: Targets) -> set[str]:
+        """Take over addresses and starts of the listed nodes; return the nodes that were restarted."""
         restarted = {
             target.uid
             for target in targets.targets
-            if self._boots.get(target.uid, target.boot_ms) != target.boot_ms
+            if self._boot_ms.get(target.uid, target.boot_ms) != target.boot_ms
         }
         if targets.all:
-            self.addresses, self._boots = {}, {}
+            self.addresses = {}
+            self._boot_ms = {}
         for target in targets.targets:
             if target.state == "removed":
                 self.addresses.pop(target.uid, None)
-                self._boots.pop(target.uid, None)
+                self._boot_ms.pop(target.uid, None)
             else:
-                self.addresses[target.uid], self._boots[target.uid] = target.endpoint, target.boot_ms
+                self.addresses[target.uid] = target.endpoint
+                self._boot_ms[target.uid] = target.boot_ms
         return restarted
 
-    # What the driver asks for.
+    # Called by the driver.
 
     def new_link(self, node: str) -> NodeLink:
-        """The link to a node where it is listed now."""
+        """Return a link to a node at its present address."""
         return NodeLink(
             self.loop,
             self.net,
@@ -194,54 +228,64 @@
             self.addresses.get(node, ""),
             self,
             self.config.connections,
-            self.room,
+            self.pool_limit,
             self.log,
         )
 
-    def attempt_request(self, query: PlatformQuery, part: PlatformPart, seq: int, left_us: int) -> NodeAsk:
-        """A part's line and text."""
-        second = part.step == 2
-        return NodeAsk(
+    def attempt_request(
+        self, query: PlatformQuery, part: PlatformPart, seq: int, left_us: int
+    ) -> NodeRequest:
+        """Return an attempt of a part, to be waited for ``left_us`` from now on."""
+        is_second_step = part.step == 2
+        return NodeRequest(
             part.id,
             seq,
             partial(
                 nf.part_call,
                 part.id,
                 part.plan.shard,
-                text=query.wanted.text,
-                key=query.wanted.key,
-                answered=query.answered if second else (),
-                whole=query.whole if second else None,
+                text=query.request.text,
+                key=query.request.key,
+                answered=query.answered_shards if is_second_step else (),
+                whole=query.complete if is_second_step else None,
             ),
             self.loop.now() + left_us,
         )
 
-    def on_part_answered(self, query: PlatformQuery, part: PlatformPart, key: Key, result: Any) -> None:
-        """Its score chooses among the shards of a second step."""
+    def on_part_answered(
+        self, query: PlatformQuery, part: PlatformPart, key: Key, result: nf.PartAnswer
+    ) -> None:
+        """Keep the score, by which the shards of a second step are chosen."""
         part.score = result.score
 
     def second_step(self, query: PlatformQuery, whole: bool) -> Iterator[tuple[PlatformPart, int | None]]:
-        """Parts at the shards of the highest scores among those in."""
+        """Yield parts, without hints, at the shards of the highest scores among those answered."""
         answered = [part for part in query.parts.values() if part.data is not None]
-        query.answered, query.whole = tuple(sorted(part.plan.shard for part in answered)), whole
+        query.answered_shards = tuple(sorted(part.plan.shard for part in answered))
+        query.complete = whole
         best = sorted(answered, key=lambda part: -part.score)[: self._query_class(query).second_step_parts]
         for part in best:
-            yield (PlatformPart(part.id + SECOND, WantedPart(part.plan.shard, 1 / len(best), None), 2), None)
+            yield (
+                PlatformPart(
+                    part.id + SECOND_STEP_SUFFIX, RequestedPart(part.plan.shard, 1 / len(best), None), 2
+                ),
+                None,
+            )
 
     def merge(self, query: PlatformQuery, whole: bool) -> Reply:
-        """The values of the last step's parts that are in, as nodes gave them."""
-        rows = [
+        """Return the reply with the values of the last step's answered parts, as the nodes gave them."""
+        values = [
             {"id": part.plan.shard, "data": part.data.decode("ascii")}
             for part in query.parts.values()
             if part.step == query.step and part.data is not None
         ]
         return Reply(
-            ANSWERED, query.id, self._query_class(query).name, whole, body={"exact": whole, "rows": rows}
+            ANSWERED, query.id, self._query_class(query).name, whole, body={"exact": whole, "rows": values}
         )
 
     def on_reply_made(self, query: PlatformQuery, reply: Reply, took_us: int) -> None:
-        """The event log hears of it."""
-        if self.events.on:  # the lists are a cost that only a log pays for
+        """Log the reply."""
+        if self.events.on:  # the lists are costly to make
             used = {part.id: part.seq for part in query.parts.values() if part.data is not None}
             self.events(
                 "final",
--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -1,30 +1,34 @@
-"""What the platform tells a broker at its start and at SIGHUP, checked whole: an error names its field."""
+"""The configuration that the platform gives a broker at its start and at SIGHUP, checked completely.
+
+Each error names its field. Pure but for :func:`load`, which reads the file. Imports the conversion of
+settings and the decoder of endpoint lists.
+"""
 
 from __future__ import annotations
 
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from heathwell import policy
 from heathwell.gateway.targets import Targets, TargetsError
 from heathwell.kernel.net import split_address
 from heathwell.settings_from_platform import WireError, settings_from
 
-SOCKETS_LEAST = 64
-NEVER_US = 1 << 53
-HOLD_US = 1_500_000  # of a watch where the settings state no time to ask in
-RESERVED_SOCKETS = 24  # standard streams, the poller, the listener, discovery, and what the language opens
+MIN_SOCKETS = 64
+MAX_NUMBER = 1 << 53
+NO_TIMEOUT_US = 1 << 53
+DEFAULT_HOLD_US = 1_500_000  # of a watch, if the settings state no interval to ask in
+RESERVED_SOCKETS = 24  # standard streams, the poller, the listener, discovery, and those of the runtime
 
 
 class ConfigError(Exception):
-    """A configuration that can't be used; the text names the field."""
+    """A configuration that cannot be used; the message names the field."""
 
 
 @dataclass(frozen=True, slots=True)
 class Connections:
-    """Figures of connections to nodes (us)."""
+    """Limits of a connection to a node: parts in flight, idle time and connect timeout."""
 
     streams: int
     idle_us: int
@@ -33,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """A broker's start. ``known`` is the list of nodes as it was last had, in discovery's form."""
+    """A broker's configuration; ``known`` is the latest endpoint list that the platform had."""
 
     name: str
     listen: str
@@ -47,42 +51,64 @@
 
     @property
     def hold_us(self) -> int:
-        """How long a watch of discovery waits: no call is due sooner, and discovery serves all brokers in
-        turn.
-        """
-        return self.settings.poll_within_us or HOLD_US
+        """How long a watch of discovery waits: no call is due sooner, and discovery serves many brokers."""
+        return self.settings.poll_within_us or DEFAULT_HOLD_US
 
     @property
     def node_sockets(self) -> int:
-        """Descriptors set aside for nodes."""
+        """Descriptors reserved for connections to nodes."""
         return self.sockets // 4
 
     @property
     def client_sockets(self) -> int:
-        """Descriptors that clients may hold."""
+        """Descriptors for clients' connections."""
         return self.sockets - self.node_sockets - RESERVED_SOCKETS
 
     @property
     def kept_clients(self) -> int:
-        """Clients' connections at rest that are kept: half of what they hold at the most for requests."""
+        """Inactive clients' connections that stay open: half of those that they use at most for requests."""
         return self.sockets // 6
 
 
-def _table(value: Any, field: str) -> dict[str, Any]:
-    if not isinstance(value, dict):
-        raise ConfigError(f"{field}: an object is expected")
-    return value
-
-
-def _word(table: Mapping[str, Any], field: str) -> str:
-    value = table.get(field)
-    if not isinstance(value, str) or not value:
-        raise ConfigError(f"{field}: missing, or not text")
-    return value
-
-
-def _address(table: Mapping[str, Any], field: str) -> str:
-    value = _word(table, field)
+class _Table:
+    """A JSON object of the file; its reading methods raise :class:`ConfigError`, which names the field."""
+
+    def __init__(self, value: object, name: str) -> None:
+        if not isinstance(value, dict):
+            raise ConfigError(f"{name}: an object is expected")
+        self.name = name
+        self.values: dict[str, object] = value
+
+    def table(self, field: str) -> _Table:
+        """Return a nested object."""
+        return _Table(self.values.get(field), field)
+
+    def text(self, field: str) -> str:
+        """Return a text that is not empty."""
+        value = self.values.get(field)
+        if not isinstance(value, str) or not value:
+            raise ConfigError(f"{field}: missing, or not text")
+        return value
+
+    def address(self, field: str) -> str:
+        """Return an address; only the one to listen on may have port 0."""
+        return _check_address(self.text(field), field)
+
+    def number(self, field: str, minimum: int) -> int:
+        """Return a number of at least ``minimum``, cut to a whole one; 0 if absent and ``minimum`` is 0."""
+        value = self.values.get(field)
+        if value is None and minimum == 0:
+            return 0
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, int | float)
+            or not minimum <= value <= MAX_NUMBER
+        ):
+            raise ConfigError(f"{self.name}.{field}: a number of at least {minimum} is expected")
+        return int(value)
+
+
+def _check_address(value: str, field: str) -> str:
     try:
         host, port = split_address(value)
     except ValueError as problem:
@@ -92,67 +118,76 @@
     return value
 
 
-def _whole(table: Mapping[str, Any], field: str, within: str, least: int) -> int:
-    value = table.get(field)
-    if value is None and least == 0:
-        return 0
-    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= 1 << 53:
-        raise ConfigError(f"{within}.{field}: a number of at least {least} is expected")
-    return int(value)
-
-
 def read(data: bytes) -> Config:
-    """The configuration of a file's bytes; raises :class:`ConfigError`."""
+    """Return the configuration of a file's bytes; raises :class:`ConfigError`."""
     try:
-        table = _table(json.loads(data), "the file")
+        table = _Table(json.loads(data), "the file")
     except (ValueError, RecursionError) as problem:
         raise ConfigError(f"the file is not JSON: {problem}") from None
-    seed = _word(table, "seed")
+    seed = _seed(table)
+    limits = table.table("limits")
+    setup = table.table("settings")
+    settings = _settings(setup)
+    ceilings = _Table(setup.values["ceilings"], "settings.ceilings")
+    zones = _zones(setup)
+    known = _known(table)
+    return Config(
+        name=table.text("name"),
+        listen=table.address("listen"),
+        discovery=table.address("discovery"),
+        seed=seed,
+        sockets=limits.number("sockets", MIN_SOCKETS),
+        settings=settings,
+        connections=_connections(ceilings, settings),
+        zones=zones,
+        known=known,
+    )
+
+
+def _seed(table: _Table) -> int:
+    seed = table.text("seed")
     try:
-        number = int(seed, 16)
+        return int(seed, 16)
     except ValueError:
         raise ConfigError(f"seed: {seed!r} is not a hexadecimal number") from None
-    limits = _table(table.get("limits"), "limits")
-    setup = _table(table.get("settings"), "settings")
+
+
+def _settings(setup: _Table) -> policy.Settings:
     try:
-        settings = settings_from(setup)
+        return settings_from(setup.values)
     except (WireError, ValueError, TypeError, AttributeError) as problem:
         raise ConfigError(f"settings: {problem}") from None
-    ceilings = setup["ceilings"]
-    zones = setup.get("zones") or []
+
+
+def _zones(setup: _Table) -> tuple[str, ...]:
+    zones = setup.values.get("zones") or []
     if not isinstance(zones, list) or not all(isinstance(zone, str) for zone in zones):
         raise ConfigError("settings.zones: a list of names is expected")
+    return tuple(zones)
+
+
+def _known(table: _Table) -> Targets:
     try:
-        known = Targets.from_json(table.get("known") or {"rev": 0, "all": True, "targets": []})
+        return Targets.from_json(table.values.get("known") or {"rev": 0, "all": True, "targets": []})
     except TargetsError as problem:
         raise ConfigError(f"known: {problem}") from None
-    within = "settings.ceilings"
-    return Config(
-        name=_word(table, "name"),
-        listen=_address(table, "listen"),
-        discovery=_address(table, "discovery"),
-        seed=number,
-        sockets=_whole(limits, "sockets", "limits", SOCKETS_LEAST),
-        settings=settings,
-        # Where none is stated: a part a connection, no end of idle ones, no wait beyond what any client
-        # waits.
-        connections=Connections(
-            _whole(ceilings, "streams-per-conn", within, 0) or 1,
-            _whole(ceilings, "conn-idle-us", within, 0) or NEVER_US,
-            _whole(ceilings, "connect-timeout-us", within, 0)
-            or min(spec.timeout_us for spec in settings.classes),
-        ),
-        zones=tuple(zones),
-        known=known,
+
+
+def _connections(ceilings: _Table, settings: policy.Settings) -> Connections:
+    """Limits of connections; if not stated: one part, no idle timeout, and no longer wait than a client's."""
+    return Connections(
+        ceilings.number("streams-per-conn", 0) or 1,
+        ceilings.number("conn-idle-us", 0) or NO_TIMEOUT_US,
+        ceilings.number("connect-timeout-us", 0) or min(spec.timeout_us for spec in settings.classes),
     )
 
 
 def load(environment: Mapping[str, str]) -> Config:
-    """The configuration that the environment names; raises :class:`ConfigError`, of a file that can't be read
-    too.
+    """Return the configuration that the environment names.
 
-    Name and address must agree with the file, as two that tell apart leave open which one is meant. Discovery
-    may have moved since the variable was set: it must be an address, and the file's is used.
+    Raises :class:`ConfigError`, also for a file that cannot be read. Name and address must agree with the
+    file, as it is unknown which one is meant otherwise. Discovery may have moved since the variable was set:
+    it must be an address, and the file's is used.
     """
     path = environment.get("GW_CONFIG")
     if not path:
@@ -164,9 +199,12 @@
         raise ConfigError(f"GW_CONFIG: {path}: {problem.strerror}") from None
     config = read(data)
     for variable, value in (("GW_NAME", config.name), ("GW_LISTEN", config.listen)):
-        said = environment.get(variable)
-        if said is not None and said != value:
-            raise ConfigError(f"{variable}: {said!r}, but the file says {value!r}")
+        expected = environment.get(variable)
+        if expected is not None and expected != value:
+            raise ConfigError(f"{variable}: {expected!r}, but the file says {value!r}")
     if "GW_DISCOVERY" in environment:
-        _address(environment, "GW_DISCOVERY")
+        discovery = environment["GW_DISCOVERY"]
+        if not discovery:
+            raise ConfigError("GW_DISCOVERY: missing, or not text")
+        _check_address(discovery, "GW_DISCOVERY")
     return config
--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -1,12 +1,13 @@
-"""The platform's discovery over HTTP: a watch that goes on, call after call, from the version that is held.
+"""The platform's discovery over HTTP: a watch that continues, call after call, from the version that is held.
 
-The module says when to ask; from then on each answer is told to it, until a call fails. That is told too, and
-the module decides when to ask again. The only time-outs are a call's own, so that a silent connection is
-noticed.
+The module decides when to ask; from then on each answer is passed on until a call fails. The failure is
+passed on too, and the module decides when to ask again. The only timeouts are those of a call, so that a
+silent connection is noticed. :class:`Discovery` owns its connection and the version held; what an answer
+means is for its listener. Imports the HTTP codec, the decoder of answers and the event loop.
 
-Discovery serves all brokers in turn, and a line costs it work. So a call asks for what has changed since the
-version held, which the configuration gives at the start, also after one that failed; the whole list is asked
-for where no version is held, or where discovery has moved.
+Discovery serves all brokers in turn, and each line costs it work. So a call asks for what changed since the
+version held, which the configuration gives at the start, also after a failed call; the complete list is
+requested if no version is held, or discovery moved to another address.
 """
 
 from __future__ import annotations
@@ -18,47 +19,51 @@
 from heathwell.gateway.targets import Targets, TargetsError
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, sleep
 
-HOLD_MOST_US = 60_000_000  # of a watch, by the protocol page
-CALL_US = 1_500_000  # for a call that does not wait
-LATE_US = (
-    1_000_000  # for one that waits, beyond that: half of the 2 s after which what it misses counts as told
-)
-CONNECT_US = 500_000
-TOLD_US, TOLD_LATE_US = (
-    6_000_000,
-    2_000_000,
-)  # the page's: from the silence, or the end of a wait if that is later
-MOVED_US = 4_000_000  # the page of the days: after SIGHUP what the new address has counts as told
-AGAIN_US, AGAIN_MOST_US = (
-    100_000,
-    800_000,
-)  # first and longest pause between calls while a change may count as told
-LIST = "/api/targets"
-LIST_MOST = 1 << 20
+MAX_HOLD_US = 60_000_000  # of a watch, by the platform's protocol
+CALL_TIMEOUT_US = 1_500_000  # of a call that does not wait
+# Of a call that waits, beyond its wait: half of the time after which what it misses takes effect.
+WATCH_GRACE_US = 1_000_000
+CONNECT_TIMEOUT_US = 500_000
+# By the platform's protocol a change takes effect this long after discovery fell silent, or this long after
+# the end of a wait if that is later.
+EFFECTIVE_AFTER_SILENCE_US = 6_000_000
+EFFECTIVE_AFTER_WAIT_US = 2_000_000
+# After SIGHUP the list at the new address takes effect within this time, by the platform's protocol.
+EFFECTIVE_AFTER_MOVE_US = 4_000_000
+# Pauses between calls while a change that was missed may take effect.
+MIN_RETRY_PAUSE_US = 100_000
+MAX_RETRY_PAUSE_US = 800_000
+# A watch waits a random fraction of its hold time, so that brokers started together ask apart.
+MIN_HOLD_FRACTION = 0.75
+PATH = "/api/targets"
+MAX_BODY_BYTES = 1 << 20
 
 
 def longest_wait(grace_us: int) -> int:
-    """How long a watch may wait so that one that falls silent is noticed, opened anew and answered before
-    what it missed binds: a change counts as told ``TOLD_US`` after the silence, or ``TOLD_LATE_US`` after the
-    wait, and a drain binds ``grace_us`` later. In the worst case it falls silent as it begins.
+    """Return the longest wait (us) of a watch that can fall silent and be replaced in time.
+
+    It must be noticed, opened again and answered before what it missed binds: a change takes effect
+    ``EFFECTIVE_AFTER_SILENCE_US`` after the silence, or ``EFFECTIVE_AFTER_WAIT_US`` after the wait, and a
+    drain binds ``grace_us`` later. In the worst case the watch falls silent as it begins.
     """
-    renewed = LATE_US + CONNECT_US + CALL_US
-    return HOLD_MOST_US if renewed <= TOLD_LATE_US + grace_us else max(TOLD_US + grace_us - renewed, 0)
+    renewed_us = WATCH_GRACE_US + CONNECT_TIMEOUT_US + CALL_TIMEOUT_US
+    if renewed_us <= EFFECTIVE_AFTER_WAIT_US + grace_us:
+        return MAX_HOLD_US
+    return max(EFFECTIVE_AFTER_SILENCE_US + grace_us - renewed_us, 0)
 
 
-class Silent(Exception):
-    """A call that was not answered in its time: its connection may be gone and never say so."""
+class DiscoverySilentError(Exception):
+    """A call was not answered in its time: its connection may be lost without a sign."""
 
 
 class Discovery:
-    """Watches the list at one address, which may move. ``rev`` is the version of the list that is held at the
-    start, None for no list; ``hold_us`` is how long a watch waits at the most, and three quarters of it at
-    the least, so that brokers that began together ask apart. A lost connection is noticed so much later, and
-    its answer's time.
-
-    ``pushed``: the watch is on from the start, as what the agent has counts as told whether it is asked or
-    not. ``grace_us`` after a change counts as told it binds: up to then a call that fails for a watch that
-    fell silent, or at an address that is new, is made again soon; other failures wait for the module's word.
+    """Watches the endpoint list at one address, which may change.
+
+    ``rev`` is the version of the list held at the start, ``None`` for no list; ``hold_us`` is how long a
+    watch waits at most. ``pushed``: the watch is on from the start, as a change takes effect whether it was
+    requested or not. ``grace_us`` after a change takes effect it binds: until then a call that fails for a
+    watch that fell silent, or at a new address, is repeated soon; other failures wait for the module.
+    ``listener`` gets each answer, and ``None`` for a failure.
     """
 
     def __init__(
@@ -66,7 +71,7 @@
         loop: Loop,
         net: Net,
         address: str,
-        news: Callable[[Targets | None], None],
+        listener: Callable[[Targets | None], None],
         log: Callable[..., None],
         *,
         rev: int | None,
@@ -75,17 +80,24 @@
         pushed: bool = False,
         grace_us: int = 0,
     ) -> None:
-        self.loop, self.net, self.address, self.news, self.log = loop, net, address, news, log
+        self.loop = loop
+        self.net = net
+        self.address = address
+        self.listener = listener
+        self.log = log
         self.random = random.Random(seed)
-        self.calls = self.failures = 0
-        self.rev, self.hold_us = rev, min(hold_us, longest_wait(grace_us))
-        self.pushed, self.grace_us = pushed, grace_us
-        self._urgent_until = 0
+        self.calls = 0
+        self.failures = 0
+        self.rev = rev
+        self.hold_us = min(hold_us, longest_wait(grace_us))
+        self.pushed = pushed
+        self.grace_us = grace_us
+        self._urgent_until_us = 0
         self._answered = False  # since the watch was last opened
         self._task: Task | None = None
 
     def start(self) -> None:
-        """Watch, where lists are pushed; elsewhere the module asks."""
+        """Watch if lists are pushed; otherwise the module asks first."""
         if self.pushed:
             self.ask()
 
@@ -95,81 +107,104 @@
             self._task = self.loop.spawn(self._watch(self.address), "discovery")
 
     def move(self, address: str) -> None:
-        """Go on at another address, at once and from the whole list."""
-        self.address, self.rev = address, None
-        self._urgent_until = self.loop.now() + MOVED_US + self.grace_us
+        """Watch another address, at once and from the complete list."""
+        self.address = address
+        self.rev = None
+        self._urgent_until_us = self.loop.now() + EFFECTIVE_AFTER_MOVE_US + self.grace_us
         self.close()
         self.ask()
 
     def close(self) -> None:
-        """Ask no more."""
+        """End the watch."""
         if self._task is not None:
             self._task.cancel()
             self._task = None
 
     def _watch(self, address: str) -> Coro[None]:
-        # What one that fell silent missed is asked for at once; where lists are pushed what is new is, as it
-        # counts.
-        anew, pause = self.pushed, AGAIN_US
+        # What a silent watch missed is requested without a wait; so is the first answer where lists are
+        # pushed, as it may have taken effect.
+        at_once = self.pushed
+        pause_us = MIN_RETRY_PAUSE_US
         while True:
             self._answered = False
             try:
-                yield from self._calls(address, anew)
-            except Silent as problem:
-                if self._answered or not anew:
-                    anew, pause = True, AGAIN_US
+                yield from self._call_repeatedly(address, at_once)
+            except DiscoverySilentError as problem:
+                if self._answered or not at_once:
+                    at_once = True
+                    pause_us = MIN_RETRY_PAUSE_US
                     self.log("info", "discovery: the watch fell silent, it is opened anew")
                     continue
                 failure: Exception = problem
             except (ConnectFailed, StreamBroken, HttpError, TargetsError) as problem:
                 failure = problem
             self.failures += 1
-            if self.loop.now() + pause >= self._urgent_until:
+            if self.loop.now() + pause_us >= self._urgent_until_us:
                 break
-            yield from sleep(self.loop, int(pause * self.random.uniform(0.5, 1.0)))
-            pause = min(2 * pause, AGAIN_MOST_US)
+            yield from sleep(self.loop, int(pause_us * self.random.uniform(0.5, 1.0)))
+            pause_us = min(2 * pause_us, MAX_RETRY_PAUSE_US)
         self._task = None
         self.log("info", "discovery: call failed or watch broken", why=str(failure))
-        self.news(None)
+        self.listener(None)
 
-    def _calls(self, address: str, anew: bool) -> Coro[None]:
-        """Calls over one connection after another, until one fails; raises what ended it."""
+    def _call_repeatedly(self, address: str, at_once: bool) -> Coro[None]:
+        """Call over one connection after another until a call fails; raises what ended it."""
         stream: Stream | None = None
         try:
-            stream = yield from self.net.connect(address, CONNECT_US)
-            side = ClientSide(address, LIST_MOST)
+            stream = yield from self.net.connect(address, CONNECT_TIMEOUT_US)
+            side = ClientSide(address, MAX_BODY_BYTES)
             while True:
-                wait = 0 if self.rev is None or anew else int(self.hold_us * self.random.uniform(0.75, 1.0))
-                target = LIST if self.rev is None else f"{LIST}?from={self.rev}&hold_ms={wait // 1000}"
+                wait_us = self._wait_us(at_once)
+                path = self._path(wait_us)
                 if not side.reusable:
                     stream.close()
-                    stream = yield from self.net.connect(address, CONNECT_US)
-                    side = ClientSide(address, LIST_MOST)
-                began = self.loop.now()
-                try:
-                    targets = yield from self._call(stream, side, target, wait + LATE_US if wait else CALL_US)
-                except Silent:
-                    if wait:
-                        told = max(began + TOLD_US, began + wait + TOLD_LATE_US)
-                        self._urgent_until = max(self._urgent_until, told + self.grace_us)
-                    raise
-                anew = False
-                if not targets.all and self.rev is not None and targets.rev < self.rev:
-                    self.rev = None  # changes of a list that is older than ours: only a whole one says more
-                    continue
-                self.rev, self._answered = targets.rev, True
-                self._urgent_until = 0
-                self.news(targets)
+                    stream = yield from self.net.connect(address, CONNECT_TIMEOUT_US)
+                    side = ClientSide(address, MAX_BODY_BYTES)
+                targets = yield from self._watch_call(stream, side, path, wait_us)
+                at_once = False
+                self._on_targets(targets)
         finally:
             if stream is not None:
                 stream.abort()
 
-    def _call(self, stream: Stream, side: ClientSide, target: str, within_us: int) -> Coro[Targets]:
+    def _wait_us(self, at_once: bool) -> int:
+        if self.rev is None or at_once:
+            return 0
+        return int(self.hold_us * self.random.uniform(MIN_HOLD_FRACTION, 1.0))
+
+    def _path(self, wait_us: int) -> str:
+        return PATH if self.rev is None else f"{PATH}?from={self.rev}&hold_ms={wait_us // 1000}"
+
+    def _watch_call(self, stream: Stream, side: ClientSide, path: str, wait_us: int) -> Coro[Targets]:
+        """One call; if it falls silent while waiting, what it missed is urgent until it binds."""
+        began_at_us = self.loop.now()
+        timeout_us = wait_us + WATCH_GRACE_US if wait_us else CALL_TIMEOUT_US
+        try:
+            return (yield from self._call(stream, side, path, timeout_us))
+        except DiscoverySilentError:
+            if wait_us:
+                effective_at_us = max(
+                    began_at_us + EFFECTIVE_AFTER_SILENCE_US,
+                    began_at_us + wait_us + EFFECTIVE_AFTER_WAIT_US,
+                )
+                self._urgent_until_us = max(self._urgent_until_us, effective_at_us + self.grace_us)
+            raise
+
+    def _on_targets(self, targets: Targets) -> None:
+        if not targets.all and self.rev is not None and targets.rev < self.rev:
+            self.rev = None  # changes of a list older than ours: only a complete one helps
+            return
+        self.rev = targets.rev
+        self._answered = True
+        self._urgent_until_us = 0
+        self.listener(targets)
+
+    def _call(self, stream: Stream, side: ClientSide, path: str, timeout_us: int) -> Coro[Targets]:
         """One call; raises what ends a watch."""
         self.calls += 1
-        stream.write(side.request("GET", target))
-        until = self.loop.now() + within_us
-        limit = self.loop.call_at(until, stream.abort)
+        stream.write(side.request("GET", path))
+        timeout_at_us = self.loop.now() + timeout_us
+        timer = self.loop.call_at(timeout_at_us, stream.abort)
         try:
             while True:
                 data = yield from stream.read()
@@ -178,10 +213,10 @@
                     continue
                 if response.status != 200:
                     raise HttpError(f"status {response.status}")
-                return Targets.of(response.body)
+                return Targets.from_bytes(response.body)
         except StreamBroken:
-            if self.loop.now() >= until:
-                raise Silent("no answer in time") from None
+            if self.loop.now() >= timeout_at_us:
+                raise DiscoverySilentError("no answer in time") from None
             raise
         finally:
-            limit.cancel()
+            timer.cancel()
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -1,8 +1,8 @@
-"""Clients over HTTP: each request checked whole, handed to the broker, answered once.
+"""Clients over HTTP: each request is checked completely, handed to the broker, and answered once.
 
-Every connection is within bounds of head, body, time and number. A front adds no retry, cache or time-out of
-a query's own: its times are only those of a request that does not come whole, and of a connection that asks
-for nothing.
+:class:`Front` owns the clients' connections, within bounds of head, body, time and number; the broker owns
+the queries. The front adds no retry, cache or timeout to a query: its timeouts are only those of a request
+that does not arrive completely, and of a connection without a request. Imports the HTTP codec and the broker.
 """
 
 from __future__ import annotations
@@ -17,46 +17,53 @@
 from heathwell.broker.replies import ANSWERED, REFUSED, Reply
 from heathwell.codec.http import Request, Response, ServerSide
 from heathwell.gateway.broker import PlatformBroker
-from heathwell.gateway.requests import BadRequest, Checker
+from heathwell.gateway.requests import BadRequestError, RequestChecker
 from heathwell.kernel import Coro, Event, Overrun, Stream, StreamBroken
 
-HEAD_MOST, BODY_MOST = 16_384, 65_536
-WHOLE_US = 2_500_000  # for a request to come whole; for a connection's first from its connect on
-SILENT_US = 2_100_000  # of a connection that never asked
-IDLE_US = 8_000_000  # of one that has been answered
-VICTIMS_MOST = 8  # of those at rest that are looked at for one that makes room
-NEW_US = 200_000  # of one that never asked, while the process ends: its first request is on its way
+MAX_HEAD_BYTES = 16_384
+MAX_BODY_BYTES = 65_536
+REQUEST_TIMEOUT_US = 2_500_000  # until a request is complete; of the first from the connect on
+FIRST_REQUEST_TIMEOUT_US = 2_100_000  # of a connection that never sent a request
+IDLE_TIMEOUT_US = 8_000_000  # of a connection that has been answered
+MAX_EVICTION_CANDIDATES = 8  # idle connections examined to make room for a new one
+# During shutdown the first request of a connection younger than this may be on its way.
+NEW_CONNECTION_US = 200_000
 LINGER_US = 800_000  # between an error and the close, so that the error is read first
-LOOK_US = 200_000
-DISCARD_MOST = 131_072  # read after an error and thrown away
-AHEAD_MOST = 65_536  # read ahead while a request is at work
-UNREAD_MOST = 262_144  # bytes that a client leaves unread before it is cut off
-JSON = "application/json"
+CHECK_INTERVAL_US = 200_000  # between checks of all connections' timeouts
+MAX_DISCARDED_BYTES = 131_072  # read and thrown away after an error
+MAX_READ_AHEAD_BYTES = 65_536  # read while a request is in progress
+MAX_UNREAD_BYTES = 262_144  # that a client leaves unread before it is cut off
+JSON_CONTENT_TYPE = "application/json"
 
 
 class Front:
-    """Serves connections, ``most`` at a time; the longest idle one makes room for a new one. Of those that
-    have been answered and ask for nothing at most ``kept_most`` are kept: clients may open only so many
-    between them, and one at rest may keep another from asking.
+    """Serves at most ``max_clients`` connections; the one inactive for longest is closed for a new one.
+
+    Of those that have been answered and are inactive at most ``max_kept_alive`` stay open: clients may open
+    only so many between them, and an inactive one may keep another client from connecting.
     """
 
-    def __init__(self, broker: PlatformBroker, most: int, kept_most: int, log: Callable[..., None]) -> None:
-        self.broker, self.most, self.log, self.loop = broker, most, log, broker.loop
-        self.kept_most = kept_most
-        self.kept: OrderedDict[Client, None] = OrderedDict()  # answered and at rest, by since when
-        self.checker = Checker(broker.settings)
+    def __init__(
+        self, broker: PlatformBroker, max_clients: int, max_kept_alive: int, log: Callable[..., None]
+    ) -> None:
+        self.broker = broker
+        self.max_clients = max_clients
+        self.log = log
+        self.loop = broker.loop
+        self.max_kept_alive = max_kept_alive
+        # Each in the order in which its clients entered it.
+        self.kept_alive: OrderedDict[Client, None] = OrderedDict()  # answered and inactive
+        self.inactive: OrderedDict[Client, None] = OrderedDict()  # without a request, or failed
+        self.receiving: OrderedDict[Client, None] = OrderedDict()  # whose request is incomplete
+        self.checker = RequestChecker(broker.settings)
         self.clients: dict[Client, None] = {}
-        self.resting: OrderedDict[Client, None] = (
-            OrderedDict()
-        )  # by since when they ask for nothing, or have erred
-        self.begun: OrderedDict[Client, None] = OrderedDict()  # whose request is not whole, by since when
         self.counts: Counter[str] = Counter()
         self.draining = False
-        self.loop.call_at(self.loop.now() + LOOK_US, self._look)
+        self.loop.call_at(self.loop.now() + CHECK_INTERVAL_US, self._check_timeouts)
 
     def serve(self, stream: Stream) -> Coro[None]:
-        """One connection, from its first byte to its last."""
-        if len(self.clients) >= self.most and not self._make_room():
+        """Serve one connection until it ends."""
+        if len(self.clients) >= self.max_clients and not self._make_room():
             self.counts["no room"] += 1
             stream.write(ServerSide().respond(Response(503, b"too many connections\n")))
             return
@@ -69,113 +76,115 @@
             self.log("info", "client cut off", why=str(problem))
         finally:
             self._forget(client)
-            client.gone()
+            client.on_connection_lost()
 
     def drain(self) -> None:
-        """From now on each answer closes its connection."""
+        """Close each connection with its next answer from now on."""
         self.draining = True
 
-    def let_go(self) -> None:
-        """Close the connections that ask for nothing; one whose request comes in this very moment
-        is served.
-        """
+    def close_idle(self) -> None:
+        """Close the inactive connections, but for those whose request is arriving."""
         now = self.loop.now()
-        for client in list(self.resting):
-            if client.side is not None or now - client.since >= NEW_US:
+        for client in list(self.inactive):
+            if client.side is not None or now - client.since_us >= NEW_CONNECTION_US:
                 client.stream.close_if_quiet()
 
     def _make_room(self) -> bool:
-        for victim in [*islice(self.resting, VICTIMS_MOST), *islice(self.begun, 1)]:
-            at_rest = victim in self.resting and not victim.erred
-            if at_rest and not victim.stream.close_if_quiet():
-                continue  # its next request is here
+        for victim in [*islice(self.inactive, MAX_EVICTION_CANDIDATES), *islice(self.receiving, 1)]:
+            is_idle = victim in self.inactive and not victim.failed
+            if is_idle and not victim.stream.close_if_quiet():
+                continue  # its next request has arrived
             self.counts["closed for another"] += 1
             self._forget(victim)
             victim.stream.close()
             return True
         return False
 
-    def rests(self, client: Client) -> None:
-        """It has been answered and asks for nothing; the longest at rest gives way where there are
-        too many.
-        """
-        self.resting[client] = self.kept[client] = None
-        if len(self.kept) > self.kept_most:
-            victim = next(iter(self.kept))
+    def on_answered(self, client: Client) -> None:
+        """A client was answered and is inactive; beyond ``max_kept_alive`` the oldest is closed."""
+        self.inactive[client] = None
+        self.kept_alive[client] = None
+        if len(self.kept_alive) > self.max_kept_alive:
+            victim = next(iter(self.kept_alive))
             if victim.stream.close_if_quiet():
                 self.counts["let go"] += 1
                 self._forget(victim)
 
     def _forget(self, client: Client) -> None:
         self.clients.pop(client, None)
-        client.leave_orders()
+        client.leave_queues()
 
-    def _look(self) -> None:
-        """One timer for all connections."""
+    def _check_timeouts(self) -> None:
+        """Apply the timeouts of all connections, by one timer."""
         if self.broker.dead:
             return
         now = self.loop.now()
-        self.loop.call_at(now + LOOK_US, self._look)
-        for client in list(self.begun):
-            if now - client.since >= WHOLE_US:
+        self.loop.call_at(now + CHECK_INTERVAL_US, self._check_timeouts)
+        for client in list(self.receiving):
+            if now - client.since_us >= REQUEST_TIMEOUT_US:
                 self.counts["too slow"] += 1
                 client.fail(Response(408, b"the request was not whole in time\n"))
-        for client in list(self.resting):
-            if now - client.since >= client.patience:
-                client.stream.close() if client.erred else client.stream.close_if_quiet()
+        for client in list(self.inactive):
+            if now - client.since_us >= client.idle_timeout_us:
+                if client.failed:
+                    client.stream.close()
+                else:
+                    client.stream.close_if_quiet()
 
 
 class Client:
-    """One connection: a request at a time, its end noticed while one is at work."""
+    """One connection: one request at a time; a disconnect is noticed while one is in progress."""
 
     def __init__(self, front: Front, stream: Stream) -> None:
-        self.front, self.stream, self.loop = front, stream, front.loop
-        stream.hard_limit = UNREAD_MOST
-        self.side: ServerSide | None = None  # made with the first byte: many never send one
-        self.since = self.loop.now()
+        self.front = front
+        self.stream = stream
+        self.loop = front.loop
+        stream.hard_limit = MAX_UNREAD_BYTES
+        self.side: ServerSide | None = None  # created with the first byte: many never send one
+        self.since_us = self.loop.now()
         self.handle: Handle | None = None
-        self.busy = self.erred = False
-        self._arrived = self.since
-        self._ahead = 0
+        self.busy = False
+        self.failed = False
+        self._arrived_at_us = self.since_us
+        self._read_ahead_bytes = 0
         self._answered = Event()
-        stream.on_hangup = self._answered.set  # also behind what is not read
-        front.resting[self] = None
+        stream.on_hangup = self._answered.set  # also if bytes before it are unread
+        front.inactive[self] = None
 
     @property
-    def patience(self) -> int:
-        """How long it may ask for nothing (us)."""
-        if self.erred:
+    def idle_timeout_us(self) -> int:
+        """How long it may stay inactive."""
+        if self.failed:
             return LINGER_US
-        return IDLE_US if self.side is not None and self.side.served else SILENT_US
+        return IDLE_TIMEOUT_US if self.side is not None and self.side.served else FIRST_REQUEST_TIMEOUT_US
 
     def run(self) -> Coro[None]:
-        """Serve until either side ends it."""
+        """Serve until either side closes."""
         discarded = 0
-        while discarded < DISCARD_MOST:
+        while discarded < MAX_DISCARDED_BYTES:
             data = yield from self.stream.read()
             if not data:
                 return
-            if self.erred:
+            if self.failed:
                 discarded += len(data)
                 continue
-            if self.stream.hung_up:  # it has left, whatever it sent: nothing more is taken from it
+            if self.stream.hung_up:  # the client disconnected: nothing it sent is of use
                 return
-            self._arrived = self.loop.now()
+            self._arrived_at_us = self.loop.now()
             if self.side is None:
-                self.side = ServerSide(BODY_MOST, HEAD_MOST)
+                self.side = ServerSide(MAX_BODY_BYTES, MAX_HEAD_BYTES)
             self.side.receive(data)
             if not self.busy:
                 self._advance()
                 continue
-            self._ahead += len(data)
-            # Its request was taken and is answered before more is read; but that it has left is seen
-            # meanwhile.
-            while self.busy and self._ahead > AHEAD_MOST:
+            self._read_ahead_bytes += len(data)
+            # The request in progress is answered before more is read; a disconnect is noticed meanwhile.
+            while self.busy and self._read_ahead_bytes > MAX_READ_AHEAD_BYTES:
                 if self.stream.hung_up:
                     return
                 self._answered.clear()
                 yield from self._answered.wait()
-        while not self.stream.closed:  # what more it sends is left where it is, until its time is up
+        while not self.stream.closed:  # what more it sends stays unread until the timeout
             yield self._park
 
     def _park(self, task: object) -> Callable[[], None]:
@@ -183,58 +192,65 @@
         return lambda: None
 
     def _advance(self) -> None:
-        """Take the next request, if it is whole."""
+        """Dispatch the next request if it is complete."""
         side = self.side
         assert side is not None
-        self._ahead = 0
-        whole = next(side.events(), None)
+        self._read_ahead_bytes = 0
+        event = next(side.events(), None)
         interim = side.take_interim()
         if interim:
             self.stream.write(interim)
-        if isinstance(whole, Response):
-            self.fail(whole)
-        elif whole is not None:
-            self.leave_orders()
+        if isinstance(event, Response):
+            self.fail(event)
+        elif event is not None:
+            self.leave_queues()
             self.busy = True
-            self._take(whole)
+            self._dispatch(event)
         elif side.closing:
             self.stream.close()
-        elif side.midway and self not in self.front.begun:
-            self.leave_orders()
+        elif side.midway and self not in self.front.receiving:
+            self.leave_queues()
             if side.served:
-                self.since = self._arrived
-            self.front.begun[self] = None
+                self.since_us = self._arrived_at_us
+            self.front.receiving[self] = None
 
-    def leave_orders(self) -> None:
-        """Neither resting nor begun any more."""
-        for clients in (self.front.resting, self.front.begun, self.front.kept):
+    def leave_queues(self) -> None:
+        """Remove the client from the front's queues."""
+        for clients in (self.front.inactive, self.front.receiving, self.front.kept_alive):
             clients.pop(self, None)
 
-    def _take(self, request: Request) -> None:
+    def _dispatch(self, request: Request) -> None:
         front = self.front
         if request.method == "GET" and request.path in ("/-/ready", "/-/healthy"):
-            listless = request.path == "/-/ready" and not front.broker.ready
-            self._respond(Response(503, b"no list of nodes yet\n") if listless else Response(200, b"ok\n"))
+            self._respond_health(request.path)
             return
         try:
-            wanted = front.checker.check(request)
-            if wanted.id in front.broker.queries:
-                raise BadRequest(f"Req-Id: {wanted.id} is open already", 409)
-        except BadRequest as problem:
+            client_request = front.checker.check(request)
+            if client_request.id in front.broker.queries:
+                raise BadRequestError(f"Req-Id: {client_request.id} is open already", 409)
+        except BadRequestError as problem:
             front.counts["bad request"] += 1
             self.fail(Response(problem.status, f"{problem}\n".encode()))
             return
         front.counts["requests"] += 1
-        self.handle = front.broker.begin(wanted, self._replied, self._arrived)
+        self.handle = front.broker.begin(client_request, self._on_reply, self._arrived_at_us)
+
+    def _respond_health(self, path: str) -> None:
+        if path == "/-/ready" and not self.front.broker.ready:
+            self._respond(Response(503, b"no list of nodes yet\n"))
+        else:
+            self._respond(Response(200, b"ok\n"))
 
-    def _replied(self, reply: Reply) -> None:
-        """The query's one reply."""
+    def _on_reply(self, reply: Reply) -> None:
+        """Send the query's only reply."""
         self.handle = None
         if reply.kind == ANSWERED:
-            self._respond(Response(200, msgspec.json.encode(reply.body), JSON))
+            self._respond(Response(200, msgspec.json.encode(reply.body), JSON_CONTENT_TYPE))
         elif reply.kind == REFUSED:
-            advice = (("Retry-After", f"{reply.retry_after_us / 1e6:.3f}"),) if reply.retry_after_us else ()
-            self._respond(Response(503, b"refused: a repeat is harmless\n", headers=advice))
+            retry_after = (
+                (("Retry-After", f"{reply.retry_after_us / 1e6:.3f}"),) if reply.retry_after_us else ()
+            )
+            self._respond(Response(503, b"refused: a repeat is harmless\n", headers=retry_after))
         else:
             self._respond(Response(500, b"failed\n"))
 
@@ -249,39 +265,41 @@
             self.stream.write(side.respond(response))
         except StreamBroken:
             return
-        self.since = self.loop.now()
+        self.since_us = self.loop.now()
         if side.closing:
             self.stream.close()
             return
-        self.front.rests(self)
+        self.front.on_answered(self)
         if side.midway:
-            self._arrived = self.since
-            self.loop.call_soon(self._go_on)
+            self._arrived_at_us = self.since_us
+            self.loop.call_soon(self._continue)
 
-    def _go_on(self) -> None:
-        """What was read ahead may be the next request."""
-        if not (self.busy or self.erred or self.stream.closed or self.stream.hung_up):
+    def _continue(self) -> None:
+        """Dispatch the next request if it was read ahead."""
+        if not (self.busy or self.failed or self.stream.closed or self.stream.hung_up):
             self._advance()
 
     def fail(self, response: Response) -> None:
-        """Answer with an error, then close once it is read: nothing more is taken from this connection."""
-        if self.erred or self.stream.closed or self.side is None:
+        """Answer with an error, then close once it is read; no further request is served."""
+        if self.failed or self.stream.closed or self.side is None:
             return
-        self.leave_orders()
+        self.leave_queues()
         self.front.counts["errors"] += 1
-        self.erred, self.busy = True, False
+        self.failed = True
+        self.busy = False
         self.side.closing = True
         try:
             self.stream.write(self.side.respond(response))
             self.stream.end()
         except StreamBroken:
             return
-        self.since = self.loop.now()
-        self.front.resting[self] = None
+        self.since_us = self.loop.now()
+        self.front.inactive[self] = None
 
-    def gone(self) -> None:
-        """The connection is lost: nobody waits for what is asked."""
+    def on_connection_lost(self) -> None:
+        """The connection is lost: the request in progress is waited for no more."""
         self._answered.set()
-        handle, self.handle = self.handle, None
+        handle = self.handle
+        self.handle = None
         if handle is not None:
             handle.disconnect()
--- /dev/null
+++ b/heathwell/gateway/node_attempts.py
@@ -0,0 +1,79 @@
+"""Records of the attempts that travel over connections to the platform's nodes.
+
+The module owns no connection: it holds what :mod:`heathwell.gateway.node_connection` keeps for each attempt.
+Imports the module's outcomes, the driver's key and the frame codec only.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from heathwell import policy
+from heathwell.broker.driver import Key
+from heathwell.codec import nodeframes as nf
+
+OUTCOME_OF_STATUS = {
+    nf.SERVED: policy.Outcome.OK,
+    nf.ERROR: policy.Outcome.ERROR,
+    nf.TURNED_AWAY: policy.Outcome.REJECTED,
+}
+# How long the id of an abandoned attempt is remembered on its connection: a node may hang for long.
+ABANDONED_ID_RETENTION_US = 60_000_000
+# How long an answered id is remembered: a duplicate answer follows the first closely.
+ANSWERED_ID_RETENTION_US = 1_000_000
+MAX_RECENT_IDS = 1024  # for each connection and kind; beyond it the oldest is dropped
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRequest:
+    """One attempt to be sent.
+
+    ``encode`` returns the attempt's line and text within a call, given the remaining time in milliseconds;
+    ``deadline_at_us`` is the loop's time until which the attempt is waited for.
+    """
+
+    id: str
+    seq: int
+    encode: Callable[[int], bytes]
+    deadline_at_us: int
+
+    @property
+    def key(self) -> Key:
+        """The driver's key of the attempt."""
+        return (self.id, self.seq)
+
+
+@dataclass(slots=True)
+class InFlightAttempt:
+    """An attempt on a connection, since ``sent_at_us``.
+
+    ``frame_end`` is the offset in the stream at which its frame ends, ``None`` while it is not written.
+    """
+
+    key: Key
+    sent_at_us: int
+    frame_end: int | None = None
+
+
+class RecentIds:
+    """A set of ids that forgets each after ``retention_us``, and holds ``MAX_RECENT_IDS`` at most."""
+
+    def __init__(self, retention_us: int) -> None:
+        self._retention_us = retention_us
+        self._added_at_us: OrderedDict[str, int] = OrderedDict()
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._added_at_us
+
+    def add(self, name: str, now_us: int) -> None:
+        """Add an id and drop those that are expired or too many."""
+        self._added_at_us[name] = now_us
+        while self._is_oldest_due(now_us):
+            self._added_at_us.popitem(last=False)
+
+    def _is_oldest_due(self, now_us: int) -> bool:
+        if len(self._added_at_us) > MAX_RECENT_IDS:
+            return True
+        return next(iter(self._added_at_us.values())) < now_us - self._retention_us
--- /dev/null
+++ b/heathwell/gateway/node_pool.py
@@ -0,0 +1,251 @@
+"""The pool of connections from one broker to one node.
+
+A :class:`NodeLink` owns its connections and chooses one for each call; every attempt and probe given to it is
+reported exactly once to its owner. Imports :mod:`heathwell.gateway.node_connection`, never the broker.
+
+A node that closes right after an answer takes down whatever else is in flight on that connection. While a
+node does so each connection carries a single part, and is used again only once it has outlived its answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from heathwell import policy
+from heathwell.broker.driver import Key
+from heathwell.codec import nodeframes as nf
+from heathwell.gateway.config import Connections
+from heathwell.gateway.node_attempts import NodeRequest
+from heathwell.gateway.node_connection import NodeConnection
+from heathwell.gateway.node_owners import AttemptOwner
+from heathwell.gateway.node_pool_limit import Connection, ConnectionPoolLimit
+from heathwell.kernel import Loop, Net, Timer
+
+# Multiple of the usual response time without a byte after which a connection gets no more attempts.
+SILENCE_FACTOR = 4
+MIN_SILENCE_TIMEOUT_US = 40_000
+MAX_SILENCE_TIMEOUT_US = 1_000_000
+RESPONSE_TIME_GAIN = 0.1  # weight of one answer in a node's usual response time
+MAX_CONNECTIONS = 4  # to one node
+MAX_SINGLE_PART_CONNECTIONS = 16  # to one node whose connections carry a single part each
+# Connections in a row that a node closed right after an answer, from which each carries a single part.
+SINGLE_PART_AFTER_CLOSES = 3
+
+
+class NodeLink:
+    """The connections of one broker to one node."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        node: str,
+        address: str,
+        owner: AttemptOwner,
+        limits: Connections,
+        pool_limit: ConnectionPoolLimit,
+        log: Callable[..., None],
+    ) -> None:
+        self.loop = loop
+        self.net = net
+        self.node = node
+        self.address = address
+        self.owner = owner
+        self.limits = limits
+        self.pool_limit = pool_limit
+        self.log = log
+        self.connections: list[NodeConnection] = []
+        self.in_flight: dict[Key, NodeConnection] = {}
+        self.late_answers = 0
+        self.invalid_answers = 0
+        self.connects = 0
+        self.breaks = 0
+        self.closes_after_answer = 0  # connections that the node closed right after an answer
+        self.consecutive_closes = 0  # the same, in a row
+        self.closing = False
+        self._usual_response_us = float(MIN_SILENCE_TIMEOUT_US)
+        self._probe_timers: dict[int, Timer] = {}
+        self._last_probe = 0
+
+    def statistics(self) -> dict[str, int]:
+        """Counters since the start, by the names that the trace prints."""
+        return {
+            "connects": self.connects,
+            "breaks": self.breaks,
+            "late": self.late_answers,
+            "spoilt": self.invalid_answers,
+            "ended_soon": self.closes_after_answer,
+        }
+
+    @property
+    def up(self) -> bool:
+        """Whether a connection is established."""
+        return any(connection.stream is not None for connection in self.connections)
+
+    @property
+    def is_single_part(self) -> bool:
+        """Whether each connection carries a single part at present."""
+        return self.consecutive_closes >= SINGLE_PART_AFTER_CLOSES
+
+    @property
+    def silence_timeout_us(self) -> int:
+        """Time without a byte from which a connection counts as silent."""
+        timeout_us = max(SILENCE_FACTOR * self._usual_response_us, MIN_SILENCE_TIMEOUT_US)
+        return int(min(timeout_us, MAX_SILENCE_TIMEOUT_US))
+
+    def send(self, requests: list[NodeRequest]) -> None:
+        """Send attempts in one call; each will have one result."""
+        if not requests:
+            return
+        connection = self._select([request.id for request in requests])
+        if connection is None:
+            for request in requests:
+                self.loop.call_soon(
+                    self.owner.on_attempt_result,
+                    self.node,
+                    request.key,
+                    policy.Outcome.UNREACHABLE,
+                    None,
+                )
+            return
+        for request in requests:
+            self.in_flight[request.key] = connection
+        connection.send(requests)
+
+    def abandon(self, key: Key) -> bool:
+        """Stop waiting for an attempt whose result the owner set itself; true if it was in flight."""
+        connection = self.in_flight.pop(key, None)
+        if connection is None:
+            return False
+        connection.abandon(key[0])
+        return True
+
+    def withdraw(self, key: Key) -> bool:
+        """Abandon an attempt of which nothing was written; false if it is not in flight, or was written.
+
+        True also for an attempt that lost its connection and of which nothing is to leave again.
+        """
+        connection = self.in_flight.get(key)
+        return connection is not None and connection.is_unsent(key[0]) and self.abandon(key)
+
+    def withdraw_unsent(self) -> None:
+        """Report all unsent attempts as never sent: the node takes nothing new, or moved or restarted."""
+        for key, connection in list(self.in_flight.items()):
+            if connection.is_unsent(key[0]):
+                del self.in_flight[key]
+                connection.abandon(key[0])
+                self.owner.on_attempt_result(self.node, key, policy.Outcome.NEVER_SENT, None)
+
+    def probe(self) -> None:
+        """Probe the node; it has one result. Silent connections are not used for it."""
+        self._last_probe += 1
+        number = self._last_probe
+        timeout_at_us = self.loop.now() + self.limits.connect_us
+        self._probe_timers[number] = self.loop.call_at(
+            timeout_at_us, self.on_probe_ended, number, policy.Outcome.TIMED_OUT
+        )
+        connection = self._select([])
+        if connection is None:
+            self.loop.call_soon(self.on_probe_ended, number, policy.Outcome.UNREACHABLE)
+        else:
+            connection.probe(number)
+
+    def set_address(self, address: str) -> None:
+        """Connect to another address from now on; what was written to the old one continues."""
+        if address != self.address:
+            self.address = address
+            self._retire(self.connections)
+            self.withdraw_unsent()
+
+    def on_endpoint_removed(self) -> None:
+        """The node left the endpoint list: what is in flight may end, then the connections close."""
+        self.withdraw_unsent()
+        self._retire(self.connections)
+
+    def close(self) -> None:
+        """Close all connections; what is in flight ends as broken."""
+        self.closing = True
+        for connection in list(self.connections):
+            connection.close()
+
+    # Called by the connections.
+
+    def is_probe_pending(self, number: int) -> bool:
+        """Whether a probe has no result yet."""
+        return number in self._probe_timers
+
+    def on_response(self, connection: Connection, sent_at_us: int) -> None:
+        """An attempt sent at ``sent_at_us`` was answered over ``connection``."""
+        response_us = self.loop.now() - sent_at_us
+        self._usual_response_us += (response_us - self._usual_response_us) * RESPONSE_TIME_GAIN
+        for other in list(self.connections):
+            if other is not connection:
+                other.close_if_outlived(sent_at_us)
+
+    def on_attempt_ended(self, key: Key, outcome: policy.Outcome, result: nf.PartAnswer | None) -> None:
+        """An attempt ended on its connection; ignored if it was abandoned."""
+        if self.in_flight.pop(key, None) is not None:
+            self.owner.on_attempt_result(self.node, key, outcome, result)
+
+    def on_probe_ended(self, number: int, outcome: policy.Outcome) -> None:
+        """A probe ended or timed out; only the first result of a probe is reported."""
+        timer = self._probe_timers.pop(number, None)
+        if timer is not None:
+            timer.cancel()
+            self.owner.on_probe_result(self.node, outcome)
+
+    def on_connection_broken(self, keys: list[Key], probes: list[int]) -> None:
+        """A connection broke with these in flight; the connect of a new one decides their outcome."""
+        if not keys and not probes:
+            return
+        self.breaks += 1
+        connection = self._open()
+        if connection is None:
+            for key in keys:
+                self.on_attempt_ended(key, policy.Outcome.BROKEN, None)
+            for number in probes:
+                self.on_probe_ended(number, policy.Outcome.BROKEN)
+            return
+        for key in keys:
+            self.in_flight[key] = connection
+            connection.orphaned[key[0]] = key
+        for number in probes:
+            connection.probe(number)
+
+    def on_connection_closed(self, connection: Connection) -> None:
+        """A connection closed; the results of what was in flight on it follow."""
+        self.connections[:] = [other for other in self.connections if other is not connection]
+
+    def log_info(self, event: str, reason: str) -> None:
+        """Log one line with the node and the number of attempts in flight."""
+        self.log("info", event, node=self.node, why=reason, out=len(self.in_flight))
+
+    # The pool.
+
+    def _select(self, part_ids: list[str]) -> NodeConnection | None:
+        """Return a connection for these parts, a new one if none may carry them, ``None`` if none can."""
+        self._retire([connection for connection in self.connections if connection.is_silent])
+        for connection in self.connections:
+            if all(connection.can_carry(part_id) for part_id in part_ids) and not connection.retired:
+                return connection
+        opened = self._open()
+        if opened is not None:
+            return opened
+        # Beyond the number of parts that a node reads at once, parts wait on the connection.
+        usable = [c for c in self.connections if all(c.is_unused_id(part_id) for part_id in part_ids)]
+        return min(usable, key=lambda c: len(c.in_flight), default=None)
+
+    def _open(self) -> NodeConnection | None:
+        capacity = MAX_SINGLE_PART_CONNECTIONS if self.is_single_part else MAX_CONNECTIONS
+        if len(self.connections) >= capacity or not self.pool_limit.acquire():
+            return None
+        self.connects += 1
+        connection = NodeConnection(self)
+        self.connections.append(connection)
+        return connection
+
+    def _retire(self, connections: list[NodeConnection]) -> None:
+        for connection in list(connections):
+            connection.retired = True
+            if not connection.in_flight:
+                connection.close()
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -1,4 +1,8 @@
-"""One broker as the platform starts it: configuration, signals, and an orderly end."""
+"""One broker process as the platform starts it: configuration, signals and graceful shutdown.
+
+:class:`Process` owns the loop, the broker, the front and the listener. Nothing imports this module but
+``__main__``.
+"""
 
 from __future__ import annotations
 
@@ -16,39 +20,47 @@
 from heathwell.gateway.front import Front
 from heathwell.gateway.trace import Trace
 from heathwell.kernel import Listener, calm_collector, socket_loop
+from heathwell.kernel.clock import Clock
 
-TAKE_US = 600_000  # after SIGTERM, for which clients still arrive
-END_LOOK_US = 20_000
-# The page's: no SIGKILL sooner than the longest deadline, counted as this where it is longer, and so long
-# after it.
-KILL_LONGEST_US, KILL_AFTER_US = 3_000_000, 700_000
-END_MARGIN_US = 100_000  # of that time: answers leave, and the process ends by itself
-LINES_A_SECOND = 20
+ACCEPT_AFTER_TERMINATE_US = 600_000  # after SIGTERM, during which clients still connect
+SHUTDOWN_CHECK_INTERVAL_US = 20_000
+# By the platform's protocol SIGKILL follows SIGTERM after the longest timeout of a class, counted as at most
+# the first figure, and the second.
+MAX_KILL_TIMEOUT_US = 3_000_000
+KILL_GRACE_US = 700_000
+SHUTDOWN_MARGIN_US = 100_000  # before that: replies leave, and the process ends by itself
+LISTEN_BACKLOG_MARGIN = 8
+MAX_LINES_PER_SECOND = 20
 
 
 class Log:
-    """Lines on standard error, a bounded number a second."""
+    """Writes lines to standard error, at most ``MAX_LINES_PER_SECOND``; counts the others."""
 
-    def __init__(self, name: str, clock: Any) -> None:
-        self._name, self._clock = name, clock
-        self._second = self._lines = self._dropped = 0
+    def __init__(self, name: str, clock: Clock) -> None:
+        self._name = name
+        self._clock = clock
+        self._second = 0
+        self._lines = 0
+        self._dropped = 0
 
     def __call__(self, level: str, event: str, **fields: Any) -> None:
-        """One line; debug lines are not written."""
+        """Write one line; debug lines are not written."""
         if level == "debug":
             return
-        now = self._clock.now()
-        if now // 1_000_000 != self._second:
-            dropped, self._dropped = self._dropped, 0
-            self._second, self._lines = now // 1_000_000, 0
+        now_us = self._clock.now()
+        if now_us // 1_000_000 != self._second:
+            dropped = self._dropped
+            self._dropped = 0
+            self._second = now_us // 1_000_000
+            self._lines = 0
             if dropped:
-                self._write(f"{now / 1e6:.3f} {self._name} warning log lines dropped={dropped}")
+                self._write(f"{now_us / 1e6:.3f} {self._name} warning log lines dropped={dropped}")
         self._lines += 1
-        if self._lines > LINES_A_SECOND:
+        if self._lines > MAX_LINES_PER_SECOND:
             self._dropped += 1
             return
-        words = "".join(f" {name}={str(value)[:200]!r}" for name, value in fields.items())
-        self._write(f"{now / 1e6:.3f} {self._name} {level} {event}{words}")
+        details = "".join(f" {name}={str(value)[:200]!r}" for name, value in fields.items())
+        self._write(f"{now_us / 1e6:.3f} {self._name} {level} {event}{details}")
 
     @staticmethod
     def _write(line: str) -> None:
@@ -59,28 +71,29 @@
     """The running broker."""
 
     def __init__(self, config: Config, environment: Mapping[str, str]) -> None:
-        self.config, self.environment = config, environment
+        self.config = config
+        self.environment = environment
         self.loop, self.net, self.poller = socket_loop()
         self.log = Log(config.name, self.loop.clock)
-        self.loop.on_error = self._error
+        self.loop.on_error = self._on_task_error
         self.broker = PlatformBroker(self.loop, self.net, config, log=self.log)
         self.front = Front(self.broker, config.client_sockets, config.kept_clients, self.log)
         self.listener: Listener | None = None
-        self._ending_at: int | None = None
-        self._end_by = 0
+        self._terminated_at_us: int | None = None
+        self._shutdown_by_us = 0
         if environment.get("HEATHWELL_TRACE"):
             Trace(self.broker, self.front)
 
     def run(self, pending: list[int]) -> int:
-        """Serve until SIGTERM has been carried out; ``pending`` are signals that came before."""
-        calls = {signal.SIGTERM: self.terminate, signal.SIGINT: self.terminate, signal.SIGHUP: self.reload}
-        for number, call in calls.items():
-            self.poller.on_signal(number, call)
+        """Serve until shut down by SIGTERM; ``pending`` are the signals that came before."""
+        handlers = {signal.SIGTERM: self.terminate, signal.SIGINT: self.terminate, signal.SIGHUP: self.reload}
+        for number, handler in handlers.items():
+            self.poller.on_signal(number, handler)
         self.listener = self.net.listen(
-            self.config.listen, self.front.serve, "client", self.config.client_sockets + 8
+            self.config.listen, self.front.serve, "client", self.config.client_sockets + LISTEN_BACKLOG_MARGIN
         )
         for earlier in pending:
-            calls[signal.Signals(earlier)]()
+            handlers[signal.Signals(earlier)]()
         calm_collector()
         self.log(
             "info",
@@ -96,66 +109,70 @@
         return 0
 
     def terminate(self) -> None:
-        """Clients still come for a while and are served; then what is held is finished. A second call is
-        nothing.
+        """Start graceful shutdown: accept clients for a while, then finish the open queries.
+
+        A second call has no effect.
         """
-        if self._ending_at is not None:
+        if self._terminated_at_us is not None:
             return
         self.log("info", "terminating", held=self.broker.open_count)
-        self._ending_at = self.loop.now()
-        longest = max(spec.timeout_us for spec in self.config.settings.classes)
-        self._end_by = self._ending_at + min(longest, KILL_LONGEST_US) + KILL_AFTER_US - END_MARGIN_US
+        self._terminated_at_us = self.loop.now()
+        longest_timeout_us = max(spec.timeout_us for spec in self.config.settings.classes)
+        self._shutdown_by_us = (
+            self._terminated_at_us
+            + min(longest_timeout_us, MAX_KILL_TIMEOUT_US)
+            + KILL_GRACE_US
+            - SHUTDOWN_MARGIN_US
+        )
         self.front.drain()
-        self.broker.start_shutdown(self._end_by - END_MARGIN_US)
-        self.loop.call_at(self._ending_at + TAKE_US, self._take_no_more)
+        self.broker.start_shutdown(self._shutdown_by_us - SHUTDOWN_MARGIN_US)
+        self.loop.call_at(self._terminated_at_us + ACCEPT_AFTER_TERMINATE_US, self._stop_accepting)
 
-    def _take_no_more(self) -> None:
+    def _stop_accepting(self) -> None:
         if self.listener is not None:
             self.listener.close()
         self.broker.drain()
-        # What connected in the last moment is served first: its task has not begun yet.
-        self.loop.call_at(self.loop.now() + END_LOOK_US, self._look_for_end)
-
-    def _look_for_end(self) -> None:
-        """Idle clients are let go; the end is when no client waits for anything."""
-        self.front.let_go()
-        if (
-            self.loop.now() >= self._end_by or not self.front.clients
-        ):  # an open query has its client among them
+        # Clients that connected just now are served first: their tasks have not begun yet.
+        self.loop.call_at(self.loop.now() + SHUTDOWN_CHECK_INTERVAL_US, self._check_shutdown)
+
+    def _check_shutdown(self) -> None:
+        """Close idle clients, and stop when none is left or the time is over."""
+        self.front.close_idle()
+        # An open query has its client among the front's.
+        if self.loop.now() >= self._shutdown_by_us or not self.front.clients:
             self.log("info", "ended", open=len(self.front.clients))
             self.broker.close()
             self.loop.stop()
         else:
-            self.loop.call_at(self.loop.now() + END_LOOK_US, self._look_for_end)
+            self.loop.call_at(self.loop.now() + SHUTDOWN_CHECK_INTERVAL_US, self._check_shutdown)
 
     def reload(self) -> None:
-        """Read the configuration anew, whole; where it is sound, discovery is met where it says."""
+        """Read the configuration again, completely; if it is valid use its address of discovery."""
         try:
             config = load(self.environment)
         except ConfigError as problem:
             self.log("error", "configuration refused, the old one stays", why=str(problem))
             return
         moved = config.discovery != self.config.discovery
-        # All else stays as it was at the start, in every part of the program, also where the file says
-        # otherwise.
-        kept = dataclasses.replace(self.config, discovery=config.discovery, known=config.known)
-        later = [
+        # Everything else stays as it was at the start, also if the file differs.
+        effective = dataclasses.replace(self.config, discovery=config.discovery, known=config.known)
+        deferred = [
             field.name
             for field in dataclasses.fields(config)
-            if getattr(config, field.name) != getattr(kept, field.name) and field.name != "seed"
+            if getattr(config, field.name) != getattr(effective, field.name) and field.name != "seed"
         ]
         self.log(
             "info",
             "configuration read",
             discovery=config.discovery,
             moved=moved,
-            **({"from_the_next_start": ",".join(later)} if later else {}),
+            **({"from_the_next_start": ",".join(deferred)} if deferred else {}),
         )
         self.config = dataclasses.replace(self.config, discovery=config.discovery)
         if moved:
             self.broker.watch.move(config.discovery)
 
-    def _error(self, task: str, error: BaseException) -> None:
+    def _on_task_error(self, task: str, error: BaseException) -> None:
         self.log(
             "error",
             "task ended by an error",
@@ -165,16 +182,18 @@
 
 
 def raise_limit(sockets: int) -> None:
-    """Let this process open as many descriptors as it was told, where its soft limit is lower."""
+    """Raise the soft limit of descriptors to ``sockets``, as far as the hard limit allows."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    wanted = sockets if hard == resource.RLIM_INFINITY else min(sockets, hard)
-    if soft != resource.RLIM_INFINITY and soft < wanted:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    limit = sockets if hard == resource.RLIM_INFINITY else min(sockets, hard)
+    if soft != resource.RLIM_INFINITY and soft < limit:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
 
 
 def main(pending: list[int]) -> int:
-    """Exit code 0 after SIGTERM, 2 for a configuration that can't be used, 3 for an address that can't be
-    had.
+    """Run a broker process, and return its exit code.
+
+    The code is 0 after SIGTERM, 2 for a configuration that cannot be used, and 3 for an address that cannot
+    be listened on.
     """
     try:
         config = load(os.environ)
--- a/heathwell/gateway/requests.py
+++ b/heathwell/gateway/requests.py
@@ -1,4 +1,8 @@
-"""A client's request, checked whole before anything is taken. Pure."""
+"""A client's request, checked completely before anything of it is accepted.
+
+Pure: no I/O; :class:`RequestChecker` owns nothing but indexes of the settings. Imports the HTTP codec's
+request and the module's settings.
+"""
 
 from __future__ import annotations
 
@@ -10,18 +14,19 @@
 from heathwell import policy
 from heathwell.codec.http import Request
 
-ID = re.compile(r"[0-9A-Za-z_-]{1,64}")  # no dot: a part's id is this, a dot and the shard
+REQUEST_ID = re.compile(r"[0-9A-Za-z_-]{1,64}")  # no dot: a part's id is this, a dot and the shard
 TAG = re.compile(r"[0-9a-fA-F]{16}")
-KEY = re.compile(r"[!-+\--~]{1,128}")  # printable, no blank and no comma: it stands in a part's list
-TIME = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,9})?)([mu])")
-UNITS = {"m": 1000.0, "u": 1.0}
-TEXT_MOST = 32_768
-HINT_MOST = 3_600_000_000
-WEIGHT_SLACK = 5e-3  # how far from 1 rounding may leave a sum of weights
+# Printable, no blank and no comma: the key is an item of a part's list on the wire.
+IDEMPOTENCY_KEY = re.compile(r"[!-+\--~]{1,128}")
+TIMEOUT = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,9})?)([mu])")
+MICROSECONDS_PER_UNIT = {"m": 1000.0, "u": 1.0}
+MAX_TEXT_BYTES = 32_768
+MAX_HINT_US = 3_600_000_000
+WEIGHT_TOLERANCE = 5e-3  # how far from 1 rounding may leave the sum of weights
 
 
-class BadRequest(Exception):
-    """A request that is not taken; ``status`` is HTTP's."""
+class BadRequestError(Exception):
+    """A request that is not accepted; ``status`` is the HTTP status of the answer."""
 
     def __init__(self, text: str, status: int = 400) -> None:
         super().__init__(text)
@@ -44,8 +49,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WantedPart:
-    """One part; weights add up to 1, rounding removed; ``hint_us`` is the client's estimate of its work."""
+class RequestedPart:
+    """One part; weights of a request add up to 1; ``hint_us`` is the client's estimate of its work."""
 
     shard: int
     weight: float
@@ -53,9 +58,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Wanted:
-    """A checked request. ``wait_us`` is how long the client waits from when it sent it; ``tenant`` is its
-    owner's place among the settings' accounts, their number for one that is not among them.
+class ClientRequest:
+    """A checked request.
+
+    ``wait_us`` is how long the client waits from when it sent the request; ``tenant`` is the index of its
+    owner among the settings' tenants, and their number for an owner that is not among them.
     """
 
     id: str
@@ -64,88 +71,114 @@
     key: str
     retry: bool
     text: bytes
-    parts: tuple[WantedPart, ...]
+    parts: tuple[RequestedPart, ...]
     tenant: int = 0
 
 
-class Checker:
-    """Checks requests against the start settings."""
+class RequestChecker:
+    """Checks requests against the settings of the start."""
 
     def __init__(self, settings: policy.Settings) -> None:
         self._settings = settings
         self._classes = {spec.name: index for index, spec in enumerate(settings.classes)}
         self._tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
 
-    def check(self, request: Request) -> Wanted:
-        """The query that a request asks for; raises :class:`BadRequest`."""
+    def check(self, request: Request) -> ClientRequest:
+        """Return the query of a request; raises :class:`BadRequestError`."""
         headers = request.headers
-        kind = headers.get("req-kind")
-        path = request.path.removeprefix("/").partition("/")[0]
-        if kind is None:
-            raise BadRequest("Req-Kind: missing")
-        if kind not in self._classes:
-            raise BadRequest(f"Req-Kind: no class {kind[:64]!r}", 404)
-        if path != kind:
-            raise BadRequest(f"Req-Kind: {kind!r}, but the path says {path[:64]!r}")
-        if request.method != "POST":
-            raise BadRequest(f"{request.method}: a query is a POST", 405)
-        name = headers.get("req-id", "")
-        if not ID.fullmatch(name):
-            raise BadRequest("Req-Id: missing, or not of 1 to 64 letters, digits, '-' and '_'")
-        query_class = self._classes[kind]
+        query_class = self._query_class(request)
+        request_id = headers.get("req-id", "")
+        if not REQUEST_ID.fullmatch(request_id):
+            raise BadRequestError("Req-Id: missing, or not of 1 to 64 letters, digits, '-' and '_'")
         spec = self._settings.classes[query_class]
-        wait = min(_time(headers.get("req-deadline")), spec.timeout_us)
+        wait_us = min(_timeout_us(headers.get("req-deadline")), spec.timeout_us)
         key = headers.get("idempotency-key", "")
-        if spec.idempotency == policy.Idempotency.KEYED and not KEY.fullmatch(key):
-            raise BadRequest("Idempotency-Key: missing, or not of 1 to 128 printable characters without ','")
-        return Wanted(
-            name,
+        is_keyed = spec.idempotency == policy.Idempotency.KEYED
+        if is_keyed:
+            _check_idempotency_key(key)
+        body = _decode_body(request.body)
+        text = _text(body)
+        return ClientRequest(
+            request_id,
             query_class,
-            wait,
-            key if spec.idempotency == policy.Idempotency.KEYED else "",
+            wait_us,
+            key if is_keyed else "",
             headers.get("req-retry") == "1",
-            *self._body(request.body),
+            text,
+            self._parts(body),
             self._tenants.get(headers.get("req-owner", ""), len(self._tenants)),
         )
 
-    def _body(self, data: bytes) -> tuple[bytes, tuple[WantedPart, ...]]:
-        try:
-            body = _decoder.decode(data)
-            text = body.expr.encode()
-        except (msgspec.MsgspecError, UnicodeError, RecursionError) as problem:
-            raise BadRequest(f"body: {problem}") from None
-        if not body.parts:
-            raise BadRequest("parts: none")
-        if not text or len(text) > TEXT_MOST:
-            raise BadRequest(f"expr: {len(text)} bytes, 1 to {TEXT_MOST} are taken")
+    def _query_class(self, request: Request) -> int:
+        kind = request.headers.get("req-kind")
+        path = request.path.removeprefix("/").partition("/")[0]
+        if kind is None:
+            raise BadRequestError("Req-Kind: missing")
+        if kind not in self._classes:
+            raise BadRequestError(f"Req-Kind: no class {kind[:64]!r}", 404)
+        if path != kind:
+            raise BadRequestError(f"Req-Kind: {kind!r}, but the path says {path[:64]!r}")
+        if request.method != "POST":
+            raise BadRequestError(f"{request.method}: a query is a POST", 405)
+        return self._classes[kind]
+
+    def _parts(self, body: _Body) -> tuple[RequestedPart, ...]:
+        """Check the parts and scale their weights to a sum of 1."""
         seen: set[int] = set()
         total = 0.0
         for part in body.parts:
-            if not 0 <= part.id < self._settings.shards:
-                raise BadRequest(f"parts: no shard {part.id}")
-            if part.id in seen:
-                raise BadRequest(f"parts: shard {part.id} twice")
+            self._check_part(part, seen)
             seen.add(part.id)
-            if not 0 < part.w <= 1:
-                raise BadRequest(f"parts: shard {part.id}: a weight in (0, 1] is expected")
-            if part.hint is not None and not 0 <= part.hint <= HINT_MOST:
-                raise BadRequest(f"parts: shard {part.id}: a hint of {part.hint} us")
-            if part.tag is not None and not TAG.fullmatch(part.tag):
-                raise BadRequest(f"parts: shard {part.id}: a tag is 16 hex digits")
             total += part.w
-        if abs(total - 1) > WEIGHT_SLACK:
-            raise BadRequest(f"parts: weights add up to {total:.6g}, not 1")
-        return text, tuple(
-            WantedPart(part.id, part.w / total, None if part.hint is None else int(part.hint))
+        if abs(total - 1) > WEIGHT_TOLERANCE:
+            raise BadRequestError(f"parts: weights add up to {total:.6g}, not 1")
+        return tuple(
+            RequestedPart(part.id, part.w / total, None if part.hint is None else int(part.hint))
             for part in body.parts
         )
 
-
-def _time(words: str | None) -> int:
-    found = TIME.fullmatch(words or "")
+    def _check_part(self, part: _Part, seen: set[int]) -> None:
+        if not 0 <= part.id < self._settings.shards:
+            raise BadRequestError(f"parts: no shard {part.id}")
+        if part.id in seen:
+            raise BadRequestError(f"parts: shard {part.id} twice")
+        if not 0 < part.w <= 1:
+            raise BadRequestError(f"parts: shard {part.id}: a weight in (0, 1] is expected")
+        if part.hint is not None and not 0 <= part.hint <= MAX_HINT_US:
+            raise BadRequestError(f"parts: shard {part.id}: a hint of {part.hint} us")
+        if part.tag is not None and not TAG.fullmatch(part.tag):
+            raise BadRequestError(f"parts: shard {part.id}: a tag is 16 hex digits")
+
+
+def _check_idempotency_key(key: str) -> None:
+    if not IDEMPOTENCY_KEY.fullmatch(key):
+        raise BadRequestError("Idempotency-Key: missing, or not of 1 to 128 printable characters without ','")
+
+
+def _decode_body(data: bytes) -> _Body:
+    try:
+        return _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as problem:
+        raise BadRequestError(f"body: {problem}") from None
+
+
+def _text(body: _Body) -> bytes:
+    try:
+        text = body.expr.encode()
+    except UnicodeError as problem:
+        raise BadRequestError(f"body: {problem}") from None
+    if not body.parts:
+        raise BadRequestError("parts: none")
+    if not text or len(text) > MAX_TEXT_BYTES:
+        raise BadRequestError(f"expr: {len(text)} bytes, 1 to {MAX_TEXT_BYTES} are taken")
+    return text
+
+
+def _timeout_us(value: str | None) -> int:
+    found = TIMEOUT.fullmatch(value or "")
     if found is None:
-        raise BadRequest("Req-Deadline: missing, or not a number followed by m or u")
-    span = int(float(found[1]) * UNITS[found[2]])
-    if span <= 0:
-        raise BadRequest("Req-Deadline: not positive")
-    return span
+        raise BadRequestError("Req-Deadline: missing, or not a number followed by m or u")
+    timeout_us = int(float(found[1]) * MICROSECONDS_PER_UNIT[found[2]])
+    if timeout_us <= 0:
+        raise BadRequestError("Req-Deadline: not positive")
+    return timeout_us
--- a/heathwell/gateway/targets.py
+++ b/heathwell/gateway/targets.py
@@ -1,22 +1,24 @@
-"""Discovery's answers, checked, and as the module's news. Pure."""
+"""Answers of the platform's discovery: decoding, checks, and conversion to the module's endpoint updates.
 
-from __future__ import annotations
+Pure: no I/O and no state. Imports the module's messages only.
+"""
 
-from typing import Any
+from __future__ import annotations
 
 import msgspec
 
 from heathwell import policy
 
-STATES = {
+ENDPOINT_STATES = {
     "up": policy.EndpointState.LIVE,
     "draining": policy.EndpointState.DRAINING,
     "removed": policy.EndpointState.GONE,
 }
+UNKNOWN_ZONE = -1
 
 
 class TargetsError(ValueError):
-    """An answer that is not of discovery's form."""
+    """An answer that does not have discovery's form."""
 
 
 class Target(msgspec.Struct, frozen=True):
@@ -33,23 +35,23 @@
 
 
 class Targets(msgspec.Struct, frozen=True):
-    """A whole list, or what changed."""
+    """The complete list (``all``) or the changes since an earlier version; ``rev`` is its version."""
 
     rev: int
     all: bool
     targets: list[Target]
 
     @classmethod
-    def from_json(cls, value: Any) -> Targets:
-        """From decoded JSON; raises :class:`TargetsError`."""
+    def from_json(cls, value: object) -> Targets:
+        """Convert decoded JSON; raises :class:`TargetsError`."""
         try:
             return msgspec.convert(value, cls)
         except msgspec.ValidationError as problem:
             raise TargetsError(str(problem)) from None
 
     @classmethod
-    def of(cls, data: bytes) -> Targets:
-        """From an answer's body; raises :class:`TargetsError`."""
+    def from_bytes(cls, data: bytes) -> Targets:
+        """Decode an answer's body; raises :class:`TargetsError`."""
         try:
             return _decoder.decode(data)
         except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
@@ -59,33 +61,37 @@
 _decoder = msgspec.json.Decoder(Targets)
 
 
-def state_of(target: Target) -> policy.EndpointState:
-    """The module's word for its state; one that nobody knows is taken as draining."""
-    return STATES.get(target.state, policy.EndpointState.DRAINING)
+def endpoint_state(target: Target) -> policy.EndpointState:
+    """The module's state of a node; a state that is unknown counts as draining."""
+    return ENDPOINT_STATES.get(target.state, policy.EndpointState.DRAINING)
 
 
-def news_of(
-    targets: Targets, zones: tuple[str, ...], cells: int, unix_offset_us: int, asked: bool = True
+def to_endpoint_update(
+    targets: Targets,
+    zones: tuple[str, ...],
+    replica_groups: int,
+    unix_offset_us: int,
+    requested: bool = True,
 ) -> policy.EndpointUpdate:
-    """The module's news. Starts are moved to the caller's clock, which is behind Unix time by
-    ``unix_offset_us``.
+    """Convert an answer to the module's update.
 
-    A state nobody knows is taken as draining; a node of a cell that is not there is left out.
+    Starts of nodes are moved to the caller's clock, which is behind Unix time by ``unix_offset_us``. A node
+    of a replica group that does not exist is left out.
     """
-    places = {name: index for index, name in enumerate(zones)}
+    zone_indexes = {name: index for index, name in enumerate(zones)}
     return policy.EndpointUpdate(
         policy.UpdateKind.FULL if targets.all else policy.UpdateKind.INCREMENTAL,
         tuple(
             policy.EndpointEntry(
                 target.uid,
                 target.pod_group,
-                state_of(target),
+                endpoint_state(target),
                 max(1, int(target.boot_ms * 1000) - unix_offset_us) if target.boot_ms > 0 else None,
                 target.capacity_hint if target.capacity_hint > 0 else 1.0,
-                places.get(target.az, -1),
+                zone_indexes.get(target.az, UNKNOWN_ZONE),
             )
             for target in targets.targets
-            if 0 <= target.pod_group < cells
+            if 0 <= target.pod_group < replica_groups
         ),
-        asked,
+        requested,
     )
--- a/heathwell/gateway/trace.py
+++ b/heathwell/gateway/trace.py
@@ -1,8 +1,8 @@
-"""What the broker believes beside what passed on its sockets, a line a second; off unless ``HEATHWELL_TRACE``
-is set.
+"""A diagnostic line a second on standard error: the module's beliefs beside what passed on the sockets.
 
-Beliefs are the module's: own counts, ejections, cold and draining nodes. Facts are the links' and the
-front's.
+Written only if ``HEATHWELL_TRACE`` is set. Beliefs are the module's: its own counts, ejections, endpoints in
+slow start and draining. Facts are counters of the links and the front. :class:`Trace` owns nothing but the
+previous sample; it reads the broker and the front.
 """
 
 from __future__ import annotations
@@ -14,59 +14,75 @@
 from heathwell.gateway.broker import PlatformBroker
 from heathwell.gateway.front import Front
 
-EVERY_US = 1_000_000
+INTERVAL_US = 1_000_000
 
 
 class Trace:
-    """Prints once a second."""
+    """Prints a sample on creation, and then one every ``INTERVAL_US``."""
 
     def __init__(self, broker: PlatformBroker, front: Front) -> None:
-        self.broker, self.front, self.loop = broker, front, broker.loop
-        self._before: Counter[str] = Counter()
-        self._at = self.loop.now()
-        self._look()
+        self.broker = broker
+        self.front = front
+        self.loop = broker.loop
+        self._previous_facts: Counter[str] = Counter()
+        self._previous_at_us = self.loop.now()
+        self._print_sample()
+
+    def _print_sample(self) -> None:
+        now_us = self.loop.now()
+        facts = self._facts()
+        beliefs = self._beliefs()
+        state = self._state()
+        passed = self._changes(facts)
+        lag_us = now_us - self._previous_at_us - INTERVAL_US
+        print(
+            f"trace {now_us / 1e6:.2f} lag_us={lag_us} believes: {beliefs} holds: {state} passed: {passed}",
+            file=sys.stderr,
+        )
+        self._previous_facts = facts
+        self._previous_at_us = now_us
+        self.loop.call_at(now_us + INTERVAL_US, self._print_sample)
 
     def _facts(self) -> Counter[str]:
-        facts = Counter(self.broker.passed)
+        facts = Counter(self.broker.closed_link_statistics)
         for link in self.broker.links.values():
-            facts.update(link.figures())
-        for kind, figure in self.broker.counters.items():
+            facts.update(link.statistics())
+        for kind, count in self.broker.counters.items():
             if kind[0] == "final":
-                facts[f"{kind[2]} {kind[3]}"] += figure
+                facts[f"{kind[2]} {kind[3]}"] += count
             elif kind[0] in ("attempt", "probe", "door"):
-                facts[f"{kind[0]} {kind[-1]}"] += figure
+                facts[f"{kind[0]} {kind[-1]}"] += count
         facts.update(self.front.counts)
         facts["cpu_ms"] = time.process_time_ns() // 1_000_000
         facts["module_ms"] = self.broker.decision_time_ns // 1_000_000
         facts["turns"] = self.loop.turns
         return facts
 
-    def _look(self) -> None:
-        now, facts, broker = self.loop.now(), self._facts(), self.broker
-        module, links = broker.aggregator, broker.links
-        passed = " ".join(
-            f"{name.replace(' ', '_')}={figure - self._before[name]}"
-            for name, figure in sorted(facts.items())
-            if figure != self._before[name]
+    def _changes(self, facts: Counter[str]) -> str:
+        """Format the facts that changed since the previous sample."""
+        return " ".join(
+            f"{name.replace(' ', '_')}={count - self._previous_facts[name]}"
+            for name, count in sorted(facts.items())
+            if count != self._previous_facts[name]
         )
-        servers = [server for server in module.endpoints.values() if server.live]
-        believed = (
-            f"known={len(module.endpoints)} live={len(servers)} "
-            f"ejected={sum(bool(s.ejections) for s in servers)} "
-            f"cold={sum(module.slow_start_fraction(s) < 1 for s in servers)} "
-            f"out={sum(len(s.in_flight) for s in servers)}"
+
+    def _beliefs(self) -> str:
+        aggregator = self.broker.aggregator
+        live = [endpoint for endpoint in aggregator.endpoints.values() if endpoint.live]
+        return (
+            f"known={len(aggregator.endpoints)} live={len(live)} "
+            f"ejected={sum(bool(endpoint.ejections) for endpoint in live)} "
+            f"cold={sum(aggregator.slow_start_fraction(endpoint) < 1 for endpoint in live)} "
+            f"out={sum(len(endpoint.in_flight) for endpoint in live)}"
         )
-        held = (
-            f"queries={len(broker.queries)} links={len(links)} "
-            f"links_out={sum(len(k.out) for k in links.values())} "
-            f"node_conns={broker.room.open} single={sum(k.single for k in links.values())} "
-            f"clients={len(self.front.clients)} resting={len(self.front.resting)} "
+
+    def _state(self) -> str:
+        links = self.broker.links
+        return (
+            f"queries={len(self.broker.queries)} links={len(links)} "
+            f"links_out={sum(len(link.in_flight) for link in links.values())} "
+            f"node_conns={self.broker.pool_limit.open} "
+            f"single={sum(link.is_single_part for link in links.values())} "
+            f"clients={len(self.front.clients)} resting={len(self.front.inactive)} "
             f"tasks={len(self.loop.tasks)}"
         )
-        lag = now - self._at - EVERY_US
-        print(
-            f"trace {now / 1e6:.2f} lag_us={lag} believes: {believed} holds: {held} passed: {passed}",
-            file=sys.stderr,
-        )
-        self._before, self._at = facts, now
-        self.loop.call_at(now + EVERY_US, self._look)
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -251,7 +251,7 @@
     def out(self, name: str) -> Callable[[], bool]:
         """Whether a query's part is with its link."""
         return lambda: any(
-            key[0].startswith(f"{name}.") for link in self.broker.links.values() for key in link.out
+            key[0].startswith(f"{name}.") for link in self.broker.links.values() for key in link.in_flight
         )
 
 
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -14,7 +14,7 @@
 from heathwell.gateway.broker import PlatformBroker
 from heathwell.gateway.config import read
 from heathwell.gateway.front import Front
-from heathwell.gateway.nodes import NodeAsk
+from heathwell.gateway.node_attempts import NodeRequest
 from heathwell.kernel import sleep, virtual_loop
 from heathwell.lab.platform import CELLS, SETUP, config_of
 from heathwell.observability.event_log import ListEvents
@@ -24,9 +24,9 @@
 LONG_US = 1 << 50
 
 
-def node_ask(part: str, seq: int, shard: int, text: bytes) -> NodeAsk:
+def node_ask(part: str, seq: int, shard: int, text: bytes) -> NodeRequest:
     """An attempt that a test hands to a link by itself; waited for without end."""
-    return NodeAsk(part, seq, partial(nf.part_call, part, shard, text=text), LONG_US)
+    return NodeRequest(part, seq, partial(nf.part_call, part, shard, text=text), LONG_US)
 
 
 class Platform:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,7 @@
 
 from heathwell import policy
 from heathwell.codec import nodeframes as nf
-from heathwell.gateway import nodes
+from heathwell.gateway import node_pool
 from heathwell.gateway.discovery import longest_wait
 from heathwell.kernel import Event, StreamBroken, sleep
 from heathwell.standins.platform import Node, answer, read_call
@@ -27,8 +27,8 @@
     """However slow the machine: a connection that says nothing is not given up for another while a test is
     on.
     """
-    for least_or_most in ("SUSPECT_LEAST_US", "SUSPECT_MOST_US"):
-        monkeypatch.setattr(nodes, least_or_most, 1 << 50)
+    for timeout_limit in ("MIN_SILENCE_TIMEOUT_US", "MAX_SILENCE_TIMEOUT_US"):
+        monkeypatch.setattr(node_pool, timeout_limit, 1 << 50)
 
 
 class Deaf:
@@ -131,12 +131,12 @@
             world.gate.hold(node.address)
         asked = world.ask("q1", SHARD)
         yield from world.until(world.out("q1"))
-        (first,) = {uid for uid, link in world.broker.links.items() if link.out}
+        (first,) = {uid for uid, link in world.broker.links.items() if link.in_flight}
         chosen = next(node for node in world.nodes if node.uid == first)
         world.put(chosen, word)
         yield from world.until(world.knows(chosen, word))
         yield from world.until(
-            lambda: any(link.out for uid, link in world.broker.links.items() if uid != first)
+            lambda: any(link.in_flight for uid, link in world.broker.links.items() if uid != first)
         )
         for node in world.nodes:
             world.gate.open(node.address)
@@ -174,7 +174,7 @@
         sock.send(world.request("q1", SHARD))
         yield from world.until(world.out("q1"))
         LEAVES[leaves](sock)
-        yield from world.until(lambda: world.broker.counts["left", world.kinds[0]])
+        yield from world.until(lambda: world.broker.counters["left", world.kinds[0]])
         if deaf is not None:
             for connection in list(link.connections):
                 deaf.hears.set()
@@ -207,7 +207,7 @@
         sock.send(world.request("q1", SHARD, kind))
         yield from world.until(lambda: held)
         LEAVES[leaves](sock)
-        yield from world.until(lambda: world.broker.counts["left", world.kinds[kind]])
+        yield from world.until(lambda: world.broker.counters["left", world.kinds[kind]])
         ((node, stream, part),) = held
         for each in world.nodes:
             each.behave = None
@@ -234,9 +234,9 @@
         sent = sock.send(data)
         assert sent > 100_000  # more than is read ahead: the rest lies unread
         yield from world.until(world.out("q0"))
-        yield from world.until(lambda: next(iter(world.front.clients))._ahead > 65_536)
+        yield from world.until(lambda: next(iter(world.front.clients))._read_ahead_bytes > 65_536)
         LEAVES[leaves](sock)
-        yield from world.until(lambda: world.broker.counts["left", world.kinds[0]], "the end is seen")
+        yield from world.until(lambda: world.broker.counters["left", world.kinds[0]], "the end is seen")
         yield from world.until(lambda: not world.front.clients)
         node.silent = False
         response = yield from world.ask("after", SHARD).join()
@@ -286,12 +286,12 @@
         query = next(iter(world.broker.queries.values()))
         part = query.parts["q1.3"]
         if world.setup["ceilings"]["second-copies"]:  # late: a copy is decided, and waits for its connection
-            yield from world.until(lambda: part.attempts == 2)
+            yield from world.until(lambda: part.attempt_count == 2)
         else:  # no copy may be out beside it: driven by the driver's own door
             other = next(node for node in world.nodes if node.uid != first and node.cell in (3, 4, 5))
             key = (part.id, 1)
-            part.attempts = 2
-            query.out[key] = other.uid
+            part.attempt_count = 2
+            query.in_flight[key] = other.uid
             world.broker._link(other.uid).send([world.broker.attempt_request(query, part, 1, 100_000)])
         for node in world.nodes:
             node.behave = None
@@ -331,10 +331,12 @@
         link = world.broker._link("s3")
         world.broker.on_attempt_result = lambda node, key, outcome, result: ended.append((key[0], outcome))
         link.send([node_ask("q1.3", 0, 3, b"x")])
-        yield from world.until(lambda: link.connections[0].stream and link.connections[0].out["q1.3"].ends)
+        yield from world.until(
+            lambda: link.connections[0].stream and link.connections[0].in_flight["q1.3"].frame_end
+        )
         link.send([node_ask("q2.3", 0, 3, b"x" * 4_000_000)])
         yield from world.until(lambda: link.connections[0].stream.unsent)
-        assert link.forget(("q1.3", 0))
+        assert link.abandon(("q1.3", 0))
         deaf.hears.set()
         yield from world.until(lambda: deaf.ends)
         yield from world.until(lambda: ended)
@@ -351,7 +353,7 @@
 def served(world, sock):
     """One request of a bare client, answered; the connection rests then."""
     sock.send(world.request("q1", SHARD))
-    yield from world.until(lambda: world.front.kept)
+    yield from world.until(lambda: world.front.kept_alive)
     sock.recv(65_536)
 
 
@@ -367,19 +369,19 @@
         yield from served(world, sock)
         (client,) = world.front.clients
         if by == "its patience":
-            client.since = -(1 << 60)
+            client.since_us = -(1 << 60)
         if by == "too many at rest":
-            world.front.kept_most = 0
+            world.front.max_kept_alive = 0
         if by == "room for another":
-            world.front.most = 1
+            world.front.max_clients = 1
         sock.send(world.request("q2", SHARD))  # from here to the call nothing of the broker runs
         if by == "the end":
             world.front.drain()
-            world.front.let_go()
+            world.front.close_idle()
         elif by == "its patience":
-            world.front._look()
+            world.front._check_timeouts()
         elif by == "too many at rest":
-            world.front.rests(client)
+            world.front.on_answered(client)
         else:
             assert not world.front._make_room()
         assert not client.stream.closed
@@ -404,13 +406,13 @@
         yield from served(world, sock)
         (client,) = world.front.clients
         if by == "the end":
-            world.front.let_go()
+            world.front.close_idle()
         elif by == "its patience":
-            client.since = -(1 << 60)
-            world.front._look()
+            client.since_us = -(1 << 60)
+            world.front._check_timeouts()
         elif by == "too many at rest":
-            world.front.kept_most = 0
-            world.front.rests(client)
+            world.front.max_kept_alive = 0
+            world.front.on_answered(client)
         else:
             assert world.front._make_room()
         assert client.stream.closed
--- a/tests/test_crossings_processes.py
+++ b/tests/test_crossings_processes.py
@@ -290,7 +290,7 @@
                 ).encode()
                 + body
             )
-        process._take_no_more()
+        process._stop_accepting()
 
     process.loop.call_soon(crosses)
     beside = threading.Thread(target=loop.run, daemon=True)
--- a/tests/test_crossings_times.py
+++ b/tests/test_crossings_times.py
@@ -162,7 +162,7 @@
         data = yield from told(world, sock, b"")
         if first == "deadline" and not stream.closed:
             stream.write(answer(part))
-            yield from world.until(lambda: world.broker.links["s3"].late)
+            yield from world.until(lambda: world.broker.links["s3"].late_answers)
         sock.send(b"GET /-/ready HTTP/1.1\r\nHost: b\r\n\r\n")  # the connection is as good as before
         return (yield from told(world, sock, data, 2))
 
@@ -201,7 +201,7 @@
                 yield from world.until(lambda: node.given_up)
             stream.write(answer(part))
             if not copies:
-                yield from world.until(lambda: world.broker.links[node.uid].late)
+                yield from world.until(lambda: world.broker.links[node.uid].late_answers)
                 other, stream, part = held[1]
                 stream.write(answer(part))
         return (yield from told(world, sock, b""))
@@ -317,7 +317,7 @@
             yield from world.until(lambda: world.registry.calls)
         waits = pushed and discovery == "answers late"
         if discovery == "is down":
-            yield from world.until(lambda: world.broker.counts["news", "failed"] or not pushed)
+            yield from world.until(lambda: world.broker.counters["news", "failed"] or not pushed)
         assert (yield from ready()) == (503 if waits else 200)
         asked = world.ask("q1", SHARD)
         yield from world.until(lambda: world.front.counts["requests"])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,7 +8,8 @@
 import weakref
 
 from heathwell import policy
-from heathwell.gateway.nodes import SINGLE_AFTER
+from heathwell.gateway.node_pool import SINGLE_PART_AFTER_CLOSES
+from heathwell.gateway.trace import Trace
 from heathwell.kernel import StreamBroken, sleep
 from heathwell.standins.platform import answer, value_of
 
@@ -75,9 +76,9 @@
     status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
     assert status == 200
     assert (
-        world.broker.counts["attempt", "price-search", policy.Outcome.CONNECTION_LOST] >= 3
+        world.broker.counters["attempt", "price-search", policy.Outcome.CONNECTION_LOST] >= 3
     )  # it may have run; the node is there
-    assert not world.broker.counts["attempt", "price-search", policy.Outcome.BROKEN]
+    assert not world.broker.counters["attempt", "price-search", policy.Outcome.BROKEN]
     assert all(
         server.slow_start_from_us is None
         and "no connection" not in [bar.dead for bar in server.ejections.values()]
@@ -98,7 +99,7 @@
     for node in world.nodes:
         node.behave = dies
     status, _ = ask(world, "q1", "price-search", [0, 1, 2, 3])
-    assert status == 200 and world.broker.counts["attempt", "price-search", policy.Outcome.BROKEN] >= 1
+    assert status == 200 and world.broker.counters["attempt", "price-search", policy.Outcome.BROKEN] >= 1
     assert world.broker.aggregator.endpoints[victims[0]].ejections
 
 
@@ -108,8 +109,8 @@
         node.kill()  # new connections are refused
     status, _ = ask(world, "q1", "sale-record", [3], key="k1")
     assert status == 503
-    assert set(world.broker.counts) & {("attempt", "sale-record", policy.Outcome.UNREACHABLE)}
-    assert not world.broker.counts["attempt", "sale-record", policy.Outcome.BROKEN]
+    assert set(world.broker.counters) & {("attempt", "sale-record", policy.Outcome.UNREACHABLE)}
+    assert not world.broker.counters["attempt", "sale-record", policy.Outcome.BROKEN]
 
 
 def test_a_node_that_closes_after_each_answer_gets_one_part_a_connection():
@@ -132,8 +133,8 @@
             yield from second.join()
 
     world.run(main())
-    links = [link for link in world.broker.links.values() if link.connects > SINGLE_AFTER]
-    assert links and all(link.single for link in links)
+    links = [link for link in world.broker.links.values() if link.connects > SINGLE_PART_AFTER_CLOSES]
+    assert links and all(link.is_single_part for link in links)
     before = sum(link.breaks for link in links)
 
     def more():
@@ -155,7 +156,7 @@
             yield from sleep(world.loop, 100_000)
 
     world.run(keeps())
-    assert not any(link.single for link in links if link.up)
+    assert not any(link.is_single_part for link in links if link.up)
 
 
 def test_an_answer_to_what_was_given_up_is_not_taken_for_a_later_attempt():
@@ -170,14 +171,14 @@
     node.behave = lambda node, stream, part: late.append((stream, part))
     link.send([node_ask("q1.3", 0, 3, b"x")])
     world.wait(0.05)
-    assert link.forget(("q1.3", 0))
+    assert link.abandon(("q1.3", 0))
     link.send([node_ask("q1.3", 1, 3, b"x")])
     world.wait(0.05)
     assert len(late) == 2 and late[0][0] is not late[1][0]  # another connection: an id goes over one once
     stream, part = late[0]
     stream.write(answer(part, 503))  # of the first, which was given up
     world.wait(0.01)
-    assert not ended and link.late == 1
+    assert not ended and link.late_answers == 1
     stream, part = late[1]
     stream.write(answer(part))
     world.wait(0.01)
@@ -193,13 +194,13 @@
     world.net.cut(uid, "broker")
     link.probe()
     world.wait(2.0)
-    assert world.broker.counts["probe", policy.Outcome.TIMED_OUT] == 1
+    assert world.broker.counters["probe", policy.Outcome.TIMED_OUT] == 1
     world.net.heal(uid, "broker")
     node.silent = False
     held = list(node.streams)
     link.probe()
     world.wait(0.2)
-    assert world.broker.counts["probe", policy.Outcome.OK] == 1
+    assert world.broker.counters["probe", policy.Outcome.OK] == 1
     assert any(stream not in held for stream in node.streams)
 
 
@@ -228,8 +229,8 @@
     module = world.broker.aggregator
     assert statuses.count(200) >= 58 and statuses[20:] == [200] * 40
     assert all(module.slow_start_fraction(server) == 1.0 for server in module.endpoints.values())
-    assert world.broker.counts["attempt", "price-search", policy.Outcome.TIMED_OUT] >= 1
-    assert not world.broker.counts["probe", policy.Outcome.TIMED_OUT]
+    assert world.broker.counters["attempt", "price-search", policy.Outcome.TIMED_OUT] >= 1
+    assert not world.broker.counters["probe", policy.Outcome.TIMED_OUT]
     assert world.verdict().kept
 
 
@@ -247,7 +248,7 @@
 
     assert world.run(main()) == 503
     assert not any(node.parts for node in world.nodes)
-    assert world.broker.counts["attempt", "price-search", policy.Outcome.NEVER_SENT] >= 3
+    assert world.broker.counters["attempt", "price-search", policy.Outcome.NEVER_SENT] >= 3
     assert not world.broker.parts and not any(
         server.in_flight for server in world.broker.aggregator.endpoints.values()
     )
@@ -306,7 +307,7 @@
         yield from sleep(world.loop, 50_000)
 
     world.run(main())
-    assert world.broker.counts["left", "price-search"] == 1 and not world.broker.queries
+    assert world.broker.counters["left", "price-search"] == 1 and not world.broker.queries
 
 
 def test_what_is_kept_stands_still_while_thousands_of_nodes_and_clients_come_and_go():
@@ -344,7 +345,7 @@
                             broker.queries,
                             broker.parts,
                             broker._sent_at_us,
-                            broker.counts,
+                            broker.counters,
                             world.front.clients,
                             world.loop.tasks,
                             world.loop._timers,
@@ -428,3 +429,26 @@
     finally:
         gc.enable()
     assert len(seen) >= 60 and not alive
+
+
+def test_the_trace_prints_beliefs_state_and_changed_counters_once_a_second(capsys):
+    world = Platform()
+    ask(world, "q1", "price-search", [0, 1, 2, 3])
+    Trace(world.broker, world.front)
+    world.wait(1.0)
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2
+    for line in lines:
+        assert line.startswith("trace ") and " believes: known=6 live=6 ejected=0 " in line
+        assert " holds: queries=0 links=" in line and " single=0 clients=" in line
+    connects = sum(link.connects for link in world.broker.links.values())
+    assert f" connects={connects} " in lines[0] and " requests=1 " in lines[0]
+    assert " connects=" not in lines[1] and " lag_us=0 " in lines[1]
+
+
+def test_a_link_counts_by_the_names_that_the_trace_prints():
+    world = Platform()
+    ask(world, "q1", "price-search", [0, 1, 2, 3])
+    link = next(link for link in world.broker.links.values() if link.up)
+    link.late_answers = 3
+    assert link.statistics() == {"connects": 1, "breaks": 0, "late": 3, "spoilt": 0, "ended_soon": 0}
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -60,9 +60,9 @@
     rows = json.loads(response.body)["rows"]
     assert response.status == 200
     assert all(row["data"].encode() == value_of(row["id"], b"c41e77d0") for row in rows)
-    ended = {key[2] for key in world.broker.counts if key[0] == "attempt"}
+    ended = {key[2] for key in world.broker.counters if key[0] == "attempt"}
     assert policy.Outcome.ERROR in ended and policy.Outcome.BROKEN not in ended
-    assert sum(link.spoilt for link in world.broker.links.values()) >= 3
+    assert sum(link.invalid_answers for link in world.broker.links.values()) >= 3
 
 
 @pytest.mark.parametrize("behind", [b"\xde\xad", b"noise that is longer than a length", None])
@@ -82,7 +82,7 @@
             yield from sleep(world.loop, 50_000)
 
     world.run(main())
-    assert set(key[2] for key in world.broker.counts if key[0] == "attempt") == {policy.Outcome.OK}
+    assert set(key[2] for key in world.broker.counters if key[0] == "attempt") == {policy.Outcome.OK}
     assert not any(server.ejections for server in world.broker.aggregator.endpoints.values())
 
 
@@ -192,7 +192,7 @@
         response = yield from world.client().ask("q1", "price-search", [0, 1, 2, 3])
         assert response.status == 200  # from the list as it was last known
         yield from sleep(world.loop, 1_000_000)
-        assert world.broker.counts["news", policy.UpdateKind.FAILED] >= 1
+        assert world.broker.counters["news", policy.UpdateKind.FAILED] >= 1
         registry.down = False
         yield from sleep(world.loop, 5_000_000)
         calls = len(registry.calls)
@@ -225,7 +225,7 @@
     assert [start for start, _, _ in holds] == ["from=1", "from=2"]
     # Held as long as an ask may be late, less a draw that keeps brokers apart.
     assert all(7_500 <= int(hold) <= 10_000 for _, _, hold in holds) and holds[0] != holds[1]
-    assert not world.broker.counts[
+    assert not world.broker.counters[
         "news", policy.UpdateKind.FULL
     ]  # the configuration's list was whole already
     assert not world.broker.aggregator.endpoints["s4"].live and world.broker.aggregator.endpoints["s3"].live
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from heathwell.codec.http import Request
-from heathwell.gateway.requests import BadRequest, Checker
+from heathwell.gateway.requests import BadRequestError, RequestChecker
 from heathwell.kernel import StreamBroken, sleep
 from heathwell.standins.platform import value_of
 
@@ -28,14 +28,14 @@
 
 
 def test_a_good_request_is_taken_as_it_says():
-    wanted = Checker(settings_of()).check(request(query="key=7f3a9c21e0b4d655"))
+    wanted = RequestChecker(settings_of()).check(request(query="key=7f3a9c21e0b4d655"))
     assert (wanted.id, wanted.query_class, wanted.wait_us, wanted.text) == ("q1", 0, 480_000, b"c41e77d0")
     assert [(part.shard, part.weight, part.hint_us) for part in wanted.parts] == [
         (1, 0.5, None),
         (2, 0.5, 9000),
     ]
     assert (
-        Checker(settings_of()).check(request({"req-deadline": "90000000u"})).wait_us == 600_000
+        RequestChecker(settings_of()).check(request({"req-deadline": "90000000u"})).wait_us == 600_000
     )  # the class's
 
 
@@ -74,17 +74,17 @@
     ],
 )
 def test_what_is_wrong_is_named(head, body, word):
-    with pytest.raises(BadRequest, match=word) as caught:
-        Checker(settings_of()).check(request(head, body))
+    with pytest.raises(BadRequestError, match=word) as caught:
+        RequestChecker(settings_of()).check(request(head, body))
     assert 400 <= caught.value.status < 500
 
 
 def test_a_keyed_class_needs_its_key():
-    checker = Checker(settings_of())
+    checker = RequestChecker(settings_of())
     head = {"req-kind": "sale-record"}
-    with pytest.raises(BadRequest, match="Idempotency-Key"):
+    with pytest.raises(BadRequestError, match="Idempotency-Key"):
         checker.check(request(head, path="/sale-record"))
-    with pytest.raises(BadRequest, match="Idempotency-Key"):
+    with pytest.raises(BadRequestError, match="Idempotency-Key"):
         checker.check(request({**head, "idempotency-key": "a,from=1"}, path="/sale-record"))
     assert checker.check(request({**head, "idempotency-key": "k1"}, path="/sale-record")).key == "k1"
 
@@ -93,7 +93,7 @@
 def test_rounded_weights_add_up_to_one_once_taken(shards, digits):
     weights = [round(1 / len(shards), max(digits, 4))] * len(shards)
     body = {"parts": [{"id": s, "w": w} for s, w in zip(shards, weights, strict=True)], "expr": "x"}
-    wanted = Checker(settings_of()).check(request(body=body))
+    wanted = RequestChecker(settings_of()).check(request(body=body))
     assert abs(sum(part.weight for part in wanted.parts) - 1) < 1e-9
 
 
@@ -262,4 +262,4 @@
         node.work_us = 60_000
     got, ended = told(world, [whole(b"q1"), b"x" * 65_536, b"x" * 65_536, b"x" * 65_536])
     assert got.count(b"HTTP/1.1 200") == 1 and got.count(b"HTTP/1.1 4") == 1 and ended is not None
-    assert not world.broker.counts["left", "price-search"]
+    assert not world.broker.counters["left", "price-search"]
