--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,7 +8,8 @@
 import weakref
 
 from heathwell import policy
-from heathwell.gateway.nodes import SINGLE_AFTER
+from heathwell.gateway.node_pool import SINGLE_PART_AFTER_CLOSES
+from heathwell.gateway.trace import Trace
 from heathwell.kernel import StreamBroken, sleep
 from heathwell.standins.platform import answer, value_of
 
@@ -132,8 +133,8 @@
             yield from second.join()
 
     world.run(main())
-    links = [link for link in world.broker.links.values() if link.connects > SINGLE_AFTER]
-    assert links and all(link.single for link in links)
+    links = [link for link in world.broker.links.values() if link.connects > SINGLE_PART_AFTER_CLOSES]
+    assert links and all(link.is_single_part for link in links)
     before = sum(link.breaks for link in links)
 
     def more():
@@ -155,7 +156,7 @@
             yield from sleep(world.loop, 100_000)
 
     world.run(keeps())
-    assert not any(link.single for link in links if link.up)
+    assert not any(link.is_single_part for link in links if link.up)
 
 
 def test_an_answer_to_what_was_given_up_is_not_taken_for_a_later_attempt():
@@ -170,14 +171,14 @@
     node.behave = lambda node, stream, part: late.append((stream, part))
     link.send([node_ask("q1.3", 0, 3, b"x")])
     world.wait(0.05)
-    assert link.forget(("q1.3", 0))
+    assert link.abandon(("q1.3", 0))
     link.send([node_ask("q1.3", 1, 3, b"x")])
     world.wait(0.05)
     assert len(late) == 2 and late[0][0] is not late[1][0]  # another connection: an id goes over one once
     stream, part = late[0]
     stream.write(answer(part, 503))  # of the first, which was given up
     world.wait(0.01)
-    assert not ended and link.late == 1
+    assert not ended and link.late_answers == 1
     stream, part = late[1]
     stream.write(answer(part))
     world.wait(0.01)
@@ -428,3 +429,26 @@
     finally:
         gc.enable()
     assert len(seen) >= 60 and not alive
+
+
+def test_the_trace_prints_beliefs_state_and_changed_counters_once_a_second(capsys):
+    world = Platform()
+    ask(world, "q1", "price-search", [0, 1, 2, 3])
+    Trace(world.broker, world.front)
+    world.wait(1.0)
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2
+    for line in lines:
+        assert line.startswith("trace ") and " believes: known=6 live=6 ejected=0 " in line
+        assert " holds: queries=0 links=" in line and " single=0 clients=" in line
+    connects = sum(link.connects for link in world.broker.links.values())
+    assert f" connects={connects} " in lines[0] and " requests=1 " in lines[0]
+    assert " connects=" not in lines[1] and " lag_us=0 " in lines[1]
+
+
+def test_a_link_counts_by_the_names_that_the_trace_prints():
+    world = Platform()
+    ask(world, "q1", "price-search", [0, 1, 2, 3])
+    link = next(link for link in world.broker.links.values() if link.up)
+    link.late_answers = 3
+    assert link.statistics() == {"connects": 1, "breaks": 0, "late": 3, "spoilt": 0, "ended_soon": 0}
--- a/tests/test_gateway_days.py
+++ b/tests/test_gateway_days.py
@@ -62,7 +62,7 @@
     assert all(row["data"].encode() == value_of(row["id"], b"c41e77d0") for row in rows)
     ended = {key[2] for key in world.broker.counters if key[0] == "attempt"}
     assert policy.Outcome.ERROR in ended and policy.Outcome.BROKEN not in ended
-    assert sum(link.spoilt for link in world.broker.links.values()) >= 3
+    assert sum(link.invalid_answers for link in world.broker.links.values()) >= 3
 
 
 @pytest.mark.parametrize("behind", [b"\xde\xad", b"noise that is longer than a length", None])
