Rollout: controller, canary analysis, supervisor and preflight in the field's terms

Cause: slot, course, judge and checks held several jobs each, states were loose strings, decisions came back as "why not, or an empty string", and checks imported the settings package, which the layers forbid.

Change: slot -> broker_supervisor, course -> rollout_controller, judge -> canary_analysis (with observations, verdict, sequential_test, fault_detector, immediate_checks beside it), checks -> preflight (with protocols of the settings in preflight_settings). States and events are StrEnums with one table; values on the wire and on disk are as before. errors.py has the package's exceptions; a stale decision raises StaleDecisionError. A fault on both sides is an event of its own, so that no reason is parsed for it. Wording of reasons changes in two places: "worth" is "goodput", "says nothing any more" is "no reports from ... any more".

Tests: renamed with the code; a stale decision is asserted by the error and its text in place of a non-empty string.

--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -26,8 +26,15 @@
 from heathwell.fleet.control.rollout import Controller
 from heathwell.fleet.control.wiring import lease_budget, times_of
 from heathwell.fleet.membership import Self
-from heathwell.fleet.rollout import DONE, Course, Limits, Plan, Stage
-from heathwell.fleet.rollout.checks import doubts
+from heathwell.fleet.rollout import (
+    RESTART_SUFFIX,
+    AnalysisLimits,
+    Plan,
+    RolloutController,
+    RolloutState,
+    Stage,
+)
+from heathwell.fleet.rollout.preflight import preflight_warnings
 from heathwell.kernel import Coro, sleep
 from heathwell.settings import ServiceSettings, SettingsError, load
 from heathwell.settings.check import TIME_US
@@ -98,7 +105,7 @@
         )
         address = served.start(listen)
         for broker in rows:
-            if not broker.slot.wanted:
+            if not broker.supervisor.desired_version:
                 why = served.want(
                     broker.name, version, str(Path(program).resolve()), str(Path(first_settings).resolve())
                 )
@@ -106,11 +113,18 @@
                     click.echo(f"{broker.name}: {why}", err=True)
                     sys.exit(2)
             else:
-                slot = broker.slot
-                files = served.versions[slot.wanted.rstrip("~")]
-                served.want(broker.name, slot.wanted, files.program, files.settings, slot.term, slot.number)
+                supervisor = broker.supervisor
+                files = served.versions[supervisor.desired_version.rstrip(RESTART_SUFFIX)]
+                served.want(
+                    broker.name,
+                    supervisor.desired_version,
+                    files.program,
+                    files.settings,
+                    supervisor.term,
+                    supervisor.number,
+                )
         while (
-            any(broker.slot.serving is None and not broker.slot.failed for broker in rows)
+            any(broker.supervisor.serving is None and not broker.supervisor.failures for broker in rows)
             and not process.stop.is_set
         ):
             yield from sleep(process.loop, 50_000)
@@ -139,7 +153,8 @@
         return float(words[:-1]) / 100 if words.endswith("%") else 0.0 if words == "1" else float(words)
 
     return tuple(
-        Stage(share(words), _span(bake), _span(most), prove=words == prove) for words in text.split(",")
+        Stage(share(words), _span(bake), _span(most), require_proof=words == prove)
+        for words in text.split(",")
     )
 
 
@@ -209,7 +224,9 @@
         sys.exit(2)
     try:
         plan = Plan(_stages(stages, bake, most, prove), zone_share, at_once)
-        course = Course(f"{old}-{new}", old, new, {}, plan, Limits(tolerance=tolerance), _span(window))
+        course = RolloutController(
+            f"{old}-{new}", old, new, {}, plan, AnalysisLimits(tolerance=tolerance), _span(window)
+        )
     except (ValueError, KeyError) as problem:
         click.echo(f"--stages, --bake, --most, --window: {problem}", err=True)
         sys.exit(2)
@@ -227,8 +244,11 @@
             after = load(files[new][1])
         except (SettingsError, OSError) as problem:
             return str(problem).splitlines()
-        wrong = [doubt for doubt in doubts(before, after) if not doubt.flag or doubt.flag not in allow]
-        return [doubt.text + (f" (--allow {doubt.flag} takes it)" if doubt.flag else "") for doubt in wrong]
+        return [
+            warning.text + (f" (--allow {warning.override_flag} takes it)" if warning.override_flag else "")
+            for warning in preflight_warnings(before, after)
+            if warning.override_flag is None or warning.override_flag not in allow
+        ]
 
     def crash(point: str) -> None:
         if crash_at and point == crash_at:
@@ -264,8 +284,8 @@
         return 0
 
     process.run(main)
-    click.echo(f"{course.id}: {course.state}: {course.why}")
-    sys.exit(0 if course.state == DONE else 1)
+    click.echo(f"{course.id}: {course.state}: {course.reason}")
+    sys.exit(0 if course.state == RolloutState.DONE else 1)
 
 
 def _lease(process: Process, service_settings: ServiceSettings, keepers: str) -> Callable[[], bool]:
--- a/heathwell/fleet/control/machine.py
+++ b/heathwell/fleet/control/machine.py
@@ -24,8 +24,16 @@
 from heathwell.codec import frames
 from heathwell.codec.http import ClientSide, HttpError
 from heathwell.fleet.control.messages import MESSAGE_MOST
-from heathwell.fleet.rollout.course import AGAIN
-from heathwell.fleet.rollout.slot import Apply, Patience, Say, Slot, Start, Stop
+from heathwell.fleet.rollout import RESTART_SUFFIX, StaleDecisionError
+from heathwell.fleet.rollout.broker_supervisor import (
+    ApplySettings,
+    BrokerSupervisor,
+    LogMessage,
+    StartProcess,
+    StopProcess,
+    SupervisorAction,
+    SupervisorLimits,
+)
 from heathwell.kernel import ConnectFailed, Coro, Listener, Loop, Net, Stream, StreamBroken, sleep
 from heathwell.kernel.net import split_address
 
@@ -47,7 +55,7 @@
 
 @dataclass(slots=True)
 class Run:
-    """A process of a slot."""
+    """A process of a broker."""
 
     pid: int
     version: str
@@ -61,13 +69,13 @@
 
 @dataclass(slots=True)
 class ServiceBroker:
-    """One broker of this machine: its slot, its socket, its processes."""
+    """One broker of this machine: its supervisor, its socket, its processes."""
 
     name: str
     zone: int
     args: list[str]
     address: str
-    slot: Slot
+    supervisor: BrokerSupervisor
     sock: socket.socket | None = None
     runs: dict[int, Run] = field(default_factory=dict)
     kept_cpu: int = 0
@@ -109,7 +117,7 @@
         self, name: str, version: str, program: str, settings: str, term: int = 0, number: int = 0
     ) -> str:
         """A wish; returns why it is not taken, or nothing."""
-        broker, base = self.brokers.get(name), version.rstrip(AGAIN)
+        broker, base = self.brokers.get(name), version.rstrip(RESTART_SUFFIX)
         if broker is None:
             return f"no broker {name} on this machine; there are {', '.join(sorted(self.brokers))}"
         try:
@@ -120,15 +128,19 @@
         if known is not None and known.digests != digests:
             return f"version {base} is known here with other files: give the new ones another name"
         self.versions[base] = Version(program, settings, digests)
-        serving = self.versions.get(broker.slot.version.rstrip(AGAIN))
+        serving = self.versions.get(broker.supervisor.version.rstrip(RESTART_SUFFIX))
         in_place = (
             serving is not None and serving.digests[0] == digests[0] and serving.digests[1] != digests[1]
         )
-        why, acts = broker.slot.want(self.loop.now(), version, term, number, in_place=in_place)
-        if not why:
-            self._note()
-            self._carry_out(broker, acts)
-        return why
+        try:
+            actions = broker.supervisor.set_desired_version(
+                self.loop.now(), version, term, number, in_place=in_place
+            )
+        except StaleDecisionError as error:
+            return str(error)
+        self._note()
+        self._carry_out(broker, actions)
+        return ""
 
     def stop(self) -> None:
         """Ask all brokers to end, and start none any more."""
@@ -144,22 +156,22 @@
 
     # What decisions ask for.
 
-    def _carry_out(self, broker: ServiceBroker, acts: list[Any]) -> None:
-        for act in acts:
-            match act:
-                case Start(run=run, version=version):
+    def _carry_out(self, broker: ServiceBroker, actions: list[SupervisorAction]) -> None:
+        for action in actions:
+            match action:
+                case StartProcess(run=run, version=version):
                     self._launch(broker, run, version)
-                case Stop(run=run, by_force=by_force):
+                case StopProcess(run=run, force=force):
                     if run in broker.runs:
-                        _signal(broker.runs[run].pid, signal.SIGKILL if by_force else signal.SIGTERM)
-                case Apply(run=run, version=version):
+                        _signal(broker.runs[run].pid, signal.SIGKILL if force else signal.SIGTERM)
+                case ApplySettings(run=run, version=version):
                     self._apply(broker, run, version)
-                case Say(level=level, text=text):
+                case LogMessage(level=level, text=text):
                     self.log(level, text)
 
     def _apply(self, broker: ServiceBroker, number: int, version: str) -> None:
         """Put a version's settings where the process reads its own, and ask it to read them anew."""
-        files = self.versions[version.rstrip(AGAIN)]
+        files = self.versions[version.rstrip(RESTART_SUFFIX)]
         try:
             write_whole(self._settings(broker), Path(files.settings).read_text(encoding="utf-8"))
         except OSError as problem:
@@ -175,7 +187,7 @@
     def _launch(self, broker: ServiceBroker, number: int, version: str) -> None:
         if self.stopping:
             return
-        files = self.versions[version.rstrip(AGAIN)]
+        files = self.versions[version.rstrip(RESTART_SUFFIX)]
         ready = self.folder / f"{broker.name}-{number}.ready"
         ready.unlink(missing_ok=True)
         try:
@@ -247,7 +259,7 @@
                     self._over(broker, number, code)
                 elif not run.admin and Path(run.ready_file).exists():
                     self._served(broker, number, run)
-            self._carry_out(broker, broker.slot.look(now))
+            self._carry_out(broker, broker.supervisor.tick(now))
 
     @staticmethod
     def _code(run: Run) -> int | None:
@@ -263,7 +275,7 @@
             broker.kept_cpu += int(run.told.get("cpu_us", 0))
         if self.stopping:
             return
-        self._carry_out(broker, broker.slot.ended(self.loop.now(), number, code, held))
+        self._carry_out(broker, broker.supervisor.on_process_exited(self.loop.now(), number, code, held))
         self._note()
 
     def _served(self, broker: ServiceBroker, number: int, run: Run) -> None:
@@ -272,20 +284,27 @@
             ready = json.loads(Path(run.ready_file).read_text())
             run.admin = str(ready["admin"])
         except (ValueError, KeyError, OSError) as problem:
-            self._carry_out(broker, broker.slot.ready(self.loop.now(), number, f"its ready file: {problem}"))
+            self._carry_out(
+                broker,
+                broker.supervisor.on_process_rejected(self.loop.now(), number, f"its ready file: {problem}"),
+            )
             return
-        expected = self.versions[run.version.rstrip(AGAIN)].digests
+        expected = self.versions[run.version.rstrip(RESTART_SUFFIX)].digests
         told = str(ready.get("program")), str(ready.get("settings"))
-        wrong = "" if told == expected else f"it says that it runs {told}, its files are {expected}"
         run.told_us = self.loop.now()
-        self._carry_out(broker, broker.slot.ready(self.loop.now(), number, wrong))
+        if told == expected:
+            actions = broker.supervisor.on_process_ready(self.loop.now(), number)
+        else:
+            reason = f"it says that it runs {told}, its files are {expected}"
+            actions = broker.supervisor.on_process_rejected(self.loop.now(), number, reason)
+        self._carry_out(broker, actions)
         self._note()
 
     def _ask(self, broker: ServiceBroker) -> Coro[None]:
         """Ask what serves for its sums, now and then."""
         while True:
             yield from sleep(self.loop, ASK_US)
-            serving = broker.slot.serving
+            serving = broker.supervisor.serving
             run = broker.runs.get(serving.run) if serving is not None else None
             if run is None or not run.admin:
                 continue
@@ -293,10 +312,14 @@
             timer = self.loop.call_at(self.loop.now() + ANSWER_US, task.cancel)
             yield from task.join()
             timer.cancel()
-            slot, wanted = broker.slot, self.versions.get(broker.slot.applying.rstrip(AGAIN))
+            supervisor = broker.supervisor
+            wanted = self.versions.get(supervisor.applying_version.rstrip(RESTART_SUFFIX))
             if serving is not None and wanted is not None and run.told.get("settings") == wanted.digests[1]:
-                self._carry_out(broker, slot.applied(self.loop.now(), serving.run, slot.applying))
-                run.version = slot.version
+                self._carry_out(
+                    broker,
+                    supervisor.on_settings_applied(self.loop.now(), serving.run, supervisor.applying_version),
+                )
+                run.version = supervisor.version
                 self._note()
 
     def _get(self, run: Run) -> Coro[None]:
@@ -346,19 +369,20 @@
         """What runs here, and what it did."""
         now, rows = self.loop.now(), []
         for broker in self.brokers.values():
-            slot, serving = broker.slot, broker.slot.serving
+            supervisor = broker.supervisor
+            serving = supervisor.serving
             run = broker.runs.get(serving.run) if serving is not None else None
             told = run.told if run is not None else {}
             rows.append(
                 frames.BrokerStatus(
                     broker.name,
                     self.zones[broker.zone],
-                    slot.state,
-                    slot.version,
-                    slot.wanted,
-                    slot.failed.get(slot.wanted, ""),
+                    supervisor.state,
+                    supervisor.version,
+                    supervisor.desired_version,
+                    supervisor.failures.get(supervisor.desired_version, ""),
                     serving.run if serving is not None else 0,
-                    slot.deaths,
+                    supervisor.unexpected_exits,
                     broker.address,
                     run is not None and now - run.told_us > ASK_US + ANSWER_US,
                     told.get("classes", {}),
@@ -379,12 +403,12 @@
             "brokers": {
                 broker.name: {
                     "address": broker.address,
-                    "wanted": broker.slot.wanted,
-                    "kept": broker.slot.kept,
-                    "term": broker.slot.term,
-                    "number": broker.slot.number,
-                    "runs": broker.slot.runs,
-                    "serving": broker.slot.serving.run if broker.slot.serving is not None else 0,
+                    "wanted": broker.supervisor.desired_version,
+                    "kept": broker.supervisor.previous_version,
+                    "term": broker.supervisor.term,
+                    "number": broker.supervisor.number,
+                    "runs": broker.supervisor.last_run,
+                    "serving": broker.supervisor.serving.run if broker.supervisor.serving is not None else 0,
                     "processes": {
                         str(number): [run.pid, run.version, run.started, run.ready_file]
                         for number, run in broker.runs.items()
@@ -411,16 +435,19 @@
             broker = self.brokers.get(name)
             if broker is None:
                 continue
-            slot, now = broker.slot, self.loop.now()
+            supervisor = broker.supervisor
             broker.address = row["address"]
-            slot.wanted, slot.kept, slot.runs = row["wanted"], row["kept"], row["runs"]
-            slot.term, slot.number = row["term"], row["number"]
+            supervisor.desired_version = row["wanted"]
+            supervisor.previous_version = row["kept"]
+            supervisor.last_run = row["runs"]
+            supervisor.term = row["term"]
+            supervisor.number = row["number"]
             for number, (pid, version, started, ready_file) in row["processes"].items():
                 if start_of(pid) != started:
                     continue
                 if int(number) == row["serving"]:
                     broker.runs[int(number)] = Run(pid, version, started, ready_file)
-                    slot.adopt(now, int(number), version)
+                    supervisor.adopt_process(self.loop.now(), int(number), version)
                     self.log("info", "adopted", broker=name, version=version, pid=pid)
                 else:
                     _signal(pid, signal.SIGTERM)
@@ -442,10 +469,10 @@
 
 
 def make_broker(
-    name: str, zone: int, address: str, args: list[str], patience: Patience | None = None
+    name: str, zone: int, address: str, args: list[str], limits: SupervisorLimits | None = None
 ) -> ServiceBroker:
     """A broker of a machine."""
-    return ServiceBroker(name, zone, args, address, Slot(name, patience or Patience()))
+    return ServiceBroker(name, zone, args, address, BrokerSupervisor(name, limits or SupervisorLimits()))
 
 
 def _signal(pid: int, number: int) -> None:
--- a/heathwell/fleet/control/rollout.py
+++ b/heathwell/fleet/control/rollout.py
@@ -13,14 +13,27 @@
 from heathwell.fleet.control.link import ControlLink
 from heathwell.fleet.control.machine import write_whole
 from heathwell.fleet.control.messages import MESSAGE_MOST
-from heathwell.fleet.rollout import CHECKING, HELD, JUDGING, PLANNED, STAGING, UNDOING, Course, Tally, Window
-from heathwell.fleet.rollout.course import AGAIN, ENDED, Step
-from heathwell.fleet.rollout.slot import DRAINING, GAVE_UP, REPLACING, STARTING, WAITING
+from heathwell.fleet.rollout import (
+    FINAL_STATES,
+    RESTART_SUFFIX,
+    BrokerWindow,
+    QueryStatistics,
+    RolloutController,
+    RolloutEvent,
+    RolloutState,
+    Transition,
+)
+from heathwell.fleet.rollout.broker_supervisor import SupervisorState
 from heathwell.kernel import Coro, Event, Listener, Loop, Net, Stream
 
 TURN_US = 200_000
 RECORD = "rollout.json"
-BUSY = (STARTING, REPLACING, DRAINING, WAITING)
+BUSY = (
+    SupervisorState.STARTING,
+    SupervisorState.REPLACING,
+    SupervisorState.DRAINING,
+    SupervisorState.WAITING,
+)
 
 
 class Controller:
@@ -33,7 +46,7 @@
         self,
         loop: Loop,
         net: Net,
-        course: Course,
+        course: RolloutController,
         folder: Path,
         machines: list[str],
         files: dict[str, tuple[str, str]],
@@ -109,11 +122,11 @@
         if self._unwritten and not self._write():
             return
         course = self.course
-        if course.state == PLANNED:
-            self._stepped(course.event("began"))
-        elif course.state == CHECKING:
+        if course.state == RolloutState.PLANNED:
+            self._stepped(course.apply_event(RolloutEvent.STARTED))
+        elif course.state == RolloutState.PREFLIGHT:
             self._checked()
-        elif course.state in ENDED:
+        elif course.state in FINAL_STATES:
             self._finish()
         else:
             self._go_on()
@@ -121,9 +134,9 @@
     def _checked(self) -> None:
         wrong = self.check()
         if wrong:
-            self._stepped(self.course.event("unsound", "; ".join(wrong)))
+            self._stepped(self.course.apply_event(RolloutEvent.PREFLIGHT_FAILED, "; ".join(wrong)))
         elif self._known():
-            self._stepped(self.course.event("sound"))
+            self._stepped(self.course.apply_event(RolloutEvent.PREFLIGHT_PASSED))
 
     def _known(self) -> bool:
         """Whether every machine has said what it runs; brokers are named as they are then."""
@@ -139,34 +152,39 @@
     def _go_on(self) -> None:
         course, now = self.course, self.loop.now()
         runs = {name: running.version for name, running in self._runs.items() if self._fresh(name)}
-        wishes = course.wishes()
+        wishes = course.desired_versions()
         failed = [
             name
             for name, running in self._runs.items()
-            if running.failed and running.wanted == wishes.get(name) and running.wanted != course.old
+            if running.failed and running.wanted == wishes.get(name) and running.wanted != course.old_version
         ]
         failed += [
             name
             for name, running in self._runs.items()
-            if running.state == GAVE_UP and course.state == STAGING and name in course.changed()
+            if running.state == SupervisorState.GAVE_UP
+            and course.state == RolloutState.DEPLOYING
+            and name in course.updated_brokers()
         ]
-        if self._stepped(course.looked(runs, failed)):
+        if self._stepped(course.observe_versions(runs, failed)):
             return
-        changed, died = course.changed(), Counter[bool]()
+        changed, died = course.updated_brokers(), Counter[bool]()
         for name, running in self._runs.items():
             died[name in changed] += running.deaths - self._deaths.setdefault(name, running.deaths)
-        if self._stepped(course.died(died[True], died[False])):
+        if self._stepped(course.observe_exits(died[True], died[False])):
             return
-        if course.state in (STAGING, UNDOING):
+        if course.state in (RolloutState.DEPLOYING, RolloutState.ROLLING_BACK):
             busy = {
                 name for name, running in self._runs.items() if running.state in BUSY and self._fresh(name)
             }
-            for name, version in course.batch(runs, busy).items():
+            for name, version in course.next_updates(runs, busy).items():
                 self._wish(name, version)
-        if course.state in (JUDGING, HELD) and now - self._window_us >= course.window_us:
+        if (
+            course.state in (RolloutState.OBSERVING, RolloutState.HELD)
+            and now - self._window_us >= course.window_duration_us
+        ):
             self._window_us = now
-            self._stepped(course.window(self._windows()))
-        elif course.state not in (JUDGING, HELD):
+            self._stepped(course.observe_window(self._windows()))
+        elif course.state not in (RolloutState.OBSERVING, RolloutState.HELD):
             self._before = {}
 
     def _fresh(self, name: str) -> bool:
@@ -175,12 +193,12 @@
 
     def _wish(self, name: str, version: str) -> None:
         self.crash(f"wish {name}")
-        program, settings = self.files[version.rstrip(AGAIN)]
+        program, settings = self.files[version.rstrip(RESTART_SUFFIX)]
         self.links[self._at[name]].send(
             frames.DesiredVersion(self.course.term, self.course.number, name, version, program, settings)
         )
 
-    def _windows(self) -> list[Window]:
+    def _windows(self) -> list[BrokerWindow]:
         """What each broker did since the last window."""
         out = []
         for name, running in self._runs.items():
@@ -189,13 +207,13 @@
             if before is None or name not in self.course.zones:
                 continue
             same = before.run == running.run
-            sums: dict[str, Tally] = {}
+            sums: dict[str, QueryStatistics] = {}
             for query_class, now_sums in running.classes.items():
                 old = before.classes.get(query_class, {}) if same else {}
                 row: defaultdict[str, float] = defaultdict(
                     float, {key: value - old.get(key, 0.0) for key, value in now_sums.items()}
                 )
-                sums[query_class] = Tally(
+                sums[query_class] = QueryStatistics(
                     int(row["asked"]),
                     row["worth"],
                     int(row["in_aim"]),
@@ -204,10 +222,10 @@
                     int(row["partial"]),
                 )
             out.append(
-                Window(
+                BrokerWindow(
                     name,
                     running.zone,
-                    running.version != self.course.old,
+                    running.version != self.course.old_version,
                     sums,
                     running.cpu_us - (before.cpu_us if same else 0),
                     running.memory,
@@ -221,23 +239,23 @@
         """An end is one once all brokers that can be reached run what was decided; none is left to an old
         wish.
         """
-        self.log("info", "ended", change=self.course.id, state=self.course.state, why=self.course.why)
+        self.log("info", "ended", change=self.course.id, state=self.course.state, why=self.course.reason)
         self.done.set()
 
     # Steps.
 
-    def _stepped(self, step: Step | None) -> bool:
+    def _stepped(self, step: Transition | None) -> bool:
         if step is None:
             return False
         self.crash(f"before {step.after} {step.stage}")
         self.log(
-            "warning" if step.after in (HELD, UNDOING) else "info",
+            "warning" if step.after in (RolloutState.HELD, RolloutState.ROLLING_BACK) else "info",
             "step",
             change=self.course.id,
             before=step.before,
             after=step.after,
             stage=step.stage,
-            why=step.why,
+            why=step.reason,
             number=f"({self.course.term}, {step.number})",
         )
         self._write()
@@ -247,7 +265,7 @@
     def _write(self) -> bool:
         """Note where it stands, before anything follows from it."""
         try:
-            write_whole(self.folder / RECORD, json.dumps(self.course.record()))
+            write_whole(self.folder / RECORD, json.dumps(self.course.to_record()))
         except OSError as problem:
             self._unwritten = True
             self._say_once(f"the course could not be written, nothing more is begun: {problem}")
@@ -273,8 +291,8 @@
             case frames.DesiredVersionReply(broker=broker, why=why) if why:
                 self._refused[broker] += 1
                 self._say_once(f"{broker}: a wish was not taken: {why}")
-                if self._refused[broker] >= 3 and self.course.state == STAGING:
-                    self._stepped(self.course.event("worse", f"{broker}: {why}"))
+                if self._refused[broker] >= 3 and self.course.state == RolloutState.DEPLOYING:
+                    self._stepped(self.course.apply_event(RolloutEvent.REGRESSED, f"{broker}: {why}"))
 
     def _serve(self, stream: Stream) -> Coro[None]:
         def heard(message: frames.AnyMessage) -> None:
@@ -290,7 +308,7 @@
         """An operator's word."""
         if order.word in ("hold", "resume", "undo"):
             why = f"{order.word} by {order.who or 'an operator'}: {order.why or 'no reason given'}"
-            if not self._stepped(self.course.event(order.word, why)):
+            if not self._stepped(self.course.apply_event(RolloutEvent(order.word), why)):
                 return frames.RolloutStatus(
                     f"{order.word}: not while it is {self.course.state}", self.status()
                 )
@@ -302,9 +320,9 @@
 
     def status(self) -> dict[str, Any]:
         """How it stands."""
-        changed, wishes = self.course.changed(), self.course.wishes()
+        changed, wishes = self.course.updated_brokers(), self.course.desired_versions()
         return {
-            **self.course.record(),
+            **self.course.to_record(),
             "holds": self.holds(),
             "brokers": {
                 name: {
--- /dev/null
+++ b/heathwell/fleet/rollout/broker_supervisor.py
@@ -0,0 +1,356 @@
+"""One broker of a machine: which version runs, and how it is replaced while its address takes connections.
+
+The new process is started beside the old one and shares its listening socket. Only once it serves, and has
+reported the digests that its files have, is the old one asked to end, and it finishes what is in flight. A
+process that crashes is started again after a delay that doubles; after too many crashes the previous version
+is run, or the supervisor gives up and waits for an operator.
+
+Owns the processes' roles, delays and failures of one broker; pure: what is to be done comes out as actions.
+Imports the errors of this package. All instants are of one monotonic clock, in microseconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from heathwell.fleet.rollout.errors import StaleDecisionError
+
+
+class SupervisorState(StrEnum):
+    """States of a broker on its machine. The values are those of the machine's report."""
+
+    EMPTY = "empty"
+    STARTING = "starting"
+    RUNNING = "running"
+    REPLACING = "replacing"
+    DRAINING = "draining"
+    APPLYING = "applying"
+    WAITING = "waiting"
+    GAVE_UP = "gave up"
+
+
+@dataclass(frozen=True, slots=True)
+class StartProcess:
+    """Start a process of a version; ``run`` numbers this broker's processes."""
+
+    run: int
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopProcess:
+    """Ask a process to end (SIGTERM), or with ``force`` end it (SIGKILL)."""
+
+    run: int
+    force: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ApplySettings:
+    """Hand a running process the settings of another version of the same program."""
+
+    run: int
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class LogMessage:
+    """A line for the operators."""
+
+    level: str
+    text: str
+
+
+SupervisorAction = StartProcess | StopProcess | ApplySettings | LogMessage
+
+
+@dataclass(frozen=True, slots=True)
+class SupervisorLimits:
+    """Timeouts (us) and counts."""
+
+    start_timeout_us: int = 30_000_000
+    drain_timeout_us: int = 10_000_000
+    apply_timeout_us: int = 3_000_000  # for a process to report other settings; then it is replaced
+    initial_backoff_us: int = 200_000
+    max_backoff_us: int = 10_000_000
+    crash_limit: int = 6  # crashes, each within ``crash_interval_us`` of the one before
+    crash_interval_us: int = 30_000_000
+    start_attempts: int = 2  # beside a process that serves, before the version counts as failed
+
+
+@dataclass(slots=True)
+class BrokerProcess:
+    """One process; ``stop_requested_at_us`` is None until it was asked to end."""
+
+    run: int
+    version: str
+    started_at_us: int
+    stop_requested_at_us: int | None = None
+
+
+@dataclass(slots=True)
+class BrokerSupervisor:
+    """Runs ``desired_version`` of one broker.
+
+    At most one process serves, one is starting (beside it or alone) and one is draining. ``failures`` gives
+    by version why it could not be run. Versions are empty strings where there is none. Methods return the
+    actions that follow, which the caller carries out in order.
+    """
+
+    name: str
+    limits: SupervisorLimits = field(default_factory=SupervisorLimits)
+    state: SupervisorState = SupervisorState.EMPTY
+    desired_version: str = ""
+    previous_version: str = ""  # what served before, to fall back on
+    serving: BrokerProcess | None = None
+    starting: BrokerProcess | None = None
+    draining: BrokerProcess | None = None
+    applying_version: str = ""  # whose settings were handed to the serving process
+    apply_requested_at_us: int = 0
+    last_run: int = 0
+    unexpected_exits: int = 0
+    failures: dict[str, str] = field(default_factory=dict)
+    term: int = 0
+    number: int = 0
+    _crashes: int = 0
+    _last_crash_at_us: int | None = None
+    _next_start_at_us: int = 0
+    _failed_starts: int = 0
+    _actions: list[SupervisorAction] = field(default_factory=list)
+
+    @property
+    def version(self) -> str:
+        """The version that serves now; empty while none does."""
+        return self.serving.version if self.serving is not None else ""
+
+    def set_desired_version(
+        self, now_us: int, version: str, term: int = 0, number: int = 0, *, in_place: bool = False
+    ) -> list[SupervisorAction]:
+        """Take a decision on the version to run; repeating one has no effect.
+
+        ``in_place``: the version differs from the serving one in its settings alone, which may be handed
+        over. Raises :class:`StaleDecisionError` for a (term, number) below that of the last decision.
+        """
+        if (term, number) < (self.term, self.number):
+            raise StaleDecisionError(term, number, self.term, self.number)
+        self.term = term
+        self.number = number
+        if version != self.desired_version:
+            self._change_desired_version(now_us, version, in_place)
+        self._reconcile(now_us)
+        return self._take_actions()
+
+    def on_process_ready(self, now_us: int, run: int) -> list[SupervisorAction]:
+        """A starting process serves: the one that served before is drained."""
+        process = self.starting
+        if process is None or process.run != run:
+            return []
+        replaced = self.serving
+        self.starting = None
+        self.serving = process
+        if replaced is not None and replaced.version != process.version:
+            self.previous_version = replaced.version
+        self._log("info", f"{process.version} serves")
+        if replaced is not None:
+            self._stop(now_us, replaced)
+            self.draining = replaced
+        self._reconcile(now_us)
+        return self._take_actions()
+
+    def on_process_rejected(self, now_us: int, run: int, reason: str) -> list[SupervisorAction]:
+        """A starting process serves, but what it reports of itself is not so: it is killed."""
+        process = self.starting
+        if process is None or process.run != run:
+            return []
+        self._kill_starting(now_us, process)
+        self._record_failed_start(now_us, process.version, reason)
+        # Nothing is started here: the next tick does so.
+        return self._take_actions()
+
+    def on_settings_applied(self, now_us: int, run: int, version: str) -> list[SupervisorAction]:
+        """The serving process reports that it runs with a version's settings."""
+        serving = self.serving
+        if serving is not None and serving.run == run and self.applying_version == version:
+            self.previous_version = serving.version
+            serving.version = version
+            self.applying_version = ""
+            self._log("info", f"{version} in place")
+            self._reconcile(now_us)
+        return self._take_actions()
+
+    def on_process_exited(
+        self, now_us: int, run: int, exit_code: int, in_flight: int = 0
+    ) -> list[SupervisorAction]:
+        """A process has ended, with ``in_flight`` requests by its last report."""
+        if self.draining is not None and self.draining.run == run:
+            drained = self.draining
+            self.draining = None
+            if exit_code != 0:
+                self._record_failed_drain(drained, exit_code, in_flight)
+        elif self.starting is not None and self.starting.run == run:
+            failed = self.starting
+            self.starting = None
+            self._record_failed_start(now_us, failed.version, f"ended with {exit_code} before it served")
+        elif self.serving is not None and self.serving.run == run:
+            crashed = self.serving
+            self.serving = None
+            self.unexpected_exits += 1
+            self._log("error", f"{crashed.version} ended with {exit_code} by itself")
+            self._back_off(now_us)
+        self._reconcile(now_us)
+        return self._take_actions()
+
+    def tick(self, now_us: int) -> list[SupervisorAction]:
+        """Act on timeouts and start what is due; to be called at short intervals."""
+        self._check_start_timeout(now_us)
+        self._check_drain_timeout(now_us)
+        self._check_apply_timeout(now_us)
+        self._reconcile(now_us)
+        return self._take_actions()
+
+    def adopt_process(self, now_us: int, run: int, version: str) -> None:
+        """Take over a process that was started before this supervisor, and still serves."""
+        self.last_run = max(self.last_run, run)
+        self.serving = BrokerProcess(run, version, now_us)
+        self.state = SupervisorState.RUNNING
+
+    # Decisions and timeouts.
+
+    def _change_desired_version(self, now_us: int, version: str, in_place: bool) -> None:
+        self.desired_version = version
+        self.failures.pop(version, None)
+        self._failed_starts = 0
+        self._crashes = 0
+        self._next_start_at_us = now_us
+        if self.state is SupervisorState.GAVE_UP:
+            self.state = SupervisorState.EMPTY
+        if self.starting is not None and self.starting.version != version:
+            self._kill_starting(now_us, self.starting)  # it has taken no connection yet
+        self.applying_version = ""
+        serving = self.serving
+        if in_place and serving is not None and serving.version != version and self.draining is None:
+            self.applying_version = version
+            self.apply_requested_at_us = now_us
+            self._actions.append(ApplySettings(serving.run, version))
+
+    def _check_start_timeout(self, now_us: int) -> None:
+        process = self.starting
+        if process is None or now_us - process.started_at_us < self.limits.start_timeout_us:
+            return
+        self._kill_starting(now_us, process)
+        self._record_failed_start(now_us, process.version, "did not serve in time")
+
+    def _check_drain_timeout(self, now_us: int) -> None:
+        process = self.draining
+        if process is None or process.stop_requested_at_us is None:
+            return
+        if now_us - process.stop_requested_at_us < self.limits.drain_timeout_us:
+            return
+        self._log("warning", f"{process.version} did not finish in time and is killed")
+        self._stop(now_us, process, force=True)
+
+    def _check_apply_timeout(self, now_us: int) -> None:
+        if not self.applying_version:
+            return
+        if now_us - self.apply_requested_at_us < self.limits.apply_timeout_us:
+            return
+        self._log("warning", f"{self.applying_version} did not go in, the process is replaced")
+        self.applying_version = ""
+
+    # Failures.
+
+    def _record_failed_start(self, now_us: int, version: str, reason: str) -> None:
+        """Beside a serving process the version fails after some attempts; alone it is a crash."""
+        self._log("error", f"{version}: {reason}")
+        self._failed_starts += 1
+        if self.serving is None:
+            self.failures[version] = reason
+            self._back_off(now_us)
+        elif self._failed_starts >= self.limits.start_attempts:
+            self.failures[version] = reason
+
+    def _record_failed_drain(self, process: BrokerProcess, exit_code: int, in_flight: int) -> None:
+        """A version that is started a second time is blamed for how its first process ended."""
+        self.unexpected_exits += 1
+        self.failures[self.desired_version] = f"{process.version} ended with {exit_code}, {in_flight} held"
+        self._log("error", f"{process.version} did not end in order: {exit_code}, {in_flight} held")
+
+    def _back_off(self, now_us: int) -> None:
+        """Delay the next start after a crash; after too many fall back to the previous version or give up."""
+        last_crash_at_us = self._last_crash_at_us
+        recent = last_crash_at_us is not None and now_us - last_crash_at_us < self.limits.crash_interval_us
+        self._crashes = self._crashes + 1 if recent else 1
+        self._last_crash_at_us = now_us
+        backoff_us = self.limits.initial_backoff_us * 2 ** (self._crashes - 1)
+        self._next_start_at_us = now_us + min(backoff_us, self.limits.max_backoff_us)
+        if self._crashes < self.limits.crash_limit:
+            return
+        if self.previous_version and self.desired_version not in self.failures:
+            self.failures[self.desired_version] = f"ended {self._crashes} times in a row"
+            self._crashes = 0
+            self._log("error", f"{self.desired_version} is given up, back to {self.previous_version}")
+        else:
+            self.state = SupervisorState.GAVE_UP
+            self._log("error", f"given up after {self._crashes} ends in a row: it needs an operator")
+
+    # Processes.
+
+    def _reconcile(self, now_us: int) -> None:
+        """Start the process that is due, and set the state."""
+        if self.state is SupervisorState.GAVE_UP:
+            return
+        if self._is_start_due(now_us):
+            self._start(now_us, self._version_to_start())
+        self.state = self._current_state()
+
+    def _is_start_due(self, now_us: int) -> bool:
+        if not self.desired_version or self.starting is not None or self.draining is not None:
+            return False
+        if self.serving is None:
+            return now_us >= self._next_start_at_us
+        if self.applying_version:
+            return False
+        return self.serving.version != self.desired_version and self.desired_version not in self.failures
+
+    def _version_to_start(self) -> str:
+        if self.desired_version in self.failures and self.previous_version:
+            return self.previous_version
+        return self.desired_version
+
+    def _current_state(self) -> SupervisorState:
+        """The state follows from the processes alone, so it is derived here and has no transition table; only
+        GAVE_UP is entered by an event (:meth:`_back_off`) and left by a new decision.
+        """
+        if self.serving is not None and self.applying_version:
+            return SupervisorState.APPLYING
+        if self.draining is not None:
+            return SupervisorState.DRAINING
+        if self.starting is not None:
+            return SupervisorState.STARTING if self.serving is None else SupervisorState.REPLACING
+        if self.serving is not None:
+            return SupervisorState.RUNNING
+        return SupervisorState.WAITING if self.desired_version else SupervisorState.EMPTY
+
+    def _start(self, now_us: int, version: str) -> None:
+        self.last_run += 1
+        self.starting = BrokerProcess(self.last_run, version, now_us)
+        self._actions.append(StartProcess(self.last_run, version))
+
+    def _stop(self, now_us: int, process: BrokerProcess, force: bool = False) -> None:
+        process.stop_requested_at_us = now_us
+        self._actions.append(StopProcess(process.run, force))
+
+    def _kill_starting(self, now_us: int, process: BrokerProcess) -> None:
+        self._stop(now_us, process, force=True)
+        self.starting = None
+
+    # Actions.
+
+    def _take_actions(self) -> list[SupervisorAction]:
+        actions = self._actions
+        self._actions = []
+        return actions
+
+    def _log(self, level: str, text: str) -> None:
+        self._actions.append(LogMessage(level, f"{self.name}: {text}"))
--- a/heathwell/fleet/rollout/plan.py
+++ b/heathwell/fleet/rollout/plan.py
@@ -1,4 +1,7 @@
-"""Which brokers a stage takes, in which order, and how many at a time."""
+"""Stages of a rollout: which brokers each one updates, in which order, and how many at a time.
+
+Owns the plan and the order of brokers; pure. Imports only the errors of this package.
+"""
 
 from __future__ import annotations
 
@@ -6,75 +9,95 @@
 from dataclasses import dataclass
 from math import ceil, floor
 
+from heathwell.fleet.rollout.errors import InvalidPlanError
+
+ROUNDING_TOLERANCE = 1e-9  # keeps a product such as 0.07 * 100 from being rounded up to the next broker
+
 
 @dataclass(frozen=True, slots=True)
 class Stage:
-    """How many brokers run the new version in it: ``share`` of all, at least one. It is judged for
-    ``bake_us`` at the least and ``most_us`` at the most; with ``prove`` it must be shown to be no worse, else
-    nothing may speak against it.
+    """One stage: ``fraction`` of all brokers, and at least one, run the new version.
+
+    It is observed for ``min_duration_us`` to ``max_duration_us``. With ``require_proof`` the new version must
+    be shown to be no worse than the old one; otherwise no evidence against it is enough.
     """
 
-    share: float
-    bake_us: int = 30_000_000
-    most_us: int = 120_000_000
-    prove: bool = False
+    fraction: float
+    min_duration_us: int = 30_000_000
+    max_duration_us: int = 120_000_000
+    require_proof: bool = False
 
-    def count(self, brokers: int) -> int:
-        """Brokers of so many."""
-        return min(brokers, max(1, ceil(self.share * brokers - 1e-9)))
+    def broker_count(self, brokers: int) -> int:
+        """How many of ``brokers`` run the new version."""
+        rounded_up = ceil(self.fraction * brokers - ROUNDING_TOLERANCE)
+        return min(brokers, max(1, rounded_up))
 
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """The stages; until the last no more than ``zone_share`` of a zone is changed, so that each keeps what it
-    is judged against, and at any time no more than that of a zone, nor over ``at_once`` in all, is being
-    replaced.
+    """The stages of a rollout and the limits on concurrent replacements.
+
+    Before the last stage at most ``max_zone_fraction`` of a zone is updated, so that every zone keeps a
+    baseline. At any time at most that fraction of a zone, and ``max_concurrent`` brokers in all, are being
+    replaced. Raises :class:`InvalidPlanError` unless the stages grow to the whole fleet.
     """
 
-    stages: tuple[Stage, ...] = (Stage(0.0), Stage(0.05), Stage(0.25, prove=True), Stage(1.0))
-    zone_share: float = 0.34
-    at_once: int = 4
+    stages: tuple[Stage, ...] = (Stage(0.0), Stage(0.05), Stage(0.25, require_proof=True), Stage(1.0))
+    max_zone_fraction: float = 0.34
+    max_concurrent: int = 4
 
     def __post_init__(self) -> None:
-        shares = [stage.share for stage in self.stages]
-        if not shares or shares != sorted(shares) or not 0 <= shares[0] <= shares[-1] == 1:
-            raise ValueError("stages: shares must grow to 100%")
-        if not 0 < self.zone_share <= 1 or self.at_once < 1:
-            raise ValueError("zone-share: in (0, 1]; at-once: at least 1")
+        fractions = [stage.fraction for stage in self.stages]
+        if not fractions or fractions != sorted(fractions) or not 0 <= fractions[0] <= fractions[-1] == 1:
+            raise InvalidPlanError("stages: shares must grow to 100%")
+        if not 0 < self.max_zone_fraction <= 1 or self.max_concurrent < 1:
+            raise InvalidPlanError("zone-share: in (0, 1]; at-once: at least 1")
+
+    def is_last(self, stage: int) -> bool:
+        """Whether this is the index of the last stage."""
+        return stage == len(self.stages) - 1
 
+    def zone_limit(self, zone_size: int) -> int:
+        """How many brokers of a zone of that size may be updated, or replaced at a time: at least one."""
+        return max(1, floor(self.max_zone_fraction * zone_size))
 
-def chosen(plan: Plan, stage: int, zones: dict[str, str]) -> list[str]:
-    """The brokers that run the new version in a stage, of all with their zones: by zone, then name. What
-    earlier stages took is among them. In a zone of one broker there is nothing to judge it against, but in
-    the last stage.
+
+def update_order(zones: dict[str, str]) -> list[str]:
+    """All brokers by zone, then by name; ``zones`` gives the zone of each broker."""
+    return sorted(zones, key=lambda name: (zones[name], name))
+
+
+def select_brokers(plan: Plan, stage: int, zones: dict[str, str]) -> list[str]:
+    """The brokers that run the new version in a stage, in update order; those of earlier stages included.
+
+    The only broker of a zone has no baseline beside it, so it is updated in the last stage alone.
     """
-    order = sorted(zones, key=lambda name: (zones[name], name))
-    last = stage == len(plan.stages) - 1
-    if last:
+    order = update_order(zones)
+    if plan.is_last(stage):
         return order
-    sizes, taken = Counter(zones.values()), Counter[str]()
-    out: list[str] = []
-    wanted = plan.stages[stage].count(len(order))
+    zone_sizes = Counter(zones.values())
+    selected_of_zone = Counter[str]()
+    selected: list[str] = []
+    target = plan.stages[stage].broker_count(len(order))
     for name in order:
         zone = zones[name]
-        most = max(1, floor(plan.zone_share * sizes[zone])) if sizes[zone] > 1 else 0
-        if len(out) < wanted and taken[zone] < most:
-            taken[zone] += 1
-            out.append(name)
-    return out
+        limit = plan.zone_limit(zone_sizes[zone]) if zone_sizes[zone] > 1 else 0
+        if len(selected) < target and selected_of_zone[zone] < limit:
+            selected_of_zone[zone] += 1
+            selected.append(name)
+    return selected
 
 
-def next_batch(plan: Plan, todo: list[str], busy: set[str], zones: dict[str, str]) -> list[str]:
-    """Of those that are to be replaced, which may begin now while ``busy`` ones are at it. A zone always lets
-    one.
-    """
-    sizes, at_work = Counter(zones.values()), Counter(zones[name] for name in busy)
-    out: list[str] = []
-    for name in todo:
+def next_batch(plan: Plan, pending: list[str], busy: set[str], zones: dict[str, str]) -> list[str]:
+    """Which of the ``pending`` brokers may be replaced now, while the ``busy`` ones still are."""
+    zone_sizes = Counter(zones.values())
+    busy_of_zone = Counter(zones[name] for name in busy)
+    batch: list[str] = []
+    for name in pending:
         zone = zones[name]
-        if len(busy) + len(out) >= plan.at_once:
+        if len(busy) + len(batch) >= plan.max_concurrent:
             break
-        if name not in busy and at_work[zone] < max(1, floor(plan.zone_share * sizes[zone])):
-            at_work[zone] += 1
-            out.append(name)
-    return out
+        if name not in busy and busy_of_zone[zone] < plan.zone_limit(zone_sizes[zone]):
+            busy_of_zone[zone] += 1
+            batch.append(name)
+    return batch
--- /dev/null
+++ b/heathwell/fleet/rollout/sequential_test.py
@@ -0,0 +1,121 @@
+"""Statistics of the canary analysis: a weighted mean with its error, and a test that is repeated.
+
+The test is asked several times during a stage, so the error that is allowed is spent over these looks as by
+O'Brien and Fleming's boundary (Lan, DeMets, 1983), each look with what it may spend alone: by the union bound
+the sum holds whatever the looks have in common.
+
+Owns series and spent error; pure. Imports nothing of heathwell; scipy is loaded by the first call, as most
+processes that import this module make none.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+MIN_VALUES = 5  # of a series, below which its standard error is not estimated
+
+
+def student_cdf(value: float, degrees_of_freedom: int) -> float:
+    """Cumulative distribution function of Student's t."""
+    from scipy import special  # type: ignore[import-untyped]  # noqa: PLC0415
+
+    return float(special.stdtr(degrees_of_freedom, value))
+
+
+def student_quantile(probability: float, degrees_of_freedom: int) -> float:
+    """Inverse of :func:`student_cdf`."""
+    from scipy import special  # noqa: PLC0415
+
+    return float(special.stdtrit(degrees_of_freedom, probability))
+
+
+def normal_cdf(value: float) -> float:
+    """Cumulative distribution function of the normal distribution."""
+    from scipy import special  # noqa: PLC0415
+
+    return float(special.ndtr(value))
+
+
+def normal_quantile(probability: float) -> float:
+    """Inverse of :func:`normal_cdf`."""
+    from scipy import special  # noqa: PLC0415
+
+    return float(special.ndtri(probability))
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedValue:
+    """One measurement, and how much it counts."""
+
+    value: float
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """A mean with its standard error, which is infinite where there are too few values."""
+
+    mean: float
+    standard_error: float
+
+
+@dataclass(slots=True)
+class DifferenceSeries:
+    """Differences between canary and baseline, one a window. The counts are queries on either side."""
+
+    values: list[WeightedValue] = field(default_factory=list)
+    canary_queries: int = 0
+    baseline_queries: int = 0
+
+    @property
+    def degrees_of_freedom(self) -> int:
+        """Of a t-test on this series."""
+        return len(self.values) - 1
+
+    def append_window(self, zone_values: Sequence[WeightedValue]) -> None:
+        """Add one window: the weighted mean over its zones, of which there must be one."""
+        total = sum(zone.weight for zone in zone_values)
+        mean = sum(zone.value * zone.weight for zone in zone_values) / total
+        self.values.append(WeightedValue(mean, total))
+
+    def has_enough_values(self) -> bool:
+        """Whether there are enough windows for an estimate."""
+        return len(self.values) >= MIN_VALUES
+
+    def estimate(self) -> Estimate:
+        """The weighted mean over windows and its standard error."""
+        total = sum(window.weight for window in self.values)
+        if not self.has_enough_values() or not total:
+            return Estimate(0.0, math.inf)
+        mean = sum(window.value * window.weight for window in self.values) / total
+        spread = sum(window.weight * (window.value - mean) ** 2 for window in self.values)
+        # Equal values do not prove that there is no spread: goodput lies within 0 and 1, and the next query
+        # may differ.
+        floor = 0.25 / total / total
+        variance = spread / (self.degrees_of_freedom * total)
+        return Estimate(mean, math.sqrt(max(variance, floor)))
+
+
+@dataclass(slots=True)
+class ErrorSpending:
+    """The error that a repeated test may spend at each look; ``error`` is the sum over all of them."""
+
+    error: float
+    planned_looks: int
+    looks_done: int = 0
+    spent: float = 0.0
+
+    def next_look(self, windows_done: int, windows_planned: int) -> float | None:
+        """The error that may be spent now, or None while no further look is due."""
+        due = windows_done * self.planned_looks // windows_planned
+        if due <= self.looks_done:
+            return None
+        self.looks_done = due
+        information_fraction = min(1.0, due / self.planned_looks)
+        boundary = normal_quantile(1 - self.error / 2) / math.sqrt(information_fraction)
+        spend_until_now = 2 * (1 - normal_cdf(boundary))
+        allowed = max(0.0, spend_until_now - self.spent)
+        self.spent = max(spend_until_now, self.spent)
+        return allowed
--- a/heathwell/lab/releases.py
+++ b/heathwell/lab/releases.py
@@ -13,8 +13,17 @@
 
 import numpy as np
 
-from heathwell.fleet.rollout import HELD, JUDGING, UNDOING, Course, Plan, Stage, Tally, Window
-from heathwell.fleet.rollout.course import AGAIN, ENDED
+from heathwell.fleet.rollout import (
+    FINAL_STATES,
+    RESTART_SUFFIX,
+    BrokerWindow,
+    Plan,
+    QueryStatistics,
+    RolloutController,
+    RolloutEvent,
+    RolloutState,
+    Stage,
+)
 
 CLASSES = {"price-search": (0.45, 0.985), "day-report": (0.2, 0.95), "sale-record": (0.35, 0.99)}
 DEFECTS = (
@@ -73,14 +82,18 @@
             (
                 Stage(0.0, 30_000_000, 60_000_000),
                 Stage(0.05, 60_000_000, 120_000_000),
-                Stage(0.25, 120_000_000, 600_000_000, prove=True),
+                Stage(0.25, 120_000_000, 600_000_000, require_proof=True),
                 Stage(1.0, 20_000_000, 20_000_000),
             ),
-            at_once=8,
+            max_concurrent=8,
         )
         if policy == "all at once":
-            self.plan = Plan((Stage(1.0, 20_000_000, 20_000_000),), zone_share=1.0, at_once=brokers)
-        self.course = Course("c", "old", "new", self.zones, self.plan, window_us=WINDOW_US)
+            self.plan = Plan(
+                (Stage(1.0, 20_000_000, 20_000_000),), max_zone_fraction=1.0, max_concurrent=brokers
+            )
+        self.course = RolloutController(
+            "c", "old", "new", self.zones, self.plan, window_duration_us=WINDOW_US
+        )
         self.runs = dict.fromkeys(self.zones, "old")
         self.since = dict.fromkeys(self.zones, -10_000_000_000)
         self.busy: dict[str, int] = {}
@@ -96,10 +109,10 @@
     def run(self) -> Outcome:
         """To its end, or half an hour."""
         course = self.course
-        course.event("began")
-        course.event("sound")
+        course.apply_event(RolloutEvent.STARTED)
+        course.apply_event(RolloutEvent.PREFLIGHT_PASSED)
         stage = 0
-        while course.state not in ENDED and self.now < 1_800_000_000:
+        while course.state not in FINAL_STATES and self.now < 1_800_000_000:
             stage = max(stage, course.stage)
             self._replace()
             failed = [
@@ -107,22 +120,22 @@
                 for name, want in self.wished.items()
                 if want != "old"
                 and name not in self.busy
-                and (self._cannot_start() or self.defect == "drops held" and want == "new" + AGAIN)
+                and (self._cannot_start() or self.defect == "drops held" and want == "new" + RESTART_SUFFIX)
             ]
-            course.looked(self.runs, failed)
+            course.observe_versions(self.runs, failed)
             windows = self._window()
             self._judge(windows)
             self.now += WINDOW_US
-            if course.state == HELD and not course.by_trouble:
+            if course.state == RolloutState.HELD and not course.held_for_fault:
                 break  # it asks for an operator
         return Outcome(
             self.defect,
             self.policy,
-            course.state in (UNDOING, "undone") or course.state == HELD,
+            course.state in (RolloutState.ROLLING_BACK, RolloutState.ROLLED_BACK, RolloutState.HELD),
             stage,
             self.lost / 60,
             self.now / 1e6,
-            course.why,
+            course.reason,
         )
 
     def _cannot_start(self) -> bool:
@@ -131,25 +144,25 @@
             "false digest",
         )  # an agent sees either before the old one is asked to end
 
-    def _judge(self, windows: list[Window]) -> None:
+    def _judge(self, windows: list[BrokerWindow]) -> None:
         course = self.course
         if self.policy == "judged":
-            course.window(windows)
-        elif course.state == JUDGING:
+            course.observe_window(windows)
+        elif course.state == RolloutState.OBSERVING:
             stage = self.plan.stages[course.stage]
-            course.judged_us += WINDOW_US
+            course.observed_duration_us += WINDOW_US
             if self.policy == "thresholds":
-                self.seen[0] += sum(t.asked for w in windows if w.changed for t in w.classes.values())
-                self.seen[1] += sum(t.worth for w in windows if w.changed for t in w.classes.values())
+                self.seen[0] += sum(t.queries for w in windows if w.is_canary for t in w.classes.values())
+                self.seen[1] += sum(t.goodput for w in windows if w.is_canary for t in w.classes.values())
                 bad = self.seen[0] >= 50 and self.seen[1] < THRESHOLD * self.seen[0]
-                if bad or any(w.deaths or w.silent for w in windows if w.changed):
-                    course.event("worse", "under a threshold")
+                if bad or any(w.unexpected_exits or w.silent for w in windows if w.is_canary):
+                    course.apply_event(RolloutEvent.REGRESSED, "under a threshold")
                     return
-            if course.judged_us >= stage.bake_us:
+            if course.observed_duration_us >= stage.min_duration_us:
                 self.seen = [0.0, 0.0]
-                course.event(
-                    "last" if course.stage == len(self.plan.stages) - 1 else "passed", "its time was over"
-                )
+                last = self.plan.is_last(course.stage)
+                event = RolloutEvent.LAST_STAGE_PASSED if last else RolloutEvent.STAGE_PASSED
+                course.apply_event(event, "its time was over")
 
     def _replace(self) -> None:
         for name, at in list(self.busy.items()):
@@ -157,20 +170,20 @@
                 del self.busy[name]
                 if self.wished[name] == "old" or not self._cannot_start():
                     self.runs[name], self.since[name] = self.wished[name], self.now
-        for name, version in self.course.batch(self.runs, set(self.busy)).items():
+        for name, version in self.course.next_updates(self.runs, set(self.busy)).items():
             if name not in self.busy and not (self.wished.get(name) == version and self._cannot_start()):
                 self.busy[name] = self.now + REPLACE_US
                 self.wished[name] = version
 
     # What brokers do.
 
-    def _window(self) -> list[Window]:
+    def _window(self) -> list[BrokerWindow]:
         for zone in self.shock:
             self.shock[zone] = 0.8 * self.shock[zone] + float(self.draw.normal(0, 0.004))
         in_trouble = 0 <= self.trouble_at <= self.now < self.trouble_at + 30_000_000
         return [self._one(name, zone, in_trouble) for name, zone in self.zones.items()]
 
-    def _one(self, name: str, zone: str, in_trouble: bool) -> Window:
+    def _one(self, name: str, zone: str, in_trouble: bool) -> BrokerWindow:
         new, age = self.runs[name] != "old", (self.now - self.since[name]) / 1e6
         defect = self.defect if new else ""
         loss = abs(self.shock[zone]) + (
@@ -194,12 +207,12 @@
             worth = float(self.draw.binomial(int(count), max(0.0, bad)))
             plain += chance * count - max(0.0, bad) * count
             if count:
-                classes[query_class] = Tally(int(count), worth, int(worth), int(count - worth))
+                classes[query_class] = QueryStatistics(int(count), worth, int(worth), int(count - worth))
         per_broker = self.rates[name] * WINDOW_US / 1e6
         self.lost += plain / max(per_broker, 1e-9) * WINDOW_US / 1e6
-        cpu = sum(t.asked for t in classes.values()) * 900 * (2.0 if defect == "processor" else 1.0)
+        cpu = sum(t.queries for t in classes.values()) * 900 * (2.0 if defect == "processor" else 1.0)
         memory = 60e6 + float(self.draw.normal(0, 1e6)) + (0.4e6 * age if defect == "leak" else 0.0)
-        return Window(
+        return BrokerWindow(
             name,
             zone,
             new,
