Membership: MembershipTable, LocalMember and one transition table of MemberState

Cause: roll, Lived, Self and bare tuples and strings stood for the table, the end of an incarnation, the local member and their states; a reason in a string, empty while all is well, was the result of a check. Change: states.py (StrEnum, one transition table, timeouts), messages.py (typed report and reply), membership_table.py, local_member.py; a check returns IncarnationEnded or None, an acknowledgement not had is None. Wire, event records and metrics as before; an unknown state off the wire is mapped as it was treated. Tests: test_membership.py and test_budgets.py pass (two tests of the reply's way over the wire are new).

--- a/benchmarks/keepercost.py
+++ b/benchmarks/keepercost.py
@@ -16,7 +16,7 @@
 
 from heathwell.fleet.control.agent import FleetAgent
 from heathwell.fleet.control.wiring import budgets_of, times_of
-from heathwell.fleet.membership import Self
+from heathwell.fleet.membership import LocalMember
 from heathwell.kernel import Coro, sleep, socket_loop
 from heathwell.lab.wires import Wires
 from heathwell.settings import load
@@ -91,7 +91,7 @@
 
     def run() -> Coro[tuple[list[float], int]]:
         for number in range(brokers):
-            member = Self(f"b{number}", time.time_ns() // 1000, loop.now(), timing=times.roll)
+            member = LocalMember(f"b{number}", time.time_ns() // 1000, loop.now(), timeouts=times.roll)
             agent = FleetAgent(
                 loop,
                 net,
--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -25,7 +25,7 @@
 from heathwell.fleet.control.machine import MachineAgent, make_broker, write_whole
 from heathwell.fleet.control.rollout import Controller
 from heathwell.fleet.control.wiring import lease_budget, times_of
-from heathwell.fleet.membership import Self
+from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.rollout import DONE, Course, Limits, Plan, Stage
 from heathwell.fleet.rollout.checks import doubts
 from heathwell.kernel import Coro, sleep
@@ -276,8 +276,8 @@
     if not fleet.keepers:
         return lambda: True
     times = times_of(fleet)
-    member = Self(
-        process.name, time.time_ns() // 1000, process.loop.now(), version=__version__, timing=times.roll
+    member = LocalMember(
+        process.name, time.time_ns() // 1000, process.loop.now(), version=__version__, timeouts=times.roll
     )
     lender = FleetAgent(
         process.loop,
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -292,17 +292,17 @@
         return None
     from heathwell.fleet.control.agent import FleetAgent  # noqa: PLC0415
     from heathwell.fleet.control.wiring import budgets_of, times_of  # noqa: PLC0415
-    from heathwell.fleet.membership import Self  # noqa: PLC0415
+    from heathwell.fleet.membership import LocalMember  # noqa: PLC0415
 
     times, now = times_of(fleet), process.loop.now()
-    member = Self(
+    member = LocalMember(
         process.name.partition("r")[0],
         time.time_ns() // 1000,
         now,
         zone=fleet.zones[zone],
         version=__version__,
         digest=process.digest,
-        timing=times.roll,
+        timeouts=times.roll,
     )
     where = tuple(keepers.split(",")) if keepers else tuple(fleet.keepers)
     return FleetAgent(
--- a/heathwell/fleet/control/agent.py
+++ b/heathwell/fleet/control/agent.py
@@ -15,7 +15,7 @@
 from heathwell.fleet.control.keeper import MEMBER_ROLE
 from heathwell.fleet.control.link import ControlLink
 from heathwell.fleet.evacuation import Decision, Summary
-from heathwell.fleet.membership import Lived, Self
+from heathwell.fleet.membership import IncarnationEnded, LocalMember
 from heathwell.fleet.quotas import COUNT, Budget, Holder
 from heathwell.fleet.quotas.keeper import Times
 from heathwell.fleet.quotas.shares import Shares
@@ -42,7 +42,7 @@
         self,
         loop: Loop,
         net: Net,
-        member: Self,
+        member: LocalMember,
         budgets: tuple[Budget, ...],
         keepers: tuple[str, ...],
         *,
@@ -62,7 +62,7 @@
         self.zones: Zones | None = None
         self.decision = Decision(0, 0)
         self._noted: dict[str, tuple[int, ...]] = {}
-        silence = 2 * times.roll.suspect_us
+        silence = 2 * times.roll.suspect_timeout_us
         self.links = {
             address: ControlLink(
                 loop,
@@ -82,14 +82,14 @@
         loop.call_soon(self._renew)
 
     @property
-    def member(self) -> Self:
+    def member(self) -> LocalMember:
         """This broker's own side of its membership."""
         return self.shares.member
 
     def turn(self) -> int:
         """Before anything is used, each turn; returns the time by which it may be."""
         now = self.loop.now()
-        self._lived(self.shares.turn(now))
+        self._on_incarnation_ended(self.shares.turn(now))
         return now
 
     def take(self, budget: str, thousandths: int = 1_000) -> bool:
@@ -185,24 +185,24 @@
         if self.zones is not None and decision.newer(self.decision):
             self.decision = decision
             self.zones.decided(decision)
-        self._lived(self.shares.renewed(now, address, messages.renewed_in(message)))
+        self._on_incarnation_ended(self.shares.renewed(now, address, messages.renewed_in(message)))
         if self.events.on:
             for name in {grant.budget for grant in message.grants} & self.shares.holders.keys():
                 self._note(now, name, self.shares.holders[name])
 
-    def _lived(self, lived: Lived) -> None:
-        if lived.died:
+    def _on_incarnation_ended(self, ended: IncarnationEnded | None) -> None:
+        if ended is not None:
             self.counts["deaths",] += 1
-            self.events("dies", why=lived.died, inc=self.member.incarnation)
+            self.events("dies", why=ended.reason, inc=self.member.incarnation)
             self.log(
                 "warning",
                 "this broker was taken for dead: it holds nothing, and comes again",
-                why=lived.died,
+                why=ended.reason,
                 incarnation=self.member.incarnation,
             )
             for name, holder in self.shares.holders.items():
                 self._note(self.loop.now(), name, holder)
-            self.on_death(lived.died)
+            self.on_death(ended.reason)
 
     def _note(self, now: int, name: str, holder: Holder) -> None:
         """What is held, by fraction with how long yet (own clock), and of a count what is used: for
--- a/heathwell/fleet/control/figures.py
+++ b/heathwell/fleet/control/figures.py
@@ -9,6 +9,7 @@
 
 from heathwell.codec.http import Request, Response
 from heathwell.fleet.control.keeper import KeeperServer
+from heathwell.fleet.membership import MemberState
 from heathwell.kernel import Coro, Stream
 from heathwell.observability.http_pages import PROMETHEUS, serve_pages
 
@@ -39,8 +40,8 @@
         server, keeper, now = self.server, self.server.keeper, self.server.loop.now()
         members = GaugeMetricFamily("heathwell_members", "Members by state", labels=("state",))
         states = [entry.state for entry in keeper.roll.entries.values()]
-        for state in ("joining", "alive", "suspect", "left", "dead"):
-            members.add_metric((state,), states.count(state))
+        for state in MemberState:
+            members.add_metric((state.value,), states.count(state))
         yield members
         yield GaugeMetricFamily(
             "heathwell_fractions_owned",
--- a/heathwell/fleet/control/keeper.py
+++ b/heathwell/fleet/control/keeper.py
@@ -12,7 +12,7 @@
 from heathwell.fleet.control import messages
 from heathwell.fleet.control.link import ControlLink
 from heathwell.fleet.control.zones import ZoneDesk
-from heathwell.fleet.membership.roll import Changed
+from heathwell.fleet.membership import MemberState, MemberTransition
 from heathwell.fleet.quotas import Budget
 from heathwell.fleet.quotas.keeper import Keeper, Renewed
 from heathwell.kernel import Coro, Listener, Loop, Net, Stream
@@ -224,25 +224,25 @@
             self.keeper.voted(now, number, messages.vote_in(message))
             self._look_at_owned(now)
 
-    def _tell(self, changes: list[Changed]) -> None:
+    def _tell(self, changes: list[MemberTransition]) -> None:
         for change in changes:
-            self.counts["member", change.after] += 1
+            self.counts["member", change.after.value] += 1
             self.events(
                 "member",
                 name=change.name,
                 inc=change.incarnation,
-                before=change.before,
-                after=change.after,
-                why=change.why,
+                before=change.before.value if change.before is not None else "",
+                after=change.after.value,
+                why=change.reason,
             )
             self.log(
-                "warning" if change.after in ("suspect", "dead") else "info",
+                "warning" if change.after in (MemberState.SUSPECT, MemberState.DEAD) else "info",
                 "member",
                 member=change.name,
                 incarnation=change.incarnation,
-                before=change.before or "-",
-                after=change.after,
-                why=change.why,
+                before=change.before.value if change.before is not None else "-",
+                after=change.after.value,
+                why=change.reason,
             )
 
     def view(self, now: int) -> frames.FleetView:
@@ -268,10 +268,10 @@
                 frames.MemberStatus(
                     entry.name,
                     entry.incarnation,
-                    entry.state,
-                    now - entry.since_us,
-                    now - entry.state_us,
-                    now - entry.heard_us,
+                    entry.state.value,
+                    now - entry.joined_at_us,
+                    now - entry.state_changed_at_us,
+                    now - entry.last_report_at_us,
                     entry.zone,
                     entry.version,
                     entry.digest,
--- a/heathwell/fleet/control/messages.py
+++ b/heathwell/fleet/control/messages.py
@@ -4,7 +4,7 @@
 
 from heathwell.codec import frames
 from heathwell.fleet.evacuation import Decision, Seen, Summary, ZoneWord
-from heathwell.fleet.membership import Report, Word
+from heathwell.fleet.membership import MembershipReply, MembershipReport, MemberState
 from heathwell.fleet.quotas import Claim, Grant, Vote
 from heathwell.fleet.quotas.keeper import Need, Renew, Renewed
 
@@ -24,16 +24,16 @@
         said.zone,
         said.version,
         said.digest,
-        said.run,
-        said.heard,
-        said.leaves,
+        said.coordinator_incarnation,
+        said.last_reply_number,
+        said.leaving,
         [frames.QuotaDemand(need.budget, need.demand, list(need.goes_by)) for need in needs],
     )
 
 
 def renew_in(message: frames.RenewalRequest) -> Renew:
     """A renewal from the wire; what is beyond the bound of needs is left out."""
-    said = Report(
+    said = MembershipReport(
         message.name,
         message.incarnation,
         message.zone,
@@ -60,13 +60,20 @@
         for grant in answer.grants
     ]
     return frames.RenewalReply(
-        answer.run, word.number, word.state, answer.incarnation, answer.asked_us, word.least, word.why, grants
+        answer.run,
+        word.reply_number,
+        word.state.value,
+        answer.incarnation,
+        answer.asked_us,
+        word.minimum_incarnation,
+        word.reason,
+        grants,
     )
 
 
 def renewed_in(message: frames.RenewalReply) -> Renewed:
     """A keeper's answer from the wire."""
-    word = Word(message.state, message.number, message.least, message.why)
+    word = MembershipReply(_member_state(message.state), message.number, message.least, message.why)
     return Renewed(
         word,
         message.incarnation,
@@ -87,6 +94,16 @@
     )
 
 
+def _member_state(text: str) -> MemberState:
+    """A member's state from the wire. One that a later version may add is not final, so the broker goes on
+    as a member that is suspected.
+    """
+    try:
+        return MemberState(text)
+    except ValueError:
+        return MemberState.SUSPECT
+
+
 def claim_out(claim: Claim) -> frames.LeaseRequest:
     """A claim to the wire."""
     return frames.LeaseRequest(claim.fraction, claim.claimant, claim.asked_us)
--- a/heathwell/fleet/control/wiring.py
+++ b/heathwell/fleet/control/wiring.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heathwell.fleet.membership import Timing
+from heathwell.fleet.membership import MembershipTimeouts
 from heathwell.fleet.quotas import COUNT, RATE, Budget, Lease
 from heathwell.fleet.quotas.keeper import Times
 from heathwell.settings.schema import Fleet, FleetBudget
@@ -58,5 +58,5 @@
         Lease(fleet.lease, fleet.drift),
         Lease(2 * fleet.lease, fleet.drift),
         fleet.suspect,
-        Timing(fleet.suspect, fleet.dead),
+        MembershipTimeouts(fleet.suspect, fleet.dead),
     )
--- a/heathwell/fleet/membership/__init__.py
+++ b/heathwell/fleet/membership/__init__.py
@@ -1,32 +1,37 @@
-"""Who is a member of a fleet of brokers: pure, clock handed in. Numbers only grow: a broker that starts
-again, or finds itself taken for dead, is a new incarnation, and what an old one held is not its own.
+"""Membership of a fleet of brokers, as each quota coordinator sees it.
+
+Job: decide which broker processes are members, from their reports and from silence. Owns the state machine of
+a member, the coordinator's table and the broker's own view of itself. Pure: instants are handed in, nothing
+here reads a clock or a socket. May import the standard library only.
+
+An incarnation is one life of a broker. A process that restarts, or that finds it was declared dead, comes
+back under a higher incarnation, and what was granted to an earlier one is not its own.
 """
 
-from heathwell.fleet.membership.member import Lived, Self
-from heathwell.fleet.membership.roll import (
-    ALIVE,
-    DEAD,
-    JOINING,
-    LEFT,
-    SUSPECT,
-    Entry,
-    Report,
-    Roll,
-    Timing,
-    Word,
+from heathwell.fleet.membership.local_member import IncarnationEnded, LocalMember
+from heathwell.fleet.membership.membership_table import MemberEntry, MembershipTable, ReportOutcome
+from heathwell.fleet.membership.messages import MembershipReply, MembershipReport
+from heathwell.fleet.membership.states import (
+    GONE_STATES,
+    TRANSITIONS,
+    MemberEvent,
+    MembershipTimeouts,
+    MemberState,
+    MemberTransition,
 )
 
 __all__ = [
-    "ALIVE",
-    "DEAD",
-    "JOINING",
-    "LEFT",
-    "SUSPECT",
-    "Entry",
-    "Lived",
-    "Report",
-    "Roll",
-    "Self",
-    "Timing",
-    "Word",
+    "GONE_STATES",
+    "TRANSITIONS",
+    "IncarnationEnded",
+    "LocalMember",
+    "MemberEntry",
+    "MemberEvent",
+    "MemberState",
+    "MemberTransition",
+    "MembershipReply",
+    "MembershipReport",
+    "MembershipTable",
+    "MembershipTimeouts",
+    "ReportOutcome",
 ]
--- /dev/null
+++ b/heathwell/fleet/membership/states.py
@@ -0,0 +1,89 @@
+"""The state machine of one incarnation of a member.
+
+Job: name the states, the events and the one table of transitions between them. Owns no data. May import the
+standard library only.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class MemberState(StrEnum):
+    """The state of one incarnation. The values stand on the wire, in event logs and in metrics."""
+
+    JOINING = "joining"
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEFT = "left"
+    DEAD = "dead"
+
+
+class MemberEvent(StrEnum):
+    """What may move an incarnation to another state."""
+
+    REPORT_ACKNOWLEDGED = "report acknowledged"
+    """It reported, and shows that it received a recent reply."""
+    REPORT_UNACKNOWLEDGED = "report unacknowledged"
+    """It reported without having received a recent reply: the way back to it may be cut."""
+    SUSPECT_TIMEOUT = "suspect timeout"
+    DEAD_TIMEOUT = "dead timeout"
+    LEAVE_ANNOUNCED = "leave announced"
+    REPLACED = "replaced"
+    """A later incarnation of the same name reported."""
+
+
+TRANSITIONS: dict[MemberState, dict[MemberEvent, MemberState]] = {
+    MemberState.JOINING: {
+        MemberEvent.REPORT_ACKNOWLEDGED: MemberState.ALIVE,
+        MemberEvent.REPORT_UNACKNOWLEDGED: MemberState.JOINING,
+        MemberEvent.SUSPECT_TIMEOUT: MemberState.JOINING,
+        MemberEvent.DEAD_TIMEOUT: MemberState.DEAD,
+        MemberEvent.LEAVE_ANNOUNCED: MemberState.LEFT,
+        MemberEvent.REPLACED: MemberState.DEAD,
+    },
+    MemberState.ALIVE: {
+        MemberEvent.REPORT_ACKNOWLEDGED: MemberState.ALIVE,
+        MemberEvent.REPORT_UNACKNOWLEDGED: MemberState.SUSPECT,
+        MemberEvent.SUSPECT_TIMEOUT: MemberState.SUSPECT,
+        MemberEvent.DEAD_TIMEOUT: MemberState.DEAD,
+        MemberEvent.LEAVE_ANNOUNCED: MemberState.LEFT,
+        MemberEvent.REPLACED: MemberState.DEAD,
+    },
+    MemberState.SUSPECT: {
+        MemberEvent.REPORT_ACKNOWLEDGED: MemberState.ALIVE,
+        MemberEvent.REPORT_UNACKNOWLEDGED: MemberState.SUSPECT,
+        MemberEvent.SUSPECT_TIMEOUT: MemberState.SUSPECT,
+        MemberEvent.DEAD_TIMEOUT: MemberState.DEAD,
+        MemberEvent.LEAVE_ANNOUNCED: MemberState.LEFT,
+        MemberEvent.REPLACED: MemberState.DEAD,
+    },
+    MemberState.LEFT: dict.fromkeys(MemberEvent, MemberState.LEFT),
+    MemberState.DEAD: dict.fromkeys(MemberEvent, MemberState.DEAD),
+}
+"""The state that follows each event in each state; total over both enumerations."""
+
+GONE_STATES = frozenset({MemberState.LEFT, MemberState.DEAD})
+"""Final states: the name can come back only under a later incarnation."""
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipTimeouts:
+    """When silence changes a state, and the bounds of the table."""
+
+    suspect_timeout_us: int = 2_000_000
+    dead_timeout_us: int = 5_000_000
+    gone_retention_us: int = 60_000_000  # how long an entry in a final state is still listed
+    max_entries: int = 1_024  # entries in final states included; further names are rejected
+
+
+@dataclass(frozen=True, slots=True)
+class MemberTransition:
+    """A change of state. ``before`` is None for the first report of an incarnation."""
+
+    name: str
+    incarnation: int
+    before: MemberState | None
+    after: MemberState
+    reason: str
--- a/heathwell/fleet/quotas/keeper.py
+++ b/heathwell/fleet/quotas/keeper.py
@@ -6,8 +6,14 @@
 
 from dataclasses import dataclass, field, replace
 
-from heathwell.fleet.membership import ALIVE, Report, Roll, Timing, Word
-from heathwell.fleet.membership.roll import Changed
+from heathwell.fleet.membership import (
+    MembershipReply,
+    MembershipReport,
+    MembershipTable,
+    MembershipTimeouts,
+    MemberState,
+    MemberTransition,
+)
 from heathwell.fleet.quotas.giver import Ask, Giver, Grant
 from heathwell.fleet.quotas.lease import Lease
 from heathwell.fleet.quotas.owner import Claim, Claimant, Vote, Voter
@@ -29,7 +35,7 @@
 class Renew:
     """A broker to a keeper, ``asked_us`` by its own clock."""
 
-    report: Report
+    report: MembershipReport
     asked_us: int
     needs: tuple[Need, ...] = ()
 
@@ -38,7 +44,7 @@
 class Renewed:
     """The answer, of the fractions that this keeper owns."""
 
-    word: Word
+    word: MembershipReply
     incarnation: int
     asked_us: int
     run: str
@@ -52,7 +58,7 @@
     grant: Lease = field(default_factory=Lease)
     promise: Lease = field(default_factory=lambda: Lease(6_000_000))
     patience_us: int = 2_000_000
-    roll: Timing = field(default_factory=Timing)
+    roll: MembershipTimeouts = field(default_factory=MembershipTimeouts)
 
 
 class Keeper:
@@ -75,7 +81,7 @@
         self.number, self.run, self.keepers = number, run, keepers
         self.times = times or Times()
         self.budgets = {budget.name: budget for budget in budgets}
-        self.roll = Roll(run, self.times.roll)
+        self.roll = MembershipTable(run, self.times.roll)
         self.voter = Voter(str(number), now, self.times.promise)
         self.claimant = Claimant(
             run, number, keepers, keepers, self.times.promise, now, self.times.patience_us
@@ -84,7 +90,7 @@
         self._number = 0  # the highest of any book that was closed
         self._alive = 0
 
-    def tick(self, now: int) -> tuple[list[Claim], list[Changed]]:
+    def tick(self, now: int) -> tuple[list[Claim], list[MemberTransition]]:
         """Now and then, some times a lease: claims for all voters (this one's own has been counted), and what
         silence has changed.
         """
@@ -95,8 +101,8 @@
             if not book.charged(now) and not book.heard_since(now - self.times.grant.given_until(0)):
                 self._number = max(self._number, book.number)
                 del self.books[key]
-        changes = self.roll.look(now)
-        self._alive = sum(entry.state == ALIVE for entry in self.roll.entries.values())
+        changes = self.roll.tick(now)
+        self._alive = sum(entry.state == MemberState.ALIVE for entry in self.roll.entries.values())
         return claims, changes
 
     def claimed(self, now: int, keeper: int, claim: Claim) -> Vote:
@@ -113,15 +119,16 @@
         """The fractions that this run owns now."""
         return [number for number in range(self.keepers) if self.claimant.owned_until(number) > now]
 
-    def renew(self, now: int, renew: Renew) -> tuple[Renewed, list[Changed]]:
+    def renew(self, now: int, renew: Renew) -> tuple[Renewed, list[MemberTransition]]:
         """A broker's renewal: its grants of every fraction owned here. Only one that is known to hear us gets
         any, as what is given to one that does not is lost for a lease.
         """
         said = renew.report
-        word, changes = self.roll.report(now, said)
+        outcome = self.roll.on_report(now, said)
+        word, changes = outcome.reply, outcome.transitions
         grants: list[Grant] = []
         member = f"{said.name}#{said.incarnation}"
-        for fraction in self.owned(now) if word.state == ALIVE or said.leaves else ():
+        for fraction in self.owned(now) if word.state == MemberState.ALIVE or said.leaving else ():
             until = self.claimant.owned_until(fraction)
             for need in renew.needs:
                 book = self._book(need.budget, fraction)
@@ -133,7 +140,7 @@
                     (number for of, owner, number in need.goes_by if (of, owner) == (fraction, self.run)),
                     default=0,
                 )
-                ask = Ask(member, need.demand, renew.asked_us, goes_by, said.leaves)
+                ask = Ask(member, need.demand, renew.asked_us, goes_by, said.leaving)
                 grants.append(book.asked(now, ask, until))
         return Renewed(word, said.incarnation, renew.asked_us, self.run, tuple(grants)), changes
 
--- a/heathwell/fleet/quotas/shares.py
+++ b/heathwell/fleet/quotas/shares.py
@@ -6,7 +6,7 @@
 
 import random
 
-from heathwell.fleet.membership import Lived, Self
+from heathwell.fleet.membership import IncarnationEnded, LocalMember
 from heathwell.fleet.quotas.holder import Holder
 from heathwell.fleet.quotas.keeper import Need, Renew, Renewed, Times
 from heathwell.fleet.quotas.spec import RATE, Budget
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        member: Self,
+        member: LocalMember,
         budgets: tuple[Budget, ...],
         keepers: tuple[str, ...],
         now: int,
@@ -39,11 +39,11 @@
         self._used_us: dict[str, int] = {}  # when one of each was last looked at
         self.runs: dict[str, str] = {}  # each keeper's run, by its latest answer
 
-    def turn(self, now: int) -> Lived:
+    def turn(self, now: int) -> IncarnationEnded | None:
         """The first thing in a turn of the loop: a broker that stood still for too long holds nothing any
         more.
         """
-        return self._lived(now, self.member.turn(now))
+        return self._lived(now, self.member.check_clock(now))
 
     def renewals(self, now: int, *, leaves: bool = False) -> list[tuple[str, Renew]]:
         """What each keeper is to be asked now. Who leaves holds nothing any more by then; units of a count
@@ -66,17 +66,17 @@
                     if (number := holder.ask(now, fraction, run, "").goes_by)
                 ]
                 needs.append(Need(name, holder.demand(now), tuple(going)))
-            out.append((keeper, Renew(self.member.report(keeper, leaves=leaves), now, tuple(needs))))
+            out.append((keeper, Renew(self.member.report(keeper, leaving=leaves), now, tuple(needs))))
         for holder in self.holders.values():
             holder.asked(now)
         return out
 
-    def renewed(self, now: int, keeper: str, answer: Renewed) -> Lived:
+    def renewed(self, now: int, keeper: str, answer: Renewed) -> IncarnationEnded | None:
         """A keeper's answer. One to an earlier incarnation of ours gives this one nothing."""
         if answer.incarnation != self.member.incarnation:
-            return Lived()
-        lived = self._lived(now, self.member.told(keeper, answer.run, answer.incarnation, answer.word))
-        if lived.died:
+            return None
+        lived = self._lived(now, self.member.on_reply(keeper, answer.run, answer.incarnation, answer.word))
+        if lived is not None:
             return lived
         self.runs[keeper] = answer.run
         for grant in answer.grants:
@@ -116,8 +116,8 @@
                 self.holders.pop(name, None)
                 del self._used_us[name]
 
-    def _lived(self, now: int, lived: Lived) -> Lived:
-        if lived.died:
+    def _lived(self, now: int, lived: IncarnationEnded | None) -> IncarnationEnded | None:
+        if lived is not None:
             for holder in self.holders.values():
                 holder.drop(now)
         return lived
--- a/heathwell/lab/budgetday.py
+++ b/heathwell/lab/budgetday.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from heathwell.fleet.membership import Self
+from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.quotas import COUNT, RATE, Budget, Claim, Lease
 from heathwell.fleet.quotas.keeper import Keeper, Renew, Renewed, Times
 from heathwell.fleet.quotas.shares import Shares
@@ -127,7 +127,7 @@
             )
             self.at(self.now + self.draw.randrange(TICK_US), self._tick, machine, machine.run)
         else:
-            member = Self(machine.name, self.now + 1, now, timing=self.times.roll)
+            member = LocalMember(machine.name, self.now + 1, now, timeouts=self.times.roll)
             names = tuple(keeper.name for keeper in self.keepers)
             machine.program = Shares(member, self.budgets, names, now, self.times)
             self.at(self.now + self.draw.randrange(TURN_US), self._turn, machine, machine.run)
@@ -214,7 +214,7 @@
                 self._send(target, source, answer)
             case Renewed():
                 target.program.turn(now)
-                self.deaths += bool(target.program.renewed(now, source.name, message).died)
+                self.deaths += target.program.renewed(now, source.name, message) is not None
                 self._look()
             case Claim():
                 self._send(target, source, target.program.claimed(now, self.keepers.index(source), message))
@@ -242,7 +242,7 @@
         self.at(self.now + int(RENEW_US / machine.rate), self._renew, machine, run)
         if machine.stopped_at is None:
             now = machine.clock(self.now)
-            self.deaths += bool(machine.program.turn(now).died)
+            self.deaths += machine.program.turn(now) is not None
             for name, renew in machine.program.renewals(now):
                 self._send(machine, self.machines[name], renew)
 
@@ -252,7 +252,7 @@
         self.at(self.now + TURN_US, self._turn, machine, run)
         if machine.stopped_at is None:
             now = machine.clock(self.now)
-            self.deaths += bool(machine.program.turn(now).died)
+            self.deaths += machine.program.turn(now) is not None
             for _ in range(4):
                 self._use(machine, now)
             self._look()
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -10,7 +10,7 @@
 from heathwell.fleet.control.keeper import KeeperServer
 from heathwell.fleet.control.wiring import budgets_of, times_of
 from heathwell.fleet.control.zones import ZoneDesk, desk_of
-from heathwell.fleet.membership import Self
+from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.quotas.keeper import Keeper
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
@@ -61,8 +61,8 @@
         self.agent: FleetAgent | None = None
         if service_settings.fleet.keepers:
             spec, times, loop = service_settings.fleet, times_of(service_settings.fleet), fleet.loop
-            member = Self(
-                f"b{number}", loop.now() + 1, loop.now(), zone=spec.zones[self.zone], timing=times.roll
+            member = LocalMember(
+                f"b{number}", loop.now() + 1, loop.now(), zone=spec.zones[self.zone], timeouts=times.roll
             )
             self.agent = FleetAgent(
                 loop,
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heathwell.fleet.membership import Self
+from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.quotas import (
     COUNT,
     RATE,
@@ -231,7 +231,7 @@
     (processes).
     """
     budgets = (replace(POOL, name="idle"), replace(POOL, name="busy"))
-    shares = Shares(Self("b0", 1, 0), budgets, ("k0",), 0)
+    shares = Shares(LocalMember("b0", 1, 0), budgets, ("k0",), 0)
     for name in ("idle", "busy"):
         shares.holders[name].granted(0, grant(1, 5, name=name))
     assert shares.take(1, "busy")
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -20,7 +20,7 @@
 from heathwell.fleet.control.agent import FleetAgent
 from heathwell.fleet.control.wiring import budgets_of, times_of
 from heathwell.fleet.evacuation import Seen, Summary
-from heathwell.fleet.membership import Self
+from heathwell.fleet.membership import LocalMember
 from heathwell.kernel import socket_loop
 from heathwell.lab.badday import Day
 from heathwell.lab.processes import ProcessFleet
@@ -387,7 +387,7 @@
             FleetAgent(
                 loop,
                 net,
-                Self(name, loop.now() + 1, loop.now(), zone=zone, timing=times_of(spec).roll),
+                LocalMember(name, loop.now() + 1, loop.now(), zone=zone, timeouts=times_of(spec).roll),
                 budgets_of(spec),
                 tuple(where[-1].split(",")),
                 renew_us=spec.renew,
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -18,7 +18,7 @@
 
 from heathwell.audit import judge_budgets
 from heathwell.audit.reader import Event
-from heathwell.fleet.membership import Self
+from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.quotas.keeper import Keeper, Times
 from heathwell.kernel import sleep, virtual_loop
 from heathwell.lab.badday import Day
@@ -306,7 +306,7 @@
         FleetAgent(
             loop,
             net.at(name),
-            Self(name, 1, loop.now()),
+            LocalMember(name, 1, loop.now()),
             (),
             ("k0:1",),
             renew_us=200_000,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,104 +1,137 @@
-"""The roll of brokers and a broker's own side of it: pure, by hand-made clocks."""
+"""The membership table and a broker's own view of it: pure, by hand-made clocks."""
 
 import pytest
 
-from heathwell.fleet.membership import ALIVE, DEAD, JOINING, LEFT, SUSPECT, Report, Roll, Self, Timing
-from heathwell.fleet.membership.roll import EVENTS, GONE, TABLE
+from heathwell.codec import frames
+from heathwell.fleet.control import messages
+from heathwell.fleet.membership import (
+    GONE_STATES,
+    TRANSITIONS,
+    LocalMember,
+    MemberEvent,
+    MembershipReply,
+    MembershipReport,
+    MembershipTable,
+    MembershipTimeouts,
+    MemberState,
+)
+from heathwell.fleet.quotas.keeper import Renewed
 
 S = 1_000_000
 
 
-def live(roll, member, now, times=2, keeper="k0"):
+def live(table, member, now, times=2, coordinator="k0"):
     """Reports that are answered."""
     for n in range(times):
-        word, _ = roll.report(now + n * S // 10, member.report(keeper))
-        member.told(keeper, roll.run, member.incarnation, word)
-    return word
+        reply = table.on_report(now + n * S // 10, member.report(coordinator)).reply
+        member.on_reply(coordinator, table.incarnation, member.incarnation, reply)
+    return reply
 
 
-def test_the_table_is_whole_and_nothing_leads_back_from_gone():
-    assert set(TABLE) == {JOINING, ALIVE, SUSPECT, LEFT, DEAD}
-    for state, row in TABLE.items():
-        assert set(row) == set(EVENTS)
-        assert state not in GONE or set(row.values()) == {state}
+def test_the_transitions_are_complete_and_nothing_leads_back_from_gone():
+    assert set(TRANSITIONS) == set(MemberState) == {"joining", "alive", "suspect", "left", "dead"}
+    for state, row in TRANSITIONS.items():
+        assert set(row) == set(MemberEvent)
+        assert state not in GONE_STATES or set(row.values()) == {state}
 
 
-def test_a_broker_joins_and_is_alive_once_it_has_heard_an_answer():
-    roll, one = Roll("k0.1"), Self("b1", 5, 0)
-    first, changes = roll.report(0, one.report("k0"))
-    assert first.state == JOINING and [change.after for change in changes] == [JOINING]
-    assert live(roll, one, S // 10).state == ALIVE
+def test_a_broker_joins_and_is_alive_once_it_has_received_a_reply():
+    table, one = MembershipTable("k0.1"), LocalMember("b1", 5, 0)
+    first = table.on_report(0, one.report("k0"))
+    assert first.reply.state == MemberState.JOINING
+    assert [transition.after for transition in first.transitions] == [MemberState.JOINING]
+    assert live(table, one, S // 10).state == MemberState.ALIVE
 
 
 def test_silence_makes_suspect_then_dead_and_the_dead_do_not_come_back():
-    roll, one = Roll("k0.1"), Self("b1", 5, 0)
-    live(roll, one, 0)
-    assert [c.after for c in roll.look(3 * S)] == [SUSPECT]
-    assert live(roll, one, 3 * S).state == ALIVE
-    assert [c.after for c in roll.look(9 * S)] == [DEAD]
-    word, _ = roll.report(9 * S, one.report("k0"))
-    assert word.state == DEAD and word.least == 6
-    lived = one.told("k0", roll.run, 5, word)
-    assert "dead" in lived.died and one.incarnation == 6
-    assert live(roll, one, 9 * S, 3).state == ALIVE
-
-
-def test_a_later_incarnation_replaces_and_an_earlier_one_is_turned_down():
-    roll = Roll("k0.1")
-    live(roll, Self("b1", 5, 0), 0)
-    live(roll, Self("b1", 7, S), S)
-    word, changes = roll.report(S, Report("b1", 5))
-    assert word.state == DEAD and word.least == 8 and not changes
-    assert [entry.incarnation for entry in roll.members()] == [7]
-
-
-def test_one_that_reports_but_hears_nothing_is_no_member_in_full():
-    roll, one = Roll("k0.1"), Self("b1", 5, 0)
-    live(roll, one, 0)
+    table, one = MembershipTable("k0.1"), LocalMember("b1", 5, 0)
+    live(table, one, 0)
+    assert [c.after for c in table.tick(3 * S)] == [MemberState.SUSPECT]
+    assert live(table, one, 3 * S).state == MemberState.ALIVE
+    assert [c.after for c in table.tick(9 * S)] == [MemberState.DEAD]
+    reply = table.on_report(9 * S, one.report("k0")).reply
+    assert reply.state == MemberState.DEAD and reply.minimum_incarnation == 6
+    ended = one.on_reply("k0", table.incarnation, 5, reply)
+    assert "dead" in ended.reason and one.incarnation == 6
+    assert live(table, one, 9 * S, 3).state == MemberState.ALIVE
+
+
+def test_a_later_incarnation_replaces_and_an_earlier_one_is_rejected():
+    table = MembershipTable("k0.1")
+    live(table, LocalMember("b1", 5, 0), 0)
+    live(table, LocalMember("b1", 7, S), S)
+    outcome = table.on_report(S, MembershipReport("b1", 5))
+    reply = outcome.reply
+    assert reply.state == MemberState.DEAD and reply.minimum_incarnation == 8 and not outcome.transitions
+    assert [entry.incarnation for entry in table.members()] == [7]
+
+
+def test_a_broker_that_reports_but_receives_nothing_is_suspected():
+    table, one = MembershipTable("k0.1"), LocalMember("b1", 5, 0)
+    live(table, one, 0)
     for n in range(1, 30):  # the answers are lost
-        word, _ = roll.report(n * S // 10 + S // 5, one.report("k0"))
-    assert word.state == SUSPECT
-    assert live(roll, one, 4 * S).state == ALIVE
+        reply = table.on_report(n * S // 10 + S // 5, one.report("k0")).reply
+    assert reply.state == MemberState.SUSPECT
+    assert live(table, one, 4 * S).state == MemberState.ALIVE
 
 
-def test_what_an_earlier_run_of_the_keeper_was_heard_to_say_counts_for_nothing():
-    one = Self("b1", 5, 0)
-    live(Roll("k0.1"), one, 0, 9)
-    again = Roll("k0.2")
-    assert again.report(S, one.report("k0"))[0].state == JOINING
+def test_replies_of_an_earlier_incarnation_of_the_coordinator_acknowledge_nothing():
+    one = LocalMember("b1", 5, 0)
+    live(MembershipTable("k0.1"), one, 0, 9)
+    again = MembershipTable("k0.2")
+    assert again.on_report(S, one.report("k0")).reply.state == MemberState.JOINING
 
 
-def test_who_leaves_has_left_for_good():
-    roll, one = Roll("k0.1"), Self("b1", 5, 0)
-    live(roll, one, 0)
-    assert roll.report(S, one.report("k0", leaves=True))[0].state == LEFT
-    assert roll.report(S, one.report("k0"))[0].state == LEFT and not list(roll.members())
+def test_a_broker_that_leaves_does_not_come_back():
+    table, one = MembershipTable("k0.1"), LocalMember("b1", 5, 0)
+    live(table, one, 0)
+    assert table.on_report(S, one.report("k0", leaving=True)).reply.state == MemberState.LEFT
+    assert table.on_report(S, one.report("k0")).reply.state == MemberState.LEFT and not list(table.members())
 
 
 @pytest.mark.parametrize(("gap", "died"), [(4.9, False), (5, True), (600, True)])
-def test_a_broker_that_stood_still_takes_itself_for_dead(gap, died):
-    one = Self("b1", 5, 0)
-    assert not one.turn(S).died
-    lived = one.turn(S + int(gap * S))
-    assert bool(lived.died) == died and one.incarnation == 5 + died
-    assert not died or "stopped" in lived.died
+def test_a_broker_that_was_stopped_ends_its_incarnation(gap, died):
+    one = LocalMember("b1", 5, 0)
+    assert one.check_clock(S) is None
+    ended = one.check_clock(S + int(gap * S))
+    assert (ended is not None) == died and one.incarnation == 5 + died
+    assert not died or "stopped" in ended.reason
 
 
-def test_an_answer_to_an_earlier_incarnation_says_nothing_of_this_one():
-    roll, one = Roll("k0.1"), Self("b1", 5, 0)
-    old, _ = roll.report(0, one.report("k0"))
-    one.turn(9 * S)
-    assert not one.told("k0", roll.run, 5, old).died and not one.heard
+def test_a_reply_to_an_earlier_incarnation_is_ignored():
+    table, one = MembershipTable("k0.1"), LocalMember("b1", 5, 0)
+    old = table.on_report(0, one.report("k0")).reply
+    one.check_clock(9 * S)
+    assert one.on_reply("k0", table.incarnation, 5, old) is None and not one.reply_positions
 
 
-def test_the_roll_is_bounded_and_forgets_the_gone_first():
-    roll = Roll("k0.1", Timing(most=3))
+def test_the_table_is_bounded_and_forgets_the_gone_first():
+    table = MembershipTable("k0.1", MembershipTimeouts(max_entries=3))
     for n in range(3):
-        live(roll, Self(f"b{n}", 1, 0), 0)
-    word, _ = roll.report(0, Report("b9", 1))
-    assert word.state == DEAD and "full" in word.why and len(roll.entries) == 3
-    roll.report(0, Report("b1", 1, leaves=True))
-    assert roll.report(0, Report("b9", 1))[0].state == JOINING and "b1" not in roll.entries
-    roll.look(100 * S)
-    roll.look(200 * S)
-    assert not roll.entries
+        live(table, LocalMember(f"b{n}", 1, 0), 0)
+    reply = table.on_report(0, MembershipReport("b9", 1)).reply
+    assert reply.state == MemberState.DEAD and "full" in reply.reason and len(table.entries) == 3
+    table.on_report(0, MembershipReport("b1", 1, leaving=True))
+    assert (
+        table.on_report(0, MembershipReport("b9", 1)).reply.state == MemberState.JOINING
+        and "b1" not in table.entries
+    )
+    table.tick(100 * S)
+    table.tick(200 * S)
+    assert not table.entries
+
+
+def test_a_reply_comes_off_the_wire_as_it_was_sent():
+    for state in MemberState:
+        reply = MembershipReply(state, 3, 8, "why")
+        sent = frames.encode(messages.renewed_out(Renewed(reply, 7, 11, "k0.1")))
+        assert state.value.encode() in sent
+        answer = messages.renewed_in(next(iter(frames.Frames().feed(sent))))
+        assert answer.word == reply
+
+
+def test_a_state_that_a_later_version_adds_ends_no_incarnation():
+    frame = frames.RenewalReply("k0.1", 1, "draining", 5, 0)
+    one = LocalMember("b1", 5, 0)
+    assert one.on_reply("k0", "k0.1", 5, messages.renewed_in(frame).word) is None
+    assert one.incarnation == 5 and one.reply_positions
