--- a/benchmarks/keepercost.py
+++ b/benchmarks/keepercost.py
@@ -91,7 +91,7 @@
 
     def run() -> Coro[tuple[list[float], int]]:
         for number in range(brokers):
-            member = LocalMember(f"b{number}", time.time_ns() // 1000, loop.now(), timeouts=times.roll)
+            member = LocalMember(f"b{number}", time.time_ns() // 1000, loop.now(), timeouts=times.membership)
             agent = FleetAgent(
                 loop,
                 net,
@@ -108,10 +108,10 @@
             loop.spawn(use(agent, hosts), "use")
         yield from sleep(loop, 10_000_000)
         before = [cpu(process.pid) for process in keepers]
-        passed = sum(agent.shares.holders["further"].passed for agent in agents)
+        passed = sum(agent.shares.holders["further"].admitted for agent in agents)
         yield from sleep(loop, int(seconds * 1e6))
         used = [(cpu(process.pid) - old) / seconds for process, old in zip(keepers, before, strict=True)]
-        return used, sum(agent.shares.holders["further"].passed for agent in agents) - passed
+        return used, sum(agent.shares.holders["further"].admitted for agent in agents) - passed
 
     try:
         used, passed = loop.run(loop.spawn(run(), "run"))
--- a/heathwell/broker/quota_gate.py
+++ b/heathwell/broker/quota_gate.py
@@ -24,15 +24,15 @@
 
 
 class Holder(Protocol):
-    """This broker's side of one budget (:class:`heathwell.fleet.quotas.Holder`)."""
+    """This broker's side of one budget (:class:`heathwell.fleet.quotas.QuotaHolder`)."""
 
-    used: int
-    usual: int
+    in_use: int
+    baseline_demand: int
 
-    def room(self, now: int) -> int:
+    def capacity(self, now: int) -> int:
         """What could be taken now: thousandths of a rate, units of a count."""
 
-    def wanted(self, thousandths: int = UNIT) -> None:
+    def record_unmet_demand(self, milliunits: int = UNIT) -> None:
         """A use that had no room."""
 
     def excess(self, now: int) -> int:
@@ -41,7 +41,7 @@
     def overdue(self, now: int) -> int:
         """Units that must go now."""
 
-    def term_us(self, now: int) -> int | None:
+    def first_expiry_in_us(self, now: int) -> int | None:
         """How long the first of its grants lasts yet."""
 
 
@@ -105,8 +105,8 @@
             for node, price in self._cold.items():
                 holder = self.agent.holder(f"{COLD}@{node}")
                 if holder is not None:
-                    cold[node] = holder.room(now) // price
-        return policy.QuotaUpdate(further.room(now) // UNIT if further is not None else None, cold)
+                    cold[node] = holder.capacity(now) // price
+        return policy.QuotaUpdate(further.capacity(now) // UNIT if further is not None else None, cold)
 
     def take(self, send: policy.Send, key: Key) -> bool:
         """Use what an attempt needs, all or nothing; the clock may have gone on since the module was told."""
@@ -121,7 +121,8 @@
         terms = [
             term
             for name in names
-            if (holder := self.agent.holder(name)) is not None and (term := holder.term_us(now)) is not None
+            if (holder := self.agent.holder(name)) is not None
+            and (term := holder.first_expiry_in_us(now)) is not None
         ]
         if terms:
             self._until[key] = now + min(terms)
@@ -140,7 +141,7 @@
         """A further attempt had no room."""
         holder = self.agent.holder(FURTHER)
         if holder is not None:
-            holder.wanted()
+            holder.record_unmet_demand()
             self.broker.counters["lacked", FURTHER] += 1
 
     # Connections.
@@ -194,4 +195,4 @@
                 self._cold[server.node] = max(1, int(UNIT * module.settings.slow_start_capacity / warmth))
                 holder = self.agent.holder(f"{COLD}@{server.node}")
                 if holder is not None:
-                    holder.usual = self._usual
+                    holder.baseline_demand = self._usual
--- a/heathwell/cli/control.py
+++ b/heathwell/cli/control.py
@@ -25,7 +25,7 @@
 from heathwell.fleet.control.wiring import budgets_of, lease_budget, times_of
 from heathwell.fleet.control.zones import desk_of
 from heathwell.fleet.evacuation import SERVED, Drill
-from heathwell.fleet.quotas.keeper import Keeper
+from heathwell.fleet.quotas import QuotaCoordinator
 from heathwell.kernel import Coro
 from heathwell.settings import ServiceSettings, SettingsError, load
 
@@ -55,7 +55,7 @@
 
     def main() -> Coro[None]:
         lent = (*budgets_of(fleet), lease_budget(fleet))
-        decider = Keeper(number, run, len(where), lent, loop.now(), times_of(fleet))
+        decider = QuotaCoordinator(number, run, len(where), lent, loop.now(), times_of(fleet))
         server = KeeperServer(
             loop,
             process.net,
--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -277,7 +277,11 @@
         return lambda: True
     times = times_of(fleet)
     member = LocalMember(
-        process.name, time.time_ns() // 1000, process.loop.now(), version=__version__, timeouts=times.roll
+        process.name,
+        time.time_ns() // 1000,
+        process.loop.now(),
+        version=__version__,
+        timeouts=times.membership,
     )
     lender = FleetAgent(
         process.loop,
@@ -298,9 +302,9 @@
         now, holder = lender.turn(), lender.holder(name)
         if holder is None:
             return False
-        if holder.used and holder.share(now) < 1:
+        if holder.in_use and holder.quota(now) < 1:
             lender.give_back(name)
-        return bool(holder.used) or lender.take(name)
+        return bool(holder.in_use) or lender.take(name)
 
     return holds
 
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -302,7 +302,7 @@
         zone=fleet.zones[zone],
         version=__version__,
         digest=process.digest,
-        timeouts=times.roll,
+        timeouts=times.membership,
     )
     where = tuple(keepers.split(",")) if keepers else tuple(fleet.keepers)
     return FleetAgent(
--- a/heathwell/fleet/control/agent.py
+++ b/heathwell/fleet/control/agent.py
@@ -16,9 +16,7 @@
 from heathwell.fleet.control.link import ControlLink
 from heathwell.fleet.evacuation import Decision, Summary
 from heathwell.fleet.membership import IncarnationEnded, LocalMember
-from heathwell.fleet.quotas import COUNT, Budget, Holder
-from heathwell.fleet.quotas.keeper import Times
-from heathwell.fleet.quotas.shares import Shares
+from heathwell.fleet.quotas import BrokerQuotas, Budget, BudgetKind, QuotaHolder, QuotaTimings
 from heathwell.kernel import Loop, Net
 from heathwell.observability.event_log import EventLog, NoEvents
 
@@ -47,7 +45,7 @@
         keepers: tuple[str, ...],
         *,
         renew_us: int,
-        times: Times,
+        times: QuotaTimings,
         seed: int,
         log: Callable[..., None],
         events: EventLog | None = None,
@@ -55,14 +53,14 @@
     ) -> None:
         self.loop, self.log, self.renew_us = loop, log, renew_us
         self.events: EventLog = events or NoEvents()
-        self.shares = Shares(member, budgets, keepers, loop.now(), times, seed)
+        self.shares = BrokerQuotas(member, budgets, keepers, loop.now(), times, seed)
         self.counts: Counter[tuple[str, ...]] = Counter()
         self.on_death: Callable[[str], None] = lambda _why: None
         self.leaves = self.closed = False
         self.zones: Zones | None = None
         self.decision = Decision(0, 0)
         self._noted: dict[str, tuple[int, ...]] = {}
-        silence = 2 * times.roll.suspect_timeout_us
+        silence = 2 * times.membership.suspect_timeout_us
         self.links = {
             address: ControlLink(
                 loop,
@@ -89,7 +87,7 @@
     def turn(self) -> int:
         """Before anything is used, each turn; returns the time by which it may be."""
         now = self.loop.now()
-        self._on_incarnation_ended(self.shares.turn(now))
+        self._on_incarnation_ended(self.shares.check_clock(now))
         return now
 
     def take(self, budget: str, thousandths: int = 1_000) -> bool:
@@ -98,28 +96,28 @@
         holder = self.shares.holder(now, budget)
         if holder is None:
             return False
-        free = holder.take(now, thousandths)
+        free = holder.acquire(now, thousandths)
         if self.events.on:
             self._note(now, budget, holder)
-            if free and holder.budget.kind != COUNT:
+            if free and holder.budget.kind != BudgetKind.COUNT:
                 self.events("spends", budget=budget, amount=thousandths)
         return free
 
     def give_back(self, budget: str) -> None:
         """A unit of a count has been let go."""
         holder = self.shares.holders.get(budget)
-        if holder is not None and holder.used:
-            holder.give_back()
+        if holder is not None and holder.in_use:
+            holder.release()
             self._note(self.loop.now(), budget, holder)
 
-    def holder(self, budget: str) -> Holder | None:
+    def holder(self, budget: str) -> QuotaHolder | None:
         """The holder of a budget, for room, demand and excess; None where no such budget is set."""
         return self.shares.holder(self.loop.now(), budget)
 
     def budget(self, name: str) -> tuple[int, int] | None:
         """Whole and linger (us) of a budget that is set; None where it is not."""
         budget = self.shares.budgets.get(name)
-        return (budget.whole, budget.linger_us) if budget is not None else None
+        return (budget.total, budget.linger_timeout_us) if budget is not None else None
 
     def figures(self) -> dict[str, dict[str, float]]:
         """By budget: its share (units, of a rate a second), what was used and refused; those of each host
@@ -130,10 +128,10 @@
             row = out.setdefault(
                 name.partition("@")[0], dict.fromkeys(("share", "in use", "used", "refused"), 0.0)
             )
-            row["share"] += holder.share(now) / (1 if holder.budget.kind == COUNT else 1_000)
-            row["in use"] += holder.used
-            row["used"] += holder.passed
-            row["refused"] += holder.refused
+            row["share"] += holder.quota(now) / (1 if holder.budget.kind == BudgetKind.COUNT else 1_000)
+            row["in use"] += holder.in_use
+            row["used"] += holder.admitted
+            row["refused"] += holder.rejected
         return out
 
     def on_zones(self, zones: Zones) -> None:
@@ -158,18 +156,18 @@
 
     def _say(self, now: int) -> None:
         word = self.zones.summary(now) if self.zones is not None else None
-        renewals = self.shares.renewals(now, leaves=self.leaves)
+        renewals = self.shares.renewals(now, leaving=self.leaves)
         if self.leaves and self.events.on:
             for name, holder in self.shares.holders.items():
                 self._note(now, name, holder)
             # on record before anybody hears that it is free
             self.events.flush()  # type: ignore[attr-defined]
-        for address, renew in renewals:
-            message = messages.renew_out(renew)
+        for addressed in renewals:
+            message = messages.renew_out(addressed.renewal)
             if word is not None:
                 message.seen, message.cut_off = messages.seen_out(word), word.cut_off
                 message.decision = messages.decision_out(self.decision)
-            if self.links[address].send(message):
+            if self.links[addressed.coordinator].send(message):
                 self.counts["renewals",] += 1
         if self.events.on:
             for name, holder in self.shares.holders.items():
@@ -185,7 +183,7 @@
         if self.zones is not None and decision.newer(self.decision):
             self.decision = decision
             self.zones.decided(decision)
-        self._on_incarnation_ended(self.shares.renewed(now, address, messages.renewed_in(message)))
+        self._on_incarnation_ended(self.shares.on_reply(now, address, messages.renewed_in(message)))
         if self.events.on:
             for name in {grant.budget for grant in message.grants} & self.shares.holders.keys():
                 self._note(now, name, self.shares.holders[name])
@@ -204,23 +202,23 @@
                 self._note(self.loop.now(), name, holder)
             self.on_death(ended.reason)
 
-    def _note(self, now: int, name: str, holder: Holder) -> None:
+    def _note(self, now: int, name: str, holder: QuotaHolder) -> None:
         """What is held, by fraction with how long yet (own clock), and of a count what is used: for
         auditors.
         """
         if not self.events.on:
             return
-        share = holder.share(now)
-        state = (share, holder.used, *(held.until for held in holder.held.values()))
+        share = holder.quota(now)
+        state = (share, holder.in_use, *(held.expires_at_us for held in holder.grants.values()))
         if self._noted.get(name) != state:
             self._noted[name] = state
             self.events(
                 "holds",
                 budget=name,
-                own=holder.budget.own,
-                used=holder.used,
+                own=holder.budget.broker_minimum,
+                used=holder.in_use,
                 held=[
-                    [fraction, held.amount, held.until - self.loop.now(), held.owner, held.number]
-                    for fraction, held in holder.held.items()
+                    [fraction, held.amount, held.expires_at_us - self.loop.now(), held.grantor, held.number]
+                    for fraction, held in holder.grants.items()
                 ],
             )
--- a/heathwell/fleet/control/figures.py
+++ b/heathwell/fleet/control/figures.py
@@ -31,7 +31,7 @@
         if request.path == "/metrics":
             return Response(200, generate_latest(self.registry), PROMETHEUS)
         if request.path == "/healthz":
-            owned = self.server.keeper.owned(self.server.loop.now())
+            owned = self.server.keeper.held_fractions(self.server.loop.now())
             return Response(200 if owned else 503, f"owns {len(owned)} fractions\n".encode())
         return Response(404, b"pages: /healthz /metrics\n")
 
@@ -39,22 +39,22 @@
         """Read when asked for."""
         server, keeper, now = self.server, self.server.keeper, self.server.loop.now()
         members = GaugeMetricFamily("heathwell_members", "Members by state", labels=("state",))
-        states = [entry.state for entry in keeper.roll.entries.values()]
+        states = [entry.state for entry in keeper.membership.entries.values()]
         for state in MemberState:
             members.add_metric((state.value,), states.count(state))
         yield members
         yield GaugeMetricFamily(
             "heathwell_fractions_owned",
             "Fractions that this keeper may lend of",
-            value=len(keeper.owned(now)),
+            value=len(keeper.held_fractions(now)),
         )
         given = GaugeMetricFamily(
             "heathwell_budget_given",
             "What members may hold of this keeper's fractions; of a rate thousandths a second",
             labels=("budget", "fraction"),
         )
-        for (name, fraction), book in keeper.books.items():
-            given.add_metric((name, str(fraction)), book.charged(now))
+        for (name, fraction), ledger in keeper.ledgers.items():
+            given.add_metric((name, str(fraction)), ledger.total_charge(now))
         yield given
         changes = CounterMetricFamily("heathwell_member_changes", "Members' changes of state", labels=("to",))
         for key, count in server.counts.items():
--- a/heathwell/fleet/control/keeper.py
+++ b/heathwell/fleet/control/keeper.py
@@ -13,8 +13,12 @@
 from heathwell.fleet.control.link import ControlLink
 from heathwell.fleet.control.zones import ZoneDesk
 from heathwell.fleet.membership import MemberState, MemberTransition
-from heathwell.fleet.quotas import Budget
-from heathwell.fleet.quotas.keeper import Keeper, Renewed
+from heathwell.fleet.quotas import (
+    Budget,
+    QuotaCoordinator,
+    QuotaError,
+    QuotaRenewalReply,
+)
 from heathwell.kernel import Coro, Listener, Loop, Net, Stream
 from heathwell.observability.event_log import EventLog, NoEvents
 
@@ -31,7 +35,7 @@
         self,
         loop: Loop,
         net: Net,
-        keeper: Keeper,
+        keeper: QuotaCoordinator,
         peers: dict[int, str],
         *,
         seed: int,
@@ -48,7 +52,7 @@
         self.listener: Listener | None = None
         self.zones, self.fleet = zones, fleet
         self._owned: list[int] = []
-        self._tick_us = keeper.times.promise.length_us // TICKS
+        self._tick_us = keeper.timings.fraction_lease.duration_us // TICKS
         self.peers = {
             number: ControlLink(
                 loop,
@@ -56,7 +60,7 @@
                 address,
                 str(keeper.number),
                 KEEPER_ROLE,
-                silence_us=keeper.times.promise.length_us // 2,
+                silence_us=keeper.timings.fraction_lease.duration_us // 2,
                 seed=seed * 64 + number,
                 heard=partial(self._answered, number),
                 log=log,
@@ -85,27 +89,24 @@
         problems = []
         for budget in budgets:
             try:
-                old = self.keeper.budgets[budget.name]
-                self.keeper.resize(budget)
-            except KeyError:
-                problems.append(f"budget {budget.name}: begins with a restart only")
-            except ValueError as problem:
+                old = self.keeper.resize(budget)
+            except QuotaError as problem:
                 problems.append(str(problem))
             else:
                 if budget != old:
-                    self.events("resized", budget=budget.name, whole=budget.whole)
+                    self.events("resized", budget=budget.name, whole=budget.total)
                     self.log(
-                        "info", "budget resized", budget=budget.name, before=old.whole, after=budget.whole
+                        "info", "budget resized", budget=budget.name, before=old.total, after=budget.total
                     )
         return problems
 
     def _tick(self) -> None:
         now = self.loop.now()
         self.loop.call_at(now + self._tick_us, self._tick)
-        claims, changes = self.keeper.tick(now)
-        self._tell(changes)
+        tick = self.keeper.tick(now)
+        self._tell(tick.transitions)
         if self.zones is not None:
-            for text in self.zones.look(now, 0 in self.keeper.owned(now)):
+            for text in self.zones.look(now, 0 in self.keeper.held_fractions(now)):
                 decision = self.zones.decision
                 self.events(
                     "zones",
@@ -115,7 +116,7 @@
                     states={name: [word.state, word.share] for name, word in decision.zones.items()},
                 )
                 self.log("warning", "zone", change=text, decision=f"({decision.term}, {decision.number})")
-        for claim in claims:
+        for claim in tick.lease_requests:
             for link in self.peers.values():
                 link.send(self._with(messages.claim_out(claim)))
         self._look_at_owned(now)
@@ -136,12 +137,15 @@
                 self.zones.heard(now, messages.seen_in(message))
 
     def _look_at_owned(self, now: int) -> None:
-        owned = self.keeper.owned(now)
+        owned = self.keeper.held_fractions(now)
         if owned != self._owned:
             self.events(
                 "owns",
                 fractions=owned,
-                left={str(number): self.keeper.claimant.owned_until(number) - now for number in owned},
+                left={
+                    str(fraction): remaining_us
+                    for fraction, remaining_us in self.keeper.held_fraction_remaining_us(now).items()
+                },
             )
             self.log("info", "fractions owned", before=self._owned, after=owned)
             self._owned = owned
@@ -188,7 +192,9 @@
             case frames.LeaseRequest():
                 if self.streams[stream].isdecimal():
                     self._told(now, message)
-                    vote = self.keeper.claimed(now, int(self.streams[stream]), messages.claim_in(message))
+                    vote = self.keeper.on_lease_request(
+                        now, int(self.streams[stream]), messages.claim_in(message)
+                    )
                     stream.offer(frames.encode(self._with(messages.vote_out(vote))))
             case frames.OperatorCommand() if self.zones is not None:
                 stream.offer(frames.encode(self.zones.order(now, message)))
@@ -197,10 +203,11 @@
             case _:
                 self.counts["unasked",] += 1
 
-    def _renew(self, now: int, message: frames.RenewalRequest) -> Renewed:
-        answer, changes = self.keeper.renew(now, messages.renew_in(message))
+    def _renew(self, now: int, message: frames.RenewalRequest) -> QuotaRenewalReply:
+        outcome = self.keeper.on_renewal(now, messages.renew_in(message))
+        answer = outcome.reply
         self.counts["renewals",] += 1
-        self._tell(changes)
+        self._tell(outcome.transitions)
         if self.events.on:
             for grant in answer.grants:
                 if grant.amount:
@@ -212,7 +219,7 @@
                         fraction=grant.fraction,
                         number=grant.number,
                         amount=grant.amount,
-                        length=grant.length_us,
+                        length=grant.duration_us,
                     )
             self.events.flush()  # type: ignore[attr-defined]  # on record before it is on its way
         return answer
@@ -221,7 +228,7 @@
         if isinstance(message, frames.LeaseVote):
             now = self.loop.now()
             self._told(now, message)
-            self.keeper.voted(now, number, messages.vote_in(message))
+            self.keeper.on_lease_vote(now, number, messages.vote_in(message))
             self._look_at_owned(now)
 
     def _tell(self, changes: list[MemberTransition]) -> None:
@@ -253,17 +260,17 @@
                 name,
                 fraction,
                 member,
-                given.charge(now),
-                max((until for _, until in given.grants.values()), default=now) - now,
-                given.wish.demand,
+                given.current_charge(now),
+                max((held.expires_at_us for held in given.grants.values()), default=now) - now,
+                given.request.demand,
             )
-            for (name, fraction), book in sorted(keeper.books.items())
-            for member, given in sorted(book.given.items())
+            for (name, fraction), ledger in sorted(keeper.ledgers.items())
+            for member, given in sorted(ledger.accounts.items())
         ]
         return frames.FleetView(
             self.name,
-            keeper.run,
-            {number: keeper.claimant.owned_until(number) - now for number in keeper.owned(now)},
+            keeper.incarnation,
+            keeper.held_fraction_remaining_us(now),
             [
                 frames.MemberStatus(
                     entry.name,
@@ -276,17 +283,17 @@
                     entry.version,
                     entry.digest,
                 )
-                for entry in keeper.roll.entries.values()
+                for entry in keeper.membership.entries.values()
             ],
             [
                 frames.QuotaStatus(
                     budget.name,
-                    budget.kind,
-                    budget.whole,
-                    budget.aside,
-                    budget.most,
-                    budget.each,
-                    budget.apart,
+                    budget.kind.value,
+                    budget.total,
+                    budget.reserved,
+                    budget.max_brokers,
+                    budget.scope_kind,
+                    budget.uncounted,
                 )
                 for budget in keeper.budgets.values()
             ],
--- a/heathwell/fleet/control/messages.py
+++ b/heathwell/fleet/control/messages.py
@@ -5,35 +5,55 @@
 from heathwell.codec import frames
 from heathwell.fleet.evacuation import Decision, Seen, Summary, ZoneWord
 from heathwell.fleet.membership import MembershipReply, MembershipReport, MemberState
-from heathwell.fleet.quotas import Claim, Grant, Vote
-from heathwell.fleet.quotas.keeper import Need, Renew, Renewed
+from heathwell.fleet.quotas import (
+    ActiveGrant,
+    BudgetDemand,
+    FractionLeaseRequest,
+    FractionLeaseVote,
+    Grant,
+    QuotaRenewal,
+    QuotaRenewalReply,
+)
 
 MESSAGE_MOST = 256 << 10  # bytes of a message between the control's processes
 NEEDS_MOST = 96  # budgets in one renewal
+NO_HOLDER = ""  # in a vote, where the voter may vote for nobody yet
 SEEN_MOST = 512  # zones and classes in one broker's word
 
 
-def renew_out(renew: Renew) -> frames.RenewalRequest:
-    """A renewal to the wire: of too many needs those with the most demand."""
-    said = renew.report
-    needs = sorted(renew.needs, key=lambda need: (not need.goes_by, -need.demand))[:NEEDS_MOST]
+def renew_out(renewal: QuotaRenewal) -> frames.RenewalRequest:
+    """A renewal to the wire: of too many budgets those with the most demand."""
+    report = renewal.report
+    demands = sorted(renewal.demands, key=lambda demand: (not demand.active_grants, -demand.demand))[
+        :NEEDS_MOST
+    ]
     return frames.RenewalRequest(
-        said.name,
-        said.incarnation,
-        renew.asked_us,
-        said.zone,
-        said.version,
-        said.digest,
-        said.coordinator_incarnation,
-        said.last_reply_number,
-        said.leaving,
-        [frames.QuotaDemand(need.budget, need.demand, list(need.goes_by)) for need in needs],
+        report.name,
+        report.incarnation,
+        renewal.requested_at_us,
+        report.zone,
+        report.version,
+        report.digest,
+        report.coordinator_incarnation,
+        report.last_reply_number,
+        report.leaving,
+        [_demand_out(demand) for demand in demands],
     )
 
 
-def renew_in(message: frames.RenewalRequest) -> Renew:
-    """A renewal from the wire; what is beyond the bound of needs is left out."""
-    said = MembershipReport(
+def _demand_out(demand: BudgetDemand) -> frames.QuotaDemand:
+    active_grants = [(grant.fraction, grant.grantor, grant.number) for grant in demand.active_grants]
+    return frames.QuotaDemand(demand.budget, demand.demand, active_grants)
+
+
+def _demand_in(message: frames.QuotaDemand) -> BudgetDemand:
+    active_grants = tuple(ActiveGrant(*active_grant) for active_grant in message.goes_by)
+    return BudgetDemand(message.budget, max(0, message.demand), active_grants)
+
+
+def renew_in(message: frames.RenewalRequest) -> QuotaRenewal:
+    """A renewal from the wire; what is beyond the bound of budgets is left out."""
+    report = MembershipReport(
         message.name,
         message.incarnation,
         message.zone,
@@ -43,39 +63,37 @@
         message.heard,
         message.leaves,
     )
-    return Renew(
-        said,
+    return QuotaRenewal(
+        report,
         message.asked_us,
-        tuple(
-            Need(need.budget, max(0, need.demand), tuple(need.goes_by)) for need in message.needs[:NEEDS_MOST]
-        ),
+        tuple(_demand_in(need) for need in message.needs[:NEEDS_MOST]),
     )
 
 
-def renewed_out(answer: Renewed) -> frames.RenewalReply:
+def renewed_out(answer: QuotaRenewalReply) -> frames.RenewalReply:
     """A keeper's answer to the wire."""
-    word = answer.word
+    membership = answer.membership
     grants = [
-        frames.Granted(grant.budget, grant.fraction, grant.number, grant.amount, grant.length_us)
+        frames.Granted(grant.budget, grant.fraction, grant.number, grant.amount, grant.duration_us)
         for grant in answer.grants
     ]
     return frames.RenewalReply(
-        answer.run,
-        word.reply_number,
-        word.state.value,
+        answer.coordinator_incarnation,
+        membership.reply_number,
+        membership.state.value,
         answer.incarnation,
-        answer.asked_us,
-        word.minimum_incarnation,
-        word.reason,
+        answer.requested_at_us,
+        membership.minimum_incarnation,
+        membership.reason,
         grants,
     )
 
 
-def renewed_in(message: frames.RenewalReply) -> Renewed:
+def renewed_in(message: frames.RenewalReply) -> QuotaRenewalReply:
     """A keeper's answer from the wire."""
-    word = MembershipReply(_member_state(message.state), message.number, message.least, message.why)
-    return Renewed(
-        word,
+    membership = MembershipReply(_member_state(message.state), message.number, message.least, message.why)
+    return QuotaRenewalReply(
+        membership,
         message.incarnation,
         message.asked_us,
         message.run,
@@ -104,24 +122,24 @@
         return MemberState.SUSPECT
 
 
-def claim_out(claim: Claim) -> frames.LeaseRequest:
+def claim_out(claim: FractionLeaseRequest) -> frames.LeaseRequest:
     """A claim to the wire."""
-    return frames.LeaseRequest(claim.fraction, claim.claimant, claim.asked_us)
+    return frames.LeaseRequest(claim.fraction, claim.candidate, claim.requested_at_us)
 
 
-def claim_in(message: frames.LeaseRequest) -> Claim:
+def claim_in(message: frames.LeaseRequest) -> FractionLeaseRequest:
     """A claim from the wire."""
-    return Claim(message.fraction, message.claimant, message.asked_us)
+    return FractionLeaseRequest(message.fraction, message.claimant, message.asked_us)
 
 
-def vote_out(vote: Vote) -> frames.LeaseVote:
+def vote_out(vote: FractionLeaseVote) -> frames.LeaseVote:
     """A vote to the wire."""
-    return frames.LeaseVote(vote.fraction, vote.voter, vote.asked_us, vote.owner)
+    return frames.LeaseVote(vote.fraction, vote.voter, vote.requested_at_us, vote.holder or NO_HOLDER)
 
 
-def vote_in(message: frames.LeaseVote) -> Vote:
+def vote_in(message: frames.LeaseVote) -> FractionLeaseVote:
     """A vote from the wire."""
-    return Vote(message.fraction, message.voter, message.asked_us, message.owner)
+    return FractionLeaseVote(message.fraction, message.voter, message.asked_us, message.owner or None)
 
 
 def seen_out(summary: Summary) -> list[frames.ZoneReport]:
--- a/heathwell/fleet/control/wiring.py
+++ b/heathwell/fleet/control/wiring.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from heathwell.fleet.membership import MembershipTimeouts
-from heathwell.fleet.quotas import COUNT, RATE, Budget, Lease
-from heathwell.fleet.quotas.keeper import Times
+from heathwell.fleet.quotas import Budget, BudgetKind, Lease, QuotaTimings
 from heathwell.settings.schema import Fleet, FleetBudget
 
 
@@ -24,37 +23,37 @@
         # A broker's first connection is its own and never asked for: only those beyond are lent.
         return Budget(
             said.name,
-            COUNT,
+            BudgetKind.COUNT,
             int(said.whole) - most,
             0,
             most,
             fractions,
-            linger_us=said.linger,
-            each="host",
-            apart=most,
+            linger_timeout_us=said.linger,
+            scope_kind="host",
+            uncounted=most,
         )
     return Budget(
         said.name,
-        RATE,
+        BudgetKind.RATE,
         int(said.whole * 1000),
         int(said.whole * said.aside * 1000),
         most,
         fractions,
-        window_us=said.burst,
-        each="host" if said.name == "cold" else "",
+        burst_window_us=said.burst,
+        scope_kind="host" if said.name == "cold" else "",
     )
 
 
 def lease_budget(fleet: Fleet) -> Budget:
     """The one unit that is lent to whoever steers a change."""
-    return Budget("rollout", COUNT, 1, 0, most_brokers(fleet), len(fleet.keepers), sticky=True)
+    return Budget("rollout", BudgetKind.COUNT, 1, 0, most_brokers(fleet), len(fleet.keepers), sticky=True)
 
 
-def times_of(fleet: Fleet) -> Times:
+def times_of(fleet: Fleet) -> QuotaTimings:
     """The leases of a fleet. A promise lasts for two grants, so that one given late in it is not cut short at
     once.
     """
-    return Times(
+    return QuotaTimings(
         Lease(fleet.lease, fleet.drift),
         Lease(2 * fleet.lease, fleet.drift),
         fleet.suspect,
--- a/heathwell/fleet/quotas/__init__.py
+++ b/heathwell/fleet/quotas/__init__.py
@@ -1,50 +1,82 @@
-"""Budgets of a whole fleet, divided among its brokers by leases: pure, clocks handed in, amounts whole
-numbers.
+"""Quotas: budgets of a whole fleet, divided among its brokers by leases.
 
-Why no more than the whole is ever held, whatever is lost, restarted or stopped (`docs/fleet.md` at length):
+Job: let each broker use its quota without asking anybody at the moment of use, and never let the fleet hold
+more than a budget's total. Pure: instants are handed in and amounts are whole numbers. May import
+:mod:`heathwell.fleet.membership`.
 
-1. A broker's own minimum is set aside within the whole beforehand, for the most brokers there may be.
-2. The rest is cut into fixed fractions, as many as keepers. A fraction is lent by its owner alone, and to own
-it a
-   keeper holds a promise of most keepers. Two majorities share a voter, and a voter promises a fraction to
-   one at a
-   time.
-3. A lease is counted by its holder from before it asked, and shorter by the bound on the drift of clocks; by
-its giver
-   from after it answered, and longer by it. So it ends at the holder first, be it a promise or a grant.
-4. An owner gives no grant that ends, by its own count, after its ownership. So once a fraction may have a new
-owner no
-   grant of the old one is held any more. A keeper that starts again with nothing remembered is a new
-   claimant, and a
-   new voter promises nothing for the longest time that a forgotten promise may last.
-5. A giver's book charges a member with the largest grant that it may still hold: those given, not run out,
-and not
-   superseded by a later one that the member says it goes by. A grant is given only within what the book
-   leaves.
-6. A rate is saved up by the share of the moment and never beyond a window of it, and slower by the bound on
-drift.
+Why no more than the total is ever held, whatever is lost, restarted or stopped (`docs/fleet.md` at length):
+
+1. A broker's own minimum is reserved within the total beforehand, for the most brokers there may be.
+2. The rest is cut into fixed fractions, as many as coordinators. Only the holder of a fraction's lease grants
+   of it, and for that lease a coordinator needs the votes of a majority. Two majorities share a voter, and a
+   voter votes for one candidate of a fraction at a time.
+3. A holder counts its lease from before it requested it, and shorter by the bound on clock drift; a grantor
+   from after it answered, and longer by it. So a lease ends at its holder first, be it a vote or a grant.
+4. No grant ends, by its grantor's count, after the grantor's fraction lease. So once a fraction's lease may
+   have a new holder, no grant of the old one is held any more. A coordinator that starts again with nothing
+   remembered is a new candidate, and a new voter is silent for the longest time that a forgotten vote may
+   last.
+5. A ledger charges a member with the largest grant that it may still hold: those granted, not expired, and
+   not superseded by a later one that the member reports as active. A grant is given only within what the
+   charges leave.
+6. A rate accrues at the quota of the moment and never beyond a burst window of it, and slower by the bound on
+   drift.
 """
 
-from heathwell.fleet.quotas.divide import Wish, divide
-from heathwell.fleet.quotas.giver import Ask, Giver, Grant
-from heathwell.fleet.quotas.holder import Holder
+from heathwell.fleet.quotas.allocation import QuotaRequest, allocate
+from heathwell.fleet.quotas.broker_quotas import BrokerQuotas
+from heathwell.fleet.quotas.budget import Budget, BudgetKind, BudgetName
+from heathwell.fleet.quotas.errors import (
+    BudgetResizeError,
+    InvalidBudgetError,
+    QuotaError,
+    UnitNotHeldError,
+    UnknownBudgetError,
+)
+from heathwell.fleet.quotas.fraction_lease import LeaseCandidate, LeaseVoter
+from heathwell.fleet.quotas.fraction_ledger import FractionLedger
 from heathwell.fleet.quotas.lease import Lease
-from heathwell.fleet.quotas.owner import Claim, Claimant, Vote, Voter
-from heathwell.fleet.quotas.spec import COUNT, RATE, Budget
+from heathwell.fleet.quotas.messages import (
+    ActiveGrant,
+    AddressedRenewal,
+    BudgetDemand,
+    FractionLeaseRequest,
+    FractionLeaseVote,
+    Grant,
+    GrantRequest,
+    QuotaRenewal,
+    QuotaRenewalReply,
+)
+from heathwell.fleet.quotas.quota_coordinator import QuotaCoordinator
+from heathwell.fleet.quotas.quota_holder import QuotaHolder
+from heathwell.fleet.quotas.timings import QuotaTimings
 
 __all__ = [
-    "COUNT",
-    "RATE",
-    "Ask",
+    "ActiveGrant",
+    "AddressedRenewal",
+    "BrokerQuotas",
     "Budget",
-    "Claim",
-    "Claimant",
-    "Giver",
+    "BudgetDemand",
+    "BudgetKind",
+    "BudgetName",
+    "BudgetResizeError",
+    "FractionLeaseRequest",
+    "FractionLeaseVote",
+    "FractionLedger",
     "Grant",
-    "Holder",
+    "GrantRequest",
+    "InvalidBudgetError",
     "Lease",
-    "Vote",
-    "Voter",
-    "Wish",
-    "divide",
+    "LeaseCandidate",
+    "LeaseVoter",
+    "QuotaCoordinator",
+    "QuotaError",
+    "QuotaHolder",
+    "QuotaRenewal",
+    "QuotaRenewalReply",
+    "QuotaRequest",
+    "QuotaTimings",
+    "UnitNotHeldError",
+    "UnknownBudgetError",
+    "allocate",
 ]
--- /dev/null
+++ b/heathwell/fleet/quotas/fraction_lease.py
@@ -0,0 +1,126 @@
+"""Which coordinator may grant of a fraction: the one whose lease a majority of coordinators voted for.
+
+Job: both sides of the vote. Owns the votes of one incarnation of one coordinator, given (:class:`LeaseVoter`)
+and received (:class:`LeaseCandidate`). May import this package's lease and messages.
+
+A voter votes for one candidate of a fraction at a time, a candidate being one incarnation of one coordinator.
+Nothing is on disk: a new incarnation knows nothing, so as a voter it stays silent for as long as a vote of an
+earlier incarnation may last, and as a candidate it is a stranger to votes for that incarnation, which have to
+expire first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from heathwell.fleet.quotas.lease import Lease
+from heathwell.fleet.quotas.messages import FractionLeaseRequest, FractionLeaseVote
+
+
+@dataclass(frozen=True, slots=True)
+class CastVote:
+    """A vote for a candidate, and when it expires on the voter's clock."""
+
+    candidate: str
+    expires_at_us: int
+
+
+class LeaseVoter:
+    """One incarnation of a coordinator as a voter. ``now_us`` is its own clock."""
+
+    def __init__(self, name: str, now_us: int, lease: Lease) -> None:
+        self.name = name
+        self.lease = lease
+        self.silent_until_us = lease.grantor_expires_at_us(
+            now_us
+        )  # an earlier incarnation may just have voted
+        self.votes: dict[int, CastVote] = {}  # by fraction
+
+    def on_request(self, now_us: int, request: FractionLeaseRequest) -> FractionLeaseVote:
+        """Vote for the candidate, renew the vote, or name the candidate that has it."""
+        if now_us < self.silent_until_us:
+            return FractionLeaseVote(request.fraction, self.name, request.requested_at_us, None)
+        vote = self.votes.get(request.fraction)
+        if vote is None or now_us >= vote.expires_at_us or vote.candidate == request.candidate:
+            vote = CastVote(request.candidate, self.lease.grantor_expires_at_us(now_us))
+            self.votes[request.fraction] = vote
+        return FractionLeaseVote(request.fraction, self.name, request.requested_at_us, vote.candidate)
+
+
+@dataclass(slots=True)
+class ReceivedVotes:
+    """Votes of one fraction: until when (our clock) each voter's vote for us lasts, and when we last asked a
+    voter that had voted for another.
+    """
+
+    other_voted_at_us: int
+    expires_at_us: dict[str, int] = field(default_factory=dict)
+
+
+class LeaseCandidate:
+    """One incarnation of a coordinator as a candidate. It requests its ``home_fraction`` always; another only
+    once no sign of a holder was seen for ``takeover_timeout_us``, and it stops renewing that as soon as the
+    coordinator whose home it is is seen again.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        home_fraction: int,
+        fraction_count: int,
+        voter_count: int,
+        lease: Lease,
+        now_us: int,
+        takeover_timeout_us: int,
+    ) -> None:
+        self.incarnation = incarnation
+        self.home_fraction = home_fraction
+        self.voter_count = voter_count
+        self.lease = lease
+        self.takeover_timeout_us = takeover_timeout_us
+        self.votes = {fraction: ReceivedVotes(now_us) for fraction in range(fraction_count)}
+        self.home_coordinator_seen_at_us: dict[int, int] = {}  # by fraction
+
+    def on_home_coordinator_seen(self, now_us: int, fraction: int) -> None:
+        """A message came from the coordinator whose home this fraction is."""
+        self.home_coordinator_seen_at_us[fraction] = now_us
+
+    def requests(self, now_us: int) -> list[FractionLeaseRequest]:
+        """The requests to send to all voters now, this coordinator's own included."""
+        return [
+            FractionLeaseRequest(fraction, self.incarnation, now_us)
+            for fraction in self.votes
+            if self._should_request(now_us, fraction)
+        ]
+
+    def on_vote(self, vote: FractionLeaseVote) -> None:
+        """Count a voter's answer from when we asked, on our clock."""
+        votes = self.votes[vote.fraction]
+        if vote.holder == self.incarnation:
+            expires_at_us = self.lease.holder_expires_at_us(vote.requested_at_us)
+            known_us = votes.expires_at_us.get(vote.voter, expires_at_us)
+            votes.expires_at_us[vote.voter] = max(known_us, expires_at_us)
+        elif vote.holder is not None:
+            votes.other_voted_at_us = max(votes.other_voted_at_us, vote.requested_at_us)
+
+    def lease_expires_at_us(self, fraction: int) -> int | None:
+        """Until when (our clock) a majority's votes for us last; None where there is no majority. The instant
+        may have passed.
+        """
+        majority = self.voter_count // 2 + 1
+        latest_first = sorted(self.votes[fraction].expires_at_us.values(), reverse=True)
+        return latest_first[majority - 1] if len(latest_first) >= majority else None
+
+    def holds(self, now_us: int, fraction: int) -> bool:
+        """Whether we hold the fraction's lease now."""
+        expires_at_us = self.lease_expires_at_us(fraction)
+        return expires_at_us is not None and expires_at_us > now_us
+
+    def _should_request(self, now_us: int, fraction: int) -> bool:
+        if fraction == self.home_fraction:
+            return True
+        seen_at_us = self.home_coordinator_seen_at_us.get(fraction)
+        if seen_at_us is not None and now_us - seen_at_us < self.takeover_timeout_us:
+            return False
+        other_voted_at_us = self.votes[fraction].other_voted_at_us
+        return self.holds(now_us, fraction) or now_us - other_voted_at_us >= self.takeover_timeout_us
--- a/heathwell/fleet/quotas/lease.py
+++ b/heathwell/fleet/quotas/lease.py
@@ -1,5 +1,6 @@
-"""A lease's arithmetic between two clocks that run at most ``drift`` too fast or too slow (Gray, Cheriton,
-1989).
+"""The arithmetic of a lease between two clocks of bounded drift (Gray and Cheriton, SOSP 1989).
+
+Job: when each side of a lease must count it as expired. Owns no state. May import the standard library only.
 """
 
 from __future__ import annotations
@@ -10,19 +11,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """``length_us`` is true time; each side counts on its own clock, whose zero is its own."""
+    """``duration_us`` is true time; each side counts it on its own clock, with an origin of its own.
+    ``clock_drift`` bounds, as a fraction, how much too fast or too slow either clock may run.
+    """
 
-    length_us: int = 3_000_000
-    drift: float = 0.03
+    duration_us: int = 3_000_000
+    clock_drift: float = 0.03
 
-    def holds_until(self, asked_us: int) -> int:
-        """The holder's end, on the clock by which it asked. A slow clock lets the counted time last
-        longer.
+    def holder_expires_at_us(self, requested_at_us: int) -> int:
+        """The holder's end, on the clock of its request. Shorter by the drift, as a slow clock would let the
+        counted time last too long.
         """
-        return asked_us + floor(self.length_us * (1 - self.drift))
+        return requested_at_us + floor(self.duration_us * (1 - self.clock_drift))
 
-    def given_until(self, answered_us: int) -> int:
-        """The giver's end, on the clock by which it answered. A fast clock lets the counted time last
-        shorter.
+    def grantor_expires_at_us(self, granted_at_us: int) -> int:
+        """The grantor's end, on the clock of its answer. Longer by the drift, as a fast clock would let the
+        counted time end too soon.
         """
-        return answered_us + ceil(self.length_us * (1 + self.drift))
+        return granted_at_us + self.grantor_duration_us
+
+    @property
+    def grantor_duration_us(self) -> int:
+        """How long the grantor must count the lease as held."""
+        return ceil(self.duration_us * (1 + self.clock_drift))
--- a/heathwell/lab/budgetday.py
+++ b/heathwell/lab/budgetday.py
@@ -17,14 +17,22 @@
 from typing import Any
 
 from heathwell.fleet.membership import LocalMember
-from heathwell.fleet.quotas import COUNT, RATE, Budget, Claim, Lease
-from heathwell.fleet.quotas.keeper import Keeper, Renew, Renewed, Times
-from heathwell.fleet.quotas.shares import Shares
+from heathwell.fleet.quotas import (
+    BrokerQuotas,
+    Budget,
+    BudgetKind,
+    FractionLeaseRequest,
+    Lease,
+    QuotaCoordinator,
+    QuotaRenewal,
+    QuotaRenewalReply,
+    QuotaTimings,
+)
 
 TURN_US, RENEW_US, TICK_US = 100_000, 400_000, 500_000
 BUDGETS = (
-    Budget("connections", COUNT, 120, 24, 24, linger_us=300_000),
-    Budget("further", RATE, 60_000, 12_000, 24, window_us=2_000_000),
+    Budget("connections", BudgetKind.COUNT, 120, 24, 24, linger_timeout_us=300_000),
+    Budget("further", BudgetKind.RATE, 60_000, 12_000, 24, burst_window_us=2_000_000),
 )
 
 
@@ -69,21 +77,21 @@
         drift: float = 0.02,
         loss: float = 0.02,
         budgets: tuple[Budget, ...] = BUDGETS,
-        times: Times | None = None,
-        keeper: type[Keeper] = Keeper,
+        timings: QuotaTimings | None = None,
+        keeper: type[QuotaCoordinator] = QuotaCoordinator,
     ) -> None:
         self.draw = random.Random(seed)
         self.drift, self.loss, self.budgets, self.keeper_type = drift, loss, budgets, keeper
-        self.times = times or Times(Lease(3_000_000, 0.03), Lease(6_000_000, 0.03))
+        self.timings = timings or QuotaTimings(Lease(3_000_000, 0.03), Lease(6_000_000, 0.03))
         self.now = self._ticket = 0
         self._due: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.cuts: set[tuple[str, str]] = set()
         self.breaches: list[str] = []
         self.lingering: list[Lingering] = []
         self.bucket = {
-            budget.name: float(budget.whole * budget.window_us / 1e6)
+            budget.name: float(budget.total * budget.burst_window_us / 1e6)
             for budget in budgets
-            if budget.kind == RATE
+            if budget.kind == BudgetKind.RATE
         }
         self._bucket_at = 0
         self.used: Counter[tuple[str, int]] = Counter()  # units by budget and second
@@ -123,13 +131,13 @@
         if machine in self.keepers:
             number = self.keepers.index(machine)
             machine.program = self.keeper_type(
-                number, f"{machine.name}.{machine.run}", len(self.keepers), self.budgets, now, self.times
+                number, f"{machine.name}.{machine.run}", len(self.keepers), self.budgets, now, self.timings
             )
             self.at(self.now + self.draw.randrange(TICK_US), self._tick, machine, machine.run)
         else:
-            member = LocalMember(machine.name, self.now + 1, now, timeouts=self.times.roll)
+            member = LocalMember(machine.name, self.now + 1, now, timeouts=self.timings.membership)
             names = tuple(keeper.name for keeper in self.keepers)
-            machine.program = Shares(member, self.budgets, names, now, self.times)
+            machine.program = BrokerQuotas(member, self.budgets, names, now, self.timings)
             self.at(self.now + self.draw.randrange(TURN_US), self._turn, machine, machine.run)
             self.at(self.now + self.draw.randrange(RENEW_US), self._renew, machine, machine.run)
 
@@ -168,21 +176,21 @@
 
     def _first_turn(self, machine: Machine) -> None:
         now = machine.clock(self.now)
-        machine.program.turn(now)
+        machine.program.check_clock(now)
         for _ in range(20):  # it had much to send
             self._use(machine, now)
 
     def _hosts_close(self, machine: Machine, run: int, since: int) -> None:
         if self._runs(machine, run) and machine.stopped_at == since:
-            shares: Shares = machine.program
+            shares: BrokerQuotas = machine.program
             for holder in shares.holders.values():
-                if holder.budget.kind == COUNT:
-                    while holder.used:
-                        holder.give_back()
+                if holder.budget.kind == BudgetKind.COUNT:
+                    while holder.in_use:
+                        holder.release()
 
     @property
     def _linger_us(self) -> int:
-        return max((budget.linger_us for budget in self.budgets), default=0)
+        return max((budget.linger_timeout_us for budget in self.budgets), default=0)
 
     def _linger(self, machine: Machine) -> None:
         if machine in self.brokers:
@@ -209,17 +217,18 @@
             return
         now = target.clock(self.now)
         match message:
-            case Renew():
-                answer, _ = target.program.renew(now, message)
-                self._send(target, source, answer)
-            case Renewed():
-                target.program.turn(now)
-                self.deaths += target.program.renewed(now, source.name, message) is not None
+            case QuotaRenewal():
+                self._send(target, source, target.program.on_renewal(now, message).reply)
+            case QuotaRenewalReply():
+                target.program.check_clock(now)
+                self.deaths += target.program.on_reply(now, source.name, message) is not None
                 self._look()
-            case Claim():
-                self._send(target, source, target.program.claimed(now, self.keepers.index(source), message))
+            case FractionLeaseRequest():
+                self._send(
+                    target, source, target.program.on_lease_request(now, self.keepers.index(source), message)
+                )
             case vote:
-                target.program.voted(now, self.keepers.index(source), vote)
+                target.program.on_lease_vote(now, self.keepers.index(source), vote)
 
     # What processes do by themselves.
 
@@ -231,10 +240,10 @@
             return
         self.at(self.now + int(TICK_US / machine.rate), self._tick, machine, run)
         if machine.stopped_at is None:
-            claims, _ = machine.program.tick(machine.clock(self.now))
+            requests = machine.program.tick(machine.clock(self.now)).lease_requests
             for other in self.keepers:
-                for claim in claims if other is not machine else ():
-                    self._send(machine, other, claim)
+                for request in requests if other is not machine else ():
+                    self._send(machine, other, request)
 
     def _renew(self, machine: Machine, run: int) -> None:
         if not self._runs(machine, run):
@@ -242,9 +251,9 @@
         self.at(self.now + int(RENEW_US / machine.rate), self._renew, machine, run)
         if machine.stopped_at is None:
             now = machine.clock(self.now)
-            self.deaths += machine.program.turn(now) is not None
-            for name, renew in machine.program.renewals(now):
-                self._send(machine, self.machines[name], renew)
+            self.deaths += machine.program.check_clock(now) is not None
+            for addressed in machine.program.renewals(now):
+                self._send(machine, self.machines[addressed.coordinator], addressed.renewal)
 
     def _turn(self, machine: Machine, run: int) -> None:
         if not self._runs(machine, run):
@@ -252,24 +261,24 @@
         self.at(self.now + TURN_US, self._turn, machine, run)
         if machine.stopped_at is None:
             now = machine.clock(self.now)
-            self.deaths += machine.program.turn(now) is not None
+            self.deaths += machine.program.check_clock(now) is not None
             for _ in range(4):
                 self._use(machine, now)
             self._look()
 
     def _use(self, machine: Machine, now: int) -> None:
         """Use all that can be had; let go of what is too much, and of some by chance."""
-        shares: Shares = machine.program
+        shares: BrokerQuotas = machine.program
         for name, holder in shares.holders.items():
-            if holder.budget.kind == RATE:
-                if shares.take(now, name):
+            if holder.budget.kind == BudgetKind.RATE:
+                if shares.acquire(now, name):
                     self._spend(name)
                 continue
             for _ in range(holder.excess(now)):
-                holder.give_back()
-            if holder.used and self.draw.random() < 0.05:
-                holder.give_back()
-            shares.take(now, name)
+                holder.release()
+            if holder.in_use and self.draw.random() < 0.05:
+                holder.release()
+            shares.acquire(now, name)
 
     # The auditor.
 
@@ -279,43 +288,46 @@
         for other, saved in self.bucket.items():
             most = budgets[other]
             self.bucket[other] = min(
-                saved + most.whole * (self.now - self._bucket_at) / 1e6, most.whole * most.window_us / 1e6
+                saved + most.total * (self.now - self._bucket_at) / 1e6,
+                most.total * most.burst_window_us / 1e6,
             )
         self._bucket_at = self.now
         self.bucket[name] -= 1_000
         if self.bucket[name] < -1e-6:
-            most_a_second = budgets[name].whole / 1000
+            most_a_second = budgets[name].total / 1000
             self.breaches.append(
                 f"{self.now / 1e6:.3f} s: more of {name} was used than {most_a_second} a second"
             )
 
     def _units(self, machine: Machine) -> int:
-        shares: Shares = machine.program
-        return sum(holder.used for holder in shares.holders.values() if holder.budget.kind == COUNT)
+        shares: BrokerQuotas = machine.program
+        return sum(
+            holder.in_use for holder in shares.holders.values() if holder.budget.kind == BudgetKind.COUNT
+        )
 
     def _look(self) -> None:
         """What may be held and is held at this instant, stopped processes included."""
         self.lingering = [old for old in self.lingering if old.until > self.now]
         for budget in self.budgets:
             may = sum(
-                broker.program.holders[budget.name].share(broker.clock(self.now))
+                broker.program.holders[budget.name].quota(broker.clock(self.now))
                 for broker in self.brokers
                 if broker.up
             )
-            if may > budget.whole:
+            if may > budget.total:
                 self.breaches.append(
-                    f"{self.now / 1e6:.3f} s: {may} of {budget.name} may be held, of {budget.whole}"
+                    f"{self.now / 1e6:.3f} s: {may} of {budget.name} may be held, of {budget.total}"
                 )
-            if budget.kind == COUNT:
+            if budget.kind == BudgetKind.COUNT:
                 held = sum(
-                    broker.program.holders[budget.name].used for broker in self.brokers if broker.up
+                    broker.program.holders[budget.name].in_use for broker in self.brokers if broker.up
                 ) + sum(old.units for old in self.lingering)
                 self.used[budget.name, self.now // 1_000_000] = max(
                     self.used[budget.name, self.now // 1_000_000], held
                 )
-                if held > budget.whole:
+                if held > budget.total:
                     self.breaches.append(
-                        f"{self.now / 1e6:.3f} s: {held} of {budget.name} are held, of {budget.whole}"
+                        f"{self.now / 1e6:.3f} s: {held} of {budget.name} are held, of {budget.total}"
                     )
 
 
--- a/heathwell/lab/figures.py
+++ b/heathwell/lab/figures.py
@@ -37,13 +37,13 @@
         "budgets": [
             {
                 "name": budget.name,
-                "kind": budget.kind,
-                "whole": budget.whole,
-                "own": budget.own,
-                "most": budget.most,
-                "window": budget.window_us,
-                "linger": budget.linger_us,
-                "apart": budget.apart,
+                "kind": budget.kind.value,
+                "whole": budget.total,
+                "own": budget.broker_minimum,
+                "most": budget.max_brokers,
+                "window": budget.burst_window_us,
+                "linger": budget.linger_timeout_us,
+                "apart": budget.uncounted,
             }
             for budget in budgets_of(service_settings.fleet)
         ],
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -11,7 +11,7 @@
 from heathwell.fleet.control.wiring import budgets_of, times_of
 from heathwell.fleet.control.zones import ZoneDesk, desk_of
 from heathwell.fleet.membership import LocalMember
-from heathwell.fleet.quotas.keeper import Keeper
+from heathwell.fleet.quotas import QuotaCoordinator
 from heathwell.fronts.admin import AdminFront
 from heathwell.fronts.memcached import SPARE, MemcachedFront
 from heathwell.fronts.vector import VectorFront
@@ -29,7 +29,7 @@
     def __init__(self, fleet: LocalFleet, number: int, run: int, address: str) -> None:
         spec, loop = fleet.service_settings.fleet, fleet.loop
         self.name = f"k{number}r{run}"
-        decider = Keeper(
+        decider = QuotaCoordinator(
             number, f"k{number}.{run}", len(spec.keepers), budgets_of(spec), loop.now(), times_of(spec)
         )
         self.server = KeeperServer(
@@ -62,7 +62,11 @@
         if service_settings.fleet.keepers:
             spec, times, loop = service_settings.fleet, times_of(service_settings.fleet), fleet.loop
             member = LocalMember(
-                f"b{number}", loop.now() + 1, loop.now(), zone=spec.zones[self.zone], timeouts=times.roll
+                f"b{number}",
+                loop.now() + 1,
+                loop.now(),
+                zone=spec.zones[self.zone],
+                timeouts=times.membership,
             )
             self.agent = FleetAgent(
                 loop,
--- a/heathwell/modelcheck/leases.py
+++ b/heathwell/modelcheck/leases.py
@@ -14,20 +14,20 @@
 from typing import Any
 
 from heathwell.fleet.quotas import (
-    COUNT,
-    Ask,
     Budget,
-    Claim,
-    Claimant,
-    Giver,
+    BudgetKind,
+    FractionLeaseRequest,
+    FractionLeaseVote,
+    FractionLedger,
     Grant,
-    Holder,
+    GrantRequest,
     Lease,
-    Vote,
-    Voter,
+    LeaseCandidate,
+    LeaseVoter,
+    QuotaHolder,
 )
 
-UNIT = Budget("unit", COUNT, 1, 0, 2, fractions=1, floor=0)
+UNIT = Budget("unit", BudgetKind.COUNT, 1, 0, 2, fraction_count=1, minimum_grant=0)
 KEEPERS, BROKERS = 2, 2
 
 
@@ -35,9 +35,9 @@
 class KeeperRun:
     """One run of a keeper."""
 
-    voter: Voter
-    claimant: Claimant
-    giver: Giver
+    voter: LeaseVoter
+    candidate: LeaseCandidate
+    ledger: FractionLedger
     run: str
 
 
@@ -47,7 +47,7 @@
 
     now: int
     keepers: list[KeeperRun]
-    holders: list[Holder]
+    holders: list[QuotaHolder]
     flying: list[tuple[str, Any]] = field(default_factory=list)
     incarnations: list[int] = field(default_factory=lambda: [0] * BROKERS)
     restarts: int = 1
@@ -64,9 +64,9 @@
     def __init__(
         self,
         *,
-        voter: type[Voter] = Voter,
-        giver: type[Giver] = Giver,
-        holder: type[Holder] = Holder,
+        voter: type[LeaseVoter] = LeaseVoter,
+        ledger: type[FractionLedger] = FractionLedger,
+        holder: type[QuotaHolder] = QuotaHolder,
         grant_us: int = 2,
         promise_us: int = 4,
         flying: int = 2,
@@ -76,7 +76,7 @@
         owned: bool = False,
         held: bool = False,
     ) -> None:
-        self.voter, self.giver, self.holder = voter, giver, holder
+        self.voter, self.ledger, self.holder = voter, ledger, holder
         self.grant, self.promise = Lease(grant_us, 0.0), Lease(promise_us, 0.0)
         self.flying, self.restarts, self.claims, self.asks = flying, restarts, claims, asks
         self.owned, self.held = owned, held
@@ -85,22 +85,22 @@
         """All have been up for long enough to vote."""
         state = State(0, [], [self.holder(UNIT, 0.0, 0) for _ in range(BROKERS)], restarts=self.restarts)
         state.keepers = [self._keeper(state) for _ in range(KEEPERS)]
-        first = Claim(0, state.keepers[0].run, 0)
+        first = FractionLeaseRequest(0, state.keepers[0].run, 0)
         for keeper in state.keepers:
-            keeper.voter.silent_until = 0  # the wait at the start shows after a restart
+            keeper.voter.silent_until_us = 0  # the wait at the start shows after a restart
             if self.owned:
-                state.keepers[0].claimant.voted(keeper.voter.asked(0, first))
+                state.keepers[0].candidate.on_vote(keeper.voter.on_request(0, first))
         if self.held:
-            self._arrives(state, "k0", Ask("b0.0", 1, 0))
+            self._arrives(state, "k0", GrantRequest("b0.0", 1, 0))
             self._arrives(state, *state.flying.pop())
         return state
 
     def _keeper(self, state: State) -> KeeperRun:
         run = f"run{state.runs}"
         state.runs += 1
-        claimant = Claimant(run, 0, 1, KEEPERS, self.promise, state.now, 0)
+        candidate = LeaseCandidate(run, 0, 1, KEEPERS, self.promise, state.now, 0)
         return KeeperRun(
-            self.voter(run, state.now, self.promise), claimant, self.giver(UNIT, 0, run, self.grant), run
+            self.voter(run, state.now, self.promise), candidate, self.ledger(UNIT, 0, run, self.grant), run
         )
 
     def moves(self, state: State) -> Iterator[tuple[str, State]]:
@@ -129,23 +129,23 @@
         for number in range(KEEPERS) if self.claims else ():
             after = _copy(state)
             keeper = after.keepers[number]
-            claim = Claim(0, keeper.run, after.now)
-            keeper.claimant.voted(keeper.voter.asked(after.now, claim))
+            claim = FractionLeaseRequest(0, keeper.run, after.now)
+            keeper.candidate.on_vote(keeper.voter.on_request(after.now, claim))
             after.flying.append((f"k{1 - number}", claim))
             yield f"keeper {number} ({keeper.run}) votes for itself and claims", after
         for broker in range(BROKERS) if self.asks else ():
             for number in range(KEEPERS):
                 after = _copy(state)
                 member = f"b{broker}.{after.incarnations[broker]}"
-                ask = after.holders[broker].ask(after.now, 0, after.keepers[number].run, member)
-                ask = Ask(ask.member, 1, ask.asked_us, ask.goes_by)
+                ask = after.holders[broker].request(after.now, 0, after.keepers[number].run, member)
+                ask = GrantRequest(ask.member, 1, ask.requested_at_us, ask.active_grant_number)
                 after.flying.append((f"k{number}", ask))
                 yield f"broker {broker} asks keeper {number}", after
-                if after.holders[broker].share(after.now):
+                if after.holders[broker].quota(after.now):
                     gives = _copy(state)
                     gives.holders[broker] = self.holder(UNIT, 0.0, gives.now)
                     gives.incarnations[broker] += 1
-                    gives.flying.append((f"k{number}", Ask(member, 0, gives.now, lets_go=True)))
+                    gives.flying.append((f"k{number}", GrantRequest(member, 0, gives.now, releasing=True)))
                     yield f"broker {broker} lets go, tells keeper {number}, and comes back", gives
 
     def _arrives(self, state: State, to: str, message: Any) -> None:
@@ -154,44 +154,44 @@
 
     def _heard(self, state: State, number: int, incarnation: str, message: Any) -> None:
         match message:
-            case Claim():
-                vote = state.keepers[number].voter.asked(state.now, message)
+            case FractionLeaseRequest():
+                vote = state.keepers[number].voter.on_request(state.now, message)
                 state.flying.append((f"k{1 - number}", vote))
-            case Vote():
-                state.keepers[number].claimant.voted(message)
-            case Ask():
+            case FractionLeaseVote():
+                state.keepers[number].candidate.on_vote(message)
+            case GrantRequest():
                 keeper = state.keepers[number]
-                until = keeper.claimant.owned_until(0)
-                if until > state.now:
-                    grant = keeper.giver.asked(state.now, message, until)
+                until = keeper.candidate.lease_expires_at_us(0)
+                if until is not None and until > state.now:
+                    grant = keeper.ledger.on_request(state.now, message, until)
                     if grant.amount:
                         state.flying.append((message.member, grant))
             case Grant() if incarnation == str(state.incarnations[number]):
-                state.holders[number].granted(state.now, message)
+                state.holders[number].on_grant(state.now, message)
 
     @staticmethod
     def _words(to: str, message: Any) -> str:
         who = f"{'keeper' if to[0] == 'k' else 'broker'} {to[1:]}"
         match message:
-            case Claim(claimant=run, asked_us=at):
+            case FractionLeaseRequest(candidate=run, requested_at_us=at):
                 return f"{run}'s claim of tick {at} to {who}"
-            case Vote(owner=owner, asked_us=at):
-                return f"a vote for {owner or 'nobody'} on a claim of tick {at} to {who}"
-            case Ask(member=member, lets_go=lets_go, asked_us=at):
-                return f"{member} {'lets go' if lets_go else 'asks'}, of tick {at}, to {who}"
+            case FractionLeaseVote(holder=holder, requested_at_us=at):
+                return f"a vote for {holder or 'nobody'} on a claim of tick {at} to {who}"
+            case GrantRequest(member=member, releasing=releasing, requested_at_us=at):
+                return f"{member} {'lets go' if releasing else 'asks'}, of tick {at}, to {who}"
             case _:
                 return (
-                    f"a grant of {message.amount} by {message.owner}, asked at tick {message.asked_us}, "
-                    f"to {who}"
+                    f"a grant of {message.amount} by {message.grantor}, "
+                    f"asked at tick {message.requested_at_us}, to {who}"
                 )
 
     def broken(self, state: State) -> str:
         """What must never be."""
-        owners = [keeper.run for keeper in state.keepers if keeper.claimant.owned_until(0) > state.now]
+        owners = [keeper.run for keeper in state.keepers if keeper.candidate.holds(state.now, 0)]
         if len(owners) > 1:
             return f"two owners of one fraction: {', '.join(owners)}"
-        may = sum(holder.share(state.now) for holder in state.holders)
-        return f"{may} of one unit may be held" if may > UNIT.whole else ""
+        may = sum(holder.quota(state.now) for holder in state.holders)
+        return f"{may} of one unit may be held" if may > UNIT.total else ""
 
     def key(self, state: State) -> Hashable:
         """Times from now; what has run out is alike."""
@@ -203,12 +203,16 @@
         keepers = tuple(
             (
                 keeper.run,
-                ends(keeper.voter.silent_until),
-                tuple((owner, ends(until)) for owner, until in keeper.voter.promised.values() if until > now),
+                ends(keeper.voter.silent_until_us),
+                tuple(
+                    (vote.candidate, ends(vote.expires_at_us))
+                    for vote in keeper.voter.votes.values()
+                    if vote.expires_at_us > now
+                ),
                 tuple(
                     sorted(
                         (who, ends(until))
-                        for who, until in keeper.claimant.votes[0].until.items()
+                        for who, until in keeper.candidate.votes[0].expires_at_us.items()
                         if until > now
                     )
                 ),
@@ -216,27 +220,27 @@
                     (
                         member,
                         tuple(
-                            (number, amount, ends(until))
-                            for number, (amount, until) in given.grants.items()
-                            if until > now
+                            (number, held.amount, ends(held.expires_at_us))
+                            for number, held in account.grants.items()
+                            if held.expires_at_us > now
                         ),
-                        max(given.wished_us - now, -4),
-                        given.wish.demand,
+                        max(account.requested_at_us - now, -4),
+                        account.request.demand,
                     )
-                    for member, given in sorted(keeper.giver.given.items())
+                    for member, account in sorted(keeper.ledger.accounts.items())
                 ),
-                keeper.giver.number,
+                keeper.ledger.last_grant_number,
             )
             for keeper in state.keepers
         )
         holders = tuple(
             (
                 tuple(
-                    (held.owner, held.number, held.amount, ends(held.until))
-                    for held in holder.held.values()
-                    if held.until > now
+                    (held.grantor, held.number, held.amount, ends(held.expires_at_us))
+                    for held in holder.grants.values()
+                    if held.expires_at_us > now
                 ),
-                tuple(holder.seen.items()),
+                tuple(holder.latest_numbers.items()),
             )
             for holder in state.holders
         )
@@ -248,7 +252,7 @@
     @staticmethod
     def _flat(message: Any, now: int) -> tuple[Any, ...]:
         values = {name: getattr(message, name) for name in message.__dataclass_fields__}
-        values["asked_us"] -= now
+        values["requested_at_us"] -= now
         return tuple(values.values())
 
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -2,43 +2,49 @@
 
 import pytest
 
-from heathwell.fleet.quotas import Giver, Grant, Holder, Voter
+from heathwell.fleet.quotas import FractionLedger, Grant, LeaseVoter, QuotaHolder
 from heathwell.modelcheck import explore
 from heathwell.modelcheck.leases import LeaseWorld
 
 
-class FromTheAnswer(Holder):
+class FromTheAnswer(QuotaHolder):
     """Counts its lease from when the answer came."""
 
-    def granted(self, now: int, grant: Grant) -> bool:
-        return super().granted(
+    def on_grant(self, now: int, grant: Grant) -> bool:
+        return super().on_grant(
             now,
             Grant(
-                grant.budget, grant.fraction, grant.owner, grant.number, grant.amount, now, grant.length_us
+                grant.budget,
+                grant.fraction,
+                grant.grantor,
+                grant.number,
+                grant.amount,
+                now,
+                grant.duration_us,
             ),
         )
 
 
-class NoWait(Voter):
+class NoWait(LeaseVoter):
     """Votes at once after a restart."""
 
     def __init__(self, name, now, lease):
         super().__init__(name, now, lease)
-        self.silent_until = now
+        self.silent_until_us = now
 
 
-class TwiceBack(Giver):
+class TwiceBack(FractionLedger):
     """Counts what is given back on top of what its book shows free."""
 
     extra = 0
 
-    def asked(self, now, ask, owned_until):
-        if ask.lets_go and ask.member in self.given:
-            self.extra += self.given[ask.member].charge(now)
-        return super().asked(now, ask, owned_until)
+    def on_request(self, now, request, lease_expires_at_us):
+        if request.releasing and request.member in self.accounts:
+            self.extra += self.accounts[request.member].current_charge(now)
+        return super().on_request(now, request, lease_expires_at_us)
 
-    def _room(self, now, member):
-        return super()._room(now, member) + self.extra
+    def _available(self, now, member):
+        return super()._available(now, member) + self.extra
 
 
 LENDS = {"claims": False, "owned": True, "restarts": 0, "promise_us": 8}
@@ -70,7 +76,7 @@
     [
         ({"holder": FromTheAnswer}, LENDS, 9, "may be held"),
         ({"voter": NoWait}, RESTARTS, 9, "may be held"),
-        ({"giver": TwiceBack}, {**LENDS, "flying": 1}, 12, "may be held"),
+        ({"ledger": TwiceBack}, {**LENDS, "flying": 1}, 12, "may be held"),
     ],
 )
 def test_a_planted_bug_is_found_with_its_story(bug, world, depth, word):
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -387,7 +387,7 @@
             FleetAgent(
                 loop,
                 net,
-                LocalMember(name, loop.now() + 1, loop.now(), zone=zone, timeouts=times_of(spec).roll),
+                LocalMember(name, loop.now() + 1, loop.now(), zone=zone, timeouts=times_of(spec).membership),
                 budgets_of(spec),
                 tuple(where[-1].split(",")),
                 renew_us=spec.renew,
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -19,7 +19,7 @@
 from heathwell.audit import judge_budgets
 from heathwell.audit.reader import Event
 from heathwell.fleet.membership import LocalMember
-from heathwell.fleet.quotas.keeper import Keeper, Times
+from heathwell.fleet.quotas import QuotaCoordinator, QuotaTimings
 from heathwell.kernel import sleep, virtual_loop
 from heathwell.lab.badday import Day
 from heathwell.lab.script import load_script
@@ -299,7 +299,7 @@
     from heathwell.fleet.control.keeper import KeeperServer  # noqa: PLC0415
 
     loop, net = virtual_loop(1)
-    keeper = Keeper(0, "k0.1", 1, (), loop.now())
+    keeper = QuotaCoordinator(0, "k0.1", 1, (), loop.now())
     server = KeeperServer(loop, net.at("k0"), keeper, {}, seed=1, log=lambda *_a, **_k: None, fleet="ours")
     server.start("k0:1")
     agents = [
@@ -310,7 +310,7 @@
             (),
             ("k0:1",),
             renew_us=200_000,
-            times=Times(),
+            times=QuotaTimings(),
             seed=1,
             log=lambda *_a, **_k: None,
             fleet=fleet,
@@ -318,7 +318,7 @@
         for name, fleet in (("b0", "ours"), ("b1", "theirs"))
     ]
     loop.run(loop.spawn(sleep(loop, 3_000_000), "wait"))
-    assert set(keeper.roll.entries) == {"b0"} and server.counts["other fleet",] > 0 and len(agents) == 2
+    assert set(keeper.membership.entries) == {"b0"} and server.counts["other fleet",] > 0 and len(agents) == 2
 
 
 def test_run_and_a_broker_without_keepers_import_nothing_of_the_control():
