--- a/heathwell/broker/quota_gate.py
+++ b/heathwell/broker/quota_gate.py
@@ -30,15 +30,15 @@
 
 
 class Holder(Protocol):
-    """This broker's side of one budget (:class:`heathwell.fleet.quotas.Holder`)."""
+    """This broker's side of one budget (:class:`heathwell.fleet.quotas.QuotaHolder`)."""
 
-    used: int
-    usual: int
+    in_use: int
+    baseline_demand: int
 
-    def room(self, now: int) -> int:
+    def capacity(self, now: int) -> int:
         """What could be taken now: milliunits of a rate, units of a count."""
 
-    def wanted(self, thousandths: int = UNIT_MILLIUNITS) -> None:
+    def record_unmet_demand(self, milliunits: int = UNIT_MILLIUNITS) -> None:
         """Record a use that the quota did not cover."""
 
     def excess(self, now: int) -> int:
@@ -47,7 +47,7 @@
     def overdue(self, now: int) -> int:
         """Units that must be returned now."""
 
-    def term_us(self, now: int) -> int | None:
+    def first_expiry_in_us(self, now: int) -> int | None:
         """How long the first of its grants lasts yet."""
 
 
@@ -154,7 +154,7 @@
         if not self.has_budget(ADDITIONAL_ATTEMPTS):
             return None
         holder = self.agent.holder(ADDITIONAL_ATTEMPTS)
-        return holder.room(now) // UNIT_MILLIUNITS if holder is not None else None
+        return holder.capacity(now) // UNIT_MILLIUNITS if holder is not None else None
 
     def _slow_start_parts(self, now: int) -> dict[str, int] | None:
         """By endpoint in slow start, how many parts may be sent to it; None without such a budget."""
@@ -164,7 +164,7 @@
         for node, price in self._slow_start_price_milliunits.items():
             holder = self.agent.holder(_of_endpoint(SLOW_START_PARTS, node))
             if holder is not None:
-                parts[node] = holder.room(now) // price
+                parts[node] = holder.capacity(now) // price
         return parts
 
     def acquire(self, send: policy.Send, key: AttemptKey) -> bool:
@@ -193,7 +193,7 @@
         terms_us: list[int] = []
         for budget in budgets:
             holder = self.agent.holder(budget)
-            term_us = holder.term_us(now) if holder is not None else None
+            term_us = holder.first_expiry_in_us(now) if holder is not None else None
             if term_us is not None:
                 terms_us.append(term_us)
         if terms_us:
@@ -213,7 +213,7 @@
         """Count an additional attempt that the quota did not cover: it is demand."""
         holder = self.agent.holder(ADDITIONAL_ATTEMPTS)
         if holder is not None:
-            holder.wanted()
+            holder.record_unmet_demand()
             self._broker.counters["lacked", ADDITIONAL_ATTEMPTS] += 1
 
     # Connections.
@@ -267,7 +267,7 @@
             self._slow_start_price_milliunits[endpoint.node] = max(1, price)
             holder = self.agent.holder(_of_endpoint(SLOW_START_PARTS, endpoint.node))
             if holder is not None:
-                holder.usual = self._usual_rate_milliunits
+                holder.baseline_demand = self._usual_rate_milliunits
 
     def _close_excess_connections(self, now: int) -> None:
         """Close connections beyond the quota: idle ones where there is time, any where there is none."""
--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -25,7 +25,7 @@
 from heathwell.fleet.control.machine import MachineAgent, make_broker, write_whole
 from heathwell.fleet.control.rollout import Controller
 from heathwell.fleet.control.wiring import lease_budget, times_of
-from heathwell.fleet.membership import Self
+from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.rollout import (
     RESTART_SUFFIX,
     AnalysisLimits,
@@ -296,8 +296,12 @@
     if not fleet.keepers:
         return lambda: True
     times = times_of(fleet)
-    member = Self(
-        process.name, time.time_ns() // 1000, process.loop.now(), version=__version__, timing=times.roll
+    member = LocalMember(
+        process.name,
+        time.time_ns() // 1000,
+        process.loop.now(),
+        version=__version__,
+        timeouts=times.membership,
     )
     lender = FleetAgent(
         process.loop,
@@ -318,9 +322,9 @@
         now, holder = lender.turn(), lender.holder(name)
         if holder is None:
             return False
-        if holder.used and holder.share(now) < 1:
+        if holder.in_use and holder.quota(now) < 1:
             lender.give_back(name)
-        return bool(holder.used) or lender.take(name)
+        return bool(holder.in_use) or lender.take(name)
 
     return holds
 
