Drawn releases: zones draw their noise in the order of their names, not of a set

Cause: Releases drew each window's noise zone by zone in the order of a set of strings, so the play and its verdict hung on PYTHONHASHSEED: test_a_loss_in_one_small_class_is_found_where_a_threshold_misses_it failed for some of its values (2 is one). Change: the zones are sorted.

--- a/heathwell/lab/releases.py
+++ b/heathwell/lab/releases.py
@@ -62,7 +62,7 @@
         self.now = 0
         self.seen = [0.0, 0.0]  # of changed brokers in this stage: asked, worth (for fixed thresholds)
         self.lost = 0.0
-        self.shock = dict.fromkeys(set(self.zones.values()), 0.0)
+        self.shock = dict.fromkeys(sorted(set(self.zones.values())), 0.0)
         self.trouble_at = self.choice.randrange(30, 400) * 1_000_000 if self.choice.random() < 0.3 else -1
         self.trouble_zone = self.choice.choice(sorted(self.shock))
 
