Act, log and cancel in a stated order instead of a set's

Change, by place: - kernel/loop.py: tasks and a task's children are cancelled in the order of their start (dict; was a set of objects hashed by address); - control/agent.py: fractions that a renewal granted are noted in the event log by name; - rollout/judge.py: classes of a window enter the judge's series by name, so the class that is named as worse, the first in the series, is the same in each run; - broker/zonesight.py: zones' hosts are held back by class number (ints, whose order no hash seed changes, but which only the table's size gave); - standins/platform.py: waiting watches wake in the order of their arrival; - standins/relay.py: on a reset connections are aborted in the order of their opening; - vectors/shard.py: a filter's mask is kept under the filter's text, not under the text's hash.

--- a/heathwell/broker/zonesight.py
+++ b/heathwell/broker/zonesight.py
@@ -78,7 +78,7 @@
             for klass in klasses:
                 held.setdefault(klass, set()).update(self._hosts(name))
         wanted = {klass: frozenset(nodes) for klass, nodes in held.items()}
-        for klass in wanted.keys() | self._held.keys():
+        for klass in sorted(wanted.keys() | self._held.keys()):
             if wanted.get(klass, frozenset()) != self._held.get(klass, frozenset()):
                 self.broker.hold_zones(klass, wanted.get(klass, frozenset()))
         self._held = wanted
--- a/heathwell/control/agent.py
+++ b/heathwell/control/agent.py
@@ -157,7 +157,7 @@
             self.zones.decided(decision)
         self._lived(self.shares.renewed(now, address, messages.renewed_in(message)))
         if self.events.on:
-            for name in {grant.budget for grant in message.grants} & self.shares.holders.keys():
+            for name in sorted({grant.budget for grant in message.grants} & self.shares.holders.keys()):
                 self._note(now, name, self.shares.holders[name])
 
     def _lived(self, lived: Lived) -> None:
--- a/heathwell/kernel/loop.py
+++ b/heathwell/kernel/loop.py
@@ -75,7 +75,7 @@
         self._pending: tuple[Any, BaseException | None] = (None, None)
         self._queued = False
         self._waiters: list[Task] = []
-        self.children: set[Task] = set()
+        self.children: dict[Task, None] = {}  # in the order of their start
         self.cancelling = False
         self.done = False
         self.result: Any = None
@@ -132,7 +132,7 @@
     def _end(self, result: Any, error: BaseException | None) -> None:
         self.done, self.result, self.error = True, result, error
         if self.parent is not None:
-            self.parent.children.discard(self)
+            self.parent.children.pop(self, None)
         for child in list(self.children):
             child.cancel()
         if isinstance(error, Exception) and not self._waiters:
@@ -161,7 +161,7 @@
         self._ticket = self._dead_timers = 0
         self._hooks: list[Callable[[], None]] = []
         self._stopping = False
-        self.tasks: set[Task] = set()
+        self.tasks: dict[Task, None] = {}  # in the order of their start
         self.turns = 0
         self.on_error: Callable[[str, BaseException], None] = _to_stderr
 
@@ -172,9 +172,9 @@
     def spawn(self, gen: Coro[Any], name: str, parent: Task | None = None) -> Task:
         """Start a coroutine; with a parent it is cancelled when the parent ends."""
         task = Task(self, gen, name, parent)
-        self.tasks.add(task)
+        self.tasks[task] = None
         if parent is not None:
-            parent.children.add(task)
+            parent.children[task] = None
         task.wake()
         return task
 
@@ -208,7 +208,7 @@
 
     def task_ended(self, task: Task) -> None:
         """Forget a task."""
-        self.tasks.discard(task)
+        self.tasks.pop(task, None)
 
     def timer_cancelled(self) -> None:
         """Count a cancelled timer, and rebuild the heap once most of it is cancelled."""
--- a/heathwell/rollout/judge.py
+++ b/heathwell/rollout/judge.py
@@ -219,7 +219,7 @@
         costs: list[tuple[float, float]] = []
         for sides in zones.values():
             tallies = {side: _by_class(some) for side, some in sides.items()}
-            for name in tallies[True].keys() | tallies[False].keys():
+            for name in sorted(tallies[True].keys() | tallies[False].keys()):
                 changed, usual = tallies[True].get(name, Tally()), tallies[False].get(name, Tally())
                 series = self._series[name]
                 if changed.asked and usual.asked:
--- a/heathwell/standins/platform.py
+++ b/heathwell/standins/platform.py
@@ -144,7 +144,7 @@
         self._free_at = 0
         self.calls: list[str] = []
         self.entries = {node.uid: (1, node.entry) for node in nodes}
-        self._waiting: set[Event] = set()
+        self._waiting: dict[Event, None] = {}
         self._streams: set[Stream] = set()
         self._mute: set[Stream] = set()
         self.listener = net.listen(address, self._serve, "registry")
@@ -188,11 +188,11 @@
         until = self.loop.now() + int(asked.get("hold_ms", 0)) * 1000
         while since >= self.rev and not self.down and self.loop.now() < until:
             changed = Event()
-            self._waiting.add(changed)
+            self._waiting[changed] = None
             timer = self.loop.call_at(until, changed.set)
             yield from changed.wait()
             timer.cancel()
-            self._waiting.discard(changed)
+            self._waiting.pop(changed, None)
         if self.down:
             return Response(503, b"down\n")
         targets = [entry for rev, entry in self.entries.values()
--- a/heathwell/standins/relay.py
+++ b/heathwell/standins/relay.py
@@ -58,7 +58,7 @@
         self.out, self.back = Condition(), Condition()
         self.refuse_until = self.flap_until = 0
         self.routes: dict[str, str] = {}
-        self.pairs: set[tuple[Stream, Stream]] = set()
+        self.pairs: dict[tuple[Stream, Stream], None] = {}
         self.carried = self.connects = 0
         self.control: Listener | None = None
 
@@ -155,12 +155,12 @@
             near.abort()
             return
         pair = (near, far)
-        self.pairs.add(pair)
+        self.pairs[pair] = None
         other = self.loop.spawn(self._pump(far, near, lambda: self.back), f"relay from {target}")
         try:
             yield from self._pump(near, far, lambda: self.out)
         finally:
-            self.pairs.discard(pair)
+            self.pairs.pop(pair, None)
             near.close()
             far.close()
             other.cancel()
--- a/heathwell/vectors/shard.py
+++ b/heathwell/vectors/shard.py
@@ -98,7 +98,7 @@
     def search(self, ask: SearchAsk) -> SearchAnswer:
         """Every search of an ask; raises :class:`ValueError`."""
         queries = self.prepared(ask.vectors, len(ask.wants))
-        masks: dict[int, Any] = {}
+        masks: dict[str, Any] = {}
         plans = [self._mask(want, masks) for want in ask.wants]
         by_index = [self._index is not None and not want.exact and (
             mask is None or mask.mean() >= MOST_LEFT_OUT) for want, mask in zip(ask.wants, plans, strict=True)]
@@ -116,11 +116,11 @@
                 lists.append(self._best(queries[number], scores[place[number]], want, mask))
         return SearchAnswer(lists, len(self.ids), self.recall if any(by_index) else 1.0)
 
-    def _mask(self, want: Want, masks: dict[int, Any]) -> Any:
+    def _mask(self, want: Want, masks: dict[str, Any]) -> Any:
         """A filter's points, once for all searches that carry the same one."""
         if not want.filter:
             return None
-        key = hash(repr(want.filter))
+        key = repr(want.filter)
         if key not in masks:
             masks[key] = mask_of(want.filter, self.columns)
         return masks[key]
