--- a/tests/test_crossings_drawn.py
+++ b/tests/test_crossings_drawn.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import random
+from typing import Any
 
 import pytest
 
@@ -44,8 +45,8 @@
     stream.write(b"\x00noise" * 9)
 
 
-def play(name: str, seed: int) -> None:
-    """One schedule; raises where a rule is broken or a request has no answer."""
+def play(name: str, seed: int, span_us: int = SPAN_US) -> list[dict[str, Any]]:
+    """One schedule and its events; raises where a rule is broken or a request has no answer."""
     draw = random.Random(seed)
     setup = customer(name)
     world = Platform(seed=seed, setup=setup)
@@ -110,7 +111,7 @@
 
     def main():
         began, n, tasks = world.loop.now(), 0, []
-        while world.loop.now() < began + SPAN_US:
+        while world.loop.now() < began + span_us:
             for _ in range(draw.choice([0, 1, 1, 3])):
                 n += 1
                 tasks.append(world.loop.spawn(one(n), "one"))
@@ -138,7 +139,8 @@
             assert event["t"] <= leaving.get(event["node"], event["t"]) + WAY_US, (name, seed, event)
     # In time at the end: nothing is answered after the process said that it ends.
     finals = [event["t"] for event in world.events if event["ev"] == "final"]
-    assert not ends or max(finals) <= ends[0] + 1000 or max(finals) < ends[0] + SPAN_US
+    assert not ends or max(finals) <= ends[0] + 1000 or max(finals) < ends[0] + span_us
+    return world.events
 
 
 @pytest.mark.parametrize("seed", range(8))
