--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -284,8 +284,11 @@
 
 
 def test_a_loss_in_one_small_class_is_found_where_a_threshold_misses_it():
-    judged = [play(seed, "worse class") for seed in range(5)]
-    thresholds = [play(seed, "worse class", "thresholds") for seed in range(5)]
+    """Seeds 0 to 4 go the same way each time. Over 200 seeds the judge misses some of the smallest class: the rate is
+    `benchmarks/class_regression.py`'s, in docs/measurements.md."""
+    seeds = (0, 1, 2, 3, 4)
+    judged = [play(seed, "worse class") for seed in seeds]
+    thresholds = [play(seed, "worse class", "thresholds") for seed in seeds]
     assert all(outcome.stopped for outcome in judged) and sum(outcome.stopped for outcome in thresholds) <= 3
 
 
