--- a/heathwell/fleet/control/agent.py
+++ b/heathwell/fleet/control/agent.py
@@ -185,7 +185,7 @@
             self.zones.decided(decision)
         self._on_incarnation_ended(self.shares.on_reply(now, address, messages.renewed_in(message)))
         if self.events.on:
-            for name in {grant.budget for grant in message.grants} & self.shares.holders.keys():
+            for name in sorted({grant.budget for grant in message.grants} & self.shares.holders.keys()):
                 self._note(now, name, self.shares.holders[name])
 
     def _on_incarnation_ended(self, ended: IncarnationEnded | None) -> None:
