--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,9 +9,7 @@
 
 from heathwell import Aggregator, Settings, policy
 
-hypothesis_settings.register_profile(
-    "same", derandomize=True, deadline=None, max_examples=150, database=None
-)
+hypothesis_settings.register_profile("same", derandomize=True, deadline=None, max_examples=150, database=None)
 hypothesis_settings.load_profile("same")
 
 pytest_plugins = ["tests.known_red"]
