--- a/heathwell/policy/aggregator.py
+++ b/heathwell/policy/aggregator.py
@@ -704,20 +704,18 @@
 
     def _abandon_if_unanswerable(self, query: Query) -> None:
         """Abandon a query at once when what is in, in flight, waiting or unsent can't make an answer."""
-        partial = query.step == 1 or query.spec.allows_partial
-        if query.reachable_weight() < (query.spec.least_fraction if partial else 1.0) - 1e-6:
+        if query.reachable_weight() < query.least_weight() - 1e-6:
             self._abandon(query)
 
     def _answer_if_enough(self, query: Query) -> None:
         """Answer once the required weight is in; the first answer of two brings the second step's parts."""
         if query.received_weight >= self._required_weight(query) - 1e-6:
-            complete_weight = query.spec.required_fraction if query.step == 1 else 1.0
-            query.complete = query.complete and query.received_weight >= complete_weight - 1e-6
+            query.complete = query.complete and query.received_weight >= query.complete_weight() - 1e-6
             self._answer(query)
 
     def _answer(self, query: Query) -> None:
         self.actions.append(actions.Answer(query.id, query.complete))
-        if query.step == 1 and query.spec.second_step_parts:
+        if not query.is_last_step():
             query.step, query.received_weight = 2, 0.0
         else:
             self._remove_query(query)
@@ -811,9 +809,8 @@
     def _record_response(self, attempt: Attempt, latency_us: int) -> None:
         """A response readmits the endpoint and tells its latency against the expected one."""
         endpoint, objective_us = attempt.endpoint, self.shortest_objective_us
-        silence_us = self.now - endpoint.last_answer_at_us
-        endpoint.last_answered_send_at_us = max(endpoint.last_answered_send_at_us, attempt.sent_at_us)
-        endpoint.last_answer_at_us = self.last_answer_at_us = self.now
+        silence_us = endpoint.record_response(self.now, attempt.sent_at_us)
+        self.last_answer_at_us = self.now
         self.completions.add(self.now, 1.0, self.rate_window_us)
         rate = self._completion_rate()
         if self.now > (self.started_at_us or 0) + self.rate_window_us and rate > self.best_completion_rate:
@@ -906,8 +903,7 @@
             query.truncated = query.step == 1
             self._answer_if_enough(query)
             return
-        last_step = query.step > 1 or not spec.second_step_parts
-        enough = spec.allows_partial and received >= spec.minimum_fraction - 1e-6 and last_step
+        enough = spec.allows_partial and received >= spec.minimum_fraction - 1e-6 and query.is_last_step()
         partial_weight = spec.partial_weight * received / spec.required_fraction if enough else 0.0
         if kind == "aim" and spec.late_weight > partial_weight:
             return
--- a/heathwell/policy/records.py
+++ b/heathwell/policy/records.py
@@ -47,6 +47,18 @@
             work=spec.required_fraction * event.part_count + spec.second_step_parts,
         )
 
+    def is_last_step(self) -> bool:
+        """Whether no other step follows the present one."""
+        return self.step > 1 or not self.spec.second_step_parts
+
+    def complete_weight(self) -> float:
+        """The weight of the present step's parts that makes a complete answer."""
+        return self.spec.required_fraction if self.step == 1 else 1.0
+
+    def least_weight(self) -> float:
+        """The least weight of the present step's parts that may be answered."""
+        return self.spec.least_fraction if self.step == 1 or self.spec.allows_partial else 1.0
+
     def add_part(self, event: PartArrived) -> None:
         """Add a part of the present step."""
         self.parts.append(Part(event.id, self, event.shard, event.weight, event.work_hint_us, self.step))
@@ -146,8 +158,8 @@
     excluded_for: set[int] = field(default_factory=set)
     in_flight: dict[tuple[str, int], Attempt] = field(default_factory=dict)
     in_flight_by_call: dict[int, int] = field(default_factory=dict)
-    last_call_at_us: int = -1
-    last_call_id: int = -1
+    last_call_at_us: int | None = None
+    last_call_id: int = 0
     last_call_capacity: int = 0
     penalty: DecayingSum = field(default_factory=DecayingSum)
     relative_latency: DecayingAverage = field(default_factory=lambda: DecayingAverage(1.0))
@@ -228,6 +240,13 @@
         """Whether each attempt in flight was sent before an instant."""
         return all(attempt.sent_at_us < edge_us for attempt in self.in_flight.values())
 
+    def record_response(self, now_us: int, sent_at_us: int) -> int:
+        """Note a response to an attempt sent at an instant; returns the time since the one before."""
+        silence_us = now_us - self.last_answer_at_us
+        self.last_answered_send_at_us = max(self.last_answered_send_at_us, sent_at_us)
+        self.last_answer_at_us = now_us
+        return silence_us
+
     def add_error(self, key: int) -> int:
         """Count one more error in a row for a key; returns how many these are."""
         self.consecutive_errors[key] = self.consecutive_errors.get(key, 0) + 1
