Broker: restrictions of endpoints and reach of shards leave service_broker

EndpointRestrictions owns the region decider, the regions of endpoints and the restrictions by zone; it sends the module HolderRestrictions. ShardReachability says which parts are cut off and what fraction of a class's queries can be answered. Both take a narrow Protocol of the broker.

--- /dev/null
+++ b/heathwell/broker/endpoint_restrictions.py
@@ -0,0 +1,242 @@
+"""Which endpoints queries of each class may use: restrictions from links between regions, from classes that
+stay in their region, and from evacuated zones.
+
+The module gets each change as a :class:`~heathwell.policy.HolderRestrictions`.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from heathwell import policy
+from heathwell.broker.driver import Key
+from heathwell.kernel import Loop
+from heathwell.observability.event_log import EventLog
+from heathwell.regions import Regions, Way
+from heathwell.settings import ServiceSettings
+
+TICK_INTERVAL_US = 25_000  # between two looks at the links between regions
+REGIONS_SEED_MASK = 0x11A5
+ANY_REGION = "any"
+HOME_REGION_ONLY = "never"
+NO_NODES = frozenset[str]()
+
+
+@dataclass(frozen=True, slots=True)
+class Restriction:
+    """``deprioritized`` nodes serve only where no other does, ``excluded`` ones not at all."""
+
+    deprioritized: frozenset[str] = NO_NODES
+    excluded: frozenset[str] = NO_NODES
+
+
+class RestrictionsBroker(Protocol):
+    """What :class:`EndpointRestrictions` uses of its broker."""
+
+    @property
+    def loop(self) -> Loop:
+        """The event loop."""
+
+    @property
+    def dead(self) -> bool:
+        """Whether the broker is closed."""
+
+    @property
+    def events(self) -> EventLog:
+        """The event log."""
+
+    @property
+    def log(self) -> Callable[..., None]:
+        """The log."""
+
+    @property
+    def counters(self) -> Counter[tuple[str, ...]]:
+        """Its counters, by labels."""
+
+    @property
+    def service_settings(self) -> ServiceSettings:
+        """The settings for queries that come now."""
+
+    def restrict_endpoints(self, restrictions: policy.HolderRestrictions) -> None:
+        """Hand restrictions to the module."""
+
+    def probe_endpoint(self, node: str) -> None:
+        """Send a probe to an endpoint."""
+
+
+class EndpointRestrictions:
+    """The restrictions of one broker.
+
+    ``zone`` is the number of its zone, ``shortest_objective_us`` the shortest latency objective of a class.
+    """
+
+    def __init__(self, broker: RestrictionsBroker, zone: int, shortest_objective_us: int, seed: int) -> None:
+        self._broker = broker
+        self._region_by_zone = _region_by_zone(broker.service_settings)
+        self._region_by_node: dict[str, str] = {}
+        self._from_links = Restriction()
+        self._evacuated: dict[int | None, frozenset[str]] = {}
+        self.remote_nodes: frozenset[str] = NO_NODES
+        self.regions: Regions | None = None
+        if _needs_regions(broker.service_settings):
+            home = self._region_by_zone[zone]
+            self.regions = _make_regions(broker.service_settings, home, shortest_objective_us, seed)
+            broker.loop.call_at(broker.loop.now() + TICK_INTERVAL_US, self._tick)
+
+    @property
+    def excluded_nodes(self) -> frozenset[str]:
+        """The endpoints behind links that are down."""
+        return self._from_links.excluded
+
+    def restrict_zones(self, query_class: int | None, nodes: frozenset[str]) -> None:
+        """Deprioritize endpoints of evacuated zones, for one query class or (None) for all, beside those that
+        the regions restrict.
+        """
+        self._evacuated[query_class] = nodes
+        self._push(query_class)
+
+    # The list of endpoints.
+
+    def on_endpoint_update(self, update: policy.EndpointUpdate) -> None:
+        """Note the regions of endpoints. To be called before the module gets the update."""
+        if self.regions is None or update.kind == policy.UpdateKind.FAILED:
+            return
+        if update.kind == policy.UpdateKind.FULL:
+            self._region_by_node.clear()
+        for entry in update.endpoints:
+            self._region_by_node[entry.node] = self._region_by_zone.get(entry.zone, "")
+            if entry.state == policy.EndpointState.GONE:
+                del self._region_by_node[entry.node]
+        self.regions.listed(self._region_by_node)
+
+    def restrict_remote_nodes(self) -> None:
+        """Restrict endpoints in other regions for the classes that stay at home.
+
+        To be called after the module got an update: it must know the endpoints that restrictions name.
+        """
+        if self.regions is None:
+            return
+        home = self.regions.home
+        remote_nodes = frozenset(node for node, region in self._region_by_node.items() if region != home)
+        if remote_nodes == self.remote_nodes:
+            return
+        self.remote_nodes = remote_nodes
+        for index, spec in enumerate(self._broker.service_settings.classes):
+            if spec.across != ANY_REGION:
+                restriction = self._of_remote_nodes(index)
+                self._broker.restrict_endpoints(
+                    policy.HolderRestrictions(restriction.deprioritized, restriction.excluded, index)
+                )
+
+    def _of_remote_nodes(self, query_class: int) -> Restriction:
+        """How a class restricts the endpoints in other regions."""
+        across = self._broker.service_settings.classes[query_class].across
+        if across == ANY_REGION:
+            return Restriction()
+        if across == HOME_REGION_ONLY:
+            return Restriction(excluded=self.remote_nodes)
+        return Restriction(deprioritized=self.remote_nodes)
+
+    # Evidence on links.
+
+    def on_attempt_sent(self, node: str, key: Key) -> None:
+        """Record an attempt that is handed to its connection."""
+        if self.regions is not None:
+            self.regions.sent(self._broker.loop.now(), node, key)
+
+    def on_attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, duration_us: int) -> None:
+        """Record the end of an attempt."""
+        if self.regions is not None:
+            self.regions.ended(self._broker.loop.now(), node, key, outcome, duration_us)
+
+    def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
+        """Record the end of a probe."""
+        if self.regions is not None:
+            self.regions.probed(self._broker.loop.now(), node, outcome)
+            self._log_link_changes(self.regions)
+
+    def on_late_answer(self, node: str) -> None:
+        """Record an answer that came too late: it shows that the link is up."""
+        if self.regions is not None:
+            self.regions.heard(self._broker.loop.now(), node)
+            self._log_link_changes(self.regions)
+
+    # Periodic work.
+
+    def _tick(self) -> None:
+        """Probe over links that are suspected, and send the module restrictions that have changed."""
+        if self._broker.dead or self.regions is None:
+            return
+        now = self._broker.loop.now()
+        self._broker.loop.call_at(now + TICK_INTERVAL_US, self._tick)
+        for node in self.regions.tick(now):
+            self._broker.counters["link probe",] += 1
+            self._broker.probe_endpoint(node)
+        self._log_link_changes(self.regions)
+        from_links = Restriction(*self.regions.holdings(now))
+        if from_links != self._from_links:
+            self._from_links = from_links
+            self._push(None)
+
+    def _push(self, query_class: int | None) -> None:
+        """Send the module all restrictions of one query class, or those (None) for all classes."""
+        restriction = self._from_links if query_class is None else self._of_remote_nodes(query_class)
+        evacuated = self._evacuated.get(query_class, NO_NODES)
+        self._broker.restrict_endpoints(
+            policy.HolderRestrictions(
+                restriction.deprioritized | evacuated, restriction.excluded, query_class
+            )
+        )
+
+    def _log_link_changes(self, regions: Regions) -> None:
+        for region, state, why in regions.news():
+            self._broker.counters["link", region, state] += 1
+            self._broker.events("link", region=region, state=state, why=why)
+            self._broker.log("warning", "link to region", region=region, state=state, why=why)
+
+
+def _region_by_zone(service_settings: ServiceSettings) -> dict[int, str]:
+    """The name of the region by the number of a zone."""
+    return {
+        service_settings.fleet.zones.index(zone): region.name
+        for region in service_settings.across.regions
+        for zone in region.zones
+    }
+
+
+def _needs_regions(service_settings: ServiceSettings) -> bool:
+    """Whether settings restrict endpoints by region."""
+    across = service_settings.across
+    if not across.regions:
+        return False
+    stays_at_home = any(spec.across != ANY_REGION for spec in service_settings.classes)
+    return across.decide or across.prefer_home or stays_at_home
+
+
+def _make_regions(
+    service_settings: ServiceSettings, home: str, shortest_objective_us: int, seed: int
+) -> Regions:
+    across = service_settings.across
+    return Regions(
+        home,
+        [region.name for region in across.regions],
+        shortest_objective_us,
+        seed ^ REGIONS_SEED_MASK,
+        prefer=across.prefer_home,
+        cross_most=across.cross_most,
+        judge=across.decide,
+        budget=across.cross_budget,
+        ways=_ways_from(home, service_settings),
+    )
+
+
+def _ways_from(home: str, service_settings: ServiceSettings) -> dict[str, Way]:
+    """By region, the round trip and the cost of its link with home."""
+    return {
+        (set(link.between) - {home}).pop(): Way(2 * link.delay, link.cost)
+        for link in service_settings.across.links
+        if home in link.between
+    }
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -14,6 +14,7 @@
 from heathwell.broker.answer_freshness import AnswerFreshness
 from heathwell.broker.discovery import DiscoveryClient
 from heathwell.broker.driver import Driver, Handle, Key, SettingsVersion
+from heathwell.broker.endpoint_restrictions import EndpointRestrictions
 from heathwell.broker.host_link import HostLink
 from heathwell.broker.host_pool import HostPool
 from heathwell.broker.query_explanations import ExplainedQuery, QueryExplanations
@@ -23,6 +24,7 @@
 from heathwell.broker.service_records import ServicePart, ServiceQuery
 from heathwell.broker.service_statistics import ServiceStatistics
 from heathwell.broker.settings_change import ServiceSnapshot, check_settings_change
+from heathwell.broker.shard_reachability import ShardReachability
 from heathwell.broker.source_clock import SourceClockClient
 from heathwell.codec import frames
 from heathwell.coverage import Cover
@@ -30,7 +32,7 @@
 from heathwell.merge import Malformed, Row
 from heathwell.observability.event_log import EventLog
 from heathwell.policy.records import Server
-from heathwell.regions import ClientDrain, Regions, Way, answerable
+from heathwell.regions import ClientDrain, Regions
 from heathwell.settings import ServiceSettings
 from heathwell.storms import Limits, Storms
 from heathwell.storms.decider import TICK_US
@@ -39,10 +41,8 @@
 if TYPE_CHECKING:
     from heathwell.broker.zone_observer import ZoneObserver
 
-LOOK_US = 25_000  # how often the links are looked at again
 NO_TIME = 0.5  # of a class's usual time for a part: with less left no answer comes
 EXTRA_IDLE_US = 2_000_000  # after which a connection beyond the first is let go
-MOST = 0.5  # of the shards within reach; a broker with less says that it is cut off
 
 
 class ServiceBroker(Driver[ServiceQuery]):
@@ -77,46 +77,21 @@
         self.net, self.service_statistics, self.zone, self.aggregator_count = net, service, zone, siblings
         self.current_version.extension = ServiceSnapshot.from_settings(service_settings)
         self.quota_gate = QuotaGate(self, agent) if agent is not None else None
-        self._zone_restrictions: dict[int | None, frozenset[str]] = {}
         self.zone_observer = observe_zones(self) if observe_zones is not None else None
         self.random = random.Random(seed ^ 0x5EED)
         fresh = service_settings.freshness
         self.freshness: AnswerFreshness | None = None
         self.source_clock_client: SourceClockClient | None = None
         if fresh.on:
-            self.freshness = AnswerFreshness(self, self._holders)
+            self.freshness = AnswerFreshness(self, self.live_replicas)
             self.source_clock_client = SourceClockClient(
                 loop, net, source or fresh.source, name, fresh.sync, self.freshness.clock, self.log
             )
         self.explanations = QueryExplanations(self.freshness)
-        self.regions: Regions | None = None
-        self._listed_regions: dict[str, str] = {}
-        self._remote_nodes: frozenset[str] = frozenset()
-        self._unheld_shards: dict[int, int] = {}
-        self._link_restrictions: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())
-        self._zone_region = {
-            service_settings.fleet.zones.index(name): region.name
-            for region in service_settings.across.regions
-            for name in region.zones
-        }
-        across = service_settings.across
-        if across.regions and (
-            across.decide
-            or across.prefer_home
-            or any(spec.across != "any" for spec in service_settings.classes)
-        ):
-            self.regions = Regions(
-                self._zone_region[zone],
-                [region.name for region in service_settings.across.regions],
-                min(spec.latency_objective_us for spec in self.settings.classes),
-                seed ^ 0x11A5,
-                prefer=across.prefer_home,
-                cross_most=across.cross_most,
-                judge=across.decide,
-                budget=across.cross_budget,
-                ways=self._ways(self._zone_region[zone]),
-            )
-            loop.call_at(loop.now() + LOOK_US, self._look_at_links)
+        self.restrictions = EndpointRestrictions(
+            self, zone, min(spec.latency_objective_us for spec in self.settings.classes), seed
+        )
+        self.reachability = ShardReachability(self, self.restrictions, self.live_replicas)
         fronts = service_settings.fronts
         self.costs = Costs()
         self.gate: FairGate | None = None
@@ -140,7 +115,7 @@
         self.points_seen: dict[str, dict[int, int]] = {}  # sizes of shards, by collection, as hosts told them
         self._gate_look: Timer | None = None
         leaving = service_settings.fleet.zone_let_go if self.zone_observer is not None else 0
-        self.client_drain = ClientDrain(across.let_go or leaving, seed ^ 0xD12A)
+        self.client_drain = ClientDrain(service_settings.across.let_go or leaving, seed ^ 0xD12A)
         self.begin_service(
             DiscoveryClient(
                 loop,
@@ -237,7 +212,7 @@
             # A client that stated less time than even a quick answer takes: refused before it costs anything.
             self._reject_at_admission(spec, key, request, on_reply, "no time", self._advice(plan, who), who)
             return None
-        cut_off = self._cut_off(plan)
+        cut_off = self.reachability.cut_off_parts(plan)
         if cut_off and 1 - sum(part.weight for part in cut_off) < spec.minimum_fraction - 1e-6:
             # Nothing to come can make an answer of it: refused at once, not at its deadline.
             self._reject_at_admission(spec, key, request, on_reply, "cut off", self._advice(plan, who), who)
@@ -430,72 +405,24 @@
         if self.source_clock_client is not None:
             self.source_clock_client.close()
 
-    # Towards the module
-
-    def _cut_off(self, plan: Plan) -> tuple[PartPlan, ...]:
-        """Parts whose every live holder lies behind a link that is down, or that have had none for
-        a while.
-        """
-        shut = self._link_restrictions[1]
-        if self.service_settings.classes[plan.query_class].across == "never":
-            shut |= self._remote_nodes
-        if not shut and not self._unheld_shards:
-            return ()
-        long_ago = self.loop.now() - self.settings.classes[plan.query_class].latency_objective_us // 2
-        return tuple(
-            part
-            for part in plan.parts
-            if self._unheld_shards.get(part.shard, long_ago + 1) <= long_ago
-            or ((holders := self._holders(part.shard)) and all(node in shut for node in holders))
-        )
+    # Endpoints
 
-    def _find_unheld_shards(self) -> None:
-        """Note the shards that no live host holds, and since when: waiting for one is worth half an aim."""
-        if not self.dead:
-            now = self.loop.now()
-            self._unheld_shards = {
-                shard: self._unheld_shards.get(shard, now)
-                for shard in range(self.service_settings.fleet.shards)
-                if not self._holders(shard)
-            }
-
-    def _look_at_links(self) -> None:
-        """Let the region decider look again; the module is told when its holdings change."""
-        if self.dead or self.regions is None:
-            return
-        now = self.loop.now()
-        self.loop.call_at(now + LOOK_US, self._look_at_links)
-        for node in self.regions.tick(now):
-            self.counters["link probe",] += 1
-            self._link(node).probe()
-        self._tell_links(self.regions)
-        held = self.regions.holdings(now)
-        if held != self._link_restrictions:
-            self._link_restrictions = held
-            self._push(
-                policy.HolderRestrictions(held[0] | self._zone_restrictions.get(None, frozenset()), held[1])
-            )
+    @property
+    def regions(self) -> Regions | None:
+        """The decider on links between regions, where settings turn it on."""
+        return self.restrictions.regions
 
     def restrict_zones(self, query_class: int | None, nodes: frozenset[str]) -> None:
-        """Deprioritize endpoints of evacuated zones, for one query class or (None) for all, beside those that
-        the regions restrict.
-        """
-        self._zone_restrictions[query_class] = nodes
-        deprioritized, excluded = (
-            self._link_restrictions if query_class is None else self._remote_restrictions(query_class)
-        )
-        self._push(policy.HolderRestrictions(deprioritized | nodes, excluded, query_class))
-
-    def _remote_restrictions(self, query_class: int) -> tuple[frozenset[str], frozenset[str]]:
-        """The remote endpoints that a class deprioritizes, and those that it excludes."""
-        nobody = frozenset[str]()
-        match self.service_settings.classes[query_class].across:
-            case "any":
-                return nobody, nobody
-            case "never":
-                return nobody, self._remote_nodes
-            case _:
-                return self._remote_nodes, nobody
+        """Deprioritize endpoints of evacuated zones, for one query class or (None) for all."""
+        self.restrictions.restrict_zones(query_class, nodes)
+
+    def restrict_endpoints(self, restrictions: policy.HolderRestrictions) -> None:
+        """Hand restrictions to the module."""
+        self._push(restrictions)
+
+    def probe_endpoint(self, node: str) -> None:
+        """Send a probe to an endpoint."""
+        self._link(node).probe()
 
     @property
     def endpoints(self) -> Mapping[str, Server]:
@@ -517,50 +444,9 @@
         return self.aggregator.slow_start_fraction(self.aggregator.endpoints[node])
 
     def probe(self, node: str) -> None:
-        """Send a probe to an endpoint."""
+        """Send a probe to an endpoint of an evacuated zone."""
         self.counters["zone probe",] += 1
-        self._link(node).probe()
-
-    def _hold_by_class(self) -> None:
-        """Classes that may not cross, or only where home has nobody, have the far hosts held back
-        for good.
-        """
-        assert self.regions is not None
-        far = frozenset(node for node, region in self._listed_regions.items() if region != self.regions.home)
-        if far == self._remote_nodes:
-            return
-        self._remote_nodes = far
-        for index, spec in enumerate(self.service_settings.classes):
-            if spec.across != "any":
-                deprioritized, excluded = self._remote_restrictions(index)
-                self._push(policy.HolderRestrictions(deprioritized, excluded, index))
-
-    def _tell_links(self, regions: Regions) -> None:
-        """Log what has changed since the last call."""
-        for region, state, why in regions.news():
-            self.counters["link", region, state] += 1
-            self.events("link", region=region, state=state, why=why)
-            self.log("warning", "link to region", region=region, state=state, why=why)
-
-    def _ways(self, home: str) -> dict[str, Way]:
-        return {
-            (set(link.between) - {home}).pop(): Way(2 * link.delay, link.cost)
-            for link in self.service_settings.across.links
-            if home in link.between
-        }
-
-    def _within(self, far_too: bool = True) -> list[bool]:
-        """Of each shard, whether it has a live holder that may be sent to."""
-        shut = self._link_restrictions[1] if far_too else self._link_restrictions[1] | self._remote_nodes
-        return [
-            any(node not in shut for node in self._holders(shard))
-            for shard in range(self.service_settings.fleet.shards)
-        ]
-
-    def reach(self) -> float:
-        """The share of shards with a live holder that may be sent to."""
-        within = self._within()
-        return sum(within) / len(within)
+        self.probe_endpoint(node)
 
     @property
     def sends_away(self) -> bool:
@@ -577,38 +463,14 @@
     @property
     def cut_off(self) -> bool:
         """Whether links that are down keep most shards out of reach."""
-        return bool(self._link_restrictions[1]) and self.reach() < MOST
-
-    def served(self, query_class: int) -> float:
-        """The share of a class's queries that can be answered now, its keys being placed evenly."""
-        spec, within = (
-            self.service_settings.classes[query_class],
-            self._within(self.service_settings.classes[query_class].across != "never"),
-        )
-        spans = [
-            {"search": space.parts, "report": space.report_parts}.get(space.shape, 1)
-            for space in self.service_settings.keys
-            if space.query_class == spec.name
-        ]
-        floor = self.settings.classes[query_class].minimum_fraction
-        return sum(answerable(within, span, floor) for span in spans) / len(spans) if spans else 1.0
+        return self.reachability.is_cut_off
 
     def on_endpoint_update(self, news: policy.EndpointUpdate) -> None:
-        """Discovery's word."""
-        if self.regions is not None and news.kind != policy.UpdateKind.FAILED:
-            if news.kind == policy.UpdateKind.FULL:
-                self._listed_regions.clear()
-            for server in news.endpoints:
-                self._listed_regions[server.node] = self._zone_region.get(server.zone, "")
-                if server.state == policy.EndpointState.GONE:
-                    del self._listed_regions[server.node]
-            self.regions.listed(self._listed_regions)
+        """Take in what discovery sent."""
+        self.restrictions.on_endpoint_update(news)
         super().on_endpoint_update(news)
-        self.loop.call_at(
-            self.loop.now() + LOOK_US, self._find_unheld_shards
-        )  # once the module has taken it in
-        if self.regions is not None:
-            self._hold_by_class()  # after the news: the module must know whom it is told of
+        self.reachability.schedule_update()
+        self.restrictions.restrict_remote_nodes()
 
     def is_usable(
         self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
@@ -685,8 +547,8 @@
             self.events("moot", p=part_id, seq=seq)
             self._push(policy.AttemptSuperseded(part_id, seq), query.settings_version)
 
-    def _holders(self, shard: int) -> list[str]:
-        """The hosts listed as live that hold a shard."""
+    def live_replicas(self, shard: int) -> list[str]:
+        """The endpoints listed as live that hold a shard."""
         cells, fleet = self.aggregator.endpoints_by_group, self.service_settings.fleet
         return [
             server.node
@@ -705,18 +567,14 @@
 
     def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
         """A connection's word on a probe."""
-        if self.regions is not None:
-            self.regions.probed(self.loop.now(), node, outcome)
-            self._tell_links(self.regions)
+        self.restrictions.on_probe_result(node, outcome)
         if self.zone_observer is not None:
             self.zone_observer.on_probe_result(node, outcome)
         super().on_probe_result(node, outcome)
 
     def on_late_answer(self, node: str) -> None:
         """Counts for nothing but as a sign that the way to the host is open."""
-        if self.regions is not None:
-            self.regions.heard(self.loop.now(), node)
-            self._tell_links(self.regions)
+        self.restrictions.on_late_answer(node)
 
     def said_draining(self, node: str) -> None:
         """A host tells its drain on the connection, before discovery does."""
@@ -740,13 +598,11 @@
 
     def on_attempt_sent(self, node: str, key: Key) -> None:
         """The region decider hears of it."""
-        if self.regions is not None:
-            self.regions.sent(self.loop.now(), node, key)
+        self.restrictions.on_attempt_sent(node, key)
 
     def on_attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, took_us: int) -> None:
         """The region decider hears of it."""
-        if self.regions is not None:
-            self.regions.ended(self.loop.now(), node, key, outcome, took_us)
+        self.restrictions.on_attempt_ended(node, key, outcome, took_us)
         if self.quota_gate is not None:
             self.quota_gate.forget_attempt(key)
         if self.zone_observer is not None:
--- /dev/null
+++ b/heathwell/broker/shard_reachability.py
@@ -0,0 +1,128 @@
+"""Which shards a broker can reach, and what fraction of its queries it can answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from heathwell import policy
+from heathwell.broker.endpoint_restrictions import HOME_REGION_ONLY, EndpointRestrictions
+from heathwell.broker.records import PartPlan, Plan
+from heathwell.kernel import Loop
+from heathwell.regions import answerable
+from heathwell.settings import ServiceSettings
+
+UPDATE_DELAY_US = 25_000  # after an endpoint update, by when the module has taken it in
+MINIMUM_REACHABLE_FRACTION = 0.5  # of the shards; a broker with less is cut off
+
+
+class ReachabilityBroker(Protocol):
+    """What :class:`ShardReachability` uses of its broker."""
+
+    @property
+    def loop(self) -> Loop:
+        """The event loop."""
+
+    @property
+    def dead(self) -> bool:
+        """Whether the broker is closed."""
+
+    @property
+    def settings(self) -> policy.Settings:
+        """The module's settings for queries that come now."""
+
+    @property
+    def service_settings(self) -> ServiceSettings:
+        """The settings for queries that come now."""
+
+
+class ShardReachability:
+    """The view of one broker. ``replicas_of`` gives the live nodes that hold a shard."""
+
+    def __init__(
+        self,
+        broker: ReachabilityBroker,
+        restrictions: EndpointRestrictions,
+        replicas_of: Callable[[int], list[str]],
+    ) -> None:
+        self._broker = broker
+        self._restrictions = restrictions
+        self._replicas_of = replicas_of
+        self._unheld_since_us: dict[int, int] = {}
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether links that are down keep most shards out of reach."""
+        return bool(self._restrictions.excluded_nodes) and (
+            self.reachable_fraction() < MINIMUM_REACHABLE_FRACTION
+        )
+
+    def schedule_update(self) -> None:
+        """Look for shards without a live replica once the module has taken an endpoint update in."""
+        self._broker.loop.call_at(self._broker.loop.now() + UPDATE_DELAY_US, self._find_unheld_shards)
+
+    def cut_off_parts(self, plan: Plan) -> tuple[PartPlan, ...]:
+        """Parts of a plan whose every live replica is excluded, or that have had none for half the class's
+        latency objective.
+        """
+        excluded = self._excluded_nodes(plan.query_class)
+        if not excluded and not self._unheld_since_us:
+            return ()
+        objective_us = self._broker.settings.classes[plan.query_class].latency_objective_us
+        waited_enough_since_us = self._broker.loop.now() - objective_us // 2
+        return tuple(
+            part
+            for part in plan.parts
+            if self._unheld_since_us.get(part.shard, waited_enough_since_us + 1) <= waited_enough_since_us
+            or self._has_only(part.shard, excluded)
+        )
+
+    def reachable_fraction(self) -> float:
+        """The fraction of shards with a live replica that is not excluded."""
+        reachable = self._reachable_shards(self._restrictions.excluded_nodes)
+        return sum(reachable) / len(reachable)
+
+    def served_fraction(self, query_class: int) -> float:
+        """The fraction of a class's queries that can be answered now, its keys being placed evenly."""
+        service_settings = self._broker.service_settings
+        spec = service_settings.classes[query_class]
+        spans = [
+            {"search": space.parts, "report": space.report_parts}.get(space.shape, 1)
+            for space in service_settings.keys
+            if space.query_class == spec.name
+        ]
+        if not spans:
+            return 1.0
+        reachable = self._reachable_shards(self._excluded_nodes(query_class))
+        minimum_fraction = self._broker.settings.classes[query_class].minimum_fraction
+        return sum(answerable(reachable, span, minimum_fraction) for span in spans) / len(spans)
+
+    def _excluded_nodes(self, query_class: int) -> frozenset[str]:
+        """The endpoints that a class may not use at all."""
+        excluded = self._restrictions.excluded_nodes
+        if self._broker.service_settings.classes[query_class].across == HOME_REGION_ONLY:
+            return excluded | self._restrictions.remote_nodes
+        return excluded
+
+    def _has_only(self, shard: int, nodes: frozenset[str]) -> bool:
+        """Whether a shard has live replicas, all of them among some nodes."""
+        replicas = self._replicas_of(shard)
+        return bool(replicas) and nodes.issuperset(replicas)
+
+    def _reachable_shards(self, excluded: frozenset[str]) -> list[bool]:
+        """Of each shard, whether it has a live replica that is not excluded."""
+        return [
+            any(node not in excluded for node in self._replicas_of(shard))
+            for shard in range(self._broker.service_settings.fleet.shards)
+        ]
+
+    def _find_unheld_shards(self) -> None:
+        """Note the shards without a live replica, and since when (us)."""
+        if self._broker.dead:
+            return
+        now = self._broker.loop.now()
+        self._unheld_since_us = {
+            shard: self._unheld_since_us.get(shard, now)
+            for shard in range(self._broker.service_settings.fleet.shards)
+            if not self._replicas_of(shard)
+        }
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -10,8 +10,9 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from heathwell.broker.replies import Reply
-from heathwell.broker.service_broker import MOST, ServiceBroker
+from heathwell.broker.service_broker import ServiceBroker
 from heathwell.broker.service_records import ServiceQuery
+from heathwell.broker.shard_reachability import MINIMUM_REACHABLE_FRACTION
 from heathwell.codec.http import Request, Response
 from heathwell.fronts.memcached import MemcachedFront
 from heathwell.kernel import Coro, Stream
@@ -146,7 +147,7 @@
                 labels=("class",),
             )
             for index, spec in enumerate(broker.settings.classes):
-                shares.add_metric((spec.name,), broker.served(index))
+                shares.add_metric((spec.name,), broker.reachability.served_fraction(index))
             yield shares
             yield CounterMetricFamily(
                 "heathwell_clients_let_go",
@@ -243,9 +244,10 @@
             return Response(404, f"no class '{wanted}'; there are {', '.join(names)}\n".encode())
         if self.broker.stopping:
             return Response(503, b"stopping\n")
-        share = self.broker.served(names.index(wanted))
+        share = self.broker.reachability.served_fraction(names.index(wanted))
         return Response(
-            200 if share >= MOST else 503, f"{share:.0%} of {wanted} queries can be answered\n".encode()
+            200 if share >= MINIMUM_REACHABLE_FRACTION else 503,
+            f"{share:.0%} of {wanted} queries can be answered\n".encode(),
         )
 
     def _service(self) -> Response:
