Broker: merging of replies and answers to searches leave service_broker

merge_reply and coverage_of are functions of a query; parts that can't be merged raise a typed error. SearchAnswers merges rows of searches, learns costs and supersedes attempts; it takes a narrow Protocol.

--- /dev/null
+++ b/heathwell/broker/reply_merging.py
@@ -0,0 +1,90 @@
+"""One reply from the answered parts of a query."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from heathwell import policy
+from heathwell.broker import key_spaces
+from heathwell.broker.records import SearchPlan
+from heathwell.broker.replies import ANSWERED, MISS, Age, Coverage, Reply
+from heathwell.broker.service_records import ServicePart, ServiceQuery
+from heathwell.coverage import Cover
+
+WEIGHT_DIGITS = 6
+RECORD_SHAPE = "record"
+
+
+class UnmergeablePartsError(Exception):
+    """The data of a query's parts does not have the shape that its key space states."""
+
+    def __init__(self, query_id: str, reason: str) -> None:
+        super().__init__(f"{query_id}: {reason}")
+        self.query_id = query_id
+        self.reason = reason
+
+
+def merge_reply(
+    query: ServiceQuery, query_class: policy.QueryClass, complete: bool, age: Age | None
+) -> Reply:
+    """Merge what has been answered; raises :class:`UnmergeablePartsError`."""
+    coverage = coverage_of(query, query_class)
+    search = query.plan.search
+    if search is not None:
+        rows = _search_rows(query, search)
+        return Reply(ANSWERED, query.id, query_class.name, complete, coverage, rows, age=age)
+    try:
+        body = key_spaces.merge(query.plan.shape, _answers(query, step=1), _answers(query, step=2))
+    except (ValueError, KeyError, TypeError) as error:
+        raise UnmergeablePartsError(query.id, repr(error)) from error
+    if query.plan.shape == RECORD_SHAPE and not body.get("found", False):
+        return Reply(MISS, query.id, query_class.name, True, coverage, age=age)
+    return Reply(ANSWERED, query.id, query_class.name, complete, coverage, body, age=age)
+
+
+def coverage_of(query: ServiceQuery, query_class: policy.QueryClass) -> Coverage:
+    """Which parts a reply made now rests on."""
+    first_step = _parts_of_step(query, 1)
+    second_step = _parts_of_step(query, 2)
+    answered = [part for part in first_step if part.data is not None]
+    missing = [part for part in first_step if part.data is None]
+    superseded_ids = query.plan.search.superseded if query.plan.search is not None else set()
+    counted = [part for part in first_step if part.data is not None or part.id in superseded_ids]
+    oldest_source_us = min(
+        (part.source_us for part in query.parts.values() if part.data is not None), default=None
+    )
+    cover = Cover.of(
+        (part.plan.shard for part in first_step), (part.plan.shard for part in answered), oldest_source_us
+    )
+    return Coverage(
+        requested_parts=len(first_step),
+        answered_parts=len(answered),
+        superseded=sum(part.id in superseded_ids for part in missing),
+        weight=round(sum(part.plan.weight for part in counted), WEIGHT_DIGITS),
+        required_fraction=query_class.required_fraction,
+        minimum_fraction=query_class.minimum_fraction,
+        missing=tuple(cover.missing()),
+        cover=cover,
+        second_step_requested=len(second_step),
+        second_step_answered=sum(part.data is not None for part in second_step),
+    )
+
+
+def _parts_of_step(query: ServiceQuery, step: int) -> list[ServicePart]:
+    return [part for part in query.parts.values() if part.step == step]
+
+
+def _answers(query: ServiceQuery, step: int) -> list[bytes]:
+    """The data of a step's answered parts."""
+    return [part.data for part in _parts_of_step(query, step) if part.data is not None]
+
+
+def _search_rows(query: ServiceQuery, search: SearchPlan) -> dict[str, Any]:
+    """A search's merged rows, one :class:`~heathwell.merge.Merged` a search."""
+    missing = [part.id for part in query.parts.values() if part.data is None]
+    usual_points = search.top.usual_points()
+    return {
+        "searches": [
+            search.top.result(number, missing, usual_points) for number in range(len(search.top.limits))
+        ]
+    }
--- /dev/null
+++ b/heathwell/broker/search_answers.py
@@ -0,0 +1,114 @@
+"""Answers to vector searches: rows are merged as they come in, and attempts that can't change the result any
+more are superseded.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from heathwell import policy
+from heathwell.admission import Costs
+from heathwell.broker.driver import Key
+from heathwell.broker.records import SearchPlan
+from heathwell.broker.service_records import ServicePart, ServiceQuery
+from heathwell.codec import frames
+from heathwell.merge import Malformed, Row
+from heathwell.observability.event_log import EventLog
+from heathwell.vectors.wire import read_answer
+
+INITIAL_COST = 1.0
+
+
+class SearchBroker(Protocol):
+    """What :class:`SearchAnswers` uses of its broker."""
+
+    @property
+    def events(self) -> EventLog:
+        """The event log."""
+
+    @property
+    def log(self) -> Callable[..., None]:
+        """The log."""
+
+    @property
+    def counters(self) -> Counter[tuple[str, ...]]:
+        """Its counters, by labels."""
+
+    def query_class_of(self, query: ServiceQuery) -> policy.QueryClass:
+        """A query's class, by the settings that it is decided under."""
+
+    def supersede_attempt(self, query: ServiceQuery, part_id: str, attempt: int) -> None:
+        """Tell the module that an attempt can't change its query's answer any more."""
+
+
+class SearchAnswers:
+    """The searches of one broker. ``costs`` are learned from the work that endpoints report.
+
+    ``points_seen`` holds the sizes of shards, by collection and shard, as endpoints reported them.
+    """
+
+    def __init__(self, broker: SearchBroker, costs: Costs) -> None:
+        self._broker = broker
+        self._costs = costs
+        self.points_seen: dict[str, dict[int, int]] = {}
+
+    def merge_rows(
+        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
+    ) -> bool:
+        """Merge an answer's rows at once; false where they are malformed. True for what is no search."""
+        search = query.plan.search
+        if search is None:
+            return True
+        try:
+            self._add_rows(search, part, result)
+        except (Malformed, msgspec.MsgspecError) as error:
+            part.status = f"malformed: {error}"
+            self._broker.counters["malformed", self._broker.query_class_of(query).name] += 1
+            self._broker.events("malformed", p=key[0], seq=key[1], node=node, why=str(error))
+            self._broker.log("warning", "a host's rows are malformed", node=node, why=str(error))
+            return False
+        return True
+
+    def _add_rows(self, search: SearchPlan, part: ServicePart, result: frames.Result) -> None:
+        answer = read_answer(result.data)
+        rows = [[Row(hit.id, hit.score, hit, hit.version) for hit in hits] for hits in answer.lists]
+        search.top.add(part.id, rows, answer.points, answer.recall)
+        self.points_seen.setdefault(part.plan.key, {})[part.plan.shard] = answer.points
+
+    def on_part_answered(self, query: ServiceQuery, result: frames.Result) -> None:
+        """Learn from the work that an answer took, and supersede the attempts that it made needless."""
+        search = query.plan.search
+        if search is None:
+            return
+        model = self._costs.model(search.model, INITIAL_COST, len(search.figures))
+        model.learn(search.figures, result.work_us)
+        self._supersede_attempts(query, search)
+
+    def on_score_bound(self, query: ServiceQuery, node: str, key: Key, best_scores: list[float]) -> None:
+        """Take in how good an attempt's rows can be at best: with that it may be superseded at once."""
+        search = query.plan.search
+        if search is None or key not in query.in_flight:
+            return
+        try:
+            search.top.bound(key[0], best_scores)
+        except Malformed as error:
+            self._broker.log("warning", "a host's bounds are malformed", node=node, why=str(error))
+            return
+        self._supersede_attempts(query, search)
+
+    def _supersede_attempts(self, query: ServiceQuery, search: SearchPlan) -> None:
+        """Tell the module of attempts in flight that can't change the result any more."""
+        if query.on_reply is None:
+            return
+        for part_id in search.top.newly_moot():
+            attempt = query.parts[part_id].attempt_count - 1
+            if part_id in search.superseded or (part_id, attempt) not in query.in_flight:
+                continue
+            search.superseded.add(part_id)
+            self._broker.counters["moot", self._broker.query_class_of(query).name] += 1
+            self._broker.events("moot", p=part_id, seq=attempt)
+            self._broker.supersede_attempt(query, part_id, attempt)
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from heathwell import policy
 from heathwell.admission import GO, WAIT, Costs, FairGate, Window
 from heathwell.broker import key_spaces
@@ -20,23 +18,22 @@
 from heathwell.broker.query_explanations import ExplainedQuery, QueryExplanations
 from heathwell.broker.quota_gate import CONNECTIONS, Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
-from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Coverage, OnReply, Reply
+from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, OnReply, Reply
+from heathwell.broker.reply_merging import UnmergeablePartsError, merge_reply
+from heathwell.broker.search_answers import SearchAnswers
 from heathwell.broker.service_records import ServicePart, ServiceQuery
 from heathwell.broker.service_statistics import ServiceStatistics
 from heathwell.broker.settings_change import ServiceSnapshot, check_settings_change
 from heathwell.broker.shard_reachability import ShardReachability
 from heathwell.broker.source_clock import SourceClockClient
 from heathwell.codec import frames
-from heathwell.coverage import Cover
 from heathwell.kernel import Listener, Loop, Net, Timer
-from heathwell.merge import Malformed, Row
 from heathwell.observability.event_log import EventLog
 from heathwell.policy.records import Server
 from heathwell.regions import ClientDrain, Regions
 from heathwell.settings import ServiceSettings
 from heathwell.storms import Limits, Storms
 from heathwell.storms.decider import TICK_US
-from heathwell.vectors.wire import read_answer
 
 if TYPE_CHECKING:
     from heathwell.broker.zone_observer import ZoneObserver
@@ -94,6 +91,7 @@
         self.reachability = ShardReachability(self, self.restrictions, self.live_replicas)
         fronts = service_settings.fronts
         self.costs = Costs()
+        self.search_answers = SearchAnswers(self, self.costs)
         self.gate: FairGate | None = None
         if fronts.queue_target:
             window = Window(
@@ -112,7 +110,6 @@
             )
             self._most_hosts = 1
             loop.call_at(loop.now() + TICK_US, self._look_for_storms)
-        self.points_seen: dict[str, dict[int, int]] = {}  # sizes of shards, by collection, as hosts told them
         self._gate_look: Timer | None = None
         leaving = service_settings.fleet.zone_let_go if self.zone_observer is not None else 0
         self.client_drain = ClientDrain(service_settings.across.let_go or leaving, seed ^ 0xD12A)
@@ -479,73 +476,28 @@
         is_fresh = self.freshness is None or self.freshness.is_acceptable(
             query, part, node, key, result, self._sent_at_us[key]
         )
-        return is_fresh and self._mergeable(query, part, node, key, result)
+        return is_fresh and self.search_answers.merge_rows(query, part, node, key, result)
 
     def on_part_answered(
         self, query: ServiceQuery, part: ServicePart, key: Key, result: frames.Result
     ) -> None:
         """Note what the answer's data is of."""
-        part.position, part.source_us = result.position, result.source_us
-        self._learn(query, part.node, key, result)
-
-    def _learn(self, query: ServiceQuery, node: str, key: Key, result: frames.Result) -> None:
-        """What the work of an answer cost, for costs and the window; and which parts it made moot."""
-        now, search = self.loop.now(), query.plan.search
+        part.position = result.position
+        part.source_us = result.source_us
+        now = self.loop.now()
         if self.gate is not None and result.work_us:
             self.gate.window.answered(now, now - self._sent_at_us.get(key, now), result.work_us)
-        if search is not None:
-            self.costs.model(search.model, 1.0, len(search.figures)).learn(search.figures, result.work_us)
-            self._moot(query)
-
-    def _mergeable(
-        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
-    ) -> bool:
-        """Whether a search's rows are what a sound host gives; they are merged at once."""
-        search = query.plan.search
-        if search is None:
-            return True
-        try:
-            answer = read_answer(result.data)
-            search.top.add(
-                part.id,
-                [[Row(hit.id, hit.score, hit, hit.version) for hit in rows] for rows in answer.lists],
-                answer.points,
-                answer.recall,
-            )
-            self.points_seen.setdefault(part.plan.key, {})[part.plan.shard] = answer.points
-        except (Malformed, msgspec.MsgspecError) as problem:
-            part.status = f"malformed: {problem}"
-            self.counters["malformed", self._query_class(query).name] += 1
-            self.events("malformed", p=key[0], seq=key[1], node=node, why=str(problem))
-            self.log("warning", "a host's rows are malformed", node=node, why=str(problem))
-            return False
-        return True
+        self.search_answers.on_part_answered(query, result)
 
     def bound(self, node: str, key: Key, best: list[float]) -> None:
-        """A host's word on how good an attempt's rows can be: with it the part may be moot at once."""
+        """Take in how good an attempt's rows can be at best, as its endpoint says."""
         query = self.parts.get(key[0])
-        if query is None or query.plan.search is None or key not in query.in_flight:
-            return
-        try:
-            query.plan.search.top.bound(key[0], best)
-        except Malformed as problem:
-            self.log("warning", "a host's bounds are malformed", node=node, why=str(problem))
-            return
-        self._moot(query)
+        if query is not None:
+            self.search_answers.on_score_bound(query, node, key, best)
 
-    def _moot(self, query: ServiceQuery) -> None:
-        """Tell the module of parts out that can't change the answer any more."""
-        search = query.plan.search
-        if search is None or query.on_reply is None:
-            return
-        for part_id in search.top.newly_moot():
-            seq = query.parts[part_id].attempt_count - 1
-            if part_id in search.superseded or (part_id, seq) not in query.in_flight:
-                continue
-            search.superseded.add(part_id)
-            self.counters["moot", self._query_class(query).name] += 1
-            self.events("moot", p=part_id, seq=seq)
-            self._push(policy.AttemptSuperseded(part_id, seq), query.settings_version)
+    def supersede_attempt(self, query: ServiceQuery, part_id: str, attempt: int) -> None:
+        """Tell the module that an attempt can't change its query's answer any more."""
+        self._push(policy.AttemptSuperseded(part_id, attempt), query.settings_version)
 
     def live_replicas(self, shard: int) -> list[str]:
         """The endpoints listed as live that hold a shard."""
@@ -646,58 +598,14 @@
     def merge(self, query: ServiceQuery, whole: bool) -> Reply:
         """By the key space's shape, or a search's rows."""
         spec = self._query_class(query)
-        coverage = self._coverage(query)
         answered = [part for part in query.parts.values() if part.data is not None]
         age = self.freshness.age_of(query, answered) if self.freshness is not None else None
-        if query.plan.search is not None:
-            return Reply(ANSWERED, query.id, spec.name, whole, coverage, self._rows(query), age=age)
-        firsts = [p.data for p in query.parts.values() if p.step == 1 and p.data is not None]
-        seconds = [p.data for p in query.parts.values() if p.step == 2 and p.data is not None]
         try:
-            body = key_spaces.merge(query.plan.shape, firsts, seconds)
-        except (ValueError, KeyError, TypeError) as problem:
-            self.log("error", "parts that can't be merged", query=query.id, why=repr(problem))
+            return merge_reply(query, spec, whole, age)
+        except UnmergeablePartsError as error:
+            self.log("error", "parts that can't be merged", query=query.id, why=error.reason)
             self.counters["unmergeable",] += 1
             return Reply(FAILED, query.id, spec.name)
-        if query.plan.shape == "record" and not body.get("found", False):
-            return Reply(MISS, query.id, spec.name, True, coverage, age=age)
-        return Reply(ANSWERED, query.id, spec.name, whole, coverage, body, age=age)
-
-    def _rows(self, query: ServiceQuery) -> dict[str, Any]:
-        """A search's merged rows, one :class:`~heathwell.merge.Merged` a search."""
-        search = query.plan.search
-        assert search is not None
-        missing = [p.id for p in query.parts.values() if p.data is None]
-        usual = search.top.usual_points()
-        return {
-            "searches": [
-                search.top.result(number, missing, usual) for number in range(len(search.top.limits))
-            ]
-        }
-
-    def _coverage(self, query: ServiceQuery) -> Coverage:
-        spec = self._query_class(query)
-        first = [p for p in query.parts.values() if p.step == 1]
-        moot = query.plan.search.superseded if query.plan.search is not None else set()
-        second = [p for p in query.parts.values() if p.step == 2]
-        got = [p for p in first if p.data is not None]
-        cover = Cover.of(
-            (p.plan.shard for p in first),
-            (p.plan.shard for p in got),
-            min((p.source_us for p in query.parts.values() if p.data is not None), default=None),
-        )
-        return Coverage(
-            requested_parts=len(first),
-            answered_parts=len(got),
-            superseded=sum(p.id in moot for p in first if p.data is None),
-            weight=round(sum(p.plan.weight for p in first if p.data is not None or p.id in moot), 6),
-            required_fraction=spec.required_fraction,
-            minimum_fraction=spec.minimum_fraction,
-            missing=tuple(cover.missing()),
-            cover=cover,
-            second_step_requested=len(second),
-            second_step_answered=sum(p.data is not None for p in second),
-        )
 
     def on_reply_made(self, query: ServiceQuery, reply: Reply, took_us: int) -> None:
         """The storm decider, the sums of service, the event log and the explanations hear of it."""
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -286,7 +286,7 @@
                 return api.answered({"exists": name in self.front.collections}, self.loop.now() - began)
             spec = self._collection(name)
             shards = self.front.shards(spec)
-            sizes = broker.points_seen.get(name, {})
+            sizes = broker.search_answers.points_seen.get(name, {})
             seen = sum(sizes.values()) if len(sizes) == len(shards) else None
             return api.answered(
                 api.info(spec, len(shards), broker.service_settings.fleet.width, seen),
