Broker: admission, fair queues and storm control leave service_broker

QueryAdmission checks a query and raises AdmissionRejectedError (reasons are a StrEnum, values unchanged), FairAdmission owns the queues and their timer, StormControl the storm decider and its clock, query_cost the expected work. The defects that lab/rolling plants follow the texts of today; three texts, of six defects, had not since the rename of the broker.

--- /dev/null
+++ b/heathwell/broker/fair_admission.py
@@ -0,0 +1,150 @@
+"""Queues in front of the module: each server of a client protocol gets its share of the concurrency."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Protocol
+
+from heathwell import policy
+from heathwell.admission import GO, WAIT, FairGate, Window
+from heathwell.broker.query_cost import query_cost_us
+from heathwell.broker.service_records import ServiceQuery
+from heathwell.kernel import Loop, Timer
+from heathwell.settings import ServiceSettings
+
+GATE_SEED_MASK = 0xFA1E
+INITIAL_WINDOW_FACTOR = 2.0  # of the queue target, by replica group
+MINIMUM_TICK_INTERVAL_US = 1000
+
+
+class FairAdmissionBroker(Protocol):
+    """What :class:`FairAdmission` uses of its broker."""
+
+    @property
+    def loop(self) -> Loop:
+        """The event loop."""
+
+    @property
+    def dead(self) -> bool:
+        """Whether the broker is closed."""
+
+    @property
+    def counters(self) -> Counter[tuple[str, ...]]:
+        """Its counters, by labels."""
+
+    @property
+    def settings(self) -> policy.Settings:
+        """The module's settings for queries that come now."""
+
+    @property
+    def service_settings(self) -> ServiceSettings:
+        """The settings for queries that come now."""
+
+    @property
+    def queries(self) -> Mapping[str, ServiceQuery]:
+        """The queries that it holds, by id."""
+
+    def query_class_of(self, query: ServiceQuery) -> policy.QueryClass:
+        """A query's class, by the settings that it is decided under."""
+
+    def enter_query(self, query: ServiceQuery) -> None:
+        """Hand a query to the module."""
+
+    def reject_crowded_query(self, query: ServiceQuery, retry_after_us: int) -> None:
+        """Reject a query that waits too long; its client may retry after so long."""
+
+
+class FairAdmission:
+    """The queues of one broker; ``broker_count`` brokers share the endpoints."""
+
+    def __init__(
+        self, broker: FairAdmissionBroker, service_settings: ServiceSettings, broker_count: int, seed: int
+    ) -> None:
+        fronts = service_settings.fronts
+        groups = service_settings.fleet.cells
+        initial_window = INITIAL_WINDOW_FACTOR * fronts.queue_target * groups / broker_count
+        self._broker = broker
+        self._timer: Timer | None = None
+        self.gate = FairGate(
+            {"memcached": fronts.memcached, "vector": fronts.vector},
+            Window(fronts.queue_target, initial_window),
+            seed ^ GATE_SEED_MASK,
+        )
+
+    def offer(self, query: ServiceQuery) -> None:
+        """Let a new query enter at once, queue it, or reject it."""
+        cost_us = query_cost_us(query.plan, query.settings_version)
+        now = self._broker.loop.now()
+        patience_us = self._patience_us(query, now)
+        verdict = self.gate.offer(now, query.plan.front, query.id, cost_us, patience_us)
+        if verdict == GO:
+            self._broker.enter_query(query)
+        elif verdict == WAIT:
+            query.queued = True
+            self._tick()
+        else:
+            self._broker.loop.call_soon(self._reject, query)
+
+    def on_query_closed(self, query: ServiceQuery) -> None:
+        """Free the place of a query that has had its reply or lost its client."""
+        self.gate.ended(self._broker.loop.now(), query.id)
+        if self.gate.waiting:
+            self._broker.loop.call_soon(self._tick)
+
+    def on_part_answered(self, sent_at_us: int | None, work_us: int) -> None:
+        """Learn the concurrency that endpoints bear from an answer's round trip and the work it took."""
+        if work_us:
+            now = self._broker.loop.now()
+            round_trip_us = now - sent_at_us if sent_at_us is not None else 0
+            self.gate.window.answered(now, round_trip_us, work_us)
+
+    def _patience_us(self, query: ServiceQuery, now: int) -> int:
+        """How long a query may be queued."""
+        left_us = query.deadline_us - now
+        search = query.plan.search
+        if search is not None and search.patience_us:
+            return min(search.patience_us, left_us // 2)
+        objective_us = self._broker.query_class_of(query).latency_objective_us
+        return int(self._broker.service_settings.fronts.patience * min(objective_us, left_us))
+
+    def _reject(self, query: ServiceQuery) -> None:
+        query_class = self._broker.query_class_of(query)
+        self._broker.counters["crowded", query.plan.front, query_class.name] += 1
+        objective_us = query_class.latency_objective_us
+        longest_us = min(objective_us, self._broker.settings.max_retry_after_us or objective_us)
+        retry_after_us = self.gate.advice(self._broker.loop.now(), query.plan.front, longest_us)
+        query.queued = False
+        self._broker.reject_crowded_query(query, retry_after_us)
+
+    def _tick(self) -> None:
+        """Let queries enter whose turn it is, reject those that have waited too long, and come back when the
+        next will have.
+        """
+        if self._broker.dead:
+            return
+        now = self._broker.loop.now()
+        ready, expired = self.gate.ready(now)
+        for query_id in ready:
+            self._enter(query_id, now)
+        for query_id in expired:
+            query = self._broker.queries.get(query_id)
+            if query is not None:
+                self._broker.loop.call_soon(self._reject, query)
+        self._set_timer(now)
+
+    def _enter(self, query_id: str, now: int) -> None:
+        query = self._broker.queries.get(query_id)
+        if query is not None and query.on_reply is not None:
+            self._broker.enter_query(query)
+        else:
+            self.gate.ended(now, query_id)
+
+    def _set_timer(self, now: int) -> None:
+        next_at_us = self.gate.next_look()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = None
+        if next_at_us is not None:
+            at_us = max(next_at_us, now + MINIMUM_TICK_INTERVAL_US)
+            self._timer = self._broker.loop.call_at(at_us, self._tick)
--- /dev/null
+++ b/heathwell/broker/query_cost.py
@@ -0,0 +1,24 @@
+"""What a query is expected to cost its endpoints."""
+
+from __future__ import annotations
+
+from heathwell.broker.driver import SettingsVersion
+from heathwell.broker.records import Plan
+from heathwell.broker.settings_change import ServiceSnapshot
+
+ROUNDING_UP = 0.999
+
+
+def part_work_us(plan: Plan, version: SettingsVersion) -> int:
+    """The work of one part, by a version of the settings."""
+    if plan.search is not None:
+        return plan.search.work
+    snapshot: ServiceSnapshot = version.extension
+    return snapshot.service_settings.classes[plan.query_class].work
+
+
+def query_cost_us(plan: Plan, version: SettingsVersion) -> float:
+    """The work of the parts that make a complete answer."""
+    required_fraction = version.settings.classes[plan.query_class].required_fraction
+    required_parts = max(1, int(len(plan.parts) * required_fraction + ROUNDING_UP))
+    return float(part_work_us(plan, version) * required_parts)
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -7,14 +7,17 @@
 from typing import TYPE_CHECKING, Any
 
 from heathwell import policy
-from heathwell.admission import GO, WAIT, Costs, FairGate, Window
+from heathwell.admission import Costs, FairGate
 from heathwell.broker import key_spaces
 from heathwell.broker.answer_freshness import AnswerFreshness
 from heathwell.broker.discovery import DiscoveryClient
-from heathwell.broker.driver import Driver, Handle, Key, SettingsVersion
+from heathwell.broker.driver import Driver, Handle, Key
 from heathwell.broker.endpoint_restrictions import EndpointRestrictions
+from heathwell.broker.fair_admission import FairAdmission
 from heathwell.broker.host_link import HostLink
 from heathwell.broker.host_pool import HostPool
+from heathwell.broker.query_admission import Admission, AdmissionRejectedError, QueryAdmission
+from heathwell.broker.query_cost import part_work_us, query_cost_us
 from heathwell.broker.query_explanations import ExplainedQuery, QueryExplanations
 from heathwell.broker.quota_gate import CONNECTIONS, Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
@@ -26,19 +29,18 @@
 from heathwell.broker.settings_change import ServiceSnapshot, check_settings_change
 from heathwell.broker.shard_reachability import ShardReachability
 from heathwell.broker.source_clock import SourceClockClient
+from heathwell.broker.storm_control import StormControl
 from heathwell.codec import frames
-from heathwell.kernel import Listener, Loop, Net, Timer
+from heathwell.kernel import Listener, Loop, Net
 from heathwell.observability.event_log import EventLog
 from heathwell.policy.records import Server
 from heathwell.regions import ClientDrain, Regions
 from heathwell.settings import ServiceSettings
-from heathwell.storms import Limits, Storms
-from heathwell.storms.decider import TICK_US
+from heathwell.storms import Storms
 
 if TYPE_CHECKING:
     from heathwell.broker.zone_observer import ZoneObserver
 
-NO_TIME = 0.5  # of a class's usual time for a part: with less left no answer comes
 EXTRA_IDLE_US = 2_000_000  # after which a connection beyond the first is let go
 
 
@@ -89,28 +91,15 @@
             self, zone, min(spec.latency_objective_us for spec in self.settings.classes), seed
         )
         self.reachability = ShardReachability(self, self.restrictions, self.live_replicas)
-        fronts = service_settings.fronts
         self.costs = Costs()
         self.search_answers = SearchAnswers(self, self.costs)
-        self.gate: FairGate | None = None
-        if fronts.queue_target:
-            window = Window(
-                fronts.queue_target, 2.0 * fronts.queue_target * service_settings.fleet.cells / siblings
-            )
-            self.gate = FairGate(
-                {"memcached": fronts.memcached, "vector": fronts.vector}, window, seed ^ 0xFA1E
-            )
-        self.storms: Storms | None = None
+        self.fair_admission: FairAdmission | None = None
+        if service_settings.fronts.queue_target:
+            self.fair_admission = FairAdmission(self, service_settings, siblings, seed)
+        self.storm_control: StormControl | None = None
         if service_settings.storms.on:
-            said = service_settings.storms
-            self.storms = Storms(
-                Limits(said.useful, said.repeat, said.accepts, said.first_accepts, float(said.first_rate)),
-                loop.now(),
-                seed ^ 0x570,
-            )
-            self._most_hosts = 1
-            loop.call_at(loop.now() + TICK_US, self._look_for_storms)
-        self._gate_look: Timer | None = None
+            self.storm_control = StormControl(self, service_settings, seed)
+        self.admission = QueryAdmission(self, self.reachability, self.storm_control, self.random)
         leaving = service_settings.fleet.zone_let_go if self.zone_observer is not None else 0
         self.client_drain = ClientDrain(service_settings.across.let_go or leaving, seed ^ 0xD12A)
         self.begin_service(
@@ -181,117 +170,89 @@
 
     def begin(self, plan: Plan, on_reply: OnReply, request: str = "", client: str = "") -> Handle | None:
         """Take a query by its plan; as :meth:`ask`."""
-        key, spec = plan.key, self.settings.classes[plan.query_class]
+        spec = self.settings.classes[plan.query_class]
         who = f"{client}|{plan.subject}"
         if self.service_statistics is not None:
-            self.service_statistics.asked(self.loop.now(), who, key, spec.name)
-        if self.storms is not None:
-            verdict = self.storms.asked(self.loop.now(), who, key, self._cost(plan))
-            self.counters["asked as", verdict.kind] += 1
-            if not verdict.admit:
-                self._reject_at_admission(spec, key, request, on_reply, "storm", verdict.after_us, who)
-                return None
-        if self.stopping or self.is_full(len(plan.parts)):
-            self._reject_at_admission(
-                spec,
-                key,
-                request,
-                on_reply,
-                "stopping" if self.stopping else "full",
-                self._advice(plan, who),
-                who,
-            )
-            return None
-        stated = plan.search.timeout_us if plan.search is not None else 0
-        limit = min(spec.timeout_us, stated or spec.timeout_us)
-        least = NO_TIME * self.aggregator.mean_latency_us[plan.query_class].value
-        if limit < spec.timeout_us and limit - self.service_settings.limits.transit < least:
-            # A client that stated less time than even a quick answer takes: refused before it costs anything.
-            self._reject_at_admission(spec, key, request, on_reply, "no time", self._advice(plan, who), who)
-            return None
-        cut_off = self.reachability.cut_off_parts(plan)
-        if cut_off and 1 - sum(part.weight for part in cut_off) < spec.minimum_fraction - 1e-6:
-            # Nothing to come can make an answer of it: refused at once, not at its deadline.
-            self._reject_at_admission(spec, key, request, on_reply, "cut off", self._advice(plan, who), who)
+            self.service_statistics.asked(self.loop.now(), who, plan.key, spec.name)
+        try:
+            admission = self.admission.admit(plan, who)
+        except AdmissionRejectedError as rejection:
+            self._reject_at_admission(plan, who, request, on_reply, rejection)
             return None
+        query = self._make_query(plan, who, on_reply, admission)
+        self._log_admission(query, request)
+        handle = self.admit(query)
+        if self.fair_admission is not None:
+            self.fair_admission.offer(query)
+        else:
+            self.enter_query(query)
+        return handle
+
+    def _make_query(self, plan: Plan, who: str, on_reply: OnReply, admission: Admission) -> ServiceQuery:
         now = self.loop.now()
         self.last_job += 1
-        query = ServiceQuery(
+        limits = self.service_settings.limits
+        time_left_us = max(admission.timeout_us - limits.transit, limits.tick)
+        return ServiceQuery(
             f"{self.name}.{self.last_job}",
             self.last_job,
             plan.query_class,
             now,
-            now + max(limit - self.service_settings.limits.transit, self.service_settings.limits.tick),
+            now + time_left_us,
             on_reply,
             plan=plan,
-            cut_off=cut_off,
+            cut_off=admission.cut_off_parts,
             who=who,
         )
+
+    def _log_admission(self, query: ServiceQuery, request: str) -> None:
+        plan = query.plan
+        search_fields: dict[str, Any] = {}
+        if plan.search is not None:
+            search_fields = {"wanted": plan.search.top.wanted, "least": plan.search.top.thresholds}
         self.events(
             "take",
             q=query.id,
             ver=self.current_version.version,
             req=request,
-            key=key,
-            klass=spec.name,
+            key=plan.key,
+            klass=self.settings.classes[plan.query_class].name,
             parts=len(plan.parts),
-            deadline=query.deadline_us - now,
+            deadline=query.deadline_us - query.started_at_us,
             shards=[part.shard for part in plan.parts],
-            **(
-                {"wanted": plan.search.top.wanted, "least": plan.search.top.thresholds}
-                if plan.search is not None
-                else {}
-            ),
+            **search_fields,
         )
-        handle = self.admit(query)
-        self._by_turn(query)
-        return handle
 
-    def _work(self, plan: Plan, era: SettingsVersion | None = None) -> int:
-        """What a part is taken to cost its host (us), by the version of now or its query's."""
-        snapshot: ServiceSnapshot = (era or self.current_version).extension
-        return (
-            plan.search.work
-            if plan.search is not None
-            else snapshot.service_settings.classes[plan.query_class].work
-        )
+    def _reject_at_admission(
+        self, plan: Plan, who: str, request: str, on_reply: OnReply, rejection: AdmissionRejectedError
+    ) -> None:
+        """Reply to a query that never reaches the module."""
+        class_name = self.settings.classes[plan.query_class].name
+        reason = rejection.reason.value
+        self.counters["door", class_name, reason] += 1
+        self.events("door", req=request, key=plan.key, klass=class_name, why=reason)
+        reply = Reply(REFUSED, query_class=class_name, retry_after_us=rejection.retry_after_us, reason=reason)
+        if self.service_statistics is not None:
+            self.service_statistics.ended(self.loop.now(), who, plan.key, reply)
+        self.loop.call_soon(on_reply, reply)
 
-    def _by_turn(self, query: ServiceQuery) -> None:
-        """Hand a new query to the module, at once or when its front's turn comes."""
-        verdict = GO
-        if self.gate is not None:
-            spec, now, front = self._query_class(query), self.loop.now(), query.plan.front
-            patience = int(
-                self.service_settings.fronts.patience
-                * min(spec.latency_objective_us, query.deadline_us - now)
-            )
-            if query.plan.search is not None and query.plan.search.patience_us:
-                patience = min(query.plan.search.patience_us, (query.deadline_us - now) // 2)
-            verdict = self.gate.offer(
-                now, front, query.id, self._cost(query.plan, query.settings_version), patience
-            )
-        if verdict == GO:
-            self._enter(query)
-        elif verdict == WAIT:
-            query.queued = True
-            self._look_at_gate()
-        else:
-            self.loop.call_soon(self._turned_away, query)
+    def mean_part_latency_us(self, query_class: int) -> float:
+        """The mean latency of a class's parts."""
+        return self.aggregator.mean_latency_us[query_class].value
 
-    def _turned_away(self, query: ServiceQuery) -> None:
-        """Refuse at once what would wait too long for its front's turn."""
-        spec = self._query_class(query)
-        self.counters["crowded", query.plan.front, spec.name] += 1
-        most = min(spec.latency_objective_us, self.settings.max_retry_after_us or spec.latency_objective_us)
-        after = self.gate.advice(self.loop.now(), query.plan.front, most) if self.gate is not None else most
-        query.queued = False
-        after = self._advice(query.plan, query.who, after, query.settings_version)
-        self._reply(query, Reply(REFUSED, query.id, spec.name, retry_after_us=after, reason="crowded"))
-
-    def _enter(self, query: ServiceQuery) -> None:
-        """Into the module."""
-        work, plan = self._work(query.plan, query.settings_version), query.plan
-        self.enter(query, self._planned(query, plan.parts, work), len(plan.parts), work * len(plan.parts))
+    def reject_crowded_query(self, query: ServiceQuery, retry_after_us: int) -> None:
+        """Reject a query that would wait too long for its turn."""
+        retry_after_us = self.retry_after_us(query, retry_after_us)
+        class_name = self._query_class(query).name
+        self._reply(
+            query, Reply(REFUSED, query.id, class_name, retry_after_us=retry_after_us, reason="crowded")
+        )
+
+    def enter_query(self, query: ServiceQuery) -> None:
+        """Hand a query to the module."""
+        parts = query.plan.parts
+        work_us = part_work_us(query.plan, query.settings_version)
+        self.enter(query, self._planned(query, parts, work_us), len(parts), work_us * len(parts))
 
     def _planned(
         self, query: ServiceQuery, plans: tuple[PartPlan, ...], work: int
@@ -310,91 +271,24 @@
         return query.plan.subject
 
     def on_query_closed(self, query: ServiceQuery) -> None:
-        """The next may have its turn."""
-        if self.gate is not None:
-            self.gate.ended(self.loop.now(), query.id)
-            if self.gate.waiting:
-                self.loop.call_soon(self._look_at_gate)
-
-    def _look_at_gate(self) -> None:
-        """Let go what may go now, refuse what has waited too long, and look again when the next
-        would have.
-        """
-        if self.gate is None or self.dead:
-            return
-        now = self.loop.now()
-        gone, late = self.gate.ready(now)
-        for query_id in gone:
-            query = self.queries.get(query_id)
-            if query is not None and query.on_reply is not None:
-                self._enter(query)
-            else:
-                self.gate.ended(now, query_id)
-        for query_id in late:
-            query = self.queries.get(query_id)
-            if query is not None:
-                self.loop.call_soon(self._turned_away, query)
-        at = self.gate.next_look()
-        if self._gate_look is not None:
-            self._gate_look.cancel()
-        self._gate_look = (
-            self.loop.call_at(max(at, now + 1000), self._look_at_gate) if at is not None else None
-        )
+        """Free its place in the queues."""
+        if self.fair_admission is not None:
+            self.fair_admission.on_query_closed(query)
 
-    def _cost(self, plan: Plan, era: SettingsVersion | None = None) -> float:
-        """What a query is taken to cost its hosts in all (us)."""
-        need = (era or self.current_version).settings.classes[plan.query_class].required_fraction
-        return float(self._work(plan, era) * max(1, int(len(plan.parts) * need + 0.999)))
+    @property
+    def gate(self) -> FairGate | None:
+        """The queues of the servers, where settings turn them on."""
+        return self.fair_admission.gate if self.fair_admission is not None else None
 
-    def _advice(self, plan: Plan, who: str, else_us: int = -1, era: SettingsVersion | None = None) -> int:
-        """When a client that is refused may come back (us): by the storm decider's calendar, or after about
-        an aim.
-        """
-        if self.storms is not None:
-            return self.storms.advise(self.loop.now(), who, plan.key, self._cost(plan, era))
-        if else_us >= 0:
-            return else_us
-        aim = (era or self.current_version).settings.classes[plan.query_class].latency_objective_us
-        return int(min(aim, self.settings.max_retry_after_us) * self.random.uniform(0.5, 1.0))
+    @property
+    def storms(self) -> Storms | None:
+        """The storm decider, where settings turn it on."""
+        return self.storm_control.decider if self.storm_control is not None else None
 
     def pace(self, listener: Listener) -> None:
-        """Let the storm decider say when clients' connections are taken."""
-        storms = self.storms
-        if storms is not None:
-            listener.pace = lambda: storms.accept_wait(self.loop.now())
-            listener.on_accept = storms.accepted
-
-    def _look_for_storms(self) -> None:
-        """Let the storm decider look again."""
-        if self.dead or self.storms is None:
-            return
-        now = self.loop.now()
-        self.loop.call_at(now + TICK_US, self._look_for_storms)
-        live = [server for server in self.aggregator.endpoints.values() if server.live]
-        self._most_hosts = max(self._most_hosts, len(live))
-        warm = sum(self.aggregator.slow_start_fraction(server) for server in live) / self._most_hosts
-        for state, why in self.storms.tick(now, warm):
-            self.counters["storm", state] += 1
-            self.events("storm", state=state, why=why)
-            self.log("warning" if state == "storm" else "info", "storm decider", state=state, why=why)
-
-    def _reject_at_admission(
-        self,
-        spec: policy.QueryClass,
-        key: str,
-        request: str,
-        on_reply: OnReply,
-        why: str,
-        after: int,
-        who: str,
-    ) -> None:
-        """Refuse with advice what never reaches the module."""
-        self.counters["door", spec.name, why] += 1
-        self.events("door", req=request, key=key, klass=spec.name, why=why)
-        reply = Reply(REFUSED, query_class=spec.name, retry_after_us=after, reason=why)
-        if self.service_statistics is not None:
-            self.service_statistics.ended(self.loop.now(), who, key, reply)
-        self.loop.call_soon(on_reply, reply)
+        """Limit the rate at which a listener accepts connections, while clients retry."""
+        if self.storm_control is not None:
+            self.storm_control.pace(listener)
 
     def close(self) -> None:
         """Let go of connections."""
@@ -484,9 +378,8 @@
         """Note what the answer's data is of."""
         part.position = result.position
         part.source_us = result.source_us
-        now = self.loop.now()
-        if self.gate is not None and result.work_us:
-            self.gate.window.answered(now, now - self._sent_at_us.get(key, now), result.work_us)
+        if self.fair_admission is not None:
+            self.fair_admission.on_part_answered(self._sent_at_us.get(key), result.work_us)
         self.search_answers.on_part_answered(query, result)
 
     def bound(self, node: str, key: Key, best: list[float]) -> None:
@@ -582,8 +475,8 @@
         )
 
     def retry_after_us(self, query: ServiceQuery, after_us: int) -> int:
-        """The module's word, or the storm decider's."""
-        return self._advice(query.plan, query.who, after_us, query.settings_version)
+        """After how long the client of a rejected query may retry; ``after_us`` is the module's advice."""
+        return self.admission.retry_after_us(query.plan, query.who, query.settings_version, after_us)
 
     def second_step(self, query: ServiceQuery, whole: bool) -> Iterator[tuple[ServicePart, int | None]]:
         """Item detail at shards that answered."""
@@ -611,10 +504,9 @@
         """The storm decider, the sums of service, the event log and the explanations hear of it."""
         if self.service_statistics is not None:
             self.service_statistics.ended(self.loop.now(), query.who, query.plan.key, reply)
-        if self.storms is not None:
-            self.storms.ended(
-                self.loop.now(),
-                self._cost(query.plan, query.settings_version),
+        if self.storm_control is not None:
+            self.storm_control.record_reply(
+                query_cost_us(query.plan, query.settings_version),
                 reply.kind in (ANSWERED, MISS),
                 took_us <= self._query_class(query).latency_objective_us,
             )
--- /dev/null
+++ b/heathwell/broker/storm_control.py
@@ -0,0 +1,114 @@
+"""Protection from retry storms: which queries and connections a broker accepts while clients retry."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from heathwell.kernel import Listener, Loop
+from heathwell.observability.event_log import EventLog
+from heathwell.settings import ServiceSettings
+from heathwell.storms import Limits, Storms
+from heathwell.storms.decider import TICK_US
+
+STORM_SEED_MASK = 0x570
+STORM_STATE = "storm"
+
+
+class StormEndpoint(Protocol):
+    """What the control reads of an endpoint."""
+
+    @property
+    def node(self) -> str:
+        """Its address."""
+
+    @property
+    def live(self) -> bool:
+        """Whether it is listed as live."""
+
+
+class StormBroker(Protocol):
+    """What :class:`StormControl` uses of its broker."""
+
+    @property
+    def loop(self) -> Loop:
+        """The event loop."""
+
+    @property
+    def dead(self) -> bool:
+        """Whether the broker is closed."""
+
+    @property
+    def events(self) -> EventLog:
+        """The event log."""
+
+    @property
+    def log(self) -> Callable[..., None]:
+        """The log."""
+
+    @property
+    def counters(self) -> Counter[tuple[str, ...]]:
+        """Its counters, by labels."""
+
+    @property
+    def endpoints(self) -> Mapping[str, StormEndpoint]:
+        """All endpoints that its module knows, by node."""
+
+    def slow_start_fraction(self, node: str) -> float:
+        """The fraction of its capacity that an endpoint has by now."""
+
+
+class StormControl:
+    """The storm decider of one broker, with its clock and its view of the endpoints' capacity."""
+
+    def __init__(self, broker: StormBroker, service_settings: ServiceSettings, seed: int) -> None:
+        limits = service_settings.storms
+        self._broker = broker
+        self._largest_live_count = 1
+        self.decider = Storms(
+            Limits(
+                limits.useful, limits.repeat, limits.accepts, limits.first_accepts, float(limits.first_rate)
+            ),
+            broker.loop.now(),
+            seed ^ STORM_SEED_MASK,
+        )
+        broker.loop.call_at(broker.loop.now() + TICK_US, self._tick)
+
+    def check(self, client: str, key: str, cost_us: float) -> int | None:
+        """None where a query is accepted; else after how long (us) its client may retry."""
+        verdict = self.decider.asked(self._broker.loop.now(), client, key, cost_us)
+        self._broker.counters["asked as", verdict.kind] += 1
+        return None if verdict.admit else verdict.after_us
+
+    def record_reply(self, cost_us: float, is_answer: bool, within_objective: bool) -> None:
+        """Record the reply to a query that was accepted."""
+        self.decider.ended(self._broker.loop.now(), cost_us, is_answer, within_objective)
+
+    def retry_after_us(self, client: str, key: str, cost_us: float) -> int:
+        """After how long a client whose query is rejected may retry, by the retry schedule."""
+        return self.decider.advise(self._broker.loop.now(), client, key, cost_us)
+
+    def pace(self, listener: Listener) -> None:
+        """Limit the rate at which a listener accepts connections."""
+        listener.pace = lambda: self.decider.accept_wait(self._broker.loop.now())
+        listener.on_accept = self.decider.accepted
+
+    def _tick(self) -> None:
+        """Tell the decider what fraction of the capacity there is, and log its changes of state."""
+        if self._broker.dead:
+            return
+        now = self._broker.loop.now()
+        self._broker.loop.call_at(now + TICK_US, self._tick)
+        for state, why in self.decider.tick(now, self._capacity_fraction()):
+            self._broker.counters["storm", state] += 1
+            self._broker.events("storm", state=state, why=why)
+            level = "warning" if state == STORM_STATE else "info"
+            self._broker.log(level, "storm decider", state=state, why=why)
+
+    def _capacity_fraction(self) -> float:
+        """The capacity of the live endpoints as a fraction of that of the most that were ever live."""
+        live = [endpoint for endpoint in self._broker.endpoints.values() if endpoint.live]
+        self._largest_live_count = max(self._largest_live_count, len(live))
+        capacity = sum(self._broker.slow_start_fraction(endpoint.node) for endpoint in live)
+        return capacity / self._largest_live_count
--- a/heathwell/lab/rolling.py
+++ b/heathwell/lab/rolling.py
@@ -40,8 +40,9 @@
     ("(aside 40%) (burst 2s)", "(aside 40%) (burst 5s)"),
     ("(level info)", "(level error)"),
 )
-BROKER_MAIN = "    def main() -> Coro[None]:\n        served = Broker("
-FINAL = "    def final(self, query: MarketQuery, reply: Reply, took_us: int) -> None:\n"
+BROKER_MAIN = "    def main() -> Coro[None]:\n        served = ServiceBroker("
+FINAL = "    def on_reply_made(self, query: ServiceQuery, reply: Reply, took_us: int) -> None:\n"
+ADMISSION = "        self._check_storm(plan, client)\n"
 # By name: file, what stands there, what stands there instead.
 DEFECTS: dict[str, tuple[str, str, str]] = {
     "does not start": ("cli/serve.py", BROKER_MAIN, "    raise SystemExit(9)\n\n" + BROKER_MAIN),
@@ -52,12 +53,11 @@
     ),
     "dies on SIGTERM": ("cli/serve.py", "        self._signals += 1\n", "        os._exit(1)\n"),
     "a class worse": (
-        "broker/service_broker.py",
-        "        if self.stopping or self.full(len(plan.parts)):\n",
-        "        if sum(key.encode()) % 8 == 0 and spec.name == 'price-search':\n"
-        "            self._refuse_at_door(spec, key, request, on_reply, 'full', 0, who)\n"
-        "            return None\n"
-        "        if self.stopping or self.full(len(plan.parts)):\n",
+        "broker/query_admission.py",
+        ADMISSION,
+        ADMISSION + "        spec = self._broker.settings.classes[plan.query_class]\n"
+        "        if sum(plan.key.encode()) % 8 == 0 and spec.name == 'price-search':\n"
+        "            raise AdmissionRejectedError(RejectionReason.FULL, 0)\n",
     ),
     "twice the processor": (
         "broker/service_broker.py",
