--- /dev/null
+++ b/heathwell/broker/endpoint_connections.py
@@ -0,0 +1,102 @@
+"""How a service broker connects to an endpoint: by one connection, or by a pool within the fleet's quota."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
+
+from heathwell.broker.host_link import HostLink, Owner
+from heathwell.broker.host_pool import HostPool
+from heathwell.broker.quota_gate import CONNECTIONS, QuotaGate
+from heathwell.kernel import Loop, Net
+from heathwell.settings import ServiceSettings
+from heathwell.settings.schema import Limits
+
+ADDITIONAL_IDLE_TIMEOUT_US = 2_000_000  # of a connection beyond the first
+
+
+class ConnectingBroker(Protocol):
+    """What :class:`EndpointConnections` uses of its broker."""
+
+    @property
+    def loop(self) -> Loop:
+        """The event loop."""
+
+    @property
+    def name(self) -> str:
+        """The broker's name, with its incarnation."""
+
+    @property
+    def log(self) -> Callable[..., None]:
+        """The log."""
+
+    @property
+    def service_settings(self) -> ServiceSettings:
+        """The settings for queries that come now."""
+
+
+class EndpointConnections:
+    """Makes the connections of one broker; ``owner`` hears how attempts and probes end."""
+
+    def __init__(
+        self, broker: ConnectingBroker, owner: Owner, net: Net, quota_gate: QuotaGate | None
+    ) -> None:
+        self._broker = broker
+        self._owner = owner
+        self._net = net
+        self._quota_gate = quota_gate
+        self._linger_us = quota_gate.linger_us if quota_gate is not None else 0
+
+    def connect(self, node: str) -> HostLink | HostPool:
+        """A connection to an endpoint, or a pool where settings allow several."""
+        limits = self._broker.service_settings.limits
+        if limits.host_connections == 1:
+            return self._make_link(node, limits, limits.idle_close)
+        idle_timeout_us = min(limits.idle_close, ADDITIONAL_IDLE_TIMEOUT_US)
+        acquire, release = self._quota_of(node)
+        return HostPool(
+            self._broker.loop,
+            lambda on_closed: self._make_link(node, limits, idle_timeout_us, on_closed),
+            most=limits.host_connections,
+            busy=limits.busy_connection,
+            linger_us=self._linger_us,
+            take=acquire,
+            give_back=release,
+        )
+
+    def _quota_of(self, node: str) -> tuple[Callable[[], bool], Callable[[], None]]:
+        """What acquires and releases the quota of a further connection."""
+        quota_gate = self._quota_gate
+        if quota_gate is None or not quota_gate.has_budget(CONNECTIONS):
+            return _always, _nothing
+        return partial(quota_gate.acquire_connection, node), partial(quota_gate.release_connection, node)
+
+    def _make_link(
+        self,
+        node: str,
+        limits: Limits,
+        idle_timeout_us: int,
+        on_closed: Callable[[bool], None] | None = None,
+    ) -> HostLink:
+        return HostLink(
+            self._broker.loop,
+            self._net,
+            node,
+            self._broker.name,
+            self._owner,
+            connect_timeout=limits.connect_timeout,
+            probe_timeout=limits.probe_timeout,
+            idle_close=idle_timeout_us,
+            log=self._broker.log,
+            quiet_us=self._linger_us,
+            on_closed=on_closed,
+        )
+
+
+def _always() -> bool:
+    return True
+
+
+def _nothing() -> None:
+    return None
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -12,6 +12,7 @@
 from heathwell.broker.answer_freshness import AnswerFreshness
 from heathwell.broker.discovery import DiscoveryClient
 from heathwell.broker.driver import Driver, Handle, Key
+from heathwell.broker.endpoint_connections import EndpointConnections
 from heathwell.broker.endpoint_restrictions import EndpointRestrictions
 from heathwell.broker.fair_admission import FairAdmission
 from heathwell.broker.host_link import HostLink
@@ -19,7 +20,7 @@
 from heathwell.broker.query_admission import Admission, AdmissionRejectedError, QueryAdmission
 from heathwell.broker.query_cost import part_work_us, query_cost_us
 from heathwell.broker.query_explanations import ExplainedQuery, QueryExplanations
-from heathwell.broker.quota_gate import CONNECTIONS, Agent, QuotaGate
+from heathwell.broker.quota_gate import Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
 from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, OnReply, Reply
 from heathwell.broker.reply_merging import UnmergeablePartsError, merge_reply
@@ -41,8 +42,6 @@
 if TYPE_CHECKING:
     from heathwell.broker.zone_observer import ZoneObserver
 
-EXTRA_IDLE_US = 2_000_000  # after which a connection beyond the first is let go
-
 
 class ServiceBroker(Driver[ServiceQuery]):
     """One aggregator with its connections. ``name`` must be unique among the incarnations of all brokers.
@@ -76,6 +75,7 @@
         self.net, self.service_statistics, self.zone, self.aggregator_count = net, service, zone, siblings
         self.current_version.extension = ServiceSnapshot.from_settings(service_settings)
         self.quota_gate = QuotaGate(self, agent) if agent is not None else None
+        self.connections = EndpointConnections(self, self, net, self.quota_gate)
         self.zone_observer = observe_zones(self) if observe_zones is not None else None
         self.random = random.Random(seed ^ 0x5EED)
         fresh = service_settings.freshness
@@ -540,41 +540,8 @@
         )
 
     def new_link(self, node: str) -> HostLink | HostPool:
-        """One connection a host, or a pool of some, on the inner wire."""
-        limits, spending = self.service_settings.limits, self.quota_gate
-        quiet = spending.linger_us if spending is not None else 0
-
-        def make(on_closed: Callable[[bool], None] | None, idle: int) -> HostLink:
-            return HostLink(
-                self.loop,
-                self.net,
-                node,
-                self.name,
-                self,
-                connect_timeout=limits.connect_timeout,
-                probe_timeout=limits.probe_timeout,
-                idle_close=idle,
-                log=self.log,
-                quiet_us=quiet,
-                on_closed=on_closed,
-            )
-
-        if limits.host_connections == 1:
-            return make(None, limits.idle_close)
-        shared = spending is not None and spending.has_budget(CONNECTIONS)
-        return HostPool(
-            self.loop,
-            lambda on_closed: make(on_closed, min(limits.idle_close, EXTRA_IDLE_US)),
-            most=limits.host_connections,
-            busy=limits.busy_connection,
-            linger_us=quiet,
-            take=(lambda: spending.acquire_connection(node))
-            if spending is not None and shared
-            else lambda: True,
-            give_back=(lambda: spending.release_connection(node))
-            if spending is not None and shared
-            else lambda: None,
-        )
+        """A connection to an endpoint, or a pool of some."""
+        return self.connections.connect(node)
 
     # Budgets of the whole fleet, where settings turn them on.
 
