--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -6,44 +6,42 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from heathwell import policy
-from heathwell.admission import GO, WAIT, Costs, FairGate, Window
+from heathwell.admission import Costs, FairGate
 from heathwell.broker import key_spaces
 from heathwell.broker.answer_freshness import AnswerFreshness
 from heathwell.broker.discovery import DiscoveryClient
-from heathwell.broker.driver import Driver, Handle, Key, SettingsVersion
+from heathwell.broker.driver import Driver, Handle, Key
+from heathwell.broker.endpoint_connections import EndpointConnections
+from heathwell.broker.endpoint_restrictions import EndpointRestrictions
+from heathwell.broker.fair_admission import FairAdmission
 from heathwell.broker.host_link import HostLink
 from heathwell.broker.host_pool import HostPool
+from heathwell.broker.query_admission import Admission, AdmissionRejectedError, QueryAdmission
+from heathwell.broker.query_cost import part_work_us, query_cost_us
 from heathwell.broker.query_explanations import ExplainedQuery, QueryExplanations
-from heathwell.broker.quota_gate import CONNECTIONS, Agent, QuotaGate
+from heathwell.broker.quota_gate import Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
-from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, Coverage, OnReply, Reply
+from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, OnReply, Reply
+from heathwell.broker.reply_merging import UnmergeablePartsError, merge_reply
+from heathwell.broker.search_answers import SearchAnswers
 from heathwell.broker.service_records import ServicePart, ServiceQuery
 from heathwell.broker.service_statistics import ServiceStatistics
 from heathwell.broker.settings_change import ServiceSnapshot, check_settings_change
+from heathwell.broker.shard_reachability import ShardReachability
 from heathwell.broker.source_clock import SourceClockClient
+from heathwell.broker.storm_control import StormControl
 from heathwell.codec import frames
-from heathwell.coverage import Cover
-from heathwell.kernel import Listener, Loop, Net, Timer
-from heathwell.merge import Malformed, Row
+from heathwell.kernel import Listener, Loop, Net
 from heathwell.observability.event_log import EventLog
 from heathwell.policy.records import Endpoint
-from heathwell.regions import ClientDrain, Regions, Way, answerable
+from heathwell.regions import ClientDrain, Regions
 from heathwell.settings import ServiceSettings
-from heathwell.storms import Limits, Storms
-from heathwell.storms.decider import TICK_US
-from heathwell.vectors.wire import read_answer
+from heathwell.storms import Storms
 
 if TYPE_CHECKING:
     from heathwell.broker.zone_observer import ZoneObserver
 
-LOOK_US = 25_000  # how often the links are looked at again
-NO_TIME = 0.5  # of a class's usual time for a part: with less left no answer comes
-EXTRA_IDLE_US = 2_000_000  # after which a connection beyond the first is let go
-MOST = 0.5  # of the shards within reach; a broker with less says that it is cut off
-
 
 class ServiceBroker(Driver[ServiceQuery]):
     """One aggregator with its connections. ``name`` must be unique among the incarnations of all brokers.
@@ -77,70 +75,33 @@
         self.net, self.service_statistics, self.zone, self.aggregator_count = net, service, zone, siblings
         self.current_version.extension = ServiceSnapshot.from_settings(service_settings)
         self.quota_gate = QuotaGate(self, agent) if agent is not None else None
-        self._zone_restrictions: dict[int | None, frozenset[str]] = {}
+        self.connections = EndpointConnections(self, self, net, self.quota_gate)
         self.zone_observer = observe_zones(self) if observe_zones is not None else None
         self.random = random.Random(seed ^ 0x5EED)
         fresh = service_settings.freshness
         self.freshness: AnswerFreshness | None = None
         self.source_clock_client: SourceClockClient | None = None
         if fresh.on:
-            self.freshness = AnswerFreshness(self, self._holders)
+            self.freshness = AnswerFreshness(self, self.live_replicas)
             self.source_clock_client = SourceClockClient(
                 loop, net, source or fresh.source, name, fresh.sync, self.freshness.clock, self.log
             )
         self.explanations = QueryExplanations(self.freshness)
-        self.regions: Regions | None = None
-        self._listed_regions: dict[str, str] = {}
-        self._remote_nodes: frozenset[str] = frozenset()
-        self._unheld_shards: dict[int, int] = {}
-        self._link_restrictions: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())
-        self._zone_region = {
-            service_settings.fleet.zones.index(name): region.name
-            for region in service_settings.across.regions
-            for name in region.zones
-        }
-        across = service_settings.across
-        if across.regions and (
-            across.decide
-            or across.prefer_home
-            or any(spec.across != "any" for spec in service_settings.classes)
-        ):
-            self.regions = Regions(
-                self._zone_region[zone],
-                [region.name for region in service_settings.across.regions],
-                min(spec.latency_objective_us for spec in self.settings.classes),
-                seed ^ 0x11A5,
-                prefer=across.prefer_home,
-                cross_most=across.cross_most,
-                judge=across.decide,
-                budget=across.cross_budget,
-                ways=self._ways(self._zone_region[zone]),
-            )
-            loop.call_at(loop.now() + LOOK_US, self._look_at_links)
-        fronts = service_settings.fronts
+        self.restrictions = EndpointRestrictions(
+            self, zone, min(spec.latency_objective_us for spec in self.settings.classes), seed
+        )
+        self.reachability = ShardReachability(self, self.restrictions, self.live_replicas)
         self.costs = Costs()
-        self.gate: FairGate | None = None
-        if fronts.queue_target:
-            window = Window(
-                fronts.queue_target, 2.0 * fronts.queue_target * service_settings.fleet.cells / siblings
-            )
-            self.gate = FairGate(
-                {"memcached": fronts.memcached, "vector": fronts.vector}, window, seed ^ 0xFA1E
-            )
-        self.storms: Storms | None = None
+        self.search_answers = SearchAnswers(self, self.costs)
+        self.fair_admission: FairAdmission | None = None
+        if service_settings.fronts.queue_target:
+            self.fair_admission = FairAdmission(self, service_settings, siblings, seed)
+        self.storm_control: StormControl | None = None
         if service_settings.storms.on:
-            said = service_settings.storms
-            self.storms = Storms(
-                Limits(said.useful, said.repeat, said.accepts, said.first_accepts, float(said.first_rate)),
-                loop.now(),
-                seed ^ 0x570,
-            )
-            self._most_hosts = 1
-            loop.call_at(loop.now() + TICK_US, self._look_for_storms)
-        self.points_seen: dict[str, dict[int, int]] = {}  # sizes of shards, by collection, as hosts told them
-        self._gate_look: Timer | None = None
+            self.storm_control = StormControl(self, service_settings, seed)
+        self.admission = QueryAdmission(self, self.reachability, self.storm_control, self.random)
         leaving = service_settings.fleet.zone_let_go if self.zone_observer is not None else 0
-        self.client_drain = ClientDrain(across.let_go or leaving, seed ^ 0xD12A)
+        self.client_drain = ClientDrain(service_settings.across.let_go or leaving, seed ^ 0xD12A)
         self.begin_service(
             DiscoveryClient(
                 loop,
@@ -209,117 +170,89 @@
 
     def begin(self, plan: Plan, on_reply: OnReply, request: str = "", client: str = "") -> Handle | None:
         """Take a query by its plan; as :meth:`ask`."""
-        key, spec = plan.key, self.settings.classes[plan.query_class]
+        spec = self.settings.classes[plan.query_class]
         who = f"{client}|{plan.subject}"
         if self.service_statistics is not None:
-            self.service_statistics.asked(self.loop.now(), who, key, spec.name)
-        if self.storms is not None:
-            verdict = self.storms.asked(self.loop.now(), who, key, self._cost(plan))
-            self.counters["asked as", verdict.kind] += 1
-            if not verdict.admit:
-                self._reject_at_admission(spec, key, request, on_reply, "storm", verdict.after_us, who)
-                return None
-        if self.stopping or self.is_full(len(plan.parts)):
-            self._reject_at_admission(
-                spec,
-                key,
-                request,
-                on_reply,
-                "stopping" if self.stopping else "full",
-                self._advice(plan, who),
-                who,
-            )
-            return None
-        stated = plan.search.timeout_us if plan.search is not None else 0
-        limit = min(spec.timeout_us, stated or spec.timeout_us)
-        least = NO_TIME * self.aggregator.mean_latency_us[plan.query_class].value
-        if limit < spec.timeout_us and limit - self.service_settings.limits.transit < least:
-            # A client that stated less time than even a quick answer takes: refused before it costs anything.
-            self._reject_at_admission(spec, key, request, on_reply, "no time", self._advice(plan, who), who)
-            return None
-        cut_off = self._cut_off(plan)
-        if cut_off and 1 - sum(part.weight for part in cut_off) < spec.minimum_fraction - 1e-6:
-            # Nothing to come can make an answer of it: refused at once, not at its deadline.
-            self._reject_at_admission(spec, key, request, on_reply, "cut off", self._advice(plan, who), who)
+            self.service_statistics.asked(self.loop.now(), who, plan.key, spec.name)
+        try:
+            admission = self.admission.admit(plan, who)
+        except AdmissionRejectedError as rejection:
+            self._reject_at_admission(plan, who, request, on_reply, rejection)
             return None
+        query = self._make_query(plan, who, on_reply, admission)
+        self._log_admission(query, request)
+        handle = self.admit(query)
+        if self.fair_admission is not None:
+            self.fair_admission.offer(query)
+        else:
+            self.enter_query(query)
+        return handle
+
+    def _make_query(self, plan: Plan, who: str, on_reply: OnReply, admission: Admission) -> ServiceQuery:
         now = self.loop.now()
         self.last_job += 1
-        query = ServiceQuery(
+        limits = self.service_settings.limits
+        time_left_us = max(admission.timeout_us - limits.transit, limits.tick)
+        return ServiceQuery(
             f"{self.name}.{self.last_job}",
             self.last_job,
             plan.query_class,
             now,
-            now + max(limit - self.service_settings.limits.transit, self.service_settings.limits.tick),
+            now + time_left_us,
             on_reply,
             plan=plan,
-            cut_off=cut_off,
+            cut_off=admission.cut_off_parts,
             who=who,
         )
+
+    def _log_admission(self, query: ServiceQuery, request: str) -> None:
+        plan = query.plan
+        search_fields: dict[str, Any] = {}
+        if plan.search is not None:
+            search_fields = {"wanted": plan.search.top.wanted, "least": plan.search.top.thresholds}
         self.events(
             "take",
             q=query.id,
             ver=self.current_version.version,
             req=request,
-            key=key,
-            klass=spec.name,
+            key=plan.key,
+            klass=self.settings.classes[plan.query_class].name,
             parts=len(plan.parts),
-            deadline=query.deadline_us - now,
+            deadline=query.deadline_us - query.started_at_us,
             shards=[part.shard for part in plan.parts],
-            **(
-                {"wanted": plan.search.top.wanted, "least": plan.search.top.thresholds}
-                if plan.search is not None
-                else {}
-            ),
+            **search_fields,
         )
-        handle = self.admit(query)
-        self._by_turn(query)
-        return handle
 
-    def _work(self, plan: Plan, era: SettingsVersion | None = None) -> int:
-        """What a part is taken to cost its host (us), by the version of now or its query's."""
-        snapshot: ServiceSnapshot = (era or self.current_version).extension
-        return (
-            plan.search.work
-            if plan.search is not None
-            else snapshot.service_settings.classes[plan.query_class].work
-        )
+    def _reject_at_admission(
+        self, plan: Plan, who: str, request: str, on_reply: OnReply, rejection: AdmissionRejectedError
+    ) -> None:
+        """Reply to a query that never reaches the module."""
+        class_name = self.settings.classes[plan.query_class].name
+        reason = rejection.reason.value
+        self.counters["door", class_name, reason] += 1
+        self.events("door", req=request, key=plan.key, klass=class_name, why=reason)
+        reply = Reply(REFUSED, query_class=class_name, retry_after_us=rejection.retry_after_us, reason=reason)
+        if self.service_statistics is not None:
+            self.service_statistics.ended(self.loop.now(), who, plan.key, reply)
+        self.loop.call_soon(on_reply, reply)
 
-    def _by_turn(self, query: ServiceQuery) -> None:
-        """Hand a new query to the module, at once or when its front's turn comes."""
-        verdict = GO
-        if self.gate is not None:
-            spec, now, front = self._query_class(query), self.loop.now(), query.plan.front
-            patience = int(
-                self.service_settings.fronts.patience
-                * min(spec.latency_objective_us, query.deadline_us - now)
-            )
-            if query.plan.search is not None and query.plan.search.patience_us:
-                patience = min(query.plan.search.patience_us, (query.deadline_us - now) // 2)
-            verdict = self.gate.offer(
-                now, front, query.id, self._cost(query.plan, query.settings_version), patience
-            )
-        if verdict == GO:
-            self._enter(query)
-        elif verdict == WAIT:
-            query.queued = True
-            self._look_at_gate()
-        else:
-            self.loop.call_soon(self._turned_away, query)
+    def mean_part_latency_us(self, query_class: int) -> float:
+        """The mean latency of a class's parts."""
+        return self.aggregator.mean_latency_us[query_class].value
 
-    def _turned_away(self, query: ServiceQuery) -> None:
-        """Refuse at once what would wait too long for its front's turn."""
-        spec = self._query_class(query)
-        self.counters["crowded", query.plan.front, spec.name] += 1
-        most = min(spec.latency_objective_us, self.settings.max_retry_after_us or spec.latency_objective_us)
-        after = self.gate.advice(self.loop.now(), query.plan.front, most) if self.gate is not None else most
-        query.queued = False
-        after = self._advice(query.plan, query.who, after, query.settings_version)
-        self._reply(query, Reply(REFUSED, query.id, spec.name, retry_after_us=after, reason="crowded"))
-
-    def _enter(self, query: ServiceQuery) -> None:
-        """Into the module."""
-        work, plan = self._work(query.plan, query.settings_version), query.plan
-        self.enter(query, self._planned(query, plan.parts, work), len(plan.parts), work * len(plan.parts))
+    def reject_crowded_query(self, query: ServiceQuery, retry_after_us: int) -> None:
+        """Reject a query that would wait too long for its turn."""
+        retry_after_us = self.retry_after_us(query, retry_after_us)
+        class_name = self._query_class(query).name
+        self._reply(
+            query, Reply(REFUSED, query.id, class_name, retry_after_us=retry_after_us, reason="crowded")
+        )
+
+    def enter_query(self, query: ServiceQuery) -> None:
+        """Hand a query to the module."""
+        parts = query.plan.parts
+        work_us = part_work_us(query.plan, query.settings_version)
+        self.enter(query, self._planned(query, parts, work_us), len(parts), work_us * len(parts))
 
     def _planned(
         self, query: ServiceQuery, plans: tuple[PartPlan, ...], work: int
@@ -338,91 +271,24 @@
         return query.plan.subject
 
     def on_query_closed(self, query: ServiceQuery) -> None:
-        """The next may have its turn."""
-        if self.gate is not None:
-            self.gate.ended(self.loop.now(), query.id)
-            if self.gate.waiting:
-                self.loop.call_soon(self._look_at_gate)
-
-    def _look_at_gate(self) -> None:
-        """Let go what may go now, refuse what has waited too long, and look again when the next
-        would have.
-        """
-        if self.gate is None or self.dead:
-            return
-        now = self.loop.now()
-        gone, late = self.gate.ready(now)
-        for query_id in gone:
-            query = self.queries.get(query_id)
-            if query is not None and query.on_reply is not None:
-                self._enter(query)
-            else:
-                self.gate.ended(now, query_id)
-        for query_id in late:
-            query = self.queries.get(query_id)
-            if query is not None:
-                self.loop.call_soon(self._turned_away, query)
-        at = self.gate.next_look()
-        if self._gate_look is not None:
-            self._gate_look.cancel()
-        self._gate_look = (
-            self.loop.call_at(max(at, now + 1000), self._look_at_gate) if at is not None else None
-        )
+        """Free its place in the queues."""
+        if self.fair_admission is not None:
+            self.fair_admission.on_query_closed(query)
 
-    def _cost(self, plan: Plan, era: SettingsVersion | None = None) -> float:
-        """What a query is taken to cost its hosts in all (us)."""
-        need = (era or self.current_version).settings.classes[plan.query_class].required_fraction
-        return float(self._work(plan, era) * max(1, int(len(plan.parts) * need + 0.999)))
+    @property
+    def gate(self) -> FairGate | None:
+        """The queues of the servers, where settings turn them on."""
+        return self.fair_admission.gate if self.fair_admission is not None else None
 
-    def _advice(self, plan: Plan, who: str, else_us: int = -1, era: SettingsVersion | None = None) -> int:
-        """When a client that is refused may come back (us): by the storm decider's calendar, or after about
-        an aim.
-        """
-        if self.storms is not None:
-            return self.storms.advise(self.loop.now(), who, plan.key, self._cost(plan, era))
-        if else_us >= 0:
-            return else_us
-        aim = (era or self.current_version).settings.classes[plan.query_class].latency_objective_us
-        return int(min(aim, self.settings.max_retry_after_us) * self.random.uniform(0.5, 1.0))
+    @property
+    def storms(self) -> Storms | None:
+        """The storm decider, where settings turn it on."""
+        return self.storm_control.decider if self.storm_control is not None else None
 
     def pace(self, listener: Listener) -> None:
-        """Let the storm decider say when clients' connections are taken."""
-        storms = self.storms
-        if storms is not None:
-            listener.pace = lambda: storms.accept_wait(self.loop.now())
-            listener.on_accept = storms.accepted
-
-    def _look_for_storms(self) -> None:
-        """Let the storm decider look again."""
-        if self.dead or self.storms is None:
-            return
-        now = self.loop.now()
-        self.loop.call_at(now + TICK_US, self._look_for_storms)
-        live = [server for server in self.aggregator.endpoints.values() if server.live]
-        self._most_hosts = max(self._most_hosts, len(live))
-        warm = sum(self.aggregator.slow_start_fraction(server) for server in live) / self._most_hosts
-        for state, why in self.storms.tick(now, warm):
-            self.counters["storm", state] += 1
-            self.events("storm", state=state, why=why)
-            self.log("warning" if state == "storm" else "info", "storm decider", state=state, why=why)
-
-    def _reject_at_admission(
-        self,
-        spec: policy.QueryClass,
-        key: str,
-        request: str,
-        on_reply: OnReply,
-        why: str,
-        after: int,
-        who: str,
-    ) -> None:
-        """Refuse with advice what never reaches the module."""
-        self.counters["door", spec.name, why] += 1
-        self.events("door", req=request, key=key, klass=spec.name, why=why)
-        reply = Reply(REFUSED, query_class=spec.name, retry_after_us=after, reason=why)
-        if self.service_statistics is not None:
-            self.service_statistics.ended(self.loop.now(), who, key, reply)
-        self.loop.call_soon(on_reply, reply)
+        """Limit the rate at which a listener accepts connections, while clients retry."""
+        if self.storm_control is not None:
+            self.storm_control.pace(listener)
 
     def close(self) -> None:
         """Let go of connections."""
@@ -430,72 +296,24 @@
         if self.source_clock_client is not None:
             self.source_clock_client.close()
 
-    # Towards the module
-
-    def _cut_off(self, plan: Plan) -> tuple[PartPlan, ...]:
-        """Parts whose every live holder lies behind a link that is down, or that have had none for
-        a while.
-        """
-        shut = self._link_restrictions[1]
-        if self.service_settings.classes[plan.query_class].across == "never":
-            shut |= self._remote_nodes
-        if not shut and not self._unheld_shards:
-            return ()
-        long_ago = self.loop.now() - self.settings.classes[plan.query_class].latency_objective_us // 2
-        return tuple(
-            part
-            for part in plan.parts
-            if self._unheld_shards.get(part.shard, long_ago + 1) <= long_ago
-            or ((holders := self._holders(part.shard)) and all(node in shut for node in holders))
-        )
+    # Endpoints
 
-    def _find_unheld_shards(self) -> None:
-        """Note the shards that no live host holds, and since when: waiting for one is worth half an aim."""
-        if not self.dead:
-            now = self.loop.now()
-            self._unheld_shards = {
-                shard: self._unheld_shards.get(shard, now)
-                for shard in range(self.service_settings.fleet.shards)
-                if not self._holders(shard)
-            }
-
-    def _look_at_links(self) -> None:
-        """Let the region decider look again; the module is told when its holdings change."""
-        if self.dead or self.regions is None:
-            return
-        now = self.loop.now()
-        self.loop.call_at(now + LOOK_US, self._look_at_links)
-        for node in self.regions.tick(now):
-            self.counters["link probe",] += 1
-            self._link(node).probe()
-        self._tell_links(self.regions)
-        held = self.regions.holdings(now)
-        if held != self._link_restrictions:
-            self._link_restrictions = held
-            self._push(
-                policy.HolderRestrictions(held[0] | self._zone_restrictions.get(None, frozenset()), held[1])
-            )
+    @property
+    def regions(self) -> Regions | None:
+        """The decider on links between regions, where settings turn it on."""
+        return self.restrictions.regions
 
     def restrict_zones(self, query_class: int | None, nodes: frozenset[str]) -> None:
-        """Deprioritize endpoints of evacuated zones, for one query class or (None) for all, beside those that
-        the regions restrict.
-        """
-        self._zone_restrictions[query_class] = nodes
-        deprioritized, excluded = (
-            self._link_restrictions if query_class is None else self._remote_restrictions(query_class)
-        )
-        self._push(policy.HolderRestrictions(deprioritized | nodes, excluded, query_class))
-
-    def _remote_restrictions(self, query_class: int) -> tuple[frozenset[str], frozenset[str]]:
-        """The remote endpoints that a class deprioritizes, and those that it excludes."""
-        nobody = frozenset[str]()
-        match self.service_settings.classes[query_class].across:
-            case "any":
-                return nobody, nobody
-            case "never":
-                return nobody, self._remote_nodes
-            case _:
-                return self._remote_nodes, nobody
+        """Deprioritize endpoints of evacuated zones, for one query class or (None) for all."""
+        self.restrictions.restrict_zones(query_class, nodes)
+
+    def restrict_endpoints(self, restrictions: policy.HolderRestrictions) -> None:
+        """Hand restrictions to the module."""
+        self._push(restrictions)
+
+    def probe_endpoint(self, node: str) -> None:
+        """Send a probe to an endpoint."""
+        self._link(node).probe()
 
     @property
     def endpoints(self) -> Mapping[str, Endpoint]:
@@ -517,50 +335,9 @@
         return self.aggregator.slow_start_fraction(self.aggregator.endpoints[node])
 
     def probe(self, node: str) -> None:
-        """Send a probe to an endpoint."""
+        """Send a probe to an endpoint of an evacuated zone."""
         self.counters["zone probe",] += 1
-        self._link(node).probe()
-
-    def _hold_by_class(self) -> None:
-        """Classes that may not cross, or only where home has nobody, have the far hosts held back
-        for good.
-        """
-        assert self.regions is not None
-        far = frozenset(node for node, region in self._listed_regions.items() if region != self.regions.home)
-        if far == self._remote_nodes:
-            return
-        self._remote_nodes = far
-        for index, spec in enumerate(self.service_settings.classes):
-            if spec.across != "any":
-                deprioritized, excluded = self._remote_restrictions(index)
-                self._push(policy.HolderRestrictions(deprioritized, excluded, index))
-
-    def _tell_links(self, regions: Regions) -> None:
-        """Log what has changed since the last call."""
-        for region, state, why in regions.news():
-            self.counters["link", region, state] += 1
-            self.events("link", region=region, state=state, why=why)
-            self.log("warning", "link to region", region=region, state=state, why=why)
-
-    def _ways(self, home: str) -> dict[str, Way]:
-        return {
-            (set(link.between) - {home}).pop(): Way(2 * link.delay, link.cost)
-            for link in self.service_settings.across.links
-            if home in link.between
-        }
-
-    def _within(self, far_too: bool = True) -> list[bool]:
-        """Of each shard, whether it has a live holder that may be sent to."""
-        shut = self._link_restrictions[1] if far_too else self._link_restrictions[1] | self._remote_nodes
-        return [
-            any(node not in shut for node in self._holders(shard))
-            for shard in range(self.service_settings.fleet.shards)
-        ]
-
-    def reach(self) -> float:
-        """The share of shards with a live holder that may be sent to."""
-        within = self._within()
-        return sum(within) / len(within)
+        self.probe_endpoint(node)
 
     @property
     def sends_away(self) -> bool:
@@ -577,38 +354,14 @@
     @property
     def cut_off(self) -> bool:
         """Whether links that are down keep most shards out of reach."""
-        return bool(self._link_restrictions[1]) and self.reach() < MOST
-
-    def served(self, query_class: int) -> float:
-        """The share of a class's queries that can be answered now, its keys being placed evenly."""
-        spec, within = (
-            self.service_settings.classes[query_class],
-            self._within(self.service_settings.classes[query_class].across != "never"),
-        )
-        spans = [
-            {"search": space.parts, "report": space.report_parts}.get(space.shape, 1)
-            for space in self.service_settings.keys
-            if space.query_class == spec.name
-        ]
-        floor = self.settings.classes[query_class].minimum_fraction
-        return sum(answerable(within, span, floor) for span in spans) / len(spans) if spans else 1.0
+        return self.reachability.is_cut_off
 
     def on_endpoint_update(self, news: policy.EndpointUpdate) -> None:
-        """Discovery's word."""
-        if self.regions is not None and news.kind != policy.UpdateKind.FAILED:
-            if news.kind == policy.UpdateKind.FULL:
-                self._listed_regions.clear()
-            for server in news.endpoints:
-                self._listed_regions[server.node] = self._zone_region.get(server.zone, "")
-                if server.state == policy.EndpointState.GONE:
-                    del self._listed_regions[server.node]
-            self.regions.listed(self._listed_regions)
+        """Take in what discovery sent."""
+        self.restrictions.on_endpoint_update(news)
         super().on_endpoint_update(news)
-        self.loop.call_at(
-            self.loop.now() + LOOK_US, self._find_unheld_shards
-        )  # once the module has taken it in
-        if self.regions is not None:
-            self._hold_by_class()  # after the news: the module must know whom it is told of
+        self.reachability.schedule_update()
+        self.restrictions.restrict_remote_nodes()
 
     def is_usable(
         self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
@@ -617,76 +370,30 @@
         is_fresh = self.freshness is None or self.freshness.is_acceptable(
             query, part, node, key, result, self._sent_at_us[key]
         )
-        return is_fresh and self._mergeable(query, part, node, key, result)
+        return is_fresh and self.search_answers.merge_rows(query, part, node, key, result)
 
     def on_part_answered(
         self, query: ServiceQuery, part: ServicePart, key: Key, result: frames.Result
     ) -> None:
         """Note what the answer's data is of."""
-        part.position, part.source_us = result.position, result.source_us
-        self._learn(query, part.node, key, result)
-
-    def _learn(self, query: ServiceQuery, node: str, key: Key, result: frames.Result) -> None:
-        """What the work of an answer cost, for costs and the window; and which parts it made moot."""
-        now, search = self.loop.now(), query.plan.search
-        if self.gate is not None and result.work_us:
-            self.gate.window.answered(now, now - self._sent_at_us.get(key, now), result.work_us)
-        if search is not None:
-            self.costs.model(search.model, 1.0, len(search.figures)).learn(search.figures, result.work_us)
-            self._moot(query)
-
-    def _mergeable(
-        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
-    ) -> bool:
-        """Whether a search's rows are what a sound host gives; they are merged at once."""
-        search = query.plan.search
-        if search is None:
-            return True
-        try:
-            answer = read_answer(result.data)
-            search.top.add(
-                part.id,
-                [[Row(hit.id, hit.score, hit, hit.version) for hit in rows] for rows in answer.lists],
-                answer.points,
-                answer.recall,
-            )
-            self.points_seen.setdefault(part.plan.key, {})[part.plan.shard] = answer.points
-        except (Malformed, msgspec.MsgspecError) as problem:
-            part.status = f"malformed: {problem}"
-            self.counters["malformed", self._query_class(query).name] += 1
-            self.events("malformed", p=key[0], seq=key[1], node=node, why=str(problem))
-            self.log("warning", "a host's rows are malformed", node=node, why=str(problem))
-            return False
-        return True
+        part.position = result.position
+        part.source_us = result.source_us
+        if self.fair_admission is not None:
+            self.fair_admission.on_part_answered(self._sent_at_us.get(key), result.work_us)
+        self.search_answers.on_part_answered(query, result)
 
     def bound(self, node: str, key: Key, best: list[float]) -> None:
-        """A host's word on how good an attempt's rows can be: with it the part may be moot at once."""
+        """Take in how good an attempt's rows can be at best, as its endpoint says."""
         query = self.parts.get(key[0])
-        if query is None or query.plan.search is None or key not in query.in_flight:
-            return
-        try:
-            query.plan.search.top.bound(key[0], best)
-        except Malformed as problem:
-            self.log("warning", "a host's bounds are malformed", node=node, why=str(problem))
-            return
-        self._moot(query)
-
-    def _moot(self, query: ServiceQuery) -> None:
-        """Tell the module of parts out that can't change the answer any more."""
-        search = query.plan.search
-        if search is None or query.on_reply is None:
-            return
-        for part_id in search.top.newly_moot():
-            seq = query.parts[part_id].attempt_count - 1
-            if part_id in search.superseded or (part_id, seq) not in query.in_flight:
-                continue
-            search.superseded.add(part_id)
-            self.counters["moot", self._query_class(query).name] += 1
-            self.events("moot", p=part_id, seq=seq)
-            self._push(policy.AttemptSuperseded(part_id, seq), query.settings_version)
+        if query is not None:
+            self.search_answers.on_score_bound(query, node, key, best)
+
+    def supersede_attempt(self, query: ServiceQuery, part_id: str, attempt: int) -> None:
+        """Tell the module that an attempt can't change its query's answer any more."""
+        self._push(policy.AttemptSuperseded(part_id, attempt), query.settings_version)
 
-    def _holders(self, shard: int) -> list[str]:
-        """The hosts listed as live that hold a shard."""
+    def live_replicas(self, shard: int) -> list[str]:
+        """The endpoints listed as live that hold a shard."""
         cells, fleet = self.aggregator.endpoints_by_group, self.service_settings.fleet
         return [
             server.node
@@ -705,18 +412,14 @@
 
     def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
         """A connection's word on a probe."""
-        if self.regions is not None:
-            self.regions.probed(self.loop.now(), node, outcome)
-            self._tell_links(self.regions)
+        self.restrictions.on_probe_result(node, outcome)
         if self.zone_observer is not None:
             self.zone_observer.on_probe_result(node, outcome)
         super().on_probe_result(node, outcome)
 
     def on_late_answer(self, node: str) -> None:
         """Counts for nothing but as a sign that the way to the host is open."""
-        if self.regions is not None:
-            self.regions.heard(self.loop.now(), node)
-            self._tell_links(self.regions)
+        self.restrictions.on_late_answer(node)
 
     def said_draining(self, node: str) -> None:
         """A host tells its drain on the connection, before discovery does."""
@@ -740,13 +443,11 @@
 
     def on_attempt_sent(self, node: str, key: Key) -> None:
         """The region decider hears of it."""
-        if self.regions is not None:
-            self.regions.sent(self.loop.now(), node, key)
+        self.restrictions.on_attempt_sent(node, key)
 
     def on_attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, took_us: int) -> None:
         """The region decider hears of it."""
-        if self.regions is not None:
-            self.regions.ended(self.loop.now(), node, key, outcome, took_us)
+        self.restrictions.on_attempt_ended(node, key, outcome, took_us)
         if self.quota_gate is not None:
             self.quota_gate.forget_attempt(key)
         if self.zone_observer is not None:
@@ -774,8 +475,8 @@
         )
 
     def retry_after_us(self, query: ServiceQuery, after_us: int) -> int:
-        """The module's word, or the storm decider's."""
-        return self._advice(query.plan, query.who, after_us, query.settings_version)
+        """After how long the client of a rejected query may retry; ``after_us`` is the module's advice."""
+        return self.admission.retry_after_us(query.plan, query.who, query.settings_version, after_us)
 
     def second_step(self, query: ServiceQuery, whole: bool) -> Iterator[tuple[ServicePart, int | None]]:
         """Item detail at shards that answered."""
@@ -790,67 +491,22 @@
     def merge(self, query: ServiceQuery, whole: bool) -> Reply:
         """By the key space's shape, or a search's rows."""
         spec = self._query_class(query)
-        coverage = self._coverage(query)
         answered = [part for part in query.parts.values() if part.data is not None]
         age = self.freshness.age_of(query, answered) if self.freshness is not None else None
-        if query.plan.search is not None:
-            return Reply(ANSWERED, query.id, spec.name, whole, coverage, self._rows(query), age=age)
-        firsts = [p.data for p in query.parts.values() if p.step == 1 and p.data is not None]
-        seconds = [p.data for p in query.parts.values() if p.step == 2 and p.data is not None]
         try:
-            body = key_spaces.merge(query.plan.shape, firsts, seconds)
-        except (ValueError, KeyError, TypeError) as problem:
-            self.log("error", "parts that can't be merged", query=query.id, why=repr(problem))
+            return merge_reply(query, spec, whole, age)
+        except UnmergeablePartsError as error:
+            self.log("error", "parts that can't be merged", query=query.id, why=error.reason)
             self.counters["unmergeable",] += 1
             return Reply(FAILED, query.id, spec.name)
-        if query.plan.shape == "record" and not body.get("found", False):
-            return Reply(MISS, query.id, spec.name, True, coverage, age=age)
-        return Reply(ANSWERED, query.id, spec.name, whole, coverage, body, age=age)
-
-    def _rows(self, query: ServiceQuery) -> dict[str, Any]:
-        """A search's merged rows, one :class:`~heathwell.merge.Merged` a search."""
-        search = query.plan.search
-        assert search is not None
-        missing = [p.id for p in query.parts.values() if p.data is None]
-        usual = search.top.usual_points()
-        return {
-            "searches": [
-                search.top.result(number, missing, usual) for number in range(len(search.top.limits))
-            ]
-        }
-
-    def _coverage(self, query: ServiceQuery) -> Coverage:
-        spec = self._query_class(query)
-        first = [p for p in query.parts.values() if p.step == 1]
-        moot = query.plan.search.superseded if query.plan.search is not None else set()
-        second = [p for p in query.parts.values() if p.step == 2]
-        got = [p for p in first if p.data is not None]
-        cover = Cover.of(
-            (p.plan.shard for p in first),
-            (p.plan.shard for p in got),
-            min((p.source_us for p in query.parts.values() if p.data is not None), default=None),
-        )
-        return Coverage(
-            requested_parts=len(first),
-            answered_parts=len(got),
-            superseded=sum(p.id in moot for p in first if p.data is None),
-            weight=round(sum(p.plan.weight for p in first if p.data is not None or p.id in moot), 6),
-            required_fraction=spec.required_fraction,
-            minimum_fraction=spec.minimum_fraction,
-            missing=tuple(cover.missing()),
-            cover=cover,
-            second_step_requested=len(second),
-            second_step_answered=sum(p.data is not None for p in second),
-        )
 
     def on_reply_made(self, query: ServiceQuery, reply: Reply, took_us: int) -> None:
         """The storm decider, the sums of service, the event log and the explanations hear of it."""
         if self.service_statistics is not None:
             self.service_statistics.ended(self.loop.now(), query.who, query.plan.key, reply)
-        if self.storms is not None:
-            self.storms.ended(
-                self.loop.now(),
-                self._cost(query.plan, query.settings_version),
+        if self.storm_control is not None:
+            self.storm_control.record_reply(
+                query_cost_us(query.plan, query.settings_version),
                 reply.kind in (ANSWERED, MISS),
                 took_us <= self._query_class(query).latency_objective_us,
             )
@@ -884,41 +540,8 @@
         )
 
     def new_link(self, node: str) -> HostLink | HostPool:
-        """One connection a host, or a pool of some, on the inner wire."""
-        limits, spending = self.service_settings.limits, self.quota_gate
-        quiet = spending.linger_us if spending is not None else 0
-
-        def make(on_closed: Callable[[bool], None] | None, idle: int) -> HostLink:
-            return HostLink(
-                self.loop,
-                self.net,
-                node,
-                self.name,
-                self,
-                connect_timeout=limits.connect_timeout,
-                probe_timeout=limits.probe_timeout,
-                idle_close=idle,
-                log=self.log,
-                quiet_us=quiet,
-                on_closed=on_closed,
-            )
-
-        if limits.host_connections == 1:
-            return make(None, limits.idle_close)
-        shared = spending is not None and spending.has_budget(CONNECTIONS)
-        return HostPool(
-            self.loop,
-            lambda on_closed: make(on_closed, min(limits.idle_close, EXTRA_IDLE_US)),
-            most=limits.host_connections,
-            busy=limits.busy_connection,
-            linger_us=quiet,
-            take=(lambda: spending.acquire_connection(node))
-            if spending is not None and shared
-            else lambda: True,
-            give_back=(lambda: spending.release_connection(node))
-            if spending is not None and shared
-            else lambda: None,
-        )
+        """A connection to an endpoint, or a pool of some."""
+        return self.connections.connect(node)
 
     # Budgets of the whole fleet, where settings turn them on.
 
