--- a/heathwell/broker/service_statistics.py
+++ b/heathwell/broker/service_statistics.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import os
 import time
 from collections import OrderedDict
@@ -66,16 +65,3 @@
             "cpu_us": time.process_time_ns() // 1000,
             "memory": pages * os.sysconf("SC_PAGE_SIZE"),
         }
-
-
-def program_digest(package: Path) -> str:
-    """What names a program tree: its sources, by name and content."""
-    whole = hashlib.sha256()
-    for path in sorted(package.rglob("*.py")):
-        whole.update(str(path.relative_to(package)).encode() + b"\0" + path.read_bytes() + b"\0")
-    return whole.hexdigest()[:16]
-
-
-def settings_digest(path: str | Path) -> str:
-    """What names a settings file."""
-    return hashlib.sha256(Path(path).read_bytes()).hexdigest()[:12]
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -18,7 +18,7 @@
 from heathwell import __version__
 from heathwell.broker.records import module_settings
 from heathwell.broker.service_broker import ServiceBroker
-from heathwell.broker.service_statistics import ServiceStatistics, program_digest, settings_digest
+from heathwell.broker.service_statistics import ServiceStatistics
 from heathwell.broker.settings_change import SettingsChangeError
 from heathwell.cli import logs
 from heathwell.fronts.admin import AdminFront
@@ -36,6 +36,7 @@
     sleep,
     socket_loop,
 )
+from heathwell.observability.digests import program_digest, settings_digest
 from heathwell.observability.event_log import EventLog, FileEvents, NoEvents
 from heathwell.settings import ServiceSettings, SettingsError, load
 from heathwell.standins.discovery import Discovery
--- a/heathwell/fleet/control/machine.py
+++ b/heathwell/fleet/control/machine.py
@@ -20,7 +20,6 @@
 from typing import Any
 
 from heathwell import inner_protocol
-from heathwell.broker.service_statistics import program_digest, settings_digest
 from heathwell.codec import frames
 from heathwell.codec.http import ClientSide, HttpError
 from heathwell.fleet.control.messages import MESSAGE_MOST
@@ -36,6 +35,7 @@
 )
 from heathwell.kernel import ConnectFailed, Coro, Listener, Loop, Net, Stream, StreamBroken, sleep
 from heathwell.kernel.net import split_address
+from heathwell.observability.digests import program_digest, settings_digest
 
 LOOK_US = 100_000
 ASK_US = 500_000  # how often brokers are asked what they did
