--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -72,7 +72,10 @@
         super().__init__(
             loop, module_settings(service_settings, zone, siblings), seed, name=name, events=events, log=log
         )
-        self.net, self.service_statistics, self.zone, self.aggregator_count = net, service, zone, siblings
+        self.net = net
+        self.service_statistics = service
+        self.zone = zone
+        self.aggregator_count = siblings
         self.current_version.extension = ServiceSnapshot.from_settings(service_settings)
         self.quota_gate = QuotaGate(self, agent) if agent is not None else None
         self.connections = EndpointConnections(self, self, net, self.quota_gate)
@@ -93,12 +96,8 @@
         self.reachability = ShardReachability(self, self.restrictions, self.live_replicas)
         self.costs = Costs()
         self.search_answers = SearchAnswers(self, self.costs)
-        self.fair_admission: FairAdmission | None = None
-        if service_settings.fronts.queue_target:
-            self.fair_admission = FairAdmission(self, service_settings, siblings, seed)
-        self.storm_control: StormControl | None = None
-        if service_settings.storms.on:
-            self.storm_control = StormControl(self, service_settings, seed)
+        self.fair_admission = self._make_fair_admission(seed)
+        self.storm_control = self._make_storm_control(seed)
         self.admission = QueryAdmission(self, self.reachability, self.storm_control, self.random)
         leaving = service_settings.fleet.zone_let_go if self.zone_observer is not None else 0
         self.client_drain = ClientDrain(service_settings.across.let_go or leaving, seed ^ 0xD12A)
@@ -116,6 +115,16 @@
             roster,
         )
 
+    def _make_fair_admission(self, seed: int) -> FairAdmission | None:
+        if not self.service_settings.fronts.queue_target:
+            return None
+        return FairAdmission(self, self.service_settings, self.aggregator_count, seed)
+
+    def _make_storm_control(self, seed: int) -> StormControl | None:
+        if not self.service_settings.storms.on:
+            return None
+        return StormControl(self, self.service_settings, seed)
+
     # Versions of the settings
 
     @property
@@ -394,11 +403,12 @@
 
     def live_replicas(self, shard: int) -> list[str]:
         """The endpoints listed as live that hold a shard."""
-        cells, fleet = self.aggregator.endpoints_by_group, self.service_settings.fleet
+        groups = self.aggregator.endpoints_by_group
+        fleet = self.service_settings.fleet
         return [
             server.node
             for step in range(fleet.width)
-            for server in cells.get((shard + step) % fleet.cells, [])
+            for server in groups.get((shard + step) % fleet.cells, [])
             if server.live
         ]
 
