--- a/heathwell/fleet/quotas/fraction_lease.py
+++ b/heathwell/fleet/quotas/fraction_lease.py
@@ -12,13 +12,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from heathwell.fleet.quotas.lease import Lease
 from heathwell.fleet.quotas.messages import FractionLeaseRequest, FractionLeaseVote
 
 
-@dataclass(frozen=True, slots=True)
-class CastVote:
+class CastVote(NamedTuple):
     """A vote for a candidate, and when it expires on the voter's clock."""
 
     candidate: str
--- a/heathwell/fleet/quotas/quota_holder.py
+++ b/heathwell/fleet/quotas/quota_holder.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from heathwell.fleet.quotas.budget import MILLIUNITS_PER_UNIT, US_PER_SECOND, Budget, BudgetKind
 from heathwell.fleet.quotas.errors import UnitNotHeldError
@@ -27,8 +28,7 @@
     expires_at_us: int
 
 
-@dataclass(frozen=True, slots=True)
-class GrantNumber:
+class GrantNumber(NamedTuple):
     """The highest grant number received of one grantor; an older one is never taken."""
 
     grantor: str
