--- a/heathwell/fleet/control/zones.py
+++ b/heathwell/fleet/control/zones.py
@@ -110,7 +110,7 @@
                 )
         self.decider.update_load(
             {name: sum(rate for (zone, _), rate in rates.items() if zone == name) for name in self.names},
-            {name: float(self.bears) or self.capacity.capacity(now, name) for name in self.names},
+            {name: float(self.bears) or self.capacity.estimate(now, name) for name in self.names},
             rates,
         )
         told = [str(transition) for transition in self.decider.reconcile(now)]
--- a/heathwell/fleet/evacuation/capacity.py
+++ b/heathwell/fleet/evacuation/capacity.py
@@ -79,7 +79,7 @@
             answers += counts.answered
         return weighted / answers if answers else None
 
-    def capacity(self, now_us: int, zone: str) -> float:
+    def estimate(self, now_us: int, zone: str) -> float:
         """The capacity that is proven or extrapolated, in parts a second; 0 where nothing was observed."""
         estimate = self._zones.get(zone)
         if estimate is None:
--- a/heathwell/fleet/evacuation/state_machine.py
+++ b/heathwell/fleet/evacuation/state_machine.py
@@ -82,7 +82,7 @@
 
 @dataclass(slots=True)
 class ZoneStateMachine:
-    """One zone's state and what brokers are told of it.
+    """One zone's state, and what its directive to brokers is made of.
 
     ``restore_step`` is an index of ``RESTORE_SHARES``. ``pinned_by`` is the operator, with the reason, whose
     order holds until the next one.
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -294,21 +294,21 @@
     for rate in (10, 20, 40, 60, 80):  # of 100
         now += 2 * S
         learned.observe(now, "a", two_cores(rate, 100))
-        assert learned.capacity(now, "a") >= rate
+        assert learned.estimate(now, "a") >= rate
         if rate >= 40:
-            assert 75 <= learned.capacity(now, "a") <= 160, rate
-    assert 90 <= learned.capacity(now, "a") <= 110  # near its end it is known well
+            assert 75 <= learned.estimate(now, "a") <= 160, rate
+    assert 90 <= learned.estimate(now, "a") <= 110  # near its end it is known well
     learned.observe(now + 2 * S, "a", {"price": AttemptCounts(bad=100)})
-    assert 50 <= learned.capacity(now + 2 * S, "a") <= 80  # what it was seen to bear in its usual time
-    assert learned.capacity(now, "b") == 0.0
+    assert 50 <= learned.estimate(now + 2 * S, "a") <= 80  # what it was seen to bear in its usual time
+    assert learned.estimate(now, "b") == 0.0
 
 
 def test_an_idle_zones_capacity_is_bounded():
     learned = CapacityEstimator(2 * S)
     learned.observe(2 * S, "a", two_cores(20, 10_000))
-    assert learned.capacity(2 * S, "a") <= 4 * 20
+    assert learned.estimate(2 * S, "a") <= 4 * 20
     learned.observe(4 * S, "a", {"price": AttemptCounts(good=3, took_ms=300)})  # a handful tells nothing
-    assert learned.capacity(4 * S, "a") > 0
+    assert learned.estimate(4 * S, "a") > 0
 
 
 def test_two_zones_of_three_may_be_lost_without_any_broker_cut_off():
@@ -376,7 +376,7 @@
     for took_ms in range(count, 20 * count):
         estimator = CapacityEstimator(2 * S)
         estimator.observe(2 * S, "a", {"price": AttemptCounts(good=count, took_ms=took_ms)})
-        assert estimator.capacity(2 * S, "a") == pytest.approx(4 * count / 2)
+        assert estimator.estimate(2 * S, "a") == pytest.approx(4 * count / 2)
 
 
 def test_an_unknown_state_of_the_standing_decision_is_restored_as_evacuated():
