Rollout tests: names of the field; preflight, the order of classes and the layer are tested

Cause: tests still spoke of course, judge, wish and slot; preflight had no test of its own, nor had the sorted order of classes or the rule that this package imports nothing of heathwell outside itself.

Change: tests renamed, none dropped or eased; four added: no warning without a change, warnings name their override, "all classes" is the first class to be named, imports of the package. Benchmarks: names alone.

--- a/benchmarks/releases.py
+++ b/benchmarks/releases.py
@@ -1,9 +1,10 @@
-"""A thousand releases good and as many bad over brokers of figures: `.venv/bin/python benchmarks/releases.py
-[EACH]`.
+"""A thousand good releases and as many bad ones over simulated brokers.
 
-89 brokers in nine zones, 130 queries a second, on virtual time: the real judge and course, what brokers did
-is drawn. Four policies over the same seeds. Exit 1 when the judged one stopped over one good release in a
-hundred.
+`.venv/bin/python benchmarks/releases.py [EACH]`
+
+89 brokers in nine zones, 130 queries a second, on virtual time: the real rollout controller and canary
+analysis; what brokers did is drawn. Four policies over the same seeds. Exit 1 when the judged one stopped
+over one good release in a hundred.
 """
 
 from __future__ import annotations
@@ -48,7 +49,7 @@
 
 
 def mean(outcomes: list[Outcome], name: str) -> float:
-    """Of one figure."""
+    """The mean of one field of the outcomes."""
     return float(sum(getattr(outcome, name) for outcome in outcomes) / max(1, len(outcomes)))
 
 
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -17,8 +17,8 @@
 
 from heathwell.lab.rolling import DEFECTS, RollingFleet, plant, write_service_settings
 
-MARKET = Path(__file__).resolve().parent.parent / "examples/market-fleet.sx"
-A_FLEET = 6  # releases of one fleet, after which it is put up anew
+SETTINGS = Path(__file__).resolve().parent.parent / "examples/market-fleet.sx"
+RELEASES_PER_FLEET = 6  # releases of one fleet, after which it is put up anew
 Row = tuple[str, str, int, float, str]
 
 
@@ -27,7 +27,7 @@
     why.
     """
     folder = Path(tempfile.mkdtemp(prefix="heathwell-"))
-    write_service_settings(MARKET, folder / "market.sx")
+    write_service_settings(SETTINGS, folder / "market.sx")
     out: list[Row] = []
     try:
         with RollingFleet(folder / "run", folder / "market.sx", machines=2, rate=40.0).up() as fleet:
@@ -67,11 +67,12 @@
 def main(each: int, at_once: int) -> int:
     """Play them, and print a table by defect."""
     names = list(DEFECTS)
-    wanted = ["" if n % 2 else names[n // 2 % len(names)] for n in range(2 * each)]
-    rows = [wanted[n : n + A_FLEET] for n in range(0, len(wanted), A_FLEET)]
-    began, seen = time.monotonic(), list[Row]()
+    defects = ["" if n % 2 else names[n // 2 % len(names)] for n in range(2 * each)]
+    fleets = [defects[n : n + RELEASES_PER_FLEET] for n in range(0, len(defects), RELEASES_PER_FLEET)]
+    started_at = time.monotonic()
+    seen: list[Row] = []
     with ProcessPoolExecutor(at_once, max_tasks_per_child=1) as pool:
-        for part in pool.map(row, rows):
+        for part in pool.map(row, fleets):
             seen += part
             for defect, state, stage, seconds, why in part:
                 print(
@@ -92,7 +93,7 @@
             f"stages {stages}; "
             f"{sum(one[3] for one in some) / len(some):.0f} s each; {wrong} wrong"
         )
-    print(f"{len(seen)} releases in {time.monotonic() - began:.0f} s, {bad} not as they should")
+    print(f"{len(seen)} releases in {time.monotonic() - started_at:.0f} s, {bad} not as they should")
     return 1 if bad else 0
 
 
--- a/tests/test_broker_supervisor.py
+++ b/tests/test_broker_supervisor.py
@@ -1,6 +1,4 @@
-"""One broker of a machine: started beside, digests told, drained, restarted with waits that double, given up.
-Pure.
-"""
+"""Supervisor of one broker: replacement beside the old process, digests, drain, backoff, giving up. Pure."""
 
 import pytest
 from hypothesis import given
@@ -26,31 +24,31 @@
     return supervisor
 
 
-def acts(actions, kind):
-    return [act for act in actions if isinstance(act, kind)]
+def of_kind(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
 
 
-def test_the_old_one_serves_until_the_new_one_does_and_then_finishes_what_it_holds():
+def test_the_old_process_serves_until_the_new_one_does_and_is_then_drained():
     supervisor = running()
     actions = supervisor.set_desired_version(2 * S, "new", 1, 2)
     assert (
-        acts(actions, StartProcess) == [StartProcess(2, "new")]
+        of_kind(actions, StartProcess) == [StartProcess(2, "new")]
         and supervisor.state == SupervisorState.REPLACING
         and supervisor.version == "old"
     )
     assert (
-        acts(supervisor.on_process_ready(3 * S, 2), StopProcess) == [StopProcess(1)]
+        of_kind(supervisor.on_process_ready(3 * S, 2), StopProcess) == [StopProcess(1)]
         and supervisor.version == "new"
         and supervisor.state == SupervisorState.DRAINING
     )
     assert (
-        not acts(supervisor.on_process_exited(4 * S, 1, 0), StartProcess)
+        not of_kind(supervisor.on_process_exited(4 * S, 1, 0), StartProcess)
         and supervisor.state == SupervisorState.RUNNING
         and not supervisor.failures
     )
 
 
-def test_a_wish_that_is_older_is_not_taken_and_one_repeated_does_nothing():
+def test_a_stale_decision_is_rejected_and_a_repeated_one_has_no_effect():
     supervisor = running()
     supervisor.set_desired_version(2 * S, "new", 2, 5)
     supervisor.on_process_ready(3 * S, 2)
@@ -63,7 +61,7 @@
     assert supervisor.set_desired_version(4 * S, "new", 2, 5) == []
 
 
-def test_one_that_lies_about_itself_never_serves():
+def test_a_process_that_reports_other_files_never_serves():
     supervisor = running()
     supervisor.set_desired_version(2 * S, "new", 1, 2)
     for run in (2, 3):  # tried twice
@@ -78,7 +76,7 @@
     assert not supervisor.tick(9 * S)
 
 
-def test_one_that_does_not_serve_in_time_is_killed_and_the_old_one_stays():
+def test_a_process_that_does_not_serve_in_time_is_killed_and_the_old_one_stays():
     supervisor = running()
     supervisor.set_desired_version(2 * S, "new", 1, 2)
     actions = supervisor.tick(2 * S + SupervisorLimits().start_timeout_us)
@@ -89,11 +87,11 @@
     )
 
 
-def test_one_that_does_not_finish_in_time_is_killed():
+def test_a_process_that_is_not_drained_in_time_is_killed():
     supervisor = running()
     supervisor.set_desired_version(2 * S, "new", 1, 2)
     supervisor.on_process_ready(3 * S, 2)
-    assert not acts(supervisor.tick(4 * S), StopProcess)
+    assert not of_kind(supervisor.tick(4 * S), StopProcess)
     assert StopProcess(1, force=True) in supervisor.tick(3 * S + SupervisorLimits().drain_timeout_us)
     supervisor.on_process_exited(15 * S, 1, -9, in_flight=3)
     assert (
@@ -103,15 +101,15 @@
     )
 
 
-def test_what_crashes_is_started_again_with_waits_that_double_and_given_up_loudly():
-    supervisor, now, starts, said = running(), 2 * S, [], []
+def test_crashes_are_followed_by_starts_with_backoff_and_then_by_giving_up():
+    supervisor, now, starts, messages = running(), 2 * S, [], []
     supervisor.on_process_exited(now, 1, 1)
     while supervisor.state != SupervisorState.GAVE_UP:
         assert supervisor.state == SupervisorState.WAITING
-        for act in supervisor.tick(now):
-            if isinstance(act, StartProcess):
+        for action in supervisor.tick(now):
+            if isinstance(action, StartProcess):
                 starts.append(now)
-                said += acts(supervisor.on_process_exited(now, act.run, 1), LogMessage)
+                messages += of_kind(supervisor.on_process_exited(now, action.run, 1), LogMessage)
         now += 50_000
         assert now < 60 * S
     waits = [after - before for before, after in zip(starts, starts[1:], strict=False)]
@@ -119,12 +117,14 @@
         all(after > 1.5 * before for before, after in zip(waits, waits[1:], strict=False))
         and len(starts) >= 4
     )
-    assert any(say.level == "error" and "operator" in say.text for say in said)
+    assert any(message.level == "error" and "operator" in message.text for message in messages)
     assert not supervisor.tick(now + 100 * S)
-    assert acts(supervisor.set_desired_version(now, "other", 1, 3), StartProcess)  # a new wish is tried
+    assert of_kind(
+        supervisor.set_desired_version(now, "other", 1, 3), StartProcess
+    )  # a new decision is tried
 
 
-def test_a_version_that_keeps_dying_gives_way_to_the_one_before():
+def test_a_version_that_keeps_crashing_is_replaced_by_the_previous_one():
     supervisor, now = running(), 2 * S
     supervisor.set_desired_version(now, "new", 1, 2)
     supervisor.on_process_ready(now, 2)
@@ -132,11 +132,11 @@
     started = ""
     for _ in range(2000):
         now += 50_000
-        for act in supervisor.tick(now):
-            if isinstance(act, StartProcess):
-                started = act.version
+        for action in supervisor.tick(now):
+            if isinstance(action, StartProcess):
+                started = action.version
                 if started == "new":
-                    supervisor.on_process_ready(now, act.run)
+                    supervisor.on_process_ready(now, action.run)
         if started == "old":
             break
         if supervisor.serving is not None:
@@ -144,7 +144,7 @@
     assert started == "old" and "in a row" in supervisor.failures["new"]
 
 
-def test_a_wish_that_changes_while_the_new_one_starts_ends_that_start():
+def test_a_new_decision_kills_the_process_that_is_starting():
     supervisor = running()
     supervisor.set_desired_version(2 * S, "new", 1, 2)
     actions = supervisor.set_desired_version(2 * S, "old", 1, 3)
@@ -158,44 +158,46 @@
 def test_an_adopted_process_is_replaced_like_any_other():
     supervisor = BrokerSupervisor("b0")
     supervisor.adopt_process(0, 7, "old")
-    assert acts(supervisor.set_desired_version(S, "new", 1, 1), StartProcess) == [StartProcess(8, "new")]
+    assert of_kind(supervisor.set_desired_version(S, "new", 1, 1), StartProcess) == [StartProcess(8, "new")]
     assert StopProcess(7) in supervisor.on_process_ready(2 * S, 8)
 
 
 @given(
     st.lists(
-        st.tuples(st.sampled_from(["want", "ready", "lie", "end", "crash", "wait"]), st.integers(0, 3)),
+        st.tuples(
+            st.sampled_from(["decide", "ready", "mismatch", "exit", "crash", "tick"]), st.integers(0, 3)
+        ),
         max_size=60,
     )
 )
-def test_whatever_happens_at_most_one_serves_one_starts_and_one_goes(steps):
+def test_at_most_one_process_serves_one_starts_and_one_drains(steps):
     """And an address that was served is never left without a start to come, but by giving up."""
     supervisor, now, number, live = BrokerSupervisor("b0"), 0, 0, {}
     for what, which in steps:
         now += 300_000
         actions = []
-        if what == "want":
+        if what == "decide":
             number += 1
             actions = supervisor.set_desired_version(now, f"v{which}", 1, number)
-        elif what == "wait":
+        elif what == "tick":
             actions = supervisor.tick(now)
         elif live:
             run = sorted(live)[which % len(live)]
             if what == "ready":
                 actions = supervisor.on_process_ready(now, run)
-            elif what == "lie":
-                actions = supervisor.on_process_rejected(now, run, "a lie")
+            elif what == "mismatch":
+                actions = supervisor.on_process_rejected(now, run, "other files")
             else:
                 del live[run]
-                actions = supervisor.on_process_exited(now, run, 0 if what == "end" else 1)
+                actions = supervisor.on_process_exited(now, run, 0 if what == "exit" else 1)
         actions = list(actions)
         while actions:
-            act = actions.pop(0)
-            if isinstance(act, StartProcess):
-                assert act.run not in live
-                live[act.run] = act.version
-            elif isinstance(act, StopProcess) and act.force and live.pop(act.run, None):
-                actions += supervisor.on_process_exited(now, act.run, -9)
+            action = actions.pop(0)
+            if isinstance(action, StartProcess):
+                assert action.run not in live
+                live[action.run] = action.version
+            elif isinstance(action, StopProcess) and action.force and live.pop(action.run, None):
+                actions += supervisor.on_process_exited(now, action.run, -9)
         parts = [
             p.run for p in (supervisor.serving, supervisor.starting, supervisor.draining) if p is not None
         ]
@@ -219,7 +221,7 @@
 
 
 @pytest.mark.parametrize("code", [1, -15])
-def test_a_bad_end_of_the_one_that_goes_speaks_against_what_is_wished(code):
+def test_a_failed_drain_fails_the_desired_version(code):
     """Where a version is started a second time, how its first run ended is part of what it is."""
     supervisor = running("new")
     supervisor.set_desired_version(2 * S, "new~", 1, 2)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,9 +1,13 @@
-"""Rolling change: the course's table, its stages, the analysis's word on good and bad releases. Pure, or on
-figures.
+"""Rollouts: transitions, stages, preflight checks, and the canary analysis of good and bad releases.
+
+Pure, or on simulated brokers.
 """
 
+import ast
 import itertools
 from collections import Counter
+from copy import deepcopy
+from pathlib import Path
 
 import pytest
 from hypothesis import given
@@ -25,22 +29,25 @@
     select_brokers,
 )
 from heathwell.fleet.rollout.plan import next_batch
+from heathwell.fleet.rollout.preflight import preflight_warnings
 from heathwell.fleet.rollout.rollout_controller import TRANSITIONS
 from heathwell.lab.releases import CLASSES, DEFECTS, WINDOW_US, Releases, play
+from heathwell.settings import load
 
 S = 1_000_000
+ROOT = Path(__file__).parent.parent
 ZONES = {f"b{n}": f"z{n % 3}" for n in range(12)}
 PLAN = Plan((Stage(0.0, 4 * S, 8 * S), Stage(0.25, 4 * S, 8 * S), Stage(1.0, 4 * S, 8 * S)))
 
 
-def course(**more):
+def new_controller(**more):
     return RolloutController("c1", "old", "new", dict(ZONES), PLAN, **more)
 
 
-def converge(change, runs, at=None):
+def deploy(controller, runs, at=None):
     """Carry out batches until nothing is left; ``at`` is a number of replacements after which to stop."""
     done = 0
-    while batch := change.next_updates(runs, set()):
+    while batch := controller.next_updates(runs, set()):
         for name, version in batch.items():
             if at is not None and done >= at:
                 return done
@@ -49,34 +56,34 @@
     return done
 
 
-def windows(change, runs, worth=1.0, new_worth=1.0, asked=20):
+def windows(controller, runs, goodput=1.0, canary_goodput=1.0, queries=20):
     return [
         BrokerWindow(
             name,
             zone,
             runs[name] != "old",
-            {"one": QueryStatistics(asked, asked * (new_worth if runs[name] != "old" else worth))},
+            {"one": QueryStatistics(queries, queries * (canary_goodput if runs[name] != "old" else goodput))},
             cpu_us=1000,
         )
-        for name, zone in change.zones.items()
+        for name, zone in controller.zones.items()
     ]
 
 
-def through(change, runs, most=200):
+def complete(controller, runs, most=200):
     """To its end where nothing is wrong."""
     for _ in range(most):
-        converge(change, runs)
-        change.observe_versions(runs)
-        change.observe_window(windows(change, runs))
-        if change.state in FINAL_STATES:
+        deploy(controller, runs)
+        controller.observe_versions(runs)
+        controller.observe_window(windows(controller, runs))
+        if controller.state in FINAL_STATES:
             return
-    raise AssertionError(change.state)
+    raise AssertionError(controller.state)
 
 
-# The table.
+# Transitions.
 
 
-def test_each_state_leads_to_an_end_and_ends_lead_only_to_undoing():
+def test_each_state_reaches_a_final_state_and_those_lead_only_to_a_rollback():
     for state in TRANSITIONS:
         reached, front = {state}, [state]
         while front:
@@ -96,97 +103,99 @@
 
 
 def test_a_good_change_goes_through_its_stages_to_the_end():
-    change, runs = course(), dict.fromkeys(ZONES, "old")
-    change.apply_event(RolloutEvent.STARTED)
-    change.apply_event(RolloutEvent.PREFLIGHT_PASSED)
-    through(change, runs)
-    assert change.state == RolloutState.DONE and {
+    controller, runs = new_controller(), dict.fromkeys(ZONES, "old")
+    controller.apply_event(RolloutEvent.STARTED)
+    controller.apply_event(RolloutEvent.PREFLIGHT_PASSED)
+    complete(controller, runs)
+    assert controller.state == RolloutState.DONE and {
         version.rstrip(RESTART_SUFFIX) for version in runs.values()
     } == {"new"}
-    assert [step.stage for step in change.history if step.after == RolloutState.OBSERVING] == [0, 1, 2]
+    assert [step.stage for step in controller.history if step.after == RolloutState.OBSERVING] == [0, 1, 2]
 
 
 @pytest.mark.parametrize("event", [RolloutEvent.HOLD, RolloutEvent.UNDO])
-def test_an_operators_word_is_taken_at_each_step(event):
+def test_an_operators_command_is_taken_at_each_step(event):
     for steps in range(1, 30):
-        change, runs = course(), dict.fromkeys(ZONES, "old")
-        change.apply_event(RolloutEvent.STARTED)
-        change.apply_event(RolloutEvent.PREFLIGHT_PASSED)
+        controller, runs = new_controller(), dict.fromkeys(ZONES, "old")
+        controller.apply_event(RolloutEvent.STARTED)
+        controller.apply_event(RolloutEvent.PREFLIGHT_PASSED)
         for _ in range(steps):
-            converge(change, runs, at=1)
-            change.observe_versions(runs)
-            change.observe_window(windows(change, runs))
+            deploy(controller, runs, at=1)
+            controller.observe_versions(runs)
+            controller.observe_window(windows(controller, runs))
         before = dict(runs)
-        if change.apply_event(event) is None:
-            assert change.state == RolloutState.DONE and event is RolloutEvent.HOLD
+        if controller.apply_event(event) is None:
+            assert controller.state == RolloutState.DONE and event is RolloutEvent.HOLD
             continue
         if event is RolloutEvent.HOLD:
             assert (
-                change.state == RolloutState.HELD and not change.next_updates(runs, set()) and runs == before
+                controller.state == RolloutState.HELD
+                and not controller.next_updates(runs, set())
+                and runs == before
             )
-            change.apply_event(RolloutEvent.RESUME)
-            through(change, runs)
-            assert change.state == RolloutState.DONE
+            controller.apply_event(RolloutEvent.RESUME)
+            complete(controller, runs)
+            assert controller.state == RolloutState.DONE
         else:
-            converge(change, runs)
-            change.observe_versions(runs)
-            assert change.state == RolloutState.ROLLED_BACK and set(runs.values()) == {"old"}
+            deploy(controller, runs)
+            controller.observe_versions(runs)
+            assert controller.state == RolloutState.ROLLED_BACK and set(runs.values()) == {"old"}
 
 
-def test_begun_again_after_any_step_it_comes_out_the_same():
+def test_restored_after_any_step_the_rollout_ends_the_same():
     """Killed between any two steps: the record of before the step, and what brokers run by then, lead to one
     end.
     """
     for killed_after in range(1, 25):
-        change, runs = course(), dict.fromkeys(ZONES, "old")
-        change.apply_event(RolloutEvent.STARTED)
-        change.apply_event(RolloutEvent.PREFLIGHT_PASSED)
+        controller, runs = new_controller(), dict.fromkeys(ZONES, "old")
+        controller.apply_event(RolloutEvent.STARTED)
+        controller.apply_event(RolloutEvent.PREFLIGHT_PASSED)
         for step in itertools.count():
-            record = change.to_record()
-            converge(change, runs, at=1)
+            record = controller.to_record()
+            deploy(controller, runs, at=1)
             if step == killed_after:
-                fresh = course()
+                fresh = new_controller()
                 fresh.restore(record, term=2)
-                change = fresh
-            change.observe_versions(runs)
-            change.observe_window(windows(change, runs))
-            if change.state in FINAL_STATES:
+                controller = fresh
+            controller.observe_versions(runs)
+            controller.observe_window(windows(controller, runs))
+            if controller.state in FINAL_STATES:
                 break
-        assert change.state == RolloutState.DONE and {
+        assert controller.state == RolloutState.DONE and {
             version.rstrip(RESTART_SUFFIX) for version in runs.values()
         } == {"new"}
 
 
-def test_a_record_of_another_change_is_refused():
+def test_a_record_of_another_rollout_is_rejected():
     other = RolloutController("c2", "old", "new", dict(ZONES), PLAN)
     with pytest.raises(ValueError, match="c1"):
-        other.restore(course().to_record(), 2)
+        other.restore(new_controller().to_record(), 2)
 
 
-def test_undoing_goes_on_beside_a_broker_that_can_not_be_reached_and_waits_for_it():
-    change, runs = course(), dict.fromkeys(ZONES, "old")
-    change.apply_event(RolloutEvent.STARTED)
-    change.apply_event(RolloutEvent.PREFLIGHT_PASSED)
-    converge(change, runs)
-    change.observe_versions(runs)
-    gone = sorted(change.updated_brokers())[0]
-    change.apply_event(RolloutEvent.UNDO)
+def test_a_rollback_goes_on_beside_an_unreachable_broker_and_waits_for_it():
+    controller, runs = new_controller(), dict.fromkeys(ZONES, "old")
+    controller.apply_event(RolloutEvent.STARTED)
+    controller.apply_event(RolloutEvent.PREFLIGHT_PASSED)
+    deploy(controller, runs)
+    controller.observe_versions(runs)
+    gone = sorted(controller.updated_brokers())[0]
+    controller.apply_event(RolloutEvent.UNDO)
     seen = {name: version for name, version in runs.items() if name != gone}
-    converge(change, seen)
-    change.observe_versions(seen)
-    assert change.state == RolloutState.ROLLING_BACK and set(seen.values()) == {"old"}
+    deploy(controller, seen)
+    controller.observe_versions(seen)
+    assert controller.state == RolloutState.ROLLING_BACK and set(seen.values()) == {"old"}
     back = {**seen, gone: runs[gone]}  # it comes back with the new version
-    assert change.next_updates(back, set()) == {gone: "old"}
-    converge(change, back)
-    change.observe_versions(back)
-    assert change.state == RolloutState.ROLLED_BACK
+    assert controller.next_updates(back, set()) == {gone: "old"}
+    deploy(controller, back)
+    controller.observe_versions(back)
+    assert controller.state == RolloutState.ROLLED_BACK
 
 
 # Stages.
 
 
 @given(st.integers(1, 60), st.integers(1, 9), st.floats(0.1, 1.0))
-def test_stages_grow_and_leave_each_zone_something_to_be_judged_against(brokers, zones, share):
+def test_stages_grow_and_leave_each_zone_a_baseline(brokers, zones, share):
     names = {f"b{n:02}": f"z{n % zones}" for n in range(brokers)}
     plan, before = Plan(max_zone_fraction=share), set()
     sizes = Counter(names.values())
@@ -205,7 +214,7 @@
 
 
 @given(st.integers(1, 40), st.integers(1, 5), st.floats(0.05, 1.0), st.integers(1, 8))
-def test_no_more_of_a_zone_than_its_share_is_replaced_at_once(brokers, zones, share, at_once):
+def test_no_more_of_a_zone_than_its_fraction_is_replaced_at_once(brokers, zones, share, at_once):
     names = {f"b{n:02}": f"z{n % zones}" for n in range(brokers)}
     plan = Plan(max_zone_fraction=share, max_concurrent=at_once)
     batch = next_batch(plan, sorted(names), set(), names)
@@ -216,7 +225,7 @@
 
 
 @pytest.mark.parametrize("stages", [(), (Stage(0.5),), (Stage(0.5), Stage(0.2), Stage(1.0))])
-def test_stages_that_do_not_grow_to_all_are_refused(stages):
+def test_stages_that_do_not_grow_to_all_are_rejected(stages):
     with pytest.raises(ValueError, match="stages"):
         Plan(stages)
 
@@ -224,52 +233,58 @@
 # The analysis.
 
 
-def test_too_little_traffic_is_said():
-    change, runs = course(), dict.fromkeys(ZONES, "old")
-    change.apply_event(RolloutEvent.STARTED)
-    change.apply_event(RolloutEvent.PREFLIGHT_PASSED)
-    converge(change, runs)
-    change.observe_versions(runs)
-    while change.state == RolloutState.OBSERVING:
-        change.observe_window(windows(change, runs, asked=1))
-    assert change.state == RolloutState.DEPLOYING and "too little" in change.reason
+def test_insufficient_data_is_reported():
+    controller, runs = new_controller(), dict.fromkeys(ZONES, "old")
+    controller.apply_event(RolloutEvent.STARTED)
+    controller.apply_event(RolloutEvent.PREFLIGHT_PASSED)
+    deploy(controller, runs)
+    controller.observe_versions(runs)
+    while controller.state == RolloutState.OBSERVING:
+        controller.observe_window(windows(controller, runs, queries=1))
+    assert controller.state == RolloutState.DEPLOYING and "too little" in controller.reason
 
 
-def test_a_stage_that_must_be_proved_is_held_without_evidence():
+def test_a_stage_that_requires_proof_is_held_without_evidence():
     plan = Plan((Stage(0.25, 4 * S, 8 * S, require_proof=True), Stage(1.0, 4 * S, 8 * S)))
-    change, runs = RolloutController("c1", "old", "new", dict(ZONES), plan), dict.fromkeys(ZONES, "old")
-    change.apply_event(RolloutEvent.STARTED)
-    change.apply_event(RolloutEvent.PREFLIGHT_PASSED)
-    converge(change, runs)
-    change.observe_versions(runs)
-    while change.state == RolloutState.OBSERVING:
-        change.observe_window(windows(change, runs, asked=1))
-    assert change.state == RolloutState.HELD and "too little" in change.reason and not change.held_for_fault
+    controller, runs = RolloutController("c1", "old", "new", dict(ZONES), plan), dict.fromkeys(ZONES, "old")
+    controller.apply_event(RolloutEvent.STARTED)
+    controller.apply_event(RolloutEvent.PREFLIGHT_PASSED)
+    deploy(controller, runs)
+    controller.observe_versions(runs)
+    while controller.state == RolloutState.OBSERVING:
+        controller.observe_window(windows(controller, runs, queries=1))
+    assert (
+        controller.state == RolloutState.HELD
+        and "too little" in controller.reason
+        and not controller.held_for_fault
+    )
 
 
-def test_what_hits_both_sides_holds_it_and_blames_nobody():
+def test_a_fault_on_both_sides_holds_the_rollout_until_it_is_over():
     plan = Plan((Stage(0.25, 40 * S, 80 * S), Stage(1.0, 4 * S, 8 * S)))
-    change, runs = RolloutController("c1", "old", "new", dict(ZONES), plan), dict.fromkeys(ZONES, "old")
-    change.apply_event(RolloutEvent.STARTED)
-    change.apply_event(RolloutEvent.PREFLIGHT_PASSED)
-    converge(change, runs)
-    change.observe_versions(runs)
+    controller, runs = RolloutController("c1", "old", "new", dict(ZONES), plan), dict.fromkeys(ZONES, "old")
+    controller.apply_event(RolloutEvent.STARTED)
+    controller.apply_event(RolloutEvent.PREFLIGHT_PASSED)
+    deploy(controller, runs)
+    controller.observe_versions(runs)
     for _ in range(4):
-        change.observe_window(windows(change, runs))
+        controller.observe_window(windows(controller, runs))
     for _ in range(20):
-        change.observe_window(windows(change, runs, worth=0.5, new_worth=0.5))
-        if change.state == RolloutState.HELD:
+        controller.observe_window(windows(controller, runs, goodput=0.5, canary_goodput=0.5))
+        if controller.state == RolloutState.HELD:
             break
-    assert change.state == RolloutState.HELD and change.held_for_fault and "trouble" in change.reason
+    assert (
+        controller.state == RolloutState.HELD and controller.held_for_fault and "trouble" in controller.reason
+    )
     for _ in range(6):
-        change.observe_window(windows(change, runs))
-    assert change.state == RolloutState.DEPLOYING
-    through(change, runs)
-    assert change.state == RolloutState.DONE
+        controller.observe_window(windows(controller, runs))
+    assert controller.state == RolloutState.DEPLOYING
+    complete(controller, runs)
+    assert controller.state == RolloutState.DONE
 
 
 @pytest.mark.parametrize("more", [{"unexpected_exits": 1}, {"silent": True}])
-def test_deaths_and_silence_of_changed_brokers_alone_speak_against_the_change(more):
+def test_exits_and_silence_of_the_canary_alone_make_the_version_worse(more):
     analysis, word = CanaryAnalysis(AnalysisLimits(), 20), ""
     for _ in range(4):
         word = analysis.observe(
@@ -291,25 +306,25 @@
     )
 
 
-def test_deaths_between_stages_count_as_those_within():
+def test_exits_between_stages_count_as_those_within():
     """A version that dies each 5 s did so as the next stage was put up, and went to all (simulated,
     processes).
     """
-    change, runs = course(), dict.fromkeys(ZONES, "old")
-    change.apply_event(RolloutEvent.STARTED)
-    change.apply_event(RolloutEvent.PREFLIGHT_PASSED)
+    controller, runs = new_controller(), dict.fromkeys(ZONES, "old")
+    controller.apply_event(RolloutEvent.STARTED)
+    controller.apply_event(RolloutEvent.PREFLIGHT_PASSED)
     assert (
-        change.observe_exits(1, 0) is None
-        and change.observe_exits(2, 1) is None
-        and change.state == RolloutState.DEPLOYING
+        controller.observe_exits(1, 0) is None
+        and controller.observe_exits(2, 1) is None
+        and controller.state == RolloutState.DEPLOYING
     )
-    assert change.observe_exits(2, 0) is not None and change.state == RolloutState.ROLLING_BACK
-    converge(change, runs)
-    assert change.observe_exits(9, 0) is None
+    assert controller.observe_exits(2, 0) is not None and controller.state == RolloutState.ROLLING_BACK
+    deploy(controller, runs)
+    assert controller.observe_exits(9, 0) is None
 
 
-def test_a_broker_that_sees_more_than_others_does_not_outweigh_its_zone():
-    """Worth differs by zone, and the changed ones stand mostly in the worse: no reason to stop."""
+def test_a_broker_with_more_queries_does_not_outweigh_its_zone():
+    """Goodput differs by zone, and the canary is mostly in the worse one: no reason to stop."""
     analysis = CanaryAnalysis(AnalysisLimits(), 60)
     for n in range(60):
         bad = 0.8 + 0.02 * (n % 3)
@@ -320,8 +335,8 @@
             ("d", "good", False, 80, 1.0),
         )
         rows = [
-            BrokerWindow(name, zone, changed, {"one": QueryStatistics(asked, asked * worth)})
-            for name, zone, changed, asked, worth in cases
+            BrokerWindow(name, zone, is_canary, {"one": QueryStatistics(queries, queries * goodput)})
+            for name, zone, is_canary, queries, goodput in cases
         ]
         assert analysis.observe(rows).kind != VerdictKind.WORSE
 
@@ -344,3 +359,64 @@
 def test_the_same_seed_gives_the_same_release():
     first, second = (Releases(7, "leak").run() for _ in range(2))
     assert first == second and set(CLASSES) and WINDOW_US
+
+
+def test_the_sum_of_all_classes_is_named_before_a_single_class():
+    """Both are worse alike; which one is named must not depend on the hash seed."""
+    analysis = CanaryAnalysis(AnalysisLimits(), 12)
+    for window in range(60):
+        rows = [
+            BrokerWindow(
+                f"{zone}{is_canary}",
+                zone,
+                is_canary,
+                {
+                    name: QueryStatistics(40, 40 * (0.8 + 0.01 * (window % 3) - 0.1 * is_canary))
+                    for name in "yx"
+                },
+            )
+            for zone in ("z0", "z1")
+            for is_canary in (True, False)
+        ]
+        verdict = analysis.observe(rows)
+        if verdict.kind != VerdictKind.CONTINUE:
+            break
+    assert verdict.kind == VerdictKind.WORSE and verdict.reason.startswith("all classes: goodput -")
+
+
+# Preflight.
+
+
+def test_settings_without_a_harmful_change_raise_no_warning():
+    settings = load(ROOT / "examples/market-fleet.sx")
+    assert preflight_warnings(settings, settings) == []
+
+
+def test_harmful_settings_raise_warnings_that_name_their_override():
+    old = load(ROOT / "examples/market-fleet.sx")
+    new = deepcopy(old)
+    removed = new.classes.pop(0).name
+    new.classes[0].timeout_us *= 3
+    new.fleet.width += 1
+    warnings = preflight_warnings(old, new)
+    by_flag = {warning.override_flag: warning.text for warning in warnings}
+    assert removed in by_flag["--drop-classes"]
+    assert by_flag["--far"].startswith(f"class {new.classes[0].name}: limit from")
+    assert by_flag[None].startswith(f"fleet.width: from {old.fleet.width} to {new.fleet.width}")
+
+
+# Layers.
+
+
+def test_the_package_imports_nothing_of_heathwell_outside_itself():
+    package = ROOT / "heathwell/fleet/rollout"
+    for path in package.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom):
+                modules = [node.module]
+            elif isinstance(node, ast.Import):
+                modules = [name.name for name in node.names]
+            else:
+                continue
+            for module in modules:
+                assert not module.startswith("heathwell") or module.startswith("heathwell.fleet.rollout")
