--- a/heathwell/broker/host_pool.py
+++ b/heathwell/broker/host_pool.py
@@ -74,11 +74,11 @@
         link.send(parts)
 
     def _open(self) -> HostLink:
-        link = self.make(lambda seen: self._closed(link, seen))
+        link = self.make(lambda seen: self._closed(link, seen=seen))
         self.more.append(link)
         return link
 
-    def _closed(self, link: HostLink, seen: bool) -> None:
+    def _closed(self, link: HostLink, *, seen: bool) -> None:
         """A further connection is gone: its unit is free once the host has seen the end, or has closed by
         itself.
         """
--- a/heathwell/broker/reply_merging.py
+++ b/heathwell/broker/reply_merging.py
@@ -25,7 +25,7 @@
 
 
 def merge_reply(
-    query: ServiceQuery, query_class: policy.QueryClass, complete: bool, age: Age | None
+    query: ServiceQuery, query_class: policy.QueryClass, *, complete: bool, age: Age | None
 ) -> Reply:
     """Merge what has been answered; raises :class:`UnmergeablePartsError`."""
     coverage = coverage_of(query, query_class)
@@ -38,7 +38,7 @@
     except (ValueError, KeyError, TypeError) as error:
         raise UnmergeablePartsError(query.id, repr(error)) from error
     if query.plan.shape == RECORD_SHAPE and not body.get("found", False):
-        return Reply(MISS, query.id, query_class.name, True, coverage, age=age)
+        return Reply(MISS, query.id, query_class.name, complete=True, coverage=coverage, age=age)
     return Reply(ANSWERED, query.id, query_class.name, complete, coverage, body, age=age)
 
 
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -504,7 +504,7 @@
         answered = [part for part in query.parts.values() if part.data is not None]
         age = self.freshness.age_of(query, answered) if self.freshness is not None else None
         try:
-            return merge_reply(query, spec, whole, age)
+            return merge_reply(query, spec, complete=whole, age=age)
         except UnmergeablePartsError as error:
             self.log("error", "parts that can't be merged", query=query.id, why=error.reason)
             self.counters["unmergeable",] += 1
@@ -517,8 +517,8 @@
         if self.storm_control is not None:
             self.storm_control.record_reply(
                 query_cost_us(query.plan, query.settings_version),
-                reply.kind in (ANSWERED, MISS),
-                took_us <= self._query_class(query).latency_objective_us,
+                is_answer=reply.kind in (ANSWERED, MISS),
+                within_objective=took_us <= self._query_class(query).latency_objective_us,
             )
         if self.events.on:  # the lists are a cost that only a log pays for
             self.events(
--- a/heathwell/broker/storm_control.py
+++ b/heathwell/broker/storm_control.py
@@ -81,7 +81,7 @@
         self._broker.counters["asked as", verdict.kind] += 1
         return None if verdict.admit else verdict.after_us
 
-    def record_reply(self, cost_us: float, is_answer: bool, within_objective: bool) -> None:
+    def record_reply(self, cost_us: float, *, is_answer: bool, within_objective: bool) -> None:
         """Record the reply to a query that was accepted."""
         self.decider.ended(self._broker.loop.now(), cost_us, is_answer, within_objective)
 
--- a/heathwell/fleet/evacuation/health.py
+++ b/heathwell/fleet/evacuation/health.py
@@ -109,7 +109,9 @@
         observations = self._observations(zone, query_class)
         counts = sum_counts(observation.counts for observation in observations)
         if counts.total < minimum_attempts:
-            return HealthAssessment(False, f"{counts.total} attempts are too few to judge")
+            return HealthAssessment(
+                is_unhealthy=False, reason=f"{counts.total} attempts are too few to judge"
+            )
         votes = self._votes(observations)
         voting_zones = _zones_with(max(1, minimum_attempts // 2), observations)
         agreeing_zones = [voter for voter in voting_zones if self._agrees(votes[voter])]
@@ -121,8 +123,8 @@
         if agreeing_zones and not is_unhealthy:
             healthy_from = [voter for voter in voting_zones if voter not in agreeing_zones]
             return HealthAssessment(
-                False,
-                f"unhealthy from {', '.join(agreeing_zones)}, healthy from {', '.join(healthy_from)}:"
+                is_unhealthy=False,
+                reason=f"unhealthy from {', '.join(agreeing_zones)}, healthy from {', '.join(healthy_from)}:"
                 " the path, not the zone",
             )
         return HealthAssessment(
--- a/heathwell/fleet/quotas/broker_quotas.py
+++ b/heathwell/fleet/quotas/broker_quotas.py
@@ -67,7 +67,7 @@
             for holder in self.holders.values():
                 holder.drop_grants(now_us)
         renewals = [
-            AddressedRenewal(coordinator, self._renewal(now_us, coordinator, leaving))
+            AddressedRenewal(coordinator, self._renewal(now_us, coordinator, leaving=leaving))
             for coordinator in self.coordinators
         ]
         for holder in self.holders.values():
@@ -117,7 +117,7 @@
         self.holders[budget.name] = holder
         return holder
 
-    def _renewal(self, now_us: int, coordinator: str, leaving: bool) -> QuotaRenewal:
+    def _renewal(self, now_us: int, coordinator: str, *, leaving: bool) -> QuotaRenewal:
         grantor = self.coordinator_incarnations.get(coordinator, "")
         demands = tuple(
             BudgetDemand(name, holder.demand(now_us), tuple(_active_grants(now_us, holder, grantor)))
--- a/heathwell/fleet/rollout/broker_supervisor.py
+++ b/heathwell/fleet/rollout/broker_supervisor.py
@@ -137,7 +137,7 @@
         self.term = term
         self.number = number
         if version != self.desired_version:
-            self._change_desired_version(now_us, version, in_place)
+            self._change_desired_version(now_us, version, in_place=in_place)
         self._reconcile(now_us)
         return self._take_actions()
 
@@ -217,7 +217,7 @@
 
     # Decisions and timeouts.
 
-    def _change_desired_version(self, now_us: int, version: str, in_place: bool) -> None:
+    def _change_desired_version(self, now_us: int, version: str, *, in_place: bool) -> None:
         self.desired_version = version
         self.failures.pop(version, None)
         self._failed_starts = 0
@@ -337,7 +337,7 @@
         self.starting = BrokerProcess(self.last_run, version, now_us)
         self._actions.append(StartProcess(self.last_run, version))
 
-    def _stop(self, now_us: int, process: BrokerProcess, force: bool = False) -> None:
+    def _stop(self, now_us: int, process: BrokerProcess, *, force: bool = False) -> None:
         process.stop_requested_at_us = now_us
         self._actions.append(StopProcess(process.run, force))
 
--- a/heathwell/fleet/rollout/canary_analysis.py
+++ b/heathwell/fleet/rollout/canary_analysis.py
@@ -73,7 +73,7 @@
             or self._repeat_test()
         )
 
-    def final_verdict(self, require_proof: bool) -> Verdict:
+    def final_verdict(self, *, require_proof: bool) -> Verdict:
         """The conclusion at the stage's end; with ``require_proof`` every class must be within the
         tolerance.
         """
--- a/heathwell/fleet/rollout/rollout_controller.py
+++ b/heathwell/fleet/rollout/rollout_controller.py
@@ -288,7 +288,7 @@
 
     def _end_stage(self, analysis: CanaryAnalysis) -> Transition | None:
         require_proof = self.plan.stages[self.stage].require_proof
-        verdict = analysis.final_verdict(require_proof)
+        verdict = analysis.final_verdict(require_proof=require_proof)
         if verdict.kind is VerdictKind.INSUFFICIENT_DATA and require_proof:
             return self.apply_event(RolloutEvent.INCONCLUSIVE, f"too little to go by: {verdict.reason}")
         last = self.plan.is_last(self.stage)
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -45,7 +45,7 @@
     ``answered_shards`` and ``complete`` are the result of the first step, once it has ended.
     """
 
-    request: ClientRequest = ClientRequest("", 0, 0, "", False, b"", ())
+    request: ClientRequest = ClientRequest("", 0, 0, "", retry=False, text=b"", parts=())
     answered_shards: tuple[int, ...] = ()
     complete: bool | None = None
 
@@ -189,13 +189,13 @@
             if node in unavailable:
                 link.withdraw_unsent()
 
-    def _endpoint_update(self, targets: Targets, requested: bool = True) -> policy.EndpointUpdate:
+    def _endpoint_update(self, targets: Targets, *, requested: bool = True) -> policy.EndpointUpdate:
         return to_endpoint_update(
             targets,
             self.config.zones,
             self.settings.replica_groups,
             self._unix_offset_us,
-            requested,
+            requested=requested,
         )
 
     def _update_addresses(self, targets: Targets) -> set[str]:
--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -193,8 +193,7 @@
     if not path:
         raise ConfigError("GW_CONFIG: missing")
     try:
-        with open(path, "rb") as file:
-            data = file.read()
+        data = Path(path).read_bytes()
     except OSError as problem:
         raise ConfigError(f"GW_CONFIG: {path}: {problem.strerror}") from None
     config = read(data)
--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -128,7 +128,7 @@
         while True:
             self._answered = False
             try:
-                yield from self._call_repeatedly(address, at_once)
+                yield from self._call_repeatedly(address, at_once=at_once)
             except DiscoverySilentError as problem:
                 if self._answered or not at_once:
                     at_once = True
@@ -147,14 +147,14 @@
         self.log("info", "discovery: call failed or watch broken", why=str(failure))
         self.listener(None)
 
-    def _call_repeatedly(self, address: str, at_once: bool) -> Coro[None]:
+    def _call_repeatedly(self, address: str, *, at_once: bool) -> Coro[None]:
         """Call over one connection after another until a call fails; raises what ended it."""
         stream: Stream | None = None
         try:
             stream = yield from self.net.connect(address, CONNECT_TIMEOUT_US)
             side = ClientSide(address, MAX_BODY_BYTES)
             while True:
-                wait_us = self._wait_us(at_once)
+                wait_us = self._wait_us(at_once=at_once)
                 path = self._path(wait_us)
                 if not side.reusable:
                     stream.close()
@@ -167,7 +167,7 @@
             if stream is not None:
                 stream.abort()
 
-    def _wait_us(self, at_once: bool) -> int:
+    def _wait_us(self, *, at_once: bool) -> int:
         if self.rev is None or at_once:
             return 0
         return int(self.hold_us * self.random.uniform(MIN_HOLD_FRACTION, 1.0))
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -227,7 +227,9 @@
         try:
             client_request = front.checker.check(request)
             if client_request.id in front.broker.queries:
-                raise BadRequestError(f"Req-Id: {client_request.id} is open already", 409)
+                raise BadRequestError(  # noqa: TRY301  # answered as any other bad request, below
+                    f"Req-Id: {client_request.id} is open already", 409
+                )
         except BadRequestError as problem:
             front.counts["bad request"] += 1
             self.fail(Response(problem.status, f"{problem}\n".encode()))
--- a/heathwell/gateway/node_connection.py
+++ b/heathwell/gateway/node_connection.py
@@ -209,7 +209,7 @@
                 case nf.PartAnswer():
                     self._on_part_answer(message)
                 case nf.ProbeAnswer(ok=ok):
-                    self._on_probe_answer(ok)
+                    self._on_probe_answer(ok=ok)
                 case nf.Unusable(words=words):
                     self.link.log_info("a frame could not be used", words)
                     raise StreamBroken("the node could not use a frame")
@@ -233,7 +233,7 @@
         else:
             raise nf.FrameError(f"an answer of unknown id {message.id[:64]!r}")
 
-    def _on_probe_answer(self, ok: bool) -> None:
+    def _on_probe_answer(self, *, ok: bool) -> None:
         if not self._sent_probes:
             raise nf.FrameError("an answer to no probe")
         outcome = policy.Outcome.OK if ok else policy.Outcome.ERROR
@@ -325,7 +325,7 @@
         else:
             self.link.consecutive_closes = 0
 
-    def _close_stream(self, abort: bool) -> int:
+    def _close_stream(self, *, abort: bool) -> int:
         """Close the stream, at once if ``abort`` or if bytes are unsent; return the bytes sent over it."""
         stream = self.stream
         if stream is None:
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -43,7 +43,7 @@
         self._lines = 0
         self._dropped = 0
 
-    def __call__(self, level: str, event: str, **fields: Any) -> None:
+    def __call__(self, level: str, event: str, **fields: Any) -> None:  # noqa: ANN401  # of any JSON type
         """Write one line; debug lines are not written."""
         if level == "debug":
             return
--- a/heathwell/gateway/targets.py
+++ b/heathwell/gateway/targets.py
@@ -71,6 +71,7 @@
     zones: tuple[str, ...],
     replica_groups: int,
     unix_offset_us: int,
+    *,
     requested: bool = True,
 ) -> policy.EndpointUpdate:
     """Convert an answer to the module's update.
--- a/heathwell/observability/event_log.py
+++ b/heathwell/observability/event_log.py
@@ -13,7 +13,7 @@
 
     on: bool
 
-    def __call__(self, event: str, **fields: Any) -> None:
+    def __call__(self, event: str, **fields: Any) -> None:  # noqa: ANN401  # of any JSON type
         """Note an event at the clock's time."""
 
 
@@ -22,7 +22,7 @@
 
     on = False
 
-    def __call__(self, event: str, **fields: Any) -> None:
+    def __call__(self, event: str, **fields: Any) -> None:  # noqa: ANN401  # of any JSON type
         """Nothing."""
 
 
@@ -35,14 +35,14 @@
 
     on = True
 
-    def __init__(self, path: str, who: str, role: str, clock: Any, offset_us: int = 0) -> None:
+    def __init__(self, path: str, who: str, role: str, clock: Any, offset_us: int = 0) -> None:  # noqa: ANN401  # whatever has now()
         self._fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o644)
         self._who, self._clock, self._offset = who, clock, offset_us
         self._encoder = msgspec.json.Encoder()
         self._lines: list[bytes] = []
         self("opened", role=role)
 
-    def __call__(self, event: str, **fields: Any) -> None:
+    def __call__(self, event: str, **fields: Any) -> None:  # noqa: ANN401  # of any JSON type
         """Note an event."""
         line = {"t": self._clock.now() - self._offset, "who": self._who, "ev": event, **fields}
         self._lines.append(self._encoder.encode(line))
@@ -66,11 +66,11 @@
 
     on = True
 
-    def __init__(self, into: list[dict[str, Any]], who: str, role: str, clock: Any) -> None:
+    def __init__(self, into: list[dict[str, Any]], who: str, role: str, clock: Any) -> None:  # noqa: ANN401  # whatever has now()
         self._into, self._who, self._clock = into, who, clock
         self("opened", role=role)
 
-    def __call__(self, event: str, **fields: Any) -> None:
+    def __call__(self, event: str, **fields: Any) -> None:  # noqa: ANN401  # of any JSON type
         """Note an event."""
         self._into.append({"t": self._clock.now(), "who": self._who, "ev": event, **fields})
 
--- a/heathwell/policy/aggregator.py
+++ b/heathwell/policy/aggregator.py
@@ -127,7 +127,9 @@
         self.additional_quota: int | None = None
         self.slow_start_quota: dict[str, int] | None = None
 
-    def handle(self, now: int, batch: list[events.Event]) -> list[actions.Action]:
+    def handle(  # noqa: C901, PLR0912  # one case for each type of event
+        self, now: int, batch: list[events.Event]
+    ) -> list[actions.Action]:
         """Take one batch of events and return the actions, both in order."""
         self.now, self.actions = now, []
         if self.started_at_us is None:
@@ -515,14 +517,14 @@
         self._send(part, endpoint)
         return True
 
-    def _may_send_again(self, part: Part, assume_budget: bool = False) -> bool:
+    def _may_send_again(self, part: Part, *, assume_budget: bool = False) -> bool:
         """The rules on an additional attempt: limits, the class's idempotency, and the retry budget."""
         if len(part.attempts) >= self.settings.max_attempts or self.now > self._send_by_us(part):
             return False
         if part.in_flight() and not (self.settings.hedging_allowed and part.query.spec.allows_duplicates):
             return False
         free = assume_budget or bool(part.attempts) and part.attempts[-1].outcome in FREE_OUTCOMES
-        return self._has_retry_budget(free) and (assume_budget or self._check_additional_quota())
+        return self._has_retry_budget(free=free) and (assume_budget or self._check_additional_quota())
 
     def _send_by_us(self, part: Part) -> int:
         """Up to when an attempt may leave: what may have run is repeated as its idempotency allows."""
@@ -540,7 +542,7 @@
             return False
         return True
 
-    def _has_retry_budget(self, free: bool = False) -> bool:
+    def _has_retry_budget(self, *, free: bool = False) -> bool:
         """The stated budget, and our own: when many parts need additional attempts these feed an overload.
         What was lost with its connection was not late, what reached no endpoint is no load: our own is not
         for these. It is a guess at what all may do, and so stands back where a quota is told."""
