--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -9,6 +9,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from pathlib import Path
 
 from heathwell import policy
 from heathwell.gateway.targets import Targets, TargetsError
