--- a/tests/test_hash_seeds.py
+++ b/tests/test_hash_seeds.py
@@ -48,7 +48,7 @@
     """A release with a worse class over a few brokers, with all states that its course went through."""
     stages = (
         Stage(0.0, 10 * SECOND_US, 20 * SECOND_US),
-        Stage(0.25, 60 * SECOND_US, 120 * SECOND_US, prove=True),
+        Stage(0.25, 60 * SECOND_US, 120 * SECOND_US, require_proof=True),
         Stage(1.0, 20 * SECOND_US, 20 * SECOND_US),
     )
     release = Releases(1, "worse class", brokers=16, zones=5, rate=40.0, plan=Plan(stages, max_concurrent=8))
