Test that frames, files, logs, settings and metrics are as before the rename

Cause: the rename touched nearly every type; nothing showed in one place that what others read stayed as it was.

--- /dev/null
+++ b/tests/test_version_compatibility.py
@@ -0,0 +1,221 @@
+"""What the version before the rename wrote is read as it was, and the same day is played.
+
+The files in ``tests/files/before_rename`` come from commit ba17013, the last one before the rename. They were
+made by running that commit's own code, imported from a checkout of it:
+
+- ``frames.hex``: one line for each type of its ``codec.frames.Any_``, built from the type's fields with a
+  value unlike the default in each of them (also in nested records), and encoded by its ``encode``;
+- ``rollout.json``: ``Course.record()`` after six events, which end in a hold for trouble on both sides;
+- ``agent.json``: the notes of a ``MachineAgent`` with two brokers, one of which replaces its process;
+  ``agent_restored.json``: what a second agent of that commit made of those notes, with both processes alive
+  by a stubbed ``start_of``: its encoded view, the processes that it ended, and the notes it wrote itself;
+- ``day.sx``, ``day.jsonl.gz``: the settings and all events of ``SimulatedDay(settings, 11, seconds=6.0,
+  tokens=True)``, one sorted JSON object a line; ``day_verdicts.json``: its auditor's verdict on these events,
+  and on the same ones without every 97th line; ``metrics.txt``: type, name and label names of each sample
+  that the admin pages of the day's brokers held at its end;
+- ``schema.txt``: ``schema_page()``; ``examples.json``: each file of ``examples``, loaded and turned into
+  built-in types by ``msgspec.to_builtins``, which uses the encoded names;
+- ``platform_config.json``: a platform's configuration with three known targets; ``platform_settings.json``:
+  what ``gateway.config.read`` made of it, each record as the list of its fields' values in their order.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import gzip
+import json
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from prometheus_client import generate_latest
+from prometheus_client.parser import text_string_to_metric_families
+
+from heathwell.audit import judge
+from heathwell.audit.reader import from_lines
+from heathwell.codec import frames
+from heathwell.fleet.control import machine
+from heathwell.fleet.control.rollout import RECORD
+from heathwell.fleet.rollout import RolloutController, RolloutState
+from heathwell.gateway import config as platform_config
+from heathwell.kernel import virtual_loop
+from heathwell.lab.script import Script
+from heathwell.lab.simulated import SimulatedDay
+from heathwell.settings import load, loads, schema_page
+from heathwell.settings.check import loads_as
+
+FILES = Path(__file__).parent / "files" / "before_rename"
+EXAMPLES = Path(__file__).parent.parent / "examples"
+FRAMES = [bytes.fromhex(line) for line in (FILES / "frames.hex").read_text().split()]
+LENGTH_BYTES = 4
+DAY_SEED = 11
+DAY_SECONDS = 6.0
+DAMAGED_EVERY = 97
+LIVE_PROCESSES = {999999991: 4242, 999999992: 4343}  # start times by process id, as in agent.json
+
+
+def read_json(name: str) -> Any:
+    return json.loads((FILES / name).read_text())
+
+
+def tag_of(frame: bytes) -> str:
+    return msgspec.msgpack.decode(frame[LENGTH_BYTES:])["type"]
+
+
+# The inner protocol.
+
+
+def test_the_old_frames_cover_every_message_type() -> None:
+    tags = {kind.__struct_config__.tag for kind in frames.AnyMessage.__args__}
+    assert {tag_of(frame) for frame in FRAMES} == tags
+    assert len(FRAMES) == len(tags)
+
+
+@pytest.mark.parametrize("frame", FRAMES, ids=tag_of)
+def test_an_old_frame_is_decoded_and_encoded_to_the_same_bytes(frame: bytes) -> None:
+    (message,) = frames.Frames().feed(frame)
+    assert type(message).__struct_config__.tag == tag_of(frame)
+    assert frames.encode(message) == frame
+
+
+@pytest.mark.parametrize("frame", FRAMES, ids=tag_of)
+def test_an_old_frame_sets_every_field_of_its_message(frame: bytes) -> None:
+    (message,) = frames.Frames().feed(frame)
+    assert_no_defaults(message)
+
+
+def assert_no_defaults(record: msgspec.Struct) -> None:
+    """An encoded name that was changed would leave its field at the default."""
+    for info in msgspec.structs.fields(record):
+        value = getattr(record, info.name)
+        assert value not in (info.default, None, [], {}), info.name
+        for nested in value if isinstance(value, list) else [value]:
+            if isinstance(nested, msgspec.Struct):
+                assert_no_defaults(nested)
+
+
+# Stored files.
+
+
+def test_the_old_rollout_record_is_restored_and_written_the_same() -> None:
+    text = (FILES / RECORD).read_text()
+    rollout = RolloutController("change-7", "v1", "v2", {})
+    rollout.restore(json.loads(text), term=4)
+    assert rollout.state is RolloutState.HELD
+    assert rollout.held_for_fault
+    assert (rollout.stage, rollout.term, rollout.number) == (1, 4, 6)
+    assert rollout.reason == "trouble: both sides"
+    assert len(rollout.history) == 6
+    assert json.dumps(rollout.to_record()) == text
+
+
+def test_the_old_notes_of_a_machine_agent_are_restored_and_written_the_same(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    ended: list[list[int]] = []
+    monkeypatch.setattr(machine, "start_of", lambda pid: LIVE_PROCESSES.get(pid, 0))
+    monkeypatch.setattr(machine, "_signal", lambda pid, number: ended.append([pid, int(number)]))
+    notes = tmp_path / machine.STATE
+    notes.write_text((FILES / machine.STATE).read_text())
+    brokers = [
+        machine.make_broker("b0", 0, "127.0.0.1:1", ["--x"]),
+        machine.make_broker("b1", 2, "127.0.0.1:2", []),
+    ]
+    loop, net = virtual_loop(1)
+
+    agent = machine.MachineAgent(
+        loop, net, "m1", tmp_path, brokers, ["a", "b", "c"], log=lambda *_args, **_fields: None
+    )
+    agent._note()
+
+    expected = read_json("agent_restored.json")
+    assert ended == expected["killed"]
+    assert frames.encode(agent.view()).hex() == expected["view"]
+    assert notes.read_text() == expected["written"]
+
+
+# Event logs and metrics.
+
+
+@pytest.fixture(scope="module")
+def old_events() -> list[dict[str, Any]]:
+    lines = gzip.decompress((FILES / "day.jsonl.gz").read_bytes()).decode().splitlines()
+    return [json.loads(line) for line in lines]
+
+
+@pytest.fixture(scope="module")
+def day() -> SimulatedDay:
+    settings = loads((FILES / "day.sx").read_text())
+    return SimulatedDay(settings, DAY_SEED, seconds=DAY_SECONDS, tokens=True).run()
+
+
+def verdict_of(events: list[dict[str, Any]]) -> Any:
+    verdict = judge(from_lines(events), slack=20_000)
+    return json.loads(json.dumps(dataclasses.asdict(verdict)))
+
+
+def test_the_auditor_gives_the_old_verdict_on_the_old_events(old_events: list[dict[str, Any]]) -> None:
+    assert verdict_of(old_events) == read_json("day_verdicts.json")["whole"]
+
+
+def test_the_auditor_finds_the_old_breaches_in_damaged_logs(old_events: list[dict[str, Any]]) -> None:
+    damaged = [event for index, event in enumerate(old_events) if index == 0 or index % DAMAGED_EVERY]
+    expected = read_json("day_verdicts.json")["damaged"]
+    assert expected["breaches"]
+    assert verdict_of(damaged) == expected
+
+
+def test_the_same_seed_plays_the_old_day(day: SimulatedDay, old_events: list[dict[str, Any]]) -> None:
+    for event, old_event in zip(day.events, old_events, strict=True):
+        assert json.dumps(event, sort_keys=True) == json.dumps(old_event, sort_keys=True)
+
+
+def test_metrics_have_their_old_names_and_labels(day: SimulatedDay) -> None:
+    rows = set()
+    for broker in day.fleet.brokers:
+        page = generate_latest(broker.admin.figures.registry).decode()
+        for family in text_string_to_metric_families(page):
+            for sample in family.samples:
+                rows.add(" ".join([family.type, sample.name, *sorted(sample.labels)]))
+    assert sorted(rows) == (FILES / "metrics.txt").read_text().splitlines()
+
+
+# Settings.
+
+
+def test_the_schema_page_is_the_old_one() -> None:
+    assert schema_page() == (FILES / "schema.txt").read_text()
+
+
+def load_example(path: Path) -> Any:
+    if path.name.startswith("market"):
+        return load(path)
+    return loads_as(Script, (), path.read_text(), path.name)
+
+
+@pytest.mark.parametrize("name", sorted(read_json("examples.json")))
+def test_an_example_is_read_to_the_old_settings(name: str) -> None:
+    settings = msgspec.to_builtins(load_example(EXAMPLES / name), str_keys=True)
+    assert json.loads(json.dumps(settings)) == read_json("examples.json")[name]
+
+
+def by_position(value: Any) -> Any:
+    """Records as lists of their values, so that names of fields don't matter."""
+    if isinstance(value, Enum):
+        return value.value
+    if dataclasses.is_dataclass(value):
+        return [by_position(getattr(value, info.name)) for info in dataclasses.fields(value)]
+    if isinstance(value, msgspec.Struct):
+        return [by_position(getattr(value, name)) for name in value.__struct_fields__]
+    if isinstance(value, list | tuple):
+        return [by_position(entry) for entry in value]
+    assert value is None or isinstance(value, int | float | str)
+    return value
+
+
+def test_a_platform_configuration_is_read_to_the_old_settings() -> None:
+    config = platform_config.read((FILES / "platform_config.json").read_bytes())
+    assert len(config.known.targets) == 3
+    assert by_position(config) == read_json("platform_settings.json")
