Fleet control: modules, classes and wire converters named by the field's terms

Cause: keeper, wiring, figures, desk and renew_in/renewed_out said nothing to a newcomer, and frames.ZoneState clashed with the enum of fleet.evacuation. Change: keeper.py -> quota_coordinator.py (QuotaCoordinatorServer), figures.py -> coordinator_metrics.py (CoordinatorAdminPages), agent.py -> fleet_agent.py, wiring.py -> parameters.py, zones.py -> evacuation_coordinator.py (EvacuationCoordinator); converters end in _to_frame and _from_frame; frames.ZoneState -> frames.ZoneDirective. Names only: tags and fields on the wire are as before.

--- a/benchmarks/keepercost.py
+++ b/benchmarks/keepercost.py
@@ -14,8 +14,8 @@
 import time
 from pathlib import Path
 
-from heathwell.fleet.control.agent import FleetAgent
-from heathwell.fleet.control.wiring import budgets_of, times_of
+from heathwell.fleet.control.fleet_agent import FleetAgent
+from heathwell.fleet.control.parameters import budgets_from_settings, quota_timings_from_settings
 from heathwell.fleet.membership import LocalMember
 from heathwell.kernel import Coro, sleep, socket_loop
 from heathwell.lab.wires import Wires
@@ -77,7 +77,7 @@
         addresses.append(json.loads(process.stdout.readline())["address"])
         wires.point(name, addresses[-1])
     loop, net, _ = socket_loop()
-    times, draws = times_of(service_settings.fleet), random.Random(1)
+    times, draws = quota_timings_from_settings(service_settings.fleet), random.Random(1)
     agents = []
 
     def use(agent: FleetAgent, hosts: list[str]) -> Coro[None]:
@@ -96,7 +96,7 @@
                 loop,
                 net,
                 member,
-                budgets_of(service_settings.fleet),
+                budgets_from_settings(service_settings.fleet),
                 tuple(addresses),
                 renew_us=service_settings.fleet.renew,
                 times=times,
--- a/heathwell/broker/quota_gate.py
+++ b/heathwell/broker/quota_gate.py
@@ -52,7 +52,7 @@
 
 
 class Agent(Protocol):
-    """What obtains quotas for this broker (:class:`heathwell.fleet.control.agent.FleetAgent`)."""
+    """What obtains quotas for this broker (:class:`heathwell.fleet.control.fleet_agent.FleetAgent`)."""
 
     def turn(self) -> int:
         """Expire grants before anything is used; returns the time (us)."""
--- a/heathwell/broker/zone_observer.py
+++ b/heathwell/broker/zone_observer.py
@@ -93,7 +93,7 @@
 
 
 class ZoneAgent(Protocol):
-    """What exchanges evidence and decisions (:class:`heathwell.fleet.control.agent.FleetAgent`)."""
+    """What exchanges evidence and decisions (:class:`heathwell.fleet.control.fleet_agent.FleetAgent`)."""
 
     def on_zones(self, zones: ZoneObserver) -> None:
         """Report the observer's summaries, and hand it each new decision."""
--- a/heathwell/cli/control.py
+++ b/heathwell/cli/control.py
@@ -19,11 +19,15 @@
 from heathwell import inner_protocol
 from heathwell.cli.serve import Process, serving, settings_of
 from heathwell.codec import frames
-from heathwell.fleet.control.figures import KeeperPages
-from heathwell.fleet.control.keeper import KeeperServer
-from heathwell.fleet.control.messages import rows_in
-from heathwell.fleet.control.wiring import budgets_of, lease_budget, times_of
-from heathwell.fleet.control.zones import desk_of
+from heathwell.fleet.control.coordinator_metrics import CoordinatorAdminPages
+from heathwell.fleet.control.evacuation_coordinator import evacuation_coordinator_from_settings
+from heathwell.fleet.control.messages import attempt_counts_from_frames
+from heathwell.fleet.control.parameters import (
+    budgets_from_settings,
+    quota_timings_from_settings,
+    rollout_lease_budget,
+)
+from heathwell.fleet.control.quota_coordinator import QuotaCoordinatorServer
 from heathwell.fleet.evacuation import Drill, DrillStage, DrillStageReport, OperatorAction, ZoneState
 from heathwell.fleet.quotas import QuotaCoordinator
 from heathwell.kernel import Coro
@@ -54,9 +58,11 @@
     run = f"k{number}.{time.time_ns() // 1000:x}.{random.SystemRandom().randrange(1 << 32):x}"
 
     def main() -> Coro[None]:
-        lent = (*budgets_of(fleet), lease_budget(fleet))
-        decider = QuotaCoordinator(number, run, len(where), lent, loop.now(), times_of(fleet))
-        server = KeeperServer(
+        lent = (*budgets_from_settings(fleet), rollout_lease_budget(fleet))
+        decider = QuotaCoordinator(
+            number, run, len(where), lent, loop.now(), quota_timings_from_settings(fleet)
+        )
+        server = QuotaCoordinatorServer(
             loop,
             process.net,
             decider,
@@ -64,13 +70,13 @@
             seed=number + 1,
             log=process.log,
             events=process.events,
-            zones=desk_of(process.service_settings) if fleet.evacuate else None,
+            zones=evacuation_coordinator_from_settings(process.service_settings) if fleet.evacuate else None,
             fleet=fleet.called,
         )
 
         def reread() -> None:
             try:
-                wholes = budgets_of(load(process.config).fleet)
+                wholes = budgets_from_settings(load(process.config).fleet)
             except (SettingsError, OSError) as problem:
                 process.log("error", "settings not taken, the old ones stay", why=str(problem))
                 return
@@ -79,7 +85,7 @@
 
         process.poller.on_signal(signal.SIGHUP, reread)
         address = server.start(listen or where[number])
-        pages = process.net.listen(admin, KeeperPages(server).serve, "admin", 100)
+        pages = process.net.listen(admin, CoordinatorAdminPages(server).serve, "admin", 100)
         process.ready(address=address, admin=pages.address, number=number, run=run)
         process.log("info", "keeping", address=address, run=run)
         yield from process.stop.wait()
@@ -387,7 +393,9 @@
     away = False
     try:
         while course.stage != DrillStage.FINISHED:
-            word = course.tick(clock(), view.states[zone].partition(",")[0], rows_in(view.seen))
+            word = course.tick(
+                clock(), view.states[zone].partition(",")[0], attempt_counts_from_frames(view.seen)
+            )
             if word is not None:
                 say(word.value)
                 away = word == OperatorAction.EVACUATE
--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -21,10 +21,10 @@
 from heathwell.cli.control import ask
 from heathwell.cli.serve import Process, exit_codes, serving, settings_of
 from heathwell.codec import frames
-from heathwell.fleet.control.agent import FleetAgent
+from heathwell.fleet.control.fleet_agent import FleetAgent
 from heathwell.fleet.control.machine import MachineAgent, make_broker, write_whole
+from heathwell.fleet.control.parameters import quota_timings_from_settings, rollout_lease_budget
 from heathwell.fleet.control.rollout import Controller
-from heathwell.fleet.control.wiring import lease_budget, times_of
 from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.rollout import (
     RESTART_SUFFIX,
@@ -295,7 +295,7 @@
     fleet = service_settings.fleet
     if not fleet.keepers:
         return lambda: True
-    times = times_of(fleet)
+    times = quota_timings_from_settings(fleet)
     member = LocalMember(
         process.name,
         time.time_ns() // 1000,
@@ -307,7 +307,7 @@
         process.loop,
         process.net,
         member,
-        (lease_budget(fleet),),
+        (rollout_lease_budget(fleet),),
         tuple(keepers.split(",")) if keepers else tuple(fleet.keepers),
         renew_us=fleet.renew,
         times=times,
@@ -316,7 +316,7 @@
         events=process.events,
         fleet=fleet.called,
     )
-    name = lease_budget(fleet).name
+    name = rollout_lease_budget(fleet).name
 
     def holds() -> bool:
         now, holder = lender.turn(), lender.holder(name)
--- a/heathwell/cli/serve.py
+++ b/heathwell/cli/serve.py
@@ -46,7 +46,7 @@
 
 if TYPE_CHECKING:
     from heathwell.broker.zone_observer import ZoneObserver
-    from heathwell.fleet.control.agent import FleetAgent
+    from heathwell.fleet.control.fleet_agent import FleetAgent
 
 PACKAGE = Path(__file__).resolve().parent.parent
 HAND_OVER_US = 2_000_000  # for clients to come to a moment at which nothing is asked
@@ -297,11 +297,11 @@
     fleet = process.service_settings.fleet
     if not fleet.keepers:
         return None
-    from heathwell.fleet.control.agent import FleetAgent  # noqa: PLC0415
-    from heathwell.fleet.control.wiring import budgets_of, times_of  # noqa: PLC0415
+    from heathwell.fleet.control.fleet_agent import FleetAgent  # noqa: PLC0415
+    from heathwell.fleet.control.parameters import budgets_from_settings, quota_timings_from_settings  # noqa: PLC0415
     from heathwell.fleet.membership import LocalMember  # noqa: PLC0415
 
-    times, now = times_of(fleet), process.loop.now()
+    times, now = quota_timings_from_settings(fleet), process.loop.now()
     member = LocalMember(
         process.name.partition("r")[0],
         time.time_ns() // 1000,
@@ -316,7 +316,7 @@
         process.loop,
         process.net,
         member,
-        budgets_of(fleet),
+        budgets_from_settings(fleet),
         where,
         renew_us=fleet.renew,
         times=times,
--- a/heathwell/codec/frames.py
+++ b/heathwell/codec/frames.py
@@ -192,7 +192,7 @@
     took_ms: int = 0
 
 
-class ZoneState(msgspec.Struct, omit_defaults=True):
+class ZoneDirective(msgspec.Struct, omit_defaults=True):
     """What is decided of one zone: how much of its usual first work goes there, or which classes leave it."""
 
     state: str
@@ -206,7 +206,7 @@
 
     term: int
     number: int
-    zones: dict[str, ZoneState] = {}
+    zones: dict[str, ZoneDirective] = {}
 
 
 class RenewalRequest(Message, tag="renew"):
--- a/heathwell/fleet/control/figures.py
+++ b/heathwell/fleet/control/coordinator_metrics.py
@@ -8,16 +8,16 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from heathwell.codec.http import Request, Response
-from heathwell.fleet.control.keeper import KeeperServer
+from heathwell.fleet.control.quota_coordinator import QuotaCoordinatorServer
 from heathwell.fleet.membership import MemberState
 from heathwell.kernel import Coro, Stream
 from heathwell.observability.http_pages import PROMETHEUS, serve_pages
 
 
-class KeeperPages:
+class CoordinatorAdminPages:
     """Serves the admin port of a keeper."""
 
-    def __init__(self, server: KeeperServer) -> None:
+    def __init__(self, server: QuotaCoordinatorServer) -> None:
         self.server = server
         self.registry = CollectorRegistry(auto_describe=False)
         self.registry.register(self)
--- a/heathwell/fleet/control/zones.py
+++ b/heathwell/fleet/control/evacuation_coordinator.py
@@ -28,16 +28,16 @@
 LOADED_US = 2_000_000  # over which what brokers saw is summed
 
 
-def desk_of(service_settings: ServiceSettings) -> ZoneDesk:
+def evacuation_coordinator_from_settings(service_settings: ServiceSettings) -> EvacuationCoordinator:
     """The desk that a fleet's settings ask for."""
-    return ZoneDesk(
+    return EvacuationCoordinator(
         service_settings.fleet.zones,
         bears=service_settings.fleet.zone_bears,
         worth={spec.name: spec.priority_weight for spec in service_settings.classes},
     )
 
 
-class ZoneDesk:
+class EvacuationCoordinator:
     """``bears`` are parts a second that one zone's hosts bear, 0 for what their answers tell; ``worth`` is
     that of a part, by class. ``decides`` makes the decider (for the laboratory's others).
     """
@@ -151,7 +151,7 @@
         return frames.ZonesStatus(
             self.decider is not None,
             text,
-            messages.decision_out(self.decision),
+            messages.decision_to_frame(self.decision),
             states,
-            messages.rows_out(self.seen()),
+            messages.attempt_counts_to_frames(self.seen()),
         )
--- a/heathwell/fleet/control/agent.py
+++ b/heathwell/fleet/control/fleet_agent.py
@@ -12,8 +12,8 @@
 
 from heathwell.codec import frames
 from heathwell.fleet.control import messages
-from heathwell.fleet.control.keeper import MEMBER_ROLE
 from heathwell.fleet.control.link import ControlLink
+from heathwell.fleet.control.quota_coordinator import MEMBER_ROLE
 from heathwell.fleet.evacuation import BrokerReport, Decision
 from heathwell.fleet.membership import IncarnationEnded, LocalMember
 from heathwell.fleet.quotas import BrokerQuotas, Budget, BudgetKind, QuotaHolder, QuotaTimings
@@ -163,10 +163,10 @@
             # on record before anybody hears that it is free
             self.events.flush()  # type: ignore[attr-defined]
         for addressed in renewals:
-            message = messages.renew_out(addressed.renewal)
+            message = messages.renewal_to_frame(addressed.renewal)
             if word is not None:
-                message.seen, message.cut_off = messages.seen_out(word), word.cut_off
-                message.decision = messages.decision_out(self.decision)
+                message.seen, message.cut_off = messages.broker_report_to_frames(word), word.cut_off
+                message.decision = messages.decision_to_frame(self.decision)
             if self.links[addressed.coordinator].send(message):
                 self.counts["renewals",] += 1
         if self.events.on:
@@ -179,11 +179,13 @@
         now = self.turn()
         if self.leaves:
             return  # what comes now was asked for before
-        decision = messages.decision_in(message.decision)
+        decision = messages.decision_from_frame(message.decision)
         if self.zones is not None and decision.is_newer_than(self.decision):
             self.decision = decision
             self.zones.decided(decision)
-        self._on_incarnation_ended(self.shares.on_reply(now, address, messages.renewed_in(message)))
+        self._on_incarnation_ended(
+            self.shares.on_reply(now, address, messages.renewal_reply_from_frame(message))
+        )
         if self.events.on:
             for name in sorted({grant.budget for grant in message.grants} & self.shares.holders.keys()):
                 self._note(now, name, self.shares.holders[name])
--- a/heathwell/fleet/control/link.py
+++ b/heathwell/fleet/control/link.py
@@ -9,7 +9,7 @@
 
 from heathwell import inner_protocol
 from heathwell.codec import frames
-from heathwell.fleet.control.messages import MESSAGE_MOST
+from heathwell.fleet.control.messages import MAX_MESSAGE_BYTES
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, sleep
 
 CONNECT_US = 1_000_000
@@ -80,7 +80,7 @@
             stream.write(frames.encode(frames.Hello(frames.VERSION, self.name, self.role, fleet=self.fleet)))
             self.heard_us = self.loop.now()
             self.stream = stream
-            yield from inner_protocol.listen(stream, self._hear, MESSAGE_MOST)
+            yield from inner_protocol.listen(stream, self._hear, MAX_MESSAGE_BYTES)
             raise StreamBroken("closed by the other side")
         finally:
             self.stream = None
--- a/heathwell/fleet/control/machine.py
+++ b/heathwell/fleet/control/machine.py
@@ -22,7 +22,7 @@
 from heathwell import inner_protocol
 from heathwell.codec import frames
 from heathwell.codec.http import ClientSide, HttpError
-from heathwell.fleet.control.messages import MESSAGE_MOST
+from heathwell.fleet.control.messages import MAX_MESSAGE_BYTES
 from heathwell.fleet.rollout import RESTART_SUFFIX, StaleDecisionError
 from heathwell.fleet.rollout.broker_supervisor import (
     ApplySettings,
@@ -345,7 +345,7 @@
     def _serve(self, stream: Stream) -> Coro[None]:
         try:
             yield from inner_protocol.serve(
-                stream, self.name, "agent", lambda message: self._heard(stream, message), MESSAGE_MOST
+                stream, self.name, "agent", lambda message: self._heard(stream, message), MAX_MESSAGE_BYTES
             )
         except frames.FrameError as problem:
             self.log("warning", "control: not our wire", peer=stream.peer, why=str(problem))
--- a/heathwell/fleet/control/messages.py
+++ b/heathwell/fleet/control/messages.py
@@ -15,13 +15,13 @@
     QuotaRenewalReply,
 )
 
-MESSAGE_MOST = 256 << 10  # bytes of a message between the control's processes
+MAX_MESSAGE_BYTES = 256 << 10  # bytes of a message between the control's processes
 NEEDS_MOST = 96  # budgets in one renewal
 NO_HOLDER = ""  # in a vote, where the voter may vote for nobody yet
 SEEN_MOST = 512  # zones and classes in one broker's word
 
 
-def renew_out(renewal: QuotaRenewal) -> frames.RenewalRequest:
+def renewal_to_frame(renewal: QuotaRenewal) -> frames.RenewalRequest:
     """A renewal to the wire: of too many budgets those with the most demand."""
     report = renewal.report
     demands = sorted(renewal.demands, key=lambda demand: (not demand.active_grants, -demand.demand))[
@@ -51,7 +51,7 @@
     return BudgetDemand(message.budget, max(0, message.demand), active_grants)
 
 
-def renew_in(message: frames.RenewalRequest) -> QuotaRenewal:
+def renewal_from_frame(message: frames.RenewalRequest) -> QuotaRenewal:
     """A renewal from the wire; what is beyond the bound of budgets is left out."""
     report = MembershipReport(
         message.name,
@@ -70,7 +70,7 @@
     )
 
 
-def renewed_out(answer: QuotaRenewalReply) -> frames.RenewalReply:
+def renewal_reply_to_frame(answer: QuotaRenewalReply) -> frames.RenewalReply:
     """A keeper's answer to the wire."""
     membership = answer.membership
     grants = [
@@ -89,7 +89,7 @@
     )
 
 
-def renewed_in(message: frames.RenewalReply) -> QuotaRenewalReply:
+def renewal_reply_from_frame(message: frames.RenewalReply) -> QuotaRenewalReply:
     """A keeper's answer from the wire."""
     membership = MembershipReply(_member_state(message.state), message.number, message.least, message.why)
     return QuotaRenewalReply(
@@ -122,32 +122,32 @@
         return MemberState.SUSPECT
 
 
-def claim_out(claim: FractionLeaseRequest) -> frames.LeaseRequest:
+def lease_request_to_frame(claim: FractionLeaseRequest) -> frames.LeaseRequest:
     """A claim to the wire."""
     return frames.LeaseRequest(claim.fraction, claim.candidate, claim.requested_at_us)
 
 
-def claim_in(message: frames.LeaseRequest) -> FractionLeaseRequest:
+def lease_request_from_frame(message: frames.LeaseRequest) -> FractionLeaseRequest:
     """A claim from the wire."""
     return FractionLeaseRequest(message.fraction, message.claimant, message.asked_us)
 
 
-def vote_out(vote: FractionLeaseVote) -> frames.LeaseVote:
+def lease_vote_to_frame(vote: FractionLeaseVote) -> frames.LeaseVote:
     """A vote to the wire."""
     return frames.LeaseVote(vote.fraction, vote.voter, vote.requested_at_us, vote.holder or NO_HOLDER)
 
 
-def vote_in(message: frames.LeaseVote) -> FractionLeaseVote:
+def lease_vote_from_frame(message: frames.LeaseVote) -> FractionLeaseVote:
     """A vote from the wire."""
     return FractionLeaseVote(message.fraction, message.voter, message.asked_us, message.owner or None)
 
 
-def seen_out(summary: BrokerReport) -> list[frames.ZoneReport]:
+def broker_report_to_frames(summary: BrokerReport) -> list[frames.ZoneReport]:
     """A broker's word on zones to the wire."""
-    return rows_out(summary.counts)
+    return attempt_counts_to_frames(summary.counts)
 
 
-def rows_out(seen: dict[ZoneClassKey, AttemptCounts]) -> list[frames.ZoneReport]:
+def attempt_counts_to_frames(seen: dict[ZoneClassKey, AttemptCounts]) -> list[frames.ZoneReport]:
     """What was seen, by zone and class, to the wire."""
     return [
         frames.ZoneReport(zone, query_class, some.good, some.late, some.bad, some.took_ms)
@@ -155,7 +155,7 @@
     ]
 
 
-def rows_in(rows: list[frames.ZoneReport]) -> dict[ZoneClassKey, AttemptCounts]:
+def attempt_counts_from_frames(rows: list[frames.ZoneReport]) -> dict[ZoneClassKey, AttemptCounts]:
     """What was seen, by zone and class, from the wire."""
     return {
         ZoneClassKey(row.zone, row.query_class): AttemptCounts(
@@ -165,12 +165,12 @@
     }
 
 
-def seen_in(message: frames.RenewalRequest) -> BrokerReport:
+def broker_report_from_frame(message: frames.RenewalRequest) -> BrokerReport:
     """A broker's word on zones from the wire."""
-    return BrokerReport(message.name, message.zone, rows_in(message.seen), message.cut_off)
+    return BrokerReport(message.name, message.zone, attempt_counts_from_frames(message.seen), message.cut_off)
 
 
-def decision_out(decision: Decision) -> frames.ZoneDecision | None:
+def decision_to_frame(decision: Decision) -> frames.ZoneDecision | None:
     """A decision on zones to the wire; none has been made under term 0."""
     if not decision.term:
         return None
@@ -178,7 +178,7 @@
         decision.term,
         decision.number,
         {
-            name: frames.ZoneState(
+            name: frames.ZoneDirective(
                 directive.state, directive.traffic_share, list(directive.query_classes), directive.reason
             )
             for name, directive in decision.zones.items()
@@ -186,7 +186,7 @@
     )
 
 
-def decision_in(message: frames.ZoneDecision | None) -> Decision:
+def decision_from_frame(message: frames.ZoneDecision | None) -> Decision:
     """A decision on zones from the wire."""
     if message is None:
         return Decision(0, 0)
--- a/heathwell/fleet/control/wiring.py
+++ b/heathwell/fleet/control/parameters.py
@@ -7,18 +7,18 @@
 from heathwell.settings.schema import Fleet, FleetBudget
 
 
-def most_brokers(fleet: Fleet) -> int:
+def max_brokers(fleet: Fleet) -> int:
     """For how many brokers parts are set aside."""
     return fleet.most or fleet.brokers
 
 
-def budgets_of(fleet: Fleet) -> tuple[Budget, ...]:
+def budgets_from_settings(fleet: Fleet) -> tuple[Budget, ...]:
     """The budgets of a fleet that settings' checks have passed."""
     return tuple(_budget(fleet, said) for said in fleet.budgets)
 
 
 def _budget(fleet: Fleet, said: FleetBudget) -> Budget:
-    most, fractions = most_brokers(fleet), len(fleet.keepers)
+    most, fractions = max_brokers(fleet), len(fleet.keepers)
     if said.name == "connections":
         # A broker's first connection is its own and never asked for: only those beyond are lent.
         return Budget(
@@ -44,12 +44,12 @@
     )
 
 
-def lease_budget(fleet: Fleet) -> Budget:
+def rollout_lease_budget(fleet: Fleet) -> Budget:
     """The one unit that is lent to whoever steers a change."""
-    return Budget("rollout", BudgetKind.COUNT, 1, 0, most_brokers(fleet), len(fleet.keepers), sticky=True)
+    return Budget("rollout", BudgetKind.COUNT, 1, 0, max_brokers(fleet), len(fleet.keepers), sticky=True)
 
 
-def times_of(fleet: Fleet) -> QuotaTimings:
+def quota_timings_from_settings(fleet: Fleet) -> QuotaTimings:
     """The leases of a fleet. A promise lasts for two grants, so that one given late in it is not cut short at
     once.
     """
--- a/heathwell/fleet/control/keeper.py
+++ b/heathwell/fleet/control/quota_coordinator.py
@@ -10,8 +10,8 @@
 from heathwell import inner_protocol
 from heathwell.codec import frames
 from heathwell.fleet.control import messages
+from heathwell.fleet.control.evacuation_coordinator import EvacuationCoordinator
 from heathwell.fleet.control.link import ControlLink
-from heathwell.fleet.control.zones import ZoneDesk
 from heathwell.fleet.membership import MemberState, MemberTransition
 from heathwell.fleet.quotas import (
     Budget,
@@ -24,11 +24,11 @@
 
 TICKS = 12  # of a promise: how often claims are made anew, so that some may be lost
 CONNECTIONS = 4_096
-KEEPER_ROLE, MEMBER_ROLE = "keeper", "member"
+COORDINATOR_ROLE, MEMBER_ROLE = "keeper", "member"
 Carries = TypeVar("Carries", frames.RenewalReply, frames.LeaseRequest, frames.LeaseVote)
 
 
-class KeeperServer:
+class QuotaCoordinatorServer:
     """One run of a keeper. ``peers`` are the other keepers' addresses by number."""
 
     def __init__(
@@ -41,7 +41,7 @@
         seed: int,
         log: Callable[..., None],
         events: EventLog | None = None,
-        zones: ZoneDesk | None = None,
+        zones: EvacuationCoordinator | None = None,
         fleet: str = "",
     ) -> None:
         self.loop, self.net, self.keeper, self.log = loop, net, keeper, log
@@ -59,7 +59,7 @@
                 net,
                 address,
                 str(keeper.number),
-                KEEPER_ROLE,
+                COORDINATOR_ROLE,
                 silence_us=keeper.timings.fraction_lease.duration_us // 2,
                 seed=seed * 64 + number,
                 heard=partial(self._answered, number),
@@ -121,13 +121,13 @@
                 self.log("warning", "zone", change=text, decision=f"({decision.term}, {decision.number})")
         for claim in tick.lease_requests:
             for link in self.peers.values():
-                link.send(self._with(messages.claim_out(claim)))
+                link.send(self._with(messages.lease_request_to_frame(claim)))
         self._look_at_owned(now)
 
     def _with(self, message: Carries) -> Carries:
         """A message with what is decided of the zones, so that each keeper can tell it."""
         if self.zones is not None:
-            message.decision = messages.decision_out(self.zones.decision)
+            message.decision = messages.decision_to_frame(self.zones.decision)
         return message
 
     def _told(
@@ -135,9 +135,9 @@
     ) -> None:
         """What others go by."""
         if self.zones is not None:
-            self.zones.told(messages.decision_in(message.decision))
+            self.zones.told(messages.decision_from_frame(message.decision))
             if isinstance(message, frames.RenewalRequest):
-                self.zones.heard(now, messages.seen_in(message))
+                self.zones.heard(now, messages.broker_report_from_frame(message))
 
     def _look_at_owned(self, now: int) -> None:
         owned = self.keeper.held_fractions(now)
@@ -161,9 +161,9 @@
             yield from inner_protocol.serve(
                 stream,
                 self.name,
-                KEEPER_ROLE,
+                COORDINATOR_ROLE,
                 lambda message: self._heard(stream, message),
-                messages.MESSAGE_MOST,
+                messages.MAX_MESSAGE_BYTES,
             )
         except frames.FrameError as problem:
             self.counts["garbled",] += 1
@@ -175,7 +175,7 @@
         now = self.loop.now()
         if stream.closed:
             return
-        if stream.unsent > messages.MESSAGE_MOST:
+        if stream.unsent > messages.MAX_MESSAGE_BYTES:
             self.counts["unread",] += 1
             stream.abort()  # it reads nothing: what it is told is lost anyway
             return
@@ -191,14 +191,16 @@
                 self.streams[stream] = name
             case frames.RenewalRequest():
                 self._told(now, message)
-                stream.offer(frames.encode(self._with(messages.renewed_out(self._renew(now, message)))))
+                stream.offer(
+                    frames.encode(self._with(messages.renewal_reply_to_frame(self._renew(now, message))))
+                )
             case frames.LeaseRequest():
                 if self.streams[stream].isdecimal():
                     self._told(now, message)
                     vote = self.keeper.on_lease_request(
-                        now, int(self.streams[stream]), messages.claim_in(message)
+                        now, int(self.streams[stream]), messages.lease_request_from_frame(message)
                     )
-                    stream.offer(frames.encode(self._with(messages.vote_out(vote))))
+                    stream.offer(frames.encode(self._with(messages.lease_vote_to_frame(vote))))
             case frames.OperatorCommand() if self.zones is not None:
                 stream.offer(frames.encode(self.zones.order(now, message)))
             case frames.FleetRequest():
@@ -207,7 +209,7 @@
                 self.counts["unasked",] += 1
 
     def _renew(self, now: int, message: frames.RenewalRequest) -> QuotaRenewalReply:
-        outcome = self.keeper.on_renewal(now, messages.renew_in(message))
+        outcome = self.keeper.on_renewal(now, messages.renewal_from_frame(message))
         answer = outcome.reply
         self.counts["renewals",] += 1
         self._tell(outcome.transitions)
@@ -231,7 +233,7 @@
         if isinstance(message, frames.LeaseVote):
             now = self.loop.now()
             self._told(now, message)
-            self.keeper.on_lease_vote(now, number, messages.vote_in(message))
+            self.keeper.on_lease_vote(now, number, messages.lease_vote_from_frame(message))
             self._look_at_owned(now)
 
     def _tell(self, changes: list[MemberTransition]) -> None:
--- a/heathwell/fleet/control/rollout.py
+++ b/heathwell/fleet/control/rollout.py
@@ -12,7 +12,7 @@
 from heathwell.codec import frames
 from heathwell.fleet.control.link import ControlLink
 from heathwell.fleet.control.machine import write_whole
-from heathwell.fleet.control.messages import MESSAGE_MOST
+from heathwell.fleet.control.messages import MAX_MESSAGE_BYTES
 from heathwell.fleet.rollout import (
     FINAL_STATES,
     RESTART_SUFFIX,
@@ -300,7 +300,7 @@
                 stream.offer(frames.encode(self.order(message)))
 
         try:
-            yield from inner_protocol.serve(stream, "rollout", "controller", heard, MESSAGE_MOST)
+            yield from inner_protocol.serve(stream, "rollout", "controller", heard, MAX_MESSAGE_BYTES)
         except frames.FrameError as problem:
             self.log("warning", "control: not our wire", peer=stream.peer, why=str(problem))
 
--- a/heathwell/lab/figures.py
+++ b/heathwell/lab/figures.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from heathwell.fleet.control.wiring import budgets_of
+from heathwell.fleet.control.parameters import budgets_from_settings
 from heathwell.settings import ServiceSettings
 from heathwell.standins.source import OFFSET_US
 
@@ -45,7 +45,7 @@
                 "linger": budget.linger_timeout_us,
                 "apart": budget.uncounted,
             }
-            for budget in budgets_of(service_settings.fleet)
+            for budget in budgets_from_settings(service_settings.fleet)
         ],
         "start_capacity": rules.start_capacity,
         "drift": service_settings.fleet.drift,
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -8,10 +8,13 @@
 
 from heathwell.broker.service_broker import ServiceBroker
 from heathwell.broker.zone_observer import ZoneObserver, observe_zones
-from heathwell.fleet.control.agent import FleetAgent
-from heathwell.fleet.control.keeper import KeeperServer
-from heathwell.fleet.control.wiring import budgets_of, times_of
-from heathwell.fleet.control.zones import ZoneDesk, desk_of
+from heathwell.fleet.control.evacuation_coordinator import (
+    EvacuationCoordinator,
+    evacuation_coordinator_from_settings,
+)
+from heathwell.fleet.control.fleet_agent import FleetAgent
+from heathwell.fleet.control.parameters import budgets_from_settings, quota_timings_from_settings
+from heathwell.fleet.control.quota_coordinator import QuotaCoordinatorServer
 from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.quotas import QuotaCoordinator
 from heathwell.fronts.admin import AdminFront
@@ -32,9 +35,14 @@
         spec, loop = fleet.service_settings.fleet, fleet.loop
         self.name = f"k{number}r{run}"
         decider = QuotaCoordinator(
-            number, f"k{number}.{run}", len(spec.keepers), budgets_of(spec), loop.now(), times_of(spec)
+            number,
+            f"k{number}.{run}",
+            len(spec.keepers),
+            budgets_from_settings(spec),
+            loop.now(),
+            quota_timings_from_settings(spec),
         )
-        self.server = KeeperServer(
+        self.server = QuotaCoordinatorServer(
             loop,
             fleet.net_of(self.name),
             decider,
@@ -62,7 +70,11 @@
         self.events = fleet.events(self.name, "broker")
         self.agent: FleetAgent | None = None
         if service_settings.fleet.keepers:
-            spec, times, loop = service_settings.fleet, times_of(service_settings.fleet), fleet.loop
+            spec, times, loop = (
+                service_settings.fleet,
+                quota_timings_from_settings(service_settings.fleet),
+                fleet.loop,
+            )
             member = LocalMember(
                 f"b{number}",
                 loop.now() + 1,
@@ -74,7 +86,7 @@
                 loop,
                 net,
                 member,
-                budgets_of(spec),
+                budgets_from_settings(spec),
                 tuple(fleet.keeper_addresses),
                 renew_us=spec.renew,
                 times=times,
@@ -175,7 +187,7 @@
         log: Callable[..., None] | None = None,
         host_of: Callable[[str], str] | None = None,
         keep: bool = True,
-        desk: Callable[[ServiceSettings], ZoneDesk] = desk_of,
+        desk: Callable[[ServiceSettings], EvacuationCoordinator] = evacuation_coordinator_from_settings,
     ) -> None:
         self.loop, self.net_of, self.service_settings, self.seed = loop, net_of, service_settings, seed
         self.desk = desk
--- a/heathwell/lab/simulated.py
+++ b/heathwell/lab/simulated.py
@@ -12,7 +12,10 @@
 from heathwell.audit import AgeVerdict, Verdict, judge, judge_ages
 from heathwell.audit.reader import from_lines
 from heathwell.codec import frames
-from heathwell.fleet.control.zones import ZoneDesk, desk_of
+from heathwell.fleet.control.evacuation_coordinator import (
+    EvacuationCoordinator,
+    evacuation_coordinator_from_settings,
+)
 from heathwell.kernel import ConnectFailed, Coro, HostNet, Stream, StreamBroken, sleep, virtual_loop
 from heathwell.lab.figures import run_figures
 from heathwell.lab.fleet import LocalFleet
@@ -57,7 +60,7 @@
         crashes: bool = True,
         tokens: bool = False,
         keep: bool = True,
-        desk: Callable[[ServiceSettings], ZoneDesk] = desk_of,
+        desk: Callable[[ServiceSettings], EvacuationCoordinator] = evacuation_coordinator_from_settings,
     ) -> None:
         self.service_settings, self.seed, self.seconds, self.rate = service_settings, seed, seconds, rate
         self.troubles, self.trouble_rate, self.poison = troubles, trouble_rate, poison
--- a/heathwell/lab/zoneday.py
+++ b/heathwell/lab/zoneday.py
@@ -16,7 +16,10 @@
 from typing import Any
 
 from heathwell.codec import frames
-from heathwell.fleet.control.zones import ZoneDesk, desk_of
+from heathwell.fleet.control.evacuation_coordinator import (
+    EvacuationCoordinator,
+    evacuation_coordinator_from_settings,
+)
 from heathwell.fleet.evacuation import EvacuationController, ZoneState, ZoneTransition
 from heathwell.kernel import Coro, sleep
 from heathwell.lab.simulated import SimulatedDay
@@ -80,8 +83,8 @@
         return transitions
 
 
-def _fixed_desk(service_settings: ServiceSettings) -> ZoneDesk:
-    return ZoneDesk(service_settings.fleet.zones, decides=FixedCheck)
+def _fixed_desk(service_settings: ServiceSettings) -> EvacuationCoordinator:
+    return EvacuationCoordinator(service_settings.fleet.zones, decides=FixedCheck)
 
 
 def service_settings_of(variant: str, brokers: int, hosts: int) -> ServiceSettings:
@@ -117,7 +120,9 @@
     ) -> None:
         self.variant, self.kind = variant, kind
         self.ends: dict[tuple[str, int], Counter[str]] = defaultdict(Counter)
-        desk: Callable[[ServiceSettings], ZoneDesk] = _fixed_desk if variant == "fixed" else desk_of
+        desk: Callable[[ServiceSettings], EvacuationCoordinator] = (
+            _fixed_desk if variant == "fixed" else evacuation_coordinator_from_settings
+        )
         busy = {"busy": 1.5, "peak": 1.6}.get(kind, 1.0)
         super().__init__(
             service_settings_of(variant, brokers, hosts),
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -17,8 +17,8 @@
 import pytest
 
 from heathwell.audit import judge_budgets
-from heathwell.fleet.control.agent import FleetAgent
-from heathwell.fleet.control.wiring import budgets_of, times_of
+from heathwell.fleet.control.fleet_agent import FleetAgent
+from heathwell.fleet.control.parameters import budgets_from_settings, quota_timings_from_settings
 from heathwell.fleet.evacuation import AttemptCounts, BrokerReport, ZoneClassKey
 from heathwell.fleet.membership import LocalMember
 from heathwell.kernel import socket_loop
@@ -389,11 +389,17 @@
             FleetAgent(
                 loop,
                 net,
-                LocalMember(name, loop.now() + 1, loop.now(), zone=zone, timeouts=times_of(spec).membership),
-                budgets_of(spec),
+                LocalMember(
+                    name,
+                    loop.now() + 1,
+                    loop.now(),
+                    zone=zone,
+                    timeouts=quota_timings_from_settings(spec).membership,
+                ),
+                budgets_from_settings(spec),
                 tuple(where[-1].split(",")),
                 renew_us=spec.renew,
-                times=times_of(spec),
+                times=quota_timings_from_settings(spec),
                 seed=n,
                 log=lambda *_args, **_fields: None,
                 fleet=spec.called,
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -295,12 +295,14 @@
 
 def test_keepers_refuse_who_is_of_another_fleet():
     """An address can come to be another fleet's keeper's: its roll and budgets must not mix with ours."""
-    from heathwell.fleet.control.agent import FleetAgent  # noqa: PLC0415
-    from heathwell.fleet.control.keeper import KeeperServer  # noqa: PLC0415
+    from heathwell.fleet.control.fleet_agent import FleetAgent  # noqa: PLC0415
+    from heathwell.fleet.control.quota_coordinator import QuotaCoordinatorServer  # noqa: PLC0415
 
     loop, net = virtual_loop(1)
     keeper = QuotaCoordinator(0, "k0.1", 1, (), loop.now())
-    server = KeeperServer(loop, net.at("k0"), keeper, {}, seed=1, log=lambda *_a, **_k: None, fleet="ours")
+    server = QuotaCoordinatorServer(
+        loop, net.at("k0"), keeper, {}, seed=1, log=lambda *_a, **_k: None, fleet="ours"
+    )
     server.start("k0:1")
     agents = [
         FleetAgent(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -124,14 +124,14 @@
 def test_a_reply_comes_off_the_wire_as_it_was_sent():
     for state in MemberState:
         reply = MembershipReply(state, 3, 8, "why")
-        sent = frames.encode(messages.renewed_out(QuotaRenewalReply(reply, 7, 11, "k0.1")))
+        sent = frames.encode(messages.renewal_reply_to_frame(QuotaRenewalReply(reply, 7, 11, "k0.1")))
         assert state.value.encode() in sent
-        answer = messages.renewed_in(next(iter(frames.Frames().feed(sent))))
+        answer = messages.renewal_reply_from_frame(next(iter(frames.Frames().feed(sent))))
         assert answer.membership == reply
 
 
 def test_a_state_that_a_later_version_adds_ends_no_incarnation():
     frame = frames.RenewalReply("k0.1", 1, "draining", 5, 0)
     one = LocalMember("b1", 5, 0)
-    assert one.on_reply("k0", "k0.1", 5, messages.renewed_in(frame).membership) is None
+    assert one.on_reply("k0", "k0.1", 5, messages.renewal_reply_from_frame(frame).membership) is None
     assert one.incarnation == 5 and one.reply_positions
