--- a/benchmarks/keepercost.py
+++ b/benchmarks/keepercost.py
@@ -82,11 +82,11 @@
 
     def use(agent: FleetAgent, hosts: list[str]) -> Coro[None]:
         while True:
-            agent.take("further")
+            agent.acquire("further")
             for host in hosts:
-                agent.take(f"cold@{host}")
-                if agent.take(f"connections@{host}"):
-                    agent.give_back(f"connections@{host}")
+                agent.acquire(f"cold@{host}")
+                if agent.acquire(f"connections@{host}"):
+                    agent.release(f"connections@{host}")
             yield from sleep(loop, 200_000)
 
     def run() -> Coro[tuple[list[float], int]]:
@@ -108,10 +108,10 @@
             loop.spawn(use(agent, hosts), "use")
         yield from sleep(loop, 10_000_000)
         before = [cpu(process.pid) for process in keepers]
-        passed = sum(agent.shares.holders["further"].admitted for agent in agents)
+        passed = sum(agent.quotas.holders["further"].admitted for agent in agents)
         yield from sleep(loop, int(seconds * 1e6))
         used = [(cpu(process.pid) - old) / seconds for process, old in zip(keepers, before, strict=True)]
-        return used, sum(agent.shares.holders["further"].admitted for agent in agents) - passed
+        return used, sum(agent.quotas.holders["further"].admitted for agent in agents) - passed
 
     try:
         used, passed = loop.run(loop.spawn(run(), "run"))
@@ -120,7 +120,7 @@
             process.terminate()
             process.wait(10)
         wires.close()
-    needs = sum(len(agent.shares.holders) for agent in agents) / brokers
+    needs = sum(len(agent.quotas.holders) for agent in agents) / brokers
     print(
         f"{brokers} brokers, a renewal each {service_settings.fleet.renew / 1e6:g} s of {needs:.1f} "
         f"budgets each: "
--- a/heathwell/broker/quota_gate.py
+++ b/heathwell/broker/quota_gate.py
@@ -54,13 +54,13 @@
 class Agent(Protocol):
     """What obtains quotas for this broker (:class:`heathwell.fleet.control.fleet_agent.FleetAgent`)."""
 
-    def turn(self) -> int:
+    def check_incarnation(self) -> int:
         """Expire grants before anything is used; returns the time (us)."""
 
-    def take(self, budget: str, thousandths: int = UNIT_MILLIUNITS) -> bool:
+    def acquire(self, budget: str, thousandths: int = UNIT_MILLIUNITS) -> bool:
         """Use so many milliunits now."""
 
-    def give_back(self, budget: str) -> None:
+    def release(self, budget: str) -> None:
         """Return a unit of a count."""
 
     def holder(self, budget: str) -> Holder | None:
@@ -69,7 +69,7 @@
     def budget(self, name: str) -> tuple[int, int] | None:
         """Whole and linger (us) of a budget that is set; None where it is not."""
 
-    def figures(self) -> dict[str, dict[str, float]]:
+    def statistics(self) -> dict[str, dict[str, float]]:
         """By budget: its quota, and what was used and refused; those of each endpoint summed."""
 
 
@@ -144,7 +144,7 @@
 
     def quota_update(self) -> policy.QuotaUpdate | None:
         """What the module may send now; None where no budget concerns attempts."""
-        now = self.agent.turn()
+        now = self.agent.check_incarnation()
         if not self._budgets & {ADDITIONAL_ATTEMPTS, SLOW_START_PARTS}:
             return None
         return policy.QuotaUpdate(self._additional_attempts(now), self._slow_start_parts(now))
@@ -177,11 +177,11 @@
         if send.slow_start:
             budget = _of_endpoint(SLOW_START_PARTS, send.node)
             price = self._slow_start_price_milliunits.get(send.node, UNIT_MILLIUNITS)
-            if not self.agent.take(budget, price):
+            if not self.agent.acquire(budget, price):
                 return False
             budgets.append(budget)
         if send.additional and self.has_budget(ADDITIONAL_ATTEMPTS):
-            if not self.agent.take(ADDITIONAL_ATTEMPTS):
+            if not self.agent.acquire(ADDITIONAL_ATTEMPTS):
                 return False
             budgets.append(ADDITIONAL_ATTEMPTS)
         self._note_expiry(key, budgets)
@@ -201,7 +201,7 @@
 
     def may_still_send(self, key: AttemptKey) -> bool:
         """Whether an attempt that waited for its connection may leave."""
-        now = self.agent.turn()
+        now = self.agent.check_incarnation()
         until_us = self._sendable_until_us.get(key)
         return until_us is None or now < until_us
 
@@ -220,14 +220,14 @@
 
     def acquire_connection(self, node: str) -> bool:
         """Use a unit for one more connection to an endpoint; false where the quota does not cover it."""
-        acquired = self.agent.take(_of_endpoint(CONNECTIONS, node))
+        acquired = self.agent.acquire(_of_endpoint(CONNECTIONS, node))
         if not acquired:
             self._broker.counters["lacked", CONNECTIONS] += 1
         return acquired
 
     def release_connection(self, node: str) -> None:
         """Return the unit of a connection that has ended."""
-        self.agent.give_back(_of_endpoint(CONNECTIONS, node))
+        self.agent.release(_of_endpoint(CONNECTIONS, node))
 
     # Periodic work.
 
@@ -235,7 +235,7 @@
         """Update prices and usual rates of slow start, and close connections beyond the quota."""
         if self._broker.dead:
             return
-        now = self.agent.turn()
+        now = self.agent.check_incarnation()
         self._broker.loop.call_at(now + TICK_INTERVAL_US, self._tick)
         if self.has_budget(SLOW_START_PARTS):
             self._measure_usual_rate(now)
--- a/heathwell/broker/zone_observer.py
+++ b/heathwell/broker/zone_observer.py
@@ -95,7 +95,7 @@
 class ZoneAgent(Protocol):
     """What exchanges evidence and decisions (:class:`heathwell.fleet.control.fleet_agent.FleetAgent`)."""
 
-    def on_zones(self, zones: ZoneObserver) -> None:
+    def attach_zone_observer(self, zones: ZoneObserver) -> None:
         """Report the observer's summaries, and hand it each new decision."""
 
 
@@ -148,13 +148,13 @@
         zone = self._zone_names[endpoint.zone]
         self._evidence.record_attempt(self._broker.loop.now(), zone, subject, evidence, answered_in_us)
 
-    def summary(self, now: int) -> BrokerReport:
+    def report(self, now: int) -> BrokerReport:
         """What the quota coordinators are told of this broker's evidence."""
         return self._evidence.report(now)
 
     # Decisions.
 
-    def decided(self, decision: Decision) -> None:
+    def on_decision(self, decision: Decision) -> None:
         """Apply a decision from now on."""
         self.decision = decision
         self._broker.events(
@@ -245,7 +245,7 @@
 ) -> ZoneObserver:
     """The observer of a broker in a zone (by number), made known to the broker's agent."""
     observer = ZoneObserver(broker, zone_names[zone], zone_names, seed ^ ZONE_SEED_MASK)
-    agent.on_zones(observer)
+    agent.attach_zone_observer(observer)
     return observer
 
 
--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -319,12 +319,12 @@
     name = rollout_lease_budget(fleet).name
 
     def holds() -> bool:
-        now, holder = lender.turn(), lender.holder(name)
+        now, holder = lender.check_incarnation(), lender.holder(name)
         if holder is None:
             return False
         if holder.in_use and holder.quota(now) < 1:
-            lender.give_back(name)
-        return bool(holder.in_use) or lender.take(name)
+            lender.release(name)
+        return bool(holder.in_use) or lender.acquire(name)
 
     return holds
 
--- a/heathwell/fleet/control/coordinator_metrics.py
+++ b/heathwell/fleet/control/coordinator_metrics.py
@@ -31,13 +31,13 @@
         if request.path == "/metrics":
             return Response(200, generate_latest(self.registry), PROMETHEUS)
         if request.path == "/healthz":
-            owned = self.server.keeper.held_fractions(self.server.loop.now())
+            owned = self.server.coordinator.held_fractions(self.server.loop.now())
             return Response(200 if owned else 503, f"owns {len(owned)} fractions\n".encode())
         return Response(404, b"pages: /healthz /metrics\n")
 
     def collect(self) -> Iterator[Metric]:
         """Read when asked for."""
-        server, keeper, now = self.server, self.server.keeper, self.server.loop.now()
+        server, keeper, now = self.server, self.server.coordinator, self.server.loop.now()
         members = GaugeMetricFamily("heathwell_members", "Members by state", labels=("state",))
         states = [entry.state for entry in keeper.membership.entries.values()]
         for state in MemberState:
--- a/heathwell/fleet/control/evacuation_coordinator.py
+++ b/heathwell/fleet/control/evacuation_coordinator.py
@@ -1,13 +1,16 @@
-"""A keeper's part in leaving zones: it hears, relays what is decided, and decides while it owns the first
-fraction.
+"""A quota coordinator's part in zone evacuation: it collects the brokers' reports, passes on the newest
+decision, and decides itself while it is the leader.
 
-That fraction has one owner at a time (`heathwell/fleet/quotas/__init__.py`), so there is one decider at a
-time. What is decided is on no disk: it is what brokers go by, and a keeper that begins to decide first hears
-what that is.
+The leader is the holder of the first fraction's lease (`heathwell/fleet/quotas/__init__.py`), so there is one
+at a time. Nothing is stored on disk: the decision lives in the brokers that follow it, and a new leader first
+listens for what that is. Imports: `heathwell.fleet.evacuation`, the frames' converters and the settings.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from enum import StrEnum
+
 from heathwell.codec import frames
 from heathwell.fleet.control import messages
 from heathwell.fleet.evacuation import (
@@ -21,137 +24,189 @@
     EvacuationParameters,
     LoadEstimator,
     ZoneClassKey,
+    ZoneTransition,
 )
 from heathwell.settings import ServiceSettings
 
-HEAR_US = 2_500_000  # before it begins to decide: brokers renew more often
-LOADED_US = 2_000_000  # over which what brokers saw is summed
+LISTEN_BEFORE_LEADING_US = 2_500_000  # longer than the brokers' renewal interval
+LOAD_WINDOW_US = 2_000_000  # over which the brokers' counts are summed
+DEFAULT_OPERATOR = "an operator"
+
+
+class ZoneQuery(StrEnum):
+    """The word of an operator's command that changes nothing."""
+
+    STATUS = "status"
+
+
+class NotLeaderError(EvacuationError):
+    """An operator's order reached a coordinator that does not decide."""
+
+    def __init__(self) -> None:
+        super().__init__("this keeper does not decide: ask another")
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedReport:
+    """A broker's last report, and when it came (us)."""
+
+    received_at_us: int
+    report: BrokerReport
 
 
 def evacuation_coordinator_from_settings(service_settings: ServiceSettings) -> EvacuationCoordinator:
-    """The desk that a fleet's settings ask for."""
+    """The coordinator that the settings ask for."""
     return EvacuationCoordinator(
         service_settings.fleet.zones,
-        bears=service_settings.fleet.zone_bears,
-        worth={spec.name: spec.priority_weight for spec in service_settings.classes},
+        zone_capacity=service_settings.fleet.zone_bears,
+        priority_weights={spec.name: spec.priority_weight for spec in service_settings.classes},
     )
 
 
 class EvacuationCoordinator:
-    """``bears`` are parts a second that one zone's hosts bear, 0 for what their answers tell; ``worth`` is
-    that of a part, by class. ``decides`` makes the decider (for the laboratory's others).
+    """Evacuation decisions at one quota coordinator.
+
+    ``zone_capacity`` is what the endpoints of one zone can answer, in parts a second; 0 has it estimated from
+    their answers. ``priority_weights`` is the weight of a part by query class. ``controller_type`` makes the
+    controller of each term.
     """
 
     def __init__(
         self,
-        zones: list[str],
+        zone_names: list[str],
         parameters: EvacuationParameters | None = None,
-        bears: int = 0,
-        worth: dict[str, float] | None = None,
-        decides: type[EvacuationController] = EvacuationController,
+        zone_capacity: int = 0,
+        priority_weights: dict[str, float] | None = None,
+        controller_type: type[EvacuationController] = EvacuationController,
     ) -> None:
-        self.names = zones
+        self.zone_names = zone_names
         self.parameters = parameters or EvacuationParameters()
-        self.bears = bears
-        self.worth, self.decides = worth or {}, decides
-        self.capacity = CapacityEstimator(LOADED_US)
-        self.load = LoadEstimator(LOADED_US)
-        self._learned_at = 0
+        self.zone_capacity = zone_capacity
+        self.priority_weights = priority_weights or {}
+        self.controller_type = controller_type
+        self.capacity_estimator = CapacityEstimator(LOAD_WINDOW_US)
+        self.load_estimator = LoadEstimator(LOAD_WINDOW_US)
         self.decision = Decision(0, 0)
-        self.decider: EvacuationController | None = None
-        self._since: int | None = None
-        self._words: dict[str, tuple[int, BrokerReport]] = {}
-
-    def heard(self, now: int, summary: BrokerReport) -> None:
-        """A broker's word."""
-        self._words[summary.broker] = now, summary
-        if self.decider is not None:
-            self.decider.record_report(now, summary)
-
-    def told(self, decision: Decision) -> None:
-        """What another goes by; the newer counts."""
+        self.controller: EvacuationController | None = None
+        self._capacity_observed_at_us = 0
+        self._leading_since_us: int | None = None
+        self._reports: dict[str, ReceivedReport] = {}
+
+    def on_report(self, now_us: int, report: BrokerReport) -> None:
+        """Record a broker's report; it replaces the broker's former one."""
+        self._reports[report.broker] = ReceivedReport(now_us, report)
+        if self.controller is not None:
+            self.controller.record_report(now_us, report)
+
+    def on_decision(self, decision: Decision) -> None:
+        """Adopt a decision that another process follows, if it is newer."""
         if decision.is_newer_than(self.decision):
             self.decision = decision
 
-    def look(self, now: int, owns: bool) -> list[str]:
-        """Now and then: decide, where that is this keeper's; what changed, in words."""
-        self._words = {
-            broker: row
-            for broker, row in self._words.items()
-            if now - row[0] < self.parameters.report_max_age_us
-        }
-        if not owns:
-            self.decider, self._since = None, None
+    def tick(self, now_us: int, is_leader: bool) -> list[ZoneTransition]:
+        """Decide where this coordinator leads; to be called several times a second. Returns what changed."""
+        self._expire_reports(now_us)
+        if not is_leader:
+            self.controller = None
+            self._leading_since_us = None
             return []
-        if self._since is None:
-            self._since = now
-        if self.decider is None:
-            if now - self._since < HEAR_US:
-                return []
-            self.decider = self.decides(
-                self.names, self.parameters, self.decision.term + 1, now, self.decision
-            )
-            self.decider.priority_weights = self.worth
-            for at, word in self._words.values():
-                self.decider.record_report(at, word)
-        seen = self.seen()
-        rates = self.load.observe({key: some for key, some in seen.items() if key.query_class != PROBE_CLASS})
-        if now - self._learned_at >= LOADED_US:
-            self._learned_at = now
-            for name in self.names:
-                self.capacity.observe(
-                    now,
-                    name,
-                    {
-                        query_class: some
-                        for (zone, query_class), some in seen.items()
-                        if zone == name and query_class != PROBE_CLASS
-                    },
-                )
-        self.decider.update_load(
-            {name: sum(rate for (zone, _), rate in rates.items() if zone == name) for name in self.names},
-            {name: float(self.bears) or self.capacity.estimate(now, name) for name in self.names},
-            rates,
-        )
-        told = [str(transition) for transition in self.decider.reconcile(now)]
-        self.told(self.decider.decision)
-        return told
-
-    def seen(self) -> dict[ZoneClassKey, AttemptCounts]:
-        """What all brokers together saw lately, by zone and class."""
-        sums: dict[ZoneClassKey, AttemptCounts] = {}
-        for _, word in self._words.values():
-            for key, some in word.counts.items():
-                if key.zone in self.names:
-                    sums[key] = sums.get(key, AttemptCounts()) + some
-        return sums
-
-    def order(self, now: int, order: frames.OperatorCommand) -> frames.ZonesStatus:
-        """An operator's word."""
-        text = ""
-        if order.word != "status":
-            if self.decider is None:
-                text = "this keeper does not decide: ask another"
-            else:
-                try:
-                    self.decider.execute_order(
-                        now, order.zone, order.word, order.who or "an operator", order.why
-                    )
-                except EvacuationError as error:
-                    text = str(error)
-                self.told(self.decider.decision)
-        states = (
-            {}
-            if self.decider is None
-            else {
-                name: f"{zone.state}, pinned by {zone.pinned_by}" if zone.pinned_by else zone.state.value
-                for name, zone in self.decider.zones.items()
-            }
-        )
+        controller = self._leading_controller(now_us)
+        if controller is None:
+            return []
+        self._update_load(now_us, controller)
+        transitions = controller.reconcile(now_us)
+        self.on_decision(controller.decision)
+        return transitions
+
+    def total_counts(self) -> dict[ZoneClassKey, AttemptCounts]:
+        """The attempt counts of all brokers' last reports, summed by zone and query class."""
+        totals: dict[ZoneClassKey, AttemptCounts] = {}
+        for received in self._reports.values():
+            for key, counts in received.report.counts.items():
+                if key.zone in self.zone_names:
+                    totals[key] = totals.get(key, AttemptCounts()) + counts
+        return totals
+
+    def on_operator_command(self, now_us: int, command: frames.OperatorCommand) -> frames.ZonesStatus:
+        """Carry out an operator's command; the reply says how zones stand, and an error in its ``text``."""
+        error_text = ""
+        if command.word != ZoneQuery.STATUS:
+            try:
+                self._execute(now_us, command)
+            except EvacuationError as error:
+                error_text = str(error)
         return frames.ZonesStatus(
-            self.decider is not None,
-            text,
+            self.controller is not None,
+            error_text,
             messages.decision_to_frame(self.decision),
-            states,
-            messages.attempt_counts_to_frames(self.seen()),
+            self._zone_states(),
+            messages.attempt_counts_to_frames(self.total_counts()),
+        )
+
+    def _execute(self, now_us: int, command: frames.OperatorCommand) -> None:
+        """Carry out an order; raises an :class:`EvacuationError` where it can't be."""
+        if self.controller is None:
+            raise NotLeaderError
+        operator = command.who or DEFAULT_OPERATOR
+        try:
+            self.controller.execute_order(now_us, command.zone, command.word, operator, command.why)
+        finally:
+            self.on_decision(self.controller.decision)
+
+    def _zone_states(self) -> dict[str, str]:
+        """By zone its state and who pinned it, as operators read it; nothing where another leads."""
+        if self.controller is None:
+            return {}
+        return {
+            name: f"{zone.state}, pinned by {zone.pinned_by}" if zone.pinned_by else zone.state.value
+            for name, zone in self.controller.zones.items()
+        }
+
+    def _expire_reports(self, now_us: int) -> None:
+        self._reports = {
+            broker: received
+            for broker, received in self._reports.items()
+            if now_us - received.received_at_us < self.parameters.report_max_age_us
+        }
+
+    def _leading_controller(self, now_us: int) -> EvacuationController | None:
+        """The controller of this coordinator's term; None while it still listens for the last decision."""
+        if self._leading_since_us is None:
+            self._leading_since_us = now_us
+        if self.controller is not None:
+            return self.controller
+        if now_us - self._leading_since_us < LISTEN_BEFORE_LEADING_US:
+            return None
+        self.controller = self.controller_type(
+            self.zone_names, self.parameters, self.decision.term + 1, now_us, self.decision
         )
+        self.controller.priority_weights = self.priority_weights
+        for received in self._reports.values():
+            self.controller.record_report(received.received_at_us, received.report)
+        return self.controller
+
+    def _update_load(self, now_us: int, controller: EvacuationController) -> None:
+        """Hand the controller the current load and capacity of each zone, probes left out."""
+        counts_by_key = {
+            key: counts for key, counts in self.total_counts().items() if key.query_class != PROBE_CLASS
+        }
+        rate_by_key = self.load_estimator.observe(counts_by_key)
+        if now_us - self._capacity_observed_at_us >= LOAD_WINDOW_US:
+            self._capacity_observed_at_us = now_us
+            self._observe_capacity(now_us, counts_by_key)
+        rate_by_zone = {
+            name: sum(rate for key, rate in rate_by_key.items() if key.zone == name)
+            for name in self.zone_names
+        }
+        capacity_by_zone = {
+            name: float(self.zone_capacity) or self.capacity_estimator.estimate(now_us, name)
+            for name in self.zone_names
+        }
+        controller.update_load(rate_by_zone, capacity_by_zone, rate_by_key)
+
+    def _observe_capacity(self, now_us: int, counts_by_key: dict[ZoneClassKey, AttemptCounts]) -> None:
+        for name in self.zone_names:
+            counts_by_class = {
+                key.query_class: counts for key, counts in counts_by_key.items() if key.zone == name
+            }
+            self.capacity_estimator.observe(now_us, name, counts_by_class)
--- a/heathwell/fleet/control/fleet_agent.py
+++ b/heathwell/fleet/control/fleet_agent.py
@@ -24,10 +24,10 @@
 class Zones(Protocol):
     """A broker's sight of zones."""
 
-    def summary(self, now: int) -> BrokerReport:
+    def report(self, now: int) -> BrokerReport:
         """Its word."""
 
-    def decided(self, decision: Decision) -> None:
+    def on_decision(self, decision: Decision) -> None:
         """A decision newer than any before."""
 
 
@@ -51,15 +51,15 @@
         events: EventLog | None = None,
         fleet: str = "",
     ) -> None:
-        self.loop, self.log, self.renew_us = loop, log, renew_us
+        self.loop, self.log, self.renewal_interval_us = loop, log, renew_us
         self.events: EventLog = events or NoEvents()
-        self.shares = BrokerQuotas(member, budgets, keepers, loop.now(), times, seed)
+        self.quotas = BrokerQuotas(member, budgets, keepers, loop.now(), times, seed)
         self.counts: Counter[tuple[str, ...]] = Counter()
-        self.on_death: Callable[[str], None] = lambda _why: None
-        self.leaves = self.closed = False
-        self.zones: Zones | None = None
+        self.on_incarnation_ended: Callable[[str], None] = lambda _why: None
+        self.is_leaving = self.is_closed = False
+        self.zone_observer: Zones | None = None
         self.decision = Decision(0, 0)
-        self._noted: dict[str, tuple[int, ...]] = {}
+        self._logged_states: dict[str, tuple[int, ...]] = {}
         silence = 2 * times.membership.suspect_timeout_us
         self.links = {
             address: ControlLink(
@@ -70,7 +70,7 @@
                 MEMBER_ROLE,
                 silence_us=silence,
                 seed=seed * 64 + number,
-                heard=partial(self._answered, address),
+                on_message=partial(self._on_message, address),
                 log=log,
                 fleet=fleet,
             )
@@ -82,49 +82,49 @@
     @property
     def member(self) -> LocalMember:
         """This broker's own side of its membership."""
-        return self.shares.member
+        return self.quotas.member
 
-    def turn(self) -> int:
+    def check_incarnation(self) -> int:
         """Before anything is used, each turn; returns the time by which it may be."""
         now = self.loop.now()
-        self._on_incarnation_ended(self.shares.check_clock(now))
+        self._on_incarnation_ended(self.quotas.check_clock(now))
         return now
 
-    def take(self, budget: str, thousandths: int = 1_000) -> bool:
+    def acquire(self, budget: str, thousandths: int = 1_000) -> bool:
         """Use a unit now, by the clock of now; of a count until it is given back."""
-        now = self.turn()
-        holder = self.shares.holder(now, budget)
+        now = self.check_incarnation()
+        holder = self.quotas.holder(now, budget)
         if holder is None:
             return False
         free = holder.acquire(now, thousandths)
         if self.events.on:
-            self._note(now, budget, holder)
+            self._log_holder(now, budget, holder)
             if free and holder.budget.kind != BudgetKind.COUNT:
                 self.events("spends", budget=budget, amount=thousandths)
         return free
 
-    def give_back(self, budget: str) -> None:
+    def release(self, budget: str) -> None:
         """A unit of a count has been let go."""
-        holder = self.shares.holders.get(budget)
+        holder = self.quotas.holders.get(budget)
         if holder is not None and holder.in_use:
             holder.release()
-            self._note(self.loop.now(), budget, holder)
+            self._log_holder(self.loop.now(), budget, holder)
 
     def holder(self, budget: str) -> QuotaHolder | None:
         """The holder of a budget, for room, demand and excess; None where no such budget is set."""
-        return self.shares.holder(self.loop.now(), budget)
+        return self.quotas.holder(self.loop.now(), budget)
 
     def budget(self, name: str) -> tuple[int, int] | None:
         """Whole and linger (us) of a budget that is set; None where it is not."""
-        budget = self.shares.budgets.get(name)
+        budget = self.quotas.budgets.get(name)
         return (budget.total, budget.linger_timeout_us) if budget is not None else None
 
-    def figures(self) -> dict[str, dict[str, float]]:
+    def statistics(self) -> dict[str, dict[str, float]]:
         """By budget: its share (units, of a rate a second), what was used and refused; those of each host
         summed.
         """
         now, out = self.loop.now(), dict[str, dict[str, float]]()
-        for name, holder in self.shares.holders.items():
+        for name, holder in self.quotas.holders.items():
             row = out.setdefault(
                 name.partition("@")[0], dict.fromkeys(("share", "in use", "used", "refused"), 0.0)
             )
@@ -134,32 +134,32 @@
             row["refused"] += holder.rejected
         return out
 
-    def on_zones(self, zones: Zones) -> None:
+    def attach_zone_observer(self, zones: Zones) -> None:
         """Say a broker's word on zones with each renewal, and tell it what is decided."""
-        self.zones = zones
+        self.zone_observer = zones
 
     def leave(self) -> None:
         """Say that this broker ends, as far as it is heard."""
-        self.leaves = True
-        self._say(self.turn())
+        self.is_leaving = True
+        self._send_renewals(self.check_incarnation())
 
     def close(self) -> None:
         """Renew no more."""
-        self.closed = True
+        self.is_closed = True
         for link in self.links.values():
             link.close()
 
     def _renew(self) -> None:
-        if not self.closed and not self.leaves:
-            self._say(self.turn())
-            self.loop.call_at(self.loop.now() + self.renew_us, self._renew)
-
-    def _say(self, now: int) -> None:
-        word = self.zones.summary(now) if self.zones is not None else None
-        renewals = self.shares.renewals(now, leaving=self.leaves)
-        if self.leaves and self.events.on:
-            for name, holder in self.shares.holders.items():
-                self._note(now, name, holder)
+        if not self.is_closed and not self.is_leaving:
+            self._send_renewals(self.check_incarnation())
+            self.loop.call_at(self.loop.now() + self.renewal_interval_us, self._renew)
+
+    def _send_renewals(self, now: int) -> None:
+        word = self.zone_observer.report(now) if self.zone_observer is not None else None
+        renewals = self.quotas.renewals(now, leaving=self.is_leaving)
+        if self.is_leaving and self.events.on:
+            for name, holder in self.quotas.holders.items():
+                self._log_holder(now, name, holder)
             # on record before anybody hears that it is free
             self.events.flush()  # type: ignore[attr-defined]
         for addressed in renewals:
@@ -170,25 +170,25 @@
             if self.links[addressed.coordinator].send(message):
                 self.counts["renewals",] += 1
         if self.events.on:
-            for name, holder in self.shares.holders.items():
-                self._note(now, name, holder)
+            for name, holder in self.quotas.holders.items():
+                self._log_holder(now, name, holder)
 
-    def _answered(self, address: str, message: frames.AnyMessage) -> None:
+    def _on_message(self, address: str, message: frames.AnyMessage) -> None:
         if not isinstance(message, frames.RenewalReply):
             return
-        now = self.turn()
-        if self.leaves:
+        now = self.check_incarnation()
+        if self.is_leaving:
             return  # what comes now was asked for before
         decision = messages.decision_from_frame(message.decision)
-        if self.zones is not None and decision.is_newer_than(self.decision):
+        if self.zone_observer is not None and decision.is_newer_than(self.decision):
             self.decision = decision
-            self.zones.decided(decision)
+            self.zone_observer.on_decision(decision)
         self._on_incarnation_ended(
-            self.shares.on_reply(now, address, messages.renewal_reply_from_frame(message))
+            self.quotas.on_reply(now, address, messages.renewal_reply_from_frame(message))
         )
         if self.events.on:
-            for name in sorted({grant.budget for grant in message.grants} & self.shares.holders.keys()):
-                self._note(now, name, self.shares.holders[name])
+            for name in sorted({grant.budget for grant in message.grants} & self.quotas.holders.keys()):
+                self._log_holder(now, name, self.quotas.holders[name])
 
     def _on_incarnation_ended(self, ended: IncarnationEnded | None) -> None:
         if ended is not None:
@@ -200,11 +200,11 @@
                 why=ended.reason,
                 incarnation=self.member.incarnation,
             )
-            for name, holder in self.shares.holders.items():
-                self._note(self.loop.now(), name, holder)
-            self.on_death(ended.reason)
+            for name, holder in self.quotas.holders.items():
+                self._log_holder(self.loop.now(), name, holder)
+            self.on_incarnation_ended(ended.reason)
 
-    def _note(self, now: int, name: str, holder: QuotaHolder) -> None:
+    def _log_holder(self, now: int, name: str, holder: QuotaHolder) -> None:
         """What is held, by fraction with how long yet (own clock), and of a count what is used: for
         auditors.
         """
@@ -212,8 +212,8 @@
             return
         share = holder.quota(now)
         state = (share, holder.in_use, *(held.expires_at_us for held in holder.grants.values()))
-        if self._noted.get(name) != state:
-            self._noted[name] = state
+        if self._logged_states.get(name) != state:
+            self._logged_states[name] = state
             self.events(
                 "holds",
                 budget=name,
--- a/heathwell/fleet/control/link.py
+++ b/heathwell/fleet/control/link.py
@@ -1,5 +1,8 @@
-"""One standing connection to another process of the control: made again when it is lost, given up when it is
-silent.
+"""One standing connection to another process of the fleet control.
+
+The link owns its connection and one task that makes it, reads it and, once it is lost, makes it anew after a
+random wait. It has no queue: a message that cannot be sent at once is lost. Imports: the inner protocol, its
+frames and the event loop.
 """
 
 from __future__ import annotations
@@ -12,14 +15,19 @@
 from heathwell.fleet.control.messages import MAX_MESSAGE_BYTES
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, sleep
 
-CONNECT_US = 1_000_000
-AGAIN_US = 300_000  # mean wait between two tries, drawn between half and one and a half of it
-UNSENT_MOST = 1 << 20  # bytes that the other side may leave unread
+CONNECT_TIMEOUT_US = 1_000_000
+RECONNECT_INTERVAL_US = 300_000  # mean wait between two attempts
+RECONNECT_JITTER = (0.5, 1.5)  # factors between which the wait is drawn
+MAX_UNSENT_BYTES = 1 << 20  # that the peer may leave unread
 
 
 class ControlLink:
-    """``heard`` is called with each message but the hello; ``silence_us`` without any while messages are sent
-    ends the connection, as one whose other side is gone is never reset.
+    """A connection to ``address`` that introduces itself as ``name`` in ``role``.
+
+    ``on_message`` is called with each message but the peer's hello. A peer that stays silent for longer than
+    ``silence_us`` is taken for gone at the next :meth:`send`, as a connection whose peer has vanished is
+    never reset. ``fleet`` is the fleet's name ("" where it has none); a coordinator of another fleet
+    refuses it.
     """
 
     def __init__(
@@ -32,65 +40,80 @@
         *,
         silence_us: int,
         seed: int,
-        heard: Callable[[frames.AnyMessage], None],
+        on_message: Callable[[frames.AnyMessage], None],
         log: Callable[..., None],
         fleet: str = "",
     ) -> None:
+        self.loop = loop
+        self.net = net
+        self.address = address
+        self.name = name
+        self.role = role
         self.fleet = fleet
-        self.loop, self.net, self.address, self.name, self.role = loop, net, address, name, role
-        self.silence_us, self.heard, self.log = silence_us, heard, log
+        self.silence_us = silence_us
+        self.on_message = on_message
+        self.log = log
         self.random = random.Random(seed)
         self.stream: Stream | None = None
-        self.heard_us = 0
-        self._told = ""
-        self._task: Task = loop.spawn(self._stay(), f"control {address}")
+        self.last_received_at_us = 0
+        self._reported_problem: str | None = None
+        self._task: Task = loop.spawn(self._run(), f"control {address}")
 
     @property
-    def up(self) -> bool:
+    def is_connected(self) -> bool:
         """Whether a connection stands."""
         return self.stream is not None
 
     def send(self, message: frames.Message) -> bool:
-        """Send where a connection stands; what can't be sent is lost, as on the way."""
+        """Send a message; returns False where it is lost: without a connection, or where the peer is silent
+        or does not read, which ends the connection.
+        """
         if self.stream is None:
             return False
-        if self.loop.now() - self.heard_us > self.silence_us or self.stream.unsent > UNSENT_MOST:
+        silent_us = self.loop.now() - self.last_received_at_us
+        if silent_us > self.silence_us or self.stream.unsent > MAX_UNSENT_BYTES:
             self.stream.abort()
             return False
         self.stream.offer(frames.encode(message))
         return True
 
     def close(self) -> None:
-        """Connect no more."""
+        """End the connection for good."""
         self._task.cancel()
 
-    def _stay(self) -> Coro[None]:
+    def _run(self) -> Coro[None]:
         while True:
             try:
-                yield from self._talk()
+                yield from self._exchange()
             except (ConnectFailed, StreamBroken, frames.FrameError) as problem:
-                if str(problem) != self._told:  # once a reason, not once a try
-                    self._told = str(problem)
-                    self.log("warning", "control: no connection", to=self.address, why=self._told)
-            yield from sleep(self.loop, int(AGAIN_US * self.random.uniform(0.5, 1.5)))
+                self._report_problem(str(problem))
+            yield from sleep(self.loop, int(RECONNECT_INTERVAL_US * self.random.uniform(*RECONNECT_JITTER)))
+
+    def _report_problem(self, problem: str) -> None:
+        """Log a problem once, not with each attempt."""
+        if problem == (self._reported_problem or ""):
+            return
+        self._reported_problem = problem
+        self.log("warning", "control: no connection", to=self.address, why=problem)
 
-    def _talk(self) -> Coro[None]:
-        stream = yield from self.net.connect(self.address, CONNECT_US)
+    def _exchange(self) -> Coro[None]:
+        """One connection, from its making to its end, which is always an exception."""
+        stream = yield from self.net.connect(self.address, CONNECT_TIMEOUT_US)
         try:
             stream.write(frames.encode(frames.Hello(frames.VERSION, self.name, self.role, fleet=self.fleet)))
-            self.heard_us = self.loop.now()
+            self.last_received_at_us = self.loop.now()
             self.stream = stream
-            yield from inner_protocol.listen(stream, self._hear, MAX_MESSAGE_BYTES)
+            yield from inner_protocol.listen(stream, self._on_message, MAX_MESSAGE_BYTES)
             raise StreamBroken("closed by the other side")
         finally:
             self.stream = None
             stream.abort()
 
-    def _hear(self, message: frames.AnyMessage) -> None:
-        self.heard_us = self.loop.now()
-        if isinstance(message, frames.Hello):
-            if self._told:
-                self.log("info", "control: connected again", to=self.address, peer=message.name)
-            self._told = ""
-        else:
-            self.heard(message)
+    def _on_message(self, message: frames.AnyMessage) -> None:
+        self.last_received_at_us = self.loop.now()
+        if not isinstance(message, frames.Hello):
+            self.on_message(message)
+            return
+        if self._reported_problem:
+            self.log("info", "control: connected again", to=self.address, peer=message.name)
+        self._reported_problem = None
--- a/heathwell/fleet/control/messages.py
+++ b/heathwell/fleet/control/messages.py
@@ -1,4 +1,11 @@
-"""Deciders' records to the inner wire's messages and back."""
+"""Converters between the records of the fleet's controllers and the frames of the inner protocol.
+
+Each pair is ``<record>_to_frame`` and ``<record>_from_frame``. The functions are pure and keep nothing.
+Frames are bounded here: what exceeds a bound is left out, never refused.
+
+Imports: `heathwell.codec.frames`
+and the records of `heathwell.fleet.evacuation`, `membership` and `quotas`; no sockets and no event loop.
+"""
 
 from __future__ import annotations
 
@@ -15,17 +22,17 @@
     QuotaRenewalReply,
 )
 
-MAX_MESSAGE_BYTES = 256 << 10  # bytes of a message between the control's processes
-NEEDS_MOST = 96  # budgets in one renewal
-NO_HOLDER = ""  # in a vote, where the voter may vote for nobody yet
-SEEN_MOST = 512  # zones and classes in one broker's word
+MAX_MESSAGE_BYTES = 256 << 10  # of one frame between processes of the fleet control
+MAX_DEMANDS = 96  # budgets in one renewal
+NO_HOLDER = ""  # in a vote, where the voter may not vote for anyone yet
+MAX_ATTEMPT_COUNTS = 512  # pairs of zone and query class in one report
 
 
 def renewal_to_frame(renewal: QuotaRenewal) -> frames.RenewalRequest:
-    """A renewal to the wire: of too many budgets those with the most demand."""
+    """A renewal. Beyond :data:`MAX_DEMANDS` budgets it keeps those with grants, then the largest demands."""
     report = renewal.report
     demands = sorted(renewal.demands, key=lambda demand: (not demand.active_grants, -demand.demand))[
-        :NEEDS_MOST
+        :MAX_DEMANDS
     ]
     return frames.RenewalRequest(
         report.name,
@@ -37,22 +44,22 @@
         report.coordinator_incarnation,
         report.last_reply_number,
         report.leaving,
-        [_demand_out(demand) for demand in demands],
+        [_demand_to_frame(demand) for demand in demands],
     )
 
 
-def _demand_out(demand: BudgetDemand) -> frames.QuotaDemand:
+def _demand_to_frame(demand: BudgetDemand) -> frames.QuotaDemand:
     active_grants = [(grant.fraction, grant.grantor, grant.number) for grant in demand.active_grants]
     return frames.QuotaDemand(demand.budget, demand.demand, active_grants)
 
 
-def _demand_in(message: frames.QuotaDemand) -> BudgetDemand:
+def _demand_from_frame(message: frames.QuotaDemand) -> BudgetDemand:
     active_grants = tuple(ActiveGrant(*active_grant) for active_grant in message.goes_by)
     return BudgetDemand(message.budget, max(0, message.demand), active_grants)
 
 
 def renewal_from_frame(message: frames.RenewalRequest) -> QuotaRenewal:
-    """A renewal from the wire; what is beyond the bound of budgets is left out."""
+    """A renewal; budgets beyond :data:`MAX_DEMANDS` are ignored, a negative demand counts as 0."""
     report = MembershipReport(
         message.name,
         message.incarnation,
@@ -66,23 +73,23 @@
     return QuotaRenewal(
         report,
         message.asked_us,
-        tuple(_demand_in(need) for need in message.needs[:NEEDS_MOST]),
+        tuple(_demand_from_frame(demand) for demand in message.needs[:MAX_DEMANDS]),
     )
 
 
-def renewal_reply_to_frame(answer: QuotaRenewalReply) -> frames.RenewalReply:
-    """A keeper's answer to the wire."""
-    membership = answer.membership
+def renewal_reply_to_frame(reply: QuotaRenewalReply) -> frames.RenewalReply:
+    """A quota coordinator's reply to a renewal."""
+    membership = reply.membership
     grants = [
         frames.Granted(grant.budget, grant.fraction, grant.number, grant.amount, grant.duration_us)
-        for grant in answer.grants
+        for grant in reply.grants
     ]
     return frames.RenewalReply(
-        answer.coordinator_incarnation,
+        reply.coordinator_incarnation,
         membership.reply_number,
         membership.state.value,
-        answer.incarnation,
-        answer.requested_at_us,
+        reply.incarnation,
+        reply.requested_at_us,
         membership.minimum_incarnation,
         membership.reason,
         grants,
@@ -90,7 +97,7 @@
 
 
 def renewal_reply_from_frame(message: frames.RenewalReply) -> QuotaRenewalReply:
-    """A keeper's answer from the wire."""
+    """A reply to a renewal; a state that this version does not know counts as suspected."""
     membership = MembershipReply(_member_state(message.state), message.number, message.least, message.why)
     return QuotaRenewalReply(
         membership,
@@ -113,65 +120,63 @@
 
 
 def _member_state(text: str) -> MemberState:
-    """A member's state from the wire. One that a later version may add is not final, so the broker goes on
-    as a member that is suspected.
-    """
+    """A member's state. One that a later version adds is not final, so the broker continues as suspected."""
     try:
         return MemberState(text)
     except ValueError:
         return MemberState.SUSPECT
 
 
-def lease_request_to_frame(claim: FractionLeaseRequest) -> frames.LeaseRequest:
-    """A claim to the wire."""
-    return frames.LeaseRequest(claim.fraction, claim.candidate, claim.requested_at_us)
+def lease_request_to_frame(request: FractionLeaseRequest) -> frames.LeaseRequest:
+    """A candidate's request for the lease of a fraction."""
+    return frames.LeaseRequest(request.fraction, request.candidate, request.requested_at_us)
 
 
 def lease_request_from_frame(message: frames.LeaseRequest) -> FractionLeaseRequest:
-    """A claim from the wire."""
+    """A candidate's request for the lease of a fraction."""
     return FractionLeaseRequest(message.fraction, message.claimant, message.asked_us)
 
 
 def lease_vote_to_frame(vote: FractionLeaseVote) -> frames.LeaseVote:
-    """A vote to the wire."""
+    """A vote on the lease of a fraction; without a holder :data:`NO_HOLDER` is sent."""
     return frames.LeaseVote(vote.fraction, vote.voter, vote.requested_at_us, vote.holder or NO_HOLDER)
 
 
 def lease_vote_from_frame(message: frames.LeaseVote) -> FractionLeaseVote:
-    """A vote from the wire."""
+    """A vote on the lease of a fraction; :data:`NO_HOLDER` becomes None."""
     return FractionLeaseVote(message.fraction, message.voter, message.asked_us, message.owner or None)
 
 
-def broker_report_to_frames(summary: BrokerReport) -> list[frames.ZoneReport]:
-    """A broker's word on zones to the wire."""
-    return attempt_counts_to_frames(summary.counts)
+def broker_report_to_frames(report: BrokerReport) -> list[frames.ZoneReport]:
+    """The attempt counts of a broker's report; its other fields go in the renewal itself."""
+    return attempt_counts_to_frames(report.counts)
 
 
-def attempt_counts_to_frames(seen: dict[ZoneClassKey, AttemptCounts]) -> list[frames.ZoneReport]:
-    """What was seen, by zone and class, to the wire."""
+def attempt_counts_to_frames(counts_by_key: dict[ZoneClassKey, AttemptCounts]) -> list[frames.ZoneReport]:
+    """Attempt counts by zone and query class, at most :data:`MAX_ATTEMPT_COUNTS` of them."""
     return [
-        frames.ZoneReport(zone, query_class, some.good, some.late, some.bad, some.took_ms)
-        for (zone, query_class), some in list(seen.items())[:SEEN_MOST]
+        frames.ZoneReport(zone, query_class, counts.good, counts.late, counts.bad, counts.took_ms)
+        for (zone, query_class), counts in list(counts_by_key.items())[:MAX_ATTEMPT_COUNTS]
     ]
 
 
-def attempt_counts_from_frames(rows: list[frames.ZoneReport]) -> dict[ZoneClassKey, AttemptCounts]:
-    """What was seen, by zone and class, from the wire."""
+def attempt_counts_from_frames(reports: list[frames.ZoneReport]) -> dict[ZoneClassKey, AttemptCounts]:
+    """Attempt counts by zone and query class; negative counts become 0."""
     return {
-        ZoneClassKey(row.zone, row.query_class): AttemptCounts(
-            max(0, row.good), max(0, row.late), max(0, row.bad), max(0, row.took_ms)
+        ZoneClassKey(report.zone, report.query_class): AttemptCounts(
+            max(0, report.good), max(0, report.late), max(0, report.bad), max(0, report.took_ms)
         )
-        for row in rows[:SEEN_MOST]
+        for report in reports[:MAX_ATTEMPT_COUNTS]
     }
 
 
 def broker_report_from_frame(message: frames.RenewalRequest) -> BrokerReport:
-    """A broker's word on zones from the wire."""
+    """A broker's report on zones, as its renewal carries it."""
     return BrokerReport(message.name, message.zone, attempt_counts_from_frames(message.seen), message.cut_off)
 
 
 def decision_to_frame(decision: Decision) -> frames.ZoneDecision | None:
-    """A decision on zones to the wire; none has been made under term 0."""
+    """A decision on zones; None for term 0, under which none has been made."""
     if not decision.term:
         return None
     return frames.ZoneDecision(
@@ -187,14 +192,14 @@
 
 
 def decision_from_frame(message: frames.ZoneDecision | None) -> Decision:
-    """A decision on zones from the wire."""
+    """A decision on zones; without a frame the empty one of term 0."""
     if message is None:
         return Decision(0, 0)
     return Decision(
         message.term,
         message.number,
         {
-            name: ZoneDirective(word.state, word.share, tuple(word.only), word.why)
-            for name, word in message.zones.items()
+            name: ZoneDirective(directive.state, directive.share, tuple(directive.only), directive.why)
+            for name, directive in message.zones.items()
         },
     )
--- a/heathwell/fleet/control/parameters.py
+++ b/heathwell/fleet/control/parameters.py
@@ -1,4 +1,8 @@
-"""What settings' ``(fleet ...)`` turns on, as the deciders' records."""
+"""The parameters of the fleet's controllers, derived from the ``(fleet ...)`` form of the settings.
+
+Pure functions over settings that have passed their checks. Imports: the settings' schema and the records of
+`heathwell.fleet.membership` and `heathwell.fleet.quotas`.
+"""
 
 from __future__ import annotations
 
@@ -6,56 +10,73 @@
 from heathwell.fleet.quotas import Budget, BudgetKind, Lease, QuotaTimings
 from heathwell.settings.schema import Fleet, FleetBudget
 
+MILLIUNITS = 1_000  # of a unit a second, in which rates are counted
+CONNECTIONS_BUDGET = "connections"
+SLOW_START_BUDGET = "cold"
+ROLLOUT_BUDGET = "rollout"
+ENDPOINT_SCOPE = "host"
+FRACTION_LEASE_GRANTS = 2  # a fraction's lease lasts for so many grants
+
 
 def max_brokers(fleet: Fleet) -> int:
-    """For how many brokers parts are set aside."""
+    """For how many brokers minimum quotas are reserved."""
     return fleet.most or fleet.brokers
 
 
 def budgets_from_settings(fleet: Fleet) -> tuple[Budget, ...]:
-    """The budgets of a fleet that settings' checks have passed."""
-    return tuple(_budget(fleet, said) for said in fleet.budgets)
-
-
-def _budget(fleet: Fleet, said: FleetBudget) -> Budget:
-    most, fractions = max_brokers(fleet), len(fleet.keepers)
-    if said.name == "connections":
-        # A broker's first connection is its own and never asked for: only those beyond are lent.
-        return Budget(
-            said.name,
-            BudgetKind.COUNT,
-            int(said.whole) - most,
-            0,
-            most,
-            fractions,
-            linger_timeout_us=said.linger,
-            scope_kind="host",
-            uncounted=most,
-        )
+    """The fleet-wide budgets, in the order of the settings."""
+    return tuple(
+        _connection_budget(fleet, budget)
+        if budget.name == CONNECTIONS_BUDGET
+        else _rate_budget(fleet, budget)
+        for budget in fleet.budgets
+    )
+
+
+def _connection_budget(fleet: Fleet, settings: FleetBudget) -> Budget:
+    """Connections to one endpoint. A broker's first connection is its own and never requested: only
+    additional ones are granted.
+    """
+    brokers = max_brokers(fleet)
+    return Budget(
+        settings.name,
+        BudgetKind.COUNT,
+        int(settings.whole) - brokers,
+        0,
+        brokers,
+        len(fleet.keepers),
+        linger_timeout_us=settings.linger,
+        scope_kind=ENDPOINT_SCOPE,
+        uncounted=brokers,
+    )
+
+
+def _rate_budget(fleet: Fleet, settings: FleetBudget) -> Budget:
+    """A rate, in milliunits a second."""
     return Budget(
-        said.name,
+        settings.name,
         BudgetKind.RATE,
-        int(said.whole * 1000),
-        int(said.whole * said.aside * 1000),
-        most,
-        fractions,
-        burst_window_us=said.burst,
-        scope_kind="host" if said.name == "cold" else "",
+        int(settings.whole * MILLIUNITS),
+        int(settings.whole * settings.aside * MILLIUNITS),
+        max_brokers(fleet),
+        len(fleet.keepers),
+        burst_window_us=settings.burst,
+        scope_kind=ENDPOINT_SCOPE if settings.name == SLOW_START_BUDGET else "",
     )
 
 
 def rollout_lease_budget(fleet: Fleet) -> Budget:
-    """The one unit that is lent to whoever steers a change."""
-    return Budget("rollout", BudgetKind.COUNT, 1, 0, max_brokers(fleet), len(fleet.keepers), sticky=True)
+    """The one unit that the active rollout controller holds as its lease."""
+    return Budget(ROLLOUT_BUDGET, BudgetKind.COUNT, 1, 0, max_brokers(fleet), len(fleet.keepers), sticky=True)
 
 
 def quota_timings_from_settings(fleet: Fleet) -> QuotaTimings:
-    """The leases of a fleet. A promise lasts for two grants, so that one given late in it is not cut short at
-    once.
+    """The durations of leases and of membership (us). A fraction's lease outlasts a grant, so that a
+    grant made late in it is not cut short.
     """
     return QuotaTimings(
         Lease(fleet.lease, fleet.drift),
-        Lease(2 * fleet.lease, fleet.drift),
+        Lease(FRACTION_LEASE_GRANTS * fleet.lease, fleet.drift),
         fleet.suspect,
         MembershipTimeouts(fleet.suspect, fleet.dead),
     )
--- a/heathwell/fleet/control/quota_coordinator.py
+++ b/heathwell/fleet/control/quota_coordinator.py
@@ -44,14 +44,14 @@
         zones: EvacuationCoordinator | None = None,
         fleet: str = "",
     ) -> None:
-        self.loop, self.net, self.keeper, self.log = loop, net, keeper, log
+        self.loop, self.net, self.coordinator, self.log = loop, net, keeper, log
         self.events: EventLog = events or NoEvents()
         self.name = f"k{keeper.number}"
         self.counts: Counter[tuple[str, ...]] = Counter()
         self.streams: dict[Stream, str] = {}
         self.listener: Listener | None = None
-        self.zones, self.fleet = zones, fleet
-        self._owned: list[int] = []
+        self.evacuation, self.fleet = zones, fleet
+        self._held_fractions: list[int] = []
         self._tick_us = keeper.timings.fraction_lease.duration_us // TICKS
         self.peers = {
             number: ControlLink(
@@ -62,7 +62,7 @@
                 COORDINATOR_ROLE,
                 silence_us=keeper.timings.fraction_lease.duration_us // 2,
                 seed=seed * 64 + number,
-                heard=partial(self._answered, number),
+                on_message=partial(self._on_peer_message, number),
                 log=log,
                 fleet=fleet,
             )
@@ -89,7 +89,7 @@
         problems = []
         for budget in budgets:
             try:
-                old = self.keeper.resize(budget)
+                old = self.coordinator.resize(budget)
             except QuotaError as problem:
                 problems.append(str(problem))
             else:
@@ -103,55 +103,60 @@
     def _tick(self) -> None:
         now = self.loop.now()
         self.loop.call_at(now + self._tick_us, self._tick)
-        tick = self.keeper.tick(now)
-        self._tell(tick.transitions)
-        if self.zones is not None:
-            for text in self.zones.look(now, 0 in self.keeper.held_fractions(now)):
-                decision = self.zones.decision
+        tick = self.coordinator.tick(now)
+        self._log_transitions(tick.transitions)
+        if self.evacuation is not None:
+            for transition in self.evacuation.tick(now, 0 in self.coordinator.held_fractions(now)):
+                decision = self.evacuation.decision
                 self.events(
                     "zones",
                     term=decision.term,
                     number=decision.number,
-                    why=text,
+                    why=str(transition),
                     states={
                         name: [directive.state, directive.traffic_share]
                         for name, directive in decision.zones.items()
                     },
                 )
-                self.log("warning", "zone", change=text, decision=f"({decision.term}, {decision.number})")
+                self.log(
+                    "warning",
+                    "zone",
+                    change=str(transition),
+                    decision=f"({decision.term}, {decision.number})",
+                )
         for claim in tick.lease_requests:
             for link in self.peers.values():
-                link.send(self._with(messages.lease_request_to_frame(claim)))
-        self._look_at_owned(now)
+                link.send(self._with_decision(messages.lease_request_to_frame(claim)))
+        self._log_held_fractions(now)
 
-    def _with(self, message: Carries) -> Carries:
+    def _with_decision(self, message: Carries) -> Carries:
         """A message with what is decided of the zones, so that each keeper can tell it."""
-        if self.zones is not None:
-            message.decision = messages.decision_to_frame(self.zones.decision)
+        if self.evacuation is not None:
+            message.decision = messages.decision_to_frame(self.evacuation.decision)
         return message
 
-    def _told(
+    def _on_zone_state(
         self, now: int, message: frames.RenewalRequest | frames.LeaseRequest | frames.LeaseVote
     ) -> None:
         """What others go by."""
-        if self.zones is not None:
-            self.zones.told(messages.decision_from_frame(message.decision))
+        if self.evacuation is not None:
+            self.evacuation.on_decision(messages.decision_from_frame(message.decision))
             if isinstance(message, frames.RenewalRequest):
-                self.zones.heard(now, messages.broker_report_from_frame(message))
+                self.evacuation.on_report(now, messages.broker_report_from_frame(message))
 
-    def _look_at_owned(self, now: int) -> None:
-        owned = self.keeper.held_fractions(now)
-        if owned != self._owned:
+    def _log_held_fractions(self, now: int) -> None:
+        owned = self.coordinator.held_fractions(now)
+        if owned != self._held_fractions:
             self.events(
                 "owns",
                 fractions=owned,
                 left={
                     str(fraction): remaining_us
-                    for fraction, remaining_us in self.keeper.held_fraction_remaining_us(now).items()
+                    for fraction, remaining_us in self.coordinator.held_fraction_remaining_us(now).items()
                 },
             )
-            self.log("info", "fractions owned", before=self._owned, after=owned)
-            self._owned = owned
+            self.log("info", "fractions owned", before=self._held_fractions, after=owned)
+            self._held_fractions = owned
 
     # Connections: brokers' renewals, other keepers' claims, questions.
 
@@ -162,7 +167,7 @@
                 stream,
                 self.name,
                 COORDINATOR_ROLE,
-                lambda message: self._heard(stream, message),
+                lambda message: self._on_message(stream, message),
                 messages.MAX_MESSAGE_BYTES,
             )
         except frames.FrameError as problem:
@@ -171,7 +176,7 @@
         finally:
             del self.streams[stream]
 
-    def _heard(self, stream: Stream, message: frames.AnyMessage) -> None:
+    def _on_message(self, stream: Stream, message: frames.AnyMessage) -> None:
         now = self.loop.now()
         if stream.closed:
             return
@@ -190,29 +195,31 @@
                     stream.close()
                 self.streams[stream] = name
             case frames.RenewalRequest():
-                self._told(now, message)
+                self._on_zone_state(now, message)
                 stream.offer(
-                    frames.encode(self._with(messages.renewal_reply_to_frame(self._renew(now, message))))
+                    frames.encode(
+                        self._with_decision(messages.renewal_reply_to_frame(self._renew(now, message)))
+                    )
                 )
             case frames.LeaseRequest():
                 if self.streams[stream].isdecimal():
-                    self._told(now, message)
-                    vote = self.keeper.on_lease_request(
+                    self._on_zone_state(now, message)
+                    vote = self.coordinator.on_lease_request(
                         now, int(self.streams[stream]), messages.lease_request_from_frame(message)
                     )
-                    stream.offer(frames.encode(self._with(messages.lease_vote_to_frame(vote))))
-            case frames.OperatorCommand() if self.zones is not None:
-                stream.offer(frames.encode(self.zones.order(now, message)))
+                    stream.offer(frames.encode(self._with_decision(messages.lease_vote_to_frame(vote))))
+            case frames.OperatorCommand() if self.evacuation is not None:
+                stream.offer(frames.encode(self.evacuation.on_operator_command(now, message)))
             case frames.FleetRequest():
                 stream.offer(frames.encode(self.view(now)))
             case _:
                 self.counts["unasked",] += 1
 
     def _renew(self, now: int, message: frames.RenewalRequest) -> QuotaRenewalReply:
-        outcome = self.keeper.on_renewal(now, messages.renewal_from_frame(message))
+        outcome = self.coordinator.on_renewal(now, messages.renewal_from_frame(message))
         answer = outcome.reply
         self.counts["renewals",] += 1
-        self._tell(outcome.transitions)
+        self._log_transitions(outcome.transitions)
         if self.events.on:
             for grant in answer.grants:
                 if grant.amount:
@@ -229,14 +236,14 @@
             self.events.flush()  # type: ignore[attr-defined]  # on record before it is on its way
         return answer
 
-    def _answered(self, number: int, message: frames.AnyMessage) -> None:
+    def _on_peer_message(self, number: int, message: frames.AnyMessage) -> None:
         if isinstance(message, frames.LeaseVote):
             now = self.loop.now()
-            self._told(now, message)
-            self.keeper.on_lease_vote(now, number, messages.lease_vote_from_frame(message))
-            self._look_at_owned(now)
+            self._on_zone_state(now, message)
+            self.coordinator.on_lease_vote(now, number, messages.lease_vote_from_frame(message))
+            self._log_held_fractions(now)
 
-    def _tell(self, changes: list[MemberTransition]) -> None:
+    def _log_transitions(self, changes: list[MemberTransition]) -> None:
         for change in changes:
             self.counts["member", change.after.value] += 1
             self.events(
@@ -259,7 +266,7 @@
 
     def view(self, now: int) -> frames.FleetView:
         """What this keeper knows, for those who look."""
-        keeper = self.keeper
+        keeper = self.coordinator
         shares = [
             frames.MemberShare(
                 name,
--- a/heathwell/fleet/control/rollout.py
+++ b/heathwell/fleet/control/rollout.py
@@ -85,7 +85,7 @@
                 "controller",
                 silence_us=10 * TURN_US,
                 seed=number,
-                heard=lambda message, address=address: self._heard(  # type: ignore[misc]
+                on_message=lambda message, address=address: self._heard(  # type: ignore[misc]
                     address, message
                 ),
                 log=log,
--- a/heathwell/fronts/admin.py
+++ b/heathwell/fronts/admin.py
@@ -165,7 +165,7 @@
                 "Units asked for, by whether there was room",
                 labels=("budget", "room"),
             )
-            for name, row in broker.quota_gate.agent.figures().items():
+            for name, row in broker.quota_gate.agent.statistics().items():
                 shares.add_metric((name,), row["share"])
                 uses.add_metric((name, "yes"), row["used"])
                 uses.add_metric((name, "no"), row["refused"])
--- a/heathwell/lab/zoneday.py
+++ b/heathwell/lab/zoneday.py
@@ -84,7 +84,7 @@
 
 
 def _fixed_desk(service_settings: ServiceSettings) -> EvacuationCoordinator:
-    return EvacuationCoordinator(service_settings.fleet.zones, decides=FixedCheck)
+    return EvacuationCoordinator(service_settings.fleet.zones, controller_type=FixedCheck)
 
 
 def service_settings_of(variant: str, brokers: int, hosts: int) -> ServiceSettings:
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -367,12 +367,12 @@
     def __init__(self, name, zone, of):
         self.name, self.zone, self.of = name, zone, of
 
-    def summary(self, _now):
+    def report(self, _now):
         return BrokerReport(
             self.name, self.zone, {ZoneClassKey(self.of, "price-search"): AttemptCounts(bad=500)}
         )
 
-    def decided(self, _decision):
+    def on_decision(self, _decision):
         """It goes by nothing."""
 
 
@@ -405,7 +405,7 @@
                 fleet=spec.called,
             )
         )
-        agents[-1].on_zones(Liar(name, zone, "hki-2"))
+        agents[-1].attach_zone_observer(Liar(name, zone, "hki-2"))
     beside = threading.Thread(target=loop.run, daemon=True)
     beside.start()
     yield agents
