Quota coordinator's server and metrics: short functions, typed errors, standard names

Cause: one handler of 30 lines, a view of 47, packed assignments, names of the house style. Change: hello, reply, vote, grants' log and zone tick are functions of their own; resize returns QuotaErrors instead of their texts; QuotaCoordinatorServer(coordinator, evacuation=). Records and wire as before. Process tests not run on this commit.

--- a/heathwell/cli/control.py
+++ b/heathwell/cli/control.py
@@ -70,7 +70,9 @@
             seed=number + 1,
             log=process.log,
             events=process.events,
-            zones=evacuation_coordinator_from_settings(process.service_settings) if fleet.evacuate else None,
+            evacuation=evacuation_coordinator_from_settings(process.service_settings)
+            if fleet.evacuate
+            else None,
             fleet=fleet.called,
         )
 
@@ -80,8 +82,8 @@
             except (SettingsError, OSError) as problem:
                 process.log("error", "settings not taken, the old ones stay", why=str(problem))
                 return
-            for problem_text in server.resize(wholes):
-                process.log("error", "budget not taken", why=problem_text)
+            for error in server.resize(wholes):
+                process.log("error", "budget not taken", why=str(error))
 
         process.poller.on_signal(signal.SIGHUP, reread)
         address = server.start(listen or where[number])
--- a/heathwell/fleet/control/coordinator_metrics.py
+++ b/heathwell/fleet/control/coordinator_metrics.py
@@ -1,4 +1,8 @@
-"""A keeper's pages: ``/healthz`` and ``/metrics``."""
+"""The admin pages of a quota coordinator: ``/healthz`` and ``/metrics``.
+
+They read the server's state when they are requested and own nothing but a metrics registry. Imports: the
+quota coordinator's server, `prometheus_client` and the HTTP pages of `heathwell.observability`.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +19,7 @@
 
 
 class CoordinatorAdminPages:
-    """Serves the admin port of a keeper."""
+    """Serves the admin port of a quota coordinator, and collects its metrics."""
 
     def __init__(self, server: QuotaCoordinatorServer) -> None:
         self.server = server
@@ -23,47 +27,50 @@
         self.registry.register(self)
 
     def serve(self, stream: Stream) -> Coro[None]:
-        """One connection."""
+        """Serve one connection until it ends."""
         yield from serve_pages(stream, self.answer)
 
     def answer(self, request: Request) -> Response:
-        """The page of a request."""
+        """The page of a request; 503 for ``/healthz`` while no fraction's lease is held."""
         if request.path == "/metrics":
             return Response(200, generate_latest(self.registry), PROMETHEUS)
         if request.path == "/healthz":
-            owned = self.server.coordinator.held_fractions(self.server.loop.now())
-            return Response(200 if owned else 503, f"owns {len(owned)} fractions\n".encode())
+            held = self.server.coordinator.held_fractions(self.server.loop.now())
+            return Response(200 if held else 503, f"owns {len(held)} fractions\n".encode())
         return Response(404, b"pages: /healthz /metrics\n")
 
     def collect(self) -> Iterator[Metric]:
-        """Read when asked for."""
-        server, keeper, now = self.server, self.server.coordinator, self.server.loop.now()
+        """The metrics at this moment."""
+        coordinator = self.server.coordinator
+        now = self.server.loop.now()
         members = GaugeMetricFamily("heathwell_members", "Members by state", labels=("state",))
-        states = [entry.state for entry in keeper.membership.entries.values()]
+        states = [entry.state for entry in coordinator.membership.entries.values()]
         for state in MemberState:
             members.add_metric((state.value,), states.count(state))
         yield members
         yield GaugeMetricFamily(
             "heathwell_fractions_owned",
             "Fractions that this keeper may lend of",
-            value=len(keeper.held_fractions(now)),
+            value=len(coordinator.held_fractions(now)),
         )
-        given = GaugeMetricFamily(
+        granted = GaugeMetricFamily(
             "heathwell_budget_given",
             "What members may hold of this keeper's fractions; of a rate thousandths a second",
             labels=("budget", "fraction"),
         )
-        for (name, fraction), ledger in keeper.ledgers.items():
-            given.add_metric((name, str(fraction)), ledger.total_charge(now))
-        yield given
+        for (name, fraction), ledger in coordinator.ledgers.items():
+            granted.add_metric((name, str(fraction)), ledger.total_charge(now))
+        yield granted
         changes = CounterMetricFamily("heathwell_member_changes", "Members' changes of state", labels=("to",))
-        for key, count in server.counts.items():
-            if key[0] == "member":
-                changes.add_metric((key[1],), count)
+        for labels, count in self.server.counts.items():
+            if labels[0] == "member":
+                changes.add_metric((labels[1],), count)
         yield changes
-        yield CounterMetricFamily("heathwell_renewals", "Renewals answered", value=server.counts["renewals",])
+        yield CounterMetricFamily(
+            "heathwell_renewals", "Renewals answered", value=self.server.counts["renewals",]
+        )
         yield CounterMetricFamily(
             "heathwell_control_garbled",
             "Connections that spoke another wire",
-            value=server.counts["garbled",],
+            value=self.server.counts["garbled",],
         )
--- a/heathwell/fleet/control/quota_coordinator.py
+++ b/heathwell/fleet/control/quota_coordinator.py
@@ -1,4 +1,9 @@
-"""The process that keeps the fleet's roll and lends its budgets: the pure keeper, on sockets."""
+"""The server of a quota coordinator: the pure `heathwell.fleet.quotas.QuotaCoordinator` on sockets.
+
+It owns the listener, the connections of members and peers, the links to the other coordinators and the tick;
+what is decided is decided by the coordinator and by the `EvacuationCoordinator`. Nothing is stored on disk.
+Imports: `heathwell.fleet` (membership, quotas), the inner protocol and the event loop.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +17,7 @@
 from heathwell.fleet.control import messages
 from heathwell.fleet.control.evacuation_coordinator import EvacuationCoordinator
 from heathwell.fleet.control.link import ControlLink
-from heathwell.fleet.membership import MemberState, MemberTransition
+from heathwell.fleet.membership import MemberEntry, MemberState, MemberTransition
 from heathwell.fleet.quotas import (
     Budget,
     QuotaCoordinator,
@@ -22,61 +27,74 @@
 from heathwell.kernel import Coro, Listener, Loop, Net, Stream
 from heathwell.observability.event_log import EventLog, NoEvents
 
-TICKS = 12  # of a promise: how often claims are made anew, so that some may be lost
-CONNECTIONS = 4_096
-COORDINATOR_ROLE, MEMBER_ROLE = "keeper", "member"
-Carries = TypeVar("Carries", frames.RenewalReply, frames.LeaseRequest, frames.LeaseVote)
+TICKS_PER_LEASE = 12  # how often a fraction's lease is requested anew, so that some requests may be lost
+SILENT_LEASE_FRACTION = 2  # a peer that is silent for half a lease is taken for gone
+SEEDS_PER_COORDINATOR = 64  # its links draw from seeds of their own
+MAX_CONNECTIONS = 4_096
+COORDINATOR_ROLE = "keeper"
+MEMBER_ROLE = "member"
+LEADING_FRACTION = 0  # whoever holds its lease decides on zones
+DecisionCarrier = TypeVar("DecisionCarrier", frames.RenewalReply, frames.LeaseRequest, frames.LeaseVote)
 
 
 class QuotaCoordinatorServer:
-    """One run of a keeper. ``peers`` are the other keepers' addresses by number."""
+    """One incarnation of a quota coordinator.
+
+    ``peers`` are the other coordinators' addresses by number; ``evacuation`` is None where no zones are
+    evacuated; ``fleet`` is the fleet's name, and who introduces itself with another is refused.
+    """
 
     def __init__(
         self,
         loop: Loop,
         net: Net,
-        keeper: QuotaCoordinator,
+        coordinator: QuotaCoordinator,
         peers: dict[int, str],
         *,
         seed: int,
         log: Callable[..., None],
         events: EventLog | None = None,
-        zones: EvacuationCoordinator | None = None,
+        evacuation: EvacuationCoordinator | None = None,
         fleet: str = "",
     ) -> None:
-        self.loop, self.net, self.coordinator, self.log = loop, net, keeper, log
+        self.loop = loop
+        self.net = net
+        self.coordinator = coordinator
+        self.log = log
         self.events: EventLog = events or NoEvents()
-        self.name = f"k{keeper.number}"
+        self.evacuation = evacuation
+        self.fleet = fleet
+        self.name = f"k{coordinator.number}"
         self.counts: Counter[tuple[str, ...]] = Counter()
-        self.streams: dict[Stream, str] = {}
+        self.streams: dict[Stream, str] = {}  # by connection the peer's name, "" before its hello
         self.listener: Listener | None = None
-        self.evacuation, self.fleet = zones, fleet
         self._held_fractions: list[int] = []
-        self._tick_us = keeper.timings.fraction_lease.duration_us // TICKS
-        self.peers = {
-            number: ControlLink(
-                loop,
-                net,
-                address,
-                str(keeper.number),
-                COORDINATOR_ROLE,
-                silence_us=keeper.timings.fraction_lease.duration_us // 2,
-                seed=seed * 64 + number,
-                on_message=partial(self._on_peer_message, number),
-                log=log,
-                fleet=fleet,
-            )
-            for number, address in peers.items()
-        }
+        self._tick_interval_us = coordinator.timings.fraction_lease.duration_us // TICKS_PER_LEASE
+        self.peers = {number: self._link(number, address, seed) for number, address in peers.items()}
         self.loop.call_soon(self._tick)
 
+    def _link(self, number: int, address: str, seed: int) -> ControlLink:
+        """A link to another coordinator."""
+        return ControlLink(
+            self.loop,
+            self.net,
+            address,
+            str(self.coordinator.number),
+            COORDINATOR_ROLE,
+            silence_us=self.coordinator.timings.fraction_lease.duration_us // SILENT_LEASE_FRACTION,
+            seed=seed * SEEDS_PER_COORDINATOR + number,
+            on_message=partial(self._on_peer_message, number),
+            log=self.log,
+            fleet=self.fleet,
+        )
+
     def start(self, listen: str) -> str:
-        """Open the door; returns its address."""
-        self.listener = self.net.listen(listen, self._serve, self.name, CONNECTIONS)
+        """Listen at an address; returns the one in use."""
+        self.listener = self.net.listen(listen, self._serve, self.name, MAX_CONNECTIONS)
         return self.listener.address
 
     def close(self) -> None:
-        """Close the door and all connections."""
+        """Close the listener, the links and all connections."""
         if self.listener is not None:
             self.listener.close()
         for link in self.peers.values():
@@ -84,53 +102,52 @@
         for stream in list(self.streams):
             stream.abort()
 
-    def resize(self, budgets: Iterable[Budget]) -> list[str]:
-        """Other wholes from now on; what can't be done is returned, and the rest is."""
-        problems = []
+    def resize(self, budgets: Iterable[Budget]) -> list[QuotaError]:
+        """Set new totals. Returns the errors of those budgets that can't be resized; the others are."""
+        errors = []
         for budget in budgets:
             try:
                 old = self.coordinator.resize(budget)
-            except QuotaError as problem:
-                problems.append(str(problem))
-            else:
-                if budget != old:
-                    self.events("resized", budget=budget.name, whole=budget.total)
-                    self.log(
-                        "info", "budget resized", budget=budget.name, before=old.total, after=budget.total
-                    )
-        return problems
+            except QuotaError as error:
+                errors.append(error)
+                continue
+            if budget != old:
+                self.events("resized", budget=budget.name, whole=budget.total)
+                self.log("info", "budget resized", budget=budget.name, before=old.total, after=budget.total)
+        return errors
 
     def _tick(self) -> None:
         now = self.loop.now()
-        self.loop.call_at(now + self._tick_us, self._tick)
+        self.loop.call_at(now + self._tick_interval_us, self._tick)
         tick = self.coordinator.tick(now)
         self._log_transitions(tick.transitions)
         if self.evacuation is not None:
-            for transition in self.evacuation.tick(now, 0 in self.coordinator.held_fractions(now)):
-                decision = self.evacuation.decision
-                self.events(
-                    "zones",
-                    term=decision.term,
-                    number=decision.number,
-                    why=str(transition),
-                    states={
-                        name: [directive.state, directive.traffic_share]
-                        for name, directive in decision.zones.items()
-                    },
-                )
-                self.log(
-                    "warning",
-                    "zone",
-                    change=str(transition),
-                    decision=f"({decision.term}, {decision.number})",
-                )
-        for claim in tick.lease_requests:
+            self._tick_evacuation(now, self.evacuation)
+        for request in tick.lease_requests:
             for link in self.peers.values():
-                link.send(self._with_decision(messages.lease_request_to_frame(claim)))
+                link.send(self._with_decision(messages.lease_request_to_frame(request)))
         self._log_held_fractions(now)
 
-    def _with_decision(self, message: Carries) -> Carries:
-        """A message with what is decided of the zones, so that each keeper can tell it."""
+    def _tick_evacuation(self, now: int, evacuation: EvacuationCoordinator) -> None:
+        """Decide on zones where this coordinator leads, and log what changed."""
+        is_leader = LEADING_FRACTION in self.coordinator.held_fractions(now)
+        for transition in evacuation.tick(now, is_leader):
+            decision = evacuation.decision
+            states = {
+                name: [directive.state, directive.traffic_share] for name, directive in decision.zones.items()
+            }
+            self.events(
+                "zones", term=decision.term, number=decision.number, why=str(transition), states=states
+            )
+            self.log(
+                "warning",
+                "zone",
+                change=str(transition),
+                decision=f"({decision.term}, {decision.number})",
+            )
+
+    def _with_decision(self, message: DecisionCarrier) -> DecisionCarrier:
+        """The message with the current decision on zones, so that every process passes it on."""
         if self.evacuation is not None:
             message.decision = messages.decision_to_frame(self.evacuation.decision)
         return message
@@ -138,27 +155,28 @@
     def _on_zone_state(
         self, now: int, message: frames.RenewalRequest | frames.LeaseRequest | frames.LeaseVote
     ) -> None:
-        """What others go by."""
-        if self.evacuation is not None:
-            self.evacuation.on_decision(messages.decision_from_frame(message.decision))
-            if isinstance(message, frames.RenewalRequest):
-                self.evacuation.on_report(now, messages.broker_report_from_frame(message))
+        """Take the decision that the sender follows, and a broker's report."""
+        if self.evacuation is None:
+            return
+        self.evacuation.on_decision(messages.decision_from_frame(message.decision))
+        if isinstance(message, frames.RenewalRequest):
+            self.evacuation.on_report(now, messages.broker_report_from_frame(message))
 
     def _log_held_fractions(self, now: int) -> None:
-        owned = self.coordinator.held_fractions(now)
-        if owned != self._held_fractions:
-            self.events(
-                "owns",
-                fractions=owned,
-                left={
-                    str(fraction): remaining_us
-                    for fraction, remaining_us in self.coordinator.held_fraction_remaining_us(now).items()
-                },
-            )
-            self.log("info", "fractions owned", before=self._held_fractions, after=owned)
-            self._held_fractions = owned
+        """Log the fractions whose lease this coordinator holds, where they have changed."""
+        held = self.coordinator.held_fractions(now)
+        if held == self._held_fractions:
+            return
+        remaining_us = self.coordinator.held_fraction_remaining_us(now)
+        self.events(
+            "owns",
+            fractions=held,
+            left={str(fraction): left_us for fraction, left_us in remaining_us.items()},
+        )
+        self.log("info", "fractions owned", before=self._held_fractions, after=held)
+        self._held_fractions = held
 
-    # Connections: brokers' renewals, other keepers' claims, questions.
+    # Connections: brokers' renewals, other coordinators' lease requests, operators' commands.
 
     def _serve(self, stream: Stream) -> Coro[None]:
         self.streams[stream] = ""
@@ -167,7 +185,7 @@
                 stream,
                 self.name,
                 COORDINATOR_ROLE,
-                lambda message: self._on_message(stream, message),
+                partial(self._on_message, stream),
                 messages.MAX_MESSAGE_BYTES,
             )
         except frames.FrameError as problem:
@@ -177,137 +195,161 @@
             del self.streams[stream]
 
     def _on_message(self, stream: Stream, message: frames.AnyMessage) -> None:
-        now = self.loop.now()
         if stream.closed:
             return
         if stream.unsent > messages.MAX_MESSAGE_BYTES:
             self.counts["unread",] += 1
-            stream.abort()  # it reads nothing: what it is told is lost anyway
+            stream.abort()  # it reads nothing: replies are lost anyway
             return
+        if isinstance(message, frames.Hello):
+            self._on_hello(stream, message)
+            return
+        reply = self._reply_to(self.loop.now(), self.streams[stream], message)
+        if reply is not None:
+            stream.offer(frames.encode(reply))
+
+    def _on_hello(self, stream: Stream, hello: frames.Hello) -> None:
+        """Record the peer's name; refuse it if it is of another fleet, whose address this may have been."""
+        if hello.fleet and hello.fleet != self.fleet:
+            self.counts["other fleet",] += 1
+            self.log(
+                "error", "control: of another fleet", peer=hello.name, theirs=hello.fleet, ours=self.fleet
+            )
+            refusal = frames.VersionMismatch(f"this is a keeper of fleet '{self.fleet}'")
+            stream.offer(frames.encode(refusal))
+            stream.close()
+        self.streams[stream] = hello.name
+
+    def _reply_to(self, now: int, peer: str, message: frames.AnyMessage) -> frames.Message | None:
+        """The reply to a request; None where there is none."""
         match message:
-            case frames.Hello(name=name, fleet=fleet):
-                if fleet and fleet != self.fleet:  # an address may come to be another fleet's
-                    self.counts["other fleet",] += 1
-                    self.log("error", "control: of another fleet", peer=name, theirs=fleet, ours=self.fleet)
-                    stream.offer(
-                        frames.encode(frames.VersionMismatch(f"this is a keeper of fleet '{self.fleet}'"))
-                    )
-                    stream.close()
-                self.streams[stream] = name
             case frames.RenewalRequest():
                 self._on_zone_state(now, message)
-                stream.offer(
-                    frames.encode(
-                        self._with_decision(messages.renewal_reply_to_frame(self._renew(now, message)))
-                    )
-                )
+                reply = self._renew(now, message)
+                return self._with_decision(messages.renewal_reply_to_frame(reply))
             case frames.LeaseRequest():
-                if self.streams[stream].isdecimal():
-                    self._on_zone_state(now, message)
-                    vote = self.coordinator.on_lease_request(
-                        now, int(self.streams[stream]), messages.lease_request_from_frame(message)
-                    )
-                    stream.offer(frames.encode(self._with_decision(messages.lease_vote_to_frame(vote))))
+                return self._vote(now, peer, message)
             case frames.OperatorCommand() if self.evacuation is not None:
-                stream.offer(frames.encode(self.evacuation.on_operator_command(now, message)))
+                return self.evacuation.on_operator_command(now, message)
             case frames.FleetRequest():
-                stream.offer(frames.encode(self.view(now)))
+                return self.view(now)
             case _:
                 self.counts["unasked",] += 1
+                return None
+
+    def _vote(self, now: int, peer: str, message: frames.LeaseRequest) -> frames.LeaseVote | None:
+        """This coordinator's vote; None where the peer is no coordinator, whose names are their numbers."""
+        if not peer.isdecimal():
+            return None
+        self._on_zone_state(now, message)
+        request = messages.lease_request_from_frame(message)
+        vote = self.coordinator.on_lease_request(now, int(peer), request)
+        return self._with_decision(messages.lease_vote_to_frame(vote))
 
     def _renew(self, now: int, message: frames.RenewalRequest) -> QuotaRenewalReply:
+        """Renew a member's grants; they are in the event log before the reply is sent."""
         outcome = self.coordinator.on_renewal(now, messages.renewal_from_frame(message))
-        answer = outcome.reply
         self.counts["renewals",] += 1
         self._log_transitions(outcome.transitions)
         if self.events.on:
-            for grant in answer.grants:
-                if grant.amount:
-                    self.events(
-                        "gives",
-                        to=message.name,
-                        inc=message.incarnation,
-                        budget=grant.budget,
-                        fraction=grant.fraction,
-                        number=grant.number,
-                        amount=grant.amount,
-                        length=grant.duration_us,
-                    )
-            self.events.flush()  # type: ignore[attr-defined]  # on record before it is on its way
-        return answer
+            self._log_grants(message, outcome.reply)
+            self.events.flush()  # type: ignore[attr-defined]
+        return outcome.reply
+
+    def _log_grants(self, message: frames.RenewalRequest, reply: QuotaRenewalReply) -> None:
+        for grant in reply.grants:
+            if grant.amount:
+                self.events(
+                    "gives",
+                    to=message.name,
+                    inc=message.incarnation,
+                    budget=grant.budget,
+                    fraction=grant.fraction,
+                    number=grant.number,
+                    amount=grant.amount,
+                    length=grant.duration_us,
+                )
 
     def _on_peer_message(self, number: int, message: frames.AnyMessage) -> None:
-        if isinstance(message, frames.LeaseVote):
-            now = self.loop.now()
-            self._on_zone_state(now, message)
-            self.coordinator.on_lease_vote(now, number, messages.lease_vote_from_frame(message))
-            self._log_held_fractions(now)
-
-    def _log_transitions(self, changes: list[MemberTransition]) -> None:
-        for change in changes:
-            self.counts["member", change.after.value] += 1
+        """Count a vote of the coordinator ``number``."""
+        if not isinstance(message, frames.LeaseVote):
+            return
+        now = self.loop.now()
+        self._on_zone_state(now, message)
+        self.coordinator.on_lease_vote(now, number, messages.lease_vote_from_frame(message))
+        self._log_held_fractions(now)
+
+    def _log_transitions(self, transitions: list[MemberTransition]) -> None:
+        for transition in transitions:
+            before = transition.before.value if transition.before is not None else None
+            is_failure = transition.after in (MemberState.SUSPECT, MemberState.DEAD)
+            self.counts["member", transition.after.value] += 1
             self.events(
                 "member",
-                name=change.name,
-                inc=change.incarnation,
-                before=change.before.value if change.before is not None else "",
-                after=change.after.value,
-                why=change.reason,
+                name=transition.name,
+                inc=transition.incarnation,
+                before=before or "",
+                after=transition.after.value,
+                why=transition.reason,
             )
             self.log(
-                "warning" if change.after in (MemberState.SUSPECT, MemberState.DEAD) else "info",
+                "warning" if is_failure else "info",
                 "member",
-                member=change.name,
-                incarnation=change.incarnation,
-                before=change.before.value if change.before is not None else "-",
-                after=change.after.value,
-                why=change.reason,
+                member=transition.name,
+                incarnation=transition.incarnation,
+                before=before or "-",
+                after=transition.after.value,
+                why=transition.reason,
             )
 
     def view(self, now: int) -> frames.FleetView:
-        """What this keeper knows, for those who look."""
-        keeper = self.coordinator
-        shares = [
+        """What this coordinator knows of members, budgets and grants; durations (us) are from ``now``."""
+        return frames.FleetView(
+            self.name,
+            self.coordinator.incarnation,
+            self.coordinator.held_fraction_remaining_us(now),
+            [_member_status(now, entry) for entry in self.coordinator.membership.entries.values()],
+            [_quota_status(budget) for budget in self.coordinator.budgets.values()],
+            self._member_shares(now),
+        )
+
+    def _member_shares(self, now: int) -> list[frames.MemberShare]:
+        """What each member may hold, by budget, fraction and member."""
+        return [
             frames.MemberShare(
-                name,
+                budget,
                 fraction,
                 member,
-                given.current_charge(now),
-                max((held.expires_at_us for held in given.grants.values()), default=now) - now,
-                given.request.demand,
+                account.current_charge(now),
+                max((grant.expires_at_us for grant in account.grants.values()), default=now) - now,
+                account.request.demand,
             )
-            for (name, fraction), ledger in sorted(keeper.ledgers.items())
-            for member, given in sorted(ledger.accounts.items())
+            for (budget, fraction), ledger in sorted(self.coordinator.ledgers.items())
+            for member, account in sorted(ledger.accounts.items())
         ]
-        return frames.FleetView(
-            self.name,
-            keeper.incarnation,
-            keeper.held_fraction_remaining_us(now),
-            [
-                frames.MemberStatus(
-                    entry.name,
-                    entry.incarnation,
-                    entry.state.value,
-                    now - entry.joined_at_us,
-                    now - entry.state_changed_at_us,
-                    now - entry.last_report_at_us,
-                    entry.zone,
-                    entry.version,
-                    entry.digest,
-                )
-                for entry in keeper.membership.entries.values()
-            ],
-            [
-                frames.QuotaStatus(
-                    budget.name,
-                    budget.kind.value,
-                    budget.total,
-                    budget.reserved,
-                    budget.max_brokers,
-                    budget.scope_kind,
-                    budget.uncounted,
-                )
-                for budget in keeper.budgets.values()
-            ],
-            shares,
-        )
+
+
+def _member_status(now: int, entry: MemberEntry) -> frames.MemberStatus:
+    return frames.MemberStatus(
+        entry.name,
+        entry.incarnation,
+        entry.state.value,
+        now - entry.joined_at_us,
+        now - entry.state_changed_at_us,
+        now - entry.last_report_at_us,
+        entry.zone,
+        entry.version,
+        entry.digest,
+    )
+
+
+def _quota_status(budget: Budget) -> frames.QuotaStatus:
+    return frames.QuotaStatus(
+        budget.name,
+        budget.kind.value,
+        budget.total,
+        budget.reserved,
+        budget.max_brokers,
+        budget.scope_kind,
+        budget.uncounted,
+    )
--- a/heathwell/lab/fleet.py
+++ b/heathwell/lab/fleet.py
@@ -50,7 +50,7 @@
             seed=fleet.seed * 50 + number,
             log=fleet.log,
             events=fleet.events(self.name, "keeper"),
-            zones=fleet.desk(fleet.service_settings) if spec.evacuate else None,
+            evacuation=fleet.desk(fleet.service_settings) if spec.evacuate else None,
         )
         self.server.start(address)
 
