Fleet agent: one step a line, documented contracts; roles of the wire stand with the link

Cause: a constructor of 42 lines, packed assignments, and the agent imported the server for a constant. Change: FleetAgent(renewal_interval_us, timings); links, decisions and holders' records in functions of their own; the callback on_death, which nothing set or read, is gone. Event-log and log records as before. Process tests not yet run on this commit.

--- a/benchmarks/keepercost.py
+++ b/benchmarks/keepercost.py
@@ -98,8 +98,8 @@
                 member,
                 budgets_from_settings(service_settings.fleet),
                 tuple(addresses),
-                renew_us=service_settings.fleet.renew,
-                times=times,
+                renewal_interval_us=service_settings.fleet.renew,
+                timings=times,
                 seed=number,
                 log=lambda *_a, **_k: None,
             )
--- a/heathwell/fleet/control/__init__.py
+++ b/heathwell/fleet/control/__init__.py
@@ -1,4 +1,5 @@
-"""The fleet's control on sockets: the process that divides budgets (keeper) and the agent inside a broker.
-What is decided is decided in `membership` and `budgets`; nothing here is imported where settings name no
-keepers.
+"""The fleet's control on sockets: the quota coordinator's server and the agent inside a broker, among others.
+
+Decisions are made in `heathwell.fleet.membership`, `quotas`, `evacuation` and `rollout`, which do no I/O.
+Nothing here is imported where the settings name no quota coordinators.
 """
--- a/heathwell/fleet/control/fleet_agent.py
+++ b/heathwell/fleet/control/fleet_agent.py
@@ -1,6 +1,8 @@
-"""The agent inside a broker: renews its shares with all keepers, and says what may be used at this moment.
+"""The agent inside a broker: renews its quotas with all quota coordinators, and says what may be used now.
 
-No query waits for it. Without keepers, and while they are gone, what may be used is the broker's own minimum.
+It owns this broker's quotas, the links to the coordinators and the renewal timer. No query waits for it:
+without coordinators, and while they are unreachable, the broker's own minimum may be used. Imports:
+`heathwell.fleet` (evacuation, membership, quotas), the frames' converters and the event loop.
 """
 
 from __future__ import annotations
@@ -12,28 +14,34 @@
 
 from heathwell.codec import frames
 from heathwell.fleet.control import messages
-from heathwell.fleet.control.link import ControlLink
-from heathwell.fleet.control.quota_coordinator import MEMBER_ROLE
+from heathwell.fleet.control.link import MEMBER_ROLE, ControlLink
 from heathwell.fleet.evacuation import BrokerReport, Decision
 from heathwell.fleet.membership import IncarnationEnded, LocalMember
 from heathwell.fleet.quotas import BrokerQuotas, Budget, BudgetKind, QuotaHolder, QuotaTimings
 from heathwell.kernel import Loop, Net
 from heathwell.observability.event_log import EventLog, NoEvents
 
+SILENT_SUSPECT_TIMEOUTS = 2  # a coordinator that is silent for so many is taken for gone
+SEEDS_PER_MEMBER = 64  # its links draw from seeds of their own
+UNIT_MILLIUNITS = 1_000
+SCOPE_SEPARATOR = "@"  # between a budget's name and the endpoint that it is of
 
-class Zones(Protocol):
-    """A broker's sight of zones."""
+
+class ZoneObserver(Protocol):
+    """What a broker observes of zones, and how it follows decisions on them."""
 
     def report(self, now: int) -> BrokerReport:
-        """Its word."""
+        """The broker's report at ``now`` (us)."""
 
     def on_decision(self, decision: Decision) -> None:
-        """A decision newer than any before."""
+        """Follow a decision that is newer than any before."""
 
 
 class FleetAgent:
-    """``on_death`` is called, with the reason, before anything else is done by a broker that finds itself
-    dead.
+    """The agent of one broker; renewals begin with the event loop's next turn.
+
+    ``coordinators`` are the addresses of all quota coordinators, by number. ``zone_observer`` is None until
+    one is attached; only then reports and decisions on zones are exchanged.
     """
 
     def __init__(
@@ -42,42 +50,49 @@
         net: Net,
         member: LocalMember,
         budgets: tuple[Budget, ...],
-        keepers: tuple[str, ...],
+        coordinators: tuple[str, ...],
         *,
-        renew_us: int,
-        times: QuotaTimings,
+        renewal_interval_us: int,
+        timings: QuotaTimings,
         seed: int,
         log: Callable[..., None],
         events: EventLog | None = None,
         fleet: str = "",
     ) -> None:
-        self.loop, self.log, self.renewal_interval_us = loop, log, renew_us
+        self.loop = loop
+        self.log = log
+        self.renewal_interval_us = renewal_interval_us
         self.events: EventLog = events or NoEvents()
-        self.quotas = BrokerQuotas(member, budgets, keepers, loop.now(), times, seed)
+        self.quotas = BrokerQuotas(member, budgets, coordinators, loop.now(), timings, seed)
         self.counts: Counter[tuple[str, ...]] = Counter()
-        self.on_incarnation_ended: Callable[[str], None] = lambda _why: None
-        self.is_leaving = self.is_closed = False
-        self.zone_observer: Zones | None = None
+        self.is_leaving = False
+        self.is_closed = False
+        self.zone_observer: ZoneObserver | None = None
         self.decision = Decision(0, 0)
         self._logged_states: dict[str, tuple[int, ...]] = {}
-        silence = 2 * times.membership.suspect_timeout_us
-        self.links = {
+        self.links = self._links(net, coordinators, timings, seed, fleet)
+        self.events("joins", name=member.name, inc=member.incarnation)
+        loop.call_soon(self._renew)
+
+    def _links(
+        self, net: Net, coordinators: tuple[str, ...], timings: QuotaTimings, seed: int, fleet: str
+    ) -> dict[str, ControlLink]:
+        """By address the links to the coordinators."""
+        return {
             address: ControlLink(
-                loop,
+                self.loop,
                 net,
                 address,
-                member.name,
+                self.member.name,
                 MEMBER_ROLE,
-                silence_us=silence,
-                seed=seed * 64 + number,
+                silence_us=SILENT_SUSPECT_TIMEOUTS * timings.membership.suspect_timeout_us,
+                seed=seed * SEEDS_PER_MEMBER + number,
                 on_message=partial(self._on_message, address),
-                log=log,
+                log=self.log,
                 fleet=fleet,
             )
-            for number, address in enumerate(keepers)
+            for number, address in enumerate(coordinators)
         }
-        self.events("joins", name=member.name, inc=member.incarnation)
-        loop.call_soon(self._renew)
 
     @property
     def member(self) -> LocalMember:
@@ -85,66 +100,73 @@
         return self.quotas.member
 
     def check_incarnation(self) -> int:
-        """Before anything is used, each turn; returns the time by which it may be."""
+        """End the incarnation if its time is over; to be called before anything is used.
+
+        Returns the time (us) up to which it has been checked.
+        """
         now = self.loop.now()
         self._on_incarnation_ended(self.quotas.check_clock(now))
         return now
 
-    def acquire(self, budget: str, thousandths: int = 1_000) -> bool:
-        """Use a unit now, by the clock of now; of a count until it is given back."""
+    def acquire(self, budget: str, thousandths: int = UNIT_MILLIUNITS) -> bool:
+        """Use so many milliunits of a budget now, of a count one unit until :meth:`release`. Returns False
+        where they are not free, or no such budget is set.
+        """
         now = self.check_incarnation()
         holder = self.quotas.holder(now, budget)
         if holder is None:
             return False
-        free = holder.acquire(now, thousandths)
+        is_acquired = holder.acquire(now, thousandths)
         if self.events.on:
             self._log_holder(now, budget, holder)
-            if free and holder.budget.kind != BudgetKind.COUNT:
+            if is_acquired and holder.budget.kind != BudgetKind.COUNT:
                 self.events("spends", budget=budget, amount=thousandths)
-        return free
+        return is_acquired
 
     def release(self, budget: str) -> None:
-        """A unit of a count has been let go."""
+        """Return a unit of a count; without one in use nothing happens."""
         holder = self.quotas.holders.get(budget)
         if holder is not None and holder.in_use:
             holder.release()
             self._log_holder(self.loop.now(), budget, holder)
 
     def holder(self, budget: str) -> QuotaHolder | None:
-        """The holder of a budget, for room, demand and excess; None where no such budget is set."""
+        """The holder of a budget, for its quota, demand and excess; None where no such budget is set."""
         return self.quotas.holder(self.loop.now(), budget)
 
     def budget(self, name: str) -> tuple[int, int] | None:
-        """Whole and linger (us) of a budget that is set; None where it is not."""
+        """Total and linger timeout (us) of a budget that is set; None where it is not."""
         budget = self.quotas.budgets.get(name)
         return (budget.total, budget.linger_timeout_us) if budget is not None else None
 
     def statistics(self) -> dict[str, dict[str, float]]:
-        """By budget: its share (units, of a rate a second), what was used and refused; those of each host
-        summed.
+        """By budget the metrics page's values: quota (units, of a rate a second), use and rejections.
+
+        Those of a budget's endpoints are summed.
         """
-        now, out = self.loop.now(), dict[str, dict[str, float]]()
+        now = self.loop.now()
+        statistics: dict[str, dict[str, float]] = {}
         for name, holder in self.quotas.holders.items():
-            row = out.setdefault(
-                name.partition("@")[0], dict.fromkeys(("share", "in use", "used", "refused"), 0.0)
-            )
-            row["share"] += holder.quota(now) / (1 if holder.budget.kind == BudgetKind.COUNT else 1_000)
+            budget = name.partition(SCOPE_SEPARATOR)[0]
+            row = statistics.setdefault(budget, dict.fromkeys(("share", "in use", "used", "refused"), 0.0))
+            unit = 1 if holder.budget.kind == BudgetKind.COUNT else UNIT_MILLIUNITS
+            row["share"] += holder.quota(now) / unit
             row["in use"] += holder.in_use
             row["used"] += holder.admitted
             row["refused"] += holder.rejected
-        return out
+        return statistics
 
-    def attach_zone_observer(self, zones: Zones) -> None:
-        """Say a broker's word on zones with each renewal, and tell it what is decided."""
-        self.zone_observer = zones
+    def attach_zone_observer(self, zone_observer: ZoneObserver) -> None:
+        """Send the observer's report with each renewal, and hand it each new decision."""
+        self.zone_observer = zone_observer
 
     def leave(self) -> None:
-        """Say that this broker ends, as far as it is heard."""
+        """Tell the coordinators that can be reached that this broker leaves; renew no more."""
         self.is_leaving = True
         self._send_renewals(self.check_incarnation())
 
     def close(self) -> None:
-        """Renew no more."""
+        """Close all links; renew no more."""
         self.is_closed = True
         for link in self.links.values():
             link.close()
@@ -155,72 +177,80 @@
             self.loop.call_at(self.loop.now() + self.renewal_interval_us, self._renew)
 
     def _send_renewals(self, now: int) -> None:
-        word = self.zone_observer.report(now) if self.zone_observer is not None else None
+        """Send a renewal to each coordinator. One that leaves has its releases in the event log before."""
+        report = self.zone_observer.report(now) if self.zone_observer is not None else None
         renewals = self.quotas.renewals(now, leaving=self.is_leaving)
         if self.is_leaving and self.events.on:
-            for name, holder in self.quotas.holders.items():
-                self._log_holder(now, name, holder)
-            # on record before anybody hears that it is free
+            self._log_holders(now)
             self.events.flush()  # type: ignore[attr-defined]
         for addressed in renewals:
             message = messages.renewal_to_frame(addressed.renewal)
-            if word is not None:
-                message.seen, message.cut_off = messages.broker_report_to_frames(word), word.cut_off
+            if report is not None:
+                message.seen = messages.broker_report_to_frames(report)
+                message.cut_off = report.cut_off
                 message.decision = messages.decision_to_frame(self.decision)
             if self.links[addressed.coordinator].send(message):
                 self.counts["renewals",] += 1
-        if self.events.on:
-            for name, holder in self.quotas.holders.items():
-                self._log_holder(now, name, holder)
+        self._log_holders(now)
 
     def _on_message(self, address: str, message: frames.AnyMessage) -> None:
+        """Take a coordinator's reply; after :meth:`leave` it is ignored, as it was requested before."""
         if not isinstance(message, frames.RenewalReply):
             return
         now = self.check_incarnation()
         if self.is_leaving:
-            return  # what comes now was asked for before
-        decision = messages.decision_from_frame(message.decision)
-        if self.zone_observer is not None and decision.is_newer_than(self.decision):
-            self.decision = decision
-            self.zone_observer.on_decision(decision)
-        self._on_incarnation_ended(
-            self.quotas.on_reply(now, address, messages.renewal_reply_from_frame(message))
-        )
+            return
+        self._on_decision(messages.decision_from_frame(message.decision))
+        reply = messages.renewal_reply_from_frame(message)
+        self._on_incarnation_ended(self.quotas.on_reply(now, address, reply))
         if self.events.on:
             for name in sorted({grant.budget for grant in message.grants} & self.quotas.holders.keys()):
                 self._log_holder(now, name, self.quotas.holders[name])
 
+    def _on_decision(self, decision: Decision) -> None:
+        """Hand a newer decision to the observer."""
+        if self.zone_observer is not None and decision.is_newer_than(self.decision):
+            self.decision = decision
+            self.zone_observer.on_decision(decision)
+
     def _on_incarnation_ended(self, ended: IncarnationEnded | None) -> None:
-        if ended is not None:
-            self.counts["deaths",] += 1
-            self.events("dies", why=ended.reason, inc=self.member.incarnation)
-            self.log(
-                "warning",
-                "this broker was taken for dead: it holds nothing, and comes again",
-                why=ended.reason,
-                incarnation=self.member.incarnation,
-            )
+        """Log that the incarnation has ended, if it has; the next one begins without grants."""
+        if ended is None:
+            return
+        self.counts["deaths",] += 1
+        self.events("dies", why=ended.reason, inc=self.member.incarnation)
+        self.log(
+            "warning",
+            "this broker was taken for dead: it holds nothing, and comes again",
+            why=ended.reason,
+            incarnation=self.member.incarnation,
+        )
+        self._log_holders(self.loop.now())
+
+    def _log_holders(self, now: int) -> None:
+        if self.events.on:
             for name, holder in self.quotas.holders.items():
-                self._log_holder(self.loop.now(), name, holder)
-            self.on_incarnation_ended(ended.reason)
+                self._log_holder(now, name, holder)
 
     def _log_holder(self, now: int, name: str, holder: QuotaHolder) -> None:
-        """What is held, by fraction with how long yet (own clock), and of a count what is used: for
-        auditors.
+        """Log what is held by fraction, for how long yet (us, own clock), and of a count what is in use.
+
+        Only changes are logged; the auditors of experiments read them.
         """
         if not self.events.on:
             return
-        share = holder.quota(now)
-        state = (share, holder.in_use, *(held.expires_at_us for held in holder.grants.values()))
-        if self._logged_states.get(name) != state:
-            self._logged_states[name] = state
-            self.events(
-                "holds",
-                budget=name,
-                own=holder.budget.broker_minimum,
-                used=holder.in_use,
-                held=[
-                    [fraction, held.amount, held.expires_at_us - self.loop.now(), held.grantor, held.number]
-                    for fraction, held in holder.grants.items()
-                ],
-            )
+        expiries_at_us = (grant.expires_at_us for grant in holder.grants.values())
+        state = (holder.quota(now), holder.in_use, *expiries_at_us)
+        if self._logged_states.get(name) == state:
+            return
+        self._logged_states[name] = state
+        self.events(
+            "holds",
+            budget=name,
+            own=holder.budget.broker_minimum,
+            used=holder.in_use,
+            held=[
+                [fraction, grant.amount, grant.expires_at_us - self.loop.now(), grant.grantor, grant.number]
+                for fraction, grant in holder.grants.items()
+            ],
+        )
--- a/heathwell/fleet/control/link.py
+++ b/heathwell/fleet/control/link.py
@@ -19,6 +19,8 @@
 RECONNECT_INTERVAL_US = 300_000  # mean wait between two attempts
 RECONNECT_JITTER = (0.5, 1.5)  # factors between which the wait is drawn
 MAX_UNSENT_BYTES = 1 << 20  # that the peer may leave unread
+COORDINATOR_ROLE = "keeper"  # in a hello
+MEMBER_ROLE = "member"  # in a hello
 
 
 class ControlLink:
--- a/heathwell/fleet/control/messages.py
+++ b/heathwell/fleet/control/messages.py
@@ -3,8 +3,8 @@
 Each pair is ``<record>_to_frame`` and ``<record>_from_frame``. The functions are pure and keep nothing.
 Frames are bounded here: what exceeds a bound is left out, never refused.
 
-Imports: `heathwell.codec.frames`
-and the records of `heathwell.fleet.evacuation`, `membership` and `quotas`; no sockets and no event loop.
+Imports: `heathwell.codec.frames` and the records of `heathwell.fleet.evacuation`, `membership` and `quotas`;
+no sockets and no event loop.
 """
 
 from __future__ import annotations
--- a/heathwell/fleet/control/quota_coordinator.py
+++ b/heathwell/fleet/control/quota_coordinator.py
@@ -16,7 +16,7 @@
 from heathwell.codec import frames
 from heathwell.fleet.control import messages
 from heathwell.fleet.control.evacuation_coordinator import EvacuationCoordinator
-from heathwell.fleet.control.link import ControlLink
+from heathwell.fleet.control.link import COORDINATOR_ROLE, ControlLink
 from heathwell.fleet.membership import MemberEntry, MemberState, MemberTransition
 from heathwell.fleet.quotas import (
     Budget,
@@ -31,8 +31,6 @@
 SILENT_LEASE_FRACTION = 2  # a peer that is silent for half a lease is taken for gone
 SEEDS_PER_COORDINATOR = 64  # its links draw from seeds of their own
 MAX_CONNECTIONS = 4_096
-COORDINATOR_ROLE = "keeper"
-MEMBER_ROLE = "member"
 LEADING_FRACTION = 0  # whoever holds its lease decides on zones
 DecisionCarrier = TypeVar("DecisionCarrier", frames.RenewalReply, frames.LeaseRequest, frames.LeaseVote)
 
