--- /dev/null
+++ b/heathwell/fleet/control/fleet_agent.py
@@ -0,0 +1,256 @@
+"""The agent inside a broker: renews its quotas with all quota coordinators, and says what may be used now.
+
+It owns this broker's quotas, the links to the coordinators and the renewal timer. No query waits for it:
+without coordinators, and while they are unreachable, the broker's own minimum may be used. Imports:
+`heathwell.fleet` (evacuation, membership, quotas), the frames' converters and the event loop.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
+
+from heathwell.codec import frames
+from heathwell.fleet.control import messages
+from heathwell.fleet.control.link import MEMBER_ROLE, ControlLink
+from heathwell.fleet.evacuation import BrokerReport, Decision
+from heathwell.fleet.membership import IncarnationEnded, LocalMember
+from heathwell.fleet.quotas import BrokerQuotas, Budget, BudgetKind, QuotaHolder, QuotaTimings
+from heathwell.kernel import Loop, Net
+from heathwell.observability.event_log import EventLog, NoEvents
+
+SILENT_SUSPECT_TIMEOUTS = 2  # a coordinator that is silent for so many is taken for gone
+SEEDS_PER_MEMBER = 64  # its links draw from seeds of their own
+UNIT_MILLIUNITS = 1_000
+SCOPE_SEPARATOR = "@"  # between a budget's name and the endpoint that it is of
+
+
+class ZoneObserver(Protocol):
+    """What a broker observes of zones, and how it follows decisions on them."""
+
+    def report(self, now: int) -> BrokerReport:
+        """The broker's report at ``now`` (us)."""
+
+    def on_decision(self, decision: Decision) -> None:
+        """Follow a decision that is newer than any before."""
+
+
+class FleetAgent:
+    """The agent of one broker; renewals begin with the event loop's next turn.
+
+    ``coordinators`` are the addresses of all quota coordinators, by number. ``zone_observer`` is None until
+    one is attached; only then reports and decisions on zones are exchanged.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        member: LocalMember,
+        budgets: tuple[Budget, ...],
+        coordinators: tuple[str, ...],
+        *,
+        renewal_interval_us: int,
+        timings: QuotaTimings,
+        seed: int,
+        log: Callable[..., None],
+        events: EventLog | None = None,
+        fleet: str = "",
+    ) -> None:
+        self.loop = loop
+        self.log = log
+        self.renewal_interval_us = renewal_interval_us
+        self.events: EventLog = events or NoEvents()
+        self.quotas = BrokerQuotas(member, budgets, coordinators, loop.now(), timings, seed)
+        self.counts: Counter[tuple[str, ...]] = Counter()
+        self.is_leaving = False
+        self.is_closed = False
+        self.zone_observer: ZoneObserver | None = None
+        self.decision = Decision(0, 0)
+        self._logged_states: dict[str, tuple[int, ...]] = {}
+        self.links = self._links(net, coordinators, timings, seed, fleet)
+        self.events("joins", name=member.name, inc=member.incarnation)
+        loop.call_soon(self._renew)
+
+    def _links(
+        self, net: Net, coordinators: tuple[str, ...], timings: QuotaTimings, seed: int, fleet: str
+    ) -> dict[str, ControlLink]:
+        """By address the links to the coordinators."""
+        return {
+            address: ControlLink(
+                self.loop,
+                net,
+                address,
+                self.member.name,
+                MEMBER_ROLE,
+                silence_us=SILENT_SUSPECT_TIMEOUTS * timings.membership.suspect_timeout_us,
+                seed=seed * SEEDS_PER_MEMBER + number,
+                on_message=partial(self._on_message, address),
+                log=self.log,
+                fleet=fleet,
+            )
+            for number, address in enumerate(coordinators)
+        }
+
+    @property
+    def member(self) -> LocalMember:
+        """This broker's own side of its membership."""
+        return self.quotas.member
+
+    def check_incarnation(self) -> int:
+        """End the incarnation if its time is over; to be called before anything is used.
+
+        Returns the time (us) up to which it has been checked.
+        """
+        now = self.loop.now()
+        self._on_incarnation_ended(self.quotas.check_clock(now))
+        return now
+
+    def acquire(self, budget: str, thousandths: int = UNIT_MILLIUNITS) -> bool:
+        """Use so many milliunits of a budget now, of a count one unit until :meth:`release`. Returns False
+        where they are not free, or no such budget is set.
+        """
+        now = self.check_incarnation()
+        holder = self.quotas.holder(now, budget)
+        if holder is None:
+            return False
+        is_acquired = holder.acquire(now, thousandths)
+        if self.events.on:
+            self._log_holder(now, budget, holder)
+            if is_acquired and holder.budget.kind != BudgetKind.COUNT:
+                self.events("spends", budget=budget, amount=thousandths)
+        return is_acquired
+
+    def release(self, budget: str) -> None:
+        """Return a unit of a count; without one in use nothing happens."""
+        holder = self.quotas.holders.get(budget)
+        if holder is not None and holder.in_use:
+            holder.release()
+            self._log_holder(self.loop.now(), budget, holder)
+
+    def holder(self, budget: str) -> QuotaHolder | None:
+        """The holder of a budget, for its quota, demand and excess; None where no such budget is set."""
+        return self.quotas.holder(self.loop.now(), budget)
+
+    def budget(self, name: str) -> tuple[int, int] | None:
+        """Total and linger timeout (us) of a budget that is set; None where it is not."""
+        budget = self.quotas.budgets.get(name)
+        return (budget.total, budget.linger_timeout_us) if budget is not None else None
+
+    def statistics(self) -> dict[str, dict[str, float]]:
+        """By budget the metrics page's values: quota (units, of a rate a second), use and rejections.
+
+        Those of a budget's endpoints are summed.
+        """
+        now = self.loop.now()
+        statistics: dict[str, dict[str, float]] = {}
+        for name, holder in self.quotas.holders.items():
+            budget = name.partition(SCOPE_SEPARATOR)[0]
+            row = statistics.setdefault(budget, dict.fromkeys(("share", "in use", "used", "refused"), 0.0))
+            unit = 1 if holder.budget.kind == BudgetKind.COUNT else UNIT_MILLIUNITS
+            row["share"] += holder.quota(now) / unit
+            row["in use"] += holder.in_use
+            row["used"] += holder.admitted
+            row["refused"] += holder.rejected
+        return statistics
+
+    def attach_zone_observer(self, zone_observer: ZoneObserver) -> None:
+        """Send the observer's report with each renewal, and hand it each new decision."""
+        self.zone_observer = zone_observer
+
+    def leave(self) -> None:
+        """Tell the coordinators that can be reached that this broker leaves; renew no more."""
+        self.is_leaving = True
+        self._send_renewals(self.check_incarnation())
+
+    def close(self) -> None:
+        """Close all links; renew no more."""
+        self.is_closed = True
+        for link in self.links.values():
+            link.close()
+
+    def _renew(self) -> None:
+        if not self.is_closed and not self.is_leaving:
+            self._send_renewals(self.check_incarnation())
+            self.loop.call_at(self.loop.now() + self.renewal_interval_us, self._renew)
+
+    def _send_renewals(self, now: int) -> None:
+        """Send a renewal to each coordinator. One that leaves has its releases in the event log before."""
+        report = self.zone_observer.report(now) if self.zone_observer is not None else None
+        renewals = self.quotas.renewals(now, leaving=self.is_leaving)
+        if self.is_leaving and self.events.on:
+            self._log_holders(now)
+            self.events.flush()  # type: ignore[attr-defined]
+        for addressed in renewals:
+            message = messages.renewal_to_frame(addressed.renewal)
+            if report is not None:
+                message.seen = messages.broker_report_to_frames(report)
+                message.cut_off = report.cut_off
+                message.decision = messages.decision_to_frame(self.decision)
+            if self.links[addressed.coordinator].send(message):
+                self.counts["renewals",] += 1
+        self._log_holders(now)
+
+    def _on_message(self, address: str, message: frames.AnyMessage) -> None:
+        """Take a coordinator's reply; after :meth:`leave` it is ignored, as it was requested before."""
+        if not isinstance(message, frames.RenewalReply):
+            return
+        now = self.check_incarnation()
+        if self.is_leaving:
+            return
+        self._on_decision(messages.decision_from_frame(message.decision))
+        reply = messages.renewal_reply_from_frame(message)
+        self._on_incarnation_ended(self.quotas.on_reply(now, address, reply))
+        if self.events.on:
+            for name in sorted({grant.budget for grant in message.grants} & self.quotas.holders.keys()):
+                self._log_holder(now, name, self.quotas.holders[name])
+
+    def _on_decision(self, decision: Decision) -> None:
+        """Hand a newer decision to the observer."""
+        if self.zone_observer is not None and decision.is_newer_than(self.decision):
+            self.decision = decision
+            self.zone_observer.on_decision(decision)
+
+    def _on_incarnation_ended(self, ended: IncarnationEnded | None) -> None:
+        """Log that the incarnation has ended, if it has; the next one begins without grants."""
+        if ended is None:
+            return
+        self.counts["deaths",] += 1
+        self.events("dies", why=ended.reason, inc=self.member.incarnation)
+        self.log(
+            "warning",
+            "this broker was taken for dead: it holds nothing, and comes again",
+            why=ended.reason,
+            incarnation=self.member.incarnation,
+        )
+        self._log_holders(self.loop.now())
+
+    def _log_holders(self, now: int) -> None:
+        if self.events.on:
+            for name, holder in self.quotas.holders.items():
+                self._log_holder(now, name, holder)
+
+    def _log_holder(self, now: int, name: str, holder: QuotaHolder) -> None:
+        """Log what is held by fraction, for how long yet (us, own clock), and of a count what is in use.
+
+        Only changes are logged; the auditors of experiments read them.
+        """
+        if not self.events.on:
+            return
+        expiries_at_us = (grant.expires_at_us for grant in holder.grants.values())
+        state = (holder.quota(now), holder.in_use, *expiries_at_us)
+        if self._logged_states.get(name) == state:
+            return
+        self._logged_states[name] = state
+        self.events(
+            "holds",
+            budget=name,
+            own=holder.budget.broker_minimum,
+            used=holder.in_use,
+            held=[
+                [fraction, grant.amount, grant.expires_at_us - self.loop.now(), grant.grantor, grant.number]
+                for fraction, grant in holder.grants.items()
+            ],
+        )
--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -17,8 +17,8 @@
 import pytest
 
 from heathwell.audit import judge_budgets
-from heathwell.fleet.control.agent import FleetAgent
-from heathwell.fleet.control.wiring import budgets_of, times_of
+from heathwell.fleet.control.fleet_agent import FleetAgent
+from heathwell.fleet.control.parameters import budgets_from_settings, quota_timings_from_settings
 from heathwell.fleet.evacuation import AttemptCounts, BrokerReport, ZoneClassKey
 from heathwell.fleet.membership import LocalMember
 from heathwell.kernel import socket_loop
@@ -367,12 +367,12 @@
     def __init__(self, name, zone, of):
         self.name, self.zone, self.of = name, zone, of
 
-    def summary(self, _now):
+    def report(self, _now):
         return BrokerReport(
             self.name, self.zone, {ZoneClassKey(self.of, "price-search"): AttemptCounts(bad=500)}
         )
 
-    def decided(self, _decision):
+    def on_decision(self, _decision):
         """It goes by nothing."""
 
 
@@ -389,17 +389,23 @@
             FleetAgent(
                 loop,
                 net,
-                LocalMember(name, loop.now() + 1, loop.now(), zone=zone, timeouts=times_of(spec).membership),
-                budgets_of(spec),
+                LocalMember(
+                    name,
+                    loop.now() + 1,
+                    loop.now(),
+                    zone=zone,
+                    timeouts=quota_timings_from_settings(spec).membership,
+                ),
+                budgets_from_settings(spec),
                 tuple(where[-1].split(",")),
-                renew_us=spec.renew,
-                times=times_of(spec),
+                renewal_interval_us=spec.renew,
+                timings=quota_timings_from_settings(spec),
                 seed=n,
                 log=lambda *_args, **_fields: None,
                 fleet=spec.called,
             )
         )
-        agents[-1].on_zones(Liar(name, zone, "hki-2"))
+        agents[-1].attach_zone_observer(Liar(name, zone, "hki-2"))
     beside = threading.Thread(target=loop.run, daemon=True)
     beside.start()
     yield agents
