Node agent: machine.py becomes four modules with one job each

control/machine.py held the agent, its processes, its state file and the reading of reports, with house names and bare maps. Now: node_agent (NodeAgent), broker_process (SupervisedBroker, ProcessLauncher), service_report, state_file (one typed pair reads and writes agent.json; the same keys).

--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import getpass
 import json
@@ -22,12 +23,13 @@
 from heathwell.cli.serve import Process, exit_codes, serving, settings_of
 from heathwell.codec import frames
 from heathwell.fleet.control.agent import FleetAgent
-from heathwell.fleet.control.machine import MachineAgent, make_broker, write_whole
+from heathwell.fleet.control.broker_process import supervise_broker
+from heathwell.fleet.control.node_agent import DesiredVersionRejectedError, NodeAgent, base_version
 from heathwell.fleet.control.rollout import Controller
+from heathwell.fleet.control.state_file import write_atomically
 from heathwell.fleet.control.wiring import lease_budget, times_of
 from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.rollout import (
-    RESTART_SUFFIX,
     AnalysisLimits,
     Plan,
     RolloutController,
@@ -87,13 +89,13 @@
             name, zone, address = text.split(":", 2)
             if not 0 <= int(zone) < len(zones):
                 raise ValueError(f"{text}: there are {len(zones)} zones")
-            rows.append(make_broker(name, int(zone), address, more.get(name, [])))
+            rows.append(supervise_broker(name, int(zone), address, more.get(name, [])))
     except ValueError as problem:
         click.echo(f"--broker, --args: {problem}", err=True)
         sys.exit(2)
 
     def main() -> Coro[None]:
-        served = MachineAgent(
+        served = NodeAgent(
             process.loop,
             process.net,
             process.name,
@@ -105,24 +107,33 @@
         )
         address = served.start(listen)
         for broker in rows:
-            if not broker.supervisor.desired_version:
-                why = served.want(
-                    broker.name, version, str(Path(program).resolve()), str(Path(first_settings).resolve())
+            supervisor = broker.supervisor
+            if not supervisor.desired_version:
+                first = frames.DesiredVersion(
+                    0,
+                    0,
+                    broker.name,
+                    version,
+                    str(Path(program).resolve()),
+                    str(Path(first_settings).resolve()),
                 )
-                if why:
-                    click.echo(f"{broker.name}: {why}", err=True)
+                try:
+                    served.set_desired_version(first)
+                except DesiredVersionRejectedError as error:
+                    click.echo(f"{broker.name}: {error}", err=True)
                     sys.exit(2)
             else:
-                supervisor = broker.supervisor
-                files = served.versions[supervisor.desired_version.rstrip(RESTART_SUFFIX)]
-                served.want(
+                files = served.versions[base_version(supervisor.desired_version)]
+                last = frames.DesiredVersion(
+                    supervisor.term,
+                    supervisor.number,
                     broker.name,
                     supervisor.desired_version,
                     files.program,
                     files.settings,
-                    supervisor.term,
-                    supervisor.number,
                 )
+                with contextlib.suppress(DesiredVersionRejectedError):  # it goes on with what serves
+                    served.set_desired_version(last)
         while (
             any(broker.supervisor.serving is None and not broker.supervisor.failures for broker in rows)
             and not process.stop.is_set
@@ -132,7 +143,7 @@
         yield from process.stop.wait()
         served.stop()
         until = process.loop.now() + process.service_settings.broker.drain_for + 2_000_000
-        while served.alive and process.loop.now() < until:
+        while served.process_count and process.loop.now() < until:
             yield from sleep(process.loop, 50_000)
 
     process.run(main)
@@ -270,7 +281,7 @@
             crash=crash,
         )
         address = controller.start(listen)
-        write_whole(folder / ADDRESS, json.dumps({"address": address, "pid": os.getpid()}))
+        write_atomically(folder / ADDRESS, json.dumps({"address": address, "pid": os.getpid()}))
         process.ready(address=address, change=course.id)
 
         def until_stopped() -> Coro[None]:
--- a/heathwell/fleet/control/rollout.py
+++ b/heathwell/fleet/control/rollout.py
@@ -11,8 +11,8 @@
 from heathwell import inner_protocol
 from heathwell.codec import frames
 from heathwell.fleet.control.link import ControlLink
-from heathwell.fleet.control.machine import write_whole
 from heathwell.fleet.control.messages import MESSAGE_MOST
+from heathwell.fleet.control.state_file import write_atomically
 from heathwell.fleet.rollout import (
     FINAL_STATES,
     RESTART_SUFFIX,
@@ -265,7 +265,7 @@
     def _write(self) -> bool:
         """Note where it stands, before anything follows from it."""
         try:
-            write_whole(self.folder / RECORD, json.dumps(self.course.to_record()))
+            write_atomically(self.folder / RECORD, json.dumps(self.course.to_record()))
         except OSError as problem:
             self._unwritten = True
             self._say_once(f"the course could not be written, nothing more is begun: {problem}")
--- /dev/null
+++ b/heathwell/fleet/control/state_file.py
@@ -0,0 +1,134 @@
+"""The state file of a node agent: which versions it knows, and which broker processes it has started.
+
+The agent writes it before it acts, so that the agent started after it can adopt the processes that still
+serve. Owns the file's name and layout (:func:`save_agent_state` and :func:`load_agent_state` are the only
+ones that know it) and the atomic write that other control processes use too. Imports the standard library
+alone.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+STATE_FILE_NAME = "agent.json"
+
+
+@dataclass(slots=True)
+class VersionFiles:
+    """Where a version's files lie, and the digests that its processes must report."""
+
+    program: str  # folder of the program tree
+    settings: str  # path of the settings file
+    digests: tuple[str, str] = ("", "")  # of the program, of the settings
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessState:
+    """A broker process that was started."""
+
+    pid: int
+    version: str
+    start_ticks: int  # the kernel's start time: a pid is used again, the pair of both is not
+    ready_file: str
+
+
+@dataclass(frozen=True, slots=True)
+class BrokerState:
+    """One broker: the last decision on it, and its processes by run number."""
+
+    address: str
+    desired_version: str
+    previous_version: str
+    term: int
+    number: int
+    last_run: int
+    serving_run: int  # 0 while none serves
+    processes: dict[int, ProcessState] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class AgentState:
+    """What a node agent keeps: versions and brokers, each by name."""
+
+    versions: dict[str, VersionFiles]
+    brokers: dict[str, BrokerState]
+
+
+def save_agent_state(folder: Path, state: AgentState) -> None:
+    """Write the state file in ``folder``; raises :class:`OSError`."""
+    record = {
+        "versions": {
+            name: [files.program, files.settings, list(files.digests)]
+            for name, files in state.versions.items()
+        },
+        "brokers": {name: _broker_to_record(broker) for name, broker in state.brokers.items()},
+    }
+    write_atomically(folder / STATE_FILE_NAME, json.dumps(record))
+
+
+def load_agent_state(folder: Path) -> AgentState | None:
+    """Read the state file in ``folder``; None where there is none.
+
+    Raises :class:`OSError`, :class:`ValueError` or :class:`KeyError` where it cannot be read or is damaged.
+    """
+    path = folder / STATE_FILE_NAME
+    if not path.exists():
+        return None
+    record = json.loads(path.read_text())
+    versions = {
+        name: VersionFiles(program, settings, (digests[0], digests[1]))
+        for name, (program, settings, digests) in record["versions"].items()
+    }
+    brokers = {name: _broker_from_record(broker) for name, broker in record["brokers"].items()}
+    return AgentState(versions, brokers)
+
+
+def write_atomically(path: Path, text: str) -> None:
+    """Replace a file's content as a whole, durably: after a loss of power it is the old or the new one.
+
+    Raises :class:`OSError`; the file is unchanged then, unless only the sync of its folder failed.
+    """
+    partial = path.with_suffix(path.suffix + ".part")
+    with partial.open("w", encoding="utf-8") as file:
+        file.write(text)
+        file.flush()
+        os.fsync(file.fileno())
+    partial.rename(path)
+    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def _broker_to_record(broker: BrokerState) -> dict[str, object]:
+    return {
+        "address": broker.address,
+        "wanted": broker.desired_version,
+        "kept": broker.previous_version,
+        "term": broker.term,
+        "number": broker.number,
+        "runs": broker.last_run,
+        "serving": broker.serving_run,
+        "processes": {
+            str(run): [process.pid, process.version, process.start_ticks, process.ready_file]
+            for run, process in broker.processes.items()
+        },
+    }
+
+
+def _broker_from_record(record: dict[str, Any]) -> BrokerState:
+    return BrokerState(
+        address=record["address"],
+        desired_version=record["wanted"],
+        previous_version=record["kept"],
+        term=record["term"],
+        number=record["number"],
+        last_run=record["runs"],
+        serving_run=record["serving"],
+        processes={int(run): ProcessState(*process) for run, process in record["processes"].items()},
+    )
--- a/heathwell/lab/rolling.py
+++ b/heathwell/lab/rolling.py
@@ -22,7 +22,7 @@
 
 from heathwell import inner_protocol
 from heathwell.codec import frames
-from heathwell.fleet.control.machine import start_of
+from heathwell.fleet.control.broker_process import process_start_ticks
 from heathwell.lab.clients import Clients, arrivals
 from heathwell.lab.figures import run_figures
 from heathwell.lab.processes import FleetError, ProcessFleet
@@ -268,7 +268,7 @@
                 continue
             for row in json.loads(notes.read_text())["brokers"].values():
                 for pid, _, started, _ in row["processes"].values():
-                    if start_of(pid) == started:
+                    if process_start_ticks(pid) == started:
                         os.kill(pid, signal.SIGKILL)
 
     def addresses(self) -> list[tuple[str, str, str]]:
