Rollout: the controller's process, its view of the fleet and its file are modules of their own

control/rollout.py mixed the state machine's driving with reports, windows and the record, under house names (course, wish, told). Now: RolloutRunner (rollout), FleetView (fleet_view), one typed pair for rollout.json (rollout_file); options are typed.

--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -24,9 +24,9 @@
 from heathwell.codec import frames
 from heathwell.fleet.control.agent import FleetAgent
 from heathwell.fleet.control.broker_process import supervise_broker
-from heathwell.fleet.control.node_agent import DesiredVersionRejectedError, NodeAgent, base_version
-from heathwell.fleet.control.rollout import Controller
-from heathwell.fleet.control.state_file import write_atomically
+from heathwell.fleet.control.node_agent import DesiredVersionRejectedError, NodeAgent
+from heathwell.fleet.control.rollout import RolloutRunner
+from heathwell.fleet.control.state_file import VersionFiles, base_version, write_atomically
 from heathwell.fleet.control.wiring import lease_budget, times_of
 from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.rollout import (
@@ -235,24 +235,24 @@
         sys.exit(2)
     try:
         plan = Plan(_stages(stages, bake, most, prove), zone_share, at_once)
-        course = RolloutController(
+        controller = RolloutController(
             f"{old}-{new}", old, new, {}, plan, AnalysisLimits(tolerance=tolerance), _span(window)
         )
     except (ValueError, KeyError) as problem:
         click.echo(f"--stages, --bake, --most, --window: {problem}", err=True)
         sys.exit(2)
     files = {
-        old: (str(Path(from_program).resolve()), str(Path(from_settings).resolve())),
-        new: (
+        old: VersionFiles(str(Path(from_program).resolve()), str(Path(from_settings).resolve())),
+        new: VersionFiles(
             str(Path(program or from_program).resolve()),
             str(Path(new_settings or from_settings).resolve()),
         ),
     }
     before = settings_of(from_settings)
 
-    def check() -> list[str]:
+    def preflight() -> list[str]:
         try:
-            after = load(files[new][1])
+            after = load(files[new].settings)
         except (SettingsError, OSError) as problem:
             return str(problem).splitlines()
         return [
@@ -266,37 +266,37 @@
             os.kill(os.getpid(), signal.SIGKILL)
 
     def main() -> Coro[int]:
-        holds = _lease(process, before, keepers)
-        controller = Controller(
+        is_leader = _lease(process, before, keepers)
+        runner = RolloutRunner(
             process.loop,
             process.net,
-            course,
+            controller,
             folder,
             machines.split(","),
             files,
             term=time.time_ns() // 1000,
-            holds=holds,
+            is_leader=is_leader,
             log=process.log,
-            check=check,
-            crash=crash,
+            preflight=preflight,
+            crash_at=crash,
         )
-        address = controller.start(listen)
+        address = runner.start(listen)
         write_atomically(folder / ADDRESS, json.dumps({"address": address, "pid": os.getpid()}))
-        process.ready(address=address, change=course.id)
+        process.ready(address=address, change=controller.id)
 
         def until_stopped() -> Coro[None]:
             yield from process.stop.wait()
-            controller.done.set()
+            runner.done.set()
 
         process.loop.spawn(until_stopped(), "stop")
-        yield from controller.done.wait()
+        yield from runner.done.wait()
         yield from sleep(process.loop, 200_000)  # for operators who ask at this moment
-        controller.close()
+        runner.close()
         return 0
 
     process.run(main)
-    click.echo(f"{course.id}: {course.state}: {course.reason}")
-    sys.exit(0 if course.state == RolloutState.DONE else 1)
+    click.echo(f"{controller.id}: {controller.state}: {controller.reason}")
+    sys.exit(0 if controller.state == RolloutState.DONE else 1)
 
 
 def _lease(process: Process, service_settings: ServiceSettings, keepers: str) -> Callable[[], bool]:
--- a/heathwell/fleet/control/node_agent.py
+++ b/heathwell/fleet/control/node_agent.py
@@ -28,10 +28,11 @@
     AgentState,
     BrokerState,
     VersionFiles,
+    base_version,
     load_agent_state,
     save_agent_state,
 )
-from heathwell.fleet.rollout import RESTART_SUFFIX, RolloutError, StaleDecisionError
+from heathwell.fleet.rollout import RolloutError, StaleDecisionError
 from heathwell.fleet.rollout.broker_supervisor import (
     ApplySettings,
     LogMessage,
@@ -49,7 +50,7 @@
 EXIT_NOT_STARTED = 127  # the shell's code for a command that cannot be run
 
 
-@dataclass
+@dataclass(eq=False)
 class DesiredVersionRejectedError(RolloutError):
     """A decision on a broker's version cannot be taken."""
 
@@ -59,11 +60,6 @@
         return self.reason
 
 
-def base_version(version: str) -> str:
-    """The version without the mark of a process that is to be started once more."""
-    return version.rstrip(RESTART_SUFFIX)
-
-
 class NodeAgent:
     """Runs ``brokers``, whose zone numbers index ``zones``; keeps files and state in ``folder``.
 
--- a/heathwell/fleet/control/rollout.py
+++ b/heathwell/fleet/control/rollout.py
@@ -1,23 +1,25 @@
-"""The controller of a change: keeps its course on disk, wishes of machines, judges by what they say."""
+"""The process of a rollout: drives the rollout's state machine with what the machines' agents report.
+
+Owns the connections to the agents, the operators' listener and the rollout's file, which is written before
+anything follows from a step. Decisions are the :class:`RolloutController`'s. Imports that package, the view
+of the fleet, the file and the inner protocol.
+"""
 
 from __future__ import annotations
 
-import json
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 from heathwell import inner_protocol
 from heathwell.codec import frames
+from heathwell.fleet.control.fleet_view import FleetView
 from heathwell.fleet.control.link import ControlLink
 from heathwell.fleet.control.messages import MESSAGE_MOST
-from heathwell.fleet.control.state_file import write_atomically
+from heathwell.fleet.control.rollout_file import load_rollout_record, save_rollout_record
+from heathwell.fleet.control.state_file import VersionFiles, base_version
 from heathwell.fleet.rollout import (
     FINAL_STATES,
-    RESTART_SUFFIX,
-    BrokerWindow,
-    QueryStatistics,
     RolloutController,
     RolloutEvent,
     RolloutState,
@@ -26,314 +28,323 @@
 from heathwell.fleet.rollout.broker_supervisor import SupervisorState
 from heathwell.kernel import Coro, Event, Listener, Loop, Net, Stream
 
-TURN_US = 200_000
-RECORD = "rollout.json"
-BUSY = (
-    SupervisorState.STARTING,
-    SupervisorState.REPLACING,
-    SupervisorState.DRAINING,
-    SupervisorState.WAITING,
+TICK_INTERVAL_US = 200_000
+REPORT_TIMEOUT_US = 10 * TICK_INTERVAL_US  # after which a machine that has not reported counts as lost
+OPERATORS_MOST = 16  # connections at a time
+REJECTIONS_MOST = 3  # of one broker's desired version, before the rollout is undone
+BUSY_STATES = frozenset(
+    {
+        SupervisorState.STARTING,
+        SupervisorState.REPLACING,
+        SupervisorState.DRAINING,
+        SupervisorState.WAITING,
+    }
 )
+OBSERVATION_STATES = frozenset({RolloutState.OBSERVING, RolloutState.HELD})
+UPDATE_STATES = frozenset({RolloutState.DEPLOYING, RolloutState.ROLLING_BACK})
+WARNING_STATES = frozenset({RolloutState.HELD, RolloutState.ROLLING_BACK})
+OPERATOR_EVENTS = frozenset({"hold", "resume", "undo"})  # words that are values of RolloutEvent
+STATUS_WORD = "status"
+
 
+class RolloutRunner:
+    """Runs one rollout until it has ended, which sets ``done``.
 
-class Controller:
-    """One run of a controller. ``holds`` tells whether it is the fleet's one at this moment: without it
-    nothing is begun. ``files`` are a version's program and settings, by name. ``crash_at`` ends the process
-    at that point, for tests.
+    ``is_leader`` tells whether this is the fleet's controller at the moment; while it is not, nothing is
+    begun. ``preflight`` returns what speaks against the rollout. ``files`` are the versions' by name.
+    ``crash_at`` is called with the name of each point at which tests may end the process. A record in
+    ``folder`` is gone on from, under the new ``term``; errors of its reading propagate.
     """
 
     def __init__(
         self,
         loop: Loop,
         net: Net,
-        course: RolloutController,
+        controller: RolloutController,
         folder: Path,
         machines: list[str],
-        files: dict[str, tuple[str, str]],
+        files: dict[str, VersionFiles],
         *,
         term: int,
-        holds: Callable[[], bool],
+        is_leader: Callable[[], bool],
         log: Callable[..., None],
-        check: Callable[[], list[str]],
-        crash: Callable[[str], None],
+        preflight: Callable[[], list[str]],
+        crash_at: Callable[[str], None],
     ) -> None:
-        self.loop, self.net, self.course, self.folder, self.files = loop, net, course, folder, files
-        self.holds, self.log, self.check, self.crash = holds, log, check, crash
+        self.loop = loop
+        self.net = net
+        self.controller = controller
+        self.folder = folder
+        self.files = files
+        self.is_leader = is_leader
+        self.log = log
+        self.preflight = preflight
+        self.crash_at = crash_at
         self.done = Event()
         self.listener: Listener | None = None
-        self.views: dict[str, frames.MachineView] = {}
-        self.viewed_us: dict[str, int] = {}
-        self._runs: dict[str, frames.BrokerStatus] = {}  # each broker's latest
-        self._at: dict[str, str] = {}  # and the machine that it is of
-        self._before: dict[str, frames.BrokerStatus] = {}  # and as it was a window ago
-        self._deaths: dict[str, int] = {}  # of each broker, as this controller first saw it
-        self._refused: Counter[str] = Counter()
-        self._window_us = 0
-        self._unwritten = False
-        self._told = ""
-        path = folder / RECORD
-        if path.exists():
-            course.restore(json.loads(path.read_text()), term)
-            self.log("info", "goes on", change=course.id, state=course.state, stage=course.stage)
-        course.term = term
-        self.links = {
-            address: ControlLink(
-                loop,
-                net,
-                address,
-                f"rollout {course.id}",
-                "controller",
-                silence_us=10 * TURN_US,
-                seed=number,
-                heard=lambda message, address=address: self._heard(  # type: ignore[misc]
-                    address, message
-                ),
-                log=log,
-            )
-            for number, address in enumerate(machines)
-        }
+        self.fleet = FleetView(REPORT_TIMEOUT_US)
+        self._rejections: Counter[str] = Counter()
+        self._window_ended_at_us = 0
+        self._is_unsaved = False
+        self._last_warning = ""
+        self._restore(term)
+        self.links = {address: self._connect(address, seed) for seed, address in enumerate(machines)}
 
     def start(self, listen: str) -> str:
-        """Open the door for operators, and begin."""
-        self.listener = self.net.listen(listen, self._serve, "rollout", 16)
-        self.loop.call_soon(self._turn)
+        """Listen for operators and start to tick; returns the listening address."""
+        self.listener = self.net.listen(listen, self._serve, "rollout", OPERATORS_MOST)
+        self.loop.call_soon(self._tick)
         return self.listener.address
 
     def close(self) -> None:
-        """Leave; the last decision stands."""
+        """Close all connections; the last decisions stand."""
         for link in self.links.values():
             link.close()
         if self.listener is not None:
             self.listener.close()
 
-    # The course.
+    def on_command(self, command: frames.OperatorCommand) -> frames.RolloutStatus:
+        """Carry out an operator's command; the reply's text says what was wrong with it."""
+        if command.word in OPERATOR_EVENTS:
+            operator = command.who or "an operator"
+            reason = f"{command.word} by {operator}: {command.why or 'no reason given'}"
+            if not self._complete(self.controller.apply_event(RolloutEvent(command.word), reason)):
+                text = f"{command.word}: not while it is {self.controller.state}"
+                return frames.RolloutStatus(text, self.status())
+        elif command.word != STATUS_WORD:
+            text = f"unknown word '{command.word}': hold, resume, undo, status"
+            return frames.RolloutStatus(text, self.status())
+        return frames.RolloutStatus("", self.status())
 
-    def _turn(self) -> None:
+    def status(self) -> dict[str, object]:
+        """The rollout's record and each broker's state, as operators read them."""
+        now_us = self.loop.now()
+        updated = self.controller.updated_brokers()
+        desired = self.controller.desired_versions()
+        return {
+            **self.controller.to_record(),
+            "holds": self.is_leader(),
+            "brokers": {
+                name: {
+                    "zone": status.zone,
+                    "runs": status.version,
+                    "state": status.state,
+                    "wanted": desired.get(name, ""),
+                    "changed": name in updated,
+                    "failed": status.failed,
+                    "fresh": self.fleet.is_recent(now_us, name),
+                }
+                for name, status in sorted(self.fleet.statuses.items())
+            },
+        }
+
+    # The rollout.
+
+    def _tick(self) -> None:
         if self.done.is_set:
             return
-        self.loop.call_at(self.loop.now() + TURN_US, self._turn)
+        self.loop.call_at(self.loop.now() + TICK_INTERVAL_US, self._tick)
         for link in self.links.values():
             link.send(frames.MachineRequest())
-        if not self.holds():
-            self._say_once(
+        if not self.is_leader():
+            self._warn_once(
                 "another controller has the fleet's lease, or no keeper can be reached: nothing is begun"
             )
             return
-        if self._unwritten and not self._write():
+        if self._is_unsaved and not self._save():
             return
-        course = self.course
-        if course.state == RolloutState.PLANNED:
-            self._stepped(course.apply_event(RolloutEvent.STARTED))
-        elif course.state == RolloutState.PREFLIGHT:
-            self._checked()
-        elif course.state in FINAL_STATES:
+        controller = self.controller
+        if controller.state == RolloutState.PLANNED:
+            self._complete(controller.apply_event(RolloutEvent.STARTED))
+        elif controller.state == RolloutState.PREFLIGHT:
+            self._run_preflight()
+        elif controller.state in FINAL_STATES:
             self._finish()
         else:
-            self._go_on()
-
-    def _checked(self) -> None:
-        wrong = self.check()
-        if wrong:
-            self._stepped(self.course.apply_event(RolloutEvent.PREFLIGHT_FAILED, "; ".join(wrong)))
-        elif self._known():
-            self._stepped(self.course.apply_event(RolloutEvent.PREFLIGHT_PASSED))
-
-    def _known(self) -> bool:
-        """Whether every machine has said what it runs; brokers are named as they are then."""
-        if len(self.views) < len(self.links):
-            self._say_once(
-                f"{len(self.links) - len(self.views)} of {len(self.links)} machines have not answered yet"
-            )
+            self._advance()
+
+    def _run_preflight(self) -> None:
+        problems = self.preflight()
+        if problems:
+            event = RolloutEvent.PREFLIGHT_FAILED
+            self._complete(self.controller.apply_event(event, "; ".join(problems)))
+        elif self._is_fleet_known():
+            self._complete(self.controller.apply_event(RolloutEvent.PREFLIGHT_PASSED))
+
+    def _is_fleet_known(self) -> bool:
+        """Whether every machine has reported; the rollout's brokers are those that are known then."""
+        missing = len(self.links) - self.fleet.machine_count
+        if missing > 0:
+            self._warn_once(f"{missing} of {len(self.links)} machines have not answered yet")
             return False
-        if not self.course.zones:
-            self.course.zones = {running.broker: running.zone for running in self._runs.values()}
+        if not self.controller.zones:
+            self.controller.zones = {status.broker: status.zone for status in self.fleet.statuses.values()}
         return True
 
-    def _go_on(self) -> None:
-        course, now = self.course, self.loop.now()
-        runs = {name: running.version for name, running in self._runs.items() if self._fresh(name)}
-        wishes = course.desired_versions()
+    def _advance(self) -> None:
+        """Hand the controller what is observed; a step ends the turn."""
+        controller = self.controller
+        running_versions = self.fleet.running_versions(self.loop.now())
+        if self._complete(controller.observe_versions(running_versions, self._failed_brokers())):
+            return
+        exits = self.fleet.count_exits(controller.updated_brokers())
+        if self._complete(controller.observe_exits(exits.canary, exits.baseline)):
+            return
+        if controller.state in UPDATE_STATES:
+            self._update_brokers(running_versions)
+        if controller.state in OBSERVATION_STATES:
+            self._observe_window()
+        else:
+            self.fleet.reset_windows()
+
+    def _failed_brokers(self) -> list[str]:
+        """Brokers that could not be made to run the version that they are to run now."""
+        controller = self.controller
+        desired = controller.desired_versions()
         failed = [
             name
-            for name, running in self._runs.items()
-            if running.failed and running.wanted == wishes.get(name) and running.wanted != course.old_version
+            for name, status in self.fleet.statuses.items()
+            if status.failed
+            and status.wanted == desired.get(name)
+            and status.wanted != controller.old_version
         ]
-        failed += [
+        if controller.state == RolloutState.DEPLOYING:
+            updated = controller.updated_brokers()
+            failed += [
+                name
+                for name, status in self.fleet.statuses.items()
+                if status.state == SupervisorState.GAVE_UP and name in updated
+            ]
+        return failed
+
+    def _update_brokers(self, running_versions: dict[str, str]) -> None:
+        now_us = self.loop.now()
+        busy = {
             name
-            for name, running in self._runs.items()
-            if running.state == SupervisorState.GAVE_UP
-            and course.state == RolloutState.DEPLOYING
-            and name in course.updated_brokers()
-        ]
-        if self._stepped(course.observe_versions(runs, failed)):
-            return
-        changed, died = course.updated_brokers(), Counter[bool]()
-        for name, running in self._runs.items():
-            died[name in changed] += running.deaths - self._deaths.setdefault(name, running.deaths)
-        if self._stepped(course.observe_exits(died[True], died[False])):
-            return
-        if course.state in (RolloutState.DEPLOYING, RolloutState.ROLLING_BACK):
-            busy = {
-                name for name, running in self._runs.items() if running.state in BUSY and self._fresh(name)
-            }
-            for name, version in course.next_updates(runs, busy).items():
-                self._wish(name, version)
-        if (
-            course.state in (RolloutState.OBSERVING, RolloutState.HELD)
-            and now - self._window_us >= course.window_duration_us
-        ):
-            self._window_us = now
-            self._stepped(course.observe_window(self._windows()))
-        elif course.state not in (RolloutState.OBSERVING, RolloutState.HELD):
-            self._before = {}
-
-    def _fresh(self, name: str) -> bool:
-        """Whether its machine has spoken lately."""
-        return self.loop.now() - self.viewed_us[self._at[name]] < 10 * TURN_US
-
-    def _wish(self, name: str, version: str) -> None:
-        self.crash(f"wish {name}")
-        program, settings = self.files[version.rstrip(RESTART_SUFFIX)]
-        self.links[self._at[name]].send(
-            frames.DesiredVersion(self.course.term, self.course.number, name, version, program, settings)
+            for name, status in self.fleet.statuses.items()
+            if status.state in BUSY_STATES and self.fleet.is_recent(now_us, name)
+        }
+        for name, version in self.controller.next_updates(running_versions, busy).items():
+            self._send_desired_version(name, version)
+
+    def _send_desired_version(self, broker: str, version: str) -> None:
+        self.crash_at(f"wish {broker}")
+        files = self.files[base_version(version)]
+        decision = frames.DesiredVersion(
+            self.controller.term,
+            self.controller.number,
+            broker,
+            version,
+            files.program,
+            files.settings,
         )
+        self.links[self.fleet.machine_of(broker)].send(decision)
 
-    def _windows(self) -> list[BrokerWindow]:
-        """What each broker did since the last window."""
-        out = []
-        for name, running in self._runs.items():
-            before = self._before.get(name)
-            self._before[name] = running
-            if before is None or name not in self.course.zones:
-                continue
-            same = before.run == running.run
-            sums: dict[str, QueryStatistics] = {}
-            for query_class, now_sums in running.classes.items():
-                old = before.classes.get(query_class, {}) if same else {}
-                row: defaultdict[str, float] = defaultdict(
-                    float, {key: value - old.get(key, 0.0) for key, value in now_sums.items()}
-                )
-                sums[query_class] = QueryStatistics(
-                    int(row["asked"]),
-                    row["worth"],
-                    int(row["in_aim"]),
-                    int(row["refused"]),
-                    int(row["failed"]),
-                    int(row["partial"]),
-                )
-            out.append(
-                BrokerWindow(
-                    name,
-                    running.zone,
-                    running.version != self.course.old_version,
-                    sums,
-                    running.cpu_us - (before.cpu_us if same else 0),
-                    running.memory,
-                    running.deaths - before.deaths,
-                    running.silent or not self._fresh(name),
-                )
-            )
-        return out
+    def _observe_window(self) -> None:
+        """Hand the controller a window once it is over."""
+        now_us = self.loop.now()
+        controller = self.controller
+        if now_us - self._window_ended_at_us < controller.window_duration_us:
+            return
+        self._window_ended_at_us = now_us
+        windows = self.fleet.end_window(now_us, controller.zones, controller.old_version)
+        self._complete(controller.observe_window(windows))
 
     def _finish(self) -> None:
-        """An end is one once all brokers that can be reached run what was decided; none is left to an old
-        wish.
-        """
-        self.log("info", "ended", change=self.course.id, state=self.course.state, why=self.course.reason)
+        """End in a final state, which is entered once all brokers in reach run what was decided."""
+        controller = self.controller
+        self.log("info", "ended", change=controller.id, state=controller.state, why=controller.reason)
         self.done.set()
 
-    # Steps.
+    # Steps and their record.
+
+    def _restore(self, term: int) -> None:
+        controller = self.controller
+        record = load_rollout_record(self.folder)
+        if record is not None:
+            controller.restore(record, term)
+            self.log("info", "goes on", change=controller.id, state=controller.state, stage=controller.stage)
+        controller.term = term
 
-    def _stepped(self, step: Transition | None) -> bool:
+    def _complete(self, step: Transition | None) -> bool:
+        """Log and save a step; returns whether there was one."""
         if step is None:
             return False
-        self.crash(f"before {step.after} {step.stage}")
+        self.crash_at(f"before {step.after} {step.stage}")
         self.log(
-            "warning" if step.after in (RolloutState.HELD, RolloutState.ROLLING_BACK) else "info",
+            "warning" if step.after in WARNING_STATES else "info",
             "step",
-            change=self.course.id,
+            change=self.controller.id,
             before=step.before,
             after=step.after,
             stage=step.stage,
             why=step.reason,
-            number=f"({self.course.term}, {step.number})",
+            number=f"({self.controller.term}, {step.number})",
         )
-        self._write()
-        self.crash(f"after {step.after} {step.stage}")
+        self._save()
+        self.crash_at(f"after {step.after} {step.stage}")
         return True
 
-    def _write(self) -> bool:
-        """Note where it stands, before anything follows from it."""
+    def _save(self) -> bool:
+        """Write the record; until this succeeds nothing more is begun."""
         try:
-            write_atomically(self.folder / RECORD, json.dumps(self.course.to_record()))
-        except OSError as problem:
-            self._unwritten = True
-            self._say_once(f"the course could not be written, nothing more is begun: {problem}")
+            save_rollout_record(self.folder, self.controller.to_record())
+        except OSError as error:
+            self._is_unsaved = True
+            self._warn_once(f"the course could not be written, nothing more is begun: {error}")
             return False
-        if self._unwritten:
+        if self._is_unsaved:
             self.log("info", "the course is written again")
-        self._unwritten = False
+        self._is_unsaved = False
         return True
 
-    def _say_once(self, text: str) -> None:
-        if text != self._told:
-            self._told = text
+    def _warn_once(self, text: str) -> None:
+        """Log a warning, but not the same one twice in a row."""
+        if text != self._last_warning:
+            self._last_warning = text
             self.log("warning", text)
 
-    # Machines and operators.
+    # Agents and operators.
+
+    def _connect(self, address: str, seed: int) -> ControlLink:
+        return ControlLink(
+            self.loop,
+            self.net,
+            address,
+            f"rollout {self.controller.id}",
+            "controller",
+            silence_us=REPORT_TIMEOUT_US,
+            seed=seed,
+            heard=lambda message: self._on_message(address, message),
+            log=self.log,
+        )
 
-    def _heard(self, address: str, message: frames.AnyMessage) -> None:
+    def _on_message(self, address: str, message: frames.AnyMessage) -> None:
         match message:
             case frames.MachineView():
-                self.views[address], self.viewed_us[address] = message, self.loop.now()
-                for running in message.running:
-                    self._runs[running.broker], self._at[running.broker] = running, address
-            case frames.DesiredVersionReply(broker=broker, why=why) if why:
-                self._refused[broker] += 1
-                self._say_once(f"{broker}: a wish was not taken: {why}")
-                if self._refused[broker] >= 3 and self.course.state == RolloutState.DEPLOYING:
-                    self._stepped(self.course.apply_event(RolloutEvent.REGRESSED, f"{broker}: {why}"))
+                self.fleet.on_report(self.loop.now(), address, message)
+            case frames.DesiredVersionReply(broker=broker, why=reason) if reason:
+                self._on_rejected(broker, reason)
 
-    def _serve(self, stream: Stream) -> Coro[None]:
-        def heard(message: frames.AnyMessage) -> None:
-            if isinstance(message, frames.OperatorCommand):
-                stream.offer(frames.encode(self.order(message)))
+    def _on_rejected(self, broker: str, reason: str) -> None:
+        """An agent did not take a decision; a broker whose agent goes on to do so undoes the rollout."""
+        self._rejections[broker] += 1
+        self._warn_once(f"{broker}: a wish was not taken: {reason}")
+        if self._rejections[broker] >= REJECTIONS_MOST and self.controller.state == RolloutState.DEPLOYING:
+            self._complete(self.controller.apply_event(RolloutEvent.REGRESSED, f"{broker}: {reason}"))
 
+    def _serve(self, stream: Stream) -> Coro[None]:
         try:
-            yield from inner_protocol.serve(stream, "rollout", "controller", heard, MESSAGE_MOST)
-        except frames.FrameError as problem:
-            self.log("warning", "control: not our wire", peer=stream.peer, why=str(problem))
-
-    def order(self, order: frames.OperatorCommand) -> frames.RolloutStatus:
-        """An operator's word."""
-        if order.word in ("hold", "resume", "undo"):
-            why = f"{order.word} by {order.who or 'an operator'}: {order.why or 'no reason given'}"
-            if not self._stepped(self.course.apply_event(RolloutEvent(order.word), why)):
-                return frames.RolloutStatus(
-                    f"{order.word}: not while it is {self.course.state}", self.status()
-                )
-        elif order.word != "status":
-            return frames.RolloutStatus(
-                f"unknown word '{order.word}': hold, resume, undo, status", self.status()
+            yield from inner_protocol.serve(
+                stream,
+                "rollout",
+                "controller",
+                lambda message: self._on_operator_message(stream, message),
+                MESSAGE_MOST,
             )
-        return frames.RolloutStatus("", self.status())
+        except frames.FrameError as error:
+            self.log("warning", "control: not our wire", peer=stream.peer, why=str(error))
 
-    def status(self) -> dict[str, Any]:
-        """How it stands."""
-        changed, wishes = self.course.updated_brokers(), self.course.desired_versions()
-        return {
-            **self.course.to_record(),
-            "holds": self.holds(),
-            "brokers": {
-                name: {
-                    "zone": running.zone,
-                    "runs": running.version,
-                    "state": running.state,
-                    "wanted": wishes.get(name, ""),
-                    "changed": name in changed,
-                    "failed": running.failed,
-                    "fresh": self._fresh(name),
-                }
-                for name, running in sorted(self._runs.items())
-            },
-        }
+    def _on_operator_message(self, stream: Stream, message: frames.AnyMessage) -> None:
+        if isinstance(message, frames.OperatorCommand):
+            stream.offer(frames.encode(self.on_command(message)))
--- a/heathwell/fleet/control/state_file.py
+++ b/heathwell/fleet/control/state_file.py
@@ -2,8 +2,8 @@
 
 The agent writes it before it acts, so that the agent started after it can adopt the processes that still
 serve. Owns the file's name and layout (:func:`save_agent_state` and :func:`load_agent_state` are the only
-ones that know it) and the atomic write that other control processes use too. Imports the standard library
-alone.
+ones that know it) and the atomic write that other control processes use too. Imports of heathwell only the
+rollout package's version mark.
 """
 
 from __future__ import annotations
@@ -12,7 +12,9 @@
 import os
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TypedDict
+
+from heathwell.fleet.rollout import RESTART_SUFFIX
 
 STATE_FILE_NAME = "agent.json"
 
@@ -58,6 +60,24 @@
     brokers: dict[str, BrokerState]
 
 
+def base_version(version: str) -> str:
+    """The version without the mark of a process that is to be started once more."""
+    return version.rstrip(RESTART_SUFFIX)
+
+
+class _BrokerRecord(TypedDict):
+    """A broker in the file; of a process pid, version, start ticks and ready file."""
+
+    address: str
+    wanted: str
+    kept: str
+    term: int
+    number: int
+    runs: int
+    serving: int
+    processes: dict[str, tuple[int, str, int, str]]
+
+
 def save_agent_state(folder: Path, state: AgentState) -> None:
     """Write the state file in ``folder``; raises :class:`OSError`."""
     record = {
@@ -105,7 +125,7 @@
         os.close(folder)
 
 
-def _broker_to_record(broker: BrokerState) -> dict[str, object]:
+def _broker_to_record(broker: BrokerState) -> _BrokerRecord:
     return {
         "address": broker.address,
         "wanted": broker.desired_version,
@@ -115,13 +135,13 @@
         "runs": broker.last_run,
         "serving": broker.serving_run,
         "processes": {
-            str(run): [process.pid, process.version, process.start_ticks, process.ready_file]
+            str(run): (process.pid, process.version, process.start_ticks, process.ready_file)
             for run, process in broker.processes.items()
         },
     }
 
 
-def _broker_from_record(record: dict[str, Any]) -> BrokerState:
+def _broker_from_record(record: _BrokerRecord) -> BrokerState:
     return BrokerState(
         address=record["address"],
         desired_version=record["wanted"],
