--- a/heathwell/cli/rollout.py
+++ b/heathwell/cli/rollout.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import getpass
 import json
@@ -21,13 +22,14 @@
 from heathwell.cli.control import ask
 from heathwell.cli.serve import Process, exit_codes, serving, settings_of
 from heathwell.codec import frames
+from heathwell.fleet.control.broker_process import supervise_broker
 from heathwell.fleet.control.fleet_agent import FleetAgent
-from heathwell.fleet.control.machine import MachineAgent, make_broker, write_whole
+from heathwell.fleet.control.node_agent import DesiredVersionRejectedError, NodeAgent
 from heathwell.fleet.control.parameters import quota_timings_from_settings, rollout_lease_budget
-from heathwell.fleet.control.rollout import Controller
+from heathwell.fleet.control.rollout import RolloutRunner
+from heathwell.fleet.control.state_file import VersionFiles, base_version, write_atomically
 from heathwell.fleet.membership import LocalMember
 from heathwell.fleet.rollout import (
-    RESTART_SUFFIX,
     AnalysisLimits,
     Plan,
     RolloutController,
@@ -87,13 +89,13 @@
             name, zone, address = text.split(":", 2)
             if not 0 <= int(zone) < len(zones):
                 raise ValueError(f"{text}: there are {len(zones)} zones")
-            rows.append(make_broker(name, int(zone), address, more.get(name, [])))
+            rows.append(supervise_broker(name, int(zone), address, more.get(name, [])))
     except ValueError as problem:
         click.echo(f"--broker, --args: {problem}", err=True)
         sys.exit(2)
 
     def main() -> Coro[None]:
-        served = MachineAgent(
+        served = NodeAgent(
             process.loop,
             process.net,
             process.name,
@@ -105,24 +107,33 @@
         )
         address = served.start(listen)
         for broker in rows:
-            if not broker.supervisor.desired_version:
-                why = served.want(
-                    broker.name, version, str(Path(program).resolve()), str(Path(first_settings).resolve())
+            supervisor = broker.supervisor
+            if not supervisor.desired_version:
+                first = frames.DesiredVersion(
+                    0,
+                    0,
+                    broker.name,
+                    version,
+                    str(Path(program).resolve()),
+                    str(Path(first_settings).resolve()),
                 )
-                if why:
-                    click.echo(f"{broker.name}: {why}", err=True)
+                try:
+                    served.set_desired_version(first)
+                except DesiredVersionRejectedError as error:
+                    click.echo(f"{broker.name}: {error}", err=True)
                     sys.exit(2)
             else:
-                supervisor = broker.supervisor
-                files = served.versions[supervisor.desired_version.rstrip(RESTART_SUFFIX)]
-                served.want(
+                files = served.versions[base_version(supervisor.desired_version)]
+                last = frames.DesiredVersion(
+                    supervisor.term,
+                    supervisor.number,
                     broker.name,
                     supervisor.desired_version,
                     files.program,
                     files.settings,
-                    supervisor.term,
-                    supervisor.number,
                 )
+                with contextlib.suppress(DesiredVersionRejectedError):  # it goes on with what serves
+                    served.set_desired_version(last)
         while (
             any(broker.supervisor.serving is None and not broker.supervisor.failures for broker in rows)
             and not process.stop.is_set
@@ -132,7 +143,7 @@
         yield from process.stop.wait()
         served.stop()
         until = process.loop.now() + process.service_settings.broker.drain_for + 2_000_000
-        while served.alive and process.loop.now() < until:
+        while served.process_count and process.loop.now() < until:
             yield from sleep(process.loop, 50_000)
 
     process.run(main)
@@ -224,24 +235,24 @@
         sys.exit(2)
     try:
         plan = Plan(_stages(stages, bake, most, prove), zone_share, at_once)
-        course = RolloutController(
+        controller = RolloutController(
             f"{old}-{new}", old, new, {}, plan, AnalysisLimits(tolerance=tolerance), _span(window)
         )
     except (ValueError, KeyError) as problem:
         click.echo(f"--stages, --bake, --most, --window: {problem}", err=True)
         sys.exit(2)
     files = {
-        old: (str(Path(from_program).resolve()), str(Path(from_settings).resolve())),
-        new: (
+        old: VersionFiles(str(Path(from_program).resolve()), str(Path(from_settings).resolve())),
+        new: VersionFiles(
             str(Path(program or from_program).resolve()),
             str(Path(new_settings or from_settings).resolve()),
         ),
     }
     before = settings_of(from_settings)
 
-    def check() -> list[str]:
+    def preflight() -> list[str]:
         try:
-            after = load(files[new][1])
+            after = load(files[new].settings)
         except (SettingsError, OSError) as problem:
             return str(problem).splitlines()
         return [
@@ -255,37 +266,37 @@
             os.kill(os.getpid(), signal.SIGKILL)
 
     def main() -> Coro[int]:
-        holds = _lease(process, before, keepers)
-        controller = Controller(
+        is_leader = _lease(process, before, keepers)
+        runner = RolloutRunner(
             process.loop,
             process.net,
-            course,
+            controller,
             folder,
             machines.split(","),
             files,
             term=time.time_ns() // 1000,
-            holds=holds,
+            is_leader=is_leader,
             log=process.log,
-            check=check,
-            crash=crash,
+            preflight=preflight,
+            crash_at=crash,
         )
-        address = controller.start(listen)
-        write_whole(folder / ADDRESS, json.dumps({"address": address, "pid": os.getpid()}))
-        process.ready(address=address, change=course.id)
+        address = runner.start(listen)
+        write_atomically(folder / ADDRESS, json.dumps({"address": address, "pid": os.getpid()}))
+        process.ready(address=address, change=controller.id)
 
         def until_stopped() -> Coro[None]:
             yield from process.stop.wait()
-            controller.done.set()
+            runner.done.set()
 
         process.loop.spawn(until_stopped(), "stop")
-        yield from controller.done.wait()
+        yield from runner.done.wait()
         yield from sleep(process.loop, 200_000)  # for operators who ask at this moment
-        controller.close()
+        runner.close()
         return 0
 
     process.run(main)
-    click.echo(f"{course.id}: {course.state}: {course.reason}")
-    sys.exit(0 if course.state == RolloutState.DONE else 1)
+    click.echo(f"{controller.id}: {controller.state}: {controller.reason}")
+    sys.exit(0 if controller.state == RolloutState.DONE else 1)
 
 
 def _lease(process: Process, service_settings: ServiceSettings, keepers: str) -> Callable[[], bool]:
