Driver split by concern: contract, query state, hooks, registry, driver; typed generics

Driver takes its part and result types as parameters, so that the hooks are typed. Importers adapted, nothing re-exported.

tests/test_architecture_page.py: its example of a name that exists was `Driver.admit`, which is `QueryRegistry.admit` now; `Driver.kill` takes its place, the check is the same.

--- a/heathwell/broker/answer_freshness.py
+++ b/heathwell/broker/answer_freshness.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from heathwell import policy
-from heathwell.broker.driver import Key
+from heathwell.broker.driver_contract import AttemptKey
 from heathwell.broker.replies import Age
 from heathwell.broker.service_records import ServicePart, ServiceQuery
 from heathwell.broker.settings_change import ServiceSnapshot
@@ -60,7 +60,7 @@
         query: ServiceQuery,
         part: ServicePart,
         node: str,
-        key: Key,
+        key: AttemptKey,
         result: frames.Result,
         sent_at_us: int,
     ) -> bool:
--- a/heathwell/broker/endpoint_restrictions.py
+++ b/heathwell/broker/endpoint_restrictions.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from heathwell import policy
-from heathwell.broker.driver import Key
+from heathwell.broker.driver_contract import AttemptKey
 from heathwell.kernel import Loop
 from heathwell.observability.event_log import EventLog
 from heathwell.regions import Regions, Way
@@ -142,12 +142,12 @@
 
     # Evidence on links.
 
-    def on_attempt_sent(self, node: str, key: Key) -> None:
+    def on_attempt_sent(self, node: str, key: AttemptKey) -> None:
         """Record an attempt that is handed to its connection."""
         if self.regions is not None:
             self.regions.sent(self._broker.loop.now(), node, key)
 
-    def on_attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, duration_us: int) -> None:
+    def on_attempt_ended(self, node: str, key: AttemptKey, outcome: policy.Outcome, duration_us: int) -> None:
         """Record the end of an attempt."""
         if self.regions is not None:
             self.regions.ended(self._broker.loop.now(), node, key, outcome, duration_us)
--- a/heathwell/broker/query_admission.py
+++ b/heathwell/broker/query_admission.py
@@ -8,8 +8,8 @@
 from typing import Protocol
 
 from heathwell import policy
-from heathwell.broker.driver import SettingsVersion
 from heathwell.broker.query_cost import query_cost_us
+from heathwell.broker.query_state import SettingsVersion
 from heathwell.broker.records import PartPlan, Plan
 from heathwell.broker.shard_reachability import ShardReachability
 from heathwell.broker.storm_control import StormControl
--- a/heathwell/broker/query_cost.py
+++ b/heathwell/broker/query_cost.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heathwell.broker.driver import SettingsVersion
+from heathwell.broker.query_state import SettingsVersion
 from heathwell.broker.records import Plan
 from heathwell.broker.settings_change import ServiceSnapshot
 
--- /dev/null
+++ b/heathwell/broker/query_state.py
@@ -0,0 +1,105 @@
+"""State of open queries, of their parts, and of the settings version that each query is decided under."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, Generic, Protocol, TypeVar
+
+from heathwell import policy
+from heathwell.broker.driver_contract import AttemptKey, PlannedPart
+from heathwell.broker.replies import OnReply
+from heathwell.kernel import Timer
+from heathwell.policy.aggregator import Aggregator
+
+
+@dataclass(slots=True)
+class SettingsVersion:
+    """One version of the settings with the aggregator that decides under it.
+
+    A query belongs to one version from its admission to its end; a version that was replaced stays until its
+    last query has ended. ``extension`` is what a subclass of the driver keeps by version, of its own type;
+    ``inbox`` holds the events of the current turn of the loop, ``timers`` the pending timers by label.
+    """
+
+    settings: policy.Settings
+    aggregator: Aggregator
+    version: str = ""
+    extension: Any = None
+    inbox: list[policy.Event] = field(default_factory=list)
+    timers: dict[str, Timer] = field(default_factory=dict)
+    open_queries: int = 0
+
+
+@dataclass(slots=True)
+class PartState:
+    """A part of an open query.
+
+    ``data``, ``node`` and ``seq`` are set by the attempt whose answer was taken; ``status`` is the outcome of
+    the attempt that ended last.
+    """
+
+    id: str
+    plan: PlannedPart
+    step: int
+    attempt_count: int = 0
+    data: bytes | None = None
+    node: str = ""
+    seq: int = -1
+    status: str = "not sent"
+    attempted_nodes: list[str] = field(default_factory=list)
+
+
+PartT = TypeVar("PartT", bound=PartState)
+
+
+@dataclass(slots=True)
+class QueryState(Generic[PartT]):
+    """A query from its arrival until its last attempt has ended.
+
+    ``on_reply`` is ``None`` once the reply was given or the client has disconnected; ``in_flight`` maps each
+    attempt without an outcome to its endpoint.
+    """
+
+    id: str
+    job: int
+    query_class: int
+    started_at_us: int
+    deadline_us: int
+    on_reply: OnReply | None
+    parts: dict[str, PartT] = field(default_factory=dict)
+    in_flight: dict[AttemptKey, str] = field(default_factory=dict)
+    step: int = 1
+    timer: Timer | None = None
+    queued: bool = False
+    woken: bool = False
+    admitted_under: SettingsVersion | None = None
+
+    @property
+    def settings_version(self) -> SettingsVersion:
+        """The version that the query is decided under; defined from its admission on."""
+        assert self.admitted_under is not None
+        return self.admitted_under
+
+
+QueryT = TypeVar("QueryT", bound=QueryState[Any])
+
+
+class DisconnectListener(Protocol):
+    """Receives the disconnects of clients."""
+
+    def on_client_disconnected(self, query_id: str) -> None:
+        """The client of a query has disconnected."""
+
+
+class Handle:
+    """A server's reference to a query that it started."""
+
+    __slots__ = ("_listener", "query")
+
+    def __init__(self, listener: DisconnectListener, query: str) -> None:
+        self._listener = listener
+        self.query = query
+
+    def disconnect(self) -> None:
+        """Report that the client has disconnected: no reply will be given."""
+        self._listener.on_client_disconnected(self.query)
--- a/heathwell/broker/search_answers.py
+++ b/heathwell/broker/search_answers.py
@@ -12,7 +12,7 @@
 
 from heathwell import policy
 from heathwell.admission import Costs
-from heathwell.broker.driver import Key
+from heathwell.broker.driver_contract import AttemptKey
 from heathwell.broker.records import SearchPlan
 from heathwell.broker.service_records import ServicePart, ServiceQuery
 from heathwell.codec import frames
@@ -57,7 +57,7 @@
         self.points_seen: dict[str, dict[int, int]] = {}
 
     def merge_rows(
-        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
+        self, query: ServiceQuery, part: ServicePart, node: str, key: AttemptKey, result: frames.Result
     ) -> bool:
         """Merge an answer's rows at once; false where they are malformed. True for what is no search."""
         search = query.plan.search
@@ -88,7 +88,9 @@
         model.learn(search.figures, result.work_us)
         self._supersede_attempts(query, search)
 
-    def on_score_bound(self, query: ServiceQuery, node: str, key: Key, best_scores: list[float]) -> None:
+    def on_score_bound(
+        self, query: ServiceQuery, node: str, key: AttemptKey, best_scores: list[float]
+    ) -> None:
         """Take in how good an attempt's rows can be at best: with that it may be superseded at once."""
         search = query.plan.search
         if search is None or key not in query.in_flight:
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -11,7 +11,8 @@
 from heathwell.broker import key_spaces
 from heathwell.broker.answer_freshness import AnswerFreshness
 from heathwell.broker.discovery import DiscoveryClient
-from heathwell.broker.driver import Driver, Handle, Key
+from heathwell.broker.driver import Driver
+from heathwell.broker.driver_contract import AttemptKey
 from heathwell.broker.endpoint_connections import EndpointConnections
 from heathwell.broker.endpoint_restrictions import EndpointRestrictions
 from heathwell.broker.fair_admission import FairAdmission
@@ -20,6 +21,7 @@
 from heathwell.broker.query_admission import Admission, AdmissionRejectedError, QueryAdmission
 from heathwell.broker.query_cost import part_work_us, query_cost_us
 from heathwell.broker.query_explanations import ExplainedQuery, QueryExplanations
+from heathwell.broker.query_state import Handle
 from heathwell.broker.quota_gate import Agent, QuotaGate
 from heathwell.broker.records import PartPlan, Plan, module_settings
 from heathwell.broker.replies import ANSWERED, FAILED, MISS, REFUSED, OnReply, Reply
@@ -43,7 +45,7 @@
     from heathwell.broker.zone_observer import ZoneObserver
 
 
-class ServiceBroker(Driver[ServiceQuery]):
+class ServiceBroker(Driver[ServiceQuery, ServicePart, frames.Result]):
     """One aggregator with its connections. ``name`` must be unique among the incarnations of all brokers.
 
     ``observe_zones`` makes its zone observer where zones may be evacuated. It is handed in because no other
@@ -373,7 +375,7 @@
         self.restrictions.restrict_remote_nodes()
 
     def is_usable(
-        self, query: ServiceQuery, part: ServicePart, node: str, key: Key, result: frames.Result
+        self, query: ServiceQuery, part: ServicePart, node: str, key: AttemptKey, result: frames.Result
     ) -> bool:
         """Fresh enough, and rows that a sound host gives."""
         is_fresh = self.freshness is None or self.freshness.is_acceptable(
@@ -382,7 +384,7 @@
         return is_fresh and self.search_answers.merge_rows(query, part, node, key, result)
 
     def on_part_answered(
-        self, query: ServiceQuery, part: ServicePart, key: Key, result: frames.Result
+        self, query: ServiceQuery, part: ServicePart, key: AttemptKey, result: frames.Result
     ) -> None:
         """Note what the answer's data is of."""
         part.position = result.position
@@ -391,7 +393,7 @@
             self.fair_admission.on_part_answered(self._sent_at_us.get(key), result.work_us)
         self.search_answers.on_part_answered(query, result)
 
-    def bound(self, node: str, key: Key, best: list[float]) -> None:
+    def bound(self, node: str, key: AttemptKey, best: list[float]) -> None:
         """Take in how good an attempt's rows can be at best, as its endpoint says."""
         query = self.parts.get(key[0])
         if query is not None:
@@ -451,11 +453,11 @@
                 )
             )
 
-    def on_attempt_sent(self, node: str, key: Key) -> None:
+    def on_attempt_sent(self, node: str, key: AttemptKey) -> None:
         """The region decider hears of it."""
         self.restrictions.on_attempt_sent(node, key)
 
-    def on_attempt_ended(self, node: str, key: Key, outcome: policy.Outcome, took_us: int) -> None:
+    def on_attempt_ended(self, node: str, key: AttemptKey, outcome: policy.Outcome, took_us: int) -> None:
         """The region decider hears of it."""
         self.restrictions.on_attempt_ended(node, key, outcome, took_us)
         if self.quota_gate is not None:
@@ -559,7 +561,7 @@
         """What they leave this broker now."""
         return self.quota_gate.quota_update() if self.quota_gate is not None else None
 
-    def acquire_quota(self, send: policy.Send, key: Key) -> bool:
+    def acquire_quota(self, send: policy.Send, key: AttemptKey) -> bool:
         """Whether they have a unit for this attempt, which is used."""
         return self.quota_gate is None or self.quota_gate.acquire(send, key)
 
--- a/heathwell/broker/service_records.py
+++ b/heathwell/broker/service_records.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from heathwell.broker.driver import PartState, QueryState
+from heathwell.broker.query_state import PartState, QueryState
 from heathwell.broker.records import PartPlan, Plan
 
 
@@ -12,6 +12,7 @@
 class ServicePart(PartState):
     """A part with the source position (and its instant) that its answer's data stands at."""
 
+    plan: PartPlan
     position: int = 0
     source_us: int = 0
     known_age: bool = False
--- a/heathwell/fronts/memcached.py
+++ b/heathwell/fronts/memcached.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from heathwell import __version__
-from heathwell.broker.driver import Handle
+from heathwell.broker.query_state import Handle
 from heathwell.broker.replies import ANSWERED, FAILED, MISS, Age, Reply
 from heathwell.broker.service_broker import ServiceBroker
 from heathwell.codec import memcached as mc
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -17,8 +17,8 @@
 
 from heathwell import __version__
 from heathwell.admission.cost import cut_batch, search_figures
-from heathwell.broker.driver import Handle
 from heathwell.broker.key_spaces import place, rows_of
+from heathwell.broker.query_state import Handle
 from heathwell.broker.records import PartPlan, Plan, SearchPlan
 from heathwell.broker.replies import ANSWERED, REFUSED, Reply
 from heathwell.broker.service_broker import ServiceBroker
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -13,7 +13,9 @@
 from functools import partial
 
 from heathwell import policy
-from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState
+from heathwell.broker.driver import Driver
+from heathwell.broker.driver_contract import AttemptKey
+from heathwell.broker.query_state import Handle, PartState, QueryState
 from heathwell.broker.replies import ANSWERED, REFUSED, OnReply, Reply
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.config import Config
@@ -35,6 +37,7 @@
 class PlatformPart(PartState):
     """A part with its score, by which a second step's shards are chosen."""
 
+    plan: RequestedPart
     score: float = 0.0
 
 
@@ -50,7 +53,7 @@
     complete: bool | None = None
 
 
-class PlatformBroker(Driver[PlatformQuery]):
+class PlatformBroker(Driver[PlatformQuery, PlatformPart, nf.PartAnswer]):
     """One broker on the platform.
 
     ``unix_us`` returns Unix time; it is read once, to convert the starts of nodes to the loop's clock.
@@ -253,7 +256,7 @@
         )
 
     def on_part_answered(
-        self, query: PlatformQuery, part: PlatformPart, key: Key, result: nf.PartAnswer
+        self, query: PlatformQuery, part: PlatformPart, key: AttemptKey, result: nf.PartAnswer
     ) -> None:
         """Keep the score, by which the shards of a second step are chosen."""
         part.score = result.score
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from heathwell.broker.driver import Handle
+from heathwell.broker.query_state import Handle
 from heathwell.broker.replies import ANSWERED, REFUSED, Reply
 from heathwell.codec.http import Request, Response, ServerSide
 from heathwell.gateway.broker import PlatformBroker
--- a/heathwell/gateway/node_attempts.py
+++ b/heathwell/gateway/node_attempts.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from heathwell import policy
-from heathwell.broker.driver import Key
+from heathwell.broker.driver_contract import AttemptKey
 from heathwell.codec import nodeframes as nf
 
 OUTCOME_OF_STATUS = {
@@ -40,7 +40,7 @@
     deadline_at_us: int
 
     @property
-    def key(self) -> Key:
+    def key(self) -> AttemptKey:
         """The driver's key of the attempt."""
         return (self.id, self.seq)
 
@@ -52,7 +52,7 @@
     ``frame_end`` is the offset in the stream at which its frame ends, ``None`` while it is not written.
     """
 
-    key: Key
+    key: AttemptKey
     sent_at_us: int
     frame_end: int | None = None
 
--- a/heathwell/gateway/node_connection.py
+++ b/heathwell/gateway/node_connection.py
@@ -18,7 +18,7 @@
 from collections import deque
 
 from heathwell import policy
-from heathwell.broker.driver import Key
+from heathwell.broker.driver_contract import AttemptKey
 from heathwell.broker.idle_connections import IdleTime
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.node_attempts import (
@@ -55,7 +55,7 @@
         self._incoming = nf.Incoming()
         self._unsent_calls: deque[list[NodeRequest]] = deque()
         # Attempts of a connection that broke, whose outcome the connect of this one decides.
-        self.orphaned: dict[str, Key] = {}
+        self.orphaned: dict[str, AttemptKey] = {}
         self.answered_at_us: int | None = None
         self.answer_count = 0
         self._sent_probes: deque[int] = deque()  # in the order of sending, in which they are answered
--- a/heathwell/gateway/node_owners.py
+++ b/heathwell/gateway/node_owners.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from heathwell import policy
-from heathwell.broker.driver import Key
+from heathwell.broker.driver_contract import AttemptKey
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.config import Connections
 from heathwell.gateway.node_pool_limit import Connection, ConnectionPoolLimit
@@ -20,7 +20,7 @@
     """Receives the results of attempts and probes."""
 
     def on_attempt_result(
-        self, node: str, key: Key, outcome: policy.Outcome, result: nf.PartAnswer | None
+        self, node: str, key: AttemptKey, outcome: policy.Outcome, result: nf.PartAnswer | None
     ) -> None:
         """Called exactly once for each attempt; ``result`` is given if the node answered."""
 
@@ -61,13 +61,15 @@
     def on_response(self, connection: Connection, sent_at_us: int) -> None:
         """An attempt sent at ``sent_at_us`` was answered over ``connection``."""
 
-    def on_attempt_ended(self, key: Key, outcome: policy.Outcome, result: nf.PartAnswer | None) -> None:
+    def on_attempt_ended(
+        self, key: AttemptKey, outcome: policy.Outcome, result: nf.PartAnswer | None
+    ) -> None:
         """An attempt ended on its connection."""
 
     def on_probe_ended(self, number: int, outcome: policy.Outcome) -> None:
         """A probe ended on its connection."""
 
-    def on_connection_broken(self, keys: list[Key], probes: list[int]) -> None:
+    def on_connection_broken(self, keys: list[AttemptKey], probes: list[int]) -> None:
         """A connection broke with these in flight."""
 
     def on_connection_closed(self, connection: Connection) -> None:
--- a/heathwell/gateway/node_pool.py
+++ b/heathwell/gateway/node_pool.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from heathwell import policy
-from heathwell.broker.driver import Key
+from heathwell.broker.driver_contract import AttemptKey
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.config import Connections
 from heathwell.gateway.node_attempts import NodeRequest
@@ -55,7 +55,7 @@
         self.pool_limit = pool_limit
         self.log = log
         self.connections: list[NodeConnection] = []
-        self.in_flight: dict[Key, NodeConnection] = {}
+        self.in_flight: dict[AttemptKey, NodeConnection] = {}
         self.late_answers = 0
         self.invalid_answers = 0
         self.connects = 0
@@ -112,7 +112,7 @@
             self.in_flight[request.key] = connection
         connection.send(requests)
 
-    def abandon(self, key: Key) -> bool:
+    def abandon(self, key: AttemptKey) -> bool:
         """Stop waiting for an attempt whose result the owner set itself; true if it was in flight."""
         connection = self.in_flight.pop(key, None)
         if connection is None:
@@ -120,7 +120,7 @@
         connection.abandon(key[0])
         return True
 
-    def withdraw(self, key: Key) -> bool:
+    def withdraw(self, key: AttemptKey) -> bool:
         """Abandon an attempt of which nothing was written; false if it is not in flight, or was written.
 
         True also for an attempt that lost its connection and of which nothing is to leave again.
@@ -182,7 +182,9 @@
             if other is not connection:
                 other.close_if_outlived(sent_at_us)
 
-    def on_attempt_ended(self, key: Key, outcome: policy.Outcome, result: nf.PartAnswer | None) -> None:
+    def on_attempt_ended(
+        self, key: AttemptKey, outcome: policy.Outcome, result: nf.PartAnswer | None
+    ) -> None:
         """An attempt ended on its connection; ignored if it was abandoned."""
         if self.in_flight.pop(key, None) is not None:
             self.owner.on_attempt_result(self.node, key, outcome, result)
@@ -194,7 +196,7 @@
             timer.cancel()
             self.owner.on_probe_result(self.node, outcome)
 
-    def on_connection_broken(self, keys: list[Key], probes: list[int]) -> None:
+    def on_connection_broken(self, keys: list[AttemptKey], probes: list[int]) -> None:
         """A connection broke with these in flight; the connect of a new one decides their outcome."""
         if not keys and not probes:
             return
