Driver: whole names, one step a line, docstrings that give contract and units

The packed assignments are unpacked; era, roster, news, wanted, room, whole, left_us, took, aim and of become version, known_endpoints, update, is_awaited, quota_update, complete, remaining_us, duration_us, timeliness and target (the hooks' overrides in both brokers follow). Sending the calls of a batch, giving its replies and removing finished settings versions are functions of their own. Event-log fields and counters keep their names.

--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -32,15 +32,17 @@
 
     discovery: EndpointSource
 
-    def begin_service(self, discovery: EndpointSource, roster: tuple[policy.EndpointEntry, ...]) -> None:
-        """Hand the module the list as it was last known, and ask for the list of now."""
+    def begin_service(
+        self, discovery: EndpointSource, known_endpoints: tuple[policy.EndpointEntry, ...]
+    ) -> None:
+        """Start with the endpoint list as last known, and subscribe to its source."""
         self.discovery = discovery
         self.loop.at_turn_end(self._turn_end)
-        self._push(policy.EndpointUpdate(policy.UpdateKind.FULL, roster, requested=False))
+        self._push(policy.EndpointUpdate(policy.UpdateKind.FULL, known_endpoints, requested=False))
         self.discovery.start()
 
     def on_client_disconnected(self, query_id: str) -> None:
-        """A client went away."""
+        """Drop the reply of a query whose client has disconnected; nothing more is sent for it."""
         query = self.queries.get(query_id)
         if query is not None and query.on_reply is not None:
             query.on_reply = None
@@ -51,10 +53,10 @@
                 self._closed(query)
                 return
             self._push(policy.ClientDisconnected(query.id), query.settings_version)
-            self._leaving.append(query)  # the module may still name its parts until it has heard
+            self._leaving.append(query)  # actions may name its parts until the batch is handled
 
     def start_shutdown(self, until_us: int) -> None:
-        """The process will be ended then: what is held, and what still comes, has its final answer before."""
+        """Start a graceful shutdown: every query, open or yet to come, gets its reply by ``until_us``."""
         self.shutdown_at_us = until_us
         for query in self.queries.values():
             if query.deadline_us > until_us:
@@ -65,7 +67,7 @@
         self._push(policy.ShutdownStarted(until_us))
 
     def kill(self) -> None:
-        """What a SIGKILL leaves: nothing more is decided or sent (for fleets within one process)."""
+        """Stop as by SIGKILL: nothing more is decided or sent. For simulated fleets within one process."""
         self.dead = True
         for query in self.queries.values():
             if query.timer is not None:
@@ -75,42 +77,43 @@
         self.close()
 
     def close(self) -> None:
-        """Let go of connections."""
+        """Close the endpoint source and all links."""
         self.discovery.close()
         for link in self.links.values():
             link.close()
 
-    def on_endpoint_update(self, news: policy.EndpointUpdate) -> None:
-        """Discovery's word."""
-        self.events("news", kind=news.kind, hosts={s.node: s.state for s in news.endpoints})
-        self.counters["news", news.kind] += 1
-        self._push(news)
+    def on_endpoint_update(self, update: policy.EndpointUpdate) -> None:
+        """Log an update of the endpoint list and queue it for all settings versions."""
+        self.events("news", kind=update.kind, hosts={entry.node: entry.state for entry in update.endpoints})
+        self.counters["news", update.kind] += 1
+        self._push(update)
 
     def on_attempt_result(
         self, node: str, key: AttemptKey, outcome: policy.Outcome, result: ResultT | None
     ) -> None:
-        """A link's word on an attempt."""
+        """Take the outcome of an attempt from its link; ignored if the attempt is not in flight."""
         query = self.parts.get(key[0])
         if query is None or query.in_flight.pop(key, None) is None:
             return
         part = query.parts[key[0]]
         part.status = outcome
-        wanted = part.data is None and query.on_reply is not None
-        if outcome == policy.Outcome.OK and result is not None and wanted:
+        is_awaited = part.data is None and query.on_reply is not None
+        if outcome == policy.Outcome.OK and result is not None and is_awaited:
             if self.is_usable(query, part, node, key, result):
-                part.data, part.node, part.seq = result.data, node, key[1]
+                part.data = result.data
+                part.node = node
+                part.seq = key[1]
                 self.on_part_answered(query, part, key, result)
-                if (
-                    part.attempt_count > 1
-                ):  # a further attempt that still waits for its connection is of no use now
+                if part.attempt_count > 1:
+                    # Additional attempts that still wait for their connection are of no use now.
                     self._withdraw(query, key[0])
             else:
-                # Told to the module as an error of that host: it asks elsewhere where its own rules allow.
+                # Ends as an error of that endpoint: the aggregator retries elsewhere where its rules allow.
                 outcome = policy.Outcome.ERROR
         self._ended(query, key, node, outcome, result)
 
     def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
-        """A link's word on a probe."""
+        """Take the outcome of a probe from its link."""
         self.counters["probe", outcome] += 1
         self.events("probed", node=node, outcome=outcome)
         self._push(policy.ProbeEnded(node, outcome))
@@ -119,26 +122,26 @@
         self, query: QueryT, key: AttemptKey, node: str, outcome: policy.Outcome, result: ResultT | None
     ) -> None:
         self.counters["attempt", self._query_class(query).name, outcome] += 1
-        sent_at = self._sent_at_us.pop(key, self.loop.now())
-        took = self.loop.now() - sent_at
-        self.events("ended", p=key[0], seq=key[1], node=node, outcome=outcome, took=took)
-        self.on_attempt_ended(node, key, outcome, took)
+        sent_at_us = self._sent_at_us.pop(key, self.loop.now())
+        duration_us = self.loop.now() - sent_at_us
+        self.events("ended", p=key[0], seq=key[1], node=node, outcome=outcome, took=duration_us)
+        self.on_attempt_ended(node, key, outcome, duration_us)
         active = result.inflight if result is not None else None
         self._push(
             policy.AttemptEnded(
-                key[0], key[1], node, outcome, took, None if active is None else float(active)
+                key[0], key[1], node, outcome, duration_us, None if active is None else float(active)
             ),
             query.settings_version,
         )
         self._release(query)
 
     def _deadline(self, query: QueryT) -> None:
-        """The client's time is up: what is still out for its query ends here."""
+        """End the attempts that are still in flight at the client's deadline."""
         query.timer = None
         if query.on_reply is not None and not query.queued and not query.woken:
-            # After a stall of the loop the module's own timer, a tick earlier, comes in the same turn: it
-            # goes first. By a timer of the next turn: what is called soon would still run in this one, before
-            # its batch is handled.
+            # After a stall of the loop the aggregator's own timer, a tick earlier, fires in the same turn and
+            # must go first. This needs a timer of the next turn: a call by call_soon would still run in this
+            # one, before its batch is handled.
             query.woken = True
             self._push(policy.TimerFired("due"), query.settings_version)
             query.timer = self.loop.call_at(self.loop.now() + 1, self._deadline, query)
@@ -148,10 +151,11 @@
             self._link(node).abandon(key)
             self._ended(query, key, node, policy.Outcome.TIMED_OUT, None)
         if query.on_reply is not None:
-            # The module owes a final answer a tick earlier; reaching this is a fault of ours, and says so.
+            # The aggregator should have replied a tick earlier: reaching this is a bug, and is logged as one.
             self.log("error", "query overdue", query=query.id)
             self.counters["overdue",] += 1
-            on_reply, query.on_reply = query.on_reply, None
+            on_reply = query.on_reply
+            query.on_reply = None
             self._push(policy.ClientDisconnected(query.id), query.settings_version)
             self._final(query, Reply(FAILED, query.id, self._query_class(query).name), on_reply)
         self._release(query)
@@ -159,48 +163,64 @@
     def _turn_end(self) -> None:
         self._handling = True
         if not self.dead:
-            for era in tuple(self.versions):
-                if era.inbox:
-                    self._handle_batch(era)
-            for over in [era for era in self.versions[:-1] if not (era.open_queries or era.inbox)]:
-                self.versions.remove(over)
-                for timer in over.timers.values():
-                    timer.cancel()
+            for version in tuple(self.versions):
+                if version.inbox:
+                    self._handle_batch(version)
+            self._remove_finished_versions()
         self._handling = False
 
-    def _handle_batch(self, era: SettingsVersion) -> None:
-        batch, era.inbox = era.inbox, []
-        room = self.quota_update()
-        if room is not None:
-            batch.insert(0, room)
+    def _remove_finished_versions(self) -> None:
+        replaced = self.versions[:-1]
+        finished = [version for version in replaced if not (version.open_queries or version.inbox)]
+        for version in finished:
+            self.versions.remove(version)
+            for timer in version.timers.values():
+                timer.cancel()
+
+    def _handle_batch(self, version: SettingsVersion) -> None:
+        batch = version.inbox
+        version.inbox = []
+        quota_update = self.quota_update()
+        if quota_update is not None:
+            batch.insert(0, quota_update)
         calls: Calls = {}
-        began = time.thread_time_ns()
-        actions = era.aggregator.handle(self.loop.now(), batch)
-        self.decision_time_ns += time.thread_time_ns() - began
+        started_at_ns = time.thread_time_ns()
+        actions = version.aggregator.handle(self.loop.now(), batch)
+        self.decision_time_ns += time.thread_time_ns() - started_at_ns
         for action in actions:
             try:
-                self._execute(action, calls, era)
-            except Exception as problem:  # one that can't be carried out must not cost the others
-                self.loop.report(f"carrying out {action}", problem)
-        leaving, self._leaving = self._leaving, []
+                self._execute(action, calls, version)
+            except Exception as error:  # an action that fails must not cost the others
+                self.loop.report(f"carrying out {action}", error)
+        leaving = self._leaving
+        self._leaving = []
         for query in leaving:
             self._closed(query)
         if self.events.on:
-            self.events.flush()  # type: ignore[attr-defined]  # what is about to leave is on record first
+            self.events.flush()  # type: ignore[attr-defined]  # before the sends and replies recorded
+        self._send_calls(calls)
+        self._give_replies()
+
+    def _send_calls(self, calls: Calls) -> None:
         for node, batches in calls.items():
-            for parts in batches:
-                wanted = [ask for ask in parts if self._is_still_needed(node, (ask.id, ask.seq))]
-                if wanted:
-                    self._link(node).send(wanted)
-        replies, self._replies = self._replies, []
+            for requests in batches:
+                needed = [
+                    request for request in requests if self._is_still_needed(node, (request.id, request.seq))
+                ]
+                if needed:
+                    self._link(node).send(needed)
+
+    def _give_replies(self) -> None:
+        replies = self._replies
+        self._replies = []
         for on_reply, reply in replies:
             try:
                 on_reply(reply)
-            except Exception as problem:
-                self.loop.report(f"reply to {reply.query}", problem)
+            except Exception as error:
+                self.loop.report(f"reply to {reply.query}", error)
 
     def _is_still_needed(self, node: str, key: AttemptKey) -> bool:
-        """Whether a send's query is not over by what was decided after it, in the same batch."""
+        """Whether the query still awaits its reply; a later action of the same batch may have ended it."""
         query = self.parts.get(key[0])
         if query is not None and query.on_reply is not None:
             return True
@@ -208,7 +228,7 @@
             self._ended(query, key, node, policy.Outcome.NEVER_SENT, None)
         return False
 
-    def _execute(self, action: policy.Action, calls: Calls, era: SettingsVersion) -> None:
+    def _execute(self, action: policy.Action, calls: Calls, version: SettingsVersion) -> None:
         match action:
             case policy.Send():
                 self._send(action, calls)
@@ -218,10 +238,10 @@
                     node = query.in_flight.pop((part_id, seq))
                     self._abandon(calls, node, (part_id, seq))
                     self._ended(query, (part_id, seq), node, policy.Outcome.CANCELLED, None)
-            case policy.Answer(id=query_id, complete=whole):
-                self._answer(query_id, whole)
-            case policy.Reject(id=query_id, retry_after_us=after):
-                self._reply_without_answer(query_id, REFUSED, after)
+            case policy.Answer(id=query_id, complete=complete):
+                self._answer(query_id, complete)
+            case policy.Reject(id=query_id, retry_after_us=retry_after_us):
+                self._reply_without_answer(query_id, REFUSED, retry_after_us)
             case policy.Fail(id=query_id):
                 self._reply_without_answer(query_id, FAILED, 0)
             case policy.Probe(node=node):
@@ -230,23 +250,23 @@
             case policy.WatchEndpoints():
                 self.events("watch")
                 self.discovery.ask()
-            case policy.SetTimer(at_us=at, label=label):
-                self._set_timer(era, at, label)
+            case policy.SetTimer(at_us=at_us, label=label):
+                self._set_timer(version, at_us, label)
             case policy.Log(text=text):
                 self.log("info", text)
             case policy.QuotaExhausted():
                 self.on_quota_exhausted()
 
     def _send(self, action: policy.Send, calls: Calls) -> None:
-        part_id, node = action.id, action.node
+        part_id = action.id
+        node = action.node
         query = self.parts[part_id]
         part = query.parts[part_id]
         key = (part_id, part.attempt_count)
         part.attempt_count += 1
         now = self.loop.now()
         if query.on_reply is None or now >= query.deadline_us or not self.acquire_quota(action, key):
-            # Its client left, or its time or the fleet's budget ran out while this was decided: told as what
-            # it is.
+            # Its client disconnected, or its deadline or the quota ran out while this was decided.
             self.events("unsent", p=part_id, seq=key[1], node=node)
             self._push(
                 policy.AttemptEnded(part_id, key[1], node, policy.Outcome.NEVER_SENT), query.settings_version
@@ -273,46 +293,48 @@
         batches[-1].append(self.attempt_request(query, part, key[1], query.deadline_us - now))
 
     def _abandon(self, calls: Calls, node: str, key: AttemptKey) -> None:
-        """Cancel an attempt, which may have been decided in this very batch and not have left yet."""
-        for parts in calls.get(node, []):
-            for ask in parts:
-                if (ask.id, ask.seq) == key:
-                    parts.remove(ask)
+        """Cancel an attempt, which may be of this very batch and not with its link yet."""
+        for requests in calls.get(node, []):
+            for request in requests:
+                if (request.id, request.seq) == key:
+                    requests.remove(request)
                     return
         self._link(node).abandon(key)
 
-    def _reply_without_answer(self, query_id: str, kind: str, after: int) -> None:
+    def _reply_without_answer(self, query_id: str, kind: str, retry_after_us: int) -> None:
         query = self.queries.get(query_id)
         if query is not None:
-            if kind == REFUSED and after:
-                after = self.retry_after_us(query, after)
-            self._reply(query, Reply(kind, query_id, self._query_class(query).name, retry_after_us=after))
+            if kind == REFUSED and retry_after_us:
+                retry_after_us = self.retry_after_us(query, retry_after_us)
+            class_name = self._query_class(query).name
+            self._reply(query, Reply(kind, query_id, class_name, retry_after_us=retry_after_us))
 
-    def _answer(self, query_id: str, whole: bool) -> None:
+    def _answer(self, query_id: str, complete: bool) -> None:
         query = self.queries.get(query_id)
         if query is None or query.on_reply is None:
-            return  # its client left within this very batch
+            return  # its client disconnected within this very batch
         if query.step == 1 and self._query_class(query).second_step_parts:
             query.step = 2
-            self.events("first", q=query.id, whole=whole)
-            self.add_parts(query, self.second_step(query, whole))
+            self.events("first", q=query.id, whole=complete)
+            self.add_parts(query, self.second_step(query, complete))
             return
-        self._reply(query, self.merge(query, whole))
+        self._reply(query, self.merge(query, complete))
 
     def _reply(self, query: QueryT, reply: Reply) -> None:
-        on_reply, query.on_reply = query.on_reply, None
+        on_reply = query.on_reply
+        query.on_reply = None
         if on_reply is not None:
             self._final(query, reply, on_reply)
 
     def _final(self, query: QueryT, reply: Reply, on_reply: OnReply) -> None:
-        took = self.loop.now() - query.started_at_us
+        duration_us = self.loop.now() - query.started_at_us
         spec = self._query_class(query)
-        aim = "in aim" if took <= spec.latency_objective_us else "late"
+        timeliness = "in aim" if duration_us <= spec.latency_objective_us else "late"
         kind = "partial" if reply.kind == "answered" and not reply.complete else reply.kind
-        self.counters["final", spec.name, kind, aim] += 1
-        self.on_reply_made(query, reply, took)
+        self.counters["final", spec.name, kind, timeliness] += 1
+        self.on_reply_made(query, reply, duration_us)
         if self.on_final is not None:
-            self.on_final(query, reply, took)
+            self.on_final(query, reply, duration_us)
         self._closed(query)
         if self._handling:
             self._replies.append((on_reply, reply))
@@ -320,16 +342,16 @@
             self.loop.call_soon(on_reply, reply)
 
     def _closed(self, query: QueryT) -> None:
-        """The query holds no place any more; its attempts may still be out."""
+        """Stop counting a query as open; its attempts may still be in flight."""
         self.open_count -= 1 + len(query.parts)
         self.on_query_closed(query)
-        self._withdraw(query)  # nothing leaves for a query that has its final answer, or lost its client
+        self._withdraw(query)  # nothing more is sent for a closed query
         self._release(query)
 
-    def _withdraw(self, query: QueryT, of: AttemptKey | str | None = None) -> None:
-        """Take back what still waits for its connection: of an attempt, of a part, or all."""
+    def _withdraw(self, query: QueryT, target: AttemptKey | str | None = None) -> None:
+        """Withdraw unsent attempts: the one with this key, those of the part with this id, or all."""
         for key, node in list(query.in_flight.items()):
-            if of in (None, key, key[0]) and self._link(node).withdraw(key):
+            if target in (None, key, key[0]) and self._link(node).withdraw(key):
                 del query.in_flight[key]
                 self._ended(query, key, node, policy.Outcome.NEVER_SENT, None)
 
--- a/heathwell/broker/driver_hooks.py
+++ b/heathwell/broker/driver_hooks.py
@@ -17,60 +17,61 @@
     """The methods that a subclass of the driver overrides; the driver calls them, and only from its loop."""
 
     def new_link(self, node: str) -> Link:
-        """The link to a host that is sent to for the first time."""
+        """Return a link to an endpoint that has none yet."""
         raise NotImplementedError
 
-    def attempt_request(self, query: QueryT, part: PartT, seq: int, left_us: int) -> AttemptRequest:
-        """What the link is handed for an attempt that has so long (us)."""
+    def attempt_request(self, query: QueryT, part: PartT, seq: int, remaining_us: int) -> AttemptRequest:
+        """Return the request for attempt ``seq`` of a part, whose deadline is ``remaining_us`` from now."""
         raise NotImplementedError
 
-    def second_step(self, query: QueryT, whole: bool) -> Iterable[tuple[PartT, int | None]]:
-        """The second step's parts (states, not yet known to the driver) with their hints (us)."""
+    def second_step(self, query: QueryT, complete: bool) -> Iterable[tuple[PartT, int | None]]:
+        """Return the parts of the second step, not yet registered, each with its work hint (us)."""
         raise NotImplementedError
 
-    def merge(self, query: QueryT, whole: bool) -> Reply:
-        """One reply from the parts that are in."""
+    def merge(self, query: QueryT, complete: bool) -> Reply:
+        """Return the reply from the parts that were answered."""
         raise NotImplementedError
 
     def is_usable(self, query: QueryT, part: PartT, node: str, key: AttemptKey, result: ResultT) -> bool:
-        """Whether an answer can be used; one that can't is told to the module as an error of its host."""
+        """Whether an answer can be used; otherwise the attempt ends as an error of its endpoint."""
         return True
 
     def on_part_answered(self, query: QueryT, part: PartT, key: AttemptKey, result: ResultT) -> None:
-        """An answer was taken."""
+        """A part took the answer of an attempt as its data."""
 
     def on_attempt_sent(self, node: str, key: AttemptKey) -> None:
-        """An attempt is handed to its link."""
+        """An attempt was decided; its link gets it at the end of the batch."""
 
     def on_attempt_ended(self, node: str, key: AttemptKey, outcome: policy.Outcome, took_us: int) -> None:
-        """An attempt has ended."""
+        """An attempt ended ``took_us`` after it was decided."""
 
     def subject(self, query: QueryT) -> int | None:
-        """What the query is about, where that is known as a number."""
+        """Return the number of the query's subject (such as a user), ``None`` if it has none."""
         return None
 
     def retry_after_us(self, query: QueryT, after_us: int) -> int:
-        """When a client that the module refuses may come back (us), from the module's own word."""
+        """Return the retry advice for a rejected query, given the aggregator's own advice (both us)."""
         return after_us
 
     def quota_update(self) -> policy.QuotaUpdate | None:
-        """What budgets of the whole fleet leave this broker now, for the module; None where there
-        are none.
+        """Return what fleet-wide quotas leave this broker now; ``None`` where no quota is configured.
+
+        Called once before each batch; the update is the batch's first event.
         """
         return None
 
     def acquire_quota(self, send: policy.Send, key: AttemptKey) -> bool:
-        """Whether such a budget has a unit for an attempt at this moment; it is used."""
+        """Acquire a unit of quota for an attempt; false if none is left, and then it is not sent."""
         return True
 
     def on_quota_exhausted(self) -> None:
-        """The module wanted a further attempt and had no room."""
+        """The aggregator would have sent an additional attempt, but its quota is exhausted."""
 
     def on_reply_made(self, query: QueryT, reply: Reply, took_us: int) -> None:
-        """A reply is on its way."""
+        """A reply was made, ``took_us`` after the query arrived; it is given to the client afterwards."""
 
     def on_query_closed(self, query: QueryT) -> None:
-        """A query has had its reply or lost its client."""
+        """A query got its reply or lost its client; attempts may still be in flight."""
 
     def on_late_answer(self, node: str) -> None:
-        """An answer to an attempt whose end was told already: it counts for nothing."""
+        """An answer came to an attempt whose outcome was already reported; it is ignored."""
--- a/heathwell/broker/query_registry.py
+++ b/heathwell/broker/query_registry.py
@@ -33,7 +33,8 @@
         events: EventLog | None = None,
         log: Callable[..., None] | None = None,
     ) -> None:
-        self.loop, self.name = loop, name
+        self.loop = loop
+        self.name = name
         self.events: EventLog = events or NoEvents()
         self.log = log or (lambda *_args, **_fields: None)
         self.current_version = SettingsVersion(settings, Aggregator(settings, seed))
@@ -41,9 +42,11 @@
         self.queries: dict[str, QueryT] = {}
         self.parts: dict[str, QueryT] = {}
         self.links: dict[str, Link] = {}
-        self.open_count = self.last_job = 0
-        self.stopping = self.dead = False
-        self.shutdown_at_us: int | None = None  # when the process ends, once that is known (clock time, us)
+        self.open_count = 0
+        self.last_job = 0
+        self.stopping = False
+        self.dead = False
+        self.shutdown_at_us: int | None = None  # end of the process by the loop's clock, once known
         self.idle = Event()
         self.counters: Counter[tuple[str, ...]] = Counter()
         self.on_final: Callable[[QueryT, Reply, int], None] | None = None
@@ -55,36 +58,44 @@
 
     @property
     def aggregator(self) -> Aggregator:
-        """The decisions for queries that come now."""
+        """The aggregator of the current settings version."""
         return self.current_version.aggregator
 
     @property
     def settings(self) -> policy.Settings:
-        """The settings that they are made by."""
+        """The settings of the current version."""
         return self.current_version.settings
 
     def begin_version(
-        self, settings: policy.Settings, seed: int, version: str, more: Any = None
+        self, settings: policy.Settings, seed: int, version: str, extension: Any = None
     ) -> SettingsVersion:
-        """Other settings for all queries that come from now on; those that are here go on under theirs. To be
-        called between two batches. What is known of servers, but for the list, is learned anew.
+        """Decide queries that are admitted from now on under other settings; open queries keep theirs.
+
+        Call it between two batches. The new aggregator starts with the list of live endpoints and learns
+        the rest anew. ``extension`` is stored in the version.
         """
-        roster = tuple(
+        live_endpoints = tuple(
             policy.EndpointEntry(
-                s.node, s.replica_group, policy.EndpointState.LIVE, s.started_at_us, s.rating, s.zone
+                endpoint.node,
+                endpoint.replica_group,
+                policy.EndpointState.LIVE,
+                endpoint.started_at_us,
+                endpoint.rating,
+                endpoint.zone,
             )
-            for s in self.aggregator.endpoints.values()
-            if s.live
+            for endpoint in self.aggregator.endpoints.values()
+            if endpoint.live
         )
-        self.current_version = SettingsVersion(settings, Aggregator(settings, seed), version, more)
+        self.current_version = SettingsVersion(settings, Aggregator(settings, seed), version, extension)
         self.versions.append(self.current_version)
         self._push(
-            policy.EndpointUpdate(policy.UpdateKind.FULL, roster, requested=False), self.current_version
+            policy.EndpointUpdate(policy.UpdateKind.FULL, live_endpoints, requested=False),
+            self.current_version,
         )
         return self.current_version
 
     def admit(self, query: QueryT) -> Handle:
-        """Take a query: it holds its place from now until its last attempt has ended."""
+        """Register a query and start its deadline timer; it is held until its last attempt has ended."""
         self.queries[query.id] = query
         if self.shutdown_at_us is not None:
             query.deadline_us = min(query.deadline_us, self.shutdown_at_us)
@@ -103,7 +114,7 @@
         retry: bool = False,
         tenant: int = 0,
     ) -> None:
-        """Tell the module of a query and of its parts, each with its hint."""
+        """Queue the arrival of a query with ``count`` parts, each with its work hint (us)."""
         query.queued = False
         self._push(
             policy.QueryArrived(
@@ -121,47 +132,47 @@
         self.add_parts(query, parts)
 
     def add_parts(self, query: QueryT, parts: Iterable[tuple[PartT, int | None]]) -> None:
-        """Tell the module of a step's parts."""
-        for part, hint in parts:
+        """Register the parts of a step and queue their arrival."""
+        for part, hint_us in parts:
             self.hold_part(query, part)
             self._push(
                 policy.PartArrived(
-                    part.id, query.job, part.plan.shard, part.plan.weight, hint, self.subject(query)
+                    part.id, query.job, part.plan.shard, part.plan.weight, hint_us, self.subject(query)
                 ),
                 query.settings_version,
             )
 
     def hold_part(self, query: QueryT, part: PartT) -> None:
-        """Count a part towards the query's place."""
+        """Register a part; it counts towards ``open_count`` until its query is closed."""
         query.parts[part.id] = part
         self.parts[part.id] = query
         self.open_count += 1
 
     def is_full(self, parts: int) -> bool:
-        """Whether a query of so many parts finds no room."""
-        cap = self.settings.max_open
-        return bool(cap) and self.open_count + 1 + parts > cap
+        """Whether a query with this number of parts would exceed ``max_open``; 0 means no limit."""
+        limit = self.settings.max_open
+        return bool(limit) and self.open_count + 1 + parts > limit
 
     def drain(self) -> None:
-        """Note the end; :attr:`idle` is set once nothing is held."""
+        """Begin to drain; :attr:`idle` is set once no query waits for a reply."""
         self.stopping = True
         self._check_idle()
 
-    def _push(self, event: policy.Event, era: SettingsVersion | None = None) -> None:
-        """To the version whose query it is about; what is about servers to all."""
-        if self._handling and not any(one.inbox for one in self.versions):
-            self.loop.call_soon(_nothing)  # what comes of handling a batch is the next turn's
-        for one in self.versions if era is None else (era,):
-            one.inbox.append(event)
+    def _push(self, event: policy.Event, version: SettingsVersion | None = None) -> None:
+        """Queue an event for the next batch of one settings version, or of all if ``version`` is ``None``."""
+        if self._handling and not any(known.inbox for known in self.versions):
+            self.loop.call_soon(_nothing)  # events of a batch being handled belong to the next turn
+        for recipient in self.versions if version is None else (version,):
+            recipient.inbox.append(event)
 
-    def _set_timer(self, era: SettingsVersion, at: int, label: str) -> None:
-        """One timer a label, the earliest: the module sets it anew whenever it fires."""
-        pending = era.timers.get(label)
+    def _set_timer(self, version: SettingsVersion, at_us: int, label: str) -> None:
+        """Keep one timer for each label, the earliest; the aggregator sets it again whenever it fires."""
+        pending = version.timers.get(label)
         if pending is not None and pending.call is not None:
-            if pending.at <= at:
+            if pending.at <= at_us:
                 return
             pending.cancel()
-        era.timers[label] = self.loop.call_at(at, self._push, policy.TimerFired(label), era)
+        version.timers[label] = self.loop.call_at(at_us, self._push, policy.TimerFired(label), version)
 
     def _query_class(self, query: QueryT) -> policy.QueryClass:
         return query.settings_version.settings.classes[query.query_class]
@@ -190,4 +201,4 @@
 
 
 def _nothing() -> None:
-    """A call that only makes the loop turn."""
+    """Do nothing; scheduled so that the loop makes another turn."""
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -470,7 +470,7 @@
     # What the module decided
 
     def attempt_request(
-        self, query: ServiceQuery, part: ServicePart, seq: int, left_us: int
+        self, query: ServiceQuery, part: ServicePart, seq: int, remaining_us: int
     ) -> frames.PartRequest:
         """An attempt on the inner wire."""
         plan: PartPlan = part.plan
@@ -481,7 +481,7 @@
             plan.op,
             plan.key,
             plan.shard,
-            left_us,
+            remaining_us,
             plan.item,
             query.plan.search.body if query.plan.search is not None else b"",
         )
@@ -490,7 +490,7 @@
         """After how long the client of a rejected query may retry; ``after_us`` is the module's advice."""
         return self.admission.retry_after_us(query.plan, query.who, query.settings_version, after_us)
 
-    def second_step(self, query: ServiceQuery, whole: bool) -> Iterator[tuple[ServicePart, int | None]]:
+    def second_step(self, query: ServiceQuery, complete: bool) -> Iterator[tuple[ServicePart, int | None]]:
         """Item detail at shards that answered."""
         answered = [part.plan for part in query.parts.values() if part.data is not None]
         usual = self.snapshot_of(query).service_settings.classes[query.query_class]
@@ -500,13 +500,13 @@
             int(usual.work * usual.fetch_work),
         )
 
-    def merge(self, query: ServiceQuery, whole: bool) -> Reply:
+    def merge(self, query: ServiceQuery, complete: bool) -> Reply:
         """By the key space's shape, or a search's rows."""
         spec = self._query_class(query)
         answered = [part for part in query.parts.values() if part.data is not None]
         age = self.freshness.age_of(query, answered) if self.freshness is not None else None
         try:
-            return merge_reply(query, spec, whole, age)
+            return merge_reply(query, spec, complete, age)
         except UnmergeablePartsError as error:
             self.log("error", "parts that can't be merged", query=query.id, why=error.reason)
             self.counters["unmergeable",] += 1
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -236,9 +236,9 @@
         )
 
     def attempt_request(
-        self, query: PlatformQuery, part: PlatformPart, seq: int, left_us: int
+        self, query: PlatformQuery, part: PlatformPart, seq: int, remaining_us: int
     ) -> NodeRequest:
-        """Return an attempt of a part, to be waited for ``left_us`` from now on."""
+        """Return an attempt of a part, to be waited for ``remaining_us`` from now on."""
         is_second_step = part.step == 2
         return NodeRequest(
             part.id,
@@ -252,7 +252,7 @@
                 answered=query.answered_shards if is_second_step else (),
                 whole=query.complete if is_second_step else None,
             ),
-            self.loop.now() + left_us,
+            self.loop.now() + remaining_us,
         )
 
     def on_part_answered(
@@ -261,11 +261,11 @@
         """Keep the score, by which the shards of a second step are chosen."""
         part.score = result.score
 
-    def second_step(self, query: PlatformQuery, whole: bool) -> Iterator[tuple[PlatformPart, int | None]]:
+    def second_step(self, query: PlatformQuery, complete: bool) -> Iterator[tuple[PlatformPart, int | None]]:
         """Yield parts, without hints, at the shards of the highest scores among those answered."""
         answered = [part for part in query.parts.values() if part.data is not None]
         query.answered_shards = tuple(sorted(part.plan.shard for part in answered))
-        query.complete = whole
+        query.complete = complete
         best = sorted(answered, key=lambda part: -part.score)[: self._query_class(query).second_step_parts]
         for part in best:
             yield (
@@ -275,7 +275,7 @@
                 None,
             )
 
-    def merge(self, query: PlatformQuery, whole: bool) -> Reply:
+    def merge(self, query: PlatformQuery, complete: bool) -> Reply:
         """Return the reply with the values of the last step's answered parts, as the nodes gave them."""
         values = [
             {"id": part.plan.shard, "data": part.data.decode("ascii")}
@@ -283,7 +283,11 @@
             if part.step == query.step and part.data is not None
         ]
         return Reply(
-            ANSWERED, query.id, self._query_class(query).name, whole, body={"exact": whole, "rows": values}
+            ANSWERED,
+            query.id,
+            self._query_class(query).name,
+            complete,
+            body={"exact": complete, "rows": values},
         )
 
     def on_reply_made(self, query: PlatformQuery, reply: Reply, took_us: int) -> None:
