--- /dev/null
+++ b/heathwell/broker/query_registry.py
@@ -0,0 +1,204 @@
+"""The open queries of a broker, the settings versions they belong to, and the events for each version."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from heathwell import policy
+from heathwell.broker.driver_contract import AttemptKey, Link
+from heathwell.broker.driver_hooks import DriverHooks, ResultT
+from heathwell.broker.query_state import Handle, PartT, QueryT, SettingsVersion
+from heathwell.broker.replies import OnReply, Reply
+from heathwell.kernel import Event, Loop
+from heathwell.observability.event_log import EventLog, NoEvents
+from heathwell.policy.aggregator import Aggregator
+
+
+class QueryRegistry(DriverHooks[QueryT, PartT, ResultT]):
+    """Holds queries from admission to their last outcome and queues the events about them.
+
+    ``open_count`` is the number of queries and parts held; ``decision_time_ns`` is CPU time spent in the
+    aggregator; ``on_final`` is called with each query, its reply and its duration (us).
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        settings: policy.Settings,
+        seed: int,
+        *,
+        name: str,
+        events: EventLog | None = None,
+        log: Callable[..., None] | None = None,
+    ) -> None:
+        self.loop = loop
+        self.name = name
+        self.events: EventLog = events or NoEvents()
+        self.log = log or (lambda *_args, **_fields: None)
+        self.current_version = SettingsVersion(settings, Aggregator(settings, seed))
+        self.versions = [self.current_version]
+        self.queries: dict[str, QueryT] = {}
+        self.parts: dict[str, QueryT] = {}
+        self.links: dict[str, Link] = {}
+        self.open_count = 0
+        self.last_job = 0
+        self.stopping = False
+        self.dead = False
+        self.shutdown_at_us: int | None = None  # end of the process by the loop's clock, once known
+        self.idle = Event()
+        self.counters: Counter[tuple[str, ...]] = Counter()
+        self.on_final: Callable[[QueryT, Reply, int], None] | None = None
+        self.decision_time_ns = 0
+        self._replies: list[tuple[OnReply, Reply]] = []
+        self._leaving: list[QueryT] = []
+        self._handling = True  # until the first turn ends
+        self._sent_at_us: dict[AttemptKey, int] = {}
+
+    @property
+    def aggregator(self) -> Aggregator:
+        """The aggregator of the current settings version."""
+        return self.current_version.aggregator
+
+    @property
+    def settings(self) -> policy.Settings:
+        """The settings of the current version."""
+        return self.current_version.settings
+
+    def begin_version(
+        self, settings: policy.Settings, seed: int, version: str, extension: Any = None
+    ) -> SettingsVersion:
+        """Decide queries that are admitted from now on under other settings; open queries keep theirs.
+
+        Call it between two batches. The new aggregator starts with the list of live endpoints and learns
+        the rest anew. ``extension`` is stored in the version.
+        """
+        live_endpoints = tuple(
+            policy.EndpointEntry(
+                endpoint.node,
+                endpoint.replica_group,
+                policy.EndpointState.LIVE,
+                endpoint.started_at_us,
+                endpoint.rating,
+                endpoint.zone,
+            )
+            for endpoint in self.aggregator.endpoints.values()
+            if endpoint.live
+        )
+        self.current_version = SettingsVersion(settings, Aggregator(settings, seed), version, extension)
+        self.versions.append(self.current_version)
+        self._push(
+            policy.EndpointUpdate(policy.UpdateKind.FULL, live_endpoints, requested=False),
+            self.current_version,
+        )
+        return self.current_version
+
+    def admit(self, query: QueryT) -> Handle:
+        """Register a query and start its deadline timer; it is held until its last attempt has ended."""
+        self.queries[query.id] = query
+        if self.shutdown_at_us is not None:
+            query.deadline_us = min(query.deadline_us, self.shutdown_at_us)
+        query.admitted_under = self.current_version
+        self.current_version.open_queries += 1
+        query.timer = self.loop.call_at(query.deadline_us, self._deadline, query)
+        self.open_count += 1
+        return Handle(self, query.id)
+
+    def enter(
+        self,
+        query: QueryT,
+        parts: Iterable[tuple[PartT, int | None]],
+        count: int,
+        hint_us: int | None,
+        retry: bool = False,
+        tenant: int = 0,
+    ) -> None:
+        """Queue the arrival of a query with ``count`` parts, each with its work hint (us)."""
+        query.queued = False
+        self._push(
+            policy.QueryArrived(
+                query.id,
+                query.job,
+                query.query_class,
+                query.deadline_us,
+                count,
+                work_hint_us=hint_us,
+                is_retry=retry,
+                tenant=tenant,
+            ),
+            query.settings_version,
+        )
+        self.add_parts(query, parts)
+
+    def add_parts(self, query: QueryT, parts: Iterable[tuple[PartT, int | None]]) -> None:
+        """Register the parts of a step and queue their arrival."""
+        for part, hint_us in parts:
+            self.hold_part(query, part)
+            self._push(
+                policy.PartArrived(
+                    part.id, query.job, part.plan.shard, part.plan.weight, hint_us, self.subject(query)
+                ),
+                query.settings_version,
+            )
+
+    def hold_part(self, query: QueryT, part: PartT) -> None:
+        """Register a part; it counts towards ``open_count`` until its query is closed."""
+        query.parts[part.id] = part
+        self.parts[part.id] = query
+        self.open_count += 1
+
+    def is_full(self, parts: int) -> bool:
+        """Whether a query with this number of parts would exceed ``max_open``; 0 means no limit."""
+        limit = self.settings.max_open
+        return bool(limit) and self.open_count + 1 + parts > limit
+
+    def drain(self) -> None:
+        """Begin to drain; :attr:`idle` is set once no query waits for a reply."""
+        self.stopping = True
+        self._check_idle()
+
+    def _push(self, event: policy.Event, version: SettingsVersion | None = None) -> None:
+        """Queue an event for the next batch of one settings version, or of all if ``version`` is ``None``."""
+        if self._handling and not any(known.inbox for known in self.versions):
+            self.loop.call_soon(_nothing)  # events of a batch being handled belong to the next turn
+        for recipient in self.versions if version is None else (version,):
+            recipient.inbox.append(event)
+
+    def _set_timer(self, version: SettingsVersion, at_us: int, label: str) -> None:
+        """Keep one timer for each label, the earliest; the aggregator sets it again whenever it fires."""
+        pending = version.timers.get(label)
+        if pending is not None and pending.call is not None:
+            if pending.at <= at_us:
+                return
+            pending.cancel()
+        version.timers[label] = self.loop.call_at(at_us, self._push, policy.TimerFired(label), version)
+
+    def _query_class(self, query: QueryT) -> policy.QueryClass:
+        return query.settings_version.settings.classes[query.query_class]
+
+    def _release(self, query: QueryT) -> None:
+        if query.on_reply is None and not query.in_flight and query.id in self.queries:
+            if query.timer is not None:
+                query.timer.cancel()
+            del self.queries[query.id]
+            query.settings_version.open_queries -= 1
+            for part in query.parts:
+                self.parts.pop(part, None)
+            self._check_idle()
+
+    def _check_idle(self) -> None:
+        if self.stopping and not any(q.on_reply is not None for q in self.queries.values()):
+            self.idle.set()
+
+    def _deadline(self, query: QueryT) -> None:
+        """Called at the deadline of a query."""
+        raise NotImplementedError
+
+    def on_client_disconnected(self, query_id: str) -> None:
+        """The client of a query has disconnected."""
+        raise NotImplementedError
+
+
+def _nothing() -> None:
+    """Do nothing; scheduled so that the loop makes another turn."""
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -13,7 +13,9 @@
 from functools import partial
 
 from heathwell import policy
-from heathwell.broker.driver import Driver, Handle, Key, PartState, QueryState
+from heathwell.broker.driver import Driver
+from heathwell.broker.driver_contract import AttemptKey
+from heathwell.broker.query_state import Handle, PartState, QueryState
 from heathwell.broker.replies import ANSWERED, REFUSED, OnReply, Reply
 from heathwell.codec import nodeframes as nf
 from heathwell.gateway.config import Config
@@ -35,6 +37,7 @@
 class PlatformPart(PartState):
     """A part with its score, by which a second step's shards are chosen."""
 
+    plan: RequestedPart
     score: float = 0.0
 
 
@@ -50,7 +53,7 @@
     complete: bool | None = None
 
 
-class PlatformBroker(Driver[PlatformQuery]):
+class PlatformBroker(Driver[PlatformQuery, PlatformPart, nf.PartAnswer]):
     """One broker on the platform.
 
     ``unix_us`` returns Unix time; it is read once, to convert the starts of nodes to the loop's clock.
@@ -233,9 +236,9 @@
         )
 
     def attempt_request(
-        self, query: PlatformQuery, part: PlatformPart, seq: int, left_us: int
+        self, query: PlatformQuery, part: PlatformPart, seq: int, remaining_us: int
     ) -> NodeRequest:
-        """Return an attempt of a part, to be waited for ``left_us`` from now on."""
+        """Return an attempt of a part, to be waited for ``remaining_us`` from now on."""
         is_second_step = part.step == 2
         return NodeRequest(
             part.id,
@@ -249,20 +252,20 @@
                 answered=query.answered_shards if is_second_step else (),
                 whole=query.complete if is_second_step else None,
             ),
-            self.loop.now() + left_us,
+            self.loop.now() + remaining_us,
         )
 
     def on_part_answered(
-        self, query: PlatformQuery, part: PlatformPart, key: Key, result: nf.PartAnswer
+        self, query: PlatformQuery, part: PlatformPart, key: AttemptKey, result: nf.PartAnswer
     ) -> None:
         """Keep the score, by which the shards of a second step are chosen."""
         part.score = result.score
 
-    def second_step(self, query: PlatformQuery, whole: bool) -> Iterator[tuple[PlatformPart, int | None]]:
+    def second_step(self, query: PlatformQuery, complete: bool) -> Iterator[tuple[PlatformPart, int | None]]:
         """Yield parts, without hints, at the shards of the highest scores among those answered."""
         answered = [part for part in query.parts.values() if part.data is not None]
         query.answered_shards = tuple(sorted(part.plan.shard for part in answered))
-        query.complete = whole
+        query.complete = complete
         best = sorted(answered, key=lambda part: -part.score)[: self._query_class(query).second_step_parts]
         for part in best:
             yield (
@@ -272,7 +275,7 @@
                 None,
             )
 
-    def merge(self, query: PlatformQuery, whole: bool) -> Reply:
+    def merge(self, query: PlatformQuery, complete: bool) -> Reply:
         """Return the reply with the values of the last step's answered parts, as the nodes gave them."""
         values = [
             {"id": part.plan.shard, "data": part.data.decode("ascii")}
@@ -280,7 +283,11 @@
             if part.step == query.step and part.data is not None
         ]
         return Reply(
-            ANSWERED, query.id, self._query_class(query).name, whole, body={"exact": whole, "rows": values}
+            ANSWERED,
+            query.id,
+            self._query_class(query).name,
+            complete,
+            body={"exact": complete, "rows": values},
         )
 
     def on_reply_made(self, query: PlatformQuery, reply: Reply, took_us: int) -> None:
--- a/tests/test_version_compatibility.py
+++ b/tests/test_version_compatibility.py
@@ -6,7 +6,7 @@
 - ``frames.hex``: one line for each type of its ``codec.frames.Any_``, built from the type's fields with a
   value unlike the default in each of them (also in nested records), and encoded by its ``encode``;
 - ``rollout.json``: ``Course.record()`` after six events, which end in a hold for trouble on both sides;
-- ``agent.json``: the notes of a ``MachineAgent`` with two brokers, one of which replaces its process;
+- ``agent.json``: the notes of a machine agent with two brokers, one of which replaces its process;
   ``agent_restored.json``: what a second agent of that commit made of those notes, with both processes alive
   by a stubbed ``start_of``: its encoded view, the processes that it ended, and the notes it wrote itself;
 - ``day.sx``, ``day.jsonl.gz``: the settings and all events of ``SimulatedDay(settings, 11, seconds=6.0,
@@ -42,7 +42,8 @@
 from heathwell.audit import Event, Verdict, judge, judge_ages, judge_budgets
 from heathwell.audit.reader import from_lines
 from heathwell.codec import frames
-from heathwell.fleet.control import machine
+from heathwell.fleet.control import broker_process, node_agent
+from heathwell.fleet.control.state_file import STATE_FILE_NAME
 from heathwell.fleet.control.rollout import RECORD
 from heathwell.fleet.rollout import RolloutController, RolloutState
 from heathwell.gateway import config as platform_config
@@ -122,20 +123,21 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     ended: list[list[int]] = []
-    monkeypatch.setattr(machine, "start_of", lambda pid: LIVE_PROCESSES.get(pid, 0))
-    monkeypatch.setattr(machine, "_signal", lambda pid, number: ended.append([pid, int(number)]))
-    notes = tmp_path / machine.STATE
-    notes.write_text((FILES / machine.STATE).read_text())
+    for module in (broker_process, node_agent):
+        monkeypatch.setattr(module, "process_start_ticks", lambda pid: LIVE_PROCESSES.get(pid, 0))
+        monkeypatch.setattr(module, "send_signal", lambda pid, number: ended.append([pid, int(number)]))
+    notes = tmp_path / STATE_FILE_NAME
+    notes.write_text((FILES / STATE_FILE_NAME).read_text())
     brokers = [
-        machine.make_broker("b0", 0, "127.0.0.1:1", ["--x"]),
-        machine.make_broker("b1", 2, "127.0.0.1:2", []),
+        broker_process.supervise_broker("b0", 0, "127.0.0.1:1", ["--x"]),
+        broker_process.supervise_broker("b1", 2, "127.0.0.1:2", []),
     ]
     loop, net = virtual_loop(1)
 
-    agent = machine.MachineAgent(
+    agent = node_agent.NodeAgent(
         loop, net, "m1", tmp_path, brokers, ["a", "b", "c"], log=lambda *_args, **_fields: None
     )
-    agent._note()
+    agent._save_state()
 
     expected = read_json("agent_restored.json")
     assert ended == expected["killed"]
