--- a/heathwell/broker/discovery.py
+++ b/heathwell/broker/discovery.py
@@ -52,6 +52,7 @@
         address: str,
         name: str,
         timeout: int,
+        *,
         push: bool,
         news: Callable[[policy.EndpointUpdate], None],
         log: Callable[..., None],
@@ -116,7 +117,7 @@
             self._asked = max(self._asked, 1)
             self._limit()
             yield from inner_protocol.listen(stream, self._heard)
-            raise StreamBroken("discovery closed the watch")
+            raise StreamBroken("discovery closed the watch")  # noqa: TRY301  # ends as any break does, below
         except (ConnectFailed, StreamBroken, frames.FrameError) as problem:
             self.log("info", "discovery: call failed or watch broken", why=str(problem))
             self._asked = 0
--- a/heathwell/broker/driver.py
+++ b/heathwell/broker/driver.py
@@ -190,7 +190,7 @@
         for action in actions:
             try:
                 self._execute(action, calls, version)
-            except Exception as error:  # an action that fails must not cost the others
+            except Exception as error:  # noqa: BLE001  # an action that fails must not cost the others
                 self.loop.report(f"carrying out {action}", error)
         leaving = self._leaving
         self._leaving = []
@@ -216,7 +216,7 @@
         for on_reply, reply in replies:
             try:
                 on_reply(reply)
-            except Exception as error:
+            except Exception as error:  # noqa: BLE001  # one fault must not cost the others
                 self.loop.report(f"reply to {reply.query}", error)
 
     def _is_still_needed(self, node: str, key: AttemptKey) -> bool:
@@ -228,7 +228,9 @@
             self._ended(query, key, node, policy.Outcome.NEVER_SENT, None)
         return False
 
-    def _execute(self, action: policy.Action, calls: Calls, version: SettingsVersion) -> None:
+    def _execute(  # noqa: C901  # one case for each type of action
+        self, action: policy.Action, calls: Calls, version: SettingsVersion
+    ) -> None:
         match action:
             case policy.Send():
                 self._send(action, calls)
@@ -239,7 +241,7 @@
                     self._abandon(calls, node, (part_id, seq))
                     self._ended(query, (part_id, seq), node, policy.Outcome.CANCELLED, None)
             case policy.Answer(id=query_id, complete=complete):
-                self._answer(query_id, complete)
+                self._answer(query_id, complete=complete)
             case policy.Reject(id=query_id, retry_after_us=retry_after_us):
                 self._reply_without_answer(query_id, REFUSED, retry_after_us)
             case policy.Fail(id=query_id):
@@ -309,16 +311,16 @@
             class_name = self._query_class(query).name
             self._reply(query, Reply(kind, query_id, class_name, retry_after_us=retry_after_us))
 
-    def _answer(self, query_id: str, complete: bool) -> None:
+    def _answer(self, query_id: str, *, complete: bool) -> None:
         query = self.queries.get(query_id)
         if query is None or query.on_reply is None:
             return  # its client disconnected within this very batch
         if query.step == 1 and self._query_class(query).second_step_parts:
             query.step = 2
             self.events("first", q=query.id, whole=complete)
-            self.add_parts(query, self.second_step(query, complete))
+            self.add_parts(query, self.second_step(query, complete=complete))
             return
-        self._reply(query, self.merge(query, complete))
+        self._reply(query, self.merge(query, complete=complete))
 
     def _reply(self, query: QueryT, reply: Reply) -> None:
         on_reply = query.on_reply
--- a/heathwell/broker/driver_hooks.py
+++ b/heathwell/broker/driver_hooks.py
@@ -24,11 +24,11 @@
         """Return the request for attempt ``seq`` of a part, whose deadline is ``remaining_us`` from now."""
         raise NotImplementedError
 
-    def second_step(self, query: QueryT, complete: bool) -> Iterable[tuple[PartT, int | None]]:
+    def second_step(self, query: QueryT, *, complete: bool) -> Iterable[tuple[PartT, int | None]]:
         """Return the parts of the second step, not yet registered, each with its work hint (us)."""
         raise NotImplementedError
 
-    def merge(self, query: QueryT, complete: bool) -> Reply:
+    def merge(self, query: QueryT, *, complete: bool) -> Reply:
         """Return the reply from the parts that were answered."""
         raise NotImplementedError
 
--- a/heathwell/broker/host_link.py
+++ b/heathwell/broker/host_link.py
@@ -159,7 +159,9 @@
             yield from inner_protocol.listen(stream, self._heard)
             seen = True
             if self.out:
-                raise StreamBroken("the host closed with attempts out")
+                raise StreamBroken(  # noqa: TRY301  # ends as any break does, below
+                    "the host closed with attempts out"
+                )
         except ConnectFailed as problem:
             seen = str(problem) == "ECONNREFUSED"
             self.log("debug", "no connection", node=self.node, why=str(problem))
--- a/heathwell/broker/query_registry.py
+++ b/heathwell/broker/query_registry.py
@@ -67,7 +67,11 @@
         return self.current_version.settings
 
     def begin_version(
-        self, settings: policy.Settings, seed: int, version: str, extension: Any = None
+        self,
+        settings: policy.Settings,
+        seed: int,
+        version: str,
+        extension: Any = None,  # noqa: ANN401  # the subclass's own
     ) -> SettingsVersion:
         """Decide queries that are admitted from now on under other settings; open queries keep theirs.
 
@@ -111,6 +115,7 @@
         parts: Iterable[tuple[PartT, int | None]],
         count: int,
         hint_us: int | None,
+        *,
         retry: bool = False,
         tenant: int = 0,
     ) -> None:
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -110,9 +110,9 @@
                 discovery,
                 name,
                 service_settings.discovery.timeout,
-                not service_settings.discovery.ask,
-                self.on_endpoint_update,
-                self.log,
+                push=not service_settings.discovery.ask,
+                news=self.on_endpoint_update,
+                log=self.log,
             ),
             roster,
         )
@@ -490,7 +490,7 @@
         """After how long the client of a rejected query may retry; ``after_us`` is the module's advice."""
         return self.admission.retry_after_us(query.plan, query.who, query.settings_version, after_us)
 
-    def second_step(self, query: ServiceQuery, complete: bool) -> Iterator[tuple[ServicePart, int | None]]:
+    def second_step(self, query: ServiceQuery, *, complete: bool) -> Iterator[tuple[ServicePart, int | None]]:
         """Item detail at shards that answered."""
         answered = [part.plan for part in query.parts.values() if part.data is not None]
         usual = self.snapshot_of(query).service_settings.classes[query.query_class]
@@ -500,7 +500,7 @@
             int(usual.work * usual.fetch_work),
         )
 
-    def merge(self, query: ServiceQuery, complete: bool) -> Reply:
+    def merge(self, query: ServiceQuery, *, complete: bool) -> Reply:
         """By the key space's shape, or a search's rows."""
         spec = self._query_class(query)
         answered = [part for part in query.parts.values() if part.data is not None]
--- a/heathwell/fleet/control/broker_process.py
+++ b/heathwell/fleet/control/broker_process.py
@@ -85,7 +85,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            sock.setblocking(False)
+            sock.setblocking(False)  # noqa: FBT003  # the library's own signature
             sock.bind((host, port))
             sock.listen(LISTEN_BACKLOG)
             self.listening_socket = sock
--- a/heathwell/fleet/control/evacuation_coordinator.py
+++ b/heathwell/fleet/control/evacuation_coordinator.py
@@ -103,7 +103,7 @@
         if decision.is_newer_than(self.decision):
             self.decision = decision
 
-    def tick(self, now_us: int, is_leader: bool) -> list[ZoneTransition]:
+    def tick(self, now_us: int, *, is_leader: bool) -> list[ZoneTransition]:
         """Decide where this coordinator leads; to be called several times a second. Returns what changed."""
         self._expire_reports(now_us)
         if not is_leader:
--- a/heathwell/fleet/control/fleet_view.py
+++ b/heathwell/fleet/control/fleet_view.py
@@ -87,12 +87,14 @@
             if start is None or name not in zones:
                 continue
             silent = status.silent or not self.is_recent(now_us, name)
-            windows.append(_window_between(start, status, status.version != old_version, silent))
+            windows.append(
+                _window_between(start, status, is_canary=status.version != old_version, silent=silent)
+            )
         return windows
 
 
 def _window_between(
-    start: frames.BrokerStatus, end: frames.BrokerStatus, is_canary: bool, silent: bool
+    start: frames.BrokerStatus, end: frames.BrokerStatus, *, is_canary: bool, silent: bool
 ) -> BrokerWindow:
     """The difference of two statuses of a broker; the sums of a new process began at 0."""
     same_process = start.run == end.run
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -261,7 +261,9 @@
         """Keep the score, by which the shards of a second step are chosen."""
         part.score = result.score
 
-    def second_step(self, query: PlatformQuery, complete: bool) -> Iterator[tuple[PlatformPart, int | None]]:
+    def second_step(
+        self, query: PlatformQuery, *, complete: bool
+    ) -> Iterator[tuple[PlatformPart, int | None]]:
         """Yield parts, without hints, at the shards of the highest scores among those answered."""
         answered = [part for part in query.parts.values() if part.data is not None]
         query.answered_shards = tuple(sorted(part.plan.shard for part in answered))
@@ -275,7 +277,7 @@
                 None,
             )
 
-    def merge(self, query: PlatformQuery, complete: bool) -> Reply:
+    def merge(self, query: PlatformQuery, *, complete: bool) -> Reply:
         """Return the reply with the values of the last step's answered parts, as the nodes gave them."""
         values = [
             {"id": part.plan.shard, "data": part.data.decode("ascii")}
--- a/tests/test_version_compatibility.py
+++ b/tests/test_version_compatibility.py
@@ -43,8 +43,8 @@
 from heathwell.audit.reader import from_lines
 from heathwell.codec import frames
 from heathwell.fleet.control import broker_process, node_agent
+from heathwell.fleet.control.rollout_file import ROLLOUT_FILE_NAME
 from heathwell.fleet.control.state_file import STATE_FILE_NAME
-from heathwell.fleet.control.rollout import RECORD
 from heathwell.fleet.rollout import RolloutController, RolloutState
 from heathwell.gateway import config as platform_config
 from heathwell.kernel import virtual_loop
@@ -108,7 +108,7 @@
 
 
 def test_the_old_rollout_record_is_restored_and_written_the_same() -> None:
-    text = (FILES / RECORD).read_text()
+    text = (FILES / ROLLOUT_FILE_NAME).read_text()
     rollout = RolloutController("change-7", "v1", "v2", {})
     rollout.restore(json.loads(text), term=4)
     assert rollout.state is RolloutState.HELD
