--- a/heathwell/broker/driver_hooks.py
+++ b/heathwell/broker/driver_hooks.py
@@ -32,7 +32,7 @@
         """Return the reply from the parts that were answered."""
         raise NotImplementedError
 
-    def is_usable(self, query: QueryT, part: PartT, node: str, key: AttemptKey, result: ResultT) -> bool:
+    def is_usable(self, query: QueryT, part: PartT, node: str, key: AttemptKey, result: ResultT) -> bool:  # noqa: ARG002  # part of a hook
         """Whether an answer can be used; otherwise the attempt ends as an error of its endpoint."""
         return True
 
@@ -45,11 +45,11 @@
     def on_attempt_ended(self, node: str, key: AttemptKey, outcome: policy.Outcome, took_us: int) -> None:
         """An attempt ended ``took_us`` after it was decided."""
 
-    def subject(self, query: QueryT) -> int | None:
+    def subject(self, query: QueryT) -> int | None:  # noqa: ARG002  # part of a hook
         """Return the number of the query's subject (such as a user), ``None`` if it has none."""
         return None
 
-    def retry_after_us(self, query: QueryT, after_us: int) -> int:
+    def retry_after_us(self, query: QueryT, after_us: int) -> int:  # noqa: ARG002  # part of a hook
         """Return the retry advice for a rejected query, given the aggregator's own advice (both us)."""
         return after_us
 
@@ -60,7 +60,7 @@
         """
         return None
 
-    def acquire_quota(self, send: policy.Send, key: AttemptKey) -> bool:
+    def acquire_quota(self, send: policy.Send, key: AttemptKey) -> bool:  # noqa: ARG002  # part of a hook
         """Acquire a unit of quota for an attempt; false if none is left, and then it is not sent."""
         return True
 
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -490,7 +490,7 @@
         """After how long the client of a rejected query may retry; ``after_us`` is the module's advice."""
         return self.admission.retry_after_us(query.plan, query.who, query.settings_version, after_us)
 
-    def second_step(self, query: ServiceQuery, *, complete: bool) -> Iterator[tuple[ServicePart, int | None]]:
+    def second_step(self, query: ServiceQuery, *, complete: bool) -> Iterator[tuple[ServicePart, int | None]]:  # noqa: ARG002  # part of a hook
         """Item detail at shards that answered."""
         answered = [part.plan for part in query.parts.values() if part.data is not None]
         usual = self.snapshot_of(query).service_settings.classes[query.query_class]
--- a/heathwell/fleet/control/quota_coordinator.py
+++ b/heathwell/fleet/control/quota_coordinator.py
@@ -129,7 +129,7 @@
     def _tick_evacuation(self, now: int, evacuation: EvacuationCoordinator) -> None:
         """Decide on zones where this coordinator leads, and log what changed."""
         is_leader = LEADING_FRACTION in self.coordinator.held_fractions(now)
-        for transition in evacuation.tick(now, is_leader):
+        for transition in evacuation.tick(now, is_leader=is_leader):
             decision = evacuation.decision
             states = {
                 name: [directive.state, directive.traffic_share] for name, directive in decision.zones.items()
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -134,8 +134,8 @@
             ((PlatformPart(f"{query.id}.{part.shard}", part, 1), part.hint_us) for part in request.parts),
             len(request.parts),
             sum(hints_us) if hints_us else None,
-            request.retry,
-            request.tenant,
+            retry=request.retry,
+            tenant=request.tenant,
         )
         return handle
 
@@ -256,7 +256,11 @@
         )
 
     def on_part_answered(
-        self, query: PlatformQuery, part: PlatformPart, key: AttemptKey, result: nf.PartAnswer
+        self,
+        query: PlatformQuery,  # noqa: ARG002  # part of a hook
+        part: PlatformPart,
+        key: AttemptKey,  # noqa: ARG002  # part of a hook
+        result: nf.PartAnswer,  # noqa: ARG002  # part of a hook
     ) -> None:
         """Keep the score, by which the shards of a second step are chosen."""
         part.score = result.score
--- a/heathwell/modelcheck/explorer.py
+++ b/heathwell/modelcheck/explorer.py
@@ -93,7 +93,7 @@
         if depth == maximum_depth:
             continue
         if time.monotonic() > deadline:
-            return Exploration(len(predecessors), False, reached_depth)
+            return Exploration(len(predecessors), is_complete=False, depth=reached_depth)
         key = model.state_key(state)
         for label, next_state in model.transitions(state):
             next_key = model.state_key(next_state)
@@ -103,9 +103,9 @@
             description = model.find_violation(next_state)
             if description is not None:
                 violation = InvariantViolation(description, tuple(_trace_to(predecessors, next_key)))
-                return Exploration(len(predecessors), False, depth + 1, violation)
+                return Exploration(len(predecessors), is_complete=False, depth=depth + 1, violation=violation)
             frontier.append((next_state, depth + 1))
-    return Exploration(len(predecessors), True, reached_depth)
+    return Exploration(len(predecessors), is_complete=True, depth=reached_depth)
 
 
 def _trace_to(predecessors: dict[Hashable, _Predecessor], key: Hashable) -> list[str]:
