broker: field terms in the discovery, endpoint connection, clock and statistics modules

Cause: names of the earlier style (Roster, Owner, Sent, said_draining, waited, bound, _heard, rows_of) and assignments packed into one line.

Change, names only: Roster.take -> EndpointListReader.to_update; host_link Owner -> AttemptObserver with parts_to_send, on_score_bound and on_endpoint_draining; Sent -> InFlightAttempt; HostLink.out -> in_flight; rows_of -> consecutive_shards; _heard -> _on_message; FIGURES -> COUNTER_NAMES. Log fields and the statistics page keep their keys.

--- a/heathwell/broker/discovery.py
+++ b/heathwell/broker/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery as a broker meets it: asked by the module's word, or pushed; late, failing, absent."""
+"""A broker's client of the discovery service: polls or watches the endpoint list, and reports failures."""
 
 from __future__ import annotations
 
@@ -15,18 +15,20 @@
 }
 
 
-class Roster:
-    """Turns the wire's entries to the module's: a process keeps one start time, whenever it is told of.
+class EndpointListReader:
+    """Converts endpoint lists of the wire to updates for the decision module.
 
-    Hosts' clocks are their own, so a start travels as an age, and is fixed on this broker's clock when
-    the process is first heard of; a new ``birth`` is a new process.
+    Endpoints have clocks of their own, so a start travels as an age. It becomes an instant on this broker's
+    clock when the process is first listed, and stays; a new ``birth`` is a new process.
     """
 
     def __init__(self) -> None:
         self._births: dict[str, tuple[int, int | None]] = {}
 
-    def take(self, now: int, kind: str, entries: list[frames.EndpointListEntry]) -> policy.EndpointUpdate:
-        """The module's news for a message of discovery."""
+    def to_update(
+        self, now: int, kind: str, entries: list[frames.EndpointListEntry]
+    ) -> policy.EndpointUpdate:
+        """Return the decision module's update for one message of discovery."""
         update_kind = (
             policy.UpdateKind.FULL if kind == policy.UpdateKind.FULL else policy.UpdateKind.INCREMENTAL
         )
@@ -34,16 +36,17 @@
         return policy.EndpointUpdate(update_kind, endpoints)
 
     def _entry(self, now: int, entry: frames.EndpointListEntry) -> policy.EndpointEntry:
-        known = self._births.get(entry.node)
-        if known is None or known[0] != entry.birth:
-            since = max(1, now - entry.age_us) if entry.age_us >= 0 else None
-            known = self._births[entry.node] = (entry.birth, since)
+        recorded = self._births.get(entry.node)
+        if recorded is None or recorded[0] != entry.birth:
+            started_at_us = max(1, now - entry.age_us) if entry.age_us >= 0 else None
+            recorded = (entry.birth, started_at_us)
+            self._births[entry.node] = recorded
         state = STATES.get(entry.state, policy.EndpointState.DRAINING)
-        return policy.EndpointEntry(entry.node, entry.cell, state, known[1], zone=entry.zone)
+        return policy.EndpointEntry(entry.node, entry.cell, state, recorded[1], zone=entry.zone)
 
 
 class DiscoveryClient:
-    """Watches the host list. Each :meth:`ask` is answered by exactly one piece of news."""
+    """Watches the endpoint list. Each :meth:`ask` is answered by exactly one update."""
 
     def __init__(
         self,
@@ -56,78 +59,84 @@
         news: Callable[[policy.EndpointUpdate], None],
         log: Callable[..., None],
     ) -> None:
-        self.loop, self.net, self.address, self.name, self.timeout = loop, net, address, name, timeout
-        self.push, self.news, self.log = push, news, log
-        self.roster = Roster()
+        self.loop = loop
+        self.net = net
+        self.address = address
+        self.name = name
+        self.timeout = timeout
+        self.push = push
+        self.news = news
+        self.log = log
+        self._endpoint_list = EndpointListReader()
         self._stream: Stream | None = None
         self._index = 0
-        self._asked = 0
+        self._pending_requests = 0
         self._task: Task | None = None
 
     def start(self) -> None:
-        """Where the list is pushed: connect, and stay connected."""
+        """Connect and stay connected, where the list is pushed."""
         if self.push:
-            self._task = self.loop.spawn(self._stay(), "discovery")
+            self._task = self.loop.spawn(self._watch(), "discovery")
 
     def ask(self) -> None:
-        """Subscribe; the answer is the list, its changes, or a failure."""
-        self._asked += 1
+        """Request the endpoint list; the answer is the list, its changes, or a failure."""
+        self._pending_requests += 1
         if self._stream is not None:
             try:
                 self._stream.write(frames.encode(frames.WatchRequest(self._index)))
             except StreamBroken:
-                pass  # the reader tells the failure
+                pass  # the reader of the stream reports the failure
             else:
-                self._limit()
+                self._start_timeout()
         elif self._task is None:
-            self._task = self.loop.spawn(self._once(), "discovery")
+            self._task = self.loop.spawn(self._poll(), "discovery")
 
     def close(self) -> None:
-        """Ask no more."""
+        """Close the connection and send no more requests."""
         if self._task is not None:
             self._task.cancel()
 
-    def _limit(self) -> None:
-        number = self._asked
-        self.loop.call_at(self.loop.now() + self.timeout, self._overdue, number)
+    def _start_timeout(self) -> None:
+        number = self._pending_requests
+        self.loop.call_at(self.loop.now() + self.timeout, self._on_timeout, number)
 
-    def _overdue(self, number: int) -> None:
-        if self._asked >= number and self._asked and self._stream is not None:
+    def _on_timeout(self, number: int) -> None:
+        if self._pending_requests >= number and self._pending_requests and self._stream is not None:
             self._stream.abort()
 
-    def _stay(self) -> Coro[None]:
+    def _watch(self) -> Coro[None]:
         while True:
-            yield from self._talk()
+            yield from self._run_connection()
             yield from sleep(self.loop, RECONNECT_US)
 
-    def _once(self) -> Coro[None]:
+    def _poll(self) -> Coro[None]:
         try:
-            yield from self._talk()
+            yield from self._run_connection()
         finally:
             self._task = None
 
-    def _talk(self) -> Coro[None]:
+    def _run_connection(self) -> Coro[None]:
         try:
             stream = yield from self.net.connect(self.address, self.timeout)
             self._stream = stream
             self._index = 0
             stream.write(frames.encode(frames.Hello(frames.VERSION, self.name, "broker")))
             stream.write(frames.encode(frames.WatchRequest(0)))
-            self._asked = max(self._asked, 1)
-            self._limit()
-            yield from inner_protocol.listen(stream, self._heard)
+            self._pending_requests = max(self._pending_requests, 1)
+            self._start_timeout()
+            yield from inner_protocol.listen(stream, self._on_message)
             raise StreamBroken("discovery closed the watch")
-        except (ConnectFailed, StreamBroken, frames.FrameError) as problem:
-            self.log("info", "discovery: call failed or watch broken", why=str(problem))
-            self._asked = 0
+        except (ConnectFailed, StreamBroken, frames.FrameError) as error:
+            self.log("info", "discovery: call failed or watch broken", why=str(error))
+            self._pending_requests = 0
             self.news(policy.EndpointUpdate(policy.UpdateKind.FAILED))
         finally:
             if self._stream is not None:
                 self._stream.abort()
             self._stream = None
 
-    def _heard(self, message: frames.AnyMessage) -> None:
+    def _on_message(self, message: frames.AnyMessage) -> None:
         if isinstance(message, frames.EndpointList):
-            self._asked = 0
+            self._pending_requests = 0
             self._index = message.index
-            self.news(self.roster.take(self.loop.now(), message.kind, message.entries))
+            self.news(self._endpoint_list.to_update(self.loop.now(), message.kind, message.entries))
--- a/heathwell/broker/endpoint_connections.py
+++ b/heathwell/broker/endpoint_connections.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Protocol
 
-from heathwell.broker.host_link import HostLink, Owner
+from heathwell.broker.host_link import AttemptObserver, HostLink
 from heathwell.broker.host_pool import HostPool
 from heathwell.broker.quota_gate import CONNECTIONS, QuotaGate
 from heathwell.kernel import Loop, Net
@@ -40,7 +40,7 @@
     """Makes the connections of one broker; ``owner`` hears how attempts and probes end."""
 
     def __init__(
-        self, broker: ConnectingBroker, owner: Owner, net: Net, quota_gate: QuotaGate | None
+        self, broker: ConnectingBroker, owner: AttemptObserver, net: Net, quota_gate: QuotaGate | None
     ) -> None:
         self._broker = broker
         self._owner = owner
--- a/heathwell/broker/host_link.py
+++ b/heathwell/broker/host_link.py
@@ -1,4 +1,4 @@
-"""Connections to hosts: one a host, many attempts in flight, and every attempt's end told as what it was."""
+"""One connection to an endpoint with many attempts in flight; each attempt ends with exactly one outcome."""
 
 from __future__ import annotations
 
@@ -13,38 +13,39 @@
 
 OUTCOMES = {"ok": policy.Outcome.OK, "error": policy.Outcome.ERROR, "full": policy.Outcome.REJECTED}
 Key = tuple[str, int]
-BEATS = 4  # pings within the time after which a host closes what is silent
+HEARTBEATS_PER_TIMEOUT = 4  # pings within the time after which an endpoint closes a silent connection
 
 
-class Owner(Protocol):
-    """Who is told how attempts and probes end."""
+class AttemptObserver(Protocol):
+    """Is notified of the ends of attempts and probes."""
 
     def on_attempt_result(
         self, node: str, key: Key, outcome: policy.Outcome, result: frames.Result | None
     ) -> None:
-        """One outcome an attempt."""
+        """Handle the one outcome of an attempt."""
 
     def on_probe_result(self, node: str, outcome: policy.Outcome) -> None:
-        """One outcome a probe."""
+        """Handle the one outcome of a probe."""
 
-    def waited(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
-        """Which of the attempts that waited for their connection may still leave; the others are ended by the
-        owner.
+    def parts_to_send(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
+        """Return those attempts that waited for the connection and may still be sent.
+
+        The observer itself ends the others.
         """
 
-    def bound(self, node: str, key: Key, best: list[float]) -> None:
-        """A host's word, before its work, on how good an attempt's best row can be."""
+    def on_score_bound(self, node: str, key: Key, best: list[float]) -> None:
+        """Handle an endpoint's bounds, sent before its work, on the scores of an attempt."""
 
     def on_late_answer(self, node: str) -> None:
-        """A result whose attempt's end was told already."""
+        """Handle a result of an attempt that has ended already."""
 
-    def said_draining(self, node: str) -> None:
-        """The host itself says that it drains."""
+    def on_endpoint_draining(self, node: str) -> None:
+        """Handle an endpoint's notice that it drains."""
 
 
 @dataclass(slots=True)
-class Sent:
-    """An attempt here; ``starts`` is where its frame begins in the stream, None: not written."""
+class InFlightAttempt:
+    """An attempt; ``starts`` is where its frame begins in the stream, None while it is unsent."""
 
     starts: int | None = None
 
@@ -61,7 +62,7 @@
         net: Net,
         node: str,
         name: str,
-        owner: Owner,
+        owner: AttemptObserver,
         *,
         connect_timeout: int,
         probe_timeout: int,
@@ -70,19 +71,26 @@
         quiet_us: int = 0,
         on_closed: Callable[[bool], None] | None = None,
     ) -> None:
-        self.loop, self.net, self.node, self.name, self.owner, self.log = loop, net, node, name, owner, log
-        self.connect_timeout, self.probe_timeout = connect_timeout, probe_timeout
-        self.quiet_us, self.on_closed = quiet_us, on_closed
-        self._beat: Timer | None = None
-        self.out: dict[Key, Sent] = {}
+        self.loop = loop
+        self.net = net
+        self.node = node
+        self.name = name
+        self.owner = owner
+        self.log = log
+        self.connect_timeout = connect_timeout
+        self.probe_timeout = probe_timeout
+        self.quiet_us = quiet_us
+        self.on_closed = on_closed
+        self._heartbeat_timer: Timer | None = None
+        self.in_flight: dict[Key, InFlightAttempt] = {}
         self.stream: Stream | None = None
         self.connects = self.late_answers = 0
         self._waiting: list[list[frames.PartRequest]] = []
         self._task: Task | None = None
         self._probes: dict[int, Timer] = {}
-        self._probe_no = 0
+        self._probe_number = 0
         self._idle = IdleTime(
-            loop, idle_close, lambda: self.stream is None or bool(self.out or self._probes), self.close
+            loop, idle_close, lambda: self.stream is None or bool(self.in_flight or self._probes), self.close
         )
 
     @property
@@ -92,8 +100,8 @@
 
     def send(self, parts: list[frames.PartRequest]) -> None:
         """Send attempts in one call; each will end once."""
-        for ask in parts:
-            self.out[ask.id, ask.seq] = Sent()
+        for part in parts:
+            self.in_flight[part.id, part.seq] = InFlightAttempt()
         if self.stream is None:
             self._waiting.append(parts)
             self._connect()
@@ -101,26 +109,26 @@
             self._write_call(parts)
 
     def abandon(self, key: Key) -> bool:
-        """Stop waiting for an attempt whose end the owner has told by itself; true if it was out."""
-        sent = self.out.pop(key, None)
+        """Stop waiting for an attempt that the owner has ended by itself; true if it was in flight."""
+        sent = self.in_flight.pop(key, None)
         if sent is None:
             return False
         if sent.starts is None:
             for parts in self._waiting:
-                parts[:] = [ask for ask in parts if (ask.id, ask.seq) != key]
+                parts[:] = [part for part in parts if (part.id, part.seq) != key]
         elif self.stream is not None:
             self._write(frames.encode(frames.CancelPart(*key)))
         self._idle.rests()
         return True
 
     def withdraw(self, key: Key) -> bool:
-        """Take back an attempt that is not written yet."""
-        return key in self.out and self.out[key].starts is None and self.abandon(key)
+        """Withdraw an attempt that is unsent."""
+        return key in self.in_flight and self.in_flight[key].starts is None and self.abandon(key)
 
     def probe(self) -> None:
-        """Ask for a sign of life; ends once."""
-        self._probe_no += 1
-        number = self._probe_no
+        """Send a ping; the probe ends with one outcome."""
+        self._probe_number += 1
+        number = self._probe_number
         self._probes[number] = self.loop.call_at(
             self.loop.now() + self.probe_timeout, self._probe_over, number, policy.Outcome.TIMED_OUT
         )
@@ -130,7 +138,7 @@
             self._write(frames.encode(frames.Ping(number)))
 
     def close(self) -> None:
-        """Let the connection go; what is out ends as broken."""
+        """Close the connection; attempts in flight end as broken."""
         if self._task is not None:
             self._task.cancel()
 
@@ -140,90 +148,98 @@
 
     def _run(self) -> Coro[None]:
         stream: Stream | None = None
-        ended, seen = policy.Outcome.UNREACHABLE, False
+        outcome = policy.Outcome.UNREACHABLE
+        seen = False
         try:
             self.connects += 1
             stream = yield from self.net.connect(self.node, self.connect_timeout)
-            ended = policy.Outcome.BROKEN
+            outcome = policy.Outcome.BROKEN
             self.stream = stream
             self._write(frames.encode(frames.Hello(frames.VERSION, self.name, "broker", self.quiet_us)))
-            self._keep()
+            self._send_heartbeat()
             for number in self._probes:
                 self._write(frames.encode(frames.Ping(number)))
-            waiting, self._waiting = self._waiting, []
+            waiting = self._waiting
+            self._waiting = []
             for parts in waiting:
-                still = self.owner.waited(self.node, parts)
-                if still:
-                    self._write_call(still)
+                sendable = self.owner.parts_to_send(self.node, parts)
+                if sendable:
+                    self._write_call(sendable)
             self._idle.rests()
-            yield from inner_protocol.listen(stream, self._heard)
+            yield from inner_protocol.listen(stream, self._on_message)
             seen = True
-            if self.out:
+            if self.in_flight:
                 raise StreamBroken("the host closed with attempts out")
-        except ConnectFailed as problem:
-            seen = str(problem) == "ECONNREFUSED"
-            self.log("debug", "no connection", node=self.node, why=str(problem))
-        except (StreamBroken, frames.FrameError) as problem:
-            seen = seen or isinstance(problem, StreamBroken) and not isinstance(problem, Overrun)
-            self.log("info", "connection lost", node=self.node, why=str(problem), out=len(self.out))
+        except ConnectFailed as error:
+            seen = str(error) == "ECONNREFUSED"
+            self.log("debug", "no connection", node=self.node, why=str(error))
+        except (StreamBroken, frames.FrameError) as error:
+            seen = seen or isinstance(error, StreamBroken) and not isinstance(error, Overrun)
+            self.log("info", "connection lost", node=self.node, why=str(error), out=len(self.in_flight))
         finally:
-            self._lost(stream, ended)
+            self._on_connection_lost(stream, outcome)
             if self.on_closed is not None:
                 self.on_closed(seen)
 
-    def _keep(self) -> None:
-        """Say something now and then, where the host closes what is silent."""
-        if self._beat is not None:
-            self._beat.cancel()
+    def _send_heartbeat(self) -> None:
+        """Ping at intervals, where the endpoint closes silent connections."""
+        if self._heartbeat_timer is not None:
+            self._heartbeat_timer.cancel()
         if self.quiet_us and self.stream is not None:
-            self._beat = self.loop.call_at(self.loop.now() + self.quiet_us // BEATS, self._keep)
+            self._heartbeat_timer = self.loop.call_at(
+                self.loop.now() + self.quiet_us // HEARTBEATS_PER_TIMEOUT, self._send_heartbeat
+            )
             self._write(frames.encode(frames.Ping(0)))
 
-    def _heard(self, message: frames.AnyMessage) -> None:
+    def _on_message(self, message: frames.AnyMessage) -> None:
         match message:
             case frames.Result():
                 key = (message.id, message.seq)
-                if self.out.pop(key, None) is None:
-                    self.late_answers += 1  # its end was told already: nothing may come of it any more
+                if self.in_flight.pop(key, None) is None:
+                    self.late_answers += 1  # it has ended already, and has no effect any more
                     self.owner.on_late_answer(self.node)
                 else:
                     outcome = OUTCOMES.get(message.outcome, policy.Outcome.ERROR)
                     self.owner.on_attempt_result(self.node, key, outcome, message)
                 self._idle.rests()
             case frames.ScoreBound(id=part, seq=seq, best=best):
-                if (part, seq) in self.out:
-                    self.owner.bound(self.node, (part, seq), best)
+                if (part, seq) in self.in_flight:
+                    self.owner.on_score_bound(self.node, (part, seq), best)
             case frames.Pong(n=number):
                 if number not in self._probes:
                     self.owner.on_late_answer(self.node)
                 self._probe_over(number, policy.Outcome.OK)
             case frames.DrainNotice():
-                self.owner.said_draining(self.node)
+                self.owner.on_endpoint_draining(self.node)
 
     def _write_call(self, parts: list[frames.PartRequest]) -> None:
         assert self.stream is not None
         starts = self.stream.queued
-        for ask in parts:
-            if (ask.id, ask.seq) in self.out:
-                self.out[ask.id, ask.seq].starts = starts
+        for part in parts:
+            if (part.id, part.seq) in self.in_flight:
+                self.in_flight[part.id, part.seq].starts = starts
         self._write(frames.encode(frames.Call(parts)))
 
     def _write(self, data: bytes) -> None:
         if self.stream is not None:
-            self.stream.offer(data)  # the reading side tells the ends of a broken one
+            self.stream.offer(data)  # the reading side reports that a connection is broken
 
-    def _lost(self, stream: Stream | None, ended: policy.Outcome) -> None:
+    def _on_connection_lost(self, stream: Stream | None, outcome: policy.Outcome) -> None:
         """The connection is gone: what had not left provably never ran, the rest may have."""
-        sent = stream.sent if stream is not None else 0
+        sent_bytes = stream.sent if stream is not None else 0
         self.stream = self._task = None
-        out, self.out, self._waiting = self.out, {}, []
-        for key, attempt in out.items():
-            never = attempt.starts is None or attempt.starts >= sent
-            self.owner.on_attempt_result(self.node, key, policy.Outcome.UNREACHABLE if never else ended, None)
+        in_flight = self.in_flight
+        self.in_flight = {}
+        self._waiting = []
+        for key, attempt in in_flight.items():
+            is_unsent = attempt.starts is None or attempt.starts >= sent_bytes
+            self.owner.on_attempt_result(
+                self.node, key, policy.Outcome.UNREACHABLE if is_unsent else outcome, None
+            )
         for number in list(self._probes):
-            self._probe_over(number, ended)
+            self._probe_over(number, outcome)
         if stream is not None:
-            stream.abort() if out else stream.close()
+            stream.abort() if in_flight else stream.close()
 
     def _probe_over(self, number: int, outcome: policy.Outcome) -> None:
         timer = self._probes.pop(number, None)
--- a/heathwell/broker/host_pool.py
+++ b/heathwell/broker/host_pool.py
@@ -63,12 +63,12 @@
 
     def send(self, parts: list[frames.PartRequest]) -> None:
         """Send attempts in one call; each will end once."""
-        link = min([self.first, *self.more], key=lambda link: len(link.out))
+        link = min([self.first, *self.more], key=lambda link: len(link.in_flight))
         held = 1 + len(self.more) + len(self.closing) + self.waits
-        if len(link.out) >= self.busy and held < self.most and self.take():
+        if len(link.in_flight) >= self.busy and held < self.most and self.take():
             link = self._open()
         if len(self._where) > WHERE_MOST:
-            self._where = {key: where for key, where in self._where.items() if key in where.out}
+            self._where = {key: where for key, where in self._where.items() if key in where.in_flight}
         for ask in parts:
             self._where[ask.id, ask.seq] = link
         link.send(parts)
@@ -99,12 +99,12 @@
 
     def shrink(self, units: int) -> None:
         """Let go of so many further connections, each as soon as it has nothing out."""
-        for link in sorted(self.more, key=lambda link: len(link.out))[
+        for link in sorted(self.more, key=lambda link: len(link.in_flight))[
             : max(0, units - len(self.closing) - self.waits)
         ]:
             self.more.remove(link)
             self.closing.append(link)
-        for link in [link for link in self.closing if not link.out]:
+        for link in [link for link in self.closing if not link.in_flight]:
             link.close()
 
     def drop(self, units: int) -> None:
--- a/heathwell/broker/key_spaces.py
+++ b/heathwell/broker/key_spaces.py
@@ -17,7 +17,7 @@
 from heathwell.settings import ServiceSettings
 from heathwell.settings.schema import KeySpace
 
-TOP_ROWS = 10
+MAXIMUM_SEARCH_RESULTS = 10
 TOKEN_MARK = "@~"  # before a token at a key's end
 _json = msgspec.json.Decoder(dict[str, Any])
 
@@ -27,8 +27,8 @@
     return zlib.crc32(name.encode()) % shards
 
 
-def rows_of(first: int, count: int, shards: int) -> list[int]:
-    """Shards in a row, each once."""
+def consecutive_shards(first: int, count: int, shards: int) -> list[int]:
+    """Return ``count`` shards from ``first`` on, wrapping round, each once."""
     return [(first + step) % shards for step in range(min(count, shards))]
 
 
@@ -64,7 +64,7 @@
         return Plan(self._classes[space.query_class], space.shape, zlib.crc32(trader.encode()), key, (part,))
 
     def _search(self, space: KeySpace, key: str, rest: str) -> Plan:
-        shards = rows_of(place(rest, self.shards), space.parts, self.shards)
+        shards = consecutive_shards(place(rest, self.shards), space.parts, self.shards)
         parts = tuple(PartPlan(shard, 1 / len(shards), "search", rest) for shard in shards)
         return Plan(self._classes[space.query_class], space.shape, zlib.crc32(rest.encode()), key, parts)
 
@@ -75,7 +75,7 @@
             return None
         holders: dict[int, list[str]] = {}
         for trader in traders:
-            for shard in rows_of(place(trader, self.shards), space.report_parts, self.shards):
+            for shard in consecutive_shards(place(trader, self.shards), space.report_parts, self.shards):
                 holders.setdefault(shard, []).append(trader)
         parts = tuple(
             PartPlan(shard, 1 / len(holders), "totals", ",".join(held) + ":" + day)
@@ -100,7 +100,7 @@
     if shape == "search":
         rows = [row for head in heads for row in head["rows"]]
         rows.sort(key=lambda row: (row["price"], row["id"]))
-        return {"rows": rows[:TOP_ROWS], "found": len(rows)}
+        return {"rows": rows[:MAXIMUM_SEARCH_RESULTS], "found": len(rows)}
     totals: dict[str, int] = {"count": 0, "cents": 0}
     for head in heads:
         for name in totals:
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -391,7 +391,7 @@
             self.fair_admission.on_part_answered(self._sent_at_us.get(key), result.work_us)
         self.search_answers.on_part_answered(query, result)
 
-    def bound(self, node: str, key: Key, best: list[float]) -> None:
+    def on_score_bound(self, node: str, key: Key, best: list[float]) -> None:
         """Take in how good an attempt's rows can be at best, as its endpoint says."""
         query = self.parts.get(key[0])
         if query is not None:
@@ -431,7 +431,7 @@
         """Counts for nothing but as a sign that the way to the host is open."""
         self.restrictions.on_late_answer(node)
 
-    def said_draining(self, node: str) -> None:
+    def on_endpoint_draining(self, node: str) -> None:
         """A host tells its drain on the connection, before discovery does."""
         known = self.aggregator.endpoints.get(node)
         if known is not None:
@@ -563,7 +563,7 @@
         """Whether they have a unit for this attempt, which is used."""
         return self.quota_gate is None or self.quota_gate.acquire(send, key)
 
-    def waited(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
+    def parts_to_send(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
         """What waited for its connection may leave while the share that it was taken from has not run out."""
         if self.quota_gate is None:
             return parts
--- a/heathwell/broker/service_statistics.py
+++ b/heathwell/broker/service_statistics.py
@@ -1,5 +1,6 @@
-"""What a broker did for its clients, by class, for those who compare brokers: retries count with their first
-try.
+"""What a broker did for its clients, by query class, so that brokers can be compared.
+
+A retry counts with its first attempt.
 """
 
 from __future__ import annotations
@@ -13,52 +14,59 @@
 from heathwell import policy
 from heathwell.broker.replies import ANSWERED, MISS, REFUSED, Reply
 
-KEPT = 4_096  # first tries that a retry is recognised by
-FIGURES = ("asked", "worth", "in_aim", "refused", "failed", "partial")
+MAXIMUM_FIRST_ATTEMPTS = 4_096  # remembered, to recognise retries
+COUNTER_NAMES = ("asked", "worth", "in_aim", "refused", "failed", "partial")
 
 
 class ServiceStatistics:
-    """Sums since the start. A query's worth is its share of a whole answer in its aim, as its class says. It
-    is counted as it ends, so that worth and queries of a span are of the same ones.
+    """Sums since the start, under the names that the statistics page has.
+
+    ``worth`` is the weight that its class gives a query's reply: 1 for a complete one within the latency
+    objective, less for a late or partial one. It is added when the query ends, so that the weights and the
+    number of queries in an interval are of the same queries.
     """
 
     def __init__(self, classes: tuple[policy.QueryClass, ...]) -> None:
         self.classes = {spec.name: spec for spec in classes}
-        self.sums: dict[str, dict[str, float]] = {spec.name: dict.fromkeys(FIGURES, 0.0) for spec in classes}
+        self.sums: dict[str, dict[str, float]] = {
+            spec.name: dict.fromkeys(COUNTER_NAMES, 0.0) for spec in classes
+        }
         self._first: OrderedDict[tuple[str, str], tuple[int, float]] = (
             OrderedDict()
-        )  # when it came, and its worth yet
+        )  # when it arrived, and the weight added so far
 
     def asked(self, now: int, who: str, key: str, query_class: str) -> None:
-        """A query came in; the same of the same client within its class's limit is a retry of the first."""
+        """Record a query's arrival; the same from the same client within the class's timeout is a retry."""
         first = self._first.get((who, key))
         if first is not None and now - first[0] <= self.classes[query_class].timeout_us:
             return
         self._first.pop((who, key), None)
         self._first[who, key] = now, -1.0
-        while len(self._first) > KEPT:
+        while len(self._first) > MAXIMUM_FIRST_ATTEMPTS:
             self._first.popitem(last=False)
 
     def ended(self, now: int, who: str, key: str, reply: Reply) -> None:
-        """Its reply, also one at the door. A retry adds what it brought beyond the try before."""
-        spec, sums = self.classes[reply.query_class], self.sums[reply.query_class]
-        began, given = self._first.get((who, key), (now, -1.0))
-        sums["asked"] += given < 0
-        worth, in_aim = 0.0, now - began <= spec.latency_objective_us
+        """Record a reply, also a rejection at admission; a retry adds what it gained beyond earlier ones."""
+        query_class = self.classes[reply.query_class]
+        sums = self.sums[reply.query_class]
+        arrived_at_us, credited = self._first.get((who, key), (now, -1.0))
+        sums["asked"] += credited < 0
+        weight = 0.0
+        within_objective = now - arrived_at_us <= query_class.latency_objective_us
         if reply.kind not in (ANSWERED, MISS):
             sums["refused" if reply.kind == REFUSED else "failed"] += 1
         else:
-            worth = 1.0 if in_aim else spec.late_weight
+            weight = 1.0 if within_objective else query_class.late_weight
             if not reply.complete and reply.kind == ANSWERED:
                 sums["partial"] += 1
-                worth *= spec.partial_weight
-            sums["in_aim"] += in_aim
-        sums["worth"] += max(0.0, worth - max(given, 0.0))
+                weight *= query_class.partial_weight
+            sums["in_aim"] += within_objective
+        sums["worth"] += max(0.0, weight - max(credited, 0.0))
         if (who, key) in self._first:
-            self._first[who, key] = began, max(worth, given)
+            self._first[who, key] = arrived_at_us, max(weight, credited)
 
     def page(self) -> dict[str, Any]:
-        """For the machine's agent: sums by class, processor (us) and memory (bytes) of this process."""
+        """Return sums by class, processor time (us) and memory (bytes), for the node agent."""
         pages = int(Path("/proc/self/statm").read_text().split()[1])
         return {
             "classes": self.sums,
--- a/heathwell/broker/source_clock.py
+++ b/heathwell/broker/source_clock.py
@@ -1,4 +1,4 @@
-"""Asks the source for its time now and then, and hands the samples to the bounds."""
+"""Samples the source's clock at intervals, for the bounds on its offset."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 from heathwell.freshness import SourceClock
 from heathwell.kernel import ConnectFailed, Coro, Loop, Net, Stream, StreamBroken, Task, sleep
 
-ANSWER_MOST_US = 2_000_000  # a slower answer says too little to be worth keeping
-FIRST_SAMPLES = 4  # at once, so that the tightest of a few bounds the first answers
+MAXIMUM_ROUND_TRIP_US = 2_000_000  # a slower reply bounds the clock too loosely to be used
+FIRST_SAMPLES = 4  # in quick succession, so that the first bound is the tightest of a few
 
 
 class SourceClockClient:
-    """Keeps one connection to the source; while it is lost the bounds widen by drift alone."""
+    """Keeps one connection to the source; while there is none, the bounds widen by drift alone."""
 
     def __init__(
         self,
@@ -26,14 +26,19 @@
         clock: SourceClock,
         log: Callable[..., None],
     ) -> None:
-        self.loop, self.net, self.address, self.name = loop, net, address, name
-        self.every, self.clock, self.log = every, clock, log
-        self._sent: dict[int, int] = {}
-        self._number = 0
+        self.loop = loop
+        self.net = net
+        self.address = address
+        self.name = name
+        self.every = every
+        self.clock = clock
+        self.log = log
+        self._sent_at_us: dict[int, int] = {}
+        self._request_number = 0
         self._task: Task = loop.spawn(self._run(), "source clock")
 
     def close(self) -> None:
-        """Ask no more."""
+        """Close the connection and send no more requests."""
         self._task.cancel()
 
     def _run(self) -> Coro[None]:
@@ -42,33 +47,36 @@
             try:
                 stream = yield from self.net.connect(self.address, 1_000_000)
                 stream.write(frames.encode(frames.Hello(frames.VERSION, self.name, "broker")))
-                asker = self.loop.spawn(self._ask(stream), "source clock asks", parent=self._task)
+                requests = self.loop.spawn(
+                    self._send_requests(stream), "source clock asks", parent=self._task
+                )
                 try:
-                    yield from inner_protocol.listen(stream, self._heard)
+                    yield from inner_protocol.listen(stream, self._on_message)
                 finally:
-                    asker.cancel()
-            except (ConnectFailed, StreamBroken, frames.FrameError) as problem:
-                self.log("info", "source's clock not to be had", why=str(problem))
+                    requests.cancel()
+            except (ConnectFailed, StreamBroken, frames.FrameError) as error:
+                self.log("info", "source's clock not to be had", why=str(error))
             finally:
                 if stream is not None:
                     stream.abort()
             yield from sleep(self.loop, self.every)
 
-    def _ask(self, stream: Stream) -> Coro[None]:
-        asked = 0
+    def _send_requests(self, stream: Stream) -> Coro[None]:
+        request_count = 0
         while not stream.closed:
-            self._number += 1
-            asked += 1
-            self._sent = {self._number: self.loop.now()}
+            self._request_number += 1
+            request_count += 1
+            self._sent_at_us = {self._request_number: self.loop.now()}
             try:
-                stream.write(frames.encode(frames.ClockRequest(self._number)))
+                stream.write(frames.encode(frames.ClockRequest(self._request_number)))
             except StreamBroken:
                 return
-            yield from sleep(self.loop, self.every if asked >= FIRST_SAMPLES else self.every // 20)
+            yield from sleep(self.loop, self.every if request_count >= FIRST_SAMPLES else self.every // 20)
 
-    def _heard(self, message: frames.AnyMessage) -> None:
+    def _on_message(self, message: frames.AnyMessage) -> None:
         if isinstance(message, frames.ClockReply):
-            sent, now = self._sent.pop(message.n, None), self.loop.now()
-            if sent is not None and now - sent <= ANSWER_MOST_US:
-                if not self.clock.add(sent, now, message.source_us):
+            sent_at_us = self._sent_at_us.pop(message.n, None)
+            now_us = self.loop.now()
+            if sent_at_us is not None and now_us - sent_at_us <= MAXIMUM_ROUND_TRIP_US:
+                if not self.clock.add(sent_at_us, now_us, message.source_us):
                     self.log("warning", "source's clock contradicts itself", source=message.source_us)
--- a/heathwell/fronts/vector.py
+++ b/heathwell/fronts/vector.py
@@ -18,7 +18,7 @@
 from heathwell import __version__
 from heathwell.admission.cost import cut_batch, search_figures
 from heathwell.broker.driver import Handle
-from heathwell.broker.key_spaces import place, rows_of
+from heathwell.broker.key_spaces import consecutive_shards, place
 from heathwell.broker.records import PartPlan, Plan, SearchPlan
 from heathwell.broker.replies import ANSWERED, REFUSED, Reply
 from heathwell.broker.service_broker import ServiceBroker
@@ -102,7 +102,7 @@
     def shards(self, spec: Collection) -> list[int]:
         """The shards that a collection lies on."""
         fleet = self.broker.service_settings.fleet
-        return rows_of(place(spec.name, fleet.shards), spec.parts or fleet.shards, fleet.shards)
+        return consecutive_shards(place(spec.name, fleet.shards), spec.parts or fleet.shards, fleet.shards)
 
 
 class Connection:
