--- a/heathwell/broker/host_pool.py
+++ b/heathwell/broker/host_pool.py
@@ -10,7 +10,8 @@
 
 from collections.abc import Callable
 
-from heathwell.broker.host_link import HostLink, Key
+from heathwell.broker.driver_contract import AttemptKey
+from heathwell.broker.host_link import HostLink
 from heathwell.codec import frames
 from heathwell.kernel import Loop
 
@@ -40,7 +41,7 @@
         self.closing: list[HostLink] = []  # no new parts: they end with what they have
         self.waits = 0  # units of connections whose end the host may not have seen
         self._late = 0
-        self._where: dict[Key, HostLink] = {}
+        self._where: dict[AttemptKey, HostLink] = {}
 
     @property
     def node(self) -> str:
@@ -63,12 +64,12 @@
 
     def send(self, parts: list[frames.PartRequest]) -> None:
         """Send attempts in one call; each will end once."""
-        link = min([self.first, *self.more], key=lambda link: len(link.out))
+        link = min([self.first, *self.more], key=lambda link: len(link.in_flight))
         held = 1 + len(self.more) + len(self.closing) + self.waits
-        if len(link.out) >= self.busy and held < self.most and self.take():
+        if len(link.in_flight) >= self.busy and held < self.most and self.take():
             link = self._open()
         if len(self._where) > WHERE_MOST:
-            self._where = {key: where for key, where in self._where.items() if key in where.out}
+            self._where = {key: where for key, where in self._where.items() if key in where.in_flight}
         for ask in parts:
             self._where[ask.id, ask.seq] = link
         link.send(parts)
@@ -99,12 +100,12 @@
 
     def shrink(self, units: int) -> None:
         """Let go of so many further connections, each as soon as it has nothing out."""
-        for link in sorted(self.more, key=lambda link: len(link.out))[
+        for link in sorted(self.more, key=lambda link: len(link.in_flight))[
             : max(0, units - len(self.closing) - self.waits)
         ]:
             self.more.remove(link)
             self.closing.append(link)
-        for link in [link for link in self.closing if not link.out]:
+        for link in [link for link in self.closing if not link.in_flight]:
             link.close()
 
     def drop(self, units: int) -> None:
@@ -112,12 +113,12 @@
         for link in [*self.closing, *self.more][:units]:
             link.close()
 
-    def abandon(self, key: Key) -> bool:
+    def abandon(self, key: AttemptKey) -> bool:
         """Stop waiting for an attempt; true if it was out."""
         link = self._where.pop(key, None)
         return link is not None and link.abandon(key)
 
-    def withdraw(self, key: Key) -> bool:
+    def withdraw(self, key: AttemptKey) -> bool:
         """Take back an attempt that is not written yet."""
         link = self._where.get(key)
         return link is not None and link.withdraw(key)
--- a/heathwell/broker/service_broker.py
+++ b/heathwell/broker/service_broker.py
@@ -393,7 +393,7 @@
             self.fair_admission.on_part_answered(self._sent_at_us.get(key), result.work_us)
         self.search_answers.on_part_answered(query, result)
 
-    def bound(self, node: str, key: AttemptKey, best: list[float]) -> None:
+    def on_score_bound(self, node: str, key: AttemptKey, best: list[float]) -> None:
         """Take in how good an attempt's rows can be at best, as its endpoint says."""
         query = self.parts.get(key[0])
         if query is not None:
@@ -433,7 +433,7 @@
         """Counts for nothing but as a sign that the way to the host is open."""
         self.restrictions.on_late_answer(node)
 
-    def said_draining(self, node: str) -> None:
+    def on_endpoint_draining(self, node: str) -> None:
         """A host tells its drain on the connection, before discovery does."""
         known = self.aggregator.endpoints.get(node)
         if known is not None:
@@ -565,7 +565,7 @@
         """Whether they have a unit for this attempt, which is used."""
         return self.quota_gate is None or self.quota_gate.acquire(send, key)
 
-    def waited(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
+    def parts_to_send(self, node: str, parts: list[frames.PartRequest]) -> list[frames.PartRequest]:
         """What waited for its connection may leave while the share that it was taken from has not run out."""
         if self.quota_gate is None:
             return parts
