--- a/heathwell/broker/host_pool.py
+++ b/heathwell/broker/host_pool.py
@@ -34,8 +34,13 @@
         take: Callable[[], bool],
         give_back: Callable[[], None],
     ) -> None:
-        self.loop, self.make, self.most, self.busy, self.linger_us = loop, make, most, busy, linger_us
-        self.take, self.give_back = take, give_back
+        self.loop = loop
+        self.make = make
+        self.most = most
+        self.busy = busy
+        self.linger_us = linger_us
+        self.take = take
+        self.give_back = give_back
         self.first = make(lambda _seen: None)
         self.more: list[HostLink] = []
         self.closing: list[HostLink] = []  # no new parts: they end with what they have
--- a/heathwell/broker/idle_connections.py
+++ b/heathwell/broker/idle_connections.py
@@ -11,7 +11,10 @@
     """Closes what has rested for ``span_us``; ``busy`` says whether anybody waits for something there."""
 
     def __init__(self, loop: Loop, span_us: int, busy: Callable[[], bool], close: Callable[[], None]) -> None:
-        self._loop, self._span, self._busy, self._close = loop, span_us, busy, close
+        self._loop = loop
+        self._span = span_us
+        self._busy = busy
+        self._close = close
         self._since = loop.now()
         self._timer: Timer | None = None
 
@@ -26,7 +29,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._busy, self._close = _always, _nothing
+        self._busy = _always
+        self._close = _nothing
 
     def _look(self) -> None:
         self._timer = None
--- a/heathwell/broker/records.py
+++ b/heathwell/broker/records.py
@@ -61,7 +61,9 @@
 
 def module_settings(service_settings: ServiceSettings, zone: int, siblings: int) -> policy.Settings:
     """The decision module's settings from the file's."""
-    rules, limits, fleet = service_settings.rules, service_settings.limits, service_settings.fleet
+    rules = service_settings.rules
+    limits = service_settings.limits
+    fleet = service_settings.fleet
     return policy.Settings(
         classes=tuple(
             policy.QueryClass(
--- a/heathwell/broker/replies.py
+++ b/heathwell/broker/replies.py
@@ -8,7 +8,10 @@
 
 from heathwell.coverage import Cover
 
-ANSWERED, REFUSED, FAILED, MISS = "answered", "refused", "failed", "miss"
+ANSWERED = "answered"
+REFUSED = "refused"
+FAILED = "failed"
+MISS = "miss"
 
 
 @dataclass(frozen=True, slots=True)
