Fleet agent: a holder's quota is read before its grants are listed

Seen in tests/test_fleet_processes.py::test_an_operator_sees_members_and_budgets, which failed twice of two. Result: tests/test_fleet_processes.py passes.

--- a/heathwell/fleet/control/fleet_agent.py
+++ b/heathwell/fleet/control/fleet_agent.py
@@ -239,8 +239,8 @@
         """
         if not self.events.on:
             return
-        expiries_at_us = (grant.expires_at_us for grant in holder.grants.values())
-        state = (holder.quota(now), holder.in_use, *expiries_at_us)
+        quota = holder.quota(now)  # first: it drops the grants that have run out
+        state = (quota, holder.in_use, *(grant.expires_at_us for grant in holder.grants.values()))
         if self._logged_states.get(name) == state:
             return
         self._logged_states[name] = state
