--- a/review/standins.py
+++ b/review/standins.py
@@ -416,7 +416,11 @@
 
 def run_case(folder: Path, play: Callable[[Record, bool], object], limit_s: float = 110.0) -> int:
     """Run a case and return its exit code; ``play`` is a coroutine that returns what broke the rule."""
-    record = Record(folder)
+    try:
+        record = Record(folder)
+    except OSError as problem:
+        print(f"could not run: {problem!r}")
+        return NOT_RUN
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the broker is ended, too
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("run begins", trouble=int(trouble))
