Event loop: a read request is kept though its idle connection is closed twice in a turn

Cause: Stream.close_unless_readable takes bytes from the transport into a buffer and wakes the reader; a second call before the reader has run found the transport empty and closed the stream over that buffer. Front._make_room calls it for the same oldest idle clients for each new connection; the other closers (idle timeout, limit of idle connections, shutdown) do likewise.

Fix: a stream whose buffer holds bytes is not closed by close_unless_readable. The reader, which has been woken, gets them in the same turn or the next, and the buffer holds at most one read. This holds for every caller and both transports.

Tests before the fix: all 16 pairs of causes of test_a_request_in_the_socket_as_its_idle_connection_is_to_close_is_served, test_no_request_is_dropped_while_idle_clients_occupy_all_connections and test_a_second_conditional_close_keeps_the_bytes_that_the_first_has_read (sockets and memory) failed; the four single causes passed. The two tests on idle connections moved to a file of their own, with the same checks.

--- a/heathwell/eventloop/net.py
+++ b/heathwell/eventloop/net.py
@@ -47,7 +47,7 @@
         self._reader: Task[object] | None = None
         self._drainers: list[Task[object]] = []
         self._chunks: deque[bytes] = deque()
-        self._unread: deque[bytes] = deque()
+        self._unread: deque[bytes] = deque()  # taken from the transport, and not returned by `read` yet
         self._consecutive_reads = 0
         self._linger_until_us = 0
 
@@ -144,10 +144,12 @@
     def close_unless_readable(self) -> bool:
         """Close the stream unless received bytes are unread: those are passed to its reader.
 
-        Return whether the stream is closed or broken.
+        Return whether the stream is closed or broken. Until the reader has run, further calls return false.
         """
         if self.closed:
             return True
+        if self._unread:
+            return False
         try:
             data = self._poll_transport()
         except StreamBrokenError:
--- a/tests/test_event_orderings.py
+++ b/tests/test_event_orderings.py
@@ -1,5 +1,5 @@
-"""Concurrent events in a forced order: parts that wait to be sent, clients that disconnect, idle connections,
-updates of the endpoint list, and shutdown. What nodes and clients receive is checked.
+"""Concurrent events in a forced order: parts that wait to be sent, clients that disconnect, updates of the
+endpoint list, and shutdown. What nodes and clients receive is checked.
 """
 
 from __future__ import annotations
@@ -24,7 +24,6 @@
 
 SHARD: Final = 3  # node 3 is its only replica where the width is one
 NEVER_US: Final = 1 << 50
-LONG_AGO_US: Final = -(1 << 60)
 
 
 @pytest.fixture
@@ -362,79 +361,7 @@
     assert ended == [("q2.3", policy.Outcome.NEVER_SENT)]  # it was not written completely
 
 
-# Idle connections.
-
-
-def serve_one_request(world, sock):
-    """Send a request, read its response and leave the connection idle."""
-    sock.send(world.request_bytes("q1", SHARD))
-    yield from world.wait_until(lambda: world.front.kept_alive)
-    sock.recv(65_536)
-
-
-@pytest.mark.parametrize("cause", ["shutdown", "idle timeout", "too many idle connections", "new connection"])
-def test_a_request_in_the_socket_as_its_idle_connection_is_to_close_is_served(cause):
-    """The broker has not read the request yet. If it closed the connection, the client would have to retry,
-    during shutdown at another broker.
-    """
-    world = World()
-
-    def main():
-        sock = world.open_client_socket()
-        yield from serve_one_request(world, sock)
-        (client,) = world.front.clients
-        if cause == "idle timeout":
-            client.since_us = LONG_AGO_US
-        if cause == "too many idle connections":
-            world.front.max_kept_alive = 0
-        if cause == "new connection":
-            world.front.max_clients = 1
-        sock.send(world.request_bytes("q2", SHARD))  # the broker does not run between here and the close
-        if cause == "shutdown":
-            world.front.drain()
-            world.front.close_idle()
-        elif cause == "idle timeout":
-            world.front._check_timeouts()
-        elif cause == "too many idle connections":
-            world.front.on_answered(client)
-        else:
-            assert not world.front._make_room()
-        assert not client.stream.closed
-        yield from world.wait_until(lambda: len(world.nodes[SHARD].parts) == 2)
-        data = b""
-        while b"\r\n\r\n" not in data:
-            try:
-                data += sock.recv(65_536)
-            except BlockingIOError:
-                yield from sleep(world.loop, 200)
-        return data
-
-    assert world.run(main()).startswith(b"HTTP/1.1 200")
-
-
-@pytest.mark.parametrize("cause", ["shutdown", "idle timeout", "too many idle connections", "new connection"])
-def test_an_idle_connection_with_nothing_in_its_socket_is_closed(cause):
-    """The causes of the close are the same four."""
-    world = World()
-
-    def main():
-        sock = world.open_client_socket()
-        yield from serve_one_request(world, sock)
-        (client,) = world.front.clients
-        if cause == "shutdown":
-            world.front.close_idle()
-        elif cause == "idle timeout":
-            client.since_us = LONG_AGO_US
-            world.front._check_timeouts()
-        elif cause == "too many idle connections":
-            world.front.max_kept_alive = 0
-            world.front.on_answered(client)
-        else:
-            assert world.front._make_room()
-        assert client.stream.closed
-        yield from sleep(world.loop, 0)
-
-    world.run(main())
+# Connections of nodes that end.
 
 
 @pytest.mark.parametrize("first", ["write", "end"])
--- /dev/null
+++ b/tests/test_event_orderings_idle_close.py
@@ -0,0 +1,146 @@
+"""Requests that arrive as the gateway is about to close their idle connection, in a forced order of events.
+
+The same for the memcached and the vector search server: ``test_event_orderings_servers.py``.
+"""
+
+from __future__ import annotations
+
+import itertools
+import socket
+from typing import Final
+
+import pytest
+
+from heathwell.eventloop import sleep
+
+from .event_ordering_world import World
+
+SHARD: Final = 3  # node 3 is its only replica where the width is one
+LONG_AGO_US: Final = -(1 << 60)
+CAUSES: Final = ("shutdown", "idle timeout", "too many idle connections", "new connection")
+
+
+def serve_one_request(world, sock, name="q1"):
+    """Send a request, read its response and leave the connection idle."""
+    kept_alive_count = len(world.front.kept_alive)
+    sock.send(world.request_bytes(name, SHARD))
+    yield from world.wait_until(lambda: len(world.front.kept_alive) > kept_alive_count)
+    sock.recv(65_536)
+
+
+def read_responses(world, sock, count=1):
+    """Return what a client reads up to the end of ``count`` response heads, or up to the connection's end."""
+    data = b""
+    while data.count(b"\r\n\r\n") < count:
+        try:
+            more = sock.recv(65_536)
+        except BlockingIOError:
+            yield from sleep(world.loop, 200)
+            continue
+        except ConnectionResetError:
+            return data + b"<reset>"
+        if not more:
+            return data + b"<closed>"
+        data += more
+    return data
+
+
+def prepare_close(world, client, cause):
+    """Make an idle client due to be closed for a cause."""
+    if cause == "idle timeout":
+        client.since_us = LONG_AGO_US
+    if cause == "too many idle connections":
+        world.front.max_kept_alive = 0
+    if cause == "new connection":
+        world.front.max_clients = 1
+    if cause == "shutdown":
+        world.front.drain()
+
+
+def close_idle_client(world, client, cause):
+    """Run the code that closes idle clients for a cause."""
+    if cause == "shutdown":
+        world.front.close_idle()
+    elif cause == "idle timeout":
+        world.front._check_timeouts()
+    elif cause == "too many idle connections":
+        world.front.on_answered(client)
+    else:
+        has_made_room = world.front._make_room()
+        assert has_made_room == client.stream.closed
+
+
+@pytest.mark.parametrize(
+    "causes",
+    [*itertools.product(CAUSES, repeat=1), *itertools.product(CAUSES, repeat=2)],
+    ids=" then ".join,
+)
+def test_a_request_in_the_socket_as_its_idle_connection_is_to_close_is_served(causes):
+    """Guards against dropping a request that the first of two closes in a turn has read from the socket.
+
+    The broker has not read the request before. If it closed the connection, the client would have to retry,
+    during shutdown at another broker.
+    """
+    world = World()
+
+    def main():
+        sock = world.open_client_socket()
+        yield from serve_one_request(world, sock)
+        (client,) = world.front.clients
+        for cause in causes:
+            prepare_close(world, client, cause)
+        sock.send(world.request_bytes("q2", SHARD))  # the broker does not run between here and the closes
+        for cause in causes:
+            close_idle_client(world, client, cause)
+        assert not client.stream.closed
+        yield from world.wait_until(lambda: len(world.nodes[SHARD].parts) == 2)
+        return (yield from read_responses(world, sock))
+
+    assert world.run(main()).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("cause", CAUSES)
+def test_an_idle_connection_with_nothing_in_its_socket_is_closed(cause):
+    """The causes of the close are the same four."""
+    world = World()
+
+    def main():
+        sock = world.open_client_socket()
+        yield from serve_one_request(world, sock)
+        (client,) = world.front.clients
+        prepare_close(world, client, cause)
+        close_idle_client(world, client, cause)
+        assert client.stream.closed
+        yield from sleep(world.loop, 0)
+
+    world.run(main())
+
+
+def test_no_request_is_dropped_while_idle_clients_occupy_all_connections():
+    """Guards against dropping a read request if several new connections need room in the same turn."""
+    world = World()
+    client_count = 4
+    world.front.max_clients = 2 * client_count
+    silent: list[socket.socket] = []
+
+    def main():
+        clients = [world.open_client_socket() for _ in range(client_count)]
+        for number, sock in enumerate(clients):
+            yield from serve_one_request(world, sock, f"first{number}")
+        silent.extend(world.open_client_socket() for _ in range(client_count))
+        yield from world.wait_until(lambda: len(world.front.clients) == world.front.max_clients)
+        # All of these arrive within one turn, the new connections before the requests.
+        silent.extend(world.open_client_socket() for _ in range(client_count))
+        for number, sock in enumerate(clients):
+            sock.send(world.request_bytes(f"second{number}", SHARD))
+        responses = []
+        for sock in clients:
+            responses.append((yield from read_responses(world, sock)))
+        return responses
+
+    try:
+        responses = world.run(main())
+    finally:
+        for sock in silent:
+            sock.close()
+    assert [response[:12] for response in responses] == [b"HTTP/1.1 200"] * 4
--- a/tests/test_eventloop.py
+++ b/tests/test_eventloop.py
@@ -95,6 +95,37 @@
     assert "too slowly" in errors[0]
 
 
+def connected_streams(loop, network):
+    """Return the client's and the server's end of a connection that no task reads."""
+    accepted = []
+
+    def keep(stream):
+        accepted.append(stream)
+        yield from sleep(loop, 60_000_000)
+
+    listener = network.listen("127.0.0.1:0", keep, "server")
+    client = yield from network.connect(listener.address, 1_000_000)
+    while not accepted:
+        yield from sleep(loop, 200)
+    return client, accepted[0]
+
+
+def test_a_second_conditional_close_keeps_the_bytes_that_the_first_has_read(loop_and_network):
+    """Guards against a close between the read from the transport and the turn of the stream's reader."""
+    loop, network = loop_and_network
+
+    def main():
+        client, server = yield from connected_streams(loop, network)
+        client.write(b"request")
+        yield from sleep(loop, 20_000)  # until the bytes have arrived
+        assert not server.close_unless_readable()
+        assert not server.close_unless_readable()
+        assert (yield from server.read()) == b"request"
+        assert server.close_unless_readable() and server.closed
+
+    run(loop, main())
+
+
 def test_cancellation_runs_cleanup_and_cancels_child_tasks(loop_and_network):
     loop, _network = loop_and_network
     cleaned_up = []
