Event loop: a reader pauses before it takes bytes, so that a close in the pause sees them

What callers would see: a connection that closes in order with no answer to a whole request, while its parts are sent.

Cause: after 16 reads in a row without a wait Stream.read took the next bytes, paused for a turn and returned them then. During the pause they were in neither the transport nor the stream's buffer, and close_unless_readable closed the stream.

Evidence: forced order, a close in each turn until the reader has all bytes: with 16 bytes read one by one the stream closed under the 16th, on sockets and on virtual time. Both cases of test_bytes_are_not_lost_to_a_close_while_the_reader_lets_other_tasks_run failed before (with 17 bytes they passed), all four pass now.

Fix: the pause comes before the read of the transport.

--- a/heathwell/eventloop/net.py
+++ b/heathwell/eventloop/net.py
@@ -81,15 +81,16 @@
 
     def read(self, size: int = READ_SIZE_BYTES) -> Coro[bytes]:
         """Return the next bytes, b"" at the end; raise :class:`StreamBrokenError` on a lost connection."""
+        if self._consecutive_reads >= MAX_CONSECUTIVE_READS:
+            self._consecutive_reads = 0
+            # Nothing has been taken: during the pause another task may close the stream if it is quiet.
+            yield from sleep(self.loop, 0)
         while True:
             if self.closed:
                 raise StreamBrokenError("the stream is closed")
             data = self._unread.popleft() if self._unread else self._receive(size)
             if data is not None:
                 self._consecutive_reads += 1
-                if self._consecutive_reads >= MAX_CONSECUTIVE_READS:
-                    self._consecutive_reads = 0
-                    yield from sleep(self.loop, 0)
                 return data
             self._consecutive_reads = 0
             yield self._park_reader
--- a/tests/test_eventloop.py
+++ b/tests/test_eventloop.py
@@ -21,6 +21,7 @@
     socket_loop,
     virtual_loop,
 )
+from heathwell.eventloop.net import MAX_CONSECUTIVE_READS
 
 
 def echo(stream):
@@ -126,6 +127,36 @@
     run(loop, main())
 
 
+@pytest.mark.parametrize("count", [MAX_CONSECUTIVE_READS, MAX_CONSECUTIVE_READS + 1])
+def test_bytes_are_not_lost_to_a_close_while_the_reader_lets_other_tasks_run(loop_and_network, count):
+    """Guards against a close between the read from the transport and the reader's next turn."""
+    loop, network = loop_and_network
+    received = bytearray()
+    closes = []
+
+    def read_bytes(stream):
+        while len(received) < count:
+            received.extend((yield from stream.read(1)))
+
+    def main():
+        client, server = yield from connected_streams(loop, network)
+        for _ in range(count):
+            client.write(b"x")
+        yield from sleep(loop, 20_000)  # until the bytes have arrived
+
+        def close_each_turn():
+            if len(received) < count:
+                closes.append(server.close_unless_readable())
+                loop.call_soon(close_each_turn)
+
+        reader = loop.spawn(read_bytes(server), "reader")
+        loop.call_soon(lambda: loop.call_soon(close_each_turn))  # after the reader's first turn
+        yield from reader.join()
+        assert not any(closes) and not server.closed
+
+    run(loop, main())
+
+
 def test_cancellation_runs_cleanup_and_cancels_child_tasks(loop_and_network):
     loop, _network = loop_and_network
     cleaned_up = []
