Gateway: a connection whose next request is in the parser's buffer isn't idle

What callers would see: two requests in one segment, an answer to the first that doesn't announce a close, and then the end of the connection (FIN); the second request was read and dropped. The platform's clients send one request at a time; others may pipeline.

Cause: Client._respond put the connection among the idle ones and parsed the buffered request a turn later. Another client's answer (on_answered) or a new connection (_make_room) could close it in between: they poll the socket, and the request is in the parser.

Evidence, forced orders: test_a_pipelined_request_is_served_as_an_answer_makes_its_connection_the_oldest_idle_one and test_a_request_pipelined_behind_a_health_check_is_served_if_a_new_connection_needs_room failed before (one answer, then the end), pass now.

Fix: with bytes in the parser's buffer the connection joins no queue of idle ones until they have been parsed.

--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -273,11 +273,12 @@
         self.since_us = self.loop.now()
         if side.closing:
             self.stream.close()
-            return
-        self.front.on_answered(self)
-        if side.has_partial_request:
+        elif side.has_partial_request:
+            # The next request has been read, at least in part, so that the connection isn't idle.
             self._arrived_at_us = self.since_us
             self.loop.call_soon(self._continue)
+        else:
+            self.front.on_answered(self)
 
     def _continue(self) -> None:
         """Dispatch the next request, of which bytes were read ahead, if it is complete."""
--- a/tests/test_event_orderings_idle_close.py
+++ b/tests/test_event_orderings_idle_close.py
@@ -12,11 +12,13 @@
 import pytest
 
 from heathwell.eventloop import sleep
+from heathwell.testing.standins.platform_frames import encode_answer
 
 from .event_ordering_world import World
 
 SHARD: Final = 3  # node 3 is its only replica where the width is one
 LONG_AGO_US: Final = -(1 << 60)
+HEALTH_CHECK: Final = b"GET /-/healthy HTTP/1.1\r\nHost: b\r\n\r\n"
 CAUSES: Final = ("shutdown", "idle timeout", "too many idle connections", "new connection")
 
 
@@ -144,3 +146,39 @@
         for sock in silent:
             sock.close()
     assert [response[:12] for response in responses] == [b"HTTP/1.1 200"] * 4
+
+
+def test_a_pipelined_request_is_served_as_an_answer_makes_its_connection_the_oldest_idle_one():
+    """Guards against dropping a request in the parser's buffer when another client is answered."""
+    world = World()
+    world.front.max_kept_alive = 1
+    held = world.hold_parts()
+
+    def main():
+        pipelining = world.open_client_socket()
+        other = world.open_client_socket()
+        pipelining.send(world.request_bytes("q1", SHARD) + world.request_bytes("q2", SHARD))
+        yield from world.wait_until(lambda: len(held) == 1)
+        other.send(world.request_bytes("q3", SHARD))
+        yield from world.wait_until(lambda: len(held) == 2)
+        world.answer_parts()
+        for call in held:  # both are answered in one turn, the pipelining client first
+            call.stream.write(encode_answer(call.part, 200))
+        return (yield from read_responses(world, pipelining, 2))
+
+    assert world.run(main()).count(b"HTTP/1.1 200") == 2
+
+
+def test_a_request_pipelined_behind_a_health_check_is_served_if_a_new_connection_needs_room():
+    """Guards against dropping a request in the parser's buffer before the turn in which it is parsed."""
+    world = World()
+    world.front.max_clients = 1
+
+    def main():
+        pipelining = world.open_client_socket()
+        yield from world.wait_until(lambda: world.broker.ready and world.front.clients)
+        pipelining.send(HEALTH_CHECK + world.request_bytes("q1", SHARD))
+        with world.open_client_socket():  # arrives in the same turn, behind the requests
+            return (yield from read_responses(world, pipelining, 2))
+
+    assert world.run(main()).count(b"HTTP/1.1 200") == 2
