Servers: during shutdown a connection closes with the answer to the last request that was read

What callers would see: after SIGTERM, of requests that were pipelined and read only the first was answered; the connection closed over the others. The vector search server did the same while it stops, or drains clients because it is cut off.

Cause: the answer announced the close without regard to bytes in the parser's buffer, or read ahead and not parsed.

Evidence: test_pipelined_requests_that_have_been_read_are_answered_during_shutdown (gateway) and test_pipelined_vector_requests_that_have_been_read_are_answered_before_the_close (shutdown and drain) failed before: one answer of two. All pass now, and one answer, the last, announces the close.

Fix: the close is announced only if nothing has been read behind the request. The time of the shutdown bounds it as before.

--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -82,7 +82,7 @@
             client.on_connection_lost()
 
     def drain(self) -> None:
-        """Close each connection with its next response from now on."""
+        """From now on, close each connection with the response to the last request that has been read."""
         self.draining = True
 
     def close_idle(self) -> None:
@@ -265,7 +265,8 @@
             return
         self.busy = False
         self._answered.set()
-        side.closing = side.closing or self.front.draining
+        if self.front.draining and not side.has_partial_request:
+            side.closing = True
         try:
             self.stream.write(side.respond(response))
         except StreamBrokenError:
--- a/heathwell/servers/vector_connection.py
+++ b/heathwell/servers/vector_connection.py
@@ -133,7 +133,8 @@
             response = answers.error_response(api.ApiError(message.status, message.body.decode().strip()), 0)
         else:
             response = yield from self._answer(message)
-        if self.closes_with_answer or self._server.broker.stopping:
+        is_draining = self.closes_with_answer or self._server.broker.stopping
+        if is_draining and not self._is_receiving:
             self._protocol.closing = True
         self._timeout_started_at_us = self.loop.now()
         self.stream.write(self._protocol.respond(response))
--- a/tests/test_event_orderings_idle_close.py
+++ b/tests/test_event_orderings_idle_close.py
@@ -182,3 +182,22 @@
             return (yield from read_responses(world, pipelining, 2))
 
     assert world.run(main()).count(b"HTTP/1.1 200") == 2
+
+
+def test_pipelined_requests_that_have_been_read_are_answered_during_shutdown():
+    """Guards against closing with the answer to the first of them; the last answer announces the close."""
+    world = World()
+    held = world.hold_parts()
+
+    def main():
+        sock = world.open_client_socket()
+        sock.send(world.request_bytes("q1", SHARD) + world.request_bytes("q2", SHARD))
+        yield from world.wait_until(lambda: len(held) == 1)
+        world.front.drain()
+        world.answer_parts()
+        held[0].stream.write(encode_answer(held[0].part, 200))
+        return (yield from read_responses(world, sock, 3))  # there are two, and then the end
+
+    data = world.run(main())
+    assert data.count(b"HTTP/1.1 200") == 2 and data.endswith(b"<closed>")
+    assert data.lower().count(b"connection: close") == 1
--- a/tests/test_event_orderings_servers.py
+++ b/tests/test_event_orderings_servers.py
@@ -216,3 +216,24 @@
         assert data == b"<closed>"
 
     servers.run(main())
+
+
+@pytest.mark.parametrize("reason", ["shutdown", "drain"])
+def test_pipelined_vector_requests_that_have_been_read_are_answered_before_the_close(reason):
+    """Guards against closing with the answer to the first of them; the last answer announces the close."""
+    servers = Servers()
+    clients = Vector(servers)
+
+    def main():
+        sock = servers.connect(clients.address)
+        yield from servers.wait_until(clients.connections)
+        if reason == "shutdown":
+            clients.server.broker.stopping = True
+        else:
+            clients.connections()[0].closes_with_answer = True
+        sock.send(COLLECTIONS * 2)
+        data = yield from servers.received(sock, b"<the end of the connection>")
+        assert data.count(b"HTTP/1.1 200") == 2 and data.endswith(b"<closed>")
+        assert data.lower().count(b"connection: close") == 1
+
+    servers.run(main())
