Gateway: a connection whose request is arriving isn't closed for a new one

What callers would see: a reset under a request of which the broker had read the first part and whose rest had arrived, while new connections come at the limit of clients.

Cause: Front._make_room closed the oldest connection with an incomplete request without polling its socket, as it does for idle ones; the task of a new connection runs ahead of the reader.

Evidence, forced order: test_a_request_whose_last_bytes_are_in_the_socket_is_served_if_a_new_connection_needs_room failed before (the connection was closed), passes now. test_a_partly_received_request_makes_room_for_a_new_connection passed before and does now.

Fix: both kinds go through close_unless_readable; up to eight of each are tried, as a readable one is passed over.

--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -26,7 +26,7 @@
 REQUEST_TIMEOUT_US = 2_500_000
 FIRST_REQUEST_TIMEOUT_US = 2_100_000  # idle timeout of a connection that never sent a request
 IDLE_TIMEOUT_US = 8_000_000  # idle timeout of a connection that has been answered
-MAX_EVICTION_CANDIDATES = 8  # idle connections examined to make room for a new one
+MAX_EVICTION_CANDIDATES = 8  # connections of each kind examined to make room for a new one
 # During shutdown the first request of a connection younger than this may still be in transit.
 NEW_CONNECTION_US = 200_000
 LINGER_US = 800_000  # delay between an error and the close, so that the client can read the error
@@ -93,13 +93,17 @@
                 client.stream.close_unless_readable()
 
     def _make_room(self) -> bool:
-        for victim in [*islice(self.inactive, MAX_EVICTION_CANDIDATES), *islice(self.receiving, 1)]:
-            is_idle = victim in self.inactive and not victim.failed
-            if is_idle and not victim.stream.close_unless_readable():
-                continue  # its next request has arrived
+        """Close an idle connection or else one with an incomplete request; return whether one was closed."""
+        for victim in [
+            *islice(self.inactive, MAX_EVICTION_CANDIDATES),
+            *islice(self.receiving, MAX_EVICTION_CANDIDATES),
+        ]:
+            if victim.failed:
+                victim.stream.close()
+            elif not victim.stream.close_unless_readable():
+                continue  # its next request, or more of its incomplete one, has arrived
             self.counts["closed for another"] += 1
             self._forget(victim)
-            victim.stream.close()
             return True
         return False
 
--- a/tests/test_event_orderings_idle_close.py
+++ b/tests/test_event_orderings_idle_close.py
@@ -201,3 +201,37 @@
     data = world.run(main())
     assert data.count(b"HTTP/1.1 200") == 2 and data.endswith(b"<closed>")
     assert data.lower().count(b"connection: close") == 1
+
+
+def test_a_request_whose_last_bytes_are_in_the_socket_is_served_if_a_new_connection_needs_room():
+    """Guards against closing a connection with a partly read request although the rest has arrived."""
+    world = World()
+    world.front.max_clients = 1
+    request = world.request_bytes("q1", SHARD)
+
+    def main():
+        sock = world.open_client_socket()
+        sock.send(request[:-5])
+        yield from world.wait_until(lambda: world.front.receiving)
+        sock.send(request[-5:])  # the broker does not run between here and the close
+        assert not world.front._make_room()
+        return (yield from read_responses(world, sock))
+
+    assert world.run(main()).startswith(b"HTTP/1.1 200")
+
+
+def test_a_partly_received_request_makes_room_for_a_new_connection():
+    """A connection whose request does not go on is closed, the oldest first."""
+    world = World()
+    request = world.request_bytes("q1", SHARD)
+
+    def main():
+        socks = [world.open_client_socket() for _ in range(2)]
+        for count, sock in enumerate(socks, start=1):
+            sock.send(request[:-5])
+            yield from world.wait_until(lambda expected=count: len(world.front.receiving) == expected)
+        oldest, newest = world.front.clients
+        assert world.front._make_room()
+        return oldest.stream.closed, newest.stream.closed
+
+    assert world.run(main()) == (True, False)
