Servers: the guard against a second close stands in the stream alone

Need: ClientConnection kept a flag of its own against the fault that Stream.close_unless_readable had, and wrapped read() to clear it; the stream now holds for every caller, so that the flag stood twice.

Change: the flag and the wrapper are gone; close_if_idle is "idle, and nothing unread".

Result: tests/test_event_orderings_servers.py (one and two closes a turn, five closers of the two servers) passes unchanged.

--- a/heathwell/servers/client_connection.py
+++ b/heathwell/servers/client_connection.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from heathwell.eventloop import Coro, Stream
+from heathwell.eventloop import Stream
 from heathwell.service.retry_storms import ConnectionLimiter
 
 EXTRA_CONNECTIONS = 64  # accepted above the limit, so that they are rejected by a reply of the protocol
@@ -14,7 +14,7 @@
 
 
 class ClientConnection(ABC):
-    """A client's connection, read by a single task through :meth:`read`.
+    """A client's connection.
 
     The server closes idle connections through :meth:`close_if_idle` only, which loses no request that has
     arrived already.
@@ -24,31 +24,21 @@
         self.stream = stream
         self.number = number
         self.address = stream.peer.rpartition(":")[0]
-        self._has_unread_request = False
 
     @property
     @abstractmethod
     def is_idle(self) -> bool:
         """Whether no request is in progress or partly received, judged by the bytes read so far."""
 
-    def read(self) -> Coro[bytes]:
-        """Return the next bytes, b"" at the end; raise ``StreamBrokenError`` when the connection is lost."""
-        data = yield from self.stream.read()
-        self._has_unread_request = False
-        return data
-
     def close_if_idle(self) -> bool:
         """Close the connection if it is idle and return whether it is closed.
 
         The event loop runs timers and accepts clients before it resumes the reading task, so a request may be
         waiting in the socket: the socket is read once more, and a connection with unread bytes stays open.
         """
-        if self._has_unread_request or not self.is_idle:
+        if not self.is_idle:
             return self.stream.closed
-        if self.stream.close_unless_readable():
-            return True
-        self._has_unread_request = True
-        return False
+        return self.stream.close_unless_readable()
 
 
 ConnectionT = TypeVar("ConnectionT", bound=ClientConnection)
--- a/heathwell/servers/memcached_connection.py
+++ b/heathwell/servers/memcached_connection.py
@@ -110,7 +110,7 @@
         """Serve until the client ends its requests and each has been answered."""
         self.stream.on_close = self.on_connection_lost
         while not self._is_quitting:
-            data = yield from self.read()
+            data = yield from self.stream.read()
             if not data:
                 break
             for command in self._parser.feed(data):
--- a/heathwell/servers/vector_connection.py
+++ b/heathwell/servers/vector_connection.py
@@ -174,7 +174,7 @@
         while self._unparsed_bytes > MAX_READ_AHEAD_BYTES:
             self._has_capacity.clear()
             yield from self._has_capacity.wait()
-        return (yield from self.read())
+        return (yield from self.stream.read())
 
     def _parse_more(self) -> Coro[bool]:
         """Wait for bytes and pass them to the parser; return false at the end of the stream."""
