--- a/tests/event_ordering_world.py
+++ b/tests/event_ordering_world.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from heathwell.eventloop import ConnectError, Coro, Event, MonotonicClock, Stream, sleep, socket_loop
+from heathwell.eventloop import ConnectError, Coro, Event, Loop, MonotonicClock, Stream, sleep, socket_loop
 from heathwell.gateway.broker import PlatformBroker
 from heathwell.gateway.config import read
 from heathwell.gateway.front import Front
@@ -24,6 +24,7 @@
 from heathwell.testing.standins.platform_discovery import PlatformDiscovery
 from heathwell.testing.standins.platform_node import PlatformNode
 
+HEALTH_CHECK: Final = b"GET /-/healthy HTTP/1.1\r\nHost: b\r\n\r\n"
 MAX_LOOP_TURNS: Final = 20_000  # limit of a wait for a state, which takes a few seconds
 SETTINGS_VARIANTS: dict[str, dict[str, Any]] = {
     "poll mode": {},
@@ -305,6 +306,23 @@
         )
 
 
+def read_until(loop: Loop, sock: socket.socket, is_complete: Callable[[bytes], bool]) -> Coro[bytes]:
+    """Return what a client reads until it is complete, or up to a close or reset, which is marked."""
+    data = b""
+    while not is_complete(data):
+        try:
+            more = sock.recv(65_536)
+        except BlockingIOError:
+            yield from sleep(loop, 200)
+            continue
+        except ConnectionResetError:
+            return data + b"<reset>"
+        if not more:
+            return data + b"<closed>"
+        data += more
+    return data
+
+
 def reset(sock: socket.socket) -> None:
     """Close a socket with a TCP reset."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/test_event_orderings_idle_close.py
+++ b/tests/test_event_orderings_idle_close.py
@@ -14,11 +14,10 @@
 from heathwell.eventloop import sleep
 from heathwell.testing.standins.platform_frames import encode_answer
 
-from .event_ordering_world import World
+from .event_ordering_world import HEALTH_CHECK, World, read_until
 
 SHARD: Final = 3  # node 3 is its only replica where the width is one
 LONG_AGO_US: Final = -(1 << 60)
-HEALTH_CHECK: Final = b"GET /-/healthy HTTP/1.1\r\nHost: b\r\n\r\n"
 CAUSES: Final = ("shutdown", "idle timeout", "too many idle connections", "new connection")
 
 
@@ -32,19 +31,11 @@
 
 def read_responses(world, sock, count=1):
     """Return what a client reads up to the end of ``count`` response heads, or up to the connection's end."""
-    data = b""
-    while data.count(b"\r\n\r\n") < count:
-        try:
-            more = sock.recv(65_536)
-        except BlockingIOError:
-            yield from sleep(world.loop, 200)
-            continue
-        except ConnectionResetError:
-            return data + b"<reset>"
-        if not more:
-            return data + b"<closed>"
-        data += more
-    return data
+
+    def is_complete(data):
+        return data.count(b"\r\n\r\n") >= count
+
+    return (yield from read_until(world.loop, sock, is_complete))
 
 
 def prepare_close(world, client, cause):
--- a/tests/test_event_orderings_idle_close_random.py
+++ b/tests/test_event_orderings_idle_close_random.py
@@ -19,7 +19,7 @@
 from heathwell.eventloop.sockets import SocketStream
 from heathwell.eventloop.virtual import VirtualStream
 
-from .event_ordering_world import World
+from .event_ordering_world import HEALTH_CHECK, World
 from .platform import Platform
 from .test_gateway_front import raw_request
 
@@ -31,7 +31,6 @@
 SILENT_BURST: Final = 3  # connections
 SILENT_BURST_PROBABILITY: Final = 0.3
 SETTLE_US: Final = 1_000_000  # longer than the timeout of each query
-HEALTH_CHECK: Final = b"GET /-/healthy HTTP/1.1\r\nHost: b\r\n\r\n"
 RESPONSE: Final = b"HTTP/1.1 "
 
 
--- a/tests/test_event_orderings_servers.py
+++ b/tests/test_event_orderings_servers.py
@@ -16,7 +16,7 @@
 from heathwell.settings import loads
 from heathwell.testing.simulation.local_fleet import LocalFleet
 
-from .event_ordering_world import MAX_LOOP_TURNS
+from .event_ordering_world import MAX_LOOP_TURNS, read_until
 from .fleet import DEMO_SETTINGS
 
 SEARCHES = """
@@ -84,19 +84,7 @@
 
     def received(self, sock: socket.socket, end: bytes):
         """Return what a client reads up to ``end``, or up to a close or reset, which is marked."""
-        data = b""
-        while not data.endswith(end):
-            try:
-                more = sock.recv(65_536)
-            except BlockingIOError:
-                yield from sleep(self.loop, 200)
-                continue
-            except ConnectionResetError:
-                return data + b"<reset>"
-            if not more:
-                return data + b"<closed>"
-            data += more
-        return data
+        return (yield from read_until(self.loop, sock, lambda data: data.endswith(end)))
 
 
 class Memcached:
