Discovery: an overdue call stays open beside the next one, and its answer is used

Cause: a call without a hold time was closed after 1.5 s, where the platform gives discovery 2 s, its answer thrown away with its connection, and the next call was the same call with the same timeout. All calls are of this kind after a move, without a list, at the start with pushed lists and after a silent watch, until one is answered.

Change: a call that is overdue stays open, the next one is made beside it (two at most), and whichever is answered first is used, unless its revision is older than one used before. Overdue is 2.35 s without a hold time (connect and the platform's 2 s), 4.35 s while such calls are overdue in a row, and 0.5 s after a hold time (1 s before), so that a dead connection is still replaced before a drain binds, with 0.15 s for a broker that is held up. Hold times are as before. One call is a module of its own; the watch is timers and callbacks in place of a task.

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -1,10 +1,11 @@
 """The platform's discovery over HTTP: a watch by long polling, from one revision of the list to the next.
 
 The decision module decides when to poll. From then on each answer is passed to the listener until a call
-fails; the failure is passed to it too, and the module decides when to poll again. The only timeouts are those
-of a call, by which a dead connection is noticed. :class:`Discovery` owns its connection and the revision of
-the broker's list; the listener interprets the answers. Imports the HTTP codec, the decoder of answers and the
-event loop.
+fails; the failure is passed to it too, and the module decides when to poll again. :class:`Discovery` owns its
+calls and the revision of the broker's list; the listener interprets the answers.
+
+A call that is overdue is not given up: the next one is made beside it, over a connection of its own, and
+whichever is answered first is used. So a dead connection is noticed in time, and a slow discovery is heard.
 
 Discovery serves all brokers in turn, and each entry of an answer costs it work. So a call requests only what
 changed since the broker's revision, also after a failed call; at the start that is the revision of the
@@ -17,16 +18,29 @@
 import random
 from collections.abc import Callable
 
-from heathwell.codec.http import ClientSide, HttpError
-from heathwell.eventloop import ConnectError, Coro, Loop, Net, Stream, StreamBrokenError, Task, sleep
-from heathwell.gateway.errors import GatewayError
-from heathwell.gateway.targets import Targets, TargetsError
+from heathwell.eventloop import Loop, Net, Timer
+from heathwell.gateway.discovery_call import (
+    CONNECT_TIMEOUT_US,
+    CallProblem,
+    DiscoveryCall,
+    DiscoveryConnection,
+)
+from heathwell.gateway.targets import Targets
 
 MAX_HOLD_US = 60_000_000  # longest hold time of a watch that the platform's protocol allows
-CALL_TIMEOUT_US = 1_500_000  # timeout of a call without a hold time
-# Timeout of a call beyond its hold time: half of the time after which a change that it misses takes effect.
-WATCH_GRACE_US = 1_000_000
-CONNECT_TIMEOUT_US = 500_000
+# By the platform's protocol discovery takes up to this time for an answer, beyond the hold time.
+MAX_RESPONSE_US = 2_000_000
+# A call without a hold time is overdue after the connect timeout and this time, which is doubled up to the
+# maximum while such calls are overdue in a row. The maximum lets a recovered discovery be called in time.
+RESPONSE_TIMEOUT_US = MAX_RESPONSE_US
+MAX_RESPONSE_TIMEOUT_US = 2 * MAX_RESPONSE_US
+# A call with a hold time is overdue this long after it: early enough for a second call to be answered before
+# a change that the first one missed binds.
+HOLD_OVERDUE_US = 500_000
+# Longest time for which the broker may be held up between reading its clock and sending.
+MAX_STALL_US = 150_000
+# Calls at one address that are open at a time; the oldest overdue one is closed for a new one.
+MAX_OPEN_CALLS = 2
 # By the platform's protocol a change takes effect EFFECTIVE_AFTER_SILENCE_US after discovery stopped
 # responding, or EFFECTIVE_AFTER_WAIT_US after the end of a hold time if that is later.
 EFFECTIVE_AFTER_SILENCE_US = 6_000_000
@@ -39,8 +53,8 @@
 # The hold time of each call is reduced by a random fraction, so that brokers that were started together do
 # not poll at the same time. This is the smallest fraction that remains.
 MIN_HOLD_FRACTION = 0.75
+MIN_PAUSE_FRACTION = 0.5  # likewise of a pause
 PATH = "/api/targets"
-MAX_BODY_BYTES = 1 << 20
 
 
 def longest_wait(grace_us: int) -> int:
@@ -51,24 +65,21 @@
     ``EFFECTIVE_AFTER_WAIT_US`` after the hold time, and a drain binds ``grace_us`` later. In the worst case
     discovery stops responding as the call begins.
     """
-    renewed_us = WATCH_GRACE_US + CONNECT_TIMEOUT_US + CALL_TIMEOUT_US
+    renewed_us = HOLD_OVERDUE_US + CONNECT_TIMEOUT_US + MAX_RESPONSE_US + MAX_STALL_US
     if renewed_us <= EFFECTIVE_AFTER_WAIT_US + grace_us:
         return MAX_HOLD_US
     return max(EFFECTIVE_AFTER_SILENCE_US + grace_us - renewed_us, 0)
 
 
-class DiscoverySilentError(GatewayError):
-    """A call was not answered within its timeout; its connection may be dead."""
-
-
 class Discovery:
     """Watches the endpoint list at one address, which may change.
 
     ``rev`` is the revision of the list at the start, ``None`` without a list; ``hold_us`` is the longest hold
     time of a call. With ``pushed`` the watch begins with the process, as changes take effect whether they
     were requested or not. A change binds ``grace_us`` after it takes effect. Until then, failed calls are
-    retried soon if the watch timed out or discovery has moved; after other failures the decision module
-    decides when to poll. ``listener`` gets each answer, and ``None`` for a failure.
+    retried soon if the watch was overdue or discovery has moved; after other failures the decision module
+    decides when to poll. ``listener`` gets each answer, and ``None`` for a failure or for a call without a
+    hold time that is overdue.
     """
 
     def __init__(
@@ -97,9 +108,15 @@
         self.hold_us = min(hold_us, longest_wait(grace_us))
         self.pushed = pushed
         self.grace_us = grace_us
+        self._current: DiscoveryCall | None = None
+        self._overdue: list[DiscoveryCall] = []  # calls whose late answers are still used, the oldest first
+        self._timer: Timer | None = None  # until the present call is overdue, or until the end of a pause
         self._urgent_until_us = 0
-        self._answered = False  # whether a call was answered since the watch was last opened
-        self._task: Task[None] | None = None
+        self._pause_us = MIN_RETRY_PAUSE_US
+        self._response_timeout_us = RESPONSE_TIMEOUT_US
+        # Whether the next call is made without a hold time: changes that an overdue watch may have missed are
+        # requested so. So is the first answer if lists are pushed, as it may already be in effect.
+        self._at_once = pushed
 
     def start(self) -> None:
         """Begin to watch if lists are pushed; otherwise the decision module requests the first poll."""
@@ -108,120 +125,158 @@
 
     def request_update(self) -> None:
         """Begin to watch, unless a watch is in progress."""
-        if self._task is None or self._task.done:
-            self._task = self.loop.spawn(self._watch(self.address), "discovery")
+        if self._current is None:
+            self._call()
 
     def move(self, address: str) -> None:
         """Watch another address, at once and from the complete list."""
+        self.close()
         self.address = address
         self.rev = None
         self._urgent_until_us = self.loop.now() + EFFECTIVE_AFTER_MOVE_US + self.grace_us
-        self.close()
+        self._pause_us = MIN_RETRY_PAUSE_US
+        self._response_timeout_us = RESPONSE_TIMEOUT_US
         self.request_update()
 
     def close(self) -> None:
         """End the watch."""
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
-
-    def _watch(self, address: str) -> Coro[None]:
-        # Changes that a timed-out watch may have missed are requested without a hold time. So is the first
-        # answer if lists are pushed, as it may already be in effect.
-        at_once = self.pushed
-        pause_us = MIN_RETRY_PAUSE_US
-        while True:
-            self._answered = False
-            try:
-                yield from self._call_repeatedly(address, at_once=at_once)
-            except DiscoverySilentError as problem:
-                if self._answered or not at_once:
-                    at_once = True
-                    pause_us = MIN_RETRY_PAUSE_US
-                    self.log("info", "discovery: watch timed out, reopening it", why=str(problem))
-                    continue
-                failure: Exception = problem
-            except (ConnectError, StreamBrokenError, HttpError, TargetsError) as problem:
-                failure = problem
-            self.failures += 1
-            if self.loop.now() + pause_us >= self._urgent_until_us:
-                break
-            yield from sleep(self.loop, int(pause_us * self.random.uniform(0.5, 1.0)))
-            pause_us = min(2 * pause_us, MAX_RETRY_PAUSE_US)
-        self._task = None
-        self.log("info", "discovery: call failed or watch broken", why=str(failure))
-        self.listener(None)
+        self._cancel_timer()
+        self._close_calls(except_for=None)
+
+    # Calls
 
-    def _call_repeatedly(self, address: str, *, at_once: bool) -> Coro[None]:
-        """Call until a call fails, over one connection after another; raise the error of that call."""
-        stream: Stream | None = None
-        try:
-            stream = yield from self.net.connect(address, CONNECT_TIMEOUT_US)
-            side = ClientSide(address, MAX_BODY_BYTES)
-            while True:
-                wait_us = self._wait_us(at_once=at_once)
-                path = self._path(wait_us)
-                if not side.reusable:
-                    stream.close()
-                    stream = yield from self.net.connect(address, CONNECT_TIMEOUT_US)
-                    side = ClientSide(address, MAX_BODY_BYTES)
-                targets = yield from self._watch_call(stream, side, path, wait_us)
-                at_once = False
-                self._on_targets(targets)
-        finally:
-            if stream is not None:
-                stream.abort()
-
-    def _wait_us(self, *, at_once: bool) -> int:
-        if self.rev is None or at_once:
+    def _call(self, connection: DiscoveryConnection | None = None) -> None:
+        """Make a call, over the connection of the last one if it can be used."""
+        self._cancel_timer()
+        if connection is not None and not connection.is_reusable:
+            connection.close()
+            connection = None
+        hold_us = self._next_hold_us()
+        call = DiscoveryCall(
+            self.loop,
+            self.net,
+            self,
+            self.address,
+            self._path(hold_us),
+            connection,
+            hold_us=hold_us,
+            known_rev=self.rev,
+        )
+        self.calls += 1
+        self._current = call
+        self._timer = self.loop.call_at(call.began_at_us + self._timeout_us(hold_us), self._on_overdue)
+
+    def _next_hold_us(self) -> int:
+        if self.rev is None or self._at_once:
             return 0
         return int(self.hold_us * self.random.uniform(MIN_HOLD_FRACTION, 1.0))
 
-    def _path(self, wait_us: int) -> str:
-        return PATH if self.rev is None else f"{PATH}?from={self.rev}&hold_ms={wait_us // 1000}"
-
-    def _watch_call(self, stream: Stream, side: ClientSide, path: str, wait_us: int) -> Coro[Targets]:
-        """Make one call; if it times out during its hold time, retry soon until a missed change binds."""
-        began_at_us = self.loop.now()
-        timeout_us = wait_us + WATCH_GRACE_US if wait_us else CALL_TIMEOUT_US
-        try:
-            return (yield from self._call(stream, side, path, timeout_us))
-        except DiscoverySilentError:
-            if wait_us:
-                effective_at_us = max(
-                    began_at_us + EFFECTIVE_AFTER_SILENCE_US,
-                    began_at_us + wait_us + EFFECTIVE_AFTER_WAIT_US,
-                )
-                self._urgent_until_us = max(self._urgent_until_us, effective_at_us + self.grace_us)
-            raise
-
-    def _on_targets(self, targets: Targets) -> None:
-        if not targets.all and self.rev is not None and targets.rev < self.rev:
+    def _path(self, hold_us: int) -> str:
+        return PATH if self.rev is None else f"{PATH}?from={self.rev}&hold_ms={hold_us // 1000}"
+
+    def _timeout_us(self, hold_us: int) -> int:
+        """Return the time after which a call with this hold time is overdue."""
+        return hold_us + HOLD_OVERDUE_US if hold_us else CONNECT_TIMEOUT_US + self._response_timeout_us
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _close_calls(self, *, except_for: DiscoveryCall | None) -> None:
+        calls = self._overdue if self._current is None else [*self._overdue, self._current]
+        for call in calls:
+            if call is not except_for:
+                call.close()
+        self._overdue = []
+        self._current = None
+
+    # Answers
+
+    def on_answer(self, call: DiscoveryCall, targets: Targets) -> None:
+        """Use an answer, on time or late, and continue the watch."""
+        took_us = self.loop.now() - call.began_at_us
+        self._pause_us = MIN_RETRY_PAUSE_US
+        if took_us <= call.hold_us + CONNECT_TIMEOUT_US + MAX_RESPONSE_US:
+            self._response_timeout_us = RESPONSE_TIMEOUT_US
+        is_used = self._update_revision(call, targets)
+        self._at_once = False
+        if call is self._current:
+            self._close_calls(except_for=call)
+            self._call(call.connection)
+        else:
+            self._on_late_answer(call, took_us)
+        if is_used:
+            self._urgent_until_us = 0
+            self.listener(targets)
+
+    def _on_late_answer(self, call: DiscoveryCall, took_us: int) -> None:
+        """Drop the overdue calls up to this one; if there is no later one, continue the watch with it."""
+        self.log("info", "discovery: late answer", after_ms=took_us // 1000, hold_ms=call.hold_us // 1000)
+        position = self._overdue.index(call)
+        for earlier in self._overdue[:position]:
+            earlier.close()
+        del self._overdue[: position + 1]
+        if self._current is None:
+            self._call(call.connection)
+        else:
+            call.close()
+
+    def _update_revision(self, call: DiscoveryCall, targets: Targets) -> bool:
+        """Store the answer's revision; return whether the answer is to be used."""
+        is_older = self.rev is not None and targets.rev < self.rev
+        if is_older and call.known_rev != self.rev:
+            return False  # another call has brought a later list meanwhile
+        if is_older and not targets.all:
             self.rev = None  # changes relative to a list older than ours: the complete list is needed
-            return
+            return False
         self.rev = targets.rev
-        self._answered = True
-        self._urgent_until_us = 0
-        self.listener(targets)
+        return True
 
-    def _call(self, stream: Stream, side: ClientSide, path: str, timeout_us: int) -> Coro[Targets]:
-        """Make one call and return its answer; raise the errors that end a watch."""
-        self.calls += 1
-        stream.write(side.request("GET", path))
-        timeout_at_us = self.loop.now() + timeout_us
-        timer = self.loop.call_at(timeout_at_us, stream.abort)
-        try:
-            while True:
-                data = yield from stream.read()
-                response = side.feed(data)
-                if response is None:
-                    continue
-                if response.status != 200:
-                    raise HttpError(f"expected status 200, got {response.status}")
-                return Targets.from_bytes(response.body)
-        except StreamBrokenError:
-            if self.loop.now() >= timeout_at_us:
-                raise DiscoverySilentError(f"no response within {timeout_us // 1000} ms") from None
-            raise
-        finally:
-            timer.cancel()
+    # Failures
+
+    def _on_overdue(self) -> None:
+        """Make another call beside an overdue one, whose late answer is still used."""
+        call = self._current
+        if call is None:
+            return
+        self._overdue.append(call)
+        while len(self._overdue) >= MAX_OPEN_CALLS:
+            self._overdue.pop(0).close()
+        self._at_once = True
+        waited_ms = (self.loop.now() - call.began_at_us) // 1000
+        if call.hold_us:
+            self._pause_us = MIN_RETRY_PAUSE_US
+            self._retry_soon_until_effective(call)
+            self.log("info", "discovery: watch overdue, reopening it", after_ms=waited_ms)
+            self._call()
+            return
+        self.failures += 1
+        self._response_timeout_us = min(2 * self._response_timeout_us, MAX_RESPONSE_TIMEOUT_US)
+        self.log("info", "discovery: call overdue, calling again", after_ms=waited_ms)
+        self._call()
+        self.listener(None)
+
+    def _retry_soon_until_effective(self, call: DiscoveryCall) -> None:
+        """Retry failed calls soon until the changes bind that this overdue one may have missed."""
+        effective_at_us = max(
+            call.began_at_us + EFFECTIVE_AFTER_SILENCE_US,
+            call.began_at_us + call.hold_us + EFFECTIVE_AFTER_WAIT_US,
+        )
+        self._urgent_until_us = max(self._urgent_until_us, effective_at_us + self.grace_us)
+
+    def on_failure(self, call: DiscoveryCall, problem: CallProblem) -> None:
+        """Retry the present call after a pause, or leave it to the decision module; drop an overdue one."""
+        if call in self._overdue:
+            self._overdue.remove(call)
+            return
+        self._current = None
+        self._cancel_timer()
+        self.failures += 1
+        self._at_once = self._at_once or self.pushed
+        self.log("info", "discovery: call failed or watch broken", why=str(problem))
+        pause_us = int(self._pause_us * self.random.uniform(MIN_PAUSE_FRACTION, 1.0))
+        if self.loop.now() + self._pause_us < self._urgent_until_us:
+            self._timer = self.loop.call_at(self.loop.now() + pause_us, self._call)
+            self._pause_us = min(2 * self._pause_us, MAX_RETRY_PAUSE_US)
+        self.listener(None)
--- /dev/null
+++ b/heathwell/gateway/discovery_call.py
@@ -0,0 +1,116 @@
+"""One call of the platform's discovery over HTTP: connect if needed, request, and decode the answer.
+
+A call has no timeout of its own beyond that of its connect: the watch that made it decides how long it waits,
+and when the call is closed. Imports the HTTP codec, the decoder of answers and the event loop.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from heathwell.codec.http import ClientSide, HttpError
+from heathwell.eventloop import ConnectError, Coro, Loop, Net, Stream, StreamBrokenError
+from heathwell.gateway.targets import Targets, TargetsError
+
+CONNECT_TIMEOUT_US = 350_000
+MAX_BODY_BYTES = 1 << 20
+STATUS_OK = 200
+
+CallProblem = ConnectError | StreamBrokenError | HttpError | TargetsError
+
+
+class DiscoveryConnection:
+    """An HTTP connection to discovery, for one call after another."""
+
+    def __init__(self, address: str, stream: Stream) -> None:
+        self._stream = stream
+        self._side = ClientSide(address, MAX_BODY_BYTES)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another call can be made over this connection."""
+        return self._side.reusable and not self._stream.closed and not self._stream.hung_up
+
+    def get(self, path: str) -> Coro[Targets]:
+        """Request a path and return the answer, however late it comes.
+
+        Raise :class:`StreamBrokenError`, :class:`HttpError` or :class:`TargetsError`.
+        """
+        self._stream.write(self._side.request("GET", path))
+        while True:
+            data = yield from self._stream.read()
+            response = self._side.feed(data)
+            if response is None:
+                continue
+            if response.status != STATUS_OK:
+                raise HttpError(f"expected status {STATUS_OK}, got {response.status}")
+            return Targets.from_bytes(response.body)
+
+    def close(self) -> None:
+        """Reset the connection."""
+        self._stream.abort()
+
+
+class CallOwner(Protocol):
+    """Is told how a call ended, once, unless the call was closed before."""
+
+    def on_answer(self, call: DiscoveryCall, targets: Targets) -> None:
+        """Handle the answer; the call's connection may be used for the next call."""
+
+    def on_failure(self, call: DiscoveryCall, problem: CallProblem) -> None:
+        """Handle a call that failed; its connection is closed."""
+
+
+class DiscoveryCall:
+    """One call of an address, with a hold time of ``hold_us`` (0: it is answered at once).
+
+    ``known_rev`` is the revision of the broker's list as the call is made, None without a list. The call is
+    made over ``connection``, or over a new one if that is None, by a task that starts with the object.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        net: Net,
+        owner: CallOwner,
+        address: str,
+        path: str,
+        connection: DiscoveryConnection | None,
+        *,
+        hold_us: int,
+        known_rev: int | None,
+    ) -> None:
+        self.address = address
+        self.hold_us = hold_us
+        self.known_rev = known_rev
+        self.began_at_us = loop.now()
+        self.connection = connection
+        self._has_ended = False
+        self._net = net
+        self._owner = owner
+        self._task = loop.spawn(self._run(path), "discovery")
+
+    def close(self) -> None:
+        """End the call and its connection; the owner is not told."""
+        if not self._has_ended:
+            self._task.cancel()
+        self._close_connection()
+
+    def _run(self, path: str) -> Coro[None]:
+        try:
+            if self.connection is None:
+                stream = yield from self._net.connect(self.address, CONNECT_TIMEOUT_US)
+                self.connection = DiscoveryConnection(self.address, stream)
+            targets = yield from self.connection.get(path)
+        except (ConnectError, StreamBrokenError, HttpError, TargetsError) as problem:
+            self._has_ended = True
+            self._close_connection()
+            self._owner.on_failure(self, problem)
+            return
+        self._has_ended = True
+        self._owner.on_answer(self, targets)
+
+    def _close_connection(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
--- a/heathwell/testing/standins/platform_discovery.py
+++ b/heathwell/testing/standins/platform_discovery.py
@@ -77,6 +77,8 @@
         """Whether all requests are answered with status 503."""
         self.silent = False
         """Whether responses are held back until this is false again."""
+        self.response_delay_us = 0
+        """The time that each response takes beside the work, without keeping the worker from others."""
         self.rejected_requests = 0
         self.queries: list[str] = []
         """The query strings of all requests."""
@@ -134,6 +136,8 @@
                 return Response(HTTPStatus.SERVICE_UNAVAILABLE, b"busy\n")
             self._worker_free_at_us = begins_at_us + self.entry_work_us * (1 + len(entry_list.entries))
             yield from sleep(self.loop, self._worker_free_at_us - self.loop.now())
+        if self.response_delay_us:
+            yield from sleep(self.loop, self.response_delay_us)
         return Response(HTTPStatus.OK, msgspec.json.encode(entry_list), "application/json")
 
     def _wait_for_change(self, watch: WatchRequest) -> Coro[None]:
--- /dev/null
+++ b/tests/test_gateway_slow_discovery.py
@@ -0,0 +1,166 @@
+"""Discovery that answers late: what the broker knows by when. Runs on virtual time.
+
+The platform gives discovery two seconds for an answer. A change is announced six seconds after discovery has
+it at the latest, at a new address four seconds after SIGHUP, and a drain binds a grace later.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import pytest
+
+from heathwell.eventloop import sleep
+
+from .platform import Platform
+
+DRAINING: Final = 4
+DRAIN_GRACE_US: Final = 1_000_000
+MAX_STALL_US: Final = 150_000  # which the grace has to cover
+ANNOUNCED_AFTER_CHANGE_US: Final = 6_000_000
+ANNOUNCED_AFTER_MOVE_US: Final = 4_000_000
+QUERY_INTERVAL_US: Final = 50_000
+ALLOWED_DELAYS_US: Final = [1_400_000, 1_600_000, 1_800_000, 1_990_000]
+MODES: Final = ["ask", "push"]
+
+
+def platform(mode: str, **more: Any) -> Platform:
+    """Return a platform whose settings have the usual drain grace."""
+    world = Platform(settings={"registry-mode": mode}, **more)
+    assert world.config.settings.drain_grace_us == DRAIN_GRACE_US
+    return world
+
+
+def drain(world: Platform) -> None:
+    """Publish that a node drains."""
+    node = world.nodes[DRAINING]
+    node.draining = True
+    world.registry.publish(node.entry)
+
+
+def knows_the_drain(world: Platform) -> bool:
+    """Return whether the broker has heard that the node drains."""
+    return not world.broker.aggregator.endpoints[f"s{DRAINING}"].live
+
+
+def wait_until_us(world: Platform, at_us: int) -> None:
+    """Let virtual time pass until an instant."""
+    world.wait((at_us - world.loop.now()) / 1e6)
+
+
+@pytest.mark.parametrize("delay_us", ALLOWED_DELAYS_US)
+@pytest.mark.parametrize("mode", MODES)
+def test_a_drain_after_a_move_is_known_in_time_whatever_time_an_answer_takes(mode, delay_us):
+    """Guards against giving up each call to the new address before discovery's answer is due."""
+    world = platform(mode)
+    world.wait(2.0)
+    world.registry.response_delay_us = delay_us
+    moved_at_us = world.loop.now()
+    world.broker.watch.move("registry:8500")
+    world.wait(2.0)
+    drain(world)
+    announced_at_us = max(moved_at_us + ANNOUNCED_AFTER_MOVE_US, world.loop.now() + ANNOUNCED_AFTER_CHANGE_US)
+    wait_until_us(world, announced_at_us + DRAIN_GRACE_US - MAX_STALL_US)
+    assert knows_the_drain(world)
+
+
+@pytest.mark.parametrize("delay_us", ALLOWED_DELAYS_US)
+@pytest.mark.parametrize("mode", MODES)
+def test_a_drain_before_a_move_is_known_in_time_although_the_first_call_falls_silent(mode, delay_us):
+    """Guards against a dead connection to the new address that is noticed too late."""
+    world = platform(mode)
+    world.wait(2.0)
+    world.registry.response_delay_us = delay_us
+    drain(world)
+    world.broker.watch.move("registry:8500")
+    moved_at_us = world.loop.now()
+    world.wait(0.1)
+    world.registry.mute_connections()
+    wait_until_us(world, moved_at_us + ANNOUNCED_AFTER_MOVE_US + DRAIN_GRACE_US - MAX_STALL_US)
+    assert knows_the_drain(world)
+
+
+@pytest.mark.parametrize("delay_us", ALLOWED_DELAYS_US)
+def test_a_new_process_with_pushed_lists_waits_for_a_late_first_answer(delay_us):
+    """Guards against serving by the configured list, which names a draining node as up, for good."""
+    world = platform("push")
+    began_at_us = world.loop.now()
+    drain(world)
+    world.registry.response_delay_us = delay_us
+
+    def main():
+        while not world.broker.ready:
+            yield from sleep(world.loop, 1_000)
+        ready_after_us = world.loop.now() - began_at_us
+        for number in range(100):
+            yield from world.client().send_query(f"q{number}", "price-search", [DRAINING])
+            yield from sleep(world.loop, QUERY_INTERVAL_US)
+        return ready_after_us
+
+    assert delay_us <= world.run(main()) <= delay_us + 10_000
+    assert knows_the_drain(world) and not world.nodes[DRAINING].parts
+    assert world.broker.watch.failures == 0
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("known", [True, False])
+@pytest.mark.parametrize("delay_us", [2_600_000, 3_500_000, 5_000_000])
+def test_answers_later_than_the_platform_allows_are_used(delay_us, known, mode):
+    """Guards against calls that are given up one after the other with the same timeout."""
+    world = platform(mode, known=known)
+    world.registry.response_delay_us = delay_us
+    world.broker.watch.request_update()
+    drain(world)
+    world.wait(2.0 * delay_us / 1e6)
+    world.broker.watch.move("registry:8500")
+    world.wait(2.0 * delay_us / 1e6)
+    assert world.broker.watch.rev == world.registry.revision
+    assert not known or knows_the_drain(world)
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_a_complete_list_that_is_late_while_changes_are_prompt_is_heard_after_a_move(mode):
+    """Guards against a complete list that never comes: its entries take the worker almost two seconds."""
+    world = platform(mode)
+    world.wait(1.0)
+    world.registry.entry_work_us = 1_990_000 // (1 + len(world.nodes))
+    moved_at_us = world.loop.now()
+    world.broker.watch.move("registry:8500")
+    world.wait(0.05)
+    drain(world)
+    wait_until_us(world, moved_at_us + ANNOUNCED_AFTER_MOVE_US + DRAIN_GRACE_US - MAX_STALL_US)
+    assert knows_the_drain(world)
+    assert world.registry.queries.count("") == 1 and world.broker.watch.failures == 0
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("silent_s", [5.0, 20.0, 60.0])
+def test_after_a_long_silence_discovery_is_heard_in_time(silent_s, mode):
+    """Guards against a timeout that grows so long that a recovered discovery is called too late. What was
+    called during the silence is lost with its connections.
+    """
+    world = platform(mode)
+    world.wait(0.5)
+    registry = world.registry
+    until_us = world.loop.now() + int(silent_s * 1e6)
+    drain(world)
+    while world.loop.now() < until_us:
+        registry.mute_connections()
+        world.wait(0.01)
+    registry.response_delay_us = 1_990_000
+    wait_until_us(world, until_us + ANNOUNCED_AFTER_CHANGE_US + DRAIN_GRACE_US - MAX_STALL_US)
+    assert knows_the_drain(world)
+
+
+@pytest.mark.parametrize("silent", ["first call", "every call"])
+def test_a_new_process_with_pushed_lists_serves_by_its_own_list_where_discovery_is_silent(silent):
+    """Guards against waiting for a dead connection or a dead discovery until queries have failed."""
+    world = platform("push")
+    world.registry.silent = silent == "every call"
+    world.registry.response_delay_us = 1_000_000
+    world.wait(0.1)
+    world.registry.mute_connections()
+    assert not world.broker.ready
+    world.wait(2.3)  # the longest connect and the longest time for an answer
+    assert world.broker.ready
+    assert world.query("q1", "price-search", [0]).status == 200
