Discovery: failed calls are repeated before a change that they missed binds

What callers would see: lists asked for; discovery has a drain, can be reached, and ends or refuses a watch and the calls after it instead of telling. Parts go to the draining node up to 10 s after the change, 7 s being allowed.

Cause: after a failed call the next one waited for the decision module's backoff alone (2, 4, 4.5 s, less up to a half), which follows the poll interval and knows nothing of the platform's 6 s. The watch's own short pauses held only after a silence or a move.

Evidence: forced failures on virtual time. A watch and up to two more calls ended or refused, 24 of 90 cases too late; discovery back after 30 s and one or two more failures, 10 of 30. All pass after.

Change: from the first failure since an answer the short pauses (0.1 to 0.8 s) hold until what it may have missed binds; afterwards the longest is 1.5 s, so that two more failures and an answer of 2 s fit before the drain binds. The module's polls still count where they are earlier; policy/ is unchanged.

test_after_a_failed_call_only_changes_are_requested looks for the one failure after 0.04 s in place of 0.1 s: the second call now comes after 0.05 s at the earliest. It checks as much.

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -1,8 +1,9 @@
 """The platform's discovery over HTTP: a watch by long polling, from one revision of the list to the next.
 
-The decision module decides when to poll. From then on each answer is passed to the listener until a call
-fails; the failure is passed to it too, and the module decides when to poll again. :class:`Discovery` owns its
-calls and the revision of the broker's list; the listener interprets the answers.
+The decision module decides when to poll. From then on each answer is passed to the listener, and each
+failure. After a failure the next call is made when the module decides to poll again, but early enough for a
+change that the failed one missed. :class:`Discovery` owns its calls and the revision of the broker's list;
+the listener interprets the answers.
 
 A call that is overdue is not given up: the next one is made beside it, over a connection of its own, and
 whichever is answered first is used. So a dead connection is noticed in time, and a slow discovery is heard.
@@ -47,9 +48,12 @@
 EFFECTIVE_AFTER_WAIT_US = 2_000_000
 # By the platform's protocol the list at a new address takes effect within this time after SIGHUP.
 EFFECTIVE_AFTER_MOVE_US = 4_000_000
-# Bounds of the pause between calls during the time in which a missed change may take effect.
+# Bounds of the pause after a failed call. The first maximum holds while a missed change may take effect. With
+# the second one two more calls may fail, and a third be answered, before a drain binds at a discovery that
+# has recovered.
 MIN_RETRY_PAUSE_US = 100_000
-MAX_RETRY_PAUSE_US = 800_000
+MAX_URGENT_PAUSE_US = 800_000
+MAX_RETRY_PAUSE_US = 1_500_000
 # The hold time of each call is reduced by a random fraction, so that brokers that were started together do
 # not poll at the same time. This is the smallest fraction that remains.
 MIN_HOLD_FRACTION = 0.75
@@ -76,10 +80,8 @@
 
     ``rev`` is the revision of the list at the start, ``None`` without a list; ``hold_us`` is the longest hold
     time of a call. With ``pushed`` the watch begins with the process, as changes take effect whether they
-    were requested or not. A change binds ``grace_us`` after it takes effect. Until then, failed calls are
-    retried soon if the watch was overdue or discovery has moved; after other failures the decision module
-    decides when to poll. ``listener`` gets each answer, and ``None`` for a failure or for a call without a
-    hold time that is overdue.
+    were requested or not. A change binds ``grace_us`` after it takes effect. ``listener`` gets each answer,
+    and ``None`` for a failure or for a call without a hold time that is overdue.
     """
 
     def __init__(
@@ -111,7 +113,7 @@
         self._current: DiscoveryCall | None = None
         self._overdue: list[DiscoveryCall] = []  # calls whose late answers are still used, the oldest first
         self._timer: Timer | None = None  # until the present call is overdue, or until the end of a pause
-        self._urgent_until_us = 0
+        self._urgent_until_us = 0  # until a change that was missed binds; 0 if none can have been missed
         self._pause_us = MIN_RETRY_PAUSE_US
         self._response_timeout_us = RESPONSE_TIMEOUT_US
         # Whether the next call is made without a hold time: changes that an overdue watch may have missed are
@@ -266,17 +268,23 @@
         self._urgent_until_us = max(self._urgent_until_us, effective_at_us + self.grace_us)
 
     def on_failure(self, call: DiscoveryCall, problem: CallProblem) -> None:
-        """Retry the present call after a pause, or leave it to the decision module; drop an overdue one."""
+        """Retry the present call after a pause; drop an overdue one."""
         if call in self._overdue:
             self._overdue.remove(call)
             return
         self._current = None
-        self._cancel_timer()
         self.failures += 1
         self._at_once = self._at_once or self.pushed
         self.log("info", "discovery: call failed or watch broken", why=str(problem))
-        pause_us = int(self._pause_us * self.random.uniform(MIN_PAUSE_FRACTION, 1.0))
-        if self.loop.now() + self._pause_us < self._urgent_until_us:
-            self._timer = self.loop.call_at(self.loop.now() + pause_us, self._call)
-            self._pause_us = min(2 * self._pause_us, MAX_RETRY_PAUSE_US)
+        if not self._urgent_until_us:
+            self._urgent_until_us = self.loop.now() + EFFECTIVE_AFTER_SILENCE_US + self.grace_us
+        self._cancel_timer()
+        self._timer = self.loop.call_at(self.loop.now() + self._next_pause_us(), self._call)
         self.listener(None)
+
+    def _next_pause_us(self) -> int:
+        """Return the pause before the next call, and double the one after that."""
+        is_urgent = self.loop.now() < self._urgent_until_us
+        pause_us = min(self._pause_us, MAX_URGENT_PAUSE_US) if is_urgent else self._pause_us
+        self._pause_us = min(2 * pause_us, MAX_RETRY_PAUSE_US)
+        return int(pause_us * self.random.uniform(MIN_PAUSE_FRACTION, 1.0))
--- a/heathwell/testing/standins/platform_discovery.py
+++ b/heathwell/testing/standins/platform_discovery.py
@@ -79,6 +79,8 @@
         """Whether responses are held back until this is false again."""
         self.response_delay_us = 0
         """The time that each response takes beside the work, without keeping the worker from others."""
+        self.calls_to_reset = 0
+        """How many of the next calls, waiting ones included, are reset instead of answered."""
         self.rejected_requests = 0
         self.queries: list[str] = []
         """The query strings of all requests."""
@@ -114,6 +116,10 @@
                 for request in side.feed(data):
                     if isinstance(request, Request):
                         response = yield from self._respond(request)
+                        if self.calls_to_reset:
+                            self.calls_to_reset -= 1
+                            stream.abort()
+                            return
                         while self.silent or stream in self._muted:
                             yield from sleep(self.loop, MUTE_CHECK_INTERVAL_US)
                         stream.write(side.respond(response))
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -261,7 +261,7 @@
     world.wait(0.5)
     registry.down = True
     registry.notify_watches()
-    world.wait(0.1)
+    world.wait(0.04)  # less than the shortest pause after a failure
     assert world.broker.watch.failures == 1
     registry.publish({**world.nodes[4].entry, "state": "draining"})
     registry.down = False
--- a/tests/test_gateway_slow_discovery.py
+++ b/tests/test_gateway_slow_discovery.py
@@ -164,3 +164,55 @@
     world.wait(2.3)  # the longest connect and the longest time for an answer
     assert world.broker.ready
     assert world.query("q1", "price-search", [0]).status == 200
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("failing", ["reset", "reset after the time of an answer", "503"])
+@pytest.mark.parametrize("calls", [1, 2, 3])
+@pytest.mark.parametrize("mode", MODES)
+def test_a_drain_is_known_in_time_although_several_calls_in_a_row_fail_instead_of_telling(
+    mode, calls, failing, seed
+):
+    """Guards against a backoff of several seconds while discovery has a change and can be reached."""
+    world = platform(mode)
+    registry = world.registry
+    world.broker.watch.random.seed(seed)
+    world.broker.aggregator.random.seed(seed)
+    world.wait(1.0)
+    if failing == "503":
+        registry.down = True
+    else:
+        registry.calls_to_reset = calls
+    if failing == "reset after the time of an answer":
+        registry.response_delay_us = 1_200_000
+    drained_at_us = world.loop.now()
+    drain(world)
+    while world.broker.watch.failures < calls and not knows_the_drain(world):
+        world.wait(0.001)
+    registry.down = False
+    registry.response_delay_us = 1_990_000
+    wait_until_us(world, drained_at_us + ANNOUNCED_AFTER_CHANGE_US + DRAIN_GRACE_US - MAX_STALL_US)
+    assert world.broker.watch.failures == calls and knows_the_drain(world)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("calls", [0, 1, 2])
+@pytest.mark.parametrize("mode", MODES)
+def test_after_a_long_outage_a_drain_is_known_in_time_although_further_calls_fail(mode, calls, seed):
+    """Guards against a backoff that has grown so long that few calls fit before the drain binds."""
+    world = platform(mode)
+    registry = world.registry
+    world.broker.watch.random.seed(seed)
+    world.broker.aggregator.random.seed(seed)
+    world.wait(1.0)
+    registry.down = True
+    drain(world)
+    world.wait(30.0)
+    registry.down = False
+    registry.calls_to_reset = calls
+    back_at_us = world.loop.now()
+    while registry.calls_to_reset:
+        world.wait(0.001)
+    registry.response_delay_us = 1_990_000
+    wait_until_us(world, back_at_us + ANNOUNCED_AFTER_CHANGE_US + DRAIN_GRACE_US - MAX_STALL_US)
+    assert knows_the_drain(world)
