Discovery: a call that meets its connection's end is made again at once over a new one

What callers would see: discovery ends its connection after an answer without saying so in its head. The next call, on its way by then, failed and broke the watch, after each answer: the next one came after the module's pause (1 to 2 s where lists are asked for), and what changed meanwhile was heard that much later.

Cause: a call over a used connection that ends without a byte was taken for a failed call. It shows only that the connection was ended as idle.

Change: such a call is made again over a new connection if it ended within the 0.2 s in which a watch goes on by the platform's page. A new connection's end is a failure as before, so no row of calls can come of it.

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -48,6 +48,8 @@
 EFFECTIVE_AFTER_WAIT_US = 2_000_000
 # By the platform's protocol the list at a new address takes effect within this time after SIGHUP.
 EFFECTIVE_AFTER_MOVE_US = 4_000_000
+# By the platform's protocol a watch goes on if its next call comes within this time of the last answer.
+WATCH_CONTINUES_WITHIN_US = 200_000
 # Bounds of the pause after a failed call. The first maximum holds while a missed change may take effect. With
 # the second one two more calls may fail, and a third be answered, before a drain binds at a discovery that
 # has recovered.
@@ -272,6 +274,10 @@
         if call in self._overdue:
             self._overdue.remove(call)
             return
+        waited_us = self.loop.now() - call.began_at_us
+        if call.found_connection_ended and waited_us < WATCH_CONTINUES_WITHIN_US:
+            self._call()  # discovery ended the connection after its last answer, and the watch goes on
+            return
         self._current = None
         self.failures += 1
         self._at_once = self._at_once or self.pushed
--- a/heathwell/gateway/discovery_call.py
+++ b/heathwell/gateway/discovery_call.py
@@ -23,6 +23,7 @@
     """An HTTP connection to discovery, for one call after another."""
 
     def __init__(self, address: str, stream: Stream) -> None:
+        self.has_received = False  # whether any byte has answered the last request
         self._stream = stream
         self._side = ClientSide(address, MAX_BODY_BYTES)
 
@@ -36,9 +37,11 @@
 
         Raise :class:`StreamBrokenError`, :class:`HttpError` or :class:`TargetsError`.
         """
+        self.has_received = False
         self._stream.write(self._side.request("GET", path))
         while True:
             data = yield from self._stream.read()
+            self.has_received = self.has_received or bool(data)
             response = self._side.feed(data)
             if response is None:
                 continue
@@ -85,11 +88,17 @@
         self.known_rev = known_rev
         self.began_at_us = loop.now()
         self.connection = connection
+        self._is_reused = connection is not None
         self._has_ended = False
         self._net = net
         self._owner = owner
         self._task = loop.spawn(self._run(path), "discovery")
 
+    @property
+    def found_connection_ended(self) -> bool:
+        """Whether the call was made over an earlier call's connection and got no byte there."""
+        return self._is_reused and self.connection is not None and not self.connection.has_received
+
     def close(self) -> None:
         """End the call and its connection; the owner is not told."""
         if not self._has_ended:
@@ -104,7 +113,8 @@
             targets = yield from self.connection.get(path)
         except (ConnectError, StreamBrokenError, HttpError, TargetsError) as problem:
             self._has_ended = True
-            self._close_connection()
+            if self.connection is not None:
+                self.connection.close()
             self._owner.on_failure(self, problem)
             return
         self._has_ended = True
--- a/heathwell/testing/standins/platform_discovery.py
+++ b/heathwell/testing/standins/platform_discovery.py
@@ -81,6 +81,8 @@
         """The time that each response takes beside the work, without keeping the worker from others."""
         self.calls_to_reset = 0
         """How many of the next calls, waiting ones included, are reset instead of answered."""
+        self.ends_connections_after_us: int | None = None
+        """Each connection is ended so long after its first response; None: connections stay open."""
         self.rejected_requests = 0
         self.queries: list[str] = []
         """The query strings of all requests."""
@@ -123,6 +125,9 @@
                         while self.silent or stream in self._muted:
                             yield from sleep(self.loop, MUTE_CHECK_INTERVAL_US)
                         stream.write(side.respond(response))
+                        if self.ends_connections_after_us is not None:
+                            yield from sleep(self.loop, self.ends_connections_after_us)
+                            return
         finally:
             self.streams.discard(stream)
             self._muted.discard(stream)
--- a/tests/test_gateway_slow_discovery.py
+++ b/tests/test_gateway_slow_discovery.py
@@ -216,3 +216,23 @@
     registry.response_delay_us = 1_990_000
     wait_until_us(world, back_at_us + ANNOUNCED_AFTER_CHANGE_US + DRAIN_GRACE_US - MAX_STALL_US)
     assert knows_the_drain(world)
+
+
+@pytest.mark.parametrize("delay_us", [0, 1_800_000])
+@pytest.mark.parametrize("ends_after_us", [0, 300, 50_000, 150_000])
+@pytest.mark.parametrize("mode", MODES)
+def test_a_watch_goes_on_where_discovery_ends_its_connection_after_each_answer(mode, ends_after_us, delay_us):
+    """Guards against a failure and its pause after each answer: the next call meets the connection's end."""
+    world = platform(mode)
+    registry = world.registry
+    registry.ends_connections_after_us = ends_after_us
+    registry.response_delay_us = delay_us
+    world.wait(5.0)
+    for number in range(3):
+        node = world.nodes[number]
+        registry.publish({**node.entry, "state": "draining"})
+        world.wait((delay_us + ends_after_us) / 1e6 + 0.01)
+        assert not world.broker.aggregator.endpoints[f"s{number}"].live
+        world.wait(0.2)
+    assert world.broker.watch.failures == 0
+    assert len(registry.queries) <= 12  # one or two for each answer
