Discovery: a connect that is overdue stays open beside the next one

What callers would see: connections to discovery come up after 0.6 s or more; after a move the broker never gets a list again and sends to draining nodes for good.

Change: an overdue connect stays open; the time to the next one is doubled (0.35, 0.7, 1.4 s); the first that comes up is used and the others are closed, so that discovery is called once. The time for an answer now counts from the request: 2.1 s, then 4.2 s. test_after_a_cut_discovery_is_heard_in_time guards the reverse.

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -20,28 +20,26 @@
 from collections.abc import Callable
 
 from heathwell.eventloop import Loop, Net, Timer
-from heathwell.gateway.discovery_call import (
-    CONNECT_TIMEOUT_US,
-    CallProblem,
-    DiscoveryCall,
-    DiscoveryConnection,
-)
+from heathwell.gateway.discovery_call import CallProblem, DiscoveryCall, DiscoveryConnection
 from heathwell.gateway.targets import Targets
 
 MAX_HOLD_US = 60_000_000  # longest hold time of a watch that the platform's protocol allows
 # By the platform's protocol discovery takes up to this time for an answer, beyond the hold time.
 MAX_RESPONSE_US = 2_000_000
-# A call without a hold time is overdue after the connect timeout and this time, which is doubled up to the
-# maximum while such calls are overdue in a row. The maximum lets a recovered discovery be called in time.
-RESPONSE_TIMEOUT_US = MAX_RESPONSE_US
-MAX_RESPONSE_TIMEOUT_US = 2 * MAX_RESPONSE_US
+# A call without a hold time is overdue this long after it was sent, twice as long while such calls are
+# overdue in a row: late enough for the transit, and early enough to call a recovered discovery in time.
+RESPONSE_TIMEOUT_US = MAX_RESPONSE_US + 100_000
+MAX_RESPONSE_TIMEOUT_US = 2 * RESPONSE_TIMEOUT_US
+# A connect is overdue after this time, doubled up to the maximum while connects are overdue in a row.
+CONNECT_TIMEOUT_US = 350_000
+MAX_CONNECT_TIMEOUT_US = 4 * CONNECT_TIMEOUT_US
 # A call with a hold time is overdue this long after it: early enough for a second call to be answered before
 # a change that the first one missed binds.
 HOLD_OVERDUE_US = 500_000
 # Longest time for which the broker may be held up between reading its clock and sending.
 MAX_STALL_US = 150_000
-# Calls at one address that are open at a time; the oldest overdue one is closed for a new one.
-MAX_OPEN_CALLS = 2
+# Calls that are open at a time; the oldest overdue one is closed for a new one.
+MAX_OPEN_CALLS = 3
 # By the platform's protocol a change takes effect EFFECTIVE_AFTER_SILENCE_US after discovery stopped
 # responding, or EFFECTIVE_AFTER_WAIT_US after the end of a hold time if that is later.
 EFFECTIVE_AFTER_SILENCE_US = 6_000_000
@@ -118,6 +116,7 @@
         self._urgent_until_us = 0  # until a change that was missed binds; 0 if none can have been missed
         self._pause_us = MIN_RETRY_PAUSE_US
         self._response_timeout_us = RESPONSE_TIMEOUT_US
+        self._connect_timeout_us = CONNECT_TIMEOUT_US
         # Whether the next call is made without a hold time: changes that an overdue watch may have missed are
         # requested so. So is the first answer if lists are pushed, as it may already be in effect.
         self._at_once = pushed
@@ -140,6 +139,7 @@
         self._urgent_until_us = self.loop.now() + EFFECTIVE_AFTER_MOVE_US + self.grace_us
         self._pause_us = MIN_RETRY_PAUSE_US
         self._response_timeout_us = RESPONSE_TIMEOUT_US
+        self._connect_timeout_us = CONNECT_TIMEOUT_US
         self.request_update()
 
     def close(self) -> None:
@@ -167,8 +167,30 @@
             known_rev=self.rev,
         )
         self.calls += 1
+        self._wait_for(call)
+
+    def _wait_for(self, call: DiscoveryCall) -> None:
+        """Make a call the present one, which is overdue after the time for its connect or for its answer."""
+        if call.is_connecting:
+            timeout_us = self._connect_timeout_us
+        elif call.hold_us:
+            timeout_us = call.hold_us + HOLD_OVERDUE_US
+        else:
+            timeout_us = self._response_timeout_us
+        self._cancel_timer()
         self._current = call
-        self._timer = self.loop.call_at(call.began_at_us + self._timeout_us(hold_us), self._on_overdue)
+        self._timer = self.loop.call_at(self.loop.now() + timeout_us, self._on_overdue)
+
+    def on_connected(self, call: DiscoveryCall) -> None:
+        """Wait for this call's answer, and close the calls that are still connecting."""
+        for other in self._open_calls():
+            if other.is_connecting:
+                other.close()
+        self._overdue = [other for other in self._overdue if other is not call and not other.is_connecting]
+        self._wait_for(call)
+
+    def _open_calls(self) -> list[DiscoveryCall]:
+        return self._overdue if self._current is None else [*self._overdue, self._current]
 
     def _next_hold_us(self) -> int:
         if self.rev is None or self._at_once:
@@ -178,18 +200,13 @@
     def _path(self, hold_us: int) -> str:
         return PATH if self.rev is None else f"{PATH}?from={self.rev}&hold_ms={hold_us // 1000}"
 
-    def _timeout_us(self, hold_us: int) -> int:
-        """Return the time after which a call with this hold time is overdue."""
-        return hold_us + HOLD_OVERDUE_US if hold_us else CONNECT_TIMEOUT_US + self._response_timeout_us
-
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
     def _close_calls(self, *, except_for: DiscoveryCall | None) -> None:
-        calls = self._overdue if self._current is None else [*self._overdue, self._current]
-        for call in calls:
+        for call in self._open_calls():
             if call is not except_for:
                 call.close()
         self._overdue = []
@@ -199,9 +216,10 @@
 
     def on_answer(self, call: DiscoveryCall, targets: Targets) -> None:
         """Use an answer, on time or late, and continue the watch."""
-        took_us = self.loop.now() - call.began_at_us
+        took_us = self.loop.now() - call.sent_at_us
         self._pause_us = MIN_RETRY_PAUSE_US
-        if took_us <= call.hold_us + CONNECT_TIMEOUT_US + MAX_RESPONSE_US:
+        self._connect_timeout_us = CONNECT_TIMEOUT_US
+        if took_us <= call.hold_us + RESPONSE_TIMEOUT_US:
             self._response_timeout_us = RESPONSE_TIMEOUT_US
         is_used = self._update_revision(call, targets)
         self._at_once = False
@@ -248,24 +266,40 @@
         while len(self._overdue) >= MAX_OPEN_CALLS:
             self._overdue.pop(0).close()
         self._at_once = True
-        waited_ms = (self.loop.now() - call.began_at_us) // 1000
+        waited_ms = (self.loop.now() - call.sent_at_us) // 1000
+        self.log("info", "discovery: call overdue, calling again", after_ms=waited_ms, **self._stage(call))
+        is_failure = self._adapt_to_overdue(call)
+        self._call()
+        if is_failure:
+            self.failures += 1
+            self.listener(None)
+
+    @staticmethod
+    def _stage(call: DiscoveryCall) -> dict[str, object]:
+        return {"connected": not call.is_connecting, "hold_ms": call.hold_us // 1000}
+
+    def _adapt_to_overdue(self, call: DiscoveryCall) -> bool:
+        """Give the next call more time, or retry it sooner; return whether the overdue one is a failure.
+
+        A connect is one only if the connect before it was overdue, too; a call with a hold time is not, as
+        the next one shows whether discovery is there.
+        """
+        if call.is_connecting:
+            is_failure = self._connect_timeout_us > CONNECT_TIMEOUT_US
+            self._connect_timeout_us = min(2 * self._connect_timeout_us, MAX_CONNECT_TIMEOUT_US)
+            return is_failure
         if call.hold_us:
             self._pause_us = MIN_RETRY_PAUSE_US
             self._retry_soon_until_effective(call)
-            self.log("info", "discovery: watch overdue, reopening it", after_ms=waited_ms)
-            self._call()
-            return
-        self.failures += 1
+            return False
         self._response_timeout_us = min(2 * self._response_timeout_us, MAX_RESPONSE_TIMEOUT_US)
-        self.log("info", "discovery: call overdue, calling again", after_ms=waited_ms)
-        self._call()
-        self.listener(None)
+        return True
 
     def _retry_soon_until_effective(self, call: DiscoveryCall) -> None:
         """Retry failed calls soon until the changes bind that this overdue one may have missed."""
         effective_at_us = max(
-            call.began_at_us + EFFECTIVE_AFTER_SILENCE_US,
-            call.began_at_us + call.hold_us + EFFECTIVE_AFTER_WAIT_US,
+            call.sent_at_us + EFFECTIVE_AFTER_SILENCE_US,
+            call.sent_at_us + call.hold_us + EFFECTIVE_AFTER_WAIT_US,
         )
         self._urgent_until_us = max(self._urgent_until_us, effective_at_us + self.grace_us)
 
@@ -274,7 +308,7 @@
         if call in self._overdue:
             self._overdue.remove(call)
             return
-        waited_us = self.loop.now() - call.began_at_us
+        waited_us = self.loop.now() - call.sent_at_us
         if call.found_connection_ended and waited_us < WATCH_CONTINUES_WITHIN_US:
             self._call()  # discovery ended the connection after its last answer, and the watch goes on
             return
--- a/heathwell/gateway/discovery_call.py
+++ b/heathwell/gateway/discovery_call.py
@@ -1,7 +1,7 @@
 """One call of the platform's discovery over HTTP: connect if needed, request, and decode the answer.
 
-A call has no timeout of its own beyond that of its connect: the watch that made it decides how long it waits,
-and when the call is closed. Imports the HTTP codec, the decoder of answers and the event loop.
+A call has no timeout of its own but for a connect that never ends: the watch that made it decides how long it
+waits, and when the call is closed. Imports the HTTP codec, the decoder of answers and the event loop.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from heathwell.eventloop import ConnectError, Coro, Loop, Net, Stream, StreamBrokenError
 from heathwell.gateway.targets import Targets, TargetsError
 
-CONNECT_TIMEOUT_US = 350_000
+MAX_CONNECT_US = 4_000_000  # a connect that takes longer has failed
 MAX_BODY_BYTES = 1 << 20
 STATUS_OK = 200
 
@@ -55,7 +55,10 @@
 
 
 class CallOwner(Protocol):
-    """Is told how a call ended, once, unless the call was closed before."""
+    """Is told of a call's connect, and once how the call ended, unless the call was closed before."""
+
+    def on_connected(self, call: DiscoveryCall) -> None:
+        """Handle a new connection of the call, over which its request is sent."""
 
     def on_answer(self, call: DiscoveryCall, targets: Targets) -> None:
         """Handle the answer; the call's connection may be used for the next call."""
@@ -86,14 +89,20 @@
         self.address = address
         self.hold_us = hold_us
         self.known_rev = known_rev
-        self.began_at_us = loop.now()
+        self.sent_at_us = loop.now()  # with a new connection, when it was established
         self.connection = connection
         self._is_reused = connection is not None
         self._has_ended = False
+        self._loop = loop
         self._net = net
         self._owner = owner
         self._task = loop.spawn(self._run(path), "discovery")
 
+    @property
+    def is_connecting(self) -> bool:
+        """Whether the call waits for its connection."""
+        return self.connection is None and not self._has_ended
+
     @property
     def found_connection_ended(self) -> bool:
         """Whether the call was made over an earlier call's connection and got no byte there."""
@@ -108,8 +117,10 @@
     def _run(self, path: str) -> Coro[None]:
         try:
             if self.connection is None:
-                stream = yield from self._net.connect(self.address, CONNECT_TIMEOUT_US)
+                stream = yield from self._net.connect(self.address, MAX_CONNECT_US)
                 self.connection = DiscoveryConnection(self.address, stream)
+                self.sent_at_us = self._loop.now()
+                self._owner.on_connected(self)
             targets = yield from self.connection.get(path)
         except (ConnectError, StreamBrokenError, HttpError, TargetsError) as problem:
             self._has_ended = True
--- a/tests/test_gateway_slow_discovery.py
+++ b/tests/test_gateway_slow_discovery.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from heathwell.eventloop import sleep
+from heathwell.eventloop import ConnectError, Coro, Net, Stream, sleep
 
 from .platform import Platform
 
@@ -48,6 +48,21 @@
     world.wait((at_us - world.loop.now()) / 1e6)
 
 
+class LateConnects:
+    """A network whose connects come up late, by ``delay_us``."""
+
+    def __init__(self, net: Net, delay_us: int) -> None:
+        self.net = net
+        self.delay_us = delay_us
+
+    def connect(self, address: str, timeout_us: int) -> Coro[Stream]:
+        """Connect after the delay; raise ConnectError if the timeout is shorter."""
+        yield from sleep(self.net.loop, min(self.delay_us, timeout_us))
+        if self.delay_us > timeout_us:
+            raise ConnectError("connect timed out")
+        return (yield from self.net.connect(address, timeout_us))
+
+
 @pytest.mark.parametrize("delay_us", ALLOWED_DELAYS_US)
 @pytest.mark.parametrize("mode", MODES)
 def test_a_drain_after_a_move_is_known_in_time_whatever_time_an_answer_takes(mode, delay_us):
@@ -236,3 +251,36 @@
         world.wait(0.2)
     assert world.broker.watch.failures == 0
     assert len(registry.queries) <= 12  # one or two for each answer
+
+
+@pytest.mark.parametrize("connect_us", [300_000, 600_000, 1_000_000, 1_500_000])
+@pytest.mark.parametrize("delay_us", [0, 1_800_000])
+@pytest.mark.parametrize("mode", MODES)
+def test_a_connect_to_discovery_that_comes_up_late_is_used(mode, delay_us, connect_us):
+    """Guards against connects that are given up one after the other with the same timeout."""
+    world = platform(mode)
+    world.wait(1.0)
+    world.broker.watch.net = LateConnects(world.net, connect_us)
+    world.registry.response_delay_us = delay_us
+    drain(world)
+    moved_at_us = world.loop.now()
+    world.broker.watch.move("registry:8500")
+    wait_until_us(world, moved_at_us + ANNOUNCED_AFTER_MOVE_US + DRAIN_GRACE_US - MAX_STALL_US)
+    assert knows_the_drain(world)
+    assert world.registry.queries.count("") == 1  # the other connects are closed before their calls
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("cut_s", [2.0, 10.0, 30.0])
+def test_after_a_cut_discovery_is_heard_in_time(cut_s, mode):
+    """Guards against a connect whose timeout grows too long: what was sent during the cut comes up never."""
+    world = platform(mode)
+    world.wait(1.0)
+    drain(world)
+    world.broker.watch.net = LateConnects(world.net, 1 << 40)
+    world.broker.watch.move("registry:8500")
+    world.wait(cut_s)
+    world.broker.watch.net = world.net
+    world.registry.response_delay_us = 1_990_000
+    world.wait((ANNOUNCED_AFTER_CHANGE_US + DRAIN_GRACE_US - MAX_STALL_US) / 1e6)
+    assert knows_the_drain(world)
