Discovery: a move keeps the calls to the old address until the new one has answered

What callers would see: new configurations follow one another faster than discovery answers; the broker serves by the list from before the first and sends to draining nodes until the last move is answered.

Cause: a move closed the call to the address before, which by the platform's page closes its open connections only 1.5 s later and may answer until then.

Change: such calls stay open, three at most, and their answers are used until the present address has answered, which is asked for the complete list as before.

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -38,8 +38,9 @@
 HOLD_OVERDUE_US = 500_000
 # Longest time for which the broker may be held up between reading its clock and sending.
 MAX_STALL_US = 150_000
-# Calls that are open at a time; the oldest overdue one is closed for a new one.
+# Calls at the present address that are open at a time; the oldest overdue one is closed for a new one.
 MAX_OPEN_CALLS = 3
+MAX_PREVIOUS_CALLS = 3  # likewise of calls at addresses that discovery has left
 # By the platform's protocol a change takes effect EFFECTIVE_AFTER_SILENCE_US after discovery stopped
 # responding, or EFFECTIVE_AFTER_WAIT_US after the end of a hold time if that is later.
 EFFECTIVE_AFTER_SILENCE_US = 6_000_000
@@ -112,6 +113,9 @@
         self.grace_us = grace_us
         self._current: DiscoveryCall | None = None
         self._overdue: list[DiscoveryCall] = []  # calls whose late answers are still used, the oldest first
+        # Calls at addresses that discovery has left, the oldest first. Their answers are used until the
+        # present address has answered, as it may be left before it does.
+        self._previous: list[DiscoveryCall] = []
         self._timer: Timer | None = None  # until the present call is overdue, or until the end of a pause
         self._urgent_until_us = 0  # until a change that was missed binds; 0 if none can have been missed
         self._pause_us = MIN_RETRY_PAUSE_US
@@ -121,6 +125,11 @@
         # requested so. So is the first answer if lists are pushed, as it may already be in effect.
         self._at_once = pushed
 
+    @property
+    def open_calls(self) -> int:
+        """Number of calls whose answers are still used."""
+        return len(self._open_calls())
+
     def start(self) -> None:
         """Begin to watch if lists are pushed; otherwise the decision module requests the first poll."""
         if self.pushed:
@@ -133,7 +142,8 @@
 
     def move(self, address: str) -> None:
         """Watch another address, at once and from the complete list."""
-        self.close()
+        self._cancel_timer()
+        self._keep_calls_of_previous_address()
         self.address = address
         self.rev = None
         self._urgent_until_us = self.loop.now() + EFFECTIVE_AFTER_MOVE_US + self.grace_us
@@ -142,6 +152,17 @@
         self._connect_timeout_us = CONNECT_TIMEOUT_US
         self.request_update()
 
+    def _keep_calls_of_previous_address(self) -> None:
+        for call in self._open_calls():
+            if call.is_connecting:
+                call.close()
+        connected = [call for call in self._open_calls() if not call.is_connecting]
+        self._previous = connected[-MAX_PREVIOUS_CALLS:]
+        self._overdue = []
+        self._current = None
+        for call in connected[:-MAX_PREVIOUS_CALLS]:
+            call.close()
+
     def close(self) -> None:
         """End the watch."""
         self._cancel_timer()
@@ -190,7 +211,8 @@
         self._wait_for(call)
 
     def _open_calls(self) -> list[DiscoveryCall]:
-        return self._overdue if self._current is None else [*self._overdue, self._current]
+        current = [] if self._current is None else [self._current]
+        return [*self._previous, *self._overdue, *current]
 
     def _next_hold_us(self) -> int:
         if self.rev is None or self._at_once:
@@ -209,6 +231,7 @@
         for call in self._open_calls():
             if call is not except_for:
                 call.close()
+        self._previous = []
         self._overdue = []
         self._current = None
 
@@ -216,6 +239,9 @@
 
     def on_answer(self, call: DiscoveryCall, targets: Targets) -> None:
         """Use an answer, on time or late, and continue the watch."""
+        if call in self._previous:
+            self._on_answer_of_previous_address(call, targets)
+            return
         took_us = self.loop.now() - call.sent_at_us
         self._pause_us = MIN_RETRY_PAUSE_US
         self._connect_timeout_us = CONNECT_TIMEOUT_US
@@ -232,12 +258,22 @@
             self._urgent_until_us = 0
             self.listener(targets)
 
+    def _on_answer_of_previous_address(self, call: DiscoveryCall, targets: Targets) -> None:
+        """Use an answer of an address that was left; the present one's complete list is still awaited."""
+        self.log("info", "discovery: answer of the previous address", address=call.address)
+        position = self._previous.index(call)
+        for earlier in self._previous[: position + 1]:
+            earlier.close()
+        del self._previous[: position + 1]
+        self.listener(targets)
+
     def _on_late_answer(self, call: DiscoveryCall, took_us: int) -> None:
         """Drop the overdue calls up to this one; if there is no later one, continue the watch with it."""
         self.log("info", "discovery: late answer", after_ms=took_us // 1000, hold_ms=call.hold_us // 1000)
         position = self._overdue.index(call)
-        for earlier in self._overdue[:position]:
+        for earlier in [*self._previous, *self._overdue[:position]]:
             earlier.close()
+        self._previous = []
         del self._overdue[: position + 1]
         if self._current is None:
             self._call(call.connection)
@@ -304,9 +340,10 @@
         self._urgent_until_us = max(self._urgent_until_us, effective_at_us + self.grace_us)
 
     def on_failure(self, call: DiscoveryCall, problem: CallProblem) -> None:
-        """Retry the present call after a pause; drop an overdue one."""
-        if call in self._overdue:
-            self._overdue.remove(call)
+        """Retry the present call after a pause; drop another one."""
+        if call is not self._current:
+            self._previous = [other for other in self._previous if other is not call]
+            self._overdue = [other for other in self._overdue if other is not call]
             return
         waited_us = self.loop.now() - call.sent_at_us
         if call.found_connection_ended and waited_us < WATCH_CONTINUES_WITHIN_US:
--- a/tests/test_gateway_slow_discovery.py
+++ b/tests/test_gateway_slow_discovery.py
@@ -11,6 +11,7 @@
 import pytest
 
 from heathwell.eventloop import ConnectError, Coro, Net, Stream, sleep
+from heathwell.testing.standins.platform_discovery import PlatformDiscovery
 
 from .platform import Platform
 
@@ -119,7 +120,7 @@
 
 @pytest.mark.parametrize("mode", MODES)
 @pytest.mark.parametrize("known", [True, False])
-@pytest.mark.parametrize("delay_us", [2_600_000, 3_500_000, 5_000_000])
+@pytest.mark.parametrize("delay_us", [2_600_000, 3_500_000, 5_000_000, 10_000_000])
 def test_answers_later_than_the_platform_allows_are_used(delay_us, known, mode):
     """Guards against calls that are given up one after the other with the same timeout."""
     world = platform(mode, known=known)
@@ -284,3 +285,71 @@
     world.registry.response_delay_us = 1_990_000
     world.wait((ANNOUNCED_AFTER_CHANGE_US + DRAIN_GRACE_US - MAX_STALL_US) / 1e6)
     assert knows_the_drain(world)
+
+
+class MovingDiscovery:
+    """Discovery that moves to a new address again and again; the old one closes connections 1.5 s later."""
+
+    CLOSES_AFTER_US: Final = 1_500_000
+
+    def __init__(self, world: Platform) -> None:
+        self.world = world
+        self.address = "registry:8500"
+        self.moves = 0
+
+    def move(self) -> None:
+        """Listen at a new address, and tell the broker."""
+        self.moves += 1
+        world = self.world
+        old = self.address
+        self.address = f"registry:{8500 + self.moves}"
+        world.net.at("registry").listen(self.address, world.registry._serve, "registry")
+        world.net.listeners.pop(old)
+        world.loop.call_at(world.loop.now() + self.CLOSES_AFTER_US, self._close, old)
+        world.broker.watch.move(self.address)
+
+    def _close(self, address: str) -> None:
+        for stream in list(self.world.registry.streams):
+            if stream.local_address == address:
+                stream.abort()
+
+
+@pytest.mark.parametrize("interval_us", [600_000, 1_000_000, 1_500_000, 1_700_000])
+@pytest.mark.parametrize("delay_us", [1_000_000, 1_800_000])
+@pytest.mark.parametrize("mode", MODES)
+def test_a_drain_is_known_in_time_although_discovery_moves_before_it_has_answered(
+    mode, delay_us, interval_us
+):
+    """Guards against a list that is never heard while new configurations follow one another."""
+    world = platform(mode)
+    world.wait(1.0)
+    world.registry.response_delay_us = delay_us
+    discovery = MovingDiscovery(world)
+    first_move_at_us = world.loop.now()
+    drain(world)
+    binds_at_us = first_move_at_us + ANNOUNCED_AFTER_MOVE_US + DRAIN_GRACE_US - MAX_STALL_US
+    while world.loop.now() < binds_at_us:
+        discovery.move()
+        wait_until_us(world, min(world.loop.now() + interval_us, binds_at_us))
+    assert knows_the_drain(world)
+    discovery.move()
+    world.wait(2.5)
+    assert world.broker.watch.rev == world.registry.revision  # the watch is at the last address
+    assert world.broker.watch.open_calls == 1
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_an_answer_of_the_previous_address_does_not_undo_one_of_the_present_one(mode):
+    """The previous address has an older list, which its late answer brings after that of the present one."""
+    world = platform(mode)
+    world.wait(1.0)
+    previous = PlatformDiscovery(world.loop, world.net.at("previous"), "previous:8500", world.nodes)
+    previous.response_delay_us = 1_200_000
+    world.broker.watch.move("previous:8500")
+    world.wait(0.5)
+    drain(world)
+    world.broker.watch.move("registry:8500")
+    world.wait(0.5)
+    assert knows_the_drain(world) and world.broker.watch.open_calls == 1
+    world.wait(3.0)
+    assert knows_the_drain(world)
