Discovery: changes relative to a list that was dropped are not applied

A fault of "an overdue call stays open", found by reading it again: where discovery has restarted with an older list, the late answer of an overdue watch drops the broker's revision, and the answer of the call beside it was then applied as changes, its revision taken over without the complete list. An answer of an address that was left is checked alike. The new test's case "late first" fails on the commit before (the next call goes on from revision 3).

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -265,7 +265,9 @@
         for earlier in self._previous[: position + 1]:
             earlier.close()
         del self._previous[: position + 1]
-        self.listener(targets)
+        is_older = call.known_rev is not None and targets.rev < call.known_rev
+        if targets.all or not is_older:
+            self.listener(targets)
 
     def _on_late_answer(self, call: DiscoveryCall, took_us: int) -> None:
         """Drop the overdue calls up to this one; if there is no later one, continue the watch with it."""
@@ -282,6 +284,8 @@
 
     def _update_revision(self, call: DiscoveryCall, targets: Targets) -> bool:
         """Store the answer's revision; return whether the answer is to be used."""
+        if self.rev is None and call.known_rev is not None and not targets.all:
+            return False  # changes relative to a list that was dropped meanwhile
         is_older = self.rev is not None and targets.rev < self.rev
         if is_older and call.known_rev != self.rev:
             return False  # another call has brought a later list meanwhile
--- a/tests/test_event_orderings_timeouts.py
+++ b/tests/test_event_orderings_timeouts.py
@@ -318,6 +318,44 @@
     assert world.broker.aggregator.endpoints["s2"].live == (latest_state == "up")
 
 
+@pytest.mark.parametrize("late_is_first", [True, False], ids=["late first", "reopened first"])
+def test_a_late_and_a_reopened_watch_of_an_older_revision_lead_to_one_complete_list(late_is_first):
+    """Guards against changes being applied, and a revision taken over, without the list that they belong to:
+    discovery has restarted with an older list, and both open calls say so.
+    """
+    world = World(registry=False)
+    older = list_response(3, [{**world.nodes[1].entry, "state": "draining"}], is_complete=False)
+    complete = [
+        {**node.entry, "state": "draining" if node is world.nodes[2] else "up"} for node in world.nodes
+    ]
+
+    def main():
+        discovery = ScriptedDiscovery(world)
+        world.broker.watch.move(discovery.address)
+        yield from world.wait_until(lambda: discovery.calls)
+        stream, _ = discovery.calls[0]
+        stream.write(list_response(5, [each.entry for each in world.nodes], is_complete=True))
+        yield from world.wait_until(lambda: len(discovery.calls) == 2)
+        silent, target = discovery.calls[1]
+        wait_us = int(target.partition("hold_ms=")[2]) * 1000
+        world.stall_until(world.loop.now() + wait_us + 1_000_000)
+        yield from world.wait_until(lambda: len(discovery.calls) == 3, "reopened")
+        reopened, _ = discovery.calls[2]
+        if late_is_first:
+            silent.write(older)
+            yield from world.wait_until(lambda: world.broker.watch.rev is None, "older revision noticed")
+        reopened.write(older)
+        yield from world.wait_until(lambda: len(discovery.calls) == 4)
+        stream, target = discovery.calls[3]
+        assert target == "/api/targets" and world.broker.aggregator.endpoints["s1"].live
+        stream.write(list_response(3, complete, is_complete=True))
+        yield from world.wait_until(world.has_change(world.nodes[2], "draining"))
+        yield from world.wait_until(lambda: len(discovery.calls) == 5)
+        return discovery.calls[4][1]
+
+    assert world.run(main()).startswith("/api/targets?from=3&hold_ms=")
+
+
 @pytest.mark.parametrize("name", SETTINGS_VARIANTS)
 @pytest.mark.parametrize("discovery", ["answers late", "is down"])
 def test_a_new_process_uses_its_configured_list_until_the_current_one_is_binding(name, discovery):
