Discovery: when calls are overdue and repeated is a module of its own

CallTiming in discovery_timing.py has the times and the backoff, without I/O and clock; Discovery keeps the calls and the revision. No change of behaviour; the tests of the gateway's discovery pass unchanged but for an import and a seed's place.

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -16,66 +16,19 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 
 from heathwell.eventloop import Loop, Net, Timer
 from heathwell.gateway.discovery_call import CallProblem, DiscoveryCall, DiscoveryConnection
+from heathwell.gateway.discovery_timing import RESPONSE_TIMEOUT_US, WATCH_CONTINUES_WITHIN_US, CallTiming
 from heathwell.gateway.targets import Targets
 
-MAX_HOLD_US = 60_000_000  # longest hold time of a watch that the platform's protocol allows
-# By the platform's protocol discovery takes up to this time for an answer, beyond the hold time.
-MAX_RESPONSE_US = 2_000_000
-# A call without a hold time is overdue this long after it was sent, twice as long while such calls are
-# overdue in a row: late enough for the transit, and early enough to call a recovered discovery in time.
-RESPONSE_TIMEOUT_US = MAX_RESPONSE_US + 100_000
-MAX_RESPONSE_TIMEOUT_US = 2 * RESPONSE_TIMEOUT_US
-# A connect is overdue after this time, doubled up to the maximum while connects are overdue in a row.
-CONNECT_TIMEOUT_US = 350_000
-MAX_CONNECT_TIMEOUT_US = 4 * CONNECT_TIMEOUT_US
-# A call with a hold time is overdue this long after it: early enough for a second call to be answered before
-# a change that the first one missed binds.
-HOLD_OVERDUE_US = 500_000
-# Longest time for which the broker may be held up between reading its clock and sending.
-MAX_STALL_US = 150_000
 # Calls at the present address that are open at a time; the oldest overdue one is closed for a new one.
 MAX_OPEN_CALLS = 3
 MAX_PREVIOUS_CALLS = 3  # likewise of calls at addresses that discovery has left
-# By the platform's protocol a change takes effect EFFECTIVE_AFTER_SILENCE_US after discovery stopped
-# responding, or EFFECTIVE_AFTER_WAIT_US after the end of a hold time if that is later.
-EFFECTIVE_AFTER_SILENCE_US = 6_000_000
-EFFECTIVE_AFTER_WAIT_US = 2_000_000
-# By the platform's protocol the list at a new address takes effect within this time after SIGHUP.
-EFFECTIVE_AFTER_MOVE_US = 4_000_000
-# By the platform's protocol a watch goes on if its next call comes within this time of the last answer.
-WATCH_CONTINUES_WITHIN_US = 200_000
-# Bounds of the pause after a failed call. The first maximum holds while a missed change may take effect. With
-# the second one two more calls may fail, and a third be answered, before a drain binds at a discovery that
-# has recovered.
-MIN_RETRY_PAUSE_US = 100_000
-MAX_URGENT_PAUSE_US = 800_000
-MAX_RETRY_PAUSE_US = 1_500_000
-# The hold time of each call is reduced by a random fraction, so that brokers that were started together do
-# not poll at the same time. This is the smallest fraction that remains.
-MIN_HOLD_FRACTION = 0.75
-MIN_PAUSE_FRACTION = 0.5  # likewise of a pause
 PATH = "/api/targets"
 
 
-def longest_wait(grace_us: int) -> int:
-    """Return the longest hold time (us) of a watch that can be replaced in time if it gets no response.
-
-    The missing response must be noticed, and the watch reopened and answered, before a missed change binds: a
-    change takes effect ``EFFECTIVE_AFTER_SILENCE_US`` after discovery stopped responding, or
-    ``EFFECTIVE_AFTER_WAIT_US`` after the hold time, and a drain binds ``grace_us`` later. In the worst case
-    discovery stops responding as the call begins.
-    """
-    renewed_us = HOLD_OVERDUE_US + CONNECT_TIMEOUT_US + MAX_RESPONSE_US + MAX_STALL_US
-    if renewed_us <= EFFECTIVE_AFTER_WAIT_US + grace_us:
-        return MAX_HOLD_US
-    return max(EFFECTIVE_AFTER_SILENCE_US + grace_us - renewed_us, 0)
-
-
 class Discovery:
     """Watches the endpoint list at one address, which may change.
 
@@ -104,27 +57,26 @@
         self.address = address
         self.listener = listener
         self.log = log
-        self.random = random.Random(seed)
         self.calls = 0
         self.failures = 0
         self.rev = rev
-        self.hold_us = min(hold_us, longest_wait(grace_us))
         self.pushed = pushed
-        self.grace_us = grace_us
+        self.timing = CallTiming(hold_us, grace_us, seed)
         self._current: DiscoveryCall | None = None
         self._overdue: list[DiscoveryCall] = []  # calls whose late answers are still used, the oldest first
         # Calls at addresses that discovery has left, the oldest first. Their answers are used until the
         # present address has answered, as it may be left before it does.
         self._previous: list[DiscoveryCall] = []
         self._timer: Timer | None = None  # until the present call is overdue, or until the end of a pause
-        self._urgent_until_us = 0  # until a change that was missed binds; 0 if none can have been missed
-        self._pause_us = MIN_RETRY_PAUSE_US
-        self._response_timeout_us = RESPONSE_TIMEOUT_US
-        self._connect_timeout_us = CONNECT_TIMEOUT_US
         # Whether the next call is made without a hold time: changes that an overdue watch may have missed are
         # requested so. So is the first answer if lists are pushed, as it may already be in effect.
         self._at_once = pushed
 
+    @property
+    def hold_us(self) -> int:
+        """The longest hold time of a call."""
+        return self.timing.hold_us
+
     @property
     def open_calls(self) -> int:
         """Number of calls whose answers are still used."""
@@ -146,10 +98,7 @@
         self._keep_calls_of_previous_address()
         self.address = address
         self.rev = None
-        self._urgent_until_us = self.loop.now() + EFFECTIVE_AFTER_MOVE_US + self.grace_us
-        self._pause_us = MIN_RETRY_PAUSE_US
-        self._response_timeout_us = RESPONSE_TIMEOUT_US
-        self._connect_timeout_us = CONNECT_TIMEOUT_US
+        self.timing.on_move(self.loop.now())
         self.request_update()
 
     def _keep_calls_of_previous_address(self) -> None:
@@ -176,7 +125,7 @@
         if connection is not None and not connection.is_reusable:
             connection.close()
             connection = None
-        hold_us = self._next_hold_us()
+        hold_us = 0 if self.rev is None or self._at_once else self.timing.next_hold_us()
         call = DiscoveryCall(
             self.loop,
             self.net,
@@ -192,12 +141,10 @@
 
     def _wait_for(self, call: DiscoveryCall) -> None:
         """Make a call the present one, which is overdue after the time for its connect or for its answer."""
-        if call.is_connecting:
-            timeout_us = self._connect_timeout_us
-        elif call.hold_us:
-            timeout_us = call.hold_us + HOLD_OVERDUE_US
-        else:
-            timeout_us = self._response_timeout_us
+        timing = self.timing
+        timeout_us = (
+            timing.connect_timeout_us if call.is_connecting else timing.response_timeout_us(call.hold_us)
+        )
         self._cancel_timer()
         self._current = call
         self._timer = self.loop.call_at(self.loop.now() + timeout_us, self._on_overdue)
@@ -214,11 +161,6 @@
         current = [] if self._current is None else [self._current]
         return [*self._previous, *self._overdue, *current]
 
-    def _next_hold_us(self) -> int:
-        if self.rev is None or self._at_once:
-            return 0
-        return int(self.hold_us * self.random.uniform(MIN_HOLD_FRACTION, 1.0))
-
     def _path(self, hold_us: int) -> str:
         return PATH if self.rev is None else f"{PATH}?from={self.rev}&hold_ms={hold_us // 1000}"
 
@@ -243,11 +185,9 @@
             self._on_answer_of_previous_address(call, targets)
             return
         took_us = self.loop.now() - call.sent_at_us
-        self._pause_us = MIN_RETRY_PAUSE_US
-        self._connect_timeout_us = CONNECT_TIMEOUT_US
-        if took_us <= call.hold_us + RESPONSE_TIMEOUT_US:
-            self._response_timeout_us = RESPONSE_TIMEOUT_US
         is_used = self._update_revision(call, targets)
+        is_in_time = took_us <= call.hold_us + RESPONSE_TIMEOUT_US
+        self.timing.on_answer(is_used=is_used, is_in_time=is_in_time)
         self._at_once = False
         if call is self._current:
             self._close_calls(except_for=call)
@@ -255,7 +195,6 @@
         else:
             self._on_late_answer(call, took_us)
         if is_used:
-            self._urgent_until_us = 0
             self.listener(targets)
 
     def _on_answer_of_previous_address(self, call: DiscoveryCall, targets: Targets) -> None:
@@ -306,18 +245,19 @@
         while len(self._overdue) >= MAX_OPEN_CALLS:
             self._overdue.pop(0).close()
         self._at_once = True
-        waited_ms = (self.loop.now() - call.sent_at_us) // 1000
-        self.log("info", "discovery: call overdue, calling again", after_ms=waited_ms, **self._stage(call))
+        self.log(
+            "info",
+            "discovery: call overdue, calling again",
+            after_ms=(self.loop.now() - call.sent_at_us) // 1000,
+            connected=not call.is_connecting,
+            hold_ms=call.hold_us // 1000,
+        )
         is_failure = self._adapt_to_overdue(call)
         self._call()
         if is_failure:
             self.failures += 1
             self.listener(None)
 
-    @staticmethod
-    def _stage(call: DiscoveryCall) -> dict[str, object]:
-        return {"connected": not call.is_connecting, "hold_ms": call.hold_us // 1000}
-
     def _adapt_to_overdue(self, call: DiscoveryCall) -> bool:
         """Give the next call more time, or retry it sooner; return whether the overdue one is a failure.
 
@@ -325,24 +265,13 @@
         the next one shows whether discovery is there.
         """
         if call.is_connecting:
-            is_failure = self._connect_timeout_us > CONNECT_TIMEOUT_US
-            self._connect_timeout_us = min(2 * self._connect_timeout_us, MAX_CONNECT_TIMEOUT_US)
-            return is_failure
+            return self.timing.on_overdue_connect()
         if call.hold_us:
-            self._pause_us = MIN_RETRY_PAUSE_US
-            self._retry_soon_until_effective(call)
+            self.timing.on_overdue_watch(call.sent_at_us, call.hold_us)
             return False
-        self._response_timeout_us = min(2 * self._response_timeout_us, MAX_RESPONSE_TIMEOUT_US)
+        self.timing.on_overdue_response()
         return True
 
-    def _retry_soon_until_effective(self, call: DiscoveryCall) -> None:
-        """Retry failed calls soon until the changes bind that this overdue one may have missed."""
-        effective_at_us = max(
-            call.sent_at_us + EFFECTIVE_AFTER_SILENCE_US,
-            call.sent_at_us + call.hold_us + EFFECTIVE_AFTER_WAIT_US,
-        )
-        self._urgent_until_us = max(self._urgent_until_us, effective_at_us + self.grace_us)
-
     def on_failure(self, call: DiscoveryCall, problem: CallProblem) -> None:
         """Retry the present call after a pause; drop another one."""
         if call is not self._current:
@@ -357,15 +286,7 @@
         self.failures += 1
         self._at_once = self._at_once or self.pushed
         self.log("info", "discovery: call failed or watch broken", why=str(problem))
-        if not self._urgent_until_us:
-            self._urgent_until_us = self.loop.now() + EFFECTIVE_AFTER_SILENCE_US + self.grace_us
         self._cancel_timer()
-        self._timer = self.loop.call_at(self.loop.now() + self._next_pause_us(), self._call)
+        pause_us = self.timing.pause_after_failure_us(self.loop.now())
+        self._timer = self.loop.call_at(self.loop.now() + pause_us, self._call)
         self.listener(None)
-
-    def _next_pause_us(self) -> int:
-        """Return the pause before the next call, and double the one after that."""
-        is_urgent = self.loop.now() < self._urgent_until_us
-        pause_us = min(self._pause_us, MAX_URGENT_PAUSE_US) if is_urgent else self._pause_us
-        self._pause_us = min(2 * pause_us, MAX_RETRY_PAUSE_US)
-        return int(pause_us * self.random.uniform(MIN_PAUSE_FRACTION, 1.0))
--- a/tests/test_event_orderings_discovery.py
+++ b/tests/test_event_orderings_discovery.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from heathwell.gateway.discovery import longest_wait
+from heathwell.gateway.discovery_timing import longest_wait
 from heathwell.testing.standins.platform_discovery import PublishedEntry
 
 from .event_ordering_world import SETTINGS_VARIANTS, World, settings_variant
--- a/tests/test_gateway_slow_discovery.py
+++ b/tests/test_gateway_slow_discovery.py
@@ -192,7 +192,7 @@
     """Guards against a backoff of several seconds while discovery has a change and can be reached."""
     world = platform(mode)
     registry = world.registry
-    world.broker.watch.random.seed(seed)
+    world.broker.watch.timing.random.seed(seed)
     world.broker.aggregator.random.seed(seed)
     world.wait(1.0)
     if failing == "503":
@@ -218,7 +218,7 @@
     """Guards against a backoff that has grown so long that few calls fit before the drain binds."""
     world = platform(mode)
     registry = world.registry
-    world.broker.watch.random.seed(seed)
+    world.broker.watch.timing.random.seed(seed)
     world.broker.aggregator.random.seed(seed)
     world.wait(1.0)
     registry.down = True
