Tests: bytes taken from a connection are counted by its accepted stream, not by address

Shown: test_bytes_from_the_same_port_to_another_listener_are_not_counted makes two connections from one port to two listeners; by address 108 bytes would count for 36 written.

Change: TakenBytes counts each stream that the gateway's listener accepts for itself, and pairs it with the client's connection in the order of connects from its address. Bytes taken must not exceed those written, or the test is wrong.

--- a/tests/test_event_orderings_idle_close_random.py
+++ b/tests/test_event_orderings_idle_close_random.py
@@ -10,12 +10,15 @@
 
 from __future__ import annotations
 
+import socket
+from collections import defaultdict
 from random import Random
 from typing import Final
 
 import pytest
 
-from heathwell.eventloop import Stream, StreamBrokenError, sleep
+from heathwell.eventloop import Coro, Stream, StreamBrokenError, sleep
+from heathwell.eventloop.net import Listener
 from heathwell.eventloop.sockets import SocketStream
 from heathwell.eventloop.virtual import VirtualStream
 
@@ -37,9 +40,10 @@
 class Connection:
     """One connection of a client: the requests that were written, and the bytes that came back."""
 
-    def __init__(self, stream: Stream, local_address: str) -> None:
+    def __init__(self, stream: Stream, local_address: str, earlier: int) -> None:
         self.stream = stream
         self.local_address = local_address
+        self.earlier = earlier  # number of connections that were made from the same address before
         self.requests: list[bytes] = []
         self.received = bytearray()
 
@@ -56,28 +60,51 @@
         return count
 
 
-class RandomClients:
-    """Clients that send requests whole, split or pipelined, rest, and connect again when they are closed."""
+class TakenBytes:
+    """Counts the bytes that a listener's accepted streams take from their transport.
 
-    def __init__(self, network: str, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.random = Random(seed)
-        self.world = Platform(seed=seed) if network == "memory" else World()
-        self.world.front.max_clients = MAX_CLIENTS
-        self.world.front.max_kept_alive = MAX_KEPT_ALIVE
-        self.connections: list[Connection] = []
-        self.taken_bytes: dict[str, int] = {}  # from the transport, by the address of the other end
-        self._record_taken_bytes(VirtualStream if network == "memory" else SocketStream, monkeypatch)
+    Each stream is counted for itself: an address of the other end does not name a connection, as the kernel
+    uses one local port for connections to several listeners, and uses it again once a connection has ended.
+    """
 
-    def _record_taken_bytes(self, transport: type[Stream], monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(self, listener: Listener, transport: type[Stream], monkeypatch: pytest.MonkeyPatch) -> None:
+        self._accepted: defaultdict[str, list[Stream]] = defaultdict(list)  # by peer, the earliest first
+        self._by_stream: dict[Stream, int] = {}
+        serve = listener.handler
         receive = transport._receive
 
+        def record_and_serve(stream: Stream) -> Coro[None]:
+            self._accepted[stream.peer].append(stream)
+            self._by_stream[stream] = 0
+            return serve(stream)
+
         def receive_and_count(stream: Stream, size: int) -> bytes | None:
             data = receive(stream, size)
-            self.taken_bytes[stream.peer] = self.taken_bytes.get(stream.peer, 0) + len(data or b"")
+            if stream in self._by_stream:
+                self._by_stream[stream] += len(data or b"")
             return data
 
+        monkeypatch.setattr(listener, "handler", record_and_serve)
         monkeypatch.setattr(transport, "_receive", receive_and_count)
 
+    def of_client(self, address: str, earlier: int) -> int:
+        """Return the bytes taken of a client's connection; ``earlier`` ones were made from its address."""
+        accepted = self._accepted[address]
+        return self._by_stream[accepted[earlier]] if earlier < len(accepted) else 0
+
+
+class RandomClients:
+    """Clients that send requests whole, split or pipelined, rest, and connect again when they are closed."""
+
+    def __init__(self, network: str, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.random = Random(seed)
+        self.world = Platform(seed=seed) if network == "memory" else World()
+        self.world.front.max_clients = MAX_CLIENTS
+        self.world.front.max_kept_alive = MAX_KEPT_ALIVE
+        self.connections: list[Connection] = []
+        transport: type[Stream] = VirtualStream if network == "memory" else SocketStream
+        self.taken_bytes = TakenBytes(self.world.listener, transport, monkeypatch)
+
     def play(self):
         """Run all clients to their end."""
         clients = [
@@ -112,11 +139,13 @@
         address = self.world.listener.address
         if isinstance(self.world, Platform):
             stream = yield from self.world.net.connect(address, 1_000_000, f"client{number}")
-            connection = Connection(stream, stream.local_address)
+            local_address = stream.local_address
         else:
             stream = yield from self.world.net.connect(address, 1_000_000)
             host, port = stream._sock.getsockname()
-            connection = Connection(stream, f"{host}:{port}")
+            local_address = f"{host}:{port}"
+        earlier = sum(other.local_address == local_address for other in self.connections)
+        connection = Connection(stream, local_address, earlier)
         self.connections.append(connection)
         self.world.loop.spawn(self._read(connection), "reads")
         return connection
@@ -147,5 +176,38 @@
     counts = clients.world.front.counts
     assert counts["closed for another"] + counts["let go"] > 0  # the schedule does close idle connections
     for connection in clients.connections:
-        taken_bytes = clients.taken_bytes.get(connection.local_address, 0)
+        taken_bytes = clients.taken_bytes.of_client(connection.local_address, connection.earlier)
+        assert taken_bytes <= sum(map(len, connection.requests))  # else they are another connection's
         assert connection.response_count() >= connection.read_count(taken_bytes), connection.requests
+
+
+def test_bytes_from_the_same_port_to_another_listener_are_not_counted(monkeypatch):
+    """Guards against counting bytes by the address of the other end, as this file once did."""
+    world = World()
+    taken = TakenBytes(world.listener, SocketStream, monkeypatch)
+    others = []
+
+    def serve_other(stream):
+        others.append((yield from stream.read()))
+
+    def main():
+        other_listener = world.net.listen("127.0.0.1:0", serve_other, "other")
+        first, second = socket.socket(), socket.socket()
+        for sock in (first, second):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        first.bind(("127.0.0.1", 0))
+        second.bind(first.getsockname())
+        for sock, listener in ((first, world.listener), (second, other_listener)):
+            host, port = listener.address.split(":")
+            sock.connect((host, int(port)))
+        first.send(HEALTH_CHECK)
+        second.send(2 * HEALTH_CHECK)
+        host, port = first.getsockname()
+        assert second.getsockname() == (host, port)
+        yield from world.wait_until(lambda: others and taken.of_client(f"{host}:{port}", 0), "both read")
+        assert others == [2 * HEALTH_CHECK]
+        assert taken.of_client(f"{host}:{port}", 0) == len(HEALTH_CHECK)
+        for sock in (first, second):
+            sock.close()
+
+    world.run(main())
