Tests: random trouble of discovery, after which a drain is known in time

Need: the forced orders hold for the troubles that were thought of one by one.

Change: 40 s of late, refused, reset and ended calls, late and dead connects, outages, moves and lists that went back a revision, in random order on virtual time, lists asked for and pushed. Afterwards a drain is known within 6 s and the grace, and one call is open.

--- a/tests/test_gateway_slow_discovery.py
+++ b/tests/test_gateway_slow_discovery.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import Any, Final
 
 import pytest
 
 from heathwell.eventloop import ConnectError, Coro, Net, Stream, sleep
-from heathwell.testing.standins.platform_discovery import PlatformDiscovery
+from heathwell.gateway.discovery import MAX_OPEN_CALLS, MAX_PREVIOUS_CALLS
+from heathwell.testing.standins.platform_discovery import PlatformDiscovery, PublishedEntry
 
 from .platform import Platform
 
@@ -353,3 +355,79 @@
     assert knows_the_drain(world) and world.broker.watch.open_calls == 1
     world.wait(3.0)
     assert knows_the_drain(world)
+
+
+class RandomTrouble:
+    """Disturbs discovery and its connections in a random order."""
+
+    MAX_PAUSE_US: Final = 1_500_000
+
+    def __init__(self, world: Platform, seed: int) -> None:
+        self.world = world
+        self.random = Random(seed)
+        self.discovery = MovingDiscovery(world)
+
+    def play(self, duration_us: int) -> None:
+        """Cause one trouble after another, and end all of them."""
+        troubles = [
+            self._delay_responses,
+            self._fail_calls,
+            self._go_down,
+            self._end_connections,
+            self._delay_connects,
+            self._restart_with_older_list,
+            self.world.registry.mute_connections,
+            self.discovery.move,
+        ]
+        until_us = self.world.loop.now() + duration_us
+        while self.world.loop.now() < until_us:
+            self.random.choice(troubles)()
+            self.world.wait(self.random.randrange(self.MAX_PAUSE_US) / 1e6)
+            assert self.world.broker.watch.open_calls <= MAX_OPEN_CALLS + MAX_PREVIOUS_CALLS
+        registry = self.world.registry
+        registry.down = False
+        registry.calls_to_reset = 0
+        registry.ends_connections_after_us = None
+        registry.response_delay_us = 0
+        self.world.broker.watch.net = self.world.net
+
+    def _delay_responses(self) -> None:
+        self.world.registry.response_delay_us = self.random.choice([0, 500_000, 1_900_000, 4_000_000])
+
+    def _fail_calls(self) -> None:
+        self.world.registry.calls_to_reset = self.random.randrange(4)
+
+    def _go_down(self) -> None:
+        self.world.registry.down = not self.world.registry.down
+        self.world.registry.notify_watches()
+
+    def _end_connections(self) -> None:
+        self.world.registry.ends_connections_after_us = self.random.choice([None, 0, 100_000])
+
+    def _delay_connects(self) -> None:
+        delay_us = self.random.choice([0, 400_000, 1_200_000, 1 << 40])
+        self.world.broker.watch.net = LateConnects(self.world.net, delay_us)
+
+    def _restart_with_older_list(self) -> None:
+        """Discovery has lost its last revision: the entries are those of the revision before."""
+        registry = self.world.registry
+        registry.revision = max(1, registry.revision - 1)
+        registry.entries = {
+            uid: PublishedEntry(min(published.revision, registry.revision), published.entry)
+            for uid, published in registry.entries.items()
+        }
+
+
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("mode", MODES)
+def test_after_any_trouble_a_drain_is_known_in_time_and_one_call_is_open(mode, seed):
+    """Guards against a watch that stays without a call, or with one that nobody answers any more."""
+    world = platform(mode, seed=seed)
+    world.wait(1.0)
+    RandomTrouble(world, seed).play(40_000_000)
+    drain(world)
+    world.wait((ANNOUNCED_AFTER_CHANGE_US + DRAIN_GRACE_US - MAX_STALL_US) / 1e6)
+    assert knows_the_drain(world)
+    world.wait(15.0)  # longer than a hold time
+    assert world.broker.watch.open_calls == 1 and world.broker.watch.rev == world.registry.revision
+    assert sum(task.name == "discovery" for task in world.loop.tasks) == 1
