Discovery: refused calls are left to the module's backoff again, as a crowded one refuses

Cause: discovery turns calls away with 503 while it has too many callers. Repeats after 0.1 to 0.8 s kept it crowded.

A refusal has an error of its own.

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -1,9 +1,9 @@
 """The platform's discovery over HTTP: a watch by long polling, from one revision of the list to the next.
 
 The decision module decides when to poll. From then on each answer is passed to the listener, and each
-failure. After a failure the next call is made when the module decides to poll again, but early enough for a
-change that the failed one missed. :class:`Discovery` owns its calls and the revision of the broker's list;
-the listener interprets the answers.
+failure. After a failure the next call is made when the module decides to poll again, and after a break early
+enough for a change that the broken one missed. :class:`Discovery` owns its calls and the revision of the
+broker's list; the listener interprets the answers.
 
 A call that is overdue is not given up: the next one is made beside it, over a connection of its own, and
 whichever is answered first is used. So a dead connection is noticed in time, and a slow discovery is heard.
@@ -19,7 +19,12 @@
 from collections.abc import Callable
 
 from heathwell.eventloop import Loop, Net, Timer
-from heathwell.gateway.discovery_call import CallProblem, DiscoveryCall, DiscoveryConnection
+from heathwell.gateway.discovery_call import (
+    CallProblem,
+    CallRefusedError,
+    DiscoveryCall,
+    DiscoveryConnection,
+)
 from heathwell.gateway.discovery_timing import RESPONSE_TIMEOUT_US, WATCH_CONTINUES_WITHIN_US, CallTiming
 from heathwell.gateway.targets import Targets
 
@@ -273,7 +278,7 @@
         return True
 
     def on_failure(self, call: DiscoveryCall, problem: CallProblem) -> None:
-        """Retry the present call after a pause; drop another one."""
+        """Repeat the present call after a pause, or leave it to the decision module; drop another one."""
         if call is not self._current:
             self._previous = [other for other in self._previous if other is not call]
             self._overdue = [other for other in self._overdue if other is not call]
@@ -287,6 +292,10 @@
         self._at_once = self._at_once or self.pushed
         self.log("info", "discovery: call failed or watch broken", why=str(problem))
         self._cancel_timer()
-        pause_us = self.timing.pause_after_failure_us(self.loop.now())
-        self._timer = self.loop.call_at(self.loop.now() + pause_us, self._call)
+        if isinstance(problem, CallRefusedError):
+            pause_us = self.timing.pause_after_refusal_us(self.loop.now())
+        else:
+            pause_us = self.timing.pause_after_break_us(self.loop.now())
+        if pause_us is not None:
+            self._timer = self.loop.call_at(self.loop.now() + pause_us, self._call)
         self.listener(None)
--- a/heathwell/gateway/discovery_call.py
+++ b/heathwell/gateway/discovery_call.py
@@ -10,13 +10,22 @@
 
 from heathwell.codec.http import ClientSide, HttpError
 from heathwell.eventloop import ConnectError, Coro, Loop, Net, Stream, StreamBrokenError
+from heathwell.gateway.errors import GatewayError
 from heathwell.gateway.targets import Targets, TargetsError
 
 MAX_CONNECT_US = 4_000_000  # a connect that takes longer has failed
 MAX_BODY_BYTES = 1 << 20
 STATUS_OK = 200
 
-CallProblem = ConnectError | StreamBrokenError | HttpError | TargetsError
+
+class CallRefusedError(GatewayError):
+    """Discovery answered with a status that is no success: it is down, or has too many callers."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"expected status {STATUS_OK}, got {status}")
+
+
+CallProblem = ConnectError | StreamBrokenError | HttpError | TargetsError | CallRefusedError
 
 
 class DiscoveryConnection:
@@ -35,7 +44,7 @@
     def get(self, path: str) -> Coro[Targets]:
         """Request a path and return the answer, however late it comes.
 
-        Raise :class:`StreamBrokenError`, :class:`HttpError` or :class:`TargetsError`.
+        Raise one of the errors of ``CallProblem``.
         """
         self.has_received = False
         self._stream.write(self._side.request("GET", path))
@@ -46,7 +55,7 @@
             if response is None:
                 continue
             if response.status != STATUS_OK:
-                raise HttpError(f"expected status {STATUS_OK}, got {response.status}")
+                raise CallRefusedError(response.status)
             return Targets.from_bytes(response.body)
 
     def close(self) -> None:
@@ -122,7 +131,7 @@
                 self.sent_at_us = self._loop.now()
                 self._owner.on_connected(self)
             targets = yield from self.connection.get(path)
-        except (ConnectError, StreamBrokenError, HttpError, TargetsError) as problem:
+        except (ConnectError, StreamBrokenError, HttpError, TargetsError, CallRefusedError) as problem:
             self._has_ended = True
             if self.connection is not None:
                 self.connection.close()
--- a/heathwell/gateway/discovery_timing.py
+++ b/heathwell/gateway/discovery_timing.py
@@ -57,7 +57,8 @@
     """Timeouts of calls, and pauses between them.
 
     ``hold_us`` is the longest hold time of a call. A change binds ``grace_us`` after it takes effect; until
-    one that was missed binds, failed calls are repeated soon.
+    one that was missed binds, failed calls are repeated soon. Calls that discovery refuses are repeated soon
+    only after a silence or a move: it may have too many callers, and more calls would keep it so.
     """
 
     def __init__(self, hold_us: int, grace_us: int, seed: int) -> None:
@@ -67,7 +68,10 @@
         self._grace_us = grace_us
         self._response_timeout_us = RESPONSE_TIMEOUT_US
         self._pause_us = MIN_RETRY_PAUSE_US
-        self._urgent_until_us = 0  # until a change that was missed binds; 0 if none can have been missed
+        # Until a change binds that was missed in a silence or a move, and until one binds that was missed by
+        # a broken call; 0 if none can have been missed.
+        self._urgent_until_us = 0
+        self._broken_until_us = 0
 
     def next_hold_us(self) -> int:
         """Return the hold time of the next call of a watch."""
@@ -92,6 +96,7 @@
             self._response_timeout_us = RESPONSE_TIMEOUT_US
         if is_used:
             self._urgent_until_us = 0
+            self._broken_until_us = 0
 
     def on_overdue_connect(self) -> bool:
         """Give the next connect more time; return whether connects are overdue in a row."""
@@ -112,11 +117,21 @@
         self._pause_us = MIN_RETRY_PAUSE_US
         self._urgent_until_us = max(self._urgent_until_us, effective_at_us + self._grace_us)
 
-    def pause_after_failure_us(self, now_us: int) -> int:
-        """Return the pause after a call that failed, and double that after the next one."""
-        if not self._urgent_until_us:
-            self._urgent_until_us = now_us + EFFECTIVE_AFTER_SILENCE_US + self._grace_us
-        is_urgent = now_us < self._urgent_until_us
-        pause_us = min(self._pause_us, MAX_URGENT_PAUSE_US) if is_urgent else self._pause_us
+    def pause_after_refusal_us(self, now_us: int) -> int | None:
+        """Return the pause after a call that was refused; None if the decision module decides on the next."""
+        if now_us + min(self._pause_us, MAX_URGENT_PAUSE_US) >= self._urgent_until_us:
+            return None
+        return self._next_pause_us(MAX_URGENT_PAUSE_US)
+
+    def pause_after_break_us(self, now_us: int) -> int:
+        """Return the pause after a call that failed without an answer."""
+        if not self._broken_until_us:
+            self._broken_until_us = now_us + EFFECTIVE_AFTER_SILENCE_US + self._grace_us
+        is_urgent = now_us < max(self._urgent_until_us, self._broken_until_us)
+        return self._next_pause_us(MAX_URGENT_PAUSE_US if is_urgent else MAX_RETRY_PAUSE_US)
+
+    def _next_pause_us(self, longest_us: int) -> int:
+        """Return a pause up to the longest, and double the one after it."""
+        pause_us = min(self._pause_us, longest_us)
         self._pause_us = min(2 * pause_us, MAX_RETRY_PAUSE_US)
         return int(pause_us * self.random.uniform(MIN_PAUSE_FRACTION, 1.0))
