Discovery: one function drops the calls before an answered one

Need, from reading the change once more: the answer of an address that was left and a late answer each had their own loop that closes earlier calls; the timer was cancelled twice for each call; three docstrings used withdrawn wording.

Change: _drop_calls_up_to serves both, _wait_for alone cancels the timer, docstrings reworded. No change of behaviour.

--- a/heathwell/gateway/discovery.py
+++ b/heathwell/gateway/discovery.py
@@ -6,7 +6,7 @@
 broker's list; the listener interprets the answers.
 
 A call that is overdue is not given up: the next one is made beside it, over a connection of its own, and
-whichever is answered first is used. So a dead connection is noticed in time, and a slow discovery is heard.
+whichever is answered first is used. So a dead connection is noticed in time, and late answers are not lost.
 
 Discovery serves all brokers in turn, and each entry of an answer costs it work. So a call requests only what
 changed since the broker's revision, also after a failed call; at the start that is the revision of the
@@ -126,7 +126,6 @@
 
     def _call(self, connection: DiscoveryConnection | None = None) -> None:
         """Make a call, over the connection of the last one if it can be used."""
-        self._cancel_timer()
         if connection is not None and not connection.is_reusable:
             connection.close()
             connection = None
@@ -205,10 +204,8 @@
     def _on_answer_of_previous_address(self, call: DiscoveryCall, targets: Targets) -> None:
         """Use an answer of an address that was left; the present one's complete list is still awaited."""
         self.log("info", "discovery: answer of the previous address", address=call.address)
-        position = self._previous.index(call)
-        for earlier in self._previous[: position + 1]:
-            earlier.close()
-        del self._previous[: position + 1]
+        self._drop_calls_up_to(call)
+        call.close()
         is_older = call.known_rev is not None and targets.rev < call.known_rev
         if targets.all or not is_older:
             self.listener(targets)
@@ -216,16 +213,22 @@
     def _on_late_answer(self, call: DiscoveryCall, took_us: int) -> None:
         """Drop the overdue calls up to this one; if there is no later one, continue the watch with it."""
         self.log("info", "discovery: late answer", after_ms=took_us // 1000, hold_ms=call.hold_us // 1000)
-        position = self._overdue.index(call)
-        for earlier in [*self._previous, *self._overdue[:position]]:
-            earlier.close()
-        self._previous = []
-        del self._overdue[: position + 1]
+        self._drop_calls_up_to(call)
         if self._current is None:
             self._call(call.connection)
         else:
             call.close()
 
+    def _drop_calls_up_to(self, call: DiscoveryCall) -> None:
+        """Close the calls that were made before this one, and no longer wait for any of them."""
+        calls = self._open_calls()
+        position = calls.index(call)
+        for earlier in calls[:position]:
+            earlier.close()
+        dropped = calls[: position + 1]
+        self._previous = [other for other in self._previous if other not in dropped]
+        self._overdue = [other for other in self._overdue if other not in dropped]
+
     def _update_revision(self, call: DiscoveryCall, targets: Targets) -> bool:
         """Store the answer's revision; return whether the answer is to be used."""
         if self.rev is None and call.known_rev is not None and not targets.all:
--- a/heathwell/gateway/discovery_call.py
+++ b/heathwell/gateway/discovery_call.py
@@ -64,7 +64,7 @@
 
 
 class CallOwner(Protocol):
-    """Is told of a call's connect, and once how the call ended, unless the call was closed before."""
+    """Handles a call's connect, and once its end, unless the call was closed before."""
 
     def on_connected(self, call: DiscoveryCall) -> None:
         """Handle a new connection of the call, over which its request is sent."""
@@ -118,7 +118,7 @@
         return self._is_reused and self.connection is not None and not self.connection.has_received
 
     def close(self) -> None:
-        """End the call and its connection; the owner is not told."""
+        """End the call and its connection, without notifying the owner."""
         if not self._has_ended:
             self._task.cancel()
         self._close_connection()
