--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -528,6 +528,13 @@
         """Open the connection."""
         self.reader, self.writer = await asyncio.open_connection(HOST, self.port)
 
+    async def ensure_connected(self) -> None:
+        """Open a connection unless one is open that the broker has not ended."""
+        await asyncio.sleep(0)
+        if self.writer is None or self.writer.is_closing() or self.reader is None or self.reader.at_eof():
+            self.close()
+            await self.connect()
+
     def request(
         self, kind: str, shards: list[int], wait_ms: int, *, key: str = "", expr: str = ""
     ) -> tuple[str, bytes]:
@@ -553,8 +560,7 @@
         self, kind: str, shards: list[int], wait_ms: int, *, key: str = "", patience_s: float = 3.0
     ) -> Reply:
         """Send a request and return its end; wait ``patience_s`` longer than the time of the request."""
-        if self.writer is None or self.writer.is_closing():
-            await self.connect()
+        await self.ensure_connected()
         request_id, data = self.request(kind, shards, wait_ms, key=key)
         return await self.send(request_id, data, wait_ms, patience_s, kind)
 
