--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -395,12 +395,16 @@
         )
         self.told.append((at, listing["rev"], listing["all"], listing["targets"]))
 
+    def end_watches(self) -> None:
+        """Reset all connections: the watches on them end."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def stop(self) -> None:
         """Stop listening and reset all connections."""
         if self._server is not None:
             self._server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        self.end_watches()
 
 
 # The broker
