--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -421,6 +421,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.config: dict[str, Any] = {}
         self.log = folder / f"{name}.log"
+        self.limits: dict[str, float] = {"cores": 1.0, "memory_mb": 192, "sockets": 512}
 
     @property
     def address(self) -> str:
@@ -434,7 +435,7 @@
             "listen": self.address,
             "discovery": discovery,
             "seed": f"{int.from_bytes(os.urandom(8), 'big'):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "limits": self.limits,
             "known": known,
             "settings": setup,
         }
