review: an interrupted case ends its processes, and an error is no break of a rule

Cause: a case that got SIGTERM left its brokers running, and an unexpected error ended it with the status of a break.

--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -673,10 +673,13 @@
 
     async def run() -> int:
         world = World(folder)
+        task = asyncio.current_task()
+        if task is not None:
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(LONGEST_RUN_S):
                 breaks = await case(world)
-        except (CaseError, OSError, TimeoutError, AssertionError) as problem:
+        except (Exception, asyncio.CancelledError) as problem:  # noqa: BLE001  # an error is no break of a rule
             world.record("case", "could not run", why=repr(problem))
             print(f"could not run: {problem!r}")
             return COULD_NOT_RUN
