Tests: the description of a collection no longer depends on the tests before it

A trial of parts of the suite on six workers failed once: points_count was None. The fleet's shards report their points with an answer, and the test relied on a search by an earlier test of the same worker. It now sends a search of its own first; the assertions are the same.

--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -136,6 +136,7 @@
 
 def test_collections_are_listed_and_described(fleet):
     client = fleet.client
+    client.query_points("prices", query=random_vector(1, 16))  # a shard reports its points with an answer
     assert client.collection_exists("prices") and not client.collection_exists("nope")
     description = client.get_collection("prices")
     assert description.points_count == SHARDS * 180 and description.config.params.vectors.size == 16
