HTTP server side: header fields are counted before objects are made of them

What callers saw: 330 clients that send a whole head of 2,000 shortest fields, and then stop, take the broker far over its memory and hold up the usual clients.

Cause: the size of a head is bounded by its bytes (16 KB), but h11 makes some 200 bytes of objects of a field of four bytes, and codec/http.py kept h11's request until the body was whole: 419 KB for a head of 16 KB (tracemalloc), parsed in 29 ms of one turn. What h11 buffered was not known to its owner either, as its buffer can only be read by copying it.

ServerSide now holds the received bytes itself, once, and gives h11 one head, or one piece of a body, at a time. Heads and trailers of more than 100 fields, the usual limit of servers, get 431 before h11 sees them. held_bytes states what a connection holds; next_message takes a limit of steps, for bodies of one-byte chunks. It has a module of its own, codec/http_server.py.

--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -15,7 +15,8 @@
 
 from heathwell.broker.query_state import Handle
 from heathwell.broker.replies import Reply, ReplyKind
-from heathwell.codec.http import Request, Response, ServerSide
+from heathwell.codec.http import Request, Response
+from heathwell.codec.http_server import ServerSide
 from heathwell.eventloop import Coro, Event, Stream, StreamBrokenError, StreamOverrunError
 from heathwell.gateway.broker import PlatformBroker
 from heathwell.gateway.requests import BadRequestError, RequestChecker
--- a/heathwell/observability/http_pages.py
+++ b/heathwell/observability/http_pages.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from heathwell.codec.http import Request, Response, ServerSide
+from heathwell.codec.http import Request, Response
+from heathwell.codec.http_server import ServerSide
 from heathwell.eventloop import Coro, Stream
 
 PROMETHEUS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
--- a/heathwell/servers/vector_connection.py
+++ b/heathwell/servers/vector_connection.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from heathwell.codec.http import Request, Response, ServerSide
+from heathwell.codec.http import Request, Response
+from heathwell.codec.http_server import ServerSide
 from heathwell.eventloop import Coro, Event, Stream, StreamBrokenError
 from heathwell.servers import vector_answers as answers
 from heathwell.servers import vector_api as api
--- a/heathwell/testing/standins/platform_discovery.py
+++ b/heathwell/testing/standins/platform_discovery.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from heathwell.codec.http import Request, Response, ServerSide
+from heathwell.codec.http import Request, Response
+from heathwell.codec.http_server import ServerSide
 from heathwell.eventloop import Coro, Event, Loop, Net, Stream, sleep
 from heathwell.testing.standins.platform_node import NodeEntry, NodeState, PlatformNode
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 
 from heathwell.codec import frames, memcached
-from heathwell.codec.http import Response, ServerSide
+from heathwell.codec.http import Response
+from heathwell.codec.http_server import ServerSide
 
 STREAM = (
     b"get a b\r\nset k 0 0 5\r\nget x\r\nset k 0 0 3 noreply\r\nabc\r\ngets c\r\nmg k v k Oq1 q\r\nmn\r\n"
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -16,7 +16,8 @@
 
 from heathwell import policy
 from heathwell.codec import nodeframes as nf
-from heathwell.codec.http import Request, ServerSide
+from heathwell.codec.http import Request
+from heathwell.codec.http_server import ServerSide
 from heathwell.eventloop import StreamBrokenError, sleep
 from heathwell.testing.standins.part_outcomes import PartOutcome
 from heathwell.testing.standins.platform_discovery import PublishedEntry
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -11,7 +11,8 @@
 from qdrant_client import models
 from qdrant_client.http.exceptions import UnexpectedResponse
 
-from heathwell.codec.http import Response, ServerSide
+from heathwell.codec.http import Response
+from heathwell.codec.http_server import ServerSide
 from heathwell.testing.audit import judge
 from heathwell.testing.audit.reader import from_lines
 from heathwell.testing.standins.vectors import shard_from_settings
