Gateway: each connection has a bounded share of a turn, however small its pieces are

What callers saw: bad clients that send bodies in chunks of one byte keep the broker from everybody else.

Cause: a connection parsed all that it had read within one turn, and read up to 16 times 64 KB in it. h11 takes some 11 us for a chunk: 64 KB of one-byte chunks are 10,900 events and 0.12 s (a probe), and 330 clients took their turns in one turn of the loop. Evidence: events of h11 by turn of the loop, on virtual time, 64 clients with 2,000 chunks: 128,832 in a single turn.

A connection now reads 16 KB and takes 8 steps of the parser in a turn; a small request needs five. What is left waits in one queue of the front, which goes on with 32 connections a turn, in order, and no more is read of a connection before. Stream has read_now, wait_readable and let_others_run for readers that decide at the moment of reading, and takes 4 KB, not 64, where it looks for bytes before a close.

test_bodies_of_one_byte_chunks_... fails before (128,832 events in a turn, 768 allowed).

--- a/heathwell/eventloop/net.py
+++ b/heathwell/eventloop/net.py
@@ -15,6 +15,7 @@
 HIGH_WATER_BYTES = 262_144  # `drain` waits while more bytes than this are queued for sending
 HARD_LIMIT_BYTES = 16_777_216  # a stream is reset if more bytes than this would be queued for sending
 MAX_CONSECUTIVE_READS = 16  # after this many reads without a wait a reader lets the other tasks run
+POLL_SIZE_BYTES = 4_096  # read where a stream is to be closed unless bytes have arrived
 LINGER_DURATION_US = 5_000_000  # time for which a closed stream may still send its queued bytes
 MAX_CONNECTIONS = 20_000  # default limit of a listener
 MAX_PORT = 65_535
@@ -35,6 +36,8 @@
         self.peer = peer
         self.high_water = HIGH_WATER_BYTES
         self.hard_limit = HARD_LIMIT_BYTES
+        # After this many bytes without a wait a reader lets the other tasks run.
+        self.max_consecutive_bytes = MAX_CONSECUTIVE_READS * READ_SIZE_BYTES
         self.closed = False
         self.sent = 0
         self.queued = 0
@@ -49,6 +52,7 @@
         self._chunks: deque[bytes] = deque()
         self._unread: deque[bytes] = deque()  # taken from the transport, and not returned by `read` yet
         self._consecutive_reads = 0
+        self._consecutive_bytes = 0
         self._linger_until_us = 0
 
     # Implemented by transports.
@@ -86,19 +90,45 @@
 
     def read(self, size: int = READ_SIZE_BYTES) -> Coro[bytes]:
         """Return the next bytes, b"" at the end; raise :class:`StreamBrokenError` on a lost connection."""
-        if self._consecutive_reads >= MAX_CONSECUTIVE_READS:
+        yield from self.let_others_run()
+        while (data := self.read_now(size)) is None:
+            yield from self.wait_readable()
+        return data
+
+    def read_now(self, size: int) -> bytes | None:
+        """Return the next bytes, b"" at the end, None if there are none yet, as :meth:`read` does.
+
+        A reader whose bytes depend on what is free at the time calls this, :meth:`let_others_run` before and
+        :meth:`wait_readable` after a None.
+        """
+        if self.closed:
+            raise StreamBrokenError("the stream is closed")
+        data = self._unread.popleft() if self._unread else self._receive(size)
+        if data is None:
             self._consecutive_reads = 0
-            # Nothing has been taken: during the pause another task may close the stream if it is quiet.
-            yield from sleep(self.loop, 0)
-        while True:
-            if self.closed:
-                raise StreamBrokenError("the stream is closed")
-            data = self._unread.popleft() if self._unread else self._receive(size)
-            if data is not None:
-                self._consecutive_reads += 1
-                return data
+            self._consecutive_bytes = 0
+        else:
+            self._consecutive_reads += 1
+            self._consecutive_bytes += len(data)
+        return data
+
+    def let_others_run(self) -> Coro[None]:
+        """Let the other tasks run if this stream was read often, or much, without a wait.
+
+        Nothing is taken before: during the pause another task may close the stream if it is quiet.
+        """
+        is_due = (
+            self._consecutive_reads >= MAX_CONSECUTIVE_READS
+            or self._consecutive_bytes >= self.max_consecutive_bytes
+        )
+        if is_due:
             self._consecutive_reads = 0
-            yield self._park_reader
+            self._consecutive_bytes = 0
+            yield from sleep(self.loop, 0)
+
+    def wait_readable(self) -> Coro[None]:
+        """Wait until bytes may have arrived, or the stream has ended or is closed."""
+        yield self._park_reader
 
     def write(self, data: bytes) -> None:
         """Queue bytes and send as many as the transport accepts.
@@ -176,7 +206,7 @@
 
     def _poll_transport(self) -> bytes | None:
         """Receive as :meth:`_receive` does, even if the transport has not reported an event."""
-        return self._receive(READ_SIZE_BYTES)
+        return self._receive(POLL_SIZE_BYTES)
 
     def _report_hangup(self) -> None:
         """Record that the peer has ended or reset the stream, and call ``on_hangup`` once."""
--- a/heathwell/eventloop/sockets.py
+++ b/heathwell/eventloop/sockets.py
@@ -14,7 +14,7 @@
 from heathwell.eventloop.loop import Abort, Coro, Loop, Task
 from heathwell.eventloop.net import (
     MAX_CONNECTIONS,
-    READ_SIZE_BYTES,
+    POLL_SIZE_BYTES,
     Handler,
     Listener,
     Stream,
@@ -77,7 +77,7 @@
 
     def _poll_transport(self) -> bytes | None:
         self._can_read = True
-        return self._receive(READ_SIZE_BYTES)
+        return self._receive(POLL_SIZE_BYTES)
 
     def _flush(self) -> None:
         while self._chunks and self._can_write:
--- a/heathwell/gateway/client_connection.py
+++ b/heathwell/gateway/client_connection.py
@@ -1,5 +1,6 @@
 """One client's connection: it serves one request at a time, and notices a disconnect meanwhile.
 
+A turn of the loop takes one piece of bytes and a bounded number of the parser's steps from each connection.
 Imports the HTTP codec, the checks of requests and the broker.
 """
 
@@ -24,7 +25,8 @@
 FIRST_REQUEST_TIMEOUT_US = 2_100_000  # idle timeout of a connection that never sent a request
 IDLE_TIMEOUT_US = 8_000_000  # idle timeout of a connection that has been answered
 LINGER_US = 800_000  # delay between an error and the close, so that the client can read the error
-READ_BYTES = 16_384  # read from one connection at a time
+READ_BYTES = 16_384  # read from one connection in one turn
+MAX_STEPS_PER_TURN = 8  # of the parser for one connection; a small request takes five
 # Bytes kept behind a request in progress. The client's disconnect is behind them, so that they are read; a
 # client sends one request at a time, and the longest one fits.
 MAX_READ_AHEAD_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES
@@ -39,7 +41,8 @@
 class ClientOwner(Protocol):
     """The part of the HTTP server that a connection uses.
 
-    ``inactive``, ``receiving`` and ``kept_alive`` are queues of connections.
+    ``inactive``, ``receiving`` and ``kept_alive`` are queues of connections; ``parsing`` are those with bytes
+    to parse in a later turn.
     """
 
     broker: PlatformBroker
@@ -50,10 +53,14 @@
     kept_alive: OrderedDict[ClientConnection, None]
     inactive: OrderedDict[ClientConnection, None]
     receiving: OrderedDict[ClientConnection, None]
+    parsing: OrderedDict[ClientConnection, None]
 
     def on_answered(self, client: ClientConnection) -> None:
         """Called when a client was answered and has sent nothing more."""
 
+    def parse_later(self, client: ClientConnection) -> None:
+        """Call :meth:`ClientConnection.parse` in a later turn, in the order of these calls."""
+
 
 class ClientConnection:
     """A client's connection."""
@@ -63,6 +70,7 @@
         self.stream = stream
         self.loop = front.loop
         stream.hard_limit = MAX_UNREAD_BYTES
+        stream.max_consecutive_bytes = READ_BYTES
         self.side: ServerSide | None = None  # created with the first byte, as many connections never send one
         self.since_us = self.loop.now()
         self.handle: Handle | None = None
@@ -88,11 +96,22 @@
     def run(self) -> Coro[None]:
         """Serve until either side closes."""
         while True:
+            yield from self.stream.let_others_run()
             size = yield from self._wait_until_allowed()
-            if not size or not self._on_data((yield from self.stream.read(size))):
+            if not size or not (yield from self._read(size)):
                 return
-            if self._is_discarding:
-                yield from sleep(self.loop, DISCARD_PAUSE_US)
+
+    def _read(self, size: int) -> Generator[object, object, bool]:
+        """Handle the bytes that are there, or wait for some; return whether to read on."""
+        data = self.stream.read_now(size)
+        if data is None:
+            yield from self.stream.wait_readable()
+            return True
+        goes_on = self._on_data(data)
+        del data  # not kept while the next bytes are awaited
+        if self._is_discarding:
+            yield from sleep(self.loop, DISCARD_PAUSE_US)
+        return goes_on
 
     def _wait_until_allowed(self) -> Generator[object, object, int]:
         """Wait until bytes may be read; return how many, 0 if the connection has ended."""
@@ -106,7 +125,7 @@
     def _allowed_bytes(self) -> int:
         """Return how many bytes may be read now."""
         if not self._is_discarding:
-            return READ_BYTES
+            return 0 if self in self.front.parsing else READ_BYTES  # what was read is parsed first
         is_served = self.is_overrun and not self.failed and not self.stream.is_closing
         may_discard = is_served or self._discarded_bytes < MAX_DISCARDED_BYTES
         return DISCARD_BYTES if may_discard else 0
@@ -135,7 +154,7 @@
             self.side = ServerSide(MAX_BODY_BYTES, MAX_HEAD_BYTES)
         self.side.receive(data)
         if not self._is_reading_ahead:
-            self._advance()
+            self._advance(self.side)
         elif self.side.held_bytes > MAX_READ_AHEAD_BYTES:
             self._overrun()
         return True
@@ -154,30 +173,39 @@
 
     # Parsing.
 
-    def _advance(self) -> None:
-        """Dispatch the next request if it is complete."""
-        side = self.side
-        assert side is not None
+    def parse(self) -> None:
+        """Go on with what was read before; called in the turn after :meth:`ClientOwner.parse_later`."""
+        if self.side is not None and not (
+            self.busy or self.failed or self.stream.is_closing or self.stream.hung_up
+        ):
+            self._advance(self.side)
+        self._may_continue.set()
+
+    def _advance(self, side: ServerSide) -> None:
+        """Parse on, and dispatch the next request if it is complete."""
         if self.stream.unsent:  # the client is given no further response until it has read the last one
             self.stream.on_flushed = self._on_flushed
             self._queue_as_receiving(side)
             return
-        event = next(side.events(), None)
+        message = side.next_message(MAX_STEPS_PER_TURN)
         interim = side.take_interim()
         if interim:
             self.stream.write(interim)
-        if isinstance(event, Response):
-            self.fail(event)
-        elif event is not None:
+        if isinstance(message, Response):
+            self.fail(message)
+        elif message is not None:
             self.leave_queues()
             self.busy = True
-            self._dispatch(event)
+            self._dispatch(message)
         elif side.closing:
             self.stream.close()
-        elif self.is_overrun:
+        elif self.is_overrun and not side.is_parsing:
             self._fail_overrun()
-        elif side.has_partial_request:
-            self._queue_as_receiving(side)
+        else:
+            if side.is_parsing:
+                self.front.parse_later(self)
+            if side.has_partial_request:
+                self._queue_as_receiving(side)
 
     def _queue_as_receiving(self, side: ServerSide) -> None:
         if self in self.front.receiving:
@@ -248,7 +276,7 @@
         elif side.has_partial_request:
             # The next request has been read, at least in part, so that the connection isn't idle.
             self._arrived_at_us = self.since_us
-            self.loop.call_soon(self._continue)
+            self.front.parse_later(self)
         else:
             self.front.on_answered(self)
         self._may_continue.set()
@@ -256,12 +284,7 @@
     def _on_flushed(self) -> None:
         """Go on once the client has taken a response that the socket didn't take at once."""
         self.stream.on_flushed = None
-        self.loop.call_soon(self._continue)
-
-    def _continue(self) -> None:
-        """Dispatch the next request, of which bytes were read ahead, if it is complete."""
-        if not (self.busy or self.failed or self.stream.is_closing or self.stream.hung_up):
-            self._advance()
+        self.front.parse_later(self)
 
     def fail(self, response: Response) -> None:
         """Respond with an error and close after ``LINGER_US``; no further request is served."""
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -1,9 +1,9 @@
 """The HTTP server: each request is checked completely, passed to the broker, and answered once.
 
 :class:`Front` owns the clients' connections (:mod:`heathwell.gateway.client_connection`), and limits their
-number and the time of a request; the broker owns the queries. The front adds no retry, cache or timeout to a
-query: its timeouts apply only to incomplete requests and to connections without a request. Imports the HTTP
-codec and the broker.
+number, the time of a request and each connection's share of a turn of the loop; the broker owns the queries.
+The front adds no retry, cache or timeout to a query: its timeouts apply only to incomplete requests and to
+connections without a request. Imports the HTTP codec and the broker.
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
 # During shutdown the first request of a connection younger than this may still be in transit.
 NEW_CONNECTION_US = 200_000
 CHECK_INTERVAL_US = 200_000  # time between checks of all connections' timeouts
+MAX_PARSED_PER_TURN = 32  # connections that go on with bytes of earlier turns
 REQUEST_TIMEOUT_BODY = b"the request was not whole in time\n"  # sent to clients, so that it must not change
 
 
@@ -48,6 +49,8 @@
         self.kept_alive: OrderedDict[ClientConnection, None] = OrderedDict()  # answered and inactive
         self.inactive: OrderedDict[ClientConnection, None] = OrderedDict()  # without a request, or failed
         self.receiving: OrderedDict[ClientConnection, None] = OrderedDict()  # with an incomplete request
+        self.parsing: OrderedDict[ClientConnection, None] = OrderedDict()  # with bytes to parse
+        self._parses_next_turn = False
         self.checker = RequestChecker(broker.settings)
         self.clients: dict[ClientConnection, None] = {}
         self.counts: Counter[str] = Counter()
@@ -107,8 +110,25 @@
                 self.counts["let go"] += 1  # printed by the trace under this name
                 self._forget(victim)
 
+    def parse_later(self, client: ClientConnection) -> None:
+        """Call the client's :meth:`ClientConnection.parse` in a later turn, in the order of these calls."""
+        self.parsing[client] = None
+        if not self._parses_next_turn:
+            self._parses_next_turn = True
+            self.loop.call_soon(self._parse)
+
+    def _parse(self) -> None:
+        self._parses_next_turn = False
+        for client in list(islice(self.parsing, MAX_PARSED_PER_TURN)):
+            del self.parsing[client]
+            client.parse()
+        if self.parsing and not self._parses_next_turn:
+            self._parses_next_turn = True
+            self.loop.call_soon(self._parse)
+
     def _forget(self, client: ClientConnection) -> None:
         self.clients.pop(client, None)
+        self.parsing.pop(client, None)
         client.leave_queues()
 
     def _check_timeouts(self) -> None:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
+import h11
+
 from heathwell.eventloop import StreamBrokenError, sleep
-from heathwell.gateway.client_connection import MAX_READ_AHEAD_BYTES, READ_BYTES
+from heathwell.gateway.client_connection import MAX_READ_AHEAD_BYTES, MAX_STEPS_PER_TURN, READ_BYTES
+from heathwell.gateway.front import MAX_PARSED_PER_TURN
 
 from .platform import Platform
-from .test_gateway_front import raw_request
+from .test_gateway_front import RAW_HEAD, raw_request
 
 SECOND_US = 1_000_000
-READABLE_BYTES = 65_536  # of a stream's read
 
 
 def write_endlessly(world, stream, data, until_us):
@@ -61,3 +65,50 @@
     assert served >= MAX_READ_AHEAD_BYTES // 2 // len(raw_request(b"p1000"))
     assert received.count(b"HTTP/1.1") == served + 1 and received.count(b"HTTP/1.1 429") == 1
     assert world.front.counts["requests"] == served
+
+
+def test_bodies_of_one_byte_chunks_take_a_bounded_share_of_each_turn(monkeypatch):
+    """Guards against a loop that parses a hundred thousand chunks of bad clients while others wait."""
+    world = Platform()
+    clients = 2 * MAX_PARSED_PER_TURN
+    events_by_turn = Counter()
+    next_event = h11.Connection.next_event
+
+    def counted(connection):
+        events_by_turn[world.loop.turns] += 1
+        return next_event(connection)
+
+    def send_chunks(number):
+        stream = yield from world.net.connect("broker:7070", SECOND_US, f"chunks{number}")
+        stream.write(RAW_HEAD % b"c%d" % number + b"Transfer-Encoding: chunked\r\n\r\n")
+        yield from sleep(world.loop, 10_000)
+        stream.write(b"1\r\na\r\n" * 2_000 + b"0\r\n\r\n")
+        return (yield from read_all(stream))
+
+    def main():
+        tasks = [world.loop.spawn(send_chunks(number), "chunks") for number in range(clients)]
+        yield from sleep(world.loop, 5_000)
+        monkeypatch.setattr(h11.Connection, "next_event", counted)
+        for task in tasks:
+            yield from task.join()
+        return [task.result for task in tasks]
+
+    received = world.run(main())
+    assert all(data.startswith(b"HTTP/1.1 400") for data in received)  # complete, and no JSON
+    # In the worst turn each connection has new bytes, and others go on with earlier ones.
+    assert max(events_by_turn.values()) <= (clients + MAX_PARSED_PER_TURN) * MAX_STEPS_PER_TURN
+    assert events_by_turn.total() >= clients * 2_000
+
+
+def test_a_request_of_many_chunks_is_served():
+    """The share of a turn bounds no request as a whole."""
+    world = Platform()
+    body = raw_request(b"q1").partition(b"\r\n\r\n")[2]
+    chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\n\r\n"
+
+    def main():
+        stream = yield from world.net.connect("broker:7070", SECOND_US, "chunks")
+        stream.write(RAW_HEAD % b"q1" + b"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n" + chunks)
+        return (yield from read_all(stream))
+
+    assert world.run(main()).startswith(b"HTTP/1.1 200")
