Gateway: all clients together hold no more than a share of memory_mb

Cause: memory_mb was not read. What a client may send was bounded for each connection (64 KB, 64 KB, 256 KB unread), the number of connections by the descriptors, and nothing bounded the product. A text stayed with its query, outside of every bound.

MemoryBudget (gateway/client_memory.py) is the one owner. Of what memory_mb leaves above the size of the started process, three quarters are divided: each connection has a place of 4 KB, which is always there, so that small requests are read whatever others hold; the rest is shared. A longer request reserves its length before it is read on; while there is no room it isn't read, and those whose reservation is older than 0.1 s get 503, pipelined bytes are given back first. An open query is charged for text and parts until its last attempt has ended, and refused at once where that has no room. No more than a response is queued for a client that doesn't read.

The platform configuration of the version test has one field more; its old fields are compared as before.

--- a/heathwell/broker/driver_hooks.py
+++ b/heathwell/broker/driver_hooks.py
@@ -73,5 +73,8 @@
     def on_query_closed(self, query: QueryT) -> None:
         """Called when a query has its reply or its client disconnected; attempts may still be in flight."""
 
+    def on_query_released(self, query: QueryT) -> None:
+        """Called once when a query is closed and its last attempt has ended."""
+
     def on_late_answer(self, node: str) -> None:
         """Called for an answer to an attempt whose outcome was already reported; the answer is ignored."""
--- a/heathwell/broker/query_registry.py
+++ b/heathwell/broker/query_registry.py
@@ -198,6 +198,7 @@
             query.settings_version.open_queries -= 1
             for part in query.parts:
                 self.parts.pop(part, None)
+            self.on_query_released(query)
             self._check_idle()
 
     def _check_idle(self) -> None:
--- a/heathwell/codec/http_server.py
+++ b/heathwell/codec/http_server.py
@@ -41,13 +41,17 @@
 
 @dataclass(slots=True)
 class _Head:
-    """A request whose body is being received; ``memory_bytes`` is what the head occupies."""
+    """A request whose body is being received; ``memory_bytes`` is what the head occupies.
+
+    ``body_bytes`` is the length of the body, or the longest one allowed if it is chunked.
+    """
 
     method: str
     path: str
     query: str
     headers: dict[str, str]
     memory_bytes: int
+    body_bytes: int
     body_bytes_left: int | None  # bytes of the body that h11 was not given yet, None if it is chunked
 
 
@@ -86,6 +90,13 @@
         head_bytes = 0 if self._head is None else self._head.memory_bytes
         return len(self._unparsed) + self._pending_in_h11_bytes + head_bytes + len(self._body)
 
+    @property
+    def expected_bytes(self) -> int:
+        """Memory that the incomplete request takes once it is whole; where that is unknown, the most."""
+        if self._head is None:
+            return self._max_head_bytes + self._max_body_bytes
+        return self._head.memory_bytes + self._head.body_bytes
+
     def discard(self) -> None:
         """Drop all received bytes, as no further request is served."""
         self.closing = True
@@ -94,6 +105,10 @@
         self._head = None
         self._pending_in_h11_bytes = 0
 
+    def drop_unparsed(self) -> None:
+        """Drop what was received behind the request in progress; its response is unaffected."""
+        self._drop_unparsed(len(self._unparsed))
+
     def feed(self, data: bytes) -> Iterator[Request | Response]:
         """Yield the complete requests; a :class:`Response` is an error to be sent before closing.
 
@@ -187,8 +202,15 @@
         path, _, query = head.target.decode("latin-1").partition("?")
         headers = {name.decode("latin-1"): text.decode("latin-1") for name, text in head.headers}
         memory_bytes = text_bytes + len(headers) * FIELD_OBJECT_BYTES
-        body_bytes_left = None if is_chunked else length
-        self._head = _Head(head.method.decode("latin-1"), path, query, headers, memory_bytes, body_bytes_left)
+        self._head = _Head(
+            head.method.decode("latin-1"),
+            path,
+            query,
+            headers,
+            memory_bytes,
+            body_bytes=self._max_body_bytes if is_chunked else length,
+            body_bytes_left=None if is_chunked else length,
+        )
         if connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self.interim += connection.send(continue_response) or b""
--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -19,6 +19,13 @@
 from heathwell.broker.replies import OnReply, Reply, ReplyKind, rejection
 from heathwell.codec import nodeframes as nf
 from heathwell.eventloop import Loop, Net
+from heathwell.gateway.client_memory import (
+    BYTES_PER_MB,
+    PLACE_BYTES,
+    MemoryBudget,
+    client_limits,
+    query_memory,
+)
 from heathwell.gateway.config import Config
 from heathwell.gateway.discovery import Discovery
 from heathwell.gateway.node_attempts import NodeRequest
@@ -31,6 +38,7 @@
 # Subtracted from a client's timeout for the transit of request and reply and for the delay of the loop.
 DEADLINE_MARGIN_US = 8_000
 SECOND_STEP_SUFFIX = ".fetch"
+TYPICAL_PROCESS_BYTES = 20 * BYTES_PER_MB  # memory of a process without clients
 AT_CAPACITY = "full"  # reason of a rejection at admission, as named in metrics and replies
 
 
@@ -47,17 +55,21 @@
     """A query with its request.
 
     ``answered_shards`` and ``complete`` are the result of the first step, once it has ended.
+    ``memory_bytes`` is what the query is charged until its last attempt has ended.
     """
 
     request: ClientRequest = ClientRequest("", 0, 0, "", retry=False, text=b"", parts=())
     answered_shards: tuple[int, ...] = ()
     complete: bool | None = None
+    memory_bytes: int = 0
 
 
 class PlatformBroker(Driver[PlatformQuery, PlatformPart, nf.PartAnswer, NodeRequest, None]):
     """One broker on the platform.
 
     ``unix_us`` returns Unix time. It is read once, to convert the start times of nodes to the loop's clock.
+    ``process_bytes`` is the memory of the process without clients. What is left of the configured limit
+    bounds the number of clients' connections (``client_limits``) and what they hold together (``memory``).
     """
 
     links: dict[str, NodeLink]  # type: ignore[assignment]
@@ -71,10 +83,15 @@
         log: Callable[..., None],
         events: EventLog | None = None,
         unix_us: Callable[[], int] = lambda: time.time_ns() // 1000,
+        process_bytes: int = TYPICAL_PROCESS_BYTES,
     ) -> None:
         super().__init__(loop, config.settings, None, config.seed, name=config.name, events=events, log=log)
         self.net = net
         self.config = config
+        self.client_limits = client_limits(
+            config.memory_mb * BYTES_PER_MB, process_bytes, config.client_sockets
+        )
+        self.memory = MemoryBudget(self.client_limits.shared_bytes)
         self.pool_limit = ConnectionPoolLimit(config.node_sockets)
         self.addresses: dict[str, str] = {}
         self.closed_link_statistics: Counter[str] = Counter()
@@ -111,7 +128,9 @@
         At capacity the request is rejected without reaching the decision module, and ``None`` is returned.
         """
         spec = self.settings.classes[request.query_class]
-        if self.is_full(len(request.parts)):
+        memory_bytes = query_memory(len(request.parts) + spec.second_step_parts, len(request.text))
+        has_memory = self.memory.can_accept(memory_bytes, is_long=len(request.text) > PLACE_BYTES)
+        if self.is_full(len(request.parts)) or not has_memory:
             self._reject(spec, on_reply)
             return None
         deadline_us = max(
@@ -125,7 +144,9 @@
             deadline_us,
             on_reply,
             request=request,
+            memory_bytes=memory_bytes,
         )
+        self.memory.charge(memory_bytes)
         self._log_arrival(query, spec)
         handle = self.admit(query)
         hints_us = [part.hint_us for part in request.parts if part.hint_us is not None]
@@ -144,13 +165,14 @@
 
     def _reject(self, spec: policy.QueryClass, on_reply: OnReply) -> None:
         self.counters["door", spec.name, AT_CAPACITY] += 1
-        retry_after_us = (
-            min(spec.latency_objective_us, self.settings.max_retry_after_us)
-            if self.settings.retry_advice_allowed
-            else 0
-        )
+        retry_after_us = min(spec.latency_objective_us, self.capacity_retry_after_us)
         self.loop.call_soon(on_reply, rejection(spec.name, retry_after_us, AT_CAPACITY))
 
+    @property
+    def capacity_retry_after_us(self) -> int:
+        """The longest time to come back that may be named in a refusal for lack of capacity, or 0."""
+        return self.settings.max_retry_after_us if self.settings.retry_advice_allowed else 0
+
     def _log_arrival(self, query: PlatformQuery, spec: policy.QueryClass) -> None:
         parts = query.request.parts
         self.events(
@@ -224,6 +246,10 @@
 
     # Called by the driver.
 
+    def on_query_released(self, query: PlatformQuery) -> None:
+        """Give back the memory of a query of which nothing is left."""
+        self.memory.charge(-query.memory_bytes)
+
     def new_link(self, node: str) -> NodeLink:
         """Return a link to a node at its present address."""
         return NodeLink(
--- a/heathwell/gateway/client_connection.py
+++ b/heathwell/gateway/client_connection.py
@@ -1,13 +1,14 @@
 """One client's connection: it serves one request at a time, and notices a disconnect meanwhile.
 
-A turn of the loop takes one piece of bytes and a bounded number of the parser's steps from each connection.
-Imports the HTTP codec, the checks of requests and the broker.
+What a client sends is held by the parser (:class:`~heathwell.codec.http_server.ServerSide`) alone and charged
+to the memory that all clients share. A turn of the loop takes one piece of bytes and a bounded number of the
+parser's steps from each connection. Imports the HTTP codec, the checks of requests and the broker.
 """
 
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from typing import Protocol
 
 import msgspec
@@ -18,6 +19,7 @@
 from heathwell.codec.http_server import ServerSide
 from heathwell.eventloop import Coro, Event, Loop, Stream, StreamBrokenError, sleep
 from heathwell.gateway.broker import PlatformBroker
+from heathwell.gateway.client_memory import ConnectionMemory
 from heathwell.gateway.requests import BadRequestError, RequestChecker
 
 MAX_HEAD_BYTES = 16_384
@@ -42,7 +44,7 @@
     """The part of the HTTP server that a connection uses.
 
     ``inactive``, ``receiving`` and ``kept_alive`` are queues of connections; ``parsing`` are those with bytes
-    to parse in a later turn.
+    to parse in a later turn, ``reserving`` those that have reserved memory, in the order of doing so.
     """
 
     broker: PlatformBroker
@@ -54,6 +56,7 @@
     inactive: OrderedDict[ClientConnection, None]
     receiving: OrderedDict[ClientConnection, None]
     parsing: OrderedDict[ClientConnection, None]
+    reserving: OrderedDict[ClientConnection, None]
 
     def on_answered(self, client: ClientConnection) -> None:
         """Called when a client was answered and has sent nothing more."""
@@ -61,6 +64,9 @@
     def parse_later(self, client: ClientConnection) -> None:
         """Call :meth:`ClientConnection.parse` in a later turn, in the order of these calls."""
 
+    def on_memory_awaited(self, wake: Callable[[], None]) -> None:
+        """Call ``wake`` once the shared memory may allow a connection to read on."""
+
 
 class ClientConnection:
     """A client's connection."""
@@ -69,10 +75,12 @@
         self.front = front
         self.stream = stream
         self.loop = front.loop
+        self.memory = ConnectionMemory(front.broker.memory)
         stream.hard_limit = MAX_UNREAD_BYTES
         stream.max_consecutive_bytes = READ_BYTES
         self.side: ServerSide | None = None  # created with the first byte, as many connections never send one
-        self.since_us = self.loop.now()
+        self.since_us = self.loop.now()  # start of the connection's present timeout
+        self.reserved_at_us = self.since_us  # when the connection last reserved memory
         self.handle: Handle | None = None
         self.busy = False
         self.failed = False
@@ -119,16 +127,42 @@
             if self.stream.closed or (self.stream.hung_up and not self._is_discarding):
                 return 0
             self._may_continue.clear()
-            yield from self._may_continue.wait()
+            if not self._is_discarding and self not in self.front.parsing:
+                self.front.on_memory_awaited(self._may_continue.set)
+            try:
+                yield from self._may_continue.wait()
+            finally:
+                self.memory.budget.stop_waiting(self._may_continue.set)
         return size
 
     def _allowed_bytes(self) -> int:
         """Return how many bytes may be read now."""
-        if not self._is_discarding:
-            return 0 if self in self.front.parsing else READ_BYTES  # what was read is parsed first
-        is_served = self.is_overrun and not self.failed and not self.stream.is_closing
-        may_discard = is_served or self._discarded_bytes < MAX_DISCARDED_BYTES
-        return DISCARD_BYTES if may_discard else 0
+        if self._is_discarding:
+            is_served = self.is_overrun and not self.failed and not self.stream.is_closing
+            may_discard = is_served or self._discarded_bytes < MAX_DISCARDED_BYTES
+            return DISCARD_BYTES if may_discard else 0
+        if self in self.front.parsing:
+            return 0  # what was read is parsed first
+        if self._is_reading_ahead:
+            return self._read_ahead_bytes()
+        if self.memory.reserved_bytes:
+            return READ_BYTES
+        if self.memory.free_bytes or self.side is None:
+            return self.memory.free_bytes
+        if not self.memory.reserve(self.side.expected_bytes):
+            return 0
+        self.reserved_at_us = self.loop.now()
+        self.front.reserving[self] = None
+        return READ_BYTES
+
+    def _read_ahead_bytes(self) -> int:
+        """Return how many bytes may be read behind a request in progress."""
+        if self.memory.budget.can_read:
+            return READ_BYTES
+        if not self.memory.free_bytes:
+            self._overrun()
+            return DISCARD_BYTES
+        return self.memory.free_bytes
 
     @property
     def _is_discarding(self) -> bool:
@@ -157,6 +191,7 @@
             self._advance(self.side)
         elif self.side.held_bytes > MAX_READ_AHEAD_BYTES:
             self._overrun()
+        self._update_memory()
         return True
 
     def _overrun(self) -> None:
@@ -168,9 +203,20 @@
         self.is_overrun = True
         self.front.counts["overrun"] += 1
 
+    def drop_read_ahead(self) -> None:
+        """Give back what is kept behind the request in progress."""
+        if self.busy and self.side is not None:
+            self._overrun()
+            self.side.drop_unparsed()
+            self._update_memory()
+
     def _fail_overrun(self) -> None:
         self.fail(Response(429, PIPELINE_BODY))
 
+    def _update_memory(self) -> None:
+        received_bytes = 0 if self.side is None else self.side.held_bytes
+        self.memory.resize(received_bytes + self.stream.unsent)
+
     # Parsing.
 
     def parse(self) -> None:
@@ -179,6 +225,7 @@
             self.busy or self.failed or self.stream.is_closing or self.stream.hung_up
         ):
             self._advance(self.side)
+            self._update_memory()
         self._may_continue.set()
 
     def _advance(self, side: ServerSide) -> None:
@@ -216,9 +263,11 @@
         self.front.receiving[self] = None
 
     def leave_queues(self) -> None:
-        """Remove the client from the front's queues."""
-        for clients in (self.front.inactive, self.front.receiving, self.front.kept_alive):
+        """Remove the client from the front's queues, and end its reservation of memory."""
+        front = self.front
+        for clients in (front.inactive, front.receiving, front.kept_alive, front.reserving):
             clients.pop(self, None)
+        self.memory.release()
 
     def _dispatch(self, request: Request) -> None:
         front = self.front
@@ -238,6 +287,8 @@
         front.counts["requests"] += 1
         self.handle = front.broker.begin(client_request, self._on_reply, self._arrived_at_us)
 
+    # Responses.
+
     def _respond_health(self, path: str) -> None:
         if path == "/-/ready" and not self.front.broker.ready:
             self._respond(Response(503, b"no list of nodes yet\n"))
@@ -250,10 +301,7 @@
         if reply.kind == ReplyKind.ANSWERED:
             self._respond(Response(200, msgspec.json.encode(reply.body), JSON_CONTENT_TYPE))
         elif reply.kind == ReplyKind.REFUSED:
-            retry_after = (
-                (("Retry-After", f"{reply.retry_after_us / 1e6:.3f}"),) if reply.retry_after_us else ()
-            )
-            self._respond(Response(503, b"refused: a repeat is harmless\n", headers=retry_after))
+            self._respond(refusal(b"refused: a repeat is harmless\n", reply.retry_after_us))
         else:
             self._respond(Response(500, b"failed\n"))
 
@@ -269,6 +317,8 @@
         except StreamBrokenError:
             return
         self.since_us = self.loop.now()
+        if self.stream.unsent:
+            self.stream.on_flushed = self._on_flushed
         if side.closing:
             self.stream.close()
         elif self.is_overrun and not side.has_partial_request:
@@ -279,12 +329,15 @@
             self.front.parse_later(self)
         else:
             self.front.on_answered(self)
+        self._update_memory()
         self._may_continue.set()
 
     def _on_flushed(self) -> None:
         """Go on once the client has taken a response that the socket didn't take at once."""
         self.stream.on_flushed = None
-        self.front.parse_later(self)
+        self._update_memory()
+        if self.side is not None and self.side.has_partial_request:
+            self.front.parse_later(self)
 
     def fail(self, response: Response) -> None:
         """Respond with an error and close after ``LINGER_US``; no further request is served."""
@@ -302,13 +355,21 @@
             self.stream.end()
         except StreamBrokenError:
             return
+        self._update_memory()
         self.since_us = self.loop.now()
         self.front.inactive[self] = None
 
     def on_connection_lost(self) -> None:
         """Called when the connection has ended: the request in progress is abandoned."""
+        self.memory.resize(0)
         self._may_continue.set()
         handle = self.handle
         self.handle = None
         if handle is not None:
             handle.disconnect()
+
+
+def refusal(text: bytes, retry_after_us: int) -> Response:
+    """Return a refusal, which names the time to come back unless that is 0."""
+    headers = (("Retry-After", f"{retry_after_us / 1e6:.3f}"),) if retry_after_us else ()
+    return Response(503, text, headers=headers)
--- a/heathwell/gateway/config.py
+++ b/heathwell/gateway/config.py
@@ -25,6 +25,7 @@
 from heathwell.gateway.targets import Targets, TargetsError
 
 MIN_SOCKETS = 64
+DEFAULT_MEMORY_MB = 192  # where the limits state none
 MAX_NUMBER = 1 << 53
 NO_TIMEOUT_US = 1 << 53
 MAX_SHOWN_CHARACTERS = 64  # of a rejected value in an error message
@@ -59,6 +60,7 @@
     connections: Connections
     zones: tuple[str, ...]
     known: Targets
+    memory_mb: int
 
     @property
     def hold_us(self) -> int:
@@ -160,6 +162,7 @@
         discovery=table.address("discovery"),
         seed=seed,
         sockets=limits.number("sockets", MIN_SOCKETS),
+        memory_mb=limits.number("memory_mb", 0) or DEFAULT_MEMORY_MB,
         settings=settings,
         connections=_connections(connection_limits, settings),
         zones=tuple(zones),
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -16,7 +16,7 @@
 from heathwell.codec.http_server import ServerSide
 from heathwell.eventloop import Coro, Stream, StreamOverrunError
 from heathwell.gateway.broker import PlatformBroker
-from heathwell.gateway.client_connection import ClientConnection
+from heathwell.gateway.client_connection import ClientConnection, refusal
 from heathwell.gateway.requests import RequestChecker
 
 # Time within which a request must be complete; it begins with the connect for a connection's first request.
@@ -25,8 +25,12 @@
 # During shutdown the first request of a connection younger than this may still be in transit.
 NEW_CONNECTION_US = 200_000
 CHECK_INTERVAL_US = 200_000  # time between checks of all connections' timeouts
-MAX_PARSED_PER_TURN = 32  # connections that go on with bytes of earlier turns
+MAX_PARSED_PER_TURN = 8  # connections that go on with bytes of earlier turns
+# While others wait for memory, a request that has reserved some must be complete within this time.
+RECLAIM_AFTER_US = 100_000
+RECLAIM_INTERVAL_US = 25_000
 REQUEST_TIMEOUT_BODY = b"the request was not whole in time\n"  # sent to clients, so that it must not change
+RECLAIM_BODY = b"refused: too many bytes of unfinished requests, a repeat is harmless\n"
 
 
 class Front:
@@ -50,7 +54,9 @@
         self.inactive: OrderedDict[ClientConnection, None] = OrderedDict()  # without a request, or failed
         self.receiving: OrderedDict[ClientConnection, None] = OrderedDict()  # with an incomplete request
         self.parsing: OrderedDict[ClientConnection, None] = OrderedDict()  # with bytes to parse
+        self.reserving: OrderedDict[ClientConnection, None] = OrderedDict()  # in the order of doing so
         self._parses_next_turn = False
+        self._reclaims = False
         self.checker = RequestChecker(broker.settings)
         self.clients: dict[ClientConnection, None] = {}
         self.counts: Counter[str] = Counter()
@@ -126,6 +132,28 @@
             self._parses_next_turn = True
             self.loop.call_soon(self._parse)
 
+    def on_memory_awaited(self, wake: Callable[[], None]) -> None:
+        """Call ``wake`` once the shared memory may allow a connection to read on."""
+        self.broker.memory.wait(wake)
+        if not self._reclaims:
+            self._reclaims = True
+            self.loop.call_at(self.loop.now() + RECLAIM_INTERVAL_US, self._reclaim_memory)
+
+    def _reclaim_memory(self) -> None:
+        """While a connection waits for memory, have it given back by those that hold it for longest."""
+        self._reclaims = False
+        if self.broker.dead or not self.broker.memory.is_awaited:
+            return
+        for client in list(self.clients):
+            if client.busy and client.memory.shared_bytes:
+                client.drop_read_ahead()
+        oldest_us = self.loop.now() - RECLAIM_AFTER_US
+        for client in [client for client in self.reserving if client.reserved_at_us <= oldest_us]:
+            self.counts["reclaimed"] += 1
+            client.fail(refusal(RECLAIM_BODY, self.broker.capacity_retry_after_us))
+        self._reclaims = True
+        self.loop.call_at(self.loop.now() + RECLAIM_INTERVAL_US, self._reclaim_memory)
+
     def _forget(self, client: ClientConnection) -> None:
         self.clients.pop(client, None)
         self.parsing.pop(client, None)
--- a/heathwell/gateway/process.py
+++ b/heathwell/gateway/process.py
@@ -13,11 +13,12 @@
 import sys
 import traceback
 from collections.abc import Mapping
+from pathlib import Path
 from typing import Any
 
 from heathwell.eventloop import Listener, configure_garbage_collector, socket_loop
 from heathwell.eventloop.clock import Clock
-from heathwell.gateway.broker import PlatformBroker
+from heathwell.gateway.broker import TYPICAL_PROCESS_BYTES, PlatformBroker
 from heathwell.gateway.config import Config, ConfigError, load
 from heathwell.gateway.front import Front
 from heathwell.gateway.trace import Trace
@@ -33,6 +34,7 @@
 # Connections accepted beyond the limit of clients, so that the front can respond with 503.
 LISTEN_BACKLOG_MARGIN = 8
 MAX_LINES_PER_SECOND = 20
+STATM_PATH = Path("/proc/self/statm")  # sizes of the process in pages; the second one is resident
 
 
 class Log:
@@ -78,8 +80,11 @@
         self.loop, self.net, self.poller = socket_loop()
         self.log = Log(config.name, self.loop.clock)
         self.loop.on_error = self._on_task_error
-        self.broker = PlatformBroker(self.loop, self.net, config, log=self.log)
-        self.front = Front(self.broker, config.client_sockets, config.max_kept_alive_clients, self.log)
+        self.broker = PlatformBroker(
+            self.loop, self.net, config, log=self.log, process_bytes=resident_bytes() or TYPICAL_PROCESS_BYTES
+        )
+        self.max_clients = self.broker.client_limits.connections
+        self.front = Front(self.broker, self.max_clients, config.max_kept_alive_clients, self.log)
         self.listener: Listener | None = None
         self._terminated_at_us: int | None = None
         self._shutdown_by_us = 0
@@ -92,7 +97,7 @@
         for number, handler in handlers.items():
             self.poller.on_signal(number, handler)
         self.listener = self.net.listen(
-            self.config.listen, self.front.serve, "client", self.config.client_sockets + LISTEN_BACKLOG_MARGIN
+            self.config.listen, self.front.serve, "client", self.max_clients + LISTEN_BACKLOG_MARGIN
         )
         for earlier in pending:
             handlers[signal.Signals(earlier)]()
@@ -103,6 +108,8 @@
             listen=self.listener.address,
             pid=os.getpid(),
             sockets=self.config.sockets,
+            memory_mb=self.config.memory_mb,
+            max_clients=self.max_clients,
             lists="asked" if self.config.settings.poll_mode else "pushed",
             watch_us=self.broker.watch.hold_us,
             grace_us=self.config.settings.drain_grace_us,
@@ -183,6 +190,15 @@
         )
 
 
+def resident_bytes() -> int:
+    """Return the resident memory of this process, or 0 where the system doesn't tell it."""
+    try:
+        pages = int(STATM_PATH.read_text().split()[1])
+    except (OSError, IndexError, ValueError):
+        return 0
+    return pages * resource.getpagesize()
+
+
 def raise_limit(sockets: int) -> None:
     """Raise the soft limit of open descriptors to ``sockets``, or to the hard limit if that is lower."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/heathwell/testing/simulation/platform_fleet.py
+++ b/heathwell/testing/simulation/platform_fleet.py
@@ -45,8 +45,8 @@
 class PlatformFleet:
     """A broker's process with its stand-ins; its configuration and its log are files in ``folder``.
 
-    ``program`` are the interpreter's arguments, for tests that observe the broker's calls; ``settings`` is
-    the platform's object.
+    ``program`` are the interpreter's arguments, for tests that observe the broker's calls; ``settings`` and
+    ``limits`` are the platform's objects.
     """
 
     def __init__(
@@ -56,6 +56,7 @@
         has_discovery: bool = True,
         program: tuple[str, ...] = BROKER_PROGRAM,
         settings: JsonObject | None = None,
+        limits: JsonObject | None = None,
         wait_until_ready: bool = True,
     ) -> None:
         runtime = socket_loop()
@@ -69,6 +70,7 @@
             PlatformDiscovery(self.loop, self.net, "127.0.0.1:0", self.nodes) for _ in range(DISCOVERIES)
         ]
         self.settings = settings or platform_settings()
+        self.limits = limits
         self.config_path = folder / "config.json"
         self.log_path = folder / "log"
         self.write_config(self.discoveries[0].address if has_discovery else UNREACHABLE_ADDRESS)
@@ -89,9 +91,14 @@
     def write_config(self, discovery_address: str) -> None:
         """Write the configuration, with discovery at this address."""
         known = {"rev": 1, "all": True, "targets": [node.entry for node in self.nodes]}
+        limits = {"limits": self.limits} if self.limits else {}
         self.config_path.write_bytes(
             encode_config(
-                listen="127.0.0.1:0", discovery=discovery_address, known=known, settings=self.settings
+                listen="127.0.0.1:0",
+                discovery=discovery_address,
+                known=known,
+                settings=self.settings,
+                **limits,
             )
         )
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -78,6 +78,7 @@
         (encode_config(discovery="a:99999"), "discovery"),
         (encode_config(limits={"sockets": 5}), "limits.sockets"),
         (encode_config(limits={"sockets": "many"}), "limits.sockets"),
+        (encode_config(limits={"sockets": 256, "memory_mb": "much"}), "limits.memory_mb"),
         (encode_config(known={"rev": 1}), "known"),
         (settings(classes=[]), "classes"),
         (settings(zones="a"), "zones"),
--- a/tests/test_version_compatibility.py
+++ b/tests/test_version_compatibility.py
@@ -322,4 +322,6 @@
 def test_a_platform_configuration_is_read_as_the_old_settings() -> None:
     config = platform_config.read((FILES / "platform_config.json").read_bytes())
     assert len(config.known.targets) == 3
-    assert by_position(config) == read_json("platform_settings.json")
+    *old_fields, memory_mb = by_position(config)
+    assert old_fields == read_json("platform_settings.json")
+    assert memory_mb == 96  # in the old file, too, but not read then
