Gateway: an id that was sent on with an effect does not run again

What callers saw: a client leaves, and its id comes again 0.1 s later: the request runs twice.

Cause: an id was known as long as its query was open. A disconnect cancels the attempts and releases the query at once, and with it the id, although the node may have run the part, or may yet; the next request of this id was a new one. By the platform's protocol an id is fresh on every request, a retry too, so that such a request is answered 409, as that of an open id.

The broker keeps the ids of keyed and unsafe classes once an attempt of theirs was sent: the last 64 for each MB of its limit at least, twice as many at most (SentIds). Ids of safe classes, of refused requests and of those that were never sent may come again.

--- a/heathwell/gateway/broker.py
+++ b/heathwell/gateway/broker.py
@@ -32,6 +32,7 @@
 from heathwell.gateway.node_pool import NodeLink
 from heathwell.gateway.node_pool_limit import ConnectionPoolLimit
 from heathwell.gateway.requests import ClientRequest, RequestedPart
+from heathwell.gateway.sent_ids import SentIds
 from heathwell.gateway.targets import Targets, endpoint_state, to_endpoint_update
 from heathwell.observability.event_log import EventLog
 
@@ -39,6 +40,7 @@
 DEADLINE_MARGIN_US = 8_000
 SECOND_STEP_SUFFIX = ".fetch"
 TYPICAL_PROCESS_BYTES = 20 * BYTES_PER_MB  # memory of a process without clients
+SENT_IDS_PER_MB = 64  # ids of requests with effects that are kept at least, for each MB of the memory limit
 AT_CAPACITY = "full"  # reason of a rejection at admission, as named in metrics and replies
 
 
@@ -92,6 +94,7 @@
             config.memory_mb * BYTES_PER_MB, process_bytes, config.client_sockets
         )
         self.memory = MemoryBudget(self.client_limits.shared_bytes)
+        self.sent_ids = SentIds(config.memory_mb * SENT_IDS_PER_MB)
         self.pool_limit = ConnectionPoolLimit(config.node_sockets)
         self.addresses: dict[str, str] = {}
         self.closed_link_statistics: Counter[str] = Counter()
@@ -163,6 +166,13 @@
         )
         return handle
 
+    def is_used(self, request_id: str) -> bool:
+        """Whether a request of this id is open, or had an attempt sent and must not run again.
+
+        A client that left may come again with the id of its request, whose attempt may have run or may yet.
+        """
+        return request_id in self.queries or request_id in self.sent_ids
+
     def _reject(self, spec: policy.QueryClass, on_reply: OnReply) -> None:
         self.counters["door", spec.name, AT_CAPACITY] += 1
         retry_after_us = min(spec.latency_objective_us, self.capacity_retry_after_us)
@@ -250,6 +260,12 @@
         """Give back the memory of a query of which nothing is left."""
         self.memory.charge(-query.memory_bytes)
 
+    def on_attempt_sent(self, node: str, key: AttemptKey) -> None:  # noqa: ARG002  # part of a hook
+        """Remember the id of a query whose effect a repeat would have once more."""
+        query = self.parts[key[0]]
+        if self._query_class(query).idempotency != policy.Idempotency.IDEMPOTENT:
+            self.sent_ids.add(query.id)
+
     def new_link(self, node: str) -> NodeLink:
         """Return a link to a node at its present address."""
         return NodeLink(
--- a/heathwell/gateway/client_connection.py
+++ b/heathwell/gateway/client_connection.py
@@ -276,9 +276,9 @@
             return
         try:
             client_request = front.checker.check(request)
-            if client_request.id in front.broker.queries:
+            if front.broker.is_used(client_request.id):
                 raise BadRequestError(  # noqa: TRY301  # handled as any other bad request, below
-                    f"Req-Id: {client_request.id} is open already", 409
+                    f"Req-Id: {client_request.id} was used already", 409
                 )
         except BadRequestError as problem:
             front.counts["bad request"] += 1
