HTTP server side: a response to HEAD has no body, so that its connection ends

Cause: h11 raises if a response to HEAD is given a body. ClientConnection.fail had taken the connection out of its queues by then, so that no timeout found it again. The same for a whole HEAD request, which is answered 405.

ServerSide.respond leaves the body out. Two new cases of the test of malformed input fail before with no byte received, and pass; a test of the codec, with an error in the next request behind a HEAD.

--- a/heathwell/codec/http_server.py
+++ b/heathwell/codec/http_server.py
@@ -70,6 +70,7 @@
         self._searched_bytes = 0  # leading bytes of them that contain no end of a head
         self._pending_in_h11_bytes = 0  # given to h11, and part of an incomplete chunk line or trailer
         self._head: _Head | None = None
+        self._is_head_method = False  # of the request in progress: its response has no body
         self._body = bytearray()
         self._awaits_response = False
         self._has_ended = False
@@ -199,6 +200,7 @@
         length = next((int(text) for name, text in head.headers if name == b"content-length"), 0)
         if length > self._max_body_bytes:
             return self._too_long_body()
+        self._is_head_method = head.method == b"HEAD"
         path, _, query = head.target.decode("latin-1").partition("?")
         headers = {name.decode("latin-1"): text.decode("latin-1") for name, text in head.headers}
         memory_bytes = text_bytes + len(headers) * FIELD_OBJECT_BYTES
@@ -298,11 +300,13 @@
         if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = h11.Response(status_code=response.status, headers=headers)
             out += connection.send(head) or b""
-            out += connection.send(h11.Data(data=response.body)) or b""
+            if not self._is_head_method:
+                out += connection.send(h11.Data(data=response.body)) or b""
             out += connection.send(h11.EndOfMessage()) or b""
         if connection.our_state is h11.MUST_CLOSE:
             self.closing = True
         elif connection.our_state is h11.DONE and connection.their_state is h11.DONE:
             self._connection = None
+            self._is_head_method = False
         self._awaits_response = False
         return out
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -169,6 +169,8 @@
         ),
         ([RAW_HEAD % b"q1" + b'Content-Length: 100\r\n\r\n{"parts"'], b"408"),
         ([b"POST /pri"], b"408"),
+        ([RAW_HEAD.replace(b"POST", b"HEAD") % b"q1" + b"Content-Length: 100\r\n\r\n{"], b"408"),
+        ([raw_request(b"q1").replace(b"POST", b"HEAD")], b"405"),
         ([raw_request(b"")], b"400"),
         ([b"DELETE /price-search HTTP/1.1\r\nHost: b\r\nReq-Kind: price-search\r\n\r\n"], b"405"),
         ([b"GET /nowhere HTTP/1.1\r\nHost: b\r\n\r\n"], b"400"),
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -100,3 +100,15 @@
 def test_a_connection_that_ends_between_requests_is_closed():
     side = ServerSide()
     assert list(side.feed(b"")) == [] and side.closing
+
+
+@pytest.mark.parametrize("after", [b"NOT HTTP\r\n\r\n", HEAD + fields(200), HEAD + LENGTH + b"\r\n123456789"])
+def test_a_response_to_head_has_no_body_and_the_next_one_has(after):
+    """Guards against a response that can't be written, so that the connection keeps its place for good."""
+    side = ServerSide()
+    [request] = side.feed(b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert isinstance(request, Request) and request.method == "HEAD"
+    assert side.respond(Response(200, b"body")).endswith(b"content-length: 4\r\n\r\n")
+    [message] = side.feed(after)
+    response = message if isinstance(message, Response) else Response(200, b"more")
+    assert side.respond(response).endswith(response.body)
