Gateway: bytes of nodes and discovery are not kept behind their handling, nor in one turn

The client's side of HTTP kept a whole list of endpoints until the next answer. And an answer of discovery in chunks of one byte was parsed in one turn.

Evidence: the local variables of all waiting tasks, on virtual time: 54,000 bytes for a node that repeats its answers; 20,003 events of h11 in one turn for a list of 20 KB.

They hand each piece over and keep none; nodes are read 16 KB, discovery 8 KB a turn.

--- a/heathwell/codec/http.py
+++ b/heathwell/codec/http.py
@@ -92,6 +92,8 @@
                 elif isinstance(event, h11.EndOfMessage):
                     if self._connection.our_state is h11.DONE and self._connection.their_state is h11.DONE:
                         self._connection.start_next_cycle()
-                    return Response(self._status, bytes(self._body))
+                    body = bytes(self._body)
+                    self._body = bytearray()
+                    return Response(self._status, body)
         except h11.ProtocolError as problem:
             raise HttpError(str(problem)) from None
--- a/heathwell/gateway/discovery_call.py
+++ b/heathwell/gateway/discovery_call.py
@@ -6,15 +6,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from typing import Protocol
 
-from heathwell.codec.http import ClientSide, HttpError
+from heathwell.codec.http import ClientSide, HttpError, Response
 from heathwell.eventloop import ConnectError, Coro, Loop, Net, Stream, StreamBrokenError
 from heathwell.gateway.errors import GatewayError
 from heathwell.gateway.targets import Targets, TargetsError
 
 MAX_CONNECT_US = 4_000_000  # a connect that takes longer has failed
 MAX_BODY_BYTES = 1 << 20
+READ_BYTES = 8_192  # read in one turn; an answer may come in chunks of one byte
 STATUS_OK = 200
 
 
@@ -34,6 +36,7 @@
     def __init__(self, address: str, stream: Stream) -> None:
         self.has_received = False  # whether any byte has answered the last request
         self._stream = stream
+        stream.max_consecutive_bytes = READ_BYTES
         self._side = ClientSide(address, MAX_BODY_BYTES)
 
     @property
@@ -48,15 +51,17 @@
         """
         self.has_received = False
         self._stream.write(self._side.request("GET", path))
-        while True:
-            data = yield from self._stream.read()
-            self.has_received = self.has_received or bool(data)
-            response = self._side.feed(data)
-            if response is None:
-                continue
-            if response.status != STATUS_OK:
-                raise CallRefusedError(response.status)
-            return Targets.from_bytes(response.body)
+        while (response := (yield from self._read())) is None:
+            pass
+        if response.status != STATUS_OK:
+            raise CallRefusedError(response.status)
+        return Targets.from_bytes(response.body)
+
+    def _read(self) -> Generator[object, object, Response | None]:
+        """Wait for bytes, keeping none for the next wait; return the response once it is complete."""
+        data = yield from self._stream.read(READ_BYTES)
+        self.has_received = self.has_received or bool(data)
+        return self._side.feed(data)
 
     def close(self) -> None:
         """Reset the connection."""
--- a/heathwell/gateway/node_connection.py
+++ b/heathwell/gateway/node_connection.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Generator
 
 from heathwell import policy
 from heathwell.broker.driver_contract import AttemptKey
@@ -32,6 +33,7 @@
 )
 from heathwell.gateway.node_owners import ConnectionOwner
 
+READ_BYTES = 16_384  # read from one connection in one turn
 # The broker closes an idle connection after this fraction of the node's idle timeout. It closes first, so
 # that it does not send a part while the node closes.
 IDLE_TIME_FRACTION = 0.8
@@ -164,8 +166,8 @@
         try:
             self.stream = yield from self._connect()
             self._on_connected(self.stream)
-            while data := (yield from self.stream.read()):
-                self._on_data(data)
+            while (yield from self._read(self.stream)):
+                pass
         except ConnectError as problem:
             self.link.log_info("no connection", str(problem))
         except StreamBrokenError as problem:
@@ -181,6 +183,13 @@
         finally:
             self._finish()
 
+    def _read(self, stream: Stream) -> Generator[object, object, bool]:
+        """Wait for bytes and handle them, keeping none for the next wait; return false at the end."""
+        data = yield from stream.read(READ_BYTES)
+        if data:
+            self._on_data(data)
+        return bool(data)
+
     def _connect(self) -> Coro[Stream]:
         """Connect, with one retry if the connection is reset while it is being established."""
         try:
@@ -196,6 +205,7 @@
         self.orphaned = {}
         for key in orphaned.values():
             self.link.on_attempt_ended(key, policy.Outcome.CONNECTION_LOST, None)
+        stream.max_consecutive_bytes = READ_BYTES
         stream.on_flushed = self._write_calls
         self._write_calls()
         probes = self._unsent_probes
