Gateway: what nodes don't read is charged to the clients' memory, frames are 4 KB at most

The bytes of an incomplete frame of a node were bounded by 16 KB for each connection, 4 MB for all, though an answer holds a line of 512 bytes and a value of 16.

A connection to a node states what it has not sent, and the budget is charged until it is; so fewer requests are read and accepted meanwhile. MAX_FRAME_BYTES is 4,096. The new test (nodes that read nothing, virtual time) fails before and passes.

--- a/heathwell/codec/nodeframes.py
+++ b/heathwell/codec/nodeframes.py
@@ -30,8 +30,9 @@
 # The field of a load report that is read.
 IN_FLIGHT_FIELD = b"inflight"
 
-MAX_FRAME_BYTES = 16_384  # limit of a frame received from a node, which holds one line and one value
 MAX_LINE_BYTES = 512
+# Limit of a frame received from a node. It holds one line and one value; an incomplete one is held.
+MAX_FRAME_BYTES = 4_096
 MAX_REASON_BYTES = 200
 LENGTH_BYTES = 4
 ANSWER_LINE_ITEMS = 4  # part id, status, score, load report
--- a/heathwell/gateway/node_connection.py
+++ b/heathwell/gateway/node_connection.py
@@ -23,6 +23,7 @@
 from heathwell.broker.idle_connections import IdleTimeout
 from heathwell.codec import nodeframes as nf
 from heathwell.eventloop import ConnectError, Coro, Stream, StreamBrokenError, Task
+from heathwell.gateway.client_memory import ConnectionMemory
 from heathwell.gateway.node_attempts import (
     ABANDONED_ID_RETENTION_US,
     ANSWERED_ID_RETENTION_US,
@@ -64,6 +65,7 @@
         self._sent_probes: deque[int] = deque()  # in the order of sending, which is that of their answers
         self._unsent_probes: list[int] = []
         self._waiting_since_us: int | None = None
+        self._memory = ConnectionMemory(link.owner.memory, place_bytes=0)  # of calls that are not sent yet
         self._idle_timeout = IdleTimeout(
             self.loop, int(link.limits.idle_us * IDLE_TIME_FRACTION), lambda: self.is_busy, self.close
         )
@@ -282,6 +284,7 @@
                     self.in_flight[request.id].frame_end = stream.queued + len(data)
             self._start_waiting()
             self._write(data)
+        self._memory.resize(0 if stream.closed else stream.unsent)
         self._writing_calls = False
 
     def _send_probe(self, number: int) -> None:
@@ -317,6 +320,7 @@
         if self._finished:
             return
         self._finished = True
+        self._memory.resize(0)
         self.link.pool_limit.release(self)
         self.link.on_connection_closed(self)
         self._idle_timeout.cancel()
--- a/heathwell/gateway/node_owners.py
+++ b/heathwell/gateway/node_owners.py
@@ -12,12 +12,15 @@
 from heathwell.broker.driver_contract import AttemptKey
 from heathwell.codec import nodeframes as nf
 from heathwell.eventloop import Loop, Net
+from heathwell.gateway.client_memory import MemoryBudget
 from heathwell.gateway.config import Connections
 from heathwell.gateway.node_pool_limit import Connection, ConnectionPoolLimit
 
 
 class AttemptOwner(Protocol):
-    """Receives the results of attempts and probes."""
+    """Receives the results of attempts and probes; ``memory`` is charged what nodes don't read."""
+
+    memory: MemoryBudget
 
     def on_attempt_result(
         self, node: str, key: AttemptKey, outcome: policy.Outcome, result: nf.PartAnswer | None
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heathwell.eventloop import sleep
+from heathwell.eventloop import sleep, virtual
 from heathwell.gateway.client_memory import (
     BYTES_PER_MB,
     CLIENT_FRACTION,
@@ -205,3 +205,37 @@
 
     world.run(main())
     assert world.broker.memory.used_bytes == 0 and not world.broker.queries
+
+
+def test_the_copies_of_a_text_that_nodes_do_not_read_are_charged(monkeypatch):
+    """Guards against texts that are held once more for each part whose node doesn't read."""
+    monkeypatch.setattr(virtual, "WINDOW_BYTES", 16_384)
+    world = Platform(limits=SMALL_LIMITS)
+    memory = world.broker.memory
+    used = []
+    unsent = []
+
+    def main():
+        yield from world.client().send_query("q0", "price-search", list(range(12)))
+        for node in world.nodes:
+            world.net.cut("broker", node.uid)
+        for number in range(60):
+            query = world.client(f"c{number}").send_query(
+                f"q{number + 1}", "price-search", list(range(12)), text="x" * 32_000
+            )
+            world.loop.spawn(query, "query")
+        for _ in range(100):
+            yield from sleep(world.loop, 5_000)
+            connections = [link.connections for link in world.broker.links.values()]
+            streams = [connection.stream for group in connections for connection in group]
+            unsent.append(sum(stream.unsent for stream in streams if stream and not stream.closed))
+            of_queries = sum(query.memory_bytes for query in world.broker.queries.values())
+            used.append(memory.used_bytes - of_queries)
+        for node in world.nodes:
+            world.net.heal("broker", node.uid)
+        yield from sleep(world.loop, 3 * SECOND_US)
+
+    world.run(main(), errors=True)
+    assert max(unsent) > 64_000
+    assert all(charged >= held for charged, held in zip(used, unsent, strict=True))
+    assert memory.used_bytes == 0
