Servers: a client of memcached or vector search has a bounded share of a turn

Cause: a piece of up to 64 KB, 16 of them in a turn, was executed or parsed at once: 10,000 noops of one client, or 5,000 chunks of one byte, in a single turn of the loop. Both kept the last piece in a variable beside the parser's copy, and the vector server read ahead into a queue of pieces, each an object of its own however small.

Open: what all clients of these two servers hold together has no bound but the number of connections times the longest line or body; their settings name no limit of memory.

--- a/heathwell/codec/http_server.py
+++ b/heathwell/codec/http_server.py
@@ -91,6 +91,11 @@
         head_bytes = 0 if self._head is None else self._head.memory_bytes
         return len(self._unparsed) + self._pending_in_h11_bytes + head_bytes + len(self._body)
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """How many received bytes no step of the parser has taken yet."""
+        return len(self._unparsed)
+
     @property
     def expected_bytes(self) -> int:
         """Memory that the incomplete request takes once it is whole; where that is unknown, the most."""
--- a/heathwell/servers/memcached_connection.py
+++ b/heathwell/servers/memcached_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Generator
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Protocol
@@ -13,11 +14,14 @@
 from heathwell.broker.query_state import Handle
 from heathwell.broker.replies import Reply
 from heathwell.codec import memcached as protocol
-from heathwell.eventloop import Coro, Event, Stream, StreamBrokenError, StreamOverrunError
+from heathwell.eventloop import Coro, Event, Stream, StreamBrokenError, StreamOverrunError, sleep
 from heathwell.servers.client_connection import ClientConnection, ClientRegistry
 from heathwell.servers.memcached_replies import get_reply, meta_get_reply
 from heathwell.service.service_broker import ServiceBroker
 
+READ_BYTES = 16_384  # read from one connection in one turn
+MAX_COMMANDS_PER_TURN = 64  # of one connection
+
 
 @dataclass(slots=True)
 class MemcachedServerStatistics:
@@ -99,6 +103,7 @@
         self._progress = Event()
         self._overrun: StreamOverrunError | None = None
         stream.hard_limit = limits.max_unread_bytes
+        stream.max_consecutive_bytes = READ_BYTES
         stream.high_water = min(stream.high_water, limits.max_unread_bytes // 2)
 
     @property
@@ -109,19 +114,24 @@
     def run(self) -> Coro[None]:
         """Serve until the client ends its requests and each has been answered."""
         self.stream.on_close = self.on_connection_lost
-        while not self._is_quitting:
-            data = yield from self.stream.read()
-            if not data:
-                break
-            for command in self._parser.feed(data):
-                self._execute(command)
-                if self._is_quitting:
-                    break
-                yield from self._wait_for_capacity()
+        while not self._is_quitting and (yield from self._serve_piece()):
+            pass
         while self.pending and not self.stream.closed:
             yield from self._wait_for_progress()
         yield from self._drain_stream()
 
+    def _serve_piece(self) -> Generator[object, object, bool]:
+        """Read bytes and execute the commands that they complete; return false at the end of the stream."""
+        data = yield from self.stream.read(READ_BYTES)
+        for number, command in enumerate(self._parser.feed(data), start=1):
+            self._execute(command)
+            if self._is_quitting:
+                break
+            if number % MAX_COMMANDS_PER_TURN == 0:
+                yield from sleep(self._server.broker.loop, 0)
+            yield from self._wait_for_capacity()
+        return bool(data)
+
     def on_connection_lost(self) -> None:
         """Disconnect from the queries in progress, as their answers cannot be delivered."""
         pending = self.pending
--- a/heathwell/servers/vector_connection.py
+++ b/heathwell/servers/vector_connection.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections.abc import Generator
 from dataclasses import dataclass
 from typing import Protocol
 
 from heathwell.codec.http import Request, Response
 from heathwell.codec.http_server import ServerSide
-from heathwell.eventloop import Coro, Event, Stream, StreamBrokenError
+from heathwell.eventloop import Coro, Event, Stream, StreamBrokenError, sleep
 from heathwell.servers import vector_answers as answers
 from heathwell.servers import vector_api as api
 from heathwell.servers.client_connection import ClientConnection, ClientRegistry
@@ -16,7 +16,9 @@
 from heathwell.servers.vector_search import ChunkedSearch, SearchResults
 from heathwell.service.service_broker import ServiceBroker
 
-MAX_READ_AHEAD_BYTES = 262_144  # while a request is in progress
+MAX_READ_AHEAD_BYTES = 262_144  # not parsed yet, as a request is in progress
+READ_BYTES = 65_536  # read from one connection in one turn
+MAX_STEPS_PER_TURN = 64  # of the parser for one connection
 
 
 @dataclass(slots=True)
@@ -55,8 +57,7 @@
         self._server = server
         self._limits = server.broker.service_settings.vector
         self._protocol = ServerSide(self._limits.max_body_bytes, self._limits.max_head_bytes)
-        self._unparsed: deque[bytes] = deque()
-        self._unparsed_bytes = 0
+        stream.max_consecutive_bytes = READ_BYTES
         self._is_busy = False
         # Start of the running timeout: of a request that is being received, or of an idle connection.
         self._timeout_started_at_us = self.loop.now()
@@ -72,7 +73,7 @@
 
     @property
     def _is_receiving(self) -> bool:
-        return bool(self._unparsed) or self._protocol.has_partial_request
+        return self._protocol.has_partial_request
 
     def run(self) -> Coro[None]:
         """Serve until either side closes the connection."""
@@ -114,18 +115,22 @@
 
     def _serve_requests(self) -> Coro[None]:
         while True:
-            message = next(self._protocol.events(), None)
+            message = self._protocol.next_message(MAX_STEPS_PER_TURN)
+            self._has_capacity.set()
             interim = self._protocol.take_interim()
             if interim:
                 self.stream.write(interim)
             if message is not None:
                 yield from self._serve_message(message)
-            elif not self._protocol.closing and (yield from self._parse_more()):
-                continue
-            else:
-                return
             if self._protocol.closing:
                 return
+            if self._protocol.is_parsing:
+                yield from sleep(self.loop, 0)
+            elif message is None:
+                if self.has_ended:
+                    return
+                self._has_data.clear()
+                yield from self._has_data.wait()
 
     def _serve_message(self, message: Request | Response) -> Coro[None]:
         """Answer a request; the parser returns a response in place of a request that is invalid."""
@@ -157,14 +162,8 @@
     def _read_ahead(self) -> Coro[None]:
         """Read ahead within bounds, so that a disconnect is noticed while a request is in progress."""
         try:
-            while data := (yield from self._read_within_bounds()):
-                if self.stream.is_closing:
-                    continue  # no response could be written; the rest of the last one is being sent
-                if self.is_idle:
-                    self._timeout_started_at_us = self.loop.now()
-                self._unparsed.append(data)
-                self._unparsed_bytes += len(data)
-                self._has_data.set()
+            while (yield from self._read_piece()):
+                pass
         except StreamBrokenError:
             pass
         self.has_ended = True
@@ -173,24 +172,18 @@
             # As in other HTTP servers, a client that half-closes is taken to have disconnected.
             self.on_connection_lost()
 
-    def _read_within_bounds(self) -> Coro[bytes]:
-        while self._unparsed_bytes > MAX_READ_AHEAD_BYTES:
+    def _read_piece(self) -> Generator[object, object, bool]:
+        """Read bytes for the parser, and keep none for the next wait; return false at the end."""
+        while self._protocol.unparsed_bytes > MAX_READ_AHEAD_BYTES:
             self._has_capacity.clear()
             yield from self._has_capacity.wait()
-        return (yield from self.stream.read())
-
-    def _parse_more(self) -> Coro[bool]:
-        """Wait for bytes and pass them to the parser; return false at the end of the stream."""
-        while not self._unparsed:
-            if self.has_ended:
-                return False
-            self._has_data.clear()
-            yield from self._has_data.wait()
-        data = self._unparsed.popleft()
-        self._unparsed_bytes -= len(data)
-        self._has_capacity.set()
-        self._protocol.receive(data)
-        return True
+        data = yield from self.stream.read(READ_BYTES)
+        if data and not self.stream.is_closing:  # else no response could be written
+            if self.is_idle:
+                self._timeout_started_at_us = self.loop.now()
+            self._protocol.receive(data)
+            self._has_data.set()
+        return bool(data)
 
     def _check_timeouts(self) -> None:
         """Close the connection of a request that takes too long to arrive, or one that is idle too long."""
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -119,9 +119,9 @@
 
 
 def bytes_kept_by_tasks(loop):
-    """Return the length of each piece of bytes in a local variable of a task that waits."""
+    """Return the length of each piece of bytes in a local variable of a waiting task but the test's own."""
     kept = []
-    for task in loop.tasks:
+    for task in (task for task in loop.tasks if task.name != "main"):
         generator = task._gen
         while generator is not None and hasattr(generator, "gi_frame"):
             if generator.gi_frame is not None:
