--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -337,6 +337,7 @@
             answer = httpx.post(
                 f"{fleet.base_url}/collections/prices/points/query", json={"query": query, "limit": 3}
             ).json()
+            assert "result" in answer, answer
             assert [point["id"] for point in answer["result"]["points"]] == [
                 point for point, _ in brute_force(fleet.service_settings, "prices", query, 3)
             ]
