Gateway: a request that waits for the last answer to be taken is not closed over

What callers would see: a connection closed over a request that was read, where the client has not taken the answer before it.

Cause: since such a request was held while its connection stayed among the inactive ones, which are closed to make room; and a place that was full of an unsent answer counted as read-ahead, so that the next request was dropped (memory of all clients used up).

The bytes go to the parser's queue unless a request is in progress, and a connection that may hold a whole request makes no room. The new test, a forced order on sockets, fails before (_make_room closed it) and passes; the gateway's, clients' and event orderings' tests pass.

--- a/heathwell/gateway/client_connection.py
+++ b/heathwell/gateway/client_connection.py
@@ -159,11 +159,16 @@
         """Return how many bytes may be read behind a request in progress."""
         if self.memory.budget.can_read:
             return READ_BYTES
-        if not self.memory.free_bytes:
+        if self.busy and not self.memory.free_bytes:
             self._overrun()
             return DISCARD_BYTES
         return self.memory.free_bytes
 
+    @property
+    def may_hold_whole_request(self) -> bool:
+        """Whether what was read is still to be parsed: it may be a whole request, which must be answered."""
+        return self in self.front.parsing or bool(self.stream.unsent)
+
     @property
     def _is_discarding(self) -> bool:
         """Whether received bytes can't lead to a response any more."""
@@ -187,9 +192,9 @@
         if self.side is None:
             self.side = ServerSide(MAX_BODY_BYTES, MAX_HEAD_BYTES)
         self.side.receive(data)
-        if not self._is_reading_ahead:
+        if not self.busy:
             self._advance(self.side)
-        elif self.side.held_bytes > MAX_READ_AHEAD_BYTES:
+        if self._is_reading_ahead and self.side.held_bytes > MAX_READ_AHEAD_BYTES:
             self._overrun()
         self._update_memory()
         return True
@@ -338,6 +343,7 @@
         self._update_memory()
         if self.side is not None and self.side.has_partial_request:
             self.front.parse_later(self)
+        self._may_continue.set()
 
     def fail(self, response: Response) -> None:
         """Respond with an error and close after ``LINGER_US``; no further request is served."""
--- a/heathwell/gateway/front.py
+++ b/heathwell/gateway/front.py
@@ -95,7 +95,10 @@
         """Close an idle connection or else one with an incomplete request; return whether one was closed."""
         for victim in [
             *islice(self.inactive, MAX_EVICTION_CANDIDATES),
-            *islice(self.receiving, MAX_EVICTION_CANDIDATES),
+            *islice(
+                (client for client in self.receiving if not client.may_hold_whole_request),
+                MAX_EVICTION_CANDIDATES,
+            ),
         ]:
             if victim.failed:
                 victim.stream.close()
--- a/tests/test_event_orderings_idle_close.py
+++ b/tests/test_event_orderings_idle_close.py
@@ -248,3 +248,29 @@
 
     assert world.run(main()) == 200
     assert [part.id for part in world.nodes[SHARD].parts] == ["q1.3", "after.3"]
+
+
+def test_a_request_that_waits_until_its_client_has_taken_the_last_answer_is_not_closed_over():
+    """Guards against dropping a request that was read while an answer is unsent, as others need room."""
+    world = World()
+    unsent_answer = b"x" * 200_000
+
+    def main():
+        sock = world.open_client_socket(receive_buffer_bytes=4096)
+        yield from serve_one_request(world, sock)
+        (client,) = world.front.clients
+        client.stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.stream.write(unsent_answer)
+        assert client.stream.unsent
+        sock.send(world.request_bytes("q2", SHARD))
+        yield from world.wait_until(lambda: client.side.has_partial_request)
+        assert not world.front._make_room()
+        world.front.max_kept_alive = 0
+        other = world.open_client_socket()
+        other.send(world.request_bytes("q3", SHARD))
+        yield from read_responses(world, other)  # with it, one too many is kept alive
+        data = yield from read_until(world.loop, sock, lambda data: data.count(b"HTTP/1.1 200") == 1)
+        return data[: len(unsent_answer)] == unsent_answer
+
+    assert world.run(main())
+    assert sorted(part.id for part in world.nodes[SHARD].parts) == ["q1.3", "q2.3", "q3.3"]
